Cancel runs at their deadline in the stand-in engine

Cause: an owner counts a lease over once the longest run has passed, which rests on the engine's cancelling at that time; the stand-in ignored x-timeout-ms, so a paused entry's run went on for ever. Measured: not run on its own; types and formatter clean.

--- a/fakes/fake_engine.ts
+++ b/fakes/fake_engine.ts
@@ -259,11 +259,14 @@
       response.flushHeaders();
     }
     const cutAfter = this.faults.cutAfterTokens;
+    const timeoutMs = Number(request.get("x-timeout-ms") ?? Infinity);
+    const endsAt = performance.now() + timeoutMs;
     let text = "";
     for (let token = 0; token < this.options.tokens; token += 1) {
       await waitMs(this.options.tokenIntervalMs);
       if (record.ended === "crashed") return;
-      if (run.isCancelled || response.destroyed) {
+      const isOver = run.isCancelled || performance.now() >= endsAt;
+      if (isOver || response.destroyed) {
         record.ended = "cancelled";
         response.destroy();
         return;
