--- /dev/null
+++ b/bench/main.ts
@@ -0,0 +1,25 @@
+/** Entry point of `npm run bench -- <command>`: lists the commands and runs the chosen one. */
+import sade from "sade";
+import { policyCommand } from "./policy/policy_command.ts";
+import type { Subcommand, SubcommandArguments } from "./subcommand.ts";
+
+const SUBCOMMANDS: readonly Subcommand[] = [
+  policyCommand,
+];
+
+const program = sade("bench");
+for (const subcommand of SUBCOMMANDS) {
+  program.command(subcommand.name, subcommand.description);
+  for (const option of subcommand.options) {
+    program.option(option.flags, option.description, option.value);
+  }
+  program.action(async (options: SubcommandArguments) => {
+    try {
+      await subcommand.run(options);
+    } catch (error) {
+      console.error(error instanceof Error ? error.message : String(error));
+      process.exitCode = 1;
+    }
+  });
+}
+program.parse(process.argv);
