Split the owner of an upstream into parts of one job

Cause: upstream_owner.ts had grown to 721 lines and held the claim, the readings, the grants, the orders and the choice of loads and evictions at once, so that a change of policy touched the code that the promises rest on.

--- /dev/null
+++ b/src/core/residency/lease_granter.ts
@@ -0,0 +1,132 @@
+/** Grants leases on one upstream within its batch room, and takes them back. */
+import type { HandoverMessage, LeaseRequestMessage } from "../messages.ts";
+import type { Milliseconds } from "../structures.ts";
+import { LeaseLedger } from "./lease_ledger.ts";
+import type { LeaseQueue, WaitingLeaseRequest } from "./lease_queue.ts";
+import type { OwnerContext } from "./owner_context.ts";
+import type { UpstreamReader } from "./upstream_reader.ts";
+
+export class LeaseGranter {
+  readonly ledger = new LeaseLedger();
+  readonly #context: OwnerContext;
+  readonly #queue: LeaseQueue;
+  readonly #reader: UpstreamReader;
+
+  constructor(
+    context: OwnerContext,
+    parts: { queue: LeaseQueue; reader: UpstreamReader },
+  ) {
+    this.#context = context;
+    this.#queue = parts.queue;
+    this.#reader = parts.reader;
+  }
+
+  /** Grants what the batch has room for; the request stays queued when there is none. */
+  tryGrant(waiting: WaitingLeaseRequest, now: Milliseconds): void {
+    const { request, holder } = waiting;
+    const { settings, pool } = this.#context.options;
+    const room = pool.batchSize - this.ledger.getCreditsInUse();
+    if (room <= 0 || this.ledger.hasExclusiveLease()) return;
+    if (request.exclusive && this.ledger.getCreditsInUse() > 0) return;
+    const credits = request.exclusive ? 1 : Math.min(room, request.credits);
+    const windowEndsAt = now + settings.leaseWindowMs + settings.leaseMarginMs;
+    const leaseId = this.#context.createId("lease");
+    this.ledger.addLease({
+      leaseId,
+      leaseRequestId: request.leaseRequestId,
+      holder,
+      adapterKey: request.adapterKey,
+      credits,
+      exclusive: request.exclusive,
+      windowEndsAt,
+      safeUntil: windowEndsAt + request.maxRunMs,
+    });
+    this.#queue.remove(request.leaseRequestId);
+    this.#sendGrant(leaseId, holder, request, {
+      credits,
+      loaded: waiting.hasWaitedForLoad,
+    });
+  }
+
+  /**
+   * Answers a repeated request with the grant that its first sending was
+   * given; returns false when there was none.
+   */
+  tryRenewGrant(
+    holder: string,
+    request: LeaseRequestMessage,
+    options: { canGrant: boolean; now: Milliseconds },
+  ): boolean {
+    const lease = this.ledger.getByRequestId(request.leaseRequestId);
+    if (!lease) return false;
+    if (!options.canGrant) return true;
+    const { settings } = this.#context.options;
+    lease.windowEndsAt = options.now + settings.leaseWindowMs +
+      settings.leaseMarginMs;
+    lease.safeUntil = lease.windowEndsAt + request.maxRunMs;
+    this.#sendGrant(lease.leaseId, holder, request, {
+      credits: lease.credits,
+      loaded: false,
+    });
+    return true;
+  }
+
+  /** Takes back the whole grant of a request that its holder gave up. */
+  cancelGrant(leaseRequestId: string): void {
+    const granted = this.ledger.getByRequestId(leaseRequestId);
+    if (granted) this.ledger.returnCredits(granted.leaseId, granted.credits);
+  }
+
+  /** Takes over the leases of the previous owner. */
+  acceptHandover(handover: HandoverMessage, now: Milliseconds): void {
+    const { settings } = this.#context.options;
+    const windowMs = settings.leaseWindowMs + settings.leaseMarginMs;
+    for (const lease of handover.leases) {
+      this.ledger.addLease({
+        leaseId: lease.leaseId,
+        leaseRequestId: "",
+        holder: lease.holder,
+        adapterKey: lease.adapterKey,
+        credits: lease.credits,
+        exclusive: false,
+        windowEndsAt: now + Math.min(windowMs, lease.remainingMs),
+        safeUntil: now + lease.remainingMs,
+      });
+    }
+  }
+
+  /** Drops the leases on adapters that the reading shows idle after their window. */
+  dropIdleLeases(): void {
+    const reading = this.#reader.getReading();
+    if (this.#context.isService() || !reading) return;
+    const lagMs = this.#context.options.settings.engineReportLagMs;
+    for (const entry of reading.state.residents) {
+      if (entry.inFlight > 0) continue;
+      this.ledger.dropIdle(entry.adapterKey, reading.readAt, lagMs);
+    }
+  }
+
+  #sendGrant(
+    leaseId: string,
+    holder: string,
+    request: LeaseRequestMessage,
+    grant: { credits: number; loaded: boolean },
+  ): void {
+    this.#context.options.emit({
+      kind: "send",
+      to: holder,
+      message: {
+        kind: "leaseGrant",
+        leaseRequestId: request.leaseRequestId,
+        leaseId,
+        upstreamId: this.#context.upstreamId,
+        adapterKey: request.adapterKey,
+        credits: grant.credits,
+        windowMs: this.#context.options.settings.leaseWindowMs,
+        exclusive: request.exclusive,
+        upstreamIncarnation: this.#reader.getIncarnation(),
+        loaded: grant.loaded,
+      },
+    });
+  }
+}
--- /dev/null
+++ b/src/core/residency/ownership_claim.ts
@@ -0,0 +1,164 @@
+/**
+ * The claim of one daemon on one upstream: its state, its fencing number and
+ * the time until which leases of earlier owners may still cover a run.
+ */
+import { ownerChart, type OwnerState } from "../../charts/owner_chart.ts";
+import type { OrderResult } from "../events.ts";
+import { hashText } from "../hashing.ts";
+import type { HandoverMessage } from "../messages.ts";
+import {
+  Fencing,
+  type Milliseconds,
+  type UpstreamStateStructure,
+} from "../structures.ts";
+import type { OrderBook } from "./order_book.ts";
+import type { OwnerContext } from "./owner_context.ts";
+import type { UpstreamReader } from "./upstream_reader.ts";
+
+/** Part of a fencing number that tells apart daemons that claim at once. */
+const FENCING_SPREAD = 65_536;
+/** Time after which a deposed owner reads the upstream again. */
+const DEPOSED_RETRY_MS = 2_000;
+
+export class OwnershipClaim {
+  readonly #context: OwnerContext;
+  readonly #orders: OrderBook;
+  readonly #reader: UpstreamReader;
+  #state: OwnerState = ownerChart.initial;
+  #stateSince: Milliseconds;
+  #fencing = 0;
+  #handover: HandoverMessage | undefined;
+  /** Fencing number that the upstream reported before it was claimed. */
+  #fencingBeforeClaim = 0;
+  #evictionAllowedAt = Number.POSITIVE_INFINITY;
+  /** No run that an earlier owner permitted starts after this time. */
+  #predecessorWindowEndsAt = Number.POSITIVE_INFINITY;
+
+  constructor(
+    context: OwnerContext,
+    parts: { orders: OrderBook; reader: UpstreamReader },
+    now: Milliseconds,
+  ) {
+    this.#context = context;
+    this.#orders = parts.orders;
+    this.#reader = parts.reader;
+    this.#stateSince = now;
+  }
+
+  get state(): OwnerState {
+    return this.#state;
+  }
+
+  get fencing(): number {
+    return this.#fencing;
+  }
+
+  isOwning(): boolean {
+    return this.#state === "owning";
+  }
+
+  /** Returns the time left until evictions need no report of the upstream; -1 when unknown. */
+  getEvictionAllowedInMs(now: Milliseconds): number {
+    const allowedInMs = this.#evictionAllowedAt - now;
+    return Number.isFinite(allowedInMs)
+      ? Math.max(0, Math.round(allowedInMs))
+      : -1;
+  }
+
+  /** Returns whether the upstream shows that another daemon claimed it later. */
+  isSuperseded(state: UpstreamStateStructure): boolean {
+    return this.isOwning() && state.fencing > this.#fencing;
+  }
+
+  /** Returns whether no run that an earlier owner permitted can be going on or start on the adapter. */
+  isFreeOfPredecessors(adapterKey: string, now: Milliseconds): boolean {
+    if (now >= this.#evictionAllowedAt) return true;
+    const idleSince = this.#predecessorWindowEndsAt +
+      this.#context.options.settings.engineReportLagMs;
+    const reading = this.#reader.getReading();
+    return reading !== undefined && reading.readAt >= idleSince &&
+      this.#reader.getInFlight(adapterKey) === 0;
+  }
+
+  acceptHandover(handover: HandoverMessage, now: Milliseconds): void {
+    this.#handover = handover;
+    this.#trustHandoverIfDirect(now);
+  }
+
+  /** Reads the upstream again some time after another daemon took it. */
+  tick(now: Milliseconds): void {
+    const isRetryDue = this.#state === "deposed" &&
+      now - this.#stateSince >= DEPOSED_RETRY_MS;
+    if (isRetryDue) this.#enter("reading", now);
+  }
+
+  /** Claims the upstream, once read, with a fencing number above the highest that it reports. */
+  claimIfRead(now: Milliseconds): void {
+    if (this.#state !== "reading") return;
+    this.#enter("claiming", now);
+    const reported = this.#reader.getReading()?.state.fencing ?? 0;
+    const highest = Math.max(this.#fencing, reported);
+    const epoch = Math.floor(highest / FENCING_SPREAD) + 1;
+    this.#fencingBeforeClaim = reported;
+    const spread = hashText(this.#context.options.selfId) % FENCING_SPREAD;
+    this.#fencing = epoch * FENCING_SPREAD + spread;
+    if (this.#context.isService()) {
+      this.recordClaimEnd({ kind: "done" }, now);
+      return;
+    }
+    this.#orders.giveOrder({ kind: "claim" }, this.#fencing);
+  }
+
+  recordClaimEnd(result: OrderResult, now: Milliseconds): void {
+    if (this.#state !== "claiming") return;
+    if (result.kind !== "done") {
+      this.#enter("reading", now);
+      return;
+    }
+    this.#enter("owning", now);
+    if (Number.isFinite(this.#evictionAllowedAt)) return;
+    const { settings, maxRunMs } = this.#context.options;
+    this.#predecessorWindowEndsAt = now + settings.ownershipValidityMs +
+      settings.leaseWindowMs + settings.leaseMarginMs;
+    this.#evictionAllowedAt = this.#predecessorWindowEndsAt + maxRunMs;
+    this.#trustHandoverIfDirect(now);
+  }
+
+  recordRestart(now: Milliseconds): void {
+    const next = ownerChart.getNext(this.#state, "upstreamRestarted");
+    if (next) this.#enter(next, now);
+  }
+
+  /** Gives the upstream up to a daemon that claimed it later. */
+  depose(now: Milliseconds): void {
+    this.#enter("deposed", now);
+    this.#evictionAllowedAt = Number.POSITIVE_INFINITY;
+    this.#predecessorWindowEndsAt = Number.POSITIVE_INFINITY;
+    this.#context.options.emit({
+      kind: "count",
+      counter: "owner_deposed",
+      tag: this.#context.upstreamId,
+    });
+  }
+
+  /**
+   * Lifts the wait for a predecessor's leases when the upstream shows that the
+   * daemon that handed over was the last one to claim it.
+   */
+  #trustHandoverIfDirect(now: Milliseconds): void {
+    if (!this.isOwning() || !this.#handover) return;
+    const isDirect = this.#context.options.pool.fencing === Fencing.Checked &&
+      this.#handover.fencing === this.#fencingBeforeClaim;
+    if (!isDirect) return;
+    this.#evictionAllowedAt = Math.min(this.#evictionAllowedAt, now);
+    this.#predecessorWindowEndsAt = Math.min(
+      this.#predecessorWindowEndsAt,
+      now,
+    );
+  }
+
+  #enter(state: OwnerState, now: Milliseconds): void {
+    this.#state = state;
+    this.#stateSince = now;
+  }
+}
--- /dev/null
+++ b/src/core/residency/upstream_reader.ts
@@ -0,0 +1,94 @@
+/** Readings of one upstream's state, and whether they show it up. */
+import type { Milliseconds, UpstreamStateStructure } from "../structures.ts";
+import type { OwnerContext } from "./owner_context.ts";
+
+export interface Reading {
+  state: UpstreamStateStructure;
+  /** When the reading was started. */
+  readAt: Milliseconds;
+}
+
+/** Readings that may fail in a row before the upstream counts as down. */
+const MAX_FAILED_READINGS = 2;
+
+export class UpstreamReader {
+  readonly #context: OwnerContext;
+  #reading: Reading | undefined;
+  #pending: { readId: string; startedAt: Milliseconds } | undefined;
+  #lastStartedAt = Number.NEGATIVE_INFINITY;
+  #failures = 0;
+
+  constructor(context: OwnerContext) {
+    this.#context = context;
+  }
+
+  getReading(): Reading | undefined {
+    return this.#reading;
+  }
+
+  getIncarnation(): string {
+    return this.#reading?.state.incarnation ?? "";
+  }
+
+  isUp(): boolean {
+    return this.#reading !== undefined && this.#failures < MAX_FAILED_READINGS;
+  }
+
+  isLeaving(): boolean {
+    return this.#context.options.host.state === "leaving" ||
+      this.#reading?.state.leaving === true;
+  }
+
+  /** Returns whether the last reading is recent enough to grant and order by. */
+  isCurrent(now: Milliseconds): boolean {
+    const age = now - (this.#reading?.readAt ?? Number.NEGATIVE_INFINITY);
+    return age <= this.#context.options.settings.ownershipValidityMs;
+  }
+
+  /** Returns the requests that the upstream last reported running on the adapter. */
+  getInFlight(adapterKey: string): number {
+    return this.#reading?.state.residents
+      .find((entry) => entry.adapterKey === adapterKey)?.inFlight ?? 0;
+  }
+
+  /** Starts a reading when one is due. */
+  tick(now: Milliseconds): void {
+    const { settings, host, pool, emit } = this.#context.options;
+    const isDue = this.#pending === undefined &&
+      now - this.#lastStartedAt >= settings.stateReadIntervalMs;
+    if (!isDue) return;
+    const readId = this.#context.createId("read");
+    this.#pending = { readId, startedAt: now };
+    this.#lastStartedAt = now;
+    emit({
+      kind: "readUpstreamState",
+      upstreamId: host.id,
+      upstreamKind: pool.kind,
+      address: host.address,
+      readId,
+    });
+  }
+
+  /** Takes the state read; returns undefined for a reading that is not awaited. */
+  recordState(
+    readId: string,
+    state: UpstreamStateStructure,
+  ): { reading: Reading; hasRestarted: boolean } | undefined {
+    if (this.#pending?.readId !== readId) return undefined;
+    const reading = { state, readAt: this.#pending.startedAt };
+    const hasRestarted = this.#reading !== undefined &&
+      this.#reading.state.incarnation !== state.incarnation;
+    this.#pending = undefined;
+    this.#failures = 0;
+    this.#reading = reading;
+    return { reading, hasRestarted };
+  }
+
+  /** Records a reading that failed; returns false for one that is not awaited. */
+  recordUnread(readId: string, isRefused: boolean): boolean {
+    if (this.#pending?.readId !== readId) return false;
+    this.#pending = undefined;
+    this.#failures = isRefused ? MAX_FAILED_READINGS : this.#failures + 1;
+    return true;
+  }
+}
