Split the request executor into classes of one job

It is now a facade over the lease book, ticket admission, assigner, attempt runner, examiner and concluder, which share an execution context. Behaviour is unchanged; the tests that stood before pass.

--- /dev/null
+++ b/src/core/execution/attempt_runner.ts
@@ -0,0 +1,269 @@
+/** Runs attempts: dispatches them, and completes, retries or refuses their requests by how they end. */
+import type { CoreEvent } from "../events.ts";
+import {
+  type AttemptResult,
+  Outcome,
+  RefusalReason,
+  RetryReason,
+} from "../outcomes.ts";
+import { type Milliseconds, PoolKind } from "../structures.ts";
+import { AttemptExaminer, type RunningAttempt } from "./attempt_examiner.ts";
+import {
+  DEFAULT_RETRY_AFTER_MS,
+  type ExecutionContext,
+} from "./execution_context.ts";
+import type { LeaseBook } from "./lease_book.ts";
+import type { TakenCredit } from "./lease_holding.ts";
+import type { LiveRequest } from "./live_request.ts";
+import type { RequestAssigner } from "./request_assigner.ts";
+import type { RequestConcluder } from "./request_concluder.ts";
+
+export class AttemptRunner {
+  readonly #context: ExecutionContext;
+  readonly #leases: LeaseBook;
+  readonly #assigner: RequestAssigner;
+  readonly #concluder: RequestConcluder;
+  readonly #examiner: AttemptExaminer;
+  readonly #attempts = new Map<string, RunningAttempt>();
+
+  constructor(
+    context: ExecutionContext,
+    parts: {
+      leases: LeaseBook;
+      assigner: RequestAssigner;
+      concluder: RequestConcluder;
+    },
+  ) {
+    this.#context = context;
+    this.#leases = parts.leases;
+    this.#assigner = parts.assigner;
+    this.#concluder = parts.concluder;
+    this.#examiner = new AttemptExaminer(
+      context,
+      (request, reason, now) => this.retry(request, reason, now),
+    );
+  }
+
+  countAttempts(): number {
+    return this.#attempts.size;
+  }
+
+  /** Takes the outcome of reading a lost attempt's upstream; returns false when it was not asked for here. */
+  handleExamination(
+    event: Extract<
+      CoreEvent,
+      { kind: "upstreamStateRead" | "upstreamStateUnread" }
+    >,
+    now: Milliseconds,
+  ): boolean {
+    return this.#examiner.handleExamination(event, now);
+  }
+
+  handleAttemptEnded(
+    event: Extract<CoreEvent, { kind: "attemptEnded" }>,
+    now: Milliseconds,
+  ): void {
+    const attempt = this.#attempts.get(event.attemptId);
+    if (!attempt) {
+      this.#context.options.emit({
+        kind: "count",
+        counter: "stray_attempt_end",
+        tag: event.result.kind,
+      });
+      return;
+    }
+    this.#attempts.delete(event.attemptId);
+    const isLive =
+      this.#context.requests.get(attempt.request.id) === attempt.request &&
+      attempt.request.attempt?.attemptId === event.attemptId;
+    if (isLive) {
+      attempt.request.answer = event.answer;
+      attempt.request.attempt = undefined;
+    }
+    this.#releaseCredit(attempt, event.result, now);
+    this.#examineIfLost(attempt, event.result, isLive, now);
+    if (isLive) this.#concludeAttempt(attempt, event.result, now);
+    this.#leases.pumpHolding(attempt.holdingKey, now);
+  }
+
+  /** Starts an attempt under a credit. */
+  dispatch(
+    request: LiveRequest,
+    holdingKey: string,
+    credit: TakenCredit,
+    now: Milliseconds,
+  ): void {
+    const { route, pool } = request;
+    const upstreamId = request.upstreamId ?? "";
+    const host = this.#context.options.membership.getUpstreamHost(upstreamId);
+    if (!host) {
+      this.#leases.freeCredit(holdingKey, credit.leaseId, now);
+      request.unassign();
+      return;
+    }
+    request.apply("dispatched");
+    request.attempts += 1;
+    if (request.attempts === 1) this.#recordFirstAttempt(request, now);
+    const attempt = {
+      attemptId: this.#context.createId("attempt"),
+      upstreamId,
+      credit,
+    };
+    request.attempt = attempt;
+    this.#attempts.set(attempt.attemptId, { ...attempt, request, holdingKey });
+    this.#context.options.emit({
+      kind: "dispatch",
+      attemptId: attempt.attemptId,
+      requestId: request.id,
+      upstreamId,
+      upstreamKind: pool.kind,
+      address: host.address,
+      model: pool.kind === PoolKind.Engine ? request.adapterKey : route.name,
+      route,
+      tablesRevision: request.tablesRevision,
+      timeoutMs: route.maxRunMs,
+      dispatchUntil: credit.dispatchUntil,
+    });
+  }
+
+  #recordFirstAttempt(request: LiveRequest, now: Milliseconds): void {
+    this.#context.options.retryBudget.recordFirstAttempt();
+    this.#context.options.emit({
+      kind: "measure",
+      histogram: request.hasStalled ? "load_stall" : "lease_wait",
+      valueMs: now - request.arrivedAt,
+    });
+  }
+
+  #releaseCredit(
+    attempt: RunningAttempt,
+    result: AttemptResult,
+    now: Milliseconds,
+  ): void {
+    const mayStillRun = result.kind === "lost" || result.kind === "timedOut" ||
+      result.kind === "wrongAdapter";
+    const { holdingKey, credit } = attempt;
+    if (mayStillRun) this.#leases.abandonCredit(holdingKey, credit.leaseId);
+    else this.#leases.freeCredit(holdingKey, credit.leaseId, now);
+  }
+
+  /** Learns whether the upstream of a lost attempt died, before anything is retried. */
+  #examineIfLost(
+    attempt: RunningAttempt,
+    result: AttemptResult,
+    isLive: boolean,
+    now: Milliseconds,
+  ): void {
+    if (result.kind !== "lost") return;
+    const { request } = attempt;
+    const canRetry = isLive && request.route.idempotent &&
+      result.bytesForwarded === 0;
+    const isExamined = this.#examiner.examine(
+      attempt,
+      canRetry ? RetryReason.UpstreamLost : undefined,
+    );
+    if (!isExamined) return;
+    if (canRetry) {
+      request.apply("upstreamSuspected");
+      request.excludedUpstreams.add(attempt.upstreamId);
+    } else if (isLive) {
+      this.#concluder.refuse(request, RefusalReason.UpstreamLost, {
+        outcome: Outcome.MayHaveRun,
+      }, now);
+    }
+  }
+
+  #concludeAttempt(
+    attempt: RunningAttempt,
+    result: AttemptResult,
+    now: Milliseconds,
+  ): void {
+    const { request } = attempt;
+    if (request.state !== "running") return;
+    switch (result.kind) {
+      case "completed":
+        this.#complete(request, attempt, now);
+        break;
+      case "notSent":
+        this.retry(request, RetryReason.NotSent, now);
+        break;
+      case "refused":
+        request.excludedUpstreams.add(attempt.upstreamId);
+        this.retry(request, RetryReason.RefusedByUpstream, now);
+        break;
+      case "rejected":
+        this.#concluder.refuse(request, RefusalReason.UpstreamRejected, {
+          outcome: Outcome.NotRun,
+        }, now);
+        break;
+      case "failed":
+        this.#concluder.refuse(request, RefusalReason.UpstreamRejected, {
+          outcome: Outcome.Failed,
+        }, now);
+        break;
+      case "wrongAdapter":
+        request.excludedUpstreams.add(attempt.upstreamId);
+        if (request.route.idempotent) {
+          this.retry(request, RetryReason.WrongAdapter, now);
+        } else {
+          this.#concluder.refuse(request, RefusalReason.WrongAdapter, {
+            outcome: Outcome.MayHaveRun,
+          }, now);
+        }
+        break;
+      case "timedOut":
+        this.#concluder.refuse(request, RefusalReason.RunTimeExceeded, {
+          outcome: Outcome.MayHaveRun,
+        }, now);
+        break;
+      case "cancelled":
+      case "lost":
+        this.#concluder.refuse(request, RefusalReason.UpstreamLost, {
+          outcome: Outcome.MayHaveRun,
+        }, now);
+        break;
+    }
+  }
+
+  #complete(
+    request: LiveRequest,
+    attempt: RunningAttempt,
+    now: Milliseconds,
+  ): void {
+    if (attempt.credit.exclusive) {
+      this.#context.options.quarantine.recordSurvival(
+        request.event.fingerprint,
+      );
+    }
+    this.#concluder.complete(request, now);
+  }
+
+  /** Sends the request to another upstream, within its bounds, or refuses it. */
+  retry(request: LiveRequest, reason: RetryReason, now: Milliseconds): void {
+    const { settings, quarantine, retryBudget } = this.#context.options;
+    const hasRun = reason === RetryReason.UpstreamLost ||
+      reason === RetryReason.WrongAdapter;
+    const outcome = hasRun ? Outcome.MayHaveRun : Outcome.NotRun;
+    if (quarantine.isQuarantined(request.event.fingerprint, now)) {
+      this.#concluder.refuse(request, RefusalReason.Quarantined, {
+        outcome,
+        retryAfterMs: quarantine.getRemainingMs(request.event.fingerprint, now),
+      }, now);
+      return;
+    }
+    const isSpent = request.attempts >= settings.maxAttempts ||
+      now >= request.deadlineAt + request.route.maxRunMs ||
+      !retryBudget.trySpend();
+    if (isSpent) {
+      this.#concluder.refuse(request, RefusalReason.RetriesExhausted, {
+        outcome,
+        retryAfterMs: DEFAULT_RETRY_AFTER_MS,
+      }, now);
+      return;
+    }
+    this.#context.countRetry(reason);
+    request.apply("attemptRetried");
+    request.upstreamId = undefined;
+    this.#assigner.assign(request, now);
+  }
+}
--- /dev/null
+++ b/src/core/execution/lease_book.ts
@@ -0,0 +1,328 @@
+/**
+ * The leases that this daemon holds or asks for, by upstream, adapter and
+ * whether the run is alone. Asks owners for credits while requests wait,
+ * repeats what is not answered and returns what is not used.
+ */
+import { getPriorityRank, type Milliseconds } from "../structures.ts";
+import type { LeaseGrantMessage, LeaseRefusalMessage } from "../messages.ts";
+import { RetryReason } from "../outcomes.ts";
+import type { ExecutionContext } from "./execution_context.ts";
+import { LeaseHolding, type TakenCredit } from "./lease_holding.ts";
+import type { LiveRequest } from "./live_request.ts";
+
+/** What the book asks of its surroundings. */
+export interface LeaseBookHandlers {
+  /** Starts an attempt under a credit. */
+  dispatch(
+    request: LiveRequest,
+    holdingKey: string,
+    credit: TakenCredit,
+    now: Milliseconds,
+  ): void;
+  /** Finds another upstream for a request whose lease was refused. */
+  reassign(
+    request: LiveRequest,
+    refusal: LeaseRefusalMessage,
+    now: Milliseconds,
+  ): void;
+}
+
+/** Credits asked for at once. */
+const MAX_CREDITS_PER_REQUEST = 16;
+
+export class LeaseBook {
+  readonly #context: ExecutionContext;
+  readonly #handlers: LeaseBookHandlers;
+  readonly #holdings = new Map<string, LeaseHolding>();
+  readonly #holdingKeysByLeaseRequest = new Map<string, string>();
+
+  constructor(context: ExecutionContext, handlers: LeaseBookHandlers) {
+    this.#context = context;
+    this.#handlers = handlers;
+  }
+
+  countHeldCredits(): number {
+    let credits = 0;
+    for (const holding of this.#holdings.values()) {
+      credits += holding.countCredits();
+    }
+    return credits;
+  }
+
+  /** Lets the request wait for a credit on the upstream. */
+  addWaiting(
+    request: LiveRequest,
+    upstreamId: string,
+    now: Milliseconds,
+  ): void {
+    const exclusive = this.#context.isSuspect(request, now);
+    const key = createHoldingKey(upstreamId, request.adapterKey, exclusive);
+    let holding = this.#holdings.get(key);
+    if (!holding) {
+      holding = new LeaseHolding(upstreamId, request.adapterKey);
+      this.#holdings.set(key, holding);
+    }
+    request.apply("assigned");
+    request.upstreamId = upstreamId;
+    holding.waiting.push(request.id);
+    this.pumpHolding(key, now);
+  }
+
+  /** Frees the credit of a run that is certainly over. */
+  freeCredit(holdingKey: string, leaseId: string, now: Milliseconds): void {
+    this.#holdings.get(holdingKey)?.freeCredit(leaseId, now);
+  }
+
+  /** Forgets the credit of a run that may still go on. */
+  abandonCredit(holdingKey: string, leaseId: string): void {
+    this.#holdings.get(holdingKey)?.abandonCredit(leaseId);
+  }
+
+  /** Drops every lease held, after a pause of this process. */
+  expireAll(): void {
+    for (const holding of this.#holdings.values()) {
+      this.#clearPending(holding);
+      holding.dropAll();
+      for (const requestId of holding.waiting.splice(0)) {
+        this.#context.requests.get(requestId)?.unassign();
+      }
+    }
+  }
+
+  /** Asks again for what was not answered and returns idle credits. */
+  tick(now: Milliseconds): void {
+    for (const [key, holding] of this.#holdings) {
+      this.#tickHolding(key, holding, now);
+    }
+  }
+
+  /** Takes a grant; one that was not waited for is returned. */
+  handleLeaseGrant(
+    from: string,
+    grant: LeaseGrantMessage,
+    now: Milliseconds,
+  ): void {
+    const key = this.#holdingKeysByLeaseRequest.get(grant.leaseRequestId);
+    const holding = key === undefined ? undefined : this.#holdings.get(key);
+    const pending = holding?.pending;
+    if (
+      key === undefined || !holding ||
+      pending?.leaseRequestId !== grant.leaseRequestId
+    ) {
+      this.#sendReturn(from, grant.upstreamId, {
+        leaseId: grant.leaseId,
+        credits: grant.credits,
+      });
+      return;
+    }
+    this.#clearPending(holding);
+    holding.addLease(grant, pending.sentAt, {
+      marginMs: this.#context.options.settings.leaseMarginMs,
+      now,
+    });
+    if (grant.loaded) this.#markStalled(holding);
+    this.pumpHolding(key, now);
+  }
+
+  /** Hands the waiting requests back for another choice. */
+  handleLeaseRefusal(refusal: LeaseRefusalMessage, now: Milliseconds): void {
+    const key = this.#holdingKeysByLeaseRequest.get(refusal.leaseRequestId);
+    const holding = key === undefined ? undefined : this.#holdings.get(key);
+    if (!holding) return;
+    this.#clearPending(holding);
+    for (const requestId of holding.waiting.splice(0)) {
+      const request = this.#context.requests.get(requestId);
+      if (request) this.#handlers.reassign(request, refusal, now);
+    }
+  }
+
+  #tickHolding(key: string, holding: LeaseHolding, now: Milliseconds): void {
+    const { settings } = this.#context.options;
+    this.#returnIdleCredits(holding, now);
+    const { pending } = holding;
+    const isUnanswered = pending !== undefined &&
+      now - pending.sentAt >= settings.leaseReplyTimeoutMs;
+    if (isUnanswered) {
+      const isOwnerHeard = pending.ownerId === this.#context.options.selfId ||
+        this.#context.options.membership.isPeerLive(pending.ownerId, now);
+      if (isOwnerHeard) this.#sendLeaseRequest(key, holding, now);
+      else this.#loseOwner(holding);
+    }
+    this.pumpHolding(key, now);
+    if (holding.isUnused()) this.#holdings.delete(key);
+  }
+
+  #loseOwner(holding: LeaseHolding): void {
+    this.#clearPending(holding);
+    this.#context.countRetry(RetryReason.LeaseUnanswered);
+    for (const requestId of holding.waiting.splice(0)) {
+      const request = this.#context.requests.get(requestId);
+      if (request) request.unassign();
+    }
+  }
+
+  /** Dispatches what the credits at hand allow and asks for the rest. */
+  pumpHolding(key: string, now: Milliseconds): void {
+    const holding = this.#holdings.get(key);
+    if (!holding) return;
+    const exclusive = isExclusiveKey(key);
+    while (holding.waiting.length > 0) {
+      const credit = holding.tryTakeCredit(exclusive, now);
+      if (!credit) break;
+      const request = this.#context.requests.get(holding.waiting.shift() ?? "");
+      if (request) this.#handlers.dispatch(request, key, credit, now);
+      else holding.freeCredit(credit.leaseId, now);
+    }
+    if (holding.waiting.length === 0) return;
+    const wanted = Math.min(holding.waiting.length, MAX_CREDITS_PER_REQUEST);
+    const isEnoughAsked = holding.pending !== undefined &&
+      (exclusive || holding.pending.credits >= wanted);
+    if (!isEnoughAsked) this.#sendLeaseRequest(key, holding, now);
+  }
+
+  #sendLeaseRequest(
+    key: string,
+    holding: LeaseHolding,
+    now: Milliseconds,
+  ): void {
+    const requests = holding.waiting
+      .map((id) => this.#context.requests.get(id))
+      .filter((request) => request !== undefined);
+    const first = requests[0];
+    const view = this.#context.options.membership.getUpstreamView(
+      holding.upstreamId,
+      now,
+    );
+    if (!first || !view) return;
+    const exclusive = isExclusiveKey(key);
+    const isRepeat = holding.pending?.ownerId === view.ownerId;
+    if (!isRepeat) this.#clearPending(holding);
+    const leaseRequestId = holding.pending?.leaseRequestId ??
+      this.#context.createId("leaseRequest");
+    const credits = exclusive
+      ? 1
+      : Math.min(requests.length, MAX_CREDITS_PER_REQUEST);
+    holding.pending = {
+      leaseRequestId,
+      ownerId: view.ownerId,
+      sentAt: now,
+      credits,
+      exclusive,
+    };
+    this.#holdingKeysByLeaseRequest.set(leaseRequestId, key);
+    this.#context.options.emit({
+      kind: "send",
+      to: view.ownerId,
+      message: {
+        kind: "leaseRequest",
+        leaseRequestId,
+        upstreamId: holding.upstreamId,
+        adapterKey: holding.adapterKey,
+        credits,
+        priorityRank: Math.min(
+          ...requests.map((request) => getPriorityRank(request.route.priority)),
+        ),
+        customer: first.event.customer,
+        remainingMs: Math.max(
+          ...requests.map((request) => request.deadlineAt - now),
+        ),
+        maxRunMs: Math.max(
+          ...requests.map((request) => request.route.maxRunMs),
+        ),
+        exclusive,
+      },
+    });
+  }
+
+  /** Takes the request out of the holding in which it waits. */
+  detach(request: LiveRequest): void {
+    if (request.state !== "leasing" || request.upstreamId === undefined) return;
+    for (const exclusive of [false, true]) {
+      const key = createHoldingKey(
+        request.upstreamId,
+        request.adapterKey,
+        exclusive,
+      );
+      const holding = this.#holdings.get(key);
+      if (!holding) continue;
+      holding.removeWaiting(request.id);
+      if (holding.waiting.length === 0) this.#cancelPending(holding);
+    }
+  }
+
+  #cancelPending(holding: LeaseHolding): void {
+    const { pending } = holding;
+    if (!pending) return;
+    this.#context.options.emit({
+      kind: "send",
+      to: pending.ownerId,
+      message: {
+        kind: "leaseCancel",
+        leaseRequestId: pending.leaseRequestId,
+        upstreamId: holding.upstreamId,
+      },
+    });
+    this.#clearPending(holding);
+  }
+
+  #clearPending(holding: LeaseHolding): void {
+    if (!holding.pending) return;
+    this.#holdingKeysByLeaseRequest.delete(holding.pending.leaseRequestId);
+    holding.pending = undefined;
+  }
+
+  #returnIdleCredits(holding: LeaseHolding, now: Milliseconds): void {
+    const view = this.#context.options.membership.getUpstreamView(
+      holding.upstreamId,
+      now,
+    );
+    const idleMs = holding.waiting.length > 0
+      ? Number.POSITIVE_INFINITY
+      : this.#context.options.settings.leaseIdleMs;
+    for (const credits of holding.takeIdleCredits(idleMs, now)) {
+      if (view) this.#sendReturn(view.ownerId, holding.upstreamId, credits);
+    }
+  }
+
+  #sendReturn(
+    to: string,
+    upstreamId: string,
+    credits: { leaseId: string; credits: number },
+  ): void {
+    this.#context.options.emit({
+      kind: "send",
+      to,
+      message: { kind: "leaseReturn", upstreamId, ...credits },
+    });
+  }
+
+  #markStalled(holding: LeaseHolding): void {
+    for (const requestId of holding.waiting) {
+      const request = this.#context.requests.get(requestId);
+      if (request) request.hasStalled = true;
+    }
+  }
+
+  /** Returns the credits held or asked for on the upstream. */
+  countLocalCredits(upstreamId: string): number {
+    let credits = 0;
+    for (const holding of this.#holdings.values()) {
+      if (holding.upstreamId === upstreamId) credits += holding.countCredits();
+    }
+    return credits;
+  }
+}
+
+const EXCLUSIVE_MARK = "!";
+
+function createHoldingKey(
+  upstreamId: string,
+  adapterKey: string,
+  exclusive: boolean,
+): string {
+  return `${exclusive ? EXCLUSIVE_MARK : ""}${upstreamId}|${adapterKey}`;
+}
+
+function isExclusiveKey(key: string): boolean {
+  return key.startsWith(EXCLUSIVE_MARK);
+}
--- a/src/core/execution/live_request.ts
+++ b/src/core/execution/live_request.ts
@@ -81,6 +81,12 @@
     return this.#state;
   }
 
+  /** Takes the request off its upstream when it has no lease there. */
+  unassign(): void {
+    if (this.#state === "leasing") this.apply("leaseLost");
+    this.upstreamId = undefined;
+  }
+
   /** Moves the request along its chart. */
   apply(trigger: RequestTrigger): void {
     this.#state = requestChart.getNextOrThrow(this.#state, trigger);
--- /dev/null
+++ b/src/core/execution/request_assigner.ts
@@ -0,0 +1,169 @@
+/** Assigns requests to upstreams, and again when an owner refuses the lease. */
+import type { LeaseRefusalMessage } from "../messages.ts";
+import {
+  LeaseRefusalReason,
+  Outcome,
+  RefusalReason,
+  RetryReason,
+} from "../outcomes.ts";
+import {
+  type RankedUpstream,
+  rankUpstreams,
+  type UpstreamCandidate,
+} from "../routing/upstream_selector.ts";
+import {
+  HostState,
+  type Milliseconds,
+  type PoolStructure,
+} from "../structures.ts";
+import {
+  DEFAULT_RETRY_AFTER_MS,
+  type ExecutionContext,
+} from "./execution_context.ts";
+import type { LeaseBook } from "./lease_book.ts";
+import type { LiveRequest } from "./live_request.ts";
+import type { RequestConcluder } from "./request_concluder.ts";
+
+/** Time for which a request waits for an upstream of which no owner is known yet. */
+const OWNER_WAIT_MS = 3_000;
+
+export class RequestAssigner {
+  readonly #context: ExecutionContext;
+  readonly #leases: LeaseBook;
+  readonly #concluder: RequestConcluder;
+
+  constructor(
+    context: ExecutionContext,
+    parts: { leases: LeaseBook; concluder: RequestConcluder },
+  ) {
+    this.#context = context;
+    this.#leases = parts.leases;
+    this.#concluder = parts.concluder;
+  }
+
+  /** Assigns the request to the best upstream, or refuses it when none is left. */
+  assign(request: LiveRequest, now: Milliseconds): void {
+    const ranked = this.rank(
+      request.pool,
+      request.adapterKey,
+      request.excludedUpstreams,
+      now,
+    );
+    const best = ranked[0];
+    if (!best) {
+      this.#handleNoUpstream(request, now);
+      return;
+    }
+    this.#leases.addWaiting(request, best.candidate.host.id, now);
+  }
+
+  #handleNoUpstream(request: LiveRequest, now: Milliseconds): void {
+    if (request.excludedUpstreams.size > 0) {
+      this.#concluder.refuse(request, RefusalReason.NoUpstream, {
+        outcome: Outcome.NotRun,
+        retryAfterMs: DEFAULT_RETRY_AFTER_MS,
+      }, now);
+      return;
+    }
+    if (now - request.arrivedAt < OWNER_WAIT_MS) return;
+    this.#concluder.refuse(request, RefusalReason.NoUpstream, {
+      outcome: Outcome.NotRun,
+      retryAfterMs: DEFAULT_RETRY_AFTER_MS,
+    }, now);
+  }
+
+  /** Returns the upstreams that could serve the adapter now, best first. */
+  rank(
+    pool: PoolStructure,
+    adapterKey: string,
+    excluded: ReadonlySet<string>,
+    now: Milliseconds,
+  ): RankedUpstream[] {
+    const candidates: UpstreamCandidate[] = [];
+    for (const host of this.#context.options.membership.getUpstreamHosts()) {
+      if (host.service !== pool.service || excluded.has(host.id)) continue;
+      if (!pool.failureDomains.includes(host.failureDomain)) continue;
+      if (host.state === HostState.Leaving) continue;
+      const view = this.#context.options.membership.getUpstreamView(
+        host.id,
+        now,
+      );
+      if (!view || !view.digest.up || view.digest.leaving) continue;
+      candidates.push({
+        host,
+        ownerId: view.ownerId,
+        digest: view.digest,
+        localCredits: this.#leases.countLocalCredits(host.id),
+      });
+    }
+    return rankUpstreams(candidates, {
+      pool,
+      adapterKey,
+      failureDomain: this.#context.options.failureDomain,
+    });
+  }
+
+  /** Finds another upstream for a request whose lease was refused. */
+  reassignRefused(
+    request: LiveRequest,
+    refusal: LeaseRefusalMessage,
+    now: Milliseconds,
+  ): void {
+    request.unassign();
+    this.#context.countRetry(RetryReason.LeaseRefused);
+    switch (refusal.reason) {
+      case LeaseRefusalReason.NotOwner:
+      case LeaseRefusalReason.Claiming:
+      case LeaseRefusalReason.Stopping:
+        return;
+      case LeaseRefusalReason.Leaving:
+      case LeaseRefusalReason.UpstreamDown:
+        request.excludedUpstreams.add(refusal.upstreamId);
+        this.assign(request, now);
+        return;
+      case LeaseRefusalReason.LoadFailed:
+        request.loadFailures += 1;
+        request.excludedUpstreams.add(refusal.upstreamId);
+        if (request.loadFailures < this.#context.options.settings.maxAttempts) {
+          this.#assignOrRefuse(request, RefusalReason.LoadFailed, refusal, now);
+        } else {
+          this.#concluder.refuse(request, RefusalReason.LoadFailed, {
+            outcome: Outcome.NotRun,
+            retryAfterMs: refusal.retryAfterMs,
+          }, now);
+        }
+        return;
+      case LeaseRefusalReason.DeadlineUnreachable:
+      case LeaseRefusalReason.QueueFull:
+        request.excludedUpstreams.add(refusal.upstreamId);
+        this.#assignOrRefuse(
+          request,
+          refusal.reason === LeaseRefusalReason.QueueFull
+            ? RefusalReason.Overloaded
+            : RefusalReason.DeadlineUnreachable,
+          refusal,
+          now,
+        );
+        return;
+    }
+  }
+
+  #assignOrRefuse(
+    request: LiveRequest,
+    reason: RefusalReason,
+    refusal: LeaseRefusalMessage,
+    now: Milliseconds,
+  ): void {
+    const { pool, adapterKey, excludedUpstreams } = request;
+    const hasOther =
+      this.rank(pool, adapterKey, excludedUpstreams, now).length > 0;
+    if (hasOther) {
+      this.assign(request, now);
+      return;
+    }
+    this.#concluder.refuse(request, reason, {
+      outcome: Outcome.NotRun,
+      retryAfterMs: refusal.retryAfterMs,
+    }, now);
+  }
+}
--- /dev/null
+++ b/src/core/execution/request_concluder.ts
@@ -0,0 +1,44 @@
+/** Gives each request its one final answer. */
+import type { RefusalReason } from "../outcomes.ts";
+import type { Milliseconds } from "../structures.ts";
+import type { ExecutionContext, Refusal } from "./execution_context.ts";
+import type { LeaseBook } from "./lease_book.ts";
+import type { LiveRequest } from "./live_request.ts";
+import type { TicketAdmission } from "./ticket_admission.ts";
+
+export class RequestConcluder {
+  readonly #context: ExecutionContext;
+  readonly #leases: LeaseBook;
+  readonly #tickets: TicketAdmission;
+
+  constructor(
+    context: ExecutionContext,
+    parts: { leases: LeaseBook; tickets: TicketAdmission },
+  ) {
+    this.#context = context;
+    this.#leases = parts.leases;
+    this.#tickets = parts.tickets;
+  }
+
+  /** Ends a request whose answer has been forwarded whole. */
+  complete(request: LiveRequest, now: Milliseconds): void {
+    this.#tickets.settle(request, now);
+    request.apply("finished");
+    this.#context.requests.delete(request.id);
+    this.#context.options.emit({ kind: "complete", requestId: request.id });
+  }
+
+  /** Gives the request a final answer other than a completed one. */
+  refuse(
+    request: LiveRequest,
+    reason: RefusalReason,
+    refusal: Refusal,
+    now: Milliseconds,
+  ): void {
+    this.#leases.detach(request);
+    this.#tickets.settleRefused(request, refusal.outcome, now);
+    request.apply("finished");
+    this.#context.requests.delete(request.id);
+    this.#context.emitRefusal(request.id, reason, refusal);
+  }
+}
--- /dev/null
+++ b/src/core/execution/ticket_admission.ts
@@ -0,0 +1,221 @@
+/** Admits requests that must run at most once: claims their tickets at the home and settles the claims. */
+import { ClaimVerdict, type TicketVerdictMessage } from "../messages.ts";
+import { Outcome, RefusalReason } from "../outcomes.ts";
+import type { Milliseconds } from "../structures.ts";
+import {
+  DEFAULT_RETRY_AFTER_MS,
+  type ExecutionContext,
+  type Refusal,
+} from "./execution_context.ts";
+import type { LiveRequest } from "./live_request.ts";
+import { parseTicket } from "./ticket_book.ts";
+import { TicketSettler } from "./ticket_settler.ts";
+
+/** What the admission asks of its surroundings. */
+export interface TicketAdmissionHandlers {
+  /** Goes on with a request whose ticket was granted. */
+  admit(request: LiveRequest, now: Milliseconds): void;
+  refuse(
+    request: LiveRequest,
+    reason: RefusalReason,
+    refusal: Refusal,
+    now: Milliseconds,
+  ): void;
+}
+
+export class TicketAdmission {
+  readonly #context: ExecutionContext;
+  readonly #handlers: TicketAdmissionHandlers;
+  readonly #settler: TicketSettler;
+
+  constructor(context: ExecutionContext, handlers: TicketAdmissionHandlers) {
+    this.#context = context;
+    this.#handlers = handlers;
+    this.#settler = new TicketSettler(context.options.emit);
+  }
+
+  /** Returns whether every home has acknowledged what it was told. */
+  isSettled(): boolean {
+    return this.#settler.isEmpty();
+  }
+
+  /** Repeats what homes have not acknowledged. */
+  tick(now: Milliseconds): void {
+    this.#settler.tick(now);
+  }
+
+  handleTicketVerdict(
+    from: string,
+    verdict: TicketVerdictMessage,
+    now: Milliseconds,
+  ): void {
+    this.#settler.recordVerdict(from, verdict);
+    for (const request of this.#context.requests.values()) {
+      if (request.claim?.claimId !== verdict.claimId) continue;
+      if (request.state === "claimingTicket") {
+        this.#applyVerdict(request, verdict, now);
+      }
+      return;
+    }
+  }
+
+  /** Repeats an unanswered claim, or gives it up at the deadline. */
+  tickClaim(request: LiveRequest, now: Milliseconds): void {
+    if (!request.claim) return;
+    if (now >= request.deadlineAt) {
+      this.#handlers.refuse(request, RefusalReason.TicketHomeUnreachable, {
+        outcome: Outcome.MayHaveRun,
+        retryAfterMs: DEFAULT_RETRY_AFTER_MS,
+      }, now);
+      return;
+    }
+    const isUnanswered = now - request.claim.sentAt >=
+      this.#context.options.settings.leaseReplyTimeoutMs;
+    if (isUnanswered) this.#sendClaim(request, now);
+  }
+
+  /** Asks the ticket's home for the one run. */
+  claimTicket(request: LiveRequest, now: Milliseconds): void {
+    const ticket = request.event.ticket ?? "";
+    const parsed = parseTicket(ticket);
+    if (!parsed) {
+      this.#handlers.refuse(request, RefusalReason.TicketInvalid, {
+        outcome: Outcome.NotRun,
+        ticket: this.#context.options.tickets.mintTicket(
+          request.event.customer,
+          now,
+        ),
+      }, now);
+      return;
+    }
+    const { homeId } = parsed;
+    const isReachable = homeId === this.#context.options.selfId ||
+      this.#context.options.membership.isPeerLive(homeId, now);
+    if (!isReachable) {
+      this.#handlers.refuse(request, RefusalReason.TicketHomeUnreachable, {
+        outcome: Outcome.MayHaveRun,
+        retryAfterMs: DEFAULT_RETRY_AFTER_MS,
+      }, now);
+      return;
+    }
+    request.claim = {
+      claimId: this.#context.createId("claim"),
+      ticket,
+      homeId,
+      sentAt: now,
+    };
+    this.#sendClaim(request, now);
+  }
+
+  #sendClaim(request: LiveRequest, now: Milliseconds): void {
+    if (!request.claim) return;
+    request.claim.sentAt = now;
+    this.#context.options.emit({
+      kind: "send",
+      to: request.claim.homeId,
+      message: {
+        kind: "ticketClaim",
+        claimId: request.claim.claimId,
+        ticket: request.claim.ticket,
+        customer: request.event.customer,
+        fingerprint: request.event.fingerprint,
+      },
+    });
+  }
+
+  #applyVerdict(
+    request: LiveRequest,
+    verdict: TicketVerdictMessage,
+    now: Milliseconds,
+  ): void {
+    const uncertain = { outcome: Outcome.MayHaveRun };
+    switch (verdict.verdict) {
+      case ClaimVerdict.Granted:
+        request.apply("ticketGranted");
+        this.#handlers.admit(request, now);
+        return;
+      case ClaimVerdict.InProgress:
+        this.#handlers.refuse(request, RefusalReason.TicketInProgress, {
+          ...uncertain,
+          retryAfterMs: DEFAULT_RETRY_AFTER_MS,
+        }, now);
+        return;
+      case ClaimVerdict.Spent:
+        this.#replay(request, verdict, now);
+        return;
+      case ClaimVerdict.Expired:
+        this.#handlers.refuse(
+          request,
+          RefusalReason.TicketExpired,
+          uncertain,
+          now,
+        );
+        return;
+      case ClaimVerdict.Mismatch:
+        this.#handlers.refuse(request, RefusalReason.TicketMismatch, {
+          outcome: Outcome.NotRun,
+        }, now);
+        return;
+      case ClaimVerdict.Invalid:
+        this.#handlers.refuse(request, RefusalReason.TicketInvalid, {
+          outcome: Outcome.NotRun,
+        }, now);
+        return;
+    }
+  }
+
+  #replay(
+    request: LiveRequest,
+    verdict: TicketVerdictMessage,
+    now: Milliseconds,
+  ): void {
+    const { answer } = verdict;
+    if (!answer?.bodyKept) {
+      this.#handlers.refuse(request, RefusalReason.TicketSpent, {
+        outcome: answer?.outcome ?? Outcome.MayHaveRun,
+      }, now);
+      return;
+    }
+    request.apply("finished");
+    this.#context.requests.delete(request.id);
+    this.#context.options.emit({
+      kind: "replay",
+      requestId: request.id,
+      answer,
+    });
+  }
+
+  /** Tells the home that the run was completed. */
+  settle(request: LiveRequest, now: Milliseconds): void {
+    if (!request.claim) return;
+    const answer = request.answer ?? {
+      outcome: Outcome.Completed,
+      status: 200,
+      contentType: "",
+      body: new Uint8Array(),
+      bodyKept: false,
+    };
+    this.#settler.settle(request.claim, request.event.customer, answer, now);
+  }
+
+  /** Tells the home how a claim ended that was not completed. */
+  settleRefused(
+    request: LiveRequest,
+    outcome: Outcome,
+    now: Milliseconds,
+  ): void {
+    if (!request.claim) return;
+    if (request.state === "claimingTicket") {
+      this.#settler.abandon(request.claim, request.event.customer);
+      return;
+    }
+    const answer = outcome === Outcome.NotRun ? undefined : {
+      outcome,
+      status: 502,
+      contentType: "",
+      body: new Uint8Array(),
+      bodyKept: false,
+    };
+    this.#settler.settle(request.claim, request.event.customer, answer, now);
+  }
+}
