Split ownership and the exchange of tables out of DaemonCore

UpstreamOwnership (residency) and TableExchange (tables) are moved out unchanged; behaviour is the same, the tests pass as before.

--- a/src/core/daemon_core.ts
+++ b/src/core/daemon_core.ts
@@ -18,26 +18,22 @@
 import { Membership } from "./membership/membership.ts";
 import {
   ClaimVerdict,
-  type HandoverMessage,
   type HeartbeatMessage,
   type PeerMessage,
 } from "./messages.ts";
-import { LeaseRefusalReason, Outcome, RefusalReason } from "./outcomes.ts";
-import { AdapterPopularity } from "./residency/adapter_popularity.ts";
+import { Outcome, RefusalReason } from "./outcomes.ts";
 import { StoreBudget, type StoreShare } from "./residency/store_budget.ts";
-import {
-  type OwnedUpstreamDescription,
-  UpstreamOwner,
-} from "./residency/upstream_owner.ts";
+import type { OwnedUpstreamDescription } from "./residency/upstream_owner.ts";
+import { UpstreamOwnership } from "./residency/upstream_ownership.ts";
 import type { RankedUpstream } from "./routing/upstream_selector.ts";
 import {
   type HostListStructure,
   HostRole,
   type HostStructure,
   type Milliseconds,
-  type PoolStructure,
   type TablesStructure,
 } from "./structures.ts";
+import { TableExchange } from "./tables/table_exchange.ts";
 import { type OfferResult, TableKeeper } from "./tables/table_keeper.ts";
 import type { TableSnapshot } from "./tables/table_snapshot.ts";
 
@@ -68,10 +64,6 @@
   storeLoadsInFlight: number;
 }
 
-/** Time between requests for tables to the same peers. */
-const TABLES_REQUEST_INTERVAL_MS = 300;
-/** Time for which a handover waits for its ownership to be seen here. */
-const HANDOVER_WAIT_MS = 5_000;
 /** Ticket claims older than the longest run and queue are taken for lost. */
 const CLAIM_TIMEOUT_MS = 1_200_000;
 
@@ -80,21 +72,16 @@
   readonly #tables = new TableKeeper();
   readonly #membership: Membership;
   readonly #quarantine: CrashQuarantine;
-  readonly #popularity = new AdapterPopularity();
   readonly #storeBudget: StoreBudget;
   readonly #tickets: TicketBook;
   readonly #executor: RequestExecutor;
-  readonly #owners = new Map<string, UpstreamOwner>();
-  readonly #handovers = new Map<
-    string,
-    { message: HandoverMessage; arrivedAt: Milliseconds }
-  >();
+  readonly #ownership: UpstreamOwnership;
+  readonly #tableExchange: TableExchange;
   readonly #startedAt: Milliseconds;
   #state: DaemonState = daemonChart.initial;
   #effects: Effect[] = [];
   #lastEventAt: Milliseconds;
   #lastHeartbeatAt = Number.NEGATIVE_INFINITY;
-  #lastTablesRequestAt = Number.NEGATIVE_INFINITY;
   #heartbeatSequence = 0;
   #isPlatformHeard = false;
 
@@ -114,6 +101,17 @@
       loadsPerSecond: settings.storeLoadsPerSecond,
       loadsInFlight: 1,
     });
+    this.#tableExchange = new TableExchange(this.#tables, this.#emit);
+    this.#ownership = new UpstreamOwnership({
+      selfId,
+      incarnation,
+      failureDomain,
+      settings,
+      tables: this.#tables,
+      membership: this.#membership,
+      storeBudget: this.#storeBudget,
+      emit: this.#emit,
+    });
     this.#tickets = new TicketBook({
       selfId,
       incarnation,
@@ -172,7 +170,7 @@
       tablesRevision: this.#tables.getTablesRevision(),
       hostListRevision: this.#tables.getHostListRevision(),
       peers: this.#membership.describePeers(now),
-      upstreams: [...this.#owners.values()].map((owner) => owner.describe(now)),
+      upstreams: this.#ownership.describe(now),
       execution: this.#executor.describe(),
       tickets: this.#tickets.getTicketCount(),
       storeLoadsInFlight: this.#storeBudget.getInFlight(),
@@ -223,18 +221,16 @@
         break;
       case "upstreamStateRead":
         if (this.#executor.handleExamination(event, now)) break;
-        this.#owners.get(event.upstreamId)
+        this.#ownership.getOwner(event.upstreamId)
           ?.recordState(event.readId, event.state, now);
         break;
       case "upstreamStateUnread":
         if (this.#executor.handleExamination(event, now)) break;
-        this.#owners.get(event.upstreamId)
+        this.#ownership.getOwner(event.upstreamId)
           ?.recordStateUnread(event.readId, event.isRefused, now);
         break;
       case "orderEnded":
-        for (const owner of this.#owners.values()) {
-          if (owner.recordOrderEnd(event.orderId, event.result, now)) break;
-        }
+        this.#ownership.recordOrderEnd(event.orderId, event.result, now);
         break;
       case "tablesPublished":
         this.#isPlatformHeard = true;
@@ -260,18 +256,15 @@
       case "heartbeat":
         this.#receiveHeartbeat(from, message, now);
         break;
-      case "leaseRequest": {
-        const owner = this.#owners.get(message.upstreamId);
-        if (owner) owner.requestLease(from, message, now);
-        else this.#refuseLease(from, message, now);
+      case "leaseRequest":
+        this.#ownership.requestLease(from, message, now);
         break;
-      }
       case "leaseCancel":
-        this.#owners.get(message.upstreamId)
+        this.#ownership.getOwner(message.upstreamId)
           ?.cancelLeaseRequest(message.leaseRequestId, now);
         break;
       case "leaseReturn":
-        this.#owners.get(message.upstreamId)
+        this.#ownership.getOwner(message.upstreamId)
           ?.returnLease(message.leaseId, message.credits, now);
         break;
       case "leaseGrant":
@@ -281,10 +274,10 @@
         this.#executor.handleLeaseRefusal(message, now);
         break;
       case "handover":
-        this.#receiveHandover(message, now);
+        this.#ownership.acceptHandover(message, now);
         break;
       case "tablesRequest":
-        this.#sendTables(from, message);
+        this.#tableExchange.sendTables(from, message);
         break;
       case "tablesTransfer":
         if (message.tables) this.#offerTables(message.tables, now);
@@ -322,69 +315,7 @@
   ): void {
     if (!this.#membership.recordHeartbeat(from, heartbeat, now)) return;
     this.#quarantine.mergeDigests(heartbeat.strikes, now);
-    const isBehind =
-      heartbeat.tablesRevision > this.#tables.getTablesRevision() ||
-      heartbeat.hostListRevision > this.#tables.getHostListRevision();
-    const isDue = now - this.#lastTablesRequestAt >= TABLES_REQUEST_INTERVAL_MS;
-    if (!isBehind || !isDue) return;
-    this.#lastTablesRequestAt = now;
-    this.#emit({
-      kind: "send",
-      to: from,
-      message: {
-        kind: "tablesRequest",
-        knownTablesRevision: this.#tables.getTablesRevision(),
-        knownHostListRevision: this.#tables.getHostListRevision(),
-      },
-    });
-  }
-
-  #receiveHandover(message: HandoverMessage, now: Milliseconds): void {
-    const owner = this.#owners.get(message.upstreamId);
-    if (owner) owner.acceptHandover(message, now);
-    else this.#handovers.set(message.upstreamId, { message, arrivedAt: now });
-  }
-
-  #sendTables(
-    to: string,
-    request: { knownTablesRevision: number; knownHostListRevision: number },
-  ): void {
-    const snapshot = this.#tables.getSnapshot();
-    const hostList = this.#tables.getHostList();
-    const newerTables = snapshot !== undefined &&
-      snapshot.revision > request.knownTablesRevision;
-    const newerHosts = hostList !== undefined &&
-      hostList.revision > request.knownHostListRevision;
-    if (!newerTables && !newerHosts) return;
-    this.#emit({
-      kind: "send",
-      to,
-      message: {
-        kind: "tablesTransfer",
-        ...(newerTables ? { tables: snapshot.getStructure() } : {}),
-        ...(newerHosts ? { hostList } : {}),
-      },
-    });
-  }
-
-  #refuseLease(
-    to: string,
-    request: Extract<PeerMessage, { kind: "leaseRequest" }>,
-    now: Milliseconds,
-  ): void {
-    this.#emit({
-      kind: "send",
-      to,
-      message: {
-        kind: "leaseRefusal",
-        leaseRequestId: request.leaseRequestId,
-        upstreamId: request.upstreamId,
-        adapterKey: request.adapterKey,
-        reason: LeaseRefusalReason.NotOwner,
-        retryAfterMs: this.#options.settings.heartbeatIntervalMs,
-        ownerId: this.#membership.getOwnerId(request.upstreamId, now) ?? "",
-      },
-    });
+    this.#tableExchange.handlePeerRevisions(from, heartbeat, now);
   }
 
   #refuseUnserved(requestId: string): void {
@@ -403,7 +334,7 @@
 
   #offerTables(tables: TablesStructure, now: Milliseconds): void {
     this.#countOffer("tables", this.#tables.offerTables(tables));
-    this.#reviewOwnership(now);
+    this.#updateOwnership(now);
   }
 
   #offerHostList(hostList: HostListStructure, now: Milliseconds): void {
@@ -412,7 +343,7 @@
     if (result.kind !== "accepted") return;
     this.#membership.applyHostList(hostList);
     this.#storeBudget.setShare(this.#computeStoreShare(hostList));
-    this.#reviewOwnership(now);
+    this.#updateOwnership(now);
   }
 
   #countOffer(counter: string, result: OfferResult): void {
@@ -435,11 +366,8 @@
   }
 
   #tick(now: Milliseconds): void {
-    this.#reviewOwnership(now);
-    for (const owner of this.#owners.values()) {
-      owner.tick(now);
-      this.#membership.recordOwnView(owner.describeDigest(now), now);
-    }
+    this.#updateOwnership(now);
+    this.#ownership.tick(now);
     this.#executor.tick(now);
     const isHeartbeatDue = now - this.#lastHeartbeatAt >=
       this.#options.settings.heartbeatIntervalMs;
@@ -477,9 +405,7 @@
       tablesRevision: this.#tables.getTablesRevision(),
       hostListRevision: this.#tables.getHostListRevision(),
       leaving: this.#state === "stopping" || this.#state === "stopped",
-      upstreams: [...this.#owners.values()].map((owner) =>
-        owner.describeDigest(now)
-      ),
+      upstreams: this.#ownership.describeDigests(now),
       strikes: this.#quarantine.getDigests(now),
     };
     for (const host of this.#membership.getPeerHosts()) {
@@ -487,81 +413,8 @@
     }
   }
 
-  /** Takes up and gives up upstreams as the live daemons of the domain change. */
-  #reviewOwnership(now: Milliseconds): void {
-    if (!this.#isSettled(now)) return;
-    const { selfId, failureDomain } = this.#options;
-    const wanted = new Set<string>();
-    for (const host of this.#membership.getUpstreamHosts()) {
-      if (host.failureDomain !== failureDomain) continue;
-      if (this.#membership.getOwnerId(host.id, now) !== selfId) continue;
-      const pool = this.#findPool(host);
-      if (!pool) continue;
-      wanted.add(host.id);
-      if (!this.#owners.has(host.id)) this.#takeOwnership(host, pool, now);
-    }
-    for (const [upstreamId, owner] of this.#owners) {
-      if (wanted.has(upstreamId)) continue;
-      this.#giveUpOwnership(owner, LeaseRefusalReason.NotOwner, now);
-    }
-  }
-
-  #findPool(host: HostStructure): PoolStructure | undefined {
-    return this.#tables.getSnapshot()?.getPools().find((pool) =>
-      pool.service === host.service &&
-      pool.failureDomains.includes(host.failureDomain)
-    );
-  }
-
-  #takeOwnership(
-    host: HostStructure,
-    pool: PoolStructure,
-    now: Milliseconds,
-  ): void {
-    const routes = this.#tables.getSnapshot()?.getRoutes() ?? [];
-    const owner = new UpstreamOwner({
-      selfId: this.#options.selfId,
-      incarnation: this.#options.incarnation,
-      host,
-      pool,
-      settings: this.#options.settings,
-      popularity: this.#popularity,
-      storeBudget: this.#storeBudget,
-      maxRunMs: routes.reduce(
-        (longest, route) =>
-          route.pool === pool.name
-            ? Math.max(longest, route.maxRunMs)
-            : longest,
-        0,
-      ),
-      emit: this.#emit,
-    }, now);
-    this.#owners.set(host.id, owner);
-    const handover = this.#handovers.get(host.id);
-    this.#handovers.delete(host.id);
-    if (handover && now - handover.arrivedAt < HANDOVER_WAIT_MS) {
-      owner.acceptHandover(handover.message, now);
-    }
-    owner.tick(now);
-  }
-
-  /** Hands the upstream over to its next owner, if one is known. */
-  #giveUpOwnership(
-    owner: UpstreamOwner,
-    reason: LeaseRefusalReason,
-    now: Milliseconds,
-  ): void {
-    const { upstreamId } = owner;
-    const successor = this.#membership.getSuccessorId(upstreamId, now);
-    if (successor !== undefined && owner.isOwning()) {
-      this.#emit({
-        kind: "send",
-        to: successor,
-        message: owner.describeHandover(now),
-      });
-    }
-    owner.release(reason, now);
-    this.#owners.delete(upstreamId);
+  #updateOwnership(now: Milliseconds): void {
+    if (this.#isSettled(now)) this.#ownership.update(now);
   }
 
   #stop(now: Milliseconds): void {
@@ -569,19 +422,14 @@
     this.#move("stopRequested");
     this.#membership.markSelfLeaving();
     this.#sendHeartbeats(now);
-    for (const owner of [...this.#owners.values()]) {
-      this.#giveUpOwnership(owner, LeaseRefusalReason.Stopping, now);
-    }
+    this.#ownership.handOverAll(now);
   }
 
   /** After a pause, takes leases, ownership and views of peers for expired. */
   #expireBeliefs(now: Milliseconds): void {
     this.#emit({ kind: "count", counter: "pause_detected", tag: "" });
     this.#membership.expireAll();
-    for (const owner of this.#owners.values()) {
-      owner.release(LeaseRefusalReason.NotOwner, now);
-    }
-    this.#owners.clear();
+    this.#ownership.expireAll(now);
     this.#executor.expireLeases(now);
   }
 
--- /dev/null
+++ b/src/core/residency/upstream_ownership.ts
@@ -0,0 +1,216 @@
+/**
+ * The upstreams that this daemon owns: takes them up and gives them up as the
+ * live daemons of its failure domain change, with the handover between owners.
+ */
+import type { CoreSettings } from "../core_settings.ts";
+import type { Effect } from "../effects.ts";
+import type { OrderResult } from "../events.ts";
+import type { Membership } from "../membership/membership.ts";
+import type {
+  HandoverMessage,
+  LeaseRequestMessage,
+  UpstreamDigest,
+} from "../messages.ts";
+import { LeaseRefusalReason } from "../outcomes.ts";
+import type {
+  HostStructure,
+  Milliseconds,
+  PoolStructure,
+} from "../structures.ts";
+import type { TableKeeper } from "../tables/table_keeper.ts";
+import { AdapterPopularity } from "./adapter_popularity.ts";
+import type { StoreBudget } from "./store_budget.ts";
+import {
+  type OwnedUpstreamDescription,
+  UpstreamOwner,
+} from "./upstream_owner.ts";
+
+export interface UpstreamOwnershipOptions {
+  selfId: string;
+  incarnation: string;
+  failureDomain: string;
+  settings: CoreSettings;
+  tables: TableKeeper;
+  membership: Membership;
+  storeBudget: StoreBudget;
+  emit: (effect: Effect) => void;
+}
+
+/** Time for which a handover waits for its ownership to be seen here. */
+const HANDOVER_WAIT_MS = 5_000;
+
+export class UpstreamOwnership {
+  readonly #options: UpstreamOwnershipOptions;
+  readonly #popularity = new AdapterPopularity();
+  readonly #owners = new Map<string, UpstreamOwner>();
+  readonly #handovers = new Map<
+    string,
+    { message: HandoverMessage; arrivedAt: Milliseconds }
+  >();
+
+  constructor(options: UpstreamOwnershipOptions) {
+    this.#options = options;
+  }
+
+  getOwner(upstreamId: string): UpstreamOwner | undefined {
+    return this.#owners.get(upstreamId);
+  }
+
+  /** Takes up and gives up upstreams as the live daemons of the domain change. */
+  update(now: Milliseconds): void {
+    const { selfId, failureDomain, membership } = this.#options;
+    const wanted = new Set<string>();
+    for (const host of membership.getUpstreamHosts()) {
+      if (host.failureDomain !== failureDomain) continue;
+      if (membership.getOwnerId(host.id, now) !== selfId) continue;
+      const pool = this.#findPool(host);
+      if (!pool) continue;
+      wanted.add(host.id);
+      if (!this.#owners.has(host.id)) this.#takeOwnership(host, pool, now);
+    }
+    for (const [upstreamId, owner] of this.#owners) {
+      if (wanted.has(upstreamId)) continue;
+      this.#giveUpOwnership(owner, LeaseRefusalReason.NotOwner, now);
+    }
+  }
+
+  tick(now: Milliseconds): void {
+    for (const owner of this.#owners.values()) {
+      owner.tick(now);
+      this.#options.membership.recordOwnView(owner.describeDigest(now), now);
+    }
+  }
+
+  /** Answers a lease request, for an upstream that is owned here or not. */
+  requestLease(
+    from: string,
+    request: LeaseRequestMessage,
+    now: Milliseconds,
+  ): void {
+    const owner = this.#owners.get(request.upstreamId);
+    if (owner) owner.requestLease(from, request, now);
+    else this.#refuseLease(from, request, now);
+  }
+
+  acceptHandover(message: HandoverMessage, now: Milliseconds): void {
+    const owner = this.#owners.get(message.upstreamId);
+    if (owner) owner.acceptHandover(message, now);
+    else this.#handovers.set(message.upstreamId, { message, arrivedAt: now });
+  }
+
+  recordOrderEnd(
+    orderId: string,
+    result: OrderResult,
+    now: Milliseconds,
+  ): void {
+    for (const owner of this.#owners.values()) {
+      if (owner.recordOrderEnd(orderId, result, now)) return;
+    }
+  }
+
+  /** Hands every upstream over to its next owner. */
+  handOverAll(now: Milliseconds): void {
+    for (const owner of [...this.#owners.values()]) {
+      this.#giveUpOwnership(owner, LeaseRefusalReason.Stopping, now);
+    }
+  }
+
+  /** Gives everything up without a handover, after a pause of this process. */
+  expireAll(now: Milliseconds): void {
+    for (const owner of this.#owners.values()) {
+      owner.release(LeaseRefusalReason.NotOwner, now);
+    }
+    this.#owners.clear();
+  }
+
+  describe(now: Milliseconds): OwnedUpstreamDescription[] {
+    return [...this.#owners.values()].map((owner) => owner.describe(now));
+  }
+
+  describeDigests(now: Milliseconds): UpstreamDigest[] {
+    return [...this.#owners.values()].map((owner) => owner.describeDigest(now));
+  }
+
+  #findPool(host: HostStructure): PoolStructure | undefined {
+    return this.#options.tables.getSnapshot()?.getPools().find((pool) =>
+      pool.service === host.service &&
+      pool.failureDomains.includes(host.failureDomain)
+    );
+  }
+
+  #takeOwnership(
+    host: HostStructure,
+    pool: PoolStructure,
+    now: Milliseconds,
+  ): void {
+    const { selfId, incarnation, settings, storeBudget, emit } = this.#options;
+    const owner = new UpstreamOwner({
+      selfId,
+      incarnation,
+      host,
+      pool,
+      settings,
+      popularity: this.#popularity,
+      storeBudget,
+      maxRunMs: this.#getMaxRunMs(pool),
+      emit,
+    }, now);
+    this.#owners.set(host.id, owner);
+    const handover = this.#handovers.get(host.id);
+    this.#handovers.delete(host.id);
+    if (handover && now - handover.arrivedAt < HANDOVER_WAIT_MS) {
+      owner.acceptHandover(handover.message, now);
+    }
+    owner.tick(now);
+  }
+
+  /** Returns the longest run of any route to the pool. */
+  #getMaxRunMs(pool: PoolStructure): Milliseconds {
+    const routes = this.#options.tables.getSnapshot()?.getRoutes() ?? [];
+    return routes.reduce(
+      (longest, route) =>
+        route.pool === pool.name ? Math.max(longest, route.maxRunMs) : longest,
+      0,
+    );
+  }
+
+  /** Hands the upstream over to its next owner, if one is known. */
+  #giveUpOwnership(
+    owner: UpstreamOwner,
+    reason: LeaseRefusalReason,
+    now: Milliseconds,
+  ): void {
+    const { upstreamId } = owner;
+    const successor = this.#options.membership.getSuccessorId(upstreamId, now);
+    if (successor !== undefined && owner.isOwning()) {
+      this.#options.emit({
+        kind: "send",
+        to: successor,
+        message: owner.describeHandover(now),
+      });
+    }
+    owner.release(reason, now);
+    this.#owners.delete(upstreamId);
+  }
+
+  #refuseLease(
+    to: string,
+    request: LeaseRequestMessage,
+    now: Milliseconds,
+  ): void {
+    const { membership, settings, emit } = this.#options;
+    emit({
+      kind: "send",
+      to,
+      message: {
+        kind: "leaseRefusal",
+        leaseRequestId: request.leaseRequestId,
+        upstreamId: request.upstreamId,
+        adapterKey: request.adapterKey,
+        reason: LeaseRefusalReason.NotOwner,
+        retryAfterMs: settings.heartbeatIntervalMs,
+        ownerId: membership.getOwnerId(request.upstreamId, now) ?? "",
+      },
+    });
+  }
+}
