--- a/fakes/fake_engine.ts
+++ b/fakes/fake_engine.ts
@@ -77,7 +77,7 @@
     this.options = options;
     this.app.get("/state", (_request, response) => this.#sendState(response));
     this.app.post("/v1/claim", (request, response) => {
-      if (this.#passesFencing(request, response)) response.json({});
+      if (this.#checkFencing(request, response)) response.json({});
     });
     this.app.post(
       "/v1/load_lora_adapter",
@@ -145,7 +145,7 @@
     response.json(state);
   }
 
-  #passesFencing(request: Request, response: Response): boolean {
+  #checkFencing(request: Request, response: Response): boolean {
     if (!this.options.checksFencing) return true;
     const fencing = Number(request.body?.fencing ?? 0);
     if (fencing < this.#fencing) {
@@ -157,7 +157,7 @@
   }
 
   async #load(request: Request, response: Response): Promise<void> {
-    if (!this.#passesFencing(request, response)) return;
+    if (!this.#checkFencing(request, response)) return;
     const adapterKey = String(request.body.lora_name);
     if (this.#residents.has(adapterKey)) {
       response.json({});
@@ -204,7 +204,7 @@
   }
 
   #unload(request: Request, response: Response): void {
-    if (!this.#passesFencing(request, response)) return;
+    if (!this.#checkFencing(request, response)) return;
     const adapterKey = String(request.body.lora_name);
     const isInUse = [...this.#runs.values()].some((run) =>
       run.model === adapterKey
--- a/scripts/run_tests.ts
+++ b/scripts/run_tests.ts
@@ -57,7 +57,7 @@
 async function runAll(queue: readonly string[]): Promise<FileResult[]> {
   const waiting = [...queue];
   const results: FileResult[] = [];
-  const work = async (): Promise<void> => {
+  const runQueued = async (): Promise<void> => {
     for (let file = waiting.shift(); file; file = waiting.shift()) {
       const result = await runFile(file);
       results.push(result);
@@ -66,7 +66,7 @@
       if (result.exitCode !== 0) console.log(result.output);
     }
   };
-  await Promise.all(Array.from({ length: MAX_PARALLEL }, work));
+  await Promise.all(Array.from({ length: MAX_PARALLEL }, runQueued));
   return results;
 }
 
