--- a/src/daemon/peer_task.ts
+++ b/src/daemon/peer_task.ts
@@ -122,6 +122,11 @@
         peer: call.getPeer(),
         error: describeError(error),
       });
+      void this.#options.bus.emit("count", {
+        kind: "count",
+        counter: "envelope_malformed",
+        tag: "",
+      });
       return;
     }
     if (this.#blocked.has(envelope.from)) return;
