Bound what a caller can hold and count what is turned away

Cause: a caller that read nothing held its answer for the longest run and its socket for ever; headers had no setting; a daemon without tables called every token unknown (401) where it was not ready (503); refusals given by the caller task were not counted; a completion on a plain service's route reached the service without its body; an answer of an upstream in error was read whole, whatever its size; a listener of an effect that threw ended the process; a close waited for connections without a bound.

Customers are now established before a body is read. The setting peers.advertise, which nothing read, is gone.

--- /dev/null
+++ b/src/daemon/caller_exchange.ts
@@ -0,0 +1,113 @@
+/** The answer to one caller: its head, its body as the caller takes it, and its end. */
+import { Buffer } from "node:buffer";
+import type { Response } from "express";
+import type { StoredAnswerStructure } from "../core/messages.ts";
+import type { AnswerHead, AnswerSink } from "./exchange.ts";
+import {
+  formatRefusal,
+  type RefusalStructure,
+  sendRefusal,
+} from "./refusal_response.ts";
+
+export interface CallerExchangeOptions {
+  response: Response;
+  isStreamed: boolean;
+  /** Time without progress after which a caller that takes nothing is cut off. */
+  stallTimeoutMs: number;
+  onBegin: () => void;
+}
+
+export class CallerExchange implements AnswerSink {
+  readonly #options: CallerExchangeOptions;
+  /** Body held back until the answer is known to be whole; undefined for streams. */
+  readonly #held: Uint8Array[] | undefined;
+  #head: AnswerHead | undefined;
+
+  constructor(options: CallerExchangeOptions) {
+    this.#options = options;
+    this.#held = options.isStreamed ? undefined : [];
+  }
+
+  begin(head: AnswerHead): void {
+    this.#head = head;
+    this.#options.onBegin();
+    if (!this.#held) writeHead(this.#options.response, head);
+  }
+
+  async write(chunk: Uint8Array): Promise<void> {
+    if (this.#held) this.#held.push(chunk);
+    else await this.#writeChunk(chunk);
+  }
+
+  /** Ends the answer, which is whole. */
+  complete(): void {
+    const { response } = this.#options;
+    if (!this.#head) return;
+    this.#limitStall();
+    if (!this.#held) {
+      response.end();
+      return;
+    }
+    writeHead(response, this.#head);
+    response.end(Buffer.concat(this.#held));
+  }
+
+  /** Sends an answer that was kept from an earlier call. */
+  replay(answer: StoredAnswerStructure): void {
+    const { response } = this.#options;
+    this.#limitStall();
+    response.status(answer.status);
+    response.set("content-type", answer.contentType);
+    response.set("idempotent-replayed", "true");
+    response.end(Buffer.from(answer.body));
+  }
+
+  /** Refuses the request; an answer that has begun is broken off and never ended as if whole. */
+  refuse(refusal: RefusalStructure): void {
+    const { response } = this.#options;
+    this.#limitStall();
+    if (!response.headersSent) {
+      sendRefusal(response, refusal);
+      return;
+    }
+    const event = JSON.stringify(formatRefusal(refusal));
+    response.write(
+      `event: error\ndata: ${event}\n\n`,
+      () => response.destroy(),
+    );
+  }
+
+  /** Writes a chunk and waits until a slow caller has taken it, or is gone. */
+  async #writeChunk(chunk: Uint8Array): Promise<void> {
+    const { response, stallTimeoutMs } = this.#options;
+    if (response.destroyed || response.write(chunk)) return;
+    await new Promise<void>((resolve) => {
+      const timer = setTimeout(() => response.destroy(), stallTimeoutMs);
+      const proceed = (): void => {
+        clearTimeout(timer);
+        response.off("drain", proceed);
+        response.off("close", proceed);
+        resolve();
+      };
+      response.once("drain", proceed);
+      response.once("close", proceed);
+    });
+  }
+
+  #limitStall(): void {
+    const { response, stallTimeoutMs } = this.#options;
+    response.setTimeout(stallTimeoutMs, () => response.destroy());
+  }
+}
+
+function writeHead(response: Response, head: AnswerHead): void {
+  const [adapter, version] = head.servedModel.split("@");
+  response.status(head.status);
+  response.set("content-type", head.contentType);
+  if (version !== undefined) {
+    response.set("x-adapter", adapter ?? "");
+    response.set("x-adapter-version", version);
+  }
+  response.set("x-tables-revision", String(head.tablesRevision));
+  if (head.contentType.startsWith("text/event-stream")) response.flushHeaders();
+}
--- a/src/daemon/caller_task.ts
+++ b/src/daemon/caller_task.ts
@@ -4,17 +4,23 @@
 import type { Server } from "node:http";
 import { performance } from "node:perf_hooks";
 import express, { type Request, type Response } from "express";
-import type { RefuseEffect } from "../core/effects.ts";
-import type { StoredAnswerStructure } from "../core/messages.ts";
-import { Outcome, RefusalReason } from "../core/outcomes.ts";
+import { RefusalReason } from "../core/outcomes.ts";
+import { PoolKind } from "../core/structures.ts";
 import type { TableSnapshot } from "../core/tables/table_snapshot.ts";
 import type { DaemonSettings } from "../settings/daemon_settings.ts";
 import type { Bus } from "./bus.ts";
-import type { AnswerHead, AnswerSink, ExchangeRegistry } from "./exchange.ts";
+import { CallerExchange } from "./caller_exchange.ts";
+import { attachConnectionGuard } from "./connection_guard.ts";
+import type { ExchangeRegistry } from "./exchange.ts";
 import { close, createHttpServer, listen } from "./http_server.ts";
 import type { Logger } from "./logger.ts";
 import type { Metrics } from "./metrics.ts";
-import { getRefusalStatus } from "./refusal_statuses.ts";
+import { type RefusalStructure, sendRefusal } from "./refusal_response.ts";
+import { describeError } from "./step_error.ts";
+
+/** When to come back to a daemon that has no tables yet. */
+const NOT_READY_RETRY_MS = 1_000;
+const FINGERPRINT_LENGTH = 22;
 
 export interface CallerTaskOptions {
   settings: DaemonSettings["callers"];
@@ -25,15 +31,19 @@
   getTables: () => TableSnapshot | undefined;
 }
 
-/** The answer to one caller. */
-interface CallerExchange extends AnswerSink {
-  response: Response;
-  head: AnswerHead | undefined;
-  /** Body held back until the answer is known to be whole; undefined for streams. */
-  held: Uint8Array[] | undefined;
+interface Call {
+  route: string;
+  /** Parsed body of a call to an engine; undefined for plain services. */
+  jsonBody: Record<string, unknown> | undefined;
+  isStreamed: boolean;
+}
+
+/** What the authentication leaves on a response for the handlers after it. */
+interface CallerLocals {
+  customer: string;
 }
 
-type RefusalBody = Omit<RefuseEffect, "kind" | "requestId">;
+type CallerResponse = Response<unknown, CallerLocals>;
 
 export class CallerTask {
   readonly #options: CallerTaskOptions;
@@ -41,18 +51,20 @@
   readonly #callers = new Map<string, CallerExchange>();
 
   constructor(options: CallerTaskOptions) {
+    const { bus, settings } = options;
     this.#options = options;
     this.#server = createHttpServer(this.#createApp(), {
-      maxConnections: options.settings.maxConnections,
-      headersTimeoutMs: options.settings.headersTimeoutMs,
-      requestTimeoutMs: options.settings.bodyTimeoutMs,
+      maxConnections: settings.maxConnections,
+      maxHeaderBytes: settings.maxHeaderBytes,
+      headersTimeoutMs: settings.headersTimeoutMs,
+      requestTimeoutMs: settings.bodyTimeoutMs,
+    });
+    attachConnectionGuard(this.#server, options.metrics);
+    bus.on("complete", (data) => this.#finish(data.requestId)?.complete());
+    bus.on("refuse", (data) => this.#finish(data.requestId)?.refuse(data));
+    bus.on("replay", (data) => {
+      this.#finish(data.requestId)?.replay(data.answer);
     });
-    options.bus.on("complete", (data) => this.#complete(data.requestId));
-    options.bus.on("refuse", (data) => this.#finishRefused(data));
-    options.bus.on(
-      "replay",
-      (data) => this.#replay(data.requestId, data.answer),
-    );
   }
 
   /** Binds the callers' port; returns the port. */
@@ -72,37 +84,80 @@
       type: () => true,
       limit: this.#options.settings.maxBodyBytes,
     });
-    app.post("/v1/chat/completions", body, (request, response) => {
-      this.#acceptCompletion(request, response);
-    });
-    app.post("/v1/completions", body, (request, response) => {
-      this.#acceptCompletion(request, response);
-    });
-    app.post("/v1/services/:route", body, (request, response) => {
-      this.#accept(request, response, {
-        route: String(request.params["route"]),
-        jsonBody: undefined,
-        isStreamed: false,
-      });
-    });
+    app.post(
+      ["/v1/chat/completions", "/v1/completions"],
+      this.#authenticate,
+      body,
+      (request: Request, response: CallerResponse) => {
+        this.#acceptCompletion(request, response);
+      },
+    );
+    app.post(
+      "/v1/services/:route",
+      this.#authenticate,
+      body,
+      (request: Request, response: CallerResponse) => {
+        this.#accept(request, response, {
+          route: String(request.params["route"]),
+          jsonBody: undefined,
+          isStreamed: false,
+        });
+      },
+    );
     app.use((_request: Request, response: Response) => {
       this.#refuse(response, { reason: RefusalReason.UnknownRoute });
     });
-    app.use((
-      error: { type?: string },
-      _request: Request,
-      response: Response,
-      _next: express.NextFunction,
-    ) => {
-      const reason = error.type === "entity.too.large"
-        ? RefusalReason.RequestTooLarge
-        : RefusalReason.InvalidRequest;
-      this.#refuse(response, { reason });
-    });
+    app.use(this.#handleError);
     return app;
   }
 
-  #acceptCompletion(request: Request, response: Response): void {
+  /** Establishes the customer before any of the body is read. */
+  readonly #authenticate = (
+    request: Request,
+    response: CallerResponse,
+    next: express.NextFunction,
+  ): void => {
+    const tables = this.#options.getTables();
+    if (!tables) {
+      this.#refuse(response, {
+        reason: RefusalReason.NotReady,
+        retryAfterMs: NOT_READY_RETRY_MS,
+      });
+      return;
+    }
+    const customer = findCustomer(request, tables);
+    if (customer === undefined) {
+      this.#refuse(response, { reason: RefusalReason.Unauthenticated });
+      return;
+    }
+    response.locals.customer = customer;
+    next();
+  };
+
+  readonly #handleError = (
+    error: { type?: string; status?: number },
+    request: Request,
+    response: Response,
+    _next: express.NextFunction,
+  ): void => {
+    if (error.type === "entity.too.large") {
+      response.set("connection", "close");
+      this.#refuse(response, { reason: RefusalReason.RequestTooLarge });
+      return;
+    }
+    if (error.status === undefined || error.status >= 500) {
+      this.#options.logger.error("Request could not be accepted", {
+        step: "acceptRequest",
+        peer: request.socket.remoteAddress ?? "",
+        error: describeError(error),
+      });
+      response.destroy();
+      return;
+    }
+    this.#refuse(response, { reason: RefusalReason.InvalidRequest });
+  };
+
+  #acceptCompletion(request: Request, response: CallerResponse): void {
     const jsonBody = parseJsonObject(request.body);
     const model = jsonBody?.["model"];
     if (!jsonBody || typeof model !== "string") {
@@ -116,18 +171,10 @@
     });
   }
 
-  #accept(
-    request: Request,
-    response: Response,
-    call: {
-      route: string;
-      jsonBody: Record<string, unknown> | undefined;
-      isStreamed: boolean;
-    },
-  ): void {
-    const customer = this.#authenticate(request);
-    if (customer === undefined) {
-      this.#refuse(response, { reason: RefusalReason.Unauthenticated });
+  #accept(request: Request, response: CallerResponse, call: Call): void {
+    const { customer } = response.locals;
+    if (this.#isOfOtherKind(call, customer)) {
+      this.#refuse(response, { reason: RefusalReason.UnknownRoute });
       return;
     }
     const requestId = randomUUID();
@@ -158,40 +205,26 @@
     });
   }
 
-  #authenticate(request: Request): string | undefined {
-    const header = request.get("authorization") ?? "";
-    const match = /^Bearer +([^\s]+)$/i.exec(header);
-    const token = match?.[1];
-    if (token === undefined) return undefined;
-    const digest = createHash("sha256").update(token).digest("hex");
-    const customer = this.#options.getTables()
-      ?.getCustomerByTokenDigest(digest);
-    const isHeld = customer?.tokenDigests.some((held) =>
-      timingSafeEqual(Buffer.from(held), Buffer.from(digest))
-    );
-    return isHeld ? customer?.name : undefined;
+  /** Returns whether the route leads to upstreams that this path does not serve. */
+  #isOfOtherKind(call: Call, customer: string): boolean {
+    const tables = this.#options.getTables();
+    const route = tables?.getRoute(call.route, customer);
+    const pool = route && tables?.getPool(route.pool);
+    const kind = call.jsonBody ? PoolKind.Engine : PoolKind.Service;
+    return pool !== undefined && pool.kind !== kind;
   }
 
   #createExchange(response: Response, isStreamed: boolean): CallerExchange {
+    const { metrics, settings } = this.#options;
     const arrivedAt = performance.now();
-    const exchange: CallerExchange = {
+    return new CallerExchange({
       response,
-      head: undefined,
-      held: isStreamed ? undefined : [],
-      begin: (head) => {
-        exchange.head = head;
-        this.#options.metrics.measure(
-          "first_token",
-          performance.now() - arrivedAt,
-        );
-        if (isStreamed) writeHead(response, head);
+      isStreamed,
+      stallTimeoutMs: settings.stallTimeoutMs,
+      onBegin: () => {
+        metrics.measure("first_token", performance.now() - arrivedAt);
       },
-      write: async (chunk) => {
-        if (exchange.held) exchange.held.push(chunk);
-        else await writeChunk(response, chunk);
-      },
-    };
-    return exchange;
+    });
   }
 
   #handleClose(requestId: string): void {
@@ -199,42 +232,6 @@
     void this.#options.bus.emit("event", { kind: "callerGone", requestId });
   }
 
-  #complete(requestId: string): void {
-    const exchange = this.#finish(requestId);
-    if (!exchange?.head) return;
-    const { response, held, head } = exchange;
-    if (!held) {
-      response.end();
-      return;
-    }
-    writeHead(response, head);
-    response.end(Buffer.concat(held));
-  }
-
-  #replay(requestId: string, answer: StoredAnswerStructure): void {
-    const exchange = this.#finish(requestId);
-    if (!exchange) return;
-    exchange.response.status(answer.status);
-    exchange.response.set("content-type", answer.contentType);
-    exchange.response.set("idempotent-replayed", "true");
-    exchange.response.end(Buffer.from(answer.body));
-  }
-
-  #finishRefused(effect: RefuseEffect): void {
-    const exchange = this.#finish(effect.requestId);
-    if (!exchange) return;
-    if (!exchange.response.headersSent) {
-      this.#refuse(exchange.response, effect);
-      return;
-    }
-    // The answer has begun: it is reported as broken and never ended as if whole.
-    const event = JSON.stringify(formatRefusal(effect));
-    exchange.response.write(
-      `event: error\ndata: ${event}\n\n`,
-      () => exchange.response.destroy(),
-    );
-  }
-
   #finish(requestId: string): CallerExchange | undefined {
     const exchange = this.#callers.get(requestId);
     this.#callers.delete(requestId);
@@ -242,61 +239,27 @@
     return exchange;
   }
 
-  /** Gives a refusal as JSON, with when to come back where that helps. */
-  #refuse(
-    response: Response,
-    refusal: Partial<RefusalBody> & { reason: RefusalReason },
-  ): void {
-    if (response.headersSent || response.destroyed) return;
-    const { retryAfterMs } = refusal;
-    if (retryAfterMs !== undefined) {
-      response.set("retry-after", String(Math.ceil(retryAfterMs / 1_000)));
-    }
-    response.status(getRefusalStatus(refusal.reason));
-    response.json(formatRefusal(refusal));
-  }
-}
-
-function formatRefusal(
-  refusal: Partial<RefusalBody> & { reason: RefusalReason },
-): { error: Record<string, unknown> } {
-  return {
-    error: {
-      reason: refusal.reason,
-      outcome: refusal.outcome ?? Outcome.NotRun,
-      retryAfterMs: refusal.retryAfterMs,
-      ticket: refusal.ticket,
-    },
-  };
-}
-
-function writeHead(response: Response, head: AnswerHead): void {
-  const [adapter, version] = head.servedModel.split("@");
-  response.status(head.status);
-  response.set("content-type", head.contentType);
-  if (version !== undefined) {
-    response.set("x-adapter", adapter ?? "");
-    response.set("x-adapter-version", version);
+  /** Refuses a request that never reached the core, and counts it. */
+  #refuse(response: Response, refusal: RefusalStructure): void {
+    this.#options.metrics.count("refused", refusal.reason);
+    sendRefusal(response, refusal);
   }
-  response.set("x-tables-revision", String(head.tablesRevision));
-  if (head.contentType.startsWith("text/event-stream")) response.flushHeaders();
 }
 
-/** Writes a chunk and waits until a slow reader has taken it, or is gone. */
-async function writeChunk(
-  response: Response,
-  chunk: Uint8Array,
-): Promise<void> {
-  if (response.destroyed || response.write(chunk)) return;
-  await new Promise<void>((resolve) => {
-    const proceed = (): void => {
-      response.off("drain", proceed);
-      response.off("close", proceed);
-      resolve();
-    };
-    response.once("drain", proceed);
-    response.once("close", proceed);
-  });
+/** Returns the customer whose token the request bears, compared in constant time. */
+function findCustomer(
+  request: Request,
+  tables: TableSnapshot,
+): string | undefined {
+  const header = request.get("authorization") ?? "";
+  const token = /^Bearer +([^\s]+)$/i.exec(header)?.[1];
+  if (token === undefined) return undefined;
+  const digest = createHash("sha256").update(token).digest("hex");
+  const customer = tables.getCustomerByTokenDigest(digest);
+  const isHeld = customer?.tokenDigests.some((held) =>
+    timingSafeEqual(Buffer.from(held), Buffer.from(digest))
+  );
+  return isHeld ? customer?.name : undefined;
 }
 
 function parseJsonObject(body: unknown): Record<string, unknown> | undefined {
@@ -321,5 +284,5 @@
     .update(`${customer}\u0000${route}\u0000`)
     .update(body)
     .digest("base64url")
-    .slice(0, 22);
+    .slice(0, FINGERPRINT_LENGTH);
 }
--- a/src/daemon/core_task.ts
+++ b/src/daemon/core_task.ts
@@ -51,6 +51,17 @@
     effect: Extract<Effect, { kind: Kind }>,
   ): void {
     // The channel of each effect carries exactly that effect.
-    void this.#bus.emit(effect.kind, effect as never);
+    this.#bus.emit(effect.kind, effect as never).catch((error: unknown) => {
+      this.#logger.error("Effect could not be carried out", {
+        step: effect.kind,
+        peer: getEffectPeer(effect),
+        error: error instanceof Error ? error.stack : String(error),
+      });
+    });
   }
 }
+
+function getEffectPeer(effect: Effect): string {
+  if ("to" in effect) return effect.to;
+  return "upstreamId" in effect ? effect.upstreamId : "";
+}
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -136,6 +136,15 @@
     this.#logger.info("Daemon stopped", { step: "stop", isDrained });
   }
 
+  /** Logs an error that no task has handled; the daemon goes on. */
+  reportError(error: unknown): void {
+    this.#logger.error("Error was not handled", {
+      step: "unknown",
+      peer: "",
+      error: error instanceof Error ? error.stack : String(error),
+    });
+  }
+
   #applyCut(cut: Cut): void {
     this.#peers.setBlockedPeers(cut.peers);
     this.#upstreams.setBlockedUpstreams(cut.upstreams);
--- a/src/daemon/http_server.ts
+++ b/src/daemon/http_server.ts
@@ -2,6 +2,13 @@
 import { createServer, type RequestListener, type Server } from "node:http";
 import type { AddressInfo } from "node:net";
 
+const DEFAULT_TIMEOUT_MS = 60_000;
+const KEEP_ALIVE_TIMEOUT_MS = 5_000;
+/** Time between checks of the timeouts of headers and bodies. */
+const TIMEOUT_CHECK_INTERVAL_MS = 500;
+/** Time that connections have to end by themselves when a server closes. */
+const CLOSE_TIMEOUT_MS = 500;
+
 /** Splits `IP:port`, with the IP in brackets for IPv6. */
 export function parseAddress(address: string): { host: string; port: number } {
   const separator = address.lastIndexOf(":");
@@ -15,14 +22,19 @@
   listener: RequestListener,
   limits: {
     maxConnections?: number;
+    maxHeaderBytes?: number;
     headersTimeoutMs?: number;
     requestTimeoutMs?: number;
   } = {},
 ): Server {
   const server = createServer({
-    headersTimeout: limits.headersTimeoutMs ?? 60_000,
-    requestTimeout: limits.requestTimeoutMs ?? 60_000,
-    keepAliveTimeout: 5_000,
+    headersTimeout: limits.headersTimeoutMs ?? DEFAULT_TIMEOUT_MS,
+    requestTimeout: limits.requestTimeoutMs ?? DEFAULT_TIMEOUT_MS,
+    keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
+    connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS,
+    ...(limits.maxHeaderBytes === undefined
+      ? {}
+      : { maxHeaderSize: limits.maxHeaderBytes }),
   }, listener);
   if (limits.maxConnections) server.maxConnections = limits.maxConnections;
   return server;
@@ -41,10 +53,17 @@
   return (server.address() as AddressInfo).port;
 }
 
-/** Stops accepting connections and closes those that are idle. */
+/** Stops accepting connections and closes those that are idle; the rest are cut after a short time. */
 export async function close(server: Server): Promise<void> {
   await new Promise<void>((resolve) => {
-    server.close(() => resolve());
+    const timer = setTimeout(
+      () => server.closeAllConnections(),
+      CLOSE_TIMEOUT_MS,
+    );
+    server.close(() => {
+      clearTimeout(timer);
+      resolve();
+    });
     server.closeIdleConnections();
   });
 }
--- a/src/daemon/logger.ts
+++ b/src/daemon/logger.ts
@@ -1,6 +1,7 @@
 /** JSON-lines logs over loglevel: one object a line on standard output. */
 import process from "node:process";
 import loglevel from "loglevel";
+import { LOG_LEVELS, type LogLevel } from "../settings/log_level.ts";
 
 /** Fields of a log line; errors name the step and the peer at which they arose. */
 export interface LogFields {
@@ -9,8 +10,6 @@
   [field: string]: unknown;
 }
 
-export type LogLevel = "trace" | "debug" | "info" | "warn" | "error";
-
 export interface Logger {
   debug(message: string, fields?: LogFields): void;
   info(message: string, fields?: LogFields): void;
@@ -34,13 +33,13 @@
     process.stdout.write(`${JSON.stringify(line)}\n`);
   };
   log.setLevel(level, false);
-  const names = ["trace", "debug", "info", "warn", "error", "silent"] as const;
   return {
     debug: (message, fields) => log.debug(message, fields),
     info: (message, fields) => log.info(message, fields),
     warn: (message, fields) => log.warn(message, fields),
     error: (message, fields) => log.error(message, fields),
     setLevel: (next) => log.setLevel(next, false),
-    getLevel: () => names[log.getLevel()],
+    getLevel: () =>
+      LOG_LEVELS.find((_, index) => index === log.getLevel()) ?? "silent",
   };
 }
--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -44,6 +44,7 @@
     await daemon.stop();
     process.exit(0);
   };
+  process.on("unhandledRejection", (error) => daemon.reportError(error));
   process.on("SIGTERM", () => void stop());
   process.on("SIGINT", () => void stop());
   try {
--- a/src/daemon/metrics.ts
+++ b/src/daemon/metrics.ts
@@ -4,6 +4,9 @@
 import type { DaemonSettings } from "../settings/daemon_settings.ts";
 import type { Bus } from "./bus.ts";
 
+/** Longest time that the histograms tell apart. */
+const MAX_TIME_MS = 3_600_000;
+
 /** What each metric counts or measures; the operators' page holds the same table. */
 export const METRICS = {
   refused: "Requests refused, by reason",
@@ -13,6 +16,10 @@
   load_failed: "Adapter loads that failed, by upstream",
   owner_deposed: "Ownerships lost to a higher fencing number, by upstream",
   pause_detected: "Pauses of the process that were detected",
+  connection_dropped: "Callers' connections beyond the bound",
+  connection_malformed:
+    "Callers' connections closed for what they sent, by the HTTP parser's code",
+  envelope_malformed: "Envelopes from peers that could not be decoded",
   tables: "Revisions of the tables offered, by what became of them",
   host_list: "Revisions of the host list offered, by what became of them",
   platform_unread: "Readings of the platform that failed, by step",
@@ -73,10 +80,10 @@
   measure(histogram: string, valueMs: number): void {
     let values = this.#histograms.get(histogram);
     if (!values) {
-      values = hdr.build({ highestTrackableValue: 3_600_000 });
+      values = hdr.build({ highestTrackableValue: MAX_TIME_MS });
       this.#histograms.set(histogram, values);
     }
-    values.recordValue(Math.max(0, Math.round(valueMs)));
+    values.recordValue(clampTime(valueMs));
     this.#client?.distribution(histogram, valueMs);
   }
 
@@ -101,3 +108,7 @@
     await new Promise<void>((resolve) => client.close(() => resolve()));
   }
 }
+
+function clampTime(valueMs: number): number {
+  return Math.min(MAX_TIME_MS, Math.max(0, Math.round(valueMs)));
+}
--- a/src/daemon/operator_task.ts
+++ b/src/daemon/operator_task.ts
@@ -1,12 +1,14 @@
 /** The task that owns the operators' port: health, readiness, status and the log level. */
 import type { Server } from "node:http";
 import { performance } from "node:perf_hooks";
-import express from "express";
+import express, { type Request, type Response } from "express";
 import { z } from "zod";
 import type { DaemonCore } from "../core/daemon_core.ts";
+import { LOG_LEVELS } from "../settings/log_level.ts";
 import { close, createHttpServer, listen } from "./http_server.ts";
 import type { Logger } from "./logger.ts";
 import type { Metrics } from "./metrics.ts";
+import { describeError } from "./step_error.ts";
 
 /** Peers, upstreams and the platform that a daemon refuses to talk to, for tests of partitions. */
 export interface Cut {
@@ -30,9 +32,7 @@
   platform: z.boolean().default(false),
 });
 
-const logLevelSchema = z.object({
-  level: z.enum(["trace", "debug", "info", "warn", "error"]),
-});
+const logLevelSchema = z.object({ level: z.enum(LOG_LEVELS) });
 
 export class OperatorTask {
   readonly #options: OperatorTaskOptions;
@@ -77,12 +77,16 @@
       });
     });
     app.get("/explain/:route", (request, response) => {
-      const ranked = core.explainRoute(
-        String(request.params["route"]),
-        performance.now(),
-      );
+      const route = String(request.params["route"]);
+      const isKnown = core.getSnapshot()?.getRoutes()
+        .some((known) => known.name === route);
+      if (!isKnown) {
+        response.status(404).json({ error: `No route is named ${route}` });
+        return;
+      }
+      const ranked = core.explainRoute(route, performance.now());
       response.json({
-        route: request.params["route"],
+        route,
         upstreams: ranked.map((entry) => ({
           id: entry.candidate.host.id,
           owner: entry.candidate.ownerId,
@@ -91,10 +95,15 @@
         })),
       });
     });
+    app.get("/log-level", (_request, response) => {
+      response.json({ level: logger.getLevel() });
+    });
     app.put("/log-level", (request, response) => {
       const parsed = logLevelSchema.safeParse(request.body);
       if (!parsed.success) {
-        response.status(400).json({ error: "Expected a level" });
+        response.status(400).json({
+          error: `Expected a level of ${LOG_LEVELS.join(", ")}`,
+        });
         return;
       }
       logger.setLevel(parsed.data.level);
@@ -109,6 +118,17 @@
       applyCut(parsed.data);
       response.json(parsed.data);
     });
+    app.use((_request: Request, response: Response) => {
+      response.status(404).json({ error: "Expected a known path" });
+    });
+    app.use((
+      error: unknown,
+      _request: Request,
+      response: Response,
+      _next: express.NextFunction,
+    ) => {
+      response.status(400).json({ error: describeError(error) });
+    });
     return app;
   }
 }
--- a/src/daemon/sse_inspector.ts
+++ b/src/daemon/sse_inspector.ts
@@ -1,7 +1,7 @@
 /** Watches a server-sent event stream: which model its first event names, and whether it came to its end. */
 import { Buffer } from "node:buffer";
 
-const END_MARK = "data: [DONE]";
+const END_MARK = "\ndata: [DONE]";
 /** Bytes at the end of a stream in which its end mark is looked for. */
 const TAIL_BYTES = 64;
 /** Bytes within which the first event must be whole. */
@@ -22,8 +22,7 @@
    * first event is whole, then all that has been held back.
    */
   push(chunk: Uint8Array): Uint8Array | undefined {
-    this.#tail = (this.#tail + Buffer.from(chunk).toString("latin1"))
-      .slice(-TAIL_BYTES);
+    this.#updateTail(chunk);
     if (this.#head === undefined) return chunk;
     this.#head = Buffer.concat([this.#head, chunk]);
     const end = this.#head.indexOf("\n\n");
@@ -34,6 +33,15 @@
     return held;
   }
 
+  #updateTail(chunk: Uint8Array): void {
+    const end = chunk.subarray(-TAIL_BYTES);
+    const text = Buffer.from(end.buffer, end.byteOffset, end.length)
+      .toString("latin1");
+    this.#tail = text.length === TAIL_BYTES
+      ? text
+      : (this.#tail + text).slice(-TAIL_BYTES);
+  }
+
   /** Returns whether the stream ended with its end mark. */
   isComplete(): boolean {
     return this.#tail.trimEnd().endsWith(END_MARK);
--- a/src/daemon/upstream_task.ts
+++ b/src/daemon/upstream_task.ts
@@ -16,6 +16,8 @@
 
 /** Largest answer body kept for a ticket. */
 const MAX_KEPT_BODY_BYTES = 65_536;
+/** Characters of an upstream's error that are kept. */
+const MAX_DETAIL_LENGTH = 200;
 const STATE_TIMEOUT_MS = 800;
 const ORDER_TIMEOUT_MS = 30_000;
 const CANCEL_TIMEOUT_MS = 2_000;
@@ -150,7 +152,7 @@
   ): Promise<AttemptEnd> {
     const { effect } = attempt;
     if (response.statusCode >= 400) {
-      const detail = (await response.body.text()).slice(0, 200);
+      const detail = await readDetail(response);
       return { result: classifyStatus(response.statusCode, detail) };
     }
     const isEngine = effect.upstreamKind === PoolKind.Engine;
@@ -385,6 +387,15 @@
   }
 }
 
+/** Returns the beginning of an error's body. */
+async function readDetail(response: Dispatcher.ResponseData): Promise<string> {
+  const body = response.body as AsyncIterable<Buffer>;
+  for await (const chunk of body) {
+    return chunk.toString("utf8").slice(0, MAX_DETAIL_LENGTH);
+  }
+  return "";
+}
+
 function classifyStatus(status: number, detail: string): AttemptResult {
   if (NOT_STARTED_STATUSES.has(status)) {
     return { kind: "refused", status, detail };
--- a/src/settings/daemon_settings.ts
+++ b/src/settings/daemon_settings.ts
@@ -1,6 +1,7 @@
 /** Schema of the daemon's settings file. */
 import { z } from "zod";
 import { DEFAULT_CORE_SETTINGS } from "../core/core_settings.ts";
+import { LOG_LEVELS } from "./log_level.ts";
 
 const ADDRESS = z.string().regex(
   /^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):\d{1,5}$/,
@@ -30,15 +31,15 @@
   callers: z.strictObject({
     listen: ADDRESS,
     maxBodyBytes: POSITIVE.int().default(1_048_576),
+    maxHeaderBytes: POSITIVE.int().default(16_384),
     maxConnections: POSITIVE.int().default(10_000),
     headersTimeoutMs: POSITIVE.default(10_000),
     bodyTimeoutMs: POSITIVE.default(30_000),
+    stallTimeoutMs: POSITIVE.default(30_000),
     maxAnswerBytes: POSITIVE.int().default(16_777_216),
   }),
   peers: z.strictObject({
     listen: ADDRESS,
-    /** Address that peers use; the listening address when absent. */
-    advertise: ADDRESS.optional(),
     tls: TLS.optional(),
     allowPlaintextBeyondLoopback: z.boolean().default(false),
     seed: z.array(z.strictObject({
@@ -62,7 +63,7 @@
     address: ADDRESS.optional(),
     prefix: z.string().default("pistachiohatch."),
   }).prefault({}),
-  logLevel: z.enum(["trace", "debug", "info", "warn", "error"]).default("info"),
+  logLevel: z.enum(LOG_LEVELS).default("info"),
   tickIntervalMs: POSITIVE.default(20),
   stopTimeoutMs: POSITIVE.default(60_000),
   core: z.strictObject(coreFields).prefault({}),
