--- a/fakes/fake_engine.ts
+++ b/fakes/fake_engine.ts
@@ -2,6 +2,7 @@
 import { randomUUID } from "node:crypto";
 import type { Request, Response } from "express";
 import { FakeServer, waitMs } from "./fake_server.ts";
+import { createAnswerIdentity, type RunFault } from "./run_fault.ts";
 
 export interface FakeEngineOptions {
   slots: number;
@@ -32,6 +33,8 @@
   refuseRuns: number;
   /** Whether states are answered. */
   isStateHidden: boolean;
+  /** Faults of the next runs, one each. */
+  nextRuns: RunFault[];
 }
 
 const DEFAULT_FAULTS: EngineFaults = {
@@ -44,8 +47,12 @@
   leaving: false,
   refuseRuns: 0,
   isStateHidden: false,
+  nextRuns: [],
 };
 
+/** Time between looks at whether a stalled run has been cancelled. */
+const POLL_INTERVAL_MS = 5;
+
 interface Run {
   id: string;
   model: string;
@@ -66,8 +73,9 @@
   readonly history: RunRecord[] = [];
   /** Evictions of adapters on which runs were going on. */
   evictionsInUse = 0;
+  /** Highest fencing number accepted, which tests may raise. */
+  fencing = 0;
   #incarnation = randomUUID().slice(0, 8);
-  #fencing = 0;
   readonly #residents = new Set<string>();
   readonly #loading = new Set<string>();
   readonly #runs = new Map<string, Run>();
@@ -116,7 +124,7 @@
     this.#runs.clear();
     this.#residents.clear();
     this.#loading.clear();
-    this.#fencing = 0;
+    this.fencing = 0;
     this.#incarnation = randomUUID().slice(0, 8);
     await this.stop();
     await waitMs(this.faults.restartAfterMs);
@@ -134,7 +142,7 @@
     }
     const state = {
       incarnation: this.#incarnation,
-      fencing: this.#fencing,
+      fencing: this.fencing,
       leaving: this.faults.leaving,
       residents: [...this.#residents].map((adapterKey) => ({
         adapterKey,
@@ -148,11 +156,11 @@
   #checkFencing(request: Request, response: Response): boolean {
     if (!this.options.checksFencing) return true;
     const fencing = Number(request.body?.fencing ?? 0);
-    if (fencing < this.#fencing) {
-      response.status(412).json({ fencing: this.#fencing });
+    if (fencing < this.fencing) {
+      response.status(412).json({ fencing: this.fencing });
       return false;
     }
-    this.#fencing = fencing;
+    this.fencing = fencing;
     return true;
   }
 
@@ -222,6 +230,11 @@
       response.status(503).json({ error: "refused" });
       return;
     }
+    const fault = this.faults.nextRuns.shift();
+    if (fault?.kind === "answerStatus") {
+      response.status(fault.status).json({ error: "fault" });
+      return;
+    }
     if (!this.#residents.has(model)) {
       response.status(404).json({ error: `model ${model} is not resident` });
       return;
@@ -239,24 +252,37 @@
       void this.crash();
       return;
     }
-    await this.#generate(request, response, run, record);
+    await this.#generate(request, response, { run, record, fault });
     if (this.#runs.get(id) === run) this.#runs.delete(id);
   }
 
   async #generate(
     request: Request,
     response: Response,
-    run: Run,
-    record: RunRecord,
+    { run, record, fault }: {
+      run: Run;
+      record: RunRecord;
+      fault: RunFault | undefined;
+    },
   ): Promise<void> {
     const isStream = request.body.stream === true;
-    const model = this.faults.crossAnswers > 0 ? "other@0" : run.model;
-    if (this.faults.crossAnswers > 0) this.faults.crossAnswers -= 1;
-    response.set("x-served-model", model);
-    response.set("x-request-id", run.id);
-    if (isStream) {
-      response.set("content-type", "text/event-stream");
-      response.flushHeaders();
+    if (this.faults.crossAnswers > 0) {
+      this.faults.crossAnswers -= 1;
+      fault ??= { kind: "wrongHeaderModel" };
+    }
+    if (fault?.kind === "stall") await waitUntilCancelled(run, response);
+    if (fault?.kind === "cutBeforeHead") {
+      cutAnswer(response, record);
+      return;
+    }
+    const identity = createAnswerIdentity(run, fault);
+    response.set("x-served-model", identity.headerModel);
+    response.set("x-request-id", identity.requestId);
+    if (isStream) response.set("content-type", "text/event-stream");
+    if (isStream || fault?.kind === "cutAfterHead") response.flushHeaders();
+    if (fault?.kind === "cutAfterHead") {
+      cutAnswer(response, record);
+      return;
     }
     const cutAfter = this.faults.cutAfterTokens;
     let text = "";
@@ -277,20 +303,38 @@
       if (isStream) {
         const event = {
           id: run.id,
-          model,
+          model: identity.bodyModel,
           choices: [{ index: 0, delta: { content: `${run.model}#${token} ` } }],
         };
         response.write(`data: ${JSON.stringify(event)}\n\n`);
       }
     }
+    if (fault?.kind === "cutMidAnswer") {
+      response.write('data: {"choices":[{"ind');
+      cutAnswer(response, record);
+      return;
+    }
     record.ended = "completed";
-    if (isStream) response.end("data: [DONE]\n\n");
-    else {
-      response.json({
-        id: run.id,
-        model,
-        choices: [{ index: 0, message: { role: "assistant", content: text } }],
-      });
+    if (isStream) {
+      response.end(fault?.kind === "omitEndMark" ? "" : "data: [DONE]\n\n");
+      return;
     }
+    response.json({
+      id: run.id,
+      model: identity.bodyModel,
+      choices: [{ index: 0, message: { role: "assistant", content: text } }],
+    });
+  }
+}
+
+/** Cuts the connection once what was written has left. */
+function cutAnswer(response: Response, record: RunRecord): void {
+  record.ended = "cut";
+  setImmediate(() => response.destroy());
+}
+
+async function waitUntilCancelled(run: Run, response: Response): Promise<void> {
+  while (!run.isCancelled && !response.destroyed) {
+    await waitMs(POLL_INTERVAL_MS);
   }
 }
--- a/fakes/fake_service.ts
+++ b/fakes/fake_service.ts
@@ -1,6 +1,7 @@
 /** Stands in for a plain service, which records each call that it runs. */
 import { randomUUID } from "node:crypto";
 import { FakeServer, waitMs } from "./fake_server.ts";
+import { createAnswerIdentity, type RunFault } from "./run_fault.ts";
 
 export interface ServiceFaults {
   /** Calls cut after they ran, from now on. */
@@ -9,6 +10,8 @@
   refuseRuns: number;
   runTimeMs: number;
   leaving: boolean;
+  /** Faults of the next calls, one each. */
+  nextRuns: RunFault[];
 }
 
 export class FakeService extends FakeServer<ServiceFaults> {
@@ -18,7 +21,13 @@
   #running = 0;
 
   constructor() {
-    super({ cutAnswers: 0, refuseRuns: 0, runTimeMs: 20, leaving: false });
+    super({
+      cutAnswers: 0,
+      refuseRuns: 0,
+      runTimeMs: 20,
+      leaving: false,
+      nextRuns: [],
+    });
     this.app.get("/state", (_request, response) => {
       response.json({
         incarnation: this.#incarnation,
@@ -32,6 +41,11 @@
         response.status(503).json({ error: "refused" });
         return;
       }
+      const fault = this.faults.nextRuns.shift();
+      if (fault?.kind === "answerStatus") {
+        response.status(fault.status).json({ error: "fault" });
+        return;
+      }
       this.#running += 1;
       this.ran.push(JSON.stringify(request.body));
       await waitMs(this.faults.runTimeMs);
@@ -41,7 +55,11 @@
         response.socket?.destroy();
         return;
       }
-      response.set("x-request-id", request.get("x-request-id") ?? "");
+      const identity = createAnswerIdentity({
+        id: request.get("x-request-id") ?? "",
+        model: "",
+      }, fault);
+      response.set("x-request-id", identity.requestId);
       response.json({
         service: request.params["name"],
         received: request.body,
