Make returns, grants and identifiers of leases safe against repeats

Cause, found by reading: (1) a repeated grant was taken for one that nobody waited for, and the whole lease was returned while runs went on; (2) a repeated or reordered return gave back credits in use; (3) a grant that answered the first sending of a request was counted from the second, so that the holder's window outlasted the owner's; (4) an owner that gave up an upstream and took it again started its identifiers anew, so that a new lease could carry an old one's name. Each could let an adapter be evicted under a run.

Excluded: deduplicating in the transport: the core must hold on its own.

Change: returns carry the total returned; grants echo the time of the sending that they answer; holders remember the leases that they were granted; the ownership gives out identifiers for all its upstreams.

--- a/src/core/daemon_core.ts
+++ b/src/core/daemon_core.ts
@@ -265,7 +265,7 @@
         break;
       case "leaseReturn":
         this.#ownership.getOwner(message.upstreamId)
-          ?.returnLease(message.leaseId, message.credits, now);
+          ?.returnLease(message.leaseId, message.returnedCredits, now);
         break;
       case "leaseGrant":
         this.#executor.handleLeaseGrant(from, message, now);
--- a/src/core/execution/lease_book.ts
+++ b/src/core/execution/lease_book.ts
@@ -7,7 +7,11 @@
 import type { LeaseGrantMessage, LeaseRefusalMessage } from "../messages.ts";
 import { RetryReason } from "../outcomes.ts";
 import type { ExecutionContext } from "./execution_context.ts";
-import { LeaseHolding, type TakenCredit } from "./lease_holding.ts";
+import {
+  type CreditReturn,
+  LeaseHolding,
+  type TakenCredit,
+} from "./lease_holding.ts";
 import type { LiveRequest } from "./live_request.ts";
 
 /** What the book asks of its surroundings. */
@@ -29,12 +33,16 @@
 
 /** Credits asked for at once. */
 const MAX_CREDITS_PER_REQUEST = 16;
+/** Granted leases remembered, to tell repeated grants from new ones. */
+const MAX_SEEN_LEASES = 65_536;
 
 export class LeaseBook {
   readonly #context: ExecutionContext;
   readonly #handlers: LeaseBookHandlers;
   readonly #holdings = new Map<string, LeaseHolding>();
   readonly #holdingKeysByLeaseRequest = new Map<string, string>();
+  /** Leases that were granted to this daemon, the latest last. */
+  readonly #seenLeaseIds = new Set<string>();
 
   constructor(context: ExecutionContext, handlers: LeaseBookHandlers) {
     this.#context = context;
@@ -96,7 +104,7 @@
     }
   }
 
-  /** Takes a grant; one that was not waited for is returned. */
+  /** Takes a grant; one that was not waited for is returned, a repeated one ignored. */
   handleLeaseGrant(
     from: string,
     grant: LeaseGrantMessage,
@@ -104,22 +112,19 @@
   ): void {
     const key = this.#holdingKeysByLeaseRequest.get(grant.leaseRequestId);
     const holding = key === undefined ? undefined : this.#holdings.get(key);
-    const pending = holding?.pending;
-    if (
-      key === undefined || !holding ||
-      pending?.leaseRequestId !== grant.leaseRequestId
-    ) {
+    if (this.#seenLeaseIds.has(grant.leaseId)) return;
+    this.#rememberLease(grant.leaseId);
+    const isAwaited = holding?.pending?.leaseRequestId === grant.leaseRequestId;
+    if (key === undefined || !holding || !isAwaited) {
       this.#sendReturn(from, grant.upstreamId, {
         leaseId: grant.leaseId,
-        credits: grant.credits,
+        returnedCredits: grant.credits,
       });
       return;
     }
     this.#clearPending(holding);
-    holding.addLease(grant, pending.sentAt, {
-      marginMs: this.#context.options.settings.leaseMarginMs,
-      now,
-    });
+    const { leaseMarginMs } = this.#context.options.settings;
+    holding.addLease(grant, leaseMarginMs, now);
     if (grant.loaded) this.#markStalled(holding);
     this.pumpHolding(key, now);
   }
@@ -230,10 +235,18 @@
           ...requests.map((request) => request.route.maxRunMs),
         ),
         exclusive,
+        sentAtMs: now,
       },
     });
   }
 
+  #rememberLease(leaseId: string): void {
+    this.#seenLeaseIds.add(leaseId);
+    if (this.#seenLeaseIds.size <= MAX_SEEN_LEASES) return;
+    const [oldest] = this.#seenLeaseIds;
+    if (oldest !== undefined) this.#seenLeaseIds.delete(oldest);
+  }
+
   /** Takes the request out of the holding in which it waits. */
   detach(request: LiveRequest): void {
     if (request.state !== "leasing" || request.upstreamId === undefined) return;
@@ -287,7 +300,7 @@
   #sendReturn(
     to: string,
     upstreamId: string,
-    credits: { leaseId: string; credits: number },
+    credits: CreditReturn,
   ): void {
     this.#context.options.emit({
       kind: "send",
--- a/src/core/execution/lease_holding.ts
+++ b/src/core/execution/lease_holding.ts
@@ -4,6 +4,7 @@
 
 interface HeldLease {
   leaseId: string;
+  returned: number;
   free: number;
   running: number;
   exclusive: boolean;
@@ -23,7 +24,8 @@
 /** Credits to give back to the owner. */
 export interface CreditReturn {
   leaseId: string;
-  credits: number;
+  /** Credits of the lease returned so far, these included. */
+  returnedCredits: number;
 }
 
 /** A lease request that has not been answered. */
@@ -47,17 +49,19 @@
     this.adapterKey = adapterKey;
   }
 
-  addLease(grant: LeaseGrantMessage, sentAt: Milliseconds, options: {
-    marginMs: Milliseconds;
-    now: Milliseconds;
-  }): void {
+  addLease(
+    grant: LeaseGrantMessage,
+    marginMs: Milliseconds,
+    now: Milliseconds,
+  ): void {
     this.#leases.set(grant.leaseId, {
       leaseId: grant.leaseId,
+      returned: 0,
       free: grant.credits,
       running: 0,
       exclusive: grant.exclusive,
-      dispatchUntil: sentAt + grant.windowMs - options.marginMs,
-      idleSince: options.now,
+      dispatchUntil: grant.requestSentAtMs + grant.windowMs - marginMs,
+      idleSince: now,
       upstreamIncarnation: grant.upstreamIncarnation,
     });
   }
@@ -106,8 +110,12 @@
       if (lease.free === 0) continue;
       const isIdle = lease.exclusive || now - lease.idleSince >= idleMs;
       if (!isIdle && now < lease.dispatchUntil) continue;
-      returns.push({ leaseId: lease.leaseId, credits: lease.free });
+      lease.returned += lease.free;
       lease.free = 0;
+      returns.push({
+        leaseId: lease.leaseId,
+        returnedCredits: lease.returned,
+      });
       this.#dropIfEmpty(lease);
     }
     return returns;
--- a/src/core/messages.ts
+++ b/src/core/messages.ts
@@ -55,6 +55,8 @@
   maxRunMs: number;
   /** Whether the run must have the upstream to itself. */
   exclusive: boolean;
+  /** Time of this sending on the holder's clock, for the grant to return. */
+  sentAtMs: number;
 }
 
 export interface LeaseGrantMessage {
@@ -64,8 +66,10 @@
   upstreamId: string;
   adapterKey: string;
   credits: number;
-  /** Dispatch window, counted by the holder from the sending of its request. */
+  /** Dispatch window, counted by the holder from `requestSentAtMs`. */
   windowMs: number;
+  /** Time of the sending that is granted, on the holder's clock. */
+  requestSentAtMs: number;
   exclusive: boolean;
   /** Incarnation of the upstream at the time of the grant. */
   upstreamIncarnation: string;
@@ -88,7 +92,8 @@
   kind: "leaseReturn";
   leaseId: string;
   upstreamId: string;
-  credits: number;
+  /** Credits of the lease returned so far, these included. */
+  returnedCredits: number;
 }
 
 export interface LeaseCancelMessage {
@@ -102,7 +107,9 @@
   leaseId: string;
   holder: string;
   adapterKey: string;
+  /** Credits not returned. */
   credits: number;
+  returnedCredits: number;
   /** Time until which a run under the lease may go on. */
   remainingMs: number;
 }
--- a/src/core/residency/lease_granter.ts
+++ b/src/core/residency/lease_granter.ts
@@ -37,6 +37,7 @@
       holder,
       adapterKey: request.adapterKey,
       credits,
+      returnedCredits: 0,
       exclusive: request.exclusive,
       windowEndsAt,
       safeUntil: windowEndsAt + request.maxRunMs,
@@ -74,7 +75,7 @@
   /** Takes back the whole grant of a request that its holder gave up. */
   cancelGrant(leaseRequestId: string): void {
     const granted = this.ledger.getByRequestId(leaseRequestId);
-    if (granted) this.ledger.returnCredits(granted.leaseId, granted.credits);
+    if (granted) this.ledger.removeLease(granted.leaseId);
   }
 
   /** Takes over the leases of the previous owner. */
@@ -88,6 +89,7 @@
         holder: lease.holder,
         adapterKey: lease.adapterKey,
         credits: lease.credits,
+        returnedCredits: lease.returnedCredits,
         exclusive: false,
         windowEndsAt: now + Math.min(windowMs, lease.remainingMs),
         safeUntil: now + lease.remainingMs,
@@ -123,6 +125,7 @@
         adapterKey: request.adapterKey,
         credits: grant.credits,
         windowMs: this.#context.options.settings.leaseWindowMs,
+        requestSentAtMs: request.sentAtMs,
         exclusive: request.exclusive,
         upstreamIncarnation: this.#reader.getIncarnation(),
         loaded: grant.loaded,
--- a/src/core/residency/lease_ledger.ts
+++ b/src/core/residency/lease_ledger.ts
@@ -7,7 +7,10 @@
   leaseRequestId: string;
   holder: string;
   adapterKey: string;
+  /** Credits not returned. */
   credits: number;
+  /** Credits returned since the grant. */
+  returnedCredits: number;
   exclusive: boolean;
   /** No run starts under the lease after this time. */
   windowEndsAt: Milliseconds;
@@ -34,16 +37,28 @@
     return undefined;
   }
 
-  /** Takes credits back; the lease is over when none is left. */
-  returnCredits(leaseId: string, credits: number): void {
+  /**
+   * Takes credits back, given as the total returned so far, so that a repeated
+   * or late return changes nothing; the lease is over when none is left.
+   */
+  returnCredits(leaseId: string, returnedCredits: number): void {
     const lease = this.#leases.get(leaseId);
-    if (!lease) return;
-    const returned = Math.min(credits, lease.credits);
+    if (!lease || returnedCredits <= lease.returnedCredits) return;
+    const returned = Math.min(
+      returnedCredits - lease.returnedCredits,
+      lease.credits,
+    );
     lease.credits -= returned;
+    lease.returnedCredits += returned;
     this.#changeCredits(lease.adapterKey, -returned);
     if (lease.credits === 0) this.#leases.delete(leaseId);
   }
 
+  /** Ends a lease that its holder never had. */
+  removeLease(leaseId: string): void {
+    this.#dropWhere((lease) => lease.leaseId === leaseId);
+  }
+
   /** Drops leases under which no run can go on any more. */
   dropExpired(now: Milliseconds): void {
     this.#dropWhere((lease) => now >= lease.safeUntil);
@@ -90,6 +105,7 @@
       holder: lease.holder,
       adapterKey: lease.adapterKey,
       credits: lease.credits,
+      returnedCredits: lease.returnedCredits,
       remainingMs: Math.max(0, lease.safeUntil - now),
     }));
   }
--- a/src/core/residency/lease_queue.ts
+++ b/src/core/residency/lease_queue.ts
@@ -18,6 +18,9 @@
   addOrReplace(waiting: WaitingLeaseRequest): void {
     const id = waiting.request.leaseRequestId;
     const earlier = this.#waiting.get(id);
+    const isLate = earlier !== undefined &&
+      waiting.request.sentAtMs < earlier.request.sentAtMs;
+    if (isLate) return;
     this.#waiting.set(id, {
       ...waiting,
       arrivedAt: earlier?.arrivedAt ?? waiting.arrivedAt,
--- a/src/core/residency/owner_context.ts
+++ b/src/core/residency/owner_context.ts
@@ -12,7 +12,6 @@
 
 export interface UpstreamOwnerOptions {
   selfId: string;
-  incarnation: string;
   host: HostStructure;
   pool: PoolStructure;
   settings: CoreSettings;
@@ -21,12 +20,13 @@
   /** Longest run of any route to the pool. */
   maxRunMs: Milliseconds;
   emit: (effect: Effect) => void;
+  /** Returns an identifier that no other daemon or incarnation gives. */
+  createId: (prefix: string) => string;
 }
 
-/** The options of an owner and the identifiers that it gives out. */
+/** The options of an owner. */
 export class OwnerContext {
   readonly options: UpstreamOwnerOptions;
-  #lastId = 0;
 
   constructor(options: UpstreamOwnerOptions) {
     this.options = options;
@@ -42,8 +42,6 @@
 
   /** Returns an identifier that no other daemon or incarnation gives. */
   createId(prefix: string): string {
-    this.#lastId += 1;
-    const { selfId, incarnation } = this.options;
-    return `${prefix}/${selfId}/${incarnation}/${this.upstreamId}/${this.#lastId}`;
+    return this.options.createId(prefix);
   }
 }
--- a/src/core/residency/upstream_owner.ts
+++ b/src/core/residency/upstream_owner.ts
@@ -113,8 +113,12 @@
     this.#pump(now);
   }
 
-  returnLease(leaseId: string, credits: number, now: Milliseconds): void {
-    this.#granter.ledger.returnCredits(leaseId, credits);
+  returnLease(
+    leaseId: string,
+    returnedCredits: number,
+    now: Milliseconds,
+  ): void {
+    this.#granter.ledger.returnCredits(leaseId, returnedCredits);
     this.#pump(now);
   }
 
--- a/src/core/residency/upstream_ownership.ts
+++ b/src/core/residency/upstream_ownership.ts
@@ -43,6 +43,7 @@
   readonly #options: UpstreamOwnershipOptions;
   readonly #popularity = new AdapterPopularity();
   readonly #owners = new Map<string, UpstreamOwner>();
+  #lastId = 0;
   readonly #handovers = new Map<
     string,
     { message: HandoverMessage; arrivedAt: Milliseconds }
@@ -143,10 +144,9 @@
     pool: PoolStructure,
     now: Milliseconds,
   ): void {
-    const { selfId, incarnation, settings, storeBudget, emit } = this.#options;
+    const { selfId, settings, storeBudget, emit } = this.#options;
     const owner = new UpstreamOwner({
       selfId,
-      incarnation,
       host,
       pool,
       settings,
@@ -154,6 +154,7 @@
       storeBudget,
       maxRunMs: this.#getMaxRunMs(pool),
       emit,
+      createId: (prefix) => this.#createId(prefix),
     }, now);
     this.#owners.set(host.id, owner);
     const handover = this.#handovers.get(host.id);
@@ -164,6 +165,13 @@
     owner.tick(now);
   }
 
+  /** Returns an identifier that no ownership of this incarnation gave before. */
+  #createId(prefix: string): string {
+    this.#lastId += 1;
+    const { selfId, incarnation } = this.#options;
+    return `${prefix}/${selfId}/${incarnation}/${this.#lastId}`;
+  }
+
   /** Returns the longest run of any route to the pool. */
   #getMaxRunMs(pool: PoolStructure): Milliseconds {
     const routes = this.#options.tables.getSnapshot()?.getRoutes() ?? [];
--- /dev/null
+++ b/test/core/execution/lease_holding_test.ts
@@ -0,0 +1,56 @@
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { LeaseHolding } from "../../../src/core/execution/lease_holding.ts";
+import type { LeaseGrantMessage } from "../../../src/core/messages.ts";
+
+const MARGIN_MS = 100;
+
+function createGrant(
+  changes: Partial<LeaseGrantMessage> = {},
+): LeaseGrantMessage {
+  return {
+    kind: "leaseGrant",
+    leaseRequestId: "request-1",
+    leaseId: "lease-1",
+    upstreamId: "engine-1",
+    adapterKey: "briefing@v1",
+    credits: 2,
+    windowMs: 2_000,
+    requestSentAtMs: 1_000,
+    exclusive: false,
+    upstreamIncarnation: "i1",
+    loaded: false,
+    ...changes,
+  };
+}
+
+test("counts the window from the sending that was granted", () => {
+  const holding = new LeaseHolding("engine-1", "briefing@v1");
+  holding.addLease(createGrant(), MARGIN_MS, 1_500);
+  assert.ok(holding.tryTakeCredit(false, 2_899));
+  assert.is(holding.tryTakeCredit(false, 2_900), undefined);
+});
+
+test("returns credits as a growing total", () => {
+  const holding = new LeaseHolding("engine-1", "briefing@v1");
+  holding.addLease(createGrant(), MARGIN_MS, 1_000);
+  const credit = holding.tryTakeCredit(false, 1_000);
+  assert.equal(holding.takeIdleCredits(0, 1_001), [
+    { leaseId: "lease-1", returnedCredits: 1 },
+  ]);
+  holding.freeCredit(credit?.leaseId ?? "", 1_002);
+  assert.equal(holding.takeIdleCredits(0, 1_003), [
+    { leaseId: "lease-1", returnedCredits: 2 },
+  ]);
+  assert.ok(holding.isUnused());
+});
+
+test("never returns the credit of a run that may go on", () => {
+  const holding = new LeaseHolding("engine-1", "briefing@v1");
+  holding.addLease(createGrant({ credits: 1 }), MARGIN_MS, 1_000);
+  const credit = holding.tryTakeCredit(false, 1_000);
+  holding.abandonCredit(credit?.leaseId ?? "");
+  assert.equal(holding.takeIdleCredits(0, 5_000), []);
+});
+
+test.run();
