Fuzz several daemons' cores against an oracle of what ran where

Real DaemonCores, each with a clock of its own, model engines, services, a configuration service and a host list in one process over one event queue. fast-check draws and shrinks the commands; the oracle checks the promises at each step.

--- /dev/null
+++ b/test/fuzz/daemon_process.ts
@@ -0,0 +1,237 @@
+/** One daemon of the model: the real core, a clock of its own, pauses, kills and restarts. */
+import { DaemonCore } from "../../src/core/daemon_core.ts";
+import type { Effect } from "../../src/core/effects.ts";
+import type { CoreEvent } from "../../src/core/events.ts";
+import type { Call } from "./calls.ts";
+import {
+  createHosts,
+  getFailureDomain,
+  SETTINGS,
+  TICK_INTERVAL_MS,
+} from "./fleet_layout.ts";
+import { FuzzPromise } from "./oracle.ts";
+import { UpstreamClient } from "./upstream_client.ts";
+import { countWallClockReads } from "./wall_clock.ts";
+import type { World } from "./world.ts";
+
+const MAX_CLOCK_OFFSET_MS = 10_000_000;
+/** Largest drift of a clock, in millionths. */
+const MAX_DRIFT_PPM = 500;
+const POLL_INTERVAL_MS = 400;
+const MAX_JITTER_MS = 5;
+
+export class DaemonProcess {
+  readonly id: string;
+  readonly #world: World;
+  #core!: DaemonCore;
+  #client!: UpstreamClient;
+  #incarnation = 0;
+  #clockOffset = 0;
+  #clockRate = 1;
+  #backlog: (() => void)[] = [];
+  #pausedUntil = 0;
+  isAlive = false;
+  isPaused = false;
+  isStopping = false;
+
+  constructor(id: string, world: World) {
+    this.id = id;
+    this.#world = world;
+    this.start();
+  }
+
+  start(): void {
+    if (this.isAlive) return;
+    const { random } = this.#world;
+    this.#incarnation += 1;
+    this.#clockOffset = random.getInteger(0, MAX_CLOCK_OFFSET_MS);
+    this.#clockRate = 1 +
+      random.getInteger(-MAX_DRIFT_PPM, MAX_DRIFT_PPM) / 1_000_000;
+    this.#backlog = [];
+    this.isAlive = true;
+    this.isPaused = false;
+    this.isStopping = false;
+    this.#client = new UpstreamClient(this, this.#world);
+    this.#core = new DaemonCore({
+      selfId: this.id,
+      incarnation: `i${this.#incarnation}`,
+      failureDomain: getFailureDomain(this.id),
+      settings: SETTINGS,
+      seedHosts: createHosts(new Set()).filter((host) => host.role === "entry"),
+      ticketSecret: random.getBytes(16),
+    }, this.readClock());
+    this.#tick();
+    this.#pollPlatform();
+  }
+
+  kill(): void {
+    if (!this.isAlive) return;
+    this.isAlive = false;
+    this.#backlog = [];
+    this.#world.breakCalls(this.id);
+  }
+
+  /** Stops handling anything until the span has passed; what comes meanwhile is late. */
+  pause(spanMs: number): void {
+    if (!this.isAlive) return;
+    const { queue } = this.#world;
+    this.isPaused = true;
+    this.#pausedUntil = Math.max(this.#pausedUntil, queue.now + spanMs);
+    queue.schedule(spanMs, () => this.resume(queue.now));
+  }
+
+  resume(now: number = Number.POSITIVE_INFINITY): void {
+    if (!this.isPaused || now < this.#pausedUntil) return;
+    this.isPaused = false;
+    this.#pausedUntil = 0;
+    this.#world.trace.add(this.id, `wakes with ${this.#backlog.length} steps`);
+    for (const step of this.#backlog.splice(0)) step();
+  }
+
+  requestStop(): void {
+    if (!this.isAlive || this.isStopping) return;
+    this.isStopping = true;
+    this.runLocal(0, () => this.handle({ kind: "stopRequested" }));
+  }
+
+  /** Returns a check that holds while this incarnation lives. */
+  createIncarnationCheck(): () => boolean {
+    const incarnation = this.#incarnation;
+    return () => this.isAlive && this.#incarnation === incarnation;
+  }
+
+  readClock(): number {
+    return this.#clockOffset + this.#world.queue.now * this.#clockRate;
+  }
+
+  getRevision(): number {
+    return this.#core.getSnapshot()?.revision ?? 0;
+  }
+
+  isServing(): boolean {
+    return this.isAlive && this.#core.state === "serving";
+  }
+
+  /** Runs a step of this incarnation after a delay, or later if it is paused then. */
+  runLocal(delayMs: number, step: () => void): void {
+    const isIncarnation = this.createIncarnationCheck();
+    const run = (): void => {
+      if (isIncarnation()) step();
+    };
+    const arrive = (): void => {
+      if (!isIncarnation()) return;
+      if (this.isPaused) this.#backlog.push(run);
+      else run();
+    };
+    if (delayMs === 0 && !this.isPaused) run();
+    else this.#world.queue.schedule(delayMs, arrive);
+  }
+
+  accept(call: Call): void {
+    const snapshot = this.#core.getSnapshot();
+    const route = snapshot?.getRoute(call.work.route, call.work.customer);
+    call.pinnedModel = route && route.adapter !== ""
+      ? `${route.adapter}@${route.version}`
+      : "";
+    this.handle({
+      kind: "requestArrived",
+      requestId: call.id,
+      customer: call.work.customer,
+      route: call.work.route,
+      fingerprint: call.work.id,
+      ...(call.ticket === undefined ? {} : { ticket: call.ticket }),
+    });
+  }
+
+  handle(event: CoreEvent): void {
+    const { oracle } = this.#world;
+    let effects: Effect[] = [];
+    const reads = countWallClockReads(() => {
+      try {
+        effects = this.#core.handle(event, this.readClock());
+      } catch (error) {
+        oracle.fail(
+          FuzzPromise.Robustness,
+          `${this.id} throws at ${event.kind}: ${
+            error instanceof Error ? error.stack : error
+          }`,
+        );
+      }
+    });
+    if (reads > 0) {
+      oracle.fail(FuzzPromise.Robustness, `${event.kind} reads the wall clock`);
+    }
+    oracle.recordRevision(this.id, this.#incarnation, this.getRevision());
+    for (const effect of effects) this.#carryOut(effect);
+  }
+
+  #carryOut(effect: Effect): void {
+    const world = this.#world;
+    switch (effect.kind) {
+      case "send":
+        world.sendMessage(this.id, effect.to, effect.message);
+        break;
+      case "dispatch":
+        this.#client.dispatch(effect);
+        break;
+      case "cancelAttempt":
+        this.#client.cancel(effect.attemptId);
+        break;
+      case "order":
+        this.#client.order(effect);
+        break;
+      case "readUpstreamState":
+        this.#client.readState(effect);
+        break;
+      case "refuse":
+        world.endCall(effect.requestId, {
+          kind: "refused",
+          reason: effect.reason,
+          outcome: effect.outcome,
+        }, effect.ticket);
+        break;
+      case "complete":
+        world.endCall(effect.requestId, { kind: "completed" });
+        break;
+      case "replay":
+        world.replayCall(effect.requestId, effect.answer);
+        break;
+      case "stopCompleted":
+        this.#exit();
+        break;
+      case "count":
+        world.count(`${effect.counter}:${effect.tag}`);
+        break;
+      case "measure":
+        break;
+    }
+  }
+
+  #exit(): void {
+    const { oracle, trace } = this.#world;
+    trace.add(this.id, "has stopped");
+    for (const call of oracle.getCalls()) {
+      const isCut = call.daemonId === this.id && call.end === undefined &&
+        call.pinnedModel !== undefined && !call.isCallerGone;
+      if (isCut) {
+        oracle.fail(FuzzPromise.GracefulStop, `${this.id} cuts off ${call.id}`);
+      }
+    }
+    this.kill();
+  }
+
+  #tick(): void {
+    this.handle({ kind: "tick" });
+    const jitterMs = this.#world.random.getInteger(0, MAX_JITTER_MS);
+    this.runLocal(TICK_INTERVAL_MS + jitterMs, () => this.#tick());
+  }
+
+  #pollPlatform(): void {
+    this.#world.platform.poll(this.id, (events) => {
+      this.runLocal(0, () => {
+        for (const event of events) this.handle(event);
+      });
+    });
+    this.runLocal(POLL_INTERVAL_MS, () => this.#pollPlatform());
+  }
+}
--- /dev/null
+++ b/test/fuzz/fleet_layout.ts
@@ -0,0 +1,155 @@
+/** The fleet that the fuzzer drives: hosts, pools, routes and the edits that operators make. */
+import {
+  type CoreSettings,
+  DEFAULT_CORE_SETTINGS,
+} from "../../src/core/core_settings.ts";
+import {
+  Fencing,
+  HostRole,
+  HostState,
+  type HostStructure,
+  PoolKind,
+  type PoolStructure,
+  Priority,
+  type RouteStructure,
+  type TablesStructure,
+} from "../../src/core/structures.ts";
+
+export const SETTINGS: CoreSettings = {
+  ...DEFAULT_CORE_SETTINGS,
+  storeLoadsPerSecond: 20,
+  storeLoadsInFlight: 10,
+};
+
+export const TICK_INTERVAL_MS = 40;
+export const DAEMON_IDS = ["d-a1", "d-a2", "d-a3", "d-b1", "d-b2"] as const;
+export const ENGINE_IDS = ["e-a1", "e-a2", "e-b1"] as const;
+export const SERVICE_IDS = ["s-a1", "s-b1"] as const;
+export const UPSTREAM_IDS = [...ENGINE_IDS, ...SERVICE_IDS];
+export const PLATFORM_ID = "platform";
+export const NODE_IDS = [...DAEMON_IDS, ...UPSTREAM_IDS, PLATFORM_ID];
+export const ENGINE_SLOTS = 2;
+export const ENGINE_BATCH = 4;
+
+const ENGINE_POOL = "writers";
+const SERVICE_POOL = "kassa";
+const ADAPTER_COUNT = 5;
+
+interface RouteSeed {
+  name: string;
+  customer: string;
+  pool: string;
+  idempotent: boolean;
+}
+
+const ROUTE_SEEDS: readonly RouteSeed[] = [
+  { name: "plan", customer: "derwent", pool: ENGINE_POOL, idempotent: true },
+  { name: "brief", customer: "derwent", pool: ENGINE_POOL, idempotent: true },
+  { name: "letter", customer: "solljus", pool: ENGINE_POOL, idempotent: true },
+  { name: "notes", customer: "solljus", pool: ENGINE_POOL, idempotent: true },
+  { name: "order", customer: "derwent", pool: ENGINE_POOL, idempotent: false },
+  {
+    name: "unlock",
+    customer: "solljus",
+    pool: SERVICE_POOL,
+    idempotent: false,
+  },
+  {
+    name: "balance",
+    customer: "solljus",
+    pool: SERVICE_POOL,
+    idempotent: true,
+  },
+];
+
+export const ROUTE_COUNT = ROUTE_SEEDS.length;
+
+/** Returns the failure domain that the name of a host carries. */
+export function getFailureDomain(hostId: string): string {
+  return hostId.includes("-a") ? "fd-a" : "fd-b";
+}
+
+export function createHosts(leaving: ReadonlySet<string>): HostStructure[] {
+  const ids = [...DAEMON_IDS, ...UPSTREAM_IDS];
+  return ids.map((id) => ({
+    id,
+    address: id,
+    failureDomain: getFailureDomain(id),
+    role: id.startsWith("d-") ? HostRole.Entry : HostRole.Upstream,
+    service: getService(id),
+    state: leaving.has(id) ? HostState.Leaving : HostState.Live,
+  }));
+}
+
+export function createTables(fencing: Fencing): TablesStructure {
+  return {
+    revision: 1,
+    customers: ["derwent", "solljus"].map((name, index) => ({
+      name,
+      tokenDigests: [String(index).repeat(64)],
+      share: 1,
+    })),
+    routes: ROUTE_SEEDS.map(createRoute),
+    pools: [
+      createPool(ENGINE_POOL, PoolKind.Engine, fencing),
+      createPool(SERVICE_POOL, PoolKind.Service, Fencing.Ignored),
+    ],
+  };
+}
+
+/** Returns the next revision, in which one route names another adapter, version or longest run. */
+export function editTables(
+  tables: TablesStructure,
+  edit: { routeIndex: number; choice: number; isInvalid: boolean },
+): TablesStructure {
+  const revision = tables.revision + 1;
+  const routes = tables.routes.map((route, index) => {
+    if (index !== edit.routeIndex) return route;
+    if (edit.isInvalid) return { ...route, pool: "missing" };
+    if (edit.choice % 4 === 3) {
+      return { ...route, maxRunMs: 1_000 + 500 * (edit.choice % 7) };
+    }
+    if (route.adapter === "") return { ...route, priority: Priority.Bulk };
+    return edit.choice % 2 === 0
+      ? { ...route, version: `v${revision}` }
+      : { ...route, adapter: `adapter-${edit.choice % ADAPTER_COUNT}` };
+  });
+  return { ...tables, revision, routes };
+}
+
+function createRoute(seed: RouteSeed, index: number): RouteStructure {
+  const isEngine = seed.pool === ENGINE_POOL;
+  return {
+    ...seed,
+    adapter: isEngine ? `adapter-${index % ADAPTER_COUNT}` : "",
+    version: isEngine ? "v1" : "",
+    priority: Priority.Standard,
+    queueDeadlineMs: 4_000,
+    maxRunMs: 2_500,
+  };
+}
+
+function createPool(
+  name: string,
+  kind: PoolKind,
+  fencing: Fencing,
+): PoolStructure {
+  const isEngine = kind === PoolKind.Engine;
+  return {
+    name,
+    kind,
+    service: isEngine ? "writer" : "kassa",
+    baseModel: isEngine ? "base" : "",
+    failureDomains: ["fd-a", "fd-b"],
+    slots: isEngine ? ENGINE_SLOTS : 0,
+    batchSize: ENGINE_BATCH,
+    fencing,
+    loadStallWeight: 1,
+    batchEfficiencyWeight: 1,
+  };
+}
+
+function getService(id: string): string {
+  if (id.startsWith("e-")) return "writer";
+  return id.startsWith("s-") ? "kassa" : "";
+}
--- /dev/null
+++ b/test/fuzz/main.ts
@@ -0,0 +1,53 @@
+/** `npm run fuzz -- --seed N --runs K [--path P]`: looks for broken promises and prints how to see them again. */
+import process from "node:process";
+import { performance } from "node:perf_hooks";
+import sade from "sade";
+import { type FuzzResult, runFuzz } from "./fuzz_run.ts";
+
+const DEFAULT_RUNS = 100;
+const DEFAULT_SHRINK_RUNS = 300;
+const TRACE_LINES = 400;
+
+sade("fuzz", true)
+  .option("--seed", "Seed of the drawn commands", 1)
+  .option("--runs", "Runs, each with a fleet of its own", DEFAULT_RUNS)
+  .option("--path", "Path of a case, as a breach printed it")
+  .option("--shrink", "Runs spent on a smaller case", DEFAULT_SHRINK_RUNS)
+  .option("--lines", "Last lines of the trace that are printed", TRACE_LINES)
+  .option("--counts", "Print what the daemons counted", false)
+  .action((flags: Record<string, unknown>) => {
+    const seed = Number(flags["seed"]);
+    const startedAt = performance.now();
+    const result = runFuzz({
+      seed,
+      runs: Number(flags["runs"]),
+      maxShrinkRuns: Number(flags["shrink"]),
+      ...(flags["path"] === undefined ? {} : { path: String(flags["path"]) }),
+    });
+    const seconds = (performance.now() - startedAt) / 1_000;
+    if (flags["counts"] === true) printCounts(result);
+    printResult(result, { seed, lines: Number(flags["lines"]) });
+    console.log(`seed ${seed}: ${result.runs} runs in ${seconds.toFixed(1)} s`);
+    process.exitCode = result.failure ? 1 : 0;
+  })
+  .parse(process.argv);
+
+function printCounts(result: FuzzResult): void {
+  for (const [name, count] of [...result.counts].sort()) {
+    console.log(`${String(count).padStart(9)}  ${name}`);
+  }
+}
+
+function printResult(
+  result: FuzzResult,
+  options: { seed: number; lines: number },
+): void {
+  const { failure } = result;
+  if (!failure) return;
+  for (const line of failure.trace.slice(-options.lines)) console.log(line);
+  console.log(`fencing ${failure.input.checksFencing ? "checked" : "ignored"}`);
+  console.log(`BREACH in run ${failure.foundInRun}: ${failure.breach.message}`);
+  console.log(
+    `again: npm run fuzz -- --seed ${options.seed} --path ${failure.path} --runs 1`,
+  );
+}
