Measure routing and residency policies on the daemon's own decisions

Baselines inject only the ranking of upstreams and the worth of a resident adapter (CorePolicy); requests, faults, store budget and admission are the same.

--- /dev/null
+++ b/bench/policy/fakes.ts
@@ -0,0 +1,246 @@
+/** Models of the weight store and of engines in virtual time, for measuring decisions. */
+import type { OrderResult } from "../../src/core/events.ts";
+import type { AttemptResult } from "../../src/core/outcomes.ts";
+import type {
+  HostStructure,
+  UpstreamStateStructure,
+} from "../../src/core/structures.ts";
+import type { EventHeap } from "./event_heap.ts";
+
+/** How the brief's line on the store is read. */
+export const StoreReading = { Rate: "rate", InFlight: "inflight" } as const;
+export type StoreReading = (typeof StoreReading)[keyof typeof StoreReading];
+
+const LOAD_TIME_MS = 250;
+const FULL_SPEED_LOADS = 8;
+
+export class FakeStore {
+  readonly #heap: EventHeap;
+  readonly #loadsPerSecond: number;
+  readonly #reading: StoreReading;
+  readonly #nextStartAt = new Map<string, number>();
+  #inFlight = 0;
+  loads = 0;
+  /** Most loads in flight at once. */
+  maxInFlight = 0;
+
+  constructor(heap: EventHeap, options: {
+    loadsPerSecond: number;
+    reading: StoreReading;
+  }) {
+    this.#heap = heap;
+    this.#loadsPerSecond = options.loadsPerSecond;
+    this.#reading = options.reading;
+  }
+
+  /** Transfers one adapter: starts are spaced by the rate of all, or of the engine alone. */
+  load(engineId: string, now: number, done: (now: number) => void): void {
+    const line = this.#reading === StoreReading.Rate ? "" : engineId;
+    const startAt = Math.max(now, this.#nextStartAt.get(line) ?? 0);
+    this.#nextStartAt.set(line, startAt + 1_000 / this.#loadsPerSecond);
+    this.#heap.add(startAt, (start) => {
+      this.loads += 1;
+      this.#inFlight += 1;
+      this.maxInFlight = Math.max(this.maxInFlight, this.#inFlight);
+      const slowdown = Math.max(1, this.#inFlight / FULL_SPEED_LOADS);
+      this.#heap.add(start + LOAD_TIME_MS * slowdown, (end) => {
+        this.#inFlight -= 1;
+        done(end);
+      });
+    });
+  }
+}
+
+export interface EngineRun {
+  attemptId: string;
+  /** Empty on a plain service. */
+  adapterKey: string;
+  tokensLeft: number;
+  hasStarted: boolean;
+  onFirstToken(now: number): void;
+  onEnd(result: AttemptResult, now: number): void;
+}
+
+export interface FakeEngineOptions {
+  host: HostStructure;
+  /** 0 for a plain service. */
+  slots: number;
+  batchSize: number;
+  heap: EventHeap;
+  store: FakeStore;
+  /** Decides whether the next load fails. */
+  isLoadFailing: () => boolean;
+  /** Steps before this time are not counted. */
+  measureFrom: number;
+}
+
+const STEP_MS = 24;
+const STEP_PER_RUN_MS = 0.5;
+const PREFILL_MS = 15;
+const REPORT_LAG_MS = 300;
+const SNAPSHOT_INTERVAL_MS = 100;
+
+/** Batches continuously; a plain service is an engine without slots. */
+export class FakeEngine {
+  readonly #options: FakeEngineOptions;
+  readonly #residents = new Set<string>();
+  readonly #runs: EngineRun[] = [];
+  readonly #snapshots: { at: number; inFlight: Map<string, number> }[] = [];
+  #incarnation = 1;
+  #fencing = 0;
+  #isStepping = false;
+  isUp = true;
+  steps = 0;
+  filledSteps = 0;
+  /** Adapters evicted while a run was on them; must stay 0. */
+  unsafeEvictions = 0;
+
+  constructor(options: FakeEngineOptions) {
+    this.#options = options;
+    options.heap.add(0, this.#takeSnapshot);
+  }
+
+  get host(): HostStructure {
+    return this.#options.host;
+  }
+
+  start(run: EngineRun, now: number): void {
+    if (!this.isUp) {
+      run.onEnd({ kind: "notSent", detail: "connection refused" }, now);
+      return;
+    }
+    if (this.#options.slots > 0 && !this.#residents.has(run.adapterKey)) {
+      run.onEnd({ kind: "refused", status: 404, detail: "not loaded" }, now);
+      return;
+    }
+    this.#runs.push(run);
+    this.#stepIfIdle(now);
+  }
+
+  cancel(attemptId: string, now: number): void {
+    const index = this.#runs.findIndex((run) => run.attemptId === attemptId);
+    const [run] = index < 0 ? [] : this.#runs.splice(index, 1);
+    run?.onEnd({ kind: "cancelled" }, now);
+  }
+
+  /** Ends the runs of callers that are cut off. */
+  loseRuns(isLost: (attemptId: string) => boolean, now: number): void {
+    for (const run of [...this.#runs]) {
+      if (!isLost(run.attemptId)) continue;
+      this.#runs.splice(this.#runs.indexOf(run), 1);
+      this.#endLost(run, now);
+    }
+  }
+
+  giveOrder(
+    order: { kind: string; adapterKey?: string },
+    fencing: number,
+    now: number,
+    done: (result: OrderResult, now: number) => void,
+  ): void {
+    if (!this.isUp) return done({ kind: "unknown", detail: "down" }, now);
+    if (fencing < this.#fencing) {
+      return done({ kind: "refusedByFencing", fencing: this.#fencing }, now);
+    }
+    this.#fencing = fencing;
+    const adapterKey = order.adapterKey ?? "";
+    if (order.kind === "load") return this.#load(adapterKey, now, done);
+    if (order.kind === "evict") this.#evict(adapterKey);
+    done({ kind: "done" }, now);
+  }
+
+  readState(now: number): UpstreamStateStructure | undefined {
+    if (!this.isUp) return undefined;
+    const lagged = this.#snapshots.findLast((entry) =>
+      entry.at <= now - REPORT_LAG_MS
+    )?.inFlight;
+    return {
+      incarnation: String(this.#incarnation),
+      fencing: this.#fencing,
+      leaving: false,
+      residents: [...this.#residents].map((adapterKey) => ({
+        adapterKey,
+        inFlight: lagged?.get(adapterKey) ?? 0,
+      })),
+      running: this.#runs.length,
+    };
+  }
+
+  /** Stops with everything lost and comes back empty. */
+  restart(now: number, downMs: number): void {
+    this.isUp = false;
+    this.#incarnation += 1;
+    this.#residents.clear();
+    this.#snapshots.length = 0;
+    for (const run of this.#runs.splice(0)) this.#endLost(run, now);
+    this.#options.heap.add(now + downMs, () => {
+      this.isUp = true;
+    });
+  }
+
+  #load(
+    adapterKey: string,
+    now: number,
+    done: (result: OrderResult, now: number) => void,
+  ): void {
+    const incarnation = this.#incarnation;
+    const isFailing = this.#options.isLoadFailing();
+    this.#options.store.load(this.host.id, now, (end) => {
+      const isRefused = isFailing || incarnation !== this.#incarnation ||
+        this.#residents.size >= this.#options.slots;
+      if (isRefused) return done({ kind: "failed", detail: "load" }, end);
+      this.#residents.add(adapterKey);
+      done({ kind: "done" }, end);
+    });
+  }
+
+  #evict(adapterKey: string): void {
+    if (this.#runs.some((run) => run.adapterKey === adapterKey)) {
+      this.unsafeEvictions += 1;
+    }
+    this.#residents.delete(adapterKey);
+  }
+
+  #endLost(run: EngineRun, now: number): void {
+    const bytesForwarded = run.hasStarted ? 1 : 0;
+    run.onEnd({ kind: "lost", detail: "cut", bytesForwarded }, now);
+  }
+
+  #stepIfIdle(now: number): void {
+    if (this.#isStepping || this.#runs.length === 0) return;
+    this.#isStepping = true;
+    const batch = this.#runs.slice(0, this.#options.batchSize);
+    const joined = batch.filter((run) => !run.hasStarted).length;
+    const stepMs = STEP_MS + STEP_PER_RUN_MS * batch.length +
+      PREFILL_MS * joined;
+    this.#options.heap.add(now + stepMs, (end) => this.#endStep(batch, end));
+  }
+
+  #endStep(batch: EngineRun[], now: number): void {
+    this.#isStepping = false;
+    if (now >= this.#options.measureFrom) {
+      this.steps += 1;
+      this.filledSteps += batch.length / this.#options.batchSize;
+    }
+    for (const run of batch) {
+      if (!this.#runs.includes(run)) continue;
+      if (!run.hasStarted) run.onFirstToken(now);
+      run.hasStarted = true;
+      run.tokensLeft -= 1;
+      if (run.tokensLeft > 0) continue;
+      this.#runs.splice(this.#runs.indexOf(run), 1);
+      run.onEnd({ kind: "completed", servedModel: run.adapterKey }, now);
+    }
+    this.#stepIfIdle(now);
+  }
+
+  readonly #takeSnapshot = (now: number): void => {
+    const inFlight = new Map<string, number>();
+    for (const { adapterKey } of this.#runs) {
+      inFlight.set(adapterKey, (inFlight.get(adapterKey) ?? 0) + 1);
+    }
+    this.#snapshots.push({ at: now, inFlight });
+    if (this.#snapshots.length > 8) this.#snapshots.shift();
+    this.#options.heap.add(now + SNAPSHOT_INTERVAL_MS, this.#takeSnapshot);
+  };
+}
--- /dev/null
+++ b/bench/policy/simulation.ts
@@ -0,0 +1,472 @@
+/** Runs the daemons' cores, the models of engines and store and one workload in virtual time. */
+import type { CorePolicy } from "../../src/core/core_policy.ts";
+import { DEFAULT_CORE_SETTINGS } from "../../src/core/core_settings.ts";
+import { DaemonCore } from "../../src/core/daemon_core.ts";
+import type { DispatchEffect, Effect } from "../../src/core/effects.ts";
+import type { CoreEvent } from "../../src/core/events.ts";
+import type { AttemptResult } from "../../src/core/outcomes.ts";
+import {
+  Fencing,
+  HostRole,
+  HostState,
+  type HostStructure,
+  PoolKind,
+  Priority,
+  type TablesStructure,
+} from "../../src/core/structures.ts";
+import { EventHeap } from "./event_heap.ts";
+import { FakeEngine, FakeStore, StoreReading } from "./fakes.ts";
+import type { RequestRecord } from "./measures.ts";
+import {
+  CALLER_DELAY_MS,
+  createRandom,
+  type Deployment,
+  type Fault,
+  getCustomerOf,
+  getPriorityOf,
+  LOCAL_DELAY_MS,
+  type Workload,
+} from "./workloads.ts";
+
+export interface SimulationResult {
+  records: RequestRecord[];
+  batchFill: number;
+  loads: number;
+  maxLoadsInFlight: number;
+  unsafeEvictions: number;
+  counters: Map<string, number>;
+}
+
+interface SimulationOptions {
+  deployment: Deployment;
+  workload: Workload;
+  policy: CorePolicy;
+  store: StoreReading;
+  seed: number;
+}
+
+const TICK_MS = 50;
+const CONNECT_TIMEOUT_MS = 1_000;
+const MAX_RUN_MS = 30_000;
+const SERVICE_BATCH = 32;
+/** Loads a second that 8 in flight at a quarter second each amount to. */
+const UNBOUND_LOADS_PER_SECOND = 32;
+
+export class Simulation {
+  readonly #options: SimulationOptions;
+  readonly #heap = new EventHeap();
+  readonly #store: FakeStore;
+  readonly #daemons = new Map<string, DaemonCore>();
+  readonly #domains = new Map<string, string>();
+  readonly #upstreams = new Map<string, FakeEngine>();
+  readonly #records = new Map<string, RequestRecord>();
+  readonly #attemptDaemons = new Map<string, string>();
+  readonly #counters = new Map<string, number>();
+  #cutDomain: string | undefined;
+  #loadFailureShare = 0;
+  #loadsBefore = 0;
+
+  constructor(options: SimulationOptions) {
+    const { deployment, store, workload, seed } = options;
+    this.#options = options;
+    this.#store = new FakeStore(this.#heap, {
+      loadsPerSecond: deployment.storeLoadsPerSecond,
+      reading: store,
+    });
+    const hosts = this.#createHosts();
+    const random = createRandom(seed + 1);
+    for (const host of hosts) {
+      this.#domains.set(host.id, host.failureDomain);
+      if (host.role === HostRole.Entry) this.#addDaemon(host, hosts);
+      else this.#addUpstream(host, () => random() < this.#loadFailureShare);
+    }
+    for (const fault of workload.faults) this.#planFault(fault);
+    this.#planRequests();
+    this.#heap.add(workload.measureFrom, () => {
+      this.#loadsBefore = this.#store.loads;
+    });
+  }
+
+  run(): SimulationResult {
+    const { workload } = this.#options;
+    // Requests of the last seconds may still be answered.
+    this.#heap.runUntil(workload.endAt + 2 * MAX_RUN_MS);
+    const engines = [...this.#upstreams.values()].filter((engine) =>
+      engine.host.service === this.#options.deployment.engineService
+    );
+    const steps = sum(engines, (engine) => engine.steps);
+    return {
+      records: [...this.#records.values()].filter(({ request }) =>
+        request.at >= workload.measureFrom
+      ),
+      batchFill: sum(engines, (engine) => engine.filledSteps) / steps,
+      loads: this.#store.loads - this.#loadsBefore,
+      maxLoadsInFlight: this.#store.maxInFlight,
+      unsafeEvictions: sum(engines, (engine) => engine.unsafeEvictions),
+      counters: this.#counters,
+    };
+  }
+
+  #createHosts(): HostStructure[] {
+    const { deployment } = this.#options;
+    const hosts: HostStructure[] = [];
+    const add = (service: string, counts: readonly number[]) => {
+      for (const [domain, count] of counts.entries()) {
+        for (let index = 0; index < count; index += 1) {
+          const failureDomain = deployment.failureDomains[domain]!;
+          const id = `${service || "entry"}-${failureDomain}-${index}`;
+          hosts.push({
+            id,
+            address: id,
+            failureDomain,
+            role: service === "" ? HostRole.Entry : HostRole.Upstream,
+            service,
+            state: HostState.Live,
+          });
+        }
+      }
+    };
+    add("", deployment.daemonsByDomain);
+    add(deployment.engineService, deployment.enginesByDomain);
+    add(deployment.plainService, deployment.servicesByDomain);
+    return hosts;
+  }
+
+  #addDaemon(host: HostStructure, hosts: HostStructure[]): void {
+    const { deployment, store, policy } = this.#options;
+    const core = new DaemonCore({
+      selfId: host.id,
+      incarnation: "1",
+      failureDomain: host.failureDomain,
+      settings: {
+        ...DEFAULT_CORE_SETTINGS,
+        storeLoadsPerSecond: store === StoreReading.Rate
+          ? deployment.storeLoadsPerSecond
+          : UNBOUND_LOADS_PER_SECOND,
+      },
+      seedHosts: hosts.filter(({ role }) => role === HostRole.Entry),
+      policy,
+      ticketSecret: new Uint8Array(32),
+    }, 0);
+    this.#daemons.set(host.id, core);
+    const tables = createTables(deployment);
+    this.#deliver(host.id, { kind: "tablesPublished", tables }, 0);
+    const hostList = { revision: 1, hosts };
+    this.#deliver(host.id, { kind: "hostListPublished", hostList }, 0);
+    const tick = (now: number) => {
+      this.#deliver(host.id, { kind: "tick" }, now);
+      this.#heap.add(now + TICK_MS, tick);
+    };
+    this.#heap.add(this.#daemons.size, tick);
+  }
+
+  #addUpstream(host: HostStructure, isLoadFailing: () => boolean): void {
+    const { deployment, workload } = this.#options;
+    const isEngine = host.service === deployment.engineService;
+    this.#upstreams.set(
+      host.id,
+      new FakeEngine({
+        host,
+        slots: isEngine ? deployment.slots : 0,
+        batchSize: isEngine ? deployment.batchSize : SERVICE_BATCH,
+        heap: this.#heap,
+        store: this.#store,
+        isLoadFailing,
+        measureFrom: workload.measureFrom,
+      }),
+    );
+  }
+
+  #planRequests(): void {
+    const { deployment, workload } = this.#options;
+    const daemons = [...this.#daemons.keys()];
+    for (const [index, request] of workload.requests.entries()) {
+      const requestId = `request-${index}`;
+      const daemon = daemons[Math.floor(request.balance * daemons.length)]!;
+      this.#heap.add(request.at + CALLER_DELAY_MS, (now) => {
+        this.#records.set(requestId, {
+          request,
+          deadlineMs: deployment.deadlinesMs[request.priority],
+          hasStalled: false,
+        });
+        this.#deliver(daemon, {
+          kind: "requestArrived",
+          requestId,
+          customer: request.customer,
+          route: request.route,
+          fingerprint: requestId,
+        }, now);
+      });
+    }
+  }
+
+  #planFault(fault: Fault): void {
+    switch (fault.kind) {
+      case "restart": {
+        const engine = [...this.#upstreams.values()][fault.engine]!;
+        this.#heap.add(fault.at, (now) => engine.restart(now, fault.downMs));
+        break;
+      }
+      case "loadFailures":
+        this.#heap.add(fault.at, () => {
+          this.#loadFailureShare = fault.share;
+        });
+        this.#heap.add(fault.untilMs, () => {
+          this.#loadFailureShare = 0;
+        });
+        break;
+      case "cut":
+        this.#heap.add(fault.at, (now) => {
+          this.#cutDomain =
+            this.#options.deployment.failureDomains[fault.domain];
+          this.#loseCutRuns(now);
+        });
+        this.#heap.add(fault.untilMs, () => {
+          this.#cutDomain = undefined;
+        });
+        break;
+    }
+  }
+
+  #loseCutRuns(now: number): void {
+    for (const engine of this.#upstreams.values()) {
+      engine.loseRuns((attemptId) => {
+        const daemon = this.#attemptDaemons.get(attemptId);
+        return daemon !== undefined && this.#isCut(daemon, engine.host.id);
+      }, now);
+    }
+  }
+
+  #isCut(a: string, b: string): boolean {
+    if (this.#cutDomain === undefined) return false;
+    return (this.#domains.get(a) === this.#cutDomain) !==
+      (this.#domains.get(b) === this.#cutDomain);
+  }
+
+  #getDelayMs(a: string, b: string): number {
+    return this.#domains.get(a) === this.#domains.get(b)
+      ? LOCAL_DELAY_MS
+      : this.#options.deployment.domainDelayMs;
+  }
+
+  #deliver(daemonId: string, event: CoreEvent, now: number): void {
+    const daemon = this.#daemons.get(daemonId)!;
+    let hasStalled = false;
+    for (const effect of daemon.handle(event, now)) {
+      if (effect.kind === "measure") {
+        hasStalled = effect.histogram === "load_stall";
+      } else if (effect.kind === "dispatch") {
+        this.#dispatch(daemonId, effect, hasStalled, now);
+        hasStalled = false;
+      } else this.#carryOut(daemonId, effect, now);
+    }
+  }
+
+  #carryOut(daemonId: string, effect: Effect, now: number): void {
+    switch (effect.kind) {
+      case "send":
+        this.#send(daemonId, effect, now);
+        break;
+      case "cancelAttempt":
+        for (const engine of this.#upstreams.values()) {
+          engine.cancel(effect.attemptId, now);
+        }
+        break;
+      case "refuse":
+        this.#records.get(effect.requestId)!.refusal = effect.reason;
+        break;
+      case "complete":
+        this.#records.get(effect.requestId)!.completedAt = now;
+        break;
+      case "order":
+        this.#order(daemonId, effect, now);
+        break;
+      case "readUpstreamState":
+        this.#readState(daemonId, effect, now);
+        break;
+      case "count": {
+        const key = `${effect.counter}:${effect.tag}`;
+        this.#counters.set(key, (this.#counters.get(key) ?? 0) + 1);
+        break;
+      }
+      case "dispatch":
+      case "measure":
+      case "replay":
+      case "stopCompleted":
+        break;
+    }
+  }
+
+  #send(
+    from: string,
+    effect: Extract<Effect, { kind: "send" }>,
+    now: number,
+  ): void {
+    if (this.#isCut(from, effect.to)) return;
+    const { to, message } = effect;
+    this.#heap.add(now + this.#getDelayMs(from, to), (at) => {
+      this.#deliver(to, { kind: "peerMessage", from, message }, at);
+    });
+  }
+
+  #dispatch(
+    daemonId: string,
+    effect: DispatchEffect,
+    hasStalled: boolean,
+    now: number,
+  ): void {
+    const { attemptId, upstreamId } = effect;
+    const record = this.#records.get(effect.requestId)!;
+    const delayMs = this.#getDelayMs(daemonId, upstreamId);
+    record.dispatchedAt ??= now;
+    record.hasStalled ||= hasStalled;
+    const end = (result: AttemptResult, at: number) => {
+      this.#attemptDaemons.delete(attemptId);
+      this.#heap.add(at + delayMs, (later) => {
+        this.#deliver(daemonId, {
+          kind: "attemptEnded",
+          attemptId,
+          result,
+        }, later);
+      });
+    };
+    if (this.#isCut(daemonId, upstreamId)) {
+      end({ kind: "notSent", detail: "timed out" }, now + CONNECT_TIMEOUT_MS);
+      return;
+    }
+    this.#attemptDaemons.set(attemptId, daemonId);
+    this.#heap.add(now + delayMs, (at) => {
+      this.#upstreams.get(upstreamId)!.start({
+        attemptId,
+        adapterKey: effect.upstreamKind === PoolKind.Engine ? effect.model : "",
+        tokensLeft: record.request.tokens,
+        hasStarted: false,
+        onFirstToken: (first) => {
+          record.firstTokenAt ??= first + delayMs + CALLER_DELAY_MS;
+        },
+        onEnd: end,
+      }, at);
+    });
+  }
+
+  #order(
+    daemonId: string,
+    effect: Extract<Effect, { kind: "order" }>,
+    now: number,
+  ): void {
+    const engine = this.#upstreams.get(effect.upstreamId)!;
+    const delayMs = this.#getDelayMs(daemonId, effect.upstreamId);
+    this.#heap.add(now + delayMs, (at) => {
+      engine.giveOrder(effect.order, effect.fencing, at, (result, end) => {
+        this.#heap.add(end + delayMs, (later) => {
+          const { orderId } = effect;
+          this.#deliver(
+            daemonId,
+            { kind: "orderEnded", orderId, result },
+            later,
+          );
+        });
+      });
+    });
+  }
+
+  #readState(
+    daemonId: string,
+    effect: Extract<Effect, { kind: "readUpstreamState" }>,
+    now: number,
+  ): void {
+    const { upstreamId, readId } = effect;
+    const delayMs = this.#getDelayMs(daemonId, upstreamId);
+    if (this.#isCut(daemonId, upstreamId)) {
+      this.#heap.add(now + CONNECT_TIMEOUT_MS, (at) => {
+        this.#deliver(daemonId, {
+          kind: "upstreamStateUnread",
+          upstreamId,
+          readId,
+          isRefused: false,
+        }, at);
+      });
+      return;
+    }
+    this.#heap.add(now + delayMs, (readAt) => {
+      const state = this.#upstreams.get(upstreamId)!.readState(readAt);
+      this.#heap.add(readAt + delayMs, (at) => {
+        this.#deliver(
+          daemonId,
+          state ? { kind: "upstreamStateRead", upstreamId, readId, state } : {
+            kind: "upstreamStateUnread",
+            upstreamId,
+            readId,
+            isRefused: true,
+          },
+          at,
+        );
+      });
+    });
+  }
+}
+
+function createTables(deployment: Deployment): TablesStructure {
+  const { customers, engineService, plainService } = deployment;
+  const pool = {
+    baseModel: "base",
+    failureDomains: [...deployment.failureDomains],
+    fencing: Fencing.Checked,
+    loadStallWeight: deployment.loadStallWeight,
+    batchEfficiencyWeight: deployment.batchEfficiencyWeight,
+  };
+  const route = { idempotent: true, maxRunMs: MAX_RUN_MS };
+  return {
+    revision: 1,
+    customers: customers.map(({ name, share }, index) => ({
+      name,
+      share,
+      tokenDigests: [String(index).padStart(64, "0")],
+    })),
+    pools: [{
+      ...pool,
+      name: engineService,
+      kind: PoolKind.Engine,
+      service: engineService,
+      slots: deployment.slots,
+      batchSize: deployment.batchSize,
+    }, {
+      ...pool,
+      name: plainService,
+      kind: PoolKind.Service,
+      service: plainService,
+      baseModel: "",
+      slots: 0,
+      batchSize: SERVICE_BATCH,
+    }],
+    routes: [
+      ...Array.from({ length: deployment.adapters }, (_, adapter) => {
+        const priority = getPriorityOf(adapter);
+        return {
+          ...route,
+          name: `route-${adapter}`,
+          customer: getCustomerOf(adapter, deployment),
+          pool: engineService,
+          adapter: `adapter-${adapter}`,
+          version: "1",
+          priority,
+          queueDeadlineMs: deployment.deadlinesMs[priority],
+        };
+      }),
+      ...customers.map(({ name }) => ({
+        ...route,
+        name: `${plainService}-${name}`,
+        customer: name,
+        pool: plainService,
+        adapter: "",
+        version: "",
+        priority: Priority.Interactive,
+        queueDeadlineMs: deployment.deadlinesMs.interactive,
+      })),
+    ],
+  };
+}
+
+function sum<T>(items: readonly T[], measure: (item: T) => number): number {
+  return items.reduce((total, item) => total + measure(item), 0);
+}
--- a/src/core/daemon_core.ts
+++ b/src/core/daemon_core.ts
@@ -8,6 +8,7 @@
   type DaemonState,
   type DaemonTrigger,
 } from "../charts/daemon_chart.ts";
+import { type CorePolicy, DEFAULT_CORE_POLICY } from "./core_policy.ts";
 import type { CoreSettings } from "./core_settings.ts";
 import type { Effect } from "./effects.ts";
 import type { CoreEvent } from "./events.ts";
@@ -45,6 +46,8 @@
   settings: CoreSettings;
   /** Hosts known from the settings, until the platform or a peer names more. */
   seedHosts: HostStructure[];
+  /** Replaces the daemon's own policy, in comparisons. */
+  policy?: CorePolicy;
   /** Random bytes for the check codes of tickets. */
   ticketSecret: Uint8Array;
 }
@@ -87,6 +90,7 @@
 
   constructor(options: DaemonCoreOptions, now: Milliseconds) {
     const { settings, selfId, incarnation, failureDomain } = options;
+    const policy = options.policy ?? DEFAULT_CORE_POLICY;
     this.#options = options;
     this.#startedAt = now;
     this.#lastEventAt = now;
@@ -107,6 +111,7 @@
       incarnation,
       failureDomain,
       settings,
+      policy,
       tables: this.#tables,
       membership: this.#membership,
       storeBudget: this.#storeBudget,
@@ -125,6 +130,7 @@
       incarnation,
       failureDomain,
       settings,
+      policy,
       tables: this.#tables,
       membership: this.#membership,
       quarantine: this.#quarantine,
--- a/src/core/execution/execution_context.ts
+++ b/src/core/execution/execution_context.ts
@@ -1,4 +1,5 @@
 /** What the parts of the execution share: options, the requests in hand, identifiers and counters. */
+import type { CorePolicy } from "../core_policy.ts";
 import type { CoreSettings } from "../core_settings.ts";
 import type { Effect } from "../effects.ts";
 import type { CrashQuarantine } from "../limits/crash_quarantine.ts";
@@ -15,6 +16,7 @@
   incarnation: string;
   failureDomain: string;
   settings: CoreSettings;
+  policy: CorePolicy;
   tables: TableKeeper;
   membership: Membership;
   quarantine: CrashQuarantine;
--- a/src/core/execution/request_assigner.ts
+++ b/src/core/execution/request_assigner.ts
@@ -8,7 +8,6 @@
 } from "../outcomes.ts";
 import {
   type RankedUpstream,
-  rankUpstreams,
   type UpstreamCandidate,
 } from "../routing/upstream_selector.ts";
 import {
@@ -96,7 +95,7 @@
         localCredits: this.#leases.countLocalCredits(host.id),
       });
     }
-    return rankUpstreams(candidates, {
+    return this.#context.options.policy.rankUpstreams(candidates, {
       pool,
       adapterKey,
       failureDomain: this.#context.options.failureDomain,
--- a/src/core/residency/owner_context.ts
+++ b/src/core/residency/owner_context.ts
@@ -1,4 +1,5 @@
 /** What the parts of an upstream's owner share. */
+import type { CorePolicy } from "../core_policy.ts";
 import type { CoreSettings } from "../core_settings.ts";
 import type { Effect } from "../effects.ts";
 import type {
@@ -16,6 +17,7 @@
   host: HostStructure;
   pool: PoolStructure;
   settings: CoreSettings;
+  policy: CorePolicy;
   popularity: AdapterPopularity;
   storeBudget: StoreBudget;
   /** Longest run of any route to the pool. */
--- a/src/core/residency/slot_loader.ts
+++ b/src/core/residency/slot_loader.ts
@@ -6,7 +6,7 @@
 import type { OrderBook } from "./order_book.ts";
 import type { OwnerContext } from "./owner_context.ts";
 import type { OwnershipClaim } from "./ownership_claim.ts";
-import { SlotTable } from "./slot_table.ts";
+import { type Slot, SlotTable } from "./slot_table.ts";
 
 export interface SlotLoaderParts {
   queue: LeaseQueue;
@@ -106,14 +106,18 @@
   /** Returns the score of the resident adapter that is worth least; 0 with a free slot. */
   getVictimValue(now: Milliseconds): number {
     if (this.slots.hasFreeSlot()) return 0;
-    const { popularity } = this.#context.options;
     let value = Number.POSITIVE_INFINITY;
     for (const slot of this.slots.getByState("resident")) {
-      value = Math.min(value, popularity.getScore(slot.adapterKey, now));
+      value = Math.min(value, this.#computeWorth(slot, now));
     }
     return Number.isFinite(value) ? value : 0;
   }
 
+  #computeWorth(slot: Slot, now: Milliseconds): number {
+    const { policy, popularity } = this.#context.options;
+    return policy.computeWorth(slot, popularity, now);
+  }
+
   /** Orders one eviction unless one is under way. */
   #tryEvict(now: Milliseconds): void {
     if (this.slots.getByState("evicting").length > 0) return;
@@ -131,10 +135,7 @@
     for (const slot of this.slots.getByState("resident")) {
       if (wanted.has(slot.adapterKey)) continue;
       if (!this.#isEvictable(slot.adapterKey, now)) continue;
-      const score = this.#context.options.popularity.getScore(
-        slot.adapterKey,
-        now,
-      );
+      const score = this.#computeWorth(slot, now);
       if (score >= victimScore) continue;
       victim = slot.adapterKey;
       victimScore = score;
--- a/src/core/residency/slot_table.ts
+++ b/src/core/residency/slot_table.ts
@@ -10,6 +10,8 @@
   adapterKey: string;
   state: SlotState;
   changedAt: Milliseconds;
+  /** When a run on the adapter was last permitted or its load ordered. */
+  lastUsedAt: Milliseconds;
 }
 
 export class SlotTable {
@@ -38,6 +40,7 @@
       adapterKey,
       state: slotChart.initial,
       changedAt: now,
+      lastUsedAt: now,
     });
   }
 
@@ -76,6 +79,7 @@
         adapterKey,
         state: "resident",
         changedAt: now,
+        lastUsedAt: now,
       });
     }
   }
--- a/src/core/residency/upstream_owner.ts
+++ b/src/core/residency/upstream_owner.ts
@@ -289,8 +289,10 @@
       return;
     }
     const slot = this.#loader.slots.getSlot(waiting.request.adapterKey);
-    if (slot?.state === "resident") this.#granter.tryGrant(waiting, now);
-    else if (!slot) this.#loader.tryLoad(waiting, now);
+    if (slot?.state === "resident") {
+      slot.lastUsedAt = now;
+      this.#granter.tryGrant(waiting, now);
+    } else if (!slot) this.#loader.tryLoad(waiting, now);
     else if (slot.state === "loading") waiting.hasWaitedForLoad = true;
   }
 
--- a/src/core/residency/upstream_ownership.ts
+++ b/src/core/residency/upstream_ownership.ts
@@ -2,6 +2,7 @@
  * The upstreams that this daemon owns: takes them up and gives them up as the
  * live daemons of its failure domain change, with the handover between owners.
  */
+import type { CorePolicy } from "../core_policy.ts";
 import type { CoreSettings } from "../core_settings.ts";
 import type { Effect } from "../effects.ts";
 import type { OrderResult } from "../events.ts";
@@ -30,6 +31,7 @@
   incarnation: string;
   failureDomain: string;
   settings: CoreSettings;
+  policy: CorePolicy;
   tables: TableKeeper;
   membership: Membership;
   storeBudget: StoreBudget;
@@ -143,13 +145,15 @@
     pool: PoolStructure,
     now: Milliseconds,
   ): void {
-    const { selfId, incarnation, settings, storeBudget, emit } = this.#options;
+    const { selfId, incarnation, settings, policy, storeBudget, emit } =
+      this.#options;
     const owner = new UpstreamOwner({
       selfId,
       incarnation,
       host,
       pool,
       settings,
+      policy,
       popularity: this.#popularity,
       storeBudget,
       maxRunMs: this.#getMaxRunMs(pool),
--- a/src/core/routing/upstream_selector.ts
+++ b/src/core/routing/upstream_selector.ts
@@ -30,6 +30,13 @@
   cost: number;
 }
 
+/** What a ranking is for. */
+export interface RankOptions {
+  pool: PoolStructure;
+  adapterKey: string;
+  failureDomain: string;
+}
+
 /** Cost of a load, in batches of waiting. */
 const LOAD_COST = 4;
 const LOADING_COST = 1;
@@ -39,7 +46,7 @@
 /** Returns the candidates by ascending cost of running the adapter there. */
 export function rankUpstreams(
   candidates: readonly UpstreamCandidate[],
-  options: { pool: PoolStructure; adapterKey: string; failureDomain: string },
+  options: RankOptions,
 ): RankedUpstream[] {
   return candidates
     .map((candidate) => rankUpstream(candidate, options))
@@ -51,7 +58,7 @@
 
 function rankUpstream(
   candidate: UpstreamCandidate,
-  options: { pool: PoolStructure; adapterKey: string; failureDomain: string },
+  options: RankOptions,
 ): RankedUpstream {
   const { pool, adapterKey, failureDomain } = options;
   const { digest, host } = candidate;
@@ -69,7 +76,11 @@
   };
 }
 
-function findResidency(digest: UpstreamDigest, adapterKey: string): Residency {
+/** Returns how the upstream, as its owner last published it, stands to the adapter. */
+export function findResidency(
+  digest: UpstreamDigest,
+  adapterKey: string,
+): Residency {
   if (adapterKey === "" || digest.residents.includes(adapterKey)) {
     return Residency.Resident;
   }
