Index the upstreams of a pool and of an adapter in Membership

Cause: each request scans the whole host list and every upstream's digest. The selector itself is not changed here.

--- a/src/core/membership/membership.ts
+++ b/src/core/membership/membership.ts
@@ -10,7 +10,10 @@
   HostState,
   type HostStructure,
   type Milliseconds,
+  type PoolStructure,
 } from "../structures.ts";
+import { AdapterIndex } from "./adapter_index.ts";
+import { PoolIndex } from "./pool_index.ts";
 
 export interface MembershipOptions {
   selfId: string;
@@ -41,7 +44,9 @@
   readonly #peers = new Map<string, Peer>();
   readonly #views = new Map<string, UpstreamView>();
   #entryHosts: HostStructure[] = [];
+  readonly #adapters = new AdapterIndex();
   #upstreamHosts = new Map<string, HostStructure>();
+  #pools = new PoolIndex([]);
   #isSelfLeaving = false;
 
   constructor(options: MembershipOptions) {
@@ -57,6 +62,7 @@
       list.hosts.filter((host) => host.role === HostRole.Upstream)
         .map((host) => [host.id, host]),
     );
+    this.#pools = new PoolIndex(this.#upstreamHosts.values());
     const known = new Set(this.#entryHosts.map((host) => host.id));
     for (const id of this.#peers.keys()) {
       if (!known.has(id)) this.#peers.delete(id);
@@ -88,11 +94,7 @@
       hostListRevision: heartbeat.hostListRevision,
     });
     for (const digest of heartbeat.upstreams) {
-      this.#views.set(digest.upstreamId, {
-        ownerId: from,
-        heardAt: now,
-        digest,
-      });
+      this.#setView({ ownerId: from, heardAt: now, digest });
     }
     return true;
   }
@@ -103,6 +105,7 @@
       peer.lastHeardAt = Number.NEGATIVE_INFINITY;
     }
     this.#views.clear();
+    this.#adapters.clear();
   }
 
   isPeerLive(id: string, now: Milliseconds): boolean {
@@ -157,6 +160,19 @@
     return findRendezvousWinner(upstreamId, candidates)?.id;
   }
 
+  /** Returns the upstreams that the pool selects, without a scan of the host list. */
+  getPoolUpstreams(pool: PoolStructure): readonly HostStructure[] {
+    return this.#pools.getPoolUpstreams(pool);
+  }
+
+  /**
+   * Returns the upstreams on which the adapter was last published as resident
+   * or loading; `getUpstreamView` tells whether that still holds.
+   */
+  getAdapterUpstreamIds(adapterKey: string): ReadonlySet<string> {
+    return this.#adapters.getUpstreamIds(adapterKey);
+  }
+
   /** Returns the last digest of the upstream if its owner still speaks. */
   getUpstreamView(
     upstreamId: string,
@@ -171,11 +187,7 @@
 
   /** Records what this daemon, as the owner, knows of the upstream. */
   recordOwnView(digest: UpstreamDigest, now: Milliseconds): void {
-    this.#views.set(digest.upstreamId, {
-      ownerId: this.#options.selfId,
-      heardAt: now,
-      digest,
-    });
+    this.#setView({ ownerId: this.#options.selfId, heardAt: now, digest });
   }
 
   /** Returns the live daemons of this failure domain, this one included. */
@@ -210,6 +222,12 @@
     });
   }
 
+  #setView(view: UpstreamView): void {
+    const { upstreamId } = view.digest;
+    this.#adapters.update(this.#views.get(upstreamId)?.digest, view.digest);
+    this.#views.set(upstreamId, view);
+  }
+
   #canOwn(host: HostStructure, now: Milliseconds): boolean {
     if (host.id === this.#options.selfId) return !this.#isSelfLeaving;
     const peer = this.#peers.get(host.id);
