Survive an upstream's answer that names another adapter

Cause: undici emits an error on a body that is destroyed before its end, and nothing listened for it, so that a wrong model or request id in an engine's answer ended the daemon's process.

--- a/src/daemon/caller_exchange.ts
+++ b/src/daemon/caller_exchange.ts
@@ -14,7 +14,7 @@
   isStreamed: boolean;
   /** Time without progress after which a caller that takes nothing is cut off. */
   stallTimeoutMs: number;
-  onBegin: () => void;
+  reportBegin: () => void;
 }
 
 export class CallerExchange implements AnswerSink {
@@ -30,7 +30,7 @@
 
   begin(head: AnswerHead): void {
     this.#head = head;
-    this.#options.onBegin();
+    this.#options.reportBegin();
     if (!this.#held) writeHead(this.#options.response, head);
   }
 
--- a/src/daemon/caller_task.ts
+++ b/src/daemon/caller_task.ts
@@ -221,7 +221,7 @@
       response,
       isStreamed,
       stallTimeoutMs: settings.stallTimeoutMs,
-      onBegin: () => {
+      reportBegin: () => {
         metrics.measure("first_token", performance.now() - arrivedAt);
       },
     });
--- a/src/daemon/metrics.ts
+++ b/src/daemon/metrics.ts
@@ -83,7 +83,7 @@
       values = hdr.build({ highestTrackableValue: MAX_TIME_MS });
       this.#histograms.set(histogram, values);
     }
-    values.recordValue(clampTime(valueMs));
+    values.recordValue(limitTime(valueMs));
     this.#client?.distribution(histogram, valueMs);
   }
 
@@ -109,6 +109,6 @@
   }
 }
 
-function clampTime(valueMs: number): number {
+function limitTime(valueMs: number): number {
   return Math.min(MAX_TIME_MS, Math.max(0, Math.round(valueMs)));
 }
--- a/src/daemon/upstream_task.ts
+++ b/src/daemon/upstream_task.ts
@@ -182,6 +182,7 @@
     head: Parameters<Exchange["sink"]["begin"]>[0],
   ): Promise<AttemptEnd> {
     const inspector = new SseInspector();
+    response.body.on("error", () => {});
     for await (const chunk of response.body as AsyncIterable<Buffer>) {
       const isFirst = inspector.model === undefined;
       const forwardable = inspector.push(chunk);
@@ -250,7 +251,7 @@
     response: Dispatcher.ResponseData,
     servedModel: string,
   ): Promise<AttemptEnd> {
-    response.body.destroy();
+    dropBody(response);
     await this.#cancelOnUpstream(attempt.effect);
     return { result: { kind: "wrongAdapter", servedModel } };
   }
@@ -389,11 +390,19 @@
 
 /** Returns the beginning of an error's body. */
 async function readDetail(response: Dispatcher.ResponseData): Promise<string> {
-  const body = response.body as AsyncIterable<Buffer>;
-  for await (const chunk of body) {
-    return chunk.toString("utf8").slice(0, MAX_DETAIL_LENGTH);
-  }
-  return "";
+  const chunks = (response.body as AsyncIterable<Buffer>)
+    [Symbol.asyncIterator]();
+  const first = await chunks.next();
+  dropBody(response);
+  return first.done
+    ? ""
+    : first.value.toString("utf8").slice(0, MAX_DETAIL_LENGTH);
+}
+
+/** Ends an answer of which no more is wanted; its error would otherwise be unhandled. */
+function dropBody(response: Dispatcher.ResponseData): void {
+  response.body.on("error", () => {});
+  response.body.destroy();
 }
 
 function classifyStatus(status: number, detail: string): AttemptResult {
