--- a/fakes/fake_configuration.ts
+++ b/fakes/fake_configuration.ts
@@ -87,10 +87,11 @@
     }
     const finish = (): void => {
       clearTimeout(timer);
-      this.#watchers.delete(finish);
+      if (!this.#watchers.delete(finish)) return;
       if (!response.destroyed) this.#sendKeys(response);
     };
     const timer = setTimeout(finish, waitMs);
     this.#watchers.add(finish);
+    response.once("close", finish);
   }
 }
--- a/fakes/fake_engine.ts
+++ b/fakes/fake_engine.ts
@@ -76,6 +76,8 @@
   /** Highest fencing number accepted, which tests may raise. */
   fencing = 0;
   #incarnation = randomUUID().slice(0, 8);
+  /** Added to each token, for tests of slow readers. */
+  tokenPadding = "";
   readonly #residents = new Set<string>();
   readonly #loading = new Set<string>();
   readonly #runs = new Map<string, Run>();
@@ -285,9 +287,11 @@
       return;
     }
     const cutAfter = this.faults.cutAfterTokens;
+    const { tokens, tokenIntervalMs } = this.options;
+    const padding = this.tokenPadding;
     let text = "";
-    for (let token = 0; token < this.options.tokens; token += 1) {
-      await waitMs(this.options.tokenIntervalMs);
+    for (let token = 0; token < tokens; token += 1) {
+      await waitMs(tokenIntervalMs);
       if (record.ended === "crashed") return;
       if (run.isCancelled || response.destroyed) {
         record.ended = "cancelled";
@@ -299,12 +303,13 @@
         response.destroy();
         return;
       }
-      text += `${run.model}#${token} `;
+      const content = `${run.model}#${token} ${padding}`;
+      text += content;
       if (isStream) {
         const event = {
           id: run.id,
           model: identity.bodyModel,
-          choices: [{ index: 0, delta: { content: `${run.model}#${token} ` } }],
+          choices: [{ index: 0, delta: { content } }],
         };
         response.write(`data: ${JSON.stringify(event)}\n\n`);
       }
--- a/src/daemon/connection_guard.ts
+++ b/src/daemon/connection_guard.ts
@@ -1,25 +1,36 @@
 /** Counts and closes callers' connections that the HTTP library turns away before a request is whole. */
-import type { Server } from "node:http";
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { Duplex } from "node:stream";
 import type { Metrics } from "./metrics.ts";
 
+interface Exchange {
+  request: IncomingMessage;
+  response: ServerResponse;
+}
+
 /** Installs the guard on a server. */
 export function attachConnectionGuard(server: Server, metrics: Metrics): void {
-  const answering = new WeakSet<Duplex>();
+  const exchanges = new WeakMap<Duplex, Exchange>();
   server.on("request", (request, response) => {
     const { socket } = request;
-    answering.add(socket);
-    response.once("close", () => answering.delete(socket));
+    exchanges.set(socket, { request, response });
+    response.once("close", () => exchanges.delete(socket));
   });
   server.on("drop", () => metrics.count("connection_dropped", ""));
   server.on("clientError", (error: NodeJS.ErrnoException, socket) => {
     metrics.count("connection_malformed", error.code ?? "");
-    // A status line in the middle of an answer would become part of it.
-    if (!socket.writable || answering.has(socket)) socket.destroy();
-    else socket.end(formatClientError(error.code));
+    const exchange = exchanges.get(socket);
+    const canAnswer = socket.writable && (!exchange || isUnread(exchange));
+    if (canAnswer) socket.end(formatClientError(error.code));
+    else socket.destroy();
   });
 }
 
+/** Returns whether the request is not whole and its answer has not begun, so that a status line enters no answer. */
+function isUnread({ request, response }: Exchange): boolean {
+  return !request.complete && !response.headersSent;
+}
+
 function formatClientError(code: string | undefined): string {
   return `HTTP/1.1 ${
     getClientErrorStatus(code)
