--- a/scripts/caller.ts
+++ b/scripts/caller.ts
@@ -19,8 +19,20 @@
   body: unknown;
   ticket?: string;
   signal?: AbortSignal;
+  /** Called with the text so far at each chunk of the answer. */
+  onText?: (text: string) => void;
 }
 
+/** A call whose answer is being read. */
+export interface RunningCall {
+  answer: Promise<CallerAnswer>;
+  /** Returns the text that has come so far. */
+  getText(): string;
+}
+
+/** Status of an answer that never began, because the connection ended first. */
+export const NO_ANSWER_STATUS = 0;
+
 /** Sends one request and reads the answer to its end. */
 export async function sendCall(call: Call): Promise<CallerAnswer> {
   const response = await fetch(
@@ -38,7 +50,7 @@
       ...(call.signal ? { signal: call.signal } : {}),
     },
   );
-  const { text, isEnded } = await readBody(response);
+  const { text, isEnded } = await readBody(response, call.onText);
   const isStream = response.headers.get("content-type")
     ?.startsWith("text/event-stream") ?? false;
   return {
@@ -58,14 +70,37 @@
   return await sendCall({ ...call, ticket });
 }
 
+/** Sends one request in the background; a connection that ends is an answer that is not whole. */
+export function startCall(call: Call): RunningCall {
+  let text = "";
+  const onText = (received: string): void => {
+    text = received;
+  };
+  const answer = sendCall({ ...call, onText }).catch(() => ({
+    status: NO_ANSWER_STATUS,
+    headers: new Headers(),
+    text,
+    isWhole: false,
+    refusal: undefined,
+  }));
+  return { answer, getText: () => text };
+}
+
+/** Returns the tokens of an answer of the fake engine, as `adapter@version#number`. */
+export function readTokens(text: string): string[] {
+  return text.match(/[\w-]+@[\w.-]+#\d+/g) ?? [];
+}
+
 async function readBody(
   response: Response,
+  onText: ((text: string) => void) | undefined,
 ): Promise<{ text: string; isEnded: boolean }> {
   const decoder = new TextDecoder();
   let text = "";
   try {
     for await (const chunk of response.body ?? []) {
       text += decoder.decode(chunk, { stream: true });
+      onText?.(text);
     }
     return { text, isEnded: true };
   } catch {
--- a/scripts/fleet.ts
+++ b/scripts/fleet.ts
@@ -6,6 +6,8 @@
 import { join } from "node:path";
 import process from "node:process";
 import { stringify } from "yaml";
+import type { DaemonDescription } from "../src/core/daemon_core.ts";
+import type { MetricsSnapshot } from "../src/daemon/metrics.ts";
 import type { HostStructure } from "../src/core/structures.ts";
 
 const ROOT = new URL("..", import.meta.url).pathname;
@@ -37,6 +39,9 @@
   core?: Record<string, number>;
 }
 
+/** Answer of a daemon's `GET /status`. */
+export type FleetStatus = DaemonDescription & { metrics: MetricsSnapshot };
+
 export class Fleet {
   readonly daemons = new Map<string, FleetDaemon>();
   readonly fakes = new Map<string, FleetFake>();
@@ -65,6 +70,12 @@
     return fake;
   }
 
+  /** Adds a stand-in that runs in this process. */
+  addFake(id: string, address: string): void {
+    const child = undefined as unknown as ChildProcess;
+    this.fakes.set(id, { id, address, child, lines: [] });
+  }
+
   /** Chooses the ports of a daemon, so that its peers can be told of it before it starts. */
   async reserveDaemon(id: string, failureDomain: string): Promise<void> {
     const [callers, peers, operators] = await findFreePorts(3);
@@ -168,10 +179,16 @@
     }
   }
 
-  async getStatus(id: string): Promise<Record<string, unknown>> {
+  async getStatus(id: string): Promise<FleetStatus> {
     const { operators } = this.getDaemon(id);
     const response = await fetch(`http://${operators}/status`);
-    return await response.json() as Record<string, unknown>;
+    return await response.json() as FleetStatus;
+  }
+
+  /** Returns a counter of a daemon, 0 where it has not counted yet. */
+  async getCounter(id: string, counter: string): Promise<number> {
+    const { metrics } = await this.getStatus(id);
+    return metrics.counters[counter] ?? 0;
   }
 
   signal(id: string, signal: NodeJS.Signals): void {
--- /dev/null
+++ b/scripts/site.ts
@@ -0,0 +1,401 @@
+/** A site for the process tests: daemons as real processes, stand-ins of upstreams and the platform in this process. */
+import { createHash } from "node:crypto";
+import { stringify } from "yaml";
+import { FakeConfiguration } from "../fakes/fake_configuration.ts";
+import { FakeEngine } from "../fakes/fake_engine.ts";
+import { FakeHostList } from "../fakes/fake_host_list.ts";
+import { FakeService } from "../fakes/fake_service.ts";
+import type { HostStructure } from "../src/core/structures.ts";
+import {
+  type CallerAnswer,
+  readTokens,
+  type RunningCall,
+  sendCall,
+  sendTicketedCall,
+  startCall,
+} from "./caller.ts";
+import { Fleet, type FleetOptions, waitUntil } from "./fleet.ts";
+
+const TOKEN = "derwent-test-token";
+const ORDER_ROUTE = "feed-order";
+
+/** Hosts of one failure domain. */
+export interface SiteDomain {
+  name: string;
+  daemons: number;
+  engines: number;
+  services?: number;
+}
+
+export interface SiteOptions extends FleetOptions {
+  domains: SiteDomain[];
+  /** Routes `adapter-0`, `adapter-1`, … each to the adapter of its name. */
+  adapters?: number;
+  slots?: number;
+  batchSize?: number;
+  fencing?: "checked" | "ignored";
+  tokens?: number;
+  tokenIntervalMs?: number;
+  loadTimeMs?: number;
+  maxRunMs?: number;
+  queueDeadlineMs?: number;
+}
+
+/** Core settings that let leases and views of peers expire within a test. */
+export const SHORT_CORE_SETTINGS = {
+  heartbeatIntervalMs: 100,
+  peerTimeoutMs: 800,
+  startGraceMs: 600,
+  pauseThresholdMs: 700,
+  leaseWindowMs: 1_000,
+  ownershipValidityMs: 700,
+  stateReadIntervalMs: 100,
+  engineReportLagMs: 200,
+  storeLoadsPerSecond: 1_000,
+  storeLoadsInFlight: 100,
+} as const;
+
+const DEFAULTS = {
+  adapters: 8,
+  slots: 2,
+  batchSize: 8,
+  fencing: "checked",
+  tokens: 30,
+  tokenIntervalMs: 20,
+  loadTimeMs: 50,
+  maxRunMs: 8_000,
+  queueDeadlineMs: 20_000,
+  core: SHORT_CORE_SETTINGS,
+} as const;
+
+export class Site {
+  readonly fleet: Fleet;
+  readonly configuration = new FakeConfiguration();
+  readonly hostList = new FakeHostList();
+  readonly engines = new Map<string, FakeEngine>();
+  readonly services = new Map<string, FakeService>();
+  readonly upstreams: HostStructure[] = [];
+  readonly daemonIds: string[] = [];
+  readonly options: Required<Omit<SiteOptions, "settings">>;
+
+  constructor(options: SiteOptions) {
+    this.options = { ...DEFAULTS, ...options } as typeof this.options;
+    this.fleet = new Fleet(this.options);
+  }
+
+  /** Starts the stand-ins and reserves the daemons, without starting them. */
+  async prepare(): Promise<void> {
+    await this.configuration.start();
+    await this.hostList.start();
+    this.fleet.addFake("configuration", this.configuration.address);
+    this.fleet.addFake("hostList", this.hostList.address);
+    for (const domain of this.options.domains) await this.#addDomain(domain);
+    await this.fleet.writeHosts(this.upstreams);
+    await this.fleet.writeTable("pools", this.formatPools());
+    await this.fleet.writeTable("routes", this.formatRoutes("v1"));
+  }
+
+  /** Starts everything and waits until every daemon serves and every upstream is owned. */
+  async start(): Promise<void> {
+    await this.prepare();
+    await Promise.all(this.daemonIds.map((id) => this.fleet.startDaemon(id)));
+    await this.fleet.waitUntilServing(this.daemonIds);
+    await this.waitUntilOwned(this.daemonIds);
+  }
+
+  async stop(): Promise<void> {
+    await this.fleet.stop();
+    const fakes = [
+      this.configuration,
+      this.hostList,
+      ...this.engines.values(),
+      ...this.services.values(),
+    ];
+    await Promise.all(fakes.map((fake) => fake.stop()));
+  }
+
+  /** Returns the only engine, or the named one. */
+  getEngine(id?: string): FakeEngine {
+    const engine = id === undefined
+      ? [...this.engines.values()][0]
+      : this.engines.get(id);
+    if (engine) return engine;
+    throw new Error(`Expected an engine ${id}, found none`);
+  }
+
+  /** Sends an idempotent request and reads its answer. */
+  async call(daemonId: string, model: string, content = "x"): Promise<
+    CallerAnswer
+  > {
+    return await this.startCall(daemonId, model, content).answer;
+  }
+
+  startCall(daemonId: string, model: string, content = "x"): RunningCall {
+    return this.#startCompletion(daemonId, model, content, true);
+  }
+
+  /** Sends a request whose answer comes in one piece, at its end. */
+  startWholeCall(
+    daemonId: string,
+    model: string,
+    content = "x",
+  ): RunningCall {
+    return this.#startCompletion(daemonId, model, content, false);
+  }
+
+  /** Starts streams and waits until each has sent some tokens. */
+  async startStreams(
+    daemonId: string,
+    models: readonly string[],
+    minTokens = 2,
+  ): Promise<RunningCall[]> {
+    const calls = models.map((model) => this.startCall(daemonId, model));
+    await waitUntil(
+      `${models.length} streams run through ${daemonId}`,
+      () =>
+        Promise.resolve(
+          calls.every((call) => readTokens(call.getText()).length >= minTokens),
+        ),
+    );
+    return calls;
+  }
+
+  /** Gets a ticket for a non-idempotent request. */
+  async getTicket(daemonId: string, pen: number): Promise<string> {
+    const answer = await sendCall(this.#formatOrder(daemonId, pen));
+    return answer.refusal?.ticket ?? "";
+  }
+
+  /** Sends a non-idempotent request, with a ticket of its own unless one is given. */
+  async order(
+    daemonId: string,
+    pen: number,
+    ticket?: string,
+  ): Promise<CallerAnswer> {
+    const call = this.#formatOrder(daemonId, pen);
+    if (ticket === undefined) return await sendTicketedCall(call);
+    return await sendCall({ ...call, ticket });
+  }
+
+  countOrders(pen: number): number {
+    const body = JSON.stringify({ pen });
+    return [...this.services.values()].flatMap((service) => service.ran)
+      .filter((ran) => ran === body).length;
+  }
+
+  countEvictionsInUse(): number {
+    return [...this.engines.values()]
+      .reduce((total, engine) => total + engine.evictionsInUse, 0);
+  }
+
+  countRuns(model: string): number {
+    return [...this.engines.values()].flatMap((engine) => engine.history)
+      .filter((run) => run.model === model).length;
+  }
+
+  /** Returns the daemon that owns the upstream, as the daemons themselves see it. */
+  async findOwner(
+    upstreamId: string,
+    among: readonly string[] = this.daemonIds,
+  ): Promise<string | undefined> {
+    for (const id of among) {
+      const { upstreams } = await this.fleet.getStatus(id);
+      const isOwner = upstreams.some((upstream) =>
+        upstream.upstreamId === upstreamId && upstream.state === "owning"
+      );
+      if (isOwner) return id;
+    }
+    return undefined;
+  }
+
+  async getOwner(upstreamId: string): Promise<string> {
+    const owner = await this.findOwner(upstreamId);
+    if (owner !== undefined) return owner;
+    throw new Error(`Expected an owner of ${upstreamId}, found none`);
+  }
+
+  /** Waits until every upstream is owned by one of the daemons. */
+  async waitUntilOwned(among: readonly string[]): Promise<void> {
+    const domains = new Set(
+      among.map((id) => this.fleet.getDaemon(id).failureDomain),
+    );
+    for (const { id, failureDomain } of this.upstreams) {
+      if (!domains.has(failureDomain)) continue;
+      await waitUntil(
+        `${id} has an owner`,
+        async () => (await this.findOwner(id, among)) !== undefined,
+      );
+    }
+  }
+
+  async waitUntilInForce(
+    revision: number,
+    among: readonly string[] = this.daemonIds,
+  ): Promise<void> {
+    for (const id of among) {
+      await waitUntil(
+        `revision ${revision} is in force at ${id}`,
+        async () => (await this.fleet.getStatus(id)).tablesRevision >= revision,
+      );
+    }
+  }
+
+  formatPools(): string {
+    const failureDomains = this.options.domains.map(({ name }) => name);
+    return stringify({
+      pools: [
+        {
+          name: "writers",
+          service: "brief-writer",
+          failureDomains,
+          slots: this.options.slots,
+          batchSize: this.options.batchSize,
+          fencing: this.options.fencing,
+        },
+        {
+          name: "dispatch",
+          kind: "service",
+          service: "dispatch-core",
+          failureDomains,
+          batchSize: this.options.batchSize,
+        },
+      ],
+    });
+  }
+
+  /** Returns the routes with every adapter at the given version. */
+  formatRoutes(version: string): string {
+    const { adapters, maxRunMs, queueDeadlineMs } = this.options;
+    const limits = { maxRunMs, queueDeadlineMs };
+    return stringify({
+      customers: [{
+        name: "derwent",
+        tokenDigests: [createHash("sha256").update(TOKEN).digest("hex")],
+      }],
+      routes: [
+        ...Array.from({ length: adapters }, (_, index) => ({
+          name: `adapter-${index}`,
+          customer: "derwent",
+          pool: "writers",
+          adapter: `adapter-${index}`,
+          version,
+          ...limits,
+        })),
+        {
+          name: ORDER_ROUTE,
+          customer: "derwent",
+          pool: "dispatch",
+          idempotent: false,
+          ...limits,
+        },
+      ],
+    });
+  }
+
+  #startCompletion(
+    daemonId: string,
+    model: string,
+    content: string,
+    stream: boolean,
+  ): RunningCall {
+    return startCall({
+      address: this.fleet.getDaemon(daemonId).callers,
+      token: TOKEN,
+      body: { model, stream, messages: [{ role: "user", content }] },
+    });
+  }
+
+  async #addDomain(domain: SiteDomain): Promise<void> {
+    const { name } = domain;
+    for (let index = 1; index <= domain.engines; index += 1) {
+      const engine = this.#createEngine();
+      await engine.start();
+      this.engines.set(`engine-${name}-${index}`, engine);
+      this.#addUpstream(`engine-${name}-${index}`, name, {
+        address: engine.address,
+        service: "brief-writer",
+      });
+    }
+    for (let index = 1; index <= (domain.services ?? 0); index += 1) {
+      const service = new FakeService();
+      await service.start();
+      this.services.set(`service-${name}-${index}`, service);
+      this.#addUpstream(`service-${name}-${index}`, name, {
+        address: service.address,
+        service: "dispatch-core",
+      });
+    }
+    for (let index = 1; index <= domain.daemons; index += 1) {
+      const id = `entry-${name}-${index}`;
+      await this.fleet.reserveDaemon(id, name);
+      this.daemonIds.push(id);
+    }
+  }
+
+  #createEngine(): FakeEngine {
+    const { slots, batchSize, fencing, tokens } = this.options;
+    const { tokenIntervalMs, loadTimeMs } = this.options;
+    return new FakeEngine({
+      slots,
+      batchSize,
+      checksFencing: fencing === "checked",
+      tokens,
+      tokenIntervalMs,
+      loadTimeMs,
+    });
+  }
+
+  #addUpstream(
+    id: string,
+    failureDomain: string,
+    upstream: { address: string; service: string },
+  ): void {
+    this.upstreams.push({
+      id,
+      failureDomain,
+      role: "upstream",
+      state: "live",
+      ...upstream,
+    });
+  }
+
+  #formatOrder(daemonId: string, pen: number): Parameters<typeof sendCall>[0] {
+    return {
+      address: this.fleet.getDaemon(daemonId).callers,
+      token: TOKEN,
+      path: `/v1/services/${ORDER_ROUTE}`,
+      body: { pen },
+    };
+  }
+}
+
+/** Returns whether the answer is whole: every token of the adapter once and in order. */
+export function isExactAnswer(
+  answer: CallerAnswer,
+  adapterKey: string,
+  tokens: number,
+): boolean {
+  const expected = Array.from(
+    { length: tokens },
+    (_, index) => `${adapterKey}#${index}`,
+  );
+  const found = readTokens(answer.text);
+  return answer.status === 200 && answer.isWhole &&
+    answer.headers.get("x-adapter") === adapterKey.split("@")[0] &&
+    found.length === tokens &&
+    found.every((token, index) => token === expected[index]);
+}
+
+/** Describes an answer for the message of a failed check. */
+export function describeAnswer(answer: CallerAnswer): string {
+  const { status, isWhole, refusal, text } = answer;
+  const tokens = readTokens(text);
+  return JSON.stringify({
+    status,
+    isWhole,
+    refusal,
+    tokens: tokens.length,
+    first: tokens[0],
+    last: tokens.at(-1),
+  });
+}
