Answer mayHaveRun when an earlier attempt may have run

Cause: a request whose first attempt was lost, and for which no other upstream was left, was refused with notRun; the outcome came from the last step alone. LiveRequest now remembers whether any attempt may have run, and the concluder lets that outweigh the last step.

--- a/src/core/execution/attempt_runner.ts
+++ b/src/core/execution/attempt_runner.ts
@@ -73,6 +73,7 @@
       return;
     }
     this.#attempts.delete(event.attemptId);
+    if (!isCertainlyNotRun(event.result)) attempt.request.mayHaveRun = true;
     const isLive =
       this.#context.requests.get(attempt.request.id) === attempt.request &&
       attempt.request.attempt?.attemptId === event.attemptId;
@@ -241,12 +242,9 @@
   /** Sends the request to another upstream, within its bounds, or refuses it. */
   retry(request: LiveRequest, reason: RetryReason, now: Milliseconds): void {
     const { settings, quarantine, retryBudget } = this.#context.options;
-    const hasRun = reason === RetryReason.UpstreamLost ||
-      reason === RetryReason.WrongAdapter;
-    const outcome = hasRun ? Outcome.MayHaveRun : Outcome.NotRun;
     if (quarantine.isQuarantined(request.event.fingerprint, now)) {
       this.#concluder.refuse(request, RefusalReason.Quarantined, {
-        outcome,
+        outcome: Outcome.NotRun,
         retryAfterMs: quarantine.getRemainingMs(request.event.fingerprint, now),
       }, now);
       return;
@@ -256,7 +254,7 @@
       !retryBudget.trySpend();
     if (isSpent) {
       this.#concluder.refuse(request, RefusalReason.RetriesExhausted, {
-        outcome,
+        outcome: Outcome.NotRun,
         retryAfterMs: DEFAULT_RETRY_AFTER_MS,
       }, now);
       return;
@@ -267,3 +265,20 @@
     this.#assigner.assign(request, now);
   }
 }
+
+/** Returns whether the upstream never started the attempt. */
+function isCertainlyNotRun(result: AttemptResult): boolean {
+  switch (result.kind) {
+    case "notSent":
+    case "refused":
+    case "rejected":
+      return true;
+    case "completed":
+    case "failed":
+    case "lost":
+    case "wrongAdapter":
+    case "timedOut":
+    case "cancelled":
+      return false;
+  }
+}
--- a/src/core/execution/live_request.ts
+++ b/src/core/execution/live_request.ts
@@ -46,6 +46,8 @@
   attempts = 0;
   loadFailures = 0;
   hasStalled = false;
+  /** Whether an attempt ended of which it is not certain that it did not run. */
+  mayHaveRun = false;
   claim: TicketClaim | undefined;
   /** Upstream to whose holding the request is assigned. */
   upstreamId: string | undefined;
--- a/src/core/execution/request_concluder.ts
+++ b/src/core/execution/request_concluder.ts
@@ -1,5 +1,5 @@
 /** Gives each request its one final answer. */
-import type { RefusalReason } from "../outcomes.ts";
+import { Outcome, type RefusalReason } from "../outcomes.ts";
 import type { Milliseconds } from "../structures.ts";
 import type { ExecutionContext, Refusal } from "./execution_context.ts";
 import type { LeaseBook } from "./lease_book.ts";
@@ -28,17 +28,23 @@
     this.#context.options.emit({ kind: "complete", requestId: request.id });
   }
 
-  /** Gives the request a final answer other than a completed one. */
+  /**
+   * Gives the request a final answer other than a completed one. An earlier
+   * attempt that may have run outweighs the outcome of the last step.
+   */
   refuse(
     request: LiveRequest,
     reason: RefusalReason,
     refusal: Refusal,
     now: Milliseconds,
   ): void {
+    const outcome = request.mayHaveRun && refusal.outcome === Outcome.NotRun
+      ? Outcome.MayHaveRun
+      : refusal.outcome;
     this.#leases.detach(request);
-    this.#tickets.settleRefused(request, refusal.outcome, now);
+    this.#tickets.settleRefused(request, outcome, now);
     request.apply("finished");
     this.#context.requests.delete(request.id);
-    this.#context.emitRefusal(request.id, reason, refusal);
+    this.#context.emitRefusal(request.id, reason, { ...refusal, outcome });
   }
 }
--- a/src/core/execution/request_executor.ts
+++ b/src/core/execution/request_executor.ts
@@ -222,9 +222,7 @@
 
   #refuseOverdue(request: LiveRequest, now: Milliseconds): void {
     this.#concluder.refuse(request, RefusalReason.DeadlineExceeded, {
-      outcome: request.attempts > 0 && request.route.idempotent
-        ? Outcome.MayHaveRun
-        : Outcome.NotRun,
+      outcome: Outcome.NotRun,
       retryAfterMs: DEFAULT_RETRY_AFTER_MS,
     }, now);
   }
