Refuse calls with an unclaimed ticket as mayHaveRun

Cause: a daemon that starts, stops or is full refused a repeated call with notRun although the first call with its ticket had run through another daemon. Only the ticket's home knows; until it has answered, the outcome is uncertain and the same ticket may be sent again.

--- a/src/core/daemon_core.ts
+++ b/src/core/daemon_core.ts
@@ -11,7 +11,7 @@
 import { type CorePolicy, DEFAULT_CORE_POLICY } from "./core_policy.ts";
 import type { CoreSettings } from "./core_settings.ts";
 import type { Effect } from "./effects.ts";
-import type { CoreEvent } from "./events.ts";
+import type { CoreEvent, RequestArrivedEvent } from "./events.ts";
 import { RequestExecutor } from "./execution/request_executor.ts";
 import { TicketBook } from "./execution/ticket_book.ts";
 import { CrashQuarantine } from "./limits/crash_quarantine.ts";
@@ -22,7 +22,7 @@
   type HeartbeatMessage,
   type PeerMessage,
 } from "./messages.ts";
-import { Outcome, RefusalReason } from "./outcomes.ts";
+import { getUnclaimedOutcome, RefusalReason } from "./outcomes.ts";
 import { StoreBudget, type StoreShare } from "./residency/store_budget.ts";
 import type { OwnedUpstreamDescription } from "./residency/upstream_owner.ts";
 import { UpstreamOwnership } from "./residency/upstream_ownership.ts";
@@ -214,7 +214,7 @@
       case "requestArrived":
         if (this.#state === "serving") {
           this.#executor.handleArrival(event, now);
-        } else this.#refuseUnserved(event.requestId);
+        } else this.#refuseUnserved(event);
         break;
       case "callerGone":
         this.#executor.handleCallerGone(event.requestId, now);
@@ -324,16 +324,16 @@
     this.#tableExchange.handlePeerRevisions(from, heartbeat, now);
   }
 
-  #refuseUnserved(requestId: string): void {
+  #refuseUnserved(event: RequestArrivedEvent): void {
     const reason = this.#state === "starting"
       ? RefusalReason.NotReady
       : RefusalReason.Stopping;
     this.#emit({ kind: "count", counter: "refused", tag: reason });
     this.#emit({
       kind: "refuse",
-      requestId,
+      requestId: event.requestId,
       reason,
-      outcome: Outcome.NotRun,
+      outcome: getUnclaimedOutcome(event.ticket),
       retryAfterMs: this.#options.settings.startGraceMs,
     });
   }
--- a/src/core/execution/request_executor.ts
+++ b/src/core/execution/request_executor.ts
@@ -9,7 +9,7 @@
   LeaseRefusalMessage,
   TicketVerdictMessage,
 } from "../messages.ts";
-import { Outcome, RefusalReason } from "../outcomes.ts";
+import { getUnclaimedOutcome, Outcome, RefusalReason } from "../outcomes.ts";
 import type { RankedUpstream } from "../routing/upstream_selector.ts";
 import {
   formatAdapterKey,
@@ -149,18 +149,25 @@
     const tables = this.#context.options.tables.getSnapshot();
     const route = tables?.getRoute(event.route, event.customer);
     const pool = route && tables?.getPool(route.pool);
+    const outcome = route?.idempotent
+      ? Outcome.NotRun
+      : getUnclaimedOutcome(event.ticket);
     if (!tables || !route || !pool) {
-      this.#context.emitRefusal(event.requestId, RefusalReason.UnknownRoute);
+      this.#context.emitRefusal(event.requestId, RefusalReason.UnknownRoute, {
+        outcome,
+      });
       return;
     }
     if (this.#context.requests.size >= settings.maxRequests) {
       this.#context.emitRefusal(event.requestId, RefusalReason.Overloaded, {
+        outcome,
         retryAfterMs: DEFAULT_RETRY_AFTER_MS,
       });
       return;
     }
     if (quarantine.isQuarantined(event.fingerprint, now)) {
       this.#context.emitRefusal(event.requestId, RefusalReason.Quarantined, {
+        outcome,
         retryAfterMs: quarantine.getRemainingMs(event.fingerprint, now),
       });
       return;
--- a/src/core/outcomes.ts
+++ b/src/core/outcomes.ts
@@ -12,6 +12,11 @@
 } as const;
 export type Outcome = (typeof Outcome)[keyof typeof Outcome];
 
+/** Returns the outcome of a call refused before its ticket was claimed: an earlier call with the ticket may have run. */
+export function getUnclaimedOutcome(ticket: string | undefined): Outcome {
+  return ticket === undefined ? Outcome.NotRun : Outcome.MayHaveRun;
+}
+
 /** Why a request was refused or broken off. */
 export const RefusalReason = {
   UnknownRoute: "unknownRoute",
