--- a/test/fuzz/daemon_process.ts
+++ b/test/fuzz/daemon_process.ts
@@ -108,8 +108,18 @@
     return this.#core.getSnapshot()?.revision ?? 0;
   }
 
-  isServing(): boolean {
-    return this.isAlive && this.#core.state === "serving";
+  /** Returns one line on the state and each owned upstream, for the trace. */
+  describe(): string {
+    if (!this.isAlive) return "dead";
+    const { state, upstreams } = this.#core.describe(this.readClock());
+    const owned = upstreams.map((upstream) =>
+      `${upstream.upstreamId} ${upstream.state} ${
+        upstream.up ? "up" : "down"
+      } credits ${upstream.creditsInUse} [${
+        upstream.slots.map((slot) => `${slot.adapterKey} ${slot.state}`)
+      }]`
+    );
+    return [state, ...owned].join(", ");
   }
 
   /** Runs a step of this incarnation after a delay, or later if it is paused then. */
--- a/test/fuzz/fuzz_run.ts
+++ b/test/fuzz/fuzz_run.ts
@@ -100,9 +100,16 @@
   checkConfiguration(world);
   checkAnswers(world);
   checkProbes(world);
+  if (world.oracle.breach) describeDaemons(world);
   return world;
 }
 
+function describeDaemons(world: World): void {
+  for (const daemon of world.getDaemons()) {
+    world.trace.add(daemon.id, daemon.describe());
+  }
+}
+
 function checkConfiguration(world: World): void {
   world.advance(CONFIGURATION_BOUND_MS);
   const expected = world.getExpectedRevision();
--- a/test/fuzz/oracle.ts
+++ b/test/fuzz/oracle.ts
@@ -55,8 +55,9 @@
 
   /** Keeps the first breach; the run stops at the end of its step. */
   fail(promise: FuzzPromise, detail: string): void {
+    if (this.breach) return;
     this.#trace.add("ORACLE", `BREACH ${promise}: ${detail}`);
-    this.breach ??= new BreachError(promise, detail);
+    this.breach = new BreachError(promise, detail);
   }
 
   /** Notes that daemons or the ways between them are disturbed now. */
--- a/test/fuzz/upstream_client.ts
+++ b/test/fuzz/upstream_client.ts
@@ -19,6 +19,8 @@
   effect: DispatchEffect;
   call: Call;
   isOpen: boolean;
+  /** Whether part of the answer was lost, so that no more of it arrives. */
+  isBroken: boolean;
   bytesForwarded: number;
   /** Arrival of the last part; parts of one connection keep their order. */
   lastArrivalAt: number;
@@ -41,6 +43,7 @@
       effect,
       call,
       isOpen: true,
+      isBroken: false,
       bytesForwarded: 0,
       lastArrivalAt: 0,
     };
@@ -235,9 +238,10 @@
     attempt.lastArrivalAt = arrivalAt;
     const isIncarnation = this.#daemon.createIncarnationCheck();
     queue.schedule(arrivalAt - queue.now, () => {
-      if (!isIncarnation() || !attempt.isOpen) return;
+      if (!isIncarnation() || !attempt.isOpen || attempt.isBroken) return;
       const { upstreamId } = attempt.effect;
       if (network.isConnectionCut(this.#daemon.id, upstreamId)) {
+        attempt.isBroken = true;
         this.#loseLater(attempt);
         return;
       }
