Put edited pools in force at owners, and let the last daemon serve what it accepted

Cause, found by reading: an owner kept the pool and host as they were when it took the upstream, so an accepted edit of a pool, or a new address or leaving mark in the host list, was not in force there until ownership moved. A planned stop gave up every upstream also when no other daemon could own it, so requests accepted before the stop were refused. A stopping home of tickets did not wait for runs under them elsewhere.

Excluded: re-creating the owner on each edit, which would forget its leases.

--- a/src/core/daemon_core.ts
+++ b/src/core/daemon_core.ts
@@ -381,7 +381,9 @@
     if (this.#state === "starting" && this.#isReadyToServe(now)) {
       this.#move("tablesInForce");
     }
-    if (this.#state === "stopping" && this.#executor.isDrained()) {
+    const isDrained = this.#executor.isDrained() &&
+      !this.#tickets.hasTicketsInUse(now);
+    if (this.#state === "stopping" && isDrained) {
       this.#move("drained");
       this.#sendHeartbeats(now);
       this.#emit({ kind: "stopCompleted" });
--- a/src/core/execution/ticket_book.ts
+++ b/src/core/execution/ticket_book.ts
@@ -35,6 +35,7 @@
   customer: string;
   /** Fingerprint of the first call; undefined before it. */
   fingerprint: string | undefined;
+  mintedAt: Milliseconds;
   expiresAt: Milliseconds;
   phase: TicketPhase;
 }
@@ -49,6 +50,8 @@
 
 const SEPARATOR = "~";
 const CHECK_LENGTH = 22;
+/** Time within which a caller is expected to use its ticket. */
+const FRESH_TICKET_MS = 2_000;
 
 /** Splits a ticket into its parts; returns undefined when it is none. */
 export function parseTicket(ticket: string): ParsedTicket | undefined {
@@ -91,6 +94,7 @@
     this.#records.set(sequence, {
       customer,
       fingerprint: undefined,
+      mintedAt: now,
       expiresAt: now + this.#options.lifetimeMs,
       phase: { kind: "open" },
     });
@@ -150,6 +154,20 @@
     record.expiresAt = now + this.#options.lifetimeMs;
   }
 
+  /**
+   * Returns whether a stop now would leave a caller uncertain: a run goes on
+   * under a ticket, or a ticket has just been given out.
+   */
+  hasTicketsInUse(now: Milliseconds): boolean {
+    for (const record of this.#records.values()) {
+      if (record.phase.kind === "claimed") return true;
+      const isFresh = record.phase.kind === "open" &&
+        now - record.mintedAt < FRESH_TICKET_MS;
+      if (isFresh) return true;
+    }
+    return false;
+  }
+
   getTicketCount(): number {
     return this.#records.size;
   }
--- a/src/core/residency/owner_context.ts
+++ b/src/core/residency/owner_context.ts
@@ -26,12 +26,27 @@
   createId: (prefix: string) => string;
 }
 
+/** What of an upstream the tables and the host list may change while it is owned. */
+export type UpstreamConfiguration = Pick<
+  UpstreamOwnerOptions,
+  "host" | "pool" | "maxRunMs"
+>;
+
 /** The options of an owner. */
 export class OwnerContext {
-  readonly options: UpstreamOwnerOptions;
+  #options: UpstreamOwnerOptions;
 
   constructor(options: UpstreamOwnerOptions) {
-    this.options = options;
+    this.#options = options;
+  }
+
+  get options(): UpstreamOwnerOptions {
+    return this.#options;
+  }
+
+  /** Takes what a newer revision of the tables or of the host list says. */
+  updateConfiguration(configuration: UpstreamConfiguration): void {
+    this.#options = { ...this.#options, ...configuration };
   }
 
   get upstreamId(): string {
--- a/src/core/residency/slot_table.ts
+++ b/src/core/residency/slot_table.ts
@@ -15,13 +15,17 @@
 }
 
 export class SlotTable {
-  readonly #capacity: number;
+  #capacity: number;
   readonly #slots = new Map<string, Slot>();
 
   constructor(capacity: number) {
     this.#capacity = capacity;
   }
 
+  setCapacity(capacity: number): void {
+    this.#capacity = capacity;
+  }
+
   getSlot(adapterKey: string): Slot | undefined {
     return this.#slots.get(adapterKey);
   }
--- a/src/core/residency/upstream_owner.ts
+++ b/src/core/residency/upstream_owner.ts
@@ -11,11 +11,20 @@
   UpstreamDigest,
 } from "../messages.ts";
 import { LeaseRefusalReason } from "../outcomes.ts";
-import type { Milliseconds, UpstreamStateStructure } from "../structures.ts";
+import type {
+  HostStructure,
+  Milliseconds,
+  PoolStructure,
+  UpstreamStateStructure,
+} from "../structures.ts";
 import { LeaseGranter } from "./lease_granter.ts";
 import { LeaseQueue, type WaitingLeaseRequest } from "./lease_queue.ts";
 import { OrderBook } from "./order_book.ts";
-import { OwnerContext, type UpstreamOwnerOptions } from "./owner_context.ts";
+import {
+  OwnerContext,
+  type UpstreamConfiguration,
+  type UpstreamOwnerOptions,
+} from "./owner_context.ts";
 import { OwnershipClaim } from "./ownership_claim.ts";
 import { SlotLoader } from "./slot_loader.ts";
 import { UpstreamReader } from "./upstream_reader.ts";
@@ -69,6 +78,14 @@
     return this.#context.upstreamId;
   }
 
+  get host(): HostStructure {
+    return this.#context.options.host;
+  }
+
+  get pool(): PoolStructure {
+    return this.#context.options.pool;
+  }
+
   isUp(): boolean {
     return this.#reader.isUp();
   }
@@ -122,6 +139,12 @@
     this.#pump(now);
   }
 
+  /** Puts what the tables and the host list now say of the upstream in force. */
+  updateConfiguration(configuration: UpstreamConfiguration): void {
+    this.#context.updateConfiguration(configuration);
+    this.#loader.slots.setCapacity(configuration.pool.slots);
+  }
+
   /** Takes over the leases of the previous owner, which grants nothing any more. */
   acceptHandover(handover: HandoverMessage, now: Milliseconds): void {
     this.#granter.acceptHandover(handover, now);
--- a/src/core/residency/upstream_ownership.ts
+++ b/src/core/residency/upstream_ownership.ts
@@ -69,10 +69,13 @@
       const pool = this.#findPool(host);
       if (!pool) continue;
       wanted.add(host.id);
-      if (!this.#owners.has(host.id)) this.#takeOwnership(host, pool, now);
+      const owner = this.#owners.get(host.id);
+      if (owner) this.#updateConfiguration(owner, host, pool);
+      else this.#takeOwnership(host, pool, now);
     }
     for (const [upstreamId, owner] of this.#owners) {
       if (wanted.has(upstreamId)) continue;
+      if (this.#isLastOwner(upstreamId, now)) continue;
       this.#giveUpOwnership(owner, LeaseRefusalReason.NotOwner, now);
     }
   }
@@ -111,9 +114,10 @@
     }
   }
 
-  /** Hands every upstream over to its next owner. */
+  /** Hands every upstream over to its next owner; one that has none is kept until the end. */
   handOverAll(now: Milliseconds): void {
     for (const owner of [...this.#owners.values()]) {
+      if (this.#isLastOwner(owner.upstreamId, now)) continue;
       this.#giveUpOwnership(owner, LeaseRefusalReason.Stopping, now);
     }
   }
@@ -168,6 +172,24 @@
     owner.tick(now);
   }
 
+  /** Returns whether a planned stop has left no daemon that could own the upstream. */
+  #isLastOwner(upstreamId: string, now: Milliseconds): boolean {
+    const { membership } = this.#options;
+    return membership.getUpstreamHost(upstreamId) !== undefined &&
+      membership.getOwnerId(upstreamId, now) === undefined;
+  }
+
+  #updateConfiguration(
+    owner: UpstreamOwner,
+    host: HostStructure,
+    pool: PoolStructure,
+  ): void {
+    const isSame = owner.host === host && owner.pool === pool;
+    if (isSame) return;
+    const maxRunMs = this.#getMaxRunMs(pool);
+    owner.updateConfiguration({ host, pool, maxRunMs });
+  }
+
   /** Returns an identifier that no ownership of this incarnation gave before. */
   #createId(prefix: string): string {
     this.#lastId += 1;
--- a/test/core/execution/ticket_book_test.ts
+++ b/test/core/execution/ticket_book_test.ts
@@ -95,6 +95,23 @@
   assert.is(claim(book, same, 4), "granted");
 });
 
+test("counts fresh and claimed tickets as in use", () => {
+  const book = createBook();
+  const ticket = book.mintTicket("derwent", 0);
+  assert.ok(book.hasTicketsInUse(1_999));
+  assert.not(book.hasTicketsInUse(2_000));
+  claim(book, createClaim(ticket), 3_000);
+  assert.ok(book.hasTicketsInUse(4_000));
+  book.settleTicket({
+    kind: "ticketSettle",
+    claimId: "claim-1",
+    customer: "derwent",
+    ticket,
+    answer: ANSWER,
+  }, 5_000);
+  assert.not(book.hasTicketsInUse(5_000));
+});
+
 test("never grants what an earlier incarnation minted", () => {
   const ticket = createBook("i1").mintTicket("derwent", 0);
   assert.is(claim(createBook("i2"), createClaim(ticket), 1), "expired");
