Keep a lease whose grant arrives twice

Cause: a lease request that is repeated after leaseReplyTimeoutMs while its grant is on the way is answered a second time. The holder took the second grant for one that nobody waits for and returned its credits, so the owner counted the lease over while a run was on it and could evict the adapter. The test fails without the change.

--- a/src/core/execution/lease_book.ts
+++ b/src/core/execution/lease_book.ts
@@ -30,11 +30,16 @@
 /** Credits asked for at once. */
 const MAX_CREDITS_PER_REQUEST = 16;
 
+/** Time for which a repeated grant is told from a new one. */
+const ACCEPTED_LEASE_MEMORY_MS = 60_000;
+
 export class LeaseBook {
   readonly #context: ExecutionContext;
   readonly #handlers: LeaseBookHandlers;
   readonly #holdings = new Map<string, LeaseHolding>();
   readonly #holdingKeysByLeaseRequest = new Map<string, string>();
+  /** Grants taken, with the time until which the owner may send them again. */
+  readonly #acceptedLeases = new Map<string, Milliseconds>();
 
   constructor(context: ExecutionContext, handlers: LeaseBookHandlers) {
     this.#context = context;
@@ -105,6 +110,8 @@
     const key = this.#holdingKeysByLeaseRequest.get(grant.leaseRequestId);
     const holding = key === undefined ? undefined : this.#holdings.get(key);
     const pending = holding?.pending;
+    // The answer to a repeated request: its credits are in use already.
+    if (this.#acceptedLeases.has(grant.leaseId)) return;
     if (
       key === undefined || !holding ||
       pending?.leaseRequestId !== grant.leaseRequestId
@@ -116,6 +123,7 @@
       return;
     }
     this.#clearPending(holding);
+    this.#acceptLease(grant.leaseId, now);
     holding.addLease(grant, pending.sentAt, {
       marginMs: this.#context.options.settings.leaseMarginMs,
       now,
@@ -124,6 +132,14 @@
     this.pumpHolding(key, now);
   }
 
+  #acceptLease(leaseId: string, now: Milliseconds): void {
+    this.#acceptedLeases.set(leaseId, now + ACCEPTED_LEASE_MEMORY_MS);
+    for (const [oldest, forgetAt] of this.#acceptedLeases) {
+      if (forgetAt > now) return;
+      this.#acceptedLeases.delete(oldest);
+    }
+  }
+
   /** Hands the waiting requests back for another choice. */
   handleLeaseRefusal(refusal: LeaseRefusalMessage, now: Milliseconds): void {
     const key = this.#holdingKeysByLeaseRequest.get(refusal.leaseRequestId);
--- /dev/null
+++ b/test/core/execution/lease_book_test.ts
@@ -0,0 +1,169 @@
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { DEFAULT_CORE_POLICY } from "../../../src/core/core_policy.ts";
+import { DEFAULT_CORE_SETTINGS } from "../../../src/core/core_settings.ts";
+import type { Effect } from "../../../src/core/effects.ts";
+import { ExecutionContext } from "../../../src/core/execution/execution_context.ts";
+import { LeaseBook } from "../../../src/core/execution/lease_book.ts";
+import { LiveRequest } from "../../../src/core/execution/live_request.ts";
+import { CrashQuarantine } from "../../../src/core/limits/crash_quarantine.ts";
+import { RetryBudget } from "../../../src/core/limits/retry_budget.ts";
+import { Membership } from "../../../src/core/membership/membership.ts";
+import type { PeerMessage } from "../../../src/core/messages.ts";
+import type {
+  PoolStructure,
+  RouteStructure,
+} from "../../../src/core/structures.ts";
+import { TableKeeper } from "../../../src/core/tables/table_keeper.ts";
+import { TicketBook } from "../../../src/core/execution/ticket_book.ts";
+
+const UPSTREAM = "engine-1";
+const ADAPTER = "salmon@1";
+const ROUTE: RouteStructure = {
+  name: "briefing",
+  customer: "mill-a",
+  pool: "writers",
+  adapter: "salmon",
+  version: "1",
+  idempotent: true,
+  priority: "interactive",
+  queueDeadlineMs: 5_000,
+  maxRunMs: 10_000,
+};
+const POOL: PoolStructure = {
+  name: "writers",
+  kind: "engine",
+  service: "brief-writer",
+  baseModel: "base",
+  failureDomains: ["a"],
+  slots: 4,
+  batchSize: 4,
+  fencing: "checked",
+  loadStallWeight: 1,
+  batchEfficiencyWeight: 1,
+};
+
+function createBook(): {
+  book: LeaseBook;
+  context: ExecutionContext;
+  dispatched: string[];
+  takeSent(): PeerMessage[];
+} {
+  const effects: Effect[] = [];
+  const membership = new Membership({
+    selfId: "entry-1",
+    failureDomain: "a",
+    peerTimeoutMs: 60_000,
+  });
+  membership.recordOwnView({
+    upstreamId: UPSTREAM,
+    residents: [ADAPTER],
+    loading: [],
+    creditsInUse: 0,
+    waiting: 0,
+    victimValue: 0,
+    leaving: false,
+    up: true,
+  }, 0);
+  const context = new ExecutionContext({
+    selfId: "entry-1",
+    incarnation: "1",
+    failureDomain: "a",
+    settings: DEFAULT_CORE_SETTINGS,
+    policy: DEFAULT_CORE_POLICY,
+    tables: new TableKeeper(),
+    membership,
+    quarantine: new CrashQuarantine(DEFAULT_CORE_SETTINGS),
+    retryBudget: new RetryBudget(0.1),
+    tickets: new TicketBook({
+      selfId: "entry-1",
+      incarnation: "1",
+      secret: new Uint8Array(32),
+      lifetimeMs: 1_000,
+      maxTickets: 10,
+      claimTimeoutMs: 1_000,
+    }),
+    emit: (effect) => effects.push(effect),
+  });
+  const dispatched: string[] = [];
+  const book = new LeaseBook(context, {
+    dispatch: (request) => dispatched.push(request.id),
+    reassign: () => {},
+  });
+  return {
+    book,
+    context,
+    dispatched,
+    takeSent: () =>
+      effects.splice(0).flatMap((effect) =>
+        effect.kind === "send" ? [effect.message] : []
+      ),
+  };
+}
+
+function addRequest(context: ExecutionContext, book: LeaseBook): void {
+  const request = new LiveRequest({
+    event: {
+      kind: "requestArrived",
+      requestId: "r1",
+      customer: "mill-a",
+      route: "briefing",
+      fingerprint: "f1",
+    },
+    route: ROUTE,
+    pool: POOL,
+    adapterKey: ADAPTER,
+    tablesRevision: 1,
+    needsTicket: false,
+  }, 0);
+  context.requests.set(request.id, request);
+  book.addWaiting(request, UPSTREAM, 0);
+}
+
+test("a grant that is sent twice is not returned while its run goes on", () => {
+  const { book, context, dispatched, takeSent } = createBook();
+  addRequest(context, book);
+  const [asked] = takeSent();
+  assert.is(asked?.kind, "leaseRequest");
+  if (asked?.kind !== "leaseRequest") return;
+  const grant = {
+    kind: "leaseGrant",
+    leaseRequestId: asked.leaseRequestId,
+    leaseId: "lease-1",
+    upstreamId: UPSTREAM,
+    adapterKey: ADAPTER,
+    credits: 1,
+    windowMs: 2_000,
+    exclusive: false,
+    upstreamIncarnation: "1",
+    loaded: false,
+  } as const;
+  book.handleLeaseGrant("entry-1", grant, 600);
+  assert.equal(dispatched, ["r1"]);
+  book.handleLeaseGrant("entry-1", grant, 601);
+  assert.equal(takeSent(), []);
+});
+
+test("a grant that nothing waits for is returned whole", () => {
+  const { book, takeSent } = createBook();
+  book.handleLeaseGrant("entry-1", {
+    kind: "leaseGrant",
+    leaseRequestId: "unknown",
+    leaseId: "lease-2",
+    upstreamId: UPSTREAM,
+    adapterKey: ADAPTER,
+    credits: 3,
+    windowMs: 2_000,
+    exclusive: false,
+    upstreamIncarnation: "1",
+    loaded: false,
+  }, 0);
+  assert.equal(takeSent(), [{
+    kind: "leaseReturn",
+    upstreamId: UPSTREAM,
+    leaseId: "lease-2",
+    credits: 3,
+  }]);
+});
+
+test.run();
