--- a/test/core/execution/lease_book_test.ts
+++ b/test/core/execution/lease_book_test.ts
@@ -134,6 +134,7 @@
     adapterKey: ADAPTER,
     credits: 1,
     windowMs: 2_000,
+    requestSentAtMs: 0,
     exclusive: false,
     upstreamIncarnation: "1",
     loaded: false,
@@ -154,6 +155,7 @@
     adapterKey: ADAPTER,
     credits: 3,
     windowMs: 2_000,
+    requestSentAtMs: 0,
     exclusive: false,
     upstreamIncarnation: "1",
     loaded: false,
@@ -162,7 +164,7 @@
     kind: "leaseReturn",
     upstreamId: UPSTREAM,
     leaseId: "lease-2",
-    credits: 3,
+    returnedCredits: 3,
   }]);
 });
 
