Split the weight store's budget by failure domain and lend it by permits

Cause: each daemon had 1/N of the rate and at least one load in flight: nine daemons had 9 in flight against a bound of 8, and the rate of idle daemons was lost. An eviction was ordered before its load was allowed, so that slots stood empty while the store was waited for. Change: one daemon of each failure domain (rendezvous) keeps the domain's rate and room in flight and gives a permit for each load; what it does not use goes permit by permit to other domains' keepers.

--- a/bench/policy/event_heap.ts
+++ b/bench/policy/event_heap.ts
@@ -44,7 +44,7 @@
     while (index > 0) {
       const parent = (index - 1) >> 1;
       if (!this.#isBefore(index, parent)) return;
-      this.#swap(index, parent);
+      this.#changePlaces(index, parent);
       index = parent;
     }
   }
@@ -60,7 +60,7 @@
         first = right;
       }
       if (first === index) return;
-      this.#swap(index, first);
+      this.#changePlaces(index, first);
       index = first;
     }
   }
@@ -72,7 +72,7 @@
       (first.at === second.at && first.sequence < second.sequence);
   }
 
-  #swap(a: number, b: number): void {
+  #changePlaces(a: number, b: number): void {
     const kept = this.#heap[a]!;
     this.#heap[a] = this.#heap[b]!;
     this.#heap[b] = kept;
--- a/bench/policy/fakes.ts
+++ b/bench/policy/fakes.ts
@@ -57,8 +57,8 @@
   adapterKey: string;
   tokensLeft: number;
   hasStarted: boolean;
-  onFirstToken(now: number): void;
-  onEnd(result: AttemptResult, now: number): void;
+  reportFirstToken(now: number): void;
+  reportEnd(result: AttemptResult, now: number): void;
 }
 
 export interface FakeEngineOptions {
@@ -106,11 +106,14 @@
 
   start(run: EngineRun, now: number): void {
     if (!this.isUp) {
-      run.onEnd({ kind: "notSent", detail: "connection refused" }, now);
+      run.reportEnd({ kind: "notSent", detail: "connection refused" }, now);
       return;
     }
     if (this.#options.slots > 0 && !this.#residents.has(run.adapterKey)) {
-      run.onEnd({ kind: "refused", status: 404, detail: "not loaded" }, now);
+      run.reportEnd(
+        { kind: "refused", status: 404, detail: "not loaded" },
+        now,
+      );
       return;
     }
     this.#runs.push(run);
@@ -120,7 +123,7 @@
   cancel(attemptId: string, now: number): void {
     const index = this.#runs.findIndex((run) => run.attemptId === attemptId);
     const [run] = index < 0 ? [] : this.#runs.splice(index, 1);
-    run?.onEnd({ kind: "cancelled" }, now);
+    run?.reportEnd({ kind: "cancelled" }, now);
   }
 
   /** Ends the runs of callers that are cut off. */
@@ -203,7 +206,7 @@
 
   #endLost(run: EngineRun, now: number): void {
     const bytesForwarded = run.hasStarted ? 1 : 0;
-    run.onEnd({ kind: "lost", detail: "cut", bytesForwarded }, now);
+    run.reportEnd({ kind: "lost", detail: "cut", bytesForwarded }, now);
   }
 
   #stepIfIdle(now: number): void {
@@ -224,12 +227,12 @@
     }
     for (const run of batch) {
       if (!this.#runs.includes(run)) continue;
-      if (!run.hasStarted) run.onFirstToken(now);
+      if (!run.hasStarted) run.reportFirstToken(now);
       run.hasStarted = true;
       run.tokensLeft -= 1;
       if (run.tokensLeft > 0) continue;
       this.#runs.splice(this.#runs.indexOf(run), 1);
-      run.onEnd({ kind: "completed", servedModel: run.adapterKey }, now);
+      run.reportEnd({ kind: "completed", servedModel: run.adapterKey }, now);
     }
     this.#stepIfIdle(now);
   }
--- a/bench/policy/measures.ts
+++ b/bench/policy/measures.ts
@@ -48,23 +48,23 @@
   const good = served.filter(isInTime);
   return {
     policy: options.policy,
-    loadStallShare: round(stalled.length / toEngines.length),
-    loadStallP95Ms: roundMs(computePercentile(
+    loadStallShare: toRounded(stalled.length / toEngines.length),
+    loadStallP95Ms: toWholeMs(computePercentile(
       stalled.filter((record) => record.dispatchedAt !== undefined)
         .map((record) => record.dispatchedAt! - record.request.at),
       0.95,
     )),
-    batchFill: round(options.batchFill),
-    goodput: round(good.length / measuredSeconds),
+    batchFill: toRounded(options.batchFill),
+    goodput: toRounded(good.length / measuredSeconds),
     refused: records.filter((record) => record.refusal !== undefined).length,
-    lateShare: round((served.length - good.length) / records.length),
+    lateShare: toRounded((served.length - good.length) / records.length),
     loads: options.loads,
-    firstTokenP95Ms: roundMs(computePercentile(
+    firstTokenP95Ms: toWholeMs(computePercentile(
       served.filter(({ request }) => request.adapter !== "")
         .map((record) => record.firstTokenAt! - record.request.at),
       0.95,
     )),
-    fairness: round(computeFairness(computeShares(records, deployment))),
+    fairness: toRounded(computeFairness(computeShares(records, deployment))),
   };
 }
 
@@ -136,10 +136,10 @@
   return values[Math.min(values.length - 1, Math.floor(values.length * part))]!;
 }
 
-function round(value: number): number {
+function toRounded(value: number): number {
   return Math.round(value * 10_000) / 10_000;
 }
 
-function roundMs(value: number): number {
+function toWholeMs(value: number): number {
   return Math.round(value);
 }
--- a/bench/policy/simulation.ts
+++ b/bench/policy/simulation.ts
@@ -80,8 +80,8 @@
       if (host.role === HostRole.Entry) this.#addDaemon(host, hosts);
       else this.#addUpstream(host, () => random() < this.#loadFailureShare);
     }
-    for (const fault of workload.faults) this.#planFault(fault);
-    this.#planRequests();
+    for (const fault of workload.faults) this.#scheduleFault(fault);
+    this.#scheduleRequests();
     this.#heap.add(workload.measureFrom, () => {
       this.#loadsBefore = this.#store.loads;
     });
@@ -150,11 +150,11 @@
     }, 0);
     this.#daemons.set(host.id, core);
     const tables = createTables(deployment);
-    this.#deliver(host.id, { kind: "tablesPublished", tables }, 0);
+    this.#handEvent(host.id, { kind: "tablesPublished", tables }, 0);
     const hostList = { revision: 1, hosts };
-    this.#deliver(host.id, { kind: "hostListPublished", hostList }, 0);
+    this.#handEvent(host.id, { kind: "hostListPublished", hostList }, 0);
     const tick = (now: number) => {
-      this.#deliver(host.id, { kind: "tick" }, now);
+      this.#handEvent(host.id, { kind: "tick" }, now);
       this.#heap.add(now + TICK_MS, tick);
     };
     this.#heap.add(this.#daemons.size, tick);
@@ -177,7 +177,7 @@
     );
   }
 
-  #planRequests(): void {
+  #scheduleRequests(): void {
     const { deployment, workload } = this.#options;
     const daemons = [...this.#daemons.keys()];
     for (const [index, request] of workload.requests.entries()) {
@@ -189,7 +189,7 @@
           deadlineMs: deployment.deadlinesMs[request.priority],
           hasStalled: false,
         });
-        this.#deliver(daemon, {
+        this.#handEvent(daemon, {
           kind: "requestArrived",
           requestId,
           customer: request.customer,
@@ -200,7 +200,7 @@
     }
   }
 
-  #planFault(fault: Fault): void {
+  #scheduleFault(fault: Fault): void {
     switch (fault.kind) {
       case "restart": {
         const engine = [...this.#upstreams.values()][fault.engine]!;
@@ -249,7 +249,7 @@
       : this.#options.deployment.domainDelayMs;
   }
 
-  #deliver(daemonId: string, event: CoreEvent, now: number): void {
+  #handEvent(daemonId: string, event: CoreEvent, now: number): void {
     const daemon = this.#daemons.get(daemonId)!;
     let hasStalled = false;
     for (const effect of daemon.handle(event, now)) {
@@ -305,7 +305,7 @@
     if (this.#isCut(from, effect.to)) return;
     const { to, message } = effect;
     this.#heap.add(now + this.#getDelayMs(from, to), (at) => {
-      this.#deliver(to, { kind: "peerMessage", from, message }, at);
+      this.#handEvent(to, { kind: "peerMessage", from, message }, at);
     });
   }
 
@@ -323,7 +323,7 @@
     const end = (result: AttemptResult, at: number) => {
       this.#attemptDaemons.delete(attemptId);
       this.#heap.add(at + delayMs, (later) => {
-        this.#deliver(daemonId, {
+        this.#handEvent(daemonId, {
           kind: "attemptEnded",
           attemptId,
           result,
@@ -341,10 +341,10 @@
         adapterKey: effect.upstreamKind === PoolKind.Engine ? effect.model : "",
         tokensLeft: record.request.tokens,
         hasStarted: false,
-        onFirstToken: (first) => {
+        reportFirstToken: (first) => {
           record.firstTokenAt ??= first + delayMs + CALLER_DELAY_MS;
         },
-        onEnd: end,
+        reportEnd: end,
       }, at);
     });
   }
@@ -360,7 +360,7 @@
       engine.giveOrder(effect.order, effect.fencing, at, (result, end) => {
         this.#heap.add(end + delayMs, (later) => {
           const { orderId } = effect;
-          this.#deliver(
+          this.#handEvent(
             daemonId,
             { kind: "orderEnded", orderId, result },
             later,
@@ -379,7 +379,7 @@
     const delayMs = this.#getDelayMs(daemonId, upstreamId);
     if (this.#isCut(daemonId, upstreamId)) {
       this.#heap.add(now + CONNECT_TIMEOUT_MS, (at) => {
-        this.#deliver(daemonId, {
+        this.#handEvent(daemonId, {
           kind: "upstreamStateUnread",
           upstreamId,
           readId,
@@ -391,7 +391,7 @@
     this.#heap.add(now + delayMs, (readAt) => {
       const state = this.#upstreams.get(upstreamId)!.readState(readAt);
       this.#heap.add(readAt + delayMs, (at) => {
-        this.#deliver(
+        this.#handEvent(
           daemonId,
           state ? { kind: "upstreamStateRead", upstreamId, readId, state } : {
             kind: "upstreamStateUnread",
--- a/bench/policy/workloads.ts
+++ b/bench/policy/workloads.ts
@@ -173,20 +173,20 @@
       (_, index) => index,
     );
     for (let index = deployment.adapters - 1; index > 0; index -= 1) {
-      this.swap(index, Math.floor(random() * (index + 1)));
+      this.changeRanks(index, Math.floor(random() * (index + 1)));
     }
   }
 
-  swap(a: number, b: number): void {
+  changeRanks(a: number, b: number): void {
     const kept = this.#adapterByRank[a]!;
     this.#adapterByRank[a] = this.#adapterByRank[b]!;
     this.#adapterByRank[b] = kept;
   }
 
   /** Lets two adapters wake up and two fall idle: 8.6% of 3,000 in an hour. */
-  drift(): void {
+  changeSomeRanks(): void {
     for (let count = 0; count < 2; count += 1) {
-      this.swap(this.#drawRank(), this.#drawRank());
+      this.changeRanks(this.#drawRank(), this.#drawRank());
     }
   }
 
@@ -242,9 +242,9 @@
   while (at < endAt) {
     const rate = deployment.requestsPerSecond * getRateFactor(caseName, at);
     at += -Math.log(1 - random()) / rate * 1_000;
-    for (; at >= driftAt; driftAt += DRIFT_INTERVAL_MS) law.drift();
+    for (; at >= driftAt; driftAt += DRIFT_INTERVAL_MS) law.changeSomeRanks();
     if (caseName === "shift" && at >= shiftAt) {
-      law.swap(
+      law.changeRanks(
         1 + Math.floor(random() * 4),
         500 + Math.floor(random() * 2_000),
       );
--- a/src/core/daemon_core.ts
+++ b/src/core/daemon_core.ts
@@ -23,13 +23,12 @@
   type PeerMessage,
 } from "./messages.ts";
 import { Outcome, RefusalReason } from "./outcomes.ts";
-import { StoreBudget, type StoreShare } from "./residency/store_budget.ts";
+import { StoreAccess } from "./residency/store_access.ts";
 import type { OwnedUpstreamDescription } from "./residency/upstream_owner.ts";
 import { UpstreamOwnership } from "./residency/upstream_ownership.ts";
 import type { RankedUpstream } from "./routing/upstream_selector.ts";
 import {
   type HostListStructure,
-  HostRole,
   type HostStructure,
   type Milliseconds,
   type TablesStructure,
@@ -75,7 +74,7 @@
   readonly #tables = new TableKeeper();
   readonly #membership: Membership;
   readonly #quarantine: CrashQuarantine;
-  readonly #storeBudget: StoreBudget;
+  readonly #store: StoreAccess;
   readonly #tickets: TicketBook;
   readonly #executor: RequestExecutor;
   readonly #ownership: UpstreamOwnership;
@@ -101,9 +100,13 @@
     });
     this.#membership.applyHostList({ revision: 0, hosts: options.seedHosts });
     this.#quarantine = new CrashQuarantine(settings);
-    this.#storeBudget = new StoreBudget({
-      loadsPerSecond: settings.storeLoadsPerSecond,
-      loadsInFlight: 1,
+    this.#store = new StoreAccess({
+      selfId,
+      incarnation,
+      failureDomain,
+      settings,
+      membership: this.#membership,
+      emit: this.#emit,
     });
     this.#tableExchange = new TableExchange(this.#tables, this.#emit);
     this.#ownership = new UpstreamOwnership({
@@ -114,7 +117,7 @@
       policy,
       tables: this.#tables,
       membership: this.#membership,
-      storeBudget: this.#storeBudget,
+      store: this.#store,
       emit: this.#emit,
     });
     this.#tickets = new TicketBook({
@@ -179,7 +182,7 @@
       upstreams: this.#ownership.describe(now),
       execution: this.#executor.describe(),
       tickets: this.#tickets.getTicketCount(),
-      storeLoadsInFlight: this.#storeBudget.getInFlight(),
+      storeLoadsInFlight: this.#store.getInFlight(),
     };
   }
 
@@ -282,6 +285,20 @@
       case "handover":
         this.#ownership.acceptHandover(message, now);
         break;
+      case "storeDemand":
+        this.#store.recordDemand(from, message, now);
+        break;
+      case "storePermit": {
+        const permit = this.#store.acceptPermit(from, message, now);
+        if (permit) this.#ownership.takePermit(permit, now);
+        break;
+      }
+      case "storePermitReturn":
+        this.#store.recordReturn(message, now);
+        break;
+      case "storeStatus":
+        this.#store.recordStatus(message, now);
+        break;
       case "tablesRequest":
         this.#tableExchange.sendTables(from, message);
         break;
@@ -348,7 +365,6 @@
     this.#countOffer("host_list", result);
     if (result.kind !== "accepted") return;
     this.#membership.applyHostList(hostList);
-    this.#storeBudget.setShare(this.#computeStoreShare(hostList));
     this.#updateOwnership(now);
   }
 
@@ -356,23 +372,9 @@
     this.#emit({ kind: "count", counter, tag: result.kind });
   }
 
-  /** Splits the store evenly over all entry hosts, so that cut-off parts never exceed it together. */
-  #computeStoreShare(hostList: HostListStructure): StoreShare {
-    const { settings } = this.#options;
-    const daemons =
-      hostList.hosts.filter((host) => host.role === HostRole.Entry).length;
-    const share = 1 / Math.max(1, daemons);
-    return {
-      loadsPerSecond: settings.storeLoadsPerSecond * share,
-      loadsInFlight: Math.max(
-        1,
-        Math.floor(settings.storeLoadsInFlight * share),
-      ),
-    };
-  }
-
   #tick(now: Milliseconds): void {
     this.#updateOwnership(now);
+    if (this.#isSettled(now)) this.#store.tick(now);
     this.#ownership.tick(now);
     this.#executor.tick(now);
     const isHeartbeatDue = now - this.#lastHeartbeatAt >=
--- a/src/core/membership/membership.ts
+++ b/src/core/membership/membership.ts
@@ -39,6 +39,9 @@
   digest: UpstreamDigest;
 }
 
+/** Key under which the daemons of a failure domain rank as keepers of its part of the store. */
+const STORE_KEY = "store";
+
 export class Membership {
   readonly #options: MembershipOptions;
   readonly #peers = new Map<string, Peer>();
@@ -173,6 +176,31 @@
     return this.#adapters.getUpstreamIds(adapterKey);
   }
 
+  /** Returns the daemon that keeps a failure domain's part of the weight store, as seen from here. */
+  getStoreKeeperId(
+    failureDomain: string,
+    now: Milliseconds,
+  ): string | undefined {
+    const candidates = this.#entryHosts.filter((host) =>
+      host.failureDomain === failureDomain && this.#canOwn(host, now)
+    );
+    return findRendezvousWinner(STORE_KEY, candidates)?.id;
+  }
+
+  /** Returns the keepers of the other failure domains. */
+  listOtherStoreKeeperIds(now: Milliseconds): string[] {
+    return this.listEntryDomains()
+      .filter((domain) => domain !== this.#options.failureDomain)
+      .map((domain) => this.getStoreKeeperId(domain, now))
+      .filter((id) => id !== undefined);
+  }
+
+  /** Returns the failure domains that have entry hosts, in order. */
+  listEntryDomains(): string[] {
+    return [...new Set(this.#entryHosts.map((host) => host.failureDomain))]
+      .sort();
+  }
+
   /** Returns the last digest of the upstream if its owner still speaks. */
   getUpstreamView(
     upstreamId: string,
--- a/src/core/messages.ts
+++ b/src/core/messages.ts
@@ -122,6 +122,40 @@
   leases: LeaseHandoverStructure[];
 }
 
+/** What a daemon, or the keeper of another failure domain, wants to load. */
+export interface StoreDemandMessage {
+  kind: "storeDemand";
+  loads: number;
+  /** Urgency of the most urgent load. */
+  urgency: number;
+  /** Failure domain in which the loads take place. */
+  failureDomain: string;
+}
+
+/** Permission to start one load. */
+export interface StorePermitMessage {
+  kind: "storePermit";
+  permitId: string;
+  /** Keeper that gave the permit and to which it is returned. */
+  lenderId: string;
+}
+
+export interface StorePermitReturnMessage {
+  kind: "storePermitReturn";
+  permitId: string;
+  /** Whether a load was started under the permit. */
+  wasUsed: boolean;
+}
+
+/** A keeper's answer to a demand of its failure domain. */
+export interface StoreStatusMessage {
+  kind: "storeStatus";
+  /** Loads of the domain that wait for a permit. */
+  waitingLoads: number;
+  /** Rate at which the domain has lately been given permits. */
+  loadsPerSecond: number;
+}
+
 export interface TablesRequestMessage {
   kind: "tablesRequest";
   knownTablesRevision: number;
@@ -188,6 +222,10 @@
   | LeaseReturnMessage
   | LeaseCancelMessage
   | HandoverMessage
+  | StoreDemandMessage
+  | StorePermitMessage
+  | StorePermitReturnMessage
+  | StoreStatusMessage
   | TablesRequestMessage
   | TablesTransferMessage
   | TicketClaimMessage
--- a/src/core/residency/lease_queue.ts
+++ b/src/core/residency/lease_queue.ts
@@ -60,6 +60,11 @@
     );
   }
 
+  /** Returns the requests in the order of their arrival. */
+  list(): Iterable<WaitingLeaseRequest> {
+    return this.#waiting.values();
+  }
+
   /** Returns the adapters that requests wait for. */
   getAdapterKeys(): Set<string> {
     const keys = new Set<string>();
--- a/src/core/residency/owner_context.ts
+++ b/src/core/residency/owner_context.ts
@@ -9,7 +9,7 @@
 } from "../structures.ts";
 import { PoolKind } from "../structures.ts";
 import type { AdapterPopularity } from "./adapter_popularity.ts";
-import type { StoreBudget } from "./store_budget.ts";
+import type { StoreAccess } from "./store_access.ts";
 
 export interface UpstreamOwnerOptions {
   selfId: string;
@@ -18,7 +18,7 @@
   settings: CoreSettings;
   policy: CorePolicy;
   popularity: AdapterPopularity;
-  storeBudget: StoreBudget;
+  store: StoreAccess;
   /** Longest run of any route to the pool. */
   maxRunMs: Milliseconds;
   emit: (effect: Effect) => void;
--- a/src/core/residency/slot_loader.ts
+++ b/src/core/residency/slot_loader.ts
@@ -2,7 +2,9 @@
 import type { OrderResult } from "../events.ts";
 import type { Milliseconds } from "../structures.ts";
 import type { LeaseLedger } from "./lease_ledger.ts";
-import type { LeaseQueue, WaitingLeaseRequest } from "./lease_queue.ts";
+import type { LeaseQueue } from "./lease_queue.ts";
+import type { LeaseRequestMessage } from "../messages.ts";
+import type { StoreDemand, StorePermit } from "./store_access.ts";
 import type { OrderBook } from "./order_book.ts";
 import type { OwnerContext } from "./owner_context.ts";
 import type { OwnershipClaim } from "./ownership_claim.ts";
@@ -18,10 +20,25 @@
 /** Time for which an adapter whose load failed is not loaded again. */
 const LOAD_RETRY_DELAY_MS = 500;
 
+/** Least slack that is told apart when loads are ordered. */
+const MIN_SLACK_MS = 250;
+
+interface WantedLoad {
+  adapterKey: string;
+  urgency: number;
+}
+
 export class SlotLoader {
   readonly slots: SlotTable;
   readonly #context: OwnerContext;
   readonly #parts: SlotLoaderParts;
+  /** Permits of the loads that are under way, by adapter. */
+  readonly #permits = new Map<string, StorePermit>();
+  /** Loads that wait for an eviction, by the adapter that is evicted. */
+  readonly #planned = new Map<
+    string,
+    { adapterKey: string; permit: StorePermit }
+  >();
   readonly #loadFailedAt = new Map<string, Milliseconds>();
 
   constructor(context: OwnerContext, parts: SlotLoaderParts) {
@@ -30,17 +47,69 @@
     this.slots = new SlotTable(context.options.pool.slots);
   }
 
-  /** Orders the load that the request waits for, or the eviction that makes room for it. */
-  tryLoad(waiting: WaitingLeaseRequest, now: Milliseconds): void {
-    const { adapterKey } = waiting.request;
-    waiting.hasWaitedForLoad = true;
-    if (!this.slots.hasFreeSlot()) {
-      this.#tryEvict(now);
+  /** Returns the loads that requests wait for and that have room, or could get it. */
+  computeDemand(now: Milliseconds): StoreDemand {
+    const wanted = this.#listWanted(now);
+    const [first] = wanted;
+    if (!first) return { loads: 0, urgency: 0 };
+    const room = this.slots.countFreeSlots() - this.#planned.size +
+      this.#countEvictable(now);
+    const loads = Math.max(0, Math.min(wanted.length, room));
+    return { loads, urgency: loads === 0 ? 0 : first.urgency };
+  }
+
+  /** Orders the most urgent load, or the eviction that makes room for it. */
+  tryStartLoad(permit: StorePermit, now: Milliseconds): boolean {
+    const [first] = this.#listWanted(now);
+    if (!first) return false;
+    const { adapterKey } = first;
+    const isFree = this.slots.countFreeSlots() > this.#planned.size;
+    if (isFree) {
+      this.#permits.set(adapterKey, permit);
+      this.slots.addLoading(adapterKey, now);
+      this.#giveOrder({ kind: "load", adapterKey });
+      return true;
+    }
+    const victim = this.#findVictim(now);
+    if (victim === undefined) return false;
+    this.#planned.set(victim, { adapterKey, permit });
+    this.slots.apply(victim, "evictOrdered", now);
+    this.#giveOrder({ kind: "evict", adapterKey: victim });
+    return true;
+  }
+
+  /** Records the end of an eviction and orders the load that it made room for. */
+  recordEvictionEnd(
+    adapterKey: string,
+    result: OrderResult,
+    now: Milliseconds,
+  ): void {
+    this.applyOrderResult(adapterKey, result, now);
+    const planned = this.#planned.get(adapterKey);
+    if (!planned) return;
+    this.#planned.delete(adapterKey);
+    const canLoad = result.kind === "done" && this.slots.hasFreeSlot() &&
+      this.slots.getSlot(planned.adapterKey) === undefined;
+    if (!canLoad) {
+      this.#context.options.store.returnPermit(planned.permit, false);
       return;
     }
-    if (!this.#context.options.storeBudget.tryStartLoad(now)) return;
-    this.slots.addLoading(adapterKey, now);
-    this.#giveOrder({ kind: "load", adapterKey });
+    this.#permits.set(planned.adapterKey, planned.permit);
+    this.slots.addLoading(planned.adapterKey, now);
+    this.#giveOrder({ kind: "load", adapterKey: planned.adapterKey });
+  }
+
+  /** Gives back every permit, when the upstream is given up. */
+  returnPermits(): void {
+    const { store } = this.#context.options;
+    for (const { permit } of this.#planned.values()) {
+      store.returnPermit(permit, false);
+    }
+    for (const permit of this.#permits.values()) {
+      store.returnPermit(permit, true);
+    }
+    this.#planned.clear();
+    this.#permits.clear();
   }
 
   /** Records the end of a load; returns whether it failed. */
@@ -49,6 +118,9 @@
     result: OrderResult,
     now: Milliseconds,
   ): boolean {
+    const permit = this.#permits.get(adapterKey);
+    this.#permits.delete(adapterKey);
+    if (permit) this.#context.options.store.returnPermit(permit, true);
     this.applyOrderResult(adapterKey, result, now);
     if (result.kind !== "failed") return false;
     this.#loadFailedAt.set(adapterKey, now);
@@ -94,13 +166,12 @@
   }
 
   /** Returns the time until the adapter would be resident; 0 when it has a slot. */
-  estimateLoadWaitMs(adapterKey: string): Milliseconds {
+  estimateLoadWaitMs(adapterKey: string, now: Milliseconds): Milliseconds {
     if (this.#context.isService() || this.slots.getSlot(adapterKey)) return 0;
-    const missing = [...this.#parts.queue.getAdapterKeys()].filter((key) =>
-      this.slots.getSlot(key) === undefined
+    const ahead = this.#listWanted(now).filter((load) =>
+      load.adapterKey !== adapterKey
     );
-    const { storeBudget, settings } = this.#context.options;
-    return storeBudget.estimateWaitMs(missing.length, settings.loadTimeMs);
+    return this.#context.options.store.estimateWaitMs(ahead.length, now);
   }
 
   /** Returns the score of the resident adapter that is worth least; 0 with a free slot. */
@@ -118,13 +189,26 @@
     return policy.computeWorth(slot, popularity, now);
   }
 
-  /** Orders one eviction unless one is under way. */
-  #tryEvict(now: Milliseconds): void {
-    if (this.slots.getByState("evicting").length > 0) return;
-    const victim = this.#findVictim(now);
-    if (victim === undefined) return;
-    this.slots.apply(victim, "evictOrdered", now);
-    this.#giveOrder({ kind: "evict", adapterKey: victim });
+  /** Returns the adapters that requests wait for and that have no slot, most urgent first. */
+  #listWanted(now: Milliseconds): WantedLoad[] {
+    const planned = new Set<string>();
+    for (const plan of this.#planned.values()) planned.add(plan.adapterKey);
+    const wanted = new Map<string, WantedLoad>();
+    for (const { request, deadlineAt } of this.#parts.queue.list()) {
+      const { adapterKey } = request;
+      if (this.slots.getSlot(adapterKey) || planned.has(adapterKey)) continue;
+      const load = wanted.get(adapterKey) ?? { adapterKey, urgency: 0 };
+      load.urgency += computeUrgency(request, deadlineAt - now);
+      wanted.set(adapterKey, load);
+    }
+    return [...wanted.values()].sort((a, b) => b.urgency - a.urgency);
+  }
+
+  #countEvictable(now: Milliseconds): number {
+    const wanted = this.#parts.queue.getAdapterKeys();
+    return this.slots.getByState("resident").filter((slot) =>
+      !wanted.has(slot.adapterKey) && this.#isEvictable(slot.adapterKey, now)
+    ).length;
   }
 
   /** Returns the resident adapter of least value that is certainly not in use. */
@@ -153,3 +237,12 @@
     this.#parts.orders.giveOrder(order, this.#parts.claim.fencing);
   }
 }
+
+/** Weighs a waiting request by its room, its priority and the time left to its deadline. */
+function computeUrgency(
+  request: LeaseRequestMessage,
+  slackMs: Milliseconds,
+): number {
+  return request.credits / (1 + request.priorityRank) /
+    Math.max(MIN_SLACK_MS, slackMs);
+}
--- a/src/core/residency/slot_table.ts
+++ b/src/core/residency/slot_table.ts
@@ -34,6 +34,10 @@
     return this.#slots.size < this.#capacity;
   }
 
+  countFreeSlots(): number {
+    return Math.max(0, this.#capacity - this.#slots.size);
+  }
+
   /** Takes a free slot for an adapter whose load is ordered. */
   addLoading(adapterKey: string, now: Milliseconds): void {
     this.#slots.set(adapterKey, {
--- /dev/null
+++ b/src/core/residency/store_keeper.ts
@@ -0,0 +1,239 @@
+/**
+ * Keeps one failure domain's part of the weight store's budget. One daemon of
+ * the domain does this; it gives out a permit for each load, and lends what
+ * its domain does not use to the keepers of other domains, permit by permit.
+ * A permit counts against the domain that gave it until it is returned or its
+ * lifetime ends, so domains that are cut off never exceed the store together.
+ */
+import type { Effect } from "../effects.ts";
+import type {
+  StoreDemandMessage,
+  StorePermitMessage,
+  StorePermitReturnMessage,
+} from "../messages.ts";
+import type { Milliseconds } from "../structures.ts";
+
+/** A part of the weight store's budget. */
+export interface StoreShare {
+  loadsPerSecond: number;
+  loadsInFlight: number;
+}
+
+export interface StoreKeeperOptions {
+  selfId: string;
+  failureDomain: string;
+  /** Time after which a permit counts as over though it was not returned. */
+  permitLifetimeMs: Milliseconds;
+  emit: (effect: Effect) => void;
+  createId: (prefix: string) => string;
+}
+
+interface Demand {
+  loads: number;
+  urgency: number;
+  heardAt: Milliseconds;
+}
+
+/** Starts that may be saved up, as a span of the rate. */
+const BURST_SECONDS = 1;
+/** Time after which a demand that is not repeated is dropped. */
+const DEMAND_LIFETIME_MS = 1_000;
+/** Time between two demands to the same lenders. */
+const BORROW_INTERVAL_MS = 100;
+/** Span over which the rate of permits is measured. */
+const RATE_SPAN_MS = 3_000;
+
+export class StoreKeeper {
+  readonly #options: StoreKeeperOptions;
+  readonly #startedAt: Milliseconds;
+  readonly #demands = new Map<string, Demand>();
+  /** Demands of other failure domains, by the keeper that sends them. */
+  readonly #loanDemands = new Map<string, Demand>();
+  readonly #permits = new Map<string, Milliseconds>();
+  readonly #grantedAt: Milliseconds[] = [];
+  #share: StoreShare;
+  #tokens = 0;
+  #refilledAt: Milliseconds;
+  #askedLoads = 0;
+  #askedAt = Number.NEGATIVE_INFINITY;
+
+  constructor(
+    options: StoreKeeperOptions,
+    share: StoreShare,
+    now: Milliseconds,
+  ) {
+    this.#options = options;
+    this.#share = share;
+    this.#startedAt = now;
+    this.#refilledAt = now;
+  }
+
+  setShare(share: StoreShare): void {
+    this.#share = share;
+  }
+
+  /** Takes what a daemon of the domain, or the keeper of another one, wants to load. */
+  recordDemand(
+    from: string,
+    message: StoreDemandMessage,
+    now: Milliseconds,
+  ): void {
+    const { loads, urgency, failureDomain } = message;
+    const isOwn = failureDomain === this.#options.failureDomain;
+    const demands = isOwn ? this.#demands : this.#loanDemands;
+    if (loads === 0) demands.delete(from);
+    else demands.set(from, { loads, urgency, heardAt: now });
+    this.#pump(now);
+    if (isOwn) this.#sendStatus(from, now);
+  }
+
+  /** Passes a borrowed permit on to the daemon that needs it most. */
+  acceptLoan(permit: StorePermitMessage, now: Milliseconds): void {
+    const to = findMostUrgent(this.#demands);
+    if (to === undefined) {
+      this.#send(permit.lenderId, {
+        kind: "storePermitReturn",
+        permitId: permit.permitId,
+        wasUsed: false,
+      });
+      return;
+    }
+    this.#takeDemand(this.#demands, to);
+    this.#grantedAt.push(now);
+    this.#send(to, permit);
+  }
+
+  /** Ends a permit; one that was not used may be given again. */
+  recordReturn(message: StorePermitReturnMessage, now: Milliseconds): void {
+    if (!this.#permits.delete(message.permitId)) return;
+    if (!message.wasUsed) this.#tokens += 1;
+    this.#pump(now);
+  }
+
+  /** Lets time pass; asks the lenders for what this domain cannot give. */
+  tick(lenders: readonly string[], now: Milliseconds): void {
+    dropUnheard(this.#demands, now);
+    dropUnheard(this.#loanDemands, now);
+    for (const [permitId, expiresAt] of this.#permits) {
+      if (now >= expiresAt) this.#permits.delete(permitId);
+    }
+    while (now - (this.#grantedAt[0] ?? now) > RATE_SPAN_MS) {
+      this.#grantedAt.shift();
+    }
+    this.#pump(now);
+    this.#borrow(lenders, now);
+  }
+
+  getInFlight(): number {
+    return this.#permits.size;
+  }
+
+  #pump(now: Milliseconds): void {
+    this.#refill(now);
+    while (this.#canGive(now)) {
+      const own = findMostUrgent(this.#demands);
+      const to = own ?? findMostUrgent(this.#loanDemands);
+      if (to === undefined) return;
+      this.#takeDemand(
+        own === undefined ? this.#loanDemands : this.#demands,
+        to,
+      );
+      this.#give(to, now);
+    }
+  }
+
+  /** Loads that an earlier keeper of the domain permitted are over after a permit's lifetime. */
+  #canGive(now: Milliseconds): boolean {
+    return now - this.#startedAt >= this.#options.permitLifetimeMs &&
+      this.#tokens >= 1 && this.#permits.size < this.#share.loadsInFlight;
+  }
+
+  #give(to: string, now: Milliseconds): void {
+    const permitId = this.#options.createId("permit");
+    this.#tokens -= 1;
+    this.#permits.set(permitId, now + this.#options.permitLifetimeMs);
+    this.#grantedAt.push(now);
+    this.#send(to, {
+      kind: "storePermit",
+      permitId,
+      lenderId: this.#options.selfId,
+    });
+  }
+
+  #takeDemand(demands: Map<string, Demand>, from: string): void {
+    const demand = demands.get(from);
+    if (!demand) return;
+    demand.loads -= 1;
+    if (demand.loads <= 0) demands.delete(from);
+  }
+
+  #borrow(lenders: readonly string[], now: Milliseconds): void {
+    const loads = sumLoads(this.#demands);
+    if (loads === 0 && this.#askedLoads === 0) return;
+    const isRepeat = loads <= this.#askedLoads && loads > 0;
+    if (isRepeat && now - this.#askedAt < BORROW_INTERVAL_MS) return;
+    this.#askedLoads = loads;
+    this.#askedAt = now;
+    const mostUrgent = findMostUrgent(this.#demands);
+    for (const lender of lenders) {
+      this.#send(lender, {
+        kind: "storeDemand",
+        loads,
+        urgency: this.#demands.get(mostUrgent ?? "")?.urgency ?? 0,
+        failureDomain: this.#options.failureDomain,
+      });
+    }
+  }
+
+  #sendStatus(to: string, now: Milliseconds): void {
+    const recent = this.#grantedAt.filter((at) => now - at <= RATE_SPAN_MS);
+    this.#send(to, {
+      kind: "storeStatus",
+      waitingLoads: sumLoads(this.#demands),
+      loadsPerSecond: Math.max(
+        this.#share.loadsPerSecond,
+        recent.length * 1_000 / RATE_SPAN_MS,
+      ),
+    });
+  }
+
+  #refill(now: Milliseconds): void {
+    const burst = Math.max(1, this.#share.loadsPerSecond * BURST_SECONDS);
+    const elapsedSeconds = (now - this.#refilledAt) / 1_000;
+    this.#refilledAt = now;
+    this.#tokens = Math.min(
+      burst,
+      this.#tokens + elapsedSeconds * this.#share.loadsPerSecond,
+    );
+  }
+
+  #send(
+    to: string,
+    message: Extract<Effect, { kind: "send" }>["message"],
+  ): void {
+    this.#options.emit({ kind: "send", to, message });
+  }
+}
+
+function findMostUrgent(demands: Map<string, Demand>): string | undefined {
+  let best: string | undefined;
+  let urgency = -1;
+  for (const [from, demand] of demands) {
+    if (demand.urgency <= urgency) continue;
+    best = from;
+    urgency = demand.urgency;
+  }
+  return best;
+}
+
+function sumLoads(demands: Map<string, Demand>): number {
+  let loads = 0;
+  for (const demand of demands.values()) loads += demand.loads;
+  return loads;
+}
+
+function dropUnheard(demands: Map<string, Demand>, now: Milliseconds): void {
+  for (const [from, demand] of demands) {
+    if (now - demand.heardAt > DEMAND_LIFETIME_MS) demands.delete(from);
+  }
+}
--- a/src/core/residency/upstream_owner.ts
+++ b/src/core/residency/upstream_owner.ts
@@ -18,6 +18,7 @@
 import { OwnerContext, type UpstreamOwnerOptions } from "./owner_context.ts";
 import { OwnershipClaim } from "./ownership_claim.ts";
 import { SlotLoader } from "./slot_loader.ts";
+import type { StoreDemand, StorePermit } from "./store_access.ts";
 import { UpstreamReader } from "./upstream_reader.ts";
 
 /** An upstream as its owner describes it to operators. */
@@ -87,7 +88,7 @@
     if (this.#granter.tryRenewGrant(holder, request, { canGrant, now })) return;
     const refusal = this.#findRefusal(request, now);
     if (refusal) {
-      this.#refuse(holder, request, refusal);
+      this.#refuse(holder, request, refusal, now);
       return;
     }
     if (!this.#queue.has(request.leaseRequestId)) {
@@ -107,6 +108,18 @@
     this.#pump(now);
   }
 
+  /** Returns what this upstream wants of the weight store. */
+  computeDemand(now: Milliseconds): StoreDemand {
+    return this.#context.isService() || !this.#canGrant(now)
+      ? { loads: 0, urgency: 0 }
+      : this.#loader.computeDemand(now);
+  }
+
+  /** Starts the most urgent load under the permit; returns false when none can start. */
+  tryStartLoad(permit: StorePermit, now: Milliseconds): boolean {
+    return this.#canGrant(now) && this.#loader.tryStartLoad(permit, now);
+  }
+
   cancelLeaseRequest(leaseRequestId: string, now: Milliseconds): void {
     this.#queue.remove(leaseRequestId);
     this.#granter.cancelGrant(leaseRequestId);
@@ -140,11 +153,10 @@
   }
 
   /** Refuses all that waits, before ownership is given up. */
-  release(reason: LeaseRefusalReason, _now: Milliseconds): void {
-    this.#refuseAll(reason);
-    for (const order of this.#orders.takeAll()) {
-      if (order.kind === "load") this.#context.options.storeBudget.finishLoad();
-    }
+  release(reason: LeaseRefusalReason, now: Milliseconds): void {
+    this.#refuseAll(reason, now);
+    this.#orders.takeAll();
+    this.#loader.returnPermits();
   }
 
   recordState(
@@ -168,11 +180,11 @@
   recordStateUnread(
     readId: string,
     isRefused: boolean,
-    _now: Milliseconds,
+    now: Milliseconds,
   ): void {
     if (!this.#reader.recordUnread(readId, isRefused)) return;
     if (this.isUp()) return;
-    this.#refuseAll(LeaseRefusalReason.UpstreamDown);
+    this.#refuseAll(LeaseRefusalReason.UpstreamDown, now);
   }
 
   /** Records the end of an order; returns false when it was not given here. */
@@ -188,13 +200,12 @@
         this.#claim.recordClaimEnd(result, now);
         break;
       case "load":
-        this.#context.options.storeBudget.finishLoad();
         if (this.#loader.recordLoadEnd(order.adapterKey, result, now)) {
-          this.#refuseWaiters(order.adapterKey);
+          this.#refuseWaiters(order.adapterKey, now);
         }
         break;
       case "evict":
-        this.#loader.applyOrderResult(order.adapterKey, result, now);
+        this.#loader.recordEvictionEnd(order.adapterKey, result, now);
         break;
     }
     if (result.kind === "refusedByFencing" && this.isOwning()) {
@@ -213,6 +224,7 @@
         waiting.holder,
         waiting.request,
         LeaseRefusalReason.DeadlineUnreachable,
+        now,
       );
     }
     this.#reader.tick(now);
@@ -272,7 +284,7 @@
     if (this.#loader.hasLoadFailedLately(request.adapterKey, now)) {
       return LeaseRefusalReason.LoadFailed;
     }
-    const waitMs = this.#loader.estimateLoadWaitMs(request.adapterKey);
+    const waitMs = this.#loader.estimateLoadWaitMs(request.adapterKey, now);
     if (waitMs > request.remainingMs) {
       return LeaseRefusalReason.DeadlineUnreachable;
     }
@@ -296,8 +308,7 @@
     if (slot?.state === "resident") {
       slot.lastUsedAt = now;
       this.#granter.tryGrant(waiting, now);
-    } else if (!slot) this.#loader.tryLoad(waiting, now);
-    else if (slot.state === "loading") waiting.hasWaitedForLoad = true;
+    } else if (slot?.state !== "evicting") waiting.hasWaitedForLoad = true;
   }
 
   #canGrant(now: Milliseconds): boolean {
@@ -314,22 +325,23 @@
 
   #depose(now: Milliseconds): void {
     this.#claim.depose(now);
-    this.#refuseAll(LeaseRefusalReason.NotOwner);
+    this.#refuseAll(LeaseRefusalReason.NotOwner, now);
   }
 
-  #refuseWaiters(adapterKey: string): void {
+  #refuseWaiters(adapterKey: string, now: Milliseconds): void {
     for (const waiting of this.#queue.removeByAdapter(adapterKey)) {
       this.#refuse(
         waiting.holder,
         waiting.request,
         LeaseRefusalReason.LoadFailed,
+        now,
       );
     }
   }
 
-  #refuseAll(reason: LeaseRefusalReason): void {
+  #refuseAll(reason: LeaseRefusalReason, now: Milliseconds): void {
     for (const waiting of this.#queue.removeAll()) {
-      this.#refuse(waiting.holder, waiting.request, reason);
+      this.#refuse(waiting.holder, waiting.request, reason, now);
     }
   }
 
@@ -337,9 +349,10 @@
     holder: string,
     request: LeaseRequestMessage,
     reason: LeaseRefusalReason,
+    now: Milliseconds,
   ): void {
     const { emit, selfId } = this.#context.options;
-    const waitMs = this.#loader.estimateLoadWaitMs(request.adapterKey);
+    const waitMs = this.#loader.estimateLoadWaitMs(request.adapterKey, now);
     emit({ kind: "count", counter: "lease_refused", tag: reason });
     emit({
       kind: "send",
--- a/src/core/residency/upstream_ownership.ts
+++ b/src/core/residency/upstream_ownership.ts
@@ -20,7 +20,7 @@
 } from "../structures.ts";
 import type { TableKeeper } from "../tables/table_keeper.ts";
 import { AdapterPopularity } from "./adapter_popularity.ts";
-import type { StoreBudget } from "./store_budget.ts";
+import type { StoreAccess, StorePermit } from "./store_access.ts";
 import {
   type OwnedUpstreamDescription,
   UpstreamOwner,
@@ -34,7 +34,7 @@
   policy: CorePolicy;
   tables: TableKeeper;
   membership: Membership;
-  storeBudget: StoreBudget;
+  store: StoreAccess;
   emit: (effect: Effect) => void;
 }
 
@@ -82,6 +82,7 @@
       owner.tick(now);
       this.#options.membership.recordOwnView(owner.describeDigest(now), now);
     }
+    this.#updateDemand(now);
   }
 
   /** Answers a lease request, for an upstream that is owned here or not. */
@@ -91,8 +92,10 @@
     now: Milliseconds,
   ): void {
     const owner = this.#owners.get(request.upstreamId);
-    if (owner) owner.requestLease(from, request, now);
-    else this.#refuseLease(from, request, now);
+    if (owner) {
+      owner.requestLease(from, request, now);
+      this.#updateDemand(now);
+    } else this.#refuseLease(from, request, now);
   }
 
   acceptHandover(message: HandoverMessage, now: Milliseconds): void {
@@ -111,6 +114,30 @@
     }
   }
 
+  /** Starts the most urgent load under the permit, or returns it unused. */
+  takePermit(permit: StorePermit, now: Milliseconds): void {
+    let best: UpstreamOwner | undefined;
+    let urgency = 0;
+    for (const owner of this.#owners.values()) {
+      const demand = owner.computeDemand(now);
+      if (demand.loads === 0 || demand.urgency <= urgency) continue;
+      best = owner;
+      urgency = demand.urgency;
+    }
+    const isUsed = best?.tryStartLoad(permit, now) ?? false;
+    if (!isUsed) this.#options.store.returnPermit(permit, false);
+  }
+
+  #updateDemand(now: Milliseconds): void {
+    const total = { loads: 0, urgency: 0 };
+    for (const owner of this.#owners.values()) {
+      const demand = owner.computeDemand(now);
+      total.loads += demand.loads;
+      total.urgency = Math.max(total.urgency, demand.urgency);
+    }
+    this.#options.store.updateDemand(total, now);
+  }
+
   /** Hands every upstream over to its next owner. */
   handOverAll(now: Milliseconds): void {
     for (const owner of [...this.#owners.values()]) {
@@ -146,7 +173,7 @@
     pool: PoolStructure,
     now: Milliseconds,
   ): void {
-    const { selfId, settings, policy, storeBudget, emit } = this.#options;
+    const { selfId, settings, policy, store, emit } = this.#options;
     const owner = new UpstreamOwner({
       selfId,
       host,
@@ -154,7 +181,7 @@
       settings,
       policy,
       popularity: this.#popularity,
-      storeBudget,
+      store,
       maxRunMs: this.#getMaxRunMs(pool),
       emit,
       createId: (prefix) => this.#createId(prefix),
