--- a/test/fuzz/fuzz_run.ts
+++ b/test/fuzz/fuzz_run.ts
@@ -71,7 +71,9 @@
   const details = fc.check(property, {
     seed: options.seed,
     numRuns: options.runs,
-    ...(options.path === undefined ? {} : { path: options.path }),
+    ...(options.path === undefined
+      ? {}
+      : { path: options.path, endOnFailure: true }),
   });
   return {
     runs,
@@ -112,7 +114,7 @@
 
 function checkConfiguration(world: World): void {
   world.advance(CONFIGURATION_BOUND_MS);
-  const expected = world.getExpectedRevision();
+  const expected = world.platform.getTables().revision;
   for (const daemon of world.getDaemons()) {
     if (!daemon.isAlive || daemon.getRevision() === expected) continue;
     world.oracle.fail(
--- a/test/fuzz/upstream_client.ts
+++ b/test/fuzz/upstream_client.ts
@@ -29,11 +29,14 @@
 export class UpstreamClient {
   readonly #daemon: DaemonProcess;
   readonly #world: World;
+  /** Holds while the daemon's incarnation lives to which the client belongs. */
+  readonly #isCurrent: () => boolean;
   readonly #attempts = new Map<string, OpenAttempt>();
 
   constructor(daemon: DaemonProcess, world: World) {
     this.#daemon = daemon;
     this.#world = world;
+    this.#isCurrent = daemon.createIncarnationCheck();
   }
 
   dispatch(effect: DispatchEffect): void {
@@ -236,9 +239,8 @@
     const travelMs = network.getUpstreamTravelMs();
     const arrivalAt = Math.max(queue.now + travelMs, attempt.lastArrivalAt);
     attempt.lastArrivalAt = arrivalAt;
-    const isIncarnation = this.#daemon.createIncarnationCheck();
     queue.schedule(arrivalAt - queue.now, () => {
-      if (!isIncarnation() || !attempt.isOpen || attempt.isBroken) return;
+      if (!this.#isCurrent() || !attempt.isOpen || attempt.isBroken) return;
       const { upstreamId } = attempt.effect;
       if (network.isConnectionCut(this.#daemon.id, upstreamId)) {
         attempt.isBroken = true;
@@ -319,9 +321,8 @@
     lose: () => void = () => {},
   ): void {
     const { queue, network } = this.#world;
-    const isIncarnation = this.#daemon.createIncarnationCheck();
     queue.schedule(network.getUpstreamTravelMs(), () => {
-      if (!isIncarnation()) return;
+      if (!this.#isCurrent()) return;
       const isCut = network.isConnectionCut(this.#daemon.id, upstreamId);
       this.#daemon.runLocal(0, isCut ? lose : arrive);
     });
--- a/test/fuzz/world.ts
+++ b/test/fuzz/world.ts
@@ -86,16 +86,6 @@
     throw new Error(`Expected an upstream named ${id}`);
   }
 
-  /**
-   * Returns the revision that must be in force: the last valid one, or, when
-   * an invalid one hides it, the newest that any daemon has taken.
-   */
-  getExpectedRevision(): number {
-    const { revision } = this.#validTables;
-    if (revision === this.platform.getTables().revision) return revision;
-    return Math.max(...this.getDaemons().map((daemon) => daemon.getRevision()));
-  }
-
   sendMessage(from: string, to: string, message: PeerMessage): void {
     this.network.sendBetweenDaemons(from, to, () => {
       const daemon = this.#daemons.get(to);
@@ -231,8 +221,10 @@
     this.platform.setLeaving(upstreamId, isLeaving);
   }
 
-  /** Ends every fault that is set. */
+  /** Ends every fault that is set, an invalid revision of the tables included. */
   heal(): void {
+    const isInvalid = this.platform.getTables() !== this.#validTables;
+    if (isInvalid) this.edit(0, 0, false);
     this.network.clearCuts();
     this.network.noisePercent = 0;
     this.platform.mode = "up";
