Answer mayHaveRun to a caller that leaves before its ticket is granted

Cause: handleCallerGone said notRun for a request whose claim the home had not answered; an earlier call with the ticket may have run.

--- a/src/core/execution/request_executor.ts
+++ b/src/core/execution/request_executor.ts
@@ -202,7 +202,8 @@
         attemptId: request.attempt.attemptId,
       });
     }
-    const hasRun = request.state === "running" || request.state === "examining";
+    const hasRun = request.state === "running" ||
+      request.state === "examining" || request.state === "claimingTicket";
     this.#concluder.refuse(request, RefusalReason.CallerGone, {
       outcome: hasRun ? Outcome.MayHaveRun : Outcome.NotRun,
     }, now);
