Never report a request as not run after an attempt that may have run

Cause: an idempotent request whose first attempt was lost, or answered by another adapter, and which then found no other upstream, was refused with outcome notRun: each refusal gave the outcome of its own step alone. The request now remembers that an attempt may have run, and the one place that gives final answers applies it.

Seen by test/contracts/service_contract_test.ts (rows 'cut after it ran' and 'wrong request id' of the idempotent route).

--- a/src/core/execution/attempt_runner.ts
+++ b/src/core/execution/attempt_runner.ts
@@ -164,6 +164,7 @@
     );
     if (!isExamined) return;
     if (canRetry) {
+      request.mayHaveRun = true;
       request.apply("upstreamSuspected");
       request.excludedUpstreams.add(attempt.upstreamId);
     } else if (isLive) {
@@ -243,7 +244,8 @@
     const { settings, quarantine, retryBudget } = this.#context.options;
     const hasRun = reason === RetryReason.UpstreamLost ||
       reason === RetryReason.WrongAdapter;
-    const outcome = hasRun ? Outcome.MayHaveRun : Outcome.NotRun;
+    if (hasRun) request.mayHaveRun = true;
+    const outcome = Outcome.NotRun;
     if (quarantine.isQuarantined(request.event.fingerprint, now)) {
       this.#concluder.refuse(request, RefusalReason.Quarantined, {
         outcome,
--- a/src/core/execution/live_request.ts
+++ b/src/core/execution/live_request.ts
@@ -46,6 +46,8 @@
   attempts = 0;
   loadFailures = 0;
   hasStalled = false;
+  /** Whether an earlier attempt may have run, so that no later refusal can say otherwise. */
+  mayHaveRun = false;
   claim: TicketClaim | undefined;
   /** Upstream to whose holding the request is assigned. */
   upstreamId: string | undefined;
--- a/src/core/execution/request_concluder.ts
+++ b/src/core/execution/request_concluder.ts
@@ -1,5 +1,5 @@
 /** Gives each request its one final answer. */
-import type { RefusalReason } from "../outcomes.ts";
+import { Outcome, type RefusalReason } from "../outcomes.ts";
 import type { Milliseconds } from "../structures.ts";
 import type { ExecutionContext, Refusal } from "./execution_context.ts";
 import type { LeaseBook } from "./lease_book.ts";
@@ -35,10 +35,18 @@
     refusal: Refusal,
     now: Milliseconds,
   ): void {
+    const outcome = getOutcome(request, refusal.outcome);
     this.#leases.detach(request);
-    this.#tickets.settleRefused(request, refusal.outcome, now);
+    this.#tickets.settleRefused(request, outcome, now);
     request.apply("finished");
     this.#context.requests.delete(request.id);
-    this.#context.emitRefusal(request.id, reason, refusal);
+    this.#context.emitRefusal(request.id, reason, { ...refusal, outcome });
   }
 }
+
+/** Returns the outcome of the whole request, given that of its last step. */
+function getOutcome(request: LiveRequest, outcome: Outcome): Outcome {
+  return outcome === Outcome.NotRun && request.mayHaveRun
+    ? Outcome.MayHaveRun
+    : outcome;
+}
