--- a/src/core/residency/store_keeper.ts
+++ b/src/core/residency/store_keeper.ts
@@ -24,6 +24,8 @@
   failureDomain: string;
   /** Time after which a permit counts as over though it was not returned. */
   permitLifetimeMs: Milliseconds;
+  /** Time until the permits of the previous keeper are over. */
+  startWaitMs: Milliseconds;
   emit: (effect: Effect) => void;
   createId: (prefix: string) => string;
 }
@@ -142,9 +144,9 @@
     }
   }
 
-  /** Loads that an earlier keeper of the domain permitted are over after a permit's lifetime. */
+  /** Nothing is given while loads that the previous keeper permitted may go on. */
   #canGive(now: Milliseconds): boolean {
-    return now - this.#startedAt >= this.#options.permitLifetimeMs &&
+    return now - this.#startedAt >= this.#options.startWaitMs &&
       this.#tokens >= 1 && this.#permits.size < this.#share.loadsInFlight;
   }
 
