--- a/src/core/residency/store_access.ts
+++ b/src/core/residency/store_access.ts
@@ -50,6 +50,7 @@
 export class StoreAccess {
   readonly #options: StoreAccessOptions;
   #keeper: StoreKeeper | undefined;
+  #previousKeeperId: string | undefined;
   #sent: StoreDemand & { to: string; at: Milliseconds } | undefined;
   #status: StoreStatusMessage | undefined;
   #statusAt = Number.NEGATIVE_INFINITY;
@@ -62,9 +63,10 @@
   /** Becomes or ceases to be the keeper as membership changes. */
   tick(now: Milliseconds): void {
     const { membership, selfId, failureDomain, emit } = this.#options;
-    const isKeeper = membership.getStoreKeeperId(failureDomain, now) === selfId;
-    if (!isKeeper) {
+    const keeperId = membership.getStoreKeeperId(failureDomain, now);
+    if (keeperId !== selfId) {
       this.#keeper = undefined;
+      this.#previousKeeperId = keeperId;
       return;
     }
     const share = this.#computeShare();
@@ -73,6 +75,7 @@
         selfId,
         failureDomain,
         permitLifetimeMs: this.#getPermitLifetimeMs(),
+        startWaitMs: this.#getStartWaitMs(now),
         emit,
         createId: (prefix) => this.#createId(prefix),
       },
@@ -188,6 +191,15 @@
     return this.#options.settings.loadTimeMs * PERMIT_LIFETIME_LOADS;
   }
 
+  /** A previous keeper that is heard no more gave its last permit before its silence began. */
+  #getStartWaitMs(now: Milliseconds): Milliseconds {
+    const { membership, settings } = this.#options;
+    const isPreviousHeard = this.#previousKeeperId !== undefined &&
+      membership.isPeerLive(this.#previousKeeperId, now);
+    const silentMs = isPreviousHeard ? 0 : settings.peerTimeoutMs;
+    return Math.max(0, this.#getPermitLifetimeMs() - silentMs);
+  }
+
   #createId(prefix: string): string {
     this.#lastId += 1;
     const { selfId, incarnation } = this.#options;
