Let a request wait for an upstream that may be ready again

Cause: an upstream that was down, or an engine that had restarted without the adapter, was excluded for the rest of the request; with every upstream of a small pool excluded the request was refused with noUpstream at once, although the engine was ready again within one reading of its state (contract 'restarted empty', pause test of an entry). A retry after a long run was refused as overdue, for the queue deadline of the first run had passed.

Change: exclusions are for good (refused, lost, wrong adapter) or until the owner has read the state anew (down, leaving, not sent, adapter not resident). A retry has its own queue deadline.

--- a/src/core/execution/attempt_runner.ts
+++ b/src/core/execution/attempt_runner.ts
@@ -18,6 +18,9 @@
 import type { RequestAssigner } from "./request_assigner.ts";
 import type { RequestConcluder } from "./request_concluder.ts";
 
+/** Status with which an engine says that it does not hold the adapter. */
+const NOT_RESIDENT_STATUS = 404;
+
 export class AttemptRunner {
   readonly #context: ExecutionContext;
   readonly #leases: LeaseBook;
@@ -186,10 +189,11 @@
         this.#complete(request, attempt, now);
         break;
       case "notSent":
+        this.#assigner.excludeForNow(request, attempt.upstreamId, now);
         this.retry(request, RetryReason.NotSent, now);
         break;
       case "refused":
-        request.excludedUpstreams.add(attempt.upstreamId);
+        this.#excludeRefusing(attempt, result.status, now);
         this.retry(request, RetryReason.RefusedByUpstream, now);
         break;
       case "rejected":
@@ -226,6 +230,20 @@
     }
   }
 
+  /** An engine without the adapter has restarted or lost it: its owner loads it again. */
+  #excludeRefusing(
+    attempt: RunningAttempt,
+    status: number,
+    now: Milliseconds,
+  ): void {
+    const { request, upstreamId } = attempt;
+    const isNotResident = request.pool.kind === PoolKind.Engine &&
+      status === NOT_RESIDENT_STATUS;
+    if (isNotResident) {
+      this.#assigner.excludeForNow(request, upstreamId, now);
+    } else request.excludedUpstreams.add(upstreamId);
+  }
+
   #complete(
     request: LiveRequest,
     attempt: RunningAttempt,
@@ -261,6 +279,8 @@
     }
     this.#context.countRetry(reason);
     request.apply("attemptRetried");
+    const { queueDeadlineMs } = request.route;
+    request.deadlineAt = Math.max(request.deadlineAt, now + queueDeadlineMs);
     request.upstreamId = undefined;
     this.#assigner.assign(request, now);
   }
--- a/src/core/execution/live_request.ts
+++ b/src/core/execution/live_request.ts
@@ -13,6 +13,7 @@
   RouteStructure,
 } from "../structures.ts";
 import type { TakenCredit } from "./lease_holding.ts";
+import { UpstreamExclusions } from "./upstream_exclusions.ts";
 
 export interface LiveAttempt {
   attemptId: string;
@@ -41,10 +42,13 @@
   readonly adapterKey: string;
   readonly tablesRevision: number;
   readonly arrivedAt: Milliseconds;
-  readonly deadlineAt: Milliseconds;
-  readonly excludedUpstreams = new Set<string>();
+  /** Time by which the next run must have started. */
+  deadlineAt: Milliseconds;
+  readonly excludedUpstreams = new UpstreamExclusions();
   attempts = 0;
   loadFailures = 0;
+  /** Since when no upstream has been ready; undefined while one is. */
+  searchStartedAt: Milliseconds | undefined;
   hasStalled = false;
   /** Whether an attempt ended of which it is not certain that it did not run. */
   mayHaveRun = false;
--- a/src/core/execution/request_assigner.ts
+++ b/src/core/execution/request_assigner.ts
@@ -22,9 +22,10 @@
 import type { LeaseBook } from "./lease_book.ts";
 import type { LiveRequest } from "./live_request.ts";
 import type { RequestConcluder } from "./request_concluder.ts";
+import type { UpstreamExclusions } from "./upstream_exclusions.ts";
 
-/** Time for which a request waits for an upstream of which no owner is known yet. */
-const OWNER_WAIT_MS = 3_000;
+/** Time for which a request waits while no upstream of its pool is ready. */
+const UPSTREAM_WAIT_MS = 3_000;
 
 export class RequestAssigner {
   readonly #context: ExecutionContext;
@@ -53,18 +54,16 @@
       this.#handleNoUpstream(request, now);
       return;
     }
+    request.searchStartedAt = undefined;
     this.#leases.addWaiting(request, best.candidate.host.id, now);
   }
 
+  /** Lets the request wait a while, unless an upstream has turned it away for good. */
   #handleNoUpstream(request: LiveRequest, now: Milliseconds): void {
-    if (request.excludedUpstreams.size > 0) {
-      this.#concluder.refuse(request, RefusalReason.NoUpstream, {
-        outcome: Outcome.NotRun,
-        retryAfterMs: DEFAULT_RETRY_AFTER_MS,
-      }, now);
-      return;
-    }
-    if (now - request.arrivedAt < OWNER_WAIT_MS) return;
+    request.searchStartedAt ??= now;
+    const mayBecomeReady = !request.excludedUpstreams.hasPermanent() &&
+      now - request.searchStartedAt < UPSTREAM_WAIT_MS;
+    if (mayBecomeReady) return;
     this.#concluder.refuse(request, RefusalReason.NoUpstream, {
       outcome: Outcome.NotRun,
       retryAfterMs: DEFAULT_RETRY_AFTER_MS,
@@ -75,12 +74,12 @@
   rank(
     pool: PoolStructure,
     adapterKey: string,
-    excluded: ReadonlySet<string>,
+    excluded: UpstreamExclusions,
     now: Milliseconds,
   ): RankedUpstream[] {
     const candidates: UpstreamCandidate[] = [];
     for (const host of this.#context.options.membership.getUpstreamHosts()) {
-      if (host.service !== pool.service || excluded.has(host.id)) continue;
+      if (host.service !== pool.service || excluded.has(host.id, now)) continue;
       if (!pool.failureDomains.includes(host.failureDomain)) continue;
       if (host.state === HostState.Leaving) continue;
       const view = this.#context.options.membership.getUpstreamView(
@@ -102,6 +101,19 @@
     });
   }
 
+  /** Keeps the request from an upstream until its owner has read its state anew. */
+  excludeForNow(
+    request: LiveRequest,
+    upstreamId: string,
+    now: Milliseconds,
+  ): void {
+    request.excludedUpstreams.addUntil(upstreamId, this.#computeReadyAt(now));
+  }
+
+  #computeReadyAt(now: Milliseconds): Milliseconds {
+    return now + 2 * this.#context.options.settings.stateReadIntervalMs;
+  }
+
   /** Finds another upstream for a request whose lease was refused. */
   reassignRefused(
     request: LiveRequest,
@@ -117,7 +129,7 @@
         return;
       case LeaseRefusalReason.Leaving:
       case LeaseRefusalReason.UpstreamDown:
-        request.excludedUpstreams.add(refusal.upstreamId);
+        this.excludeForNow(request, refusal.upstreamId, now);
         this.assign(request, now);
         return;
       case LeaseRefusalReason.LoadFailed:
--- a/src/core/execution/request_executor.ts
+++ b/src/core/execution/request_executor.ts
@@ -28,6 +28,7 @@
 import { LiveRequest } from "./live_request.ts";
 import { RequestAssigner } from "./request_assigner.ts";
 import { RequestConcluder } from "./request_concluder.ts";
+import { UpstreamExclusions } from "./upstream_exclusions.ts";
 import { TicketAdmission } from "./ticket_admission.ts";
 
 export type { RequestExecutorOptions } from "./execution_context.ts";
@@ -87,7 +88,7 @@
       ?.getPool(route.pool);
     if (!pool) return [];
     const adapterKey = getAdapterKey(route, pool);
-    return this.#assigner.rank(pool, adapterKey, new Set(), now);
+    return this.#assigner.rank(pool, adapterKey, new UpstreamExclusions(), now);
   }
 
   handleAttemptEnded(
