Pass on the popularity of evicted adapters in heartbeats

Cause: each owner counts only the requests that it gets, so an adapter that is loaded elsewhere starts from nothing there and is evicted first.

--- a/src/core/daemon_core.ts
+++ b/src/core/daemon_core.ts
@@ -338,6 +338,7 @@
   ): void {
     if (!this.#membership.recordHeartbeat(from, heartbeat, now)) return;
     this.#quarantine.mergeDigests(heartbeat.strikes, now);
+    this.#ownership.mergeEvictions(heartbeat.evictions, now);
     this.#tableExchange.handlePeerRevisions(from, heartbeat, now);
   }
 
@@ -415,6 +416,7 @@
       leaving: this.#state === "stopping" || this.#state === "stopped",
       upstreams: this.#ownership.describeDigests(now),
       strikes: this.#quarantine.getDigests(now),
+      evictions: this.#ownership.listEvictions(now),
     };
     for (const host of this.#membership.getPeerHosts()) {
       this.#emit({ kind: "send", to: host.id, message });
--- a/src/core/messages.ts
+++ b/src/core/messages.ts
@@ -30,6 +30,13 @@
   expiresInMs: number;
 }
 
+/** How popular an adapter was when its slot was given up. */
+export interface EvictionDigest {
+  adapterKey: string;
+  /** Decayed count of requests. */
+  score: number;
+}
+
 export interface HeartbeatMessage {
   kind: "heartbeat";
   incarnation: string;
@@ -40,6 +47,8 @@
   leaving: boolean;
   upstreams: UpstreamDigest[];
   strikes: StrikeDigest[];
+  /** Latest evictions of the sender, so that an adapter's history is known wherever it is loaded next. */
+  evictions: EvictionDigest[];
 }
 
 export interface LeaseRequestMessage {
--- a/src/core/residency/adapter_popularity.ts
+++ b/src/core/residency/adapter_popularity.ts
@@ -1,4 +1,5 @@
 /** Exponentially decayed request counts by adapter. */
+import type { EvictionDigest } from "../messages.ts";
 import type { Milliseconds } from "../structures.ts";
 
 /** Time in which a count halves. */
@@ -6,12 +7,18 @@
 /** Adapters counted at once. */
 const MAX_ADAPTERS = 16_384;
 
+/** Time for which an eviction is passed on to peers. */
+const EVICTION_LIFETIME_MS = 1_000;
+/** Evictions passed on in one heartbeat. */
+const MAX_EVICTION_DIGESTS = 16;
+
 interface DecayedCount {
   value: number;
   updatedAt: Milliseconds;
 }
 
 export class AdapterPopularity {
+  #evictions: { adapterKey: string; evictedAt: Milliseconds }[] = [];
   readonly #counts = new Map<string, DecayedCount>();
 
   recordRequests(
@@ -20,6 +27,10 @@
     now: Milliseconds,
   ): void {
     const value = this.getScore(adapterKey, now) + requests;
+    this.#setCount(adapterKey, value, now);
+  }
+
+  #setCount(adapterKey: string, value: number, now: Milliseconds): void {
     this.#counts.delete(adapterKey);
     this.#counts.set(adapterKey, { value, updatedAt: now });
     if (this.#counts.size <= MAX_ADAPTERS) return;
@@ -27,6 +38,34 @@
     if (oldest !== undefined) this.#counts.delete(oldest);
   }
 
+  /** Records that a slot was given up, to tell peers how popular its adapter was. */
+  recordEviction(adapterKey: string, now: Milliseconds): void {
+    this.#evictions.push({ adapterKey, evictedAt: now });
+  }
+
+  /** Returns the latest evictions, for the next heartbeat. */
+  listEvictions(now: Milliseconds): EvictionDigest[] {
+    this.#evictions = this.#evictions
+      .filter((eviction) => now - eviction.evictedAt <= EVICTION_LIFETIME_MS)
+      .slice(-MAX_EVICTION_DIGESTS);
+    return this.#evictions.map(({ adapterKey }) => ({
+      adapterKey,
+      score: this.getScore(adapterKey, now),
+    }));
+  }
+
+  /** Takes over what a peer counted; never lowers a count. */
+  mergeEvictions(
+    evictions: readonly EvictionDigest[],
+    now: Milliseconds,
+  ): void {
+    for (const { adapterKey, score } of evictions) {
+      if (score > this.getScore(adapterKey, now)) {
+        this.#setCount(adapterKey, score, now);
+      }
+    }
+  }
+
   /** Returns the decayed count of requests. */
   getScore(adapterKey: string, now: Milliseconds): number {
     const count = this.#counts.get(adapterKey);
--- a/src/core/residency/slot_loader.ts
+++ b/src/core/residency/slot_loader.ts
@@ -72,6 +72,7 @@
     }
     const victim = this.#findVictim(now);
     if (victim === undefined) return false;
+    this.#context.options.popularity.recordEviction(victim, now);
     this.#planned.set(victim, { adapterKey, permit });
     this.slots.apply(victim, "evictOrdered", now);
     this.#giveOrder({ kind: "evict", adapterKey: victim });
@@ -153,6 +154,9 @@
 
   /** An upstream that restarted holds nothing. */
   recordRestart(now: Milliseconds): void {
+    for (const slot of this.slots.getByState("resident")) {
+      this.#context.options.popularity.recordEviction(slot.adapterKey, now);
+    }
     this.slots.applyToAll("upstreamRestarted", now);
     this.#loadFailedAt.clear();
   }
--- a/src/core/residency/upstream_ownership.ts
+++ b/src/core/residency/upstream_ownership.ts
@@ -8,6 +8,7 @@
 import type { OrderResult } from "../events.ts";
 import type { Membership } from "../membership/membership.ts";
 import type {
+  EvictionDigest,
   HandoverMessage,
   LeaseRequestMessage,
   UpstreamDigest,
@@ -153,6 +154,18 @@
     this.#owners.clear();
   }
 
+  /** Returns the latest evictions, for the next heartbeat. */
+  listEvictions(now: Milliseconds): EvictionDigest[] {
+    return this.#popularity.listEvictions(now);
+  }
+
+  mergeEvictions(
+    evictions: readonly EvictionDigest[],
+    now: Milliseconds,
+  ): void {
+    this.#popularity.mergeEvictions(evictions, now);
+  }
+
   describe(now: Milliseconds): OwnedUpstreamDescription[] {
     return [...this.#owners.values()].map((owner) => owner.describe(now));
   }
