--- a/scripts/site.ts
+++ b/scripts/site.ts
@@ -264,8 +264,14 @@
   }
 
   /** Returns the routes with every adapter at the given version. */
-  formatRoutes(version: string): string {
-    const { adapters, maxRunMs, queueDeadlineMs } = this.options;
+  formatRoutes(
+    version: string,
+    changes: Partial<Pick<SiteOptions, "maxRunMs" | "queueDeadlineMs">> = {},
+  ): string {
+    const { adapters, maxRunMs, queueDeadlineMs } = {
+      ...this.options,
+      ...changes,
+    };
     const limits = { maxRunMs, queueDeadlineMs };
     return stringify({
       customers: [{
