--- a/fakes/fake_engine.ts
+++ b/fakes/fake_engine.ts
@@ -76,6 +76,8 @@
   /** Highest fencing number accepted, which tests may raise. */
   fencing = 0;
   #incarnation = randomUUID().slice(0, 8);
+  /** Added to each token, for tests of slow readers. */
+  tokenPadding = "";
   readonly #residents = new Set<string>();
   readonly #loading = new Set<string>();
   readonly #runs = new Map<string, Run>();
@@ -287,9 +289,11 @@
     const cutAfter = this.faults.cutAfterTokens;
     const timeoutMs = Number(request.get("x-timeout-ms") ?? Infinity);
     const endsAt = performance.now() + timeoutMs;
+    const { tokens, tokenIntervalMs } = this.options;
+    const padding = this.tokenPadding;
     let text = "";
-    for (let token = 0; token < this.options.tokens; token += 1) {
-      await waitMs(this.options.tokenIntervalMs);
+    for (let token = 0; token < tokens; token += 1) {
+      await waitMs(tokenIntervalMs);
       if (record.ended === "crashed") return;
       const isOver = run.isCancelled || performance.now() >= endsAt;
       if (isOver || response.destroyed) {
@@ -302,12 +306,13 @@
         response.destroy();
         return;
       }
-      text += `${run.model}#${token} `;
+      const content = `${run.model}#${token} ${padding}`;
+      text += content;
       if (isStream) {
         const event = {
           id: run.id,
           model: identity.bodyModel,
-          choices: [{ index: 0, delta: { content: `${run.model}#${token} ` } }],
+          choices: [{ index: 0, delta: { content } }],
         };
         response.write(`data: ${JSON.stringify(event)}\n\n`);
       }
--- a/src/core/daemon_core.ts
+++ b/src/core/daemon_core.ts
@@ -8,6 +8,7 @@
   type DaemonState,
   type DaemonTrigger,
 } from "../charts/daemon_chart.ts";
+import { type CorePolicy, DEFAULT_CORE_POLICY } from "./core_policy.ts";
 import type { CoreSettings } from "./core_settings.ts";
 import type { Effect } from "./effects.ts";
 import type { CoreEvent } from "./events.ts";
@@ -22,13 +23,12 @@
   type PeerMessage,
 } from "./messages.ts";
 import { Outcome, RefusalReason } from "./outcomes.ts";
-import { StoreBudget, type StoreShare } from "./residency/store_budget.ts";
+import { StoreAccess } from "./residency/store_access.ts";
 import type { OwnedUpstreamDescription } from "./residency/upstream_owner.ts";
 import { UpstreamOwnership } from "./residency/upstream_ownership.ts";
 import type { RankedUpstream } from "./routing/upstream_selector.ts";
 import {
   type HostListStructure,
-  HostRole,
   type HostStructure,
   type Milliseconds,
   type TablesStructure,
@@ -45,6 +45,8 @@
   settings: CoreSettings;
   /** Hosts known from the settings, until the platform or a peer names more. */
   seedHosts: HostStructure[];
+  /** Replaces the daemon's own policy, in comparisons. */
+  policy?: CorePolicy;
   /** Random bytes for the check codes of tickets. */
   ticketSecret: Uint8Array;
 }
@@ -72,7 +74,7 @@
   readonly #tables = new TableKeeper();
   readonly #membership: Membership;
   readonly #quarantine: CrashQuarantine;
-  readonly #storeBudget: StoreBudget;
+  readonly #store: StoreAccess;
   readonly #tickets: TicketBook;
   readonly #executor: RequestExecutor;
   readonly #ownership: UpstreamOwnership;
@@ -87,6 +89,7 @@
 
   constructor(options: DaemonCoreOptions, now: Milliseconds) {
     const { settings, selfId, incarnation, failureDomain } = options;
+    const policy = options.policy ?? DEFAULT_CORE_POLICY;
     this.#options = options;
     this.#startedAt = now;
     this.#lastEventAt = now;
@@ -97,9 +100,13 @@
     });
     this.#membership.applyHostList({ revision: 0, hosts: options.seedHosts });
     this.#quarantine = new CrashQuarantine(settings);
-    this.#storeBudget = new StoreBudget({
-      loadsPerSecond: settings.storeLoadsPerSecond,
-      loadsInFlight: 1,
+    this.#store = new StoreAccess({
+      selfId,
+      incarnation,
+      failureDomain,
+      settings,
+      membership: this.#membership,
+      emit: this.#emit,
     });
     this.#tableExchange = new TableExchange(this.#tables, this.#emit);
     this.#ownership = new UpstreamOwnership({
@@ -107,9 +114,10 @@
       incarnation,
       failureDomain,
       settings,
+      policy,
       tables: this.#tables,
       membership: this.#membership,
-      storeBudget: this.#storeBudget,
+      store: this.#store,
       emit: this.#emit,
     });
     this.#tickets = new TicketBook({
@@ -125,6 +133,7 @@
       incarnation,
       failureDomain,
       settings,
+      policy,
       tables: this.#tables,
       membership: this.#membership,
       quarantine: this.#quarantine,
@@ -173,7 +182,7 @@
       upstreams: this.#ownership.describe(now),
       execution: this.#executor.describe(),
       tickets: this.#tickets.getTicketCount(),
-      storeLoadsInFlight: this.#storeBudget.getInFlight(),
+      storeLoadsInFlight: this.#store.getInFlight(),
     };
   }
 
@@ -265,7 +274,7 @@
         break;
       case "leaseReturn":
         this.#ownership.getOwner(message.upstreamId)
-          ?.returnLease(message.leaseId, message.credits, now);
+          ?.returnLease(message.leaseId, message.returnedCredits, now);
         break;
       case "leaseGrant":
         this.#executor.handleLeaseGrant(from, message, now);
@@ -276,6 +285,20 @@
       case "handover":
         this.#ownership.acceptHandover(message, now);
         break;
+      case "storeDemand":
+        this.#store.recordDemand(from, message, now);
+        break;
+      case "storePermit": {
+        const permit = this.#store.acceptPermit(from, message, now);
+        if (permit) this.#ownership.takePermit(permit, now);
+        break;
+      }
+      case "storePermitReturn":
+        this.#store.recordReturn(message, now);
+        break;
+      case "storeStatus":
+        this.#store.recordStatus(message, now);
+        break;
       case "tablesRequest":
         this.#tableExchange.sendTables(from, message);
         break;
@@ -342,7 +365,6 @@
     this.#countOffer("host_list", result);
     if (result.kind !== "accepted") return;
     this.#membership.applyHostList(hostList);
-    this.#storeBudget.setShare(this.#computeStoreShare(hostList));
     this.#updateOwnership(now);
   }
 
@@ -350,23 +372,9 @@
     this.#emit({ kind: "count", counter, tag: result.kind });
   }
 
-  /** Splits the store evenly over all entry hosts, so that cut-off parts never exceed it together. */
-  #computeStoreShare(hostList: HostListStructure): StoreShare {
-    const { settings } = this.#options;
-    const daemons =
-      hostList.hosts.filter((host) => host.role === HostRole.Entry).length;
-    const share = 1 / Math.max(1, daemons);
-    return {
-      loadsPerSecond: settings.storeLoadsPerSecond * share,
-      loadsInFlight: Math.max(
-        1,
-        Math.floor(settings.storeLoadsInFlight * share),
-      ),
-    };
-  }
-
   #tick(now: Milliseconds): void {
     this.#updateOwnership(now);
+    if (this.#isSettled(now)) this.#store.tick(now);
     this.#ownership.tick(now);
     this.#executor.tick(now);
     const isHeartbeatDue = now - this.#lastHeartbeatAt >=
@@ -375,7 +383,9 @@
     if (this.#state === "starting" && this.#isReadyToServe(now)) {
       this.#move("tablesInForce");
     }
-    if (this.#state === "stopping" && this.#executor.isDrained()) {
+    const isDrained = this.#executor.isDrained() &&
+      !this.#tickets.hasTicketsInUse(now);
+    if (this.#state === "stopping" && isDrained) {
       this.#move("drained");
       this.#sendHeartbeats(now);
       this.#emit({ kind: "stopCompleted" });
--- a/src/core/residency/lease_queue.ts
+++ b/src/core/residency/lease_queue.ts
@@ -18,6 +18,9 @@
   addOrReplace(waiting: WaitingLeaseRequest): void {
     const id = waiting.request.leaseRequestId;
     const earlier = this.#waiting.get(id);
+    const isLate = earlier !== undefined &&
+      waiting.request.sentAtMs < earlier.request.sentAtMs;
+    if (isLate) return;
     this.#waiting.set(id, {
       ...waiting,
       arrivedAt: earlier?.arrivedAt ?? waiting.arrivedAt,
@@ -57,6 +60,11 @@
     );
   }
 
+  /** Returns the requests in the order of their arrival. */
+  list(): Iterable<WaitingLeaseRequest> {
+    return this.#waiting.values();
+  }
+
   /** Returns the adapters that requests wait for. */
   getAdapterKeys(): Set<string> {
     const keys = new Set<string>();
--- a/src/core/residency/owner_context.ts
+++ b/src/core/residency/owner_context.ts
@@ -1,4 +1,5 @@
 /** What the parts of an upstream's owner share. */
+import type { CorePolicy } from "../core_policy.ts";
 import type { CoreSettings } from "../core_settings.ts";
 import type { Effect } from "../effects.ts";
 import type {
@@ -8,28 +9,44 @@
 } from "../structures.ts";
 import { PoolKind } from "../structures.ts";
 import type { AdapterPopularity } from "./adapter_popularity.ts";
-import type { StoreBudget } from "./store_budget.ts";
+import type { StoreAccess } from "./store_access.ts";
 
 export interface UpstreamOwnerOptions {
   selfId: string;
-  incarnation: string;
   host: HostStructure;
   pool: PoolStructure;
   settings: CoreSettings;
+  policy: CorePolicy;
   popularity: AdapterPopularity;
-  storeBudget: StoreBudget;
+  store: StoreAccess;
   /** Longest run of any route to the pool. */
   maxRunMs: Milliseconds;
   emit: (effect: Effect) => void;
+  /** Returns an identifier that no other daemon or incarnation gives. */
+  createId: (prefix: string) => string;
 }
 
-/** The options of an owner and the identifiers that it gives out. */
+/** What of an upstream the tables and the host list may change while it is owned. */
+export type UpstreamConfiguration = Pick<
+  UpstreamOwnerOptions,
+  "host" | "pool" | "maxRunMs"
+>;
+
+/** The options of an owner. */
 export class OwnerContext {
-  readonly options: UpstreamOwnerOptions;
-  #lastId = 0;
+  #options: UpstreamOwnerOptions;
 
   constructor(options: UpstreamOwnerOptions) {
-    this.options = options;
+    this.#options = options;
+  }
+
+  get options(): UpstreamOwnerOptions {
+    return this.#options;
+  }
+
+  /** Takes what a newer revision of the tables or of the host list says. */
+  updateConfiguration(configuration: UpstreamConfiguration): void {
+    this.#options = { ...this.#options, ...configuration };
   }
 
   get upstreamId(): string {
@@ -42,8 +59,6 @@
 
   /** Returns an identifier that no other daemon or incarnation gives. */
   createId(prefix: string): string {
-    this.#lastId += 1;
-    const { selfId, incarnation } = this.options;
-    return `${prefix}/${selfId}/${incarnation}/${this.upstreamId}/${this.#lastId}`;
+    return this.options.createId(prefix);
   }
 }
--- a/src/core/residency/slot_table.ts
+++ b/src/core/residency/slot_table.ts
@@ -10,16 +10,22 @@
   adapterKey: string;
   state: SlotState;
   changedAt: Milliseconds;
+  /** When a run on the adapter was last permitted or its load ordered. */
+  lastUsedAt: Milliseconds;
 }
 
 export class SlotTable {
-  readonly #capacity: number;
+  #capacity: number;
   readonly #slots = new Map<string, Slot>();
 
   constructor(capacity: number) {
     this.#capacity = capacity;
   }
 
+  setCapacity(capacity: number): void {
+    this.#capacity = capacity;
+  }
+
   getSlot(adapterKey: string): Slot | undefined {
     return this.#slots.get(adapterKey);
   }
@@ -32,12 +38,17 @@
     return this.#slots.size < this.#capacity;
   }
 
+  countFreeSlots(): number {
+    return Math.max(0, this.#capacity - this.#slots.size);
+  }
+
   /** Takes a free slot for an adapter whose load is ordered. */
   addLoading(adapterKey: string, now: Milliseconds): void {
     this.#slots.set(adapterKey, {
       adapterKey,
       state: slotChart.initial,
       changedAt: now,
+      lastUsedAt: now,
     });
   }
 
@@ -76,6 +87,7 @@
         adapterKey,
         state: "resident",
         changedAt: now,
+        lastUsedAt: now,
       });
     }
   }
--- a/src/core/residency/upstream_ownership.ts
+++ b/src/core/residency/upstream_ownership.ts
@@ -2,6 +2,7 @@
  * The upstreams that this daemon owns: takes them up and gives them up as the
  * live daemons of its failure domain change, with the handover between owners.
  */
+import type { CorePolicy } from "../core_policy.ts";
 import type { CoreSettings } from "../core_settings.ts";
 import type { Effect } from "../effects.ts";
 import type { OrderResult } from "../events.ts";
@@ -19,7 +20,7 @@
 } from "../structures.ts";
 import type { TableKeeper } from "../tables/table_keeper.ts";
 import { AdapterPopularity } from "./adapter_popularity.ts";
-import type { StoreBudget } from "./store_budget.ts";
+import type { StoreAccess, StorePermit } from "./store_access.ts";
 import {
   type OwnedUpstreamDescription,
   UpstreamOwner,
@@ -30,9 +31,10 @@
   incarnation: string;
   failureDomain: string;
   settings: CoreSettings;
+  policy: CorePolicy;
   tables: TableKeeper;
   membership: Membership;
-  storeBudget: StoreBudget;
+  store: StoreAccess;
   emit: (effect: Effect) => void;
 }
 
@@ -43,6 +45,7 @@
   readonly #options: UpstreamOwnershipOptions;
   readonly #popularity = new AdapterPopularity();
   readonly #owners = new Map<string, UpstreamOwner>();
+  #lastId = 0;
   readonly #handovers = new Map<
     string,
     { message: HandoverMessage; arrivedAt: Milliseconds }
@@ -66,10 +69,13 @@
       const pool = this.#findPool(host);
       if (!pool) continue;
       wanted.add(host.id);
-      if (!this.#owners.has(host.id)) this.#takeOwnership(host, pool, now);
+      const owner = this.#owners.get(host.id);
+      if (owner) this.#updateConfiguration(owner, host, pool);
+      else this.#takeOwnership(host, pool, now);
     }
     for (const [upstreamId, owner] of this.#owners) {
       if (wanted.has(upstreamId)) continue;
+      if (this.#isLastOwner(upstreamId, now)) continue;
       this.#giveUpOwnership(owner, LeaseRefusalReason.NotOwner, now);
     }
   }
@@ -79,6 +85,7 @@
       owner.tick(now);
       this.#options.membership.recordOwnView(owner.describeDigest(now), now);
     }
+    this.#updateDemand(now);
   }
 
   /** Answers a lease request, for an upstream that is owned here or not. */
@@ -88,8 +95,10 @@
     now: Milliseconds,
   ): void {
     const owner = this.#owners.get(request.upstreamId);
-    if (owner) owner.requestLease(from, request, now);
-    else this.#refuseLease(from, request, now);
+    if (owner) {
+      owner.requestLease(from, request, now);
+      this.#updateDemand(now);
+    } else this.#refuseLease(from, request, now);
   }
 
   acceptHandover(message: HandoverMessage, now: Milliseconds): void {
@@ -108,9 +117,34 @@
     }
   }
 
-  /** Hands every upstream over to its next owner. */
+  /** Starts the most urgent load under the permit, or returns it unused. */
+  takePermit(permit: StorePermit, now: Milliseconds): void {
+    let best: UpstreamOwner | undefined;
+    let urgency = 0;
+    for (const owner of this.#owners.values()) {
+      const demand = owner.computeDemand(now);
+      if (demand.loads === 0 || demand.urgency <= urgency) continue;
+      best = owner;
+      urgency = demand.urgency;
+    }
+    const isUsed = best?.tryStartLoad(permit, now) ?? false;
+    if (!isUsed) this.#options.store.returnPermit(permit, false);
+  }
+
+  #updateDemand(now: Milliseconds): void {
+    const total = { loads: 0, urgency: 0 };
+    for (const owner of this.#owners.values()) {
+      const demand = owner.computeDemand(now);
+      total.loads += demand.loads;
+      total.urgency = Math.max(total.urgency, demand.urgency);
+    }
+    this.#options.store.updateDemand(total, now);
+  }
+
+  /** Hands every upstream over to its next owner; one that has none is kept until the end. */
   handOverAll(now: Milliseconds): void {
     for (const owner of [...this.#owners.values()]) {
+      if (this.#isLastOwner(owner.upstreamId, now)) continue;
       this.#giveUpOwnership(owner, LeaseRefusalReason.Stopping, now);
     }
   }
@@ -143,17 +177,18 @@
     pool: PoolStructure,
     now: Milliseconds,
   ): void {
-    const { selfId, incarnation, settings, storeBudget, emit } = this.#options;
+    const { selfId, settings, policy, store, emit } = this.#options;
     const owner = new UpstreamOwner({
       selfId,
-      incarnation,
       host,
       pool,
       settings,
+      policy,
       popularity: this.#popularity,
-      storeBudget,
+      store,
       maxRunMs: this.#getMaxRunMs(pool),
       emit,
+      createId: (prefix) => this.#createId(prefix),
     }, now);
     this.#owners.set(host.id, owner);
     const handover = this.#handovers.get(host.id);
@@ -164,6 +199,31 @@
     owner.tick(now);
   }
 
+  /** Returns whether a planned stop has left no daemon that could own the upstream. */
+  #isLastOwner(upstreamId: string, now: Milliseconds): boolean {
+    const { membership } = this.#options;
+    return membership.getUpstreamHost(upstreamId) !== undefined &&
+      membership.getOwnerId(upstreamId, now) === undefined;
+  }
+
+  #updateConfiguration(
+    owner: UpstreamOwner,
+    host: HostStructure,
+    pool: PoolStructure,
+  ): void {
+    const isSame = owner.host === host && owner.pool === pool;
+    if (isSame) return;
+    const maxRunMs = this.#getMaxRunMs(pool);
+    owner.updateConfiguration({ host, pool, maxRunMs });
+  }
+
+  /** Returns an identifier that no ownership of this incarnation gave before. */
+  #createId(prefix: string): string {
+    this.#lastId += 1;
+    const { selfId, incarnation } = this.#options;
+    return `${prefix}/${selfId}/${incarnation}/${this.#lastId}`;
+  }
+
   /** Returns the longest run of any route to the pool. */
   #getMaxRunMs(pool: PoolStructure): Milliseconds {
     const routes = this.#options.tables.getSnapshot()?.getRoutes() ?? [];
