--- a/test/core/execution/outcome_test.ts
+++ b/test/core/execution/outcome_test.ts
@@ -59,6 +59,7 @@
       leaving: false,
       upstreams: [],
       strikes: [],
+      evictions: [],
     },
   });
   const requestId = daemon.request("order", { ticket });
--- a/test/fuzz/calls.ts
+++ b/test/fuzz/calls.ts
@@ -16,8 +16,8 @@
   completedRuns: number;
   /** Deaths of upstreams under a run of it that a crash-marked call did not cause. */
   chanceDeaths: number;
-  /** Times at which a crash-marked run of it killed an upstream. */
-  kills: number[];
+  /** Upstreams that crash-marked runs of it have killed. */
+  kills: { at: number; callId: string }[];
 }
 
 export type CallEnd =
--- a/test/fuzz/commands.ts
+++ b/test/fuzz/commands.ts
@@ -27,6 +27,13 @@
   | { kind: "wait"; ms: number }
   | { kind: "kill" | "start" | "stop"; daemon: string }
   | { kind: "pause"; daemon: string; ms: number }
+  | {
+    kind: "pauseAtNext";
+    daemon: string;
+    what: "dispatch" | "order";
+    ms: number;
+  }
+  | { kind: "cutUpstream"; daemon: string; upstream: string }
   | { kind: "cut"; fromMask: number; toMask: number; isOneWay: boolean }
   | { kind: "cutDomains" | "reconnect" }
   | { kind: "restartEngine"; engine: string }
@@ -73,9 +80,9 @@
       kind: kind("send"),
       daemon,
       routeIndex,
-      durationMs: fc.integer({ min: 5, max: 2_400 }),
+      durationMs: fc.integer({ min: 5, max: 4_000 }),
       isStream: fc.boolean(),
-      isCrashing: fc.integer({ min: 0, max: 9 }).map((value) => value === 9),
+      isCrashing: fc.integer({ min: 0, max: 7 }).map((value) => value === 7),
       copies: fc.integer({ min: 1, max: 6 }),
     }),
   },
@@ -84,7 +91,7 @@
     arbitrary: fc.record({
       kind: kind("resend"),
       daemon,
-      workIndex: fc.nat(200),
+      workIndex: fc.nat(10),
     }),
   },
   {
@@ -115,6 +122,19 @@
       ms: fc.integer({ min: 50, max: 8_000 }),
     }),
   },
+  {
+    weight: 3,
+    arbitrary: fc.record({
+      kind: kind("pauseAtNext"),
+      daemon,
+      what: fc.constantFrom("dispatch" as const, "order" as const),
+      ms: fc.integer({ min: 50, max: 8_000 }),
+    }),
+  },
+  {
+    weight: 3,
+    arbitrary: fc.record({ kind: kind("cutUpstream"), daemon, upstream }),
+  },
   {
     weight: 2,
     arbitrary: fc.record({
@@ -201,7 +221,9 @@
       }
       break;
     case "resend": {
-      const work = world.works[command.workIndex % (world.works.length || 1)];
+      const work = world.works.at(
+        -1 - command.workIndex % (world.works.length || 1),
+      );
       if (work) world.sendCall(work, command.daemon);
       break;
     }
@@ -229,6 +251,12 @@
     case "pause":
       world.getDaemonOrThrow(command.daemon).pause(command.ms);
       break;
+    case "pauseAtNext":
+      world.getDaemonOrThrow(command.daemon).pauseAtNext = command;
+      break;
+    case "cutUpstream":
+      world.network.addCut([command.daemon], [command.upstream]);
+      break;
     case "cut":
       applyCut(world, command);
       break;
--- a/test/fuzz/daemon_process.ts
+++ b/test/fuzz/daemon_process.ts
@@ -33,6 +33,8 @@
   isAlive = false;
   isPaused = false;
   isStopping = false;
+  /** Pause that begins when the next dispatch or order is about to leave. */
+  pauseAtNext: { what: "dispatch" | "order"; ms: number } | undefined;
 
   constructor(id: string, world: World) {
     this.id = id;
@@ -182,12 +184,14 @@
         world.sendMessage(this.id, effect.to, effect.message);
         break;
       case "dispatch":
+        this.#pauseIfArmed("dispatch");
         this.#client.dispatch(effect);
         break;
       case "cancelAttempt":
         this.#client.cancel(effect.attemptId);
         break;
       case "order":
+        this.#pauseIfArmed("order");
         this.#client.order(effect);
         break;
       case "readUpstreamState":
@@ -217,6 +221,14 @@
     }
   }
 
+  #pauseIfArmed(what: "dispatch" | "order"): void {
+    if (this.pauseAtNext?.what !== what) return;
+    const { ms } = this.pauseAtNext;
+    this.pauseAtNext = undefined;
+    this.#world.trace.add(this.id, `pauses before its ${what} leaves`);
+    this.pause(ms);
+  }
+
   #exit(): void {
     const { oracle, trace } = this.#world;
     trace.add(this.id, "has stopped");
--- a/test/fuzz/model_upstream.ts
+++ b/test/fuzz/model_upstream.ts
@@ -104,7 +104,7 @@
       queue.schedule(this.#options.random.getInteger(0, 30), () => {
         if (run.endedAt !== undefined) return;
         oracle.recordCrash(run);
-        this.restart();
+        this.restart("crashed");
       });
       return;
     }
@@ -170,9 +170,9 @@
   }
 
   /** Dies with all its runs and comes back empty. */
-  restart(): void {
+  restart(howRunsEnd: "died" | "crashed" = "died"): void {
     const { queue, random, oracle } = this.#options;
-    for (const run of this.#getRunning()) this.#endRun(run, "died");
+    for (const run of this.#getRunning()) this.#endRun(run, howRunsEnd);
     this.#runs = [];
     this.#residents.clear();
     this.#loading.clear();
--- a/test/fuzz/oracle.ts
+++ b/test/fuzz/oracle.ts
@@ -133,10 +133,11 @@
     const { kills } = call.work;
     const first = kills[0];
     const last = kills.at(-1);
-    kills.push(this.#readTime());
+    kills.push({ at: this.#readTime(), callId: call.id });
     if (first === undefined || last === undefined) return;
-    const isCalm = this.#disturbedAt < first - STRIKE_SPREAD_MS;
-    const hadTime = call.sentAt > last + STRIKE_SPREAD_MS;
+    const isCalm = this.#disturbedAt < first.at - STRIKE_SPREAD_MS;
+    const hadTime = call.sentAt > last.at + STRIKE_SPREAD_MS ||
+      kills.every((kill) => kill.callId === call.id);
     if (kills.length > MAX_STRIKES && isCalm && hadTime) {
       this.fail(
         FuzzPromise.CrashBound,
