Guard evictions where fencing is ignored, and against stale readings

Cause, found by reading: (1) where an engine ignores fencing, a former owner cut off from its peers evicted by its own ledger alone, under leases of the new one; (2) an engine's restart cleared its fencing number, and an owner that claimed it again kept the end of its old wait, although another daemon could have claimed and granted in between; (3) a reading that began before an eviction was done brought the adapter back into the slot table.

Change: with fencing ignored an eviction needs a current reading without runs on the adapter, and a change of slots that the owner did not order starts the whole wait anew (counter foreign_order); a restart starts the wait anew; freed adapters are remembered until a later reading.

Excluded: a majority of the domain's daemons as a condition for evictions: with two daemons a domain it stops both at each cut.

--- a/src/core/residency/ownership_claim.ts
+++ b/src/core/residency/ownership_claim.ts
@@ -72,9 +72,12 @@
 
   /** Returns whether no run that an earlier owner permitted can be going on or start on the adapter. */
   isFreeOfPredecessors(adapterKey: string, now: Milliseconds): boolean {
-    if (now >= this.#evictionAllowedAt) return true;
-    const idleSince = this.#predecessorWindowEndsAt +
-      this.#context.options.settings.engineReportLagMs;
+    const { settings } = this.#context.options;
+    const isPast = now >= this.#evictionAllowedAt;
+    if (isPast && !this.#isUnguarded()) return true;
+    const idleSince = isPast
+      ? now - settings.ownershipValidityMs
+      : this.#predecessorWindowEndsAt + settings.engineReportLagMs;
     const reading = this.#reader.getReading();
     return reading !== undefined && reading.readAt >= idleSince &&
       this.#reader.getInFlight(adapterKey) === 0;
@@ -117,16 +120,41 @@
     }
     this.#enter("owning", now);
     if (Number.isFinite(this.#evictionAllowedAt)) return;
+    this.#awaitOtherOwners(now);
+    this.#trustHandoverIfDirect(now);
+  }
+
+  /** A change that nobody here ordered shows another owner, where fencing can't. */
+  recordForeignChange(now: Milliseconds): void {
+    if (!this.isOwning() || !this.#isUnguarded()) return;
+    this.#context.options.emit({
+      kind: "count",
+      counter: "foreign_order",
+      tag: this.#context.upstreamId,
+    });
+    this.#awaitOtherOwners(now);
+  }
+
+  /** Waits until no run that another owner has permitted until now can go on. */
+  #awaitOtherOwners(now: Milliseconds): void {
     const { settings, maxRunMs } = this.#context.options;
     this.#predecessorWindowEndsAt = now + settings.ownershipValidityMs +
       settings.leaseWindowMs + settings.leaseMarginMs;
     this.#evictionAllowedAt = this.#predecessorWindowEndsAt + maxRunMs;
-    this.#trustHandoverIfDirect(now);
+  }
+
+  /** Returns whether the engine takes orders from a former owner as well. */
+  #isUnguarded(): boolean {
+    return this.#context.options.pool.fencing === Fencing.Ignored;
   }
 
   recordRestart(now: Milliseconds): void {
     const next = ownerChart.getNext(this.#state, "upstreamRestarted");
-    if (next) this.#enter(next, now);
+    if (next === undefined) return;
+    this.#enter(next, now);
+    this.#evictionAllowedAt = Number.POSITIVE_INFINITY;
+    this.#predecessorWindowEndsAt = Number.POSITIVE_INFINITY;
+    this.#handover = undefined;
   }
 
   /** Gives the upstream up to a daemon that claimed it later. */
--- a/src/core/residency/slot_table.ts
+++ b/src/core/residency/slot_table.ts
@@ -17,6 +17,8 @@
 export class SlotTable {
   #capacity: number;
   readonly #slots = new Map<string, Slot>();
+  /** When adapters were freed, until a later reading has shown it. */
+  readonly #freedAt = new Map<string, Milliseconds>();
 
   constructor(capacity: number) {
     this.#capacity = capacity;
@@ -60,7 +62,9 @@
     if (next === undefined) return;
     slot.state = next;
     slot.changedAt = now;
-    if (next === "free") this.#slots.delete(adapterKey);
+    if (next !== "free") return;
+    this.#slots.delete(adapterKey);
+    this.#freedAt.set(adapterKey, now);
   }
 
   applyToAll(trigger: SlotTrigger, now: Milliseconds): void {
@@ -69,20 +73,29 @@
     }
   }
 
-  /** Brings the slots in line with a reading that began at `readAt`. */
+  /**
+   * Brings the slots in line with a reading that began at `readAt`. Returns
+   * whether it shows a change that no order of this owner explains.
+   */
   reconcile(
     state: UpstreamStateStructure,
     readAt: Milliseconds,
     now: Milliseconds,
-  ): void {
+  ): boolean {
+    let hasForeignChange = false;
     const seen = new Set(state.residents.map((entry) => entry.adapterKey));
     for (const slot of [...this.#slots.values()]) {
       if (slot.changedAt >= readAt) continue;
-      const trigger = seen.has(slot.adapterKey) ? "seenResident" : "seenAbsent";
+      const isSeen = seen.has(slot.adapterKey);
+      if (slot.state === "resident" && !isSeen) hasForeignChange = true;
+      const trigger = isSeen ? "seenResident" : "seenAbsent";
       this.apply(slot.adapterKey, trigger, now);
     }
     for (const adapterKey of seen) {
       if (this.#slots.has(adapterKey)) continue;
+      const freedAt = this.#freedAt.get(adapterKey);
+      if (freedAt !== undefined && freedAt >= readAt) continue;
+      hasForeignChange = true;
       this.#slots.set(adapterKey, {
         adapterKey,
         state: "resident",
@@ -90,6 +103,8 @@
         lastUsedAt: now,
       });
     }
+    this.#dropFreedBefore(readAt);
+    return hasForeignChange;
   }
 
   getByState(state: SlotState): Slot[] {
@@ -103,4 +118,10 @@
   getCapacity(): number {
     return this.#capacity;
   }
+
+  #dropFreedBefore(readAt: Milliseconds): void {
+    for (const [adapterKey, freedAt] of this.#freedAt) {
+      if (freedAt < readAt) this.#freedAt.delete(adapterKey);
+    }
+  }
 }
--- a/src/core/residency/upstream_owner.ts
+++ b/src/core/residency/upstream_owner.ts
@@ -194,7 +194,12 @@
       this.#depose(now);
       return;
     }
-    this.#loader.slots.reconcile(state, recorded.reading.readAt, now);
+    const hasForeignChange = this.#loader.slots.reconcile(
+      state,
+      recorded.reading.readAt,
+      now,
+    );
+    if (hasForeignChange) this.#claim.recordForeignChange(now);
     this.#granter.dropIdleLeases();
     this.#claim.claimIfRead(now);
     this.#pump(now);
--- a/src/daemon/metrics.ts
+++ b/src/daemon/metrics.ts
@@ -15,6 +15,8 @@
   stray_attempt_end: "Ends of attempts that are not known, by kind",
   load_failed: "Adapter loads that failed, by upstream",
   owner_deposed: "Ownerships lost to a higher fencing number, by upstream",
+  foreign_order:
+    "Changes of slots that the owner did not order, by upstream that ignores fencing",
   pause_detected: "Pauses of the process that were detected",
   connection_dropped: "Callers' connections beyond the bound",
   connection_malformed:
--- /dev/null
+++ b/test/core/residency/slot_table_test.ts
@@ -0,0 +1,47 @@
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { SlotTable } from "../../../src/core/residency/slot_table.ts";
+import type { UpstreamStateStructure } from "../../../src/core/structures.ts";
+
+const ADAPTER = "briefing@v1";
+
+function createState(residents: string[]): UpstreamStateStructure {
+  return {
+    incarnation: "i1",
+    fencing: 0,
+    leaving: false,
+    residents: residents.map((adapterKey) => ({ adapterKey, inFlight: 0 })),
+    running: 0,
+  };
+}
+
+test("a reading that began before an eviction does not bring the adapter back", () => {
+  const slots = new SlotTable(2);
+  slots.reconcile(createState([ADAPTER]), 10, 20);
+  slots.apply(ADAPTER, "evictOrdered", 30);
+  slots.apply(ADAPTER, "orderDone", 50);
+  assert.not(slots.reconcile(createState([ADAPTER]), 40, 60));
+  assert.is(slots.getSlot(ADAPTER), undefined);
+});
+
+test("a later reading shows an adapter that somebody else loaded", () => {
+  const slots = new SlotTable(2);
+  assert.ok(slots.reconcile(createState([ADAPTER]), 10, 20));
+  assert.ok(slots.isResident(ADAPTER));
+});
+
+test("a later reading shows an adapter that somebody else evicted", () => {
+  const slots = new SlotTable(2);
+  slots.reconcile(createState([ADAPTER]), 10, 20);
+  assert.ok(slots.reconcile(createState([]), 30, 40));
+  assert.is(slots.getSlot(ADAPTER), undefined);
+});
+
+test("the end of an own order is no foreign change", () => {
+  const slots = new SlotTable(2);
+  slots.addLoading(ADAPTER, 10);
+  slots.apply(ADAPTER, "orderDone", 20);
+  assert.not(slots.reconcile(createState([ADAPTER]), 30, 40));
+});
+
+test.run();
