--- /dev/null
+++ b/src/core/control_plane.ts
@@ -0,0 +1,271 @@
+/**
+ * What a daemon does beside serving requests: keeps up with its peers, the
+ * tables and the host list, and decides whether it reads the platform itself.
+ */
+import type { CoreSettings } from "./core_settings.ts";
+import type { Effect } from "./effects.ts";
+import { rankByRendezvous } from "./hashing.ts";
+import type { Membership } from "./membership/membership.ts";
+import { PeerProtocol } from "./membership/peer_protocol.ts";
+import { PlatformReaders } from "./membership/platform_readers.ts";
+import type {
+  ControlMessage,
+  StrikeDigest,
+  UpstreamDigest,
+} from "./messages.ts";
+import type {
+  HostListStructure,
+  HostStructure,
+  Milliseconds,
+  TablesStructure,
+} from "./structures.ts";
+import { RevisionSource, TableExchange } from "./tables/table_exchange.ts";
+import type { TableKeeper } from "./tables/table_keeper.ts";
+
+export interface ControlPlaneOptions {
+  selfId: string;
+  incarnation: string;
+  failureDomain: string;
+  settings: CoreSettings;
+  seedHosts: readonly HostStructure[];
+  tables: TableKeeper;
+  membership: Membership;
+  emit: (effect: Effect) => void;
+  getStrikes: (now: Milliseconds) => StrikeDigest[];
+  mergeStrikes: (strikes: readonly StrikeDigest[], now: Milliseconds) => void;
+  /** Called after newer tables or a newer host list came into force. */
+  handleTablesChanged: (now: Milliseconds) => void;
+}
+
+/** Daemons of other failure domains that a starting daemon asks for tables. */
+const START_REMOTE_PEERS = 3;
+/** Start graces after which a daemon serves although a peer holds newer tables. */
+const MAX_START_GRACES = 5;
+
+export class ControlPlane {
+  readonly #options: ControlPlaneOptions;
+  readonly #protocol: PeerProtocol;
+  readonly #exchange: TableExchange;
+  readonly #readers: PlatformReaders;
+  /** Start of this process, or the end of its last pause. */
+  #beganAt: Milliseconds;
+  #isPlatformHeard = false;
+  #isReading: boolean | undefined;
+  #hasAskedRemotePeers = false;
+
+  constructor(options: ControlPlaneOptions, now: Milliseconds) {
+    const { tables, membership, emit } = options;
+    this.#options = options;
+    this.#beganAt = now;
+    this.#readers = new PlatformReaders(options.selfId, now);
+    this.#exchange = new TableExchange(tables, {
+      emit,
+      handleTablesAccepted: (at) => this.#handleTablesAccepted(at),
+      handleHostListAccepted: (at) => this.#handleHostListAccepted(at),
+      publishTablesDelta: (delta, at) =>
+        this.#protocol.publishTablesDelta(delta, at),
+      publishHostListDelta: (delta, at) =>
+        this.#protocol.publishHostListDelta(delta, at),
+    });
+    membership.applyHostList(options.seedHosts);
+    this.#protocol = new PeerProtocol({
+      ...options,
+      getRevisions: () => ({
+        tablesRevision: tables.getTablesRevision(),
+        hostListRevision: tables.getHostListRevision(),
+      }),
+      handleRevisions: (from, revisions, at) =>
+        this.#exchange.handlePeerRevisions(from, revisions, at),
+      handleDeltas: (from, tablesDeltas, hostListDeltas, at) =>
+        this.#exchange.handleDeltas(
+          from,
+          { tablesDeltas, hostListDeltas },
+          RevisionSource.Domain,
+          at,
+        ),
+    });
+  }
+
+  /** Returns whether peers have had the time to make themselves heard. */
+  isSettled(now: Milliseconds): boolean {
+    const { settings, membership } = this.#options;
+    if (now - this.#beganAt >= settings.startGraceMs) return true;
+    return membership.directory.countEntryHosts() > 1 &&
+      this.#protocol.hasJoined() && membership.isEveryDomainPeerKnown();
+  }
+
+  /** Returns whether the tables in force may be served: the platform or a peer was asked for newer ones. */
+  isReadyToServe(now: Milliseconds): boolean {
+    const { tables, settings } = this.#options;
+    if (!tables.getSnapshot() || !this.isSettled(now)) return false;
+    const hasAsked = this.#isPlatformHeard || this.#protocol.hasHeardPeer();
+    const isTooLate = now - this.#beganAt >=
+      settings.startGraceMs * MAX_START_GRACES;
+    return hasAsked && (isTooLate || !this.#exchange.isBehind(now));
+  }
+
+  /** Takes the tables as the platform publishes them. */
+  offerTables(tables: TablesStructure, now: Milliseconds): void {
+    this.#isPlatformHeard = true;
+    this.#readers.recordReading(true, now);
+    this.#exchange.offerTables(tables, now);
+  }
+
+  /** Takes the host list as the platform publishes it. */
+  offerHostList(hostList: HostListStructure, now: Milliseconds): void {
+    this.#exchange.offerHostList(hostList, now);
+  }
+
+  /** Records that the platform was read and has nothing newer. */
+  recordPlatformReached(now: Milliseconds): void {
+    this.#isPlatformHeard = true;
+    this.#readers.recordReading(true, now);
+  }
+
+  recordPlatformUnreached(now: Milliseconds): void {
+    this.#isPlatformHeard = true;
+    this.#readers.recordReading(false, now);
+  }
+
+  /** Publishes what this daemon, as the owner, knows of the upstream. */
+  publishUpstream(digest: UpstreamDigest, now: Milliseconds): void {
+    this.#protocol.publishUpstream(digest, now);
+  }
+
+  /** Publishes that this daemon owns the upstream no longer. */
+  removeUpstream(upstreamId: string): void {
+    this.#protocol.removeUpstream(upstreamId);
+  }
+
+  /** Tells the failure domain at once that this daemon is leaving. */
+  publishLeaving(now: Milliseconds): void {
+    this.#options.membership.markSelfLeaving();
+    this.#protocol.publishLeaving(now);
+  }
+
+  /** Publishes at once what has changed, before this daemon stops. */
+  flush(now: Milliseconds): void {
+    this.#protocol.flush(now);
+  }
+
+  tick(now: Milliseconds): void {
+    this.#requestFromRemotePeers(now);
+    this.#updateReading(now);
+    this.#protocol.tick(now);
+    this.#exchange.tick(now);
+  }
+
+  /** Takes everything about peers for expired, after a pause of this process. */
+  expireAll(now: Milliseconds): void {
+    this.#beganAt = now;
+    this.#protocol.expireAll();
+    this.#readers.clear(now);
+  }
+
+  handleMessage(
+    from: string,
+    message: ControlMessage,
+    now: Milliseconds,
+  ): void {
+    switch (message.kind) {
+      case "probe":
+        this.#protocol.handleProbe(from, message, now);
+        break;
+      case "probeAck":
+        this.#protocol.handleProbeAck(from, message, now);
+        break;
+      case "probeRequest":
+        this.#protocol.handleProbeRequest(from, message, now);
+        break;
+      case "spread":
+        this.#protocol.handleSpread(from, message, now);
+        break;
+      case "stateRequest":
+        this.#protocol.handleStateRequest(from, message, now);
+        break;
+      case "stateTransfer":
+        this.#protocol.handleStateTransfer(from, message, now);
+        break;
+      case "linkUpdate":
+        this.#protocol.handleLinkUpdate(from, message, now);
+        break;
+      case "linkAck":
+        this.#protocol.handleLinkAck(from, message, now);
+        break;
+      case "tablesRequest":
+        this.#exchange.handleRequest(from, message, now);
+        break;
+      case "tablesTransfer":
+        this.#exchange.handleDeltas(from, message, this.#getSource(from), now);
+        break;
+      case "chunkRequest":
+        this.#exchange.handleChunkRequest(from, message, now);
+        break;
+      case "tablesChunk":
+        this.#exchange.handleTablesChunk(
+          from,
+          message,
+          this.#getSource(from),
+          now,
+        );
+        break;
+      case "hostListChunk":
+        this.#exchange.handleHostListChunk(
+          from,
+          message,
+          this.#getSource(from),
+          now,
+        );
+        break;
+    }
+  }
+
+  #getSource(from: string): RevisionSource {
+    return this.#options.membership.members.isHost(from)
+      ? RevisionSource.Domain
+      : RevisionSource.Outside;
+  }
+
+  /** Asks a few other failure domains once, so that a domain that starts as a whole hears of newer tables. */
+  #requestFromRemotePeers(now: Milliseconds): void {
+    if (this.#hasAskedRemotePeers) return;
+    this.#hasAskedRemotePeers = true;
+    const { membership, failureDomain, selfId } = this.#options;
+    const candidates = [...membership.directory.getEntryHosts()]
+      .filter((host) => host.failureDomain !== failureDomain);
+    const ranked = rankByRendezvous(selfId, candidates);
+    for (const host of ranked.slice(0, START_REMOTE_PEERS)) {
+      this.#exchange.sendRequest(host.id, now);
+    }
+  }
+
+  /** Tells the platform task to begin or end reading when that changes. */
+  #updateReading(now: Milliseconds): void {
+    const { membership, settings, emit } = this.#options;
+    const isAwaitingPeers = !this.#protocol.hasJoined() &&
+      now - this.#beganAt < settings.startGraceMs;
+    const isReading = this.#readers.update({
+      peers: membership.listStayingPeers(),
+      daemons: membership.directory.countEntryHosts(),
+      isAwaitingPeers,
+      isLeaving: membership.isSelfLeaving(),
+    }, now);
+    this.#protocol.setPlatformReach(this.#readers.getReach());
+    if (isReading === this.#isReading) return;
+    this.#isReading = isReading;
+    emit({ kind: "readPlatform", isReading });
+  }
+
+  #handleTablesAccepted(now: Milliseconds): void {
+    this.#protocol.updateTables(
+      this.#options.tables.getSnapshot()?.getPools() ?? [],
+    );
+    this.#options.handleTablesChanged(now);
+  }
+
+  #handleHostListAccepted(now: Milliseconds): void {
+    const hostList = this.#options.tables.getHostList();
+    this.#options.membership.applyHostList(hostList?.getHosts() ?? []);
+    this.#handleTablesAccepted(now);
+  }
+}
--- a/src/core/daemon_core.ts
+++ b/src/core/daemon_core.ts
@@ -9,6 +9,7 @@
   type DaemonTrigger,
 } from "../charts/daemon_chart.ts";
 import { type CorePolicy, DEFAULT_CORE_POLICY } from "./core_policy.ts";
+import { ControlPlane } from "./control_plane.ts";
 import type { CoreSettings } from "./core_settings.ts";
 import type { Effect } from "./effects.ts";
 import type { CoreEvent } from "./events.ts";
@@ -17,25 +18,14 @@
 import { CrashQuarantine } from "./limits/crash_quarantine.ts";
 import { RetryBudget } from "./limits/retry_budget.ts";
 import { Membership } from "./membership/membership.ts";
-import {
-  ClaimVerdict,
-  type HeartbeatMessage,
-  type PeerMessage,
-} from "./messages.ts";
+import { ClaimVerdict, type PeerMessage } from "./messages.ts";
 import { Outcome, RefusalReason } from "./outcomes.ts";
 import { StoreBudget, type StoreShare } from "./residency/store_budget.ts";
 import type { OwnedUpstreamDescription } from "./residency/upstream_owner.ts";
 import { UpstreamOwnership } from "./residency/upstream_ownership.ts";
 import type { RankedUpstream } from "./routing/upstream_selector.ts";
-import {
-  type HostListStructure,
-  HostRole,
-  type HostStructure,
-  type Milliseconds,
-  type TablesStructure,
-} from "./structures.ts";
-import { TableExchange } from "./tables/table_exchange.ts";
-import { type OfferResult, TableKeeper } from "./tables/table_keeper.ts";
+import type { HostStructure, Milliseconds } from "./structures.ts";
+import { TableKeeper } from "./tables/table_keeper.ts";
 import type { TableSnapshot } from "./tables/table_snapshot.ts";
 
 export interface DaemonCoreOptions {
@@ -79,43 +69,47 @@
   readonly #tickets: TicketBook;
   readonly #executor: RequestExecutor;
   readonly #ownership: UpstreamOwnership;
-  readonly #tableExchange: TableExchange;
-  readonly #startedAt: Milliseconds;
+  readonly #control: ControlPlane;
   #state: DaemonState = daemonChart.initial;
   #effects: Effect[] = [];
   #lastEventAt: Milliseconds;
-  #lastHeartbeatAt = Number.NEGATIVE_INFINITY;
-  #heartbeatSequence = 0;
-  #isPlatformHeard = false;
 
   constructor(options: DaemonCoreOptions, now: Milliseconds) {
     const { settings, selfId, incarnation, failureDomain } = options;
     const policy = options.policy ?? DEFAULT_CORE_POLICY;
     this.#options = options;
-    this.#startedAt = now;
     this.#lastEventAt = now;
-    this.#membership = new Membership({
-      selfId,
-      failureDomain,
-      peerTimeoutMs: settings.peerTimeoutMs,
-    });
-    this.#membership.applyHostList({ revision: 0, hosts: options.seedHosts });
+    this.#membership = new Membership({ selfId, failureDomain });
     this.#quarantine = new CrashQuarantine(settings);
     this.#storeBudget = new StoreBudget({
       loadsPerSecond: settings.storeLoadsPerSecond,
       loadsInFlight: 1,
     });
-    this.#tableExchange = new TableExchange(this.#tables, this.#emit);
-    this.#ownership = new UpstreamOwnership({
+    this.#control = new ControlPlane({
       selfId,
       incarnation,
       failureDomain,
       settings,
+      seedHosts: options.seedHosts,
+      tables: this.#tables,
+      membership: this.#membership,
+      emit: this.#emit,
+      getStrikes: (at) => this.#quarantine.getDigests(at),
+      mergeStrikes: (strikes, at) => this.#quarantine.mergeDigests(strikes, at),
+      handleTablesChanged: (at) => this.#handleTablesChanged(at),
+    }, now);
+    this.#ownership = new UpstreamOwnership({
+      selfId,
+      incarnation,
+      settings,
       policy,
       tables: this.#tables,
       membership: this.#membership,
       storeBudget: this.#storeBudget,
       emit: this.#emit,
+      publishUpstream: (digest, at) =>
+        this.#control.publishUpstream(digest, at),
+      removeUpstream: (id) => this.#control.removeUpstream(id),
     });
     this.#tickets = new TicketBook({
       selfId,
@@ -184,10 +178,9 @@
   }
 
   /** Returns how the upstreams rank for a route now, best first. */
-  explainRoute(routeName: string, now: Milliseconds): RankedUpstream[] {
-    const route = this.#tables.getSnapshot()?.getRoutes()
-      .find((candidate) => candidate.name === routeName);
-    return route ? this.#executor.explainRoute(route, now) : [];
+  explainRoute(routeName: string): RankedUpstream[] {
+    const route = this.#tables.getSnapshot()?.getRouteByName(routeName);
+    return route ? this.#executor.explainRoute(route) : [];
   }
 
   readonly #emit = (effect: Effect): void => {
@@ -239,14 +232,16 @@
         this.#ownership.recordOrderEnd(event.orderId, event.result, now);
         break;
       case "tablesPublished":
-        this.#isPlatformHeard = true;
-        this.#offerTables(event.tables, now);
+        this.#control.offerTables(event.tables, now);
         break;
       case "hostListPublished":
-        this.#offerHostList(event.hostList, now);
+        this.#control.offerHostList(event.hostList, now);
+        break;
+      case "platformReached":
+        this.#control.recordPlatformReached(now);
         break;
       case "platformUnreachable":
-        this.#isPlatformHeard = true;
+        this.#control.recordPlatformUnreached(now);
         break;
       case "tick":
         this.#tick(now);
@@ -259,9 +254,6 @@
 
   #receive(from: string, message: PeerMessage, now: Milliseconds): void {
     switch (message.kind) {
-      case "heartbeat":
-        this.#receiveHeartbeat(from, message, now);
-        break;
       case "leaseRequest":
         this.#ownership.requestLease(from, message, now);
         break;
@@ -282,13 +274,6 @@
       case "handover":
         this.#ownership.acceptHandover(message, now);
         break;
-      case "tablesRequest":
-        this.#tableExchange.sendTables(from, message);
-        break;
-      case "tablesTransfer":
-        if (message.tables) this.#offerTables(message.tables, now);
-        if (message.hostList) this.#offerHostList(message.hostList, now);
-        break;
       case "ticketClaim":
         this.#emit({
           kind: "send",
@@ -311,19 +296,11 @@
       case "ticketVerdict":
         this.#executor.handleTicketVerdict(from, message, now);
         break;
+      default:
+        this.#control.handleMessage(from, message, now);
     }
   }
 
-  #receiveHeartbeat(
-    from: string,
-    heartbeat: HeartbeatMessage,
-    now: Milliseconds,
-  ): void {
-    if (!this.#membership.recordHeartbeat(from, heartbeat, now)) return;
-    this.#quarantine.mergeDigests(heartbeat.strikes, now);
-    this.#tableExchange.handlePeerRevisions(from, heartbeat, now);
-  }
-
   #refuseUnserved(requestId: string): void {
     const reason = this.#state === "starting"
       ? RefusalReason.NotReady
@@ -338,29 +315,15 @@
     });
   }
 
-  #offerTables(tables: TablesStructure, now: Milliseconds): void {
-    this.#countOffer("tables", this.#tables.offerTables(tables));
+  #handleTablesChanged(now: Milliseconds): void {
+    this.#storeBudget.setShare(this.#computeStoreShare());
     this.#updateOwnership(now);
   }
 
-  #offerHostList(hostList: HostListStructure, now: Milliseconds): void {
-    const result = this.#tables.offerHostList(hostList);
-    this.#countOffer("host_list", result);
-    if (result.kind !== "accepted") return;
-    this.#membership.applyHostList(hostList);
-    this.#storeBudget.setShare(this.#computeStoreShare(hostList));
-    this.#updateOwnership(now);
-  }
-
-  #countOffer(counter: string, result: OfferResult): void {
-    this.#emit({ kind: "count", counter, tag: result.kind });
-  }
-
   /** Splits the store evenly over all entry hosts, so that cut-off parts never exceed it together. */
-  #computeStoreShare(hostList: HostListStructure): StoreShare {
+  #computeStoreShare(): StoreShare {
     const { settings } = this.#options;
-    const daemons =
-      hostList.hosts.filter((host) => host.role === HostRole.Entry).length;
+    const daemons = this.#membership.directory.countEntryHosts();
     const share = 1 / Math.max(1, daemons);
     return {
       loadsPerSecond: settings.storeLoadsPerSecond * share,
@@ -375,67 +338,34 @@
     this.#updateOwnership(now);
     this.#ownership.tick(now);
     this.#executor.tick(now);
-    const isHeartbeatDue = now - this.#lastHeartbeatAt >=
-      this.#options.settings.heartbeatIntervalMs;
-    if (isHeartbeatDue) this.#sendHeartbeats(now);
-    if (this.#state === "starting" && this.#isReadyToServe(now)) {
+    this.#control.tick(now);
+    if (this.#state === "starting" && this.#control.isReadyToServe(now)) {
       this.#move("tablesInForce");
     }
     if (this.#state === "stopping" && this.#executor.isDrained()) {
       this.#move("drained");
-      this.#sendHeartbeats(now);
+      this.#control.flush(now);
       this.#emit({ kind: "stopCompleted" });
     }
   }
 
-  #isReadyToServe(now: Milliseconds): boolean {
-    return this.#tables.getSnapshot() !== undefined &&
-      this.#isPlatformHeard && this.#isSettled(now);
-  }
-
-  /** Returns whether peers have had the time to make themselves heard. */
-  #isSettled(now: Milliseconds): boolean {
-    return now - this.#startedAt >= this.#options.settings.startGraceMs ||
-      (this.#membership.getPeerHosts().length > 0 &&
-        this.#membership.hasHeardAllDomainPeers(now));
-  }
-
-  #sendHeartbeats(now: Milliseconds): void {
-    this.#lastHeartbeatAt = now;
-    this.#heartbeatSequence += 1;
-    const message: HeartbeatMessage = {
-      kind: "heartbeat",
-      incarnation: this.#options.incarnation,
-      sequence: this.#heartbeatSequence,
-      failureDomain: this.#options.failureDomain,
-      tablesRevision: this.#tables.getTablesRevision(),
-      hostListRevision: this.#tables.getHostListRevision(),
-      leaving: this.#state === "stopping" || this.#state === "stopped",
-      upstreams: this.#ownership.describeDigests(now),
-      strikes: this.#quarantine.getDigests(now),
-    };
-    for (const host of this.#membership.getPeerHosts()) {
-      this.#emit({ kind: "send", to: host.id, message });
-    }
-  }
-
   #updateOwnership(now: Milliseconds): void {
-    if (this.#isSettled(now)) this.#ownership.update(now);
+    if (this.#control.isSettled(now)) this.#ownership.update(now);
   }
 
   #stop(now: Milliseconds): void {
     if (daemonChart.getNext(this.#state, "stopRequested") === undefined) return;
     this.#move("stopRequested");
-    this.#membership.markSelfLeaving();
-    this.#sendHeartbeats(now);
+    this.#control.publishLeaving(now);
     this.#ownership.handOverAll(now);
+    this.#control.flush(now);
   }
 
   /** After a pause, takes leases, ownership and views of peers for expired. */
   #expireBeliefs(now: Milliseconds): void {
     this.#emit({ kind: "count", counter: "pause_detected", tag: "" });
-    this.#membership.expireAll();
     this.#ownership.expireAll(now);
+    this.#control.expireAll(now);
     this.#executor.expireLeases(now);
   }
 
--- a/src/core/effects.ts
+++ b/src/core/effects.ts
@@ -60,4 +60,6 @@
   }
   | { kind: "count"; counter: string; tag: string }
   | { kind: "measure"; histogram: string; valueMs: Milliseconds }
+  /** Begins or ends following the configuration service and the host list. */
+  | { kind: "readPlatform"; isReading: boolean }
   | { kind: "stopCompleted" };
--- a/src/core/events.ts
+++ b/src/core/events.ts
@@ -54,6 +54,8 @@
   | { kind: "orderEnded"; orderId: string; result: OrderResult }
   | { kind: "tablesPublished"; tables: TablesStructure }
   | { kind: "hostListPublished"; hostList: HostListStructure }
+  /** The platform answered and has nothing newer. */
+  | { kind: "platformReached" }
   | { kind: "platformUnreachable" }
   | { kind: "tick" }
   | { kind: "stopRequested" };
--- a/src/core/execution/lease_book.ts
+++ b/src/core/execution/lease_book.ts
@@ -149,7 +149,7 @@
       now - pending.sentAt >= settings.leaseReplyTimeoutMs;
     if (isUnanswered) {
       const isOwnerHeard = pending.ownerId === this.#context.options.selfId ||
-        this.#context.options.membership.isPeerLive(pending.ownerId, now);
+        this.#context.options.membership.isPeerLive(pending.ownerId);
       if (isOwnerHeard) this.#sendLeaseRequest(key, holding, now);
       else this.#loseOwner(holding);
     }
@@ -196,7 +196,6 @@
     const first = requests[0];
     const view = this.#context.options.membership.getUpstreamView(
       holding.upstreamId,
-      now,
     );
     if (!first || !view) return;
     const exclusive = isExclusiveKey(key);
@@ -287,7 +286,6 @@
   #returnIdleCredits(holding: LeaseHolding, now: Milliseconds): void {
     const view = this.#context.options.membership.getUpstreamView(
       holding.upstreamId,
-      now,
     );
     const idleMs = holding.waiting.length > 0
       ? Number.POSITIVE_INFINITY
--- a/src/core/execution/request_assigner.ts
+++ b/src/core/execution/request_assigner.ts
@@ -46,7 +46,6 @@
       request.pool,
       request.adapterKey,
       request.excludedUpstreams,
-      now,
     );
     const best = ranked[0];
     if (!best) {
@@ -76,17 +75,12 @@
     pool: PoolStructure,
     adapterKey: string,
     excluded: ReadonlySet<string>,
-    now: Milliseconds,
   ): RankedUpstream[] {
     const candidates: UpstreamCandidate[] = [];
-    for (const host of this.#context.options.membership.getUpstreamHosts()) {
-      if (host.service !== pool.service || excluded.has(host.id)) continue;
-      if (!pool.failureDomains.includes(host.failureDomain)) continue;
-      if (host.state === HostState.Leaving) continue;
-      const view = this.#context.options.membership.getUpstreamView(
-        host.id,
-        now,
-      );
+    const { membership } = this.#context.options;
+    for (const host of membership.getPoolUpstreams(pool)) {
+      if (excluded.has(host.id) || host.state === HostState.Leaving) continue;
+      const view = membership.getUpstreamView(host.id);
       if (!view || !view.digest.up || view.digest.leaving) continue;
       candidates.push({
         host,
@@ -154,8 +148,7 @@
     now: Milliseconds,
   ): void {
     const { pool, adapterKey, excludedUpstreams } = request;
-    const hasOther =
-      this.rank(pool, adapterKey, excludedUpstreams, now).length > 0;
+    const hasOther = this.rank(pool, adapterKey, excludedUpstreams).length > 0;
     if (hasOther) {
       this.assign(request, now);
       return;
--- a/src/core/execution/request_executor.ts
+++ b/src/core/execution/request_executor.ts
@@ -82,12 +82,12 @@
   }
 
   /** Returns how the upstreams rank for a route now. */
-  explainRoute(route: RouteStructure, now: Milliseconds): RankedUpstream[] {
+  explainRoute(route: RouteStructure): RankedUpstream[] {
     const pool = this.#context.options.tables.getSnapshot()
       ?.getPool(route.pool);
     if (!pool) return [];
     const adapterKey = getAdapterKey(route, pool);
-    return this.#assigner.rank(pool, adapterKey, new Set(), now);
+    return this.#assigner.rank(pool, adapterKey, new Set());
   }
 
   handleAttemptEnded(
--- a/src/core/execution/ticket_admission.ts
+++ b/src/core/execution/ticket_admission.ts
@@ -90,7 +90,7 @@
     }
     const { homeId } = parsed;
     const isReachable = homeId === this.#context.options.selfId ||
-      this.#context.options.membership.isPeerLive(homeId, now);
+      this.#context.options.membership.canReachPeer(homeId);
     if (!isReachable) {
       this.#handlers.refuse(request, RefusalReason.TicketHomeUnreachable, {
         outcome: Outcome.MayHaveRun,
--- /dev/null
+++ b/src/core/membership/domain_link.ts
@@ -0,0 +1,153 @@
+/** This daemon's side of a link: tells one daemon of another failure domain what changes in this one. */
+import { rankByRendezvous } from "../hashing.ts";
+import type {
+  LinkAckMessage,
+  LinkUpdateMessage,
+  PublishedDigest,
+  StrikeDigest,
+} from "../messages.ts";
+import type { HostStructure, Milliseconds } from "../structures.ts";
+import { estimateDigestBytes, hasResidencyChanged } from "./digest_size.ts";
+
+/** Digests of one message at most; the rest follow in the next. */
+const MAX_LINK_DIGESTS = 256;
+
+/** What a link tells, when it is due. */
+export interface LinkContent {
+  /** Upstreams to tell of that have a view now. */
+  digests: ReadonlyMap<string, PublishedDigest>;
+  strikes: StrikeDigest[];
+}
+
+export interface LinkPeriods {
+  /** Longest silence. */
+  linkMs: Milliseconds;
+  /** Silence after which the other side is taken for dead. */
+  timeoutMs: Milliseconds;
+  /** Time between reports of load that changed. */
+  loadMs: Milliseconds;
+}
+
+/** Fields of a link update that the link decides. */
+export type LinkUpdateBody = Pick<
+  LinkUpdateMessage,
+  "sequence" | "full" | "digests" | "removedUpstreamIds" | "strikes"
+>;
+
+export class DomainLink {
+  readonly failureDomain: string;
+  readonly #sent = new Map<string, PublishedDigest>();
+  readonly #sentStrikes = new Map<string, number>();
+  #targets: readonly HostStructure[] = [];
+  #targetIndex = 0;
+  #sequence = 0;
+  #needsFull = true;
+  #lastSentAt = Number.NEGATIVE_INFINITY;
+  #lastLoadAt = Number.NEGATIVE_INFINITY;
+  #lastAckAt: Milliseconds;
+
+  constructor(failureDomain: string, now: Milliseconds) {
+    this.failureDomain = failureDomain;
+    this.#lastAckAt = now;
+  }
+
+  /** Sets the daemons of the other side, of which the first that answers is told. */
+  setTargets(ownDomain: string, hosts: readonly HostStructure[]): void {
+    const known = this.getTargetId();
+    this.#targets = rankByRendezvous(`link\u0000${ownDomain}`, hosts);
+    this.#targetIndex = Math.max(
+      0,
+      this.#targets.findIndex((host) => host.id === known),
+    );
+    if (this.getTargetId() !== known) this.#needsFull = true;
+  }
+
+  getTargetId(): string | undefined {
+    return this.#targets[this.#targetIndex]?.id;
+  }
+
+  recordAck(from: string, ack: LinkAckMessage, now: Milliseconds): void {
+    if (from !== this.getTargetId()) return;
+    this.#lastAckAt = now;
+    if (ack.needsFull) this.#needsFull = true;
+  }
+
+  /** Returns the update that is due, or undefined. */
+  takeUpdate(
+    content: LinkContent,
+    periods: LinkPeriods,
+    now: Milliseconds,
+  ): LinkUpdateBody | undefined {
+    if (now - this.#lastAckAt >= periods.timeoutMs) this.#tryNextTarget(now);
+    if (this.getTargetId() === undefined) return undefined;
+    if (this.#needsFull) this.#sent.clear();
+    const isLoadDue = now - this.#lastLoadAt >= periods.loadMs;
+    const digests = this.#listChanged(content, isLoadDue);
+    const removedUpstreamIds = [...this.#sent.keys()].filter((id) =>
+      !content.digests.has(id)
+    );
+    const strikes = content.strikes.filter((strike) =>
+      strike.strikes !== this.#sentStrikes.get(strike.fingerprint)
+    );
+    const isDue = this.#needsFull || digests.length > 0 ||
+      removedUpstreamIds.length > 0 || strikes.length > 0 ||
+      now - this.#lastSentAt >= periods.linkMs;
+    if (!isDue) return undefined;
+    if (isLoadDue) this.#lastLoadAt = now;
+    this.#lastSentAt = now;
+    this.#sequence += 1;
+    const full = this.#needsFull;
+    this.#needsFull = false;
+    this.#recordSent(digests, removedUpstreamIds, content.strikes);
+    return {
+      sequence: this.#sequence,
+      full,
+      digests,
+      removedUpstreamIds,
+      strikes,
+    };
+  }
+
+  #tryNextTarget(now: Milliseconds): void {
+    this.#lastAckAt = now;
+    this.#targetIndex = (this.#targetIndex + 1) %
+      Math.max(1, this.#targets.length);
+    this.#needsFull = true;
+  }
+
+  #listChanged(content: LinkContent, isLoadDue: boolean): PublishedDigest[] {
+    const changed: PublishedDigest[] = [];
+    for (const [id, published] of content.digests) {
+      if (changed.length >= MAX_LINK_DIGESTS) break;
+      const sent = this.#sent.get(id);
+      const isSame = sent !== undefined &&
+        sent.ownerId === published.ownerId &&
+        (sent.digest === published.digest || !isLoadDue &&
+            !hasResidencyChanged(sent.digest, published.digest));
+      if (!isSame) changed.push(published);
+    }
+    return changed;
+  }
+
+  #recordSent(
+    digests: readonly PublishedDigest[],
+    removedUpstreamIds: readonly string[],
+    strikes: readonly StrikeDigest[],
+  ): void {
+    for (const id of removedUpstreamIds) this.#sent.delete(id);
+    for (const entry of digests) this.#sent.set(entry.digest.upstreamId, entry);
+    this.#sentStrikes.clear();
+    for (const { fingerprint, strikes: count } of strikes) {
+      this.#sentStrikes.set(fingerprint, count);
+    }
+  }
+}
+
+/** Returns the approximate size of the digests in a message. */
+export function estimateContentBytes(content: LinkContent): number {
+  let bytes = 0;
+  for (const entry of content.digests.values()) {
+    bytes += estimateDigestBytes(entry);
+  }
+  return bytes;
+}
--- /dev/null
+++ b/src/core/membership/failure_detector.ts
@@ -0,0 +1,297 @@
+/**
+ * Finds daemons of the failure domain that are dead: probes one a period, asks
+ * a few others to probe it when it does not answer, then suspects it aloud, so
+ * that it can refute that, and takes it for dead only some time later.
+ */
+import type { Effect } from "../effects.ts";
+import { rankByRendezvous } from "../hashing.ts";
+import {
+  type KnownRevisions,
+  type MemberRecord,
+  MemberStatus,
+  type ProbeAckMessage,
+  type ProbeMessage,
+  type ProbeRequestMessage,
+  type StrikeDigest,
+} from "../messages.ts";
+import type { Milliseconds } from "../structures.ts";
+import {
+  type ControlPeriods,
+  PROBE_WINDOW_MEMBERS,
+} from "./control_periods.ts";
+import {
+  describeMember,
+  type Member,
+  type MemberTable,
+} from "./member_table.ts";
+
+/** Daemons asked to probe one that does not answer. */
+const INDIRECT_PROBERS = 3;
+/** Part of the probe period after which others are asked. */
+const INDIRECT_AFTER_RATIO = 0.5;
+/** Part of the peer timeout between a probe and the death that follows it. */
+const DEATH_AFTER_RATIO = 0.8;
+/** Silent hosts probed at once while this daemon knows nobody. */
+const FIRST_PROBES = 8;
+/** Gap between ticks beyond which timers are moved on by it. */
+const STALL_THRESHOLD_MS = 100;
+/** Time for which the answer to a probe for another daemon is waited for. */
+const RELAY_KEPT_MS = 2_000;
+
+interface PendingProbe {
+  targetId: string;
+  sentAt: Milliseconds;
+  isIndirect: boolean;
+}
+
+interface RelayedProbe {
+  requesterId: string;
+  probeId: number;
+  sentAt: Milliseconds;
+}
+
+export interface FailureDetectorOptions {
+  selfId: string;
+  peerTimeoutMs: Milliseconds;
+  periods: ControlPeriods;
+  members: MemberTable;
+  emit: (effect: Effect) => void;
+  describeSelf: () => MemberRecord;
+  getRevisions: () => KnownRevisions;
+  getStrikes: (now: Milliseconds) => StrikeDigest[];
+  /** Called when this daemon has come to another view of a member. */
+  reportChange: (member: Member, now: Milliseconds) => void;
+}
+
+export class FailureDetector {
+  readonly #options: FailureDetectorOptions;
+  readonly #pending = new Map<number, PendingProbe>();
+  readonly #relayed = new Map<number, RelayedProbe>();
+  #order: string[] = [];
+  #round = 0;
+  #windowStart = 0;
+  #revivalStart = 0;
+  #lastProbeId = 0;
+  #lastTickAt: Milliseconds | undefined;
+  #nextProbeAt = Number.NEGATIVE_INFINITY;
+  #nextRevivalAt = Number.NEGATIVE_INFINITY;
+
+  constructor(options: FailureDetectorOptions) {
+    this.#options = options;
+  }
+
+  tick(now: Milliseconds): void {
+    this.#moveTimersPastStall(now);
+    this.#checkPending(now);
+    this.#checkSuspects(now);
+    if (now >= this.#nextRevivalAt) this.#sendProbesToSilentHosts(now);
+    if (now >= this.#nextProbeAt) {
+      this.#nextProbeAt = now + this.#options.periods.getProbeMs();
+      const targetId = this.#selectTarget();
+      if (targetId !== undefined) {
+        this.#sendProbe(targetId, this.#createProbeId(), now, true);
+      }
+    }
+  }
+
+  /** Forgets the probes under way, after a pause of this process. */
+  clear(): void {
+    this.#pending.clear();
+    this.#relayed.clear();
+    this.#order = [];
+    this.#nextProbeAt = Number.NEGATIVE_INFINITY;
+    this.#nextRevivalAt = Number.NEGATIVE_INFINITY;
+  }
+
+  handleProbe(from: string, probe: ProbeMessage): void {
+    this.#options.emit({
+      kind: "send",
+      to: from,
+      message: {
+        kind: "probeAck",
+        probeId: probe.probeId,
+        sender: this.#options.describeSelf(),
+        members: this.#describeWindow(from),
+        ...this.#options.getRevisions(),
+      },
+    });
+  }
+
+  /** Takes an answer for this daemon, or passes it on to the one that asked for it. */
+  handleProbeAck(ack: ProbeAckMessage): void {
+    this.#pending.delete(ack.probeId);
+    const relayed = this.#relayed.get(ack.probeId);
+    if (!relayed) return;
+    this.#relayed.delete(ack.probeId);
+    this.#options.emit({
+      kind: "send",
+      to: relayed.requesterId,
+      message: { ...ack, probeId: relayed.probeId },
+    });
+  }
+
+  handleProbeRequest(
+    from: string,
+    request: ProbeRequestMessage,
+    now: Milliseconds,
+  ): void {
+    if (!this.#options.members.isHost(request.targetId)) return;
+    const probeId = this.#createProbeId();
+    this.#relayed.set(probeId, {
+      requesterId: from,
+      probeId: request.probeId,
+      sentAt: now,
+    });
+    this.#sendProbe(request.targetId, probeId, now, false);
+  }
+
+  /** Moves timers on by the time for which this process did not run. */
+  #moveTimersPastStall(now: Milliseconds): void {
+    const stallMs = now - (this.#lastTickAt ?? now);
+    this.#lastTickAt = now;
+    if (stallMs < STALL_THRESHOLD_MS) return;
+    for (const probe of this.#pending.values()) probe.sentAt += stallMs;
+    for (const member of this.#options.members.getAll()) {
+      member.statusSince = Math.min(now, member.statusSince + stallMs);
+    }
+  }
+
+  #checkPending(now: Milliseconds): void {
+    const periodMs = this.#options.periods.getProbeMs();
+    for (const [probeId, probe] of this.#pending) {
+      const ageMs = now - probe.sentAt;
+      const member = this.#options.members.get(probe.targetId);
+      if (!member || member.lastHeardAt >= probe.sentAt) {
+        this.#pending.delete(probeId);
+      } else if (ageMs >= periodMs) {
+        this.#pending.delete(probeId);
+        this.#markSuspect(member, now);
+      } else if (
+        ageMs >= periodMs * INDIRECT_AFTER_RATIO && !probe.isIndirect
+      ) {
+        probe.isIndirect = true;
+        this.#requestProbes(probeId, probe.targetId);
+      }
+    }
+    for (const [probeId, relayed] of this.#relayed) {
+      if (now - relayed.sentAt >= RELAY_KEPT_MS) this.#relayed.delete(probeId);
+    }
+  }
+
+  #markSuspect(member: Member, now: Milliseconds): void {
+    if (member.status !== MemberStatus.Alive) return;
+    this.#options.members.setStatus(member, MemberStatus.Suspect, now);
+    this.#options.reportChange(member, now);
+  }
+
+  #checkSuspects(now: Milliseconds): void {
+    const { members, peerTimeoutMs, periods } = this.#options;
+    const suspicionMs = Math.max(
+      peerTimeoutMs * DEATH_AFTER_RATIO - periods.getProbeMs(),
+      periods.getProbeMs(),
+    );
+    for (const member of members.getAll()) {
+      if (member.status !== MemberStatus.Suspect) continue;
+      if (now - member.statusSince < suspicionMs) continue;
+      const isHeard = member.lastHeardAt >= member.statusSince;
+      const status = isHeard ? MemberStatus.Alive : MemberStatus.Dead;
+      members.setStatus(member, status, now);
+      if (!isHeard) this.#options.reportChange(member, now);
+    }
+  }
+
+  /** Probes hosts of which nothing is known or that are taken for dead, in turn. */
+  #sendProbesToSilentHosts(now: Milliseconds): void {
+    const { members, periods } = this.#options;
+    const isAlone = members.getRing().length === 1;
+    this.#nextRevivalAt = now +
+      (isAlone ? periods.getProbeMs() : periods.getRevivalMs());
+    const silent = members.listSilentHosts();
+    const count = Math.min(silent.length, isAlone ? FIRST_PROBES : 1);
+    for (let index = 0; index < count; index += 1) {
+      this.#revivalStart += 1;
+      const id = silent[this.#revivalStart % silent.length];
+      if (id !== undefined) {
+        this.#sendProbe(id, this.#createProbeId(), now, false);
+      }
+    }
+  }
+
+  /** Returns the next live member of this round; each round has an order of its own. */
+  #selectTarget(): string | undefined {
+    const { members, selfId } = this.#options;
+    for (;;) {
+      const id = this.#order.pop();
+      if (id === undefined) break;
+      if (members.isLive(id)) return id;
+    }
+    this.#round += 1;
+    const candidates = members.getRing()
+      .filter((id) => id !== selfId)
+      .map((id) => ({ id }));
+    this.#order = rankByRendezvous(`${selfId}#${this.#round}`, candidates)
+      .map((candidate) => candidate.id);
+    return this.#order.pop();
+  }
+
+  #requestProbes(probeId: number, targetId: string): void {
+    const { members, selfId, emit } = this.#options;
+    const helpers = members.getRing()
+      .filter((id) => id !== selfId && id !== targetId)
+      .map((id) => ({ id }));
+    const ranked = rankByRendezvous(`${targetId}#${probeId}`, helpers);
+    for (const helper of ranked.slice(0, INDIRECT_PROBERS)) {
+      emit({
+        kind: "send",
+        to: helper.id,
+        message: { kind: "probeRequest", probeId, targetId },
+      });
+    }
+  }
+
+  #sendProbe(
+    targetId: string,
+    probeId: number,
+    now: Milliseconds,
+    isJudged: boolean,
+  ): void {
+    const { emit, describeSelf, getRevisions, getStrikes } = this.#options;
+    if (isJudged) {
+      this.#pending.set(probeId, { targetId, sentAt: now, isIndirect: false });
+    }
+    emit({
+      kind: "send",
+      to: targetId,
+      message: {
+        kind: "probe",
+        probeId,
+        sender: describeSelf(),
+        members: this.#describeWindow(targetId),
+        strikes: getStrikes(now),
+        ...getRevisions(),
+      },
+    });
+  }
+
+  /** Returns the receiver's own record and some others in turn. */
+  #describeWindow(receiverId: string): MemberRecord[] {
+    const members = [...this.#options.members.getAll()];
+    const count = Math.min(PROBE_WINDOW_MEMBERS, members.length);
+    const window: MemberRecord[] = [];
+    const receiver = this.#options.members.get(receiverId);
+    if (receiver) window.push(describeMember(receiver));
+    for (let index = 0; index < count; index += 1) {
+      this.#windowStart = (this.#windowStart + 1) % members.length;
+      const member = members[this.#windowStart];
+      if (member && member.id !== receiverId) {
+        window.push(describeMember(member));
+      }
+    }
+    return window;
+  }
+
+  #createProbeId(): number {
+    this.#lastProbeId += 1;
+    return this.#lastProbeId;
+  }
+}
--- /dev/null
+++ b/src/core/membership/host_directory.ts
@@ -0,0 +1,93 @@
+/** The hosts that the platform's list names, indexed. */
+import { rankByRendezvous } from "../hashing.ts";
+import {
+  HostRole,
+  HostState,
+  type HostStructure,
+  type PoolStructure,
+} from "../structures.ts";
+import { PoolIndex } from "./pool_index.ts";
+
+export class HostDirectory {
+  readonly #entryHosts = new Map<string, HostStructure>();
+  readonly #upstreamHosts = new Map<string, HostStructure>();
+  readonly #entryHostsByDomain = new Map<string, HostStructure[]>();
+  readonly #upstreamsByDomain = new Map<string, HostStructure[]>();
+  readonly #pools: PoolIndex;
+
+  constructor(hosts: readonly HostStructure[]) {
+    for (const host of hosts) {
+      const isEntry = host.role === HostRole.Entry;
+      (isEntry ? this.#entryHosts : this.#upstreamHosts).set(host.id, host);
+      const byDomain = isEntry
+        ? this.#entryHostsByDomain
+        : this.#upstreamsByDomain;
+      const inDomain = byDomain.get(host.failureDomain);
+      if (inDomain) inDomain.push(host);
+      else byDomain.set(host.failureDomain, [host]);
+    }
+    this.#pools = new PoolIndex(this.#upstreamHosts.values());
+  }
+
+  getEntryHost(id: string): HostStructure | undefined {
+    return this.#entryHosts.get(id);
+  }
+
+  getEntryHosts(): Iterable<HostStructure> {
+    return this.#entryHosts.values();
+  }
+
+  countEntryHosts(): number {
+    return this.#entryHosts.size;
+  }
+
+  getUpstreamHost(id: string): HostStructure | undefined {
+    return this.#upstreamHosts.get(id);
+  }
+
+  getUpstreamHosts(): Iterable<HostStructure> {
+    return this.#upstreamHosts.values();
+  }
+
+  getDomainEntryHosts(failureDomain: string): readonly HostStructure[] {
+    return this.#entryHostsByDomain.get(failureDomain) ?? [];
+  }
+
+  getDomainUpstreams(failureDomain: string): readonly HostStructure[] {
+    return this.#upstreamsByDomain.get(failureDomain) ?? [];
+  }
+
+  /** Returns the failure domains with daemons, other than the one named. */
+  listOtherDomains(failureDomain: string): string[] {
+    return [...this.#entryHostsByDomain.keys()].filter((domain) =>
+      domain !== failureDomain
+    );
+  }
+
+  getPoolUpstreams(pool: PoolStructure): readonly HostStructure[] {
+    return this.#pools.getPoolUpstreams(pool);
+  }
+
+  /**
+   * Returns the upstreams of the failure domain that it tells another of: of
+   * each pool that spans both, a bounded number that is always the same.
+   */
+  selectToldUpstreams(
+    failureDomain: string,
+    otherDomain: string,
+    pools: readonly PoolStructure[],
+    maxPerPool: number,
+  ): string[] {
+    const told = new Set<string>();
+    for (const pool of pools) {
+      const spansBoth = pool.failureDomains.includes(failureDomain) &&
+        pool.failureDomains.includes(otherDomain);
+      if (!spansBoth) continue;
+      const hosts = this.#pools.getUpstreams(pool.service, failureDomain)
+        .filter((host) => host.state !== HostState.Leaving);
+      const ranked = rankByRendezvous(otherDomain, hosts);
+      for (const host of ranked.slice(0, maxPerPool)) told.add(host.id);
+    }
+    return [...told];
+  }
+}
--- /dev/null
+++ b/src/core/membership/link_manager.ts
@@ -0,0 +1,197 @@
+/**
+ * Links between failure domains. For each other domain a few daemons of this
+ * one, chosen by rendezvous hashing over the live ones, tell it of a bounded
+ * number of upstreams; the daemon that is told publishes them in its domain.
+ */
+import type { Effect } from "../effects.ts";
+import { rankByRendezvous } from "../hashing.ts";
+import type {
+  KnownRevisions,
+  LinkAckMessage,
+  LinkUpdateMessage,
+  PublishedDigest,
+  StrikeDigest,
+} from "../messages.ts";
+import type { Milliseconds, PoolStructure } from "../structures.ts";
+import type { ControlPeriods } from "./control_periods.ts";
+import {
+  DomainLink,
+  estimateContentBytes,
+  type LinkContent,
+} from "./domain_link.ts";
+import type { HostDirectory } from "./host_directory.ts";
+import { LinkReceiver } from "./link_receiver.ts";
+import type { ViewStore } from "./view_store.ts";
+
+/** Daemons that tell one other failure domain. */
+const LINKS_PER_DOMAIN = 2;
+/** Upstreams of one pool that another failure domain is told of. */
+const MAX_TOLD_PER_POOL = 8;
+/** Time between looks at what has changed. */
+const LINK_CHECK_MS = 20;
+/** Silent periods after which the other side is taken for dead. */
+const SILENT_PERIODS = 4;
+
+export interface LinkManagerOptions {
+  selfId: string;
+  incarnation: string;
+  failureDomain: string;
+  peerTimeoutMs: Milliseconds;
+  periods: ControlPeriods;
+  views: ViewStore;
+  emit: (effect: Effect) => void;
+  getRing: () => readonly string[];
+  getRevisions: () => KnownRevisions;
+  getStrikes: (now: Milliseconds) => StrikeDigest[];
+  /** Takes what other failure domains say of their upstreams, all of it. */
+  publishRemote: (remote: ReadonlyMap<string, PublishedDigest>) => void;
+}
+
+export class LinkManager {
+  readonly #options: LinkManagerOptions;
+  readonly #receiver = new LinkReceiver();
+  readonly #links = new Map<string, DomainLink>();
+  readonly #told = new Map<string, string[]>();
+  #directory: HostDirectory;
+  #pools: readonly PoolStructure[] = [];
+  #ring: readonly string[] | undefined;
+  #lastCheckAt = Number.NEGATIVE_INFINITY;
+
+  constructor(options: LinkManagerOptions, directory: HostDirectory) {
+    this.#options = options;
+    this.#directory = directory;
+  }
+
+  setDirectory(directory: HostDirectory): void {
+    this.#directory = directory;
+    this.#told.clear();
+    this.#ring = undefined;
+  }
+
+  setPools(pools: readonly PoolStructure[]): void {
+    if (pools === this.#pools) return;
+    this.#pools = pools;
+    this.#told.clear();
+  }
+
+  tick(now: Milliseconds): void {
+    if (now - this.#lastCheckAt < LINK_CHECK_MS) return;
+    this.#lastCheckAt = now;
+    if (this.#ring !== this.#options.getRing()) this.#assignLinks(now);
+    for (const link of this.#links.values()) this.#sendUpdate(link, now);
+    this.#receiver.expire(this.#getTimeoutMs(), now);
+    const remote = this.#receiver.takeChanged();
+    if (remote) this.#options.publishRemote(remote);
+  }
+
+  /** Returns whether the update comes from a daemon of the domain that it names. */
+  isGenuine(from: string, update: LinkUpdateMessage): boolean {
+    const host = this.#directory.getEntryHost(from);
+    return host !== undefined && host.failureDomain === update.failureDomain &&
+      host.failureDomain !== this.#options.failureDomain;
+  }
+
+  handleUpdate(
+    from: string,
+    update: LinkUpdateMessage,
+    now: Milliseconds,
+  ): void {
+    const ack = this.#receiver.accept(from, update, now);
+    this.#options.emit({
+      kind: "send",
+      to: from,
+      message: { kind: "linkAck", ...ack, ...this.#options.getRevisions() },
+    });
+  }
+
+  handleAck(from: string, ack: LinkAckMessage, now: Milliseconds): void {
+    if (ack.incarnation !== this.#options.incarnation) return;
+    for (const link of this.#links.values()) link.recordAck(from, ack, now);
+  }
+
+  /** Forgets what others told, after a pause of this process. */
+  clear(): void {
+    this.#receiver.clear();
+    this.#links.clear();
+    this.#ring = undefined;
+  }
+
+  #assignLinks(now: Milliseconds): void {
+    const { selfId, failureDomain, getRing } = this.#options;
+    this.#ring = getRing();
+    const candidates = this.#ring.map((id) => ({ id }));
+    const others = this.#directory.listOtherDomains(failureDomain);
+    for (const domain of this.#links.keys()) {
+      if (!others.includes(domain)) this.#links.delete(domain);
+    }
+    for (const domain of others) {
+      const isLink = rankByRendezvous(`link\u0000${domain}`, candidates)
+        .slice(0, LINKS_PER_DOMAIN)
+        .some((candidate) => candidate.id === selfId);
+      if (!isLink) {
+        this.#links.delete(domain);
+        continue;
+      }
+      const link = this.#links.get(domain) ?? new DomainLink(domain, now);
+      this.#links.set(domain, link);
+      link.setTargets(
+        failureDomain,
+        this.#directory.getDomainEntryHosts(domain),
+      );
+    }
+  }
+
+  #sendUpdate(link: DomainLink, now: Milliseconds): void {
+    const { periods, incarnation, failureDomain, emit } = this.#options;
+    const content = this.#describeContent(link.failureDomain, now);
+    const body = link.takeUpdate(content, {
+      linkMs: periods.getLinkMs(),
+      timeoutMs: this.#getTimeoutMs(),
+      loadMs: periods.getLinkLoadMs(estimateContentBytes(content)),
+    }, now);
+    const to = link.getTargetId();
+    if (!body || to === undefined) return;
+    emit({
+      kind: "send",
+      to,
+      message: {
+        kind: "linkUpdate",
+        failureDomain,
+        incarnation,
+        ...body,
+        ...this.#options.getRevisions(),
+      },
+    });
+  }
+
+  #describeContent(domain: string, now: Milliseconds): LinkContent {
+    const digests = new Map<string, PublishedDigest>();
+    for (const upstreamId of this.#getTold(domain)) {
+      const view = this.#options.views.getView(upstreamId);
+      if (!view) continue;
+      const { ownerId, digest } = view;
+      digests.set(upstreamId, { ownerId, digest });
+    }
+    return { digests, strikes: this.#options.getStrikes(now) };
+  }
+
+  #getTold(domain: string): string[] {
+    const known = this.#told.get(domain);
+    if (known) return known;
+    const told = this.#directory.selectToldUpstreams(
+      this.#options.failureDomain,
+      domain,
+      this.#pools,
+      MAX_TOLD_PER_POOL,
+    );
+    this.#told.set(domain, told);
+    return told;
+  }
+
+  #getTimeoutMs(): Milliseconds {
+    return Math.max(
+      this.#options.peerTimeoutMs,
+      this.#options.periods.getLinkMs() * SILENT_PERIODS,
+    );
+  }
+}
--- a/src/core/membership/membership.ts
+++ b/src/core/membership/membership.ts
@@ -1,237 +1,255 @@
 /**
- * Peers, their liveness as heard from themselves, and the ownership of
- * upstreams. The platform's host list names the peers; heartbeats judge them.
+ * The hosts, the daemons of this failure domain that are live, the ownership
+ * of its upstreams and what is published of upstreams everywhere. The
+ * platform's host list names the daemons; their own messages judge them.
  */
 import { findRendezvousWinner } from "../hashing.ts";
-import type { HeartbeatMessage, UpstreamDigest } from "../messages.ts";
 import {
-  type HostListStructure,
-  HostRole,
+  type MemberRecord,
+  MemberStatus,
+  type UpstreamDigest,
+} from "../messages.ts";
+import {
   HostState,
   type HostStructure,
   type Milliseconds,
   type PoolStructure,
 } from "../structures.ts";
-import { AdapterIndex } from "./adapter_index.ts";
-import { PoolIndex } from "./pool_index.ts";
+import { hasLoadChanged, hasResidencyChanged } from "./digest_size.ts";
+import { HostDirectory } from "./host_directory.ts";
+import { type Member, MemberTable, MergeResult } from "./member_table.ts";
+import { type UpstreamView, ViewStore } from "./view_store.ts";
+
+export type { UpstreamView } from "./view_store.ts";
 
 export interface MembershipOptions {
   selfId: string;
   failureDomain: string;
-  peerTimeoutMs: Milliseconds;
 }
 
-interface Peer {
+/** A peer as an operator sees it. */
+export interface PeerDescription {
   id: string;
   failureDomain: string;
-  incarnation: string;
-  sequence: number;
-  lastHeardAt: Milliseconds;
-  isLeaving: boolean;
+  live: boolean;
+  leaving: boolean;
+  /** Revision of the tables that it last named; 0 for daemons that do not exchange any with this one. */
   tablesRevision: number;
-  hostListRevision: number;
+  /** Time since a message came from it; null for daemons that do not exchange any with this one. */
+  silentMs: number | null;
 }
 
-/** What an owner last published of an upstream, with its age. */
-export interface UpstreamView {
-  ownerId: string;
-  heardAt: Milliseconds;
-  digest: UpstreamDigest;
+interface CachedOwner {
+  epoch: number;
+  ownerId: string | undefined;
 }
 
 export class Membership {
+  readonly members: MemberTable;
+  readonly views = new ViewStore();
   readonly #options: MembershipOptions;
-  readonly #peers = new Map<string, Peer>();
-  readonly #views = new Map<string, UpstreamView>();
-  #entryHosts: HostStructure[] = [];
-  readonly #adapters = new AdapterIndex();
-  #upstreamHosts = new Map<string, HostStructure>();
-  #pools = new PoolIndex([]);
+  readonly #owners = new Map<string, CachedOwner>();
+  #directory = new HostDirectory([]);
+  #candidates: { epoch: number; hosts: { id: string }[] } | undefined;
+  #epoch = 0;
   #isSelfLeaving = false;
 
   constructor(options: MembershipOptions) {
     this.#options = options;
+    this.members = new MemberTable(options.selfId);
+  }
+
+  get directory(): HostDirectory {
+    return this.#directory;
+  }
+
+  /** Grows with each change that may move an upstream to another owner. */
+  get epoch(): number {
+    return this.#epoch + this.members.epoch;
   }
 
   /** Takes the hosts of a newer host list. */
-  applyHostList(list: HostListStructure): void {
-    this.#entryHosts = list.hosts.filter((host) =>
-      host.role === HostRole.Entry
+  applyHostList(hosts: readonly HostStructure[]): void {
+    const { selfId, failureDomain } = this.#options;
+    const previous = [...this.members.getHostIds()];
+    this.#directory = new HostDirectory(hosts);
+    this.#epoch += 1;
+    this.members.setHostIds(
+      this.#directory.getDomainEntryHosts(failureDomain)
+        .map((host) => host.id)
+        .filter((id) => id !== selfId),
     );
-    this.#upstreamHosts = new Map(
-      list.hosts.filter((host) => host.role === HostRole.Upstream)
-        .map((host) => [host.id, host]),
-    );
-    this.#pools = new PoolIndex(this.#upstreamHosts.values());
-    const known = new Set(this.#entryHosts.map((host) => host.id));
-    for (const id of this.#peers.keys()) {
-      if (!known.has(id)) this.#peers.delete(id);
+    for (const id of previous) {
+      if (!this.members.isHost(id)) this.views.removePublisher(id);
     }
   }
 
   markSelfLeaving(): void {
     this.#isSelfLeaving = true;
+    this.#epoch += 1;
+  }
+
+  isSelfLeaving(): boolean {
+    return this.#isSelfLeaving;
   }
 
-  /** Records a heartbeat; returns false for one that is late or repeated. */
-  recordHeartbeat(
-    from: string,
-    heartbeat: HeartbeatMessage,
+  /** Takes a record of another daemon; what it published is void when it died or restarted. */
+  mergeRecord(
+    record: MemberRecord,
+    source: string,
     now: Milliseconds,
-  ): boolean {
-    const known = this.#peers.get(from);
-    const isOld = known?.incarnation === heartbeat.incarnation &&
-      heartbeat.sequence <= known.sequence;
-    if (isOld) return false;
-    this.#peers.set(from, {
-      id: from,
-      failureDomain: heartbeat.failureDomain,
-      incarnation: heartbeat.incarnation,
-      sequence: heartbeat.sequence,
-      lastHeardAt: now,
-      isLeaving: heartbeat.leaving,
-      tablesRevision: heartbeat.tablesRevision,
-      hostListRevision: heartbeat.hostListRevision,
-    });
-    for (const digest of heartbeat.upstreams) {
-      this.#setView({ ownerId: from, heardAt: now, digest });
-    }
-    return true;
+  ): MergeResult {
+    const result = this.members.merge(record, source, now);
+    const isVoid = result === MergeResult.Renewed ||
+      (result === MergeResult.Changed && !this.members.isLive(record.id));
+    if (isVoid) this.views.removePublisher(record.id);
+    return result;
   }
 
-  /** Takes every peer for unheard, after a pause of this process. */
+  /** Forgets everyone and all views, after a pause of this process. */
   expireAll(): void {
-    for (const peer of this.#peers.values()) {
-      peer.lastHeardAt = Number.NEGATIVE_INFINITY;
-    }
-    this.#views.clear();
-    this.#adapters.clear();
+    this.members.clear();
+    this.views.clear();
+    this.#epoch += 1;
   }
 
-  isPeerLive(id: string, now: Milliseconds): boolean {
-    const peer = this.#peers.get(id);
-    return peer !== undefined &&
-      now - peer.lastHeardAt < this.#options.peerTimeoutMs;
+  /**
+   * Returns whether the daemon speaks: for one of this failure domain by its
+   * own word, for others by whether a link still names it as an owner.
+   */
+  isPeerLive(id: string): boolean {
+    return this.members.isHost(id)
+      ? this.members.isLive(id)
+      : this.views.isOwner(id);
   }
 
-  /** Returns the peers to which heartbeats go: every entry host but this one. */
-  getPeerHosts(): HostStructure[] {
-    return this.#entryHosts.filter((host) => host.id !== this.#options.selfId);
+  /**
+   * Returns whether a message to the daemon may arrive: for one of another
+   * failure domain the host list alone decides, and silence is the answer.
+   */
+  canReachPeer(id: string): boolean {
+    return this.members.isHost(id)
+      ? this.members.isLive(id)
+      : this.#directory.getEntryHost(id) !== undefined;
   }
 
   getEntryHost(id: string): HostStructure | undefined {
-    return this.#entryHosts.find((host) => host.id === id);
+    return this.#directory.getEntryHost(id);
   }
 
   getUpstreamHost(id: string): HostStructure | undefined {
-    return this.#upstreamHosts.get(id);
+    return this.#directory.getUpstreamHost(id);
   }
 
   getUpstreamHosts(): Iterable<HostStructure> {
-    return this.#upstreamHosts.values();
-  }
-
-  /** Returns whether every peer of this failure domain has been heard of lately. */
-  hasHeardAllDomainPeers(now: Milliseconds): boolean {
-    return this.getPeerHosts().every((host) =>
-      host.failureDomain !== this.#options.failureDomain ||
-      host.state === HostState.Leaving || this.isPeerLive(host.id, now)
-    );
-  }
-
-  /** Returns the daemon that owns the upstream as seen from here, or undefined. */
-  getOwnerId(upstreamId: string, now: Milliseconds): string | undefined {
-    const upstream = this.#upstreamHosts.get(upstreamId);
-    if (!upstream) return undefined;
-    const candidates = this.#entryHosts.filter((host) =>
-      host.failureDomain === upstream.failureDomain && this.#canOwn(host, now)
-    );
-    return findRendezvousWinner(upstreamId, candidates)?.id;
+    return this.#directory.getUpstreamHosts();
   }
 
-  /** Returns the owner that would follow this daemon, or undefined. */
-  getSuccessorId(upstreamId: string, now: Milliseconds): string | undefined {
-    const upstream = this.#upstreamHosts.get(upstreamId);
-    if (!upstream) return undefined;
-    const candidates = this.#entryHosts.filter((host) =>
-      host.id !== this.#options.selfId &&
-      host.failureDomain === upstream.failureDomain && this.#canOwn(host, now)
-    );
-    return findRendezvousWinner(upstreamId, candidates)?.id;
+  /** Returns the upstreams of this failure domain. */
+  getDomainUpstreams(): readonly HostStructure[] {
+    return this.#directory.getDomainUpstreams(this.#options.failureDomain);
   }
 
   /** Returns the upstreams that the pool selects, without a scan of the host list. */
   getPoolUpstreams(pool: PoolStructure): readonly HostStructure[] {
-    return this.#pools.getPoolUpstreams(pool);
+    return this.#directory.getPoolUpstreams(pool);
   }
 
-  /**
-   * Returns the upstreams on which the adapter was last published as resident
-   * or loading; `getUpstreamView` tells whether that still holds.
-   */
+  /** Returns the upstreams on which the adapter is published as resident or loading. */
   getAdapterUpstreamIds(adapterKey: string): ReadonlySet<string> {
-    return this.#adapters.getUpstreamIds(adapterKey);
+    return this.views.getAdapterUpstreamIds(adapterKey);
   }
 
   /** Returns the last digest of the upstream if its owner still speaks. */
-  getUpstreamView(
-    upstreamId: string,
-    now: Milliseconds,
-  ): UpstreamView | undefined {
-    const view = this.#views.get(upstreamId);
-    if (!view || now - view.heardAt >= this.#options.peerTimeoutMs) {
-      return undefined;
+  getUpstreamView(upstreamId: string): UpstreamView | undefined {
+    return this.views.getView(upstreamId);
+  }
+
+  /** Records what this daemon, as the owner, knows of the upstream; returns the digest as kept. */
+  recordOwnView(digest: UpstreamDigest, now: Milliseconds): UpstreamDigest {
+    const { selfId } = this.#options;
+    const known = this.views.getPublished(selfId, digest.upstreamId)?.digest;
+    const isResidencySame = known !== undefined &&
+      !hasResidencyChanged(known, digest);
+    if (isResidencySame && !hasLoadChanged(known, digest)) return known;
+    const kept = isResidencySame
+      ? { ...digest, residents: known.residents, loading: known.loading }
+      : digest;
+    this.views.set(selfId, { ownerId: selfId, digest: kept }, now);
+    return kept;
+  }
+
+  /** Forgets an upstream that this daemon owns no longer. */
+  removeOwnView(upstreamId: string): void {
+    this.views.remove(this.#options.selfId, upstreamId);
+  }
+
+  /** Returns whether something is known of every daemon of this failure domain. */
+  isEveryDomainPeerKnown(): boolean {
+    return this.members.isEveryHostKnown();
+  }
+
+  /** Returns the daemon that owns the upstream as seen from here, or undefined. */
+  getOwnerId(upstreamId: string): string | undefined {
+    const host = this.#directory.getUpstreamHost(upstreamId);
+    if (!host) return undefined;
+    if (host.failureDomain !== this.#options.failureDomain) {
+      return this.views.getView(upstreamId)?.ownerId;
     }
-    return view;
+    const known = this.#owners.get(upstreamId);
+    if (known?.epoch === this.epoch) return known.ownerId;
+    const ownerId = findRendezvousWinner(upstreamId, this.#getCandidates())?.id;
+    this.#owners.set(upstreamId, { epoch: this.epoch, ownerId });
+    return ownerId;
   }
 
-  /** Records what this daemon, as the owner, knows of the upstream. */
-  recordOwnView(digest: UpstreamDigest, now: Milliseconds): void {
-    this.#setView({ ownerId: this.#options.selfId, heardAt: now, digest });
+  /** Returns the owner that would follow this daemon, or undefined. */
+  getSuccessorId(upstreamId: string): string | undefined {
+    const candidates = this.#getCandidates().filter((host) =>
+      host.id !== this.#options.selfId
+    );
+    return findRendezvousWinner(upstreamId, candidates)?.id;
   }
 
   /** Returns the live daemons of this failure domain, this one included. */
-  countLiveDomainDaemons(now: Milliseconds): number {
-    return this.#entryHosts.filter((host) =>
-      host.failureDomain === this.#options.failureDomain &&
-      this.#canOwn(host, now)
-    ).length;
+  countLiveDomainDaemons(): number {
+    return this.#getCandidates().length;
+  }
+
+  /** Returns the live daemons of this failure domain that are not leaving, this one left out. */
+  listStayingPeers(): Member[] {
+    return [...this.members.getAll()].filter((member) =>
+      member.status !== MemberStatus.Dead && !member.leaving
+    );
   }
 
   /** Returns the peers as an operator sees them. */
-  describePeers(now: Milliseconds): {
-    id: string;
-    failureDomain: string;
-    live: boolean;
-    leaving: boolean;
-    tablesRevision: number;
-    silentMs: number | null;
-  }[] {
-    return this.getPeerHosts().map((host) => {
-      const peer = this.#peers.get(host.id);
-      return {
-        id: host.id,
-        failureDomain: host.failureDomain,
-        live: this.isPeerLive(host.id, now),
-        leaving: peer?.isLeaving ?? host.state === HostState.Leaving,
-        tablesRevision: peer?.tablesRevision ?? 0,
-        silentMs: peer && Number.isFinite(peer.lastHeardAt)
-          ? Math.round(now - peer.lastHeardAt)
-          : null,
-      };
-    });
-  }
-
-  #setView(view: UpstreamView): void {
-    const { upstreamId } = view.digest;
-    this.#adapters.update(this.#views.get(upstreamId)?.digest, view.digest);
-    this.#views.set(upstreamId, view);
-  }
-
-  #canOwn(host: HostStructure, now: Milliseconds): boolean {
-    if (host.id === this.#options.selfId) return !this.#isSelfLeaving;
-    const peer = this.#peers.get(host.id);
-    return peer !== undefined && !peer.isLeaving &&
-      this.isPeerLive(host.id, now);
+  describePeers(now: Milliseconds): PeerDescription[] {
+    return [...this.#directory.getEntryHosts()]
+      .filter((host) => host.id !== this.#options.selfId)
+      .map((host) => {
+        const member = this.members.get(host.id);
+        return {
+          id: host.id,
+          failureDomain: host.failureDomain,
+          live: this.isPeerLive(host.id),
+          leaving: member?.leaving ?? host.state === HostState.Leaving,
+          tablesRevision: member?.tablesRevision ?? 0,
+          silentMs: member && Number.isFinite(member.lastHeardAt)
+            ? Math.round(now - member.lastHeardAt)
+            : null,
+        };
+      });
+  }
+
+  /** Returns the daemons of this failure domain that may own upstreams. */
+  #getCandidates(): { id: string }[] {
+    if (this.#candidates?.epoch === this.epoch) return this.#candidates.hosts;
+    const hosts: { id: string }[] = this.listStayingPeers();
+    const { selfId } = this.#options;
+    if (!this.#isSelfLeaving) hosts.push({ id: selfId });
+    const named = hosts.filter((host) => this.#directory.getEntryHost(host.id));
+    this.#candidates = { epoch: this.epoch, hosts: named };
+    return named;
   }
 }
--- /dev/null
+++ b/src/core/membership/peer_protocol.ts
@@ -0,0 +1,389 @@
+/**
+ * The exchange of one daemon with its peers: joins the failure domain, probes
+ * its members, passes on what changes, repairs what was missed, and holds the
+ * links to other failure domains.
+ */
+import type { CoreSettings } from "../core_settings.ts";
+import type { Effect } from "../effects.ts";
+import { rankByRendezvous } from "../hashing.ts";
+import {
+  type HostListDelta,
+  type KnownRevisions,
+  type LinkAckMessage,
+  type LinkUpdateMessage,
+  type MemberRecord,
+  MemberStatus,
+  type PlatformReach,
+  type ProbeAckMessage,
+  type ProbeMessage,
+  type ProbeRequestMessage,
+  type SpreadMessage,
+  type StateRequestMessage,
+  type StateTransferMessage,
+  type StrikeDigest,
+  type TablesDelta,
+  type UpstreamDigest,
+} from "../messages.ts";
+import type { Milliseconds, PoolStructure } from "../structures.ts";
+import { ControlPeriods } from "./control_periods.ts";
+import { FailureDetector } from "./failure_detector.ts";
+import { LinkManager } from "./link_manager.ts";
+import type { Membership } from "./membership.ts";
+import { Spreader } from "./spreader.ts";
+import { StateExchange } from "./state_exchange.ts";
+import { StatePublisher } from "./state_publisher.ts";
+import { StrikeSpreader } from "./strike_spreader.ts";
+
+/** Time between requests of a daemon that joins, and peers asked each time. */
+const JOIN_RETRY_MS = 300;
+const JOIN_FAN_OUT = 2;
+
+export interface PeerProtocolOptions {
+  selfId: string;
+  incarnation: string;
+  failureDomain: string;
+  settings: CoreSettings;
+  membership: Membership;
+  emit: (effect: Effect) => void;
+  getRevisions: () => KnownRevisions;
+  getStrikes: (now: Milliseconds) => StrikeDigest[];
+  /** Takes over strikes that a peer names. */
+  mergeStrikes: (strikes: readonly StrikeDigest[], now: Milliseconds) => void;
+  /** Takes note of the revisions that a peer holds. */
+  handleRevisions: (
+    from: string,
+    revisions: KnownRevisions,
+    now: Milliseconds,
+  ) => void;
+  /** Takes deltas that were spread in the failure domain. */
+  handleDeltas: (
+    from: string,
+    tablesDeltas: TablesDelta[],
+    hostListDeltas: HostListDelta[],
+    now: Milliseconds,
+  ) => void;
+}
+
+export class PeerProtocol {
+  readonly #options: PeerProtocolOptions;
+  readonly #membership: Membership;
+  readonly #periods: ControlPeriods;
+  readonly #detector: FailureDetector;
+  readonly #spreader: Spreader;
+  readonly #publisher: StatePublisher;
+  readonly #exchange: StateExchange;
+  readonly #links: LinkManager;
+  readonly #strikes: StrikeSpreader;
+  #number = 1;
+  #hasJoined = false;
+  #joinRound = 0;
+  #lastJoinAt = Number.NEGATIVE_INFINITY;
+  #sizedEpoch = -1;
+
+  constructor(options: PeerProtocolOptions) {
+    const { selfId, incarnation, failureDomain, settings, emit } = options;
+    const { membership, getRevisions } = options;
+    const { members, views } = membership;
+    this.#options = options;
+    this.#membership = membership;
+    this.#periods = new ControlPeriods(settings.heartbeatIntervalMs);
+    const periods = this.#periods;
+    const getRing = () => members.getRing();
+    const describeSelf = () => this.describeSelf();
+    this.#spreader = new Spreader({
+      selfId,
+      emit,
+      getRing,
+      getLoadHoldMs: () => periods.getLoadHoldMs(),
+    });
+    this.#strikes = new StrikeSpreader(options.getStrikes, this.#spreader);
+    this.#publisher = new StatePublisher(selfId, incarnation, periods);
+    this.#exchange = new StateExchange({
+      selfId,
+      membership,
+      publisher: this.#publisher,
+      describeSelf,
+      emit,
+    });
+    this.#detector = new FailureDetector({
+      selfId,
+      peerTimeoutMs: settings.peerTimeoutMs,
+      periods,
+      members,
+      emit,
+      describeSelf,
+      getRevisions,
+      getStrikes: () => this.#strikes.selectNext(),
+      reportChange: (member, now) => {
+        if (member.status === MemberStatus.Dead) {
+          views.removePublisher(member.id);
+          emit({ kind: "count", counter: "members", tag: "dead" });
+        } else emit({ kind: "count", counter: "members", tag: "suspect" });
+        const { id, incarnation, number, status, leaving } = member;
+        this.#spreader.addMember(
+          { id, incarnation, number, status, leaving, version: 0 },
+          now,
+        );
+      },
+    });
+    this.#links = new LinkManager({
+      selfId,
+      incarnation,
+      failureDomain,
+      peerTimeoutMs: settings.peerTimeoutMs,
+      periods,
+      views,
+      emit,
+      getRing,
+      getRevisions,
+      getStrikes: () => this.#strikes.getAll(),
+      publishRemote: (remote) => this.#publisher.setRemote(remote),
+    }, membership.directory);
+  }
+
+  /** Returns whether a peer has told what it knows, or there is none to ask. */
+  hasJoined(): boolean {
+    return this.#hasJoined || this.#listDomainPeerIds().length === 0;
+  }
+
+  /** Returns whether a peer has told what it knows. */
+  hasHeardPeer(): boolean {
+    return this.#hasJoined;
+  }
+
+  describeSelf(): MemberRecord {
+    return {
+      id: this.#options.selfId,
+      incarnation: this.#options.incarnation,
+      number: this.#number,
+      status: MemberStatus.Alive,
+      leaving: this.#membership.isSelfLeaving(),
+      version: this.#publisher.version,
+    };
+  }
+
+  /** Takes note of a newer host list or of newer tables. */
+  updateTables(pools: readonly PoolStructure[]): void {
+    this.#links.setDirectory(this.#membership.directory);
+    this.#links.setPools(pools);
+  }
+
+  /** Publishes what this daemon, as the owner, knows of the upstream. */
+  publishUpstream(digest: UpstreamDigest, now: Milliseconds): void {
+    this.#publisher.recordOwn(this.#membership.recordOwnView(digest, now));
+  }
+
+  /** Publishes that this daemon owns the upstream no longer. */
+  removeUpstream(upstreamId: string): void {
+    this.#membership.removeOwnView(upstreamId);
+    this.#publisher.removeOwn(upstreamId);
+  }
+
+  setPlatformReach(reach: PlatformReach): void {
+    this.#publisher.setPlatformReach(reach);
+  }
+
+  publishTablesDelta(delta: TablesDelta, now: Milliseconds): void {
+    this.#spreader.addTablesDelta(delta, now);
+  }
+
+  publishHostListDelta(delta: HostListDelta, now: Milliseconds): void {
+    this.#spreader.addHostListDelta(delta, now);
+  }
+
+  /** Tells the failure domain at once that this daemon is leaving. */
+  publishLeaving(now: Milliseconds): void {
+    this.#spreader.addMember(this.describeSelf(), now);
+    this.#spreader.flush();
+  }
+
+  /** Publishes at once what has changed, before this daemon stops. */
+  flush(now: Milliseconds): void {
+    this.#publishState(now);
+    this.#spreader.flush();
+  }
+
+  tick(now: Milliseconds): void {
+    this.#updateSizes();
+    if (!this.#hasJoined) this.#tryJoin(now);
+    this.#detector.tick(now);
+    this.#exchange.tick(now);
+    this.#strikes.tick(now);
+    this.#publishState(now);
+    const load = this.#publisher.takeLoad(now);
+    if (load) this.#spreader.addLoad(load, now);
+    this.#links.tick(now);
+    this.#spreader.tick(now);
+  }
+
+  /** Forgets everyone after a pause of this process, and begins anew under a higher number. */
+  expireAll(): void {
+    this.#membership.expireAll();
+    this.#detector.clear();
+    this.#links.clear();
+    this.#publisher.clearOwn();
+    this.#number += 1;
+    this.#hasJoined = false;
+    this.#lastJoinAt = Number.NEGATIVE_INFINITY;
+  }
+
+  handleProbe(from: string, probe: ProbeMessage, now: Milliseconds): void {
+    if (!this.#membership.members.isHost(from)) return;
+    this.#mergeRecords(from, [probe.sender, ...probe.members], now);
+    this.#membership.members.recordHeard(from, now);
+    this.#strikes.receive(probe.strikes);
+    this.#options.mergeStrikes(probe.strikes, now);
+    this.#membership.members.recordTablesRevision(from, probe.tablesRevision);
+    this.#detector.handleProbe(from, probe);
+    this.#options.handleRevisions(from, probe, now);
+  }
+
+  handleProbeAck(from: string, ack: ProbeAckMessage, now: Milliseconds): void {
+    if (!this.#membership.members.isHost(from)) return;
+    this.#mergeRecords(from, [ack.sender, ...ack.members], now);
+    this.#membership.members.recordHeard(from, now);
+    this.#membership.members.recordHeard(ack.sender.id, now);
+    this.#membership.members.recordTablesRevision(
+      ack.sender.id,
+      ack.tablesRevision,
+    );
+    this.#detector.handleProbeAck(ack);
+    this.#options.handleRevisions(from, ack, now);
+  }
+
+  handleProbeRequest(
+    from: string,
+    request: ProbeRequestMessage,
+    now: Milliseconds,
+  ): void {
+    if (!this.#membership.members.isHost(from)) return;
+    this.#membership.members.recordHeard(from, now);
+    this.#detector.handleProbeRequest(from, request, now);
+  }
+
+  handleSpread(from: string, message: SpreadMessage, now: Milliseconds): void {
+    if (!this.#membership.members.isHost(from)) return;
+    this.#membership.members.recordHeard(from, now);
+    this.#spreader.forward(message, now);
+    this.#mergeRecords(from, message.members, now);
+    for (const state of message.states) {
+      this.#exchange.applyState(from, state, now);
+    }
+    for (const load of message.loads) this.#exchange.applyLoad(load, now);
+    this.#strikes.receive(message.strikes);
+    this.#options.mergeStrikes(message.strikes, now);
+    this.#options.handleDeltas(
+      from,
+      message.tablesDeltas,
+      message.hostListDeltas,
+      now,
+    );
+  }
+
+  handleStateRequest(
+    from: string,
+    request: StateRequestMessage,
+    now: Milliseconds,
+  ): void {
+    if (!this.#membership.members.isHost(from)) return;
+    this.#membership.members.recordHeard(from, now);
+    this.#exchange.handleRequest(from, request, {
+      strikes: this.#strikes.getAll(),
+      revisions: this.#options.getRevisions(),
+    });
+  }
+
+  handleStateTransfer(
+    from: string,
+    transfer: StateTransferMessage,
+    now: Milliseconds,
+  ): void {
+    if (!this.#membership.members.isHost(from)) return;
+    this.#mergeRecords(from, transfer.members, now);
+    this.#membership.members.recordHeard(from, now);
+    for (const state of transfer.states) {
+      this.#exchange.applyState(from, state, now);
+    }
+    this.#strikes.receive(transfer.strikes);
+    this.#options.mergeStrikes(transfer.strikes, now);
+    this.#options.handleRevisions(from, transfer, now);
+    if (!transfer.joined || this.#hasJoined) return;
+    this.#hasJoined = true;
+    this.#spreader.addMember(this.describeSelf(), now);
+  }
+
+  handleLinkUpdate(
+    from: string,
+    update: LinkUpdateMessage,
+    now: Milliseconds,
+  ): void {
+    if (!this.#links.isGenuine(from, update)) return;
+    this.#links.handleUpdate(from, update, now);
+    this.#options.mergeStrikes(update.strikes, now);
+    this.#options.handleRevisions(from, update, now);
+  }
+
+  handleLinkAck(from: string, ack: LinkAckMessage, now: Milliseconds): void {
+    this.#links.handleAck(from, ack, now);
+    this.#options.handleRevisions(from, ack, now);
+  }
+
+  #publishState(now: Milliseconds): void {
+    const update = this.#publisher.takeUpdate(now);
+    if (update) this.#spreader.addState(update, now);
+  }
+
+  /** Takes records of others; a record of this daemon that is not true is refuted. */
+  #mergeRecords(
+    from: string,
+    records: readonly MemberRecord[],
+    now: Milliseconds,
+  ): void {
+    for (const record of records) {
+      if (record.id === this.#options.selfId) this.#checkOwnRecord(record, now);
+      else this.#membership.mergeRecord(record, from, now);
+    }
+  }
+
+  #checkOwnRecord(record: MemberRecord, now: Milliseconds): void {
+    const isUntrue = record.incarnation !== this.#options.incarnation ||
+      record.status !== MemberStatus.Alive;
+    const isOlder = record.number < this.#number ||
+      (record.number === this.#number && !isUntrue);
+    if (isOlder) return;
+    this.#number = record.number + 1;
+    this.#options.emit({ kind: "count", counter: "members", tag: "refuted" });
+    this.#spreader.addMember(this.describeSelf(), now);
+  }
+
+  /** Asks a few peers for all they know, others each time, until one has answered. */
+  #tryJoin(now: Milliseconds): void {
+    if (now - this.#lastJoinAt < JOIN_RETRY_MS) return;
+    this.#lastJoinAt = now;
+    const candidates = this.#listDomainPeerIds().map((id) => ({ id }));
+    this.#joinRound += 1;
+    const key = `${this.#options.selfId}#${this.#joinRound}`;
+    const ranked = rankByRendezvous(key, candidates);
+    for (const { id } of ranked.slice(0, JOIN_FAN_OUT)) {
+      this.#options.emit({
+        kind: "send",
+        to: id,
+        message: { kind: "stateRequest", memberIds: [] },
+      });
+    }
+  }
+
+  #listDomainPeerIds(): string[] {
+    return [...this.#membership.members.getHostIds()];
+  }
+
+  #updateSizes(): void {
+    const { epoch, members } = this.#membership;
+    if (epoch === this.#sizedEpoch) return;
+    this.#sizedEpoch = epoch;
+    this.#periods.setSizes(
+      members.getRing().length,
+      this.#membership.getDomainUpstreams().length,
+    );
+  }
+}
--- /dev/null
+++ b/src/core/membership/spreader.ts
@@ -0,0 +1,133 @@
+/** Collects updates for the failure domain and passes them on, together where they go the same way. */
+import type { Effect } from "../effects.ts";
+import type {
+  HostListDelta,
+  LoadUpdate,
+  MemberRecord,
+  SpreadMessage,
+  StateUpdate,
+  StrikeDigest,
+  TablesDelta,
+} from "../messages.ts";
+import type { Milliseconds } from "../structures.ts";
+import { listSpreadTargets } from "./spread_ring.ts";
+
+/** Time for which urgent updates wait for others. */
+const URGENT_HOLD_MS = 15;
+/** Span of updates that begin here: the whole ring. */
+const WHOLE_RING = Number.MAX_SAFE_INTEGER;
+
+/** Updates to be passed on over the same span. */
+interface Batch {
+  content: Omit<SpreadMessage, "kind" | "span">;
+  since: Milliseconds;
+  isUrgent: boolean;
+}
+
+export interface SpreaderOptions {
+  selfId: string;
+  emit: (effect: Effect) => void;
+  getRing: () => readonly string[];
+  getLoadHoldMs: () => Milliseconds;
+}
+
+export class Spreader {
+  readonly #options: SpreaderOptions;
+  readonly #batches = new Map<number, Batch>();
+
+  constructor(options: SpreaderOptions) {
+    this.#options = options;
+  }
+
+  addMember(record: MemberRecord, now: Milliseconds): void {
+    this.#getBatch(WHOLE_RING, true, now).members.push(record);
+  }
+
+  addState(update: StateUpdate, now: Milliseconds): void {
+    this.#getBatch(WHOLE_RING, true, now).states.push(update);
+  }
+
+  addLoad(update: LoadUpdate, now: Milliseconds): void {
+    this.#getBatch(WHOLE_RING, false, now).loads.push(update);
+  }
+
+  addTablesDelta(delta: TablesDelta, now: Milliseconds): void {
+    this.#getBatch(WHOLE_RING, true, now).tablesDeltas.push(delta);
+  }
+
+  addHostListDelta(delta: HostListDelta, now: Milliseconds): void {
+    this.#getBatch(WHOLE_RING, true, now).hostListDeltas.push(delta);
+  }
+
+  addStrikes(strikes: readonly StrikeDigest[], now: Milliseconds): void {
+    if (strikes.length === 0) return;
+    this.#getBatch(WHOLE_RING, true, now).strikes.push(...strikes);
+  }
+
+  /** Passes on what another daemon sent, to those that this one has to feed. */
+  forward(message: SpreadMessage, now: Milliseconds): void {
+    if (message.span === 0) return;
+    const isUrgent = message.members.length > 0 || message.states.length > 0 ||
+      message.tablesDeltas.length > 0 || message.hostListDeltas.length > 0 ||
+      message.strikes.length > 0;
+    const content = this.#getBatch(message.span, isUrgent, now);
+    content.members.push(...message.members);
+    content.states.push(...message.states);
+    content.loads.push(...message.loads);
+    content.tablesDeltas.push(...message.tablesDeltas);
+    content.hostListDeltas.push(...message.hostListDeltas);
+    content.strikes.push(...message.strikes);
+  }
+
+  /** Sends what has waited long enough. */
+  tick(now: Milliseconds): void {
+    for (const [span, batch] of this.#batches) {
+      const holdMs = batch.isUrgent
+        ? URGENT_HOLD_MS
+        : this.#options.getLoadHoldMs();
+      if (now - batch.since >= holdMs) this.#send(span, batch);
+    }
+  }
+
+  /** Sends everything at once. */
+  flush(): void {
+    for (const [span, batch] of this.#batches) this.#send(span, batch);
+  }
+
+  #send(span: number, batch: Batch): void {
+    this.#batches.delete(span);
+    const { selfId, emit, getRing } = this.#options;
+    for (const target of listSpreadTargets(getRing(), selfId, span)) {
+      emit({
+        kind: "send",
+        to: target.id,
+        message: { kind: "spread", span: target.span, ...batch.content },
+      });
+    }
+  }
+
+  #getBatch(
+    span: number,
+    isUrgent: boolean,
+    now: Milliseconds,
+  ): Batch["content"] {
+    const known = this.#batches.get(span);
+    if (known) {
+      if (isUrgent && !known.isUrgent) {
+        known.isUrgent = true;
+        known.since = now;
+      }
+      return known.content;
+    }
+    const content: Batch["content"] = {
+      members: [],
+      states: [],
+      loads: [],
+      tablesDeltas: [],
+      hostListDeltas: [],
+      strikes: [],
+    };
+    this.#batches.set(span, { content, since: now, isUrgent });
+    return content;
+  }
+}
--- /dev/null
+++ b/src/core/membership/state_exchange.ts
@@ -0,0 +1,176 @@
+/** Applies what members publish, in order, and fetches what was missed from whoever has it. */
+import type { Effect } from "../effects.ts";
+import {
+  type KnownRevisions,
+  type LoadUpdate,
+  type MemberRecord,
+  MemberStatus,
+  type StateRequestMessage,
+  type StateTransferMessage,
+  type StateUpdate,
+  type StrikeDigest,
+} from "../messages.ts";
+import type { Milliseconds } from "../structures.ts";
+import { estimateDigestBytes } from "./digest_size.ts";
+import { describeMember, type Member } from "./member_table.ts";
+import type { Membership } from "./membership.ts";
+import type { StatePublisher } from "./state_publisher.ts";
+
+/** Time for which an update may still be on its way before it is fetched, and between fetches. */
+const SETTLE_MS = 100;
+const FETCH_RETRY_MS = 500;
+/** Size of the states of one message, about; further ones go in another. */
+const TRANSFER_BYTES = 262_144;
+
+export interface StateExchangeOptions {
+  selfId: string;
+  membership: Membership;
+  publisher: StatePublisher;
+  describeSelf: () => MemberRecord;
+  emit: (effect: Effect) => void;
+}
+
+/** Sent beside the states to a daemon that joins. */
+export interface JoinContent {
+  strikes: StrikeDigest[];
+  revisions: KnownRevisions;
+}
+
+export class StateExchange {
+  readonly #options: StateExchangeOptions;
+
+  constructor(options: StateExchangeOptions) {
+    this.#options = options;
+  }
+
+  /** Applies an update that leads on from what is held; notes a gap. */
+  applyState(from: string, update: StateUpdate, now: Milliseconds): void {
+    const { membership } = this.#options;
+    const member = membership.members.get(update.publisherId);
+    const isKnown = member !== undefined &&
+      member.status !== MemberStatus.Dead &&
+      member.incarnation === update.incarnation;
+    if (!isKnown || update.version < member.heldVersion) return;
+    const isFull = update.fromVersion === 0;
+    if (update.version === member.heldVersion && !isFull) return;
+    if (!isFull && update.fromVersion !== member.heldVersion) {
+      member.version = Math.max(member.version, update.version);
+      member.behind ??= { since: now, source: from };
+      return;
+    }
+    membership.views.applyState(update, now);
+    member.platformReach = update.platformReach;
+    member.heldVersion = update.version;
+    member.version = Math.max(member.version, update.version);
+    if (member.heldVersion >= member.version) member.behind = undefined;
+  }
+
+  /** Applies load that belongs to the version held. */
+  applyLoad(update: LoadUpdate, now: Milliseconds): void {
+    const { membership } = this.#options;
+    const member = membership.members.get(update.publisherId);
+    const isFitting = member !== undefined &&
+      member.status !== MemberStatus.Dead &&
+      member.incarnation === update.incarnation &&
+      member.heldVersion === update.version &&
+      update.sequence > member.heldLoadSequence;
+    if (!isFitting) return;
+    member.heldLoadSequence = update.sequence;
+    membership.views.applyLoad(update, now);
+  }
+
+  /** Fetches the states that have been behind for some time. */
+  tick(now: Milliseconds): void {
+    const wanted = new Map<string, string[]>();
+    for (const member of this.#options.membership.members.getAll()) {
+      const { behind } = member;
+      if (!behind || now - behind.since < SETTLE_MS) continue;
+      if (member.heldVersion >= member.version) {
+        member.behind = undefined;
+        continue;
+      }
+      behind.since = now + FETCH_RETRY_MS;
+      const ids = wanted.get(behind.source) ?? [];
+      ids.push(member.id);
+      wanted.set(behind.source, ids);
+      behind.source = member.id;
+    }
+    for (const [to, memberIds] of wanted) {
+      this.#options.emit({
+        kind: "send",
+        to,
+        message: { kind: "stateRequest", memberIds },
+      });
+    }
+  }
+
+  /** Sends the states asked for, in messages of bounded size. */
+  handleRequest(
+    from: string,
+    request: StateRequestMessage,
+    content: JoinContent,
+  ): void {
+    const isJoin = request.memberIds.length === 0;
+    const members = this.#listMembers(request);
+    let part = this.#createTransfer(content.revisions);
+    let bytes = 0;
+    for (const { record, state } of members) {
+      const size = state.digests.reduce(
+        (sum, entry) => sum + estimateDigestBytes(entry),
+        0,
+      );
+      if (bytes > 0 && bytes + size > TRANSFER_BYTES) {
+        this.#options.emit({ kind: "send", to: from, message: part });
+        part = this.#createTransfer(content.revisions);
+        bytes = 0;
+      }
+      part.members.push(record);
+      if (record.status !== MemberStatus.Dead) part.states.push(state);
+      bytes += size;
+    }
+    if (isJoin) part.strikes = content.strikes;
+    part.joined = isJoin;
+    this.#options.emit({ kind: "send", to: from, message: part });
+  }
+
+  #listMembers(
+    request: StateRequestMessage,
+  ): { record: MemberRecord; state: StateUpdate }[] {
+    const { membership, publisher, selfId, describeSelf } = this.#options;
+    const wanted = new Set(request.memberIds);
+    const listed = [...membership.members.getAll()]
+      .filter((member) => wanted.size === 0 || wanted.has(member.id))
+      .map((member) => ({
+        record: describeMember(member),
+        state: this.#describeState(member),
+      }));
+    if (wanted.size === 0 || wanted.has(selfId)) {
+      listed.push({ record: describeSelf(), state: publisher.describeFull() });
+    }
+    return listed;
+  }
+
+  #describeState(member: Member): StateUpdate {
+    return {
+      publisherId: member.id,
+      incarnation: member.incarnation,
+      fromVersion: 0,
+      version: member.heldVersion,
+      digests: this.#options.membership.views.listPublished(member.id),
+      removedUpstreamIds: [],
+      platformReach: member.platformReach,
+    };
+  }
+
+  #createTransfer(revisions: KnownRevisions): StateTransferMessage {
+    return {
+      kind: "stateTransfer",
+      joined: false,
+      members: [],
+      states: [],
+      strikes: [],
+      tablesRevision: revisions.tablesRevision,
+      hostListRevision: revisions.hostListRevision,
+    };
+  }
+}
--- /dev/null
+++ b/src/core/membership/state_publisher.ts
@@ -0,0 +1,188 @@
+/**
+ * What this daemon publishes: the upstreams that it owns, those of other
+ * failure domains that reach it over a link, and whether it hears the platform.
+ * Changes carry growing versions; load, which changes all the time, goes apart.
+ */
+import {
+  type LoadUpdate,
+  PlatformReach,
+  type PublishedDigest,
+  type StateUpdate,
+  type UpstreamDigest,
+} from "../messages.ts";
+import type { Milliseconds } from "../structures.ts";
+import { ByteBudget } from "./byte_budget.ts";
+import type { ControlPeriods } from "./control_periods.ts";
+import {
+  estimateDigestBytes,
+  hasLoadChanged,
+  hasResidencyChanged,
+} from "./digest_size.ts";
+import { listOwnUpstreamIds } from "./view_store.ts";
+
+const STATE_BURST_BYTES = 16_384;
+const STATE_BASE_BYTES = 48;
+
+export class StatePublisher {
+  readonly #selfId: string;
+  readonly #incarnation: string;
+  readonly #periods: ControlPeriods;
+  readonly #budget = new ByteBudget(STATE_BURST_BYTES);
+  readonly #published = new Map<string, PublishedDigest>();
+  readonly #own = new Map<string, UpstreamDigest>();
+  #remote: ReadonlyMap<string, PublishedDigest> = new Map();
+  #reach: PlatformReach = PlatformReach.NotReading;
+  #publishedReach: PlatformReach = PlatformReach.NotReading;
+  #version = 0;
+  #loadSequence = 0;
+  #lastLoadAt = Number.NEGATIVE_INFINITY;
+  #isDirty = false;
+
+  constructor(selfId: string, incarnation: string, periods: ControlPeriods) {
+    this.#selfId = selfId;
+    this.#incarnation = incarnation;
+    this.#periods = periods;
+  }
+
+  get version(): number {
+    return this.#version;
+  }
+
+  recordOwn(digest: UpstreamDigest): void {
+    this.#own.set(digest.upstreamId, digest);
+    const published = this.#published.get(digest.upstreamId);
+    this.#isDirty ||= published === undefined ||
+      published.ownerId !== this.#selfId ||
+      hasResidencyChanged(published.digest, digest);
+  }
+
+  removeOwn(upstreamId: string): void {
+    this.#isDirty ||= this.#own.delete(upstreamId);
+  }
+
+  clearOwn(): void {
+    this.#isDirty ||= this.#own.size > 0;
+    this.#own.clear();
+  }
+
+  /** Replaces what other failure domains say of their upstreams. */
+  setRemote(remote: ReadonlyMap<string, PublishedDigest>): void {
+    this.#remote = remote;
+    this.#isDirty = true;
+  }
+
+  setPlatformReach(reach: PlatformReach): void {
+    this.#reach = reach;
+    this.#isDirty ||= reach !== this.#publishedReach;
+  }
+
+  getPlatformReach(): PlatformReach {
+    return this.#reach;
+  }
+
+  /** Returns the changes to publish now, within the budget; undefined when there are none. */
+  takeUpdate(now: Milliseconds): StateUpdate | undefined {
+    if (!this.#isDirty) return undefined;
+    const bytesPerSecond = this.#periods.getStateBytesPerSecond();
+    if (!this.#budget.hasBytes(bytesPerSecond, now)) return undefined;
+    this.#isDirty = false;
+    const wanted = this.#listWanted();
+    const digests = [...wanted.values()].filter((entry) =>
+      this.#isChanged(entry)
+    );
+    const removedUpstreamIds = [...this.#published.keys()].filter((id) =>
+      !wanted.has(id)
+    );
+    const isUnchanged = digests.length === 0 &&
+      removedUpstreamIds.length === 0 && this.#reach === this.#publishedReach;
+    if (isUnchanged) return undefined;
+    for (const id of removedUpstreamIds) this.#published.delete(id);
+    for (const entry of digests) {
+      this.#published.set(entry.digest.upstreamId, entry);
+    }
+    this.#publishedReach = this.#reach;
+    this.#budget.take(
+      STATE_BASE_BYTES +
+        digests.reduce((sum, entry) => sum + estimateDigestBytes(entry), 0),
+    );
+    this.#version += 1;
+    return this.#describe(this.#version - 1, digests, removedUpstreamIds);
+  }
+
+  /** Returns the load of the owned upstreams when it is due and has changed. */
+  takeLoad(now: Milliseconds): LoadUpdate | undefined {
+    if (now - this.#lastLoadAt < this.#periods.getLoadMs()) return undefined;
+    const ids = listOwnUpstreamIds(this.#selfId, this.#published.values());
+    let hasChanged = false;
+    for (const id of ids) {
+      const digest = this.#own.get(id);
+      const published = this.#published.get(id);
+      if (!digest || !published) continue;
+      if (!hasLoadChanged(published.digest, digest)) continue;
+      hasChanged = true;
+      this.#published.set(id, {
+        ownerId: this.#selfId,
+        digest: mergeLoad(published.digest, digest),
+      });
+    }
+    if (!hasChanged) return undefined;
+    this.#lastLoadAt = now;
+    this.#loadSequence += 1;
+    const digests = ids.map((id) => this.#published.get(id)?.digest);
+    return {
+      publisherId: this.#selfId,
+      incarnation: this.#incarnation,
+      version: this.#version,
+      sequence: this.#loadSequence,
+      creditsInUse: digests.map((digest) => digest?.creditsInUse ?? 0),
+      waiting: digests.map((digest) => digest?.waiting ?? 0),
+      victimValues: digests.map((digest) => digest?.victimValue ?? 0),
+    };
+  }
+
+  /** Returns all that is published. */
+  describeFull(): StateUpdate {
+    return this.#describe(0, [...this.#published.values()], []);
+  }
+
+  #listWanted(): Map<string, PublishedDigest> {
+    const wanted = new Map(this.#remote);
+    for (const [id, digest] of this.#own) {
+      wanted.set(id, { ownerId: this.#selfId, digest });
+    }
+    return wanted;
+  }
+
+  #isChanged(entry: PublishedDigest): boolean {
+    const known = this.#published.get(entry.digest.upstreamId);
+    if (!known || known.ownerId !== entry.ownerId) return true;
+    if (hasResidencyChanged(known.digest, entry.digest)) return true;
+    return entry.ownerId !== this.#selfId &&
+      hasLoadChanged(known.digest, entry.digest);
+  }
+
+  #describe(
+    fromVersion: number,
+    digests: PublishedDigest[],
+    removedUpstreamIds: string[],
+  ): StateUpdate {
+    return {
+      publisherId: this.#selfId,
+      incarnation: this.#incarnation,
+      fromVersion,
+      version: this.#version,
+      digests,
+      removedUpstreamIds,
+      platformReach: this.#publishedReach,
+    };
+  }
+}
+
+/** Returns the published residency with the present load. */
+function mergeLoad(
+  published: UpstreamDigest,
+  digest: UpstreamDigest,
+): UpstreamDigest {
+  const { creditsInUse, waiting, victimValue } = digest;
+  return { ...published, creditsInUse, waiting, victimValue };
+}
--- a/src/core/residency/upstream_ownership.ts
+++ b/src/core/residency/upstream_ownership.ts
@@ -29,13 +29,16 @@
 export interface UpstreamOwnershipOptions {
   selfId: string;
   incarnation: string;
-  failureDomain: string;
   settings: CoreSettings;
   policy: CorePolicy;
   tables: TableKeeper;
   membership: Membership;
   storeBudget: StoreBudget;
   emit: (effect: Effect) => void;
+  /** Tells peers what the owner knows of an upstream. */
+  publishUpstream: (digest: UpstreamDigest, now: Milliseconds) => void;
+  /** Tells peers that an upstream is not owned here any more. */
+  removeUpstream: (upstreamId: string) => void;
 }
 
 /** Time for which a handover waits for its ownership to be seen here. */
@@ -51,6 +54,10 @@
     { message: HandoverMessage; arrivedAt: Milliseconds }
   >();
 
+  /** State of the membership and the tables at the last update. */
+  #epoch = -1;
+  #revision = -1;
+
   constructor(options: UpstreamOwnershipOptions) {
     this.#options = options;
   }
@@ -61,11 +68,15 @@
 
   /** Takes up and gives up upstreams as the live daemons of the domain change. */
   update(now: Milliseconds): void {
-    const { selfId, failureDomain, membership } = this.#options;
+    const { selfId, membership, tables } = this.#options;
+    const { epoch } = membership;
+    const revision = tables.getTablesRevision();
+    if (epoch === this.#epoch && revision === this.#revision) return;
+    this.#epoch = epoch;
+    this.#revision = revision;
     const wanted = new Set<string>();
-    for (const host of membership.getUpstreamHosts()) {
-      if (host.failureDomain !== failureDomain) continue;
-      if (membership.getOwnerId(host.id, now) !== selfId) continue;
+    for (const host of membership.getDomainUpstreams()) {
+      if (membership.getOwnerId(host.id) !== selfId) continue;
       const pool = this.#findPool(host);
       if (!pool) continue;
       wanted.add(host.id);
@@ -80,7 +91,7 @@
   tick(now: Milliseconds): void {
     for (const owner of this.#owners.values()) {
       owner.tick(now);
-      this.#options.membership.recordOwnView(owner.describeDigest(now), now);
+      this.#options.publishUpstream(owner.describeDigest(now), now);
     }
   }
 
@@ -92,7 +103,7 @@
   ): void {
     const owner = this.#owners.get(request.upstreamId);
     if (owner) owner.requestLease(from, request, now);
-    else this.#refuseLease(from, request, now);
+    else this.#refuseLease(from, request);
   }
 
   acceptHandover(message: HandoverMessage, now: Milliseconds): void {
@@ -124,21 +135,15 @@
       owner.release(LeaseRefusalReason.NotOwner, now);
     }
     this.#owners.clear();
+    this.#epoch = -1;
   }
 
   describe(now: Milliseconds): OwnedUpstreamDescription[] {
     return [...this.#owners.values()].map((owner) => owner.describe(now));
   }
 
-  describeDigests(now: Milliseconds): UpstreamDigest[] {
-    return [...this.#owners.values()].map((owner) => owner.describeDigest(now));
-  }
-
   #findPool(host: HostStructure): PoolStructure | undefined {
-    return this.#options.tables.getSnapshot()?.getPools().find((pool) =>
-      pool.service === host.service &&
-      pool.failureDomains.includes(host.failureDomain)
-    );
+    return this.#options.tables.getSnapshot()?.getPoolOfUpstream(host);
   }
 
   #takeOwnership(
@@ -155,7 +160,8 @@
       policy,
       popularity: this.#popularity,
       storeBudget,
-      maxRunMs: this.#getMaxRunMs(pool),
+      maxRunMs: this.#options.tables.getSnapshot()?.getMaxRunMs(pool.name) ??
+        0,
       emit,
       createId: (prefix) => this.#createId(prefix),
     }, now);
@@ -175,16 +181,6 @@
     return `${prefix}/${selfId}/${incarnation}/${this.#lastId}`;
   }
 
-  /** Returns the longest run of any route to the pool. */
-  #getMaxRunMs(pool: PoolStructure): Milliseconds {
-    const routes = this.#options.tables.getSnapshot()?.getRoutes() ?? [];
-    return routes.reduce(
-      (longest, route) =>
-        route.pool === pool.name ? Math.max(longest, route.maxRunMs) : longest,
-      0,
-    );
-  }
-
   /** Hands the upstream over to its next owner, if one is known. */
   #giveUpOwnership(
     owner: UpstreamOwner,
@@ -192,7 +188,7 @@
     now: Milliseconds,
   ): void {
     const { upstreamId } = owner;
-    const successor = this.#options.membership.getSuccessorId(upstreamId, now);
+    const successor = this.#options.membership.getSuccessorId(upstreamId);
     if (successor !== undefined && owner.isOwning()) {
       this.#options.emit({
         kind: "send",
@@ -202,12 +198,12 @@
     }
     owner.release(reason, now);
     this.#owners.delete(upstreamId);
+    this.#options.removeUpstream(upstreamId);
   }
 
   #refuseLease(
     to: string,
     request: LeaseRequestMessage,
-    now: Milliseconds,
   ): void {
     const { membership, settings, emit } = this.#options;
     emit({
@@ -220,7 +216,7 @@
         adapterKey: request.adapterKey,
         reason: LeaseRefusalReason.NotOwner,
         retryAfterMs: settings.heartbeatIntervalMs,
-        ownerId: membership.getOwnerId(request.upstreamId, now) ?? "",
+        ownerId: membership.getOwnerId(request.upstreamId) ?? "",
       },
     });
   }
--- /dev/null
+++ b/src/core/tables/delta_log.ts
@@ -0,0 +1,59 @@
+/** The latest deltas of one table, for peers that are a few revisions behind. */
+
+/** What every delta names of itself. */
+export interface RevisionSpan {
+  fromRevision: number;
+  toRevision: number;
+}
+
+/** Deltas and rows kept at most. */
+const MAX_DELTAS = 512;
+const MAX_LOGGED_ROWS = 20_000;
+/** Rows of one answer or one spread delta at most; more are moved in chunks. */
+export const MAX_DELTA_ROWS = 1_000;
+
+interface Entry<Delta> {
+  delta: Delta;
+  rows: number;
+}
+
+export class DeltaLog<Delta extends RevisionSpan> {
+  readonly #countRows: (delta: Delta) => number;
+  #entries: Entry<Delta>[] = [];
+  #rows = 0;
+
+  constructor(countRows: (delta: Delta) => number) {
+    this.#countRows = countRows;
+  }
+
+  /** Adds the delta to the revision now in force; a gap drops what came before. */
+  add(delta: Delta): void {
+    const last = this.#entries.at(-1)?.delta;
+    if (last && last.toRevision !== delta.fromRevision) this.clear();
+    const rows = this.#countRows(delta);
+    this.#entries.push({ delta, rows });
+    this.#rows += rows;
+    while (
+      this.#entries.length > MAX_DELTAS || this.#rows > MAX_LOGGED_ROWS
+    ) {
+      this.#rows -= this.#entries.shift()?.rows ?? 0;
+    }
+  }
+
+  clear(): void {
+    this.#entries = [];
+    this.#rows = 0;
+  }
+
+  /** Returns the deltas that lead on from the revision, or undefined when they are not kept or are too many. */
+  getDeltasSince(revision: number): Delta[] | undefined {
+    const start = this.#entries.findIndex(({ delta }) =>
+      delta.fromRevision <= revision && revision < delta.toRevision
+    );
+    if (start < 0) return undefined;
+    const entries = this.#entries.slice(start);
+    const rows = entries.reduce((sum, entry) => sum + entry.rows, 0);
+    if (rows > MAX_DELTA_ROWS) return undefined;
+    return entries.map((entry) => entry.delta);
+  }
+}
--- /dev/null
+++ b/src/core/tables/row_set.ts
@@ -0,0 +1,102 @@
+/** An immutable set of rows by key, with a digest that follows each change. */
+import {
+  addRow,
+  EMPTY_DIGEST,
+  removeRow,
+  type RowDigest,
+} from "./row_digest.ts";
+
+/** How the rows of one table are keyed and written for the digest. */
+export interface RowFormat<Row> {
+  getKey(row: Row): string;
+  formatRow(row: Row): string;
+}
+
+/** Rows that differ between two sets. */
+export interface RowChanges<Row> {
+  changed: Row[];
+  removed: string[];
+}
+
+export class RowSet<Row> {
+  readonly digest: RowDigest;
+  readonly #format: RowFormat<Row>;
+  readonly #rows: ReadonlyMap<string, Row>;
+  #list: readonly Row[] | undefined;
+
+  private constructor(
+    format: RowFormat<Row>,
+    rows: ReadonlyMap<string, Row>,
+    digest: RowDigest,
+  ) {
+    this.#format = format;
+    this.#rows = rows;
+    this.digest = digest;
+  }
+
+  /** Builds a set; of rows with one key the last one stays. */
+  static createFrom<Row>(
+    format: RowFormat<Row>,
+    rows: Iterable<Row>,
+  ): RowSet<Row> {
+    const byKey = new Map<string, Row>();
+    for (const row of rows) byKey.set(format.getKey(row), row);
+    let digest = EMPTY_DIGEST;
+    for (const row of byKey.values()) {
+      digest = addRow(digest, format.formatRow(row));
+    }
+    return new RowSet(format, byKey, digest);
+  }
+
+  get size(): number {
+    return this.#rows.size;
+  }
+
+  getRow(key: string): Row | undefined {
+    return this.#rows.get(key);
+  }
+
+  getRows(): readonly Row[] {
+    return this.#list ??= [...this.#rows.values()];
+  }
+
+  /** Returns the set after the changes; this one stays as it is. */
+  apply(changes: RowChanges<Row>): RowSet<Row> {
+    if (changes.changed.length === 0 && changes.removed.length === 0) {
+      return this;
+    }
+    const { getKey, formatRow } = this.#format;
+    const rows = new Map(this.#rows);
+    let digest = this.digest;
+    for (const key of changes.removed) {
+      const row = rows.get(key);
+      if (row === undefined) continue;
+      digest = removeRow(digest, formatRow(row));
+      rows.delete(key);
+    }
+    for (const row of changes.changed) {
+      const known = rows.get(getKey(row));
+      if (known !== undefined) digest = removeRow(digest, formatRow(known));
+      digest = addRow(digest, formatRow(row));
+      rows.set(getKey(row), row);
+    }
+    return new RowSet(this.#format, rows, digest);
+  }
+
+  /** Returns what turns this set into the other. */
+  findChanges(other: RowSet<Row>): RowChanges<Row> {
+    const { formatRow } = this.#format;
+    const changed: Row[] = [];
+    for (const [key, row] of other.#rows) {
+      const known = this.#rows.get(key);
+      if (known === row) continue;
+      if (known === undefined || formatRow(known) !== formatRow(row)) {
+        changed.push(row);
+      }
+    }
+    const removed = [...this.#rows.keys()].filter((key) =>
+      !other.#rows.has(key)
+    );
+    return { changed, removed };
+  }
+}
--- a/src/core/tables/table_schema.ts
+++ b/src/core/tables/table_schema.ts
@@ -1,12 +1,17 @@
 /** Schema of the two tables and the check of a revision as a whole. */
 import { Err, Ok, type Result } from "ts-results-es";
 import { z } from "zod";
+import type { TablesDelta } from "../messages.ts";
 import {
+  type CustomerStructure,
   Fencing,
   PoolKind,
+  type PoolStructure,
   Priority,
+  type RouteStructure,
   type TablesStructure,
 } from "../structures.ts";
+import type { TableSnapshot } from "./table_snapshot.ts";
 
 /** Largest value that the configuration service holds. */
 export const MAX_TABLE_BYTES = 1_048_576;
@@ -51,6 +56,21 @@
   pools: z.array(POOL),
 });
 
+const REVISION = z.number().int().nonnegative();
+const NAMES = z.array(z.string());
+
+const DELTA = z.object({
+  fromRevision: REVISION,
+  toRevision: REVISION,
+  digest: z.string(),
+  customers: z.array(CUSTOMER),
+  routes: z.array(ROUTE),
+  pools: z.array(POOL),
+  removedCustomers: NAMES,
+  removedRoutes: NAMES,
+  removedPools: NAMES,
+});
+
 /** One fault of a table: the path in it, what was expected and what was found. */
 export interface TableFault {
   path: (string | number)[];
@@ -63,69 +83,139 @@
   value: unknown,
 ): Result<TablesStructure, TableFault[]> {
   const parsed = TABLES.safeParse(value);
-  if (!parsed.success) {
-    return Err(parsed.error.issues.map((issue) => ({
-      path: issue.path.map((part) =>
-        typeof part === "symbol" ? String(part) : part
-      ),
-      expected: issue.message,
-      found: describeValue(getValueAt(value, issue.path)),
-    })));
-  }
+  if (!parsed.success) return Err(listIssues(value, parsed.error));
   const faults = findJoinFaults(parsed.data);
   return faults.length > 0 ? Err(faults) : Ok(parsed.data);
 }
 
+/**
+ * Applies a delta and checks the changed rows, and the rows that stay but were
+ * joined to rows that it changes or removes. The rows that it does not touch
+ * have been checked at an earlier revision.
+ */
+export function applyCheckedDelta(
+  snapshot: TableSnapshot,
+  delta: TablesDelta,
+): Result<TableSnapshot, TableFault[]> {
+  const parsed = DELTA.safeParse(delta);
+  if (!parsed.success) return Err(listIssues(delta, parsed.error));
+  const next = snapshot.apply(parsed.data);
+  const faults = [
+    ...findDuplicates("customers", parsed.data.customers),
+    ...findDuplicates("routes", parsed.data.routes),
+    ...findDuplicates("pools", parsed.data.pools),
+    ...findSharedTokens(
+      parsed.data.customers.length > 0 ? next.getCustomers() : [],
+    ),
+    ...findPoolFaults(parsed.data.pools),
+    ...findRouteFaults(selectJoinedRoutes(next, parsed.data), next),
+  ];
+  return faults.length > 0 ? Err(faults) : Ok(next);
+}
+
+/** Returns the routes whose joins the delta may have broken. */
+function selectJoinedRoutes(
+  next: TableSnapshot,
+  delta: TablesDelta,
+): readonly RouteStructure[] {
+  const hasJoinChanged = delta.pools.length > 0 ||
+    delta.removedPools.length > 0 || delta.removedCustomers.length > 0;
+  return hasJoinChanged ? next.getRoutes() : delta.routes;
+}
+
+function listIssues(value: unknown, error: z.ZodError): TableFault[] {
+  return error.issues.map((issue) => ({
+    path: issue.path.map((part) =>
+      typeof part === "symbol" ? String(part) : part
+    ),
+    expected: issue.message,
+    found: describeValue(getValueAt(value, issue.path)),
+  }));
+}
+
+/** Rows by name, to follow the joins of routes. */
+interface JoinedRows {
+  getPool(name: string): PoolStructure | undefined;
+  getCustomer(name: string): CustomerStructure | undefined;
+}
+
 function findJoinFaults(tables: TablesStructure): TableFault[] {
-  const faults: TableFault[] = [
+  const pools = new Map(tables.pools.map((pool) => [pool.name, pool]));
+  const customers = new Map(
+    tables.customers.map((customer) => [customer.name, customer]),
+  );
+  return [
     ...findDuplicates("customers", tables.customers),
     ...findDuplicates("routes", tables.routes),
     ...findDuplicates("pools", tables.pools),
-    ...findSharedTokens(tables),
+    ...findSharedTokens(tables.customers),
+    ...findPoolFaults(tables.pools),
+    ...findRouteFaults(tables.routes, {
+      getPool: (name) => pools.get(name),
+      getCustomer: (name) => customers.get(name),
+    }),
   ];
-  const pools = new Map(tables.pools.map((pool) => [pool.name, pool]));
-  const customers = new Set(tables.customers.map((customer) => customer.name));
-  for (const [index, pool] of tables.pools.entries()) {
-    if (pool.kind === PoolKind.Engine && pool.slots === 0) {
-      faults.push({
-        path: ["pools", index, "slots"],
-        expected: "at least 1 slot in a pool of engines",
-        found: "0",
-      });
-    }
+}
+
+function findPoolFaults(pools: readonly PoolStructure[]): TableFault[] {
+  const faults: TableFault[] = [];
+  for (const [index, pool] of pools.entries()) {
+    if (pool.kind !== PoolKind.Engine || pool.slots > 0) continue;
+    faults.push({
+      path: ["pools", index, "slots"],
+      expected: "at least 1 slot in a pool of engines",
+      found: "0",
+    });
   }
-  for (const [index, route] of tables.routes.entries()) {
-    if (!customers.has(route.customer)) {
+  return faults;
+}
+
+function findRouteFaults(
+  routes: readonly RouteStructure[],
+  rows: JoinedRows,
+): TableFault[] {
+  const faults: TableFault[] = [];
+  for (const [index, route] of routes.entries()) {
+    if (!rows.getCustomer(route.customer)) {
       faults.push({
         path: ["routes", index, "customer"],
         expected: "the name of a customer in the table",
         found: route.customer,
       });
     }
-    const pool = pools.get(route.pool);
-    if (!pool) {
+    const pool = rows.getPool(route.pool);
+    if (pool) faults.push(...findAdapterFaults(route, pool, index));
+    else {
       faults.push({
         path: ["routes", index, "pool"],
         expected: "the name of a pool in the pools table",
         found: route.pool,
       });
-      continue;
-    }
-    const needsAdapter = pool.kind === PoolKind.Engine;
-    for (const field of ["adapter", "version"] as const) {
-      if (needsAdapter === (route[field] !== "")) continue;
-      faults.push({
-        path: ["routes", index, field],
-        expected: needsAdapter
-          ? `the ${field} that the engines load`
-          : `no ${field} on a route to a plain service`,
-        found: route[field] === "" ? "nothing" : route[field],
-      });
     }
   }
   return faults;
 }
 
+function findAdapterFaults(
+  route: RouteStructure,
+  pool: PoolStructure,
+  index: number,
+): TableFault[] {
+  const needsAdapter = pool.kind === PoolKind.Engine;
+  const faults: TableFault[] = [];
+  for (const field of ["adapter", "version"] as const) {
+    if (needsAdapter === (route[field] !== "")) continue;
+    faults.push({
+      path: ["routes", index, field],
+      expected: needsAdapter
+        ? `the ${field} that the engines load`
+        : `no ${field} on a route to a plain service`,
+      found: route[field] === "" ? "nothing" : route[field],
+    });
+  }
+  return faults;
+}
+
 function findDuplicates(
   table: string,
   rows: readonly { name: string }[],
@@ -145,10 +235,12 @@
   return faults;
 }
 
-function findSharedTokens(tables: TablesStructure): TableFault[] {
+function findSharedTokens(
+  customers: readonly CustomerStructure[],
+): TableFault[] {
   const holders = new Map<string, string>();
   const faults: TableFault[] = [];
-  for (const [index, customer] of tables.customers.entries()) {
+  for (const [index, customer] of customers.entries()) {
     for (const digest of customer.tokenDigests) {
       const holder = holders.get(digest);
       if (holder !== undefined && holder !== customer.name) {
--- a/src/core/tables/table_snapshot.ts
+++ b/src/core/tables/table_snapshot.ts
@@ -1,42 +1,110 @@
 /** An immutable, indexed view of the tables at one revision. */
+import type { TablesDelta } from "../messages.ts";
 import type {
   CustomerStructure,
+  HostStructure,
+  Milliseconds,
   PoolStructure,
   RouteStructure,
   TablesStructure,
 } from "../structures.ts";
+import { formatDigest, mergeDigests } from "./row_digest.ts";
+import { CUSTOMER_FORMAT, POOL_FORMAT, ROUTE_FORMAT } from "./row_formats.ts";
+import { RowSet } from "./row_set.ts";
+
+/** The sets of rows that make up the tables. */
+interface TableRows {
+  customers: RowSet<CustomerStructure>;
+  routes: RowSet<RouteStructure>;
+  pools: RowSet<PoolStructure>;
+}
 
 export class TableSnapshot {
   readonly revision: number;
-  readonly #structure: TablesStructure;
-  readonly #routesByName = new Map<string, RouteStructure>();
-  readonly #poolsByName = new Map<string, PoolStructure>();
-  readonly #customersByName = new Map<string, CustomerStructure>();
-  readonly #customersByDigest = new Map<string, CustomerStructure>();
-
-  constructor(structure: TablesStructure) {
-    this.revision = structure.revision;
-    this.#structure = structure;
-    for (const route of structure.routes) {
-      this.#routesByName.set(route.name, route);
-    }
-    for (const pool of structure.pools) this.#poolsByName.set(pool.name, pool);
-    for (const customer of structure.customers) {
-      this.#customersByName.set(customer.name, customer);
-      for (const digest of customer.tokenDigests) {
-        this.#customersByDigest.set(digest, customer);
-      }
-    }
+  /** Digest of all rows, the same in every daemon that holds them. */
+  readonly digest: string;
+  readonly #rows: TableRows;
+  readonly #customersByDigest: ReadonlyMap<string, CustomerStructure>;
+  readonly #poolsByUpstream = new Map<string, PoolStructure>();
+  #maxRuns: Map<string, Milliseconds> | undefined;
+
+  private constructor(
+    revision: number,
+    rows: TableRows,
+    previous?: TableSnapshot,
+  ) {
+    this.revision = revision;
+    this.#rows = rows;
+    this.digest = formatDigest(
+      mergeDigests([
+        rows.customers.digest,
+        rows.routes.digest,
+        rows.pools.digest,
+      ]),
+    );
+    this.#customersByDigest = previous !== undefined &&
+        previous.#rows.customers === rows.customers
+      ? previous.#customersByDigest
+      : buildCustomerIndex(rows.customers);
+    for (const pool of rows.pools.getRows()) this.#addToPoolIndex(pool);
+  }
+
+  /** Builds the view of tables that have been checked. */
+  static createFrom(structure: TablesStructure): TableSnapshot {
+    return new TableSnapshot(structure.revision, {
+      customers: RowSet.createFrom(CUSTOMER_FORMAT, structure.customers),
+      routes: RowSet.createFrom(ROUTE_FORMAT, structure.routes),
+      pools: RowSet.createFrom(POOL_FORMAT, structure.pools),
+    });
+  }
+
+  /** Returns the view after the changes; this one stays as it is. */
+  apply(delta: TablesDelta): TableSnapshot {
+    const { customers, routes, pools } = this.#rows;
+    return new TableSnapshot(delta.toRevision, {
+      customers: customers.apply({
+        changed: delta.customers,
+        removed: delta.removedCustomers,
+      }),
+      routes: routes.apply({
+        changed: delta.routes,
+        removed: delta.removedRoutes,
+      }),
+      pools: pools.apply({ changed: delta.pools, removed: delta.removedPools }),
+    }, this);
+  }
+
+  /** Returns what turns this view into the later one. */
+  findDelta(later: TableSnapshot): TablesDelta {
+    const customers = this.#rows.customers.findChanges(later.#rows.customers);
+    const routes = this.#rows.routes.findChanges(later.#rows.routes);
+    const pools = this.#rows.pools.findChanges(later.#rows.pools);
+    return {
+      fromRevision: this.revision,
+      toRevision: later.revision,
+      digest: later.digest,
+      customers: customers.changed,
+      routes: routes.changed,
+      pools: pools.changed,
+      removedCustomers: customers.removed,
+      removedRoutes: routes.removed,
+      removedPools: pools.removed,
+    };
   }
 
   /** Returns the route if it exists and belongs to the customer. */
   getRoute(name: string, customer: string): RouteStructure | undefined {
-    const route = this.#routesByName.get(name);
+    const route = this.getRouteByName(name);
     return route?.customer === customer ? route : undefined;
   }
 
+  /** Returns the route whoever it belongs to, for operators and checks. */
+  getRouteByName(name: string): RouteStructure | undefined {
+    return this.#rows.routes.getRow(name);
+  }
+
   getPool(name: string): PoolStructure | undefined {
-    return this.#poolsByName.get(name);
+    return this.#rows.pools.getRow(name);
   }
 
   getPoolOrThrow(name: string): PoolStructure {
@@ -45,8 +113,21 @@
     throw new Error(`Expected a pool named ${name}, found none`);
   }
 
+  /** Returns the first pool that selects the upstream, or undefined. */
+  getPoolOfUpstream(host: HostStructure): PoolStructure | undefined {
+    return this.#poolsByUpstream.get(
+      createUpstreamKey(host.service, host.failureDomain),
+    );
+  }
+
+  /** Returns the longest run of any route to the pool. */
+  getMaxRunMs(poolName: string): Milliseconds {
+    this.#maxRuns ??= this.#computeMaxRuns();
+    return this.#maxRuns.get(poolName) ?? 0;
+  }
+
   getCustomer(name: string): CustomerStructure | undefined {
-    return this.#customersByName.get(name);
+    return this.#rows.customers.getRow(name);
   }
 
   /** Returns the customer that holds the token with this SHA-256 digest. */
@@ -54,15 +135,45 @@
     return this.#customersByDigest.get(digest);
   }
 
+  getCustomers(): readonly CustomerStructure[] {
+    return this.#rows.customers.getRows();
+  }
+
   getPools(): readonly PoolStructure[] {
-    return this.#structure.pools;
+    return this.#rows.pools.getRows();
   }
 
   getRoutes(): readonly RouteStructure[] {
-    return this.#structure.routes;
+    return this.#rows.routes.getRows();
+  }
+
+  #addToPoolIndex(pool: PoolStructure): void {
+    for (const failureDomain of pool.failureDomains) {
+      const key = createUpstreamKey(pool.service, failureDomain);
+      if (!this.#poolsByUpstream.has(key)) this.#poolsByUpstream.set(key, pool);
+    }
   }
 
-  getStructure(): TablesStructure {
-    return this.#structure;
+  #computeMaxRuns(): Map<string, Milliseconds> {
+    const longest = new Map<string, Milliseconds>();
+    for (const route of this.getRoutes()) {
+      const known = longest.get(route.pool) ?? 0;
+      if (route.maxRunMs > known) longest.set(route.pool, route.maxRunMs);
+    }
+    return longest;
   }
 }
+
+function buildCustomerIndex(
+  customers: RowSet<CustomerStructure>,
+): Map<string, CustomerStructure> {
+  const byDigest = new Map<string, CustomerStructure>();
+  for (const customer of customers.getRows()) {
+    for (const digest of customer.tokenDigests) byDigest.set(digest, customer);
+  }
+  return byDigest;
+}
+
+function createUpstreamKey(service: string, failureDomain: string): string {
+  return `${failureDomain}\u0000${service}`;
+}
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -101,7 +101,6 @@
       operators: await this.#operators.start(),
       callers: await this.#callers.start(),
     };
-    this.#platform.start();
     this.#gaugeTimer = setInterval(
       () => this.#updateGauges(),
       GAUGE_INTERVAL_MS,
--- a/src/daemon/operator_task.ts
+++ b/src/daemon/operator_task.ts
@@ -78,13 +78,11 @@
     });
     app.get("/explain/:route", (request, response) => {
       const route = String(request.params["route"]);
-      const isKnown = core.getSnapshot()?.getRoutes()
-        .some((known) => known.name === route);
-      if (!isKnown) {
+      if (!core.getSnapshot()?.getRouteByName(route)) {
         response.status(404).json({ error: `No route is named ${route}` });
         return;
       }
-      const ranked = core.explainRoute(route, performance.now());
+      const ranked = core.explainRoute(route);
       response.json({
         route,
         upstreams: ranked.map((entry) => ({
--- a/src/daemon/peer_task.ts
+++ b/src/daemon/peer_task.ts
@@ -24,8 +24,10 @@
 import type { Logger } from "./logger.ts";
 import { describeError, StepError } from "./step_error.ts";
 
-const MAX_MESSAGE_BYTES = 32 * 1_048_576;
+const MAX_MESSAGE_BYTES = 8 * 1_048_576;
 const DELIVER_TIMEOUT_MS = 1_000;
+/** Messages of one envelope. */
+const MAX_ENVELOPE_MESSAGES = 64;
 /** Messages that wait for one peer; more are dropped, as a cut network would. */
 const MAX_OUTBOX_MESSAGES = 10_000;
 
@@ -157,7 +159,7 @@
       outbox.isSending = false;
       return;
     }
-    const messages = outbox.messages.splice(0);
+    const messages = outbox.messages.splice(0, MAX_ENVELOPE_MESSAGES);
     const bytes = encodeEnvelope({
       from: this.#options.settings.id,
       messages,
--- a/src/daemon/platform_task.ts
+++ b/src/daemon/platform_task.ts
@@ -1,9 +1,17 @@
-/** The task that reads the platform: the tables from the configuration service and the host list. */
+/**
+ * The task that reads the platform while the core wants it to: the tables from
+ * the configuration service and the host list.
+ */
 import { Agent, request } from "undici";
 import type { z } from "zod";
-import type { HostListStructure, TablesStructure } from "../core/structures.ts";
+import type { CoreEvent } from "../core/events.ts";
+import type { HostListStructure } from "../core/structures.ts";
 import type { DaemonSettings } from "../settings/daemon_settings.ts";
-import { parseTables, type TableFileFault } from "../settings/table_files.ts";
+import {
+  parseTables,
+  type TableFile,
+  type TableFileFault,
+} from "../settings/table_files.ts";
 import type { Bus } from "./bus.ts";
 import type { Logger } from "./logger.ts";
 import { describeError, StepError } from "./step_error.ts";
@@ -15,6 +23,8 @@
 
 /** Longest wait of one watch. */
 const WATCH_WAIT_MS = 10_000;
+/** Longest wait between tries to read a platform that does not answer. */
+const MAX_RETRY_MS = 10_000;
 /** Readings of the keys that may disagree in revision before the reading is given up. */
 const MAX_TORN_READINGS = 5;
 
@@ -27,20 +37,20 @@
 export class PlatformTask {
   readonly #options: PlatformTaskOptions;
   readonly #agent = new Agent();
-  readonly #abort = new AbortController();
+  /** Ends what is being read; undefined while nothing is. */
+  #abort: AbortController | undefined;
   #isBlocked = false;
 
   constructor(options: PlatformTaskOptions) {
     this.#options = options;
-  }
-
-  start(): void {
-    void this.#followTables();
-    void this.#followHosts();
+    options.bus.on("readPlatform", ({ isReading }) => {
+      if (isReading) this.#start();
+      else this.#abort?.abort();
+    });
   }
 
   async stop(): Promise<void> {
-    this.#abort.abort();
+    this.#abort?.abort();
     await this.#agent.destroy();
   }
 
@@ -49,48 +59,79 @@
     this.#isBlocked = isBlocked;
   }
 
-  async #followTables(): Promise<void> {
-    while (!this.#abort.signal.aborted) {
+  #start(): void {
+    this.#abort?.abort();
+    const abort = new AbortController();
+    this.#abort = abort;
+    void this.#followTables(abort.signal);
+    void this.#followHosts(abort.signal);
+  }
+
+  async #followTables(signal: AbortSignal): Promise<void> {
+    let known = 0;
+    let failures = 0;
+    while (!signal.aborted) {
       try {
-        const tables = await this.#readTables();
-        await this.#options.bus.emit("event", {
-          kind: "tablesPublished",
-          tables,
-        });
-        await this.#watch(tables.revision);
+        const revision = known === 0 ? 0 : await this.#watch(known, signal);
+        if (known === 0 || revision > known) {
+          known = await this.#publishTables(signal);
+        } else await this.#emit(signal, { kind: "platformReached" });
+        failures = 0;
       } catch (error) {
-        await this.#reportFailure("readTables", error);
+        failures += 1;
+        known = 0;
+        await this.#emit(signal, { kind: "platformUnreachable" });
+        await this.#reportFailure("readTables", error, failures, signal);
       }
     }
   }
 
-  async #followHosts(): Promise<void> {
-    while (!this.#abort.signal.aborted) {
+  /** Reads the tables and offers them to the core; returns their revision. */
+  async #publishTables(signal: AbortSignal): Promise<number> {
+    const { revision, files } = await this.#readFiles(signal);
+    const tables = parseTables(files, revision);
+    if (tables.isErr()) {
+      await this.#reportInvalid(revision, tables.error, signal);
+    } else {
+      await this.#emit(signal, {
+        kind: "tablesPublished",
+        tables: tables.value,
+      });
+    }
+    return revision;
+  }
+
+  async #followHosts(signal: AbortSignal): Promise<void> {
+    let failures = 0;
+    while (!signal.aborted) {
       try {
         const hostList: HostListStructure = await this.#get(
           this.#options.settings.platform.hostList,
           "/v1/hosts",
           hostListSchema,
+          signal,
         );
-        await this.#options.bus.emit("event", {
-          kind: "hostListPublished",
-          hostList,
-        });
-        await this.#pause();
+        await this.#emit(signal, { kind: "hostListPublished", hostList });
+        failures = 0;
+        await this.#pause(this.#options.settings.platform.pollIntervalMs);
       } catch (error) {
-        await this.#reportFailure("readHostList", error);
+        failures += 1;
+        await this.#reportFailure("readHostList", error, failures, signal);
       }
     }
   }
 
   /** Reads every key at one revision. */
-  async #readTables(): Promise<TablesStructure> {
+  async #readFiles(
+    signal: AbortSignal,
+  ): Promise<{ revision: number; files: TableFile[] }> {
     const { configuration } = this.#options.settings.platform;
     for (let reading = 0; reading < MAX_TORN_READINGS; reading += 1) {
       const { revision, keys } = await this.#get(
         configuration,
         "/v1/keys",
         keysSchema,
+        signal,
       );
       const values = await Promise.all(
         keys.map((key) =>
@@ -98,6 +139,7 @@
             configuration,
             `/v1/keys/${encodeURIComponent(key)}`,
             keyValueSchema,
+            signal,
           )
         ),
       );
@@ -106,13 +148,7 @@
         name: keys[index] ?? "",
         text: value.value,
       }));
-      const tables = parseTables(files, revision);
-      if (tables.isErr()) {
-        await this.#reportInvalid(revision, tables.error);
-        await this.#watch(revision);
-        return await this.#readTables();
-      }
-      return tables.value;
+      return { revision, files };
     }
     throw new StepError(
       `Expected all keys at one revision, found several in ${MAX_TORN_READINGS} readings`,
@@ -123,6 +159,7 @@
   async #reportInvalid(
     revision: number,
     faults: TableFileFault[],
+    signal: AbortSignal,
   ): Promise<void> {
     this.#options.logger.error("Revision was rejected", {
       step: "checkTables",
@@ -135,22 +172,31 @@
       counter: "tables",
       tag: "invalid",
     });
-    await this.#options.bus.emit("event", { kind: "platformUnreachable" });
+    await this.#emit(signal, { kind: "platformReached" });
   }
 
-  async #watch(revision: number): Promise<void> {
-    await this.#get(
+  /** Waits for a newer revision for some time; returns the revision then. */
+  async #watch(known: number, signal: AbortSignal): Promise<number> {
+    const { revision } = await this.#get(
       this.#options.settings.platform.configuration,
-      `/v1/watch?after=${revision}&waitMs=${WATCH_WAIT_MS}`,
+      `/v1/watch?after=${known}&waitMs=${WATCH_WAIT_MS}`,
       keysSchema,
+      signal,
       WATCH_WAIT_MS,
     );
+    return revision;
+  }
+
+  /** Tells the core, unless it wants nothing of the platform any more. */
+  async #emit(signal: AbortSignal, event: CoreEvent): Promise<void> {
+    if (!signal.aborted) await this.#options.bus.emit("event", event);
   }
 
   async #get<Schema extends z.ZodType>(
     address: string,
     path: string,
     schema: Schema,
+    signal: AbortSignal,
     extraTimeoutMs = 0,
   ): Promise<z.infer<Schema>> {
     if (this.#isBlocked) {
@@ -161,7 +207,7 @@
     const response = await request(`http://${address}${path}`, {
       dispatcher: this.#agent,
       signal: AbortSignal.any([
-        this.#abort.signal,
+        signal,
         AbortSignal.timeout(timeoutMs),
       ]),
     });
@@ -175,8 +221,13 @@
     return schema.parse(await response.body.json());
   }
 
-  async #reportFailure(step: string, error: unknown): Promise<void> {
-    if (this.#abort.signal.aborted) return;
+  async #reportFailure(
+    step: string,
+    error: unknown,
+    failures: number,
+    signal: AbortSignal,
+  ): Promise<void> {
+    if (signal.aborted) return;
     this.#options.logger.warn("Platform could not be read", {
       step,
       peer: error instanceof StepError ? error.peer : "platform",
@@ -187,13 +238,13 @@
       counter: "platform_unread",
       tag: step,
     });
-    await this.#options.bus.emit("event", { kind: "platformUnreachable" });
-    await this.#pause();
+    const { pollIntervalMs } = this.#options.settings.platform;
+    await this.#pause(
+      Math.min(MAX_RETRY_MS, pollIntervalMs * 2 ** (failures - 1)),
+    );
   }
 
-  async #pause(): Promise<void> {
-    await new Promise((resolve) => {
-      setTimeout(resolve, this.#options.settings.platform.pollIntervalMs);
-    });
+  async #pause(ms: number): Promise<void> {
+    await new Promise((resolve) => setTimeout(resolve, ms));
   }
 }
