--- a/src/core/daemon_core.ts
+++ b/src/core/daemon_core.ts
@@ -20,7 +20,7 @@
 import { Membership } from "./membership/membership.ts";
 import { ClaimVerdict, type PeerMessage } from "./messages.ts";
 import { Outcome, RefusalReason } from "./outcomes.ts";
-import { StoreBudget, type StoreShare } from "./residency/store_budget.ts";
+import { StoreAccess } from "./residency/store_access.ts";
 import type { OwnedUpstreamDescription } from "./residency/upstream_owner.ts";
 import { UpstreamOwnership } from "./residency/upstream_ownership.ts";
 import type { RankedUpstream } from "./routing/upstream_selector.ts";
@@ -65,7 +65,7 @@
   readonly #tables = new TableKeeper();
   readonly #membership: Membership;
   readonly #quarantine: CrashQuarantine;
-  readonly #storeBudget: StoreBudget;
+  readonly #store: StoreAccess;
   readonly #tickets: TicketBook;
   readonly #executor: RequestExecutor;
   readonly #ownership: UpstreamOwnership;
@@ -81,9 +81,13 @@
     this.#lastEventAt = now;
     this.#membership = new Membership({ selfId, failureDomain });
     this.#quarantine = new CrashQuarantine(settings);
-    this.#storeBudget = new StoreBudget({
-      loadsPerSecond: settings.storeLoadsPerSecond,
-      loadsInFlight: 1,
+    this.#store = new StoreAccess({
+      selfId,
+      incarnation,
+      failureDomain,
+      settings,
+      membership: this.#membership,
+      emit: this.#emit,
     });
     this.#control = new ControlPlane({
       selfId,
@@ -96,7 +100,7 @@
       emit: this.#emit,
       getStrikes: (at) => this.#quarantine.getDigests(at),
       mergeStrikes: (strikes, at) => this.#quarantine.mergeDigests(strikes, at),
-      handleTablesChanged: (at) => this.#handleTablesChanged(at),
+      handleTablesChanged: (at) => this.#updateOwnership(at),
     }, now);
     this.#ownership = new UpstreamOwnership({
       selfId,
@@ -105,7 +109,7 @@
       policy,
       tables: this.#tables,
       membership: this.#membership,
-      storeBudget: this.#storeBudget,
+      store: this.#store,
       emit: this.#emit,
       publishUpstream: (digest, at) =>
         this.#control.publishUpstream(digest, at),
@@ -173,14 +177,14 @@
       upstreams: this.#ownership.describe(now),
       execution: this.#executor.describe(),
       tickets: this.#tickets.getTicketCount(),
-      storeLoadsInFlight: this.#storeBudget.getInFlight(),
+      storeLoadsInFlight: this.#store.getInFlight(),
     };
   }
 
   /** Returns how the upstreams rank for a route now, best first. */
-  explainRoute(routeName: string): RankedUpstream[] {
+  explainRoute(routeName: string, now: Milliseconds): RankedUpstream[] {
     const route = this.#tables.getSnapshot()?.getRouteByName(routeName);
-    return route ? this.#executor.explainRoute(route) : [];
+    return route ? this.#executor.explainRoute(route, now) : [];
   }
 
   readonly #emit = (effect: Effect): void => {
@@ -274,6 +278,20 @@
       case "handover":
         this.#ownership.acceptHandover(message, now);
         break;
+      case "storeDemand":
+        this.#store.recordDemand(from, message, now);
+        break;
+      case "storePermit": {
+        const permit = this.#store.acceptPermit(from, message, now);
+        if (permit) this.#ownership.takePermit(permit, now);
+        break;
+      }
+      case "storePermitReturn":
+        this.#store.recordReturn(message, now);
+        break;
+      case "storeStatus":
+        this.#store.recordStatus(message, now);
+        break;
       case "ticketClaim":
         this.#emit({
           kind: "send",
@@ -315,34 +333,18 @@
     });
   }
 
-  #handleTablesChanged(now: Milliseconds): void {
-    this.#storeBudget.setShare(this.#computeStoreShare());
-    this.#updateOwnership(now);
-  }
-
-  /** Splits the store evenly over all entry hosts, so that cut-off parts never exceed it together. */
-  #computeStoreShare(): StoreShare {
-    const { settings } = this.#options;
-    const daemons = this.#membership.directory.countEntryHosts();
-    const share = 1 / Math.max(1, daemons);
-    return {
-      loadsPerSecond: settings.storeLoadsPerSecond * share,
-      loadsInFlight: Math.max(
-        1,
-        Math.floor(settings.storeLoadsInFlight * share),
-      ),
-    };
-  }
-
   #tick(now: Milliseconds): void {
     this.#updateOwnership(now);
+    if (this.#control.isSettled(now)) this.#store.tick(now);
     this.#ownership.tick(now);
     this.#executor.tick(now);
     this.#control.tick(now);
     if (this.#state === "starting" && this.#control.isReadyToServe(now)) {
       this.#move("tablesInForce");
     }
-    if (this.#state === "stopping" && this.#executor.isDrained()) {
+    const isDrained = this.#executor.isDrained() &&
+      !this.#tickets.hasTicketsInUse(now);
+    if (this.#state === "stopping" && isDrained) {
       this.#move("drained");
       this.#control.flush(now);
       this.#emit({ kind: "stopCompleted" });
--- a/src/core/execution/request_executor.ts
+++ b/src/core/execution/request_executor.ts
@@ -28,6 +28,7 @@
 import { LiveRequest } from "./live_request.ts";
 import { RequestAssigner } from "./request_assigner.ts";
 import { RequestConcluder } from "./request_concluder.ts";
+import { UpstreamExclusions } from "./upstream_exclusions.ts";
 import { TicketAdmission } from "./ticket_admission.ts";
 
 export type { RequestExecutorOptions } from "./execution_context.ts";
@@ -82,12 +83,12 @@
   }
 
   /** Returns how the upstreams rank for a route now. */
-  explainRoute(route: RouteStructure): RankedUpstream[] {
+  explainRoute(route: RouteStructure, now: Milliseconds): RankedUpstream[] {
     const pool = this.#context.options.tables.getSnapshot()
       ?.getPool(route.pool);
     if (!pool) return [];
     const adapterKey = getAdapterKey(route, pool);
-    return this.#assigner.rank(pool, adapterKey, new Set());
+    return this.#assigner.rank(pool, adapterKey, new UpstreamExclusions(), now);
   }
 
   handleAttemptEnded(
--- a/src/core/membership/failure_detector.ts
+++ b/src/core/membership/failure_detector.ts
@@ -29,8 +29,8 @@
 const INDIRECT_PROBERS = 3;
 /** Part of the probe period after which others are asked. */
 const INDIRECT_AFTER_RATIO = 0.5;
-/** Part of the peer timeout between a probe and the death that follows it. */
-const DEATH_AFTER_RATIO = 0.8;
+/** Part of the peer timeout for which a daemon has been silent, at the least, when it is taken for dead. */
+export const DEATH_AFTER_RATIO = 0.8;
 /** Silent hosts probed at once while this daemon knows nobody. */
 const FIRST_PROBES = 8;
 /** Gap between ticks beyond which timers are moved on by it. */
--- a/src/core/membership/host_directory.ts
+++ b/src/core/membership/host_directory.ts
@@ -14,6 +14,7 @@
   readonly #entryHostsByDomain = new Map<string, HostStructure[]>();
   readonly #upstreamsByDomain = new Map<string, HostStructure[]>();
   readonly #pools: PoolIndex;
+  #entryDomains: readonly string[] | undefined;
 
   constructor(hosts: readonly HostStructure[]) {
     for (const host of hosts) {
@@ -57,11 +58,14 @@
     return this.#upstreamsByDomain.get(failureDomain) ?? [];
   }
 
+  /** Returns the failure domains with daemons, in order. */
+  listEntryDomains(): readonly string[] {
+    return this.#entryDomains ??= [...this.#entryHostsByDomain.keys()].sort();
+  }
+
   /** Returns the failure domains with daemons, other than the one named. */
   listOtherDomains(failureDomain: string): string[] {
-    return [...this.#entryHostsByDomain.keys()].filter((domain) =>
-      domain !== failureDomain
-    );
+    return this.listEntryDomains().filter((domain) => domain !== failureDomain);
   }
 
   getPoolUpstreams(pool: PoolStructure): readonly HostStructure[] {
--- a/src/core/membership/link_manager.ts
+++ b/src/core/membership/link_manager.ts
@@ -20,7 +20,7 @@
   type LinkContent,
 } from "./domain_link.ts";
 import type { HostDirectory } from "./host_directory.ts";
-import { LinkReceiver } from "./link_receiver.ts";
+import { LinkReceiver, type ToldContent } from "./link_receiver.ts";
 import type { ViewStore } from "./view_store.ts";
 
 /** Daemons that tell one other failure domain. */
@@ -44,7 +44,8 @@
   getRevisions: () => KnownRevisions;
   getStrikes: (now: Milliseconds) => StrikeDigest[];
   /** Takes what other failure domains say of their upstreams, all of it. */
-  publishRemote: (remote: ReadonlyMap<string, PublishedDigest>) => void;
+  publishRemote: (told: ToldContent) => void;
+  getStoreKeeperId: () => string | undefined;
 }
 
 export class LinkManager {
@@ -158,6 +159,7 @@
         kind: "linkUpdate",
         failureDomain,
         incarnation,
+        storeKeeperId: this.#options.getStoreKeeperId() ?? "",
         ...body,
         ...this.#options.getRevisions(),
       },
--- a/src/core/membership/link_receiver.ts
+++ b/src/core/membership/link_receiver.ts
@@ -1,6 +1,7 @@
 /** What daemons of other failure domains tell this one of their upstreams. */
 import type {
   LinkAckMessage,
+  LinkedDomain,
   LinkUpdateMessage,
   PublishedDigest,
 } from "../messages.ts";
@@ -10,11 +11,19 @@
   incarnation: string;
   sequence: number;
   lastHeardAt: Milliseconds;
+  domain: LinkedDomain;
   digests: Map<string, PublishedDigest>;
 }
 
+/** What other failure domains tell, all of it. */
+export interface ToldContent {
+  digests: ReadonlyMap<string, PublishedDigest>;
+  domains: readonly LinkedDomain[];
+}
+
 export class LinkReceiver {
   readonly #sources = new Map<string, LinkSource>();
+  #domains: readonly LinkedDomain[] = [];
   #hasChanged = false;
 
   /** Takes an update; returns what to acknowledge. */
@@ -47,7 +56,7 @@
     for (const [id, source] of this.#sources) {
       if (now - source.lastHeardAt < timeoutMs) continue;
       this.#sources.delete(id);
-      this.#hasChanged ||= source.digests.size > 0;
+      this.#hasChanged = true;
     }
   }
 
@@ -56,17 +65,19 @@
     this.#hasChanged = true;
   }
 
-  /** Returns all digests if any has changed since the last call; the source heard last goes first. */
-  takeChanged(): Map<string, PublishedDigest> | undefined {
+  /** Returns what is told now if it has changed since the last call; the source heard last goes first. */
+  takeChanged(): ToldContent | undefined {
     if (!this.#hasChanged) return undefined;
     this.#hasChanged = false;
-    const merged = new Map<string, PublishedDigest>();
+    const digests = new Map<string, PublishedDigest>();
+    const domains = new Map<string, LinkedDomain>();
     const sources = [...this.#sources.values()]
       .sort((a, b) => a.lastHeardAt - b.lastHeardAt);
     for (const source of sources) {
-      for (const [id, digest] of source.digests) merged.set(id, digest);
+      for (const [id, digest] of source.digests) digests.set(id, digest);
+      domains.set(source.domain.failureDomain, source.domain);
     }
-    return merged;
+    return { digests, domains: this.#updateDomains([...domains.values()]) };
   }
 
   #addSource(id: string): LinkSource {
@@ -74,13 +85,29 @@
       incarnation: "",
       sequence: 0,
       lastHeardAt: Number.NEGATIVE_INFINITY,
+      domain: { failureDomain: "", storeKeeperId: "" },
       digests: new Map(),
     };
     this.#sources.set(id, source);
     return source;
   }
 
+  /** Returns the list of before when nothing in it has changed. */
+  #updateDomains(domains: readonly LinkedDomain[]): readonly LinkedDomain[] {
+    const isSame = domains.length === this.#domains.length &&
+      domains.every((domain, index) => domain === this.#domains[index]);
+    if (!isSame) this.#domains = domains;
+    return this.#domains;
+  }
+
   #apply(source: LinkSource, update: LinkUpdateMessage): void {
+    const { failureDomain, storeKeeperId } = update;
+    const isSameDomain = source.domain.failureDomain === failureDomain &&
+      source.domain.storeKeeperId === storeKeeperId;
+    if (!isSameDomain) {
+      source.domain = { failureDomain, storeKeeperId };
+      this.#hasChanged = true;
+    }
     if (update.full) {
       this.#hasChanged ||= source.digests.size > 0;
       source.digests.clear();
--- a/src/core/membership/member_table.ts
+++ b/src/core/membership/member_table.ts
@@ -3,7 +3,12 @@
  * number overrides one of a lower number, and only its own daemon raises it;
  * of one number, death overrides suspicion and suspicion life.
  */
-import { type MemberRecord, MemberStatus, PlatformReach } from "../messages.ts";
+import {
+  type LinkedDomain,
+  type MemberRecord,
+  MemberStatus,
+  PlatformReach,
+} from "../messages.ts";
 import type { Milliseconds } from "../structures.ts";
 
 /** A daemon as this one sees it. */
@@ -17,6 +22,7 @@
   heldVersion: number;
   heldLoadSequence: number;
   platformReach: PlatformReach;
+  linkedDomains: readonly LinkedDomain[];
   /** Who showed a newer version of its state than is held, and when. */
   behind: { since: Milliseconds; source: string } | undefined;
 }
@@ -155,6 +161,7 @@
       heldVersion: 0,
       heldLoadSequence: 0,
       platformReach: PlatformReach.NotReading,
+      linkedDomains: [],
       behind: undefined,
     };
     this.#members.set(record.id, member);
@@ -180,6 +187,7 @@
       known.heldLoadSequence = 0;
       known.version = 0;
       known.platformReach = PlatformReach.NotReading;
+      known.linkedDomains = [];
       known.behind = undefined;
     }
     this.#markBehind(known, record.version, source, now);
--- a/src/core/membership/membership.ts
+++ b/src/core/membership/membership.ts
@@ -5,6 +5,7 @@
  */
 import { findRendezvousWinner } from "../hashing.ts";
 import {
+  type LinkedDomain,
   type MemberRecord,
   MemberStatus,
   type UpstreamDigest,
@@ -39,6 +40,9 @@
   silentMs: number | null;
 }
 
+/** Key by which the keeper of the weight store is chosen. */
+const STORE_KEY = "weight-store";
+
 interface CachedOwner {
   epoch: number;
   ownerId: string | undefined;
@@ -51,6 +55,8 @@
   readonly #owners = new Map<string, CachedOwner>();
   #directory = new HostDirectory([]);
   #candidates: { epoch: number; hosts: { id: string }[] } | undefined;
+  #storeKeeper: CachedOwner | undefined;
+  #linkedDomains: readonly LinkedDomain[] = [];
   #epoch = 0;
   #isSelfLeaving = false;
 
@@ -211,6 +217,40 @@
     return findRendezvousWinner(upstreamId, candidates)?.id;
   }
 
+  /** Sets the failure domains that reach this daemon over a link. */
+  setLinkedDomains(domains: readonly LinkedDomain[]): void {
+    this.#linkedDomains = domains;
+  }
+
+  /**
+   * Returns the daemon that keeps a failure domain's part of the weight store:
+   * for this domain by its live daemons, for others as their links tell.
+   */
+  getStoreKeeperId(failureDomain: string): string | undefined {
+    if (failureDomain !== this.#options.failureDomain) {
+      return this.#findLinkedDomain(failureDomain)?.storeKeeperId || undefined;
+    }
+    if (this.#storeKeeper?.epoch !== this.epoch) {
+      this.#storeKeeper = {
+        epoch: this.epoch,
+        ownerId: findRendezvousWinner(STORE_KEY, this.#getCandidates())?.id,
+      };
+    }
+    return this.#storeKeeper.ownerId;
+  }
+
+  /** Returns the keepers of the other failure domains that a link tells of. */
+  listOtherStoreKeeperIds(): string[] {
+    return this.#directory.listOtherDomains(this.#options.failureDomain)
+      .map((domain) => this.getStoreKeeperId(domain))
+      .filter((id) => id !== undefined);
+  }
+
+  /** Returns the failure domains that have entry hosts, in order. */
+  listEntryDomains(): readonly string[] {
+    return this.#directory.listEntryDomains();
+  }
+
   /** Returns the live daemons of this failure domain, this one included. */
   countLiveDomainDaemons(): number {
     return this.#getCandidates().length;
@@ -242,6 +282,19 @@
       });
   }
 
+  #findLinkedDomain(failureDomain: string): LinkedDomain | undefined {
+    const isWanted = (domain: LinkedDomain): boolean =>
+      domain.failureDomain === failureDomain;
+    const own = this.#linkedDomains.find(isWanted);
+    if (own) return own;
+    for (const member of this.members.getAll()) {
+      if (member.status === MemberStatus.Dead) continue;
+      const told = member.linkedDomains.find(isWanted);
+      if (told) return told;
+    }
+    return undefined;
+  }
+
   /** Returns the daemons of this failure domain that may own upstreams. */
   #getCandidates(): { id: string }[] {
     if (this.#candidates?.epoch === this.epoch) return this.#candidates.hosts;
--- a/src/core/membership/peer_protocol.ts
+++ b/src/core/membership/peer_protocol.ts
@@ -137,7 +137,11 @@
       getRing,
       getRevisions,
       getStrikes: () => this.#strikes.getAll(),
-      publishRemote: (remote) => this.#publisher.setRemote(remote),
+      publishRemote: ({ digests, domains }) => {
+        membership.setLinkedDomains(domains);
+        this.#publisher.setRemote(digests, domains);
+      },
+      getStoreKeeperId: () => membership.getStoreKeeperId(failureDomain),
     }, membership.directory);
   }
 
--- a/src/core/membership/state_exchange.ts
+++ b/src/core/membership/state_exchange.ts
@@ -60,6 +60,7 @@
     }
     membership.views.applyState(update, now);
     member.platformReach = update.platformReach;
+    member.linkedDomains = update.linkedDomains;
     member.heldVersion = update.version;
     member.version = Math.max(member.version, update.version);
     if (member.heldVersion >= member.version) member.behind = undefined;
@@ -159,6 +160,7 @@
       digests: this.#options.membership.views.listPublished(member.id),
       removedUpstreamIds: [],
       platformReach: member.platformReach,
+      linkedDomains: [...member.linkedDomains],
     };
   }
 
--- a/src/core/membership/state_publisher.ts
+++ b/src/core/membership/state_publisher.ts
@@ -4,6 +4,7 @@
  * Changes carry growing versions; load, which changes all the time, goes apart.
  */
 import {
+  type LinkedDomain,
   type LoadUpdate,
   PlatformReach,
   type PublishedDigest,
@@ -33,6 +34,8 @@
   #remote: ReadonlyMap<string, PublishedDigest> = new Map();
   #reach: PlatformReach = PlatformReach.NotReading;
   #publishedReach: PlatformReach = PlatformReach.NotReading;
+  #linkedDomains: readonly LinkedDomain[] = [];
+  #publishedDomains: readonly LinkedDomain[] = [];
   #version = 0;
   #loadSequence = 0;
   #lastLoadAt = Number.NEGATIVE_INFINITY;
@@ -66,8 +69,12 @@
   }
 
   /** Replaces what other failure domains say of their upstreams. */
-  setRemote(remote: ReadonlyMap<string, PublishedDigest>): void {
+  setRemote(
+    remote: ReadonlyMap<string, PublishedDigest>,
+    linkedDomains: readonly LinkedDomain[],
+  ): void {
     this.#remote = remote;
+    this.#linkedDomains = linkedDomains;
     this.#isDirty = true;
   }
 
@@ -94,13 +101,16 @@
       !wanted.has(id)
     );
     const isUnchanged = digests.length === 0 &&
-      removedUpstreamIds.length === 0 && this.#reach === this.#publishedReach;
+      removedUpstreamIds.length === 0 &&
+      this.#reach === this.#publishedReach &&
+      this.#linkedDomains === this.#publishedDomains;
     if (isUnchanged) return undefined;
     for (const id of removedUpstreamIds) this.#published.delete(id);
     for (const entry of digests) {
       this.#published.set(entry.digest.upstreamId, entry);
     }
     this.#publishedReach = this.#reach;
+    this.#publishedDomains = this.#linkedDomains;
     this.#budget.take(
       STATE_BASE_BYTES +
         digests.reduce((sum, entry) => sum + estimateDigestBytes(entry), 0),
@@ -174,6 +184,7 @@
       digests,
       removedUpstreamIds,
       platformReach: this.#publishedReach,
+      linkedDomains: [...this.#publishedDomains],
     };
   }
 }
--- a/src/core/messages.ts
+++ b/src/core/messages.ts
@@ -105,6 +105,15 @@
   digests: PublishedDigest[];
   removedUpstreamIds: string[];
   platformReach: PlatformReach;
+  /** Other failure domains that reach the daemon over a link. */
+  linkedDomains: LinkedDomain[];
+}
+
+/** What is known of another failure domain as a whole. */
+export interface LinkedDomain {
+  failureDomain: string;
+  /** Daemon that keeps its part of the weight store; empty when it has none. */
+  storeKeeperId: string;
 }
 
 /** Load of a daemon's own upstreams in the order of their ids, at a version of its state. */
@@ -157,6 +166,8 @@
   digests: PublishedDigest[];
   removedUpstreamIds: string[];
   strikes: StrikeDigest[];
+  /** Daemon that keeps the failure domain's part of the weight store; empty when there is none. */
+  storeKeeperId: string;
 }
 
 export interface LinkAckMessage extends KnownRevisions {
@@ -246,6 +257,40 @@
   leases: LeaseHandoverStructure[];
 }
 
+/** What a daemon, or the keeper of another failure domain, wants to load. */
+export interface StoreDemandMessage {
+  kind: "storeDemand";
+  loads: number;
+  /** Urgency of the most urgent load. */
+  urgency: number;
+  /** Failure domain in which the loads take place. */
+  failureDomain: string;
+}
+
+/** Permission to start one load. */
+export interface StorePermitMessage {
+  kind: "storePermit";
+  permitId: string;
+  /** Keeper that gave the permit and to which it is returned. */
+  lenderId: string;
+}
+
+export interface StorePermitReturnMessage {
+  kind: "storePermitReturn";
+  permitId: string;
+  /** Whether a load was started under the permit. */
+  wasUsed: boolean;
+}
+
+/** A keeper's answer to a demand of its failure domain. */
+export interface StoreStatusMessage {
+  kind: "storeStatus";
+  /** Loads of the domain that wait for a permit. */
+  waitingLoads: number;
+  /** Rate at which the domain has lately been given permits. */
+  loadsPerSecond: number;
+}
+
 /** Asks for what is newer than the revisions named. */
 export interface TablesRequestMessage {
   kind: "tablesRequest";
@@ -391,6 +436,10 @@
   | LeaseReturnMessage
   | LeaseCancelMessage
   | HandoverMessage
+  | StoreDemandMessage
+  | StorePermitMessage
+  | StorePermitReturnMessage
+  | StoreStatusMessage
   | TicketClaimMessage
   | TicketVerdictMessage
   | TicketSettleMessage;
--- a/src/core/residency/owner_context.ts
+++ b/src/core/residency/owner_context.ts
@@ -9,7 +9,7 @@
 } from "../structures.ts";
 import { PoolKind } from "../structures.ts";
 import type { AdapterPopularity } from "./adapter_popularity.ts";
-import type { StoreBudget } from "./store_budget.ts";
+import type { StoreAccess } from "./store_access.ts";
 
 export interface UpstreamOwnerOptions {
   selfId: string;
@@ -18,7 +18,7 @@
   settings: CoreSettings;
   policy: CorePolicy;
   popularity: AdapterPopularity;
-  storeBudget: StoreBudget;
+  store: StoreAccess;
   /** Longest run of any route to the pool. */
   maxRunMs: Milliseconds;
   emit: (effect: Effect) => void;
@@ -26,12 +26,27 @@
   createId: (prefix: string) => string;
 }
 
+/** What of an upstream the tables and the host list may change while it is owned. */
+export type UpstreamConfiguration = Pick<
+  UpstreamOwnerOptions,
+  "host" | "pool" | "maxRunMs"
+>;
+
 /** The options of an owner. */
 export class OwnerContext {
-  readonly options: UpstreamOwnerOptions;
+  #options: UpstreamOwnerOptions;
 
   constructor(options: UpstreamOwnerOptions) {
-    this.options = options;
+    this.#options = options;
+  }
+
+  get options(): UpstreamOwnerOptions {
+    return this.#options;
+  }
+
+  /** Takes what a newer revision of the tables or of the host list says. */
+  updateConfiguration(configuration: UpstreamConfiguration): void {
+    this.#options = { ...this.#options, ...configuration };
   }
 
   get upstreamId(): string {
--- a/src/core/residency/slot_table.ts
+++ b/src/core/residency/slot_table.ts
@@ -15,13 +15,17 @@
 }
 
 export class SlotTable {
-  readonly #capacity: number;
+  #capacity: number;
   readonly #slots = new Map<string, Slot>();
 
   constructor(capacity: number) {
     this.#capacity = capacity;
   }
 
+  setCapacity(capacity: number): void {
+    this.#capacity = capacity;
+  }
+
   getSlot(adapterKey: string): Slot | undefined {
     return this.#slots.get(adapterKey);
   }
@@ -34,6 +38,10 @@
     return this.#slots.size < this.#capacity;
   }
 
+  countFreeSlots(): number {
+    return Math.max(0, this.#capacity - this.#slots.size);
+  }
+
   /** Takes a free slot for an adapter whose load is ordered. */
   addLoading(adapterKey: string, now: Milliseconds): void {
     this.#slots.set(adapterKey, {
--- a/src/daemon/operator_task.ts
+++ b/src/daemon/operator_task.ts
@@ -82,7 +82,7 @@
         response.status(404).json({ error: `No route is named ${route}` });
         return;
       }
-      const ranked = core.explainRoute(route);
+      const ranked = core.explainRoute(route, performance.now());
       response.json({
         route,
         upstreams: ranked.map((entry) => ({
