--- a/src/core/control_plane.ts
+++ b/src/core/control_plane.ts
@@ -10,6 +10,7 @@
 import { PlatformReaders } from "./membership/platform_readers.ts";
 import type {
   ControlMessage,
+  EvictionDigest,
   StrikeDigest,
   UpstreamDigest,
 } from "./messages.ts";
@@ -33,6 +34,10 @@
   emit: (effect: Effect) => void;
   getStrikes: (now: Milliseconds) => StrikeDigest[];
   mergeStrikes: (strikes: readonly StrikeDigest[], now: Milliseconds) => void;
+  mergeEvictions: (
+    evictions: readonly EvictionDigest[],
+    now: Milliseconds,
+  ) => void;
   /** Called after newer tables or a newer host list came into force. */
   handleTablesChanged: (now: Milliseconds) => void;
 }
@@ -137,6 +142,11 @@
     this.#protocol.removeUpstream(upstreamId);
   }
 
+  /** Tells peers what this daemon has evicted. */
+  publishEvictions(evictions: readonly EvictionDigest[]): void {
+    this.#protocol.publishEvictions(evictions);
+  }
+
   /** Tells the failure domain at once that this daemon is leaving. */
   publishLeaving(now: Milliseconds): void {
     this.#options.membership.markSelfLeaving();
--- a/src/core/daemon_core.ts
+++ b/src/core/daemon_core.ts
@@ -12,14 +12,14 @@
 import { ControlPlane } from "./control_plane.ts";
 import type { CoreSettings } from "./core_settings.ts";
 import type { Effect } from "./effects.ts";
-import type { CoreEvent } from "./events.ts";
+import type { CoreEvent, RequestArrivedEvent } from "./events.ts";
 import { RequestExecutor } from "./execution/request_executor.ts";
 import { TicketBook } from "./execution/ticket_book.ts";
 import { CrashQuarantine } from "./limits/crash_quarantine.ts";
 import { RetryBudget } from "./limits/retry_budget.ts";
 import { Membership } from "./membership/membership.ts";
 import { ClaimVerdict, type PeerMessage } from "./messages.ts";
-import { Outcome, RefusalReason } from "./outcomes.ts";
+import { getUnclaimedOutcome, RefusalReason } from "./outcomes.ts";
 import { StoreAccess } from "./residency/store_access.ts";
 import type { OwnedUpstreamDescription } from "./residency/upstream_owner.ts";
 import { UpstreamOwnership } from "./residency/upstream_ownership.ts";
@@ -100,6 +100,8 @@
       emit: this.#emit,
       getStrikes: (at) => this.#quarantine.getDigests(at),
       mergeStrikes: (strikes, at) => this.#quarantine.mergeDigests(strikes, at),
+      mergeEvictions: (evictions, at) =>
+        this.#ownership.mergeEvictions(evictions, at),
       handleTablesChanged: (at) => this.#updateOwnership(at),
     }, now);
     this.#ownership = new UpstreamOwnership({
@@ -114,6 +116,8 @@
       publishUpstream: (digest, at) =>
         this.#control.publishUpstream(digest, at),
       removeUpstream: (id) => this.#control.removeUpstream(id),
+      publishEvictions: (evictions) =>
+        this.#control.publishEvictions(evictions),
     });
     this.#tickets = new TicketBook({
       selfId,
@@ -211,7 +215,7 @@
       case "requestArrived":
         if (this.#state === "serving") {
           this.#executor.handleArrival(event, now);
-        } else this.#refuseUnserved(event.requestId);
+        } else this.#refuseUnserved(event);
         break;
       case "callerGone":
         this.#executor.handleCallerGone(event.requestId, now);
@@ -319,16 +323,16 @@
     }
   }
 
-  #refuseUnserved(requestId: string): void {
+  #refuseUnserved(event: RequestArrivedEvent): void {
     const reason = this.#state === "starting"
       ? RefusalReason.NotReady
       : RefusalReason.Stopping;
     this.#emit({ kind: "count", counter: "refused", tag: reason });
     this.#emit({
       kind: "refuse",
-      requestId,
+      requestId: event.requestId,
       reason,
-      outcome: Outcome.NotRun,
+      outcome: getUnclaimedOutcome(event.ticket),
       retryAfterMs: this.#options.settings.startGraceMs,
     });
   }
--- a/src/core/membership/domain_link.ts
+++ b/src/core/membership/domain_link.ts
@@ -1,6 +1,7 @@
 /** This daemon's side of a link: tells one daemon of another failure domain what changes in this one. */
 import { rankByRendezvous } from "../hashing.ts";
 import type {
+  EvictionDigest,
   LinkAckMessage,
   LinkUpdateMessage,
   PublishedDigest,
@@ -12,6 +13,9 @@
 /** Digests of one message at most; the rest follow in the next. */
 const MAX_LINK_DIGESTS = 256;
 
+/** Evictions that one update tells of. */
+const MAX_EVICTIONS = 16;
+
 /** What a link tells, when it is due. */
 export interface LinkContent {
   /** Upstreams to tell of that have a view now. */
@@ -31,13 +35,19 @@
 /** Fields of a link update that the link decides. */
 export type LinkUpdateBody = Pick<
   LinkUpdateMessage,
-  "sequence" | "full" | "digests" | "removedUpstreamIds" | "strikes"
+  | "sequence"
+  | "full"
+  | "digests"
+  | "removedUpstreamIds"
+  | "strikes"
+  | "evictions"
 >;
 
 export class DomainLink {
   readonly failureDomain: string;
   readonly #sent = new Map<string, PublishedDigest>();
   readonly #sentStrikes = new Map<string, number>();
+  #evictions: EvictionDigest[] = [];
   #targets: readonly HostStructure[] = [];
   #targetIndex = 0;
   #sequence = 0;
@@ -66,6 +76,11 @@
     return this.#targets[this.#targetIndex]?.id;
   }
 
+  /** Adds evictions to tell of once, with the next update. */
+  addEvictions(evictions: readonly EvictionDigest[]): void {
+    this.#evictions = [...this.#evictions, ...evictions].slice(-MAX_EVICTIONS);
+  }
+
   recordAck(from: string, ack: LinkAckMessage, now: Milliseconds): void {
     if (from !== this.getTargetId()) return;
     this.#lastAckAt = now;
@@ -91,6 +106,7 @@
     );
     const isDue = this.#needsFull || digests.length > 0 ||
       removedUpstreamIds.length > 0 || strikes.length > 0 ||
+      this.#evictions.length > 0 ||
       now - this.#lastSentAt >= periods.linkMs;
     if (!isDue) return undefined;
     if (isLoadDue) this.#lastLoadAt = now;
@@ -99,12 +115,15 @@
     const full = this.#needsFull;
     this.#needsFull = false;
     this.#recordSent(digests, removedUpstreamIds, content.strikes);
+    const evictions = this.#evictions;
+    this.#evictions = [];
     return {
       sequence: this.#sequence,
       full,
       digests,
       removedUpstreamIds,
       strikes,
+      evictions,
     };
   }
 
--- a/src/core/membership/link_manager.ts
+++ b/src/core/membership/link_manager.ts
@@ -6,6 +6,7 @@
 import type { Effect } from "../effects.ts";
 import { rankByRendezvous } from "../hashing.ts";
 import type {
+  EvictionDigest,
   KnownRevisions,
   LinkAckMessage,
   LinkUpdateMessage,
@@ -69,6 +70,12 @@
     this.#ring = undefined;
   }
 
+  /** Tells other failure domains what has been evicted in this one. */
+  addEvictions(evictions: readonly EvictionDigest[]): void {
+    if (evictions.length === 0) return;
+    for (const link of this.#links.values()) link.addEvictions(evictions);
+  }
+
   setPools(pools: readonly PoolStructure[]): void {
     if (pools === this.#pools) return;
     this.#pools = pools;
--- a/src/core/membership/peer_protocol.ts
+++ b/src/core/membership/peer_protocol.ts
@@ -7,6 +7,7 @@
 import type { Effect } from "../effects.ts";
 import { rankByRendezvous } from "../hashing.ts";
 import {
+  type EvictionDigest,
   type HostListDelta,
   type KnownRevisions,
   type LinkAckMessage,
@@ -49,6 +50,11 @@
   getStrikes: (now: Milliseconds) => StrikeDigest[];
   /** Takes over strikes that a peer names. */
   mergeStrikes: (strikes: readonly StrikeDigest[], now: Milliseconds) => void;
+  /** Takes over what a peer counted of adapters that it has evicted. */
+  mergeEvictions: (
+    evictions: readonly EvictionDigest[],
+    now: Milliseconds,
+  ) => void;
   /** Takes note of the revisions that a peer holds. */
   handleRevisions: (
     from: string,
@@ -104,6 +110,11 @@
       publisher: this.#publisher,
       describeSelf,
       emit,
+      handleEvictions: (update, now) => {
+        this.#links.addEvictions(update.evictions);
+        options.mergeEvictions(update.evictions, now);
+        options.mergeEvictions(update.toldEvictions, now);
+      },
     });
     this.#detector = new FailureDetector({
       selfId,
@@ -183,6 +194,12 @@
     this.#publisher.removeOwn(upstreamId);
   }
 
+  /** Tells peers what this daemon has evicted. */
+  publishEvictions(evictions: readonly EvictionDigest[]): void {
+    this.#publisher.addEvictions(evictions);
+    this.#links.addEvictions(evictions);
+  }
+
   setPlatformReach(reach: PlatformReach): void {
     this.#publisher.setPlatformReach(reach);
   }
@@ -324,6 +341,8 @@
     if (!this.#links.isGenuine(from, update)) return;
     this.#links.handleUpdate(from, update, now);
     this.#options.mergeStrikes(update.strikes, now);
+    this.#options.mergeEvictions(update.evictions, now);
+    this.#publisher.addToldEvictions(update.evictions);
     this.#options.handleRevisions(from, update, now);
   }
 
--- a/src/core/membership/state_exchange.ts
+++ b/src/core/membership/state_exchange.ts
@@ -28,6 +28,8 @@
   publisher: StatePublisher;
   describeSelf: () => MemberRecord;
   emit: (effect: Effect) => void;
+  /** Takes the evictions that an update tells of. */
+  handleEvictions: (update: StateUpdate, now: Milliseconds) => void;
 }
 
 /** Sent beside the states to a daemon that joins. */
@@ -61,6 +63,7 @@
     membership.views.applyState(update, now);
     member.platformReach = update.platformReach;
     member.linkedDomains = update.linkedDomains;
+    this.#options.handleEvictions(update, now);
     member.heldVersion = update.version;
     member.version = Math.max(member.version, update.version);
     if (member.heldVersion >= member.version) member.behind = undefined;
@@ -161,6 +164,8 @@
       removedUpstreamIds: [],
       platformReach: member.platformReach,
       linkedDomains: [...member.linkedDomains],
+      evictions: [],
+      toldEvictions: [],
     };
   }
 
--- a/src/core/membership/state_publisher.ts
+++ b/src/core/membership/state_publisher.ts
@@ -4,6 +4,7 @@
  * Changes carry growing versions; load, which changes all the time, goes apart.
  */
 import {
+  type EvictionDigest,
   type LinkedDomain,
   type LoadUpdate,
   PlatformReach,
@@ -23,6 +24,8 @@
 
 const STATE_BURST_BYTES = 16_384;
 const STATE_BASE_BYTES = 48;
+/** Evictions that one update tells of. */
+const MAX_EVICTIONS = 16;
 
 export class StatePublisher {
   readonly #selfId: string;
@@ -36,6 +39,8 @@
   #publishedReach: PlatformReach = PlatformReach.NotReading;
   #linkedDomains: readonly LinkedDomain[] = [];
   #publishedDomains: readonly LinkedDomain[] = [];
+  #evictions: EvictionDigest[] = [];
+  #toldEvictions: EvictionDigest[] = [];
   #version = 0;
   #loadSequence = 0;
   #lastLoadAt = Number.NEGATIVE_INFINITY;
@@ -78,6 +83,19 @@
     this.#isDirty = true;
   }
 
+  /** Adds evictions to tell the failure domain of once, the latest first when they are many. */
+  addEvictions(evictions: readonly EvictionDigest[]): void {
+    this.#isDirty ||= evictions.length > 0;
+    this.#evictions = [...this.#evictions, ...evictions].slice(-MAX_EVICTIONS);
+  }
+
+  /** Adds evictions that another failure domain told of. */
+  addToldEvictions(evictions: readonly EvictionDigest[]): void {
+    this.#isDirty ||= evictions.length > 0;
+    this.#toldEvictions = [...this.#toldEvictions, ...evictions]
+      .slice(-MAX_EVICTIONS);
+  }
+
   setPlatformReach(reach: PlatformReach): void {
     this.#reach = reach;
     this.#isDirty ||= reach !== this.#publishedReach;
@@ -102,6 +120,7 @@
     );
     const isUnchanged = digests.length === 0 &&
       removedUpstreamIds.length === 0 &&
+      this.#evictions.length === 0 && this.#toldEvictions.length === 0 &&
       this.#reach === this.#publishedReach &&
       this.#linkedDomains === this.#publishedDomains;
     if (isUnchanged) return undefined;
@@ -116,7 +135,14 @@
         digests.reduce((sum, entry) => sum + estimateDigestBytes(entry), 0),
     );
     this.#version += 1;
-    return this.#describe(this.#version - 1, digests, removedUpstreamIds);
+    const update = {
+      ...this.#describe(this.#version - 1, digests, removedUpstreamIds),
+      evictions: this.#evictions,
+      toldEvictions: this.#toldEvictions,
+    };
+    this.#evictions = [];
+    this.#toldEvictions = [];
+    return update;
   }
 
   /** Returns the load of the owned upstreams when it is due and has changed. */
@@ -185,6 +211,8 @@
       removedUpstreamIds,
       platformReach: this.#publishedReach,
       linkedDomains: [...this.#publishedDomains],
+      evictions: [],
+      toldEvictions: [],
     };
   }
 }
--- a/src/core/messages.ts
+++ b/src/core/messages.ts
@@ -35,6 +35,13 @@
   expiresInMs: number;
 }
 
+/** How popular an adapter was when its slot was given up. */
+export interface EvictionDigest {
+  adapterKey: string;
+  /** Decayed count of requests. */
+  score: number;
+}
+
 /** How a daemon stands in the eyes of its failure domain; a later one overrides an earlier one of the same number. */
 export const MemberStatus = { Alive: 0, Suspect: 1, Dead: 2 } as const;
 export type MemberStatus = (typeof MemberStatus)[keyof typeof MemberStatus];
@@ -65,6 +72,7 @@
   sender: MemberRecord;
   members: MemberRecord[];
   strikes: StrikeDigest[];
+  /** Latest evictions of the sender, so that an adapter's history is known wherever it is loaded next. */
 }
 
 export interface ProbeAckMessage extends KnownRevisions {
@@ -107,6 +115,9 @@
   platformReach: PlatformReach;
   /** Other failure domains that reach the daemon over a link. */
   linkedDomains: LinkedDomain[];
+  /** What has been evicted here since the version before, and what other failure domains told of. */
+  evictions: EvictionDigest[];
+  toldEvictions: EvictionDigest[];
 }
 
 /** What is known of another failure domain as a whole. */
@@ -168,6 +179,7 @@
   strikes: StrikeDigest[];
   /** Daemon that keeps the failure domain's part of the weight store; empty when there is none. */
   storeKeeperId: string;
+  evictions: EvictionDigest[];
 }
 
 export interface LinkAckMessage extends KnownRevisions {
--- a/src/core/residency/adapter_popularity.ts
+++ b/src/core/residency/adapter_popularity.ts
@@ -1,4 +1,5 @@
 /** Exponentially decayed request counts by adapter. */
+import type { EvictionDigest } from "../messages.ts";
 import type { Milliseconds } from "../structures.ts";
 
 /** Time in which a count halves. */
@@ -12,6 +13,7 @@
 }
 
 export class AdapterPopularity {
+  #evicted: string[] = [];
   readonly #counts = new Map<string, DecayedCount>();
 
   recordRequests(
@@ -20,6 +22,10 @@
     now: Milliseconds,
   ): void {
     const value = this.getScore(adapterKey, now) + requests;
+    this.#setCount(adapterKey, value, now);
+  }
+
+  #setCount(adapterKey: string, value: number, now: Milliseconds): void {
     this.#counts.delete(adapterKey);
     this.#counts.set(adapterKey, { value, updatedAt: now });
     if (this.#counts.size <= MAX_ADAPTERS) return;
@@ -27,6 +33,33 @@
     if (oldest !== undefined) this.#counts.delete(oldest);
   }
 
+  /** Records that a slot was given up, to tell peers how popular its adapter was. */
+  recordEviction(adapterKey: string): void {
+    this.#evicted.push(adapterKey);
+  }
+
+  /** Returns the evictions since the last call, to tell peers of. */
+  takeEvictions(now: Milliseconds): EvictionDigest[] {
+    const evicted = this.#evicted;
+    if (evicted.length > 0) this.#evicted = [];
+    return evicted.map((adapterKey) => ({
+      adapterKey,
+      score: this.getScore(adapterKey, now),
+    }));
+  }
+
+  /** Takes over what a peer counted; never lowers a count. */
+  mergeEvictions(
+    evictions: readonly EvictionDigest[],
+    now: Milliseconds,
+  ): void {
+    for (const { adapterKey, score } of evictions) {
+      if (score > this.getScore(adapterKey, now)) {
+        this.#setCount(adapterKey, score, now);
+      }
+    }
+  }
+
   /** Returns the decayed count of requests. */
   getScore(adapterKey: string, now: Milliseconds): number {
     const count = this.#counts.get(adapterKey);
--- a/src/core/residency/upstream_ownership.ts
+++ b/src/core/residency/upstream_ownership.ts
@@ -8,6 +8,7 @@
 import type { OrderResult } from "../events.ts";
 import type { Membership } from "../membership/membership.ts";
 import type {
+  EvictionDigest,
   HandoverMessage,
   LeaseRequestMessage,
   UpstreamDigest,
@@ -39,6 +40,8 @@
   publishUpstream: (digest: UpstreamDigest, now: Milliseconds) => void;
   /** Tells peers that an upstream is not owned here any more. */
   removeUpstream: (upstreamId: string) => void;
+  /** Tells peers what has been evicted here. */
+  publishEvictions: (evictions: readonly EvictionDigest[]) => void;
 }
 
 /** Time for which a handover waits for its ownership to be seen here. */
@@ -96,6 +99,7 @@
       owner.tick(now);
       this.#options.publishUpstream(owner.describeDigest(now), now);
     }
+    this.#options.publishEvictions(this.#popularity.takeEvictions(now));
     this.#updateDemand(now);
   }
 
@@ -169,6 +173,13 @@
     this.#epoch = -1;
   }
 
+  mergeEvictions(
+    evictions: readonly EvictionDigest[],
+    now: Milliseconds,
+  ): void {
+    this.#popularity.mergeEvictions(evictions, now);
+  }
+
   describe(now: Milliseconds): OwnedUpstreamDescription[] {
     return [...this.#owners.values()].map((owner) => owner.describe(now));
   }
