--- a/src/core/execution/request_assigner.ts
+++ b/src/core/execution/request_assigner.ts
@@ -78,14 +78,11 @@
     now: Milliseconds,
   ): RankedUpstream[] {
     const candidates: UpstreamCandidate[] = [];
-    for (const host of this.#context.options.membership.getUpstreamHosts()) {
-      if (host.service !== pool.service || excluded.has(host.id, now)) continue;
-      if (!pool.failureDomains.includes(host.failureDomain)) continue;
+    const { membership } = this.#context.options;
+    for (const host of membership.getPoolUpstreams(pool)) {
       if (host.state === HostState.Leaving) continue;
-      const view = this.#context.options.membership.getUpstreamView(
-        host.id,
-        now,
-      );
+      if (excluded.has(host.id, now)) continue;
+      const view = membership.getUpstreamView(host.id);
       if (!view || !view.digest.up || view.digest.leaving) continue;
       candidates.push({
         host,
--- a/test/core/execution/lease_book_test.ts
+++ b/test/core/execution/lease_book_test.ts
@@ -53,7 +53,6 @@
   const membership = new Membership({
     selfId: "entry-1",
     failureDomain: "a",
-    peerTimeoutMs: 60_000,
   });
   membership.recordOwnView({
     upstreamId: UPSTREAM,
