Choose the upstream of a load by its victim alone

A count of loads shows what is left: 15% of them while the adapter was resident elsewhere, asked for by entries that shopped from upstream to upstream.

--- a/src/core/residency/slot_loader.ts
+++ b/src/core/residency/slot_loader.ts
@@ -178,6 +178,17 @@
     return this.#context.options.store.estimateWaitMs(ahead.length, now);
   }
 
+  /** Returns the adapters that are loading or wait for their load. */
+  listComing(): string[] {
+    const coming = new Set(
+      this.slots.getByState("loading").map((slot) => slot.adapterKey),
+    );
+    for (const adapterKey of this.#parts.queue.getAdapterKeys()) {
+      if (!this.slots.isResident(adapterKey)) coming.add(adapterKey);
+    }
+    return [...coming];
+  }
+
   /** Returns the score of the resident adapter that is worth least; 0 with a free slot. */
   getVictimValue(now: Milliseconds): number {
     if (this.slots.hasFreeSlot()) return 0;
--- a/src/core/residency/upstream_owner.ts
+++ b/src/core/residency/upstream_owner.ts
@@ -236,7 +236,7 @@
     return {
       upstreamId: this.upstreamId,
       residents: slots.getByState("resident").map((slot) => slot.adapterKey),
-      loading: slots.getByState("loading").map((slot) => slot.adapterKey),
+      loading: this.#loader.listComing(),
       creditsInUse: this.#granter.ledger.getCreditsInUse(),
       waiting: this.#queue.size,
       victimValue: this.#loader.getVictimValue(now),
--- a/src/core/routing/upstream_selector.ts
+++ b/src/core/routing/upstream_selector.ts
@@ -38,10 +38,21 @@
 }
 
 /** Cost of a load, in batches of waiting. */
-const LOAD_COST = 4;
-const LOADING_COST = 1;
+const LOAD_COST = 1.5;
+/** Cost of joining a load that another request has asked for. */
+const LOADING_COST = 0.5;
+/** Cost of each doubling of the victim's popularity. */
+const VICTIM_COST = 0.3;
 /** Cost of another failure domain. */
-const REMOTE_COST = 0.05;
+const REMOTE_COST = 0.01;
+/** Largest part of the cost that ties are broken by. */
+const TIE_COST = 0.005;
+/** Filled share of a batch beyond which a run is expected to wait. */
+const FILL_TARGET = 0.75;
+/** Cost of each batch beyond the target. */
+const OVERFILL_COST = 2;
+/** Cost of a batch that is filled up to the target. */
+const FILL_COST = 0.1;
 
 /** Returns the candidates by ascending cost of running the adapter there. */
 export function rankUpstreams(
@@ -67,15 +78,20 @@
     digest.waiting;
   const fill = used / pool.batchSize;
   const distance = host.failureDomain === failureDomain ? 0 : REMOTE_COST;
-  const spread = hashText(`${adapterKey}\u0000${host.id}`) / 2 ** 32;
+  const tie = hashText(`${adapterKey}\u0000${host.id}`) / 2 ** 32 * TIE_COST;
   return {
     candidate,
     residency,
-    cost: fill + distance + getResidencyCost(residency) +
-      getChoiceCost(residency, digest, spread),
+    cost: computeFillCost(fill) + distance + tie +
+      computeResidencyCost(residency, digest),
   };
 }
 
+function computeFillCost(fill: number): number {
+  return Math.min(fill, FILL_TARGET) * FILL_COST +
+    Math.max(0, fill - FILL_TARGET) * OVERFILL_COST;
+}
+
 /** Returns how the upstream, as its owner last published it, stands to the adapter. */
 export function findResidency(
   digest: UpstreamDigest,
@@ -89,23 +105,17 @@
     : Residency.Absent;
 }
 
-function getResidencyCost(residency: Residency): number {
+/** For a load, prefers the upstream whose victim is worth least. */
+function computeResidencyCost(
+  residency: Residency,
+  digest: UpstreamDigest,
+): number {
   switch (residency) {
     case Residency.Resident:
       return 0;
     case Residency.Loading:
       return LOADING_COST;
     case Residency.Absent:
-      return LOAD_COST;
+      return LOAD_COST + VICTIM_COST * Math.log2(1 + digest.victimValue);
   }
 }
-
-/** Prefers, for a load, the least valuable victim; ties go by the hash. */
-function getChoiceCost(
-  residency: Residency,
-  digest: UpstreamDigest,
-  spread: number,
-): number {
-  if (residency !== Residency.Absent) return 0;
-  return digest.victimValue / (1 + digest.victimValue) + spread * 0.5;
-}
