--- a/src/core/execution/request_executor.ts
+++ b/src/core/execution/request_executor.ts
@@ -9,7 +9,7 @@
   LeaseRefusalMessage,
   TicketVerdictMessage,
 } from "../messages.ts";
-import { Outcome, RefusalReason } from "../outcomes.ts";
+import { getUnclaimedOutcome, Outcome, RefusalReason } from "../outcomes.ts";
 import type { RankedUpstream } from "../routing/upstream_selector.ts";
 import {
   formatAdapterKey,
@@ -28,6 +28,7 @@
 import { LiveRequest } from "./live_request.ts";
 import { RequestAssigner } from "./request_assigner.ts";
 import { RequestConcluder } from "./request_concluder.ts";
+import { UpstreamExclusions } from "./upstream_exclusions.ts";
 import { TicketAdmission } from "./ticket_admission.ts";
 
 export type { RequestExecutorOptions } from "./execution_context.ts";
@@ -87,7 +88,7 @@
       ?.getPool(route.pool);
     if (!pool) return [];
     const adapterKey = getAdapterKey(route, pool);
-    return this.#assigner.rank(pool, adapterKey, new Set(), now);
+    return this.#assigner.rank(pool, adapterKey, new UpstreamExclusions(), now);
   }
 
   handleAttemptEnded(
@@ -149,18 +150,25 @@
     const tables = this.#context.options.tables.getSnapshot();
     const route = tables?.getRoute(event.route, event.customer);
     const pool = route && tables?.getPool(route.pool);
+    const outcome = route?.idempotent
+      ? Outcome.NotRun
+      : getUnclaimedOutcome(event.ticket);
     if (!tables || !route || !pool) {
-      this.#context.emitRefusal(event.requestId, RefusalReason.UnknownRoute);
+      this.#context.emitRefusal(event.requestId, RefusalReason.UnknownRoute, {
+        outcome,
+      });
       return;
     }
     if (this.#context.requests.size >= settings.maxRequests) {
       this.#context.emitRefusal(event.requestId, RefusalReason.Overloaded, {
+        outcome,
         retryAfterMs: DEFAULT_RETRY_AFTER_MS,
       });
       return;
     }
     if (quarantine.isQuarantined(event.fingerprint, now)) {
       this.#context.emitRefusal(event.requestId, RefusalReason.Quarantined, {
+        outcome,
         retryAfterMs: quarantine.getRemainingMs(event.fingerprint, now),
       });
       return;
@@ -195,7 +203,8 @@
         attemptId: request.attempt.attemptId,
       });
     }
-    const hasRun = request.state === "running" || request.state === "examining";
+    const hasRun = request.state === "running" ||
+      request.state === "examining" || request.state === "claimingTicket";
     this.#concluder.refuse(request, RefusalReason.CallerGone, {
       outcome: hasRun ? Outcome.MayHaveRun : Outcome.NotRun,
     }, now);
