--- a/test/fuzz/upstream_client.ts
+++ b/test/fuzz/upstream_client.ts
@@ -19,6 +19,8 @@
   effect: DispatchEffect;
   call: Call;
   isOpen: boolean;
+  /** Whether part of the answer was lost, so that no more of it arrives. */
+  isBroken: boolean;
   bytesForwarded: number;
   /** Arrival of the last part; parts of one connection keep their order. */
   lastArrivalAt: number;
@@ -27,11 +29,14 @@
 export class UpstreamClient {
   readonly #daemon: DaemonProcess;
   readonly #world: World;
+  /** Holds while the daemon's incarnation lives to which the client belongs. */
+  readonly #isCurrent: () => boolean;
   readonly #attempts = new Map<string, OpenAttempt>();
 
   constructor(daemon: DaemonProcess, world: World) {
     this.#daemon = daemon;
     this.#world = world;
+    this.#isCurrent = daemon.createIncarnationCheck();
   }
 
   dispatch(effect: DispatchEffect): void {
@@ -41,6 +46,7 @@
       effect,
       call,
       isOpen: true,
+      isBroken: false,
       bytesForwarded: 0,
       lastArrivalAt: 0,
     };
@@ -233,11 +239,11 @@
     const travelMs = network.getUpstreamTravelMs();
     const arrivalAt = Math.max(queue.now + travelMs, attempt.lastArrivalAt);
     attempt.lastArrivalAt = arrivalAt;
-    const isIncarnation = this.#daemon.createIncarnationCheck();
     queue.schedule(arrivalAt - queue.now, () => {
-      if (!isIncarnation() || !attempt.isOpen) return;
+      if (!this.#isCurrent() || !attempt.isOpen || attempt.isBroken) return;
       const { upstreamId } = attempt.effect;
       if (network.isConnectionCut(this.#daemon.id, upstreamId)) {
+        attempt.isBroken = true;
         this.#loseLater(attempt);
         return;
       }
@@ -315,9 +321,8 @@
     lose: () => void = () => {},
   ): void {
     const { queue, network } = this.#world;
-    const isIncarnation = this.#daemon.createIncarnationCheck();
     queue.schedule(network.getUpstreamTravelMs(), () => {
-      if (!isIncarnation()) return;
+      if (!this.#isCurrent()) return;
       const isCut = network.isConnectionCut(this.#daemon.id, upstreamId);
       this.#daemon.runLocal(0, isCut ? lose : arrive);
     });
