Take an answer cut at the end of its run for one that ran too long

Cause: an engine keeps the request's deadline itself and cuts the answer at it; when its cut came before the entry's own timer fired, the request was refused as upstreamLost and the engine examined as one that may have died (seen once in upstream_faults_test, 'a run that is too late', while other tests ran). Excluded: a crash of the engine, whose incarnation was unchanged. Change: the entry judges by the end of the run on its own clock, whichever side ends the connection; its timer fires no earlier than that. The test sends six such requests at once in place of one.

--- a/src/daemon/upstream_task.ts
+++ b/src/daemon/upstream_task.ts
@@ -6,7 +6,11 @@
 import type { OrderResult } from "../core/events.ts";
 import type { StoredAnswerStructure } from "../core/messages.ts";
 import { type AttemptResult, Outcome } from "../core/outcomes.ts";
-import { PoolKind, type UpstreamStateStructure } from "../core/structures.ts";
+import {
+  type Milliseconds,
+  PoolKind,
+  type UpstreamStateStructure,
+} from "../core/structures.ts";
 import type { Bus } from "./bus.ts";
 import type { Exchange, ExchangeRegistry } from "./exchange.ts";
 import type { Logger } from "./logger.ts";
@@ -22,6 +26,8 @@
 const ORDER_TIMEOUT_MS = 30_000;
 const CANCEL_TIMEOUT_MS = 2_000;
 const CONNECT_TIMEOUT_MS = 1_000;
+/** Timers may fire this much early. */
+const RUN_END_ALLOWANCE_MS = 1;
 /** Codes of errors that arise before any byte of a request is sent. */
 const NOT_SENT_CODES = new Set([
   "ECONNREFUSED",
@@ -43,7 +49,8 @@
   effect: DispatchEffect;
   abort: AbortController;
   isCancelled: boolean;
-  isTimedOut: boolean;
+  /** End of the longest run; an engine that keeps it cuts the answer no earlier. */
+  runEndsAt: Milliseconds;
   bytesForwarded: number;
 }
 
@@ -85,14 +92,14 @@
       effect,
       abort: new AbortController(),
       isCancelled: false,
-      isTimedOut: false,
+      runEndsAt: performance.now() + effect.timeoutMs,
       bytesForwarded: 0,
     };
     this.#attempts.set(effect.attemptId, attempt);
-    const timer = setTimeout(() => {
-      attempt.isTimedOut = true;
-      attempt.abort.abort();
-    }, effect.timeoutMs);
+    const timer = setTimeout(
+      () => attempt.abort.abort(),
+      effect.timeoutMs + RUN_END_ALLOWANCE_MS,
+    );
     const end = await this.#runToEnd(attempt);
     clearTimeout(timer);
     this.#attempts.delete(effect.attemptId);
@@ -262,7 +269,7 @@
   ): Promise<AttemptEnd> {
     const code = getErrorCode(error);
     if (NOT_SENT_CODES.has(code)) return createNotSent(code);
-    if (attempt.isTimedOut) {
+    if (performance.now() >= attempt.runEndsAt) {
       await this.#cancelOnUpstream(attempt.effect);
       return { result: { kind: "timedOut" } };
     }
--- a/test/processes/upstream_faults_test.ts
+++ b/test/processes/upstream_faults_test.ts
@@ -133,11 +133,15 @@
     site.formatRoutes("v1", { maxRunMs: 300 }),
   );
   await site.waitUntilInForce(revision);
-  const answer = await site.call(entry, "adapter-0");
-  assert.is(answer.refusal?.reason, RefusalReason.RunTimeExceeded);
-  assert.is(answer.refusal?.outcome, Outcome.MayHaveRun);
+  const answers = await Promise.all(
+    Array.from({ length: 6 }, () => site.call(entry, "adapter-0")),
+  );
   const last = await site.fleet.writeTable("routes", site.formatRoutes("v1"));
   await site.waitUntilInForce(last);
+  for (const { refusal } of answers) {
+    assert.is(refusal?.reason, RefusalReason.RunTimeExceeded);
+    assert.is(refusal?.outcome, Outcome.MayHaveRun);
+  }
   await expectExact("adapter-0");
 });
 
