--- a/src/core/residency/slot_loader.ts
+++ b/src/core/residency/slot_loader.ts
@@ -72,7 +72,7 @@
     }
     const victim = this.#findVictim(now);
     if (victim === undefined) return false;
-    this.#context.options.popularity.recordEviction(victim, now);
+    this.#context.options.popularity.recordEviction(victim);
     this.#planned.set(victim, { adapterKey, permit });
     this.slots.apply(victim, "evictOrdered", now);
     this.#giveOrder({ kind: "evict", adapterKey: victim });
@@ -155,7 +155,7 @@
   /** An upstream that restarted holds nothing. */
   recordRestart(now: Milliseconds): void {
     for (const slot of this.slots.getByState("resident")) {
-      this.#context.options.popularity.recordEviction(slot.adapterKey, now);
+      this.#context.options.popularity.recordEviction(slot.adapterKey);
     }
     this.slots.applyToAll("upstreamRestarted", now);
     this.#loadFailedAt.clear();
@@ -178,6 +178,17 @@
     return this.#context.options.store.estimateWaitMs(ahead.length, now);
   }
 
+  /** Returns the adapters that are loading or wait for their load. */
+  listComing(): string[] {
+    const coming = new Set(
+      this.slots.getByState("loading").map((slot) => slot.adapterKey),
+    );
+    for (const adapterKey of this.#parts.queue.getAdapterKeys()) {
+      if (!this.slots.isResident(adapterKey)) coming.add(adapterKey);
+    }
+    return [...coming];
+  }
+
   /** Returns the score of the resident adapter that is worth least; 0 with a free slot. */
   getVictimValue(now: Milliseconds): number {
     if (this.slots.hasFreeSlot()) return 0;
--- a/src/daemon/operator_task.ts
+++ b/src/daemon/operator_task.ts
@@ -78,9 +78,7 @@
     });
     app.get("/explain/:route", (request, response) => {
       const route = String(request.params["route"]);
-      const isKnown = core.getSnapshot()?.getRoutes()
-        .some((known) => known.name === route);
-      if (!isKnown) {
+      if (!core.getSnapshot()?.getRouteByName(route)) {
         response.status(404).json({ error: `No route is named ${route}` });
         return;
       }
