Drop orders that would leave late

Cause: an owner that paused between the decision and the sending of an order sent it on waking, when another daemon owned the upstream; where fencing is ignored the eviction was carried out under the new owner's runs. An order now says until when it may be sent (200 ms of the owner's clock). Excluded: the core itself, which drops its ownership on waking.

--- a/src/core/effects.ts
+++ b/src/core/effects.ts
@@ -50,6 +50,8 @@
     address: string;
     fencing: number;
     order: UpstreamOrder;
+    /** The order must not be sent after this time. */
+    sendUntil: Milliseconds;
   }
   | {
     kind: "readUpstreamState";
--- a/src/core/residency/order_book.ts
+++ b/src/core/residency/order_book.ts
@@ -1,7 +1,15 @@
 /** Orders given to one upstream whose end has not been reported. */
 import type { UpstreamOrder } from "../effects.ts";
+import type { Milliseconds } from "../structures.ts";
 import type { OwnerContext } from "./owner_context.ts";
 
+/**
+ * Time within which an order is sent or dropped: far less than the silence
+ * after which another daemon takes the upstream over, so that a daemon that
+ * wakes late gives no order of its old ownership.
+ */
+const ORDER_VALIDITY_MS = 200;
+
 export class OrderBook {
   readonly #context: OwnerContext;
   readonly #orders = new Map<string, UpstreamOrder>();
@@ -11,7 +19,11 @@
   }
 
   /** Gives an order to the upstream under a fencing number. */
-  giveOrder(order: UpstreamOrder, fencing: number): void {
+  giveOrder(
+    order: UpstreamOrder,
+    fencing: number,
+    now: Milliseconds,
+  ): void {
     const orderId = this.#context.createId("order");
     this.#orders.set(orderId, order);
     const { host, emit } = this.#context.options;
@@ -22,6 +34,7 @@
       address: host.address,
       fencing,
       order,
+      sendUntil: now + ORDER_VALIDITY_MS,
     });
   }
 
--- a/src/core/residency/ownership_claim.ts
+++ b/src/core/residency/ownership_claim.ts
@@ -121,7 +121,7 @@
       this.recordClaimEnd({ kind: "done" }, now);
       return;
     }
-    this.#orders.giveOrder({ kind: "claim" }, this.#fencing);
+    this.#orders.giveOrder({ kind: "claim" }, this.#fencing, now);
   }
 
   recordClaimEnd(result: OrderResult, now: Milliseconds): void {
--- a/src/core/residency/slot_loader.ts
+++ b/src/core/residency/slot_loader.ts
@@ -67,7 +67,7 @@
     if (isFree) {
       this.#permits.set(adapterKey, permit);
       this.slots.addLoading(adapterKey, now);
-      this.#giveOrder({ kind: "load", adapterKey });
+      this.#giveOrder({ kind: "load", adapterKey }, now);
       return true;
     }
     const victim = this.#findVictim(now);
@@ -75,7 +75,7 @@
     this.#context.options.popularity.recordEviction(victim);
     this.#planned.set(victim, { adapterKey, permit });
     this.slots.apply(victim, "evictOrdered", now);
-    this.#giveOrder({ kind: "evict", adapterKey: victim });
+    this.#giveOrder({ kind: "evict", adapterKey: victim }, now);
     return true;
   }
 
@@ -97,7 +97,7 @@
     }
     this.#permits.set(planned.adapterKey, planned.permit);
     this.slots.addLoading(planned.adapterKey, now);
-    this.#giveOrder({ kind: "load", adapterKey: planned.adapterKey });
+    this.#giveOrder({ kind: "load", adapterKey: planned.adapterKey }, now);
   }
 
   /** Gives back every permit, when the upstream is given up. */
@@ -248,8 +248,11 @@
       this.#parts.claim.isFreeOfPredecessors(adapterKey, now);
   }
 
-  #giveOrder(order: { kind: "load" | "evict"; adapterKey: string }): void {
-    this.#parts.orders.giveOrder(order, this.#parts.claim.fencing);
+  #giveOrder(
+    order: { kind: "load" | "evict"; adapterKey: string },
+    now: Milliseconds,
+  ): void {
+    this.#parts.orders.giveOrder(order, this.#parts.claim.fencing, now);
   }
 }
 
--- a/src/daemon/upstream_task.ts
+++ b/src/daemon/upstream_task.ts
@@ -331,6 +331,9 @@
   async #carryOutOrder(
     effect: Extract<Effect, { kind: "order" }>,
   ): Promise<OrderResult> {
+    if (performance.now() >= effect.sendUntil) {
+      return { kind: "failed", detail: "order came too late" };
+    }
     if (this.#blocked.has(effect.upstreamId)) {
       return { kind: "unknown", detail: "cut off" };
     }
--- a/test/fuzz/mutants.ts
+++ b/test/fuzz/mutants.ts
@@ -54,6 +54,15 @@
       replacement: "now + 60_000",
     }],
   },
+  {
+    name: "send an order however late",
+    promise: FuzzPromise.NoEvictionInUse,
+    patches: [{
+      file: "residency/order_book.ts",
+      search: "const ORDER_VALIDITY_MS = 200;",
+      replacement: "const ORDER_VALIDITY_MS = 60_000;",
+    }],
+  },
   {
     name: "return the credits of a repeated grant",
     promise: FuzzPromise.NoEvictionInUse,
--- a/test/fuzz/upstream_client.ts
+++ b/test/fuzz/upstream_client.ts
@@ -279,6 +279,10 @@
       isDone = true;
       finish(result);
     };
+    if (this.#daemon.readClock() >= effect.sendUntil) {
+      reply({ kind: "failed", detail: "order came too late" });
+      return;
+    }
     const unknown: OrderResult = { kind: "unknown", detail: "timed out" };
     this.#daemon.runLocal(ORDER_TIMEOUT_MS, () => reply(unknown));
     this.#world.trace.add(
