Never run a longer request under a lease for shorter ones

Cause, found by reading: a lease's owner counts it over after the longest run that its request named, but its credits also served requests of other routes, or of later revisions, to the same adapter whose runs may be longer; the adapter could be evicted under such a run. Holdings are now kept by longest run as well.

--- a/src/core/execution/lease_book.ts
+++ b/src/core/execution/lease_book.ts
@@ -1,6 +1,6 @@
 /**
- * The leases that this daemon holds or asks for, by upstream, adapter and
- * whether the run is alone. Asks owners for credits while requests wait,
+ * The leases that this daemon holds or asks for, by upstream, adapter, longest
+ * run and whether the run is alone. Asks owners for credits while requests wait,
  * repeats what is not answered and returns what is not used.
  */
 import { getPriorityRank, type Milliseconds } from "../structures.ts";
@@ -64,7 +64,7 @@
     now: Milliseconds,
   ): void {
     const exclusive = this.#context.isSuspect(request, now);
-    const key = createHoldingKey(upstreamId, request.adapterKey, exclusive);
+    const key = createHoldingKey(request, upstreamId, exclusive);
     let holding = this.#holdings.get(key);
     if (!holding) {
       holding = new LeaseHolding(upstreamId, request.adapterKey);
@@ -230,9 +230,7 @@
         remainingMs: Math.max(
           ...requests.map((request) => request.deadlineAt - now),
         ),
-        maxRunMs: Math.max(
-          ...requests.map((request) => request.route.maxRunMs),
-        ),
+        maxRunMs: first.route.maxRunMs,
         exclusive,
         sentAtMs: now,
       },
@@ -250,11 +248,7 @@
   detach(request: LiveRequest): void {
     if (request.state !== "leasing" || request.upstreamId === undefined) return;
     for (const exclusive of [false, true]) {
-      const key = createHoldingKey(
-        request.upstreamId,
-        request.adapterKey,
-        exclusive,
-      );
+      const key = createHoldingKey(request, request.upstreamId, exclusive);
       const holding = this.#holdings.get(key);
       if (!holding) continue;
       holding.removeWaiting(request.id);
@@ -326,12 +320,18 @@
 
 const EXCLUSIVE_MARK = "!";
 
+/**
+ * Returns the key of the holding that can serve the request. A lease covers
+ * runs of one longest time only, for its owner counts on that time.
+ */
 function createHoldingKey(
+  request: LiveRequest,
   upstreamId: string,
-  adapterKey: string,
   exclusive: boolean,
 ): string {
-  return `${exclusive ? EXCLUSIVE_MARK : ""}${upstreamId}|${adapterKey}`;
+  const mark = exclusive ? EXCLUSIVE_MARK : "";
+  const { adapterKey, route } = request;
+  return `${mark}${upstreamId}|${adapterKey}|${route.maxRunMs}`;
 }
 
 function isExclusiveKey(key: string): boolean {
--- a/test/core/execution/lease_book_test.ts
+++ b/test/core/execution/lease_book_test.ts
@@ -100,16 +100,24 @@
   };
 }
 
-function addRequest(context: ExecutionContext, book: LeaseBook): void {
+function addRequest(
+  context: ExecutionContext,
+  book: LeaseBook,
+  options: { requestId: string; maxRunMs: number } = {
+    requestId: "r1",
+    maxRunMs: ROUTE.maxRunMs,
+  },
+): void {
+  const { requestId, maxRunMs } = options;
   const request = new LiveRequest({
     event: {
       kind: "requestArrived",
-      requestId: "r1",
+      requestId,
       customer: "mill-a",
       route: "briefing",
       fingerprint: "f1",
     },
-    route: ROUTE,
+    route: { ...ROUTE, maxRunMs },
     pool: POOL,
     adapterKey: ADAPTER,
     tablesRevision: 1,
@@ -144,6 +152,31 @@
   assert.equal(takeSent(), []);
 });
 
+test("a lease for shorter runs serves no longer run", () => {
+  const { book, context, dispatched, takeSent } = createBook();
+  addRequest(context, book);
+  const [asked] = takeSent();
+  if (asked?.kind !== "leaseRequest") throw new Error("Expected a request");
+  addRequest(context, book, { requestId: "r2", maxRunMs: 60_000 });
+  const [askedLonger] = takeSent();
+  if (askedLonger?.kind !== "leaseRequest") throw new Error("Expected another");
+  assert.is(askedLonger.maxRunMs, 60_000);
+  book.handleLeaseGrant("entry-1", {
+    kind: "leaseGrant",
+    leaseRequestId: asked.leaseRequestId,
+    leaseId: "lease-1",
+    upstreamId: UPSTREAM,
+    adapterKey: ADAPTER,
+    credits: 2,
+    windowMs: 2_000,
+    requestSentAtMs: 0,
+    exclusive: false,
+    upstreamIncarnation: "1",
+    loaded: false,
+  }, 10);
+  assert.equal(dispatched, ["r1"]);
+});
+
 test("a grant that nothing waits for is returned whole", () => {
   const { book, takeSent } = createBook();
   book.handleLeaseGrant("entry-1", {
