Count a death as a lone strike only while the lease's granter owns the upstream

Cause: after an unplanned change of owner the next owner granted leases, lone ones included, beside a lone run that its predecessor had permitted; a crash under the one then struck the other, innocent request as if it had run alone and quarantined it. Lone leases are now granted only when no run of earlier owners can go on, handovers tell which leases are lone, and a death is a strike only when the granter still owns the upstream; else the request is a suspect. Not closed: a new owner whose first report comes after the crash (300 ms). The fuzzer's heal disarms pauses.

--- a/src/core/execution/attempt_examiner.ts
+++ b/src/core/execution/attempt_examiner.ts
@@ -72,7 +72,7 @@
     if (hasDied) {
       this.#context.options.quarantine.recordCrash(
         request.event.fingerprint,
-        examined.credit.exclusive,
+        this.#wasAlone(examined),
         now,
       );
     }
@@ -81,4 +81,14 @@
     }
     return true;
   }
+
+  /**
+   * Returns whether nothing else can have run on the upstream: the lease was
+   * for a run alone, and its granter has owned the upstream ever since.
+   */
+  #wasAlone(examined: ExaminedAttempt): boolean {
+    const { credit, upstreamId } = examined;
+    const view = this.#context.options.membership.getUpstreamView(upstreamId);
+    return credit.exclusive && view?.ownerId === credit.ownerId;
+  }
 }
--- a/src/core/execution/lease_book.ts
+++ b/src/core/execution/lease_book.ts
@@ -124,7 +124,7 @@
     }
     this.#clearPending(holding);
     const { leaseMarginMs } = this.#context.options.settings;
-    holding.addLease(grant, leaseMarginMs, now);
+    holding.addLease({ ...grant, ownerId: from }, leaseMarginMs, now);
     if (grant.loaded) this.#markStalled(holding);
     this.pumpHolding(key, now);
   }
--- a/src/core/execution/lease_holding.ts
+++ b/src/core/execution/lease_holding.ts
@@ -3,6 +3,7 @@
 import type { Milliseconds } from "../structures.ts";
 
 interface HeldLease {
+  ownerId: string;
   leaseId: string;
   returned: number;
   free: number;
@@ -15,6 +16,8 @@
 
 /** A credit taken for one run. */
 export interface TakenCredit {
+  /** Daemon that granted the lease. */
+  ownerId: string;
   leaseId: string;
   exclusive: boolean;
   dispatchUntil: Milliseconds;
@@ -50,11 +53,12 @@
   }
 
   addLease(
-    grant: LeaseGrantMessage,
+    grant: LeaseGrantMessage & { ownerId: string },
     marginMs: Milliseconds,
     now: Milliseconds,
   ): void {
     this.#leases.set(grant.leaseId, {
+      ownerId: grant.ownerId,
       leaseId: grant.leaseId,
       returned: 0,
       free: grant.credits,
@@ -77,6 +81,7 @@
       lease.free -= 1;
       lease.running += 1;
       return {
+        ownerId: lease.ownerId,
         leaseId: lease.leaseId,
         exclusive: lease.exclusive,
         dispatchUntil: lease.dispatchUntil,
--- a/src/core/messages.ts
+++ b/src/core/messages.ts
@@ -252,6 +252,7 @@
 /** A lease as its owner hands it over. */
 export interface LeaseHandoverStructure {
   leaseId: string;
+  exclusive: boolean;
   holder: string;
   adapterKey: string;
   /** Credits not returned. */
--- a/src/core/residency/lease_granter.ts
+++ b/src/core/residency/lease_granter.ts
@@ -22,12 +22,17 @@
   }
 
   /** Grants what the batch has room for; the request stays queued when there is none. */
-  tryGrant(waiting: WaitingLeaseRequest, now: Milliseconds): void {
+  tryGrant(
+    waiting: WaitingLeaseRequest,
+    isFreeOfPredecessors: boolean,
+    now: Milliseconds,
+  ): void {
     const { request, holder } = waiting;
     const { settings, pool } = this.#context.options;
     const room = pool.batchSize - this.ledger.getCreditsInUse();
     if (room <= 0 || this.ledger.hasExclusiveLease()) return;
-    if (request.exclusive && this.ledger.getCreditsInUse() > 0) return;
+    const isAlone = this.ledger.getCreditsInUse() === 0 && isFreeOfPredecessors;
+    if (request.exclusive && !isAlone) return;
     const credits = request.exclusive ? 1 : Math.min(room, request.credits);
     const windowEndsAt = now + settings.leaseWindowMs + settings.leaseMarginMs;
     const leaseId = this.#context.createId("lease");
@@ -90,7 +95,7 @@
         adapterKey: lease.adapterKey,
         credits: lease.credits,
         returnedCredits: lease.returnedCredits,
-        exclusive: false,
+        exclusive: lease.exclusive,
         windowEndsAt: now + Math.min(windowMs, lease.remainingMs),
         safeUntil: now + lease.remainingMs,
       });
--- a/src/core/residency/lease_ledger.ts
+++ b/src/core/residency/lease_ledger.ts
@@ -102,6 +102,7 @@
   describeForHandover(now: Milliseconds): LeaseHandoverStructure[] {
     return this.getLeases().map((lease) => ({
       leaseId: lease.leaseId,
+      exclusive: lease.exclusive,
       holder: lease.holder,
       adapterKey: lease.adapterKey,
       credits: lease.credits,
--- a/src/core/residency/ownership_claim.ts
+++ b/src/core/residency/ownership_claim.ts
@@ -73,17 +73,20 @@
 
   /** Returns whether no run that an earlier owner permitted can be going on or start on the adapter. */
   isFreeOfPredecessors(adapterKey: string, now: Milliseconds): boolean {
-    const { settings } = this.#context.options;
     const isPast = now >= this.#evictionAllowedAt;
     if (isPast && !this.#isUnguarded()) return true;
-    const idleSince = isPast
-      ? now - settings.ownershipValidityMs
-      : this.#predecessorWindowEndsAt + settings.engineReportLagMs;
-    const reading = this.#reader.getReading();
-    return reading !== undefined && reading.readAt >= idleSince &&
+    return this.#isReadAfterPredecessors(now) &&
       this.#reader.getInFlight(adapterKey) === 0;
   }
 
+  /** Returns whether no run at all that an earlier owner permitted can be going on or start. */
+  isIdleOfPredecessors(now: Milliseconds): boolean {
+    const isPast = now >= this.#evictionAllowedAt;
+    if (isPast && !this.#isUnguarded()) return true;
+    return this.#isReadAfterPredecessors(now) &&
+      this.#reader.getReading()?.state.running === 0;
+  }
+
   /** Returns how long leases of earlier owners, which the ledger does not list, may still count. */
   describePredecessors(
     now: Milliseconds,
@@ -181,6 +184,16 @@
     });
   }
 
+  /** Returns whether the last reading counts every run that earlier owners permitted. */
+  #isReadAfterPredecessors(now: Milliseconds): boolean {
+    const { settings } = this.#context.options;
+    const countedSince = now >= this.#evictionAllowedAt
+      ? now - settings.ownershipValidityMs
+      : this.#predecessorWindowEndsAt + settings.engineReportLagMs;
+    const reading = this.#reader.getReading();
+    return reading !== undefined && reading.readAt >= countedSince;
+  }
+
   /**
    * Shortens the wait for earlier owners' leases to what the daemon that handed
    * over still had to wait, when the upstream shows that it was the last one to
--- a/src/core/residency/upstream_owner.ts
+++ b/src/core/residency/upstream_owner.ts
@@ -329,14 +329,15 @@
   }
 
   #serve(waiting: WaitingLeaseRequest, now: Milliseconds): void {
+    const isFreeOfPredecessors = this.#claim.isIdleOfPredecessors(now);
     if (this.#context.isService()) {
-      this.#granter.tryGrant(waiting, now);
+      this.#granter.tryGrant(waiting, isFreeOfPredecessors, now);
       return;
     }
     const slot = this.#loader.slots.getSlot(waiting.request.adapterKey);
     if (slot?.state === "resident") {
       slot.lastUsedAt = now;
-      this.#granter.tryGrant(waiting, now);
+      this.#granter.tryGrant(waiting, isFreeOfPredecessors, now);
     } else if (slot?.state !== "evicting") waiting.hasWaitedForLoad = true;
   }
 
--- a/test/fuzz/world.ts
+++ b/test/fuzz/world.ts
@@ -234,6 +234,7 @@
       this.setLeaving(upstream.id, false);
     }
     for (const daemon of this.#daemons.values()) {
+      daemon.pauseAtNext = undefined;
       daemon.resume();
       daemon.start();
     }
