--- a/bench/tickets_command.ts
+++ b/bench/tickets_command.ts
@@ -76,13 +76,13 @@
   site.fleet.signal(a1, "SIGKILL");
   await site.fleet.waitForExit(a1);
   await waitUntilLost(site, a1);
-  const ofLost = (ticket: IssuedTicket): boolean => ticket.home === a1;
+  const isOfLostHome = (ticket: IssuedTicket): boolean => ticket.home === a1;
   const others = [a2, b1, b2];
   cases.push(
     await measure(
       site,
       "spent, home lost",
-      lostSpent.filter(ofLost),
+      lostSpent.filter(isOfLostHome),
       1,
       others,
     ),
@@ -91,7 +91,7 @@
     await measure(
       site,
       "unused, home lost",
-      lostUnused.filter(ofLost),
+      lostUnused.filter(isOfLostHome),
       1,
       others,
     ),
@@ -100,16 +100,24 @@
   await site.fleet.waitUntilServing([a1]);
   await waitUntilPeersLive(site);
   cases.push(
-    await measure(site, "spent, home restarted", lostSpent.filter(ofLost)),
+    await measure(
+      site,
+      "spent, home restarted",
+      lostSpent.filter(isOfLostHome),
+    ),
   );
   cases.push(
-    await measure(site, "unused, home restarted", lostUnused.filter(ofLost)),
+    await measure(
+      site,
+      "unused, home restarted",
+      lostUnused.filter(isOfLostHome),
+    ),
   );
   cases.push(
     await measure(
       site,
       "spent, another daemon restarted",
-      lostSpent.filter((ticket) => !ofLost(ticket)),
+      lostSpent.filter((ticket) => !isOfLostHome(ticket)),
     ),
   );
   return cases;
--- a/scripts/demo.ts
+++ b/scripts/demo.ts
@@ -60,7 +60,7 @@
     ]),
   );
   for (const { id, failureDomain } of DAEMONS) {
-    await fleet.reserveDaemon(id, failureDomain);
+    fleet.reserveDaemon(id, failureDomain);
   }
   await fleet.writeHosts(upstreams);
   await fleet.writeTable("pools", formatPools());
--- a/scripts/fleet.ts
+++ b/scripts/fleet.ts
@@ -1,7 +1,6 @@
 /** Starts daemons and fakes as separate processes on free loopback ports, for the demo and the process tests. */
 import { type ChildProcess, spawn } from "node:child_process";
 import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
-import { createServer } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import process from "node:process";
@@ -12,6 +11,11 @@
 
 const ROOT = new URL("..", import.meta.url).pathname;
 const START_TIMEOUT_MS = 15_000;
+/** Second byte of the first loopback network that fleets use. */
+const FIRST_OWN_NETWORK = 64;
+const FIRST_PORT = 10_001;
+const OWN_ADDRESS = computeOwnAddress();
+let nextPort = FIRST_PORT;
 
 /** A process of the fleet. */
 export interface FleetProcess {
@@ -77,16 +81,16 @@
   }
 
   /** Chooses the ports of a daemon, so that its peers can be told of it before it starts. */
-  async reserveDaemon(id: string, failureDomain: string): Promise<void> {
-    const [callers, peers, operators] = await findFreePorts(3);
-    const address = `127.0.0.1:${peers}`;
+  reserveDaemon(id: string, failureDomain: string): void {
+    const [callers, peers, operators] = reservePorts(3);
+    const address = `${OWN_ADDRESS}:${peers}`;
     this.#seeds.push({ id, address, failureDomain });
     this.daemons.set(id, {
       id,
       failureDomain,
-      callers: `127.0.0.1:${callers}`,
+      callers: `${OWN_ADDRESS}:${callers}`,
       peers: address,
-      operators: `127.0.0.1:${operators}`,
+      operators: `${OWN_ADDRESS}:${operators}`,
       child: undefined as unknown as ChildProcess,
       lines: [],
     });
@@ -300,19 +304,17 @@
   throw new Error(`Expected ${path} to be taken, found ${response.status}`);
 }
 
-async function findFreePorts(count: number): Promise<number[]> {
-  const servers = Array.from({ length: count }, () => createServer());
-  const ports = await Promise.all(
-    servers.map((server) =>
-      new Promise<number>((resolve) => {
-        server.listen(0, "127.0.0.1", () => {
-          resolve((server.address() as { port: number }).port);
-        });
-      })
-    ),
+/** Returns a loopback address that no other process of this machine uses. */
+function computeOwnAddress(): string {
+  const [high, middle, low] = [16, 8, 0].map((shift) =>
+    (process.pid >> shift) & 0xff
   );
-  await Promise.all(
-    servers.map((server) => new Promise((resolve) => server.close(resolve))),
-  );
-  return ports;
+  return `127.${FIRST_OWN_NETWORK + (high ?? 0) % 64}.${middle}.${low}`;
+}
+
+/** Returns ports that this process has not used and that the system gives to no connection. */
+function reservePorts(count: number): number[] {
+  const first = nextPort;
+  nextPort += count;
+  return Array.from({ length: count }, (_, index) => first + index);
 }
--- a/scripts/site.ts
+++ b/scripts/site.ts
@@ -333,7 +333,7 @@
     }
     for (let index = 1; index <= domain.daemons; index += 1) {
       const id = `entry-${name}-${index}`;
-      await this.fleet.reserveDaemon(id, name);
+      this.fleet.reserveDaemon(id, name);
       this.daemonIds.push(id);
     }
   }
--- a/src/core/control_plane.ts
+++ b/src/core/control_plane.ts
@@ -132,6 +132,11 @@
     this.#readers.recordReading(false, now);
   }
 
+  /** Tells the failure domain at once of new strikes. */
+  spreadStrikes(now: Milliseconds): void {
+    this.#protocol.spreadStrikes(now);
+  }
+
   /** Publishes what this daemon, as the owner, knows of the upstream. */
   publishUpstream(digest: UpstreamDigest, now: Milliseconds): void {
     this.#protocol.publishUpstream(digest, now);
--- a/src/core/daemon_core.ts
+++ b/src/core/daemon_core.ts
@@ -136,6 +136,7 @@
       tables: this.#tables,
       membership: this.#membership,
       quarantine: this.#quarantine,
+      spreadStrikes: (at) => this.#control.spreadStrikes(at),
       retryBudget: new RetryBudget(settings.retryRatio),
       tickets: this.#tickets,
       emit: this.#emit,
--- a/src/core/execution/attempt_examiner.ts
+++ b/src/core/execution/attempt_examiner.ts
@@ -75,6 +75,7 @@
         examined.credit.exclusive,
         now,
       );
+      this.#context.options.spreadStrikes(now);
     }
     if (retry !== undefined && this.#context.requests.has(request.id)) {
       this.#retry(request, retry, now);
--- a/src/core/execution/execution_context.ts
+++ b/src/core/execution/execution_context.ts
@@ -20,6 +20,8 @@
   tables: TableKeeper;
   membership: Membership;
   quarantine: CrashQuarantine;
+  /** Tells peers of new strikes at once. */
+  spreadStrikes: (now: Milliseconds) => void;
   retryBudget: RetryBudget;
   tickets: TicketBook;
   emit: (effect: Effect) => void;
--- a/src/core/membership/peer_protocol.ts
+++ b/src/core/membership/peer_protocol.ts
@@ -218,6 +218,12 @@
     this.#spreader.flush();
   }
 
+  /** Tells the failure domain at once of new strikes. */
+  spreadStrikes(now: Milliseconds): void {
+    this.#strikes.spread(now);
+    this.#spreader.flush();
+  }
+
   /** Publishes at once what has changed, before this daemon stops. */
   flush(now: Milliseconds): void {
     this.#publishState(now);
--- a/src/core/membership/strike_spreader.ts
+++ b/src/core/membership/strike_spreader.ts
@@ -26,7 +26,11 @@
   }
 
   tick(now: Milliseconds): void {
-    if (now - this.#lastCheckAt < STRIKE_CHECK_MS) return;
+    if (now - this.#lastCheckAt >= STRIKE_CHECK_MS) this.spread(now);
+  }
+
+  /** Passes on what is new, now. */
+  spread(now: Milliseconds): void {
     this.#lastCheckAt = now;
     this.#current = this.#getStrikes(now);
     const fresh = this.#current.filter((digest) =>
--- a/test/core/execution/lease_book_test.ts
+++ b/test/core/execution/lease_book_test.ts
@@ -73,6 +73,7 @@
     tables: new TableKeeper(),
     membership,
     quarantine: new CrashQuarantine(DEFAULT_CORE_SETTINGS),
+    spreadStrikes: () => {},
     retryBudget: new RetryBudget(0.1),
     tickets: new TicketBook({
       selfId: "entry-1",
--- a/test/core/execution/outcome_test.ts
+++ b/test/core/execution/outcome_test.ts
@@ -1,7 +1,7 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import type { AttemptResult } from "../../../src/core/outcomes.ts";
-import { LoneDaemon } from "../lone_daemon.ts";
+import { createHost, LoneDaemon } from "../lone_daemon.ts";
 
 /** How a first attempt ends, and what may be said when no other upstream is left. */
 const FIRST_ATTEMPTS: { result: AttemptResult; outcome: string }[] = [
@@ -47,21 +47,17 @@
   const daemon = new LoneDaemon(["engine-1"]);
   const ticket = "entry-2~i1~1~check";
   daemon.handle({
-    kind: "peerMessage",
-    from: "entry-2",
-    message: {
-      kind: "heartbeat",
-      incarnation: "i1",
-      sequence: 1,
-      failureDomain: "hobart-a",
-      tablesRevision: 0,
-      hostListRevision: 0,
-      leaving: false,
-      upstreams: [],
-      strikes: [],
+    kind: "hostListPublished",
+    hostList: {
+      revision: 2,
+      hosts: [
+        ...["entry-1", "engine-1"].map(createHost),
+        { ...createHost("entry-2"), failureDomain: "huon-b" },
+      ],
     },
   });
   const requestId = daemon.request("order", { ticket });
+  assert.is(daemon.getRefusal(requestId), undefined, "the claim is under way");
   daemon.handle({ kind: "callerGone", requestId });
   assert.is(daemon.getRefusal(requestId)?.outcome, "mayHaveRun");
 });
--- a/test/core/lone_daemon.ts
+++ b/test/core/lone_daemon.ts
@@ -130,8 +130,8 @@
   };
 }
 
-function createHost(id: string): HostStructure {
-  const isEntry = id === ENTRY_ID;
+export function createHost(id: string): HostStructure {
+  const isEntry = id.startsWith("entry");
   return {
     id,
     address: `127.0.0.1:${id.length}`,
