--- a/test/core/execution/outcome_test.ts
+++ b/test/core/execution/outcome_test.ts
@@ -47,6 +47,7 @@
   const daemon = new LoneDaemon(["engine-1"], ["entry-2"]);
   const ticket = "entry-2~i1~1~check";
   const requestId = daemon.request("order", { ticket });
+  assert.is(daemon.getRefusal(requestId), undefined, "the claim is under way");
   daemon.handle({ kind: "callerGone", requestId });
   assert.is(daemon.getRefusal(requestId)?.outcome, "mayHaveRun");
 });
