--- a/test/fuzz/fleet_layout.ts
+++ b/test/fuzz/fleet_layout.ts
@@ -28,7 +28,6 @@
 export const UPSTREAM_IDS = [...ENGINE_IDS, ...SERVICE_IDS];
 export const PLATFORM_ID = "platform";
 export const NODE_IDS = [...DAEMON_IDS, ...UPSTREAM_IDS, PLATFORM_ID];
-export const ENGINE_SLOTS = 2;
 export const ENGINE_BATCH = 4;
 
 const ENGINE_POOL = "writers";
@@ -81,7 +80,13 @@
   }));
 }
 
-export function createTables(fencing: Fencing): TablesStructure {
+/** What differs between the engines of one run and another. */
+export interface EngineTraits {
+  slots: number;
+  checksFencing: boolean;
+}
+
+export function createTables(traits: EngineTraits): TablesStructure {
   return {
     revision: 1,
     customers: ["derwent", "solljus"].map((name, index) => ({
@@ -91,8 +96,11 @@
     })),
     routes: ROUTE_SEEDS.map(createRoute),
     pools: [
-      createPool(ENGINE_POOL, PoolKind.Engine, fencing),
-      createPool(SERVICE_POOL, PoolKind.Service, Fencing.Ignored),
+      createPool(ENGINE_POOL, PoolKind.Engine, traits),
+      createPool(SERVICE_POOL, PoolKind.Service, {
+        slots: 0,
+        checksFencing: false,
+      }),
     ],
   };
 }
@@ -132,7 +140,7 @@
 function createPool(
   name: string,
   kind: PoolKind,
-  fencing: Fencing,
+  traits: EngineTraits,
 ): PoolStructure {
   const isEngine = kind === PoolKind.Engine;
   return {
@@ -141,9 +149,9 @@
     service: isEngine ? "writer" : "kassa",
     baseModel: isEngine ? "base" : "",
     failureDomains: ["fd-a", "fd-b"],
-    slots: isEngine ? ENGINE_SLOTS : 0,
+    slots: traits.slots,
     batchSize: ENGINE_BATCH,
-    fencing,
+    fencing: traits.checksFencing ? Fencing.Checked : Fencing.Ignored,
     loadStallWeight: 1,
     batchEfficiencyWeight: 1,
   };
--- a/test/fuzz/fuzz_run.ts
+++ b/test/fuzz/fuzz_run.ts
@@ -1,14 +1,14 @@
 /** Runs drawn commands against a fresh fleet, heals it and checks that it serves again. */
 import fc from "fast-check";
 import { applyCommand, type Step, steps } from "./commands.ts";
-import { DAEMON_IDS, ROUTE_COUNT } from "./fleet_layout.ts";
+import { DAEMON_IDS, type EngineTraits, ROUTE_COUNT } from "./fleet_layout.ts";
 import { type BreachError, FuzzPromise } from "./oracle.ts";
 import { World } from "./world.ts";
 
 /** Everything that one run is made from. */
 export interface RunInput {
   worldSeed: number;
-  checksFencing: boolean;
+  traits: EngineTraits;
   steps: Step[];
 }
 
@@ -45,7 +45,10 @@
 
 const inputs: fc.Arbitrary<RunInput> = fc.record({
   worldSeed: fc.nat(),
-  checksFencing: fc.boolean(),
+  traits: fc.record({
+    slots: fc.integer({ min: 1, max: 2 }),
+    checksFencing: fc.boolean(),
+  }),
   steps,
 });
 
@@ -90,7 +93,7 @@
 export function runInput(input: RunInput): World {
   const world = new World({
     seed: input.worldSeed,
-    checksFencing: input.checksFencing,
+    traits: input.traits,
   });
   world.advance(2_000);
   for (const step of input.steps) {
--- a/test/fuzz/fuzz_test.ts
+++ b/test/fuzz/fuzz_test.ts
@@ -5,7 +5,11 @@
 /** Fixed, so that the verdict is the same every time. */
 const SEEDS = [1, 2, 3];
 const RUNS = 25;
-const CALM_INPUT = { worldSeed: 1, checksFencing: true, steps: [] };
+const CALM_INPUT = {
+  worldSeed: 1,
+  traits: { slots: 1, checksFencing: true },
+  steps: [],
+};
 
 for (const seed of SEEDS) {
   test(`no promise is broken in ${RUNS} runs of seed ${seed}`, () => {
--- a/test/fuzz/main.ts
+++ b/test/fuzz/main.ts
@@ -45,7 +45,9 @@
   const { failure } = result;
   if (!failure) return;
   for (const line of failure.trace.slice(-options.lines)) console.log(line);
-  console.log(`fencing ${failure.input.checksFencing ? "checked" : "ignored"}`);
+  const { slots, checksFencing } = failure.input.traits;
+  const fencing = checksFencing ? "checked" : "ignored";
+  console.log(`engines with ${slots} slots, fencing ${fencing}`);
   console.log(`BREACH in run ${failure.foundInRun}: ${failure.breach.message}`);
   console.log(
     `again: npm run fuzz -- --seed ${options.seed} --path ${failure.path} --runs 1`,
--- a/test/fuzz/model_upstream.ts
+++ b/test/fuzz/model_upstream.ts
@@ -3,7 +3,7 @@
 import type { OrderResult } from "../../src/core/events.ts";
 import type { UpstreamStateStructure } from "../../src/core/structures.ts";
 import type { EventQueue } from "./event_queue.ts";
-import { ENGINE_BATCH, ENGINE_SLOTS } from "./fleet_layout.ts";
+import { ENGINE_BATCH, type EngineTraits } from "./fleet_layout.ts";
 import type { Oracle } from "./oracle.ts";
 import type { RandomSource } from "./random_source.ts";
 
@@ -46,7 +46,7 @@
 export interface ModelUpstreamOptions {
   id: string;
   isEngine: boolean;
-  checksFencing: boolean;
+  traits: EngineTraits;
   queue: EventQueue;
   random: RandomSource;
   oracle: Oracle;
@@ -126,11 +126,12 @@
     fencing: number,
     reply: (result: OrderResult) => void,
   ): void {
-    if (this.#options.checksFencing && fencing < this.#fencing) {
+    const { checksFencing } = this.#options.traits;
+    if (checksFencing && fencing < this.#fencing) {
       reply({ kind: "refusedByFencing", fencing: this.#fencing });
       return;
     }
-    if (this.#options.checksFencing) this.#fencing = fencing;
+    if (checksFencing) this.#fencing = fencing;
     switch (order.kind) {
       case "claim":
         reply({ kind: "done" });
@@ -230,12 +231,12 @@
   }
 
   #load(adapterKey: string, reply: (result: OrderResult) => void): void {
-    const { queue, oracle } = this.#options;
+    const { queue, oracle, traits } = this.#options;
     if (this.#residents.has(adapterKey)) {
       reply({ kind: "done" });
       return;
     }
-    if (this.#residents.size + this.#loading.size >= ENGINE_SLOTS) {
+    if (this.#residents.size + this.#loading.size >= traits.slots) {
       reply({ kind: "failed", detail: "no free slot" });
       return;
     }
--- a/test/fuzz/world.ts
+++ b/test/fuzz/world.ts
@@ -4,7 +4,7 @@
   StoredAnswerStructure,
 } from "../../src/core/messages.ts";
 import { Outcome, RefusalReason } from "../../src/core/outcomes.ts";
-import { Fencing, type TablesStructure } from "../../src/core/structures.ts";
+import type { TablesStructure } from "../../src/core/structures.ts";
 import type { Call, CallEnd, Work } from "./calls.ts";
 import { DaemonProcess } from "./daemon_process.ts";
 import { EventQueue } from "./event_queue.ts";
@@ -12,6 +12,7 @@
   createTables,
   DAEMON_IDS,
   editTables,
+  type EngineTraits,
   UPSTREAM_IDS,
 } from "./fleet_layout.ts";
 import { ModelNetwork } from "./model_network.ts";
@@ -23,7 +24,7 @@
 
 export interface WorldOptions {
   seed: number;
-  checksFencing: boolean;
+  traits: EngineTraits;
 }
 
 export interface WorkOptions {
@@ -53,16 +54,13 @@
   constructor(options: WorldOptions) {
     this.random = new RandomSource(options.seed);
     this.network = new ModelNetwork(this.queue, this.random);
-    this.#validTables = createTables(
-      options.checksFencing ? Fencing.Checked : Fencing.Ignored,
-    );
+    this.#validTables = createTables(options.traits);
     this.platform = new ModelPlatform(this, this.#validTables);
     for (const id of UPSTREAM_IDS) {
       const isEngine = id.startsWith("e-");
-      const { checksFencing } = options;
       this.#upstreams.set(
         id,
-        new ModelUpstream({ ...this, id, isEngine, checksFencing }),
+        new ModelUpstream({ ...this, id, isEngine, traits: options.traits }),
       );
     }
     for (const id of DAEMON_IDS) {
