--- a/test/fuzz/fuzz_run.ts
+++ b/test/fuzz/fuzz_run.ts
@@ -9,6 +9,7 @@
 export interface RunInput {
   worldSeed: number;
   traits: EngineTraits;
+  trafficIntervalMs: number;
   steps: Step[];
 }
 
@@ -49,6 +50,7 @@
     slots: fc.integer({ min: 1, max: 2 }),
     checksFencing: fc.boolean(),
   }),
+  trafficIntervalMs: fc.constantFrom(0, 150, 400),
   steps,
 });
 
@@ -94,6 +96,7 @@
   const world = new World({
     seed: input.worldSeed,
     traits: input.traits,
+    trafficIntervalMs: input.trafficIntervalMs,
   });
   world.advance(2_000);
   for (const step of input.steps) {
--- a/test/fuzz/fuzz_test.ts
+++ b/test/fuzz/fuzz_test.ts
@@ -8,6 +8,7 @@
 const CALM_INPUT = {
   worldSeed: 1,
   traits: { slots: 1, checksFencing: true },
+  trafficIntervalMs: 400,
   steps: [],
 };
 
--- a/test/fuzz/world.ts
+++ b/test/fuzz/world.ts
@@ -13,6 +13,7 @@
   DAEMON_IDS,
   editTables,
   type EngineTraits,
+  ROUTE_COUNT,
   UPSTREAM_IDS,
 } from "./fleet_layout.ts";
 import { ModelNetwork } from "./model_network.ts";
@@ -25,6 +26,8 @@
 export interface WorldOptions {
   seed: number;
   traits: EngineTraits;
+  /** Time between the requests of callers that go on all the time; 0 for none. */
+  trafficIntervalMs: number;
 }
 
 export interface WorkOptions {
@@ -36,6 +39,7 @@
 
 const STREAM_PARTS = 3;
 const MAX_CALLER_TRAVEL_MS = 5;
+const MAX_TRAFFIC_RUN_MS = 3_000;
 
 export class World {
   readonly queue = new EventQueue();
@@ -49,6 +53,7 @@
   readonly #daemons = new Map<string, DaemonProcess>();
   readonly #upstreams = new Map<string, ModelUpstream>();
   #lastCall = 0;
+  #isTrafficOn = false;
   #validTables: TablesStructure;
 
   constructor(options: WorldOptions) {
@@ -66,6 +71,8 @@
     for (const id of DAEMON_IDS) {
       this.#daemons.set(id, new DaemonProcess(id, this));
     }
+    this.#isTrafficOn = options.trafficIntervalMs > 0;
+    this.#sendTraffic(options.trafficIntervalMs);
   }
 
   getDaemonOrThrow(id: string): DaemonProcess {
@@ -219,8 +226,9 @@
     this.platform.setLeaving(upstreamId, isLeaving);
   }
 
-  /** Ends every fault that is set, an invalid revision of the tables included. */
+  /** Ends every fault that is set, an invalid revision of the tables included, and the traffic. */
   heal(): void {
+    this.#isTrafficOn = false;
     const isInvalid = this.platform.getTables() !== this.#validTables;
     if (isInvalid) this.edit(0, 0, false);
     this.network.clearCuts();
@@ -252,6 +260,20 @@
     }
   }
 
+  #sendTraffic(intervalMs: number): void {
+    if (!this.#isTrafficOn) return;
+    const { random } = this;
+    const work = this.createWork({
+      routeIndex: random.getInteger(0, ROUTE_COUNT - 1),
+      durationMs: random.getInteger(5, MAX_TRAFFIC_RUN_MS),
+      isStream: random.hasChance(50),
+      isCrashing: false,
+    });
+    const index = random.getInteger(0, DAEMON_IDS.length - 1);
+    this.sendCall(work, DAEMON_IDS[index]!);
+    this.queue.schedule(intervalMs, () => this.#sendTraffic(intervalMs));
+  }
+
   #isDisturbed(): boolean {
     return this.network.hasCuts() || this.network.noisePercent > 0 ||
       this.getDaemons().some((daemon) => daemon.isPaused || !daemon.isAlive);
