Take an unknown run for no confirmation of its cancellation

Cause, found by reading: a cancellation that overtakes its request on another connection is answered with 404, and the run then begins; the attempt was counted as over and its credit returned, so that the adapter could be evicted under the run. A 404 now confirms only when part of the answer had come.

--- a/src/core/execution/attempt_examiner.ts
+++ b/src/core/execution/attempt_examiner.ts
@@ -72,7 +72,7 @@
     if (hasDied) {
       this.#context.options.quarantine.recordCrash(
         request.event.fingerprint,
-        this.#wasAlone(examined),
+        this.#hasRunAlone(examined),
         now,
       );
       this.#context.options.spreadStrikes(now);
@@ -87,7 +87,7 @@
    * Returns whether nothing else can have run on the upstream: the lease was
    * for a run alone, and its granter has owned the upstream ever since.
    */
-  #wasAlone(examined: ExaminedAttempt): boolean {
+  #hasRunAlone(examined: ExaminedAttempt): boolean {
     const { credit, upstreamId } = examined;
     const view = this.#context.options.membership.getUpstreamView(upstreamId);
     return credit.exclusive && view?.ownerId === credit.ownerId;
--- a/src/daemon/upstream_task.ts
+++ b/src/daemon/upstream_task.ts
@@ -274,8 +274,11 @@
       return { result: { kind: "timedOut" } };
     }
     if (attempt.isCancelled) {
-      const isConfirmed = await this.#cancelOnUpstream(attempt.effect);
-      return isConfirmed
+      const status = await this.#cancelOnUpstream(attempt.effect);
+      // An upstream that never heard of the run may still have it before it.
+      const isOver = status === 200 ||
+        (status === 404 && attempt.bytesForwarded > 0);
+      return isOver
         ? { result: { kind: "cancelled" } }
         : createLost("cancelled, not confirmed", attempt);
     }
@@ -294,10 +297,12 @@
     attempt.abort.abort();
   }
 
-  /** Cancels a run; returns whether the upstream confirmed that it is over. */
-  async #cancelOnUpstream(effect: DispatchEffect): Promise<boolean> {
-    if (effect.upstreamKind !== PoolKind.Engine) return false;
-    if (this.#blocked.has(effect.upstreamId)) return false;
+  /** Cancels a run; returns the status of the upstream's answer, undefined when there is none. */
+  async #cancelOnUpstream(
+    effect: DispatchEffect,
+  ): Promise<number | undefined> {
+    if (effect.upstreamKind !== PoolKind.Engine) return undefined;
+    if (this.#blocked.has(effect.upstreamId)) return undefined;
     try {
       const response = await this.#agent.request({
         origin: `http://${effect.address}`,
@@ -306,9 +311,9 @@
         signal: AbortSignal.timeout(CANCEL_TIMEOUT_MS),
       });
       await response.body.dump();
-      return response.statusCode === 200 || response.statusCode === 404;
+      return response.statusCode;
     } catch {
-      return false;
+      return undefined;
     }
   }
 
