--- a/test/fuzz/commands.ts
+++ b/test/fuzz/commands.ts
@@ -62,6 +62,11 @@
 const engine = fc.constantFrom<string>(...ENGINE_IDS);
 const upstream = fc.constantFrom<string>(...UPSTREAM_IDS);
 const routeIndex = fc.nat({ max: ROUTE_COUNT - 1 });
+/** Any pause, and more often one that peers just take for a death. */
+const pauseMs = fc.oneof(
+  fc.integer({ min: 50, max: 8_000 }),
+  fc.integer({ min: 1_200, max: 3_500 }),
+);
 const mask = fc.nat({ max: 2 ** NODE_IDS.length - 1 });
 
 function kind<Kind extends Command["kind"]>(name: Kind): fc.Arbitrary<Kind> {
@@ -119,7 +124,7 @@
     arbitrary: fc.record({
       kind: kind("pause"),
       daemon,
-      ms: fc.integer({ min: 50, max: 8_000 }),
+      ms: pauseMs,
     }),
   },
   {
@@ -128,7 +133,7 @@
       kind: kind("pauseAtNext"),
       daemon,
       what: fc.constantFrom("dispatch" as const, "order" as const),
-      ms: fc.integer({ min: 50, max: 8_000 }),
+      ms: pauseMs,
     }),
   },
   {
