Serve only after a peer has told its revision, or a longer wait

Cause: a daemon restarted beside a stale configuration service served the older revision: its first grace of 1 s ended before it had joined, for the peer's channel to it was still in its back-off of up to 1 s after the restart. Excluded: the exchange of tables itself; once joined it took the newer revision. Change: a daemon that has peers serves once it has joined and is not behind, or after five graces; channels reconnect within 300 ms.

--- a/src/core/control_plane.ts
+++ b/src/core/control_plane.ts
@@ -106,7 +106,9 @@
     const hasAsked = this.#isPlatformHeard || this.#protocol.hasHeardPeer();
     const isTooLate = now - this.#beganAt >=
       settings.startGraceMs * MAX_START_GRACES;
-    return hasAsked && (isTooLate || !this.#exchange.isBehind(now));
+    const isUpToDate = this.#protocol.hasJoined() &&
+      !this.#exchange.isBehind(now);
+    return hasAsked && (isTooLate || isUpToDate);
   }
 
   /** Takes the tables as the platform publishes them. */
--- a/src/daemon/peer_task.ts
+++ b/src/daemon/peer_task.ts
@@ -26,6 +26,8 @@
 
 const MAX_MESSAGE_BYTES = 8 * 1_048_576;
 const DELIVER_TIMEOUT_MS = 1_000;
+const INITIAL_RECONNECT_BACKOFF_MS = 50;
+const MAX_RECONNECT_BACKOFF_MS = 300;
 /** Messages of one envelope. */
 const MAX_ENVELOPE_MESSAGES = 64;
 /** Messages that wait for one peer; more are dropped, as a cut network would. */
@@ -192,8 +194,8 @@
     if (known?.address === address) return known;
     known?.client.close();
     const client = new PeerClient(address, this.#createClientCredentials(), {
-      "grpc.max_reconnect_backoff_ms": 1_000,
-      "grpc.initial_reconnect_backoff_ms": 100,
+      "grpc.max_reconnect_backoff_ms": MAX_RECONNECT_BACKOFF_MS,
+      "grpc.initial_reconnect_backoff_ms": INITIAL_RECONNECT_BACKOFF_MS,
       "grpc.enable_http_proxy": 0,
     });
     const outbox: Outbox = { client, address, messages: [], isSending: false };
