Test daemons' cores against each other; tell of strikes at once

The fleet tests found that a daemon at the end of a link published what it was told but did not use it itself; mended.

--- a/src/core/control_plane.ts
+++ b/src/core/control_plane.ts
@@ -142,6 +142,11 @@
     this.#protocol.removeUpstream(upstreamId);
   }
 
+  /** Tells peers at once of requests that have crashed an upstream. */
+  publishStrikes(now: Milliseconds): void {
+    this.#protocol.publishStrikes(now);
+  }
+
   /** Tells peers what this daemon has evicted. */
   publishEvictions(evictions: readonly EvictionDigest[]): void {
     this.#protocol.publishEvictions(evictions);
--- a/src/core/daemon_core.ts
+++ b/src/core/daemon_core.ts
@@ -222,17 +222,24 @@
         break;
       case "attemptEnded":
         this.#executor.handleAttemptEnded(event, now);
+        this.#control.publishStrikes(now);
         break;
       case "peerMessage":
         this.#receive(event.from, event.message, now);
         break;
       case "upstreamStateRead":
-        if (this.#executor.handleExamination(event, now)) break;
+        if (this.#executor.handleExamination(event, now)) {
+          this.#control.publishStrikes(now);
+          break;
+        }
         this.#ownership.getOwner(event.upstreamId)
           ?.recordState(event.readId, event.state, now);
         break;
       case "upstreamStateUnread":
-        if (this.#executor.handleExamination(event, now)) break;
+        if (this.#executor.handleExamination(event, now)) {
+          this.#control.publishStrikes(now);
+          break;
+        }
         this.#ownership.getOwner(event.upstreamId)
           ?.recordStateUnread(event.readId, event.isRefused, now);
         break;
--- a/src/core/membership/link_manager.ts
+++ b/src/core/membership/link_manager.ts
@@ -45,7 +45,7 @@
   getRevisions: () => KnownRevisions;
   getStrikes: (now: Milliseconds) => StrikeDigest[];
   /** Takes what other failure domains say of their upstreams, all of it. */
-  publishRemote: (told: ToldContent) => void;
+  publishRemote: (told: ToldContent, now: Milliseconds) => void;
   getStoreKeeperId: () => string | undefined;
 }
 
@@ -86,10 +86,15 @@
     if (now - this.#lastCheckAt < LINK_CHECK_MS) return;
     this.#lastCheckAt = now;
     if (this.#ring !== this.#options.getRing()) this.#assignLinks(now);
-    for (const link of this.#links.values()) this.#sendUpdate(link, now);
+    this.sendUpdates(now);
     this.#receiver.expire(this.#getTimeoutMs(), now);
     const remote = this.#receiver.takeChanged();
-    if (remote) this.#options.publishRemote(remote);
+    if (remote) this.#options.publishRemote(remote, now);
+  }
+
+  /** Tells other failure domains what has changed or is due. */
+  sendUpdates(now: Milliseconds): void {
+    for (const link of this.#links.values()) this.#sendUpdate(link, now);
   }
 
   /** Returns whether the update comes from a daemon of the domain that it names. */
--- a/src/core/membership/membership.ts
+++ b/src/core/membership/membership.ts
@@ -8,6 +8,7 @@
   type LinkedDomain,
   type MemberRecord,
   MemberStatus,
+  type PublishedDigest,
   type UpstreamDigest,
 } from "../messages.ts";
 import {
@@ -217,6 +218,26 @@
     return findRendezvousWinner(upstreamId, candidates)?.id;
   }
 
+  /** Takes what a link tells this daemon of other failure domains, all of it. */
+  setRemoteViews(
+    remote: ReadonlyMap<string, PublishedDigest>,
+    now: Milliseconds,
+  ): void {
+    const { selfId } = this.#options;
+    for (const { ownerId, digest } of this.views.listPublished(selfId)) {
+      const { upstreamId } = digest;
+      if (ownerId !== selfId && !remote.has(upstreamId)) {
+        this.views.remove(selfId, upstreamId);
+      }
+    }
+    for (const [upstreamId, published] of remote) {
+      const known = this.views.getPublished(selfId, upstreamId);
+      const isSame = known?.digest === published.digest &&
+        known.ownerId === published.ownerId;
+      if (!isSame) this.views.set(selfId, published, now);
+    }
+  }
+
   /** Sets the failure domains that reach this daemon over a link. */
   setLinkedDomains(domains: readonly LinkedDomain[]): void {
     this.#linkedDomains = domains;
--- a/src/core/membership/peer_protocol.ts
+++ b/src/core/membership/peer_protocol.ts
@@ -148,7 +148,8 @@
       getRing,
       getRevisions,
       getStrikes: () => this.#strikes.getAll(),
-      publishRemote: ({ digests, domains }) => {
+      publishRemote: ({ digests, domains }, now) => {
+        membership.setRemoteViews(digests, now);
         membership.setLinkedDomains(domains);
         this.#publisher.setRemote(digests, domains);
       },
@@ -218,6 +219,13 @@
     this.#spreader.flush();
   }
 
+  /** Tells of new strikes at once, as their caller may send the request again elsewhere. */
+  publishStrikes(now: Milliseconds): void {
+    if (!this.#strikes.tick(now)) return;
+    this.#spreader.flush();
+    this.#links.sendUpdates(now);
+  }
+
   /** Publishes at once what has changed, before this daemon stops. */
   flush(now: Milliseconds): void {
     this.#publishState(now);
--- a/src/core/membership/strike_spreader.ts
+++ b/src/core/membership/strike_spreader.ts
@@ -3,8 +3,6 @@
 import type { Milliseconds } from "../structures.ts";
 import type { Spreader } from "./spreader.ts";
 
-/** Time between looks at what is new. */
-const STRIKE_CHECK_MS = 100;
 /** Strikes that one probe carries. */
 const MAX_PROBE_STRIKES = 4;
 
@@ -15,7 +13,6 @@
   #told = new Map<string, number>();
   #current: StrikeDigest[] = [];
   #nextIndex = 0;
-  #lastCheckAt = Number.NEGATIVE_INFINITY;
 
   constructor(
     getStrikes: (now: Milliseconds) => StrikeDigest[],
@@ -25,9 +22,8 @@
     this.#spreader = spreader;
   }
 
-  tick(now: Milliseconds): void {
-    if (now - this.#lastCheckAt < STRIKE_CHECK_MS) return;
-    this.#lastCheckAt = now;
+  /** Looks for new strikes; returns whether there are any to pass on. */
+  tick(now: Milliseconds): boolean {
     this.#current = this.#getStrikes(now);
     const fresh = this.#current.filter((digest) =>
       (this.#told.get(digest.fingerprint) ?? -1) < digest.strikes
@@ -36,6 +32,7 @@
     this.#told = new Map(
       this.#current.map((digest) => [digest.fingerprint, digest.strikes]),
     );
+    return fresh.length > 0;
   }
 
   /** Notes that the failure domain has been told already. */
--- /dev/null
+++ b/test/core/membership/membership_fleet_test.ts
@@ -0,0 +1,359 @@
+/** Daemons' cores against each other: deaths, pauses, cuts, and messages lost, late, twice or crossed. */
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import {
+  ControlFleet,
+  type ControlFleetOptions,
+} from "../../../bench/control/control_fleet.ts";
+import {
+  createHosts,
+  createTables,
+  editTables,
+  formatDomain,
+} from "../../../bench/control/fleet_tables.ts";
+import { SplitMix } from "./split_mix.ts";
+
+const TODAY = {
+  domains: 4,
+  daemonsPerDomain: 2,
+  upstreamsPerDomain: 4,
+  pools: 2,
+  routes: 10,
+};
+const ONE_DOMAIN = { ...TODAY, domains: 1, daemonsPerDomain: 9 };
+
+function startFleet(
+  sizes: typeof TODAY,
+  options: Omit<ControlFleetOptions, "hosts"> = {},
+): ControlFleet {
+  const fleet = new ControlFleet({ hosts: createHosts(sizes), ...options });
+  fleet.tables = createTables(sizes, 2);
+  fleet.run(6_000);
+  return fleet;
+}
+
+/** Returns the daemons that each daemon of the failure domain takes for live. */
+function listLive(fleet: ControlFleet, observerId: string): string[] {
+  const { core, host } = fleet.getNode(observerId);
+  return core.describe(fleet.now).peers
+    .filter((peer) => peer.failureDomain === host.failureDomain && peer.live)
+    .map((peer) => peer.id);
+}
+
+function countOwners(fleet: ControlFleet): Map<string, number> {
+  const owners = new Map<string, number>();
+  for (const node of fleet.listNodes()) {
+    if (!node.isAlive || node.isPaused) continue;
+    for (const upstream of node.core.describe(fleet.now).upstreams) {
+      const count = owners.get(upstream.upstreamId) ?? 0;
+      owners.set(upstream.upstreamId, count + 1);
+    }
+  }
+  return owners;
+}
+
+function isSeenResident(
+  fleet: ControlFleet,
+  observerId: string,
+  upstreamId: string,
+): boolean {
+  return fleet.getNode(observerId).core.explainRoute("route-0", fleet.now)
+    .some((ranked) =>
+      ranked.candidate.host.id === upstreamId &&
+      ranked.residency === "resident"
+    );
+}
+
+function isEveryoneAt(fleet: ControlFleet, revision: number): boolean {
+  return fleet.listNodes().every((node) =>
+    !node.isAlive || node.isPaused ||
+    node.core.getSnapshot()?.revision === revision
+  );
+}
+
+test("every daemon serves and every upstream has one owner", () => {
+  const fleet = startFleet(TODAY);
+  for (const node of fleet.listNodes()) assert.is(node.core.state, "serving");
+  const owners = countOwners(fleet);
+  assert.is(owners.size, 16);
+  assert.ok([...owners.values()].every((count) => count === 1));
+});
+
+test("a dead daemon is found within two seconds and its upstreams pass on", () => {
+  for (const sizes of [TODAY, ONE_DOMAIN]) {
+    for (let offset = 0; offset < 5; offset += 1) {
+      const fleet = startFleet(sizes);
+      fleet.run(offset * 60);
+      fleet.getNode("entry-0-0").isAlive = false;
+      const foundMs = fleet.runUntil(
+        () => !listLive(fleet, "entry-0-1").includes("entry-0-0"),
+        10_000,
+      );
+      assert.ok(foundMs <= 2_200, `found after ${foundMs} ms`);
+      fleet.run(500);
+      const owners = countOwners(fleet);
+      const all = sizes.domains * sizes.upstreamsPerDomain;
+      assert.is(owners.size, all);
+    }
+  }
+});
+
+test("a short pause kills nobody; a long one makes a daemon begin anew", () => {
+  const fleet = startFleet(ONE_DOMAIN);
+  const paused = fleet.getNode("entry-0-0");
+  paused.isPaused = true;
+  fleet.run(700);
+  paused.isPaused = false;
+  fleet.run(200);
+  for (const node of fleet.listNodes()) {
+    assert.is(listLive(fleet, node.host.id).length, 8);
+  }
+  paused.isPaused = true;
+  fleet.run(5_000);
+  assert.not.ok(listLive(fleet, "entry-0-1").includes("entry-0-0"));
+  paused.isPaused = false;
+  fleet.run(20);
+  assert.is(paused.core.describe(fleet.now).upstreams.length, 0);
+  const backMs = fleet.runUntil(
+    () =>
+      fleet.listNodes().every((node) =>
+        listLive(fleet, node.host.id).length === 8
+      ),
+    10_000,
+  );
+  assert.ok(backMs <= 3_000, `back after ${backMs} ms`);
+  fleet.run(2_000);
+  assert.ok([...countOwners(fleet).values()].every((count) => count === 1));
+});
+
+test("a daemon that restarted is not taken for the one before", () => {
+  const fleet = startFleet(ONE_DOMAIN);
+  const { host } = fleet.getNode("entry-0-0");
+  fleet.getNode("entry-0-0").isAlive = false;
+  fleet.run(300);
+  fleet.startNode(host);
+  fleet.run(4_000);
+  for (const node of fleet.listNodes()) {
+    assert.is(listLive(fleet, node.host.id).length, 8);
+  }
+  assert.ok([...countOwners(fleet).values()].every((count) => count === 1));
+  assert.is(countOwners(fleet).size, 4);
+});
+
+test("a change of residency is seen everywhere within 300 ms of its reading", () => {
+  const fleet = startFleet(TODAY);
+  const state = fleet.upstreams.get("upstream-0-0");
+  fleet.upstreams.set("upstream-0-0", {
+    ...state!,
+    residents: [{ adapterKey: "adapter-0@v1", inFlight: 0 }],
+  });
+  const owner = fleet.listNodes().find((node) =>
+    node.core.describe(fleet.now).upstreams.some((upstream) =>
+      upstream.upstreamId === "upstream-0-0"
+    )
+  );
+  fleet.runUntil(
+    () => isSeenResident(fleet, owner!.host.id, "upstream-0-0"),
+    2_000,
+  );
+  const seenMs = fleet.runUntil(
+    () =>
+      fleet.listNodes().every((node) =>
+        isSeenResident(fleet, node.host.id, "upstream-0-0")
+      ),
+    2_000,
+  );
+  assert.ok(seenMs <= 300, `seen after ${seenMs} ms`);
+});
+
+test("one direction of a cut between two kills neither of them", () => {
+  const fleet = startFleet(ONE_DOMAIN);
+  fleet.transit = (from, to) =>
+    from === "entry-0-0" && to === "entry-0-1" ? [] : [1];
+  for (let second = 0; second < 20; second += 1) {
+    fleet.run(1_000);
+    for (const node of fleet.listNodes()) {
+      assert.is(listLive(fleet, node.host.id).length, 8, node.host.id);
+    }
+  }
+});
+
+test("a failure domain that is cut off serves, and is one again afterwards", () => {
+  const fleet = startFleet(TODAY);
+  const isOutside = (id: string): boolean => !id.startsWith("entry-0-");
+  fleet.transit = (from, to) => isOutside(from) === isOutside(to) ? [1] : [];
+  fleet.run(4_000);
+  const inside = fleet.getNode("entry-0-0").core;
+  const seen = inside.explainRoute("route-0", fleet.now)
+    .map((ranked) => ranked.candidate.host.failureDomain);
+  assert.ok(seen.length > 0);
+  assert.ok(seen.every((domain) => domain === formatDomain(0)));
+  fleet.tables = editTables(fleet.tables!, 1);
+  fleet.transit = () => [1];
+  fleet.run(4_000);
+  const all = inside.explainRoute("route-0", fleet.now)
+    .map((ranked) => ranked.candidate.host.failureDomain);
+  assert.is(new Set(all).size, 4);
+  assert.ok(isEveryoneAt(fleet, 3));
+});
+
+test("both halves of a split failure domain become one again", () => {
+  const fleet = startFleet(ONE_DOMAIN);
+  const isLeft = (id: string): boolean => Number(id.split("-")[2]) < 4;
+  fleet.transit = (from, to) => isLeft(from) === isLeft(to) ? [1] : [];
+  fleet.run(5_000);
+  assert.is(listLive(fleet, "entry-0-0").length, 3);
+  assert.is(listLive(fleet, "entry-0-8").length, 4);
+  fleet.transit = () => [1];
+  const healedMs = fleet.runUntil(
+    () =>
+      fleet.listNodes().every((node) =>
+        listLive(fleet, node.host.id).length === 8
+      ),
+    20_000,
+  );
+  assert.ok(healedMs < 10_000, `healed after ${healedMs} ms`);
+  fleet.run(2_000);
+  assert.ok([...countOwners(fleet).values()].every((count) => count === 1));
+});
+
+test("messages lost, late, twice and crossed are made up for", () => {
+  for (let seed = 1; seed <= 5; seed += 1) {
+    const random = new SplitMix(seed);
+    const fleet = startFleet(TODAY);
+    fleet.transit = () => {
+      const draw = random.next();
+      if (draw < 0.1) return [];
+      const delayMs = random.next() * 200;
+      return draw < 0.2 ? [delayMs, random.next() * 400] : [delayMs];
+    };
+    for (let round = 0; round < 20; round += 1) {
+      fleet.tables = editTables(fleet.tables!, round % 10);
+      const upstreamId = `upstream-${round % 4}-${round % 3}`;
+      fleet.upstreams.set(upstreamId, {
+        ...fleet.upstreams.get(upstreamId)!,
+        residents: [{ adapterKey: `adapter-${round}@v1`, inFlight: 0 }],
+      });
+      fleet.run(300);
+    }
+    fleet.transit = () => [1];
+    const revision = fleet.tables!.revision;
+    const doneMs = fleet.runUntil(() => isEveryoneAt(fleet, revision), 10_000);
+    assert.ok(doneMs < 10_000, `seed ${seed}: revisions differ`);
+    fleet.run(5_000);
+    const digests = new Set(
+      fleet.listNodes().map((node) => node.core.getSnapshot()?.digest),
+    );
+    assert.is(digests.size, 1);
+    const views = new Set(
+      fleet.listNodes().map((node) =>
+        JSON.stringify(
+          node.core.explainRoute("route-0", fleet.now)
+            .map((ranked) => ({
+              id: ranked.candidate.host.id,
+              owner: ranked.candidate.ownerId,
+              residents: ranked.candidate.digest.residents,
+            }))
+            .sort((a, b) => a.id < b.id ? -1 : 1),
+        )
+      ),
+    );
+    assert.is(views.size, 1, `seed ${seed}: views differ`);
+  }
+});
+
+test("a change of configuration is in force everywhere within a second", () => {
+  const fleet = startFleet(TODAY);
+  fleet.tables = editTables(fleet.tables!, 3);
+  const doneMs = fleet.runUntil(() => isEveryoneAt(fleet, 3), 5_000);
+  assert.ok(doneMs <= 1_000, `in force after ${doneMs} ms`);
+});
+
+test("a daemon that starts takes the tables of its peers, not of a stale platform", () => {
+  const fleet = startFleet(TODAY);
+  for (let edit = 0; edit < 5; edit += 1) {
+    fleet.tables = editTables(fleet.tables!, edit);
+  }
+  fleet.run(2_000);
+  const newest = fleet.tables!.revision;
+  fleet.tables = createTables(TODAY, 2);
+  const { host } = fleet.getNode("entry-1-0");
+  fleet.getNode("entry-1-0").isAlive = false;
+  fleet.run(2_000);
+  const restarted = fleet.startNode(host);
+  fleet.runUntil(() => restarted.core.state === "serving", 10_000);
+  assert.is(restarted.core.getSnapshot()?.revision, newest);
+});
+
+test("a failure domain that starts as a whole takes newer tables from others", () => {
+  const fleet = startFleet(TODAY);
+  fleet.tables = editTables(fleet.tables!, 1);
+  fleet.run(2_000);
+  fleet.tables = createTables(TODAY, 2);
+  const hosts = fleet.listNodes().map((node) => node.host)
+    .filter((host) => host.failureDomain === formatDomain(2));
+  for (const host of hosts) fleet.getNode(host.id).isAlive = false;
+  fleet.run(3_000);
+  for (const host of hosts) {
+    const { core } = fleet.startNode(host);
+    fleet.runUntil(() => core.state === "serving", 10_000);
+    assert.is(core.getSnapshot()?.revision, 3);
+  }
+});
+
+test("two daemons a failure domain read the platform, and others in their place", () => {
+  const fleet = startFleet(ONE_DOMAIN);
+  const listReaders = (): string[] =>
+    fleet.listNodes()
+      .filter((node) => node.isAlive && node.isReading)
+      .map((node) => node.host.id);
+  const first = listReaders();
+  assert.is(first.length, 2);
+  for (const id of first) fleet.getNode(id).isAlive = false;
+  fleet.run(4_000);
+  assert.is(listReaders().length, 2);
+  fleet.tables = editTables(fleet.tables!, 1);
+  fleet.run(1_000);
+  assert.ok(isEveryoneAt(fleet, 3));
+});
+
+test("a claim of a ticket homed in another failure domain reaches its home", () => {
+  const fleet = startFleet(TODAY);
+  const node = fleet.getNode("entry-0-0");
+  const homes = node.core.describe(fleet.now).peers;
+  const remote = homes.find((peer) => peer.id === "entry-3-1");
+  assert.ok(remote);
+  const routes = fleet.tables!.routes.map((route) => ({
+    ...route,
+    idempotent: false,
+    queueDeadlineMs: 3_000,
+  }));
+  fleet.tables = { ...fleet.tables!, revision: 3, routes };
+  fleet.run(2_000);
+  const minted: string[] = [];
+  const request = {
+    kind: "requestArrived",
+    customer: "derwent",
+    route: "route-0",
+    fingerprint: "f",
+  } as const;
+  const home = fleet.getNode("entry-3-1");
+  for (
+    const effect of home.core.handle(
+      { ...request, requestId: "r1" },
+      fleet.now,
+    )
+  ) {
+    if (effect.kind === "refuse" && effect.ticket) minted.push(effect.ticket);
+  }
+  assert.is(minted.length, 1);
+  fleet.handle(node, { ...request, requestId: "r2", ticket: minted[0]! });
+  fleet.run(300);
+  assert.is(node.core.describe(fleet.now).execution.requests, 1);
+  home.isAlive = false;
+  fleet.handle(node, { ...request, requestId: "r3", ticket: minted[0]! });
+  fleet.run(4_000);
+  assert.ok(node.refusals.includes("ticketHomeUnreachable"));
+});
+
+test.run();
