Make a ticket's home known by the host list in the test of callers that leave

The test sent a heartbeat, a message that is no more. A home in another failure domain is now known from the host list alone, so the test publishes one with the home in it; what it asserts is the same.

--- a/test/core/execution/outcome_test.ts
+++ b/test/core/execution/outcome_test.ts
@@ -46,19 +46,19 @@
 test("a caller that leaves before the ticket's home has answered gets an uncertain outcome", () => {
   const daemon = new LoneDaemon(["engine-1"]);
   const ticket = "entry-2~i1~1~check";
+  // A home in another failure domain is known from the host list alone.
   daemon.handle({
-    kind: "peerMessage",
-    from: "entry-2",
-    message: {
-      kind: "heartbeat",
-      incarnation: "i1",
-      sequence: 1,
-      failureDomain: "hobart-a",
-      tablesRevision: 0,
-      hostListRevision: 0,
-      leaving: false,
-      upstreams: [],
-      strikes: [],
+    kind: "hostListPublished",
+    hostList: {
+      revision: 2,
+      hosts: [{
+        id: "entry-2",
+        address: "127.0.0.1:2",
+        failureDomain: "huon-b",
+        role: "entry",
+        service: "",
+        state: "live",
+      }],
     },
   });
   const requestId = daemon.request("order", { ticket });
