--- a/src/core/control_plane.ts
+++ b/src/core/control_plane.ts
@@ -134,11 +134,6 @@
     this.#readers.recordReading(false, now);
   }
 
-  /** Tells the failure domain at once of new strikes. */
-  spreadStrikes(now: Milliseconds): void {
-    this.#protocol.spreadStrikes(now);
-  }
-
   /** Publishes what this daemon, as the owner, knows of the upstream. */
   publishUpstream(digest: UpstreamDigest, now: Milliseconds): void {
     this.#protocol.publishUpstream(digest, now);
@@ -149,6 +144,11 @@
     this.#protocol.removeUpstream(upstreamId);
   }
 
+  /** Tells peers at once of requests that have crashed an upstream. */
+  publishStrikes(now: Milliseconds): void {
+    this.#protocol.publishStrikes(now);
+  }
+
   /** Tells peers what this daemon has evicted. */
   publishEvictions(evictions: readonly EvictionDigest[]): void {
     this.#protocol.publishEvictions(evictions);
--- a/src/core/execution/attempt_examiner.ts
+++ b/src/core/execution/attempt_examiner.ts
@@ -75,7 +75,7 @@
         this.#wasAlone(examined),
         now,
       );
-      this.#context.options.spreadStrikes(now);
+      this.#context.options.publishStrikes(now);
     }
     if (retry !== undefined && this.#context.requests.has(request.id)) {
       this.#retry(request, retry, now);
--- a/src/core/execution/execution_context.ts
+++ b/src/core/execution/execution_context.ts
@@ -21,7 +21,7 @@
   membership: Membership;
   quarantine: CrashQuarantine;
   /** Tells peers of new strikes at once. */
-  spreadStrikes: (now: Milliseconds) => void;
+  publishStrikes: (now: Milliseconds) => void;
   retryBudget: RetryBudget;
   tickets: TicketBook;
   emit: (effect: Effect) => void;
