Count leases refused by a daemon that is not the owner

Seen by test/contracts/peer_contract_test.ts, row 'lease request for an upstream that is not owned here': the refusal was sent and not counted.

--- a/src/core/residency/upstream_ownership.ts
+++ b/src/core/residency/upstream_ownership.ts
@@ -267,6 +267,11 @@
     request: LeaseRequestMessage,
   ): void {
     const { membership, settings, emit } = this.#options;
+    emit({
+      kind: "count",
+      counter: "lease_refused",
+      tag: LeaseRefusalReason.NotOwner,
+    });
     emit({
       kind: "send",
       to,
