--- a/src/daemon/metrics.ts
+++ b/src/daemon/metrics.ts
@@ -22,6 +22,7 @@
   connection_malformed:
     "Callers' connections closed for what they sent, by the HTTP parser's code",
   envelope_malformed: "Envelopes from peers that could not be decoded",
+  envelope_undelivered: "Envelopes that a peer did not take in time",
   tables: "Revisions of the tables offered, by what became of them",
   host_list: "Revisions of the host list offered, by what became of them",
   platform_unread: "Readings of the platform that failed, by step",
--- a/src/daemon/peer_task.ts
+++ b/src/daemon/peer_task.ts
@@ -47,6 +47,8 @@
 
 const PeerClient = makeGenericClientConstructor(PEER_SERVICE, "Peer");
 
+type TlsSettings = NonNullable<DaemonSettings["peers"]["tls"]>;
+
 interface Outbox {
   client: Client;
   address: string;
@@ -124,11 +126,7 @@
         peer: call.getPeer(),
         error: describeError(error),
       });
-      void this.#options.bus.emit("count", {
-        kind: "count",
-        counter: "envelope_malformed",
-        tag: "",
-      });
+      this.#countEnvelope("envelope_malformed");
       return;
     }
     if (this.#blocked.has(envelope.from)) return;
@@ -173,13 +171,14 @@
       bytes,
       { deadline: Date.now() + DELIVER_TIMEOUT_MS },
       (error) => {
-        if (error) this.#logFailure(to, error);
+        if (error) this.#reportFailure(to, error);
         this.#flush(to, outbox);
       },
     );
   }
 
-  #logFailure(to: string, error: Error): void {
+  #reportFailure(to: string, error: Error): void {
+    this.#countEnvelope("envelope_undelivered");
     this.#options.logger.debug("Envelope was not delivered", {
       step: "deliver",
       peer: to,
@@ -187,6 +186,10 @@
     });
   }
 
+  #countEnvelope(counter: string): void {
+    void this.#options.bus.emit("count", { kind: "count", counter, tag: "" });
+  }
+
   #getOutbox(to: string, address: string): Outbox {
     const known = this.#outboxes.get(to);
     if (known?.address === address) return known;
@@ -212,12 +215,10 @@
       }
       return ServerCredentials.createInsecure();
     }
+    const { authority, key, certificate } = readTlsFiles(peers.tls);
     return ServerCredentials.createSsl(
-      readFileSync(peers.tls.authorityFile),
-      [{
-        private_key: readFileSync(peers.tls.keyFile),
-        cert_chain: readFileSync(peers.tls.certificateFile),
-      }],
+      authority,
+      [{ private_key: key, cert_chain: certificate }],
       true,
     );
   }
@@ -225,11 +226,8 @@
   #createClientCredentials(): ChannelCredentials {
     const { tls } = this.#options.settings.peers;
     if (!tls) return credentials.createInsecure();
-    return credentials.createSsl(
-      readFileSync(tls.authorityFile),
-      readFileSync(tls.keyFile),
-      readFileSync(tls.certificateFile),
-    );
+    const { authority, key, certificate } = readTlsFiles(tls);
+    return credentials.createSsl(authority, key, certificate);
   }
 }
 
@@ -237,6 +235,31 @@
   return Buffer.from(bytes.buffer, bytes.byteOffset, bytes.byteLength);
 }
 
+interface TlsFiles {
+  authority: Buffer;
+  key: Buffer;
+  certificate: Buffer;
+}
+
+function readTlsFiles(tls: TlsSettings): TlsFiles {
+  return {
+    authority: readTlsFile(tls.authorityFile),
+    key: readTlsFile(tls.keyFile),
+    certificate: readTlsFile(tls.certificateFile),
+  };
+}
+
+function readTlsFile(path: string): Buffer {
+  try {
+    return readFileSync(path);
+  } catch (cause) {
+    throw new StepError(
+      `Expected a readable PEM file, found ${describeError(cause)}`,
+      { step: "listenPeers", peer: path, cause },
+    );
+  }
+}
+
 function isLoopback(address: string): boolean {
   return address.startsWith("127.") || address.startsWith("[::1]");
 }
