--- a/fakes/fake_configuration.ts
+++ b/fakes/fake_configuration.ts
@@ -6,6 +6,10 @@
   down: boolean;
   /** Revision at which readers are held back; 0 for none. */
   staleAtRevision: number;
+  /** Reads of keys, from now on, that answer at a revision of their own. */
+  tornReads: number;
+  /** Whether answers are no JSON. */
+  isGarbled: boolean;
 }
 
 interface Revision {
@@ -19,7 +23,7 @@
   readonly #watchers = new Set<() => void>();
 
   constructor() {
-    super({ down: false, staleAtRevision: 0 });
+    super({ down: false, staleAtRevision: 0, tornReads: 0, isGarbled: false });
     this.app.get("/v1/keys", (_request, response) => {
       if (!this.#admit(response)) return;
       this.#sendKeys(response);
@@ -29,7 +33,7 @@
       const { revision, values } = this.#getVisible();
       const value = values.get(String(request.params["key"]));
       if (value === undefined) response.status(404).json({ revision });
-      else response.json({ revision, value });
+      else response.json({ revision: revision + this.#takeTear(), value });
     });
     this.app.get("/v1/watch", (request, response) => {
       if (!this.#admit(response)) return;
@@ -70,11 +74,22 @@
 
   #admit(response: Response): boolean {
     this.calls += 1;
+    if (this.faults.isGarbled) {
+      response.send("<html>");
+      return false;
+    }
     if (!this.faults.down) return true;
     response.status(503).json({ error: "down" });
     return false;
   }
 
+  /** Returns by how much the next read of a key is off. */
+  #takeTear(): number {
+    if (this.faults.tornReads === 0) return 0;
+    this.faults.tornReads -= 1;
+    return 1;
+  }
+
   #sendKeys(response: Response): void {
     const { revision, values } = this.#getVisible();
     response.json({ revision, keys: [...values.keys()] });
--- a/fakes/fake_host_list.ts
+++ b/fakes/fake_host_list.ts
@@ -5,6 +5,10 @@
 export interface HostListFaults {
   down: boolean;
   lagMs: number;
+  /** Revision that is answered in place of the true one; 0 for none. */
+  answeredRevision: number;
+  /** Whether answers are no JSON. */
+  isGarbled: boolean;
 }
 
 export class FakeHostList extends FakeServer<HostListFaults> {
@@ -12,10 +16,15 @@
   #hosts: HostStructure[] = [];
 
   constructor() {
-    super({ down: false, lagMs: 0 });
+    super({ down: false, lagMs: 0, answeredRevision: 0, isGarbled: false });
     this.app.get("/v1/hosts", (_request, response) => {
-      if (this.faults.down) response.status(503).json({ error: "down" });
-      else response.json({ revision: this.#revision, hosts: this.#hosts });
+      const { down, isGarbled, answeredRevision } = this.faults;
+      const revision = answeredRevision === 0
+        ? this.#revision
+        : answeredRevision;
+      if (down) response.status(503).json({ error: "down" });
+      else if (isGarbled) response.send("<html>");
+      else response.json({ revision, hosts: this.#hosts });
     });
     this.app.put("/operator/hosts", (request, response) => {
       this.setHosts(request.body.hosts);
--- a/src/daemon/logger.ts
+++ b/src/daemon/logger.ts
@@ -39,7 +39,6 @@
     warn: (message, fields) => log.warn(message, fields),
     error: (message, fields) => log.error(message, fields),
     setLevel: (next) => log.setLevel(next, false),
-    getLevel: () =>
-      LOG_LEVELS.find((_, index) => index === log.getLevel()) ?? "silent",
+    getLevel: () => LOG_LEVELS[log.getLevel()],
   };
 }
--- a/src/settings/log_level.ts
+++ b/src/settings/log_level.ts
@@ -1,4 +1,11 @@
 /** Levels of the daemon's log, most verbose first. */
 
-export const LOG_LEVELS = ["trace", "debug", "info", "warn", "error"] as const;
+export const LOG_LEVELS = [
+  "trace",
+  "debug",
+  "info",
+  "warn",
+  "error",
+  "silent",
+] as const;
 export type LogLevel = (typeof LOG_LEVELS)[number];
--- a/test/contracts/contract_bench.ts
+++ b/test/contracts/contract_bench.ts
@@ -267,7 +267,7 @@
     return daemonSettingsSchema.parse({
       id: "entry-1",
       failureDomain: DOMAIN,
-      logLevel: "error",
+      logLevel: "silent",
       tickIntervalMs: 5,
       ...settings,
       callers: { listen, ...section("callers") },
--- /dev/null
+++ b/test/contracts/platform_contract_test.ts
@@ -0,0 +1,289 @@
+/** The contract with the platform: configuration service, host list and weight store; one row a fault. */
+import { suite } from "uvu";
+import * as assert from "uvu/assert";
+import { FakeStore } from "../../fakes/fake_store.ts";
+import { ContractBench } from "./contract_bench.ts";
+
+const MAX_VALUE_BYTES = 1_048_576;
+
+const platform = suite<{ bench: ContractBench }>("platform");
+
+platform.before.each(async (context) => {
+  context.bench = new ContractBench({ engines: 2 });
+});
+
+platform.after.each(async ({ bench }) => {
+  await bench.stop();
+});
+
+interface EditRow {
+  fault: string;
+  /** Breaks the service or publishes what cannot be taken. */
+  arrange: (bench: ContractBench) => void;
+  counter: string;
+  /** Mends what was broken. */
+  mend?: (bench: ContractBench) => void;
+}
+
+const ROUTES_FAULTS: [string, Record<string, unknown>][] = [
+  ["unknown pool", { pool: "other" }],
+  ["unknown customer", { customer: "other" }],
+  ["duplicate route", { name: "letters" }],
+  ["missing version", { version: "" }],
+  ["unknown key", { colour: "red" }],
+  ["value of another type", { maxRunMs: "long" }],
+];
+
+const EDIT_ROWS: EditRow[] = [
+  ...ROUTES_FAULTS.map(([fault, route]) => ({
+    fault: `invalid revision: ${fault}`,
+    arrange: (bench: ContractBench) => bench.publishTables(route),
+    counter: "tables.invalid",
+  })),
+  {
+    fault: "invalid revision: malformed YAML",
+    arrange: ({ configuration }) => configuration.setKey("routes", "routes: ["),
+    counter: "tables.invalid",
+  },
+  {
+    fault: "invalid revision: value over a megabyte",
+    arrange: (bench) =>
+      bench.configuration.setKey(
+        "routes",
+        `${bench.formatRoutes()}\n#${"x".repeat(MAX_VALUE_BYTES)}`,
+      ),
+    counter: "tables.invalid",
+  },
+  {
+    fault: "keys at several revisions, again and again",
+    arrange: (bench) => {
+      bench.configuration.faults.tornReads = 1_000_000;
+      bench.publishTables();
+    },
+    counter: "platform_unread.readTables",
+    mend: ({ configuration }) => configuration.faults.tornReads = 0,
+  },
+  {
+    fault: "service down",
+    arrange: ({ configuration }) => configuration.setDown(true),
+    counter: "platform_unread.readTables",
+    mend: ({ configuration }) => configuration.setDown(false),
+  },
+  {
+    fault: "answers that are no JSON",
+    arrange: ({ configuration }) => {
+      configuration.faults.isGarbled = true;
+      configuration.dropConnections();
+    },
+    counter: "platform_unread.readTables",
+    mend: ({ configuration }) => configuration.faults.isGarbled = false,
+  },
+  {
+    fault: "service stale",
+    arrange: ({ configuration }) => {
+      configuration.faults.staleAtRevision = 2;
+      configuration.dropConnections();
+    },
+    counter: "",
+    mend: ({ configuration }) => configuration.faults.staleAtRevision = 0,
+  },
+];
+
+for (const row of EDIT_ROWS) {
+  platform(`configuration: ${row.fault}`, async ({ bench }) => {
+    await bench.start();
+    const before = await bench.getCounters();
+    const { tablesRevision } = await bench.getStatus();
+    row.arrange(bench);
+    if (row.counter !== "") await bench.waitForCounter(row.counter, before);
+    const meanwhile = await bench.call();
+    assert.is(meanwhile.headers.get("x-adapter-version"), "v1");
+    assert.ok((await bench.getStatus()).tablesRevision >= tablesRevision);
+    row.mend?.(bench);
+    bench.publishTables({ version: "v2" });
+    await bench.waitUntil("the next good revision is in force", async () => {
+      const answer = await bench.call();
+      return answer.headers.get("x-adapter-version") === "v2";
+    });
+  });
+}
+
+platform("configuration: one torn reading is read again", async ({ bench }) => {
+  bench.configuration.faults.tornReads = 1;
+  await bench.start();
+  assert.is(bench.configuration.faults.tornReads, 0);
+  assert.is((await bench.call()).status, 200);
+});
+
+platform("configuration: down at the start, then up", async ({ bench }) => {
+  await bench.startFakes();
+  bench.publishTables();
+  bench.publishHosts();
+  bench.configuration.setDown(true);
+  await bench.startDaemon();
+  const early = await bench.call();
+  assert.is(early.status, 503);
+  assert.is(early.refusal?.reason, "notReady");
+  assert.is(early.refusal?.outcome, "notRun");
+  assert.ok(early.headers.get("retry-after"));
+  assert.is((await fetch(`http://${bench.operators}/readyz`)).status, 503);
+  assert.is((await fetch(`http://${bench.operators}/healthz`)).status, 200);
+  bench.configuration.setDown(false);
+  await bench.waitUntil("the daemon serves", async () => {
+    return (await fetch(`http://${bench.operators}/readyz`)).status === 200;
+  });
+  assert.is((await bench.call()).status, 200);
+});
+
+interface HostRow {
+  fault: string;
+  arrange: (bench: ContractBench) => void;
+  counter: string;
+}
+
+const HOST_ROWS: HostRow[] = [
+  {
+    fault: "down",
+    arrange: ({ hostList }) => hostList.faults.down = true,
+    counter: "platform_unread.readHostList",
+  },
+  {
+    fault: "answers that are no JSON",
+    arrange: ({ hostList }) => hostList.faults.isGarbled = true,
+    counter: "platform_unread.readHostList",
+  },
+  {
+    fault: "host of an unknown role",
+    arrange: ({ hostList }) =>
+      hostList.setHosts([
+        { ...hostList.getHosts()[0], role: "other" } as never,
+      ]),
+    counter: "platform_unread.readHostList",
+  },
+  {
+    fault: "an older revision without the upstreams",
+    arrange: ({ hostList }) => {
+      hostList.faults.answeredRevision = 1;
+      hostList.setHosts([]);
+    },
+    counter: "host_list.stale",
+  },
+];
+
+for (const row of HOST_ROWS) {
+  platform(`host list: ${row.fault}`, async ({ bench }) => {
+    await bench.start();
+    const before = await bench.getCounters();
+    const { hostListRevision } = await bench.getStatus();
+    row.arrange(bench);
+    await bench.waitForCounter(row.counter, before);
+    assert.is((await bench.call()).status, 200);
+    assert.is((await bench.getStatus()).hostListRevision, hostListRevision);
+  });
+}
+
+platform(
+  "host list: a leaving upstream gets no new work",
+  async ({ bench }) => {
+    await bench.start();
+    await bench.call();
+    const { hostListRevision } = await bench.getStatus();
+    bench.publishHosts({ state: "leaving" });
+    await bench.waitUntil(
+      "the notice is seen",
+      async () => (await bench.getStatus()).hostListRevision > hostListRevision,
+    );
+    const runs = bench.engines.flatMap((engine) => engine.history).length;
+    const answer = await bench.call();
+    assert.is(answer.refusal?.outcome, "notRun", answer.text);
+    assert.ok(answer.headers.get("retry-after"));
+    assert.is(bench.engines.flatMap((engine) => engine.history).length, runs);
+  },
+);
+
+platform(
+  "host list: an upstream that says itself that it leaves gets no new work",
+  async ({ bench }) => {
+    await bench.start();
+    for (const engine of bench.engines) engine.faults.leaving = true;
+    await bench.waitUntil("new work is refused", async () => {
+      const answer = await bench.call();
+      return answer.refusal?.outcome === "notRun";
+    });
+  },
+);
+
+interface StoreRow {
+  fault: string;
+  failLoads: number;
+  status: number;
+  reason?: string;
+}
+
+const STORE_ROWS: StoreRow[] = [
+  {
+    fault: "every load fails",
+    failLoads: 1_000,
+    status: 503,
+    reason: "loadFailed",
+  },
+  { fault: "one load fails", failLoads: 1, status: 200 },
+];
+
+for (const row of STORE_ROWS) {
+  platform(`weight store: ${row.fault}`, async (context) => {
+    const store = new FakeStore({
+      loadsPerSecond: 100,
+      loadTimeMs: 20,
+      maxInFlight: 8,
+    });
+    await store.start();
+    store.faults.failLoads = row.failLoads;
+    context.bench = new ContractBench({
+      engines: 2,
+      engine: { storeAddress: store.address },
+    });
+    const { bench } = context;
+    await bench.start();
+    const answer = await bench.call();
+    assert.is(answer.status, row.status, answer.text);
+    assert.is(answer.refusal?.reason, row.reason);
+    if (row.reason !== undefined) {
+      assert.is(answer.refusal?.outcome, "notRun");
+      assert.ok(answer.headers.get("retry-after"));
+    }
+    await store.stop();
+  });
+}
+
+platform(
+  "weight store: loads in flight stay within the bound",
+  async (context) => {
+    const store = new FakeStore({
+      loadsPerSecond: 1_000,
+      loadTimeMs: 60,
+      maxInFlight: 1,
+    });
+    await store.start();
+    context.bench = new ContractBench({
+      engines: 2,
+      engine: { storeAddress: store.address },
+      settings: { core: { storeLoadsInFlight: 1 } },
+    });
+    const { bench } = context;
+    await bench.start();
+    const answers = await Promise.all(
+      ["briefing", "letters"].map((model) =>
+        bench.call({
+          model,
+          token: model === "letters" ? "solljus-token" : "derwent-token",
+        })
+      ),
+    );
+    assert.equal(answers.map((answer) => answer.status), [200, 200]);
+    assert.is(store.peakInFlight, 1);
+    await store.stop();
+  },
+);
+
+platform.run();
