Resume streams whose connection was cut, on the same run

Cause: a cut connection broke the answer off although the engine still had the run, and a cut within an event ran into the event that reports the fault, so that the caller's parser saw neither. Excluded: running again and skipping (another run need not give the same tokens). Change: the entry forwards whole events and counts them, and asks the engine for the rest of the same run in the same incarnation, within the run's time. An error of an established connection is no longer taken for one that was never made (EHOSTUNREACH on a read was reported as notSent, so as notRun). Chunks are forwarded as they come in place of an async iteration; a slow reader pauses its own connection.

--- a/bench/tickets_command.ts
+++ b/bench/tickets_command.ts
@@ -55,34 +55,34 @@
   const [a1 = "", a2 = "", b1 = "", b2 = ""] = site.daemonIds;
   await waitUntilPeersLive(site);
   const cases: TicketCase[] = [];
-  const steady = await issueTickets(bench);
+  const steady = await mintTickets(bench);
   cases.push(await measure(site, "first call, all up", steady));
   cases.push(await measure(site, "second call, all up", steady));
 
-  const [cutSpent, cutUnused] = await issueBoth(bench);
+  const [cutSpent, cutUnused] = await mintBoth(bench);
   await cutDomains(site, [a1, a2], [b1, b2]);
   cases.push(await measure(site, "spent, other side of a partition", cutSpent));
   cases.push(
     await measure(site, "unused, other side of a partition", cutUnused),
   );
   cases.push(
-    await measure(site, "new, in a partition", await issueTickets(bench), 0),
+    await measure(site, "new, in a partition", await mintTickets(bench), 0),
   );
   for (const id of site.daemonIds) await site.fleet.cut(id, {});
   await waitUntilPeersLive(site);
   cases.push(await measure(site, "unused, partition healed", cutUnused));
 
-  const [lostSpent, lostUnused] = await issueBoth(bench);
+  const [lostSpent, lostUnused] = await mintBoth(bench);
   site.fleet.signal(a1, "SIGKILL");
   await site.fleet.waitForExit(a1);
   await waitUntilLost(site, a1);
-  const ofLost = (ticket: IssuedTicket): boolean => ticket.home === a1;
+  const isOfLost = (ticket: IssuedTicket): boolean => ticket.home === a1;
   const others = [a2, b1, b2];
   cases.push(
     await measure(
       site,
       "spent, home lost",
-      lostSpent.filter(ofLost),
+      lostSpent.filter(isOfLost),
       1,
       others,
     ),
@@ -91,7 +91,7 @@
     await measure(
       site,
       "unused, home lost",
-      lostUnused.filter(ofLost),
+      lostUnused.filter(isOfLost),
       1,
       others,
     ),
@@ -100,22 +100,22 @@
   await site.fleet.waitUntilServing([a1]);
   await waitUntilPeersLive(site);
   cases.push(
-    await measure(site, "spent, home restarted", lostSpent.filter(ofLost)),
+    await measure(site, "spent, home restarted", lostSpent.filter(isOfLost)),
   );
   cases.push(
-    await measure(site, "unused, home restarted", lostUnused.filter(ofLost)),
+    await measure(site, "unused, home restarted", lostUnused.filter(isOfLost)),
   );
   cases.push(
     await measure(
       site,
       "spent, another daemon restarted",
-      lostSpent.filter((ticket) => !ofLost(ticket)),
+      lostSpent.filter((ticket) => !isOfLost(ticket)),
     ),
   );
   return cases;
 }
 
-async function issueTickets(bench: Bench): Promise<IssuedTicket[]> {
+async function mintTickets(bench: Bench): Promise<IssuedTicket[]> {
   const issued: IssuedTicket[] = [];
   for (const home of bench.site.daemonIds) {
     for (let index = 0; index < bench.tickets; index += 1) {
@@ -127,12 +127,12 @@
 }
 
 /** Issues tickets of which the first half has run. */
-async function issueBoth(
+async function mintBoth(
   bench: Bench,
 ): Promise<[spent: IssuedTicket[], unused: IssuedTicket[]]> {
-  const spent = await issueTickets(bench);
+  const spent = await mintTickets(bench);
   await measure(bench.site, "", spent, 0);
-  return [spent, await issueTickets(bench)];
+  return [spent, await mintTickets(bench)];
 }
 
 /** Calls once with each ticket, through the daemon that is `distance` after its home. */
--- a/fakes/fake_engine.ts
+++ b/fakes/fake_engine.ts
@@ -2,70 +2,23 @@
 import { randomUUID } from "node:crypto";
 import type { Request, Response } from "express";
 import { FakeServer, waitMs } from "./fake_server.ts";
-import { createAnswerIdentity, type RunFault } from "./run_fault.ts";
-
-export interface FakeEngineOptions {
-  slots: number;
-  batchSize: number;
-  checksFencing: boolean;
-  /** Address of the weight store; loads take `loadTimeMs` without one. */
-  storeAddress?: string;
-  loadTimeMs: number;
-  tokenIntervalMs: number;
-  tokens: number;
-}
-
-export interface EngineFaults {
-  /** Loads that fail from now on. */
-  failLoads: number;
-  /** Streams and answers that are cut after this many tokens; 0 for none. */
-  cutAfterTokens: number;
-  /** Answers that name another model from now on. */
-  crossAnswers: number;
-  /** Text in a body that crashes the engine. */
-  crashMarker: string;
-  /** Time after which a crashed engine listens again. */
-  restartAfterMs: number;
-  /** Lag of the in-flight counts. */
-  reportLagMs: number;
-  leaving: boolean;
-  /** Runs refused before they start, from now on. */
-  refuseRuns: number;
-  /** Whether states are answered. */
-  isStateHidden: boolean;
-  /** Faults of the next runs, one each. */
-  nextRuns: RunFault[];
-}
-
-const DEFAULT_FAULTS: EngineFaults = {
-  failLoads: 0,
-  cutAfterTokens: 0,
-  crossAnswers: 0,
-  crashMarker: "CRASH-ENGINE",
-  restartAfterMs: 300,
-  reportLagMs: 0,
-  leaving: false,
-  refuseRuns: 0,
-  isStateHidden: false,
-  nextRuns: [],
-};
-
-/** Time between looks at whether a stalled run has been cancelled. */
-const POLL_INTERVAL_MS = 5;
-
-interface Run {
-  id: string;
-  model: string;
-  isCancelled: boolean;
-}
-
-/** A run as the engine saw it, for the checks of tests. */
-export interface RunRecord {
-  id: string;
-  model: string;
-  body: string;
-  ended: "running" | "completed" | "cancelled" | "cut" | "crashed";
-}
+import {
+  type AnswerIdentity,
+  createAnswerIdentity,
+  type RunFault,
+} from "./run_fault.ts";
+import {
+  DEFAULT_FAULTS,
+  type EngineFaults,
+  type FakeEngineOptions,
+} from "./engine_options.ts";
+import {
+  cutAnswer,
+  type Run,
+  type RunRecord,
+  waitUntilCancelled,
+} from "./engine_run.ts";
+import { StreamLog } from "./stream_log.ts";
 
 export class FakeEngine extends FakeServer<EngineFaults> {
   readonly options: FakeEngineOptions;
@@ -81,6 +34,8 @@
   readonly #residents = new Set<string>();
   readonly #loading = new Set<string>();
   readonly #runs = new Map<string, Run>();
+  /** Streams of runs that have ended, kept for a while. */
+  readonly #endedRuns = new Map<string, Run>();
 
   constructor(options: FakeEngineOptions) {
     super({ ...DEFAULT_FAULTS });
@@ -106,6 +61,10 @@
       if (run) run.isCancelled = true;
       response.status(run ? 200 : 404).json({});
     });
+    this.app.get(
+      "/v1/requests/:id/stream",
+      (request, response) => this.#resume(request, response),
+    );
     this.app.get("/history", (_request, response) => {
       response.json({
         history: this.history,
@@ -124,6 +83,7 @@
       if (record.ended === "running") record.ended = "crashed";
     }
     this.#runs.clear();
+    this.#endedRuns.clear();
     this.#residents.clear();
     this.#loading.clear();
     this.fencing = 0;
@@ -246,7 +206,13 @@
       return;
     }
     const body = JSON.stringify(request.body);
-    const run: Run = { id, model, isCancelled: false };
+    const run: Run = {
+      id,
+      model,
+      isCancelled: false,
+      log: undefined,
+      identity: undefined,
+    };
     const record: RunRecord = { id, model, body, ended: "running" };
     this.#runs.set(id, run);
     this.history.push(record);
@@ -255,7 +221,39 @@
       return;
     }
     await this.#generate(request, response, { run, record, fault });
-    if (this.#runs.get(id) === run) this.#runs.delete(id);
+    if (this.#runs.get(id) !== run) return;
+    this.#runs.delete(id);
+    if (record.ended === "completed" && run.log) this.#remember(run);
+  }
+
+  #remember(run: Run): void {
+    this.#endedRuns.set(run.id, run);
+    setTimeout(
+      () => this.#endedRuns.delete(run.id),
+      this.faults.resumeWindowMs,
+    ).unref();
+  }
+
+  #resume(request: Request, response: Response): void {
+    const id = String(request.params["id"]);
+    const run = this.#runs.get(id) ?? this.#endedRuns.get(id);
+    const after = Number(request.query["after"]);
+    const isKept = run?.log !== undefined && run.identity !== undefined &&
+      !run.isCancelled && after <= run.log.eventCount;
+    if (!isKept) {
+      response.status(404).json({ error: `run ${id} is not here` });
+      return;
+    }
+    this.#sendStreamHead(response, run.identity as AnswerIdentity);
+    run.log?.attach(response, after);
+  }
+
+  #sendStreamHead(response: Response, identity: AnswerIdentity): void {
+    response.set("x-served-model", identity.headerModel);
+    response.set("x-request-id", identity.requestId);
+    response.set("x-incarnation", this.#incarnation);
+    response.set("content-type", "text/event-stream");
+    response.flushHeaders();
   }
 
   async #generate(
@@ -278,14 +276,21 @@
       return;
     }
     const identity = createAnswerIdentity(run, fault);
-    response.set("x-served-model", identity.headerModel);
-    response.set("x-request-id", identity.requestId);
-    if (isStream) response.set("content-type", "text/event-stream");
-    if (isStream || fault?.kind === "cutAfterHead") response.flushHeaders();
+    if (isStream) this.#sendStreamHead(response, identity);
+    else {
+      response.set("x-served-model", identity.headerModel);
+      response.set("x-request-id", identity.requestId);
+      if (fault?.kind === "cutAfterHead") response.flushHeaders();
+    }
     if (fault?.kind === "cutAfterHead") {
       cutAnswer(response, record);
       return;
     }
+    const log = isStream ? new StreamLog() : undefined;
+    run.log = log;
+    run.identity = identity;
+    log?.attach(response, 0);
+    const drops = [...this.faults.dropConnectionsAfter];
     const cutAfter = this.faults.cutAfterTokens;
     const timeoutMs = Number(request.get("x-timeout-ms") ?? Infinity);
     const endsAt = performance.now() + timeoutMs;
@@ -296,25 +301,32 @@
       await waitMs(tokenIntervalMs);
       if (record.ended === "crashed") return;
       const isOver = run.isCancelled || performance.now() >= endsAt;
-      if (isOver || response.destroyed) {
+      const isAbandoned = log
+        ? log.isAbandoned(this.faults.resumeWindowMs)
+        : response.destroyed;
+      if (isOver || isAbandoned) {
         record.ended = "cancelled";
+        log?.cutConnection();
         response.destroy();
         return;
       }
       if (cutAfter > 0 && token >= cutAfter) {
         record.ended = "cut";
+        log?.cutConnection();
         response.destroy();
         return;
       }
       const content = `${run.model}#${token} ${padding}`;
       text += content;
-      if (isStream) {
+      if (log) {
         const event = {
           id: run.id,
           model: identity.bodyModel,
           choices: [{ index: 0, delta: { content } }],
         };
-        response.write(`data: ${JSON.stringify(event)}\n\n`);
+        const text = `data: ${JSON.stringify(event)}\n\n`;
+        if (drops.includes(token)) log.cutConnection(text.slice(0, 20));
+        log.add(text);
       }
     }
     if (fault?.kind === "cutMidAnswer") {
@@ -323,8 +335,9 @@
       return;
     }
     record.ended = "completed";
-    if (isStream) {
-      response.end(fault?.kind === "omitEndMark" ? "" : "data: [DONE]\n\n");
+    if (log) {
+      if (fault?.kind !== "omitEndMark") log.add("data: [DONE]\n\n");
+      log.end();
       return;
     }
     response.json({
@@ -334,15 +347,3 @@
     });
   }
 }
-
-/** Cuts the connection once what was written has left. */
-function cutAnswer(response: Response, record: RunRecord): void {
-  record.ended = "cut";
-  setImmediate(() => response.destroy());
-}
-
-async function waitUntilCancelled(run: Run, response: Response): Promise<void> {
-  while (!run.isCancelled && !response.destroyed) {
-    await waitMs(POLL_INTERVAL_MS);
-  }
-}
--- a/scripts/site.ts
+++ b/scripts/site.ts
@@ -70,6 +70,8 @@
 
 export class Site {
   readonly fleet: Fleet;
+  /** Bearer token of the site's customer. */
+  readonly token = TOKEN;
   readonly configuration = new FakeConfiguration();
   readonly hostList = new FakeHostList();
   readonly engines = new Map<string, FakeEngine>();
@@ -84,7 +86,7 @@
   }
 
   /** Starts the stand-ins and reserves the daemons, without starting them. */
-  async prepare(): Promise<void> {
+  async startFakes(): Promise<void> {
     await this.configuration.start();
     await this.hostList.start();
     this.fleet.addFake("configuration", this.configuration.address);
@@ -97,7 +99,7 @@
 
   /** Starts everything and waits until every daemon serves and every upstream is owned. */
   async start(): Promise<void> {
-    await this.prepare();
+    await this.startFakes();
     await Promise.all(this.daemonIds.map((id) => this.fleet.startDaemon(id)));
     await this.fleet.waitUntilServing(this.daemonIds);
     await this.waitUntilOwned(this.daemonIds);
--- a/src/core/effects.ts
+++ b/src/core/effects.ts
@@ -16,6 +16,8 @@
   upstreamId: string;
   upstreamKind: PoolKind;
   address: string;
+  /** Incarnation of the upstream when the run was permitted. */
+  upstreamIncarnation: string;
   /** `adapter@version` for engines, route name for plain services. */
   model: string;
   route: RouteStructure;
--- a/src/core/execution/attempt_runner.ts
+++ b/src/core/execution/attempt_runner.ts
@@ -127,6 +127,7 @@
       tablesRevision: request.tablesRevision,
       timeoutMs: route.maxRunMs,
       dispatchUntil: credit.dispatchUntil,
+      upstreamIncarnation: credit.upstreamIncarnation,
     });
   }
 
--- /dev/null
+++ b/src/daemon/attempt_end.ts
@@ -0,0 +1,90 @@
+/** How attempts end, read from what upstreams answer. */
+import type { Buffer } from "node:buffer";
+import type { Dispatcher } from "undici";
+import type { StoredAnswerStructure } from "../core/messages.ts";
+import { type AttemptResult, Outcome } from "../core/outcomes.ts";
+
+/** Largest answer body kept for a ticket. */
+const MAX_KEPT_BODY_BYTES = 65_536;
+/** Characters kept of an error answer. */
+const MAX_DETAIL_LENGTH = 200;
+/** Statuses with which an upstream says that it did not start a request. */
+const NOT_STARTED_STATUSES = new Set([404, 409, 429, 503]);
+
+/** The end of an attempt, with the answer to keep for its ticket. */
+export interface AttemptEnd {
+  result: AttemptResult;
+  answer?: StoredAnswerStructure;
+}
+
+export function classifyStatus(status: number, detail: string): AttemptResult {
+  if (NOT_STARTED_STATUSES.has(status)) {
+    return { kind: "refused", status, detail };
+  }
+  return status < 500
+    ? { kind: "rejected", status, detail }
+    : { kind: "failed", status, detail };
+}
+
+export function createNotSent(detail: string): AttemptEnd {
+  return { result: { kind: "notSent", detail } };
+}
+
+export function createLost(
+  detail: string,
+  attempt: { bytesForwarded: number },
+): AttemptEnd {
+  const { bytesForwarded } = attempt;
+  return { result: { kind: "lost", detail, bytesForwarded } };
+}
+
+export function createStoredAnswer(
+  head: { status: number; contentType: string },
+  body: Buffer | undefined,
+): StoredAnswerStructure {
+  const bodyKept = body !== undefined && body.length <= MAX_KEPT_BODY_BYTES;
+  return {
+    outcome: Outcome.Completed,
+    status: head.status,
+    contentType: head.contentType,
+    body: bodyKept ? body : new Uint8Array(),
+    bodyKept,
+  };
+}
+
+export function getHeader(
+  response: Dispatcher.ResponseData,
+  name: string,
+): string {
+  const value = response.headers[name];
+  return typeof value === "string" ? value : "";
+}
+
+export function readBodyModel(body: Buffer): string {
+  try {
+    const model = (JSON.parse(body.toString("utf8")) as { model?: unknown })
+      .model;
+    return typeof model === "string" ? model : "";
+  } catch {
+    return "";
+  }
+}
+
+/** Returns the beginning of an error's body. */
+export async function readDetail(
+  response: Dispatcher.ResponseData,
+): Promise<string> {
+  const chunks = (response.body as AsyncIterable<Buffer>)
+    [Symbol.asyncIterator]();
+  const first = await chunks.next();
+  dropBody(response);
+  return first.done
+    ? ""
+    : first.value.toString("utf8").slice(0, MAX_DETAIL_LENGTH);
+}
+
+/** Ends an answer of which no more is wanted; its error would otherwise be unhandled. */
+export function dropBody(response: Dispatcher.ResponseData): void {
+  response.body.on("error", () => {});
+  response.body.destroy();
+}
--- a/src/daemon/caller_exchange.ts
+++ b/src/daemon/caller_exchange.ts
@@ -34,9 +34,28 @@
     if (!this.#held) writeHead(this.#options.response, head);
   }
 
-  async write(chunk: Uint8Array): Promise<void> {
-    if (this.#held) this.#held.push(chunk);
-    else await this.#writeChunk(chunk);
+  write(chunk: Uint8Array): boolean {
+    const { response } = this.#options;
+    if (!this.#held) return response.destroyed || response.write(chunk);
+    this.#held.push(chunk);
+    return true;
+  }
+
+  /** Waits until a slow caller has taken what was written, or is gone. */
+  async waitUntilDrained(): Promise<void> {
+    const { response, stallTimeoutMs } = this.#options;
+    if (response.destroyed || !response.writableNeedDrain) return;
+    await new Promise<void>((resolve) => {
+      const timer = setTimeout(() => response.destroy(), stallTimeoutMs);
+      const proceed = (): void => {
+        clearTimeout(timer);
+        response.off("drain", proceed);
+        response.off("close", proceed);
+        resolve();
+      };
+      response.once("drain", proceed);
+      response.once("close", proceed);
+    });
   }
 
   /** Ends the answer, which is whole. */
@@ -77,23 +96,6 @@
     );
   }
 
-  /** Writes a chunk and waits until a slow caller has taken it, or is gone. */
-  async #writeChunk(chunk: Uint8Array): Promise<void> {
-    const { response, stallTimeoutMs } = this.#options;
-    if (response.destroyed || response.write(chunk)) return;
-    await new Promise<void>((resolve) => {
-      const timer = setTimeout(() => response.destroy(), stallTimeoutMs);
-      const proceed = (): void => {
-        clearTimeout(timer);
-        response.off("drain", proceed);
-        response.off("close", proceed);
-        resolve();
-      };
-      response.once("drain", proceed);
-      response.once("close", proceed);
-    });
-  }
-
   #limitStall(): void {
     const { response, stallTimeoutMs } = this.#options;
     response.setTimeout(stallTimeoutMs, () => response.destroy());
--- a/src/daemon/exchange.ts
+++ b/src/daemon/exchange.ts
@@ -13,8 +13,10 @@
 export interface AnswerSink {
   /** Starts the answer; called once, before the first chunk. */
   begin(head: AnswerHead): void;
-  /** Forwards a chunk; resolves when the caller can take more. */
-  write(chunk: Uint8Array): Promise<void>;
+  /** Forwards a chunk; returns whether the caller can take more at once. */
+  write(chunk: Uint8Array): boolean;
+  /** Resolves when a slow reader has caught up, or is gone. */
+  waitUntilDrained(): Promise<void>;
 }
 
 /** A caller's request, ready to be forwarded. */
--- a/src/daemon/metrics.ts
+++ b/src/daemon/metrics.ts
@@ -13,6 +13,8 @@
   retried: "Requests sent to another upstream or owner, by reason",
   lease_refused: "Lease requests refused by this daemon as owner, by reason",
   stray_attempt_end: "Ends of attempts that are not known, by kind",
+  stream_resumed:
+    "Streams whose connection was cut, by whether the engine resumed them",
   load_failed: "Adapter loads that failed, by upstream",
   owner_deposed: "Ownerships lost to a higher fencing number, by upstream",
   pause_detected: "Pauses of the process that were detected",
--- a/src/daemon/sse_inspector.ts
+++ b/src/daemon/sse_inspector.ts
@@ -1,55 +1,95 @@
-/** Watches a server-sent event stream: which model its first event names, and whether it came to its end. */
+/**
+ * Watches a server-sent event stream: which model its first event names, how
+ * many events have come, and whether it came to its end. Only whole events are
+ * let through, so that a stream that is cut can be resumed after the last one.
+ */
 import { Buffer } from "node:buffer";
 
-const END_MARK = "\ndata: [DONE]";
-/** Bytes at the end of a stream in which its end mark is looked for. */
-const TAIL_BYTES = 64;
-/** Bytes within which the first event must be whole. */
-const MAX_FIRST_EVENT_BYTES = 65_536;
+const NEWLINE = 0x0a;
+const BOUNDARY = Buffer.from("\n\n");
+const END_MARK = "data: [DONE]";
+const END_EVENT = Buffer.from(`${END_MARK}\n\n`);
+const NO_BYTES = Buffer.alloc(0);
+/** Longest event. */
+const MAX_EVENT_BYTES = 1_048_576;
 
 export class SseInspector {
-  #head: Buffer | undefined = Buffer.alloc(0);
-  #tail = "";
+  #partial: Buffer = NO_BYTES;
+  #last: Buffer = NO_BYTES;
   #model: string | undefined;
+  #eventCount = 0;
 
   /** Model that the first event named; undefined until it is whole. */
   get model(): string | undefined {
     return this.#model;
   }
 
-  /**
-   * Takes the next chunk and returns what may be forwarded: nothing until the
-   * first event is whole, then all that has been held back.
-   */
-  push(chunk: Uint8Array): Uint8Array | undefined {
-    this.#updateTail(chunk);
-    if (this.#head === undefined) return chunk;
-    this.#head = Buffer.concat([this.#head, chunk]);
-    const end = this.#head.indexOf("\n\n");
-    if (end < 0 && this.#head.length < MAX_FIRST_EVENT_BYTES) return undefined;
-    this.#model = readModel(this.#head.subarray(0, end).toString("utf8"));
-    const held = this.#head;
-    this.#head = undefined;
-    return held;
-  }
-
-  #updateTail(chunk: Uint8Array): void {
-    const end = chunk.subarray(-TAIL_BYTES);
-    const text = Buffer.from(end.buffer, end.byteOffset, end.length)
-      .toString("latin1");
-    this.#tail = text.length === TAIL_BYTES
-      ? text
-      : (this.#tail + text).slice(-TAIL_BYTES);
-  }
-
-  /** Returns whether the stream ended with its end mark. */
+  /** Whole events that have come. */
+  get eventCount(): number {
+    return this.#eventCount;
+  }
+
+  /** Takes the next chunk and returns the events that are whole with it, if any. */
+  push(chunk: Buffer): Buffer | undefined {
+    const bytes = this.#partial.length === 0
+      ? chunk
+      : Buffer.concat([this.#partial, chunk]);
+    const end = findEndOfEvents(bytes);
+    this.#partial = end === bytes.length ? NO_BYTES : bytes.subarray(end);
+    if (this.#partial.length > MAX_EVENT_BYTES) {
+      throw new Error(
+        `Expected events of at most ${MAX_EVENT_BYTES} bytes, found a longer one`,
+      );
+    }
+    if (end === 0) return undefined;
+    const whole = end === bytes.length ? bytes : bytes.subarray(0, end);
+    this.#model ??= readModel(whole);
+    this.#eventCount += countBoundaries(whole);
+    this.#last = whole;
+    return whole;
+  }
+
+  /** Takes the end of the connection and returns an end mark that came without its blank line. */
+  finish(): Buffer | undefined {
+    if (this.#partial.toString("utf8").trimEnd() !== END_MARK) return undefined;
+    this.#partial = NO_BYTES;
+    this.#last = END_EVENT;
+    return END_EVENT;
+  }
+
+  /** Drops the part of an event that came before the connection was cut. */
+  dropPartial(): void {
+    this.#partial = NO_BYTES;
+  }
+
+  /** Returns whether the last event was the end mark. */
   isComplete(): boolean {
-    return this.#tail.trimEnd().endsWith(END_MARK);
+    return this.#last.subarray(-END_EVENT.length).equals(END_EVENT);
+  }
+}
+
+function findEndOfEvents(bytes: Buffer): number {
+  const { length } = bytes;
+  const isWhole = bytes[length - 1] === NEWLINE &&
+    bytes[length - 2] === NEWLINE;
+  if (isWhole) return length;
+  const last = bytes.lastIndexOf(BOUNDARY);
+  return last < 0 ? 0 : last + BOUNDARY.length;
+}
+
+function countBoundaries(bytes: Buffer): number {
+  let count = 0;
+  let at = bytes.indexOf(BOUNDARY);
+  while (at >= 0) {
+    count += 1;
+    at = bytes.indexOf(BOUNDARY, at + BOUNDARY.length);
   }
+  return count;
 }
 
-function readModel(event: string): string {
-  const data = event.split("\n")
+function readModel(events: Buffer): string {
+  const first = events.subarray(0, events.indexOf(BOUNDARY)).toString("utf8");
+  const data = first.split("\n")
     .filter((line) => line.startsWith("data:"))
     .map((line) => line.slice("data:".length).trim())
     .join("\n");
--- a/src/daemon/step_error.ts
+++ b/src/daemon/step_error.ts
@@ -29,3 +29,20 @@
   if (typeof code === "string") return code;
   return error.cause === undefined ? "" : getErrorCode(error.cause);
 }
+
+/** Codes of errors of a connection that was not made. */
+const CONNECT_CODES = new Set(["ECONNREFUSED", "EHOSTUNREACH", "ENETUNREACH"]);
+
+/** Returns whether the connection was not made, so that no byte of a request was sent. */
+export function isConnectError(error: unknown): boolean {
+  const code = getErrorCode(error);
+  if (code === "UND_ERR_CONNECT_TIMEOUT") return true;
+  return CONNECT_CODES.has(code) && getSyscall(error) === "connect";
+}
+
+function getSyscall(error: unknown): string {
+  if (!(error instanceof Error)) return "";
+  const { syscall } = error as { syscall?: unknown };
+  if (typeof syscall === "string") return syscall;
+  return error.cause === undefined ? "" : getSyscall(error.cause);
+}
--- /dev/null
+++ b/src/daemon/upstream_orders.ts
@@ -0,0 +1,99 @@
+/** Requests to an upstream that answer at once: orders, cancellations, readings of its state. */
+import type { Dispatcher } from "undici";
+import type { Effect } from "../core/effects.ts";
+import type { OrderResult } from "../core/events.ts";
+import type { UpstreamStateStructure } from "../core/structures.ts";
+import { describeError, getErrorCode, isConnectError } from "./step_error.ts";
+import { engineStateSchema } from "./upstream_schemas.ts";
+
+type OrderEffect = Extract<Effect, { kind: "order" }>;
+
+const STATE_TIMEOUT_MS = 800;
+const ORDER_TIMEOUT_MS = 30_000;
+const CANCEL_TIMEOUT_MS = 2_000;
+
+/** Gives an order and returns how it ended. */
+export async function sendOrder(
+  agent: Dispatcher,
+  effect: OrderEffect,
+): Promise<OrderResult> {
+  const { path, body } = formatOrder(effect);
+  try {
+    const response = await agent.request({
+      origin: `http://${effect.address}`,
+      path,
+      method: "POST",
+      headers: { "content-type": "application/json" },
+      body: JSON.stringify({ ...body, fencing: effect.fencing }),
+      signal: AbortSignal.timeout(ORDER_TIMEOUT_MS),
+    });
+    const text = await response.body.text();
+    if (response.statusCode === 200) return { kind: "done" };
+    if (response.statusCode === 412) {
+      return { kind: "refusedByFencing", fencing: 0 };
+    }
+    return { kind: "failed", detail: `${response.statusCode} ${text}` };
+  } catch (error) {
+    return isConnectError(error)
+      ? { kind: "failed", detail: getErrorCode(error) }
+      : { kind: "unknown", detail: describeError(error) };
+  }
+}
+
+/** Reads the state of an upstream; tells a refused connection from other failures. */
+export async function fetchState(
+  agent: Dispatcher,
+  address: string,
+): Promise<UpstreamStateStructure | { isRefused: boolean }> {
+  try {
+    const response = await agent.request({
+      origin: `http://${address}`,
+      path: "/state",
+      method: "GET",
+      signal: AbortSignal.timeout(STATE_TIMEOUT_MS),
+    });
+    return engineStateSchema.parse(await response.body.json());
+  } catch (error) {
+    return { isRefused: getErrorCode(error) === "ECONNREFUSED" };
+  }
+}
+
+/** Cancels a run; returns whether the upstream confirmed that it is over. */
+export async function cancelRun(
+  agent: Dispatcher,
+  address: string,
+  attemptId: string,
+): Promise<boolean> {
+  try {
+    const response = await agent.request({
+      origin: `http://${address}`,
+      path: `/v1/requests/${encodeURIComponent(attemptId)}`,
+      method: "DELETE",
+      signal: AbortSignal.timeout(CANCEL_TIMEOUT_MS),
+    });
+    await response.body.dump();
+    return response.statusCode === 200 || response.statusCode === 404;
+  } catch {
+    return false;
+  }
+}
+
+function formatOrder(
+  effect: OrderEffect,
+): { path: string; body: Record<string, string> } {
+  const { order } = effect;
+  switch (order.kind) {
+    case "claim":
+      return { path: "/v1/claim", body: {} };
+    case "load":
+      return {
+        path: "/v1/load_lora_adapter",
+        body: { lora_name: order.adapterKey },
+      };
+    case "evict":
+      return {
+        path: "/v1/unload_lora_adapter",
+        body: { lora_name: order.adapterKey },
+      };
+  }
+}
--- a/src/daemon/upstream_task.ts
+++ b/src/daemon/upstream_task.ts
@@ -1,42 +1,33 @@
 /** The task that owns the connections to upstreams: dispatches attempts, gives orders and reads states. */
 import { Buffer } from "node:buffer";
 import { performance } from "node:perf_hooks";
+import type { Readable } from "node:stream";
 import { Agent, type Dispatcher } from "undici";
 import type { DispatchEffect, Effect } from "../core/effects.ts";
 import type { OrderResult } from "../core/events.ts";
-import type { StoredAnswerStructure } from "../core/messages.ts";
-import { type AttemptResult, Outcome } from "../core/outcomes.ts";
+import { type Milliseconds, PoolKind } from "../core/structures.ts";
 import {
-  type Milliseconds,
-  PoolKind,
-  type UpstreamStateStructure,
-} from "../core/structures.ts";
+  type AttemptEnd,
+  classifyStatus,
+  createLost,
+  createNotSent,
+  createStoredAnswer,
+  dropBody,
+  getHeader,
+  readBodyModel,
+  readDetail,
+} from "./attempt_end.ts";
 import type { Bus } from "./bus.ts";
 import type { Exchange, ExchangeRegistry } from "./exchange.ts";
 import type { Logger } from "./logger.ts";
-import { SseInspector } from "./sse_inspector.ts";
-import { describeError, getErrorCode } from "./step_error.ts";
-import { engineStateSchema } from "./upstream_schemas.ts";
+import { describeError, getErrorCode, isConnectError } from "./step_error.ts";
+import { StreamForwarder } from "./stream_forwarder.ts";
+import { cancelRun, fetchState, sendOrder } from "./upstream_orders.ts";
+import { openRest } from "./upstream_resume.ts";
 
-/** Largest answer body kept for a ticket. */
-const MAX_KEPT_BODY_BYTES = 65_536;
-/** Characters of an upstream's error that are kept. */
-const MAX_DETAIL_LENGTH = 200;
-const STATE_TIMEOUT_MS = 800;
-const ORDER_TIMEOUT_MS = 30_000;
-const CANCEL_TIMEOUT_MS = 2_000;
 const CONNECT_TIMEOUT_MS = 1_000;
 /** Timers may fire this much early. */
 const RUN_END_ALLOWANCE_MS = 1;
-/** Codes of errors that arise before any byte of a request is sent. */
-const NOT_SENT_CODES = new Set([
-  "ECONNREFUSED",
-  "EHOSTUNREACH",
-  "ENETUNREACH",
-  "UND_ERR_CONNECT_TIMEOUT",
-]);
-/** Statuses with which an upstream says that it did not start a request. */
-const NOT_STARTED_STATUSES = new Set([404, 409, 429, 503]);
 
 export interface UpstreamTaskOptions {
   bus: Bus;
@@ -54,11 +45,6 @@
   bytesForwarded: number;
 }
 
-interface AttemptEnd {
-  result: AttemptResult;
-  answer?: StoredAnswerStructure;
-}
-
 export class UpstreamTask {
   readonly #options: UpstreamTaskOptions;
   readonly #agent = new Agent({
@@ -188,32 +174,50 @@
     response: Dispatcher.ResponseData,
     head: Parameters<Exchange["sink"]["begin"]>[0],
   ): Promise<AttemptEnd> {
-    const inspector = new SseInspector();
-    response.body.on("error", () => {});
-    for await (const chunk of response.body as AsyncIterable<Buffer>) {
-      const isFirst = inspector.model === undefined;
-      const forwardable = inspector.push(chunk);
-      if (forwardable === undefined) continue;
-      if (isFirst) {
-        if (inspector.model !== attempt.effect.model) {
-          return await this.#dropCrossed(
-            attempt,
-            response,
-            inspector.model ?? "",
-          );
-        }
-        exchange.sink.begin(head);
-      }
-      attempt.bytesForwarded += forwardable.length;
-      await exchange.sink.write(forwardable);
-    }
-    if (!inspector.isComplete()) {
-      return createLost("stream ended before its end mark", attempt);
+    const forwarder = new StreamForwarder({
+      sink: exchange.sink,
+      head,
+      onForward: (bytes) => {
+        attempt.bytesForwarded += bytes;
+      },
+      resume: (afterEvents) => this.#resume(attempt, afterEvents),
+    });
+    const end = await forwarder.forward(response.body);
+    switch (end.kind) {
+      case "completed":
+        return {
+          result: { kind: "completed", servedModel: head.servedModel },
+          answer: createStoredAnswer(head, undefined),
+        };
+      case "crossed":
+        return await this.#dropCrossed(attempt, response, end.model);
+      case "broken":
+        return await this.#concludeError(attempt, end.error);
     }
-    return {
-      result: { kind: "completed", servedModel: head.servedModel },
-      answer: createStoredAnswer(head, undefined),
-    };
+  }
+
+  /** Opens the rest of a stream whose connection was cut, while its run may go on. */
+  async #resume(
+    attempt: RunningAttempt,
+    afterEvents: number,
+  ): Promise<Readable | undefined> {
+    const { effect } = attempt;
+    const canResume = effect.upstreamKind === PoolKind.Engine &&
+      !attempt.isCancelled && performance.now() < attempt.runEndsAt &&
+      !this.#blocked.has(effect.upstreamId);
+    if (!canResume) return undefined;
+    const rest = await openRest(
+      this.#agent,
+      effect,
+      afterEvents,
+      attempt.abort.signal,
+    );
+    void this.#options.bus.emit("count", {
+      kind: "count",
+      counter: "stream_resumed",
+      tag: rest ? "resumed" : "refused",
+    });
+    return rest;
   }
 
   async #forwardWhole(
@@ -231,7 +235,7 @@
     }
     exchange.sink.begin(head);
     attempt.bytesForwarded += body.length;
-    await exchange.sink.write(body);
+    exchange.sink.write(body);
     return {
       result: { kind: "completed", servedModel: head.servedModel },
       answer: createStoredAnswer(head, body),
@@ -267,8 +271,7 @@
     attempt: RunningAttempt,
     error: unknown,
   ): Promise<AttemptEnd> {
-    const code = getErrorCode(error);
-    if (NOT_SENT_CODES.has(code)) return createNotSent(code);
+    if (isConnectError(error)) return createNotSent(getErrorCode(error));
     if (performance.now() >= attempt.runEndsAt) {
       await this.#cancelOnUpstream(attempt.effect);
       return { result: { kind: "timedOut" } };
@@ -298,22 +301,13 @@
   async #cancelOnUpstream(effect: DispatchEffect): Promise<boolean> {
     if (effect.upstreamKind !== PoolKind.Engine) return false;
     if (this.#blocked.has(effect.upstreamId)) return false;
-    try {
-      const response = await this.#agent.request({
-        origin: `http://${effect.address}`,
-        path: `/v1/requests/${encodeURIComponent(effect.attemptId)}`,
-        method: "DELETE",
-        signal: AbortSignal.timeout(CANCEL_TIMEOUT_MS),
-      });
-      await response.body.dump();
-      return response.statusCode === 200 || response.statusCode === 404;
-    } catch {
-      return false;
-    }
+    return await cancelRun(this.#agent, effect.address, effect.attemptId);
   }
 
   async #order(effect: Extract<Effect, { kind: "order" }>): Promise<void> {
-    const result = await this.#carryOutOrder(effect);
+    const result: OrderResult = this.#blocked.has(effect.upstreamId)
+      ? { kind: "unknown", detail: "cut off" }
+      : await sendOrder(this.#agent, effect);
     if (result.kind !== "done") {
       this.#options.logger.warn("Order was not carried out", {
         step: effect.order.kind,
@@ -328,43 +322,13 @@
     });
   }
 
-  async #carryOutOrder(
-    effect: Extract<Effect, { kind: "order" }>,
-  ): Promise<OrderResult> {
-    if (this.#blocked.has(effect.upstreamId)) {
-      return { kind: "unknown", detail: "cut off" };
-    }
-    const { path, body } = formatOrder(effect);
-    try {
-      const response = await this.#agent.request({
-        origin: `http://${effect.address}`,
-        path,
-        method: "POST",
-        headers: { "content-type": "application/json" },
-        body: JSON.stringify({ ...body, fencing: effect.fencing }),
-        signal: AbortSignal.timeout(ORDER_TIMEOUT_MS),
-      });
-      const text = await response.body.text();
-      if (response.statusCode === 200) return { kind: "done" };
-      if (response.statusCode === 412) {
-        return { kind: "refusedByFencing", fencing: 0 };
-      }
-      return { kind: "failed", detail: `${response.statusCode} ${text}` };
-    } catch (error) {
-      const code = getErrorCode(error);
-      return NOT_SENT_CODES.has(code)
-        ? { kind: "failed", detail: code }
-        : { kind: "unknown", detail: describeError(error) };
-    }
-  }
-
   async #readState(
     effect: Extract<Effect, { kind: "readUpstreamState" }>,
   ): Promise<void> {
     const { upstreamId, readId } = effect;
     const state = this.#blocked.has(upstreamId)
       ? { isRefused: false }
-      : await this.#fetchState(effect.address);
+      : await fetchState(this.#agent, effect.address);
     await this.#options.bus.emit(
       "event",
       "isRefused" in state
@@ -377,104 +341,4 @@
         : { kind: "upstreamStateRead", upstreamId, readId, state },
     );
   }
-
-  async #fetchState(
-    address: string,
-  ): Promise<UpstreamStateStructure | { isRefused: boolean }> {
-    try {
-      const response = await this.#agent.request({
-        origin: `http://${address}`,
-        path: "/state",
-        method: "GET",
-        signal: AbortSignal.timeout(STATE_TIMEOUT_MS),
-      });
-      return engineStateSchema.parse(await response.body.json());
-    } catch (error) {
-      return { isRefused: getErrorCode(error) === "ECONNREFUSED" };
-    }
-  }
-}
-
-/** Returns the beginning of an error's body. */
-async function readDetail(response: Dispatcher.ResponseData): Promise<string> {
-  const chunks = (response.body as AsyncIterable<Buffer>)
-    [Symbol.asyncIterator]();
-  const first = await chunks.next();
-  dropBody(response);
-  return first.done
-    ? ""
-    : first.value.toString("utf8").slice(0, MAX_DETAIL_LENGTH);
-}
-
-/** Ends an answer of which no more is wanted; its error would otherwise be unhandled. */
-function dropBody(response: Dispatcher.ResponseData): void {
-  response.body.on("error", () => {});
-  response.body.destroy();
-}
-
-function classifyStatus(status: number, detail: string): AttemptResult {
-  if (NOT_STARTED_STATUSES.has(status)) {
-    return { kind: "refused", status, detail };
-  }
-  return status < 500
-    ? { kind: "rejected", status, detail }
-    : { kind: "failed", status, detail };
-}
-
-function createNotSent(detail: string): AttemptEnd {
-  return { result: { kind: "notSent", detail } };
-}
-
-function createLost(detail: string, attempt: RunningAttempt): AttemptEnd {
-  const { bytesForwarded } = attempt;
-  return { result: { kind: "lost", detail, bytesForwarded } };
-}
-
-function createStoredAnswer(
-  head: { status: number; contentType: string },
-  body: Buffer | undefined,
-): StoredAnswerStructure {
-  const bodyKept = body !== undefined && body.length <= MAX_KEPT_BODY_BYTES;
-  return {
-    outcome: Outcome.Completed,
-    status: head.status,
-    contentType: head.contentType,
-    body: bodyKept ? body : new Uint8Array(),
-    bodyKept,
-  };
-}
-
-function getHeader(response: Dispatcher.ResponseData, name: string): string {
-  const value = response.headers[name];
-  return typeof value === "string" ? value : "";
-}
-
-function readBodyModel(body: Buffer): string {
-  try {
-    const model = (JSON.parse(body.toString("utf8")) as { model?: unknown })
-      .model;
-    return typeof model === "string" ? model : "";
-  } catch {
-    return "";
-  }
-}
-
-function formatOrder(
-  effect: Extract<Effect, { kind: "order" }>,
-): { path: string; body: Record<string, string> } {
-  const { order } = effect;
-  switch (order.kind) {
-    case "claim":
-      return { path: "/v1/claim", body: {} };
-    case "load":
-      return {
-        path: "/v1/load_lora_adapter",
-        body: { lora_name: order.adapterKey },
-      };
-    case "evict":
-      return {
-        path: "/v1/unload_lora_adapter",
-        body: { lora_name: order.adapterKey },
-      };
-  }
 }
--- a/test/processes/configuration_test.ts
+++ b/test/processes/configuration_test.ts
@@ -18,7 +18,7 @@
     slots: 4,
   });
   [first = "", second = ""] = ["entry-hobart-a-1", "entry-hobart-a-2"];
-  await site.prepare();
+  await site.startFakes();
 });
 
 test.after(async () => await site.stop());
