--- a/src/core/residency/adapter_popularity.ts
+++ b/src/core/residency/adapter_popularity.ts
@@ -7,18 +7,13 @@
 /** Adapters counted at once. */
 const MAX_ADAPTERS = 16_384;
 
-/** Time for which an eviction is passed on to peers. */
-const EVICTION_LIFETIME_MS = 1_000;
-/** Evictions passed on in one heartbeat. */
-const MAX_EVICTION_DIGESTS = 16;
-
 interface DecayedCount {
   value: number;
   updatedAt: Milliseconds;
 }
 
 export class AdapterPopularity {
-  #evictions: { adapterKey: string; evictedAt: Milliseconds }[] = [];
+  #evicted: string[] = [];
   readonly #counts = new Map<string, DecayedCount>();
 
   recordRequests(
@@ -39,16 +34,15 @@
   }
 
   /** Records that a slot was given up, to tell peers how popular its adapter was. */
-  recordEviction(adapterKey: string, now: Milliseconds): void {
-    this.#evictions.push({ adapterKey, evictedAt: now });
+  recordEviction(adapterKey: string): void {
+    this.#evicted.push(adapterKey);
   }
 
-  /** Returns the latest evictions, for the next heartbeat. */
-  listEvictions(now: Milliseconds): EvictionDigest[] {
-    this.#evictions = this.#evictions
-      .filter((eviction) => now - eviction.evictedAt <= EVICTION_LIFETIME_MS)
-      .slice(-MAX_EVICTION_DIGESTS);
-    return this.#evictions.map(({ adapterKey }) => ({
+  /** Returns the evictions since the last call, to tell peers of. */
+  takeEvictions(now: Milliseconds): EvictionDigest[] {
+    const evicted = this.#evicted;
+    if (evicted.length > 0) this.#evicted = [];
+    return evicted.map((adapterKey) => ({
       adapterKey,
       score: this.getScore(adapterKey, now),
     }));
--- a/src/core/residency/ownership_claim.ts
+++ b/src/core/residency/ownership_claim.ts
@@ -28,6 +28,7 @@
   #stateSince: Milliseconds;
   #fencing = 0;
   #handover: HandoverMessage | undefined;
+  #handoverAt = Number.NEGATIVE_INFINITY;
   /** Fencing number that the upstream reported before it was claimed. */
   #fencingBeforeClaim = 0;
   #evictionAllowedAt = Number.POSITIVE_INFINITY;
@@ -72,17 +73,31 @@
 
   /** Returns whether no run that an earlier owner permitted can be going on or start on the adapter. */
   isFreeOfPredecessors(adapterKey: string, now: Milliseconds): boolean {
-    if (now >= this.#evictionAllowedAt) return true;
-    const idleSince = this.#predecessorWindowEndsAt +
-      this.#context.options.settings.engineReportLagMs;
+    const { settings } = this.#context.options;
+    const isPast = now >= this.#evictionAllowedAt;
+    if (isPast && !this.#isUnguarded()) return true;
+    const idleSince = isPast
+      ? now - settings.ownershipValidityMs
+      : this.#predecessorWindowEndsAt + settings.engineReportLagMs;
     const reading = this.#reader.getReading();
     return reading !== undefined && reading.readAt >= idleSince &&
       this.#reader.getInFlight(adapterKey) === 0;
   }
 
+  /** Returns how long leases of earlier owners, which the ledger does not list, may still count. */
+  describePredecessors(
+    now: Milliseconds,
+  ): Pick<HandoverMessage, "predecessorWindowMs" | "predecessorWaitMs"> {
+    return {
+      predecessorWindowMs: Math.max(0, this.#predecessorWindowEndsAt - now),
+      predecessorWaitMs: Math.max(0, this.#evictionAllowedAt - now),
+    };
+  }
+
   acceptHandover(handover: HandoverMessage, now: Milliseconds): void {
     this.#handover = handover;
-    this.#trustHandoverIfDirect(now);
+    this.#handoverAt = now;
+    this.#trustHandoverIfDirect();
   }
 
   /** Reads the upstream again some time after another daemon took it. */
@@ -117,16 +132,41 @@
     }
     this.#enter("owning", now);
     if (Number.isFinite(this.#evictionAllowedAt)) return;
+    this.#awaitOtherOwners(now);
+    this.#trustHandoverIfDirect();
+  }
+
+  /** A change that nobody here ordered shows another owner, where fencing can't. */
+  recordForeignChange(now: Milliseconds): void {
+    if (!this.isOwning() || !this.#isUnguarded()) return;
+    this.#context.options.emit({
+      kind: "count",
+      counter: "foreign_order",
+      tag: this.#context.upstreamId,
+    });
+    this.#awaitOtherOwners(now);
+  }
+
+  /** Waits until no run that another owner has permitted until now can go on. */
+  #awaitOtherOwners(now: Milliseconds): void {
     const { settings, maxRunMs } = this.#context.options;
     this.#predecessorWindowEndsAt = now + settings.ownershipValidityMs +
       settings.leaseWindowMs + settings.leaseMarginMs;
     this.#evictionAllowedAt = this.#predecessorWindowEndsAt + maxRunMs;
-    this.#trustHandoverIfDirect(now);
+  }
+
+  /** Returns whether the engine takes orders from a former owner as well. */
+  #isUnguarded(): boolean {
+    return this.#context.options.pool.fencing === Fencing.Ignored;
   }
 
   recordRestart(now: Milliseconds): void {
     const next = ownerChart.getNext(this.#state, "upstreamRestarted");
-    if (next) this.#enter(next, now);
+    if (next === undefined) return;
+    this.#enter(next, now);
+    this.#evictionAllowedAt = Number.POSITIVE_INFINITY;
+    this.#predecessorWindowEndsAt = Number.POSITIVE_INFINITY;
+    this.#handover = undefined;
   }
 
   /** Gives the upstream up to a daemon that claimed it later. */
@@ -142,18 +182,23 @@
   }
 
   /**
-   * Lifts the wait for a predecessor's leases when the upstream shows that the
-   * daemon that handed over was the last one to claim it.
+   * Shortens the wait for earlier owners' leases to what the daemon that handed
+   * over still had to wait, when the upstream shows that it was the last one to
+   * claim it; its own leases are in the ledger.
    */
-  #trustHandoverIfDirect(now: Milliseconds): void {
+  #trustHandoverIfDirect(): void {
     if (!this.isOwning() || !this.#handover) return;
     const isDirect = this.#context.options.pool.fencing === Fencing.Checked &&
       this.#handover.fencing === this.#fencingBeforeClaim;
     if (!isDirect) return;
-    this.#evictionAllowedAt = Math.min(this.#evictionAllowedAt, now);
+    const { predecessorWindowMs, predecessorWaitMs } = this.#handover;
+    this.#evictionAllowedAt = Math.min(
+      this.#evictionAllowedAt,
+      this.#handoverAt + predecessorWaitMs,
+    );
     this.#predecessorWindowEndsAt = Math.min(
       this.#predecessorWindowEndsAt,
-      now,
+      this.#handoverAt + predecessorWindowMs,
     );
   }
 
--- a/src/core/residency/store_access.ts
+++ b/src/core/residency/store_access.ts
@@ -5,6 +5,7 @@
  */
 import type { CoreSettings } from "../core_settings.ts";
 import type { Effect } from "../effects.ts";
+import { DEATH_AFTER_RATIO } from "../membership/failure_detector.ts";
 import type { Membership } from "../membership/membership.ts";
 import type {
   StoreDemandMessage,
@@ -63,7 +64,7 @@
   /** Becomes or ceases to be the keeper as membership changes. */
   tick(now: Milliseconds): void {
     const { membership, selfId, failureDomain, emit } = this.#options;
-    const keeperId = membership.getStoreKeeperId(failureDomain, now);
+    const keeperId = membership.getStoreKeeperId(failureDomain);
     if (keeperId !== selfId) {
       this.#keeper = undefined;
       this.#previousKeeperId = keeperId;
@@ -75,7 +76,7 @@
         selfId,
         failureDomain,
         permitLifetimeMs: this.#getPermitLifetimeMs(),
-        startWaitMs: this.#getStartWaitMs(now),
+        startWaitMs: this.#getStartWaitMs(),
         emit,
         createId: (prefix) => this.#createId(prefix),
       },
@@ -83,13 +84,13 @@
       now,
     );
     this.#keeper.setShare(share);
-    this.#keeper.tick(membership.listOtherStoreKeeperIds(now), now);
+    this.#keeper.tick(membership.listOtherStoreKeeperIds(), now);
   }
 
   /** Tells the keeper what this daemon wants to load, when that has changed. */
   updateDemand(demand: StoreDemand, now: Milliseconds): void {
     const { membership, failureDomain, emit } = this.#options;
-    const to = membership.getStoreKeeperId(failureDomain, now);
+    const to = membership.getStoreKeeperId(failureDomain);
     if (to === undefined || !this.#isWorthSending(demand, to, now)) return;
     this.#sent = { ...demand, to, at: now };
     emit({
@@ -192,11 +193,13 @@
   }
 
   /** A previous keeper that is heard no more gave its last permit before its silence began. */
-  #getStartWaitMs(now: Milliseconds): Milliseconds {
+  #getStartWaitMs(): Milliseconds {
     const { membership, settings } = this.#options;
     const isPreviousHeard = this.#previousKeeperId !== undefined &&
-      membership.isPeerLive(this.#previousKeeperId, now);
-    const silentMs = isPreviousHeard ? 0 : settings.peerTimeoutMs;
+      membership.isPeerLive(this.#previousKeeperId);
+    const silentMs = isPreviousHeard
+      ? 0
+      : settings.peerTimeoutMs * DEATH_AFTER_RATIO;
     return Math.max(0, this.#getPermitLifetimeMs() - silentMs);
   }
 
--- a/src/core/residency/upstream_ownership.ts
+++ b/src/core/residency/upstream_ownership.ts
@@ -30,13 +30,18 @@
 export interface UpstreamOwnershipOptions {
   selfId: string;
   incarnation: string;
-  failureDomain: string;
   settings: CoreSettings;
   policy: CorePolicy;
   tables: TableKeeper;
   membership: Membership;
   store: StoreAccess;
   emit: (effect: Effect) => void;
+  /** Tells peers what the owner knows of an upstream. */
+  publishUpstream: (digest: UpstreamDigest, now: Milliseconds) => void;
+  /** Tells peers that an upstream is not owned here any more. */
+  removeUpstream: (upstreamId: string) => void;
+  /** Tells peers what has been evicted here. */
+  publishEvictions: (evictions: readonly EvictionDigest[]) => void;
 }
 
 /** Time for which a handover waits for its ownership to be seen here. */
@@ -52,6 +57,10 @@
     { message: HandoverMessage; arrivedAt: Milliseconds }
   >();
 
+  /** State of the membership and the tables at the last update. */
+  #epoch = -1;
+  #revision = -1;
+
   constructor(options: UpstreamOwnershipOptions) {
     this.#options = options;
   }
@@ -62,11 +71,15 @@
 
   /** Takes up and gives up upstreams as the live daemons of the domain change. */
   update(now: Milliseconds): void {
-    const { selfId, failureDomain, membership } = this.#options;
+    const { selfId, membership, tables } = this.#options;
+    const { epoch } = membership;
+    const revision = tables.getTablesRevision();
+    if (epoch === this.#epoch && revision === this.#revision) return;
+    this.#epoch = epoch;
+    this.#revision = revision;
     const wanted = new Set<string>();
-    for (const host of membership.getUpstreamHosts()) {
-      if (host.failureDomain !== failureDomain) continue;
-      if (membership.getOwnerId(host.id, now) !== selfId) continue;
+    for (const host of membership.getDomainUpstreams()) {
+      if (membership.getOwnerId(host.id) !== selfId) continue;
       const pool = this.#findPool(host);
       if (!pool) continue;
       wanted.add(host.id);
@@ -76,7 +89,7 @@
     }
     for (const [upstreamId, owner] of this.#owners) {
       if (wanted.has(upstreamId)) continue;
-      if (this.#isLastOwner(upstreamId, now)) continue;
+      if (this.#isLastOwner(upstreamId)) continue;
       this.#giveUpOwnership(owner, LeaseRefusalReason.NotOwner, now);
     }
   }
@@ -84,8 +97,9 @@
   tick(now: Milliseconds): void {
     for (const owner of this.#owners.values()) {
       owner.tick(now);
-      this.#options.membership.recordOwnView(owner.describeDigest(now), now);
+      this.#options.publishUpstream(owner.describeDigest(now), now);
     }
+    this.#options.publishEvictions(this.#popularity.takeEvictions(now));
     this.#updateDemand(now);
   }
 
@@ -99,7 +113,7 @@
     if (owner) {
       owner.requestLease(from, request, now);
       this.#updateDemand(now);
-    } else this.#refuseLease(from, request, now);
+    } else this.#refuseLease(from, request);
   }
 
   acceptHandover(message: HandoverMessage, now: Milliseconds): void {
@@ -145,7 +159,7 @@
   /** Hands every upstream over to its next owner; one that has none is kept until the end. */
   handOverAll(now: Milliseconds): void {
     for (const owner of [...this.#owners.values()]) {
-      if (this.#isLastOwner(owner.upstreamId, now)) continue;
+      if (this.#isLastOwner(owner.upstreamId)) continue;
       this.#giveUpOwnership(owner, LeaseRefusalReason.Stopping, now);
     }
   }
@@ -156,11 +170,7 @@
       owner.release(LeaseRefusalReason.NotOwner, now);
     }
     this.#owners.clear();
-  }
-
-  /** Returns the latest evictions, for the next heartbeat. */
-  listEvictions(now: Milliseconds): EvictionDigest[] {
-    return this.#popularity.listEvictions(now);
+    this.#epoch = -1;
   }
 
   mergeEvictions(
@@ -174,15 +184,8 @@
     return [...this.#owners.values()].map((owner) => owner.describe(now));
   }
 
-  describeDigests(now: Milliseconds): UpstreamDigest[] {
-    return [...this.#owners.values()].map((owner) => owner.describeDigest(now));
-  }
-
   #findPool(host: HostStructure): PoolStructure | undefined {
-    return this.#options.tables.getSnapshot()?.getPools().find((pool) =>
-      pool.service === host.service &&
-      pool.failureDomains.includes(host.failureDomain)
-    );
+    return this.#options.tables.getSnapshot()?.getPoolOfUpstream(host);
   }
 
   #takeOwnership(
@@ -199,7 +202,8 @@
       policy,
       popularity: this.#popularity,
       store,
-      maxRunMs: this.#getMaxRunMs(pool),
+      maxRunMs: this.#options.tables.getSnapshot()?.getMaxRunMs(pool.name) ??
+        0,
       emit,
       createId: (prefix) => this.#createId(prefix),
     }, now);
@@ -213,10 +217,10 @@
   }
 
   /** Returns whether a planned stop has left no daemon that could own the upstream. */
-  #isLastOwner(upstreamId: string, now: Milliseconds): boolean {
+  #isLastOwner(upstreamId: string): boolean {
     const { membership } = this.#options;
     return membership.getUpstreamHost(upstreamId) !== undefined &&
-      membership.getOwnerId(upstreamId, now) === undefined;
+      membership.getOwnerId(upstreamId) === undefined;
   }
 
   #updateConfiguration(
@@ -226,7 +230,8 @@
   ): void {
     const isSame = owner.host === host && owner.pool === pool;
     if (isSame) return;
-    const maxRunMs = this.#getMaxRunMs(pool);
+    const maxRunMs =
+      this.#options.tables.getSnapshot()?.getMaxRunMs(pool.name) ?? 0;
     owner.updateConfiguration({ host, pool, maxRunMs });
   }
 
@@ -237,16 +242,6 @@
     return `${prefix}/${selfId}/${incarnation}/${this.#lastId}`;
   }
 
-  /** Returns the longest run of any route to the pool. */
-  #getMaxRunMs(pool: PoolStructure): Milliseconds {
-    const routes = this.#options.tables.getSnapshot()?.getRoutes() ?? [];
-    return routes.reduce(
-      (longest, route) =>
-        route.pool === pool.name ? Math.max(longest, route.maxRunMs) : longest,
-      0,
-    );
-  }
-
   /** Hands the upstream over to its next owner, if one is known. */
   #giveUpOwnership(
     owner: UpstreamOwner,
@@ -254,7 +249,7 @@
     now: Milliseconds,
   ): void {
     const { upstreamId } = owner;
-    const successor = this.#options.membership.getSuccessorId(upstreamId, now);
+    const successor = this.#options.membership.getSuccessorId(upstreamId);
     if (successor !== undefined && owner.isOwning()) {
       this.#options.emit({
         kind: "send",
@@ -264,12 +259,12 @@
     }
     owner.release(reason, now);
     this.#owners.delete(upstreamId);
+    this.#options.removeUpstream(upstreamId);
   }
 
   #refuseLease(
     to: string,
     request: LeaseRequestMessage,
-    now: Milliseconds,
   ): void {
     const { membership, settings, emit } = this.#options;
     emit({
@@ -282,7 +277,7 @@
         adapterKey: request.adapterKey,
         reason: LeaseRefusalReason.NotOwner,
         retryAfterMs: settings.heartbeatIntervalMs,
-        ownerId: membership.getOwnerId(request.upstreamId, now) ?? "",
+        ownerId: membership.getOwnerId(request.upstreamId) ?? "",
       },
     });
   }
--- a/src/daemon/metrics.ts
+++ b/src/daemon/metrics.ts
@@ -17,6 +17,8 @@
     "Streams whose connection was cut, by whether the engine resumed them",
   load_failed: "Adapter loads that failed, by upstream",
   owner_deposed: "Ownerships lost to a higher fencing number, by upstream",
+  foreign_order:
+    "Changes of slots that the owner did not order, by upstream that ignores fencing",
   pause_detected: "Pauses of the process that were detected",
   connection_dropped: "Callers' connections beyond the bound",
   connection_malformed:
