Check that a handover lets the next owner evict at once

The test passed without any handover (scratch copy): the engine's idle report let the next owner evict as well. It now reads the wait that the owner itself reports, after the first owner's own wait is over, and fails without the handover.

--- a/test/processes/shutdown_test.ts
+++ b/test/processes/shutdown_test.ts
@@ -3,11 +3,13 @@
 import { suite } from "uvu";
 import * as assert from "uvu/assert";
 import { type CallerAnswer, NO_ANSWER_STATUS } from "../../scripts/caller.ts";
+import { waitUntil } from "../../scripts/fleet.ts";
 import { describeAnswer, isExactAnswer, Site } from "../../scripts/site.ts";
 
 const TOKENS = 60;
-/** Far beyond the test's length, so that only a handover lets the next owner evict. */
-const LONG_RUN_MS = 600_000;
+/** Longer than a stop takes, so that only a handover lets the next owner evict at its end. */
+const MAX_RUN_MS = 6_000;
+const ENGINE = "engine-hobart-a-1";
 /** Time for which a caller that was turned away waits. */
 const BACKOFF_MS = 50;
 const test = suite("shutdown");
@@ -17,15 +19,26 @@
   site = new Site({
     domains: [{ name: "hobart-a", daemons: 3, engines: 1, services: 1 }],
     tokens: TOKENS,
-    maxRunMs: LONG_RUN_MS,
+    maxRunMs: MAX_RUN_MS,
   });
   await site.start();
 });
 
 test.after.each(async () => await site.stop());
 
+/** Returns how long an owner has to wait for leases of earlier owners. */
+async function getEvictionWaitMs(id: string): Promise<number | undefined> {
+  const { upstreams } = await site.fleet.getStatus(id);
+  return upstreams.find(({ upstreamId }) => upstreamId === ENGINE)
+    ?.evictionAllowedInMs;
+}
+
 test("SIGTERM under load cuts off nothing and hands over what is owned", async () => {
-  const owner = await site.getOwner("engine-hobart-a-1");
+  const owner = await site.getOwner(ENGINE);
+  await waitUntil(
+    "the first owner may evict itself",
+    async () => await getEvictionWaitMs(owner) === 0,
+  );
   const [first = ""] = site.daemonIds.filter((id) => id !== owner);
   const streams = [
     ...await site.startStreams(owner, ["adapter-0"]),
@@ -47,6 +60,9 @@
   assert.is(site.countOrders(1), isRun ? 1 : 0);
   assert.is(await site.fleet.waitForExit(owner), 0);
   assert.is(site.countEvictionsInUse(), 0);
+  const rest = site.daemonIds.filter((id) => id !== owner);
+  const next = await site.findOwner(ENGINE, rest) ?? "";
+  assert.is(await getEvictionWaitMs(next), 0, "it may evict at once");
   const answer = await site.call(first, "adapter-3");
   assert.ok(
     isExactAnswer(answer, "adapter-3@v1", TOKENS),
