--- a/bench/main.ts
+++ b/bench/main.ts
@@ -1,11 +1,13 @@
 /** Entry point of `npm run bench -- <command>`: lists the commands and runs the chosen one. */
 import sade from "sade";
 import { policyCommand } from "./policy/policy_command.ts";
+import { relayCommand } from "./relay/relay_command.ts";
 import { ticketsCommand } from "./tickets_command.ts";
 import type { Subcommand, SubcommandArguments } from "./subcommand.ts";
 
 const SUBCOMMANDS: readonly Subcommand[] = [
   policyCommand,
+  relayCommand,
   ticketsCommand,
 ];
 
--- a/scripts/fleet.ts
+++ b/scripts/fleet.ts
@@ -37,6 +37,8 @@
   /** Merged into the settings of every daemon. */
   settings?: Record<string, unknown>;
   core?: Record<string, number>;
+  /** Program of the daemons, for comparisons of versions. */
+  daemonMain?: string;
 }
 
 /** Answer of a daemon's `GET /status`. */
@@ -62,12 +64,7 @@
     id: string,
     flags: readonly string[] = [],
   ): Promise<FleetFake> {
-    const started = this.#spawn(id, [`fakes/${program}_main.ts`, ...flags]);
-    const first = await this.#waitForLine(started, () => true);
-    const { address } = JSON.parse(first) as { address: string };
-    const fake = { ...started, address };
-    this.fakes.set(id, fake);
-    return fake;
+    return await this.startProgram(id, [`fakes/${program}_main.ts`, ...flags]);
   }
 
   /** Adds a stand-in that runs in this process. */
@@ -114,7 +111,11 @@
         ...settings,
       }),
     );
-    const started = this.#spawn(id, ["src/daemon/main.ts", "-s", file]);
+    const started = this.#spawn(id, [
+      this.#options.daemonMain ?? "src/daemon/main.ts",
+      "-s",
+      file,
+    ]);
     await this.#waitForLine(started, (line) => line.includes("Daemon started"));
     daemon.child = started.child;
     daemon.lines = started.lines;
@@ -228,6 +229,19 @@
     rmSync(this.#folder, { recursive: true, force: true });
   }
 
+  /** Starts a program that prints its address as JSON in its first line. */
+  async startProgram(
+    id: string,
+    args: readonly string[],
+  ): Promise<FleetFake> {
+    const started = this.#spawn(id, args);
+    const first = await this.#waitForLine(started, () => true);
+    const { address } = JSON.parse(first) as { address: string };
+    const fake = { ...started, address };
+    this.fakes.set(id, fake);
+    return fake;
+  }
+
   #spawn(id: string, args: readonly string[]): FleetProcess {
     const child = spawn(process.execPath, ["--import", "tsx", ...args], {
       cwd: ROOT,
