--- a/test/contracts/peer_contract_test.ts
+++ b/test/contracts/peer_contract_test.ts
@@ -12,7 +12,6 @@
 } from "@grpc/grpc-js";
 import { suite } from "uvu";
 import * as assert from "uvu/assert";
-import { encodeEnvelope } from "../../src/protocol/peer_codec.ts";
 import { ContractBench, subtractCounters } from "./contract_bench.ts";
 import {
   createLeaseRequest,
--- a/test/contracts/platform_contract_test.ts
+++ b/test/contracts/platform_contract_test.ts
@@ -8,7 +8,7 @@
 
 const platform = suite<{ bench: ContractBench }>("platform");
 
-platform.before.each(async (context) => {
+platform.before.each((context) => {
   context.bench = new ContractBench({ engines: 2 });
 });
 
