Send a request on to the upstream that has its adapter, and refuse at once

Change: an owner that has not the adapter, and sees in its peers' digests who has it or is about to load it, answers with a redirection, on arrival and again before it spends a permit; further copies, asked for as such, and retries are not redirected. A refusal for the deadline is final: the store is the same for all.

--- a/bench/policy/policies.ts
+++ b/bench/policy/policies.ts
@@ -52,6 +52,7 @@
         a.cost - b.cost ||
         (a.candidate.host.id < b.candidate.host.id ? -1 : 1)
       ),
+    redirects: false,
     computeWorth: (slot) => slot.lastUsedAt,
   };
 }
--- a/bench/policy/simulation.ts
+++ b/bench/policy/simulation.ts
@@ -273,7 +273,7 @@
         }
         break;
       case "refuse":
-        this.#records.get(effect.requestId)!.refusal = effect.reason;
+        this.#recordRefusal(effect);
         break;
       case "complete":
         this.#records.get(effect.requestId)!.completedAt = now;
@@ -297,6 +297,12 @@
     }
   }
 
+  #recordRefusal(effect: Extract<Effect, { kind: "refuse" }>): void {
+    const record = this.#records.get(effect.requestId)!;
+    record.refusal = effect.reason;
+    record.hasStalled ||= effect.hasStalled;
+  }
+
   #send(
     from: string,
     effect: Extract<Effect, { kind: "send" }>,
--- a/src/core/core_policy.ts
+++ b/src/core/core_policy.ts
@@ -18,6 +18,8 @@
     candidates: readonly UpstreamCandidate[],
     options: RankOptions,
   ): RankedUpstream[];
+  /** Whether owners send requests on to an upstream that has their adapter. */
+  redirects: boolean;
   /** Returns the worth of keeping a resident adapter; the least is evicted first. */
   computeWorth(
     slot: Slot,
@@ -29,6 +31,7 @@
 /** The policy that daemons run. */
 export const DEFAULT_CORE_POLICY: CorePolicy = {
   rankUpstreams,
+  redirects: true,
   computeWorth: (slot, popularity, now) =>
     popularity.getScore(slot.adapterKey, now),
 };
--- a/src/core/daemon_core.ts
+++ b/src/core/daemon_core.ts
@@ -352,6 +352,7 @@
       requestId: event.requestId,
       reason,
       outcome: getUnclaimedOutcome(event.ticket),
+      hasStalled: false,
       retryAfterMs: this.#options.settings.startGraceMs,
     });
   }
--- a/src/core/effects.ts
+++ b/src/core/effects.ts
@@ -30,6 +30,8 @@
   requestId: string;
   reason: RefusalReason;
   outcome: Outcome;
+  /** Whether the request had waited, or would have had to wait, for a load. */
+  hasStalled: boolean;
   /** When to come back; undefined where coming back does not help. */
   retryAfterMs?: Milliseconds;
   /** A fresh ticket, with `ticketRequired`. */
--- a/src/core/execution/execution_context.ts
+++ b/src/core/execution/execution_context.ts
@@ -30,6 +30,7 @@
 
 /** What a refusal tells the caller besides its reason. */
 export interface Refusal {
+  hasStalled?: boolean;
   outcome: Outcome;
   retryAfterMs?: Milliseconds;
   ticket?: string;
@@ -57,6 +58,7 @@
       requestId,
       reason,
       outcome: refusal.outcome ?? Outcome.NotRun,
+      hasStalled: refusal.hasStalled ?? false,
       ...(refusal.retryAfterMs === undefined
         ? {}
         : { retryAfterMs: Math.max(1, Math.ceil(refusal.retryAfterMs)) }),
--- a/src/core/execution/lease_book.ts
+++ b/src/core/execution/lease_book.ts
@@ -235,6 +235,7 @@
           ...requests.map((request) => request.route.maxRunMs),
         ),
         exclusive,
+        isCopy: requests.some((request) => request.wantsCopy),
         sentAtMs: now,
       },
     });
--- a/src/core/execution/live_request.ts
+++ b/src/core/execution/live_request.ts
@@ -47,9 +47,15 @@
   readonly excludedUpstreams = new UpstreamExclusions();
   attempts = 0;
   loadFailures = 0;
+  /** Whether an owner has sent the request on to another upstream. */
+  hasBeenRedirected = false;
+  /** Whether the adapter is resident elsewhere and a further copy is wanted. */
+  wantsCopy = false;
   /** Since when no upstream has been ready; undefined while one is. */
   searchStartedAt: Milliseconds | undefined;
   hasStalled = false;
+  /** Whether the upstream to which the request is assigned has yet to load the adapter. */
+  awaitsLoad = false;
   /** Whether an attempt ended of which it is not certain that it did not run. */
   mayHaveRun = false;
   claim: TicketClaim | undefined;
@@ -93,6 +99,12 @@
     this.upstreamId = undefined;
   }
 
+  /** Returns whether the request has waited for a load or waits for one. */
+  isStalled(): boolean {
+    const isWaiting = this.#state === "leasing" || this.#state === "unassigned";
+    return this.hasStalled || (this.awaitsLoad && isWaiting);
+  }
+
   /** Moves the request along its chart. */
   apply(trigger: RequestTrigger): void {
     this.#state = requestChart.getNextOrThrow(this.#state, trigger);
--- a/src/core/execution/request_assigner.ts
+++ b/src/core/execution/request_assigner.ts
@@ -8,6 +8,7 @@
 } from "../outcomes.ts";
 import {
   type RankedUpstream,
+  Residency,
   type UpstreamCandidate,
 } from "../routing/upstream_selector.ts";
 import {
@@ -27,6 +28,9 @@
 /** Time for which a request waits while no upstream of its pool is ready. */
 const UPSTREAM_WAIT_MS = 3_000;
 
+/** Wait before a redirection that counts as waiting for a load. */
+const REDIRECT_STALL_MS = 50;
+
 export class RequestAssigner {
   readonly #context: ExecutionContext;
   readonly #leases: LeaseBook;
@@ -55,6 +59,11 @@
       return;
     }
     request.searchStartedAt = undefined;
+    request.awaitsLoad = best.residency !== Residency.Resident;
+    request.wantsCopy = request.hasBeenRedirected ||
+      request.excludedUpstreams.hasAny() ||
+      (best.residency === Residency.Absent &&
+        ranked.some(({ residency }) => residency !== Residency.Absent));
     this.#leases.addWaiting(request, best.candidate.host.id, now);
   }
 
@@ -144,17 +153,22 @@
           }, now);
         }
         return;
+      case LeaseRefusalReason.Redirected:
+        request.hasBeenRedirected = true;
+        request.hasStalled ||= now - request.arrivedAt > REDIRECT_STALL_MS;
+        request.wantsCopy = true;
+        this.#leases.addWaiting(request, refusal.redirectUpstreamId, now);
+        return;
       case LeaseRefusalReason.DeadlineUnreachable:
+        // The weight store is the same for every upstream.
+        this.#concluder.refuse(request, RefusalReason.DeadlineUnreachable, {
+          outcome: Outcome.NotRun,
+          retryAfterMs: refusal.retryAfterMs,
+        }, now);
+        return;
       case LeaseRefusalReason.QueueFull:
         request.excludedUpstreams.add(refusal.upstreamId);
-        this.#assignOrRefuse(
-          request,
-          refusal.reason === LeaseRefusalReason.QueueFull
-            ? RefusalReason.Overloaded
-            : RefusalReason.DeadlineUnreachable,
-          refusal,
-          now,
-        );
+        this.#assignOrRefuse(request, RefusalReason.Overloaded, refusal, now);
         return;
     }
   }
--- a/src/core/execution/request_concluder.ts
+++ b/src/core/execution/request_concluder.ts
@@ -41,10 +41,15 @@
     const outcome = request.mayHaveRun && refusal.outcome === Outcome.NotRun
       ? Outcome.MayHaveRun
       : refusal.outcome;
+    const hasStalled = request.isStalled();
     this.#leases.detach(request);
     this.#tickets.settleRefused(request, outcome, now);
     request.apply("finished");
     this.#context.requests.delete(request.id);
-    this.#context.emitRefusal(request.id, reason, { ...refusal, outcome });
+    this.#context.emitRefusal(request.id, reason, {
+      ...refusal,
+      outcome,
+      hasStalled,
+    });
   }
 }
--- a/src/core/execution/upstream_exclusions.ts
+++ b/src/core/execution/upstream_exclusions.ts
@@ -20,6 +20,11 @@
     return until !== undefined && now < until;
   }
 
+  /** Returns whether any upstream was excluded, for a time or for good. */
+  hasAny(): boolean {
+    return this.#until.size > 0;
+  }
+
   /** Returns whether an upstream is excluded for the rest of the request. */
   hasPermanent(): boolean {
     for (const until of this.#until.values()) {
--- a/src/core/membership/membership.ts
+++ b/src/core/membership/membership.ts
@@ -213,6 +213,25 @@
     return view;
   }
 
+  /**
+   * Returns an upstream of the same service, other than the given one, that
+   * has the adapter, or that is about to load it and comes before it in order.
+   */
+  findHolder(
+    adapterKey: string,
+    upstream: HostStructure,
+    now: Milliseconds,
+  ): string | undefined {
+    for (const [id, { digest, heardAt }] of this.#views) {
+      if (id === upstream.id || !digest.up || digest.leaving) continue;
+      if (now - heardAt >= this.#options.peerTimeoutMs) continue;
+      if (this.#upstreamHosts.get(id)?.service !== upstream.service) continue;
+      if (digest.residents.includes(adapterKey)) return id;
+      if (id < upstream.id && digest.loading.includes(adapterKey)) return id;
+    }
+    return undefined;
+  }
+
   /** Records what this daemon, as the owner, knows of the upstream. */
   recordOwnView(digest: UpstreamDigest, now: Milliseconds): void {
     this.#setView({ ownerId: this.#options.selfId, heardAt: now, digest });
--- a/src/core/messages.ts
+++ b/src/core/messages.ts
@@ -64,6 +64,8 @@
   maxRunMs: number;
   /** Whether the run must have the upstream to itself. */
   exclusive: boolean;
+  /** Whether the adapter is known to be elsewhere and a further copy is wanted. */
+  isCopy: boolean;
   /** Time of this sending on the holder's clock, for the grant to return. */
   sentAtMs: number;
 }
@@ -93,6 +95,8 @@
   adapterKey: string;
   reason: LeaseRefusalReason;
   retryAfterMs: number;
+  /** Upstream that has the adapter, with `redirected`; else empty. */
+  redirectUpstreamId: string;
   /** Daemon that the refuser takes for the owner; empty when unknown. */
   ownerId: string;
 }
--- a/src/core/outcomes.ts
+++ b/src/core/outcomes.ts
@@ -70,6 +70,8 @@
   UpstreamDown: "upstreamDown",
   DeadlineUnreachable: "deadlineUnreachable",
   LoadFailed: "loadFailed",
+  /** Another upstream has the adapter or is about to load it. */
+  Redirected: "redirected",
   QueueFull: "queueFull",
   Stopping: "stopping",
 } as const;
--- a/src/core/residency/owner_context.ts
+++ b/src/core/residency/owner_context.ts
@@ -22,6 +22,8 @@
   /** Longest run of any route to the pool. */
   maxRunMs: Milliseconds;
   emit: (effect: Effect) => void;
+  /** Returns another upstream of the pool that has the adapter or, ranked before this one, is about to load it. */
+  findElsewhere: (adapterKey: string, now: Milliseconds) => string | undefined;
   /** Returns an identifier that no other daemon or incarnation gives. */
   createId: (prefix: string) => string;
 }
--- a/src/core/residency/upstream_owner.ts
+++ b/src/core/residency/upstream_owner.ts
@@ -108,6 +108,11 @@
       this.#refuse(holder, request, refusal, now);
       return;
     }
+    const elsewhere = this.#findElsewhere(request, now);
+    if (elsewhere !== undefined) {
+      this.#forwardRequest(holder, request, elsewhere, now);
+      return;
+    }
     if (!this.#queue.has(request.leaseRequestId)) {
       this.#context.options.popularity.recordRequests(
         request.adapterKey,
@@ -134,7 +139,9 @@
 
   /** Starts the most urgent load under the permit; returns false when none can start. */
   tryStartLoad(permit: StorePermit, now: Milliseconds): boolean {
-    return this.#canGrant(now) && this.#loader.tryStartLoad(permit, now);
+    if (!this.#canGrant(now)) return false;
+    this.#forwardWaiting(now);
+    return this.#loader.tryStartLoad(permit, now);
   }
 
   cancelLeaseRequest(leaseRequestId: string, now: Milliseconds): void {
@@ -334,6 +341,36 @@
     } else if (slot?.state !== "evicting") waiting.hasWaitedForLoad = true;
   }
 
+  /** Returns the upstream to which a request for an absent adapter is sent on. */
+  #findElsewhere(
+    request: LeaseRequestMessage,
+    now: Milliseconds,
+  ): string | undefined {
+    const { policy, findElsewhere } = this.#context.options;
+    const isLocal = !policy.redirects || this.#context.isService() ||
+      request.isCopy || this.#loader.slots.getSlot(request.adapterKey);
+    return isLocal ? undefined : findElsewhere(request.adapterKey, now);
+  }
+
+  #forwardWaiting(now: Milliseconds): void {
+    for (const { holder, request } of [...this.#queue.list()]) {
+      const elsewhere = this.#findElsewhere(request, now);
+      if (elsewhere === undefined) continue;
+      this.#queue.remove(request.leaseRequestId);
+      this.#forwardRequest(holder, request, elsewhere, now);
+    }
+  }
+
+  #forwardRequest(
+    holder: string,
+    request: LeaseRequestMessage,
+    upstreamId: string,
+    now: Milliseconds,
+  ): void {
+    const reason = LeaseRefusalReason.Redirected;
+    this.#refuse(holder, request, reason, now, upstreamId);
+  }
+
   #canGrant(now: Milliseconds): boolean {
     return this.isOwning() && this.isUp() && !this.#reader.isLeaving() &&
       this.#reader.isCurrent(now);
@@ -373,6 +410,7 @@
     request: LeaseRequestMessage,
     reason: LeaseRefusalReason,
     now: Milliseconds,
+    redirectUpstreamId = "",
   ): void {
     const { emit, selfId } = this.#context.options;
     const waitMs = this.#loader.estimateLoadWaitMs(request.adapterKey, now);
@@ -387,6 +425,7 @@
         adapterKey: request.adapterKey,
         reason,
         retryAfterMs: waitMs + RETRY_MARGIN_MS,
+        redirectUpstreamId,
         ownerId: this.isOwning() ? selfId : "",
       },
     });
--- a/src/core/residency/upstream_ownership.ts
+++ b/src/core/residency/upstream_ownership.ts
@@ -190,7 +190,7 @@
     pool: PoolStructure,
     now: Milliseconds,
   ): void {
-    const { selfId, settings, policy, store, emit } = this.#options;
+    const { selfId, settings, policy, membership, store, emit } = this.#options;
     const owner = new UpstreamOwner({
       selfId,
       host,
@@ -201,6 +201,8 @@
       store,
       maxRunMs: this.#getMaxRunMs(pool),
       emit,
+      findElsewhere: (adapterKey, at) =>
+        membership.findHolder(adapterKey, host, at),
       createId: (prefix) => this.#createId(prefix),
     }, now);
     this.#owners.set(host.id, owner);
@@ -282,6 +284,7 @@
         adapterKey: request.adapterKey,
         reason: LeaseRefusalReason.NotOwner,
         retryAfterMs: settings.heartbeatIntervalMs,
+        redirectUpstreamId: "",
         ownerId: membership.getOwnerId(request.upstreamId, now) ?? "",
       },
     });
