Pack or spread runs as the pool weighs batches against stalls

Cause: fill was a cost for every pool, so loads and copies went to the emptiest replicas also where full batches count for more.

--- a/src/core/routing/upstream_selector.ts
+++ b/src/core/routing/upstream_selector.ts
@@ -51,8 +51,8 @@
 const FILL_TARGET = 0.75;
 /** Cost of each batch beyond the target. */
 const OVERFILL_COST = 2;
-/** Cost of a batch that is filled up to the target. */
-const FILL_COST = 0.1;
+/** Cost of a batch that is filled up to the target, where load stalls alone count; its negative where batches alone do. */
+const FILL_COST = 0.4;
 
 /** Returns the candidates by ascending cost of running the adapter there. */
 export function rankUpstreams(
@@ -82,13 +82,17 @@
   return {
     candidate,
     residency,
-    cost: computeFillCost(fill) + distance + tie +
+    cost: computeFillCost(fill, pool) + distance + tie +
       computeResidencyCost(residency, digest),
   };
 }
 
-function computeFillCost(fill: number): number {
-  return Math.min(fill, FILL_TARGET) * FILL_COST +
+/** Spreads runs, or packs them up to the target, as the pool weighs stalls against batches. */
+function computeFillCost(fill: number, pool: PoolStructure): number {
+  const { loadStallWeight, batchEfficiencyWeight } = pool;
+  const weights = Math.max(1e-9, loadStallWeight + batchEfficiencyWeight);
+  const balance = (loadStallWeight - batchEfficiencyWeight) / weights;
+  return Math.min(fill, FILL_TARGET) * FILL_COST * balance +
     Math.max(0, fill - FILL_TARGET) * OVERFILL_COST;
 }
 
