--- a/src/core/execution/lease_book.ts
+++ b/src/core/execution/lease_book.ts
@@ -232,6 +232,7 @@
         ),
         maxRunMs: first.route.maxRunMs,
         exclusive,
+        isCopy: requests.some((request) => request.wantsCopy),
         sentAtMs: now,
       },
     });
--- a/test/contracts/peer_messages.ts
+++ b/test/contracts/peer_messages.ts
@@ -43,6 +43,7 @@
       remainingMs: 1_000,
       maxRunMs: 1_000,
       exclusive: false,
+      isCopy: false,
       sentAtMs: 0,
     }],
   });
