--- a/src/cli/check_commands.ts
+++ b/src/cli/check_commands.ts
@@ -3,6 +3,7 @@
 import { daemonSettingsSchema } from "../settings/daemon_settings.ts";
 import { parseTables, type TableFileFault } from "../settings/table_files.ts";
 import { parseYamlAs } from "../settings/yaml_file.ts";
+import { ExitCode } from "./exit_codes.ts";
 
 /** Revision under which files are checked that have none yet. */
 const CHECKED_REVISION = 1;
@@ -11,11 +12,11 @@
 export function checkTableFiles(
   fileNames: readonly string[],
   isJson: boolean,
-): number {
+): ExitCode {
   const files = [];
   for (const name of fileNames) {
     const text = readTextOrReport(name);
-    if (text === undefined) return 1;
+    if (text === undefined) return ExitCode.FaultsFound;
     files.push({ name, text });
   }
   const tables = parseTables(files, CHECKED_REVISION);
@@ -32,13 +33,13 @@
       `Valid: ${counts.customers} customers, ${counts.routes} routes, ${counts.pools} pools`,
     );
   }
-  return 0;
+  return ExitCode.Done;
 }
 
 /** Checks a daemon's settings file; returns the exit code. */
-export function checkSettingsFile(name: string, isJson: boolean): number {
+export function checkSettingsFile(name: string, isJson: boolean): ExitCode {
   const text = readTextOrReport(name);
-  if (text === undefined) return 1;
+  if (text === undefined) return ExitCode.FaultsFound;
   const settings = parseYamlAs(text, daemonSettingsSchema);
   if (settings.isErr()) {
     const faults = settings.error.map((fault) => ({ file: name, ...fault }));
@@ -47,20 +48,26 @@
   if (isJson) {
     console.log(JSON.stringify({ valid: true, settings: settings.value }));
   } else console.log(`Valid: settings of ${settings.value.id}`);
-  return 0;
+  return ExitCode.Done;
 }
 
 function reportFaults(
   faults: readonly TableFileFault[],
   isJson: boolean,
-): number {
+): ExitCode {
   if (isJson) console.log(JSON.stringify({ valid: false, faults }));
+  else printFaults(faults);
+  return ExitCode.FaultsFound;
+}
+
+function printFaults(faults: readonly TableFileFault[]): void {
   for (const fault of faults) {
+    const place = [`${fault.file}:${fault.line}`, fault.path]
+      .filter((part) => part !== "").join(": ");
     console.error(
-      `${fault.file}:${fault.line}: ${fault.path}: expected ${fault.expected}, found ${fault.found}`,
+      `${place}: expected ${fault.expected}, found ${fault.found}`,
     );
   }
-  return 1;
 }
 
 function readTextOrReport(name: string): string | undefined {
--- a/src/cli/daemon_commands.ts
+++ b/src/cli/daemon_commands.ts
@@ -2,6 +2,7 @@
 import type { DaemonDescription } from "../core/daemon_core.ts";
 import type { RouteStructure } from "../core/structures.ts";
 import type { MetricsSnapshot } from "../daemon/metrics.ts";
+import { ExitCode } from "./exit_codes.ts";
 import { fetchFromDaemon } from "./operator_client.ts";
 
 export type StatusAnswer = DaemonDescription & { metrics: MetricsSnapshot };
@@ -15,20 +16,20 @@
 export async function printStatus(
   address: string,
   isJson: boolean,
-): Promise<number> {
+): Promise<ExitCode> {
   const status = await fetchFromDaemon<StatusAnswer>(address, "/status");
   if (status.isErr()) return reportError(status.error);
   console.log(
     isJson ? JSON.stringify(status.value) : formatStatus(status.value),
   );
-  return 0;
+  return ExitCode.Done;
 }
 
 /** Prints the routes in force; returns the exit code. */
 export async function printRoutes(
   address: string,
   isJson: boolean,
-): Promise<number> {
+): Promise<ExitCode> {
   const answer = await fetchFromDaemon<
     { revision: number; routes: RouteStructure[] }
   >(address, "/routes");
@@ -48,7 +49,7 @@
       );
     }
   }
-  return 0;
+  return ExitCode.Done;
 }
 
 /** Prints how the upstreams rank for a route; returns the exit code. */
@@ -56,7 +57,7 @@
   address: string,
   route: string,
   isJson: boolean,
-): Promise<number> {
+): Promise<ExitCode> {
   const answer = await fetchFromDaemon<ExplainAnswer>(
     address,
     `/explain/${encodeURIComponent(route)}`,
@@ -64,7 +65,7 @@
   if (answer.isErr()) return reportError(answer.error);
   if (isJson) {
     console.log(JSON.stringify(answer.value));
-    return 0;
+    return ExitCode.Done;
   }
   if (answer.value.upstreams.length === 0) {
     return reportError(`No upstream stands ready for route ${route}`);
@@ -76,7 +77,7 @@
       }  owner ${upstream.owner}`,
     );
   }
-  return 0;
+  return ExitCode.Done;
 }
 
 /** Formats a status for reading. */
@@ -102,10 +103,16 @@
       lines.push(`    ${slot.adapterKey} ${slot.state}`);
     }
   }
+  lines.push("refused and retried since the start:");
+  for (const [name, count] of Object.entries(status.metrics.counters)) {
+    if (/^(refused|retried|lease_refused)\./.test(name)) {
+      lines.push(`  ${name} ${count}`);
+    }
+  }
   return lines.join("\n");
 }
 
-function reportError(message: string): number {
+function reportError(message: string): ExitCode {
   console.error(message);
-  return 1;
+  return ExitCode.DaemonFailed;
 }
--- /dev/null
+++ b/src/cli/exit_codes.ts
@@ -0,0 +1,12 @@
+/** Exit codes of the command-line tool, as docs/OPERATORS.md lists them. */
+
+export const ExitCode = {
+  Done: 0,
+  /** Unknown command or option, or a missing argument. */
+  WrongUse: 1,
+  /** A checked file has faults or cannot be read. */
+  FaultsFound: 2,
+  /** The daemon did not answer, or not as asked. */
+  DaemonFailed: 3,
+} as const;
+export type ExitCode = (typeof ExitCode)[keyof typeof ExitCode];
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -8,11 +8,9 @@
   printRoutes,
   printStatus,
 } from "./daemon_commands.ts";
+import { ExitCode } from "./exit_codes.ts";
 import { watchDaemon } from "./watch_command.ts";
 
-/** Exit codes: 0 done, 1 the check found faults or the daemon did not answer, 2 wrong use. */
-const EXIT_USAGE = 2;
-
 interface DaemonOptions {
   daemon: string;
   json: boolean;
@@ -22,13 +20,17 @@
 
 program
   .version("0.1.0")
-  .option("--json", "Print JSON", false)
-  .option("--daemon", "Operators' address of a daemon", "127.0.0.1:7903");
+  .option("--json", "Print JSON, one value a line", false)
+  .option(
+    "--daemon",
+    "Operators' address of the daemon to ask",
+    "127.0.0.1:7903",
+  );
 
 program
   .command("check <tables>")
   .describe("Check table files as one revision. More files may follow.")
-  .example("check examples/routes.yaml examples/pools.yaml")
+  .example("check examples/tables/routes.yaml examples/tables/pools.yaml")
   .action((first: string, options: { _: string[]; json: boolean }) => {
     process.exitCode = checkTableFiles([first, ...options._], options.json);
   });
@@ -36,6 +38,7 @@
 program
   .command("check-settings <file>")
   .describe("Check a daemon's settings file.")
+  .example("check-settings examples/settings/pistachiohatchd.yaml")
   .action((file: string, options: { json: boolean }) => {
     process.exitCode = checkSettingsFile(file, options.json);
   });
@@ -45,6 +48,8 @@
   .describe(
     "Show one daemon: revisions, peers, owned upstreams, leases, queues.",
   )
+  .example("status")
+  .example("status --daemon 10.0.0.5:7903 --json")
   .action(async (options: DaemonOptions) => {
     process.exitCode = await printStatus(options.daemon, options.json);
   });
@@ -52,6 +57,7 @@
 program
   .command("routes")
   .describe("List the routes in force at one daemon.")
+  .example("routes --json")
   .action(async (options: DaemonOptions) => {
     process.exitCode = await printRoutes(options.daemon, options.json);
   });
@@ -61,6 +67,7 @@
   .describe(
     "Show which upstreams a request on the route would go to now, best first.",
   )
+  .example("explain briefing")
   .action(async (route: string, options: DaemonOptions) => {
     process.exitCode = await printExplanation(
       options.daemon,
@@ -74,6 +81,7 @@
   .describe("Print a line of status each interval until interrupted.")
   .option("--interval-ms", "Time between lines", 1_000)
   .option("--count", "Lines to print; 0 for no end", 0)
+  .example("watch --interval-ms 500 --count 10")
   .action(
     async (
       options: DaemonOptions & { "interval-ms": number; count: number },
@@ -86,6 +94,15 @@
     },
   );
 
-const parsed = program.parse(process.argv, { lazy: true });
-if (!parsed) process.exit(process.argv.length > 2 ? 0 : EXIT_USAGE);
-await parsed.handler.apply(null, parsed.args);
+// Without a command the library would take the absence for an error of its own.
+const hasArguments = process.argv.length > 2;
+if (!hasArguments) {
+  program.help();
+  process.exit(ExitCode.WrongUse);
+}
+// The library itself answers `--help`, `--version` and wrong use, and exits with 0 or 1.
+const parsed = program.parse(process.argv, {
+  lazy: true,
+  unknown: (option) => `Unknown option: ${option}`,
+});
+if (parsed) await parsed.handler.apply(null, parsed.args);
--- a/src/cli/operator_client.ts
+++ b/src/cli/operator_client.ts
@@ -1,6 +1,7 @@
 /** Reads the operators' port of one daemon. */
 import { Err, Ok, type Result } from "ts-results-es";
 import { request } from "undici";
+import { describeError } from "../daemon/step_error.ts";
 
 const TIMEOUT_MS = 3_000;
 
@@ -14,14 +15,17 @@
       signal: AbortSignal.timeout(TIMEOUT_MS),
     });
     if (response.statusCode !== 200) {
-      await response.body.dump();
+      const text = await response.body.text();
       return Err(
-        `${address}${path}: expected status 200, found ${response.statusCode}`,
+        `${address}${path}: expected status 200, found ${response.statusCode} ${text}`,
       );
     }
     return Ok(await response.body.json() as T);
   } catch (error) {
-    const text = error instanceof Error ? error.message : String(error);
-    return Err(`${address}${path}: ${text}`);
+    return Err(
+      `${address}${path}: expected a daemon's answer, found ${
+        describeError(error)
+      }`,
+    );
   }
 }
--- a/src/cli/watch_command.ts
+++ b/src/cli/watch_command.ts
@@ -1,5 +1,6 @@
 /** The command that prints a line of a daemon's status each interval. */
 import type { StatusAnswer } from "./daemon_commands.ts";
+import { ExitCode } from "./exit_codes.ts";
 import { fetchFromDaemon } from "./operator_client.ts";
 
 export interface WatchOptions {
@@ -13,19 +14,28 @@
 export async function watchDaemon(
   address: string,
   options: WatchOptions,
-): Promise<number> {
-  for (let line = 0; options.count === 0 || line < options.count; line += 1) {
-    if (line > 0) await waitMs(options.intervalMs);
+): Promise<ExitCode> {
+  const { intervalMs, count } = options;
+  if (!isAmount(intervalMs) || !isAmount(count)) {
+    console.error("Expected numbers for --interval-ms and --count");
+    return ExitCode.WrongUse;
+  }
+  for (let line = 0; count === 0 || line < count; line += 1) {
+    if (line > 0) await waitMs(intervalMs);
     const status = await fetchFromDaemon<StatusAnswer>(address, "/status");
     if (status.isErr()) {
       console.error(status.error);
-      return 1;
+      return ExitCode.DaemonFailed;
     }
     console.log(
       options.isJson ? JSON.stringify(status.value) : formatLine(status.value),
     );
   }
-  return 0;
+  return ExitCode.Done;
+}
+
+function isAmount(value: unknown): boolean {
+  return typeof value === "number" && value >= 0;
 }
 
 function formatLine(status: StatusAnswer): string {
--- a/src/core/tables/table_schema.ts
+++ b/src/core/tables/table_schema.ts
@@ -11,6 +11,7 @@
   type RouteStructure,
   type TablesStructure,
 } from "../structures.ts";
+import { describeExpected } from "./schema_issue.ts";
 import type { TableSnapshot } from "./table_snapshot.ts";
 
 /** Largest value that the configuration service holds. */
@@ -128,7 +129,7 @@
     path: issue.path.map((part) =>
       typeof part === "symbol" ? String(part) : part
     ),
-    expected: issue.message,
+    expected: describeExpected(issue),
     found: describeValue(getValueAt(value, issue.path)),
   }));
 }
--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -9,7 +9,7 @@
 import { describeError } from "./step_error.ts";
 
 const EXIT_INVALID_SETTINGS = 2;
-const EXIT_START_FAILED = 1;
+const EXIT_START_FAILED = 3;
 
 sade("pistachiohatchd", true)
   .describe("Serves LoRA adapters to callers. Stops gracefully on SIGTERM.")
@@ -17,7 +17,10 @@
   .action(async (options: { settings: string }) => {
     await run(options.settings);
   })
-  .parse(process.argv);
+  .example("--settings examples/settings/pistachiohatchd.yaml")
+  .parse(process.argv, {
+    unknown: (option) => `Unknown option: ${option}`,
+  });
 
 async function run(settingsFile: string): Promise<void> {
   let text: string;
--- a/src/settings/yaml_file.ts
+++ b/src/settings/yaml_file.ts
@@ -2,6 +2,7 @@
 import { Err, Ok, type Result } from "ts-results-es";
 import { isNode, LineCounter, parseDocument } from "yaml";
 import type { z } from "zod";
+import { describeExpected } from "../core/tables/schema_issue.ts";
 
 /** A fault of a file: where it stands, what was expected and what was found. */
 export interface FileFault {
@@ -56,7 +57,7 @@
     return {
       line: file.getLine(path),
       path: path.join("."),
-      expected: issue.message,
+      expected: describeExpected(issue),
       found: describeAt(file.value, path),
     };
   }));
