--- /dev/null
+++ b/test/cli/commands_test.ts
@@ -0,0 +1,191 @@
+/** The command-line tool and the daemon's program, as operators start them. */
+import { spawn } from "node:child_process";
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import process from "node:process";
+import { suite } from "uvu";
+import * as assert from "uvu/assert";
+import { ContractBench } from "../contracts/contract_bench.ts";
+
+const TOOL = "src/cli/main.ts";
+const DAEMON = "src/daemon/main.ts";
+const SETTINGS = "examples/settings/pistachiohatchd.yaml";
+const TABLES = ["examples/tables/routes.yaml", "examples/tables/pools.yaml"];
+
+const bench = new ContractBench();
+const folder = mkdtempSync(join(tmpdir(), "pistachiohatch-cli-"));
+const brokenFile = join(folder, "broken.yaml");
+const commands = suite("programs");
+
+commands.before(async () => {
+  writeFileSync(brokenFile, "routes:\n  - name: briefing\n");
+  await bench.start();
+  await bench.call();
+});
+
+commands.after(async () => {
+  await bench.stop();
+  rmSync(folder, { recursive: true });
+});
+
+interface ProgramRun {
+  exitCode: number | null;
+  stdout: string;
+  stderr: string;
+}
+
+async function runProgram(
+  program: string,
+  args: readonly string[],
+): Promise<ProgramRun> {
+  const child = spawn(process.execPath, ["--import", "tsx", program, ...args]);
+  let stdout = "";
+  let stderr = "";
+  child.stdout.on("data", (chunk) => stdout += String(chunk));
+  child.stderr.on("data", (chunk) => stderr += String(chunk));
+  const exitCode = await new Promise<number | null>((resolve) =>
+    child.once("close", resolve)
+  );
+  return { exitCode, stdout, stderr };
+}
+
+interface ProgramRow {
+  program?: string;
+  args: string[];
+  exitCode: number;
+  stdout?: RegExp;
+  stderr?: RegExp;
+}
+
+const ROWS: ProgramRow[] = [
+  { args: [], exitCode: 1, stdout: /Available Commands/ },
+  { args: ["--help"], exitCode: 0, stdout: /Available Commands/ },
+  { args: ["--version"], exitCode: 0, stdout: /^pistachiohatch, \d/ },
+  { args: ["other"], exitCode: 1, stderr: /Invalid command: other/ },
+  { args: ["check"], exitCode: 1, stderr: /Insufficient arguments/ },
+  { args: ["explain"], exitCode: 1, stderr: /Insufficient arguments/ },
+  { args: ["status", "--other"], exitCode: 1, stderr: /Unknown option/ },
+  { args: ["watch", "--count", "x"], exitCode: 1, stderr: /Expected numbers/ },
+  ...["check", "check-settings", "status", "routes", "explain", "watch"].map(
+    (command) => ({
+      args: [command, "--help"],
+      exitCode: 0,
+      stdout: /Description[\s\S]*Usage[\s\S]*Examples/,
+    }),
+  ),
+  { args: ["check", ...TABLES], exitCode: 0, stdout: /^Valid: 1 customers/ },
+  {
+    args: ["check", ...TABLES, "--json"],
+    exitCode: 0,
+    stdout: /^\{"valid":true/,
+  },
+  {
+    args: ["check", brokenFile],
+    exitCode: 2,
+    stderr: /broken\.yaml:2: routes\.0\.customer: expected a string, found/,
+  },
+  {
+    args: ["check", brokenFile, "--json"],
+    exitCode: 2,
+    stdout: /^\{"valid":false,"faults":\[\{/,
+  },
+  { args: ["check", "/missing"], exitCode: 2, stderr: /ENOENT/ },
+  { args: ["check-settings", SETTINGS], exitCode: 0, stdout: /entry-1/ },
+  {
+    args: ["check-settings", brokenFile],
+    exitCode: 2,
+    stderr: /broken\.yaml:1: id: expected a string, found nothing/,
+  },
+  {
+    args: ["status", "--daemon", "127.0.0.1:1"],
+    exitCode: 3,
+    stderr: /ECONNREFUSED/,
+  },
+  {
+    program: DAEMON,
+    args: ["--help"],
+    exitCode: 0,
+    stdout: /--settings/,
+  },
+  {
+    program: DAEMON,
+    args: ["--other"],
+    exitCode: 1,
+    stderr: /Unknown option/,
+  },
+  {
+    program: DAEMON,
+    args: ["-s", brokenFile],
+    exitCode: 2,
+    stderr: /broken\.yaml:1: id: expected a string/,
+  },
+  {
+    program: DAEMON,
+    args: ["-s", "/missing"],
+    exitCode: 2,
+    stderr: /ENOENT/,
+  },
+];
+
+for (const row of ROWS) {
+  const { program = TOOL, args } = row;
+  const name = program === TOOL ? "pistachiohatch" : "pistachiohatchd";
+  commands(`${name} ${args.join(" ").replace(folder, "")}`, async () => {
+    checkRun(await runProgram(program, args), row);
+  });
+}
+
+const DAEMON_ROWS: ProgramRow[] = [
+  {
+    args: ["status"],
+    exitCode: 0,
+    stdout: /entry-1 \(hobart-a\) is serving[\s\S]*engine-1 owning, up/,
+  },
+  { args: ["status", "--json"], exitCode: 0, stdout: /^\{"id":"entry-1"/ },
+  {
+    args: ["routes"],
+    exitCode: 0,
+    stdout: /briefing {2}customer derwent {2}pool writers {2}briefing@v1/,
+  },
+  { args: ["routes", "--json"], exitCode: 0, stdout: /^\{"revision":3/ },
+  { args: ["explain", "briefing"], exitCode: 0, stdout: /^1\. engine-1/ },
+  {
+    args: ["explain", "briefing", "--json"],
+    exitCode: 0,
+    stdout: /^\{"route":"briefing","upstreams":\[\{/,
+  },
+  {
+    args: ["explain", "other"],
+    exitCode: 3,
+    stderr: /No route is named other/,
+  },
+  {
+    args: ["watch", "--count", "2", "--interval-ms", "1"],
+    exitCode: 0,
+    stdout: /^(entry-1 serving .*\n){2}$/,
+  },
+  {
+    args: ["watch", "--count", "1", "--json"],
+    exitCode: 0,
+    stdout: /^\{"id":"entry-1".*\}\n$/,
+  },
+];
+
+for (const row of DAEMON_ROWS) {
+  commands(`pistachiohatch ${row.args.join(" ")} of a daemon`, async () => {
+    const args = [...row.args, "--daemon", bench.operators];
+    checkRun(await runProgram(TOOL, args), row);
+  });
+}
+
+/** Output goes to one of the two streams only. */
+function checkRun(run: ProgramRun, row: ProgramRow): void {
+  assert.is(run.exitCode, row.exitCode, run.stdout + run.stderr);
+  if (row.stdout) assert.match(run.stdout, row.stdout);
+  else assert.is(run.stdout, "");
+  if (row.stderr) assert.match(run.stderr, row.stderr);
+  else assert.is(run.stderr, "");
+}
+
+commands.run();
