Count each retry reason where it arises

Cause: notOwner, loadFailed and leaseExpired stood in the set and were never counted; every refused lease was a leaseRefused, and leases dropped after a pause were not counted.

--- a/src/core/execution/lease_book.ts
+++ b/src/core/execution/lease_book.ts
@@ -93,6 +93,7 @@
       holding.dropAll();
       for (const requestId of holding.waiting.splice(0)) {
         this.#context.requests.get(requestId)?.unassign();
+        this.#context.countRetry(RetryReason.LeaseExpired);
       }
     }
   }
--- a/src/core/execution/request_assigner.ts
+++ b/src/core/execution/request_assigner.ts
@@ -118,7 +118,7 @@
     now: Milliseconds,
   ): void {
     request.unassign();
-    this.#context.countRetry(RetryReason.LeaseRefused);
+    this.#context.countRetry(getRetryReason(refusal.reason));
     switch (refusal.reason) {
       case LeaseRefusalReason.NotOwner:
       case LeaseRefusalReason.Claiming:
@@ -175,3 +175,20 @@
     }, now);
   }
 }
+
+/** Returns the reason under which a refused lease is counted as a retry. */
+function getRetryReason(reason: LeaseRefusalReason): RetryReason {
+  switch (reason) {
+    case LeaseRefusalReason.NotOwner:
+      return RetryReason.NotOwner;
+    case LeaseRefusalReason.LoadFailed:
+      return RetryReason.LoadFailed;
+    case LeaseRefusalReason.Claiming:
+    case LeaseRefusalReason.Leaving:
+    case LeaseRefusalReason.UpstreamDown:
+    case LeaseRefusalReason.DeadlineUnreachable:
+    case LeaseRefusalReason.QueueFull:
+    case LeaseRefusalReason.Stopping:
+      return RetryReason.LeaseRefused;
+  }
+}
--- a/test/contracts/engine_contract_test.ts
+++ b/test/contracts/engine_contract_test.ts
@@ -230,7 +230,11 @@
     },
     status: 503,
     reason: "loadFailed",
-    counters: ["load_failed.engine-1", "load_failed.engine-2"],
+    counters: [
+      "load_failed.engine-1",
+      "load_failed.engine-2",
+      "retried.loadFailed",
+    ],
   },
   {
     fault: "load failed on one engine",
