--- a/src/daemon/metrics.ts
+++ b/src/daemon/metrics.ts
@@ -19,6 +19,8 @@
   owner_deposed: "Ownerships lost to a higher fencing number, by upstream",
   foreign_order:
     "Changes of slots that the owner did not order, by upstream that ignores fencing",
+  members:
+    "Changes in what is thought of a peer's life: suspect, dead, refuted",
   pause_detected: "Pauses of the process that were detected",
   connection_dropped: "Callers' connections beyond the bound",
   connection_malformed:
--- a/test/daemon/pages_test.ts
+++ b/test/daemon/pages_test.ts
@@ -62,6 +62,15 @@
   assert.equal(undescribed, []);
 });
 
+test("the core counts every retry reason", () => {
+  const sources = listSources("src/core")
+    .filter((file) => !file.endsWith("outcomes.ts"))
+    .map((file) => readFileSync(file, "utf8")).join("\n");
+  const unused = Object.keys(RetryReason)
+    .filter((name) => !sources.includes(`RetryReason.${name}`));
+  assert.equal(unused, []);
+});
+
 test("the callers' page lists every refusal with its status, and every outcome", () => {
   const rows = readRows(CALLERS_PAGE, "Refusals");
   const outcomes = Object.values(Outcome) as string[];
