Write each chunk of a streamed answer in one buffer

Cause: half of a relayed event's processor time in the daemon was the write to the caller: the response hands the socket three pieces for each chunk (profile: writev 23%, write_ 6%, the response's queues 8%, of the time not idle). Excluded: inspecting the stream (0.4 to 2%), the core (0.9%). Change: a chunk is framed in one buffer and written to the socket once the head has left; HTTP/1.0, pipelined and headless answers go through the response.

--- a/bench/relay/stream_client.ts
+++ b/bench/relay/stream_client.ts
@@ -31,7 +31,9 @@
 
   /** Opens the streams; one that ends is opened anew until the client stops. */
   start(streams: number): void {
-    for (let index = 0; index < streams; index += 1) void this.#hold(index);
+    for (let index = 0; index < streams; index += 1) {
+      void this.#runStream(index);
+    }
   }
 
   async stop(): Promise<void> {
@@ -39,7 +41,7 @@
     await this.#agent.destroy();
   }
 
-  async #hold(index: number): Promise<void> {
+  async #runStream(index: number): Promise<void> {
     const { models } = this.#options;
     const model = models[index % models.length] ?? "";
     while (!this.#isStopped) {
--- a/src/daemon/caller_exchange.ts
+++ b/src/daemon/caller_exchange.ts
@@ -2,6 +2,7 @@
 import { Buffer } from "node:buffer";
 import type { Response } from "express";
 import type { StoredAnswerStructure } from "../core/messages.ts";
+import { needsDrain, writeChunk } from "./chunk_writer.ts";
 import type { AnswerHead, AnswerSink } from "./exchange.ts";
 import {
   formatRefusal,
@@ -35,8 +36,7 @@
   }
 
   write(chunk: Uint8Array): boolean {
-    const { response } = this.#options;
-    if (!this.#held) return response.destroyed || response.write(chunk);
+    if (!this.#held) return writeChunk(this.#options.response, chunk);
     this.#held.push(chunk);
     return true;
   }
@@ -44,16 +44,19 @@
   /** Waits until a slow caller has taken what was written, or is gone. */
   async waitUntilDrained(): Promise<void> {
     const { response, stallTimeoutMs } = this.#options;
-    if (response.destroyed || !response.writableNeedDrain) return;
+    const { socket } = response;
+    if (!needsDrain(response)) return;
     await new Promise<void>((resolve) => {
       const timer = setTimeout(() => response.destroy(), stallTimeoutMs);
       const proceed = (): void => {
         clearTimeout(timer);
         response.off("drain", proceed);
+        socket?.off("drain", proceed);
         response.off("close", proceed);
         resolve();
       };
       response.once("drain", proceed);
+      socket?.once("drain", proceed);
       response.once("close", proceed);
     });
   }
