--- a/src/core/control_plane.ts
+++ b/src/core/control_plane.ts
@@ -106,7 +106,9 @@
     const hasAsked = this.#isPlatformHeard || this.#protocol.hasHeardPeer();
     const isTooLate = now - this.#beganAt >=
       settings.startGraceMs * MAX_START_GRACES;
-    return hasAsked && (isTooLate || !this.#exchange.isBehind(now));
+    const isUpToDate = this.#protocol.hasJoined() &&
+      !this.#exchange.isBehind(now);
+    return hasAsked && (isTooLate || isUpToDate);
   }
 
   /** Takes the tables as the platform publishes them. */
@@ -142,6 +144,11 @@
     this.#protocol.removeUpstream(upstreamId);
   }
 
+  /** Tells peers at once of requests that have crashed an upstream. */
+  publishStrikes(now: Milliseconds): void {
+    this.#protocol.publishStrikes(now);
+  }
+
   /** Tells peers what this daemon has evicted. */
   publishEvictions(evictions: readonly EvictionDigest[]): void {
     this.#protocol.publishEvictions(evictions);
--- a/src/daemon/upstream_task.ts
+++ b/src/daemon/upstream_task.ts
@@ -305,9 +305,7 @@
   }
 
   async #order(effect: Extract<Effect, { kind: "order" }>): Promise<void> {
-    const result: OrderResult = this.#blocked.has(effect.upstreamId)
-      ? { kind: "unknown", detail: "cut off" }
-      : await sendOrder(this.#agent, effect);
+    const result = await this.#carryOutOrder(effect);
     if (result.kind !== "done") {
       this.#options.logger.warn("Order was not carried out", {
         step: effect.order.kind,
@@ -322,6 +320,18 @@
     });
   }
 
+  async #carryOutOrder(
+    effect: Extract<Effect, { kind: "order" }>,
+  ): Promise<OrderResult> {
+    if (performance.now() >= effect.sendUntil) {
+      return { kind: "failed", detail: "order came too late" };
+    }
+    if (this.#blocked.has(effect.upstreamId)) {
+      return { kind: "unknown", detail: "cut off" };
+    }
+    return await sendOrder(this.#agent, effect);
+  }
+
   async #readState(
     effect: Extract<Effect, { kind: "readUpstreamState" }>,
   ): Promise<void> {
