--- a/src/core/effects.ts
+++ b/src/core/effects.ts
@@ -16,6 +16,8 @@
   upstreamId: string;
   upstreamKind: PoolKind;
   address: string;
+  /** Incarnation of the upstream when the run was permitted. */
+  upstreamIncarnation: string;
   /** `adapter@version` for engines, route name for plain services. */
   model: string;
   route: RouteStructure;
@@ -30,6 +32,8 @@
   requestId: string;
   reason: RefusalReason;
   outcome: Outcome;
+  /** Whether the request had waited, or would have had to wait, for a load. */
+  hasStalled: boolean;
   /** When to come back; undefined where coming back does not help. */
   retryAfterMs?: Milliseconds;
   /** A fresh ticket, with `ticketRequired`. */
--- a/src/core/execution/attempt_examiner.ts
+++ b/src/core/execution/attempt_examiner.ts
@@ -72,10 +72,10 @@
     if (hasDied) {
       this.#context.options.quarantine.recordCrash(
         request.event.fingerprint,
-        this.#hasRunAlone(examined),
+        this.#isAloneAt(examined),
         now,
       );
-      this.#context.options.spreadStrikes(now);
+      this.#context.options.publishStrikes(now);
     }
     if (retry !== undefined && this.#context.requests.has(request.id)) {
       this.#retry(request, retry, now);
@@ -87,7 +87,7 @@
    * Returns whether nothing else can have run on the upstream: the lease was
    * for a run alone, and its granter has owned the upstream ever since.
    */
-  #hasRunAlone(examined: ExaminedAttempt): boolean {
+  #isAloneAt(examined: ExaminedAttempt): boolean {
     const { credit, upstreamId } = examined;
     const view = this.#context.options.membership.getUpstreamView(upstreamId);
     return credit.exclusive && view?.ownerId === credit.ownerId;
--- a/src/core/execution/lease_book.ts
+++ b/src/core/execution/lease_book.ts
@@ -93,6 +93,7 @@
       holding.dropAll();
       for (const requestId of holding.waiting.splice(0)) {
         this.#context.requests.get(requestId)?.unassign();
+        this.#context.countRetry(RetryReason.LeaseExpired);
       }
     }
   }
@@ -232,6 +233,7 @@
         ),
         maxRunMs: first.route.maxRunMs,
         exclusive,
+        isCopy: requests.some((request) => request.wantsCopy),
         sentAtMs: now,
       },
     });
--- a/src/core/membership/membership.ts
+++ b/src/core/membership/membership.ts
@@ -8,6 +8,7 @@
   type LinkedDomain,
   type MemberRecord,
   MemberStatus,
+  type PublishedDigest,
   type UpstreamDigest,
 } from "../messages.ts";
 import {
@@ -217,6 +218,26 @@
     return findRendezvousWinner(upstreamId, candidates)?.id;
   }
 
+  /** Takes what a link tells this daemon of other failure domains, all of it. */
+  setRemoteViews(
+    remote: ReadonlyMap<string, PublishedDigest>,
+    now: Milliseconds,
+  ): void {
+    const { selfId } = this.#options;
+    for (const { ownerId, digest } of this.views.listPublished(selfId)) {
+      const { upstreamId } = digest;
+      if (ownerId !== selfId && !remote.has(upstreamId)) {
+        this.views.remove(selfId, upstreamId);
+      }
+    }
+    for (const [upstreamId, published] of remote) {
+      const known = this.views.getPublished(selfId, upstreamId);
+      const isSame = known?.digest === published.digest &&
+        known.ownerId === published.ownerId;
+      if (!isSame) this.views.set(selfId, published, now);
+    }
+  }
+
   /** Sets the failure domains that reach this daemon over a link. */
   setLinkedDomains(domains: readonly LinkedDomain[]): void {
     this.#linkedDomains = domains;
@@ -251,6 +272,24 @@
     return this.#directory.listEntryDomains();
   }
 
+  /**
+   * Returns an upstream of the same service, other than the given one, that
+   * has the adapter, or that is about to load it and comes before it in order.
+   */
+  findHolder(adapterKey: string, upstream: HostStructure): string | undefined {
+    for (const id of this.getAdapterUpstreamIds(adapterKey)) {
+      const view = this.getUpstreamView(id);
+      if (id === upstream.id || !view?.digest.up || view.digest.leaving) {
+        continue;
+      }
+      if (this.getUpstreamHost(id)?.service !== upstream.service) continue;
+      const isHolder = view.digest.residents.includes(adapterKey) ||
+        id < upstream.id;
+      if (isHolder) return id;
+    }
+    return undefined;
+  }
+
   /** Returns the live daemons of this failure domain, this one included. */
   countLiveDomainDaemons(): number {
     return this.#getCandidates().length;
--- a/src/daemon/caller_exchange.ts
+++ b/src/daemon/caller_exchange.ts
@@ -2,6 +2,7 @@
 import { Buffer } from "node:buffer";
 import type { Response } from "express";
 import type { StoredAnswerStructure } from "../core/messages.ts";
+import { needsDrain, writeChunk } from "./chunk_writer.ts";
 import type { AnswerHead, AnswerSink } from "./exchange.ts";
 import {
   formatRefusal,
@@ -34,9 +35,30 @@
     if (!this.#held) writeHead(this.#options.response, head);
   }
 
-  async write(chunk: Uint8Array): Promise<void> {
-    if (this.#held) this.#held.push(chunk);
-    else await this.#writeChunk(chunk);
+  write(chunk: Uint8Array): boolean {
+    if (!this.#held) return writeChunk(this.#options.response, chunk);
+    this.#held.push(chunk);
+    return true;
+  }
+
+  /** Waits until a slow caller has taken what was written, or is gone. */
+  async waitUntilDrained(): Promise<void> {
+    const { response, stallTimeoutMs } = this.#options;
+    const { socket } = response;
+    if (!needsDrain(response)) return;
+    await new Promise<void>((resolve) => {
+      const timer = setTimeout(() => response.destroy(), stallTimeoutMs);
+      const proceed = (): void => {
+        clearTimeout(timer);
+        response.off("drain", proceed);
+        socket?.off("drain", proceed);
+        response.off("close", proceed);
+        resolve();
+      };
+      response.once("drain", proceed);
+      socket?.once("drain", proceed);
+      response.once("close", proceed);
+    });
   }
 
   /** Ends the answer, which is whole. */
@@ -77,23 +99,6 @@
     );
   }
 
-  /** Writes a chunk and waits until a slow caller has taken it, or is gone. */
-  async #writeChunk(chunk: Uint8Array): Promise<void> {
-    const { response, stallTimeoutMs } = this.#options;
-    if (response.destroyed || response.write(chunk)) return;
-    await new Promise<void>((resolve) => {
-      const timer = setTimeout(() => response.destroy(), stallTimeoutMs);
-      const proceed = (): void => {
-        clearTimeout(timer);
-        response.off("drain", proceed);
-        response.off("close", proceed);
-        resolve();
-      };
-      response.once("drain", proceed);
-      response.once("close", proceed);
-    });
-  }
-
   #limitStall(): void {
     const { response, stallTimeoutMs } = this.#options;
     response.setTimeout(stallTimeoutMs, () => response.destroy());
--- a/src/daemon/metrics.ts
+++ b/src/daemon/metrics.ts
@@ -13,15 +13,20 @@
   retried: "Requests sent to another upstream or owner, by reason",
   lease_refused: "Lease requests refused by this daemon as owner, by reason",
   stray_attempt_end: "Ends of attempts that are not known, by kind",
+  stream_resumed:
+    "Streams whose connection was cut, by whether the engine resumed them",
   load_failed: "Adapter loads that failed, by upstream",
   owner_deposed: "Ownerships lost to a higher fencing number, by upstream",
   foreign_order:
     "Changes of slots that the owner did not order, by upstream that ignores fencing",
+  members:
+    "Changes in what is thought of a peer's life: suspect, dead, refuted",
   pause_detected: "Pauses of the process that were detected",
   connection_dropped: "Callers' connections beyond the bound",
   connection_malformed:
     "Callers' connections closed for what they sent, by the HTTP parser's code",
   envelope_malformed: "Envelopes from peers that could not be decoded",
+  envelope_undelivered: "Envelopes that a peer did not take in time",
   tables: "Revisions of the tables offered, by what became of them",
   host_list: "Revisions of the host list offered, by what became of them",
   platform_unread: "Readings of the platform that failed, by step",
--- a/test/contracts/contract_bench.ts
+++ b/test/contracts/contract_bench.ts
@@ -3,7 +3,8 @@
 import { setTimeout as wait } from "node:timers/promises";
 import { stringify } from "yaml";
 import { FakeConfiguration } from "../../fakes/fake_configuration.ts";
-import { FakeEngine, type FakeEngineOptions } from "../../fakes/fake_engine.ts";
+import type { FakeEngineOptions } from "../../fakes/engine_options.ts";
+import { FakeEngine } from "../../fakes/fake_engine.ts";
 import { FakeHostList } from "../../fakes/fake_host_list.ts";
 import { FakeService } from "../../fakes/fake_service.ts";
 import { type CallerAnswer, sendCall } from "../../scripts/caller.ts";
@@ -267,7 +268,7 @@
     return daemonSettingsSchema.parse({
       id: "entry-1",
       failureDomain: DOMAIN,
-      logLevel: "error",
+      logLevel: "silent",
       tickIntervalMs: 5,
       ...settings,
       callers: { listen, ...section("callers") },
