--- a/src/core/execution/request_assigner.ts
+++ b/src/core/execution/request_assigner.ts
@@ -201,6 +201,7 @@
     case LeaseRefusalReason.Leaving:
     case LeaseRefusalReason.UpstreamDown:
     case LeaseRefusalReason.DeadlineUnreachable:
+    case LeaseRefusalReason.Redirected:
     case LeaseRefusalReason.QueueFull:
     case LeaseRefusalReason.Stopping:
       return RetryReason.LeaseRefused;
