--- a/test/daemon/upstream_task_test.ts
+++ b/test/daemon/upstream_task_test.ts
@@ -33,6 +33,7 @@
     requestId: "request-1",
     upstreamId: "engine-1",
     upstreamKind: "engine",
+    upstreamIncarnation: "e1",
     address: `127.0.0.1:${port}`,
     model: "briefing@v1",
     route: ROUTE,
@@ -60,7 +61,7 @@
       contentType: "application/json",
       isStreamed: false,
       ticket: undefined,
-      sink: { begin: () => {}, write: () => Promise.resolve() },
+      sink: { begin: () => {}, write: () => true },
     });
     const task = new UpstreamTask({
       bus,
