--- a/test/daemon/upstream_task_test.ts
+++ b/test/daemon/upstream_task_test.ts
@@ -61,7 +61,11 @@
       contentType: "application/json",
       isStreamed: false,
       ticket: undefined,
-      sink: { begin: () => {}, write: () => true },
+      sink: {
+        begin: () => {},
+        write: () => true,
+        waitUntilDrained: () => Promise.resolve(),
+      },
     });
     const task = new UpstreamTask({
       bus,
