Count a second owner's leases as those of an earlier one

Cause: where fencing is ignored, daemons of one failure domain that are cut off from each other may both own an engine, and neither knows the other's leases. An owner that hears another publish the upstream as its own, or reads runs that none of its leases permits, now waits as after a takeover.

--- a/src/core/membership/view_store.ts
+++ b/src/core/membership/view_store.ts
@@ -51,6 +51,17 @@
     return this.#publishers.get(publisherId)?.get(upstreamId);
   }
 
+  /** Returns whether another daemon publishes that it owns the upstream. */
+  hasRival(selfId: string, upstreamId: string): boolean {
+    for (const publisherId of this.#publisherIds.get(upstreamId) ?? []) {
+      const view = this.getPublished(publisherId, upstreamId);
+      const isRival = publisherId !== selfId && view?.digest.up === true &&
+        view.ownerId === publisherId;
+      if (isRival) return true;
+    }
+    return false;
+  }
+
   /** Returns all that the daemon publishes. */
   listPublished(publisherId: string): PublishedDigest[] {
     return [...this.#publishers.get(publisherId)?.values() ?? []]
--- a/src/core/residency/ownership_claim.ts
+++ b/src/core/residency/ownership_claim.ts
@@ -163,6 +163,25 @@
     return this.#context.options.pool.fencing === Fencing.Ignored;
   }
 
+  /**
+   * Counts the leases of a daemon that takes itself for the owner too as those
+   * of an earlier owner. Where fencing is checked, the upstream deposes one.
+   */
+  recordRival(now: Milliseconds): void {
+    if (!this.isOwning() || !this.#isUnguarded()) return;
+    const { settings, maxRunMs } = this.#context.options;
+    const windowEndsAt = now + settings.ownershipValidityMs +
+      settings.leaseWindowMs + settings.leaseMarginMs;
+    this.#predecessorWindowEndsAt = Math.max(
+      this.#predecessorWindowEndsAt,
+      windowEndsAt,
+    );
+    this.#evictionAllowedAt = Math.max(
+      this.#evictionAllowedAt,
+      windowEndsAt + maxRunMs,
+    );
+  }
+
   recordRestart(now: Milliseconds): void {
     const next = ownerChart.getNext(this.#state, "upstreamRestarted");
     if (next === undefined) return;
--- a/src/core/residency/slot_table.ts
+++ b/src/core/residency/slot_table.ts
@@ -12,6 +12,8 @@
   changedAt: Milliseconds;
   /** When a run on the adapter was last permitted or its load ordered. */
   lastUsedAt: Milliseconds;
+  /** Time of the last reading of the upstream at which a lease was out. */
+  lastLeasedAt: Milliseconds;
 }
 
 export class SlotTable {
@@ -51,6 +53,7 @@
       state: slotChart.initial,
       changedAt: now,
       lastUsedAt: now,
+      lastLeasedAt: Number.NEGATIVE_INFINITY,
     });
   }
 
@@ -101,6 +104,7 @@
         state: "resident",
         changedAt: now,
         lastUsedAt: now,
+        lastLeasedAt: Number.NEGATIVE_INFINITY,
       });
     }
     this.#dropFreedBefore(readAt);
--- a/src/core/residency/upstream_owner.ts
+++ b/src/core/residency/upstream_owner.ts
@@ -165,6 +165,11 @@
     this.#loader.slots.setCapacity(configuration.pool.slots);
   }
 
+  /** Notes that another daemon takes itself for the owner too. */
+  recordRival(now: Milliseconds): void {
+    this.#claim.recordRival(now);
+  }
+
   /** Takes over the leases of the previous owner, which grants nothing any more. */
   acceptHandover(handover: HandoverMessage, now: Milliseconds): void {
     this.#granter.acceptHandover(handover, now);
@@ -208,6 +213,7 @@
       now,
     );
     if (hasForeignChange) this.#claim.recordForeignChange(now);
+    if (this.#hasForeignRuns(state, now)) this.#claim.recordRival(now);
     this.#granter.dropIdleLeases();
     this.#claim.claimIfRead(now);
     this.#pump(now);
@@ -306,6 +312,22 @@
     };
   }
 
+  /** Returns whether runs are reported on an adapter on which no lease of this owner can have been. */
+  #hasForeignRuns(state: UpstreamStateStructure, now: Milliseconds): boolean {
+    const { settings } = this.#context.options;
+    const echoMs = settings.engineReportLagMs +
+      2 * settings.stateReadIntervalMs;
+    let hasForeign = false;
+    for (const { adapterKey, inFlight } of state.residents) {
+      const slot = this.#loader.slots.getSlot(adapterKey);
+      if (!slot) continue;
+      if (this.#granter.ledger.hasLeases(adapterKey)) slot.lastLeasedAt = now;
+      const usedAt = Math.max(slot.lastUsedAt, slot.lastLeasedAt);
+      if (inFlight > 0 && now - usedAt > echoMs) hasForeign = true;
+    }
+    return hasForeign;
+  }
+
   #findRefusal(
     request: LeaseRequestMessage,
     now: Milliseconds,
--- a/src/core/residency/upstream_ownership.ts
+++ b/src/core/residency/upstream_ownership.ts
@@ -95,7 +95,10 @@
   }
 
   tick(now: Milliseconds): void {
+    const { selfId, membership } = this.#options;
     for (const owner of this.#owners.values()) {
+      const isRivalled = membership.views.hasRival(selfId, owner.upstreamId);
+      if (isRivalled) owner.recordRival(now);
       owner.tick(now);
       this.#options.publishUpstream(owner.describeDigest(now), now);
     }
