Give loads and batch room to customers by their shares

Change: FairShares counts credits and loads given to each customer, by its share of the customers table; who is above it waits behind the others, in the batch queue and in the order of loads, and in the estimate by which a request is refused.

--- a/src/core/residency/lease_granter.ts
+++ b/src/core/residency/lease_granter.ts
@@ -30,6 +30,11 @@
     if (request.exclusive && this.ledger.getCreditsInUse() > 0) return;
     const credits = request.exclusive ? 1 : Math.min(room, request.credits);
     const windowEndsAt = now + settings.leaseWindowMs + settings.leaseMarginMs;
+    this.#context.options.creditShares.recordUse(
+      request.customer,
+      credits,
+      now,
+    );
     const leaseId = this.#context.createId("lease");
     this.ledger.addLease({
       leaseId,
--- a/src/core/residency/lease_queue.ts
+++ b/src/core/residency/lease_queue.ts
@@ -52,9 +52,13 @@
     return this.#removeWhere(() => true);
   }
 
-  /** Returns the requests by priority, then by deadline. */
-  getOrdered(): WaitingLeaseRequest[] {
+  /** Returns the requests of customers within their share first, by priority, then by deadline. */
+  getOrdered(
+    isExceeding: (customer: string) => boolean,
+  ): WaitingLeaseRequest[] {
     return [...this.#waiting.values()].sort((a, b) =>
+      Number(isExceeding(a.request.customer)) -
+        Number(isExceeding(b.request.customer)) ||
       a.request.priorityRank - b.request.priorityRank ||
       a.deadlineAt - b.deadlineAt
     );
--- a/src/core/residency/owner_context.ts
+++ b/src/core/residency/owner_context.ts
@@ -1,5 +1,6 @@
 /** What the parts of an upstream's owner share. */
 import type { CorePolicy } from "../core_policy.ts";
+import type { FairShares } from "../limits/fair_shares.ts";
 import type { CoreSettings } from "../core_settings.ts";
 import type { Effect } from "../effects.ts";
 import type {
@@ -21,6 +22,10 @@
   store: StoreAccess;
   /** Longest run of any route to the pool. */
   maxRunMs: Milliseconds;
+  /** Credits given to each customer. */
+  creditShares: FairShares;
+  /** Loads ordered for each customer. */
+  loadShares: FairShares;
   emit: (effect: Effect) => void;
   /** Returns another upstream of the pool that has the adapter or, ranked before this one, is about to load it. */
   findElsewhere: (adapterKey: string, now: Milliseconds) => string | undefined;
--- a/src/core/residency/slot_loader.ts
+++ b/src/core/residency/slot_loader.ts
@@ -20,11 +20,18 @@
 /** Time for which an adapter whose load failed is not loaded again. */
 const LOAD_RETRY_DELAY_MS = 500;
 
-/** Least slack that is told apart when loads are ordered. */
-const MIN_SLACK_MS = 250;
+/** Slack below which a load comes too late, in load times. */
+const LOAD_MARGIN = 2;
+/** Slack at which the urgency of a load is half of the highest. */
+const HALF_URGENCY_SLACK_MS = 2_000;
+
+/** Urgency left to customers above their share while others wait. */
+const EXCEEDING_FACTOR = 0.01;
 
 interface WantedLoad {
   adapterKey: string;
+  /** Customer of the request that came first. */
+  customer: string;
   urgency: number;
 }
 
@@ -62,9 +69,11 @@
   tryStartLoad(permit: StorePermit, now: Milliseconds): boolean {
     const [first] = this.#listWanted(now);
     if (!first) return false;
-    const { adapterKey } = first;
+    const { adapterKey, customer } = first;
+    const { loadShares } = this.#context.options;
     const isFree = this.slots.countFreeSlots() > this.#planned.size;
     if (isFree) {
+      loadShares.recordUse(customer, 1, now);
       this.#permits.set(adapterKey, permit);
       this.slots.addLoading(adapterKey, now);
       this.#giveOrder({ kind: "load", adapterKey });
@@ -73,6 +82,7 @@
     const victim = this.#findVictim(now);
     if (victim === undefined) return false;
     this.#context.options.popularity.recordEviction(victim, now);
+    loadShares.recordUse(customer, 1, now);
     this.#planned.set(victim, { adapterKey, permit });
     this.slots.apply(victim, "evictOrdered", now);
     this.#giveOrder({ kind: "evict", adapterKey: victim });
@@ -169,13 +179,20 @@
     return false;
   }
 
-  /** Returns the time until the adapter would be resident; 0 when it has a slot. */
-  estimateLoadWaitMs(adapterKey: string, now: Milliseconds): Milliseconds {
+  /** Returns the time until the request's adapter would be resident; 0 when it has a slot. */
+  estimateLoadWaitMs(
+    request: LeaseRequestMessage,
+    now: Milliseconds,
+  ): Milliseconds {
+    const { adapterKey, customer } = request;
     if (this.#context.isService() || this.slots.getSlot(adapterKey)) return 0;
+    const { loadShares, store } = this.#context.options;
+    const yields = loadShares.isExceeding(customer, now);
     const ahead = this.#listWanted(now).filter((load) =>
-      load.adapterKey !== adapterKey
+      load.adapterKey !== adapterKey &&
+      (yields || !loadShares.isExceeding(load.customer, now))
     );
-    return this.#context.options.store.estimateWaitMs(ahead.length, now);
+    return store.estimateWaitMs(ahead.length, { yields }, now);
   }
 
   /** Returns the adapters that are loading or wait for their load. */
@@ -209,11 +226,17 @@
     const planned = new Set<string>();
     for (const plan of this.#planned.values()) planned.add(plan.adapterKey);
     const wanted = new Map<string, WantedLoad>();
+    const { loadShares, settings } = this.#context.options;
     for (const { request, deadlineAt } of this.#parts.queue.list()) {
       const { adapterKey } = request;
       if (this.slots.getSlot(adapterKey) || planned.has(adapterKey)) continue;
-      const load = wanted.get(adapterKey) ?? { adapterKey, urgency: 0 };
-      load.urgency += computeUrgency(request, deadlineAt - now);
+      const isTooLate = deadlineAt - now <
+        settings.loadTimeMs * LOAD_MARGIN;
+      if (isTooLate) continue;
+      const load = wanted.get(adapterKey) ??
+        { adapterKey, customer: request.customer, urgency: 0 };
+      load.urgency += computeUrgency(request, deadlineAt - now) *
+        (loadShares.isExceeding(request.customer, now) ? EXCEEDING_FACTOR : 1);
       wanted.set(adapterKey, load);
     }
     return [...wanted.values()].sort((a, b) => b.urgency - a.urgency);
@@ -259,5 +282,5 @@
   slackMs: Milliseconds,
 ): number {
   return request.credits / (1 + request.priorityRank) /
-    Math.max(MIN_SLACK_MS, slackMs);
+    (HALF_URGENCY_SLACK_MS + slackMs);
 }
--- a/src/core/residency/store_access.ts
+++ b/src/core/residency/store_access.ts
@@ -147,11 +147,18 @@
   }
 
   /** Returns the time after which a load queued behind others here would be done. */
-  estimateWaitMs(queuedLoads: number, now: Milliseconds): Milliseconds {
+  estimateWaitMs(
+    queuedLoads: number,
+    options: { yields: boolean },
+    now: Milliseconds,
+  ): Milliseconds {
     const status = now - this.#statusAt <= STATUS_LIFETIME_MS
       ? this.#status
       : undefined;
-    const ahead = Math.max(queuedLoads, status?.waitingLoads ?? 0);
+    // A load that yields to nobody goes before those that other daemons queue.
+    const ahead = options.yields
+      ? Math.max(queuedLoads, status?.waitingLoads ?? 0)
+      : queuedLoads;
     const rate = status?.loadsPerSecond ?? this.#computeShare().loadsPerSecond;
     return ahead / rate * 1_000 + this.#options.settings.loadTimeMs;
   }
--- a/src/core/residency/upstream_owner.ts
+++ b/src/core/residency/upstream_owner.ts
@@ -103,6 +103,7 @@
   ): void {
     const canGrant = this.#canGrant(now);
     if (this.#granter.tryRenewGrant(holder, request, { canGrant, now })) return;
+    this.#recordDemand(request, now);
     const refusal = this.#findRefusal(request, now);
     if (refusal) {
       this.#refuse(holder, request, refusal, now);
@@ -300,6 +301,13 @@
     };
   }
 
+  #recordDemand(request: LeaseRequestMessage, now: Milliseconds): void {
+    const { creditShares, loadShares } = this.#context.options;
+    creditShares.recordDemand(request.customer, now);
+    const isAbsent = !this.#loader.slots.isResident(request.adapterKey);
+    if (isAbsent) loadShares.recordDemand(request.customer, now);
+  }
+
   #findRefusal(
     request: LeaseRequestMessage,
     now: Milliseconds,
@@ -314,7 +322,7 @@
     if (this.#loader.hasLoadFailedLately(request.adapterKey, now)) {
       return LeaseRefusalReason.LoadFailed;
     }
-    const waitMs = this.#loader.estimateLoadWaitMs(request.adapterKey, now);
+    const waitMs = this.#loader.estimateLoadWaitMs(request, now);
     if (waitMs > request.remainingMs) {
       return LeaseRefusalReason.DeadlineUnreachable;
     }
@@ -324,7 +332,10 @@
   /** Grants what can be granted and orders the loads that the rest waits for. */
   #pump(now: Milliseconds): void {
     if (!this.#canGrant(now)) return;
-    for (const waiting of this.#queue.getOrdered()) {
+    const { creditShares } = this.#context.options;
+    const isExceeding = (customer: string) =>
+      creditShares.isExceeding(customer, now);
+    for (const waiting of this.#queue.getOrdered(isExceeding)) {
       this.#serve(waiting, now);
     }
   }
@@ -413,7 +424,7 @@
     redirectUpstreamId = "",
   ): void {
     const { emit, selfId } = this.#context.options;
-    const waitMs = this.#loader.estimateLoadWaitMs(request.adapterKey, now);
+    const waitMs = this.#loader.estimateLoadWaitMs(request, now);
     emit({ kind: "count", counter: "lease_refused", tag: reason });
     emit({
       kind: "send",
--- a/src/core/residency/upstream_ownership.ts
+++ b/src/core/residency/upstream_ownership.ts
@@ -3,6 +3,7 @@
  * live daemons of its failure domain change, with the handover between owners.
  */
 import type { CorePolicy } from "../core_policy.ts";
+import { FairShares } from "../limits/fair_shares.ts";
 import type { CoreSettings } from "../core_settings.ts";
 import type { Effect } from "../effects.ts";
 import type { OrderResult } from "../events.ts";
@@ -44,6 +45,8 @@
 
 export class UpstreamOwnership {
   readonly #options: UpstreamOwnershipOptions;
+  readonly #creditShares: FairShares;
+  readonly #loadShares: FairShares;
   readonly #popularity = new AdapterPopularity();
   readonly #owners = new Map<string, UpstreamOwner>();
   #lastId = 0;
@@ -54,6 +57,10 @@
 
   constructor(options: UpstreamOwnershipOptions) {
     this.#options = options;
+    const getShare = (customer: string) =>
+      options.tables.getSnapshot()?.getCustomer(customer)?.share ?? 1;
+    this.#creditShares = new FairShares(getShare);
+    this.#loadShares = new FairShares(getShare);
   }
 
   getOwner(upstreamId: string): UpstreamOwner | undefined {
@@ -203,6 +210,8 @@
       emit,
       findElsewhere: (adapterKey, at) =>
         membership.findHolder(adapterKey, host, at),
+      creditShares: this.#creditShares,
+      loadShares: this.#loadShares,
       createId: (prefix) => this.#createId(prefix),
     }, now);
     this.#owners.set(host.id, owner);
