Publish the victim that the next load would take

Cause: the published victim was the least of all residents, also while other loads queued for it or it was in use, so entries sent several cold adapters within a heartbeat to one upstream, and each evicted a better one.

--- a/src/core/residency/slot_loader.ts
+++ b/src/core/residency/slot_loader.ts
@@ -20,6 +20,8 @@
 /** Time for which an adapter whose load failed is not loaded again. */
 const LOAD_RETRY_DELAY_MS = 500;
 
+/** Worth of a victim where none can be evicted now. */
+const MAX_VICTIM_VALUE = 1_000;
 /** Slack below which a load comes too late, in load times. */
 const LOAD_MARGIN = 2;
 /** Slack at which the urgency of a load is half of the highest. */
@@ -206,14 +208,19 @@
     return [...coming];
   }
 
-  /** Returns the score of the resident adapter that is worth least; 0 with a free slot. */
+  /**
+   * Returns the worth of the resident that one more load would evict, after
+   * the loads that are waited for have taken what is worth less; 0 with a free slot.
+   */
   getVictimValue(now: Milliseconds): number {
-    if (this.slots.hasFreeSlot()) return 0;
-    let value = Number.POSITIVE_INFINITY;
-    for (const slot of this.slots.getByState("resident")) {
-      value = Math.min(value, this.#computeWorth(slot, now));
-    }
-    return Number.isFinite(value) ? value : 0;
+    const ahead = this.#listWanted(now).length + this.#planned.size -
+      this.slots.countFreeSlots();
+    if (ahead < 0) return 0;
+    const worths = this.slots.getByState("resident")
+      .filter((slot) => this.#isEvictable(slot.adapterKey, now))
+      .map((slot) => this.#computeWorth(slot, now))
+      .sort((a, b) => a - b);
+    return worths[ahead] ?? MAX_VICTIM_VALUE;
   }
 
   #computeWorth(slot: Slot, now: Milliseconds): number {
