Measure control by peers; test deltas and whole fleets that start, wake or lose the platform

Daemons that have just started now leave reading to those not heard of yet, and a daemon that failed to read in place of silent readers waits for its turn again.

--- /dev/null
+++ b/bench/control/control_command.ts
@@ -0,0 +1,218 @@
+/** `bench control`: what one daemon spends on its peers and the tables, by the number of peers. */
+import type { Subcommand } from "../subcommand.ts";
+import { ControlFleet, type FleetNode } from "./control_fleet.ts";
+import {
+  createHosts,
+  createTables,
+  editTables,
+  type FleetSizes,
+  formatDomain,
+} from "./fleet_tables.ts";
+import { computeSlope } from "./slope.ts";
+
+const SETTLE_MS = 8_000;
+const MEASURE_MS = 20_000;
+/** Changes of configuration a second at the target. */
+const CHANGES_PER_SECOND = 33_000 / 86_400;
+/** Changes of residency a second in one failure domain: an adapter woken anywhere is loaded in one upstream of each. */
+const LOADS_PER_SECOND = 64_000 * 0.086 / 3_600;
+const UPSTREAMS_PER_DAEMON = 11;
+const SLOTS = 16;
+const DOMAINS = 11;
+
+/** Load on the control plane: none, or that of the target. */
+type Activity = "idle" | "target";
+
+interface ControlRow {
+  peers: number;
+  activity: Activity;
+  bytesPerSecond: number;
+  mostBytesPerSecond: number;
+  envelopesPerSecond: number;
+  messagesPerSecond: number;
+  transportBytesPerSecond: number;
+  busyShare: number;
+}
+
+export const controlCommand: Subcommand = {
+  name: "control",
+  description:
+    "Bytes, messages and processor time a second of one daemon for control.",
+  options: [
+    { flags: "--peers", description: "Peers, several", value: "9,40,80" },
+    {
+      flags: "--envelope",
+      description: "Bytes of transport around one envelope and its reply",
+      value: 190,
+    },
+    { flags: "--kinds", description: "Print bytes by kind of message" },
+    { flags: "--json", description: "Print JSON" },
+  ],
+  run(options) {
+    const envelopeBytes = Number(options["envelope"]);
+    const isKindCounted = Boolean(options["kinds"]);
+    const rows: ControlRow[] = [];
+    for (const peers of String(options["peers"]).split(",").map(Number)) {
+      for (const activity of ["idle", "target"] as const) {
+        rows.push(
+          measureControl(peers, activity, { envelopeBytes, isKindCounted }),
+        );
+      }
+    }
+    const slopes = computeSlopes(rows);
+    if (options["json"]) console.log(JSON.stringify({ rows, slopes }));
+    else {
+      console.table(rows);
+      console.table(slopes);
+    }
+  },
+};
+
+/** Measures one failure domain in a fleet of eleven, of which two run. */
+function measureControl(
+  peers: number,
+  activity: Activity,
+  { envelopeBytes, isKindCounted }: {
+    envelopeBytes: number;
+    isKindCounted: boolean;
+  },
+): ControlRow {
+  const sizes: FleetSizes = {
+    domains: DOMAINS,
+    daemonsPerDomain: peers + 1,
+    upstreamsPerDomain: (peers + 1) * UPSTREAMS_PER_DAEMON,
+    pools: 6,
+    routes: 1_000,
+  };
+  const measured = formatDomain(0);
+  const fleet = new ControlFleet({
+    hosts: createHosts(sizes),
+    isKindCounted,
+    isRun: (host) =>
+      host.failureDomain === measured ||
+      host.failureDomain === formatDomain(1),
+  });
+  fleet.tables = createTables(sizes, 2);
+  for (const [id, state] of fleet.upstreams) {
+    fleet.upstreams.set(id, {
+      ...state,
+      residents: Array.from({ length: SLOTS }, (_, slot) => ({
+        adapterKey: `adapter-${(hashId(id) + slot * 977) % 64_000}@v1`,
+        inFlight: 0,
+      })),
+    });
+  }
+  fleet.run(SETTLE_MS);
+  fleet.clearCounts();
+  runActivity(fleet, sizes, activity);
+  const nodes = fleet.listNodes().filter((node) =>
+    node.host.failureDomain === measured
+  );
+  if (isKindCounted) printKinds(nodes);
+  return describeRow(nodes, peers, activity, envelopeBytes);
+}
+
+/** Prints the bytes a second of one daemon by kind of message. */
+function printKinds(nodes: readonly FleetNode[]): void {
+  const kinds = new Map<string, number>();
+  for (const { counts } of nodes) {
+    for (const [kind, bytes] of counts.bytesByKind) {
+      kinds.set(kind, (kinds.get(kind) ?? 0) + bytes);
+    }
+  }
+  const seconds = MEASURE_MS / 1_000;
+  for (const [kind, bytes] of kinds) {
+    console.log(kind, Math.round(bytes / nodes.length / seconds));
+  }
+}
+
+function runActivity(
+  fleet: ControlFleet,
+  sizes: FleetSizes,
+  activity: Activity,
+): void {
+  let changes = 0;
+  let loads = 0;
+  for (let passed = 0; passed < MEASURE_MS; passed += 100) {
+    fleet.run(100);
+    if (activity === "idle") continue;
+    const seconds = passed / 1_000;
+    while (changes < seconds * CHANGES_PER_SECOND) {
+      changes += 1;
+      fleet.tables = editTables(fleet.tables!, changes);
+    }
+    while (loads < seconds * LOADS_PER_SECOND) {
+      loads += 1;
+      for (const domain of [0, 1]) changeResident(fleet, sizes, domain, loads);
+    }
+  }
+}
+
+/** Puts another adapter into a slot of one upstream. */
+function changeResident(
+  fleet: ControlFleet,
+  sizes: FleetSizes,
+  domain: number,
+  loads: number,
+): void {
+  const id = `upstream-${domain}-${(loads * 37) % sizes.upstreamsPerDomain}`;
+  const state = fleet.upstreams.get(id);
+  if (!state) return;
+  const residents = [
+    ...state.residents.slice(1),
+    { adapterKey: `adapter-${loads}@v2`, inFlight: 0 },
+  ];
+  fleet.upstreams.set(id, { ...state, residents });
+}
+
+function describeRow(
+  nodes: readonly FleetNode[],
+  peers: number,
+  activity: Activity,
+  envelopeBytes: number,
+): ControlRow {
+  const seconds = MEASURE_MS / 1_000;
+  const average = (read: (node: FleetNode) => number): number =>
+    nodes.reduce((sum, node) => sum + read(node), 0) / nodes.length / seconds;
+  const bytes = average((node) => node.counts.bytesSent);
+  const envelopes = average((node) => node.counts.envelopesSent);
+  return {
+    peers,
+    activity,
+    bytesPerSecond: Math.round(bytes),
+    mostBytesPerSecond: Math.round(
+      Math.max(...nodes.map((node) => node.counts.bytesSent)) / seconds,
+    ),
+    envelopesPerSecond: Number(envelopes.toFixed(2)),
+    messagesPerSecond: Number(
+      average((node) => node.counts.messagesSent).toFixed(2),
+    ),
+    transportBytesPerSecond: Math.round(bytes + envelopes * envelopeBytes),
+    busyShare: Number(
+      (average((node) => node.counts.busyMs) / 1_000).toFixed(5),
+    ),
+  };
+}
+
+function computeSlopes(
+  rows: readonly ControlRow[],
+): { activity: Activity; bytesPerPeer: number; busySharePerPeer: number }[] {
+  return (["idle", "target"] as const).map((activity) => {
+    const chosen = rows.filter((row) => row.activity === activity);
+    return {
+      activity,
+      bytesPerPeer: computeSlope(
+        chosen.map((row) => [row.peers, row.bytesPerSecond]),
+      ),
+      busySharePerPeer: computeSlope(
+        chosen.map((row) => [row.peers, row.busyShare]),
+      ),
+    };
+  });
+}
+
+function hashId(id: string): number {
+  let hash = 0;
+  for (const char of id) hash = (hash * 31 + char.charCodeAt(0)) >>> 0;
+  return hash;
+}
--- a/bench/control/control_fleet.ts
+++ b/bench/control/control_fleet.ts
@@ -33,6 +33,7 @@
   bytesReceived: number;
   messagesSent: number;
   envelopesSent: number;
+  bytesByKind: Map<string, number>;
   /** Time in the core and the codec. */
   busyMs: number;
 }
@@ -60,6 +61,10 @@
   tickMs?: number;
   /** Calls that one reading of the tables takes. */
   callsPerReading?: number;
+  /** Whether bytes are counted by kind of message, which costs time. */
+  isKindCounted?: boolean;
+  /** Which daemons of the host list run; all when absent. */
+  isRun?: (host: HostStructure) => boolean;
 }
 
 /** What happens to an envelope on its way: the delays of its copies. */
@@ -87,8 +92,9 @@
     this.#options = options;
     this.hostList = { revision: 1, hosts: [...options.hosts] };
     for (const host of options.hosts) {
-      if (host.role === "entry") this.startNode(host);
-      else {
+      if (host.role === "entry") {
+        if (options.isRun?.(host) ?? true) this.startNode(host);
+      } else {
         this.upstreams.set(host.id, {
           incarnation: "1",
           fencing: 0,
@@ -235,6 +241,7 @@
       node.counts.bytesSent += bytes.length;
       node.counts.messagesSent += messages.length;
       node.counts.envelopesSent += 1;
+      if (this.#options.isKindCounted) this.#countKinds(node, messages);
       for (const delayMs of this.transit(node.host.id, to)) {
         const at = Math.ceil((this.now + delayMs) / TICK_MS) * TICK_MS;
         const arrivals = this.#queue.get(at) ?? [];
@@ -245,6 +252,15 @@
     node.outbox.clear();
   }
 
+  #countKinds(node: FleetNode, messages: readonly PeerMessage[]): void {
+    const { bytesByKind } = node.counts;
+    for (const message of messages) {
+      const { length } = encodeEnvelope({ from: "", messages: [message] });
+      const known = bytesByKind.get(message.kind) ?? 0;
+      bytesByKind.set(message.kind, known + length);
+    }
+  }
+
   #deliver(): void {
     const arrivals = this.#queue.get(this.now) ?? [];
     this.#queue.delete(this.now);
@@ -294,6 +310,7 @@
     bytesReceived: 0,
     messagesSent: 0,
     envelopesSent: 0,
+    bytesByKind: new Map(),
     busyMs: 0,
   };
 }
--- a/bench/main.ts
+++ b/bench/main.ts
@@ -1,11 +1,15 @@
 /** Entry point of `npm run bench -- <command>`: lists the commands and runs the chosen one. */
 import sade from "sade";
+import { controlCommand } from "./control/control_command.ts";
+import { wakeCommand } from "./control/wake_command.ts";
 import { policyCommand } from "./policy/policy_command.ts";
 import { ticketsCommand } from "./tickets_command.ts";
 import type { Subcommand, SubcommandArguments } from "./subcommand.ts";
 
 const SUBCOMMANDS: readonly Subcommand[] = [
   policyCommand,
+  controlCommand,
+  wakeCommand,
   ticketsCommand,
 ];
 
--- a/src/core/control_plane.ts
+++ b/src/core/control_plane.ts
@@ -44,6 +44,8 @@
 
 /** Daemons of other failure domains that a starting daemon asks for tables. */
 const START_REMOTE_PEERS = 3;
+/** Start graces for which daemons that are not heard of yet are left to read the platform. */
+const UNKNOWN_PEER_GRACES = 2;
 /** Start graces after which a daemon serves although a peer holds newer tables. */
 const MAX_START_GRACES = 5;
 
@@ -259,8 +261,13 @@
     const { membership, settings, emit } = this.#options;
     const isAwaitingPeers = !this.#protocol.hasJoined() &&
       now - this.#beganAt < settings.startGraceMs;
+    const isStarting = now - this.#beganAt <
+      settings.startGraceMs * UNKNOWN_PEER_GRACES;
     const isReading = this.#readers.update({
-      peers: membership.listStayingPeers(),
+      peers: [
+        ...membership.listStayingPeers(),
+        ...(isStarting ? membership.listUnknownPeers() : []),
+      ],
       daemons: membership.directory.countEntryHosts(),
       isAwaitingPeers,
       isLeaving: membership.isSelfLeaving(),
--- a/src/core/membership/domain_link.ts
+++ b/src/core/membership/domain_link.ts
@@ -52,6 +52,8 @@
   #targetIndex = 0;
   #sequence = 0;
   #needsFull = true;
+  /** Whether the present target has answered; until then it is told nothing but that this side is here. */
+  #isAnswered = false;
   #lastSentAt = Number.NEGATIVE_INFINITY;
   #lastLoadAt = Number.NEGATIVE_INFINITY;
   #lastAckAt: Milliseconds;
@@ -69,7 +71,9 @@
       0,
       this.#targets.findIndex((host) => host.id === known),
     );
-    if (this.getTargetId() !== known) this.#needsFull = true;
+    if (this.getTargetId() === known) return;
+    this.#needsFull = true;
+    this.#isAnswered = false;
   }
 
   getTargetId(): string | undefined {
@@ -84,6 +88,7 @@
   recordAck(from: string, ack: LinkAckMessage, now: Milliseconds): void {
     if (from !== this.getTargetId()) return;
     this.#lastAckAt = now;
+    this.#isAnswered = true;
     if (ack.needsFull) this.#needsFull = true;
   }
 
@@ -95,6 +100,7 @@
   ): LinkUpdateBody | undefined {
     if (now - this.#lastAckAt >= periods.timeoutMs) this.#tryNextTarget(now);
     if (this.getTargetId() === undefined) return undefined;
+    if (!this.#isAnswered) return this.#takeGreeting(periods, now);
     if (this.#needsFull) this.#sent.clear();
     const isLoadDue = now - this.#lastLoadAt >= periods.loadMs;
     const digests = this.#listChanged(content, isLoadDue);
@@ -132,6 +138,25 @@
     this.#targetIndex = (this.#targetIndex + 1) %
       Math.max(1, this.#targets.length);
     this.#needsFull = true;
+    this.#isAnswered = false;
+  }
+
+  /** Returns an update without content, when it is due. */
+  #takeGreeting(
+    periods: LinkPeriods,
+    now: Milliseconds,
+  ): LinkUpdateBody | undefined {
+    if (now - this.#lastSentAt < periods.linkMs) return undefined;
+    this.#lastSentAt = now;
+    this.#sequence += 1;
+    return {
+      sequence: this.#sequence,
+      full: false,
+      digests: [],
+      removedUpstreamIds: [],
+      strikes: [],
+      evictions: [],
+    };
   }
 
   #listChanged(content: LinkContent, isLoadDue: boolean): PublishedDigest[] {
--- a/src/core/membership/membership.ts
+++ b/src/core/membership/membership.ts
@@ -8,6 +8,7 @@
   type LinkedDomain,
   type MemberRecord,
   MemberStatus,
+  PlatformReach,
   type PublishedDigest,
   type UpstreamDigest,
 } from "../messages.ts";
@@ -20,6 +21,7 @@
 import { hasLoadChanged, hasResidencyChanged } from "./digest_size.ts";
 import { HostDirectory } from "./host_directory.ts";
 import { type Member, MemberTable, MergeResult } from "./member_table.ts";
+import type { ReaderCandidate } from "./platform_readers.ts";
 import { type UpstreamView, ViewStore } from "./view_store.ts";
 
 export type { UpstreamView } from "./view_store.ts";
@@ -284,6 +286,13 @@
     );
   }
 
+  /** Returns the daemons of this failure domain of which nothing is known. */
+  listUnknownPeers(): ReaderCandidate[] {
+    return this.members.listSilentHosts()
+      .filter((id) => this.members.get(id) === undefined)
+      .map((id) => ({ id, platformReach: PlatformReach.NotReading }));
+  }
+
   /** Returns the peers as an operator sees them. */
   describePeers(now: Milliseconds): PeerDescription[] {
     return [...this.#directory.getEntryHosts()]
--- a/src/core/membership/platform_readers.ts
+++ b/src/core/membership/platform_readers.ts
@@ -15,6 +15,8 @@
 /** Calls that one reading of the tables takes, and calls a second that all such readings may add up to. */
 const CALLS_PER_READING = 32;
 const CALLS_PER_SECOND = 1_000;
+/** Daemons that have to fail before the platform itself is taken for down. */
+const MAX_FAILED_READERS = 6;
 /** Time for which a reader that could not read the platform leaves that to others. */
 const FAILED_READER_REST_MS = 10_000;
 
@@ -25,7 +27,7 @@
 }
 
 export interface ReaderCircumstances {
-  /** Other live daemons of the failure domain that are not leaving. */
+  /** Other daemons of the failure domain that may read: live and not leaving, or not heard of yet. */
   peers: readonly ReaderCandidate[];
   /** Daemons in the host list, all failure domains together. */
   daemons: number;
@@ -51,6 +53,7 @@
     if (isReached) this.#failedAt = Number.NEGATIVE_INFINITY;
     else this.#failedAt = now;
     if (!this.#isReading) return;
+    if (!isReached) this.#vouchedAt = now;
     this.#reach = isReached ? PlatformReach.Reached : PlatformReach.Unreached;
   }
 
@@ -86,20 +89,28 @@
     );
     if (isVouched) this.#vouchedAt = now;
     if (isLeaving) return false;
-    const hasFailed = now - this.#failedAt < FAILED_READER_REST_MS;
-    if (!hasFailed && this.#isChosen(peers)) return true;
+    if (this.#isChosen(peers, now)) return true;
     if (isVouched) return false;
     return now - this.#vouchedAt >= this.#getPatienceMs(circumstances.daemons);
   }
 
-  /** Returns whether this daemon is among the first that have not failed to read. */
-  #isChosen(peers: readonly ReaderCandidate[]): boolean {
-    const candidates = [
-      { id: this.#selfId },
-      ...peers.filter((peer) => peer.platformReach !== PlatformReach.Unreached),
-    ];
-    return rankByRendezvous("platform", candidates)
-      .slice(0, READERS_PER_DOMAIN)
+  /**
+   * Returns whether this daemon is among the first that have not failed to
+   * read; when many have failed, among the first of all, which go on trying.
+   */
+  #isChosen(peers: readonly ReaderCandidate[], now: Milliseconds): boolean {
+    const hasFailed = now - this.#failedAt < FAILED_READER_REST_MS;
+    const self = {
+      id: this.#selfId,
+      platformReach: hasFailed
+        ? PlatformReach.Unreached
+        : PlatformReach.NotReading,
+    };
+    const ranked = rankByRendezvous("platform", [self, ...peers]);
+    const able = ranked.slice(0, MAX_FAILED_READERS).filter((candidate) =>
+      candidate.platformReach !== PlatformReach.Unreached
+    );
+    return (able.length > 0 ? able : ranked).slice(0, READERS_PER_DOMAIN)
       .some((candidate) => candidate.id === this.#selfId);
   }
 
--- /dev/null
+++ b/test/core/membership/whole_fleet_test.ts
@@ -0,0 +1,75 @@
+/**
+ * The target's 902 daemons waking or starting at once: the calls on the
+ * configuration service are counted. Two of the eleven failure domains run, and
+ * may make their part of the calls; `npm run bench -- wake` runs all.
+ */
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { ControlFleet } from "../../../bench/control/control_fleet.ts";
+import {
+  createHosts,
+  createTables,
+  formatDomain,
+} from "../../../bench/control/fleet_tables.ts";
+
+const SIZES = {
+  domains: 11,
+  daemonsPerDomain: 82,
+  upstreamsPerDomain: 2,
+  pools: 1,
+  routes: 10,
+};
+const DOMAINS_RUN = 2;
+const DAEMONS_RUN = DOMAINS_RUN * SIZES.daemonsPerDomain;
+/** Part of the calls a second that the configuration service bears. */
+const MAX_CALLS_PER_SECOND = 2_000 * DOMAINS_RUN / SIZES.domains;
+
+function getMostCalls(fleet: ControlFleet): number {
+  return Math.max(0, ...fleet.callsBySecond.values());
+}
+
+function countServing(fleet: ControlFleet): number {
+  return fleet.listNodes()
+    .filter((node) => node.core.state === "serving").length;
+}
+
+const fleet = new ControlFleet({
+  hosts: createHosts(SIZES),
+  tickMs: 100,
+  callsPerReading: 32,
+  isRun: (host) =>
+    host.failureDomain === formatDomain(0) ||
+    host.failureDomain === formatDomain(1),
+});
+fleet.tables = createTables(SIZES, 2);
+
+test("daemons that start at once serve, within the calls allowed", () => {
+  fleet.run(8_000);
+  assert.is(countServing(fleet), DAEMONS_RUN);
+  const most = getMostCalls(fleet);
+  assert.ok(most <= MAX_CALLS_PER_SECOND, `${most} calls in a second`);
+});
+
+test("daemons that wake at once stay within the calls allowed", () => {
+  for (const node of fleet.listNodes()) node.isPaused = true;
+  fleet.run(20_000);
+  fleet.clearCounts();
+  for (const node of fleet.listNodes()) node.isPaused = false;
+  fleet.run(8_000);
+  const most = getMostCalls(fleet);
+  assert.ok(most <= MAX_CALLS_PER_SECOND, `${most} calls in a second`);
+  const readers = fleet.listNodes().filter((node) => node.isReading).length;
+  assert.is(readers, DOMAINS_RUN * 2);
+});
+
+test("daemons before a platform that is down and comes back stay within them too", () => {
+  fleet.isPlatformUp = false;
+  fleet.clearCounts();
+  fleet.run(15_000);
+  fleet.isPlatformUp = true;
+  fleet.run(5_000);
+  const most = getMostCalls(fleet);
+  assert.ok(most <= MAX_CALLS_PER_SECOND, `${most} calls in a second`);
+});
+
+test.run();
--- /dev/null
+++ b/test/core/tables/table_delta_test.ts
@@ -0,0 +1,306 @@
+/** Deltas of the tables and the host list: applied, refused, logged and moved in chunks. */
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import {
+  createRoute,
+  createTables,
+  editTables,
+} from "../../../bench/control/fleet_tables.ts";
+import type { Effect } from "../../../src/core/effects.ts";
+import type { PeerMessage, TablesDelta } from "../../../src/core/messages.ts";
+import type { TablesStructure } from "../../../src/core/structures.ts";
+import { DeltaLog } from "../../../src/core/tables/delta_log.ts";
+import {
+  RevisionSource,
+  TableExchange,
+} from "../../../src/core/tables/table_exchange.ts";
+import { TableKeeper } from "../../../src/core/tables/table_keeper.ts";
+import { TableSnapshot } from "../../../src/core/tables/table_snapshot.ts";
+
+const SIZES = {
+  domains: 2,
+  daemonsPerDomain: 2,
+  upstreamsPerDomain: 4,
+  pools: 2,
+  routes: 20,
+};
+
+function createKeeper(tables: TablesStructure): TableKeeper {
+  const keeper = new TableKeeper();
+  assert.equal(keeper.offerTables(tables), { kind: "accepted" });
+  return keeper;
+}
+
+function findDelta(from: TablesStructure, to: TablesStructure): TablesDelta {
+  return TableSnapshot.createFrom(from)
+    .findDelta(TableSnapshot.createFrom(to));
+}
+
+/** Two daemons' exchanges, each of which gets what the other sends. */
+class ExchangePair {
+  readonly keepers = [new TableKeeper(), new TableKeeper()] as const;
+  readonly exchanges: readonly [TableExchange, TableExchange];
+  readonly published: TablesDelta[] = [];
+  readonly sent: PeerMessage[] = [];
+  now = 0;
+  /** Changes a message on its way; undefined loses it. */
+  transit: (message: PeerMessage) => PeerMessage | undefined = (message) =>
+    message;
+
+  constructor() {
+    this.exchanges = [this.#createExchange(0), this.#createExchange(1)];
+  }
+
+  /** Lets the second daemon hear of what the first holds. */
+  tell(): void {
+    this.exchanges[1].handlePeerRevisions("0", {
+      tablesRevision: this.keepers[0].getTablesRevision(),
+      hostListRevision: this.keepers[0].getHostListRevision(),
+    }, this.now);
+  }
+
+  advance(ms: number): void {
+    for (let passed = 0; passed < ms; passed += 100) {
+      this.now += 100;
+      for (const exchange of this.exchanges) exchange.tick(this.now);
+      this.tell();
+    }
+  }
+
+  #createExchange(index: 0 | 1): TableExchange {
+    return new TableExchange(this.keepers[index], {
+      emit: (effect: Effect) => {
+        if (effect.kind !== "send") return;
+        this.sent.push(effect.message);
+        const message = this.transit(effect.message);
+        if (message) this.#deliver(index === 0 ? 1 : 0, message);
+      },
+      handleTablesAccepted: () => {},
+      handleHostListAccepted: () => {},
+      publishTablesDelta: (delta) => this.published.push(delta),
+      publishHostListDelta: () => {},
+    });
+  }
+
+  #deliver(to: 0 | 1, message: PeerMessage): void {
+    const from = to === 0 ? "1" : "0";
+    const exchange = this.exchanges[to];
+    const source = RevisionSource.Domain;
+    switch (message.kind) {
+      case "tablesRequest":
+        return exchange.handleRequest(from, message, this.now);
+      case "tablesTransfer":
+        return exchange.handleDeltas(from, message, source, this.now);
+      case "chunkRequest":
+        return exchange.handleChunkRequest(from, message, this.now);
+      case "tablesChunk":
+        return exchange.handleTablesChunk(from, message, source, this.now);
+      case "hostListChunk":
+        return exchange.handleHostListChunk(from, message, source, this.now);
+      default:
+        throw new Error(
+          `Expected a message about tables, found ${message.kind}`,
+        );
+    }
+  }
+}
+
+test("a delta leads to the same whole as the full tables", () => {
+  const first = createTables(SIZES, 2);
+  const second = {
+    ...editTables(first, 3),
+    pools: first.pools.map((pool) => ({ ...pool, batchSize: 16 })),
+  };
+  second.routes = second.routes.slice(0, 15).concat(createRoute(99, 2, "v1"));
+  const keeper = createKeeper(first);
+  assert.equal(keeper.offerTablesDelta(findDelta(first, second)), {
+    kind: "accepted",
+  });
+  const whole = TableSnapshot.createFrom(second);
+  const snapshot = keeper.getSnapshot();
+  assert.is(snapshot?.digest, whole.digest);
+  assert.is(snapshot?.getRouteByName("route-3")?.version, "v3");
+  assert.is(snapshot?.getRouteByName("route-16"), undefined);
+  assert.ok(snapshot?.getRouteByName("route-99"));
+});
+
+test("a delta that is late, repeated or from a later revision changes nothing", () => {
+  const revisions = [createTables(SIZES, 2)];
+  for (let edit = 0; edit < 3; edit += 1) {
+    revisions.push(editTables(revisions.at(-1)!, edit));
+  }
+  const [r2, r3, r4, r5] = revisions as [
+    TablesStructure,
+    TablesStructure,
+    TablesStructure,
+    TablesStructure,
+  ];
+  const keeper = createKeeper(r2);
+  const cases: [TablesDelta, string, number][] = [
+    [findDelta(r4, r5), "gap", 2],
+    [findDelta(r2, r3), "accepted", 3],
+    [findDelta(r2, r3), "stale", 3],
+    [findDelta(r2, r4), "accepted", 4],
+    [findDelta(r3, r4), "stale", 4],
+    [findDelta(r4, r5), "accepted", 5],
+  ];
+  for (const [delta, kind, revision] of cases) {
+    assert.is(keeper.offerTablesDelta(delta).kind, kind);
+    assert.is(keeper.getTablesRevision(), revision);
+  }
+});
+
+test("a delta that spans a change and its reversal is refused by the digest", () => {
+  const first = createTables(SIZES, 2);
+  const changed = editTables(first, 1);
+  const reverted = { ...first, revision: 4 };
+  const keeper = createKeeper(changed);
+  const result = keeper.offerTablesDelta(findDelta(first, reverted));
+  assert.is(result.kind, "digestMismatch");
+  assert.is(keeper.getTablesRevision(), 3);
+  assert.is(keeper.getSnapshot()?.getRouteByName("route-1")?.version, "v3");
+});
+
+const INVALID: [string, (delta: TablesDelta) => Partial<TablesDelta>][] = [
+  ["a route without its pool", () => ({ removedPools: ["pool-0"] })],
+  ["a route without its customer", () => ({ removedCustomers: ["derwent"] })],
+  ["a route to an unknown pool", (delta) => ({
+    routes: delta.routes.map((route) => ({ ...route, pool: "absent" })),
+  })],
+  ["a malformed name", (delta) => ({
+    routes: delta.routes.map((route) => ({ ...route, name: "no name" })),
+  })],
+  ["a torn delta", (delta) => ({ routes: delta.routes.slice(1) })],
+  ["a wrong digest", () => ({ digest: "0".repeat(16) })],
+];
+
+for (const [what, spoil] of INVALID) {
+  test(`a delta with ${what} is rejected whole`, () => {
+    const first = createTables(SIZES, 2);
+    const keeper = createKeeper(first);
+    const digest = keeper.getSnapshot()?.digest;
+    const delta = findDelta(first, editTables(first, 2));
+    const result = keeper.offerTablesDelta({ ...delta, ...spoil(delta) });
+    assert.ok(["invalid", "digestMismatch"].includes(result.kind), result.kind);
+    assert.is(keeper.getTablesRevision(), 2);
+    assert.is(keeper.getSnapshot()?.digest, digest);
+  });
+}
+
+test("the digest does not depend on the order of the rows", () => {
+  const tables = createTables(SIZES, 2);
+  const reversed = { ...tables, routes: [...tables.routes].reverse() };
+  assert.is(
+    TableSnapshot.createFrom(tables).digest,
+    TableSnapshot.createFrom(reversed).digest,
+  );
+});
+
+test("the log serves what leads on, and nothing after a gap", () => {
+  const log = new DeltaLog<{ fromRevision: number; toRevision: number }>(
+    () => 1,
+  );
+  for (let revision = 1; revision < 6; revision += 1) {
+    log.add({ fromRevision: revision, toRevision: revision + 1 });
+  }
+  assert.is(log.getDeltasSince(3)?.length, 3);
+  assert.is(log.getDeltasSince(6), undefined);
+  log.add({ fromRevision: 9, toRevision: 10 });
+  assert.is(log.getDeltasSince(3), undefined);
+  assert.is(log.getDeltasSince(9)?.length, 1);
+});
+
+test("a peer a few revisions behind gets deltas, a new one the whole in chunks", () => {
+  const pair = new ExchangePair();
+  const sizes = { ...SIZES, routes: 4_000 };
+  pair.exchanges[0].offerTables(createTables(sizes, 2), 0);
+  pair.advance(1_000);
+  assert.is(pair.keepers[1].getTablesRevision(), 2);
+  const chunks = pair.sent.filter((message) => message.kind === "tablesChunk");
+  assert.ok(chunks.length > 1);
+  for (const chunk of chunks) {
+    assert.ok(JSON.stringify(chunk).length < 1_048_576);
+  }
+  pair.sent.length = 0;
+  let tables = createTables(sizes, 2);
+  for (let edit = 0; edit < 3; edit += 1) {
+    tables = editTables(tables, edit);
+    pair.exchanges[0].offerTables(tables, pair.now);
+  }
+  assert.is(pair.published.length, 3);
+  pair.advance(1_000);
+  assert.is(pair.keepers[1].getTablesRevision(), 5);
+  assert.is(
+    pair.sent.some((message) => message.kind === "tablesChunk"),
+    false,
+  );
+});
+
+test("chunks lost on the way are asked for again, and a torn whole is not taken", () => {
+  const pair = new ExchangePair();
+  const tables = createTables({ ...SIZES, routes: 4_000 }, 2);
+  pair.exchanges[0].offerTables(tables, 0);
+  let chunks = 0;
+  pair.transit = (message) => {
+    if (message.kind !== "tablesChunk") return message;
+    chunks += 1;
+    if (chunks === 2) return undefined;
+    return chunks === 4
+      ? { ...message, routes: message.routes.slice(1) }
+      : message;
+  };
+  pair.advance(8_000);
+  assert.is(pair.keepers[1].getTablesRevision(), 2);
+  assert.is(
+    pair.keepers[1].getSnapshot()?.digest,
+    pair.keepers[0].getSnapshot()?.digest,
+  );
+});
+
+test("a delta with a wrong digest is followed by the whole", () => {
+  const pair = new ExchangePair();
+  const tables = createTables(SIZES, 2);
+  pair.exchanges[0].offerTables(tables, 0);
+  pair.advance(500);
+  pair.exchanges[0].offerTables(editTables(tables, 1), pair.now);
+  pair.transit = (message) =>
+    message.kind === "tablesTransfer"
+      ? {
+        ...message,
+        tablesDeltas: message.tablesDeltas.map((delta) => ({
+          ...delta,
+          digest: "f".repeat(16),
+        })),
+      }
+      : message;
+  pair.advance(2_000);
+  assert.is(pair.keepers[1].getTablesRevision(), 3);
+});
+
+test("the host list moves by deltas too", () => {
+  const pair = new ExchangePair();
+  const host = {
+    id: "entry-1",
+    address: "127.0.0.1:1",
+    failureDomain: "a",
+    role: "entry",
+    service: "",
+    state: "live",
+  } as const;
+  pair.exchanges[0].offerHostList({ revision: 1, hosts: [host] }, 0);
+  pair.advance(500);
+  assert.is(pair.keepers[1].getHostListRevision(), 1);
+  pair.exchanges[0].offerHostList({
+    revision: 2,
+    hosts: [{ ...host, id: "entry-2" }],
+  }, pair.now);
+  pair.sent.length = 0;
+  pair.advance(500);
+  assert.is(pair.keepers[1].getHostList()?.getHosts()[0]?.id, "entry-2");
+  assert.is(
+    pair.sent.some((message) => message.kind === "hostListChunk"),
+    false,
+  );
+});
+
+test.run();
