--- a/src/core/daemon_core.ts
+++ b/src/core/daemon_core.ts
@@ -136,6 +136,7 @@
       tables: this.#tables,
       membership: this.#membership,
       quarantine: this.#quarantine,
+      publishStrikes: (at) => this.#control.publishStrikes(at),
       retryBudget: new RetryBudget(settings.retryRatio),
       tickets: this.#tickets,
       emit: this.#emit,
@@ -185,6 +186,11 @@
     };
   }
 
+  /** Returns the daemon that owns the upstream as seen from here, or undefined. */
+  getOwnerId(upstreamId: string): string | undefined {
+    return this.#membership.getOwnerId(upstreamId);
+  }
+
   /** Returns how the upstreams rank for a route now, best first. */
   explainRoute(routeName: string, now: Milliseconds): RankedUpstream[] {
     const route = this.#tables.getSnapshot()?.getRouteByName(routeName);
@@ -222,24 +228,17 @@
         break;
       case "attemptEnded":
         this.#executor.handleAttemptEnded(event, now);
-        this.#control.publishStrikes(now);
         break;
       case "peerMessage":
         this.#receive(event.from, event.message, now);
         break;
       case "upstreamStateRead":
-        if (this.#executor.handleExamination(event, now)) {
-          this.#control.publishStrikes(now);
-          break;
-        }
+        if (this.#executor.handleExamination(event, now)) break;
         this.#ownership.getOwner(event.upstreamId)
           ?.recordState(event.readId, event.state, now);
         break;
       case "upstreamStateUnread":
-        if (this.#executor.handleExamination(event, now)) {
-          this.#control.publishStrikes(now);
-          break;
-        }
+        if (this.#executor.handleExamination(event, now)) break;
         this.#ownership.getOwner(event.upstreamId)
           ?.recordStateUnread(event.readId, event.isRefused, now);
         break;
@@ -353,15 +352,27 @@
     if (this.#state === "starting" && this.#control.isReadyToServe(now)) {
       this.#move("tablesInForce");
     }
-    const isDrained = this.#executor.isDrained() &&
-      !this.#tickets.hasTicketsInUse(now);
-    if (this.#state === "stopping" && isDrained) {
+    if (this.#state === "stopping" && this.#isDrained(now)) {
       this.#move("drained");
       this.#control.flush(now);
       this.#emit({ kind: "stopCompleted" });
     }
   }
 
+  /** Returns whether a stop now would cut off nothing, here or under a ticket of this daemon. */
+  #isDrained(now: Milliseconds): boolean {
+    if (!this.#executor.isDrained()) return false;
+    const routes = this.#tables.getSnapshot()?.getRoutes() ?? [];
+    const longestUseMs = routes.reduce(
+      (longest, route) =>
+        route.idempotent
+          ? longest
+          : Math.max(longest, route.queueDeadlineMs + route.maxRunMs),
+      0,
+    );
+    return !this.#tickets.hasTicketsInUse(longestUseMs, now);
+  }
+
   #updateOwnership(now: Milliseconds): void {
     if (this.#control.isSettled(now)) this.#ownership.update(now);
   }
--- a/test/core/execution/outcome_test.ts
+++ b/test/core/execution/outcome_test.ts
@@ -44,24 +44,10 @@
 });
 
 test("a caller that leaves before the ticket's home has answered gets an uncertain outcome", () => {
-  const daemon = new LoneDaemon(["engine-1"]);
+  const daemon = new LoneDaemon(["engine-1"], ["entry-2"]);
   const ticket = "entry-2~i1~1~check";
-  // A home in another failure domain is known from the host list alone.
-  daemon.handle({
-    kind: "hostListPublished",
-    hostList: {
-      revision: 2,
-      hosts: [{
-        id: "entry-2",
-        address: "127.0.0.1:2",
-        failureDomain: "huon-b",
-        role: "entry",
-        service: "",
-        state: "live",
-      }],
-    },
-  });
   const requestId = daemon.request("order", { ticket });
+  assert.is(daemon.getRefusal(requestId), undefined, "the claim is under way");
   daemon.handle({ kind: "callerGone", requestId });
   assert.is(daemon.getRefusal(requestId)?.outcome, "mayHaveRun");
 });
