--- /dev/null
+++ b/bench/start/start_command.ts
@@ -0,0 +1,232 @@
+/** `bench start`: time and memory to hold the routes of all adapters, from the platform's keys and from a peer. */
+import { stringify } from "yaml";
+import type { PeerMessage } from "../../src/core/messages.ts";
+import type { TablesStructure } from "../../src/core/structures.ts";
+import {
+  RevisionSource,
+  TableExchange,
+} from "../../src/core/tables/table_exchange.ts";
+import { TableKeeper } from "../../src/core/tables/table_keeper.ts";
+import { TableSnapshot } from "../../src/core/tables/table_snapshot.ts";
+import {
+  decodeEnvelope,
+  encodeEnvelope,
+} from "../../src/protocol/peer_codec.ts";
+import { parseTables, type TableFile } from "../../src/settings/table_files.ts";
+import { createTables, editTables } from "../control/fleet_tables.ts";
+import { computeSlope } from "../control/slope.ts";
+import type { Subcommand } from "../subcommand.ts";
+
+/** Size of one key of the configuration service. */
+const ROUTES_PER_KEY = 500;
+const CHANGES = 50;
+
+interface StartRow {
+  routes: number;
+  keys: number;
+  largestKeyBytes: number;
+  fromKeysMs: number;
+  oneKeyParseMs: number;
+  fromPeerMs: number;
+  peerMessages: number;
+  peerBytes: number;
+  largestMessageBytes: number;
+  heldMegabytes: number;
+  publishedChangeMs: number;
+  deltaBytes: number;
+  deltaMs: number;
+}
+
+export const startCommand: Subcommand = {
+  name: "start",
+  description: "Time and memory to hold the routes of all adapters.",
+  options: [
+    { flags: "--routes", description: "Sizes", value: "640,6400,64000" },
+    { flags: "--json", description: "Print JSON" },
+  ],
+  run(options) {
+    const rows = String(options["routes"]).split(",").map(Number)
+      .map(measureStart);
+    const slopes = {
+      fromKeysMsPerRoute: computeSlope(
+        rows.map((row) => [row.routes, row.fromKeysMs]),
+      ),
+      fromPeerMsPerRoute: computeSlope(
+        rows.map((row) => [row.routes, row.fromPeerMs]),
+      ),
+      bytesHeldPerRoute: computeSlope(
+        rows.map((row) => [row.routes, row.heldMegabytes * 1_048_576]),
+      ),
+      deltaMsPerRoute: computeSlope(
+        rows.map((row) => [row.routes, row.deltaMs]),
+      ),
+    };
+    if (options["json"]) console.log(JSON.stringify({ rows, slopes }));
+    else {
+      console.table(rows);
+      console.table(slopes);
+    }
+  },
+};
+
+function measureStart(routes: number): StartRow {
+  const sizes = {
+    domains: 11,
+    daemonsPerDomain: 1,
+    upstreamsPerDomain: 1,
+    pools: 6,
+    routes,
+  };
+  const source = createTables(sizes, 2);
+  const files = createFiles(source);
+  const parsed = measureTime(() => parseTables(files, 2).unwrap());
+  const oneKey = measureTime(() => parseTables(files.slice(0, 2), 2));
+  const heapBefore = measureHeap();
+  const keeper = new TableKeeper();
+  keeper.offerTables(structuredClone(parsed.result));
+  const heldMegabytes = (measureHeap() - heapBefore) / 1_048_576;
+  const peer = measurePeerTransfer(keeper);
+  const change = measureChanges(keeper, parsed.result);
+  return {
+    routes,
+    keys: files.length,
+    largestKeyBytes: Math.max(...files.map((file) => file.text.length)),
+    fromKeysMs: parsed.ms,
+    oneKeyParseMs: oneKey.ms,
+    ...peer,
+    heldMegabytes: Number(heldMegabytes.toFixed(2)),
+    ...change,
+  };
+}
+
+function createFiles(tables: TablesStructure): TableFile[] {
+  const { customers, pools, routes } = tables;
+  const files = [{ name: "pools", text: stringify({ customers, pools }) }];
+  for (let start = 0; start < routes.length; start += ROUTES_PER_KEY) {
+    const part = routes.slice(start, start + ROUTES_PER_KEY);
+    files.push({ name: `routes-${start}`, text: stringify({ routes: part }) });
+  }
+  return files;
+}
+
+/** Moves the whole in chunks from one exchange to another, through the codec. */
+function measurePeerTransfer(
+  keeper: TableKeeper,
+): Pick<
+  StartRow,
+  "fromPeerMs" | "peerMessages" | "peerBytes" | "largestMessageBytes"
+> {
+  const queue: { to: "server" | "client"; message: PeerMessage }[] = [];
+  const counts = { peerMessages: 0, peerBytes: 0, largestMessageBytes: 0 };
+  const server = createExchange(keeper, "client", queue);
+  const target = new TableKeeper();
+  const client = createExchange(target, "server", queue);
+  const { ms } = measureTime(() => {
+    client.handlePeerRevisions("server", {
+      tablesRevision: keeper.getTablesRevision(),
+      hostListRevision: 0,
+    }, 0);
+    for (let entry = queue.shift(); entry; entry = queue.shift()) {
+      const bytes = encodeEnvelope({ from: "", messages: [entry.message] });
+      counts.peerMessages += 1;
+      counts.peerBytes += bytes.length;
+      counts.largestMessageBytes = Math.max(
+        counts.largestMessageBytes,
+        bytes.length,
+      );
+      const [message] = decodeEnvelope(bytes).messages;
+      if (message?.kind === "tablesRequest") {
+        server.handleRequest("client", message, 0);
+      } else if (message?.kind === "chunkRequest") {
+        server.handleChunkRequest("client", message, 0);
+      } else if (message?.kind === "tablesChunk") {
+        client.handleTablesChunk("server", message, RevisionSource.Domain, 0);
+      }
+    }
+  });
+  if (target.getTablesRevision() !== keeper.getTablesRevision()) {
+    throw new Error("Expected the transfer to complete, found it torn");
+  }
+  return { fromPeerMs: ms, ...counts };
+}
+
+function createExchange(
+  keeper: TableKeeper,
+  to: "server" | "client",
+  queue: { to: "server" | "client"; message: PeerMessage }[],
+): TableExchange {
+  return new TableExchange(keeper, {
+    emit: (effect) => {
+      if (effect.kind === "send") queue.push({ to, message: effect.message });
+    },
+    handleTablesAccepted: () => {},
+    handleHostListAccepted: () => {},
+    publishTablesDelta: () => {},
+    publishHostListDelta: () => {},
+  });
+}
+
+/** Measures one changed route: published whole to a reader, and as a delta to any other daemon. */
+function measureChanges(
+  keeper: TableKeeper,
+  tables: TablesStructure,
+): Pick<StartRow, "publishedChangeMs" | "deltaBytes" | "deltaMs"> {
+  const first = editTables(tables, 1);
+  const published = measureTime(() => keeper.offerTables(first));
+  let snapshot = TableSnapshot.createFrom(first);
+  const deltas = Array.from({ length: CHANGES }, (_, index) => {
+    const route = first.routes[index % first.routes.length];
+    if (!route) throw new Error("Expected a route, found none");
+    const next = snapshot.apply({
+      fromRevision: snapshot.revision,
+      toRevision: snapshot.revision + 1,
+      digest: "",
+      customers: [],
+      routes: [{ ...route, version: `w${index}` }],
+      pools: [],
+      removedCustomers: [],
+      removedRoutes: [],
+      removedPools: [],
+    });
+    const delta = snapshot.findDelta(next);
+    snapshot = next;
+    return delta;
+  });
+  const applied = measureTime(() => {
+    for (const delta of deltas) {
+      const result = keeper.offerTablesDelta(delta);
+      if (result.kind !== "accepted") {
+        throw new Error(
+          `Expected a delta to be accepted, found ${result.kind}`,
+        );
+      }
+    }
+  });
+  const bytes = encodeEnvelope({
+    from: "",
+    messages: [{
+      kind: "tablesTransfer",
+      tablesDeltas: deltas.slice(0, 1),
+      hostListDeltas: [],
+    }],
+  }).length;
+  return {
+    publishedChangeMs: published.ms,
+    deltaBytes: bytes,
+    deltaMs: Number((applied.ms / CHANGES).toFixed(3)),
+  };
+}
+
+function measureTime<Result>(
+  run: () => Result,
+): { result: Result; ms: number } {
+  const startedAt = performance.now();
+  const result = run();
+  return { result, ms: Number((performance.now() - startedAt).toFixed(1)) };
+}
+
+function measureHeap(): number {
+  const { gc } = globalThis as { gc?: () => void };
+  gc?.();
+  return process.memoryUsage().heapUsed;
+}
--- a/src/core/daemon_core.ts
+++ b/src/core/daemon_core.ts
@@ -186,6 +186,11 @@
     };
   }
 
+  /** Returns the daemon that owns the upstream as seen from here, or undefined. */
+  getOwnerId(upstreamId: string): string | undefined {
+    return this.#membership.getOwnerId(upstreamId);
+  }
+
   /** Returns how the upstreams rank for a route now, best first. */
   explainRoute(routeName: string, now: Milliseconds): RankedUpstream[] {
     const route = this.#tables.getSnapshot()?.getRouteByName(routeName);
