--- a/src/cli/daemon_commands.ts
+++ b/src/cli/daemon_commands.ts
@@ -82,34 +82,45 @@
 
 /** Formats a status for reading. */
 export function formatStatus(status: StatusAnswer): string {
-  const lines = [
+  return [
     `${status.id} (${status.failureDomain}) is ${status.state}; tables revision ${status.tablesRevision}, host list revision ${status.hostListRevision}`,
     `requests ${status.execution.requests}, attempts ${status.execution.attempts}, held credits ${status.execution.heldCredits}, tickets ${status.tickets}`,
-    "peers:",
-    ...status.peers.map((peer) =>
-      `  ${peer.id} (${peer.failureDomain}) ${peer.live ? "live" : "silent"}${
-        peer.leaving ? ", leaving" : ""
-      }, tables revision ${peer.tablesRevision}`
+    ...formatSection("peers", status.peers.map(formatPeer)),
+    ...formatSection(
+      "owned upstreams",
+      status.upstreams.flatMap(formatUpstream),
     ),
-    "owned upstreams:",
-  ];
-  for (const upstream of status.upstreams) {
-    lines.push(
-      `  ${upstream.upstreamId} ${upstream.state}, ${
-        upstream.up ? "up" : "down"
-      }, credits ${upstream.creditsInUse}/${upstream.batchSize}, waiting ${upstream.waiting}, slots ${upstream.slots.length}/${upstream.capacity}`,
-    );
-    for (const slot of upstream.slots) {
-      lines.push(`    ${slot.adapterKey} ${slot.state}`);
-    }
-  }
-  lines.push("refused and retried since the start:");
-  for (const [name, count] of Object.entries(status.metrics.counters)) {
-    if (/^(refused|retried|lease_refused)\./.test(name)) {
-      lines.push(`  ${name} ${count}`);
-    }
-  }
-  return lines.join("\n");
+    ...formatSection(
+      "refused and retried since the start",
+      formatReasons(status.metrics),
+    ),
+  ].join("\n");
+}
+
+function formatSection(title: string, lines: readonly string[]): string[] {
+  return [`${title}:${lines.length === 0 ? " none" : ""}`, ...lines];
+}
+
+function formatPeer(peer: StatusAnswer["peers"][number]): string {
+  const life = peer.live ? "live" : "silent";
+  const leaving = peer.leaving ? ", leaving" : "";
+  return `  ${peer.id} (${peer.failureDomain}) ${life}${leaving}, tables revision ${peer.tablesRevision}`;
+}
+
+function formatUpstream(upstream: StatusAnswer["upstreams"][number]): string[] {
+  const life = upstream.up ? "up" : "down";
+  const head =
+    `  ${upstream.upstreamId} ${upstream.state}, ${life}, credits ${upstream.creditsInUse}/${upstream.batchSize}, leases ${upstream.leases.length}, waiting ${upstream.waiting}, slots ${upstream.slots.length}/${upstream.capacity}`;
+  const slots = upstream.slots.map((slot) =>
+    `    ${slot.adapterKey} ${slot.state}`
+  );
+  return [head, ...slots];
+}
+
+function formatReasons(metrics: MetricsSnapshot): string[] {
+  return Object.entries(metrics.counters)
+    .filter(([name]) => /^(refused|retried|lease_refused)\./.test(name))
+    .map(([name, count]) => `  ${name} ${count}`);
 }
 
 function reportError(message: string): ExitCode {
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -1,6 +1,7 @@
 /** Builds a daemon from its settings: the tasks, the bus between them and their order of start and stop. */
 import { randomBytes, randomUUID } from "node:crypto";
 import { performance } from "node:perf_hooks";
+import type { DaemonDescription } from "../core/daemon_core.ts";
 import { HostRole, HostState } from "../core/structures.ts";
 import type { DaemonSettings } from "../settings/daemon_settings.ts";
 import { type Bus, createBus } from "./bus.ts";
@@ -37,6 +38,8 @@
   readonly #platform: PlatformTask;
   readonly #operators: OperatorTask;
   #gaugeTimer: NodeJS.Timeout | undefined;
+  /** State and revisions as last logged. */
+  #reported = "";
 
   constructor(settings: DaemonSettings) {
     const bus = this.#bus;
@@ -150,8 +153,22 @@
     this.#platform.setBlocked(cut.platform);
   }
 
+  /** Logs a change of the daemon's state or of the revisions in force. */
+  #reportChanges(description: DaemonDescription): void {
+    const { state, tablesRevision, hostListRevision } = description;
+    const shown = JSON.stringify({ state, tablesRevision, hostListRevision });
+    if (shown === this.#reported) return;
+    this.#reported = shown;
+    this.#logger.info(`Daemon is ${state}`, {
+      step: "updateGauges",
+      tablesRevision,
+      hostListRevision,
+    });
+  }
+
   #updateGauges(): void {
     const description = this.#core.core.describe(performance.now());
+    this.#reportChanges(description);
     const { upstreams } = description;
     const creditsInUse = sum(upstreams.map((entry) => entry.creditsInUse));
     const batchSizes = sum(upstreams.map((entry) => entry.batchSize));
