--- a/src/core/daemon_core.ts
+++ b/src/core/daemon_core.ts
@@ -334,6 +334,7 @@
       requestId: event.requestId,
       reason,
       outcome: getUnclaimedOutcome(event.ticket),
+      hasStalled: false,
       retryAfterMs: this.#options.settings.startGraceMs,
     });
   }
