--- a/test/daemon/daemon_test.ts
+++ b/test/daemon/daemon_test.ts
@@ -1,4 +1,6 @@
 /** The operators' port of a daemon, and its stop. */
+import { createSocket } from "node:dgram";
+import { once } from "node:events";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { ContractBench } from "../contracts/contract_bench.ts";
@@ -85,6 +87,31 @@
   });
 });
 
+test("counters reach a StatsD server with prefix, host and reason", async () => {
+  const server = createSocket("udp4");
+  server.bind(0, "127.0.0.1");
+  await once(server, "listening");
+  const lines: string[] = [];
+  server.on("message", (bytes) => lines.push(...String(bytes).split("\n")));
+  const address = `127.0.0.1:${server.address().port}`;
+  const bench = new ContractBench({
+    settings: { metrics: { address, prefix: "site." } },
+  });
+  await withBench(bench, async () => {
+    await bench.call({ token: "other" });
+    await bench.waitUntil(
+      "the counter arrives",
+      () =>
+        lines.some((line) =>
+          line.startsWith("site.refused:1|c|#") &&
+          line.includes("host:entry-1") &&
+          line.includes("reason:unauthenticated")
+        ),
+    );
+  });
+  server.close();
+});
+
 test("a stop outlasts a run that does not end by no more than its timeout", async () => {
   const bench = new ContractBench({
     route: { maxRunMs: 60_000 },
