--- a/src/core/residency/upstream_ownership.ts
+++ b/src/core/residency/upstream_ownership.ts
@@ -193,7 +193,7 @@
     pool: PoolStructure,
     now: Milliseconds,
   ): void {
-    const { selfId, settings, policy, store, emit } = this.#options;
+    const { selfId, settings, policy, membership, store, emit } = this.#options;
     const owner = new UpstreamOwner({
       selfId,
       host,
@@ -205,6 +205,7 @@
       maxRunMs: this.#options.tables.getSnapshot()?.getMaxRunMs(pool.name) ??
         0,
       emit,
+      findElsewhere: (adapterKey) => membership.findHolder(adapterKey, host),
       createId: (prefix) => this.#createId(prefix),
     }, now);
     this.#owners.set(host.id, owner);
@@ -282,6 +283,7 @@
         adapterKey: request.adapterKey,
         reason: LeaseRefusalReason.NotOwner,
         retryAfterMs: settings.heartbeatIntervalMs,
+        redirectUpstreamId: "",
         ownerId: membership.getOwnerId(request.upstreamId) ?? "",
       },
     });
