--- a/src/daemon/attempt_end.ts
+++ b/src/daemon/attempt_end.ts
@@ -1,5 +1,5 @@
 /** How attempts end, read from what upstreams answer. */
-import type { Buffer } from "node:buffer";
+import { Buffer } from "node:buffer";
 import type { Dispatcher } from "undici";
 import type { StoredAnswerStructure } from "../core/messages.ts";
 import { type AttemptResult, Outcome } from "../core/outcomes.ts";
@@ -88,3 +88,22 @@
   response.body.on("error", () => {});
   response.body.destroy();
 }
+
+/** Reads an answer in one piece, up to a number of bytes. */
+export async function readBody(
+  response: Dispatcher.ResponseData,
+  maxBytes: number,
+): Promise<Buffer> {
+  const chunks: Buffer[] = [];
+  let length = 0;
+  for await (const chunk of response.body as AsyncIterable<Buffer>) {
+    length += chunk.length;
+    if (length > maxBytes) {
+      throw new Error(
+        `Expected an answer of at most ${maxBytes} bytes, found more`,
+      );
+    }
+    chunks.push(chunk);
+  }
+  return Buffer.concat(chunks);
+}
--- a/src/daemon/upstream_task.ts
+++ b/src/daemon/upstream_task.ts
@@ -14,6 +14,7 @@
   createStoredAnswer,
   dropBody,
   getHeader,
+  readBody,
   readBodyModel,
   readDetail,
 } from "./attempt_end.ts";
@@ -226,7 +227,7 @@
     response: Dispatcher.ResponseData,
     head: Parameters<Exchange["sink"]["begin"]>[0],
   ): Promise<AttemptEnd> {
-    const body = await this.#readBody(response);
+    const body = await readBody(response, this.#options.maxAnswerBytes);
     if (attempt.effect.upstreamKind === PoolKind.Engine) {
       const model = readBodyModel(body);
       if (model !== attempt.effect.model) {
@@ -242,21 +243,6 @@
     };
   }
 
-  async #readBody(response: Dispatcher.ResponseData): Promise<Buffer> {
-    const chunks: Buffer[] = [];
-    let length = 0;
-    for await (const chunk of response.body as AsyncIterable<Buffer>) {
-      length += chunk.length;
-      if (length > this.#options.maxAnswerBytes) {
-        throw new Error(
-          `Expected an answer of at most ${this.#options.maxAnswerBytes} bytes, found more`,
-        );
-      }
-      chunks.push(chunk);
-    }
-    return Buffer.concat(chunks);
-  }
-
   async #dropCrossed(
     attempt: RunningAttempt,
     response: Dispatcher.ResponseData,
