--- a/bench/tickets_command.ts
+++ b/bench/tickets_command.ts
@@ -83,13 +83,13 @@
   site.fleet.signal(a1, "SIGKILL");
   await site.fleet.waitForExit(a1);
   await waitUntilLost(site, a1);
-  const isOfLost = (ticket: IssuedTicket): boolean => ticket.home === a1;
+  const isOfLostHome = (ticket: IssuedTicket): boolean => ticket.home === a1;
   const others = [a2, b1, b2];
   cases.push(
     await measure(
       site,
       "spent, home lost",
-      lostSpent.filter(isOfLost),
+      lostSpent.filter(isOfLostHome),
       1,
       others,
     ),
@@ -98,7 +98,7 @@
     await measure(
       site,
       "unused, home lost",
-      lostUnused.filter(isOfLost),
+      lostUnused.filter(isOfLostHome),
       1,
       others,
     ),
@@ -107,16 +107,24 @@
   await site.fleet.waitUntilServing([a1]);
   await waitUntilPeersLive(site);
   cases.push(
-    await measure(site, "spent, home restarted", lostSpent.filter(isOfLost)),
+    await measure(
+      site,
+      "spent, home restarted",
+      lostSpent.filter(isOfLostHome),
+    ),
   );
   cases.push(
-    await measure(site, "unused, home restarted", lostUnused.filter(isOfLost)),
+    await measure(
+      site,
+      "unused, home restarted",
+      lostUnused.filter(isOfLostHome),
+    ),
   );
   cases.push(
     await measure(
       site,
       "spent, another daemon restarted",
-      lostSpent.filter((ticket) => !isOfLost(ticket)),
+      lostSpent.filter((ticket) => !isOfLostHome(ticket)),
     ),
   );
   return cases;
