--- a/test/fuzz/main.ts
+++ b/test/fuzz/main.ts
@@ -50,7 +50,9 @@
 ): void {
   const { failure } = result;
   if (!failure) return;
-  for (const line of failure.trace.slice(-options.lines)) console.log(line);
+  const { trace } = failure;
+  const from = Math.max(0, trace.length - options.lines);
+  for (const line of trace.slice(from)) console.log(line);
   const { slots, checksFencing } = failure.input.traits;
   const fencing = checksFencing ? "checked" : "ignored";
   console.log(`engines with ${slots} slots, fencing ${fencing}`);
