Publish no longer an upstream given up beside another change

Cause: removeOwn wrote isDirty ||= own.delete(id), which does not delete when the state is dirty already. A daemon that gave up an upstream in the same moment as another change published it as its own for ever; peers sent their lease requests there and their requests ran into the deadline. Excluded: lost updates and revived members (the versions held were right). The test fails without the change.

--- a/src/core/membership/state_publisher.ts
+++ b/src/core/membership/state_publisher.ts
@@ -65,7 +65,8 @@
   }
 
   removeOwn(upstreamId: string): void {
-    this.#isDirty ||= this.#own.delete(upstreamId);
+    const isRemoved = this.#own.delete(upstreamId);
+    this.#isDirty ||= isRemoved;
   }
 
   clearOwn(): void {
