--- a/bench/decide/decide_command.ts
+++ b/bench/decide/decide_command.ts
@@ -160,6 +160,7 @@
       remainingMs: 1_000,
       maxRunMs: 60_000,
       exclusive: false,
+      isCopy: false,
       sentAtMs: fleet.now,
     };
     const effects = owner.core.handle({
