--- a/src/core/residency/upstream_owner.ts
+++ b/src/core/residency/upstream_owner.ts
@@ -19,6 +19,7 @@
 } from "../structures.ts";
 import { LeaseGranter } from "./lease_granter.ts";
 import { LeaseQueue, type WaitingLeaseRequest } from "./lease_queue.ts";
+import { LeaseRefuser } from "./lease_refuser.ts";
 import { OrderBook } from "./order_book.ts";
 import {
   OwnerContext,
@@ -45,9 +46,6 @@
   evictionAllowedInMs: number;
 }
 
-/** Added to the expected wait when a holder is told to come back. */
-const RETRY_MARGIN_MS = 100;
-
 export class UpstreamOwner {
   readonly #context: OwnerContext;
   readonly #orders: OrderBook;
@@ -56,6 +54,7 @@
   readonly #queue = new LeaseQueue();
   readonly #granter: LeaseGranter;
   readonly #loader: SlotLoader;
+  readonly #refuser: LeaseRefuser;
 
   constructor(options: UpstreamOwnerOptions, now: Milliseconds) {
     const context = new OwnerContext(options);
@@ -73,6 +72,12 @@
       orders,
       claim: this.#claim,
     });
+    this.#refuser = new LeaseRefuser(context, {
+      queue,
+      reader,
+      claim: this.#claim,
+      loader: this.#loader,
+    });
   }
 
   get upstreamId(): string {
@@ -104,9 +109,9 @@
     const canGrant = this.#canGrant(now);
     if (this.#granter.tryRenewGrant(holder, request, { canGrant, now })) return;
     this.#recordDemand(request, now);
-    const refusal = this.#findRefusal(request, now);
+    const refusal = this.#refuser.findRefusal(request, now);
     if (refusal) {
-      this.#refuse(holder, request, refusal, now);
+      this.#refuser.refuse(holder, request, refusal, now);
       return;
     }
     const elsewhere = this.#findElsewhere(request);
@@ -257,7 +262,7 @@
     this.#claim.tick(now);
     this.#granter.ledger.dropExpired(now);
     for (const waiting of this.#queue.removeOverdue(now)) {
-      this.#refuse(
+      this.#refuser.refuse(
         waiting.holder,
         waiting.request,
         LeaseRefusalReason.DeadlineUnreachable,
@@ -314,27 +319,6 @@
     if (isAbsent) loadShares.recordDemand(request.customer, now);
   }
 
-  #findRefusal(
-    request: LeaseRequestMessage,
-    now: Milliseconds,
-  ): LeaseRefusalReason | undefined {
-    if (!this.isOwning()) return LeaseRefusalReason.Claiming;
-    if (!this.isUp()) return LeaseRefusalReason.UpstreamDown;
-    if (this.#reader.isLeaving()) return LeaseRefusalReason.Leaving;
-    const { settings } = this.#context.options;
-    const isFull = this.#queue.size >= settings.maxQueuedLeaseRequests &&
-      !this.#queue.has(request.leaseRequestId);
-    if (isFull) return LeaseRefusalReason.QueueFull;
-    if (this.#loader.hasLoadFailedLately(request.adapterKey, now)) {
-      return LeaseRefusalReason.LoadFailed;
-    }
-    const waitMs = this.#loader.estimateLoadWaitMs(request, now);
-    if (waitMs > request.remainingMs) {
-      return LeaseRefusalReason.DeadlineUnreachable;
-    }
-    return undefined;
-  }
-
   /** Grants what can be granted and orders the loads that the rest waits for. */
   #pump(now: Milliseconds): void {
     if (!this.#canGrant(now)) return;
@@ -383,7 +367,7 @@
     now: Milliseconds,
   ): void {
     const reason = LeaseRefusalReason.Redirected;
-    this.#refuse(holder, request, reason, now, upstreamId);
+    this.#refuser.refuse(holder, request, reason, now, upstreamId);
   }
 
   #canGrant(now: Milliseconds): boolean {
@@ -405,7 +389,7 @@
 
   #refuseWaiters(adapterKey: string, now: Milliseconds): void {
     for (const waiting of this.#queue.removeByAdapter(adapterKey)) {
-      this.#refuse(
+      this.#refuser.refuse(
         waiting.holder,
         waiting.request,
         LeaseRefusalReason.LoadFailed,
@@ -416,33 +400,7 @@
 
   #refuseAll(reason: LeaseRefusalReason, now: Milliseconds): void {
     for (const waiting of this.#queue.removeAll()) {
-      this.#refuse(waiting.holder, waiting.request, reason, now);
+      this.#refuser.refuse(waiting.holder, waiting.request, reason, now);
     }
   }
-
-  #refuse(
-    holder: string,
-    request: LeaseRequestMessage,
-    reason: LeaseRefusalReason,
-    now: Milliseconds,
-    redirectUpstreamId = "",
-  ): void {
-    const { emit, selfId } = this.#context.options;
-    const waitMs = this.#loader.estimateLoadWaitMs(request, now);
-    emit({ kind: "count", counter: "lease_refused", tag: reason });
-    emit({
-      kind: "send",
-      to: holder,
-      message: {
-        kind: "leaseRefusal",
-        leaseRequestId: request.leaseRequestId,
-        upstreamId: this.upstreamId,
-        adapterKey: request.adapterKey,
-        reason,
-        retryAfterMs: waitMs + RETRY_MARGIN_MS,
-        redirectUpstreamId,
-        ownerId: this.isOwning() ? selfId : "",
-      },
-    });
-  }
 }
