--- a/scripts/site.ts
+++ b/scripts/site.ts
@@ -1,6 +1,4 @@
 /** A site for the process tests: daemons as real processes, stand-ins of upstreams and the platform in this process. */
-import { createHash } from "node:crypto";
-import { stringify } from "yaml";
 import { FakeConfiguration } from "../fakes/fake_configuration.ts";
 import { FakeEngine } from "../fakes/fake_engine.ts";
 import { FakeHostList } from "../fakes/fake_host_list.ts";
@@ -14,32 +12,19 @@
   sendTicketedCall,
   startCall,
 } from "./caller.ts";
-import { Fleet, type FleetOptions, waitUntil } from "./fleet.ts";
-
-const TOKEN = "derwent-test-token";
-const ORDER_ROUTE = "feed-order";
-
-/** Hosts of one failure domain. */
-export interface SiteDomain {
-  name: string;
-  daemons: number;
-  engines: number;
-  services?: number;
-}
-
-export interface SiteOptions extends FleetOptions {
-  domains: SiteDomain[];
-  /** Routes `adapter-0`, `adapter-1`, … each to the adapter of its name. */
-  adapters?: number;
-  slots?: number;
-  batchSize?: number;
-  fencing?: "checked" | "ignored";
-  tokens?: number;
-  tokenIntervalMs?: number;
-  loadTimeMs?: number;
-  maxRunMs?: number;
-  queueDeadlineMs?: number;
-}
+import { Fleet, waitUntil } from "./fleet.ts";
+import {
+  formatSitePools,
+  formatSiteRoutes,
+  ORDER_ROUTE,
+  type RouteLimits,
+  SITE_TOKEN,
+  type SiteDomain,
+  type SiteOptions,
+} from "./site_tables.ts";
+
+export * from "./site_answers.ts";
+export type { SiteOptions } from "./site_tables.ts";
 
 /** Core settings that let leases and views of peers expire within a test. */
 export const SHORT_CORE_SETTINGS = {
@@ -71,7 +56,7 @@
 export class Site {
   readonly fleet: Fleet;
   /** Bearer token of the site's customer. */
-  readonly token = TOKEN;
+  readonly token = SITE_TOKEN;
   readonly configuration = new FakeConfiguration();
   readonly hostList = new FakeHostList();
   readonly engines = new Map<string, FakeEngine>();
@@ -243,61 +228,12 @@
   }
 
   formatPools(): string {
-    const failureDomains = this.options.domains.map(({ name }) => name);
-    return stringify({
-      pools: [
-        {
-          name: "writers",
-          service: "brief-writer",
-          failureDomains,
-          slots: this.options.slots,
-          batchSize: this.options.batchSize,
-          fencing: this.options.fencing,
-        },
-        {
-          name: "dispatch",
-          kind: "service",
-          service: "dispatch-core",
-          failureDomains,
-          batchSize: this.options.batchSize,
-        },
-      ],
-    });
+    return formatSitePools(this.options);
   }
 
   /** Returns the routes with every adapter at the given version. */
-  formatRoutes(
-    version: string,
-    changes: Partial<Pick<SiteOptions, "maxRunMs" | "queueDeadlineMs">> = {},
-  ): string {
-    const { adapters, maxRunMs, queueDeadlineMs } = {
-      ...this.options,
-      ...changes,
-    };
-    const limits = { maxRunMs, queueDeadlineMs };
-    return stringify({
-      customers: [{
-        name: "derwent",
-        tokenDigests: [createHash("sha256").update(TOKEN).digest("hex")],
-      }],
-      routes: [
-        ...Array.from({ length: adapters }, (_, index) => ({
-          name: `adapter-${index}`,
-          customer: "derwent",
-          pool: "writers",
-          adapter: `adapter-${index}`,
-          version,
-          ...limits,
-        })),
-        {
-          name: ORDER_ROUTE,
-          customer: "derwent",
-          pool: "dispatch",
-          idempotent: false,
-          ...limits,
-        },
-      ],
-    });
+  formatRoutes(version: string, changes: RouteLimits = {}): string {
+    return formatSiteRoutes({ ...this.options, ...changes }, version);
   }
 
   #startCompletion(
@@ -308,7 +244,7 @@
   ): RunningCall {
     return startCall({
       address: this.fleet.getDaemon(daemonId).callers,
-      token: TOKEN,
+      token: SITE_TOKEN,
       body: { model, stream, messages: [{ role: "user", content }] },
     });
   }
@@ -370,40 +306,9 @@
   #formatOrder(daemonId: string, pen: number): Parameters<typeof sendCall>[0] {
     return {
       address: this.fleet.getDaemon(daemonId).callers,
-      token: TOKEN,
+      token: SITE_TOKEN,
       path: `/v1/services/${ORDER_ROUTE}`,
       body: { pen },
     };
   }
 }
-
-/** Returns whether the answer is whole: every token of the adapter once and in order. */
-export function isExactAnswer(
-  answer: CallerAnswer,
-  adapterKey: string,
-  tokens: number,
-): boolean {
-  const expected = Array.from(
-    { length: tokens },
-    (_, index) => `${adapterKey}#${index}`,
-  );
-  const found = readTokens(answer.text);
-  return answer.status === 200 && answer.isWhole &&
-    answer.headers.get("x-adapter") === adapterKey.split("@")[0] &&
-    found.length === tokens &&
-    found.every((token, index) => token === expected[index]);
-}
-
-/** Describes an answer for the message of a failed check. */
-export function describeAnswer(answer: CallerAnswer): string {
-  const { status, isWhole, refusal, text } = answer;
-  const tokens = readTokens(text);
-  return JSON.stringify({
-    status,
-    isWhole,
-    refusal,
-    tokens: tokens.length,
-    first: tokens[0],
-    last: tokens.at(-1),
-  });
-}
--- a/src/cli/daemon_commands.ts
+++ b/src/cli/daemon_commands.ts
@@ -2,6 +2,7 @@
 import type { DaemonDescription } from "../core/daemon_core.ts";
 import type { RouteStructure } from "../core/structures.ts";
 import type { MetricsSnapshot } from "../daemon/metrics.ts";
+import { ExitCode } from "./exit_codes.ts";
 import { fetchFromDaemon } from "./operator_client.ts";
 
 export type StatusAnswer = DaemonDescription & { metrics: MetricsSnapshot };
@@ -15,20 +16,20 @@
 export async function printStatus(
   address: string,
   isJson: boolean,
-): Promise<number> {
+): Promise<ExitCode> {
   const status = await fetchFromDaemon<StatusAnswer>(address, "/status");
   if (status.isErr()) return reportError(status.error);
   console.log(
     isJson ? JSON.stringify(status.value) : formatStatus(status.value),
   );
-  return 0;
+  return ExitCode.Done;
 }
 
 /** Prints the routes in force; returns the exit code. */
 export async function printRoutes(
   address: string,
   isJson: boolean,
-): Promise<number> {
+): Promise<ExitCode> {
   const answer = await fetchFromDaemon<
     { revision: number; routes: RouteStructure[] }
   >(address, "/routes");
@@ -48,7 +49,7 @@
       );
     }
   }
-  return 0;
+  return ExitCode.Done;
 }
 
 /** Prints how the upstreams rank for a route; returns the exit code. */
@@ -56,7 +57,7 @@
   address: string,
   route: string,
   isJson: boolean,
-): Promise<number> {
+): Promise<ExitCode> {
   const answer = await fetchFromDaemon<ExplainAnswer>(
     address,
     `/explain/${encodeURIComponent(route)}`,
@@ -64,7 +65,7 @@
   if (answer.isErr()) return reportError(answer.error);
   if (isJson) {
     console.log(JSON.stringify(answer.value));
-    return 0;
+    return ExitCode.Done;
   }
   if (answer.value.upstreams.length === 0) {
     return reportError(`No upstream stands ready for route ${route}`);
@@ -76,36 +77,53 @@
       }  owner ${upstream.owner}`,
     );
   }
-  return 0;
+  return ExitCode.Done;
 }
 
 /** Formats a status for reading. */
 export function formatStatus(status: StatusAnswer): string {
-  const lines = [
+  return [
     `${status.id} (${status.failureDomain}) is ${status.state}; tables revision ${status.tablesRevision}, host list revision ${status.hostListRevision}`,
     `requests ${status.execution.requests}, attempts ${status.execution.attempts}, held credits ${status.execution.heldCredits}, tickets ${status.tickets}`,
-    "peers:",
-    ...status.peers.map((peer) =>
-      `  ${peer.id} (${peer.failureDomain}) ${peer.live ? "live" : "silent"}${
-        peer.leaving ? ", leaving" : ""
-      }, tables revision ${peer.tablesRevision}`
+    ...formatSection("peers", status.peers.map(formatPeer)),
+    ...formatSection(
+      "owned upstreams",
+      status.upstreams.flatMap(formatUpstream),
     ),
-    "owned upstreams:",
-  ];
-  for (const upstream of status.upstreams) {
-    lines.push(
-      `  ${upstream.upstreamId} ${upstream.state}, ${
-        upstream.up ? "up" : "down"
-      }, credits ${upstream.creditsInUse}/${upstream.batchSize}, waiting ${upstream.waiting}, slots ${upstream.slots.length}/${upstream.capacity}`,
-    );
-    for (const slot of upstream.slots) {
-      lines.push(`    ${slot.adapterKey} ${slot.state}`);
-    }
-  }
-  return lines.join("\n");
+    ...formatSection(
+      "refused and retried since the start",
+      formatReasons(status.metrics),
+    ),
+  ].join("\n");
+}
+
+function formatSection(title: string, lines: readonly string[]): string[] {
+  return [`${title}:${lines.length === 0 ? " none" : ""}`, ...lines];
+}
+
+function formatPeer(peer: StatusAnswer["peers"][number]): string {
+  const life = peer.live ? "live" : "silent";
+  const leaving = peer.leaving ? ", leaving" : "";
+  return `  ${peer.id} (${peer.failureDomain}) ${life}${leaving}, tables revision ${peer.tablesRevision}`;
+}
+
+function formatUpstream(upstream: StatusAnswer["upstreams"][number]): string[] {
+  const life = upstream.up ? "up" : "down";
+  const head =
+    `  ${upstream.upstreamId} ${upstream.state}, ${life}, credits ${upstream.creditsInUse}/${upstream.batchSize}, leases ${upstream.leases.length}, waiting ${upstream.waiting}, slots ${upstream.slots.length}/${upstream.capacity}`;
+  const slots = upstream.slots.map((slot) =>
+    `    ${slot.adapterKey} ${slot.state}`
+  );
+  return [head, ...slots];
+}
+
+function formatReasons(metrics: MetricsSnapshot): string[] {
+  return Object.entries(metrics.counters)
+    .filter(([name]) => /^(refused|retried|lease_refused)\./.test(name))
+    .map(([name, count]) => `  ${name} ${count}`);
 }
 
-function reportError(message: string): number {
+function reportError(message: string): ExitCode {
   console.error(message);
-  return 1;
+  return ExitCode.DaemonFailed;
 }
--- a/src/core/daemon_core.ts
+++ b/src/core/daemon_core.ts
@@ -342,6 +342,7 @@
       requestId: event.requestId,
       reason,
       outcome: getUnclaimedOutcome(event.ticket),
+      hasStalled: false,
       retryAfterMs: this.#options.settings.startGraceMs,
     });
   }
--- a/src/core/membership/membership.ts
+++ b/src/core/membership/membership.ts
@@ -274,6 +274,24 @@
     return this.#directory.listEntryDomains();
   }
 
+  /**
+   * Returns an upstream of the same service, other than the given one, that
+   * has the adapter, or that is about to load it and comes before it in order.
+   */
+  findHolder(adapterKey: string, upstream: HostStructure): string | undefined {
+    for (const id of this.getAdapterUpstreamIds(adapterKey)) {
+      const view = this.getUpstreamView(id);
+      if (id === upstream.id || !view?.digest.up || view.digest.leaving) {
+        continue;
+      }
+      if (this.getUpstreamHost(id)?.service !== upstream.service) continue;
+      const isHolder = view.digest.residents.includes(adapterKey) ||
+        id < upstream.id;
+      if (isHolder) return id;
+    }
+    return undefined;
+  }
+
   /** Returns the live daemons of this failure domain, this one included. */
   countLiveDomainDaemons(): number {
     return this.#getCandidates().length;
--- a/src/core/residency/upstream_owner.ts
+++ b/src/core/residency/upstream_owner.ts
@@ -103,11 +103,17 @@
   ): void {
     const canGrant = this.#canGrant(now);
     if (this.#granter.tryRenewGrant(holder, request, { canGrant, now })) return;
+    this.#recordDemand(request, now);
     const refusal = this.#findRefusal(request, now);
     if (refusal) {
       this.#refuse(holder, request, refusal, now);
       return;
     }
+    const elsewhere = this.#findElsewhere(request);
+    if (elsewhere !== undefined) {
+      this.#forwardRequest(holder, request, elsewhere, now);
+      return;
+    }
     if (!this.#queue.has(request.leaseRequestId)) {
       this.#context.options.popularity.recordRequests(
         request.adapterKey,
@@ -134,7 +140,9 @@
 
   /** Starts the most urgent load under the permit; returns false when none can start. */
   tryStartLoad(permit: StorePermit, now: Milliseconds): boolean {
-    return this.#canGrant(now) && this.#loader.tryStartLoad(permit, now);
+    if (!this.#canGrant(now)) return false;
+    this.#forwardWaiting(now);
+    return this.#loader.tryStartLoad(permit, now);
   }
 
   cancelLeaseRequest(leaseRequestId: string, now: Milliseconds): void {
@@ -299,6 +307,13 @@
     };
   }
 
+  #recordDemand(request: LeaseRequestMessage, now: Milliseconds): void {
+    const { creditShares, loadShares } = this.#context.options;
+    creditShares.recordDemand(request.customer, now);
+    const isAbsent = !this.#loader.slots.isResident(request.adapterKey);
+    if (isAbsent) loadShares.recordDemand(request.customer, now);
+  }
+
   #findRefusal(
     request: LeaseRequestMessage,
     now: Milliseconds,
@@ -313,7 +328,7 @@
     if (this.#loader.hasLoadFailedLately(request.adapterKey, now)) {
       return LeaseRefusalReason.LoadFailed;
     }
-    const waitMs = this.#loader.estimateLoadWaitMs(request.adapterKey, now);
+    const waitMs = this.#loader.estimateLoadWaitMs(request, now);
     if (waitMs > request.remainingMs) {
       return LeaseRefusalReason.DeadlineUnreachable;
     }
@@ -323,7 +338,10 @@
   /** Grants what can be granted and orders the loads that the rest waits for. */
   #pump(now: Milliseconds): void {
     if (!this.#canGrant(now)) return;
-    for (const waiting of this.#queue.getOrdered()) {
+    const { creditShares } = this.#context.options;
+    const isExceeding = (customer: string) =>
+      creditShares.isExceeding(customer, now);
+    for (const waiting of this.#queue.getOrdered(isExceeding)) {
       this.#serve(waiting, now);
     }
   }
@@ -341,6 +359,33 @@
     } else if (slot?.state !== "evicting") waiting.hasWaitedForLoad = true;
   }
 
+  /** Returns the upstream to which a request for an absent adapter is sent on. */
+  #findElsewhere(request: LeaseRequestMessage): string | undefined {
+    const { policy, findElsewhere } = this.#context.options;
+    const isLocal = !policy.redirects || this.#context.isService() ||
+      request.isCopy || this.#loader.slots.getSlot(request.adapterKey);
+    return isLocal ? undefined : findElsewhere(request.adapterKey);
+  }
+
+  #forwardWaiting(now: Milliseconds): void {
+    for (const { holder, request } of [...this.#queue.list()]) {
+      const elsewhere = this.#findElsewhere(request);
+      if (elsewhere === undefined) continue;
+      this.#queue.remove(request.leaseRequestId);
+      this.#forwardRequest(holder, request, elsewhere, now);
+    }
+  }
+
+  #forwardRequest(
+    holder: string,
+    request: LeaseRequestMessage,
+    upstreamId: string,
+    now: Milliseconds,
+  ): void {
+    const reason = LeaseRefusalReason.Redirected;
+    this.#refuse(holder, request, reason, now, upstreamId);
+  }
+
   #canGrant(now: Milliseconds): boolean {
     return this.isOwning() && this.isUp() && !this.#reader.isLeaving() &&
       this.#reader.isCurrent(now);
@@ -380,9 +425,10 @@
     request: LeaseRequestMessage,
     reason: LeaseRefusalReason,
     now: Milliseconds,
+    redirectUpstreamId = "",
   ): void {
     const { emit, selfId } = this.#context.options;
-    const waitMs = this.#loader.estimateLoadWaitMs(request.adapterKey, now);
+    const waitMs = this.#loader.estimateLoadWaitMs(request, now);
     emit({ kind: "count", counter: "lease_refused", tag: reason });
     emit({
       kind: "send",
@@ -394,6 +440,7 @@
         adapterKey: request.adapterKey,
         reason,
         retryAfterMs: waitMs + RETRY_MARGIN_MS,
+        redirectUpstreamId,
         ownerId: this.isOwning() ? selfId : "",
       },
     });
--- a/src/core/residency/upstream_ownership.ts
+++ b/src/core/residency/upstream_ownership.ts
@@ -3,6 +3,7 @@
  * live daemons of its failure domain change, with the handover between owners.
  */
 import type { CorePolicy } from "../core_policy.ts";
+import { FairShares } from "../limits/fair_shares.ts";
 import type { CoreSettings } from "../core_settings.ts";
 import type { Effect } from "../effects.ts";
 import type { OrderResult } from "../events.ts";
@@ -49,6 +50,8 @@
 
 export class UpstreamOwnership {
   readonly #options: UpstreamOwnershipOptions;
+  readonly #creditShares: FairShares;
+  readonly #loadShares: FairShares;
   readonly #popularity = new AdapterPopularity();
   readonly #owners = new Map<string, UpstreamOwner>();
   #lastId = 0;
@@ -63,6 +66,10 @@
 
   constructor(options: UpstreamOwnershipOptions) {
     this.#options = options;
+    const getShare = (customer: string) =>
+      options.tables.getSnapshot()?.getCustomer(customer)?.share ?? 1;
+    this.#creditShares = new FairShares(getShare);
+    this.#loadShares = new FairShares(getShare);
   }
 
   getOwner(upstreamId: string): UpstreamOwner | undefined {
@@ -193,7 +200,7 @@
     pool: PoolStructure,
     now: Milliseconds,
   ): void {
-    const { selfId, settings, policy, store, emit } = this.#options;
+    const { selfId, settings, policy, membership, store, emit } = this.#options;
     const owner = new UpstreamOwner({
       selfId,
       host,
@@ -205,6 +212,9 @@
       maxRunMs: this.#options.tables.getSnapshot()?.getMaxRunMs(pool.name) ??
         0,
       emit,
+      findElsewhere: (adapterKey) => membership.findHolder(adapterKey, host),
+      creditShares: this.#creditShares,
+      loadShares: this.#loadShares,
       createId: (prefix) => this.#createId(prefix),
     }, now);
     this.#owners.set(host.id, owner);
@@ -282,6 +292,7 @@
         adapterKey: request.adapterKey,
         reason: LeaseRefusalReason.NotOwner,
         retryAfterMs: settings.heartbeatIntervalMs,
+        redirectUpstreamId: "",
         ownerId: membership.getOwnerId(request.upstreamId) ?? "",
       },
     });
--- a/src/daemon/upstream_task.ts
+++ b/src/daemon/upstream_task.ts
@@ -14,6 +14,7 @@
   createStoredAnswer,
   dropBody,
   getHeader,
+  readBody,
   readBodyModel,
   readDetail,
 } from "./attempt_end.ts";
@@ -226,7 +227,7 @@
     response: Dispatcher.ResponseData,
     head: Parameters<Exchange["sink"]["begin"]>[0],
   ): Promise<AttemptEnd> {
-    const body = await this.#readBody(response);
+    const body = await readBody(response, this.#options.maxAnswerBytes);
     if (attempt.effect.upstreamKind === PoolKind.Engine) {
       const model = readBodyModel(body);
       if (model !== attempt.effect.model) {
@@ -242,21 +243,6 @@
     };
   }
 
-  async #readBody(response: Dispatcher.ResponseData): Promise<Buffer> {
-    const chunks: Buffer[] = [];
-    let length = 0;
-    for await (const chunk of response.body as AsyncIterable<Buffer>) {
-      length += chunk.length;
-      if (length > this.#options.maxAnswerBytes) {
-        throw new Error(
-          `Expected an answer of at most ${this.#options.maxAnswerBytes} bytes, found more`,
-        );
-      }
-      chunks.push(chunk);
-    }
-    return Buffer.concat(chunks);
-  }
-
   async #dropCrossed(
     attempt: RunningAttempt,
     response: Dispatcher.ResponseData,
@@ -277,8 +263,11 @@
       return { result: { kind: "timedOut" } };
     }
     if (attempt.isCancelled) {
-      const isConfirmed = await this.#cancelOnUpstream(attempt.effect);
-      return isConfirmed
+      const status = await this.#cancelOnUpstream(attempt.effect);
+      // An upstream that never heard of the run may still have it before it.
+      const isOver = status === 200 ||
+        (status === 404 && attempt.bytesForwarded > 0);
+      return isOver
         ? { result: { kind: "cancelled" } }
         : createLost("cancelled, not confirmed", attempt);
     }
@@ -297,10 +286,12 @@
     attempt.abort.abort();
   }
 
-  /** Cancels a run; returns whether the upstream confirmed that it is over. */
-  async #cancelOnUpstream(effect: DispatchEffect): Promise<boolean> {
-    if (effect.upstreamKind !== PoolKind.Engine) return false;
-    if (this.#blocked.has(effect.upstreamId)) return false;
+  /** Cancels a run; returns the status of the upstream's answer, undefined when there is none. */
+  async #cancelOnUpstream(
+    effect: DispatchEffect,
+  ): Promise<number | undefined> {
+    if (effect.upstreamKind !== PoolKind.Engine) return undefined;
+    if (this.#blocked.has(effect.upstreamId)) return undefined;
     return await cancelRun(this.#agent, effect.address, effect.attemptId);
   }
 
--- a/test/processes/resume_test.ts
+++ b/test/processes/resume_test.ts
@@ -11,6 +11,9 @@
 const TOKENS = 40;
 /** Together more than the buffers of the kernel hold on both connections. */
 const LONG_TOKENS = 120;
+/** Far more than the test takes, on however busy a machine. */
+const MAX_RUN_MS = 120_000;
+const RESUME_WINDOW_MS = 20_000;
 const PADDING_BYTES = 1_000_000;
 const test = suite("resume");
 let site: Site;
@@ -20,8 +23,10 @@
   site = new Site({
     domains: [{ name: "hobart-a", daemons: 1, engines: 1 }],
     tokens: TOKENS,
+    maxRunMs: MAX_RUN_MS,
   });
   await site.start();
+  site.getEngine().faults.resumeWindowMs = RESUME_WINDOW_MS;
   entry = site.daemonIds[0] ?? "";
 });
 
