--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -2,6 +2,7 @@
 /** The operators' command-line tool. */
 import process from "node:process";
 import sade from "sade";
+import { VERSION } from "../settings/version.ts";
 import { checkSettingsFile, checkTableFiles } from "./check_commands.ts";
 import {
   printExplanation,
@@ -19,7 +20,7 @@
 const program = sade("pistachiohatch");
 
 program
-  .version("0.1.0")
+  .version(VERSION)
   .option("--json", "Print JSON, one value a line", false)
   .option(
     "--daemon",
--- a/src/daemon/http_server.ts
+++ b/src/daemon/http_server.ts
@@ -1,6 +1,7 @@
 /** Starts and stops HTTP servers on an IP address and port. */
 import { createServer, type RequestListener, type Server } from "node:http";
 import type { AddressInfo } from "node:net";
+import { describeError, StepError } from "./step_error.ts";
 
 const DEFAULT_TIMEOUT_MS = 60_000;
 const KEEP_ALIVE_TIMEOUT_MS = 5_000;
@@ -44,9 +45,18 @@
 export async function listen(server: Server, address: string): Promise<number> {
   const { host, port } = parseAddress(address);
   await new Promise<void>((resolve, reject) => {
-    server.once("error", reject);
+    const refuse = (cause: Error): void => {
+      reject(
+        new StepError(describeError(cause), {
+          step: "listen",
+          peer: address,
+          cause,
+        }),
+      );
+    };
+    server.once("error", refuse);
     server.listen(port, host, () => {
-      server.off("error", reject);
+      server.off("error", refuse);
       resolve();
     });
   });
--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -4,14 +4,16 @@
 import process from "node:process";
 import sade from "sade";
 import { daemonSettingsSchema } from "../settings/daemon_settings.ts";
+import { VERSION } from "../settings/version.ts";
 import { parseYamlAs } from "../settings/yaml_file.ts";
 import { Daemon } from "./daemon.ts";
-import { describeError } from "./step_error.ts";
+import { describeError, describeStep } from "./step_error.ts";
 
 const EXIT_INVALID_SETTINGS = 2;
 const EXIT_START_FAILED = 3;
 
 sade("pistachiohatchd", true)
+  .version(VERSION)
   .describe("Serves LoRA adapters to callers. Stops gracefully on SIGTERM.")
   .option("-s, --settings", "Settings file (YAML)", "pistachiohatchd.yaml")
   .action(async (options: { settings: string }) => {
@@ -53,7 +55,7 @@
   try {
     await daemon.start();
   } catch (error) {
-    console.error(`pistachiohatchd: ${describeError(error)}`);
+    console.error(`pistachiohatchd: ${describeStep(error)}`);
     process.exit(EXIT_START_FAILED);
   }
 }
--- a/src/daemon/peer_task.ts
+++ b/src/daemon/peer_task.ts
@@ -5,12 +5,14 @@
   type ChannelCredentials,
   type Client,
   credentials,
+  logVerbosity,
   makeGenericClientConstructor,
   type sendUnaryData,
   Server,
   ServerCredentials,
   type ServerUnaryCall,
   type ServiceDefinition,
+  setLogVerbosity,
 } from "@grpc/grpc-js";
 import type { PeerMessage } from "../core/messages.ts";
 import {
@@ -47,6 +49,9 @@
   },
 } satisfies ServiceDefinition;
 
+// The library writes lines of its own to standard error; failures are logged here.
+setLogVerbosity(logVerbosity.NONE);
+
 const PeerClient = makeGenericClientConstructor(PEER_SERVICE, "Peer");
 
 type TlsSettings = NonNullable<DaemonSettings["peers"]["tls"]>;
@@ -93,7 +98,10 @@
       this.#server.bindAsync(
         settings.peers.listen,
         this.#createServerCredentials(),
-        (error, port) => error ? reject(error) : resolve(port),
+        (cause, port) => {
+          if (!cause) resolve(port);
+          else reject(createListenError(settings.peers.listen, cause));
+        },
       );
     });
   }
@@ -237,6 +245,14 @@
   return Buffer.from(bytes.buffer, bytes.byteOffset, bytes.byteLength);
 }
 
+function createListenError(address: string, cause: Error): StepError {
+  return new StepError(describeError(cause), {
+    step: "listenPeers",
+    peer: address,
+    cause,
+  });
+}
+
 interface TlsFiles {
   authority: Buffer;
   key: Buffer;
--- a/src/daemon/step_error.ts
+++ b/src/daemon/step_error.ts
@@ -22,6 +22,14 @@
   return typeof code === "string" ? `${code}: ${error.message}` : error.message;
 }
 
+/** Returns the text of anything thrown, after the step and the peer where it arose, if known. */
+export function describeStep(error: unknown): string {
+  const text = describeError(error);
+  return error instanceof StepError
+    ? `${error.step}: ${error.peer}: ${text}`
+    : text;
+}
+
 /** Returns the system's or library's code of an error, or an empty text. */
 export function getErrorCode(error: unknown): string {
   if (!(error instanceof Error)) return "";
--- a/test/cli/commands_test.ts
+++ b/test/cli/commands_test.ts
@@ -1,6 +1,6 @@
 /** The command-line tool and the daemon's program, as operators start them. */
 import { spawn } from "node:child_process";
-import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import process from "node:process";
@@ -61,7 +61,13 @@
 const ROWS: ProgramRow[] = [
   { args: [], exitCode: 1, stdout: /Available Commands/ },
   { args: ["--help"], exitCode: 0, stdout: /Available Commands/ },
-  { args: ["--version"], exitCode: 0, stdout: /^pistachiohatch, \d/ },
+  { args: ["--version"], exitCode: 0, stdout: createVersionPattern() },
+  {
+    program: DAEMON,
+    args: ["--version"],
+    exitCode: 0,
+    stdout: createVersionPattern(),
+  },
   { args: ["other"], exitCode: 1, stderr: /Invalid command: other/ },
   { args: ["check"], exitCode: 1, stderr: /Insufficient arguments/ },
   { args: ["explain"], exitCode: 1, stderr: /Insufficient arguments/ },
@@ -179,6 +185,24 @@
   });
 }
 
+function createVersionPattern(): RegExp {
+  const { version } = JSON.parse(readFileSync("package.json", "utf8"));
+  return new RegExp(`^pistachiohatchd?, ${version}\n$`);
+}
+
+commands("pistachiohatchd on a port that is taken", async () => {
+  const file = join(folder, "taken.yaml");
+  const text = readFileSync(SETTINGS, "utf8")
+    .replace("127.0.0.1:7902", `127.0.0.1:${bench.peersPort}`);
+  writeFileSync(file, text);
+  const run = await runProgram(DAEMON, ["-s", file]);
+  assert.is(run.exitCode, 3, run.stdout + run.stderr);
+  assert.match(
+    run.stderr,
+    /^pistachiohatchd: listenPeers: 127\.0\.0\.1:\d+: .*EADDRINUSE/,
+  );
+});
+
 /** Output goes to one of the two streams only. */
 function checkRun(run: ProgramRun, row: ProgramRow): void {
   assert.is(run.exitCode, row.exitCode, run.stdout + run.stderr);
