--- a/src/core/residency/slot_loader.ts
+++ b/src/core/residency/slot_loader.ts
@@ -20,11 +20,20 @@
 /** Time for which an adapter whose load failed is not loaded again. */
 const LOAD_RETRY_DELAY_MS = 500;
 
-/** Least slack that is told apart when loads are ordered. */
-const MIN_SLACK_MS = 250;
+/** Worth of a victim where none can be evicted now. */
+const MAX_VICTIM_VALUE = 1_000;
+/** Slack below which a load comes too late, in load times. */
+const LOAD_MARGIN = 2;
+/** Slack at which the urgency of a load is half of the highest. */
+const HALF_URGENCY_SLACK_MS = 2_000;
+
+/** Urgency left to customers above their share while others wait. */
+const EXCEEDING_FACTOR = 0.01;
 
 interface WantedLoad {
   adapterKey: string;
+  /** Customer of the request that came first. */
+  customer: string;
   urgency: number;
 }
 
@@ -62,9 +71,11 @@
   tryStartLoad(permit: StorePermit, now: Milliseconds): boolean {
     const [first] = this.#listWanted(now);
     if (!first) return false;
-    const { adapterKey } = first;
+    const { adapterKey, customer } = first;
+    const { loadShares } = this.#context.options;
     const isFree = this.slots.countFreeSlots() > this.#planned.size;
     if (isFree) {
+      loadShares.recordUse(customer, 1, now);
       this.#permits.set(adapterKey, permit);
       this.slots.addLoading(adapterKey, now);
       this.#giveOrder({ kind: "load", adapterKey }, now);
@@ -73,6 +84,7 @@
     const victim = this.#findVictim(now);
     if (victim === undefined) return false;
     this.#context.options.popularity.recordEviction(victim);
+    loadShares.recordUse(customer, 1, now);
     this.#planned.set(victim, { adapterKey, permit });
     this.slots.apply(victim, "evictOrdered", now);
     this.#giveOrder({ kind: "evict", adapterKey: victim }, now);
@@ -169,13 +181,20 @@
     return false;
   }
 
-  /** Returns the time until the adapter would be resident; 0 when it has a slot. */
-  estimateLoadWaitMs(adapterKey: string, now: Milliseconds): Milliseconds {
+  /** Returns the time until the request's adapter would be resident; 0 when it has a slot. */
+  estimateLoadWaitMs(
+    request: LeaseRequestMessage,
+    now: Milliseconds,
+  ): Milliseconds {
+    const { adapterKey, customer } = request;
     if (this.#context.isService() || this.slots.getSlot(adapterKey)) return 0;
+    const { loadShares, store } = this.#context.options;
+    const yields = loadShares.isExceeding(customer, now);
     const ahead = this.#listWanted(now).filter((load) =>
-      load.adapterKey !== adapterKey
+      load.adapterKey !== adapterKey &&
+      (yields || !loadShares.isExceeding(load.customer, now))
     );
-    return this.#context.options.store.estimateWaitMs(ahead.length, now);
+    return store.estimateWaitMs(ahead.length, { yields }, now);
   }
 
   /** Returns the adapters that are loading or wait for their load. */
@@ -189,14 +208,19 @@
     return [...coming];
   }
 
-  /** Returns the score of the resident adapter that is worth least; 0 with a free slot. */
+  /**
+   * Returns the worth of the resident that one more load would evict, after
+   * the loads that are waited for have taken what is worth less; 0 with a free slot.
+   */
   getVictimValue(now: Milliseconds): number {
-    if (this.slots.hasFreeSlot()) return 0;
-    let value = Number.POSITIVE_INFINITY;
-    for (const slot of this.slots.getByState("resident")) {
-      value = Math.min(value, this.#computeWorth(slot, now));
-    }
-    return Number.isFinite(value) ? value : 0;
+    const ahead = this.#listWanted(now).length + this.#planned.size -
+      this.slots.countFreeSlots();
+    if (ahead < 0) return 0;
+    const worths = this.slots.getByState("resident")
+      .filter((slot) => this.#isEvictable(slot.adapterKey, now))
+      .map((slot) => this.#computeWorth(slot, now))
+      .sort((a, b) => a - b);
+    return worths[ahead] ?? MAX_VICTIM_VALUE;
   }
 
   #computeWorth(slot: Slot, now: Milliseconds): number {
@@ -209,11 +233,17 @@
     const planned = new Set<string>();
     for (const plan of this.#planned.values()) planned.add(plan.adapterKey);
     const wanted = new Map<string, WantedLoad>();
+    const { loadShares, settings } = this.#context.options;
     for (const { request, deadlineAt } of this.#parts.queue.list()) {
       const { adapterKey } = request;
       if (this.slots.getSlot(adapterKey) || planned.has(adapterKey)) continue;
-      const load = wanted.get(adapterKey) ?? { adapterKey, urgency: 0 };
-      load.urgency += computeUrgency(request, deadlineAt - now);
+      const isTooLate = deadlineAt - now <
+        settings.loadTimeMs * LOAD_MARGIN;
+      if (isTooLate) continue;
+      const load = wanted.get(adapterKey) ??
+        { adapterKey, customer: request.customer, urgency: 0 };
+      load.urgency += computeUrgency(request, deadlineAt - now) *
+        (loadShares.isExceeding(request.customer, now) ? EXCEEDING_FACTOR : 1);
       wanted.set(adapterKey, load);
     }
     return [...wanted.values()].sort((a, b) => b.urgency - a.urgency);
@@ -262,5 +292,5 @@
   slackMs: Milliseconds,
 ): number {
   return request.credits / (1 + request.priorityRank) /
-    Math.max(MIN_SLACK_MS, slackMs);
+    (HALF_URGENCY_SLACK_MS + slackMs);
 }
--- a/src/daemon/upstream_orders.ts
+++ b/src/daemon/upstream_orders.ts
@@ -58,12 +58,12 @@
   }
 }
 
-/** Cancels a run; returns whether the upstream confirmed that it is over. */
+/** Cancels a run; returns the status of the upstream's answer, undefined when there is none. */
 export async function cancelRun(
   agent: Dispatcher,
   address: string,
   attemptId: string,
-): Promise<boolean> {
+): Promise<number | undefined> {
   try {
     const response = await agent.request({
       origin: `http://${address}`,
@@ -72,9 +72,9 @@
       signal: AbortSignal.timeout(CANCEL_TIMEOUT_MS),
     });
     await response.body.dump();
-    return response.statusCode === 200 || response.statusCode === 404;
+    return response.statusCode;
   } catch {
-    return false;
+    return undefined;
   }
 }
 
