Refuse bodies that are nested too deeply to be sent on

Cause: the body was parsed by an iterative parser and serialized for the engine by a recursive one, whose error was taken for a lost upstream: the request was tried on every engine and refused as one that may have run. Seen by the caller's contract test, row 'JSON nested deeper than it can be sent on'.

--- a/src/daemon/caller_task.ts
+++ b/src/daemon/caller_task.ts
@@ -13,6 +13,7 @@
 import { attachConnectionGuard } from "./connection_guard.ts";
 import type { ExchangeRegistry } from "./exchange.ts";
 import { close, createHttpServer, listen } from "./http_server.ts";
+import { parseJsonObject } from "./json_body.ts";
 import type { Logger } from "./logger.ts";
 import type { Metrics } from "./metrics.ts";
 import { type RefusalStructure, sendRefusal } from "./refusal_response.ts";
@@ -262,19 +263,6 @@
   return isHeld ? customer?.name : undefined;
 }
 
-function parseJsonObject(body: unknown): Record<string, unknown> | undefined {
-  if (!Buffer.isBuffer(body)) return undefined;
-  try {
-    const text = new TextDecoder("utf-8", { fatal: true }).decode(body);
-    const value: unknown = JSON.parse(text);
-    const isObject = typeof value === "object" && value !== null &&
-      !Array.isArray(value);
-    return isObject ? value as Record<string, unknown> : undefined;
-  } catch {
-    return undefined;
-  }
-}
-
 function computeFingerprint(
   customer: string,
   route: string,
--- a/test/contracts/caller_contract_test.ts
+++ b/test/contracts/caller_contract_test.ts
@@ -5,7 +5,9 @@
 import * as assert from "uvu/assert";
 import { ContractBench, subtractCounters, TOKENS } from "./contract_bench.ts";
 
-const MAX_BODY_BYTES = 4_096;
+const MAX_BODY_BYTES = 131_072;
+/** Nesting within the bound of a body. */
+const DEPTH = 60_000;
 const MAX_HEADER_BYTES = 8_192;
 const STALL_TIMEOUT_MS = 300;
 
@@ -121,6 +123,17 @@
     reason: "invalidRequest",
     counter: "refused.invalidRequest",
   },
+  {
+    fault: "JSON nested deeper than it can be sent on",
+    request: {
+      body: `{"model":"briefing","deep":${"[".repeat(DEPTH)}${
+        "]".repeat(DEPTH)
+      }}`,
+    },
+    status: 400,
+    reason: "invalidRequest",
+    counter: "refused.invalidRequest",
+  },
   {
     fault: "bad escape in the path",
     request: { path: "/v1/services/%E0%A4%A" },
