--- a/src/daemon/upstream_task.ts
+++ b/src/daemon/upstream_task.ts
@@ -1,5 +1,4 @@
 /** The task that owns the connections to upstreams: dispatches attempts, gives orders and reads states. */
-import { Buffer } from "node:buffer";
 import { performance } from "node:perf_hooks";
 import type { Readable } from "node:stream";
 import { Agent, type Dispatcher } from "undici";
