Let two tests judge by what happened, not by what a quick machine does

resume_test counted on a connection being there at each cut; beside other load a cut sometimes found none, as the entry had not come back yet (1 of 3 runs of all tests). The engine counts the connections that it cut, and each must have been resumed: the same number, where it was 'at least' before. ticket_test counted on four calls being there before the first one's run of 200 ms ended; a later one is rightly answered with the replay (1 of 3 runs). Exactly one answer must be no replay, all others its replay or ticketInProgress.

--- a/fakes/fake_engine.ts
+++ b/fakes/fake_engine.ts
@@ -26,6 +26,8 @@
   readonly history: RunRecord[] = [];
   /** Evictions of adapters on which runs were going on. */
   evictionsInUse = 0;
+  /** Connections cut while their runs went on. */
+  droppedConnections = 0;
   /** Highest fencing number accepted, which tests may raise. */
   fencing = 0;
   #incarnation = randomUUID().slice(0, 8);
@@ -325,7 +327,9 @@
           choices: [{ index: 0, delta: { content } }],
         };
         const text = `data: ${JSON.stringify(event)}\n\n`;
-        if (drops.includes(token)) log.cutConnection(text.slice(0, 20));
+        const isDropped = drops.includes(token) &&
+          log.cutConnection(text.slice(0, 20));
+        if (isDropped) this.droppedConnections += 1;
         log.add(text);
       }
     }
--- a/fakes/stream_log.ts
+++ b/fakes/stream_log.ts
@@ -41,13 +41,14 @@
     this.#response?.end();
   }
 
-  /** Cuts the connection, in the midst of an event if some bytes of one are given. */
-  cutConnection(partialEvent = ""): void {
+  /** Cuts the connection, in the midst of an event if some bytes of one are given; returns whether there was one. */
+  cutConnection(partialEvent = ""): boolean {
     const response = this.#response;
-    if (!response) return;
+    if (!response) return false;
     this.#response = undefined;
     this.#detachedAt = performance.now();
     if (partialEvent === "") response.destroy();
     else response.write(partialEvent, () => response.destroy());
+    return true;
   }
 }
--- a/test/processes/resume_test.ts
+++ b/test/processes/resume_test.ts
@@ -53,7 +53,8 @@
     );
   }
   assert.is(engine.history.length, runs + answers.length, "nothing ran twice");
-  assert.ok(await countResumes("resumed") >= answers.length * 5);
+  assert.ok(engine.droppedConnections >= answers.length);
+  assert.is(await countResumes("resumed"), engine.droppedConnections);
   engine.faults.dropConnectionsAfter = [];
 });
 
--- a/test/processes/ticket_test.ts
+++ b/test/processes/ticket_test.ts
@@ -54,16 +54,21 @@
       [a1, a2, b1, a2].map((id) => site.order(id, pen, ticket)),
     );
     assert.is(site.countOrders(pen), 1);
-    assert.is(answers.filter(({ status }) => status === 200).length, 1);
-    const others = answers.filter(({ status }) => status !== 200);
-    for (const { refusal } of others) {
+    const completed = answers.filter(({ status }) => status === 200);
+    const first = completed.filter(({ headers }) =>
+      headers.get("idempotent-replayed") === null
+    );
+    assert.is(first.length, 1);
+    for (const { text } of completed) assert.is(text, first[0]?.text);
+    for (const { status, refusal } of answers) {
+      if (status === 200) continue;
       assert.is(refusal?.reason, RefusalReason.TicketInProgress);
       assert.is(refusal?.outcome, Outcome.MayHaveRun);
     }
     const again = await site.order(b1, pen, ticket);
     assert.is(again.status, 200);
     assert.is(again.headers.get("idempotent-replayed"), "true");
-    assert.is(again.text, answers.find(({ status }) => status === 200)?.text);
+    assert.is(again.text, first[0]?.text);
     assert.is(site.countOrders(pen), 1);
   }
 });
