Redirect before refusing for the deadline; describe owners in a file of their own

A request that an entry sent to the wrong upstream was refused for the time of a load there though another upstream had the adapter.

--- a/bench/policy/simulation.ts
+++ b/bench/policy/simulation.ts
@@ -6,15 +6,17 @@
 import type { CoreEvent } from "../../src/core/events.ts";
 import type { AttemptResult } from "../../src/core/outcomes.ts";
 import {
-  Fencing,
   HostRole,
-  HostState,
   type HostStructure,
   PoolKind,
-  Priority,
-  type TablesStructure,
 } from "../../src/core/structures.ts";
 import { EventHeap } from "./event_heap.ts";
+import {
+  createHosts,
+  createTables,
+  MAX_RUN_MS,
+  SERVICE_BATCH,
+} from "./deployment_tables.ts";
 import { FakeEngine, FakeStore, StoreReading } from "./fakes.ts";
 import type { RequestRecord } from "./measures.ts";
 import {
@@ -47,8 +49,6 @@
 
 const TICK_MS = 50;
 const CONNECT_TIMEOUT_MS = 1_000;
-const MAX_RUN_MS = 30_000;
-const SERVICE_BATCH = 32;
 /** Loads a second that 8 in flight at a quarter second each amount to. */
 const UNBOUND_LOADS_PER_SECOND = 32;
 
@@ -73,7 +73,7 @@
       loadsPerSecond: deployment.storeLoadsPerSecond,
       reading: store,
     });
-    const hosts = this.#createHosts();
+    const hosts = createHosts(deployment);
     const random = createRandom(seed + 1);
     for (const host of hosts) {
       this.#domains.set(host.id, host.failureDomain);
@@ -107,31 +107,6 @@
     };
   }
 
-  #createHosts(): HostStructure[] {
-    const { deployment } = this.#options;
-    const hosts: HostStructure[] = [];
-    const add = (service: string, counts: readonly number[]) => {
-      for (const [domain, count] of counts.entries()) {
-        for (let index = 0; index < count; index += 1) {
-          const failureDomain = deployment.failureDomains[domain]!;
-          const id = `${service || "entry"}-${failureDomain}-${index}`;
-          hosts.push({
-            id,
-            address: id,
-            failureDomain,
-            role: service === "" ? HostRole.Entry : HostRole.Upstream,
-            service,
-            state: HostState.Live,
-          });
-        }
-      }
-    };
-    add("", deployment.daemonsByDomain);
-    add(deployment.engineService, deployment.enginesByDomain);
-    add(deployment.plainService, deployment.servicesByDomain);
-    return hosts;
-  }
-
   #addDaemon(host: HostStructure, hosts: HostStructure[]): void {
     const { deployment, store, policy } = this.#options;
     const core = new DaemonCore({
@@ -412,67 +387,6 @@
   }
 }
 
-function createTables(deployment: Deployment): TablesStructure {
-  const { customers, engineService, plainService } = deployment;
-  const pool = {
-    baseModel: "base",
-    failureDomains: [...deployment.failureDomains],
-    fencing: Fencing.Checked,
-    loadStallWeight: deployment.loadStallWeight,
-    batchEfficiencyWeight: deployment.batchEfficiencyWeight,
-  };
-  const route = { idempotent: true, maxRunMs: MAX_RUN_MS };
-  return {
-    revision: 1,
-    customers: customers.map(({ name, share }, index) => ({
-      name,
-      share,
-      tokenDigests: [String(index).padStart(64, "0")],
-    })),
-    pools: [{
-      ...pool,
-      name: engineService,
-      kind: PoolKind.Engine,
-      service: engineService,
-      slots: deployment.slots,
-      batchSize: deployment.batchSize,
-    }, {
-      ...pool,
-      name: plainService,
-      kind: PoolKind.Service,
-      service: plainService,
-      baseModel: "",
-      slots: 0,
-      batchSize: SERVICE_BATCH,
-    }],
-    routes: [
-      ...Array.from({ length: deployment.adapters }, (_, adapter) => {
-        const priority = getPriorityOf(adapter);
-        return {
-          ...route,
-          name: `route-${adapter}`,
-          customer: getCustomerOf(adapter, deployment),
-          pool: engineService,
-          adapter: `adapter-${adapter}`,
-          version: "1",
-          priority,
-          queueDeadlineMs: deployment.deadlinesMs[priority],
-        };
-      }),
-      ...customers.map(({ name }) => ({
-        ...route,
-        name: `${plainService}-${name}`,
-        customer: name,
-        pool: plainService,
-        adapter: "",
-        version: "",
-        priority: Priority.Interactive,
-        queueDeadlineMs: deployment.deadlinesMs.interactive,
-      })),
-    ],
-  };
-}
-
 function sum<T>(items: readonly T[], measure: (item: T) => number): number {
   return items.reduce((total, item) => total + measure(item), 0);
 }
--- a/src/core/daemon_core.ts
+++ b/src/core/daemon_core.ts
@@ -21,7 +21,7 @@
 import { ClaimVerdict, type PeerMessage } from "./messages.ts";
 import { getUnclaimedOutcome, RefusalReason } from "./outcomes.ts";
 import { StoreAccess } from "./residency/store_access.ts";
-import type { OwnedUpstreamDescription } from "./residency/upstream_owner.ts";
+import type { OwnedUpstreamDescription } from "./residency/owner_description.ts";
 import { UpstreamOwnership } from "./residency/upstream_ownership.ts";
 import type { RankedUpstream } from "./routing/upstream_selector.ts";
 import type { HostStructure, Milliseconds } from "./structures.ts";
--- /dev/null
+++ b/src/core/residency/owner_description.ts
@@ -0,0 +1,83 @@
+/** Describes an owned upstream: to peers as a digest, to operators in full. */
+import type { OwnerState } from "../../charts/owner_chart.ts";
+import type { UpstreamDigest } from "../messages.ts";
+import type { Milliseconds } from "../structures.ts";
+import type { LeaseLedger } from "./lease_ledger.ts";
+import type { LeaseQueue } from "./lease_queue.ts";
+import type { OwnerContext } from "./owner_context.ts";
+import type { OwnershipClaim } from "./ownership_claim.ts";
+import type { SlotLoader } from "./slot_loader.ts";
+import type { UpstreamReader } from "./upstream_reader.ts";
+
+/** An upstream as its owner describes it to operators. */
+export interface OwnedUpstreamDescription {
+  upstreamId: string;
+  state: OwnerState;
+  up: boolean;
+  fencing: number;
+  slots: { adapterKey: string; state: string }[];
+  capacity: number;
+  leases: { holder: string; adapterKey: string; credits: number }[];
+  creditsInUse: number;
+  batchSize: number;
+  waiting: number;
+  evictionAllowedInMs: number;
+}
+
+/** The parts of an owner that are described. */
+export interface DescribedParts {
+  context: OwnerContext;
+  claim: OwnershipClaim;
+  reader: UpstreamReader;
+  queue: LeaseQueue;
+  ledger: LeaseLedger;
+  loader: SlotLoader;
+}
+
+/** Returns what peers are told of the upstream. */
+export function describeDigest(
+  parts: DescribedParts,
+  now: Milliseconds,
+): UpstreamDigest {
+  const { context, claim, reader, queue, ledger, loader } = parts;
+  return {
+    upstreamId: context.upstreamId,
+    residents: loader.slots.getByState("resident").map((slot) =>
+      slot.adapterKey
+    ),
+    loading: loader.listComing(),
+    creditsInUse: ledger.getCreditsInUse(),
+    waiting: queue.size,
+    victimValue: loader.getVictimValue(now),
+    leaving: reader.isLeaving(),
+    up: reader.isUp() && claim.isOwning(),
+  };
+}
+
+/** Returns what operators are shown of the upstream. */
+export function describeOwner(
+  parts: DescribedParts,
+  now: Milliseconds,
+): OwnedUpstreamDescription {
+  const { context, claim, reader, queue, ledger, loader } = parts;
+  return {
+    upstreamId: context.upstreamId,
+    state: claim.state,
+    up: reader.isUp(),
+    fencing: claim.fencing,
+    slots: loader.slots.getSlots().map((slot) => ({
+      adapterKey: slot.adapterKey,
+      state: slot.state,
+    })),
+    capacity: loader.slots.getCapacity(),
+    leases: ledger.getLeases().map((lease) => ({
+      holder: lease.holder,
+      adapterKey: lease.adapterKey,
+      credits: lease.credits,
+    })),
+    creditsInUse: ledger.getCreditsInUse(),
+    batchSize: context.options.pool.batchSize,
+    waiting: queue.size,
+    evictionAllowedInMs: claim.getEvictionAllowedInMs(now),
+  };
+}
--- a/src/core/residency/upstream_owner.ts
+++ b/src/core/residency/upstream_owner.ts
@@ -3,7 +3,6 @@
  * grants leases. An adapter is evicted only when no lease on it, granted here
  * or by an earlier owner, can still cover a run.
  */
-import type { OwnerState } from "../../charts/owner_chart.ts";
 import type { OrderResult } from "../events.ts";
 import type {
   HandoverMessage,
@@ -27,25 +26,16 @@
   type UpstreamOwnerOptions,
 } from "./owner_context.ts";
 import { OwnershipClaim } from "./ownership_claim.ts";
+import {
+  describeDigest,
+  type DescribedParts,
+  describeOwner,
+  type OwnedUpstreamDescription,
+} from "./owner_description.ts";
 import { SlotLoader } from "./slot_loader.ts";
 import type { StoreDemand, StorePermit } from "./store_access.ts";
 import { UpstreamReader } from "./upstream_reader.ts";
 
-/** An upstream as its owner describes it to operators. */
-export interface OwnedUpstreamDescription {
-  upstreamId: string;
-  state: OwnerState;
-  up: boolean;
-  fencing: number;
-  slots: { adapterKey: string; state: string }[];
-  capacity: number;
-  leases: { holder: string; adapterKey: string; credits: number }[];
-  creditsInUse: number;
-  batchSize: number;
-  waiting: number;
-  evictionAllowedInMs: number;
-}
-
 export class UpstreamOwner {
   readonly #context: OwnerContext;
   readonly #orders: OrderBook;
@@ -109,16 +99,18 @@
     const canGrant = this.#canGrant(now);
     if (this.#granter.tryRenewGrant(holder, request, { canGrant, now })) return;
     this.#recordDemand(request, now);
+    const elsewhere = this.isOwning()
+      ? this.#findElsewhere(request)
+      : undefined;
+    if (elsewhere !== undefined) {
+      this.#forwardRequest(holder, request, elsewhere, now);
+      return;
+    }
     const refusal = this.#refuser.findRefusal(request, now);
     if (refusal) {
       this.#refuser.refuse(holder, request, refusal, now);
       return;
     }
-    const elsewhere = this.#findElsewhere(request);
-    if (elsewhere !== undefined) {
-      this.#forwardRequest(holder, request, elsewhere, now);
-      return;
-    }
     if (!this.#queue.has(request.leaseRequestId)) {
       this.#context.options.popularity.recordRequests(
         request.adapterKey,
@@ -274,41 +266,21 @@
   }
 
   describeDigest(now: Milliseconds): UpstreamDigest {
-    const { slots } = this.#loader;
-    return {
-      upstreamId: this.upstreamId,
-      residents: slots.getByState("resident").map((slot) => slot.adapterKey),
-      loading: this.#loader.listComing(),
-      creditsInUse: this.#granter.ledger.getCreditsInUse(),
-      waiting: this.#queue.size,
-      victimValue: this.#loader.getVictimValue(now),
-      leaving: this.#reader.isLeaving(),
-      up: this.isUp() && this.isOwning(),
-    };
+    return describeDigest(this.#getDescribedParts(), now);
   }
 
   describe(now: Milliseconds): OwnedUpstreamDescription {
-    const { ledger } = this.#granter;
-    const { slots } = this.#loader;
+    return describeOwner(this.#getDescribedParts(), now);
+  }
+
+  #getDescribedParts(): DescribedParts {
     return {
-      upstreamId: this.upstreamId,
-      state: this.#claim.state,
-      up: this.isUp(),
-      fencing: this.#claim.fencing,
-      slots: slots.getSlots().map((slot) => ({
-        adapterKey: slot.adapterKey,
-        state: slot.state,
-      })),
-      capacity: slots.getCapacity(),
-      leases: ledger.getLeases().map((lease) => ({
-        holder: lease.holder,
-        adapterKey: lease.adapterKey,
-        credits: lease.credits,
-      })),
-      creditsInUse: ledger.getCreditsInUse(),
-      batchSize: this.#context.options.pool.batchSize,
-      waiting: this.#queue.size,
-      evictionAllowedInMs: this.#claim.getEvictionAllowedInMs(now),
+      context: this.#context,
+      claim: this.#claim,
+      reader: this.#reader,
+      queue: this.#queue,
+      ledger: this.#granter.ledger,
+      loader: this.#loader,
     };
   }
 
--- a/src/core/residency/upstream_ownership.ts
+++ b/src/core/residency/upstream_ownership.ts
@@ -23,10 +23,8 @@
 import type { TableKeeper } from "../tables/table_keeper.ts";
 import { AdapterPopularity } from "./adapter_popularity.ts";
 import type { StoreAccess, StorePermit } from "./store_access.ts";
-import {
-  type OwnedUpstreamDescription,
-  UpstreamOwner,
-} from "./upstream_owner.ts";
+import type { OwnedUpstreamDescription } from "./owner_description.ts";
+import { UpstreamOwner } from "./upstream_owner.ts";
 
 export interface UpstreamOwnershipOptions {
   selfId: string;
