--- a/src/core/limits/fair_shares.ts
+++ b/src/core/limits/fair_shares.ts
@@ -55,11 +55,11 @@
 
   /** Returns whether the customer has had more than its share of what all active ones had. */
   isExceeding(customer: string, now: Milliseconds): boolean {
-    if (now - this.#dividedAt >= DIVISION_LIFETIME_MS) this.#divide(now);
+    if (now - this.#dividedAt >= DIVISION_LIFETIME_MS) this.#assignShares(now);
     return this.#exceeding.has(customer);
   }
 
-  #divide(now: Milliseconds): void {
+  #assignShares(now: Milliseconds): void {
     this.#dividedAt = now;
     const active = [...this.#usages].filter(([, usage]) =>
       now - usage.askedAt <= ACTIVE_MS
