--- a/bench/policy/simulation.ts
+++ b/bench/policy/simulation.ts
@@ -24,8 +24,6 @@
   createRandom,
   type Deployment,
   type Fault,
-  getCustomerOf,
-  getPriorityOf,
   LOCAL_DELAY_MS,
   type Workload,
 } from "./workloads.ts";
