--- a/bench/main.ts
+++ b/bench/main.ts
@@ -1,6 +1,7 @@
 /** Entry point of `npm run bench -- <command>`: lists the commands and runs the chosen one. */
 import sade from "sade";
 import { controlCommand } from "./control/control_command.ts";
+import { envelopeCommand } from "./control/envelope_command.ts";
 import { decideCommand } from "./decide/decide_command.ts";
 import { startCommand } from "./start/start_command.ts";
 import { wakeCommand } from "./control/wake_command.ts";
@@ -13,6 +14,7 @@
   policyCommand,
   relayCommand,
   controlCommand,
+  envelopeCommand,
   wakeCommand,
   startCommand,
   decideCommand,
--- a/src/daemon/platform_task.ts
+++ b/src/daemon/platform_task.ts
@@ -95,6 +95,10 @@
       if (this.#files.parseFile(file)) await this.#pause(0);
     }
     const snapshot = this.#options.getTables();
+    if (snapshot && revision <= snapshot.revision) {
+      await this.#emit(signal, { kind: "platformReached" });
+      return revision;
+    }
     const delta = this.#files.findDelta(files, revision);
     const isFitting = delta !== undefined && snapshot !== undefined &&
       delta.fromRevision === snapshot.revision &&
--- a/src/settings/table_file_set.ts
+++ b/src/settings/table_file_set.ts
@@ -2,8 +2,10 @@
  * The table files as last read: parses only those whose text has changed, and
  * finds the rows that changed, so that a small edit of large tables costs little.
  */
+import { Buffer } from "node:buffer";
 import type { Result } from "ts-results-es";
 import type { TablesDelta } from "../core/messages.ts";
+import { MAX_TABLE_BYTES } from "../core/tables/table_schema.ts";
 import type { TablesStructure } from "../core/structures.ts";
 import {
   parseTables,
@@ -31,6 +33,7 @@
   /** Parses the file unless its text is known; returns whether it did. */
   parseFile({ name, text }: TableFile): boolean {
     if (this.#parsed.get(name)?.text === text) return false;
+    if (isTooLarge(text)) return false;
     this.#parsed.set(name, { text, parsed: parseYaml(text) });
     return true;
   }
@@ -56,13 +59,15 @@
 
   /**
    * Returns the rows that differ from the files kept, unchecked; undefined
-   * when none are kept, a file has faults, or a name stands twice.
+   * when none are kept, the revision is no later than theirs, a file is too
+   * large or has faults, or a name stands twice.
    */
   findDelta(
     files: readonly TableFile[],
     revision: number,
   ): TablesDelta | undefined {
-    if (!this.#read) return undefined;
+    if (!this.#read || revision <= this.#read.revision) return undefined;
+    if (files.some((file) => isTooLarge(file.text))) return undefined;
     const names = new Set(files.map((file) => file.name));
     const before: ParsedFile[] = [];
     const after: ParsedFile[] = [];
@@ -158,6 +163,10 @@
   });
 }
 
+function isTooLarge(text: string): boolean {
+  return Buffer.byteLength(text) > MAX_TABLE_BYTES;
+}
+
 function isSection(key: string): key is Section {
   return (SECTIONS as readonly string[]).includes(key);
 }
--- a/test/core/tables/table_delta_test.ts
+++ b/test/core/tables/table_delta_test.ts
@@ -150,6 +150,29 @@
   }
 });
 
+test("changes that the platform publishes never lead back, nor over a gap", () => {
+  const first = createTables(SIZES, 5);
+  const keeper = createKeeper(first);
+  const spans: [number, number, string][] = [
+    [5, 4, "stale"],
+    [5, 5, "stale"],
+    [6, 7, "gap"],
+    [4, 7, "gap"],
+    [5, 6, "accepted"],
+  ];
+  for (const [fromRevision, toRevision, kind] of spans) {
+    const delta = findDelta(first, editTables(first, 1));
+    const result = keeper.offerPublishedDelta({
+      ...delta,
+      fromRevision,
+      toRevision,
+      digest: "",
+    });
+    assert.is(result.kind, kind, `${fromRevision} to ${toRevision}`);
+  }
+  assert.is(keeper.getTablesRevision(), 6);
+});
+
 test("a delta that spans a change and its reversal is refused by the digest", () => {
   const first = createTables(SIZES, 2);
   const changed = editTables(first, 1);
--- a/test/settings/table_file_set_test.ts
+++ b/test/settings/table_file_set_test.ts
@@ -46,6 +46,19 @@
   });
 }
 
+test("leaves a file over a megabyte to the check of the whole", () => {
+  const { name, text } = createFile("one", { a: "v2" });
+  const large = { name, text: `${text}#${"x".repeat(1_048_576)}` };
+  assert.is(startSet().findDelta([large], 3), undefined);
+});
+
+test("finds nothing in a revision that is no later", () => {
+  for (const revision of [1, 2]) {
+    const files = [createFile("one", { a: "v2" })];
+    assert.is(startSet().findDelta(files, revision), undefined);
+  }
+});
+
 test("parses only what has changed", () => {
   const set = startSet();
   assert.is(set.parseFile(createFile("two", { c: "v1" })), false);
