Take a table whose aliases multiply for an invalid revision

Cause: the YAML library throws where it turns such a text into values, outside the parse that was checked, so that a revision with a fault counted as a platform that could not be read, and the check command ended with a stack.

--- a/src/settings/yaml_file.ts
+++ b/src/settings/yaml_file.ts
@@ -37,7 +37,17 @@
     }
     return 1;
   };
-  return Ok({ value: document.toJS(), getLine });
+  try {
+    return Ok({ value: document.toJS(), getLine });
+  } catch (error) {
+    // The library refuses aliases that multiply beyond its bound.
+    return Err([{
+      line: 1,
+      path: "",
+      expected: "aliases that do not multiply",
+      found: error instanceof Error ? error.message : String(error),
+    }]);
+  }
 }
 
 /** Parses a YAML text and checks it against a schema. */
--- a/test/contracts/platform_contract_test.ts
+++ b/test/contracts/platform_contract_test.ts
@@ -45,6 +45,12 @@
     arrange: ({ configuration }) => configuration.setKey("routes", "routes: ["),
     counter: "tables.invalid",
   },
+  {
+    fault: "invalid revision: aliases that multiply",
+    arrange: ({ configuration }) =>
+      configuration.setKey("routes", formatAliasBomb()),
+    counter: "tables.invalid",
+  },
   {
     fault: "invalid revision: value over a megabyte",
     arrange: (bench) =>
@@ -89,6 +95,15 @@
   },
 ];
 
+/** Returns a short text whose lists hold each other nine times over, nine deep. */
+function formatAliasBomb(): string {
+  const lines = Array.from({ length: 9 }, (_, level) => {
+    const items = Array(9).fill(level === 0 ? "x" : `*l${level - 1}`);
+    return `l${level}: &l${level} [${items.join(", ")}]`;
+  });
+  return lines.join("\n");
+}
+
 for (const row of EDIT_ROWS) {
   platform(`configuration: ${row.fault}`, async ({ bench }) => {
     await bench.start();
