Never take a published delta that leads back

Cause: offerPublishedDelta compared only the revision from which a delta starts. A delta that does not lead beyond the revision held is now stale, wherever it starts from.

Seen by test/contracts/platform_contract_test.ts, row 'service stale', which now waits until the stale reading has been offered before it looks: without the wait it had looked too early to see it on a quiet machine.

--- a/src/core/tables/table_keeper.ts
+++ b/src/core/tables/table_keeper.ts
@@ -80,11 +80,9 @@
    * which names no digest of the whole.
    */
   offerPublishedDelta(delta: TablesDelta): OfferResult {
-    if (delta.fromRevision !== this.getTablesRevision()) {
-      return delta.toRevision <= this.getTablesRevision()
-        ? { kind: "stale" }
-        : { kind: "gap" };
-    }
+    const held = this.getTablesRevision();
+    if (delta.toRevision <= held) return { kind: "stale" };
+    if (delta.fromRevision !== held) return { kind: "gap" };
     return this.#applyTablesDelta(delta, undefined);
   }
 
--- a/test/contracts/platform_contract_test.ts
+++ b/test/contracts/platform_contract_test.ts
@@ -90,7 +90,7 @@
       configuration.faults.staleAtRevision = 2;
       configuration.dropConnections();
     },
-    counter: "",
+    counter: "tables.stale",
     mend: ({ configuration }) => configuration.faults.staleAtRevision = 0,
   },
 ];
--- a/test/core/tables/table_keeper_test.ts
+++ b/test/core/tables/table_keeper_test.ts
@@ -32,6 +32,26 @@
   assert.is(keeper.getTablesRevision(), 2);
 });
 
+test("never goes back by a published delta", () => {
+  const keeper = new TableKeeper();
+  keeper.offerTables(createTables(5));
+  const unchanged = {
+    digest: "",
+    customers: [],
+    routes: [],
+    pools: [],
+    removedCustomers: [],
+    removedRoutes: ["briefing"],
+    removedPools: [],
+  };
+  for (const toRevision of [5, 4, 1]) {
+    const delta = { ...unchanged, fromRevision: 5, toRevision };
+    assert.equal(keeper.offerPublishedDelta(delta), { kind: "stale" });
+  }
+  assert.is(keeper.getTablesRevision(), 5);
+  assert.is(keeper.getSnapshot()?.getRoutes().length, 1);
+});
+
 test("never goes back to an older or equal revision", () => {
   const keeper = new TableKeeper();
   keeper.offerTables(createTables(5));
