Refuse values over a megabyte also where only changes are read

Cause: since only changed rows are compared, a file whose rows were unchanged was never measured: a value over a megabyte was accepted. The bound is now part of the parse of one file, which both ways share.

Seen by test/contracts/platform_contract_test.ts, row 'value over a megabyte'.

--- a/src/settings/table_file_set.ts
+++ b/src/settings/table_file_set.ts
@@ -7,11 +7,11 @@
 import type { TablesStructure } from "../core/structures.ts";
 import {
   parseTables,
+  parseTableText,
   type TableFile,
   type TableFileFault,
   type YamlResult,
 } from "./table_files.ts";
-import { parseYaml } from "./yaml_file.ts";
 
 const SECTIONS = ["customers", "routes", "pools"] as const;
 type Section = (typeof SECTIONS)[number];
@@ -31,7 +31,7 @@
   /** Parses the file unless its text is known; returns whether it did. */
   parseFile({ name, text }: TableFile): boolean {
     if (this.#parsed.get(name)?.text === text) return false;
-    this.#parsed.set(name, { text, parsed: parseYaml(text) });
+    this.#parsed.set(name, { text, parsed: parseTableText(text) });
     return true;
   }
 
--- a/src/settings/table_files.ts
+++ b/src/settings/table_files.ts
@@ -6,7 +6,7 @@
 import { Err, Ok, type Result } from "ts-results-es";
 import type { TablesStructure } from "../core/structures.ts";
 import { checkTables, MAX_TABLE_BYTES } from "../core/tables/table_schema.ts";
-import { parseYaml, type YamlFile } from "./yaml_file.ts";
+import { type FileFault, parseYaml, type YamlFile } from "./yaml_file.ts";
 
 export type YamlResult = ReturnType<typeof parseYaml>;
 
@@ -34,6 +34,18 @@
   index: number;
 }
 
+/** Parses the text of one file, within the bound of a value. */
+export function parseTableText(text: string): Result<YamlFile, FileFault[]> {
+  const bytes = Buffer.byteLength(text);
+  if (bytes <= MAX_TABLE_BYTES) return parseYaml(text);
+  return Err([{
+    line: 1,
+    path: "",
+    expected: `at most ${MAX_TABLE_BYTES} bytes`,
+    found: `${bytes} bytes`,
+  }]);
+}
+
 /**
  * Builds the tables of one revision.
  * @param parseText Parses the text of a file; the YAML parser when absent.
@@ -41,7 +53,8 @@
 export function parseTables(
   files: readonly TableFile[],
   revision: number,
-  parseText: (file: TableFile) => YamlResult = ({ text }) => parseYaml(text),
+  parseText: (file: TableFile) => YamlResult = ({ text }) =>
+    parseTableText(text),
 ): Result<TablesStructure, TableFileFault[]> {
   const faults: TableFileFault[] = [];
   const rows: Record<Section, unknown[]> = {
@@ -55,18 +68,7 @@
     pools: [],
   };
   for (const tableFile of files) {
-    const { name, text } = tableFile;
-    const bytes = Buffer.byteLength(text);
-    if (bytes > MAX_TABLE_BYTES) {
-      faults.push({
-        file: name,
-        line: 1,
-        path: "",
-        expected: `at most ${MAX_TABLE_BYTES} bytes`,
-        found: `${bytes} bytes`,
-      });
-      continue;
-    }
+    const { name } = tableFile;
     const parsed = parseText(tableFile);
     if (parsed.isErr()) {
       faults.push(...parsed.error.map((fault) => ({ file: name, ...fault })));
