Read a lost attempt's upstream again when the reading gets no answer

Cause: when an engine dies, the reading that is to tell may go out on a kept connection which the death is just closing, or time out on a busy machine. Change: an examination without an answer is read again, 3 readings at most; a refused connection or a state still ends it at once.

--- a/src/core/execution/attempt_examiner.ts
+++ b/src/core/execution/attempt_examiner.ts
@@ -14,8 +14,13 @@
 interface ExaminedAttempt extends RunningAttempt {
   /** Absent once the request has had its final answer. */
   retry: RetryReason | undefined;
+  /** Readings that have been asked for. */
+  readings: number;
 }
 
+/** Readings asked for until one is answered, or refused because nobody listens. */
+const MAX_READINGS = 3;
+
 export class AttemptExaminer {
   readonly #context: ExecutionContext;
   readonly #retry: (
@@ -39,19 +44,7 @@
 
   /** Reads the upstream; returns false when it is in the host list no more. */
   examine(attempt: RunningAttempt, retry: RetryReason | undefined): boolean {
-    const { membership, emit } = this.#context.options;
-    const host = membership.getUpstreamHost(attempt.upstreamId);
-    if (!host) return false;
-    const readId = this.#context.createId("examination");
-    this.#examinations.set(readId, { ...attempt, retry });
-    emit({
-      kind: "readUpstreamState",
-      upstreamId: attempt.upstreamId,
-      upstreamKind: attempt.request.pool.kind,
-      address: host.address,
-      readId,
-    });
-    return true;
+    return this.#read({ ...attempt, retry, readings: 0 });
   }
 
   /** Takes the outcome of reading a lost attempt's upstream; returns false when it was not asked for here. */
@@ -65,6 +58,9 @@
     const examined = this.#examinations.get(event.readId);
     if (!examined) return false;
     this.#examinations.delete(event.readId);
+    const isUnanswered = event.kind === "upstreamStateUnread" &&
+      !event.isRefused && examined.readings < MAX_READINGS;
+    if (isUnanswered && this.#read(examined)) return true;
     const hasDied = event.kind === "upstreamStateRead"
       ? event.state.incarnation !== examined.credit.upstreamIncarnation
       : event.isRefused;
@@ -92,4 +88,23 @@
     const view = this.#context.options.membership.getUpstreamView(upstreamId);
     return credit.exclusive && view?.ownerId === credit.ownerId;
   }
+
+  #read(examined: ExaminedAttempt): boolean {
+    const { membership, emit } = this.#context.options;
+    const host = membership.getUpstreamHost(examined.upstreamId);
+    if (!host) return false;
+    const readId = this.#context.createId("examination");
+    this.#examinations.set(readId, {
+      ...examined,
+      readings: examined.readings + 1,
+    });
+    emit({
+      kind: "readUpstreamState",
+      upstreamId: examined.upstreamId,
+      upstreamKind: examined.request.pool.kind,
+      address: host.address,
+      readId,
+    });
+    return true;
+  }
 }
--- a/test/core/lone_daemon.ts
+++ b/test/core/lone_daemon.ts
@@ -26,6 +26,8 @@
   readonly effects: Effect[] = [];
   /** What each upstream reports; those left out refuse connections. */
   readonly states = new Map<string, UpstreamStateStructure>();
+  /** Examinations of lost attempts, from now on, whose reading gets no answer. */
+  lostExaminations = 0;
   now = 0;
   #lastRequest = 0;
 
@@ -110,6 +112,17 @@
     }
     if (effect.kind !== "readUpstreamState") return;
     const { upstreamId, readId } = effect;
+    if (readId.startsWith("examination") && this.lostExaminations > 0) {
+      this.lostExaminations -= 1;
+      const isRefused = false;
+      this.handle({
+        kind: "upstreamStateUnread",
+        upstreamId,
+        readId,
+        isRefused,
+      });
+      return;
+    }
     const state = this.states.get(upstreamId);
     this.handle(
       state
