--- a/src/settings/table_file_set.ts
+++ b/src/settings/table_file_set.ts
@@ -56,13 +56,14 @@
 
   /**
    * Returns the rows that differ from the files kept, unchecked; undefined
-   * when none are kept, a file has faults, or a name stands twice.
+   * when none are kept, the revision is no later than theirs, a file has
+   * faults, or a name stands twice.
    */
   findDelta(
     files: readonly TableFile[],
     revision: number,
   ): TablesDelta | undefined {
-    if (!this.#read) return undefined;
+    if (!this.#read || revision <= this.#read.revision) return undefined;
     const names = new Set(files.map((file) => file.name));
     const before: ParsedFile[] = [];
     const after: ParsedFile[] = [];
