Pack more firmly below the target of a batch, and not at all beyond it

Cause: the gain of packing went on counting beyond three quarters of a batch, and its slope was the same as that of spreading.

--- a/src/core/routing/upstream_selector.ts
+++ b/src/core/routing/upstream_selector.ts
@@ -51,8 +51,10 @@
 const FILL_TARGET = 0.75;
 /** Cost of each batch beyond the target. */
 const OVERFILL_COST = 2;
-/** Cost of a batch that is filled up to the target, where load stalls alone count; its negative where batches alone do. */
-const FILL_COST = 0.4;
+/** Cost of a batch that is filled up to the target, where load stalls alone count. */
+const SPREAD_COST = 0.4;
+/** Gain of a batch that is filled up to the target, where batches alone count. */
+const PACK_GAIN = 2;
 
 /** Returns the candidates by ascending cost of running the adapter there. */
 export function rankUpstreams(
@@ -92,8 +94,10 @@
   const { loadStallWeight, batchEfficiencyWeight } = pool;
   const weights = Math.max(1e-9, loadStallWeight + batchEfficiencyWeight);
   const balance = (loadStallWeight - batchEfficiencyWeight) / weights;
-  return Math.min(fill, FILL_TARGET) * FILL_COST * balance +
-    Math.max(0, fill - FILL_TARGET) * OVERFILL_COST;
+  const slope = balance * (balance > 0 ? SPREAD_COST : PACK_GAIN);
+  if (fill <= FILL_TARGET) return fill * slope;
+  return Math.max(0, FILL_TARGET * slope) +
+    (fill - FILL_TARGET) * OVERFILL_COST;
 }
 
 /** Returns how the upstream, as its owner last published it, stands to the adapter. */
