--- a/bench/main.ts
+++ b/bench/main.ts
@@ -5,6 +5,7 @@
 import { decideCommand } from "./decide/decide_command.ts";
 import { startCommand } from "./start/start_command.ts";
 import { wakeCommand } from "./control/wake_command.ts";
+import { leasesCommand } from "./policy/leases_command.ts";
 import { policyCommand } from "./policy/policy_command.ts";
 import { relayCommand } from "./relay/relay_command.ts";
 import { ticketsCommand } from "./tickets_command.ts";
@@ -12,6 +13,7 @@
 
 const SUBCOMMANDS: readonly Subcommand[] = [
   policyCommand,
+  leasesCommand,
   relayCommand,
   controlCommand,
   envelopeCommand,
--- a/bench/policy/simulation.ts
+++ b/bench/policy/simulation.ts
@@ -1,8 +1,12 @@
 /** Runs the daemons' cores, the models of engines and store and one workload in virtual time. */
 import type { CorePolicy } from "../../src/core/core_policy.ts";
-import { DEFAULT_CORE_SETTINGS } from "../../src/core/core_settings.ts";
+import {
+  type CoreSettings,
+  DEFAULT_CORE_SETTINGS,
+} from "../../src/core/core_settings.ts";
 import { DaemonCore } from "../../src/core/daemon_core.ts";
 import type { DispatchEffect, Effect } from "../../src/core/effects.ts";
+import type { PeerMessage } from "../../src/core/messages.ts";
 import type { CoreEvent } from "../../src/core/events.ts";
 import type { AttemptResult } from "../../src/core/outcomes.ts";
 import {
@@ -10,6 +14,7 @@
   type HostStructure,
   PoolKind,
 } from "../../src/core/structures.ts";
+import { encodeEnvelope } from "../../src/protocol/peer_codec.ts";
 import { EventHeap } from "./event_heap.ts";
 import {
   createHosts,
@@ -35,6 +40,9 @@
   maxLoadsInFlight: number;
   unsafeEvictions: number;
   counters: Map<string, number>;
+  /** Messages about leases between daemons, and their bytes, in the measured time. */
+  leaseMessages: number;
+  leaseBytes: number;
 }
 
 interface SimulationOptions {
@@ -43,6 +51,8 @@
   policy: CorePolicy;
   store: StoreReading;
   seed: number;
+  /** Settings other than the defaults. */
+  settings?: Partial<CoreSettings>;
 }
 
 const TICK_MS = 50;
@@ -61,6 +71,8 @@
   readonly #attemptDaemons = new Map<string, string>();
   readonly #counters = new Map<string, number>();
   #cutDomain: string | undefined;
+  #leaseMessages = 0;
+  #leaseBytes = 0;
   #loadFailureShare = 0;
   #loadsBefore = 0;
 
@@ -102,6 +114,8 @@
       maxLoadsInFlight: this.#store.maxInFlight,
       unsafeEvictions: sum(engines, (engine) => engine.unsafeEvictions),
       counters: this.#counters,
+      leaseMessages: this.#leaseMessages,
+      leaseBytes: this.#leaseBytes,
     };
   }
 
@@ -116,6 +130,7 @@
         storeLoadsPerSecond: store === StoreReading.Rate
           ? deployment.storeLoadsPerSecond
           : UNBOUND_LOADS_PER_SECOND,
+        ...this.#options.settings,
       },
       seedHosts: hosts.filter(({ role }) => role === HostRole.Entry),
       policy,
@@ -283,11 +298,22 @@
   ): void {
     if (this.#isCut(from, effect.to)) return;
     const { to, message } = effect;
+    this.#countMessage(from, message, now);
     this.#heap.add(now + this.#getDelayMs(from, to), (at) => {
       this.#handEvent(to, { kind: "peerMessage", from, message }, at);
     });
   }
 
+  /** Counts the messages about leases that are sent in the measured time. */
+  #countMessage(from: string, message: PeerMessage, now: number): void {
+    const { workload } = this.#options;
+    const isMeasured = now >= workload.measureFrom && now < workload.endAt;
+    if (!isMeasured || !message.kind.startsWith("lease")) return;
+    const bytes = encodeEnvelope({ from, messages: [message] }).length;
+    this.#leaseMessages += 1;
+    this.#leaseBytes += bytes;
+  }
+
   #dispatch(
     daemonId: string,
     effect: DispatchEffect,
--- a/src/core/core_settings.ts
+++ b/src/core/core_settings.ts
@@ -16,6 +16,8 @@
   leaseMarginMs: Milliseconds;
   /** Time that a holder keeps an unused credit. */
   leaseIdleMs: Milliseconds;
+  /** Credits that a holder asks for at once. */
+  maxLeaseCredits: number;
   /** Time after which an unanswered lease request is sent again. */
   leaseReplyTimeoutMs: Milliseconds;
   /** Time between readings of an owned upstream's state. */
@@ -55,6 +57,7 @@
   leaseWindowMs: 2_000,
   leaseMarginMs: 100,
   leaseIdleMs: 50,
+  maxLeaseCredits: 16,
   leaseReplyTimeoutMs: 500,
   stateReadIntervalMs: 250,
   ownershipValidityMs: 1_000,
--- a/src/core/execution/lease_book.ts
+++ b/src/core/execution/lease_book.ts
@@ -31,8 +31,6 @@
   ): void;
 }
 
-/** Credits asked for at once. */
-const MAX_CREDITS_PER_REQUEST = 16;
 /** Granted leases remembered, to tell repeated grants from new ones. */
 const MAX_SEEN_LEASES = 65_536;
 
@@ -180,7 +178,10 @@
       else holding.freeCredit(credit.leaseId, now);
     }
     if (holding.waiting.length === 0) return;
-    const wanted = Math.min(holding.waiting.length, MAX_CREDITS_PER_REQUEST);
+    const wanted = Math.min(
+      holding.waiting.length,
+      this.#context.options.settings.maxLeaseCredits,
+    );
     const isEnoughAsked = holding.pending !== undefined &&
       (exclusive || holding.pending.credits >= wanted);
     if (!isEnoughAsked) this.#sendLeaseRequest(key, holding, now);
@@ -204,9 +205,10 @@
     if (!isRepeat) this.#clearPending(holding);
     const leaseRequestId = holding.pending?.leaseRequestId ??
       this.#context.createId("leaseRequest");
-    const credits = exclusive
-      ? 1
-      : Math.min(requests.length, MAX_CREDITS_PER_REQUEST);
+    const credits = exclusive ? 1 : Math.min(
+      requests.length,
+      this.#context.options.settings.maxLeaseCredits,
+    );
     holding.pending = {
       leaseRequestId,
       ownerId: view.ownerId,
