--- a/test/fuzz/mutants.ts
+++ b/test/fuzz/mutants.ts
@@ -59,6 +59,7 @@
   },
   {
     name: "send an order however late",
+    seed: 12,
     promise: FuzzPromise.NoEvictionInUse,
     patches: [{
       file: "residency/order_book.ts",
