Let the crash test look at the neighbours that it started

Cause: a merge left a second declaration that hid the list, so the case of the neighbours looked at none.

--- a/test/processes/crash_test.ts
+++ b/test/processes/crash_test.ts
@@ -39,7 +39,7 @@
 test("a crashing request is stopped at the bound, through whichever daemon it comes", async () => {
   // Neighbours that have sent nothing yet are retried; whole answers begin at their end.
   const [first = "", second = ""] = site.daemonIds;
-  const neighbours = Array.from(
+  neighbours = Array.from(
     { length: 8 },
     (_, index) =>
       site.startWholeCall(
