Rank a shortlist of a large pool, count stale readings of the tables

Change: pools over 32 upstreams are ranked by a shortlist, the holders of the adapter and 16 others by hash, the whole pool only if none of these is ready; holdings are indexed by upstream; stale readings are counted.

Excluded: a list sorted by the worth of victims: it changes with each digest.

--- /dev/null
+++ b/src/core/execution/holding_table.ts
@@ -0,0 +1,46 @@
+/** The holdings of leases by their key, with an index by upstream. */
+import type { LeaseHolding } from "./lease_holding.ts";
+
+export class HoldingTable {
+  readonly #byKey = new Map<string, LeaseHolding>();
+  readonly #byUpstream = new Map<string, Set<LeaseHolding>>();
+
+  get(key: string): LeaseHolding | undefined {
+    return this.#byKey.get(key);
+  }
+
+  add(key: string, holding: LeaseHolding): void {
+    this.#byKey.set(key, holding);
+    const known = this.#byUpstream.get(holding.upstreamId);
+    if (known) known.add(holding);
+    else this.#byUpstream.set(holding.upstreamId, new Set([holding]));
+  }
+
+  remove(key: string): void {
+    const holding = this.#byKey.get(key);
+    if (!holding) return;
+    this.#byKey.delete(key);
+    const known = this.#byUpstream.get(holding.upstreamId);
+    known?.delete(holding);
+    if (known?.size === 0) this.#byUpstream.delete(holding.upstreamId);
+  }
+
+  getAll(): Iterable<[string, LeaseHolding]> {
+    return this.#byKey;
+  }
+
+  countCredits(): number {
+    return sumCredits(this.#byKey.values());
+  }
+
+  /** Returns the credits held or asked for on the upstream. */
+  countUpstreamCredits(upstreamId: string): number {
+    return sumCredits(this.#byUpstream.get(upstreamId) ?? []);
+  }
+}
+
+function sumCredits(holdings: Iterable<LeaseHolding>): number {
+  let credits = 0;
+  for (const holding of holdings) credits += holding.countCredits();
+  return credits;
+}
--- a/src/core/execution/lease_book.ts
+++ b/src/core/execution/lease_book.ts
@@ -12,6 +12,7 @@
   LeaseHolding,
   type TakenCredit,
 } from "./lease_holding.ts";
+import { HoldingTable } from "./holding_table.ts";
 import type { LiveRequest } from "./live_request.ts";
 
 /** What the book asks of its surroundings. */
@@ -37,7 +38,7 @@
 export class LeaseBook {
   readonly #context: ExecutionContext;
   readonly #handlers: LeaseBookHandlers;
-  readonly #holdings = new Map<string, LeaseHolding>();
+  readonly #holdings = new HoldingTable();
   readonly #holdingKeysByLeaseRequest = new Map<string, string>();
   /** Leases that were granted to this daemon, the latest last. */
   readonly #seenLeaseIds = new Set<string>();
@@ -48,11 +49,7 @@
   }
 
   countHeldCredits(): number {
-    let credits = 0;
-    for (const holding of this.#holdings.values()) {
-      credits += holding.countCredits();
-    }
-    return credits;
+    return this.#holdings.countCredits();
   }
 
   /** Lets the request wait for a credit on the upstream. */
@@ -66,7 +63,7 @@
     let holding = this.#holdings.get(key);
     if (!holding) {
       holding = new LeaseHolding(upstreamId, request.adapterKey);
-      this.#holdings.set(key, holding);
+      this.#holdings.add(key, holding);
     }
     request.apply("assigned");
     request.upstreamId = upstreamId;
@@ -86,7 +83,7 @@
 
   /** Drops every lease held, after a pause of this process. */
   expireAll(): void {
-    for (const holding of this.#holdings.values()) {
+    for (const [, holding] of this.#holdings.getAll()) {
       this.#clearPending(holding);
       holding.dropAll();
       for (const requestId of holding.waiting.splice(0)) {
@@ -98,7 +95,7 @@
 
   /** Asks again for what was not answered and returns idle credits. */
   tick(now: Milliseconds): void {
-    for (const [key, holding] of this.#holdings) {
+    for (const [key, holding] of this.#holdings.getAll()) {
       this.#tickHolding(key, holding, now);
     }
   }
@@ -153,7 +150,7 @@
       else this.#loseOwner(holding);
     }
     this.pumpHolding(key, now);
-    if (holding.isUnused()) this.#holdings.delete(key);
+    if (holding.isUnused()) this.#holdings.remove(key);
   }
 
   #loseOwner(holding: LeaseHolding): void {
@@ -314,11 +311,7 @@
 
   /** Returns the credits held or asked for on the upstream. */
   countLocalCredits(upstreamId: string): number {
-    let credits = 0;
-    for (const holding of this.#holdings.values()) {
-      if (holding.upstreamId === upstreamId) credits += holding.countCredits();
-    }
-    return credits;
+    return this.#holdings.countUpstreamCredits(upstreamId);
   }
 }
 
--- a/src/core/execution/request_assigner.ts
+++ b/src/core/execution/request_assigner.ts
@@ -13,6 +13,7 @@
 } from "../routing/upstream_selector.ts";
 import {
   HostState,
+  type HostStructure,
   type Milliseconds,
   type PoolStructure,
 } from "../structures.ts";
@@ -20,6 +21,7 @@
   DEFAULT_RETRY_AFTER_MS,
   type ExecutionContext,
 } from "./execution_context.ts";
+import { listShortlist } from "../routing/upstream_shortlist.ts";
 import type { LeaseBook } from "./lease_book.ts";
 import type { LiveRequest } from "./live_request.ts";
 import type { RequestConcluder } from "./request_concluder.ts";
@@ -28,6 +30,13 @@
 /** Time for which a request waits while no upstream of its pool is ready. */
 const UPSTREAM_WAIT_MS = 3_000;
 
+/** What upstreams are ranked for. */
+interface RankTarget {
+  pool: PoolStructure;
+  adapterKey: string;
+  excluded: UpstreamExclusions;
+}
+
 /** Wait before a redirection that counts as waiting for a load. */
 const REDIRECT_STALL_MS = 50;
 
@@ -47,12 +56,7 @@
 
   /** Assigns the request to the best upstream, or refuses it when none is left. */
   assign(request: LiveRequest, now: Milliseconds): void {
-    const ranked = this.rank(
-      request.pool,
-      request.adapterKey,
-      request.excludedUpstreams,
-      now,
-    );
+    const ranked = this.#rankFor(request, now);
     const best = ranked[0];
     if (!best) {
       this.#handleNoUpstream(request, now);
@@ -86,9 +90,35 @@
     excluded: UpstreamExclusions,
     now: Milliseconds,
   ): RankedUpstream[] {
-    const candidates: UpstreamCandidate[] = [];
+    const hosts = this.#context.options.membership.getPoolUpstreams(pool);
+    return this.#rankHosts(hosts, { pool, adapterKey, excluded }, now);
+  }
+
+  /** Ranks a shortlist, and the whole pool where nothing on it is ready. */
+  #rankFor(request: LiveRequest, now: Milliseconds): RankedUpstream[] {
+    const { pool, adapterKey, excludedUpstreams: excluded } = request;
+    const { membership } = this.#context.options;
+    const hosts = membership.getPoolUpstreams(pool);
+    const target = { pool, adapterKey, excluded };
+    const shortlist = listShortlist(hosts, {
+      holderIds: membership.getAdapterUpstreamIds(adapterKey),
+      key: adapterKey === "" ? request.id : adapterKey,
+      getPoolHost: (id) => membership.getPoolUpstream(pool, id),
+    });
+    const ranked = this.#rankHosts(shortlist, target, now);
+    if (ranked.length > 0 || shortlist === hosts) return ranked;
+    return this.#rankHosts(hosts, target, now);
+  }
+
+  #rankHosts(
+    hosts: Iterable<HostStructure>,
+    target: RankTarget,
+    now: Milliseconds,
+  ): RankedUpstream[] {
+    const { pool, adapterKey, excluded } = target;
     const { membership } = this.#context.options;
-    for (const host of membership.getPoolUpstreams(pool)) {
+    const candidates: UpstreamCandidate[] = [];
+    for (const host of hosts) {
       if (host.state === HostState.Leaving) continue;
       if (excluded.has(host.id, now)) continue;
       const view = membership.getUpstreamView(host.id);
@@ -176,10 +206,7 @@
     refusal: LeaseRefusalMessage,
     now: Milliseconds,
   ): void {
-    const { pool, adapterKey, excludedUpstreams } = request;
-    const hasOther =
-      this.rank(pool, adapterKey, excludedUpstreams, now).length > 0;
-    if (hasOther) {
+    if (this.#rankFor(request, now).length > 0) {
       this.assign(request, now);
       return;
     }
--- a/src/core/membership/membership.ts
+++ b/src/core/membership/membership.ts
@@ -164,6 +164,14 @@
     return this.#directory.getPoolUpstreams(pool);
   }
 
+  /** Returns the upstream if the pool selects it. */
+  getPoolUpstream(pool: PoolStructure, id: string): HostStructure | undefined {
+    const host = this.#directory.getUpstreamHost(id);
+    const isSelected = host?.service === pool.service &&
+      pool.failureDomains.includes(host.failureDomain);
+    return isSelected ? host : undefined;
+  }
+
   /** Returns the upstreams on which the adapter is published as resident or loading. */
   getAdapterUpstreamIds(adapterKey: string): ReadonlySet<string> {
     return this.views.getAdapterUpstreamIds(adapterKey);
--- a/src/daemon/platform_task.ts
+++ b/src/daemon/platform_task.ts
@@ -96,6 +96,7 @@
     }
     const snapshot = this.#options.getTables();
     if (snapshot && revision <= snapshot.revision) {
+      if (revision < snapshot.revision) this.#countTables("stale");
       await this.#emit(signal, { kind: "platformReached" });
       return revision;
     }
@@ -187,12 +188,17 @@
       revision,
       faults,
     });
+    this.#countTables("invalid");
+    await this.#emit(signal, { kind: "platformReached" });
+  }
+
+  /** Counts a revision that is not offered to the core. */
+  #countTables(tag: "stale" | "invalid"): void {
     void this.#options.bus.emit("count", {
       kind: "count",
       counter: "tables",
-      tag: "invalid",
+      tag,
     });
-    await this.#emit(signal, { kind: "platformReached" });
   }
 
   /** Waits for a newer revision for some time; returns the revision then. */
--- a/test/fuzz/commands.ts
+++ b/test/fuzz/commands.ts
@@ -22,6 +22,7 @@
     copies: number;
   }
   | { kind: "resend"; daemon: string; workIndex: number }
+  | { kind: "resendCrashing"; daemon: string }
   | { kind: "callerGone"; callIndex: number }
   | { kind: "edit"; routeIndex: number; choice: number; isInvalid: boolean }
   | { kind: "wait"; ms: number }
@@ -99,6 +100,10 @@
       workIndex: fc.nat(10),
     }),
   },
+  {
+    weight: 3,
+    arbitrary: fc.record({ kind: kind("resendCrashing"), daemon }),
+  },
   {
     weight: 1,
     arbitrary: fc.record({ kind: kind("callerGone"), callIndex: fc.nat(200) }),
@@ -232,6 +237,11 @@
       if (work) world.sendCall(work, command.daemon);
       break;
     }
+    case "resendCrashing": {
+      const work = world.works.findLast(({ isCrashing }) => isCrashing);
+      if (work) world.sendCall(work, command.daemon);
+      break;
+    }
     case "callerGone": {
       const calls = [...world.oracle.getCalls()];
       const call = calls[command.callIndex % (calls.length || 1)];
