--- a/src/daemon/peer_task.ts
+++ b/src/daemon/peer_task.ts
@@ -32,6 +32,8 @@
 const MAX_RECONNECT_BACKOFF_MS = 300;
 /** Messages of one envelope. */
 const MAX_ENVELOPE_MESSAGES = 64;
+/** Envelopes to one peer that it has not yet acknowledged. */
+const MAX_ENVELOPES_IN_FLIGHT = 8;
 /** Messages that wait for one peer; more are dropped, as a cut network would. */
 const MAX_OUTBOX_MESSAGES = 10_000;
 
@@ -60,7 +62,9 @@
   client: Client;
   address: string;
   messages: PeerMessage[];
-  isSending: boolean;
+  /** Whether messages posted now go with a flush that is due. */
+  isFlushDue: boolean;
+  envelopesInFlight: number;
 }
 
 export interface PeerTaskOptions {
@@ -156,17 +160,21 @@
     const outbox = this.#getOutbox(to, address);
     if (outbox.messages.length >= MAX_OUTBOX_MESSAGES) return;
     outbox.messages.push(message);
-    if (!outbox.isSending) {
-      outbox.isSending = true;
-      queueMicrotask(() => this.#flush(to, outbox));
-    }
+    this.#scheduleFlush(to, outbox);
+  }
+
+  /** Sends what is posted in one turn together, a few envelopes ahead of the peer's replies. */
+  #scheduleFlush(to: string, outbox: Outbox): void {
+    const canSend = outbox.envelopesInFlight < MAX_ENVELOPES_IN_FLIGHT;
+    if (outbox.isFlushDue || !canSend) return;
+    outbox.isFlushDue = true;
+    queueMicrotask(() => {
+      outbox.isFlushDue = false;
+      this.#flush(to, outbox);
+    });
   }
 
   #flush(to: string, outbox: Outbox): void {
-    if (outbox.messages.length === 0) {
-      outbox.isSending = false;
-      return;
-    }
     const messages = outbox.messages.splice(0, MAX_ENVELOPE_MESSAGES);
     const bytes = encodeEnvelope({
       from: this.#options.settings.id,
@@ -174,6 +182,7 @@
     });
     this.#bytesSent += bytes.length;
     this.#messagesSent += messages.length;
+    outbox.envelopesInFlight += 1;
     outbox.client.makeUnaryRequest(
       DELIVER_PATH,
       PEER_SERVICE.deliver.requestSerialize,
@@ -182,9 +191,11 @@
       { deadline: Date.now() + DELIVER_TIMEOUT_MS },
       (error) => {
         if (error) this.#reportFailure(to, error);
-        this.#flush(to, outbox);
+        outbox.envelopesInFlight -= 1;
+        if (outbox.messages.length > 0) this.#scheduleFlush(to, outbox);
       },
     );
+    if (outbox.messages.length > 0) this.#scheduleFlush(to, outbox);
   }
 
   #reportFailure(to: string, error: Error): void {
@@ -209,7 +220,13 @@
       "grpc.initial_reconnect_backoff_ms": INITIAL_RECONNECT_BACKOFF_MS,
       "grpc.enable_http_proxy": 0,
     });
-    const outbox: Outbox = { client, address, messages: [], isSending: false };
+    const outbox: Outbox = {
+      client,
+      address,
+      messages: [],
+      isFlushDue: false,
+      envelopesInFlight: 0,
+    };
     this.#outboxes.set(to, outbox);
     return outbox;
   }
