--- a/src/core/messages.ts
+++ b/src/core/messages.ts
@@ -2,13 +2,27 @@
  * Messages between daemons. Each is one-way; a request and its reply are two
  * messages that share an identifier. Field names match `proto/peer.proto`.
  */
+import type {
+  LinkAckMessage,
+  LinkUpdateMessage,
+  ProbeAckMessage,
+  ProbeMessage,
+  ProbeRequestMessage,
+  SpreadMessage,
+  StateRequestMessage,
+  StateTransferMessage,
+} from "./membership_messages.ts";
 import type { LeaseRefusalReason, Outcome } from "./outcomes.ts";
 import type {
-  CustomerStructure,
-  HostStructure,
-  PoolStructure,
-  RouteStructure,
-} from "./structures.ts";
+  ChunkRequestMessage,
+  HostListChunkMessage,
+  TablesChunkMessage,
+  TablesRequestMessage,
+  TablesTransferMessage,
+} from "./table_messages.ts";
+
+export * from "./membership_messages.ts";
+export * from "./table_messages.ts";
 
 /** What an owner publishes of one upstream. */
 export interface UpstreamDigest {
@@ -42,153 +56,6 @@
   score: number;
 }
 
-/** How a daemon stands in the eyes of its failure domain; a later one overrides an earlier one of the same number. */
-export const MemberStatus = { Alive: 0, Suspect: 1, Dead: 2 } as const;
-export type MemberStatus = (typeof MemberStatus)[keyof typeof MemberStatus];
-
-/** What is known of a daemon's life. */
-export interface MemberRecord {
-  id: string;
-  /** Differs in each start of the process. */
-  incarnation: string;
-  /** Raised by the daemon itself, to refute what is said of it. */
-  number: number;
-  status: MemberStatus;
-  leaving: boolean;
-  /** Version of the state that the daemon has published. */
-  version: number;
-}
-
-/** Revisions that a daemon holds. */
-export interface KnownRevisions {
-  tablesRevision: number;
-  hostListRevision: number;
-}
-
-/** Asks a daemon for a sign of life; carries records of some others. */
-export interface ProbeMessage extends KnownRevisions {
-  kind: "probe";
-  probeId: number;
-  sender: MemberRecord;
-  members: MemberRecord[];
-  strikes: StrikeDigest[];
-  /** Latest evictions of the sender, so that an adapter's history is known wherever it is loaded next. */
-}
-
-export interface ProbeAckMessage extends KnownRevisions {
-  kind: "probeAck";
-  probeId: number;
-  /** Record of the daemon that was probed. */
-  sender: MemberRecord;
-  members: MemberRecord[];
-}
-
-/** Asks a daemon to probe another on behalf of the sender. */
-export interface ProbeRequestMessage {
-  kind: "probeRequest";
-  probeId: number;
-  targetId: string;
-}
-
-/** A digest as a daemon publishes it: of an upstream of its own, or one passed on from another failure domain. */
-export interface PublishedDigest {
-  ownerId: string;
-  digest: UpstreamDigest;
-}
-
-/** What a daemon hears from the platform. */
-export const PlatformReach = {
-  NotReading: "",
-  Reached: "reached",
-  Unreached: "unreached",
-} as const;
-export type PlatformReach = (typeof PlatformReach)[keyof typeof PlatformReach];
-
-/** Changes of a daemon's published state; from version 0, the state in full. */
-export interface StateUpdate {
-  publisherId: string;
-  incarnation: string;
-  fromVersion: number;
-  version: number;
-  digests: PublishedDigest[];
-  removedUpstreamIds: string[];
-  platformReach: PlatformReach;
-  /** Other failure domains that reach the daemon over a link. */
-  linkedDomains: LinkedDomain[];
-  /** What has been evicted here since the version before, and what other failure domains told of. */
-  evictions: EvictionDigest[];
-  toldEvictions: EvictionDigest[];
-}
-
-/** What is known of another failure domain as a whole. */
-export interface LinkedDomain {
-  failureDomain: string;
-  /** Daemon that keeps its part of the weight store; empty when it has none. */
-  storeKeeperId: string;
-}
-
-/** Load of a daemon's own upstreams in the order of their ids, at a version of its state. */
-export interface LoadUpdate {
-  publisherId: string;
-  incarnation: string;
-  version: number;
-  sequence: number;
-  creditsInUse: number[];
-  waiting: number[];
-  victimValues: number[];
-}
-
-/** Updates on their way through the failure domain. */
-export interface SpreadMessage {
-  kind: "spread";
-  /** Daemons next in the ring that the receiver passes the updates on to. */
-  span: number;
-  members: MemberRecord[];
-  states: StateUpdate[];
-  loads: LoadUpdate[];
-  tablesDeltas: TablesDelta[];
-  hostListDeltas: HostListDelta[];
-  strikes: StrikeDigest[];
-}
-
-/** Asks for the state of some daemons of the failure domain, or of all when none is named. */
-export interface StateRequestMessage {
-  kind: "stateRequest";
-  memberIds: string[];
-}
-
-export interface StateTransferMessage extends KnownRevisions {
-  kind: "stateTransfer";
-  /** Whether this is the last message of an answer that names every daemon. */
-  joined: boolean;
-  members: MemberRecord[];
-  states: StateUpdate[];
-  strikes: StrikeDigest[];
-}
-
-/** What one failure domain tells another. */
-export interface LinkUpdateMessage extends KnownRevisions {
-  kind: "linkUpdate";
-  failureDomain: string;
-  incarnation: string;
-  sequence: number;
-  /** Whether the digests replace all that the sender told before. */
-  full: boolean;
-  digests: PublishedDigest[];
-  removedUpstreamIds: string[];
-  strikes: StrikeDigest[];
-  /** Daemon that keeps the failure domain's part of the weight store; empty when there is none. */
-  storeKeeperId: string;
-  evictions: EvictionDigest[];
-}
-
-export interface LinkAckMessage extends KnownRevisions {
-  kind: "linkAck";
-  incarnation: string;
-  sequence: number;
-  needsFull: boolean;
-}
-
 export interface LeaseRequestMessage {
   kind: "leaseRequest";
   leaseRequestId: string;
@@ -312,81 +179,6 @@
   loadsPerSecond: number;
 }
 
-/** Asks for what is newer than the revisions named. */
-export interface TablesRequestMessage {
-  kind: "tablesRequest";
-  knownTablesRevision: number;
-  knownHostListRevision: number;
-  /** Whether deltas did not lead to the revision that they name. */
-  needsFull: boolean;
-}
-
-/** Rows that changed between two revisions of the tables. */
-export interface TablesDelta {
-  fromRevision: number;
-  toRevision: number;
-  /** Digest of the tables as a whole at the later revision. */
-  digest: string;
-  customers: CustomerStructure[];
-  routes: RouteStructure[];
-  pools: PoolStructure[];
-  removedCustomers: string[];
-  removedRoutes: string[];
-  removedPools: string[];
-}
-
-/** Hosts that changed between two revisions of the host list. */
-export interface HostListDelta {
-  fromRevision: number;
-  toRevision: number;
-  /** Digest of the host list as a whole at the later revision. */
-  digest: string;
-  hosts: HostStructure[];
-  removedHosts: string[];
-}
-
-/** Consecutive deltas, the earliest first. */
-export interface TablesTransferMessage {
-  kind: "tablesTransfer";
-  tablesDeltas: TablesDelta[];
-  hostListDeltas: HostListDelta[];
-}
-
-/** Place of a chunk in a transfer of one revision in full. */
-export interface ChunkPosition {
-  revision: number;
-  /** Digest of the whole at this revision. */
-  digest: string;
-  index: number;
-  count: number;
-}
-
-/** Tables that are transferred in full, in chunks. */
-export const ChunkedTable = { Tables: "tables", HostList: "hostList" } as const;
-export type ChunkedTable = (typeof ChunkedTable)[keyof typeof ChunkedTable];
-
-/** Asks for the next chunk of a transfer. */
-export interface ChunkRequestMessage {
-  kind: "chunkRequest";
-  table: ChunkedTable;
-  revision: number;
-  index: number;
-}
-
-export interface TablesChunkMessage {
-  kind: "tablesChunk";
-  position: ChunkPosition;
-  customers: CustomerStructure[];
-  routes: RouteStructure[];
-  pools: PoolStructure[];
-}
-
-export interface HostListChunkMessage {
-  kind: "hostListChunk";
-  position: ChunkPosition;
-  hosts: HostStructure[];
-}
-
 export interface TicketClaimMessage {
   kind: "ticketClaim";
   claimId: string;
