Give out identifiers in one place; drop accessors that nothing calls

Excluded: one counter for all three: each prefix is given by one part alone, and the fuzzer's traces would change.

Change: IdSource; behaviour and the form of identifiers are as before.

--- a/src/core/execution/execution_context.ts
+++ b/src/core/execution/execution_context.ts
@@ -2,6 +2,7 @@
 import type { CorePolicy } from "../core_policy.ts";
 import type { CoreSettings } from "../core_settings.ts";
 import type { Effect } from "../effects.ts";
+import { IdSource } from "../id_source.ts";
 import type { CrashQuarantine } from "../limits/crash_quarantine.ts";
 import type { RetryBudget } from "../limits/retry_budget.ts";
 import type { Membership } from "../membership/membership.ts";
@@ -42,10 +43,11 @@
   readonly options: RequestExecutorOptions;
   /** Requests that have no final answer yet, by identifier. */
   readonly requests = new Map<string, LiveRequest>();
-  #lastId = 0;
+  readonly #ids: IdSource;
 
   constructor(options: RequestExecutorOptions) {
     this.options = options;
+    this.#ids = new IdSource(options);
   }
 
   /** Emits a final answer other than a completed one. */
@@ -79,8 +81,6 @@
 
   /** Returns an identifier that no other daemon or incarnation makes. */
   createId(prefix: string): string {
-    this.#lastId += 1;
-    const { selfId, incarnation } = this.options;
-    return `${prefix}/${selfId}/${incarnation}/${this.#lastId}`;
+    return this.#ids.createId(prefix);
   }
 }
--- a/src/core/execution/request_executor.ts
+++ b/src/core/execution/request_executor.ts
@@ -64,10 +64,6 @@
     this.#runner = new AttemptRunner(context, { leases, assigner, concluder });
   }
 
-  getRequestCount(): number {
-    return this.#context.requests.size;
-  }
-
   /** Returns whether nothing is left that a stop would cut off. */
   isDrained(): boolean {
     return this.#context.requests.size === 0 &&
--- a/src/core/membership/membership.ts
+++ b/src/core/membership/membership.ts
@@ -300,11 +300,6 @@
     return undefined;
   }
 
-  /** Returns the live daemons of this failure domain, this one included. */
-  countLiveDomainDaemons(): number {
-    return this.#getCandidates().length;
-  }
-
   /** Returns the live daemons of this failure domain that are not leaving, this one left out. */
   listStayingPeers(): Member[] {
     return [...this.members.getAll()].filter((member) =>
--- a/src/core/membership/state_publisher.ts
+++ b/src/core/membership/state_publisher.ts
@@ -102,10 +102,6 @@
     this.#isDirty ||= reach !== this.#publishedReach;
   }
 
-  getPlatformReach(): PlatformReach {
-    return this.#reach;
-  }
-
   /** Returns the changes to publish now, within the budget; undefined when there are none. */
   takeUpdate(now: Milliseconds): StateUpdate | undefined {
     if (!this.#isDirty) return undefined;
--- a/src/core/residency/store_access.ts
+++ b/src/core/residency/store_access.ts
@@ -5,6 +5,7 @@
  */
 import type { CoreSettings } from "../core_settings.ts";
 import type { Effect } from "../effects.ts";
+import { IdSource } from "../id_source.ts";
 import { DEATH_AFTER_RATIO } from "../membership/failure_detector.ts";
 import type { Membership } from "../membership/membership.ts";
 import type {
@@ -55,10 +56,11 @@
   #sent: StoreDemand & { to: string; at: Milliseconds } | undefined;
   #status: StoreStatusMessage | undefined;
   #statusAt = Number.NEGATIVE_INFINITY;
-  #lastId = 0;
+  readonly #ids: IdSource;
 
   constructor(options: StoreAccessOptions) {
     this.#options = options;
+    this.#ids = new IdSource(options);
   }
 
   /** Becomes or ceases to be the keeper as membership changes. */
@@ -78,7 +80,7 @@
         permitLifetimeMs: this.#getPermitLifetimeMs(),
         startWaitMs: this.#getStartWaitMs(),
         emit,
-        createId: (prefix) => this.#createId(prefix),
+        createId: (prefix) => this.#ids.createId(prefix),
       },
       share,
       now,
@@ -209,10 +211,4 @@
       : settings.peerTimeoutMs * DEATH_AFTER_RATIO;
     return Math.max(0, this.#getPermitLifetimeMs() - silentMs);
   }
-
-  #createId(prefix: string): string {
-    this.#lastId += 1;
-    const { selfId, incarnation } = this.#options;
-    return `${prefix}/${selfId}/${incarnation}/${this.#lastId}`;
-  }
 }
--- a/src/core/residency/upstream_ownership.ts
+++ b/src/core/residency/upstream_ownership.ts
@@ -7,6 +7,7 @@
 import type { CoreSettings } from "../core_settings.ts";
 import type { Effect } from "../effects.ts";
 import type { OrderResult } from "../events.ts";
+import { IdSource } from "../id_source.ts";
 import type { Membership } from "../membership/membership.ts";
 import type {
   EvictionDigest,
@@ -52,7 +53,8 @@
   readonly #loadShares: FairShares;
   readonly #popularity = new AdapterPopularity();
   readonly #owners = new Map<string, UpstreamOwner>();
-  #lastId = 0;
+  /** Shared by all upstreams, so that one taken again does not repeat a name. */
+  readonly #ids: IdSource;
   readonly #handovers = new Map<
     string,
     { message: HandoverMessage; arrivedAt: Milliseconds }
@@ -64,6 +66,7 @@
 
   constructor(options: UpstreamOwnershipOptions) {
     this.#options = options;
+    this.#ids = new IdSource(options);
     const getShare = (customer: string) =>
       options.tables.getSnapshot()?.getCustomer(customer)?.share ?? 1;
     this.#creditShares = new FairShares(getShare);
@@ -216,7 +219,7 @@
       findElsewhere: (adapterKey) => membership.findHolder(adapterKey, host),
       creditShares: this.#creditShares,
       loadShares: this.#loadShares,
-      createId: (prefix) => this.#createId(prefix),
+      createId: (prefix) => this.#ids.createId(prefix),
     }, now);
     this.#owners.set(host.id, owner);
     const handover = this.#handovers.get(host.id);
@@ -246,13 +249,6 @@
     owner.updateConfiguration({ host, pool, maxRunMs });
   }
 
-  /** Returns an identifier that no ownership of this incarnation gave before. */
-  #createId(prefix: string): string {
-    this.#lastId += 1;
-    const { selfId, incarnation } = this.#options;
-    return `${prefix}/${selfId}/${incarnation}/${this.#lastId}`;
-  }
-
   /** Hands the upstream over to its next owner, if one is known. */
   #giveUpOwnership(
     owner: UpstreamOwner,
--- a/src/core/tables/host_list_snapshot.ts
+++ b/src/core/tables/host_list_snapshot.ts
@@ -29,10 +29,6 @@
     return this.#rows.getRows();
   }
 
-  getStructure(): HostListStructure {
-    return { revision: this.revision, hosts: [...this.getHosts()] };
-  }
-
   /** Returns the list after the changes; this one stays as it is. */
   apply(delta: HostListDelta): HostListSnapshot {
     return new HostListSnapshot(
--- a/src/core/tables/table_snapshot.ts
+++ b/src/core/tables/table_snapshot.ts
@@ -107,12 +107,6 @@
     return this.#rows.pools.getRow(name);
   }
 
-  getPoolOrThrow(name: string): PoolStructure {
-    const pool = this.getPool(name);
-    if (pool) return pool;
-    throw new Error(`Expected a pool named ${name}, found none`);
-  }
-
   /** Returns the first pool that selects the upstream, or undefined. */
   getPoolOfUpstream(host: HostStructure): PoolStructure | undefined {
     return this.#poolsByUpstream.get(
