--- /dev/null
+++ b/src/core/admission/engine_desk.ts
@@ -0,0 +1,329 @@
+/**
+ * The desk of one engine, kept by the daemon that gives its orders: admits
+ * requests to the engine's batch, has their adapters loaded, and turns away at
+ * once what can't be served in time. Load pattern: more distinct adapters than
+ * slots and more prompts than the engine reads in time, from many daemons.
+ */
+import type { AdapterPlaces, Place } from "../placement/adapter_places.ts";
+import { MAX_COMING } from "../placement/adapter_places.ts";
+import type { Milliseconds } from "../structures.ts";
+import type { BatchDemand, BatchRoom } from "./batch_room.ts";
+
+/** A request for a place in an engine's batch. */
+export interface PermitRequest extends BatchDemand {
+  permitId: string;
+  /** Daemon that asks. */
+  holder: string;
+  model: string;
+  /** Empty for the base model. */
+  adapter: string;
+  /** Version that must run it; undefined when none is declared. */
+  version: number | undefined;
+  /** 0 is the most urgent. */
+  priorityRank: number;
+  /** Time that a place is worth waiting for. */
+  patienceMs: Milliseconds;
+  /** Time after which the request can't be running any more. */
+  lifetimeMs: Milliseconds;
+  /** Whether no other engine is to be tried, so that it waits here. */
+  isLastChoice: boolean;
+}
+
+export const DenialReason = {
+  /** Every adapter slot is in use. */
+  SlotsInUse: "slotsInUse",
+  /** The batch, or what is to be read before, is too long. */
+  Busy: "busy",
+  /** This daemon does not give the engine's orders. */
+  NotHolder: "notHolder",
+  /** The wait ended without a place. */
+  Overdue: "overdue",
+} as const;
+export type DenialReason = (typeof DenialReason)[keyof typeof DenialReason];
+
+export type PermitAnswer =
+  | { kind: "granted"; permitId: string; holder: string }
+  | {
+    kind: "denied";
+    permitId: string;
+    holder: string;
+    reason: DenialReason;
+    /** After which a place is expected. */
+    retryAfterMs: Milliseconds;
+  };
+
+/** The next order that the engine should get. */
+export type WantedOrder =
+  | {
+    kind: "load";
+    model: string;
+    adapter: string;
+    adapterPath: string;
+    version: number | undefined;
+  }
+  | { kind: "evict"; model: string; adapter: string; adapterPath: string };
+
+/** Backlog of prompts beyond which a request is sent to another engine, where there is one. */
+const SPREAD_BACKLOG_MS = 350;
+/** Backlog of prompts beyond which a request waits here instead of in the engine. */
+const MAX_BACKLOG_MS = 600;
+/** Time that a run takes to leave room, for estimates of a wait. */
+const TYPICAL_RUN_MS = 500;
+
+interface WaitingRequest {
+  request: PermitRequest;
+  arrivedAt: Milliseconds;
+  overdueAt: Milliseconds;
+}
+
+export class EngineDesk {
+  readonly places: AdapterPlaces;
+  readonly room: BatchRoom;
+  readonly #waiting = new Map<string, WaitingRequest>();
+  readonly #permits = new Map<
+    string,
+    { adapterPath: string; expiresAt: Milliseconds }
+  >();
+  #answers: PermitAnswer[] = [];
+
+  constructor(places: AdapterPlaces, room: BatchRoom) {
+    this.places = places;
+    this.room = room;
+  }
+
+  countWaiting(): number {
+    return this.#waiting.size;
+  }
+
+  countPermits(): number {
+    return this.#permits.size;
+  }
+
+  /** Returns the answers that are due, and forgets them. */
+  takeAnswers(): PermitAnswer[] {
+    const answers = this.#answers;
+    this.#answers = [];
+    return answers;
+  }
+
+  /** Takes a request in; the answer comes now or later. */
+  requestPermit(request: PermitRequest, now: Milliseconds): void {
+    if (this.#permits.has(request.permitId)) {
+      this.#grantAgain(request);
+      return;
+    }
+    if (this.#waiting.has(request.permitId)) return;
+    const denial = this.#findDenial(request, now);
+    if (denial) {
+      this.#deny(request, denial, now);
+      return;
+    }
+    this.#waiting.set(request.permitId, {
+      request,
+      arrivedAt: now,
+      overdueAt: now + request.patienceMs,
+    });
+    this.pump(now);
+  }
+
+  cancelRequest(permitId: string): void {
+    this.#waiting.delete(permitId);
+  }
+
+  /** Gives back a permit whose run is over, and serves who waits for its place. */
+  releasePermit(permitId: string, now: Milliseconds): void {
+    this.#waiting.delete(permitId);
+    const permit = this.#permits.get(permitId);
+    if (!permit) return;
+    this.#permits.delete(permitId);
+    this.room.release(permitId);
+    const place = this.places.getPlace(permit.adapterPath);
+    place?.permits.delete(permitId);
+    if (place) place.lastUsedAt = Math.max(place.lastUsedAt, now);
+    this.pump(now);
+  }
+
+  recordFirstToken(permitId: string, now: Milliseconds): void {
+    this.room.recordFirstToken(permitId);
+    this.pump(now);
+  }
+
+  /** Notes that the engine had not finished loading what a permit was for. */
+  recordNotReady(
+    permitId: string,
+    delayMs: Milliseconds,
+    now: Milliseconds,
+  ): void {
+    const permit = this.#permits.get(permitId);
+    if (!permit) return;
+    const place = this.places.getPlace(permit.adapterPath);
+    if (place && place.state === "resident") {
+      this.places.delayLoad(place, delayMs, now);
+    }
+    this.releasePermit(permitId, now);
+  }
+
+  tick(now: Milliseconds): void {
+    this.places.completeLoads(now);
+    for (const [permitId, permit] of this.#permits) {
+      if (permit.expiresAt <= now) this.releasePermit(permitId, now);
+    }
+    for (const [permitId, waiting] of this.#waiting) {
+      if (waiting.overdueAt > now) continue;
+      this.#waiting.delete(permitId);
+      this.#deny(waiting.request, DenialReason.Overdue, now);
+    }
+    this.pump(now);
+  }
+
+  /** Grants every place that is free, the most urgent request first. */
+  pump(now: Milliseconds): void {
+    for (const { request } of this.#listWaiting()) {
+      if (!this.#isUsable(request)) continue;
+      const isFree = this.room.hasRoomFor(request) &&
+        this.room.estimateBacklogMs(now) <= MAX_BACKLOG_MS;
+      if (isFree) this.#grant(request, now);
+    }
+  }
+
+  /** Returns the next order that would let a waiting request run, or undefined. */
+  findWantedOrder(
+    canFetch: boolean,
+    now: Milliseconds,
+  ): WantedOrder | undefined {
+    if (this.places.countComing() >= MAX_COMING) return undefined;
+    for (const { request } of this.#listWaiting()) {
+      const { adapterPath, model, adapter, version } = request;
+      if (adapter === "" || this.#isUsable(request)) continue;
+      const place = this.places.getPlace(adapterPath);
+      if (place?.state === "loading") continue;
+      if (!canFetch && this.places.isFetch(adapterPath)) continue;
+      const load: WantedOrder = {
+        kind: "load",
+        model,
+        adapter,
+        adapterPath,
+        version,
+      };
+      if (place || this.places.hasRoom()) return load;
+      const evictable = this.places.findEvictable(now);
+      if (!evictable) continue;
+      return { kind: "evict", ...splitAdapterPath(evictable.adapterPath) };
+    }
+    return undefined;
+  }
+
+  /** Denies all that waits, when the engine is given up. */
+  denyAll(reason: DenialReason, now: Milliseconds): void {
+    for (const { request } of this.#waiting.values()) {
+      this.#deny(request, reason, now);
+    }
+    this.#waiting.clear();
+  }
+
+  /** Forgets every permit, when the engine restarted and runs nothing. */
+  clearPermits(): void {
+    this.#permits.clear();
+    this.room.clear();
+  }
+
+  #listWaiting(): WaitingRequest[] {
+    return [...this.#waiting.values()].sort((a, b) =>
+      a.request.priorityRank - b.request.priorityRank ||
+      a.arrivedAt - b.arrivedAt
+    );
+  }
+
+  #isUsable(request: PermitRequest): boolean {
+    if (request.adapter === "") return true;
+    const place = this.places.getPlace(request.adapterPath);
+    return place?.state === "resident" && hasVersion(place, request.version);
+  }
+
+  #findDenial(
+    request: PermitRequest,
+    now: Milliseconds,
+  ): DenialReason | undefined {
+    const place = this.places.getPlace(request.adapterPath);
+    const isAbsent = request.adapter !== "" && place === undefined;
+    const isWithoutSlot = isAbsent && !this.places.hasRoom() &&
+      this.places.findEvictable(now) === undefined;
+    if (isWithoutSlot && !request.isLastChoice) return DenialReason.SlotsInUse;
+    const waitMs = this.estimateWaitMs(request, now);
+    if (waitMs > request.patienceMs) return DenialReason.Busy;
+    const isLong = this.room.estimateBacklogMs(now) > SPREAD_BACKLOG_MS ||
+      !this.room.hasRoomFor(request);
+    return isLong && !request.isLastChoice ? DenialReason.Busy : undefined;
+  }
+
+  /** Returns when a place is expected for the request. */
+  estimateWaitMs(request: PermitRequest, now: Milliseconds): Milliseconds {
+    const isAbsent = request.adapter !== "" &&
+      this.places.getPlace(request.adapterPath) === undefined;
+    const backlogMs = this.room.estimateBacklogMs(now);
+    const queueMs = this.#sumWaitingPrefillMs(request);
+    const loadMs = isAbsent
+      ? this.places.estimateLoadMs(request.adapterPath, 0)
+      : 0;
+    const fullMs = this.room.hasRoomFor(request) ? 0 : TYPICAL_RUN_MS;
+    return Math.max(loadMs, backlogMs + queueMs - MAX_BACKLOG_MS, fullMs);
+  }
+
+  #sumWaitingPrefillMs(request: PermitRequest): Milliseconds {
+    let sum = 0;
+    for (const waiting of this.#waiting.values()) {
+      const isBefore = waiting.request.priorityRank <= request.priorityRank;
+      if (isBefore) sum += this.room.estimateOwnPrefillMs(waiting.request);
+    }
+    return sum;
+  }
+
+  #grant(request: PermitRequest, now: Milliseconds): void {
+    const { permitId, adapterPath } = request;
+    this.#waiting.delete(permitId);
+    this.#permits.set(permitId, {
+      adapterPath,
+      expiresAt: now + request.lifetimeMs,
+    });
+    this.room.admit(permitId, request, now);
+    const place = this.places.getPlace(adapterPath);
+    if (place) this.places.recordUse(place, permitId, now);
+    this.#grantAgain(request);
+  }
+
+  #grantAgain({ permitId, holder }: PermitRequest): void {
+    this.#answers.push({ kind: "granted", permitId, holder });
+  }
+
+  #deny(
+    request: PermitRequest,
+    reason: DenialReason,
+    now: Milliseconds,
+  ): void {
+    this.#answers.push({
+      kind: "denied",
+      permitId: request.permitId,
+      holder: request.holder,
+      reason,
+      retryAfterMs: Math.round(this.estimateWaitMs(request, now)),
+    });
+  }
+}
+
+/** A version that was not told fits any; the engine itself checks a declared one. */
+function hasVersion(place: Place, version: number | undefined): boolean {
+  return version === undefined || place.version === undefined ||
+    place.version >= version;
+}
+
+/** Splits `model/adapter`. */
+function splitAdapterPath(
+  adapterPath: string,
+): { model: string; adapter: string; adapterPath: string } {
+  const separator = adapterPath.indexOf("/");
+  return {
+    model: adapterPath.slice(0, separator),
+    adapter: adapterPath.slice(separator + 1),
+    adapterPath,
+  };
+}
--- /dev/null
+++ b/src/core/admission/refusal_advice.ts
@@ -0,0 +1,28 @@
+/**
+ * When a refused caller is told to come back. Load pattern: many callers are
+ * refused in the same moment and would return in the same moment too. The time
+ * is when a place is expected, spread by the request, and within what the
+ * caller can still wait, so that its return is served and not refused again.
+ */
+import { hashText } from "../hashing.ts";
+import type { Milliseconds } from "../structures.ts";
+
+/** Callers honour a wait of up to a third of the time that they have left. */
+const HONOURED_SHARE = 1 / 3;
+/** Earliest return: an answer sooner than that would find the same state. */
+const MIN_WAIT_MS = 80;
+/** Width of the spread, as a part of the wait. */
+const SPREAD = 0.5;
+
+export function computeRetryAfterMs(
+  refusal: {
+    requestId: string;
+    expectedMs: Milliseconds;
+    remainingMs: Milliseconds;
+  },
+): Milliseconds {
+  const { requestId, expectedMs, remainingMs } = refusal;
+  const spread = 1 + SPREAD * (hashText(requestId) / 0x1_0000_0000);
+  const wantedMs = Math.max(MIN_WAIT_MS, expectedMs) * spread;
+  return Math.min(wantedMs, Math.max(0, remainingMs) * HONOURED_SHARE);
+}
--- /dev/null
+++ b/src/core/execution/event_splitter.ts
@@ -0,0 +1,44 @@
+/**
+ * Cuts a stream of server-sent events at the ends of events, so that only whole
+ * ones are passed on, and knows the id of the last one: a stream that breaks off
+ * can go on at another upstream after it.
+ */
+import { Buffer } from "node:buffer";
+
+const EVENT_END = Buffer.from("\n\n");
+const ID_LINE = /(?:^|\n)id: ?([^\n\r]*)/g;
+
+export class EventSplitter {
+  #rest: Buffer = Buffer.alloc(0);
+  #lastEventId: string | undefined;
+
+  /** Id of the last whole event; undefined before the first one that has an id. */
+  get lastEventId(): string | undefined {
+    return this.#lastEventId;
+  }
+
+  /** Takes bytes in and returns those up to the end of the last whole event. */
+  push(piece: Buffer): Buffer {
+    const bytes = this.#rest.length === 0
+      ? piece
+      : Buffer.concat([this.#rest, piece]);
+    const end = bytes.lastIndexOf(EVENT_END);
+    if (end < 0) {
+      this.#rest = bytes;
+      return Buffer.alloc(0);
+    }
+    const whole = bytes.subarray(0, end + EVENT_END.length);
+    this.#rest = bytes.subarray(end + EVENT_END.length);
+    for (const [, id] of whole.toString("latin1").matchAll(ID_LINE)) {
+      this.#lastEventId = id;
+    }
+    return whole;
+  }
+
+  /** Returns the bytes after the last whole event, and forgets them. */
+  takeRest(): Buffer {
+    const rest = this.#rest;
+    this.#rest = Buffer.alloc(0);
+    return rest;
+  }
+}
--- /dev/null
+++ b/src/core/fleet/fleet_view.ts
@@ -0,0 +1,219 @@
+/**
+ * Which daemons there are and which of them live, learnt from heartbeats: each
+ * daemon sends one a period to those of its failure domain and to a few others,
+ * with a sample of the members it knows. Nobody is asked whether it lives; who
+ * has been silent for some periods is taken for dead until it is heard again.
+ */
+import { rankByRendezvous } from "../hashing.ts";
+import type { Milliseconds } from "../structures.ts";
+
+/** A daemon as its peers know it. */
+export interface FleetMember {
+  id: string;
+  /** IP address; every daemon listens on the same peer port. */
+  ip: string;
+  failureDomain: string;
+}
+
+/** What a heartbeat says of its sender. */
+export interface Heartbeat {
+  sender: FleetMember;
+  /** Differs in each start of the process. */
+  incarnation: string;
+  isLeaving: boolean;
+  /** Whether the sender's own watches on the store are answered. */
+  hasStore: boolean;
+  /** Store revision up to which the sender knows each prefix. */
+  revisions: { configuration: number; upstreams: number };
+  /** Engines whose orders the sender gives. */
+  heldEngines: string[];
+  /** Loads from the weight store that the sender has on the way. */
+  fetchesInFlight: number;
+  /** Highest time of the sender's fence clock. */
+  fenceUnixMs: number;
+  /** Some of the members that the sender knows. */
+  sample: FleetMember[];
+  /** Fingerprints of requests that crashed upstreams, with their count. */
+  strikes: { fingerprint: string; strikes: number }[];
+}
+
+/** Period of heartbeats; a death is noticed within a few of them. */
+export const HEARTBEAT_INTERVAL_MS = 400;
+/** Silence after which a peer that is sent heartbeats by all is taken for dead. */
+const SILENCE_MS = 4 * HEARTBEAT_INTERVAL_MS;
+/** Fleet size up to which every daemon sends to every other one. */
+const FULL_MESH_MEMBERS = 24;
+/** Daemons of other failure domains that get a heartbeat in a period, beyond that size. */
+const DISTANT_TARGETS = 3;
+/** Members named in one heartbeat: keeps it within one datagram. */
+const SAMPLE_SIZE = 6;
+/** Silence after which a member is no longer sent anything. */
+const FORGET_MS = 60_000;
+
+interface KnownMember {
+  member: FleetMember;
+  heartbeat: Heartbeat | undefined;
+  heardAt: Milliseconds;
+  /** When it was first named to this daemon. */
+  namedAt: Milliseconds;
+}
+
+export class FleetView {
+  readonly #self: FleetMember;
+  readonly #members = new Map<string, KnownMember>();
+  #round = 0;
+
+  constructor(self: FleetMember) {
+    this.#self = self;
+  }
+
+  get self(): FleetMember {
+    return this.#self;
+  }
+
+  /** Number of daemons that live as far as is known, this one included. */
+  countLiving(now: Milliseconds): number {
+    return 1 + this.#listKnown().filter((each) => this.#isLiving(each, now))
+      .length;
+  }
+
+  isSmall(): boolean {
+    return this.#members.size < FULL_MESH_MEMBERS;
+  }
+
+  recordHeartbeat(heartbeat: Heartbeat, now: Milliseconds): boolean {
+    if (heartbeat.sender.id === this.#self.id) return false;
+    const known = this.#members.get(heartbeat.sender.id);
+    const isNew = !known || !this.#isLiving(known, now) ||
+      known.heartbeat?.incarnation !== heartbeat.incarnation;
+    this.#members.set(heartbeat.sender.id, {
+      member: heartbeat.sender,
+      heartbeat,
+      heardAt: now,
+      namedAt: known?.namedAt ?? now,
+    });
+    for (const member of heartbeat.sample) this.#addNamed(member, now);
+    return isNew;
+  }
+
+  /** Returns the members that get a heartbeat in this period. */
+  selectTargets(now: Milliseconds): FleetMember[] {
+    this.#round += 1;
+    const known = this.#listKnown().filter((each) =>
+      now - Math.max(each.heardAt, each.namedAt) < FORGET_MS
+    );
+    if (known.length < FULL_MESH_MEMBERS) {
+      return known.map((each) => each.member);
+    }
+    const near = known.filter((each) => this.#isNear(each.member));
+    const distant = known.filter((each) => !this.#isNear(each.member));
+    return [
+      ...rotate(near, this.#round).slice(0, FULL_MESH_MEMBERS),
+      ...rankByRendezvous(
+        String(this.#round),
+        distant.map((each) => each.member),
+      ).slice(0, DISTANT_TARGETS).map((member) => ({ member })),
+    ].map((each) => each.member);
+  }
+
+  /** Returns some members to name in a heartbeat, another part each period. */
+  selectSample(): FleetMember[] {
+    const members = this.#listKnown().map((each) => each.member);
+    return rotate(members, this.#round * SAMPLE_SIZE).slice(0, SAMPLE_SIZE);
+  }
+
+  getHeartbeat(id: string): Heartbeat | undefined {
+    return this.#members.get(id)?.heartbeat;
+  }
+
+  getMember(id: string): FleetMember | undefined {
+    return id === this.#self.id ? this.#self : this.#members.get(id)?.member;
+  }
+
+  /** Returns whether the member lives as far as is known. */
+  isLiving(id: string, now: Milliseconds): boolean {
+    if (id === this.#self.id) return true;
+    const known = this.#members.get(id);
+    return known !== undefined && this.#isLiving(known, now);
+  }
+
+  /** Returns the living peers' last heartbeats. */
+  listLiving(now: Milliseconds): Heartbeat[] {
+    return this.#listKnown()
+      .filter((each) => this.#isLiving(each, now))
+      .flatMap((each) => each.heartbeat ?? []);
+  }
+
+  /** Returns the living daemon that says it holds the engine, or undefined. */
+  findHolder(engineId: string, now: Milliseconds): string | undefined {
+    return this.listLiving(now).find((heartbeat) =>
+      heartbeat.heldEngines.includes(engineId) && !heartbeat.isLeaving
+    )?.sender.id;
+  }
+
+  /**
+   * Returns the daemons that should order an engine, best first: those of its
+   * failure domain, then all others.
+   * @param isStopping whether this daemon itself is no candidate.
+   */
+  rankHolders(
+    engine: { id: string; failureDomain: string },
+    isStopping: boolean,
+    now: Milliseconds,
+  ): FleetMember[] {
+    const candidates = this.#listKnown()
+      .filter((each) =>
+        this.#isLiving(each, now) && each.heartbeat?.isLeaving !== true
+      )
+      .map((each) => each.member);
+    if (!isStopping) candidates.push(this.#self);
+    const isNear = (member: FleetMember) =>
+      member.failureDomain === engine.failureDomain;
+    const ranked = rankByRendezvous(engine.id, candidates);
+    return [
+      ...ranked.filter(isNear),
+      ...ranked.filter((member) => !isNear(member)),
+    ];
+  }
+
+  /** Takes every peer for silent, after a pause of this process. */
+  expireAll(): void {
+    for (const known of this.#members.values()) {
+      known.heardAt = Number.NEGATIVE_INFINITY;
+    }
+  }
+
+  #addNamed(member: FleetMember, now: Milliseconds): void {
+    if (member.id === this.#self.id || this.#members.has(member.id)) return;
+    this.#members.set(member.id, {
+      member,
+      heartbeat: undefined,
+      heardAt: Number.NEGATIVE_INFINITY,
+      namedAt: now,
+    });
+  }
+
+  #isNear(member: FleetMember): boolean {
+    return member.failureDomain === this.#self.failureDomain;
+  }
+
+  /** A distant member of a large fleet is heard only now and then. */
+  #isLiving(known: KnownMember, now: Milliseconds): boolean {
+    if (known.heartbeat === undefined) return false;
+    const isOftenHeard = this.isSmall() || this.#isNear(known.member);
+    const patience = isOftenHeard
+      ? 1
+      : Math.ceil(this.#members.size / DISTANT_TARGETS / 2);
+    return now - known.heardAt < SILENCE_MS * patience;
+  }
+
+  #listKnown(): KnownMember[] {
+    return [...this.#members.values()];
+  }
+}
+
+function rotate<T>(values: readonly T[], by: number): T[] {
+  if (values.length === 0) return [];
+  const start = by % values.length;
+  return [...values.slice(start), ...values.slice(0, start)];
+}
--- /dev/null
+++ b/src/core/ordering/engine_holder.ts
@@ -0,0 +1,362 @@
+/**
+ * What one daemon does about one engine: seeks the right to order it where it
+ * should hold it, keeps its desk while it does, and gives it up to another.
+ * Events go in with the present time, effects come out.
+ */
+import { BatchRoom } from "../admission/batch_room.ts";
+import {
+  DenialReason,
+  EngineDesk,
+  type PermitAnswer,
+  type PermitRequest,
+  type WantedOrder,
+} from "../admission/engine_desk.ts";
+import { AdapterPlaces } from "../placement/adapter_places.ts";
+import type { Milliseconds } from "../structures.ts";
+import type { EngineLimits } from "../view/published_view.ts";
+import {
+  type OrderAnswer,
+  type OrderReport,
+  OrderTenure,
+} from "./order_tenure.ts";
+
+/** A report with what the engine holds. */
+export interface HeldReport extends OrderReport {
+  adapters: ReadonlyMap<string, { version: number; isComing: boolean }>;
+}
+
+/** What a holder that stops tells the next one. */
+export interface TenureHandover {
+  sequence: number;
+  bornAtUnixMs: number;
+  adapters: [adapterPath: string, version: number, isComing: boolean][];
+}
+
+export type HolderEffect =
+  | { kind: "readReport"; engineId: string }
+  | {
+    kind: "giveOrder";
+    engineId: string;
+    order: WantedOrder;
+    fence: number;
+    expectedSequence: number;
+  }
+  | { kind: "answerPermit"; engineId: string; answer: PermitAnswer }
+  /** A change of what is believed of the engine, for the log. */
+  | { kind: "belief"; engineId: string; change: string; detail: object };
+
+export interface EngineHolderOptions {
+  engineId: string;
+  limits: EngineLimits;
+  termMs: Milliseconds;
+  drawFence: () => number;
+}
+
+/** What the daemon knows besides. */
+export interface HolderSituation {
+  /** Whether this daemon should give the engine's orders. */
+  isWanted: boolean;
+  /** Loads from the weight store on their way, over all daemons. */
+  fleetFetches: number;
+  /** Whether this daemon may start another load from the weight store. */
+  canFetch: boolean;
+}
+
+/** Shortest time between two readings of one engine. */
+const REPORT_INTERVAL_MS = 300;
+/** Time after which a conflicting or failed order is tried again. */
+const ORDER_RETRY_MS = 60;
+
+export class EngineHolder {
+  readonly #options: EngineHolderOptions;
+  readonly #tenure: OrderTenure;
+  readonly desk: EngineDesk;
+  #observed: HeldReport | undefined;
+  #isReading = false;
+  #lastReadAt = Number.NEGATIVE_INFINITY;
+  #ordered: { order: WantedOrder; sentAt: Milliseconds } | undefined;
+  #nextOrderAt = Number.NEGATIVE_INFINITY;
+  #lastOrderAt = Number.NEGATIVE_INFINITY;
+  #isInDoubt = false;
+
+  constructor(options: EngineHolderOptions) {
+    this.#options = options;
+    this.#tenure = new OrderTenure({ termMs: options.termMs });
+    this.desk = new EngineDesk(
+      new AdapterPlaces(options.limits.adapterSlots),
+      new BatchRoom(options.limits),
+    );
+  }
+
+  get engineId(): string {
+    return this.#options.engineId;
+  }
+
+  isHolding(): boolean {
+    return this.#tenure.isHolding();
+  }
+
+  setLimits(limits: EngineLimits): void {
+    this.desk.places.setCapacity(limits.adapterSlots);
+    this.desk.room.setLimits(limits);
+  }
+
+  /** Counts loads from the weight store that are on their way. */
+  countComing(): number {
+    return this.isHolding() ? this.desk.places.countComing() : 0;
+  }
+
+  requestPermit(request: PermitRequest, now: Milliseconds): HolderEffect[] {
+    if (!this.isHolding()) {
+      const answer: PermitAnswer = {
+        kind: "denied",
+        permitId: request.permitId,
+        holder: request.holder,
+        reason: DenialReason.NotHolder,
+        retryAfterMs: this.#options.termMs,
+      };
+      return [{ kind: "answerPermit", engineId: this.engineId, answer }];
+    }
+    this.desk.requestPermit(request, now);
+    return this.#takeAnswers();
+  }
+
+  /** Notes that the engine lacks what it should hold: its report is wanted. */
+  recordDoubt(): void {
+    this.#isInDoubt = true;
+  }
+
+  recordReport(report: HeldReport, now: Milliseconds): HolderEffect[] {
+    this.#isReading = false;
+    const wasHolding = this.isHolding();
+    const settlement = this.#tenure.recordReport(report, now);
+    if (!wasHolding) {
+      this.#observed = report;
+      return [];
+    }
+    switch (settlement.kind) {
+      case "deposed":
+        return [
+          this.#describeBelief("deposed", { sequence: report.sequence }),
+          ...this.#dropDesk(now),
+        ];
+      case "restarted":
+        this.desk.clearPermits();
+        this.desk.places.clear();
+        this.desk.places.reconcile(report.adapters, now);
+        return [this.#describeBelief("engineRestarted", {})];
+      case "lastOrderAccepted":
+      case "lastOrderNotAccepted":
+      case "none":
+        this.#reconcile(report, now);
+        return [this.#describeBelief("reconciled", {
+          settlement: settlement.kind,
+          sequence: report.sequence,
+        })];
+    }
+  }
+
+  recordReportFailure(): void {
+    this.#isReading = false;
+  }
+
+  recordOrderAnswer(
+    answer: OrderAnswer,
+    fleetFetches: number,
+    now: Milliseconds,
+  ): HolderEffect[] {
+    const ordered = this.#ordered;
+    if (!ordered) return [];
+    this.#ordered = undefined;
+    this.#tenure.recordOrderAnswer(answer, ordered.sentAt, now);
+    if (answer.kind === "accepted") {
+      this.#applyOrder(ordered.order, fleetFetches, now);
+      return [];
+    }
+    this.#nextOrderAt = now + ORDER_RETRY_MS;
+    if (answer.kind === "rejected") this.#isInDoubt = true;
+    return [this.#describeBelief("orderNotAccepted", {
+      order: ordered.order,
+      answer,
+    })];
+  }
+
+  /** Seeks or keeps the right to order, and gives the next order. */
+  tick(situation: HolderSituation, now: Milliseconds): HolderEffect[] {
+    if (!situation.isWanted) return this.#giveUp(now);
+    const effects: HolderEffect[] = [];
+    if (this.#tenure.isTermOver(now)) effects.push(...this.#claim(now));
+    if (this.isHolding()) {
+      this.desk.tick(now);
+      effects.push(...this.#giveNextOrder(situation, now));
+      effects.push(...this.#takeAnswers());
+    }
+    if (this.#needsReport(now)) {
+      this.#isReading = true;
+      this.#lastReadAt = now;
+      effects.push({ kind: "readReport", engineId: this.engineId });
+    }
+    return effects;
+  }
+
+  /** Serves the queue and gives the next order, without waiting for the tick. */
+  pump(situation: HolderSituation, now: Milliseconds): HolderEffect[] {
+    if (!this.isHolding()) return [];
+    const effects = this.#giveNextOrder(situation, now);
+    return [...effects, ...this.#takeAnswers()];
+  }
+
+  /** Returns what the next holder needs, and gives the engine up; undefined while an order is in doubt. */
+  handOver(now: Milliseconds): {
+    handover: TenureHandover | undefined;
+    effects: HolderEffect[];
+  } {
+    const { state } = this.#tenure;
+    const canHandOver = state.kind === "holding" && !this.#ordered;
+    const handover = canHandOver
+      ? {
+        sequence: state.sequence,
+        bornAtUnixMs: state.bornAtUnixMs,
+        adapters: this.desk.places.listPlaces().map((
+          place,
+        ): TenureHandover["adapters"][number] => [
+          place.adapterPath,
+          place.version ?? 0,
+          place.state === "loading",
+        ]),
+      }
+      : undefined;
+    return { handover, effects: this.#giveUp(now) };
+  }
+
+  acceptHandover(handover: TenureHandover, now: Milliseconds): HolderEffect[] {
+    if (!this.#tenure.acceptHandover(handover, this.#options.drawFence())) {
+      return [];
+    }
+    this.desk.places.clear();
+    this.desk.places.reconcile(
+      new Map(handover.adapters.map(([path, version, isComing]) => [
+        path,
+        { version, isComing },
+      ])),
+      now,
+    );
+    return [this.#describeBelief("handedOver", {
+      sequence: handover.sequence,
+      fence: this.#tenure.getFence(),
+    })];
+  }
+
+  /** Returns places and queue, for the operators and the log. */
+  describe(): object {
+    return {
+      tenure: this.#tenure.state,
+      places: this.desk.places.listPlaces().map((place) => ({
+        adapter: place.adapterPath,
+        version: place.version,
+        state: place.state,
+        permits: place.permits.size,
+      })),
+      waiting: this.desk.countWaiting(),
+      running: this.desk.room.countRunning(),
+    };
+  }
+
+  #claim(now: Milliseconds): HolderEffect[] {
+    if (!this.#tenure.claim(this.#options.drawFence(), now)) return [];
+    this.desk.places.clear();
+    this.desk.clearPermits();
+    if (this.#observed) {
+      this.desk.places.reconcile(this.#observed.adapters, now);
+    }
+    return [this.#describeBelief("claimed", {
+      sequence: this.#tenure.getExpectedSequence(),
+      fence: this.#tenure.getFence(),
+    })];
+  }
+
+  #giveNextOrder(
+    situation: HolderSituation,
+    now: Milliseconds,
+  ): HolderEffect[] {
+    const expectedSequence = this.#tenure.getExpectedSequence();
+    const isBlocked = expectedSequence === undefined || this.#ordered ||
+      this.#isInDoubt || now < this.#nextOrderAt;
+    if (isBlocked) return [];
+    const order = this.desk.findWantedOrder(situation.canFetch, now);
+    if (!order) return [];
+    this.#ordered = { order, sentAt: now };
+    this.#lastOrderAt = now;
+    return [{
+      kind: "giveOrder",
+      engineId: this.engineId,
+      order,
+      fence: this.#tenure.getFence(),
+      expectedSequence,
+    }];
+  }
+
+  #applyOrder(
+    order: WantedOrder,
+    fleetFetches: number,
+    now: Milliseconds,
+  ): void {
+    const { places } = this.desk;
+    if (order.kind === "evict") places.recordEvicted(order.adapterPath);
+    else {
+      places.recordLoadOrdered(
+        order.adapterPath,
+        order.version,
+        fleetFetches,
+        now,
+      );
+    }
+  }
+
+  #needsReport(now: Milliseconds): boolean {
+    if (this.#isReading || now - this.#lastReadAt < REPORT_INTERVAL_MS) {
+      return false;
+    }
+    if (this.#tenure.needsReport(now)) return true;
+    if (!this.isHolding() || this.#ordered) return false;
+    return this.#isInDoubt || this.desk.places.hasOverdueLoad(now);
+  }
+
+  /** Believes the report where it is newer than every order. */
+  #reconcile(report: HeldReport, now: Milliseconds): void {
+    const isNewer = !this.#ordered && report.readAt >= this.#lastOrderAt;
+    const { state } = this.#tenure;
+    const isSame = state.kind === "holding" &&
+      state.sequence === report.sequence;
+    if (!isNewer || !isSame) return;
+    this.#isInDoubt = false;
+    this.desk.places.reconcile(report.adapters, now);
+    this.desk.pump(now);
+  }
+
+  #giveUp(now: Milliseconds): HolderEffect[] {
+    if (!this.isHolding()) return [];
+    this.#tenure.release();
+    return [this.#describeBelief("released", {}), ...this.#dropDesk(now)];
+  }
+
+  #dropDesk(now: Milliseconds): HolderEffect[] {
+    this.desk.denyAll(DenialReason.NotHolder, now);
+    this.desk.clearPermits();
+    this.#observed = undefined;
+    this.#isInDoubt = false;
+    return this.#takeAnswers();
+  }
+
+  #takeAnswers(): HolderEffect[] {
+    return this.desk.takeAnswers().map((answer) => ({
+      kind: "answerPermit",
+      engineId: this.engineId,
+      answer,
+    }));
+  }
+
+  #describeBelief(change: string, detail: object): HolderEffect {
+    return { kind: "belief", engineId: this.engineId, change, detail };
+  }
+}
--- /dev/null
+++ b/src/core/ordering/order_tenure.ts
@@ -0,0 +1,301 @@
+/**
+ * The right of one daemon to order one engine's loads and evictions, without
+ * votes and without a store. The engine counts the orders that it accepted, and
+ * each order names the count that it expects, so the engine itself is the
+ * compare-and-set: a daemon takes over only by an order against a count that it
+ * read more than a whole term ago, which the engine refuses if anybody ordered
+ * since. Two holders therefore never order within one term of each other, and a
+ * deposed holder's next order is refused.
+ */
+import type { Milliseconds } from "../structures.ts";
+
+export type TenureState =
+  /** Nobody here wants the engine, or no report has been read yet. */
+  | { kind: "idle" }
+  /** A report was read; the term runs. */
+  | {
+    kind: "observing";
+    sequence: number;
+    bornAtUnixMs: number;
+    observedAt: Milliseconds;
+  }
+  /** Orders may be given against `sequence`. */
+  | {
+    kind: "holding";
+    sequence: number;
+    bornAtUnixMs: number;
+    fence: number;
+    /** Time of the last order that the engine accepted from here. */
+    acceptedAt: Milliseconds;
+  }
+  /** An order's fate is unknown until a report is read later than `readableAt`. */
+  | {
+    kind: "unsettled";
+    sequence: number;
+    bornAtUnixMs: number;
+    fence: number;
+    acceptedAt: Milliseconds;
+    /** When the order in doubt was sent. */
+    sentAt: Milliseconds;
+    readableAt: Milliseconds;
+  }
+  /** Another daemon has ordered since; this one stays away until then. */
+  | { kind: "deposed"; until: Milliseconds };
+
+/** An engine's own account of the orders that it accepted. */
+export interface OrderReport {
+  sequence: number;
+  bornAtUnixMs: number;
+  /** When the reading was asked for. */
+  readAt: Milliseconds;
+}
+
+/** How an engine answered an order. */
+export type OrderAnswer =
+  | { kind: "accepted" }
+  /** It held already; whether the count moved is not known. */
+  | { kind: "alreadyHeld" }
+  /** Another order is under way, or the count differs. */
+  | { kind: "conflict" }
+  | { kind: "rejected"; detail: string }
+  /** The order was never sent. */
+  | { kind: "notSent"; detail: string }
+  /** No answer: it may have been accepted. */
+  | { kind: "unanswered"; detail: string };
+
+/** What reading a report settled. */
+export type Settlement =
+  | { kind: "none" }
+  | { kind: "lastOrderAccepted" }
+  | { kind: "lastOrderNotAccepted" }
+  | { kind: "restarted" }
+  | { kind: "deposed" };
+
+export interface OrderTenureOptions {
+  /** Time within which two holders may not take turns; from the platform. */
+  termMs: Milliseconds;
+}
+
+/** Added to the term for a report's age and for clocks that differ in pace. */
+const TERM_MARGIN_MS = 300;
+/** Age of the oldest state that a report may give: the protocol says some hundred milliseconds. */
+export const REPORT_LAG_MS = 450;
+
+export class OrderTenure {
+  readonly #options: OrderTenureOptions;
+  #state: TenureState = { kind: "idle" };
+
+  constructor(options: OrderTenureOptions) {
+    this.#options = options;
+  }
+
+  get state(): TenureState {
+    return this.#state;
+  }
+
+  isHolding(): boolean {
+    return this.#state.kind === "holding" || this.#state.kind === "unsettled";
+  }
+
+  /** Returns the count that the next order must expect, or undefined when none may be given now. */
+  getExpectedSequence(): number | undefined {
+    return this.#state.kind === "holding" ? this.#state.sequence : undefined;
+  }
+
+  getFence(): number {
+    return this.#state.kind === "holding" || this.#state.kind === "unsettled"
+      ? this.#state.fence
+      : 0;
+  }
+
+  /** Returns whether a report is wanted now, to observe, or to settle an order. */
+  needsReport(now: Milliseconds): boolean {
+    switch (this.#state.kind) {
+      case "idle":
+        return true;
+      case "deposed":
+        return now >= this.#state.until;
+      case "unsettled":
+        return now >= this.#state.readableAt;
+      case "observing":
+      case "holding":
+        return false;
+    }
+  }
+
+  /** Returns whether a whole term has passed since the report that was observed. */
+  isTermOver(now: Milliseconds): boolean {
+    return this.#state.kind === "observing" &&
+      now - this.#state.observedAt >= this.#options.termMs + TERM_MARGIN_MS;
+  }
+
+  /** Takes the right to order, once the term is over. */
+  claim(fence: number, now: Milliseconds): boolean {
+    if (this.#state.kind !== "observing" || !this.isTermOver(now)) return false;
+    const { sequence, bornAtUnixMs } = this.#state;
+    this.#state = {
+      kind: "holding",
+      sequence,
+      bornAtUnixMs,
+      fence,
+      acceptedAt: Number.NEGATIVE_INFINITY,
+    };
+    return true;
+  }
+
+  /** Takes over from a holder that gave the engine up and orders it no more. */
+  acceptHandover(
+    handover: { sequence: number; bornAtUnixMs: number },
+    fence: number,
+  ): boolean {
+    if (this.isHolding() || this.#state.kind === "deposed") return false;
+    this.#state = {
+      kind: "holding",
+      ...handover,
+      fence,
+      acceptedAt: Number.NEGATIVE_INFINITY,
+    };
+    return true;
+  }
+
+  recordReport(report: OrderReport, now: Milliseconds): Settlement {
+    switch (this.#state.kind) {
+      case "idle":
+        this.#observe(report);
+        return { kind: "none" };
+      case "deposed":
+        if (report.readAt >= this.#state.until) this.#observe(report);
+        return { kind: "none" };
+      case "observing":
+        if (
+          report.sequence !== this.#state.sequence ||
+          report.bornAtUnixMs !== this.#state.bornAtUnixMs
+        ) this.#observe(report);
+        return { kind: "none" };
+      case "holding":
+        return this.#checkHolding(this.#state, report, now);
+      case "unsettled":
+        return this.#settle(this.#state, report, now);
+    }
+  }
+
+  recordOrderAnswer(
+    answer: OrderAnswer,
+    sentAt: Milliseconds,
+    now: Milliseconds,
+  ): void {
+    if (this.#state.kind !== "holding") return;
+    switch (answer.kind) {
+      case "accepted":
+        this.#state = {
+          ...this.#state,
+          sequence: this.#state.sequence + 1,
+          acceptedAt: sentAt,
+        };
+        break;
+      case "alreadyHeld":
+      case "conflict":
+      case "unanswered":
+        this.#state = {
+          ...this.#state,
+          kind: "unsettled",
+          sentAt,
+          readableAt: now + REPORT_LAG_MS,
+        };
+        break;
+      case "rejected":
+      case "notSent":
+        break;
+    }
+  }
+
+  /** Gives the engine up; the next claim starts with a new report and a whole term. */
+  release(): void {
+    this.#state = { kind: "idle" };
+  }
+
+  #observe(report: OrderReport): void {
+    this.#state = {
+      kind: "observing",
+      sequence: report.sequence,
+      bornAtUnixMs: report.bornAtUnixMs,
+      observedAt: report.readAt,
+    };
+  }
+
+  #checkHolding(
+    state: Extract<TenureState, { kind: "holding" }>,
+    report: OrderReport,
+    now: Milliseconds,
+  ): Settlement {
+    if (report.bornAtUnixMs !== state.bornAtUnixMs) {
+      return this.#followRestart(state, report, now);
+    }
+    const isOlderThanLastOrder =
+      report.readAt < state.acceptedAt + REPORT_LAG_MS;
+    if (report.sequence <= state.sequence || isOlderThanLastOrder) {
+      return { kind: "none" };
+    }
+    return this.#depose(now);
+  }
+
+  #settle(
+    state: Extract<TenureState, { kind: "unsettled" }>,
+    report: OrderReport,
+    now: Milliseconds,
+  ): Settlement {
+    if (report.readAt < state.readableAt) return { kind: "none" };
+    if (report.bornAtUnixMs !== state.bornAtUnixMs) {
+      return this.#followRestart(state, report, now);
+    }
+    if (report.sequence === state.sequence) {
+      const { sequence, bornAtUnixMs, fence, acceptedAt } = state;
+      this.#state = {
+        kind: "holding",
+        sequence,
+        bornAtUnixMs,
+        fence,
+        acceptedAt,
+      };
+      return { kind: "lastOrderNotAccepted" };
+    }
+    // Nobody else can have ordered within a term of an accepted order of this holder.
+    const isOwn = report.sequence === state.sequence + 1 &&
+      report.readAt - state.acceptedAt < this.#options.termMs;
+    if (!isOwn) return this.#depose(now);
+    const { bornAtUnixMs, fence, sentAt } = state;
+    this.#state = {
+      kind: "holding",
+      sequence: report.sequence,
+      bornAtUnixMs,
+      fence,
+      acceptedAt: sentAt,
+    };
+    return { kind: "lastOrderAccepted" };
+  }
+
+  /** An engine that restarted has accepted nothing, unless somebody was faster. */
+  #followRestart(
+    state: { fence: number },
+    report: OrderReport,
+    now: Milliseconds,
+  ): Settlement {
+    if (report.sequence !== 0) return this.#depose(now);
+    this.#state = {
+      kind: "holding",
+      sequence: 0,
+      bornAtUnixMs: report.bornAtUnixMs,
+      fence: state.fence,
+      acceptedAt: Number.NEGATIVE_INFINITY,
+    };
+    return { kind: "restarted" };
+  }
+
+  #depose(now: Milliseconds): Settlement {
+    this.#state = {
+      kind: "deposed",
+      until: now + this.#options.termMs + TERM_MARGIN_MS,
+    };
+    return { kind: "deposed" };
+  }
+}
--- /dev/null
+++ b/src/core/placement/adapter_places.ts
@@ -0,0 +1,192 @@
+/**
+ * The adapter slots of one engine: what is resident, on its way or in use, what
+ * yields when room is wanted, and how long a load will take. Load pattern: many
+ * rarely used adapters sweep through few slots while a few stay busy; what was
+ * evicted lately loads ten times as fast from the engine's own memory.
+ */
+import type { Milliseconds } from "../structures.ts";
+
+export type PlaceState = "loading" | "resident";
+
+export interface Place {
+  adapterPath: string;
+  /** Version that it has, or will have; undefined when not told. */
+  version: number | undefined;
+  state: PlaceState;
+  /** When a load is taken to be done. */
+  readyAt: Milliseconds;
+  /** Requests that may use it. */
+  permits: Set<string>;
+  lastUsedAt: Milliseconds;
+  /** Decayed count of uses. */
+  uses: number;
+}
+
+/** First estimate of a load from the weight store; the users' sheets give 250 and 288 ms. */
+const FETCH_MS = 260;
+/** First estimate of a load of an adapter that the engine held lately. */
+const RELOAD_MS = 35;
+/** Adapters that an engine is taken to keep in its memory; a reload is faster from there. */
+const KEPT_ADAPTERS = 40;
+/** Loads from the store, over all engines, up to which each takes its full speed. */
+const FETCHES_AT_FULL_SPEED = 8;
+/** Adapters on their way to one engine, at most: the platform's bound. */
+export const MAX_COMING = 4;
+/** Time in which a use loses half of its weight. */
+const USE_HALF_LIFE_MS = 15_000;
+/** Longest time for which a load that is not done is waited for before the engine is asked. */
+const LOAD_PATIENCE_MS = 3_000;
+
+export class AdapterPlaces {
+  #capacity: number;
+  readonly #places = new Map<string, Place>();
+  /** Adapters that were evicted lately, oldest first. */
+  readonly #kept = new Set<string>();
+
+  constructor(capacity: number) {
+    this.#capacity = capacity;
+  }
+
+  setCapacity(capacity: number): void {
+    this.#capacity = capacity;
+  }
+
+  getPlace(adapterPath: string): Place | undefined {
+    return this.#places.get(adapterPath);
+  }
+
+  listPlaces(): Place[] {
+    return [...this.#places.values()];
+  }
+
+  countComing(): number {
+    return this.listPlaces().filter((place) => place.state === "loading")
+      .length;
+  }
+
+  hasRoom(): boolean {
+    return this.#places.size < this.#capacity;
+  }
+
+  /** Returns whether loading the adapter calls on the weight store. */
+  isFetch(adapterPath: string): boolean {
+    return !this.#kept.has(adapterPath);
+  }
+
+  /** Returns how long a load takes that starts now. */
+  estimateLoadMs(adapterPath: string, fleetFetches: number): Milliseconds {
+    if (!this.isFetch(adapterPath)) return RELOAD_MS;
+    return FETCH_MS * Math.max(1, (fleetFetches + 1) / FETCHES_AT_FULL_SPEED);
+  }
+
+  /** Returns the idle adapter that yields first, or undefined when all are in use. */
+  findEvictable(now: Milliseconds): Place | undefined {
+    let best: Place | undefined;
+    for (const place of this.#places.values()) {
+      if (place.state !== "resident" || place.permits.size > 0) continue;
+      const isBetter = best === undefined ||
+        getWorth(place, now) < getWorth(best, now);
+      if (isBetter) best = place;
+    }
+    return best;
+  }
+
+  recordLoadOrdered(
+    adapterPath: string,
+    version: number | undefined,
+    fleetFetches: number,
+    now: Milliseconds,
+  ): void {
+    const place = this.#places.get(adapterPath) ??
+      this.#createPlace(adapterPath, now);
+    place.version = version;
+    place.state = "loading";
+    place.readyAt = now + this.estimateLoadMs(adapterPath, fleetFetches);
+    this.#places.set(adapterPath, place);
+    this.#kept.delete(adapterPath);
+  }
+
+  recordEvicted(adapterPath: string): void {
+    this.#places.delete(adapterPath);
+    this.#kept.delete(adapterPath);
+    this.#kept.add(adapterPath);
+    if (this.#kept.size <= KEPT_ADAPTERS) return;
+    const [oldest] = this.#kept;
+    if (oldest !== undefined) this.#kept.delete(oldest);
+  }
+
+  recordUse(place: Place, permitId: string, now: Milliseconds): void {
+    place.uses = decayUses(place, now) + 1;
+    place.lastUsedAt = now;
+    place.permits.add(permitId);
+  }
+
+  /** Takes loads whose time has come for done; returns them. */
+  completeLoads(now: Milliseconds): Place[] {
+    const done = this.listPlaces().filter((place) =>
+      place.state === "loading" && place.readyAt <= now
+    );
+    for (const place of done) place.state = "resident";
+    return done;
+  }
+
+  /** Notes that the engine was not ready for the adapter yet. */
+  delayLoad(place: Place, delayMs: Milliseconds, now: Milliseconds): void {
+    place.state = "loading";
+    place.readyAt = now + delayMs;
+  }
+
+  /** Puts what the engine reported in place of what was believed; permits are kept. */
+  reconcile(
+    adapters: ReadonlyMap<string, { version: number; isComing: boolean }>,
+    now: Milliseconds,
+  ): void {
+    for (const adapterPath of [...this.#places.keys()]) {
+      if (!adapters.has(adapterPath)) this.#places.delete(adapterPath);
+    }
+    for (const [adapterPath, { version, isComing }] of adapters) {
+      const known = this.#places.get(adapterPath);
+      const place = known ?? this.#createPlace(adapterPath, now);
+      place.version = version;
+      const isNewlyComing = isComing && place.state !== "loading";
+      if (isNewlyComing) this.delayLoad(place, FETCH_MS, now);
+      if (!isComing && place.state === "loading") {
+        place.readyAt = Math.min(place.readyAt, now);
+      }
+      this.#places.set(adapterPath, place);
+    }
+  }
+
+  /** Returns whether a load is so late that the engine should be asked. */
+  hasOverdueLoad(now: Milliseconds): boolean {
+    return this.listPlaces().some((place) =>
+      place.state === "loading" && now - place.readyAt > LOAD_PATIENCE_MS
+    );
+  }
+
+  clear(): void {
+    this.#places.clear();
+    this.#kept.clear();
+  }
+
+  #createPlace(adapterPath: string, now: Milliseconds): Place {
+    return {
+      adapterPath,
+      version: undefined,
+      state: "resident",
+      readyAt: now,
+      permits: new Set(),
+      lastUsedAt: now,
+      uses: 0,
+    };
+  }
+}
+
+function decayUses(place: Place, now: Milliseconds): number {
+  return place.uses * 0.5 ** ((now - place.lastUsedAt) / USE_HALF_LIFE_MS);
+}
+
+/** Frequency first, recency among equals. */
+function getWorth(place: Place, now: Milliseconds): number {
+  return decayUses(place, now);
+}
--- /dev/null
+++ b/src/core/placement/upstream_choice.ts
@@ -0,0 +1,92 @@
+/**
+ * Ranks the upstreams for a request. Engines: an adapter has a home, drawn by
+ * rendezvous, where it stays resident and where its prompts stay cached; the
+ * next in the same order take copies when the home is full or too busy. Load
+ * pattern: thousands of adapters with skewed popularity over a few slots each.
+ * Plain services: the least loaded upstream by its own word, near ones first.
+ */
+import { rankByRendezvous } from "../hashing.ts";
+import type { Milliseconds } from "../structures.ts";
+import type { PublishedUpstream } from "../view/published_view.ts";
+import type { UpstreamHealth } from "./upstream_health.ts";
+
+/** Engines that may take a copy of one adapter. */
+export const MAX_ADAPTER_HOMES = 4;
+
+/** Returns the engines for an adapter, its home first; ill ones come last. */
+export function rankEngines(
+  adapterPath: string,
+  engines: readonly PublishedUpstream[],
+  health: UpstreamHealth,
+  now: Milliseconds,
+): PublishedUpstream[] {
+  const ranked = rankByRendezvous(adapterPath, engines);
+  return [
+    ...ranked.filter((engine) => !health.isAvoided(engine.id, now)),
+    ...ranked.filter((engine) => health.isAvoided(engine.id, now)),
+  ];
+}
+
+/** What is known of the load of a plain service's upstream. */
+export interface ServiceLoad {
+  /** Requests that this daemon has there. */
+  ownRunning: number;
+  /** Requests that run or wait there by its own word, others' included. */
+  reportedRunning: number;
+  reportedAt: Milliseconds;
+}
+
+/** Age beyond which an upstream's word on its load is not used. */
+const LOAD_REPORT_LIFETIME_MS = 1_000;
+/** Load, in parts of all slots, that a hop to another failure domain is worth. */
+const DISTANCE_PENALTY = 0.25;
+/** Load, in parts of all slots, that a failing upstream is charged. */
+const FAILURE_PENALTY = 2;
+
+/** Returns the upstreams of a plain service, best first. */
+export function rankServiceUpstreams(
+  upstreams: readonly PublishedUpstream[],
+  from: {
+    failureDomain: string;
+    health: UpstreamHealth;
+    getLoad: (upstreamId: string) => ServiceLoad | undefined;
+    /** Breaks ties; another one for each request. */
+    tieKey: string;
+  },
+  now: Milliseconds,
+): PublishedUpstream[] {
+  const scores = new Map(
+    upstreams.map((upstream) => [
+      upstream.id,
+      computeServiceScore(upstream, from, now),
+    ]),
+  );
+  const getScore = (upstream: PublishedUpstream) =>
+    scores.get(upstream.id) ?? 0;
+  return rankByRendezvous(from.tieKey, upstreams)
+    .sort((a, b) => getScore(a) - getScore(b));
+}
+
+function computeServiceScore(
+  upstream: PublishedUpstream,
+  from: {
+    failureDomain: string;
+    health: UpstreamHealth;
+    getLoad: (upstreamId: string) => ServiceLoad | undefined;
+  },
+  now: Milliseconds,
+): number {
+  const load = from.getLoad(upstream.id);
+  const isReportFresh = load !== undefined &&
+    now - load.reportedAt < LOAD_REPORT_LIFETIME_MS;
+  const running = Math.max(
+    load?.ownRunning ?? 0,
+    isReportFresh ? load.reportedRunning : 0,
+  );
+  const distance = upstream.failureDomain === from.failureDomain
+    ? 0
+    : DISTANCE_PENALTY;
+  const avoidance = from.health.isAvoided(upstream.id, now) ? 10 : 0;
+  return running / Math.max(1, upstream.slots) + distance + avoidance +
+    FAILURE_PENALTY * from.health.getFailureShare(upstream.id, now);
+}
--- /dev/null
+++ b/src/core/view/store_mirror.ts
@@ -0,0 +1,94 @@
+/**
+ * A copy of what the platform's store publishes under one prefix. It only moves
+ * forward: an item of an older revision never replaces a newer one, whichever
+ * source brings it, the store itself or a peer that reads it.
+ */
+
+/** One change as the store or a peer tells it. */
+export interface StoreChange {
+  key: string;
+  /** Store revision of the change. */
+  revision: number;
+  /** Raw bytes as base64 text; undefined when the key was removed. */
+  value: string | undefined;
+}
+
+/** What a source knows, complete up to `asOf`. */
+export interface StoreBatch {
+  /** Whether keys that are not listed do not exist. */
+  isSnapshot: boolean;
+  /** The batch is complete up to this store revision. */
+  asOf: number;
+  changes: StoreChange[];
+}
+
+/** Removed keys remembered for peers that lag behind. */
+const MAX_TOMBSTONES = 2_000;
+
+export class StoreMirror {
+  readonly #items = new Map<string, StoreChange>();
+  readonly #tombstones = new Map<string, StoreChange>();
+  #asOf = 0;
+  /** Changes up to this revision can be told only as a snapshot. */
+  #deltaFloor = 0;
+
+  /** Store revision up to which this copy is complete; 0 before the first batch. */
+  get asOf(): number {
+    return this.#asOf;
+  }
+
+  /** Takes a batch and returns the changes that are news here. */
+  applyBatch(batch: StoreBatch): StoreChange[] {
+    const news = batch.changes.filter((change) => this.#applyChange(change));
+    if (batch.isSnapshot) news.push(...this.#removeUnlisted(batch));
+    this.#asOf = Math.max(this.#asOf, batch.asOf);
+    return news;
+  }
+
+  /** Returns what has changed since the revision, for a peer that is behind. */
+  buildBatchAfter(revision: number): StoreBatch {
+    const isSnapshot = revision < this.#deltaFloor || revision === 0;
+    const changes = isSnapshot
+      ? [...this.#items.values()]
+      : [...this.#items.values(), ...this.#tombstones.values()]
+        .filter((change) => change.revision > revision);
+    return { isSnapshot, asOf: this.#asOf, changes };
+  }
+
+  #applyChange(change: StoreChange): boolean {
+    const known = this.#items.get(change.key) ??
+      this.#tombstones.get(change.key);
+    if (known && known.revision >= change.revision) return false;
+    if (change.value === undefined) {
+      this.#items.delete(change.key);
+      this.#addTombstone(change);
+      return true;
+    }
+    this.#tombstones.delete(change.key);
+    this.#items.set(change.key, change);
+    return known?.value !== change.value;
+  }
+
+  #removeUnlisted(batch: StoreBatch): StoreChange[] {
+    const listed = new Set(batch.changes.map((change) => change.key));
+    const removed: StoreChange[] = [];
+    for (const item of this.#items.values()) {
+      if (listed.has(item.key) || item.revision > batch.asOf) continue;
+      removed.push({ key: item.key, revision: batch.asOf, value: undefined });
+    }
+    for (const change of removed) {
+      this.#items.delete(change.key);
+      this.#addTombstone(change);
+    }
+    return removed;
+  }
+
+  #addTombstone(change: StoreChange): void {
+    this.#tombstones.set(change.key, change);
+    if (this.#tombstones.size <= MAX_TOMBSTONES) return;
+    const [oldest] = this.#tombstones.values();
+    if (!oldest) return;
+    this.#tombstones.delete(oldest.key);
+    this.#deltaFloor = Math.max(this.#deltaFloor, oldest.revision);
+  }
+}
--- /dev/null
+++ b/src/gateway/caller_exchange.ts
@@ -0,0 +1,136 @@
+/** One caller's request with its body read, and the one answer that it gets. */
+import { Buffer } from "node:buffer";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Milliseconds } from "../core/structures.ts";
+import type { CallerFacts } from "./ports.ts";
+
+export interface CallerExchangeOptions {
+  request: IncomingMessage;
+  response: ServerResponse;
+  facts: CallerFacts;
+  body: Buffer;
+  /** When the head of the request was read. */
+  arrivedAt: Milliseconds;
+  /** Whether the connection is to be closed after this answer. */
+  isClosing: () => boolean;
+}
+
+export class CallerExchange {
+  readonly #options: CallerExchangeOptions;
+  #isGone = false;
+  #handleGone: (() => void) | undefined;
+
+  constructor(options: CallerExchangeOptions) {
+    this.#options = options;
+    options.response.once("close", () => {
+      if (options.response.writableFinished) return;
+      this.#isGone = true;
+      this.#handleGone?.();
+    });
+  }
+
+  get facts(): CallerFacts {
+    return this.#options.facts;
+  }
+
+  get body(): Buffer {
+    return this.#options.body;
+  }
+
+  get arrivedAt(): Milliseconds {
+    return this.#options.arrivedAt;
+  }
+
+  get method(): string {
+    return this.#options.request.method ?? "GET";
+  }
+
+  /** Path and query as sent. */
+  get url(): string {
+    return this.#options.request.url ?? "/";
+  }
+
+  get rawHeaders(): string[] {
+    return this.#options.request.rawHeaders;
+  }
+
+  /** Whether the caller has closed its connection before the whole answer. */
+  get isGone(): boolean {
+    return this.#isGone;
+  }
+
+  get hasStarted(): boolean {
+    return this.#options.response.headersSent;
+  }
+
+  /** Calls back when the caller leaves before the end. */
+  onGone(handle: () => void): void {
+    this.#handleGone = handle;
+    if (this.#isGone) handle();
+  }
+
+  /** Answers with a whole body. */
+  answer(
+    status: number,
+    rawHeaders: readonly string[],
+    body: Buffer,
+  ): void {
+    if (this.#isGone || this.hasStarted) return;
+    const headers = dropBodyHeaders(rawHeaders);
+    this.#writeHead(status, [
+      ...headers,
+      "Content-Length",
+      String(body.length),
+    ]);
+    this.#options.response.end(body);
+  }
+
+  /** Answers in the gateway's own name. */
+  answerText(
+    status: number,
+    rawHeaders: readonly string[],
+    text: string,
+  ): void {
+    const headers = [...rawHeaders, "Content-Type", "application/json"];
+    const body = Buffer.from(`${JSON.stringify({ error: text })}\n`);
+    this.answer(status, headers, body);
+  }
+
+  /** Starts an answer whose pieces follow. */
+  startStream(status: number, rawHeaders: readonly string[]): void {
+    if (this.#isGone || this.hasStarted) return;
+    this.#writeHead(status, dropBodyHeaders(rawHeaders));
+  }
+
+  write(piece: Buffer): void {
+    if (piece.length > 0 && !this.#isGone) this.#options.response.write(piece);
+  }
+
+  /** Ends a streamed answer as complete. */
+  end(): void {
+    if (!this.#isGone) this.#options.response.end();
+  }
+
+  /** Closes the connection, so that the answer can't be taken for complete. */
+  breakOff(): void {
+    this.#options.response.destroy();
+  }
+
+  #writeHead(status: number, rawHeaders: string[]): void {
+    const headers = this.#options.isClosing()
+      ? [...rawHeaders, "Connection", "close"]
+      : rawHeaders;
+    this.#options.response.writeHead(status, headers);
+  }
+}
+
+/** The length of the body is set here, or left to chunks. */
+function dropBodyHeaders(rawHeaders: readonly string[]): string[] {
+  const kept: string[] = [];
+  for (let index = 0; index + 1 < rawHeaders.length; index += 2) {
+    const name = rawHeaders[index] ?? "";
+    if (name.toLowerCase() === "content-length") continue;
+    kept.push(name, rawHeaders[index + 1] ?? "");
+  }
+  return kept;
+}
--- /dev/null
+++ b/src/gateway/caller_task.ts
@@ -0,0 +1,232 @@
+/**
+ * Owns the callers' port: reads requests whole, finds their route and starts
+ * their flow. A stop takes no new connections' worth of work: answers close
+ * their connections, idle ones are closed, and what was read is finished.
+ */
+import { createHash } from "node:crypto";
+import { Buffer } from "node:buffer";
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from "node:http";
+import type { Socket } from "node:net";
+import type { Milliseconds } from "../core/structures.ts";
+import { describeError } from "../daemon/step_error.ts";
+import { CallerExchange } from "./caller_exchange.ts";
+import type { CallerFacts } from "./ports.ts";
+import type { RequestContext } from "./request_context.ts";
+import { RequestFlow } from "./request_flow.ts";
+
+/** Bounds before a configuration says otherwise. */
+const DEFAULT_BODY_BYTES = 4 * 1024 * 1024;
+const DEFAULT_HEADER_TIMEOUT_MS = 3_000;
+const DEFAULT_IDLE_TIMEOUT_MS = 15_000;
+/** Time for which an idle connection outlives the limit, so that a caller's last use does not cross its close. */
+const IDLE_SLACK_MS = 500;
+/** Time for a body to come. */
+const BODY_TIMEOUT_MS = 30_000;
+/** Return time for requests that come before a configuration is known. */
+const UNCONFIGURED_RETRY_MS = 500;
+
+const Status = {
+  NotFound: 404,
+  TooLarge: 413,
+  Unavailable: 503,
+} as const;
+
+export class CallerTask {
+  readonly #context: RequestContext;
+  readonly #server: Server;
+  readonly #idleSockets = new Set<Socket>();
+  readonly #sockets = new Set<Socket>();
+  readonly #closingSockets = new WeakSet<Socket>();
+  #inFlight = 0;
+  #isStopping = false;
+
+  constructor(context: RequestContext) {
+    this.#context = context;
+    this.#server = createServer({
+      requestTimeout: BODY_TIMEOUT_MS,
+      headersTimeout: DEFAULT_HEADER_TIMEOUT_MS,
+      keepAliveTimeout: DEFAULT_IDLE_TIMEOUT_MS,
+    }, (request, response) => this.#handleRequest(request, response));
+    this.#server.on("connection", (socket: Socket) => {
+      socket.setNoDelay(true);
+      this.#sockets.add(socket);
+      this.#idleSockets.add(socket);
+      socket.once("close", () => {
+        this.#sockets.delete(socket);
+        this.#idleSockets.delete(socket);
+      });
+    });
+  }
+
+  get inFlight(): number {
+    return this.#inFlight;
+  }
+
+  listen(host: string, port: number): Promise<void> {
+    return new Promise((resolve, reject) => {
+      this.#server.once("error", reject);
+      this.#server.listen(port, host, resolve);
+    });
+  }
+
+  /** Puts the limits of the configuration in force, for connections old and new. */
+  applyLimits(): void {
+    const limits = this.#context.view.configuration?.limits;
+    if (!limits) return;
+    this.#server.headersTimeout = limits.headerTimeoutMs;
+    this.#server.keepAliveTimeout = limits.idleTimeoutMs + IDLE_SLACK_MS;
+  }
+
+  /** From now on answers close their connections. */
+  beginStop(): void {
+    this.#isStopping = true;
+  }
+
+  /** Closes connections on which nothing is going on. */
+  closeIdle(): void {
+    for (const socket of this.#idleSockets) {
+      this.#closingSockets.add(socket);
+      socket.end();
+    }
+  }
+
+  close(): void {
+    this.#server.close();
+    for (const socket of this.#sockets) socket.destroy();
+  }
+
+  #handleRequest(request: IncomingMessage, response: ServerResponse): void {
+    const arrivedAt = performance.now();
+    const { socket } = request;
+    if (this.#closingSockets.has(socket)) {
+      // It crossed the close: dropped unserved, the caller sends it again elsewhere.
+      socket.destroy();
+      return;
+    }
+    this.#idleSockets.delete(socket);
+    this.#inFlight += 1;
+    response.once("close", () => {
+      this.#inFlight -= 1;
+      if (!socket.destroyed) this.#idleSockets.add(socket);
+    });
+    response.on("error", (error) => {
+      this.#context.log.debug("callerConnectionError", {
+        detail: describeError(error),
+      });
+    });
+    void this.#serve(request, response, arrivedAt).catch((error) => {
+      this.#context.log.warn("requestFaulted", {
+        step: "serve request",
+        detail: error instanceof Error ? error.stack : String(error),
+      });
+      response.destroy();
+    });
+  }
+
+  async #serve(
+    request: IncomingMessage,
+    response: ServerResponse,
+    arrivedAt: Milliseconds,
+  ): Promise<void> {
+    const { dialect, view } = this.#context;
+    const facts = dialect.decodeCallerFacts(
+      request.headers,
+      request.url ?? "/",
+    );
+    const body = await this.#readBody(request);
+    if (body === undefined) return;
+    const exchange = new CallerExchange({
+      request,
+      response,
+      facts,
+      body: body ?? Buffer.alloc(0),
+      arrivedAt,
+      isClosing: () => this.#isStopping,
+    });
+    if (body === null) {
+      this.#refuse(exchange, Status.TooLarge, "body is too large", undefined);
+      return;
+    }
+    if (!view.configuration) {
+      this.#refuse(
+        exchange,
+        Status.Unavailable,
+        "no configuration is known yet",
+        UNCONFIGURED_RETRY_MS,
+      );
+      return;
+    }
+    const route = view.findRoute(facts.hostName, facts.path);
+    if (!route) {
+      this.#refuse(exchange, Status.NotFound, "no such route", undefined);
+      return;
+    }
+    const service = view.selectService(route, facts.requestId);
+    if (!service) {
+      this.#refuse(
+        exchange,
+        Status.Unavailable,
+        "the route names no service that is known",
+        UNCONFIGURED_RETRY_MS,
+      );
+      return;
+    }
+    const fingerprint = computeFingerprint(request, facts, body);
+    const target = { route, service };
+    await new RequestFlow(this.#context, exchange, target, fingerprint).run();
+  }
+
+  #refuse(
+    exchange: CallerExchange,
+    status: number,
+    reason: string,
+    retryAfterMs: Milliseconds | undefined,
+  ): void {
+    const { log, metrics, dialect, view } = this.#context;
+    metrics.count("refusals", reason);
+    log.info("requestDecision", {
+      requestId: exchange.facts.requestId,
+      verdict: "refuse",
+      reason,
+      status,
+      hostName: exchange.facts.hostName,
+      path: exchange.facts.path,
+      configurationVersion: view.configuration?.version,
+    });
+    const headers = dialect.encodeRefusalHeaders(retryAfterMs);
+    exchange.answerText(status, headers, reason);
+  }
+
+  /** Returns the body, null when it is too long, or undefined when the caller left. */
+  #readBody(request: IncomingMessage): Promise<Buffer | null | undefined> {
+    const limit = this.#context.view.configuration?.limits.maxBodyBytes ??
+      DEFAULT_BODY_BYTES;
+    return new Promise((resolve) => {
+      const pieces: Buffer[] = [];
+      let length = 0;
+      request.on("data", (piece: Buffer) => {
+        length += piece.length;
+        if (length > limit) resolve(null);
+        else pieces.push(piece);
+      });
+      request.once("end", () => resolve(Buffer.concat(pieces)));
+      request.once("close", () => resolve(undefined));
+    });
+  }
+}
+
+/** Hashes what stays the same when a caller sends a request again. */
+function computeFingerprint(
+  request: IncomingMessage,
+  facts: CallerFacts,
+  body: Buffer,
+): string {
+  const hash = createHash("sha256");
+  hash.update(`${request.method} ${request.url}\n${facts.stableHeaders}\n`);
+  return hash.update(body).digest("base64url").slice(0, 22);
+}
--- /dev/null
+++ b/src/gateway/engine_task.ts
@@ -0,0 +1,453 @@
+/**
+ * Owns the holders of engines: carries out what they ask for, passes permits
+ * between daemons, and asks other daemons for permits on behalf of callers.
+ */
+import {
+  DenialReason,
+  type PermitAnswer,
+  type PermitRequest,
+} from "../core/admission/engine_desk.ts";
+import type { FleetView } from "../core/fleet/fleet_view.ts";
+import {
+  EngineHolder,
+  type HolderEffect,
+  type HolderSituation,
+} from "../core/ordering/engine_holder.ts";
+import type { FenceClock } from "../core/ordering/fence_clock.ts";
+import type { Milliseconds } from "../core/structures.ts";
+import type {
+  PublishedUpstream,
+  PublishedView,
+} from "../core/view/published_view.ts";
+import { describeStep } from "../daemon/step_error.ts";
+import type { DecisionLog } from "./decision_log.ts";
+import type { GatewayMetrics } from "./gateway_metrics.ts";
+import type { GatewayMessage } from "./peer_messages.ts";
+import type { EngineControl } from "./ports.ts";
+
+/** Period in which holders look at time-outs and at who should hold. */
+const TICK_INTERVAL_MS = 25;
+/** Loads from the weight store at once over all daemons; beyond it each takes longer. */
+const FLEET_FETCHES = 8;
+/** Added to a permit's patience for the way there and back. */
+const ANSWER_SLACK_MS = 150;
+/** Time after the start before engines are sought: peers are heard by then. */
+const SETTLE_MS = 1_200;
+
+export interface EngineTaskOptions {
+  selfId: string;
+  termMs: Milliseconds;
+  view: PublishedView;
+  fleet: FleetView;
+  fences: FenceClock;
+  control: EngineControl;
+  log: DecisionLog;
+  metrics: GatewayMetrics;
+  /** Sends until the peer acknowledges; resolves to false when it does not. */
+  deliver: (peerId: string, message: GatewayMessage) => Promise<boolean>;
+}
+
+/** The answer to a permit request, and the daemon that gave it. */
+export interface PermitReply {
+  answer: PermitAnswer;
+  grantorId: string;
+}
+
+interface PendingPermit {
+  settle: (reply: PermitReply) => void;
+}
+
+export class EngineTask {
+  readonly #options: EngineTaskOptions;
+  readonly #holders = new Map<string, EngineHolder>();
+  readonly #pendingPermits = new Map<string, PendingPermit>();
+  readonly #startedAt = performance.now();
+  #isStopping = false;
+  #timer: ReturnType<typeof setInterval> | undefined;
+
+  constructor(options: EngineTaskOptions) {
+    this.#options = options;
+  }
+
+  start(): void {
+    this.#timer = setInterval(() => this.#tick(), TICK_INTERVAL_MS);
+  }
+
+  listHeldEngines(): string[] {
+    return [...this.#holders.values()]
+      .filter((holder) => holder.isHolding())
+      .map((holder) => holder.engineId);
+  }
+
+  countFetches(): number {
+    let count = 0;
+    for (const holder of this.#holders.values()) count += holder.countComing();
+    return count;
+  }
+
+  describe(): object {
+    return Object.fromEntries(
+      [...this.#holders].map(([id, holder]) => [id, holder.describe()]),
+    );
+  }
+
+  /** Asks the engine's holder for a place; always resolves. */
+  async askPermit(
+    engine: PublishedUpstream,
+    request: PermitRequest,
+  ): Promise<PermitReply> {
+    const { fleet, selfId } = this.#options;
+    const now = performance.now();
+    const holderId = fleet.findHolder(engine.id, now) ??
+      (this.#holders.get(engine.id)?.isHolding()
+        ? selfId
+        : fleet.rankHolders(engine, this.#isStopping, now)[0]?.id);
+    const deny = (reason: DenialReason): PermitReply => ({
+      answer: {
+        kind: "denied",
+        permitId: request.permitId,
+        holder: selfId,
+        reason,
+        retryAfterMs: this.#options.termMs,
+      },
+      grantorId: holderId ?? "",
+    });
+    if (holderId === undefined) return deny(DenialReason.NotHolder);
+    return await new Promise<PermitReply>((resolve) => {
+      const key = formatPermitKey(engine.id, request.permitId);
+      const settle = (reply: PermitReply): void => {
+        clearTimeout(timer);
+        this.#pendingPermits.delete(key);
+        resolve(reply);
+      };
+      const timer = setTimeout(
+        () => settle(deny(DenialReason.Overdue)),
+        request.patienceMs + ANSWER_SLACK_MS,
+      );
+      this.#pendingPermits.set(key, { settle });
+      void this.#send(holderId, {
+        kind: "permitRequest",
+        engineId: engine.id,
+        request,
+      }).then((isDelivered) => {
+        if (!isDelivered) settle(deny(DenialReason.NotHolder));
+      });
+    });
+  }
+
+  /** Tells the daemon that granted a permit something about it. */
+  tellGrantor(
+    grantorId: string,
+    message: Extract<
+      GatewayMessage,
+      { kind: "permitReleased" | "firstToken" | "permitUnusable" }
+    >,
+  ): void {
+    void this.#send(grantorId, message);
+  }
+
+  handleMessage(from: string, message: GatewayMessage): void {
+    const now = performance.now();
+    switch (message.kind) {
+      case "permitRequest":
+        this.#requestPermit(message.engineId, message.request, now);
+        break;
+      case "permitAnswer":
+        this.#settlePermit(message.engineId, message.answer, from);
+        break;
+      case "permitReleased":
+        this.#getHeld(message.engineId)
+          ?.desk.releasePermit(message.permitId, now);
+        this.#pump(message.engineId, now);
+        break;
+      case "firstToken":
+        this.#getHeld(message.engineId)
+          ?.desk.recordFirstToken(message.permitId, now);
+        this.#pump(message.engineId, now);
+        break;
+      case "permitUnusable":
+        this.#recordUnusable(message, now);
+        break;
+      case "handover":
+        this.#acceptHandover(from, message.engineId, message.handover, now);
+        break;
+      case "heartbeat":
+        break;
+    }
+  }
+
+  /** Hands every engine over to the daemon that should hold it next. */
+  async stop(): Promise<void> {
+    this.#isStopping = true;
+    clearInterval(this.#timer);
+    const now = performance.now();
+    const sendings: Promise<boolean>[] = [];
+    for (const holder of this.#holders.values()) {
+      if (!holder.isHolding()) continue;
+      const { handover, effects } = holder.handOver(now);
+      this.#carryOut(effects);
+      const engine = this.#options.view.getUpstream(holder.engineId);
+      const next = engine &&
+        this.#options.fleet.rankHolders(engine, true, now)[0];
+      if (!handover || !next) continue;
+      sendings.push(this.#options.deliver(next.id, {
+        kind: "handover",
+        engineId: holder.engineId,
+        handover,
+      }));
+    }
+    await Promise.all(sendings);
+  }
+
+  #tick(): void {
+    const now = performance.now();
+    this.#followView();
+    for (const holder of this.#holders.values()) {
+      this.#carryOut(holder.tick(this.#assess(holder, now), now));
+    }
+  }
+
+  /** Keeps a holder for each engine, and none for those that are gone. */
+  #followView(): void {
+    const { view, termMs, fences } = this.#options;
+    const engines = view.listEngines();
+    const ids = new Set(engines.map((engine) => engine.id));
+    for (const id of this.#holders.keys()) {
+      if (!ids.has(id)) this.#holders.delete(id);
+    }
+    for (const engine of engines) {
+      const limits = view.getService(engine.service)?.engine;
+      if (!limits) continue;
+      const known = this.#holders.get(engine.id);
+      if (known) known.setLimits(limits);
+      else {
+        this.#holders.set(
+          engine.id,
+          new EngineHolder({
+            engineId: engine.id,
+            limits,
+            termMs,
+            drawFence: () => fences.drawFence(Date.now()),
+          }),
+        );
+      }
+    }
+  }
+
+  #assess(holder: EngineHolder, now: Milliseconds): HolderSituation {
+    const { fleet, view } = this.#options;
+    const fleetFetches = this.#countFleetFetches(now);
+    const engine = view.getUpstream(holder.engineId);
+    const isSettled = now - this.#startedAt > SETTLE_MS;
+    if (!engine || !isSettled || this.#isStopping) {
+      return { isWanted: holder.isHolding(), fleetFetches, canFetch: false };
+    }
+    return {
+      isWanted: this.#isWanted(engine, holder, now),
+      fleetFetches,
+      canFetch: fleetFetches < FLEET_FETCHES ||
+        this.countFetches() < FLEET_FETCHES / fleet.countLiving(now),
+    };
+  }
+
+  /** A holder keeps the engine while it lives; of two, the preferred one does. */
+  #isWanted(
+    engine: PublishedUpstream,
+    holder: EngineHolder,
+    now: Milliseconds,
+  ): boolean {
+    const { fleet, selfId } = this.#options;
+    const otherHolder = fleet.findHolder(engine.id, now);
+    if (otherHolder === undefined) {
+      return holder.isHolding() ||
+        fleet.rankHolders(engine, false, now)[0]?.id === selfId;
+    }
+    if (!holder.isHolding()) return false;
+    const ranked = fleet.rankHolders(engine, false, now);
+    const ownRank = ranked.findIndex((member) => member.id === selfId);
+    const otherRank = ranked.findIndex((member) => member.id === otherHolder);
+    return otherRank < 0 || ownRank < otherRank;
+  }
+
+  #countFleetFetches(now: Milliseconds): number {
+    const others = this.#options.fleet.listLiving(now)
+      .reduce((sum, heartbeat) => sum + heartbeat.fetchesInFlight, 0);
+    return others + this.countFetches();
+  }
+
+  #requestPermit(
+    engineId: string,
+    request: PermitRequest,
+    now: Milliseconds,
+  ): void {
+    const holder = this.#holders.get(engineId);
+    if (!holder) {
+      const answer: PermitAnswer = {
+        kind: "denied",
+        permitId: request.permitId,
+        holder: request.holder,
+        reason: DenialReason.NotHolder,
+        retryAfterMs: this.#options.termMs,
+      };
+      this.#carryOut([{ kind: "answerPermit", engineId, answer }]);
+      return;
+    }
+    this.#carryOut(holder.requestPermit(request, now));
+    this.#pump(engineId, now);
+  }
+
+  #recordUnusable(
+    message: Extract<GatewayMessage, { kind: "permitUnusable" }>,
+    now: Milliseconds,
+  ): void {
+    const holder = this.#getHeld(message.engineId);
+    if (!holder) return;
+    if (message.isMisdirected) {
+      holder.recordDoubt();
+      holder.desk.releasePermit(message.permitId, now);
+    } else {
+      holder.desk.recordNotReady(message.permitId, message.delayMs, now);
+    }
+    this.#pump(message.engineId, now);
+  }
+
+  #acceptHandover(
+    from: string,
+    engineId: string,
+    handover: Extract<GatewayMessage, { kind: "handover" }>["handover"],
+    now: Milliseconds,
+  ): void {
+    this.#followView();
+    const holder = this.#holders.get(engineId);
+    this.#options.log.info("handoverReceived", {
+      upstream: engineId,
+      peer: from,
+      isKnown: holder !== undefined,
+    });
+    if (holder) this.#carryOut(holder.acceptHandover(handover, now));
+  }
+
+  #pump(engineId: string, now: Milliseconds): void {
+    const holder = this.#getHeld(engineId);
+    if (holder) this.#carryOut(holder.pump(this.#assess(holder, now), now));
+  }
+
+  #getHeld(engineId: string): EngineHolder | undefined {
+    const holder = this.#holders.get(engineId);
+    return holder?.isHolding() ? holder : undefined;
+  }
+
+  #carryOut(effects: readonly HolderEffect[]): void {
+    for (const effect of effects) {
+      switch (effect.kind) {
+        case "answerPermit":
+          void this.#send(effect.answer.holder, {
+            kind: "permitAnswer",
+            engineId: effect.engineId,
+            answer: effect.answer,
+          });
+          break;
+        case "readReport":
+          void this.#readReport(effect.engineId);
+          break;
+        case "giveOrder":
+          void this.#giveOrder(effect);
+          break;
+        case "belief":
+          this.#options.metrics.count("holder_belief", effect.change);
+          this.#options.log.info("engineBelief", {
+            upstream: effect.engineId,
+            change: effect.change,
+            ...effect.detail,
+          });
+          break;
+      }
+    }
+  }
+
+  async #readReport(engineId: string): Promise<void> {
+    const { view, control, log } = this.#options;
+    const holder = this.#holders.get(engineId);
+    const engine = view.getUpstream(engineId);
+    if (!holder) return;
+    if (!engine) {
+      holder.recordReportFailure();
+      return;
+    }
+    try {
+      const report = await control.readReport(engine, performance.now());
+      this.#carryOut(holder.recordReport(report, performance.now()));
+    } catch (error) {
+      holder.recordReportFailure();
+      log.info("reportUnread", {
+        upstream: engineId,
+        detail: describeStep(error),
+      });
+    }
+  }
+
+  async #giveOrder(
+    effect: Extract<HolderEffect, { kind: "giveOrder" }>,
+  ): Promise<void> {
+    const { view, control, selfId, log, metrics } = this.#options;
+    const { engineId, order, fence, expectedSequence } = effect;
+    const holder = this.#holders.get(engineId);
+    const engine = view.getUpstream(engineId);
+    const { model, adapter } = order;
+    const version = order.kind === "load" ? order.version : undefined;
+    const answer = engine
+      ? await control.giveOrder(
+        engine,
+        { kind: order.kind, model, adapter, version },
+        { holder: selfId, fence, expectedSequence },
+      )
+      : { kind: "notSent" as const, detail: "the engine is gone" };
+    metrics.count(`order_${order.kind}`, answer.kind);
+    log.info("orderGiven", {
+      upstream: engineId,
+      order: order.kind,
+      adapter: order.adapterPath,
+      version,
+      fence,
+      expectedSequence,
+      outcome: answer.kind,
+    });
+    const now = performance.now();
+    if (!holder) return;
+    const fetches = this.#countFleetFetches(now);
+    this.#carryOut(holder.recordOrderAnswer(answer, fetches, now));
+    this.#pump(engineId, now);
+  }
+
+  #settlePermit(
+    engineId: string,
+    answer: PermitAnswer,
+    grantorId: string,
+  ): void {
+    const key = formatPermitKey(engineId, answer.permitId);
+    const pending = this.#pendingPermits.get(key);
+    if (pending) {
+      pending.settle({ answer, grantorId });
+      return;
+    }
+    if (answer.kind !== "granted") return;
+    // Nobody waits for it any more: the place is given back.
+    this.tellGrantor(grantorId, {
+      kind: "permitReleased",
+      engineId,
+      permitId: answer.permitId,
+    });
+  }
+
+  async #send(peerId: string, message: GatewayMessage): Promise<boolean> {
+    if (peerId === this.#options.selfId) {
+      this.handleMessage(peerId, message);
+      return true;
+    }
+    return await this.#options.deliver(peerId, message);
+  }
+}
+
+function formatPermitKey(engineId: string, permitId: string): string {
+  return `${engineId} ${permitId}`;
+}
--- /dev/null
+++ b/src/gateway/gateway.ts
@@ -0,0 +1,317 @@
+/**
+ * One gateway: the daemon in front of replicas of a platform whose store can
+ * only be read. Puts the tasks together, sends heartbeats, starts and stops.
+ */
+import { randomBytes } from "node:crypto";
+import { createServer, type Server } from "node:http";
+import {
+  FleetView,
+  type Heartbeat,
+  HEARTBEAT_INTERVAL_MS,
+} from "../core/fleet/fleet_view.ts";
+import { CrashQuarantine } from "../core/limits/crash_quarantine.ts";
+import { RepeatAllowance } from "../core/limits/repeat_allowance.ts";
+import { FenceClock } from "../core/ordering/fence_clock.ts";
+import { UpstreamHealth } from "../core/placement/upstream_health.ts";
+import { PublishedView } from "../core/view/published_view.ts";
+import type { GatewaySettings } from "../settings/gateway_settings.ts";
+import { CallerTask } from "./caller_task.ts";
+import { DecisionLog } from "./decision_log.ts";
+import { EngineTask } from "./engine_task.ts";
+import { GatewayMetrics } from "./gateway_metrics.ts";
+import { PeerTask } from "./peer_task.ts";
+import type { GatewayMessage } from "./peer_messages.ts";
+import type {
+  ChangeDecoder,
+  EngineControl,
+  PlatformDialect,
+  PublishedStore,
+} from "./ports.ts";
+import type { RequestContext } from "./request_context.ts";
+import { UpstreamClient } from "./upstream_client.ts";
+import { ViewFollower } from "./view_follower.ts";
+
+/** Crashes of upstreams after which a request is refused. */
+const MAX_STRIKES = 4;
+/** Time for which a crashing request is remembered: it comes again within seconds. */
+const STRIKE_LIFETIME_MS = 60_000;
+/** Strikes named in one heartbeat, so that it stays one datagram. */
+const MAX_HEARTBEAT_STRIKES = 6;
+/** Gap between heartbeats from which this process is taken to have been paused. */
+const PAUSE_THRESHOLD_MS = 1_500;
+/** Time after the notice of a stop in which the balancer learns of it: two questions a second apart. */
+const UNREADY_NOTICE_MS = 2_500;
+/** Period in which a stopping gateway looks whether it is idle. */
+const DRAIN_CHECK_MS = 50;
+
+export interface GatewayAdapters {
+  dialect: PlatformDialect;
+  decoder: ChangeDecoder;
+  createStore: (address: string) => PublishedStore;
+  createEngineControl: () => EngineControl;
+}
+
+export class Gateway {
+  readonly #settings: GatewaySettings;
+  readonly #log: DecisionLog;
+  readonly #metrics = new GatewayMetrics();
+  readonly #view = new PublishedView();
+  readonly #fleet: FleetView;
+  readonly #fences: FenceClock;
+  readonly #quarantine = new CrashQuarantine({
+    maxStrikes: MAX_STRIKES,
+    strikeLifetimeMs: STRIKE_LIFETIME_MS,
+  });
+  readonly #peers: PeerTask;
+  readonly #follower: ViewFollower;
+  readonly #engines: EngineTask;
+  readonly #upstreams = new UpstreamClient();
+  readonly #callers: CallerTask;
+  readonly #incarnation = randomBytes(6).toString("hex");
+  readonly #dialect: PlatformDialect;
+  #readiness: Server | undefined;
+  #timer: ReturnType<typeof setInterval> | undefined;
+  #lastBeatAt = performance.now();
+  #isReady = false;
+  #isStopping = false;
+
+  constructor(settings: GatewaySettings, adapters: GatewayAdapters) {
+    const { host, failureDomain, peers } = settings;
+    this.#settings = settings;
+    this.#dialect = adapters.dialect;
+    this.#log = new DecisionLog(host, settings.logLevel);
+    const { ip, port } = parseAddress(peers.listen);
+    this.#fleet = new FleetView({ id: host, ip, failureDomain });
+    this.#fences = new FenceClock(host);
+    this.#peers = new PeerTask({
+      selfId: host,
+      incarnation: this.#incarnation,
+      ip,
+      port: peers.port,
+      log: this.#log,
+      handle: (from, message) => this.#handleMessage(from, message),
+    });
+    this.#follower = new ViewFollower({
+      store: adapters.createStore(settings.store.address),
+      decoder: adapters.decoder,
+      view: this.#view,
+      fleet: this.#fleet,
+      log: this.#log,
+      metrics: this.#metrics,
+      listen: { ip, port },
+      handleChanged: () => this.#callers.applyLimits(),
+    });
+    this.#engines = new EngineTask({
+      selfId: host,
+      termMs: settings.orders.termMs,
+      view: this.#view,
+      fleet: this.#fleet,
+      fences: this.#fences,
+      control: adapters.createEngineControl(),
+      log: this.#log,
+      metrics: this.#metrics,
+      deliver: (peerId, message) => this.#deliver(peerId, message),
+    });
+    const context: RequestContext = {
+      selfId: host,
+      failureDomain,
+      dialect: adapters.dialect,
+      view: this.#view,
+      fleet: this.#fleet,
+      health: new UpstreamHealth(),
+      allowance: new RepeatAllowance(settings.repeats),
+      quarantine: this.#quarantine,
+      serviceLoads: new Map(),
+      upstreams: this.#upstreams,
+      engines: this.#engines,
+      log: this.#log,
+      metrics: this.#metrics,
+    };
+    this.#callers = new CallerTask(context);
+  }
+
+  async start(): Promise<void> {
+    const { callers, readiness, metrics, host, failureDomain } = this.#settings;
+    await this.#peers.listen();
+    await this.#follower.start();
+    this.#engines.start();
+    const front = parseAddress(callers.listen);
+    await this.#callers.listen(front.ip, front.port);
+    await this.#listenForReadiness(readiness.listen);
+    if (metrics) await this.#metrics.listen(front.ip, metrics.port);
+    this.#timer = setInterval(() => this.#beat(), HEARTBEAT_INTERVAL_MS);
+    this.#beat();
+    this.#log.info("started", {
+      failureDomain,
+      incarnation: this.#incarnation,
+      callers: callers.listen,
+    });
+  }
+
+  /** Finishes what was read, hands engines over and resolves when the process may exit. */
+  async stop(): Promise<void> {
+    if (this.#isStopping) return;
+    this.#isStopping = true;
+    const startedAt = performance.now();
+    const { graceMs, exitReserveMs } = this.#settings.stop;
+    this.#log.info("stopping", { inFlight: this.#callers.inFlight, graceMs });
+    this.#callers.beginStop();
+    this.#beat();
+    await this.#engines.stop();
+    await waitMs(Math.min(UNREADY_NOTICE_MS, graceMs / 2));
+    const endsAt = startedAt + graceMs - exitReserveMs;
+    while (performance.now() < endsAt) {
+      this.#callers.closeIdle();
+      if (this.#callers.inFlight === 0) break;
+      await waitMs(DRAIN_CHECK_MS);
+    }
+    this.#log.info("stopped", { inFlight: this.#callers.inFlight });
+    clearInterval(this.#timer);
+    this.#callers.close();
+    this.#follower.stop();
+    this.#peers.close();
+    this.#metrics.close();
+    this.#upstreams.close();
+    this.#log.flush();
+  }
+
+  /** Puts what may change without a restart in force. */
+  reload(settings: GatewaySettings): void {
+    this.#log.setLevel(settings.logLevel);
+    this.#log.info("reloaded", { logLevel: settings.logLevel });
+  }
+
+  reportError(step: string, error: unknown): void {
+    const detail = error instanceof Error ? error.stack : String(error);
+    this.#log.warn("internalError", { step, detail });
+  }
+
+  #listenForReadiness(address: string): Promise<void> {
+    const { ip, port } = parseAddress(address);
+    const server = createServer((request, response) => {
+      const isAsked = request.url === this.#dialect.readyPath;
+      const status = !isAsked ? 404 : this.#updateReady() ? 200 : 503;
+      response.writeHead(status, { "Content-Length": 0 }).end();
+    });
+    this.#readiness = server;
+    server.unref();
+    return new Promise((resolve, reject) => {
+      server.once("error", reject);
+      server.listen(port, ip, resolve);
+    });
+  }
+
+  #updateReady(): boolean {
+    const isReady = !this.#isStopping && this.#view.configuration !== undefined;
+    if (isReady !== this.#isReady) {
+      this.#isReady = isReady;
+      this.#log.info("readinessChanged", {
+        isReady,
+        configurationVersion: this.#view.configuration?.version,
+        upstreams: this.#view.countUpstreams(),
+      });
+    }
+    return isReady;
+  }
+
+  #beat(): void {
+    const now = performance.now();
+    const sinceLastMs = now - this.#lastBeatAt;
+    this.#lastBeatAt = now;
+    if (sinceLastMs > PAUSE_THRESHOLD_MS) {
+      this.#log.warn("pauseDetected", { sinceLastMs: Math.round(sinceLastMs) });
+      this.#metrics.count("pauses", "process");
+      this.#fleet.expireAll();
+    }
+    const message: GatewayMessage = {
+      kind: "heartbeat",
+      heartbeat: this.#describeSelf(now),
+    };
+    const ips = new Set(
+      this.#fleet.selectTargets(now).map((member) => member.ip),
+    );
+    if (ips.size < this.#settings.peers.seeds.length) {
+      for (const seed of this.#settings.peers.seeds) {
+        ips.add(parseAddress(seed).ip);
+      }
+    }
+    ips.delete(this.#fleet.self.ip);
+    for (const ip of ips) this.#peers.send(ip, message);
+    this.#updateGauges(now);
+  }
+
+  #describeSelf(now: number): Heartbeat {
+    return {
+      sender: this.#fleet.self,
+      incarnation: this.#incarnation,
+      isLeaving: this.#isStopping,
+      hasStore: this.#follower.hasStore(),
+      revisions: this.#follower.getRevisions(),
+      heldEngines: this.#engines.listHeldEngines(),
+      fetchesInFlight: this.#engines.countFetches(),
+      fenceUnixMs: this.#fences.highestMs,
+      sample: this.#fleet.selectSample(),
+      strikes: this.#quarantine.getDigests(now)
+        .slice(-MAX_HEARTBEAT_STRIKES)
+        .map(({ fingerprint, strikes }) => ({ fingerprint, strikes })),
+    };
+  }
+
+  #updateGauges(now: number): void {
+    this.#metrics.setGauge("living_daemons", this.#fleet.countLiving(now));
+    this.#metrics.setGauge("upstreams", this.#view.countUpstreams());
+    this.#metrics.setGauge("requests_in_flight", this.#callers.inFlight);
+    this.#metrics.setGauge(
+      "held_engines",
+      this.#engines.listHeldEngines().length,
+    );
+    this.#metrics.setGauge(
+      "configuration_version",
+      this.#view.configuration?.version ?? 0,
+    );
+  }
+
+  #handleMessage(from: string, message: GatewayMessage): void {
+    if (message.kind !== "heartbeat") {
+      this.#engines.handleMessage(from, message);
+      return;
+    }
+    const now = performance.now();
+    const { heartbeat } = message;
+    this.#fences.recordHeard(heartbeat.fenceUnixMs);
+    this.#quarantine.mergeDigests(
+      heartbeat.strikes.map((strike) => ({
+        ...strike,
+        expiresInMs: STRIKE_LIFETIME_MS,
+      })),
+      now,
+    );
+    const isNews = this.#fleet.recordHeartbeat(heartbeat, now);
+    if (isNews) {
+      this.#log.info("peerHeard", {
+        peer: from,
+        incarnation: heartbeat.incarnation,
+        isLeaving: heartbeat.isLeaving,
+      });
+    }
+  }
+
+  #deliver(peerId: string, message: GatewayMessage): Promise<boolean> {
+    const member = this.#fleet.getMember(peerId);
+    return member
+      ? this.#peers.deliver(member.ip, message)
+      : Promise.resolve(false);
+  }
+}
+
+function parseAddress(address: string): { ip: string; port: number } {
+  const separator = address.lastIndexOf(":");
+  return {
+    ip: address.slice(0, separator),
+    port: Number(address.slice(separator + 1)),
+  };
+}
+
+function waitMs(spanMs: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, spanMs));
+}
--- /dev/null
+++ b/src/gateway/peer_messages.ts
@@ -0,0 +1,26 @@
+/** Messages between gateways, one datagram each. */
+import type {
+  PermitAnswer,
+  PermitRequest,
+} from "../core/admission/engine_desk.ts";
+import type { Heartbeat } from "../core/fleet/fleet_view.ts";
+import type { TenureHandover } from "../core/ordering/engine_holder.ts";
+import type { Milliseconds } from "../core/structures.ts";
+
+export type GatewayMessage =
+  | { kind: "heartbeat"; heartbeat: Heartbeat }
+  | { kind: "permitRequest"; engineId: string; request: PermitRequest }
+  | { kind: "permitAnswer"; engineId: string; answer: PermitAnswer }
+  /** The run is over, or the place is no longer wanted. */
+  | { kind: "permitReleased"; engineId: string; permitId: string }
+  /** The engine has read the prompt. */
+  | { kind: "firstToken"; engineId: string; permitId: string }
+  /** The engine did not run the request: its load was not done, or it lacks the adapter. */
+  | {
+    kind: "permitUnusable";
+    engineId: string;
+    permitId: string;
+    isMisdirected: boolean;
+    delayMs: Milliseconds;
+  }
+  | { kind: "handover"; engineId: string; handover: TenureHandover };
--- /dev/null
+++ b/src/gateway/peer_task.ts
@@ -0,0 +1,151 @@
+/**
+ * Owns the datagram socket between gateways. Heartbeats are sent once; other
+ * messages are repeated until they are acknowledged, and handled once. There is
+ * no connection that could go silent.
+ */
+import { createSocket, type Socket } from "node:dgram";
+import { Buffer } from "node:buffer";
+import { describeError } from "../daemon/step_error.ts";
+import type { Milliseconds } from "../core/structures.ts";
+import type { DecisionLog } from "./decision_log.ts";
+import type { GatewayMessage } from "./peer_messages.ts";
+
+/** Times after the first sending at which a message is sent again: loss is rare, a way takes milliseconds. */
+const RESEND_AFTER_MS: readonly Milliseconds[] = [25, 60, 120, 250];
+/** Numbers of messages remembered, so that a repeated one is handled once. */
+const MAX_REMEMBERED = 4_000;
+
+interface Envelope {
+  /** Sender's id and incarnation. */
+  from: string;
+  incarnation: string;
+  /** Number to acknowledge; absent for messages sent once. */
+  number?: number;
+  acknowledges?: number;
+  message?: GatewayMessage;
+}
+
+interface PendingMessage {
+  timer: ReturnType<typeof setTimeout>;
+  settle: (isDelivered: boolean) => void;
+}
+
+export interface PeerTaskOptions {
+  selfId: string;
+  incarnation: string;
+  ip: string;
+  port: number;
+  log: DecisionLog;
+  handle: (from: string, message: GatewayMessage) => void;
+}
+
+export class PeerTask {
+  readonly #options: PeerTaskOptions;
+  readonly #socket: Socket = createSocket("udp4");
+  readonly #pending = new Map<number, PendingMessage>();
+  readonly #seen = new Set<string>();
+  #lastNumber = 0;
+
+  constructor(options: PeerTaskOptions) {
+    this.#options = options;
+    this.#socket.on("message", (bytes, source) => {
+      this.#receive(bytes, source.address);
+    });
+    this.#socket.on("error", (error) => {
+      options.log.warn("peerSocketError", { detail: describeError(error) });
+    });
+  }
+
+  listen(): Promise<void> {
+    return new Promise((resolve) => {
+      this.#socket.bind(this.#options.port, this.#options.ip, resolve);
+    });
+  }
+
+  /** Sends a message once. */
+  send(ip: string, message: GatewayMessage): void {
+    this.#write(ip, this.#wrap({ message }));
+  }
+
+  /** Sends until the peer acknowledges; returns whether it did. */
+  deliver(ip: string, message: GatewayMessage): Promise<boolean> {
+    this.#lastNumber += 1;
+    const number = this.#lastNumber;
+    const bytes = this.#wrap({ message, number });
+    return new Promise((resolve) => {
+      let sent = 0;
+      const startedAt = performance.now();
+      const settle = (isDelivered: boolean): void => {
+        clearTimeout(this.#pending.get(number)?.timer);
+        this.#pending.delete(number);
+        resolve(isDelivered);
+      };
+      const sendNext = (): void => {
+        this.#write(ip, bytes);
+        const waitUntil = RESEND_AFTER_MS[sent];
+        sent += 1;
+        if (waitUntil === undefined) return settle(false);
+        const waitMs = startedAt + waitUntil - performance.now();
+        const timer = setTimeout(sendNext, Math.max(5, waitMs));
+        this.#pending.set(number, { timer, settle });
+      };
+      sendNext();
+    });
+  }
+
+  close(): void {
+    for (const pending of this.#pending.values()) clearTimeout(pending.timer);
+    this.#pending.clear();
+    this.#socket.close();
+  }
+
+  #wrap(part: Partial<Envelope>): Buffer {
+    const { selfId, incarnation } = this.#options;
+    const envelope: Envelope = { from: selfId, incarnation, ...part };
+    return Buffer.from(JSON.stringify(envelope));
+  }
+
+  #write(ip: string, bytes: Buffer): void {
+    this.#socket.send(bytes, this.#options.port, ip, (error) => {
+      if (!error) return;
+      this.#options.log.debug("peerUnsent", {
+        peer: ip,
+        detail: error.message,
+      });
+    });
+  }
+
+  #receive(bytes: Buffer, ip: string): void {
+    let envelope: Envelope;
+    try {
+      envelope = JSON.parse(bytes.toString());
+    } catch (error) {
+      this.#options.log.warn("peerDatagramUnreadable", {
+        peer: ip,
+        detail: describeError(error),
+      });
+      return;
+    }
+    const { number, acknowledges, message } = envelope;
+    if (acknowledges !== undefined) {
+      this.#pending.get(acknowledges)?.settle(true);
+    }
+    if (!message) return;
+    if (number !== undefined) {
+      this.#write(ip, this.#wrap({ acknowledges: number }));
+      if (!this.#remember(`${envelope.incarnation}:${number}`)) return;
+    }
+    this.#options.handle(envelope.from, message);
+  }
+
+  /** Returns whether the message has not been seen yet. */
+  #remember(key: string): boolean {
+    if (this.#seen.has(key)) return false;
+    this.#seen.add(key);
+    if (this.#seen.size > MAX_REMEMBERED) {
+      const [oldest] = this.#seen;
+      if (oldest !== undefined) this.#seen.delete(oldest);
+    }
+    return true;
+  }
+}
--- /dev/null
+++ b/src/gateway/request_context.ts
@@ -0,0 +1,28 @@
+/** What the gateway's parts share in serving a request. */
+import type { FleetView } from "../core/fleet/fleet_view.ts";
+import type { CrashQuarantine } from "../core/limits/crash_quarantine.ts";
+import type { RepeatAllowance } from "../core/limits/repeat_allowance.ts";
+import type { ServiceLoad } from "../core/placement/upstream_choice.ts";
+import type { UpstreamHealth } from "../core/placement/upstream_health.ts";
+import type { PublishedView } from "../core/view/published_view.ts";
+import type { DecisionLog } from "./decision_log.ts";
+import type { EngineTask } from "./engine_task.ts";
+import type { GatewayMetrics } from "./gateway_metrics.ts";
+import type { PlatformDialect } from "./ports.ts";
+import type { UpstreamClient } from "./upstream_client.ts";
+
+export interface RequestContext {
+  selfId: string;
+  failureDomain: string;
+  dialect: PlatformDialect;
+  view: PublishedView;
+  fleet: FleetView;
+  health: UpstreamHealth;
+  allowance: RepeatAllowance;
+  quarantine: CrashQuarantine;
+  serviceLoads: Map<string, ServiceLoad>;
+  upstreams: UpstreamClient;
+  engines: EngineTask;
+  log: DecisionLog;
+  metrics: GatewayMetrics;
+}
--- /dev/null
+++ b/src/gateway/request_flow.ts
@@ -0,0 +1,538 @@
+/**
+ * The life of one request in the gateway: finds a place for it, sends it, and
+ * answers its caller once. The decisions are the core's; this carries them out.
+ */
+import type { Buffer } from "node:buffer";
+import type { PermitRequest } from "../core/admission/engine_desk.ts";
+import { computeRetryAfterMs } from "../core/admission/refusal_advice.ts";
+import {
+  AttemptOutcome,
+  type AttemptVerdict,
+  decideAfterAttempt,
+  isIdempotent,
+} from "../core/execution/attempt_verdict.ts";
+import { EventSplitter } from "../core/execution/event_splitter.ts";
+import {
+  MAX_ADAPTER_HOMES,
+  rankEngines,
+  rankServiceUpstreams,
+} from "../core/placement/upstream_choice.ts";
+import type { Milliseconds } from "../core/structures.ts";
+import {
+  type PublishedRoute,
+  type PublishedService,
+  type PublishedUpstream,
+  Repeatability,
+} from "../core/view/published_view.ts";
+import {
+  type AttemptResult,
+  getHealthSign,
+  runAttempt,
+  type RunningAttempt,
+} from "./attempt_runner.ts";
+import type { CallerExchange } from "./caller_exchange.ts";
+import { roundMs } from "./decision_log.ts";
+import type { PermitReply } from "./engine_task.ts";
+import { NotRunReason } from "./ports.ts";
+import type { RequestContext } from "./request_context.ts";
+
+/** Time of a caller's deadline that the ways to it and back take. */
+const TRAVEL_MS = 8;
+/** Part of the objective within which a place in an engine is worth waiting for. */
+const PATIENCE_SHARE = 0.9;
+/** Part of the time left that an idempotent request gives one upstream to answer. */
+const SILENCE_SHARE = 0.45;
+/** Return time for a refusal that no estimate speaks for. */
+const DEFAULT_RETRY_AFTER_MS = 300;
+/** Delay before a load that was not done is asked for again. */
+const NOT_READY_DELAY_MS = 60;
+/** Objectives without a first event after which a resumable stream is sent elsewhere. */
+const FIRST_EVENT_OBJECTIVES = 2;
+
+const Status = {
+  NotFound: 404,
+  BadGateway: 502,
+  Unavailable: 503,
+  GatewayTimeout: 504,
+} as const;
+
+/** A place in an engine's batch, or the right to go there without one. */
+interface EnginePlace {
+  engine: PublishedUpstream;
+  permitId: string;
+  /** Daemon that gave the permit; undefined without one. */
+  grantorId: string | undefined;
+}
+
+export class RequestFlow {
+  readonly #context: RequestContext;
+  readonly #exchange: CallerExchange;
+  readonly #route: PublishedRoute;
+  readonly #service: PublishedService;
+  readonly #fingerprint: string;
+  readonly #endsAt: Milliseconds;
+  readonly #splitter = new EventSplitter();
+  readonly #passedOver = new Set<string>();
+  #running: RunningAttempt | undefined;
+  #allAttempts = 0;
+  #ranAttempts = 0;
+  #hasForwarded = false;
+  #isFinished = false;
+  #head: { status: number; rawHeaders: string[] } | undefined;
+  #expectedMs: Milliseconds = DEFAULT_RETRY_AFTER_MS;
+  #place: EnginePlace | undefined;
+  #placeCount = 0;
+
+  constructor(
+    context: RequestContext,
+    exchange: CallerExchange,
+    target: { route: PublishedRoute; service: PublishedService },
+    fingerprint: string,
+  ) {
+    this.#context = context;
+    this.#exchange = exchange;
+    this.#route = target.route;
+    this.#service = target.service;
+    this.#fingerprint = fingerprint;
+    const deadlineMs = exchange.facts.deadlineMs ?? target.route.timeoutMs;
+    this.#endsAt = exchange.arrivedAt +
+      Math.min(deadlineMs - TRAVEL_MS, target.route.timeoutMs);
+  }
+
+  /** Serves the request; resolves when its answer has been given or its caller has left. */
+  async run(): Promise<void> {
+    const { allowance, metrics } = this.#context;
+    allowance.recordArrival(this.#service.name, this.#now());
+    metrics.count("requests", this.#route.repeatability);
+    const timer = setTimeout(
+      () => this.#handleTimeout(),
+      Math.max(0, this.#endsAt - this.#now()),
+    );
+    this.#exchange.onGone(() => this.#handleGone());
+    try {
+      while (!this.#isFinished) await this.#attempt();
+    } finally {
+      clearTimeout(timer);
+    }
+  }
+
+  #now(): Milliseconds {
+    return performance.now();
+  }
+
+  #getRemainingMs(): Milliseconds {
+    return this.#endsAt - this.#now();
+  }
+
+  async #attempt(): Promise<void> {
+    const { quarantine } = this.#context;
+    if (quarantine.isQuarantined(this.#fingerprint, this.#now())) {
+      this.#conclude("quarantined", { kind: "fail", isTimeout: false });
+      return;
+    }
+    const upstream = this.#service.engine
+      ? await this.#findEngine()
+      : this.#selectServiceUpstream();
+    if (this.#isFinished) {
+      this.#releasePlace();
+      return;
+    }
+    if (!upstream) {
+      this.#conclude(
+        "noPlace",
+        this.#ranAttempts === 0
+          ? { kind: "refuse" }
+          : { kind: "fail", isTimeout: false },
+      );
+      return;
+    }
+    const result = await this.#send(upstream);
+    this.#releasePlace(result);
+    if (this.#isFinished) return;
+    this.#recordResult(upstream, result);
+    this.#conclude(result.detail, this.#decide(result), result);
+  }
+
+  async #send(upstream: PublishedUpstream): Promise<AttemptResult> {
+    const { facts } = this.#exchange;
+    const isStream = this.#route.repeatability === Repeatability.Stream;
+    const load = this.#getServiceLoad(upstream.id);
+    this.#allAttempts += 1;
+    load.ownRunning += 1;
+    this.#running = runAttempt(this.#context, {
+      exchange: this.#exchange,
+      upstream,
+      facts: {
+        upstreamId: upstream.id,
+        remainingMs: Math.max(1, this.#getRemainingMs()),
+        adapterVersion: this.#getAdapterVersion(),
+        priorityRank: this.#service.engine && this.#route.priorityRank,
+        lastEventId: this.#splitter.lastEventId ?? facts.lastEventId,
+      },
+      mayReuseConnection: this.#canRepeat(),
+      silenceMs: this.#getSilenceMs(),
+      sink: isStream
+        ? {
+          start: (status, rawHeaders) => this.#head ??= { status, rawHeaders },
+          push: (piece) => this.#forward(piece),
+        }
+        : undefined,
+    });
+    const result = await this.#running.result;
+    this.#running = undefined;
+    load.ownRunning -= 1;
+    return result;
+  }
+
+  /** Passes on whole events; the head goes out with the first of them. */
+  #forward(piece: Buffer): void {
+    const whole = this.#splitter.push(piece);
+    if (whole.length === 0 || this.#isFinished) return;
+    if (!this.#hasForwarded) this.#startStream();
+    this.#exchange.write(whole);
+  }
+
+  #startStream(): void {
+    if (!this.#head) return;
+    const { metrics } = this.#context;
+    this.#hasForwarded = true;
+    this.#exchange.startStream(this.#head.status, this.#head.rawHeaders);
+    const elapsedMs = this.#now() - this.#exchange.arrivedAt;
+    metrics.measure("first_byte", this.#route.repeatability, elapsedMs);
+    if (this.#place?.grantorId === undefined) return;
+    this.#context.engines.tellGrantor(this.#place.grantorId, {
+      kind: "firstToken",
+      engineId: this.#place.engine.id,
+      permitId: this.#place.permitId,
+    });
+  }
+
+  #canRepeat(): boolean {
+    return isIdempotent(this.#route.repeatability, this.#route.isResumable);
+  }
+
+  #getSilenceMs(): Milliseconds {
+    const remainingMs = Math.max(1, this.#getRemainingMs());
+    const isLastAttempt = !this.#canRepeat() ||
+      this.#ranAttempts + 1 >= this.#route.maxAttempts;
+    if (isLastAttempt) return remainingMs;
+    const { latencyObjectiveMs, repeatability } = this.#route;
+    return repeatability === Repeatability.Stream
+      ? Math.min(remainingMs, FIRST_EVENT_OBJECTIVES * latencyObjectiveMs)
+      : Math.max(latencyObjectiveMs, SILENCE_SHARE * remainingMs);
+  }
+
+  #decide(result: AttemptResult): AttemptVerdict {
+    const { allowance, fleet } = this.#context;
+    const { repeatability, isResumable, maxAttempts } = this.#route;
+    const mayHaveRun = result.outcome !== AttemptOutcome.NotRun &&
+      result.outcome !== AttemptOutcome.NotSent;
+    if (mayHaveRun) this.#ranAttempts += 1;
+    return decideAfterAttempt({
+      outcome: result.outcome,
+      repeatability,
+      isResumable,
+      ranAttempts: this.#ranAttempts,
+      maxAttempts,
+      allAttempts: this.#allAttempts,
+      remainingMs: this.#getRemainingMs(),
+    }, () => {
+      const now = this.#now();
+      const living = fleet.countLiving(now);
+      return allowance.trySpend(this.#service.name, living, now);
+    });
+  }
+
+  /** Carries a verdict out and logs it. */
+  #conclude(
+    reason: string,
+    verdict: AttemptVerdict,
+    result?: AttemptResult,
+  ): void {
+    const { log, metrics, view } = this.#context;
+    const isOrdinary = verdict.kind === "deliver";
+    const fields = {
+      requestId: this.#exchange.facts.requestId,
+      route: this.#route.name,
+      verdict: verdict.kind,
+      reason,
+      outcome: result?.outcome,
+      upstream: result?.upstreamId,
+      status: result?.status,
+      attempts: this.#allAttempts,
+      ran: this.#ranAttempts,
+      elapsedMs: roundMs(this.#now() - this.#exchange.arrivedAt),
+      remainingMs: roundMs(this.#getRemainingMs()),
+      configurationVersion: view.configuration?.version,
+    };
+    log.info(isOrdinary ? "requestServed" : "requestDecision", fields);
+    switch (verdict.kind) {
+      case "tryAnother":
+        metrics.count("repeats", result?.outcome ?? reason);
+        if (result) this.#passedOver.add(result.upstreamId);
+        break;
+      case "deliver":
+        this.#deliver(result);
+        break;
+      case "refuse":
+        metrics.count("refusals", reason);
+        this.#refuse(reason);
+        break;
+      case "fail":
+        metrics.count("failures", result?.outcome ?? reason);
+        this.#fail(verdict.isTimeout, reason);
+        break;
+    }
+  }
+
+  #deliver(result: AttemptResult | undefined): void {
+    this.#isFinished = true;
+    const elapsedMs = this.#now() - this.#exchange.arrivedAt;
+    this.#context.metrics.measure(
+      "whole_answer",
+      this.#route.repeatability,
+      elapsedMs,
+    );
+    if (result?.answer && !this.#hasForwarded) {
+      const { status, rawHeaders, body } = result.answer;
+      this.#exchange.answer(status, rawHeaders, body);
+      return;
+    }
+    if (result?.answer) {
+      // A failure after the head of a stream was passed on can't be told any more.
+      this.#exchange.breakOff();
+      return;
+    }
+    if (!this.#hasForwarded) this.#startStream();
+    this.#exchange.write(this.#splitter.takeRest());
+    this.#exchange.end();
+  }
+
+  #refuse(reason: string): void {
+    this.#isFinished = true;
+    if (this.#hasForwarded) {
+      this.#exchange.breakOff();
+      return;
+    }
+    const retryAfterMs = computeRetryAfterMs({
+      requestId: this.#exchange.facts.requestId,
+      expectedMs: this.#expectedMs,
+      remainingMs: this.#getRemainingMs(),
+    });
+    const headers = this.#context.dialect.encodeRefusalHeaders(retryAfterMs);
+    this.#exchange.answerText(
+      Status.Unavailable,
+      headers,
+      `not run: ${reason}`,
+    );
+  }
+
+  #fail(isTimeout: boolean, reason: string): void {
+    this.#isFinished = true;
+    if (this.#hasForwarded) {
+      this.#exchange.breakOff();
+      return;
+    }
+    const status = isTimeout ? Status.GatewayTimeout : Status.BadGateway;
+    this.#exchange.answerText(status, [], `may have run: ${reason}`);
+  }
+
+  #handleTimeout(): void {
+    if (this.#isFinished) return;
+    const isWaiting = this.#running === undefined && this.#ranAttempts === 0;
+    this.#running?.cancel();
+    this.#conclude(
+      "deadline",
+      isWaiting ? { kind: "refuse" } : { kind: "fail", isTimeout: true },
+    );
+  }
+
+  #handleGone(): void {
+    if (this.#isFinished) return;
+    this.#isFinished = true;
+    this.#running?.cancel();
+    this.#context.metrics.count("callers_gone", this.#route.repeatability);
+    this.#context.log.info("callerGone", {
+      requestId: this.#exchange.facts.requestId,
+      route: this.#route.name,
+      attempts: this.#allAttempts,
+      hasStarted: this.#hasForwarded,
+      elapsedMs: roundMs(this.#now() - this.#exchange.arrivedAt),
+    });
+  }
+
+  #recordResult(upstream: PublishedUpstream, result: AttemptResult): void {
+    const { health, quarantine, metrics } = this.#context;
+    const now = this.#now();
+    metrics.count("attempts", result.outcome);
+    const sign = getHealthSign(result);
+    if (sign) health.recordSign(upstream.id, sign, now);
+    if (result.outcome === AttemptOutcome.Answered) {
+      quarantine.recordSurvival(this.#fingerprint);
+    } else if (result.outcome === AttemptOutcome.Lost && !this.#hasForwarded) {
+      quarantine.recordCrash(this.#fingerprint, true, now);
+    }
+  }
+
+  #getServiceLoad(upstreamId: string) {
+    const { serviceLoads } = this.#context;
+    const load = serviceLoads.get(upstreamId) ??
+      {
+        ownRunning: 0,
+        reportedRunning: 0,
+        reportedAt: Number.NEGATIVE_INFINITY,
+      };
+    serviceLoads.set(upstreamId, load);
+    return load;
+  }
+
+  #selectServiceUpstream(): PublishedUpstream | undefined {
+    const { view, health, failureDomain, serviceLoads } = this.#context;
+    const upstreams = view.listServing(this.#service.name);
+    const ranked = rankServiceUpstreams(upstreams, {
+      failureDomain,
+      health,
+      getLoad: (id) => serviceLoads.get(id),
+      tieKey: this.#exchange.facts.requestId,
+    }, this.#now());
+    return ranked.find((each) => !this.#passedOver.has(each.id)) ?? ranked[0];
+  }
+
+  #getAdapterPath(): string {
+    const { model, adapter } = this.#exchange.facts;
+    return adapter === "" ? model : `${model}/${adapter}`;
+  }
+
+  #getAdapterVersion(): number | undefined {
+    return this.#exchange.facts.adapter === ""
+      ? undefined
+      : this.#context.view.getAdapterVersion(this.#getAdapterPath());
+  }
+
+  /** Finds an engine with a place for the request; the place is released after the attempt. */
+  async #findEngine(): Promise<PublishedUpstream | undefined> {
+    const { view, health } = this.#context;
+    const { facts } = this.#exchange;
+    const engines = view.listServing(this.#service.name).filter((engine) =>
+      facts.model === "" || engine.models.includes(facts.model)
+    );
+    const placementKey = facts.adapter === ""
+      ? `${facts.model}|${facts.promptParts[0]?.id ?? facts.requestId}`
+      : this.#getAdapterPath();
+    const ranked = rankEngines(placementKey, engines, health, this.#now());
+    const fresh = ranked.filter((each) => !this.#passedOver.has(each.id));
+    const candidates = (fresh.length > 0 ? fresh : ranked)
+      .slice(0, MAX_ADAPTER_HOMES);
+    let waitedFor: PublishedUpstream | undefined;
+    for (const engine of candidates) {
+      const reply = await this.#askPlace(engine, false);
+      if (this.#takeReply(engine, reply)) return engine;
+      if (this.#isFinished) return undefined;
+      const isHolder = reply.answer.kind === "denied" &&
+        reply.answer.reason !== "notHolder";
+      if (isHolder) waitedFor ??= engine;
+    }
+    if (waitedFor) {
+      const reply = await this.#askPlace(waitedFor, true);
+      return this.#takeReply(waitedFor, reply) ? waitedFor : undefined;
+    }
+    return this.#findResident(ranked);
+  }
+
+  /** Without a holder to ask, goes where the adapter is said to be resident. */
+  #findResident(
+    ranked: readonly PublishedUpstream[],
+  ): PublishedUpstream | undefined {
+    const { facts } = this.#exchange;
+    const path = this.#getAdapterPath();
+    const version = this.#getAdapterVersion();
+    return ranked.find((engine) => {
+      if (this.#passedOver.has(engine.id)) return false;
+      if (facts.adapter === "") return true;
+      const held = engine.adapters.get(path);
+      return held !== undefined && (version === undefined || held >= version);
+    });
+  }
+
+  async #askPlace(
+    engine: PublishedUpstream,
+    isLastChoice: boolean,
+  ): Promise<PermitReply> {
+    const { selfId, engines } = this.#context;
+    const { facts } = this.#exchange;
+    const { latencyObjectiveMs, priorityRank } = this.#route;
+    const remainingMs = this.#getRemainingMs();
+    const elapsedMs = this.#now() - this.#exchange.arrivedAt;
+    const worthMs = PATIENCE_SHARE * latencyObjectiveMs - elapsedMs;
+    const patienceMs = isLastChoice
+      ? Math.min(remainingMs / 2, Math.max(worthMs, remainingMs / 4))
+      : Math.max(worthMs, remainingMs / 4);
+    this.#placeCount += 1;
+    const request: PermitRequest = {
+      permitId: `${facts.requestId}.${this.#placeCount}`,
+      holder: selfId,
+      model: facts.model,
+      adapter: facts.adapter,
+      adapterPath: this.#getAdapterPath(),
+      version: this.#getAdapterVersion(),
+      priorityRank,
+      promptTokens: facts.promptTokens,
+      outputTokens: facts.outputTokens,
+      promptParts: facts.promptParts,
+      patienceMs: Math.max(1, patienceMs),
+      lifetimeMs: Math.max(1, remainingMs),
+      isLastChoice,
+    };
+    this.#place = { engine, permitId: request.permitId, grantorId: undefined };
+    return await engines.askPermit(engine, request);
+  }
+
+  /** Returns whether the reply grants a place. */
+  #takeReply(engine: PublishedUpstream, reply: PermitReply): boolean {
+    const { log } = this.#context;
+    const { answer } = reply;
+    switch (answer.kind) {
+      case "granted":
+        this.#place = {
+          engine,
+          permitId: answer.permitId,
+          grantorId: reply.grantorId,
+        };
+        return true;
+      case "denied":
+        this.#place = undefined;
+        this.#expectedMs = answer.retryAfterMs;
+        log.info("placeDenied", {
+          requestId: this.#exchange.facts.requestId,
+          upstream: engine.id,
+          grantor: reply.grantorId,
+          reason: answer.reason,
+          retryAfterMs: answer.retryAfterMs,
+        });
+        return false;
+    }
+  }
+
+  #releasePlace(result?: AttemptResult): void {
+    const place = this.#place;
+    this.#place = undefined;
+    if (place?.grantorId === undefined) return;
+    const isUnusable = result?.outcome === AttemptOutcome.NotRun;
+    this.#context.engines.tellGrantor(
+      place.grantorId,
+      isUnusable
+        ? {
+          kind: "permitUnusable",
+          engineId: place.engine.id,
+          permitId: place.permitId,
+          isMisdirected: result.notRun === NotRunReason.Misdirected,
+          delayMs: NOT_READY_DELAY_MS,
+        }
+        : {
+          kind: "permitReleased",
+          engineId: place.engine.id,
+          permitId: place.permitId,
+        },
+    );
+  }
+}
--- /dev/null
+++ b/src/gateway/upstream_client.ts
@@ -0,0 +1,162 @@
+/**
+ * Owns the connections to upstreams. One attempt goes out on one connection; a
+ * connection on which anything unexpected happens is not used again.
+ */
+import {
+  Agent,
+  type ClientRequest,
+  type IncomingMessage,
+  request,
+} from "node:http";
+import type { Buffer } from "node:buffer";
+import type { Socket } from "node:net";
+import type { Milliseconds } from "../core/structures.ts";
+import { describeError } from "../daemon/step_error.ts";
+
+export interface AttemptRequest {
+  /** `IP:port`. */
+  address: string;
+  method: string;
+  /** Path with its query, as the caller sent it. */
+  url: string;
+  rawHeaders: string[];
+  body: Buffer;
+  /** Whether an idle connection may be used, which the upstream may just be closing. */
+  mayReuseConnection: boolean;
+}
+
+/** What an attempt reports, in this order: at most one head, pieces, and one end. */
+export interface AttemptListener {
+  onHead(head: IncomingMessage): void;
+  onPiece(piece: Buffer): void;
+  onEnd(end: AttemptEnd): void;
+}
+
+export type AttemptEnd =
+  /** The whole answer has come. */
+  | { kind: "complete" }
+  /** No connection came about: nothing was sent. */
+  | { kind: "notSent"; detail: string }
+  /** The connection broke before or within the answer. */
+  | { kind: "broken"; detail: string };
+
+/** Time for a connection to be made: ways take milliseconds, a new one waits for a handshake. */
+const CONNECT_TIMEOUT_MS = 400;
+/** Time for which an idle connection is kept, below the upstreams' own idle limits of seconds. */
+const IDLE_CONNECTION_MS = 2_000;
+/** Part of an upstream's connections that one daemon keeps idle. */
+const MAX_IDLE_CONNECTIONS = 6;
+
+export class UpstreamClient {
+  readonly #reusing = new GuardedAgent({
+    keepAlive: true,
+    timeout: IDLE_CONNECTION_MS,
+    maxFreeSockets: MAX_IDLE_CONNECTIONS,
+    scheduling: "lifo",
+  });
+  readonly #fresh = new Agent({ keepAlive: false });
+
+  /** Sends a request; the returned function gives it up and closes its connection. */
+  startAttempt(
+    attempt: AttemptRequest,
+    listener: AttemptListener,
+  ): () => void {
+    const separator = attempt.address.lastIndexOf(":");
+    const rawHeaders = [...attempt.rawHeaders];
+    const hasBody = attempt.body.length > 0 || attempt.method === "POST";
+    if (hasBody) rawHeaders.push("Content-Length", String(attempt.body.length));
+    const call = request({
+      host: attempt.address.slice(0, separator),
+      port: Number(attempt.address.slice(separator + 1)),
+      method: attempt.method,
+      path: attempt.url,
+      headers: rawHeaders,
+      setHost: false,
+      agent: attempt.mayReuseConnection ? this.#reusing : this.#fresh,
+    });
+    return followAttempt(call, attempt.body, listener);
+  }
+
+  close(): void {
+    this.#reusing.destroy();
+    this.#fresh.destroy();
+  }
+}
+
+function followAttempt(
+  call: ClientRequest,
+  body: Buffer,
+  listener: AttemptListener,
+): () => void {
+  let hasConnected = false;
+  let hasEnded = false;
+  let timer: ReturnType<typeof setTimeout> | undefined;
+  const end = (how: AttemptEnd): void => {
+    if (hasEnded) return;
+    hasEnded = true;
+    clearTimeout(timer);
+    if (how.kind !== "complete") call.destroy();
+    listener.onEnd(how);
+  };
+  const fail = (detail: string): void =>
+    end({ kind: hasConnected ? "broken" : "notSent", detail });
+  call.on("socket", (socket: Socket) => {
+    if (!socket.connecting) {
+      hasConnected = true;
+      return;
+    }
+    timer = setTimeout(
+      () => fail(`no connection within ${CONNECT_TIMEOUT_MS} ms`),
+      CONNECT_TIMEOUT_MS,
+    );
+    socket.once("connect", () => {
+      hasConnected = true;
+      clearTimeout(timer);
+    });
+  });
+  call.on("error", (error) => fail(describeError(error)));
+  call.on("response", (response) => {
+    if (hasEnded) return;
+    listener.onHead(response);
+    response.on("data", (piece: Buffer) => {
+      if (!hasEnded) listener.onPiece(piece);
+    });
+    response.on("error", (error) => fail(describeError(error)));
+    response.on("close", () => fail("connection closed within the answer"));
+    response.on("end", () => {
+      if (response.complete) end({ kind: "complete" });
+      else fail("answer ended early");
+    });
+  });
+  call.end(body);
+  return () => {
+    hasEnded = true;
+    clearTimeout(timer);
+    call.on("error", ignoreAfterCancel);
+    call.destroy();
+  };
+}
+
+/** The error of a request that was given up on purpose tells nothing. */
+function ignoreAfterCancel(): void {}
+
+/** Drops an idle connection on which bytes arrive: they answer no request. */
+class GuardedAgent extends Agent {
+  override keepSocketAlive(socket: Socket): boolean {
+    // The base class reads the upstream's Keep-Alive hint and may decline.
+    const keepAlive = super.keepSocketAlive as (socket: Socket) => unknown;
+    if (keepAlive.call(this, socket) === false) return false;
+    socket.on("data", dropConnection);
+    socket.resume();
+    return true;
+  }
+
+  override reuseSocket(socket: Socket, call: ClientRequest): void {
+    socket.removeListener("data", dropConnection);
+    super.reuseSocket(socket, call);
+  }
+}
+
+function dropConnection(this: Socket): void {
+  this.destroy();
+}
--- /dev/null
+++ b/src/gateway/view_follower.ts
@@ -0,0 +1,316 @@
+/**
+ * Keeps the published view current: watches the store and, where the store does
+ * not answer or peers know more, asks a peer. Only news moves the view forward.
+ */
+import { Agent, createServer, type Server } from "node:http";
+import type { FleetView } from "../core/fleet/fleet_view.ts";
+import type { Milliseconds } from "../core/structures.ts";
+import type { PublishedView } from "../core/view/published_view.ts";
+import { type StoreBatch, StoreMirror } from "../core/view/store_mirror.ts";
+import { describeError, describeStep } from "../daemon/step_error.ts";
+import type { DecisionLog } from "./decision_log.ts";
+import type { GatewayMetrics } from "./gateway_metrics.ts";
+import { callPeer } from "./http_exchange.ts";
+import {
+  type ChangeDecoder,
+  PublishedSet,
+  type PublishedStore,
+} from "./ports.ts";
+
+/** Wait of one watch: bounds how long a silent connection goes unnoticed. */
+const WATCH_WAIT_MS = 2_000;
+/** Pause after a failed call to the store. */
+const RETRY_MS = 250;
+/** Silence of the store after which vanished entries count as lapsed. */
+const OUTAGE_MS = 1_000;
+/** Period in which peers' revisions are compared. */
+const COMPARE_INTERVAL_MS = 150;
+/** Time for which the own watch may lag behind a peer before the peer is asked. */
+const LAG_PATIENCE_MS = 300;
+/** Bound on one call to a peer. */
+const PEER_TIMEOUT_MS = 600;
+const PEER_PATH = "/published";
+
+const SETS = Object.values(PublishedSet);
+
+interface SetState {
+  mirror: StoreMirror;
+  needsAll: boolean;
+  isStoreAnswering: boolean;
+  lastAnsweredAt: Milliseconds;
+  behindSince: Milliseconds | undefined;
+  isAskingPeer: boolean;
+  /** Newest revision of a change in the set. */
+  newestRevision: number;
+}
+
+export interface ViewFollowerOptions {
+  store: PublishedStore;
+  decoder: ChangeDecoder;
+  view: PublishedView;
+  fleet: FleetView;
+  log: DecisionLog;
+  metrics: GatewayMetrics;
+  /** `IP:port` on which peers ask; the port is the same on all hosts. */
+  listen: { ip: string; port: number };
+  /** Called after the view has changed. */
+  handleChanged: () => void;
+}
+
+export class ViewFollower {
+  readonly #options: ViewFollowerOptions;
+  readonly #sets = new Map<PublishedSet, SetState>(
+    SETS.map((set) => [set, createSetState()]),
+  );
+  readonly #agent = new Agent({ keepAlive: false });
+  #server: Server | undefined;
+  #isStopped = false;
+  #timer: ReturnType<typeof setInterval> | undefined;
+
+  constructor(options: ViewFollowerOptions) {
+    this.#options = options;
+  }
+
+  async start(): Promise<void> {
+    await this.#listen();
+    for (const set of SETS) void this.#followStore(set);
+    this.#timer = setInterval(() => this.#tick(), COMPARE_INTERVAL_MS);
+  }
+
+  /** Returns whether the own watches are answered. */
+  hasStore(): boolean {
+    return [...this.#sets.values()].every((state) => state.isStoreAnswering);
+  }
+
+  getRevisions(): { configuration: number; upstreams: number } {
+    return {
+      configuration: this.#getState(PublishedSet.Configuration).newestRevision,
+      upstreams: this.#getState(PublishedSet.Upstreams).newestRevision,
+    };
+  }
+
+  stop(): void {
+    this.#isStopped = true;
+    clearInterval(this.#timer);
+    this.#server?.close();
+    this.#server?.closeAllConnections();
+    this.#options.store.reset();
+  }
+
+  async #followStore(set: PublishedSet): Promise<void> {
+    const state = this.#getState(set);
+    while (!this.#isStopped) {
+      try {
+        await this.#readOnce(set, state);
+      } catch (error) {
+        this.#recordFailure(set, state, error);
+        await waitMs(RETRY_MS);
+      }
+    }
+  }
+
+  async #readOnce(set: PublishedSet, state: SetState): Promise<void> {
+    const { store } = this.#options;
+    if (state.needsAll || state.mirror.asOf === 0) {
+      const batch = await store.readAll(set);
+      state.needsAll = false;
+      this.#recordSuccess(set, state, batch);
+      return;
+    }
+    const result = await store.watch(set, state.mirror.asOf, WATCH_WAIT_MS);
+    switch (result.kind) {
+      case "batch":
+        this.#recordSuccess(set, state, result.batch);
+        break;
+      case "historyGone":
+        this.#options.log.info("storeHistoryGone", {
+          set,
+          revision: state.mirror.asOf,
+        });
+        state.needsAll = true;
+        break;
+    }
+  }
+
+  #recordSuccess(set: PublishedSet, state: SetState, batch: StoreBatch): void {
+    const now = performance.now();
+    const isAfterOutage =
+      now - state.lastAnsweredAt > WATCH_WAIT_MS + OUTAGE_MS ||
+      (!state.isStoreAnswering && now - state.lastAnsweredAt > OUTAGE_MS);
+    state.lastAnsweredAt = now;
+    if (!state.isStoreAnswering) {
+      state.isStoreAnswering = true;
+      this.#options.log.info("storeRegained", { set, revision: batch.asOf });
+    }
+    this.#applyBatch(set, batch, isAfterOutage, "store");
+  }
+
+  #recordFailure(set: PublishedSet, state: SetState, error: unknown): void {
+    const { log, metrics } = this.#options;
+    metrics.count("store_failure", set);
+    if (state.isStoreAnswering) {
+      log.warn("storeLost", { set, detail: describeStep(error) });
+    }
+    state.isStoreAnswering = false;
+  }
+
+  #applyBatch(
+    set: PublishedSet,
+    batch: StoreBatch,
+    isAfterOutage: boolean,
+    source: string,
+  ): void {
+    const { decoder, view, log } = this.#options;
+    const state = this.#getState(set);
+    const now = performance.now();
+    let hasChanged = false;
+    for (const change of state.mirror.applyBatch(batch)) {
+      state.newestRevision = Math.max(state.newestRevision, change.revision);
+      const decoded = decoder.decode(change);
+      const isNews = view.apply(decoded, isAfterOutage, now);
+      hasChanged ||= isNews;
+      switch (decoded.kind) {
+        case "unusable":
+          if (change.value !== undefined) {
+            log.warn("entryUnusable", {
+              key: decoded.key,
+              reason: decoded.reason,
+            });
+          }
+          break;
+        case "configuration":
+          log.info("configurationInForce", {
+            version: decoded.configuration.version,
+            revision: change.revision,
+            source,
+            isNews,
+          });
+          break;
+        case "upstream":
+          log.info("upstreamChanged", {
+            upstream: decoded.upstream.id,
+            isLeaving: decoded.upstream.isLeaving,
+            address: decoded.upstream.address,
+            revision: change.revision,
+            source,
+          });
+          break;
+        case "upstreamGone":
+          log.info("upstreamGone", {
+            upstream: decoded.id,
+            revision: change.revision,
+            isAfterOutage,
+            source,
+          });
+          break;
+        case "adapterVersion":
+          log.info("adapterVersionDeclared", {
+            adapter: decoded.adapterPath,
+            version: decoded.version,
+            source,
+          });
+          break;
+      }
+    }
+    if (hasChanged) this.#options.handleChanged();
+  }
+
+  #tick(): void {
+    const now = performance.now();
+    const expired = this.#options.view.expireLapsed(now);
+    for (const upstream of expired) {
+      this.#options.log.info("upstreamLapsed", { upstream });
+    }
+    if (expired.length > 0) this.#options.handleChanged();
+    for (const set of SETS) this.#comparePeers(set, now);
+  }
+
+  #comparePeers(set: PublishedSet, now: Milliseconds): void {
+    const state = this.#getState(set);
+    const ahead = this.#options.fleet.listLiving(now)
+      .filter((heartbeat) => heartbeat.revisions[set] > state.newestRevision)
+      .sort((a, b) => b.revisions[set] - a.revisions[set]);
+    if (ahead.length === 0) {
+      state.behindSince = undefined;
+      return;
+    }
+    state.behindSince ??= now;
+    const isPatient = state.isStoreAnswering &&
+      now - state.behindSince < LAG_PATIENCE_MS;
+    const peer = ahead[0];
+    if (isPatient || state.isAskingPeer || !peer) return;
+    state.isAskingPeer = true;
+    void this.#askPeer(set, state, peer.sender.ip).finally(() => {
+      state.isAskingPeer = false;
+    });
+  }
+
+  async #askPeer(
+    set: PublishedSet,
+    state: SetState,
+    ip: string,
+  ): Promise<void> {
+    const address = `${ip}:${this.#options.listen.port}`;
+    try {
+      const answer = await callPeer({
+        step: "ask peer for the published view",
+        address,
+        method: "GET",
+        path: `${PEER_PATH}?set=${set}&after=${state.mirror.asOf}`,
+        timeoutMs: PEER_TIMEOUT_MS,
+        agent: this.#agent,
+      });
+      const batch: StoreBatch = JSON.parse(answer.body.toString());
+      this.#applyBatch(set, batch, false, ip);
+    } catch (error) {
+      this.#options.metrics.count("peer_view_failure", set);
+      this.#options.log.info("peerViewUnread", {
+        peer: address,
+        detail: describeError(error),
+      });
+    }
+  }
+
+  #listen(): Promise<void> {
+    const { ip, port } = this.#options.listen;
+    const server = createServer((request, response) => {
+      const url = new URL(request.url ?? "/", "http://peer");
+      const set = SETS.find((each) => each === url.searchParams.get("set"));
+      if (url.pathname !== PEER_PATH || !set) {
+        response.writeHead(404).end();
+        return;
+      }
+      const after = Number(url.searchParams.get("after") ?? 0);
+      const batch = this.#getState(set).mirror.buildBatchAfter(after);
+      response.setHeader("Content-Type", "application/json");
+      response.end(JSON.stringify(batch));
+    });
+    this.#server = server;
+    return new Promise((resolve, reject) => {
+      server.once("error", reject);
+      server.listen(port, ip, resolve);
+    });
+  }
+
+  #getState(set: PublishedSet): SetState {
+    const state = this.#sets.get(set);
+    if (!state) throw new Error(`expected a set of ${SETS}, got ${set}`);
+    return state;
+  }
+}
+
+function createSetState(): SetState {
+  return {
+    mirror: new StoreMirror(),
+    needsAll: true,
+    isStoreAnswering: false,
+    lastAnsweredAt: performance.now(),
+    behindSince: undefined,
+    isAskingPeer: false,
+    newestRevision: 0,
+  };
+}
+
+function waitMs(spanMs: Milliseconds): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, spanMs));
+}
