--- a/src/core/admission/engine_desk.ts
+++ b/src/core/admission/engine_desk.ts
@@ -23,6 +23,8 @@
   priorityRank: number;
   /** Time that a place is worth waiting for. */
   patienceMs: Milliseconds;
+  /** Time left until the first token is late. */
+  firstTokenBudgetMs: Milliseconds;
   /** Time after which the request can't be running any more. */
   lifetimeMs: Milliseconds;
   /** Whether no other engine is to be tried, so that it waits here. */
@@ -63,8 +65,10 @@
   }
   | { kind: "evict"; model: string; adapter: string; adapterPath: string };
 
-/** Backlog of prompts beyond which a request is sent to another engine, where there is one. */
-const SPREAD_BACKLOG_MS = 350;
+/** Part of the time until the first token is late that an estimate may take here before another engine is tried. */
+const SPREAD_SHARE = 0.65;
+/** Time after taking an engine over in which daemons tell of the runs that they have there. */
+const ADOPTION_MS = 900;
 /** Backlog of prompts beyond which a request waits here instead of in the engine. */
 const MAX_BACKLOG_MS = 600;
 /** Time that a run takes to leave room, for estimates of a wait. */
@@ -85,6 +89,7 @@
     { adapterPath: string; expiresAt: Milliseconds }
   >();
   #answers: PermitAnswer[] = [];
+  #evictableFrom = Number.NEGATIVE_INFINITY;
 
   constructor(places: AdapterPlaces, room: BatchRoom) {
     this.places = places;
@@ -126,8 +131,26 @@
     this.pump(now);
   }
 
-  cancelRequest(permitId: string): void {
-    this.#waiting.delete(permitId);
+  /** Starts with an engine whose runs are not known yet: nothing is evicted until they are. */
+  beginAdoption(now: Milliseconds): void {
+    this.#evictableFrom = now + ADOPTION_MS;
+  }
+
+  /** Counts a run that an earlier holder permitted, or nobody. */
+  adoptPermit(
+    permit: BatchDemand & { permitId: string; lifetimeMs: Milliseconds },
+    now: Milliseconds,
+  ): void {
+    if (this.#permits.has(permit.permitId)) return;
+    const { permitId, adapterPath } = permit;
+    this.#permits.set(permitId, {
+      adapterPath,
+      expiresAt: now + permit.lifetimeMs,
+    });
+    this.room.admit(permitId, permit, now);
+    this.room.recordFirstToken(permitId);
+    const place = this.places.getPlace(adapterPath);
+    if (place) this.places.recordUse(place, permitId, now);
   }
 
   /** Gives back a permit whose run is over, and serves who waits for its place. */
@@ -206,7 +229,7 @@
         version,
       };
       if (place || this.places.hasRoom()) return load;
-      const evictable = this.places.findEvictable(now);
+      const evictable = this.#findEvictable(now);
       if (!evictable) continue;
       return { kind: "evict", ...splitAdapterPath(evictable.adapterPath) };
     }
@@ -247,26 +270,40 @@
     const place = this.places.getPlace(request.adapterPath);
     const isAbsent = request.adapter !== "" && place === undefined;
     const isWithoutSlot = isAbsent && !this.places.hasRoom() &&
-      this.places.findEvictable(now) === undefined;
+      this.#findEvictable(now) === undefined;
     if (isWithoutSlot && !request.isLastChoice) return DenialReason.SlotsInUse;
-    const waitMs = this.estimateWaitMs(request, now);
-    if (waitMs > request.patienceMs) return DenialReason.Busy;
-    const isLong = this.room.estimateBacklogMs(now) > SPREAD_BACKLOG_MS ||
-      !this.room.hasRoomFor(request);
-    return isLong && !request.isLastChoice ? DenialReason.Busy : undefined;
+    const firstTokenMs = this.estimateFirstTokenMs(request, now);
+    if (request.isLastChoice) {
+      const placeMs = firstTokenMs - this.room.estimateOwnPrefillMs(request);
+      return placeMs > request.patienceMs ? DenialReason.Busy : undefined;
+    }
+    const isLate = firstTokenMs > SPREAD_SHARE * request.firstTokenBudgetMs;
+    return isLate ? DenialReason.Busy : undefined;
+  }
+
+  #findEvictable(now: Milliseconds): Place | undefined {
+    return now < this.#evictableFrom
+      ? undefined
+      : this.places.findEvictable(now);
   }
 
-  /** Returns when a place is expected for the request. */
-  estimateWaitMs(request: PermitRequest, now: Milliseconds): Milliseconds {
-    const isAbsent = request.adapter !== "" &&
-      this.places.getPlace(request.adapterPath) === undefined;
+  /** Returns when the request's first token is expected, were it sent here. */
+  estimateFirstTokenMs(
+    request: PermitRequest,
+    now: Milliseconds,
+  ): Milliseconds {
+    const place = this.places.getPlace(request.adapterPath);
+    const isAbsent = request.adapter !== "" && place === undefined;
     const backlogMs = this.room.estimateBacklogMs(now);
     const queueMs = this.#sumWaitingPrefillMs(request);
     const loadMs = isAbsent
       ? this.places.estimateLoadMs(request.adapterPath, 0)
+      : place?.state === "loading"
+      ? Math.max(0, place.readyAt - now)
       : 0;
     const fullMs = this.room.hasRoomFor(request) ? 0 : TYPICAL_RUN_MS;
-    return Math.max(loadMs, backlogMs + queueMs - MAX_BACKLOG_MS, fullMs);
+    return Math.max(loadMs, backlogMs + queueMs, fullMs) +
+      this.room.estimateOwnPrefillMs(request);
   }
 
   #sumWaitingPrefillMs(request: PermitRequest): Milliseconds {
@@ -305,7 +342,7 @@
       permitId: request.permitId,
       holder: request.holder,
       reason,
-      retryAfterMs: Math.round(this.estimateWaitMs(request, now)),
+      retryAfterMs: Math.round(this.estimateFirstTokenMs(request, now)),
     });
   }
 }
--- /dev/null
+++ b/src/core/admission/stop_admission.ts
@@ -0,0 +1,33 @@
+/**
+ * Which requests a stopping daemon still takes. Load pattern: a rolling restart
+ * in which the balancer goes on sending for some seconds, or has nobody else to
+ * send to. What can be finished before the end is served; what can't is refused
+ * at once, so that its caller goes elsewhere.
+ */
+import type { Milliseconds } from "../structures.ts";
+
+/** Time that one generated token takes in a full batch. */
+const TOKEN_MS = 9;
+/** Prompt tokens read in a millisecond, with others' work in between. */
+const PROMPT_TOKENS_PER_MS = 12;
+/** Objectives within which a request to a plain service is over. */
+const SERVICE_OBJECTIVES = 3;
+/** Added for waiting and ways. */
+const SLACK_MS = 700;
+
+export function canFinishBefore(
+  endsAt: Milliseconds,
+  request: {
+    isGeneration: boolean;
+    promptTokens: number;
+    outputTokens: number;
+    latencyObjectiveMs: Milliseconds;
+  },
+  now: Milliseconds,
+): boolean {
+  const workMs = request.isGeneration
+    ? request.promptTokens / PROMPT_TOKENS_PER_MS +
+      request.outputTokens * TOKEN_MS
+    : SERVICE_OBJECTIVES * request.latencyObjectiveMs;
+  return now + workMs + SLACK_MS <= endsAt;
+}
--- a/src/core/fleet/fleet_view.ts
+++ b/src/core/fleet/fleet_view.ts
@@ -50,6 +50,9 @@
 /** Silence after which a member is no longer sent anything. */
 const FORGET_MS = 60_000;
 
+/** Key by which the reader of the store is drawn. */
+const READER_KEY = "store reader";
+
 interface KnownMember {
   member: FleetMember;
   heartbeat: Heartbeat | undefined;
@@ -176,6 +179,22 @@
     ];
   }
 
+  /**
+   * Returns whether this daemon should read the store for its failure domain:
+   * one of those that can does, the others ask it.
+   */
+  isReader(canRead: boolean, now: Milliseconds): boolean {
+    if (!canRead) return false;
+    const candidates = this.listLiving(now)
+      .filter((heartbeat) =>
+        heartbeat.hasStore && !heartbeat.isLeaving &&
+        this.#isNear(heartbeat.sender)
+      )
+      .map((heartbeat) => heartbeat.sender);
+    const ranked = rankByRendezvous(READER_KEY, [...candidates, this.#self]);
+    return ranked[0]?.id === this.#self.id;
+  }
+
   /** Takes every peer for silent, after a pause of this process. */
   expireAll(): void {
     for (const known of this.#members.values()) {
--- a/src/core/ordering/engine_holder.ts
+++ b/src/core/ordering/engine_holder.ts
@@ -56,6 +56,8 @@
 export interface HolderSituation {
   /** Whether this daemon should give the engine's orders. */
   isWanted: boolean;
+  /** Whether it should observe the engine, as it may come to give its orders. */
+  isCandidate: boolean;
   /** Loads from the weight store on their way, over all daemons. */
   fleetFetches: number;
   /** Whether this daemon may start another load from the weight store. */
@@ -183,15 +185,17 @@
 
   /** Seeks or keeps the right to order, and gives the next order. */
   tick(situation: HolderSituation, now: Milliseconds): HolderEffect[] {
-    if (!situation.isWanted) return this.#giveUp(now);
     const effects: HolderEffect[] = [];
-    if (this.#tenure.isTermOver(now)) effects.push(...this.#claim(now));
+    if (!situation.isWanted) effects.push(...this.#giveUp(now));
+    if (situation.isWanted && this.#tenure.isTermOver(now)) {
+      effects.push(...this.#claim(now));
+    }
     if (this.isHolding()) {
       this.desk.tick(now);
       effects.push(...this.#giveNextOrder(situation, now));
       effects.push(...this.#takeAnswers());
     }
-    if (this.#needsReport(now)) {
+    if (situation.isCandidate && this.#needsReport(now)) {
       this.#isReading = true;
       this.#lastReadAt = now;
       effects.push({ kind: "readReport", engineId: this.engineId });
@@ -234,6 +238,7 @@
       return [];
     }
     this.desk.places.clear();
+    this.desk.beginAdoption(now);
     this.desk.places.reconcile(
       new Map(handover.adapters.map(([path, version, isComing]) => [
         path,
@@ -266,6 +271,7 @@
     if (!this.#tenure.claim(this.#options.drawFence(), now)) return [];
     this.desk.places.clear();
     this.desk.clearPermits();
+    this.desk.beginAdoption(now);
     if (this.#observed) {
       this.desk.places.reconcile(this.#observed.adapters, now);
     }
--- a/src/core/view/published_view.ts
+++ b/src/core/view/published_view.ts
@@ -109,7 +109,8 @@
   }
 
   /**
-   * Puts a change in force; returns whether it was news.
+   * Puts a change in force; returns whether it is news that others wait for.
+   * What an upstream holds changes many times a second and is not.
    * @param isAfterOutage whether the store was out of reach before this change was read.
    */
   apply(
@@ -121,9 +122,7 @@
       case "configuration":
         return this.#applyConfiguration(change.configuration);
       case "upstream":
-        this.#lapsed.delete(change.upstream.id);
-        this.#upstreams.set(change.upstream.id, change.upstream);
-        return true;
+        return this.#applyUpstream(change.upstream);
       case "upstreamGone":
         if (isAfterOutage && this.#isServing(change.id)) {
           this.#lapsed.set(change.id, now + LAPSE_GRACE_MS);
@@ -204,6 +203,17 @@
     return this.#adapterVersions.get(adapterPath);
   }
 
+  #applyUpstream(upstream: PublishedUpstream): boolean {
+    const known = this.#upstreams.get(upstream.id);
+    const hasLapsed = this.#lapsed.delete(upstream.id);
+    this.#upstreams.set(upstream.id, upstream);
+    return hasLapsed || !known || known.isLeaving !== upstream.isLeaving ||
+      known.address !== upstream.address ||
+      known.bornAtUnixMs !== upstream.bornAtUnixMs ||
+      known.service !== upstream.service ||
+      known.models.join() !== upstream.models.join();
+  }
+
   #isServing(id: string): boolean {
     const upstream = this.#upstreams.get(id);
     return upstream !== undefined && !upstream.isLeaving;
--- a/src/gateway/caller_task.ts
+++ b/src/gateway/caller_task.ts
@@ -12,6 +12,7 @@
   type ServerResponse,
 } from "node:http";
 import type { Socket } from "node:net";
+import { canFinishBefore } from "../core/admission/stop_admission.ts";
 import type { Milliseconds } from "../core/structures.ts";
 import { describeError } from "../daemon/step_error.ts";
 import { CallerExchange } from "./caller_exchange.ts";
@@ -29,6 +30,8 @@
 const BODY_TIMEOUT_MS = 30_000;
 /** Return time for requests that come before a configuration is known. */
 const UNCONFIGURED_RETRY_MS = 500;
+/** Return time for requests that come to a stopping daemon: others are there at once. */
+const STOPPING_RETRY_MS = 50;
 
 const Status = {
   NotFound: 404,
@@ -43,7 +46,8 @@
   readonly #sockets = new Set<Socket>();
   readonly #closingSockets = new WeakSet<Socket>();
   #inFlight = 0;
-  #isStopping = false;
+  /** When the process ends; undefined while it is not stopping. */
+  #stopsAt: Milliseconds | undefined;
 
   constructor(context: RequestContext) {
     this.#context = context;
@@ -83,16 +87,18 @@
   }
 
   /** From now on answers close their connections. */
-  beginStop(): void {
-    this.#isStopping = true;
+  beginStop(stopsAt: Milliseconds): void {
+    this.#stopsAt = stopsAt;
   }
 
   /** Closes connections on which nothing is going on. */
   closeIdle(): void {
-    for (const socket of this.#idleSockets) {
-      this.#closingSockets.add(socket);
-      socket.end();
-    }
+    for (const socket of this.#idleSockets) this.#closeSocket(socket);
+  }
+
+  #closeSocket(socket: Socket): void {
+    this.#closingSockets.add(socket);
+    socket.end();
   }
 
   close(): void {
@@ -112,7 +118,10 @@
     this.#inFlight += 1;
     response.once("close", () => {
       this.#inFlight -= 1;
-      if (!socket.destroyed) this.#idleSockets.add(socket);
+      if (socket.destroyed) return;
+      this.#idleSockets.add(socket);
+      // A stream that began before the stop did not announce the close.
+      if (this.#stopsAt !== undefined) this.#closeSocket(socket);
     });
     response.on("error", (error) => {
       this.#context.log.debug("callerConnectionError", {
@@ -146,7 +155,7 @@
       facts,
       body: body ?? Buffer.alloc(0),
       arrivedAt,
-      isClosing: () => this.#isStopping,
+      isClosing: () => this.#stopsAt !== undefined,
     });
     if (body === null) {
       this.#refuse(exchange, Status.TooLarge, "body is too large", undefined);
@@ -176,6 +185,22 @@
       );
       return;
     }
+    const isTooLate = this.#stopsAt !== undefined &&
+      !canFinishBefore(this.#stopsAt, {
+        isGeneration: service.engine !== undefined,
+        promptTokens: facts.promptTokens,
+        outputTokens: facts.outputTokens,
+        latencyObjectiveMs: route.latencyObjectiveMs,
+      }, arrivedAt);
+    if (isTooLate) {
+      this.#refuse(
+        exchange,
+        Status.Unavailable,
+        "this daemon stops",
+        STOPPING_RETRY_MS,
+      );
+      return;
+    }
     const fingerprint = computeFingerprint(request, facts, body);
     const target = { route, service };
     await new RequestFlow(this.#context, exchange, target, fingerprint).run();
--- a/src/gateway/engine_task.ts
+++ b/src/gateway/engine_task.ts
@@ -7,6 +7,7 @@
   type PermitAnswer,
   type PermitRequest,
 } from "../core/admission/engine_desk.ts";
+import type { BatchDemand } from "../core/admission/batch_room.ts";
 import type { FleetView } from "../core/fleet/fleet_view.ts";
 import {
   EngineHolder,
@@ -29,6 +30,12 @@
 const TICK_INTERVAL_MS = 25;
 /** Loads from the weight store at once over all daemons; beyond it each takes longer. */
 const FLEET_FETCHES = 8;
+/** Period in which runs at engines are compared with who holds the engines. */
+const RUNS_INTERVAL_MS = 200;
+/** Runs told in one message, so that it stays one datagram. */
+const MAX_RUNS_PER_MESSAGE = 6;
+/** Daemons, by rank, that observe an engine while it has no holder. */
+const OBSERVERS = 2;
 /** Added to a permit's patience for the way there and back. */
 const ANSWER_SLACK_MS = 150;
 /** Time after the start before engines are sought: peers are heard by then. */
@@ -53,6 +60,14 @@
   grantorId: string;
 }
 
+/** A run of this daemon at an engine, and the holder that knows of it. */
+export interface OwnRun extends BatchDemand {
+  engineId: string;
+  permitId: string;
+  endsAt: Milliseconds;
+  knownTo: string | undefined;
+}
+
 interface PendingPermit {
   settle: (reply: PermitReply) => void;
 }
@@ -61,6 +76,8 @@
   readonly #options: EngineTaskOptions;
   readonly #holders = new Map<string, EngineHolder>();
   readonly #pendingPermits = new Map<string, PendingPermit>();
+  readonly #ownRuns = new Map<string, OwnRun>();
+  #lastRunsAt = Number.NEGATIVE_INFINITY;
   readonly #startedAt = performance.now();
   #isStopping = false;
   #timer: ReturnType<typeof setInterval> | undefined;
@@ -135,15 +152,21 @@
     });
   }
 
-  /** Tells the daemon that granted a permit something about it. */
-  tellGrantor(
-    grantorId: string,
+  /** Notes a run of this daemon at an engine, so that a new holder can be told. */
+  addRun(run: OwnRun): void {
+    this.#ownRuns.set(run.permitId, run);
+  }
+
+  /** Tells the daemon that counts a run of this one something about it. */
+  tellHolder(
     message: Extract<
       GatewayMessage,
       { kind: "permitReleased" | "firstToken" | "permitUnusable" }
     >,
   ): void {
-    void this.#send(grantorId, message);
+    const run = this.#ownRuns.get(message.permitId);
+    if (message.kind !== "firstToken") this.#ownRuns.delete(message.permitId);
+    if (run?.knownTo !== undefined) void this.#send(run.knownTo, message);
   }
 
   handleMessage(from: string, message: GatewayMessage): void {
@@ -168,6 +191,11 @@
       case "permitUnusable":
         this.#recordUnusable(message, now);
         break;
+      case "runsHeld":
+        for (const run of message.runs) {
+          this.#getHeld(message.engineId)?.desk.adoptPermit(run, now);
+        }
+        break;
       case "handover":
         this.#acceptHandover(from, message.engineId, message.handover, now);
         break;
@@ -202,6 +230,7 @@
   #tick(): void {
     const now = performance.now();
     this.#followView();
+    this.#tellRuns(now);
     for (const holder of this.#holders.values()) {
       this.#carryOut(holder.tick(this.#assess(holder, now), now));
     }
@@ -240,10 +269,14 @@
     const engine = view.getUpstream(holder.engineId);
     const isSettled = now - this.#startedAt > SETTLE_MS;
     if (!engine || !isSettled || this.#isStopping) {
-      return { isWanted: holder.isHolding(), fleetFetches, canFetch: false };
+      const isCandidate = engine !== undefined && !this.#isStopping;
+      const isWanted = holder.isHolding();
+      return { isWanted, isCandidate, fleetFetches, canFetch: false };
     }
+    const isWanted = this.#isWanted(engine, holder, now);
     return {
-      isWanted: this.#isWanted(engine, holder, now),
+      isWanted,
+      isCandidate: isWanted || this.#isObserver(engine, now),
       fleetFetches,
       canFetch: fleetFetches < FLEET_FETCHES ||
         this.countFetches() < FLEET_FETCHES / fleet.countLiving(now),
@@ -269,6 +302,52 @@
     return otherRank < 0 || ownRank < otherRank;
   }
 
+  /** The first in rank observe an engine that nobody holds, so that a term has passed when one must claim it. */
+  #isObserver(engine: PublishedUpstream, now: Milliseconds): boolean {
+    const { fleet, selfId } = this.#options;
+    if (fleet.findHolder(engine.id, now) !== undefined) return false;
+    return fleet.rankHolders(engine, false, now).slice(0, OBSERVERS)
+      .some((member) => member.id === selfId);
+  }
+
+  /** Tells holders of the runs that they do not know of. */
+  #tellRuns(now: Milliseconds): void {
+    if (now - this.#lastRunsAt < RUNS_INTERVAL_MS) return;
+    this.#lastRunsAt = now;
+    const { fleet, selfId } = this.#options;
+    const untold = new Map<string, OwnRun[]>();
+    for (const run of this.#ownRuns.values()) {
+      const holderId = this.#getHeld(run.engineId)
+        ? selfId
+        : fleet.findHolder(run.engineId, now);
+      if (holderId === undefined || holderId === run.knownTo) continue;
+      run.knownTo = holderId;
+      const key = `${holderId} ${run.engineId}`;
+      untold.set(key, [...untold.get(key) ?? [], run]);
+    }
+    for (const runs of untold.values()) this.#sendRuns(runs, now);
+  }
+
+  #sendRuns(runs: readonly OwnRun[], now: Milliseconds): void {
+    for (let from = 0; from < runs.length; from += MAX_RUNS_PER_MESSAGE) {
+      const part = runs.slice(from, from + MAX_RUNS_PER_MESSAGE);
+      const first = part[0];
+      if (first?.knownTo === undefined) return;
+      void this.#send(first.knownTo, {
+        kind: "runsHeld",
+        engineId: first.engineId,
+        runs: part.map((run) => ({
+          permitId: run.permitId,
+          adapterPath: run.adapterPath,
+          promptTokens: run.promptTokens,
+          outputTokens: run.outputTokens,
+          promptParts: run.promptParts,
+          lifetimeMs: Math.max(0, run.endsAt - now),
+        })),
+      });
+    }
+  }
+
   #countFleetFetches(now: Milliseconds): number {
     const others = this.#options.fleet.listLiving(now)
       .reduce((sum, heartbeat) => sum + heartbeat.fetchesInFlight, 0);
@@ -432,7 +511,7 @@
     }
     if (answer.kind !== "granted") return;
     // Nobody waits for it any more: the place is given back.
-    this.tellGrantor(grantorId, {
+    void this.#send(grantorId, {
       kind: "permitReleased",
       engineId,
       permitId: answer.permitId,
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -37,6 +37,8 @@
 const STRIKE_LIFETIME_MS = 60_000;
 /** Strikes named in one heartbeat, so that it stays one datagram. */
 const MAX_HEARTBEAT_STRIKES = 6;
+/** Time for which news is gathered before peers are told. */
+const NEWS_DELAY_MS = 30;
 /** Gap between heartbeats from which this process is taken to have been paused. */
 const PAUSE_THRESHOLD_MS = 1_500;
 /** Time after the notice of a stop in which the balancer learns of it: two questions a second apart. */
@@ -73,6 +75,7 @@
   #timer: ReturnType<typeof setInterval> | undefined;
   #lastBeatAt = performance.now();
   #isReady = false;
+  #isBeatDue = false;
   #isStopping = false;
 
   constructor(settings: GatewaySettings, adapters: GatewayAdapters) {
@@ -99,7 +102,10 @@
       log: this.#log,
       metrics: this.#metrics,
       listen: { ip, port },
-      handleChanged: () => this.#callers.applyLimits(),
+      handleNews: () => {
+        this.#callers.applyLimits();
+        this.#beatSoon();
+      },
     });
     this.#engines = new EngineTask({
       selfId: host,
@@ -155,7 +161,7 @@
     const startedAt = performance.now();
     const { graceMs, exitReserveMs } = this.#settings.stop;
     this.#log.info("stopping", { inFlight: this.#callers.inFlight, graceMs });
-    this.#callers.beginStop();
+    this.#callers.beginStop(startedAt + graceMs - exitReserveMs);
     this.#beat();
     await this.#engines.stop();
     await waitMs(Math.min(UNREADY_NOTICE_MS, graceMs / 2));
@@ -167,6 +173,7 @@
     }
     this.#log.info("stopped", { inFlight: this.#callers.inFlight });
     clearInterval(this.#timer);
+    this.#timer = undefined;
     this.#callers.close();
     this.#follower.stop();
     this.#peers.close();
@@ -240,6 +247,16 @@
     this.#updateGauges(now);
   }
 
+  /** Tells peers of news without waiting for the next period. */
+  #beatSoon(): void {
+    if (this.#isBeatDue) return;
+    this.#isBeatDue = true;
+    setTimeout(() => {
+      this.#isBeatDue = false;
+      if (this.#timer) this.#beat();
+    }, NEWS_DELAY_MS);
+  }
+
   #describeSelf(now: number): Heartbeat {
     return {
       sender: this.#fleet.self,
--- a/src/gateway/peer_messages.ts
+++ b/src/gateway/peer_messages.ts
@@ -3,10 +3,18 @@
   PermitAnswer,
   PermitRequest,
 } from "../core/admission/engine_desk.ts";
+import type { BatchDemand } from "../core/admission/batch_room.ts";
 import type { Heartbeat } from "../core/fleet/fleet_view.ts";
 import type { TenureHandover } from "../core/ordering/engine_holder.ts";
 import type { Milliseconds } from "../core/structures.ts";
 
+/** A run at an engine, as the daemon that sent it there tells a new holder. */
+export interface HeldRun extends BatchDemand {
+  permitId: string;
+  /** Time after which it can't be running any more. */
+  lifetimeMs: Milliseconds;
+}
+
 export type GatewayMessage =
   | { kind: "heartbeat"; heartbeat: Heartbeat }
   | { kind: "permitRequest"; engineId: string; request: PermitRequest }
@@ -23,4 +31,6 @@
     isMisdirected: boolean;
     delayMs: Milliseconds;
   }
+  /** Runs that the sender has at an engine whose holder has changed. */
+  | { kind: "runsHeld"; engineId: string; runs: HeldRun[] }
   | { kind: "handover"; engineId: string; handover: TenureHandover };
--- a/src/gateway/request_flow.ts
+++ b/src/gateway/request_flow.ts
@@ -3,7 +3,7 @@
  * answers its caller once. The decisions are the core's; this carries them out.
  */
 import type { Buffer } from "node:buffer";
-import type { PermitRequest } from "../core/admission/engine_desk.ts";
+import type { PermitAnswer } from "../core/admission/engine_desk.ts";
 import { computeRetryAfterMs } from "../core/admission/refusal_advice.ts";
 import {
   AttemptOutcome,
@@ -38,8 +38,12 @@
 
 /** Time of a caller's deadline that the ways to it and back take. */
 const TRAVEL_MS = 8;
-/** Part of the objective within which a place in an engine is worth waiting for. */
-const PATIENCE_SHARE = 0.9;
+/** Part of the time until the first token is late that the first engines asked may take to give a place. */
+const FIRST_PATIENCE_SHARE = 0.6;
+/** Part of the time left that a place is waited for, when the first token will be late. */
+const LATE_PATIENCE_SHARE = 0.25;
+/** Shortest wait for a place: a load of an adapter that the engine held lately takes this long. */
+const MIN_PATIENCE_MS = 60;
 /** Part of the time left that an idempotent request gives one upstream to answer. */
 const SILENCE_SHARE = 0.45;
 /** Return time for a refusal that no estimate speaks for. */
@@ -60,8 +64,6 @@
 interface EnginePlace {
   engine: PublishedUpstream;
   permitId: string;
-  /** Daemon that gave the permit; undefined without one. */
-  grantorId: string | undefined;
 }
 
 export class RequestFlow {
@@ -199,8 +201,8 @@
     this.#exchange.startStream(this.#head.status, this.#head.rawHeaders);
     const elapsedMs = this.#now() - this.#exchange.arrivedAt;
     metrics.measure("first_byte", this.#route.repeatability, elapsedMs);
-    if (this.#place?.grantorId === undefined) return;
-    this.#context.engines.tellGrantor(this.#place.grantorId, {
+    if (!this.#place) return;
+    this.#context.engines.tellHolder({
       kind: "firstToken",
       engineId: this.#place.engine.id,
       permitId: this.#place.permitId,
@@ -270,6 +272,8 @@
       case "tryAnother":
         metrics.count("repeats", result?.outcome ?? reason);
         if (result) this.#passedOver.add(result.upstreamId);
+        // The next upstream starts with a whole event.
+        this.#splitter.takeRest();
         break;
       case "deliver":
         this.#deliver(result);
@@ -423,20 +427,51 @@
     const fresh = ranked.filter((each) => !this.#passedOver.has(each.id));
     const candidates = (fresh.length > 0 ? fresh : ranked)
       .slice(0, MAX_ADAPTER_HOMES);
-    let waitedFor: PublishedUpstream | undefined;
+    let shortest: { engine: PublishedUpstream; ms: Milliseconds } | undefined;
     for (const engine of candidates) {
-      const reply = await this.#askPlace(engine, false);
-      if (this.#takeReply(engine, reply)) return engine;
+      const { answer, grantorId } = await this.#askPlace(engine, false);
+      if (this.#takeAnswer(engine, answer, grantorId)) return engine;
       if (this.#isFinished) return undefined;
-      const isHolder = reply.answer.kind === "denied" &&
-        reply.answer.reason !== "notHolder";
-      if (isHolder) waitedFor ??= engine;
+      if (answer.kind !== "denied" || answer.reason === "notHolder") continue;
+      if (!shortest || answer.retryAfterMs < shortest.ms) {
+        shortest = { engine, ms: answer.retryAfterMs };
+      }
     }
-    if (waitedFor) {
-      const reply = await this.#askPlace(waitedFor, true);
-      return this.#takeReply(waitedFor, reply) ? waitedFor : undefined;
-    }
-    return this.#findResident(ranked);
+    const resident = this.#findResident(ranked);
+    if (!shortest) return this.#goWithoutPermit(resident);
+    const { engine } = shortest;
+    const { answer, grantorId } = await this.#askPlace(engine, true);
+    return this.#takeAnswer(engine, answer, grantorId) ? engine : undefined;
+  }
+
+  /** Notes the run, so that a holder to come knows of it. */
+  #goWithoutPermit(
+    engine: PublishedUpstream | undefined,
+  ): PublishedUpstream | undefined {
+    if (!engine || this.#isFinished) return undefined;
+    this.#placeCount += 1;
+    const permitId = `${this.#exchange.facts.requestId}.${this.#placeCount}`;
+    this.#addRun(engine, permitId, undefined);
+    return engine;
+  }
+
+  #addRun(
+    engine: PublishedUpstream,
+    permitId: string,
+    knownTo: string | undefined,
+  ): void {
+    const { facts } = this.#exchange;
+    this.#place = { engine, permitId };
+    this.#context.engines.addRun({
+      engineId: engine.id,
+      permitId,
+      knownTo,
+      adapterPath: this.#getAdapterPath(),
+      promptTokens: facts.promptTokens,
+      outputTokens: facts.outputTokens,
+      promptParts: facts.promptParts,
+      endsAt: this.#endsAt,
+    });
   }
 
   /** Without a holder to ask, goes where the adapter is said to be resident. */
@@ -454,21 +489,21 @@
     });
   }
 
-  async #askPlace(
+  #askPlace(
     engine: PublishedUpstream,
     isLastChoice: boolean,
   ): Promise<PermitReply> {
     const { selfId, engines } = this.#context;
     const { facts } = this.#exchange;
     const { latencyObjectiveMs, priorityRank } = this.#route;
-    const remainingMs = this.#getRemainingMs();
+    const remainingMs = Math.max(1, this.#getRemainingMs());
     const elapsedMs = this.#now() - this.#exchange.arrivedAt;
-    const worthMs = PATIENCE_SHARE * latencyObjectiveMs - elapsedMs;
+    const firstTokenBudgetMs = Math.max(0, latencyObjectiveMs - elapsedMs);
     const patienceMs = isLastChoice
-      ? Math.min(remainingMs / 2, Math.max(worthMs, remainingMs / 4))
-      : Math.max(worthMs, remainingMs / 4);
+      ? Math.max(firstTokenBudgetMs, LATE_PATIENCE_SHARE * remainingMs)
+      : FIRST_PATIENCE_SHARE * firstTokenBudgetMs;
     this.#placeCount += 1;
-    const request: PermitRequest = {
+    return engines.askPermit(engine, {
       permitId: `${facts.requestId}.${this.#placeCount}`,
       holder: selfId,
       model: facts.model,
@@ -479,33 +514,29 @@
       promptTokens: facts.promptTokens,
       outputTokens: facts.outputTokens,
       promptParts: facts.promptParts,
-      patienceMs: Math.max(1, patienceMs),
-      lifetimeMs: Math.max(1, remainingMs),
+      patienceMs: Math.min(remainingMs, Math.max(MIN_PATIENCE_MS, patienceMs)),
+      firstTokenBudgetMs,
+      lifetimeMs: remainingMs,
       isLastChoice,
-    };
-    this.#place = { engine, permitId: request.permitId, grantorId: undefined };
-    return await engines.askPermit(engine, request);
+    });
   }
 
-  /** Returns whether the reply grants a place. */
-  #takeReply(engine: PublishedUpstream, reply: PermitReply): boolean {
-    const { log } = this.#context;
-    const { answer } = reply;
+  /** Returns whether the answer grants a place that is still wanted. */
+  #takeAnswer(
+    engine: PublishedUpstream,
+    answer: PermitAnswer,
+    grantorId: string,
+  ): boolean {
     switch (answer.kind) {
       case "granted":
-        this.#place = {
-          engine,
-          permitId: answer.permitId,
-          grantorId: reply.grantorId,
-        };
+        this.#addRun(engine, answer.permitId, grantorId);
         return true;
       case "denied":
-        this.#place = undefined;
         this.#expectedMs = answer.retryAfterMs;
-        log.info("placeDenied", {
+        this.#context.log.info("placeDenied", {
           requestId: this.#exchange.facts.requestId,
           upstream: engine.id,
-          grantor: reply.grantorId,
+          grantor: grantorId,
           reason: answer.reason,
           retryAfterMs: answer.retryAfterMs,
         });
@@ -516,10 +547,9 @@
   #releasePlace(result?: AttemptResult): void {
     const place = this.#place;
     this.#place = undefined;
-    if (place?.grantorId === undefined) return;
+    if (!place) return;
     const isUnusable = result?.outcome === AttemptOutcome.NotRun;
-    this.#context.engines.tellGrantor(
-      place.grantorId,
+    this.#context.engines.tellHolder(
       isUnusable
         ? {
           kind: "permitUnusable",
--- a/src/gateway/view_follower.ts
+++ b/src/gateway/view_follower.ts
@@ -21,8 +21,16 @@
 const WATCH_WAIT_MS = 2_000;
 /** Pause after a failed call to the store. */
 const RETRY_MS = 250;
+/** Pause after changes, so that those that follow come in one answer. */
+const GATHER_MS = 200;
+/** Period in which a daemon that does not read looks whether it should. */
+const STANDBY_MS = 100;
+/** Period in which a daemon that lost the store tries it again. */
+const PROBE_INTERVAL_MS = 1_000;
 /** Silence of the store after which vanished entries count as lapsed. */
 const OUTAGE_MS = 1_000;
+/** Time after an outage in which peers are told that vanished entries may have lapsed. */
+const OUTAGE_TOLD_MS = 1_500;
 /** Period in which peers' revisions are compared. */
 const COMPARE_INTERVAL_MS = 150;
 /** Time for which the own watch may lag behind a peer before the peer is asked. */
@@ -33,10 +41,20 @@
 
 const SETS = Object.values(PublishedSet);
 
+/** What a peer answers. */
+interface PeerBatch {
+  batch: StoreBatch;
+  isAfterOutage: boolean;
+}
+
 interface SetState {
   mirror: StoreMirror;
   needsAll: boolean;
   isStoreAnswering: boolean;
+  /** Whether the last call to the store failed. */
+  hasFailed: boolean;
+  /** When the store answered again after an outage. */
+  outageEndedAt: Milliseconds;
   lastAnsweredAt: Milliseconds;
   behindSince: Milliseconds | undefined;
   isAskingPeer: boolean;
@@ -53,8 +71,8 @@
   metrics: GatewayMetrics;
   /** `IP:port` on which peers ask; the port is the same on all hosts. */
   listen: { ip: string; port: number };
-  /** Called after the view has changed. */
-  handleChanged: () => void;
+  /** Called after news; peers should hear of it. */
+  handleNews: () => void;
 }
 
 export class ViewFollower {
@@ -77,9 +95,9 @@
     this.#timer = setInterval(() => this.#tick(), COMPARE_INTERVAL_MS);
   }
 
-  /** Returns whether the own watches are answered. */
+  /** Returns whether the store answers this daemon, as far as it has been asked. */
   hasStore(): boolean {
-    return [...this.#sets.values()].every((state) => state.isStoreAnswering);
+    return [...this.#sets.values()].every((state) => !state.hasFailed);
   }
 
   getRevisions(): { configuration: number; upstreams: number } {
@@ -100,35 +118,53 @@
   async #followStore(set: PublishedSet): Promise<void> {
     const state = this.#getState(set);
     while (!this.#isStopped) {
+      if (!this.#isReading(state)) {
+        state.lastAnsweredAt = performance.now();
+        await waitMs(STANDBY_MS);
+        continue;
+      }
       try {
-        await this.#readOnce(set, state);
+        const hasChanged = await this.#readOnce(set, state);
+        if (hasChanged) await waitMs(GATHER_MS);
       } catch (error) {
         this.#recordFailure(set, state, error);
-        await waitMs(RETRY_MS);
+        await waitMs(this.#hasReadingPeer() ? PROBE_INTERVAL_MS : RETRY_MS);
       }
     }
   }
 
-  async #readOnce(set: PublishedSet, state: SetState): Promise<void> {
+  /** One daemon of a failure domain reads; one that has nothing yet, or lost the store, tries too. */
+  #isReading(state: SetState): boolean {
+    if (state.mirror.asOf === 0 || state.hasFailed) return true;
+    return this.#options.fleet.isReader(true, performance.now());
+  }
+
+  #hasReadingPeer(): boolean {
+    return this.#options.fleet.listLiving(performance.now())
+      .some((heartbeat) => heartbeat.hasStore);
+  }
+
+  /** Returns whether there were changes. */
+  async #readOnce(set: PublishedSet, state: SetState): Promise<boolean> {
     const { store } = this.#options;
     if (state.needsAll || state.mirror.asOf === 0) {
       const batch = await store.readAll(set);
       state.needsAll = false;
       this.#recordSuccess(set, state, batch);
-      return;
+      return true;
     }
     const result = await store.watch(set, state.mirror.asOf, WATCH_WAIT_MS);
     switch (result.kind) {
       case "batch":
         this.#recordSuccess(set, state, result.batch);
-        break;
+        return result.batch.changes.length > 0;
       case "historyGone":
         this.#options.log.info("storeHistoryGone", {
           set,
           revision: state.mirror.asOf,
         });
         state.needsAll = true;
-        break;
+        return false;
     }
   }
 
@@ -138,6 +174,8 @@
       now - state.lastAnsweredAt > WATCH_WAIT_MS + OUTAGE_MS ||
       (!state.isStoreAnswering && now - state.lastAnsweredAt > OUTAGE_MS);
     state.lastAnsweredAt = now;
+    state.hasFailed = false;
+    if (isAfterOutage) state.outageEndedAt = now;
     if (!state.isStoreAnswering) {
       state.isStoreAnswering = true;
       this.#options.log.info("storeRegained", { set, revision: batch.asOf });
@@ -152,6 +190,7 @@
       log.warn("storeLost", { set, detail: describeStep(error) });
     }
     state.isStoreAnswering = false;
+    state.hasFailed = true;
   }
 
   #applyBatch(
@@ -163,12 +202,14 @@
     const { decoder, view, log } = this.#options;
     const state = this.#getState(set);
     const now = performance.now();
-    let hasChanged = false;
+    let hasNews = false;
     for (const change of state.mirror.applyBatch(batch)) {
-      state.newestRevision = Math.max(state.newestRevision, change.revision);
       const decoded = decoder.decode(change);
       const isNews = view.apply(decoded, isAfterOutage, now);
-      hasChanged ||= isNews;
+      if (isNews || decoded.kind === "upstreamGone") {
+        hasNews = true;
+        state.newestRevision = Math.max(state.newestRevision, change.revision);
+      }
       switch (decoded.kind) {
         case "unusable":
           if (change.value !== undefined) {
@@ -187,6 +228,7 @@
           });
           break;
         case "upstream":
+          if (!isNews) break;
           log.info("upstreamChanged", {
             upstream: decoded.upstream.id,
             isLeaving: decoded.upstream.isLeaving,
@@ -212,7 +254,7 @@
           break;
       }
     }
-    if (hasChanged) this.#options.handleChanged();
+    if (hasNews) this.#options.handleNews();
   }
 
   #tick(): void {
@@ -221,21 +263,25 @@
     for (const upstream of expired) {
       this.#options.log.info("upstreamLapsed", { upstream });
     }
-    if (expired.length > 0) this.#options.handleChanged();
     for (const set of SETS) this.#comparePeers(set, now);
   }
 
   #comparePeers(set: PublishedSet, now: Milliseconds): void {
     const state = this.#getState(set);
+    const ownDomain = this.#options.fleet.self.failureDomain;
     const ahead = this.#options.fleet.listLiving(now)
       .filter((heartbeat) => heartbeat.revisions[set] > state.newestRevision)
-      .sort((a, b) => b.revisions[set] - a.revisions[set]);
+      .sort((a, b) =>
+        b.revisions[set] - a.revisions[set] ||
+        Number(b.sender.failureDomain === ownDomain) -
+          Number(a.sender.failureDomain === ownDomain)
+      );
     if (ahead.length === 0) {
       state.behindSince = undefined;
       return;
     }
     state.behindSince ??= now;
-    const isPatient = state.isStoreAnswering &&
+    const isPatient = this.#options.fleet.isReader(!state.hasFailed, now) &&
       now - state.behindSince < LAG_PATIENCE_MS;
     const peer = ahead[0];
     if (isPatient || state.isAskingPeer || !peer) return;
@@ -260,8 +306,8 @@
         timeoutMs: PEER_TIMEOUT_MS,
         agent: this.#agent,
       });
-      const batch: StoreBatch = JSON.parse(answer.body.toString());
-      this.#applyBatch(set, batch, false, ip);
+      const told: PeerBatch = JSON.parse(answer.body.toString());
+      this.#applyBatch(set, told.batch, told.isAfterOutage, ip);
     } catch (error) {
       this.#options.metrics.count("peer_view_failure", set);
       this.#options.log.info("peerViewUnread", {
@@ -281,9 +327,13 @@
         return;
       }
       const after = Number(url.searchParams.get("after") ?? 0);
-      const batch = this.#getState(set).mirror.buildBatchAfter(after);
+      const state = this.#getState(set);
+      const told: PeerBatch = {
+        batch: state.mirror.buildBatchAfter(after),
+        isAfterOutage: performance.now() - state.outageEndedAt < OUTAGE_TOLD_MS,
+      };
       response.setHeader("Content-Type", "application/json");
-      response.end(JSON.stringify(batch));
+      response.end(JSON.stringify(told));
     });
     this.#server = server;
     return new Promise((resolve, reject) => {
@@ -304,6 +354,8 @@
     mirror: new StoreMirror(),
     needsAll: true,
     isStoreAnswering: false,
+    hasFailed: false,
+    outageEndedAt: Number.NEGATIVE_INFINITY,
     lastAnsweredAt: performance.now(),
     behindSince: undefined,
     isAskingPeer: false,
