--- a/src/core/admission/engine_desk.ts
+++ b/src/core/admission/engine_desk.ts
@@ -67,6 +67,10 @@
 
 /** Part of the time until the first token is late that an estimate may take here before another engine is tried. */
 const SPREAD_SHARE = 0.65;
+/** Time until one of an engine's slots falls idle, when all are in use: a run of some seconds over the slots. */
+const SLOT_WAIT_MS = 300;
+/** Time by which a load may be later than its estimate. */
+const LOAD_LATENESS_MS = 1_200;
 /** Time after taking an engine over in which daemons tell of the runs that they have there. */
 const ADOPTION_MS = 900;
 /** Backlog of prompts beyond which a request waits here instead of in the engine. */
@@ -167,23 +171,29 @@
   }
 
   recordFirstToken(permitId: string, now: Milliseconds): void {
+    this.places.recordLoadInTime();
     this.room.recordFirstToken(permitId);
     this.pump(now);
   }
 
-  /** Notes that the engine had not finished loading what a permit was for. */
+  /**
+   * Takes back a permit that the engine did not honour. Returns whether the
+   * adapter was ordered so lately that its load may not be done.
+   */
   recordNotReady(
     permitId: string,
     delayMs: Milliseconds,
     now: Milliseconds,
-  ): void {
+  ): boolean {
     const permit = this.#permits.get(permitId);
-    if (!permit) return;
-    const place = this.places.getPlace(permit.adapterPath);
-    if (place && place.state === "resident") {
-      this.places.delayLoad(place, delayMs, now);
+    const place = permit && this.places.getPlace(permit.adapterPath);
+    const isLoadLate = place !== undefined &&
+      now - place.readyAt < LOAD_LATENESS_MS;
+    if (isLoadLate && place.state === "resident") {
+      this.places.recordLoadLate(place, delayMs, now);
     }
     this.releasePermit(permitId, now);
+    return isLoadLate;
   }
 
   tick(now: Milliseconds): void {
@@ -271,14 +281,14 @@
     const isAbsent = request.adapter !== "" && place === undefined;
     const isWithoutSlot = isAbsent && !this.places.hasRoom() &&
       this.#findEvictable(now) === undefined;
-    if (isWithoutSlot && !request.isLastChoice) return DenialReason.SlotsInUse;
     const firstTokenMs = this.estimateFirstTokenMs(request, now);
     if (request.isLastChoice) {
       const placeMs = firstTokenMs - this.room.estimateOwnPrefillMs(request);
       return placeMs > request.patienceMs ? DenialReason.Busy : undefined;
     }
     const isLate = firstTokenMs > SPREAD_SHARE * request.firstTokenBudgetMs;
-    return isLate ? DenialReason.Busy : undefined;
+    if (!isLate) return undefined;
+    return isWithoutSlot ? DenialReason.SlotsInUse : DenialReason.Busy;
   }
 
   #findEvictable(now: Milliseconds): Place | undefined {
@@ -297,7 +307,7 @@
     const backlogMs = this.room.estimateBacklogMs(now);
     const queueMs = this.#sumWaitingPrefillMs(request);
     const loadMs = isAbsent
-      ? this.places.estimateLoadMs(request.adapterPath, 0)
+      ? this.#estimateLoadMs(request, now)
       : place?.state === "loading"
       ? Math.max(0, place.readyAt - now)
       : 0;
@@ -306,6 +316,29 @@
       this.room.estimateOwnPrefillMs(request);
   }
 
+  /** Returns the time of a load, with that for a slot to fall idle and for loads before it. */
+  #estimateLoadMs(request: PermitRequest, now: Milliseconds): Milliseconds {
+    const before = this.#countWaitingAbsent(request);
+    const needsSlot = !this.places.hasRoom() &&
+      this.#findEvictable(now) === undefined;
+    const slotMs = needsSlot ? SLOT_WAIT_MS * (1 + before) : 0;
+    return slotMs +
+      this.places.estimateLoadMs(request.adapterPath) +
+      this.places.estimateFetchQueueMs(request.adapterPath, before);
+  }
+
+  /** Counts the other adapters that wait for a load here. */
+  #countWaitingAbsent(request: PermitRequest): number {
+    const absent = new Set<string>();
+    for (const { request: other } of this.#waiting.values()) {
+      const isAbsent = other.adapter !== "" &&
+        other.adapterPath !== request.adapterPath &&
+        this.places.getPlace(other.adapterPath) === undefined;
+      if (isAbsent) absent.add(other.adapterPath);
+    }
+    return absent.size;
+  }
+
   #sumWaitingPrefillMs(request: PermitRequest): Milliseconds {
     let sum = 0;
     for (const waiting of this.#waiting.values()) {
--- a/src/core/ordering/engine_holder.ts
+++ b/src/core/ordering/engine_holder.ts
@@ -22,11 +22,13 @@
 
 /** A report with what the engine holds. */
 export interface HeldReport extends OrderReport {
+  models: readonly string[];
   adapters: ReadonlyMap<string, { version: number; isComing: boolean }>;
 }
 
 /** What a holder that stops tells the next one. */
 export interface TenureHandover {
+  models: string[];
   sequence: number;
   bornAtUnixMs: number;
   adapters: [adapterPath: string, version: number, isComing: boolean][];
@@ -80,9 +82,12 @@
   #nextOrderAt = Number.NEGATIVE_INFINITY;
   #lastOrderAt = Number.NEGATIVE_INFINITY;
   #isInDoubt = false;
+  readonly #models = new Set<string>();
+  #limits: EngineLimits;
 
   constructor(options: EngineHolderOptions) {
     this.#options = options;
+    this.#limits = options.limits;
     this.#tenure = new OrderTenure({ termMs: options.termMs });
     this.desk = new EngineDesk(
       new AdapterPlaces(options.limits.adapterSlots),
@@ -99,6 +104,7 @@
   }
 
   setLimits(limits: EngineLimits): void {
+    this.#limits = limits;
     this.desk.places.setCapacity(limits.adapterSlots);
     this.desk.room.setLimits(limits);
   }
@@ -123,9 +129,19 @@
     return this.#takeAnswers();
   }
 
-  /** Notes that the engine lacks what it should hold: its report is wanted. */
-  recordDoubt(): void {
-    this.#isInDoubt = true;
+  /** Notes that the engine did not run a permitted request. */
+  recordUnusable(
+    unusable: {
+      permitId: string;
+      isMisdirected: boolean;
+      delayMs: Milliseconds;
+    },
+    now: Milliseconds,
+  ): void {
+    const { permitId, isMisdirected, delayMs } = unusable;
+    const isLoadLate = this.desk.recordNotReady(permitId, delayMs, now);
+    // What should long be there is not: only the engine itself can tell.
+    if (isMisdirected && !isLoadLate) this.#isInDoubt = true;
   }
 
   recordReport(report: HeldReport, now: Milliseconds): HolderEffect[] {
@@ -145,7 +161,7 @@
       case "restarted":
         this.desk.clearPermits();
         this.desk.places.clear();
-        this.desk.places.reconcile(report.adapters, now);
+        this.#believe(report, now);
         return [this.#describeBelief("engineRestarted", {})];
       case "lastOrderAccepted":
       case "lastOrderNotAccepted":
@@ -172,7 +188,8 @@
     this.#ordered = undefined;
     this.#tenure.recordOrderAnswer(answer, ordered.sentAt, now);
     if (answer.kind === "accepted") {
-      this.#applyOrder(ordered.order, fleetFetches, now);
+      this.desk.places.setFleetFetches(fleetFetches);
+      this.#applyOrder(ordered.order, now);
       return [];
     }
     this.#nextOrderAt = now + ORDER_RETRY_MS;
@@ -221,6 +238,7 @@
       ? {
         sequence: state.sequence,
         bornAtUnixMs: state.bornAtUnixMs,
+        models: [...this.#models],
         adapters: this.desk.places.listPlaces().map((
           place,
         ): TenureHandover["adapters"][number] => [
@@ -239,13 +257,15 @@
     }
     this.desk.places.clear();
     this.desk.beginAdoption(now);
-    this.desk.places.reconcile(
-      new Map(handover.adapters.map(([path, version, isComing]) => [
-        path,
-        { version, isComing },
-      ])),
-      now,
-    );
+    this.#believe({
+      models: handover.models,
+      adapters: new Map(
+        handover.adapters.map(([path, version, isComing]) => [
+          path,
+          { version, isComing },
+        ]),
+      ),
+    }, now);
     return [this.#describeBelief("handedOver", {
       sequence: handover.sequence,
       fence: this.#tenure.getFence(),
@@ -272,9 +292,7 @@
     this.desk.places.clear();
     this.desk.clearPermits();
     this.desk.beginAdoption(now);
-    if (this.#observed) {
-      this.desk.places.reconcile(this.#observed.adapters, now);
-    }
+    if (this.#observed) this.#believe(this.#observed, now);
     return [this.#describeBelief("claimed", {
       sequence: this.#tenure.getExpectedSequence(),
       fence: this.#tenure.getFence(),
@@ -289,7 +307,9 @@
     const isBlocked = expectedSequence === undefined || this.#ordered ||
       this.#isInDoubt || now < this.#nextOrderAt;
     if (isBlocked) return [];
-    const order = this.desk.findWantedOrder(situation.canFetch, now);
+    this.desk.places.setFleetFetches(situation.fleetFetches);
+    const order = this.#findMissingModel() ??
+      this.desk.findWantedOrder(situation.canFetch, now);
     if (!order) return [];
     this.#ordered = { order, sentAt: now };
     this.#lastOrderAt = now;
@@ -302,23 +322,46 @@
     }];
   }
 
-  #applyOrder(
-    order: WantedOrder,
-    fleetFetches: number,
-    now: Milliseconds,
-  ): void {
+  /** Returns the load of a base model that the engine lacks and has room for. */
+  #findMissingModel(): WantedOrder | undefined {
+    const { models, weightsMb } = this.#limits;
+    const heldMb = models.filter((model) => this.#models.has(model.name))
+      .reduce((sum, model) => sum + model.weightsMb, 0);
+    const missing = models.find((model) =>
+      !this.#models.has(model.name) && heldMb + model.weightsMb <= weightsMb
+    );
+    return missing && {
+      kind: "load",
+      model: missing.name,
+      adapter: "",
+      adapterPath: missing.name,
+      version: undefined,
+    };
+  }
+
+  #applyOrder(order: WantedOrder, now: Milliseconds): void {
     const { places } = this.desk;
     if (order.kind === "evict") places.recordEvicted(order.adapterPath);
-    else {
-      places.recordLoadOrdered(
-        order.adapterPath,
-        order.version,
-        fleetFetches,
-        now,
-      );
+    else if (order.adapter !== "") {
+      places.recordLoadOrdered(order.adapterPath, order.version, now);
+    } else {
+      this.#models.add(order.model);
+      const loadMs = this.#limits.models
+        .find((model) => model.name === order.model)?.loadMs ?? 0;
+      // The engine refuses other orders until the model is there.
+      this.#nextOrderAt = now + loadMs;
     }
   }
 
+  #believe(
+    held: Pick<HeldReport, "models" | "adapters">,
+    now: Milliseconds,
+  ): void {
+    this.#models.clear();
+    for (const model of held.models) this.#models.add(model);
+    this.desk.places.reconcile(held.adapters, now);
+  }
+
   #needsReport(now: Milliseconds): boolean {
     if (this.#isReading || now - this.#lastReadAt < REPORT_INTERVAL_MS) {
       return false;
@@ -336,7 +379,7 @@
       state.sequence === report.sequence;
     if (!isNewer || !isSame) return;
     this.#isInDoubt = false;
-    this.desk.places.reconcile(report.adapters, now);
+    this.#believe(report, now);
     this.desk.pump(now);
   }
 
--- a/src/core/ordering/order_tenure.ts
+++ b/src/core/ordering/order_tenure.ts
@@ -123,10 +123,16 @@
     }
   }
 
-  /** Returns whether a whole term has passed since the report that was observed. */
+  /**
+   * Returns whether a whole term has passed since the report that was observed.
+   * An engine that has accepted no order since its start has had no holder: its
+   * first order is refused to all but one.
+   */
   isTermOver(now: Milliseconds): boolean {
-    return this.#state.kind === "observing" &&
-      now - this.#state.observedAt >= this.#options.termMs + TERM_MARGIN_MS;
+    if (this.#state.kind !== "observing") return false;
+    const { sequence, observedAt } = this.#state;
+    return sequence === 0 ||
+      now - observedAt >= this.#options.termMs + TERM_MARGIN_MS;
   }
 
   /** Takes the right to order, once the term is over. */
--- a/src/core/placement/adapter_places.ts
+++ b/src/core/placement/adapter_places.ts
@@ -30,15 +30,25 @@
 const KEPT_ADAPTERS = 40;
 /** Loads from the store, over all engines, up to which each takes its full speed. */
 const FETCHES_AT_FULL_SPEED = 8;
+/** Loads on their way over all engines below which a new one starts at once. */
+const FETCHES_UNQUEUED = 4;
 /** Adapters on their way to one engine, at most: the platform's bound. */
 export const MAX_COMING = 4;
 /** Time in which a use loses half of its weight. */
 const USE_HALF_LIFE_MS = 15_000;
+/** Bounds and steps of the factor by which the estimate of a load follows what is seen. */
+const MAX_SLOWNESS = 3;
+const SLOWNESS_GROWTH = 1.12;
+const SLOWNESS_DECAY = 0.97;
 /** Longest time for which a load that is not done is waited for before the engine is asked. */
 const LOAD_PATIENCE_MS = 3_000;
 
 export class AdapterPlaces {
   #capacity: number;
+  /** Loads from the weight store on their way, over all engines. */
+  #fleetFetches = 0;
+  /** How much longer loads take than the first estimate. */
+  #slowness = 1;
   readonly #places = new Map<string, Place>();
   /** Adapters that were evicted lately, oldest first. */
   readonly #kept = new Set<string>();
@@ -51,6 +61,10 @@
     this.#capacity = capacity;
   }
 
+  setFleetFetches(fleetFetches: number): void {
+    this.#fleetFetches = fleetFetches;
+  }
+
   getPlace(adapterPath: string): Place | undefined {
     return this.#places.get(adapterPath);
   }
@@ -74,9 +88,18 @@
   }
 
   /** Returns how long a load takes that starts now. */
-  estimateLoadMs(adapterPath: string, fleetFetches: number): Milliseconds {
+  estimateLoadMs(adapterPath: string): Milliseconds {
     if (!this.isFetch(adapterPath)) return RELOAD_MS;
-    return FETCH_MS * Math.max(1, (fleetFetches + 1) / FETCHES_AT_FULL_SPEED);
+    const crowd = (this.#fleetFetches + 1) / FETCHES_AT_FULL_SPEED;
+    return FETCH_MS * this.#slowness * Math.max(1, crowd);
+  }
+
+  /** Returns how long a load waits for others of the weight store. */
+  estimateFetchQueueMs(adapterPath: string, before: number): Milliseconds {
+    if (!this.isFetch(adapterPath)) return 0;
+    const crowd = (this.#fleetFetches - FETCHES_UNQUEUED) /
+      FETCHES_AT_FULL_SPEED;
+    return FETCH_MS * (Math.max(0, crowd) + before);
   }
 
   /** Returns the idle adapter that yields first, or undefined when all are in use. */
@@ -94,14 +117,13 @@
   recordLoadOrdered(
     adapterPath: string,
     version: number | undefined,
-    fleetFetches: number,
     now: Milliseconds,
   ): void {
     const place = this.#places.get(adapterPath) ??
       this.#createPlace(adapterPath, now);
     place.version = version;
     place.state = "loading";
-    place.readyAt = now + this.estimateLoadMs(adapterPath, fleetFetches);
+    place.readyAt = now + this.estimateLoadMs(adapterPath);
     this.#places.set(adapterPath, place);
     this.#kept.delete(adapterPath);
   }
@@ -130,8 +152,18 @@
     return done;
   }
 
+  /** Notes that a load has taken no longer than estimated. */
+  recordLoadInTime(): void {
+    this.#slowness = Math.max(1, this.#slowness * SLOWNESS_DECAY);
+  }
+
   /** Notes that the engine was not ready for the adapter yet. */
-  delayLoad(place: Place, delayMs: Milliseconds, now: Milliseconds): void {
+  recordLoadLate(place: Place, delayMs: Milliseconds, now: Milliseconds): void {
+    this.#slowness = Math.min(MAX_SLOWNESS, this.#slowness * SLOWNESS_GROWTH);
+    this.#delayLoad(place, delayMs, now);
+  }
+
+  #delayLoad(place: Place, delayMs: Milliseconds, now: Milliseconds): void {
     place.state = "loading";
     place.readyAt = now + delayMs;
   }
@@ -149,7 +181,7 @@
       const place = known ?? this.#createPlace(adapterPath, now);
       place.version = version;
       const isNewlyComing = isComing && place.state !== "loading";
-      if (isNewlyComing) this.delayLoad(place, FETCH_MS, now);
+      if (isNewlyComing) this.#delayLoad(place, FETCH_MS, now);
       if (!isComing && place.state === "loading") {
         place.readyAt = Math.min(place.readyAt, now);
       }
--- a/src/core/placement/upstream_choice.ts
+++ b/src/core/placement/upstream_choice.ts
@@ -11,7 +11,7 @@
 import type { UpstreamHealth } from "./upstream_health.ts";
 
 /** Engines that may take a copy of one adapter. */
-export const MAX_ADAPTER_HOMES = 4;
+export const MAX_ADAPTER_HOMES = 6;
 
 /** Returns the engines for an adapter, its home first; ill ones come last. */
 export function rankEngines(
--- a/src/core/view/published_view.ts
+++ b/src/core/view/published_view.ts
@@ -43,6 +43,17 @@
   batchSize: number;
   /** Tokens that fit into the KV cache. */
   kvCapacityTokens: number;
+  /** Memory for the weights of models and adapters, in megabytes. */
+  weightsMb: number;
+  models: ModelLimits[];
+}
+
+/** A base model that engines of a service may hold. */
+export interface ModelLimits {
+  name: string;
+  weightsMb: number;
+  /** Time of a load from the weight store. */
+  loadMs: Milliseconds;
 }
 
 export interface PublishedService {
--- a/src/gateway/engine_task.ts
+++ b/src/gateway/engine_task.ts
@@ -36,6 +36,8 @@
 const MAX_RUNS_PER_MESSAGE = 6;
 /** Daemons, by rank, that observe an engine while it has no holder. */
 const OBSERVERS = 2;
+/** Loads from the weight store that one daemon has on the way at most. */
+const MAX_OWN_FETCHES = 3;
 /** Added to a permit's patience for the way there and back. */
 const ANSWER_SLACK_MS = 150;
 /** Time after the start before engines are sought: peers are heard by then. */
@@ -278,11 +280,17 @@
       isWanted,
       isCandidate: isWanted || this.#isObserver(engine, now),
       fleetFetches,
-      canFetch: fleetFetches < FLEET_FETCHES ||
-        this.countFetches() < FLEET_FETCHES / fleet.countLiving(now),
+      canFetch: this.#canFetch(fleetFetches),
     };
   }
 
+  /** What peers have on the way is known late, so each daemon keeps to a few. */
+  #canFetch(fleetFetches: number): boolean {
+    const ownFetches = this.countFetches();
+    return ownFetches === 0 ||
+      (fleetFetches < FLEET_FETCHES && ownFetches < MAX_OWN_FETCHES);
+  }
+
   /** A holder keeps the engine while it lives; of two, the preferred one does. */
   #isWanted(
     engine: PublishedUpstream,
@@ -381,12 +389,7 @@
   ): void {
     const holder = this.#getHeld(message.engineId);
     if (!holder) return;
-    if (message.isMisdirected) {
-      holder.recordDoubt();
-      holder.desk.releasePermit(message.permitId, now);
-    } else {
-      holder.desk.recordNotReady(message.permitId, message.delayMs, now);
-    }
+    holder.recordUnusable(message, now);
     this.#pump(message.engineId, now);
   }
 
--- a/src/gateway/ports.ts
+++ b/src/gateway/ports.ts
@@ -131,6 +131,8 @@
 
 /** An engine's account of itself. */
 export interface EngineReport extends OrderReport {
+  /** Base models that it holds. */
+  models: string[];
   /** Resident and coming adapters as `model/adapter`, with their versions. */
   adapters: Map<string, { version: number; isComing: boolean }>;
   running: number;
@@ -140,6 +142,7 @@
 export interface AdapterOrder {
   kind: "load" | "evict";
   model: string;
+  /** Empty for the base model itself. */
   adapter: string;
   /** Version to load; undefined for the newest. */
   version: number | undefined;
--- a/src/gateway/request_flow.ts
+++ b/src/gateway/request_flow.ts
@@ -38,10 +38,10 @@
 
 /** Time of a caller's deadline that the ways to it and back take. */
 const TRAVEL_MS = 8;
-/** Part of the time until the first token is late that the first engines asked may take to give a place. */
-const FIRST_PATIENCE_SHARE = 0.6;
 /** Part of the time left that a place is waited for, when the first token will be late. */
 const LATE_PATIENCE_SHARE = 0.25;
+/** Time by which another engine must be faster than an adapter's home. */
+const COPY_GAIN_MS = 120;
 /** Shortest wait for a place: a load of an adapter that the engine held lately takes this long. */
 const MIN_PATIENCE_MS = 60;
 /** Part of the time left that an idempotent request gives one upstream to answer. */
@@ -75,6 +75,7 @@
   readonly #endsAt: Milliseconds;
   readonly #splitter = new EventSplitter();
   readonly #passedOver = new Set<string>();
+  readonly #rejectedBy = new Set<string>();
   #running: RunningAttempt | undefined;
   #allAttempts = 0;
   #ranAttempts = 0;
@@ -82,6 +83,8 @@
   #isFinished = false;
   #head: { status: number; rawHeaders: string[] } | undefined;
   #expectedMs: Milliseconds = DEFAULT_RETRY_AFTER_MS;
+  #sentAt: Milliseconds = Number.NaN;
+  #firstByteAt: Milliseconds = Number.NaN;
   #place: EnginePlace | undefined;
   #placeCount = 0;
 
@@ -160,6 +163,7 @@
     const isStream = this.#route.repeatability === Repeatability.Stream;
     const load = this.#getServiceLoad(upstream.id);
     this.#allAttempts += 1;
+    this.#sentAt = this.#now();
     load.ownRunning += 1;
     this.#running = runAttempt(this.#context, {
       exchange: this.#exchange,
@@ -199,7 +203,8 @@
     const { metrics } = this.#context;
     this.#hasForwarded = true;
     this.#exchange.startStream(this.#head.status, this.#head.rawHeaders);
-    const elapsedMs = this.#now() - this.#exchange.arrivedAt;
+    this.#firstByteAt = this.#now();
+    const elapsedMs = this.#firstByteAt - this.#exchange.arrivedAt;
     metrics.measure("first_byte", this.#route.repeatability, elapsedMs);
     if (!this.#place) return;
     this.#context.engines.tellHolder({
@@ -263,6 +268,8 @@
       status: result?.status,
       attempts: this.#allAttempts,
       ran: this.#ranAttempts,
+      sentMs: roundMs(this.#sentAt - this.#exchange.arrivedAt),
+      firstByteMs: roundMs(this.#firstByteAt - this.#exchange.arrivedAt),
       elapsedMs: roundMs(this.#now() - this.#exchange.arrivedAt),
       remainingMs: roundMs(this.#getRemainingMs()),
       configurationVersion: view.configuration?.version,
@@ -271,7 +278,7 @@
     switch (verdict.kind) {
       case "tryAnother":
         metrics.count("repeats", result?.outcome ?? reason);
-        if (result) this.#passedOver.add(result.upstreamId);
+        if (result) this.#passOver(result);
         // The next upstream starts with a whole event.
         this.#splitter.takeRest();
         break;
@@ -289,6 +296,16 @@
     }
   }
 
+  /** An engine whose load was late is asked once more; others are passed over. */
+  #passOver(result: AttemptResult): void {
+    const { upstreamId } = result;
+    const isFirstRejection = this.#service.engine !== undefined &&
+      result.outcome === AttemptOutcome.NotRun &&
+      !this.#rejectedBy.has(upstreamId);
+    if (isFirstRejection) this.#rejectedBy.add(upstreamId);
+    else this.#passedOver.add(upstreamId);
+  }
+
   #deliver(result: AttemptResult | undefined): void {
     this.#isFinished = true;
     const elapsedMs = this.#now() - this.#exchange.arrivedAt;
@@ -431,9 +448,13 @@
     for (const engine of candidates) {
       const { answer, grantorId } = await this.#askPlace(engine, false);
       if (this.#takeAnswer(engine, answer, grantorId)) return engine;
-      if (this.#isFinished) return undefined;
-      if (answer.kind !== "denied" || answer.reason === "notHolder") continue;
-      if (!shortest || answer.retryAfterMs < shortest.ms) {
+      if (this.#isFinished || answer.kind !== "denied") return undefined;
+      if (answer.reason === "overdue") return undefined;
+      if (answer.reason === "notHolder") continue;
+      // Each copy of an adapter costs a load: the home is left only for a clear gain.
+      const isClearlyShorter = !shortest ||
+        answer.retryAfterMs < shortest.ms - COPY_GAIN_MS;
+      if (isClearlyShorter) {
         shortest = { engine, ms: answer.retryAfterMs };
       }
     }
@@ -499,9 +520,10 @@
     const remainingMs = Math.max(1, this.#getRemainingMs());
     const elapsedMs = this.#now() - this.#exchange.arrivedAt;
     const firstTokenBudgetMs = Math.max(0, latencyObjectiveMs - elapsedMs);
-    const patienceMs = isLastChoice
-      ? Math.max(firstTokenBudgetMs, LATE_PATIENCE_SHARE * remainingMs)
-      : FIRST_PATIENCE_SHARE * firstTokenBudgetMs;
+    const patienceMs = Math.max(
+      firstTokenBudgetMs,
+      LATE_PATIENCE_SHARE * remainingMs,
+    );
     this.#placeCount += 1;
     return engines.askPermit(engine, {
       permitId: `${facts.requestId}.${this.#placeCount}`,
