--- a/src/gateway/engine_task.ts
+++ b/src/gateway/engine_task.ts
@@ -368,7 +368,7 @@
     now: Milliseconds,
   ): void {
     const holder = this.#holders.get(engineId);
-    if (!holder) {
+    if (!holder || this.#options.view.getUpstream(engineId)?.isLeaving) {
       const answer: PermitAnswer = {
         kind: "denied",
         permitId: request.permitId,
--- a/src/gateway/request_flow.ts
+++ b/src/gateway/request_flow.ts
@@ -42,6 +42,8 @@
 const LATE_PATIENCE_SHARE = 0.25;
 /** Time by which another engine must be faster than an adapter's home. */
 const COPY_GAIN_MS = 120;
+/** Times that a request looks for another upstream because its own began to leave. */
+const MAX_LEFT_WHILE_WAITING = 3;
 /** Shortest wait for a place: a load of an adapter that the engine held lately takes this long. */
 const MIN_PATIENCE_MS = 60;
 /** Part of the time left that an idempotent request gives one upstream to answer. */
@@ -87,6 +89,7 @@
   #firstByteAt: Milliseconds = Number.NaN;
   #place: EnginePlace | undefined;
   #placeCount = 0;
+  #leftWhileWaiting = 0;
 
   constructor(
     context: RequestContext,
@@ -142,7 +145,14 @@
       this.#releasePlace();
       return;
     }
-    if (!upstream) {
+    if (upstream && this.#isLeaving(upstream)) {
+      // It began to leave while the request waited for its place.
+      this.#passedOver.add(upstream.id);
+      this.#releasePlace();
+      this.#leftWhileWaiting += 1;
+      if (this.#leftWhileWaiting <= MAX_LEFT_WHILE_WAITING) return;
+    }
+    if (!upstream || this.#isLeaving(upstream)) {
       this.#conclude(
         "noPlace",
         this.#ranAttempts === 0
@@ -158,6 +168,10 @@
     this.#conclude(result.detail, this.#decide(result), result);
   }
 
+  #isLeaving(upstream: PublishedUpstream): boolean {
+    return this.#context.view.getUpstream(upstream.id)?.isLeaving ?? true;
+  }
+
   async #send(upstream: PublishedUpstream): Promise<AttemptResult> {
     const { facts } = this.#exchange;
     const isStream = this.#route.repeatability === Repeatability.Stream;
--- a/src/gateway/upstream_client.ts
+++ b/src/gateway/upstream_client.ts
@@ -101,6 +101,7 @@
   const fail = (detail: string): void =>
     end({ kind: hasConnected ? "broken" : "notSent", detail });
   call.on("socket", (socket: Socket) => {
+    watchForReset(socket);
     if (!socket.connecting) {
       hasConnected = true;
       return;
@@ -124,7 +125,8 @@
     response.on("error", (error) => fail(describeError(error)));
     response.on("close", () => fail("connection closed within the answer"));
     response.on("end", () => {
-      if (response.complete) end({ kind: "complete" });
+      const isReset = resetSockets.has(response.socket);
+      if (response.complete && !isReset) end({ kind: "complete" });
       else fail("answer ended early");
     });
   });
@@ -137,6 +139,23 @@
   };
 }
 
+/** Sockets that ended because their peer reset the connection. */
+const resetSockets = new WeakSet<Socket>();
+const watchedSockets = new WeakSet<Socket>();
+
+/**
+ * A reset can show as a plain end of the stream, at which a body without a
+ * length would pass for whole. A connection that was reset has no peer any
+ * more, one that was closed still has.
+ */
+function watchForReset(socket: Socket): void {
+  if (watchedSockets.has(socket)) return;
+  watchedSockets.add(socket);
+  socket.prependListener("end", () => {
+    if (socket.remoteAddress === undefined) resetSockets.add(socket);
+  });
+}
+
 /** The error of a request that was given up on purpose tells nothing. */
 function ignoreAfterCancel(): void {}
 
