Test the gateway's decisions by replayed loads; count an old failure as nothing

Cause: the replay of a half-failing upstream that recovers found that any share of failures, however old, kept it behind sound ones for good, as scores were compared exactly. Shares below 0.05 now count as none.

--- a/src/core/admission/engine_desk.ts
+++ b/src/core/admission/engine_desk.ts
@@ -124,7 +124,7 @@
     if (this.#waiting.has(request.permitId)) return;
     const denial = this.#findDenial(request, now);
     if (denial) {
-      this.#deny(request, denial, now);
+      this.#refuse(request, denial, now);
       return;
     }
     this.#waiting.set(request.permitId, {
@@ -204,7 +204,7 @@
     for (const [permitId, waiting] of this.#waiting) {
       if (waiting.overdueAt > now) continue;
       this.#waiting.delete(permitId);
-      this.#deny(waiting.request, DenialReason.Overdue, now);
+      this.#refuse(waiting.request, DenialReason.Overdue, now);
     }
     this.pump(now);
   }
@@ -241,15 +241,15 @@
       if (place || this.places.hasRoom()) return load;
       const evictable = this.#findEvictable(now);
       if (!evictable) continue;
-      return { kind: "evict", ...splitAdapterPath(evictable.adapterPath) };
+      return { kind: "evict", ...parseAdapterPath(evictable.adapterPath) };
     }
     return undefined;
   }
 
   /** Denies all that waits, when the engine is given up. */
-  denyAll(reason: DenialReason, now: Milliseconds): void {
+  refuseAll(reason: DenialReason, now: Milliseconds): void {
     for (const { request } of this.#waiting.values()) {
-      this.#deny(request, reason, now);
+      this.#refuse(request, reason, now);
     }
     this.#waiting.clear();
   }
@@ -365,7 +365,7 @@
     this.#answers.push({ kind: "granted", permitId, holder });
   }
 
-  #deny(
+  #refuse(
     request: PermitRequest,
     reason: DenialReason,
     now: Milliseconds,
@@ -387,7 +387,7 @@
 }
 
 /** Splits `model/adapter`. */
-function splitAdapterPath(
+function parseAdapterPath(
   adapterPath: string,
 ): { model: string; adapter: string; adapterPath: string } {
   const separator = adapterPath.indexOf("/");
--- a/src/core/ordering/engine_holder.ts
+++ b/src/core/ordering/engine_holder.ts
@@ -163,7 +163,7 @@
       case "restarted":
         this.desk.clearPermits();
         this.desk.places.clear();
-        this.#believe(report, now);
+        this.#recordHeld(report, now);
         return [this.#describeBelief("engineRestarted", {})];
       case "lastOrderAccepted":
       case "lastOrderNotAccepted":
@@ -261,7 +261,7 @@
     if (!this.#tenure.acceptHandover(handover, now)) return [];
     this.desk.places.clear();
     this.desk.beginAdoption(now);
-    this.#believe({
+    this.#recordHeld({
       models: handover.models,
       adapters: new Map(
         handover.adapters.map(([path, version, isComing]) => [
@@ -295,7 +295,7 @@
     this.desk.places.clear();
     this.desk.clearPermits();
     this.desk.beginAdoption(now);
-    if (this.#observed) this.#believe(this.#observed, now);
+    if (this.#observed) this.#recordHeld(this.#observed, now);
     return [this.#describeBelief("claimed", {
       sequence: this.#tenure.getExpectedSequence(),
     })];
@@ -358,7 +358,7 @@
     }
   }
 
-  #believe(
+  #recordHeld(
     held: Pick<HeldReport, "models" | "adapters">,
     now: Milliseconds,
   ): void {
@@ -384,7 +384,7 @@
       state.sequence === report.sequence;
     if (!isNewer || !isSame) return;
     this.#isInDoubt = false;
-    this.#believe(report, now);
+    this.#recordHeld(report, now);
     this.desk.pump(now);
   }
 
@@ -395,7 +395,7 @@
   }
 
   #dropDesk(now: Milliseconds): HolderEffect[] {
-    this.desk.denyAll(DenialReason.NotHolder, now);
+    this.desk.refuseAll(DenialReason.NotHolder, now);
     this.desk.clearPermits();
     this.#observed = undefined;
     this.#isInDoubt = false;
--- a/src/core/placement/adapter_places.ts
+++ b/src/core/placement/adapter_places.ts
@@ -138,7 +138,7 @@
   }
 
   recordUse(place: Place, permitId: string, now: Milliseconds): void {
-    place.uses = decayUses(place, now) + 1;
+    place.uses = computeUses(place, now) + 1;
     place.lastUsedAt = now;
     place.permits.add(permitId);
   }
@@ -214,11 +214,11 @@
   }
 }
 
-function decayUses(place: Place, now: Milliseconds): number {
+function computeUses(place: Place, now: Milliseconds): number {
   return place.uses * 0.5 ** ((now - place.lastUsedAt) / USE_HALF_LIFE_MS);
 }
 
 /** Frequency first, recency among equals. */
 function getWorth(place: Place, now: Milliseconds): number {
-  return decayUses(place, now);
+  return computeUses(place, now);
 }
--- a/src/core/placement/upstream_health.ts
+++ b/src/core/placement/upstream_health.ts
@@ -24,6 +24,8 @@
 const PRIOR_ANSWERS = 3;
 /** Time for which an upstream that can't be reached is passed over. */
 const UNREACHABLE_PAUSE_MS = 1_500;
+/** Share of failures below which an upstream counts as sound, so that old ones do not keep it out. */
+const NEGLIGIBLE_SHARE = 0.05;
 /** Share of failures from which an upstream is taken for ill. */
 const ILL_FAILURE_SHARE = 0.35;
 
@@ -38,7 +40,7 @@
   readonly #records = new Map<string, Record>();
 
   recordSign(upstreamId: string, sign: HealthSign, now: Milliseconds): void {
-    const record = this.#refresh(upstreamId, now);
+    const record = this.#updateRecord(upstreamId, now);
     switch (sign) {
       case HealthSign.Answered:
         record.answered += 1;
@@ -60,8 +62,9 @@
   /** Returns the share of attempts that fail there, 0 to 1, recent ones foremost. */
   getFailureShare(upstreamId: string, now: Milliseconds): number {
     if (!this.#records.has(upstreamId)) return 0;
-    const { answered, failed } = this.#refresh(upstreamId, now);
-    return failed / (answered + failed + PRIOR_ANSWERS);
+    const { answered, failed } = this.#updateRecord(upstreamId, now);
+    const share = failed / (answered + failed + PRIOR_ANSWERS);
+    return share < NEGLIGIBLE_SHARE ? 0 : share;
   }
 
   /** Returns whether requests go elsewhere where they can. */
@@ -76,7 +79,7 @@
     this.#records.delete(upstreamId);
   }
 
-  #refresh(upstreamId: string, now: Milliseconds): Record {
+  #updateRecord(upstreamId: string, now: Milliseconds): Record {
     const record = this.#records.get(upstreamId) ??
       { answered: 0, failed: 0, updatedAt: now, avoidedUntil: now };
     const decay = 0.5 ** ((now - record.updatedAt) / HALF_LIFE_MS);
--- a/src/gateway/engine_task.ts
+++ b/src/gateway/engine_task.ts
@@ -121,7 +121,7 @@
       (this.#holders.get(engine.id)?.isHolding()
         ? selfId
         : fleet.rankHolders(engine, this.#isStopping, now)[0]?.id);
-    const deny = (reason: DenialReason): PermitReply => ({
+    const createDenial = (reason: DenialReason): PermitReply => ({
       answer: {
         kind: "denied",
         permitId: request.permitId,
@@ -131,7 +131,7 @@
       },
       grantorId: holderId ?? "",
     });
-    if (holderId === undefined) return deny(DenialReason.NotHolder);
+    if (holderId === undefined) return createDenial(DenialReason.NotHolder);
     return await new Promise<PermitReply>((resolve) => {
       const key = formatPermitKey(engine.id, request.permitId);
       const settle = (reply: PermitReply): void => {
@@ -140,7 +140,7 @@
         resolve(reply);
       };
       const timer = setTimeout(
-        () => settle(deny(DenialReason.Overdue)),
+        () => settle(createDenial(DenialReason.Overdue)),
         request.patienceMs + ANSWER_SLACK_MS,
       );
       this.#pendingPermits.set(key, { settle });
@@ -149,7 +149,7 @@
         engineId: engine.id,
         request,
       }).then((isDelivered) => {
-        if (!isDelivered) settle(deny(DenialReason.NotHolder));
+        if (!isDelivered) settle(createDenial(DenialReason.NotHolder));
       });
     });
   }
@@ -160,7 +160,7 @@
   }
 
   /** Tells the daemon that counts a run of this one something about it. */
-  tellHolder(
+  notifyHolder(
     message: Extract<
       GatewayMessage,
       { kind: "permitReleased" | "firstToken" | "permitUnusable" }
@@ -232,9 +232,9 @@
   #tick(): void {
     const now = performance.now();
     this.#followView();
-    this.#tellRuns(now);
+    this.#notifyHolders(now);
     for (const holder of this.#holders.values()) {
-      this.#carryOut(holder.tick(this.#assess(holder, now), now));
+      this.#carryOut(holder.tick(this.#describeSituation(holder, now), now));
     }
   }
 
@@ -265,8 +265,8 @@
     }
   }
 
-  #assess(holder: EngineHolder, now: Milliseconds): HolderSituation {
-    const { fleet, view } = this.#options;
+  #describeSituation(holder: EngineHolder, now: Milliseconds): HolderSituation {
+    const { view } = this.#options;
     const fleetFetches = this.#countFleetFetches(now);
     const engine = view.getUpstream(holder.engineId);
     const isSettled = now - this.#startedAt > SETTLE_MS;
@@ -319,7 +319,7 @@
   }
 
   /** Tells holders of the runs that they do not know of. */
-  #tellRuns(now: Milliseconds): void {
+  #notifyHolders(now: Milliseconds): void {
     if (now - this.#lastRunsAt < RUNS_INTERVAL_MS) return;
     this.#lastRunsAt = now;
     const { fleet, selfId } = this.#options;
@@ -411,7 +411,9 @@
 
   #pump(engineId: string, now: Milliseconds): void {
     const holder = this.#getHeld(engineId);
-    if (holder) this.#carryOut(holder.pump(this.#assess(holder, now), now));
+    if (holder) {
+      this.#carryOut(holder.pump(this.#describeSituation(holder, now), now));
+    }
   }
 
   #getHeld(engineId: string): EngineHolder | undefined {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -104,7 +104,7 @@
       listen: { ip, port },
       handleNews: () => {
         this.#callers.applyLimits();
-        this.#beatSoon();
+        this.#scheduleHeartbeat();
       },
     });
     this.#engines = new EngineTask({
@@ -137,7 +137,7 @@
   }
 
   async start(): Promise<void> {
-    const { callers, readiness, metrics, host, failureDomain } = this.#settings;
+    const { callers, readiness, metrics, failureDomain } = this.#settings;
     await this.#peers.listen();
     await this.#follower.start();
     this.#engines.start();
@@ -145,8 +145,11 @@
     await this.#callers.listen(front.ip, front.port);
     await this.#listenForReadiness(readiness.listen);
     if (metrics) await this.#metrics.listen(front.ip, metrics.port);
-    this.#timer = setInterval(() => this.#beat(), HEARTBEAT_INTERVAL_MS);
-    this.#beat();
+    this.#timer = setInterval(
+      () => this.#sendHeartbeats(),
+      HEARTBEAT_INTERVAL_MS,
+    );
+    this.#sendHeartbeats();
     this.#log.info("started", {
       failureDomain,
       incarnation: this.#incarnation,
@@ -162,7 +165,7 @@
     const { graceMs, exitReserveMs } = this.#settings.stop;
     this.#log.info("stopping", { inFlight: this.#callers.inFlight, graceMs });
     this.#callers.beginStop(startedAt + graceMs - exitReserveMs);
-    this.#beat();
+    this.#sendHeartbeats();
     await this.#engines.stop();
     await waitMs(Math.min(UNREADY_NOTICE_MS, graceMs / 2));
     const endsAt = startedAt + graceMs - exitReserveMs;
@@ -221,7 +224,7 @@
     return isReady;
   }
 
-  #beat(): void {
+  #sendHeartbeats(): void {
     const now = performance.now();
     const sinceLastMs = now - this.#lastBeatAt;
     this.#lastBeatAt = now;
@@ -248,12 +251,12 @@
   }
 
   /** Tells peers of news without waiting for the next period. */
-  #beatSoon(): void {
+  #scheduleHeartbeat(): void {
     if (this.#isBeatDue) return;
     this.#isBeatDue = true;
     setTimeout(() => {
       this.#isBeatDue = false;
-      if (this.#timer) this.#beat();
+      if (this.#timer) this.#sendHeartbeats();
     }, NEWS_DELAY_MS);
   }
 
--- a/src/gateway/request_flow.ts
+++ b/src/gateway/request_flow.ts
@@ -221,7 +221,7 @@
     const elapsedMs = this.#firstByteAt - this.#exchange.arrivedAt;
     metrics.measure("first_byte", this.#route.repeatability, elapsedMs);
     if (!this.#place) return;
-    this.#context.engines.tellHolder({
+    this.#context.engines.notifyHolder({
       kind: "firstToken",
       engineId: this.#place.engine.id,
       permitId: this.#place.permitId,
@@ -585,7 +585,7 @@
     this.#place = undefined;
     if (!place) return;
     const isUnusable = result?.outcome === AttemptOutcome.NotRun;
-    this.#context.engines.tellHolder(
+    this.#context.engines.notifyHolder(
       isUnusable
         ? {
           kind: "permitUnusable",
--- a/src/gateway/upstream_client.ts
+++ b/src/gateway/upstream_client.ts
@@ -10,7 +10,6 @@
 } from "node:http";
 import type { Buffer } from "node:buffer";
 import type { Socket } from "node:net";
-import type { Milliseconds } from "../core/structures.ts";
 import { describeError } from "../daemon/step_error.ts";
 
 export interface AttemptRequest {
--- /dev/null
+++ b/test/core/admission/engine_desk_test.ts
@@ -0,0 +1,234 @@
+/** Replays of loads at one engine's desk: slots, prompts, priorities and patience. */
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { BatchRoom } from "../../../src/core/admission/batch_room.ts";
+import {
+  EngineDesk,
+  type PermitRequest,
+  type WantedOrder,
+} from "../../../src/core/admission/engine_desk.ts";
+import { AdapterPlaces } from "../../../src/core/placement/adapter_places.ts";
+
+const SLOTS = 2;
+
+function createDesk(batchSize = 8): EngineDesk {
+  return new EngineDesk(
+    new AdapterPlaces(SLOTS),
+    new BatchRoom({ batchSize, kvCapacityTokens: 100_000 }),
+  );
+}
+
+let lastPermit = 0;
+
+function createRequest(part: Partial<PermitRequest> = {}): PermitRequest {
+  const adapter = part.adapter ?? "a1";
+  lastPermit += 1;
+  return {
+    permitId: `p${lastPermit}`,
+    holder: "entry",
+    model: "m",
+    adapter,
+    adapterPath: adapter === "" ? "m" : `m/${adapter}`,
+    version: undefined,
+    priorityRank: 1,
+    promptTokens: 380,
+    outputTokens: 100,
+    promptParts: [],
+    patienceMs: 1_000,
+    firstTokenBudgetMs: 1_000,
+    lifetimeMs: 5_000,
+    isLastChoice: false,
+    ...part,
+  };
+}
+
+/** Carries out the wanted orders at once, as an engine without other work does. */
+function carryOutOrders(desk: EngineDesk, now: number): WantedOrder[] {
+  const orders: WantedOrder[] = [];
+  for (
+    let order = desk.findWantedOrder(true, now);
+    order;
+    order = desk.findWantedOrder(true, now)
+  ) {
+    orders.push(order);
+    if (order.kind === "evict") desk.places.recordEvicted(order.adapterPath);
+    else desk.places.recordLoadOrdered(order.adapterPath, order.version, now);
+  }
+  return orders;
+}
+
+function listGranted(desk: EngineDesk): string[] {
+  return desk.takeAnswers()
+    .filter((answer) => answer.kind === "granted")
+    .map((answer) => answer.permitId);
+}
+
+test("one load serves all that wait for the adapter", () => {
+  const desk = createDesk();
+  const requests = [createRequest(), createRequest(), createRequest()];
+  for (const request of requests) desk.requestPermit(request, 0);
+  assert.is(carryOutOrders(desk, 0).length, 1);
+  assert.equal(listGranted(desk), []);
+  desk.tick(300);
+  assert.equal(
+    listGranted(desk),
+    requests.map((request) => request.permitId),
+  );
+});
+
+test("an adapter in use is never evicted; an idle one yields", () => {
+  const desk = createDesk();
+  const used = createRequest({ adapter: "a1" });
+  desk.requestPermit(used, 0);
+  desk.requestPermit(createRequest({ adapter: "a2" }), 0);
+  carryOutOrders(desk, 0);
+  desk.tick(300);
+  const [, second] = listGranted(desk);
+  desk.requestPermit(createRequest({ adapter: "a3", isLastChoice: true }), 310);
+  assert.is(desk.findWantedOrder(true, 310), undefined);
+  desk.releasePermit(second ?? "", 320);
+  const orders = carryOutOrders(desk, 320);
+  assert.equal(
+    orders.map((order) => [order.kind, order.adapterPath]),
+    [["evict", "m/a2"], ["load", "m/a3"]],
+  );
+});
+
+test("the adapter that is asked for least yields", () => {
+  const desk = createDesk();
+  for (let round = 0; round < 5; round += 1) {
+    const adapter = round === 4 ? "a2" : "a1";
+    const request = createRequest({ adapter });
+    desk.requestPermit(request, round * 400);
+    carryOutOrders(desk, round * 400);
+    desk.tick(round * 400 + 300);
+    desk.releasePermit(request.permitId, round * 400 + 350);
+  }
+  desk.requestPermit(createRequest({ adapter: "a3" }), 2_100);
+  assert.is(carryOutOrders(desk, 2_100)[0]?.adapterPath, "m/a2");
+});
+
+test("nothing is evicted until other daemons have told of their runs", () => {
+  const desk = createDesk();
+  const held = new Map(
+    ["m/a1", "m/a2"].map((path) => [path, { version: 1, isComing: false }]),
+  );
+  desk.places.reconcile(held, 0);
+  desk.beginAdoption(0);
+  desk.adoptPermit({
+    permitId: "theirs",
+    adapterPath: "m/a1",
+    promptTokens: 1,
+    outputTokens: 1,
+    promptParts: [],
+    lifetimeMs: 5_000,
+  }, 100);
+  desk.requestPermit(createRequest({ adapter: "a3", isLastChoice: true }), 100);
+  assert.is(desk.findWantedOrder(true, 100), undefined);
+  const order = desk.findWantedOrder(true, 1_000);
+  assert.is(order?.adapterPath, "m/a2");
+});
+
+test("a burst of long prompts is sent elsewhere before the first token is late", () => {
+  const desk = createDesk();
+  const long = { adapter: "", promptTokens: 9_190 };
+  const granted: boolean[] = [];
+  for (let index = 0; index < 6; index += 1) {
+    const request = createRequest(long);
+    desk.requestPermit(request, index);
+    granted.push(listGranted(desk).includes(request.permitId));
+  }
+  assert.equal(granted, [true, true, false, false, false, false]);
+});
+
+test("a request whose last choice this is waits, the most urgent first", () => {
+  const desk = createDesk();
+  const long = { adapter: "", promptTokens: 15_000, isLastChoice: true };
+  const running = [0, 1].map(() => createRequest(long));
+  for (const request of running) desk.requestPermit(request, 0);
+  const late = createRequest({ ...long, priorityRank: 5 });
+  const urgent = createRequest({ ...long, priorityRank: 0, promptTokens: 400 });
+  desk.requestPermit(late, 0);
+  desk.requestPermit(urgent, 1);
+  listGranted(desk);
+  desk.recordFirstToken(running[0]?.permitId ?? "", 400);
+  assert.is(listGranted(desk)[0], urgent.permitId);
+});
+
+test("what can't be served in its patience is refused at once, with a time to come back", () => {
+  const desk = createDesk();
+  const long = { adapter: "", promptTokens: 30_000, isLastChoice: true };
+  desk.requestPermit(createRequest(long), 0);
+  desk.takeAnswers();
+  desk.requestPermit(createRequest({ ...long, patienceMs: 300 }), 0);
+  const [answer] = desk.takeAnswers();
+  assert.is(answer?.kind, "denied");
+  assert.ok(answer?.kind === "denied" && answer.retryAfterMs > 300);
+});
+
+test("a request that waited its patience out is told so", () => {
+  const desk = createDesk();
+  desk.requestPermit(createRequest({ patienceMs: 400 }), 0);
+  desk.tick(399);
+  assert.equal(desk.takeAnswers(), []);
+  desk.tick(400);
+  const [answer] = desk.takeAnswers();
+  assert.ok(answer?.kind === "denied" && answer.reason === "overdue");
+});
+
+test("a permit whose release is lost ends with its lifetime", () => {
+  const desk = createDesk(1);
+  desk.requestPermit(createRequest({ adapter: "", lifetimeMs: 500 }), 0);
+  const next = createRequest({ adapter: "", isLastChoice: true });
+  desk.requestPermit(next, 10);
+  listGranted(desk);
+  desk.tick(500);
+  assert.equal(listGranted(desk), [next.permitId]);
+});
+
+test("a load that was late is waited for, an adapter that is long there is doubted", () => {
+  const desk = createDesk();
+  const request = createRequest();
+  desk.requestPermit(request, 0);
+  carryOutOrders(desk, 0);
+  desk.tick(300);
+  assert.ok(desk.recordNotReady(request.permitId, 60, 310));
+  const again = createRequest();
+  desk.requestPermit(again, 320);
+  desk.takeAnswers();
+  desk.tick(340);
+  assert.equal(listGranted(desk), []);
+  desk.tick(380);
+  assert.equal(listGranted(desk), [again.permitId]);
+  assert.not(desk.recordNotReady(again.permitId, 60, 5_000));
+});
+
+test("a newer version is loaded in place of the old one before it is used", () => {
+  const desk = createDesk();
+  desk.places.reconcile(
+    new Map([["m/a1", { version: 1, isComing: false }]]),
+    0,
+  );
+  const request = createRequest({ version: 2 });
+  desk.requestPermit(request, 0);
+  assert.equal(listGranted(desk), []);
+  const [order] = carryOutOrders(desk, 0);
+  assert.ok(order?.kind === "load" && order.version === 2);
+  desk.tick(300);
+  assert.equal(listGranted(desk), [request.permitId]);
+});
+
+test("four loads at most are on their way to an engine", () => {
+  const desk = new EngineDesk(
+    new AdapterPlaces(8),
+    new BatchRoom({ batchSize: 8, kvCapacityTokens: 100_000 }),
+  );
+  for (let index = 0; index < 7; index += 1) {
+    const adapter = `a${index}`;
+    const part = { adapter, isLastChoice: true, patienceMs: 5_000 };
+    desk.requestPermit(createRequest(part), 0);
+  }
+  assert.is(carryOutOrders(desk, 0).length, 4);
+});
+
+test.run();
--- /dev/null
+++ b/test/core/fleet/fleet_view_test.ts
@@ -0,0 +1,111 @@
+/** Who lives, who should order an engine, who reads the store. */
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import {
+  type FleetMember,
+  FleetView,
+  type Heartbeat,
+} from "../../../src/core/fleet/fleet_view.ts";
+
+function createMember(id: string, failureDomain = "a"): FleetMember {
+  return { id, ip: `10.0.0.${id}`, failureDomain };
+}
+
+function createHeartbeat(
+  sender: FleetMember,
+  part: Partial<Heartbeat> = {},
+): Heartbeat {
+  return {
+    sender,
+    incarnation: "1",
+    isLeaving: false,
+    hasStore: true,
+    revisions: { configuration: 0, upstreams: 0 },
+    heldEngines: [],
+    fetchesInFlight: 0,
+    fenceUnixMs: 0,
+    sample: [],
+    strikes: [],
+    ...part,
+  };
+}
+
+const ENGINE = { id: "e", failureDomain: "a" };
+
+test("a silent member is taken for dead, and lives again when it is heard", () => {
+  const fleet = new FleetView(createMember("1"));
+  fleet.recordHeartbeat(createHeartbeat(createMember("2")), 0);
+  assert.is(fleet.countLiving(1_500), 2);
+  assert.is(fleet.countLiving(1_700), 1);
+  fleet.recordHeartbeat(createHeartbeat(createMember("2")), 5_000);
+  assert.is(fleet.countLiving(5_100), 2);
+});
+
+test("members that others name are sent to, but live only once heard", () => {
+  const fleet = new FleetView(createMember("1"));
+  const named = createMember("3");
+  fleet.recordHeartbeat(
+    createHeartbeat(createMember("2"), { sample: [named] }),
+    0,
+  );
+  assert.ok(fleet.selectTargets(10).some((member) => member.id === "3"));
+  assert.is(fleet.countLiving(10), 2);
+});
+
+test("every daemon ranks the same holder, of the engine's failure domain first", () => {
+  const members = ["1", "2", "3"].map((id) => createMember(id, "a"));
+  members.push(createMember("9", "b"));
+  const rankings = members.map((self) => {
+    const fleet = new FleetView(self);
+    for (const other of members) {
+      fleet.recordHeartbeat(createHeartbeat(other), 0);
+    }
+    return fleet.rankHolders(ENGINE, false, 1).map((member) => member.id);
+  });
+  for (const ranking of rankings) assert.equal(ranking, rankings[0]);
+  assert.is(rankings[0]?.at(-1), "9");
+});
+
+test("a leaving daemon is no candidate and no holder", () => {
+  const fleet = new FleetView(createMember("1"));
+  const leaving = { isLeaving: true, heldEngines: ["e"] };
+  fleet.recordHeartbeat(createHeartbeat(createMember("2"), leaving), 0);
+  assert.equal(fleet.rankHolders(ENGINE, false, 1).map((each) => each.id), [
+    "1",
+  ]);
+  assert.is(fleet.findHolder("e", 1), undefined);
+});
+
+test("one daemon of a failure domain reads the store; another does when it can't", () => {
+  const members = ["1", "2", "3"].map((id) => createMember(id, "a"));
+  const readers = (broken: string | undefined) =>
+    members.filter((self) => {
+      const fleet = new FleetView(self);
+      for (const other of members) {
+        const hasStore = other.id !== broken;
+        fleet.recordHeartbeat(createHeartbeat(other, { hasStore }), 0);
+      }
+      return fleet.isReader(self.id !== broken, 1);
+    }).map((member) => member.id);
+  const [reader, ...others] = readers(undefined);
+  assert.equal(others, []);
+  const [next, ...rest] = readers(reader);
+  assert.equal(rest, []);
+  assert.is.not(next, reader);
+});
+
+test("a large fleet is sent to in parts, its own failure domain first", () => {
+  const fleet = new FleetView(createMember("self"));
+  for (let index = 0; index < 300; index += 1) {
+    const member = createMember(`m${index}`, index < 20 ? "a" : "b");
+    fleet.recordHeartbeat(createHeartbeat(member), 0);
+  }
+  const targets = fleet.selectTargets(1);
+  assert.ok(targets.length <= 27, `${targets.length} targets`);
+  assert.is(
+    targets.filter((member) => member.failureDomain === "a").length,
+    20,
+  );
+});
+
+test.run();
--- /dev/null
+++ b/test/core/placement/upstream_choice_test.ts
@@ -0,0 +1,89 @@
+/** Which upstream a request goes to: homes of adapters, loads of services, ill ones last. */
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import {
+  rankEngines,
+  rankServiceUpstreams,
+} from "../../../src/core/placement/upstream_choice.ts";
+import { UpstreamHealth } from "../../../src/core/placement/upstream_health.ts";
+import type { PublishedUpstream } from "../../../src/core/view/published_view.ts";
+
+function createUpstream(id: string, failureDomain = "a"): PublishedUpstream {
+  return {
+    id,
+    service: "s",
+    address: "127.0.0.1:1",
+    failureDomain,
+    slots: 6,
+    isLeaving: false,
+    bornAtUnixMs: 1,
+    models: ["m"],
+    adapters: new Map(),
+  };
+}
+
+const UPSTREAMS = ["1", "2", "3", "4", "5"].map((id) => createUpstream(id));
+
+test("an adapter keeps its home when another engine goes", () => {
+  const health = new UpstreamHealth();
+  let moved = 0;
+  for (let index = 0; index < 200; index += 1) {
+    const path = `m/a${index}`;
+    const [home] = rankEngines(path, UPSTREAMS, health, 0);
+    const [after] = rankEngines(path, UPSTREAMS.slice(1), health, 0);
+    if (home?.id !== after?.id) moved += 1;
+    if (home?.id !== "1") assert.is(after?.id, home?.id);
+  }
+  assert.ok(moved > 20 && moved < 60, `${moved} of 200 moved`);
+});
+
+test("an engine that can't be reached is asked last, and again after its pause", () => {
+  const health = new UpstreamHealth();
+  const [home] = rankEngines("m/a1", UPSTREAMS, health, 0);
+  health.recordSign(home?.id ?? "", "unreachable", 0);
+  const during = rankEngines("m/a1", UPSTREAMS, health, 100);
+  assert.is(during.at(-1)?.id, home?.id);
+  assert.is(rankEngines("m/a1", UPSTREAMS, health, 3_000)[0]?.id, home?.id);
+});
+
+test("an upstream that fails half of its requests gets few, and all when it recovers", () => {
+  const health = new UpstreamHealth();
+  const rankAt = (now: number, key: string) =>
+    rankServiceUpstreams(UPSTREAMS, {
+      failureDomain: "a",
+      health,
+      getLoad: () => undefined,
+      tieKey: key,
+    }, now)[0]?.id;
+  for (let index = 0; index < 12; index += 1) {
+    const sign = index % 2 === 0 ? "failed" : "answered";
+    health.recordSign("3", sign, index * 100);
+  }
+  const countThird = (now: number) =>
+    Array.from({ length: 200 }, (_, index) => rankAt(now, `r${index}`))
+      .filter((id) => id === "3").length;
+  assert.is(countThird(1_200), 0);
+  for (let at = 20_000; at < 24_000; at += 100) {
+    health.recordSign("3", "answered", at);
+  }
+  assert.ok(countThird(60_000) > 15);
+});
+
+test("near upstreams come first until they are busier by a quarter", () => {
+  const near = createUpstream("near", "a");
+  const far = createUpstream("far", "b");
+  const rank = (ownRunning: number) =>
+    rankServiceUpstreams([far, near], {
+      failureDomain: "a",
+      health: new UpstreamHealth(),
+      getLoad: (id) =>
+        id === "near"
+          ? { ownRunning, reportedRunning: 0, reportedAt: 0 }
+          : undefined,
+      tieKey: "r",
+    }, 0)[0]?.id;
+  assert.is(rank(1), "near");
+  assert.is(rank(2), "far");
+});
+
+test.run();
--- /dev/null
+++ b/test/core/view/published_view_test.ts
@@ -0,0 +1,154 @@
+/** Configuration, upstreams and versions as published: never back, lapsed entries kept for a grace. */
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import {
+  LAPSE_GRACE_MS,
+  type PublishedConfiguration,
+  type PublishedRoute,
+  type PublishedUpstream,
+  PublishedView,
+} from "../../../src/core/view/published_view.ts";
+
+function createRoute(part: Partial<PublishedRoute>): PublishedRoute {
+  return {
+    name: "r",
+    hostName: "Mill.example",
+    pathPrefix: "/plans/",
+    repeatability: "idempotent",
+    isResumable: false,
+    timeoutMs: 1_000,
+    latencyObjectiveMs: 100,
+    priorityRank: 1,
+    maxAttempts: 2,
+    targets: [{ service: "plain", weight: 1 }],
+    ...part,
+  };
+}
+
+function createConfiguration(
+  version: number,
+  routes: PublishedRoute[],
+): PublishedConfiguration {
+  return {
+    version,
+    routes,
+    services: [
+      { name: "plain", maxConnections: 10, engine: undefined },
+      { name: "other", maxConnections: 10, engine: undefined },
+    ],
+    limits: { maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
+  };
+}
+
+function createUpstream(part: Partial<PublishedUpstream>): PublishedUpstream {
+  return {
+    id: "u",
+    service: "plain",
+    address: "127.0.0.1:1",
+    failureDomain: "a",
+    slots: 1,
+    isLeaving: false,
+    bornAtUnixMs: 1,
+    models: [],
+    adapters: new Map(),
+    ...part,
+  };
+}
+
+function createView(routes = [createRoute({})]): PublishedView {
+  const view = new PublishedView();
+  view.apply(
+    {
+      kind: "configuration",
+      configuration: createConfiguration(3, routes),
+    },
+    false,
+    0,
+  );
+  return view;
+}
+
+test("a configuration never goes back", () => {
+  const view = createView();
+  const older = createConfiguration(2, []);
+  const change = { kind: "configuration", configuration: older } as const;
+  assert.not(view.apply(change, false, 0));
+  assert.is(view.configuration?.version, 3);
+  assert.ok(view.findRoute("mill.example", "/plans/1"));
+});
+
+test("the longest prefix of the host wins, whatever the case of the host", () => {
+  const view = createView([
+    createRoute({ name: "short", pathPrefix: "/" }),
+    createRoute({ name: "long", pathPrefix: "/plans/today/" }),
+    createRoute({ name: "middle", pathPrefix: "/plans/" }),
+  ]);
+  const find = (path: string) => view.findRoute("MILL.example", path)?.name;
+  assert.is(find("/plans/today/x"), "long");
+  assert.is(find("/plans/x"), "middle");
+  assert.is(find("/x"), "short");
+  assert.is(view.findRoute("other.example", "/"), undefined);
+});
+
+test("a split route divides by weight, and the same request goes the same way", () => {
+  const route = createRoute({
+    targets: [{ service: "plain", weight: 90 }, {
+      service: "other",
+      weight: 10,
+    }],
+  });
+  const view = createView([route]);
+  const names = Array.from(
+    { length: 2_000 },
+    (_, index) => view.selectService(route, `request ${index}`)?.name,
+  );
+  const others = names.filter((name) => name === "other").length;
+  assert.ok(others > 120 && others < 300, `${others} of 2000`);
+  assert.is(view.selectService(route, "request 7")?.name, names[7]);
+});
+
+test("a leaving upstream takes no new work, one of an unknown service is not used", () => {
+  const view = createView();
+  view.apply({ kind: "upstream", upstream: createUpstream({}) }, false, 0);
+  assert.is(view.listServing("plain").length, 1);
+  const leaving = createUpstream({ isLeaving: true });
+  assert.ok(view.apply({ kind: "upstream", upstream: leaving }, false, 0));
+  assert.is(view.listServing("plain").length, 0);
+  const stray = createUpstream({ id: "s", service: "nobody's" });
+  view.apply({ kind: "upstream", upstream: stray }, false, 0);
+  assert.is(view.getUpstream("s"), undefined);
+});
+
+test("what an upstream holds is not news, its start and state are", () => {
+  const view = createView();
+  const apply = (part: Partial<PublishedUpstream>) =>
+    view.apply({ kind: "upstream", upstream: createUpstream(part) }, false, 0);
+  assert.ok(apply({}));
+  assert.not(apply({ adapters: new Map([["m/a1", 1]]) }));
+  assert.ok(apply({ bornAtUnixMs: 2 }));
+  assert.ok(apply({ bornAtUnixMs: 2, models: ["m"] }));
+});
+
+test("an entry that is gone is gone at once, one that lapsed in an outage after a grace", () => {
+  const view = createView();
+  view.apply({ kind: "upstream", upstream: createUpstream({}) }, false, 0);
+  view.apply({ kind: "upstreamGone", id: "u" }, true, 100);
+  assert.is(view.listServing("plain").length, 1);
+  assert.equal(view.expireLapsed(100 + LAPSE_GRACE_MS - 1), []);
+  assert.equal(view.expireLapsed(100 + LAPSE_GRACE_MS), ["u"]);
+  assert.is(view.listServing("plain").length, 0);
+  view.apply({ kind: "upstream", upstream: createUpstream({}) }, false, 0);
+  view.apply({ kind: "upstreamGone", id: "u" }, false, 100);
+  assert.is(view.listServing("plain").length, 0);
+});
+
+test("a lapsed entry that registers again stays", () => {
+  const view = createView();
+  view.apply({ kind: "upstream", upstream: createUpstream({}) }, false, 0);
+  view.apply({ kind: "upstreamGone", id: "u" }, true, 100);
+  view.apply({ kind: "upstream", upstream: createUpstream({}) }, false, 900);
+  assert.equal(view.expireLapsed(100 + LAPSE_GRACE_MS), []);
+  assert.is(view.listServing("plain").length, 1);
+});
+
+test.run();
--- /dev/null
+++ b/test/platform/entry_decoder_test.ts
@@ -0,0 +1,116 @@
+/** Entries of the store, sound ones and those of other writers. */
+import { Buffer } from "node:buffer";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { EntryDecoder } from "../../platform/entry_decoder.ts";
+
+const decoder = new EntryDecoder();
+
+function decode(key: string, value: unknown) {
+  const text = typeof value === "string" ? value : JSON.stringify(value);
+  return decoder.decode({
+    key,
+    revision: 1,
+    value: Buffer.from(text).toString("base64"),
+  });
+}
+
+const REPLICA = {
+  service: "briefs",
+  addr: "10.1.2.3:8080",
+  zone: "hobart-a",
+  slots: 96,
+  state: "ready",
+  cold_left_ms: 0,
+  seq: 4,
+  born: 1_700_000_000_000,
+  models: [{ name: "m", version: 1, adapters: ["a3@2", "a7"] }],
+};
+
+test("a replica becomes an upstream with its adapters", () => {
+  const change = decode("servers/i-1", REPLICA);
+  assert.is(change.kind, "upstream");
+  if (change.kind !== "upstream") return;
+  assert.is(change.upstream.id, "i-1");
+  assert.is(change.upstream.bornAtUnixMs, REPLICA.born);
+  assert.equal([...change.upstream.adapters], [["m/a3", 2], ["m/a7", 0]]);
+  const draining = decode("servers/i-1", { ...REPLICA, state: "draining" });
+  assert.ok(draining.kind === "upstream" && draining.upstream.isLeaving);
+});
+
+const UNUSABLE: [string, unknown][] = [
+  ["bytes that are no JSON", "\u0000\u0001{"],
+  ["no address", { ...REPLICA, addr: undefined }],
+  ["an address that is none", { ...REPLICA, addr: "somewhere" }],
+  ["a state that is not named", { ...REPLICA, state: "resting" }],
+  ["slots of another type", { ...REPLICA, slots: "many" }],
+  ["no service", { ...REPLICA, service: 7 }],
+  ["a birth that is not whole", { ...REPLICA, born: 1.5 }],
+  ["a list", [REPLICA]],
+];
+
+for (const [name, value] of UNUSABLE) {
+  test(`an entry with ${name} names no upstream`, () => {
+    assert.is(decode("servers/i-1", value).kind, "unusable");
+  });
+}
+
+test("a removed replica is gone, by its id", () => {
+  const change = decoder.decode({
+    key: "servers/i-1",
+    revision: 2,
+    value: undefined,
+  });
+  assert.equal(change, { kind: "upstreamGone", id: "i-1" });
+});
+
+test("a configuration is decoded with its limits, engines and split routes", () => {
+  const change = decode("op/config", {
+    version: 7,
+    routes: [{
+      name: "r",
+      host: "h",
+      prefix: "/p/",
+      kind: "stream",
+      timeout_ms: 5_000,
+      target_latency_ms: 1_000,
+      priority: 1,
+      split: [{ service: "a", weight: 90 }, { service: "b", weight: 10 }],
+      attempts: 2,
+      resumable: true,
+    }],
+    services: [{
+      name: "a",
+      max_conns: 500,
+      engine: {
+        slots: 96,
+        kv_capacity: 183_499,
+        adapter_slots: 8,
+        weights_mb: 35_300,
+        models: [{ name: "m", weights_mb: 34_300, load_s: 0.6 }],
+      },
+    }],
+    limits: {
+      max_body_bytes: 10,
+      header_timeout_ms: 20,
+      idle_timeout_ms: 30,
+    },
+  });
+  assert.is(change.kind, "configuration");
+  if (change.kind !== "configuration") return;
+  const { routes, services } = change.configuration;
+  assert.is(routes[0]?.targets.length, 2);
+  assert.ok(routes[0]?.isResumable);
+  assert.is(services[0]?.engine?.models[0]?.loadMs, 600);
+});
+
+test("a version of an adapter is declared by its path", () => {
+  const value = { model: "m", adapter: "a3", version: 5 };
+  assert.equal(decode("op/version/m.a3", value), {
+    kind: "adapterVersion",
+    adapterPath: "m/a3",
+    version: 5,
+  });
+});
+
+test.run();
--- /dev/null
+++ b/test/platform/header_dialect_test.ts
@@ -0,0 +1,152 @@
+/** Headers of callers and replicas: what is read, dropped, set and passed on. */
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { HeaderDialect } from "../../platform/header_dialect.ts";
+
+const dialect = new HeaderDialect();
+const ATTEMPT = {
+  upstreamId: "i-1",
+  remainingMs: 812.9,
+  adapterVersion: 3,
+  priorityRank: 1,
+  lastEventId: undefined,
+};
+
+function toMap(rawHeaders: readonly string[]): Map<string, string> {
+  const map = new Map<string, string>();
+  for (let index = 0; index + 1 < rawHeaders.length; index += 2) {
+    map.set(
+      rawHeaders[index]?.toLowerCase() ?? "",
+      rawHeaders[index + 1] ?? "",
+    );
+  }
+  return map;
+}
+
+test("facts of a request are decoded", () => {
+  const facts = dialect.decodeCallerFacts({
+    host: "mill.example:8080",
+    "x-request-id": "r1",
+    "x-model": "m/a3",
+    "x-token-counts": "1460,80",
+    "x-prompt-prefix": "5c1e:800,91bd:410",
+    "x-deadline-ms": "5000",
+  }, "/plans/1?day=2");
+  assert.is(facts.hostName, "mill.example");
+  assert.is(facts.path, "/plans/1");
+  assert.is(facts.model, "m");
+  assert.is(facts.adapter, "a3");
+  assert.is(facts.promptTokens, 1_460);
+  assert.is(facts.outputTokens, 80);
+  assert.equal(facts.promptParts[1], { id: "91bd", tokens: 410 });
+  assert.is(facts.deadlineMs, 5_000);
+});
+
+test("headers that only the system sets are dropped from callers", () => {
+  const smuggled = [
+    "X-Hold",
+    "X-Pin-Ms",
+    "X-Kv-Backup",
+    "Kv-From",
+    "Kv-Fetch",
+    "X-Expect-Instance",
+    "X-Expect-Version",
+    "X-Request-Priority",
+  ];
+  const raw = smuggled.flatMap((name) => [name, "theirs"]);
+  const sent = toMap(dialect.encodeAttemptHeaders(raw, ATTEMPT));
+  assert.not([...sent.values()].includes("theirs"));
+  assert.is(sent.get("x-expect-instance"), "i-1");
+  assert.is(sent.get("x-deadline-ms"), "812");
+  assert.is(sent.get("x-expect-version"), "3");
+});
+
+test("what is the caller's passes unchanged, what concerns one connection does not", () => {
+  const raw = [
+    "Host",
+    "mill.example",
+    "X-Model",
+    "m/a3",
+    "X-Custom",
+    "kept",
+    "Connection",
+    "keep-alive, X-Hop",
+    "X-Hop",
+    "1",
+    "Transfer-Encoding",
+    "chunked",
+    "Content-Length",
+    "7",
+  ];
+  const sent = toMap(dialect.encodeAttemptHeaders(raw, ATTEMPT));
+  assert.is(sent.get("host"), "mill.example");
+  assert.is(sent.get("x-model"), "m/a3");
+  assert.is(sent.get("x-custom"), "kept");
+  const dropped = [
+    "connection",
+    "x-hop",
+    "transfer-encoding",
+    "content-length",
+  ];
+  for (const name of dropped) assert.not(sent.has(name), name);
+});
+
+test("a resumed stream names its last event once", () => {
+  const sent = dialect.encodeAttemptHeaders(["Last-Event-Id", "4"], {
+    ...ATTEMPT,
+    lastEventId: "12",
+  });
+  const ids = sent.filter((text) => text.toLowerCase() === "last-event-id");
+  assert.is(ids.length, 1);
+  assert.is(toMap(sent).get("last-event-id"), "12");
+});
+
+const HEADS: [string, number, Record<string, string>, object][] = [
+  ["an answer with proof", 200, {
+    "x-request-id": "r1",
+    "x-response-stamp": "s",
+  }, { isForRequest: true, hasProof: true, notRun: undefined }],
+  ["an answer without an id", 200, { "x-response-stamp": "s" }, {
+    isForRequest: false,
+  }],
+  ["another request's answer", 200, {
+    "x-request-id": "r2",
+    "x-response-stamp": "s",
+  }, { isForRequest: false }],
+  ["a rejection", 503, { "x-not-run": "1" }, {
+    isForRequest: true,
+    notRun: "rejected",
+  }],
+  [
+    "a failure that ran",
+    500,
+    { "x-request-id": "r1", "x-response-stamp": "s" },
+    { notRun: undefined },
+  ],
+  ["a misdirected one", 421, {}, { notRun: "misdirected" }],
+  [
+    "an encoded one",
+    200,
+    { "x-request-id": "r1", "content-encoding": "gzip" },
+    { isEncoded: true },
+  ],
+  ["one with a load", 200, { "x-request-id": "r1", "x-server-load": "3,2,8" }, {
+    reportedRunning: 5,
+  }],
+];
+
+for (const [name, status, headers, expected] of HEADS) {
+  test(`the head of ${name} is understood`, () => {
+    const head = dialect.decodeUpstreamHead(status, headers, "r1");
+    for (const [field, value] of Object.entries(expected)) {
+      assert.is(head[field as keyof typeof head], value, field);
+    }
+  });
+}
+
+test("the time to come back is given in seconds with fractions", () => {
+  assert.equal(dialect.encodeRefusalHeaders(350), ["Retry-After", "0.350"]);
+  assert.equal(dialect.encodeRefusalHeaders(undefined), []);
+});
+
+test.run();
--- a/test/style/verbs_test.ts
+++ b/test/style/verbs_test.ts
@@ -4,7 +4,7 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 
-const FOLDERS = ["src", "fakes", "bench", "scripts"];
+const FOLDERS = ["src", "platform", "fakes", "bench", "scripts"];
 const GENERATED_FOLDER = "src/protocol/generated";
 const FUNCTION = /^ *(?:export )?(?:default )?(?:async )?function\*? (\w+)/gm;
 const ARROW_FUNCTION =
