--- a/src/gateway/http_exchange.ts
+++ b/src/gateway/http_exchange.ts
@@ -55,32 +55,32 @@
       headers: options.headers ?? {},
       agent: options.agent,
     });
-    const fail = (detail: string): void => {
+    const abandon = (detail: string): void => {
       clearTimeout(timer);
       call.destroy();
       reject(new ExchangeError(step, address, detail, hasConnected));
     };
     const timer = setTimeout(
-      () => fail(`no answer within ${timeoutMs} ms`),
+      () => abandon(`no answer within ${timeoutMs} ms`),
       timeoutMs,
     );
     call.on("socket", (socket) => {
       if (!socket.connecting) hasConnected = true;
       else socket.once("connect", () => hasConnected = true);
     });
-    call.on("error", (error) => fail(error.message));
+    call.on("error", (error) => abandon(error.message));
     call.on("response", (response) => {
       const chunks: Buffer[] = [];
       let length = 0;
       response.on("data", (chunk: Buffer) => {
         length += chunk.length;
-        if (length > MAX_ANSWER_BYTES) fail("answer is too long");
+        if (length > MAX_ANSWER_BYTES) abandon("answer is too long");
         chunks.push(chunk);
       });
-      response.on("error", (error) => fail(error.message));
+      response.on("error", (error) => abandon(error.message));
       response.on("end", () => {
         clearTimeout(timer);
-        if (!response.complete) return fail("answer was cut short");
+        if (!response.complete) return abandon("answer was cut short");
         resolve({
           status: response.statusCode ?? 0,
           body: Buffer.concat(chunks),
--- a/src/gateway/peer_task.ts
+++ b/src/gateway/peer_task.ts
@@ -64,14 +64,14 @@
 
   /** Sends a message once. */
   send(ip: string, message: GatewayMessage): void {
-    this.#write(ip, this.#wrap({ message }));
+    this.#write(ip, this.#encode({ message }));
   }
 
   /** Sends until the peer acknowledges; returns whether it did. */
   deliver(ip: string, message: GatewayMessage): Promise<boolean> {
     this.#lastNumber += 1;
     const number = this.#lastNumber;
-    const bytes = this.#wrap({ message, number });
+    const bytes = this.#encode({ message, number });
     return new Promise((resolve) => {
       let sent = 0;
       const startedAt = performance.now();
@@ -99,7 +99,7 @@
     this.#socket.close();
   }
 
-  #wrap(part: Partial<Envelope>): Buffer {
+  #encode(part: Partial<Envelope>): Buffer {
     const { selfId, incarnation } = this.#options;
     const envelope: Envelope = { from: selfId, incarnation, ...part };
     return Buffer.from(JSON.stringify(envelope));
@@ -132,7 +132,7 @@
     }
     if (!message) return;
     if (number !== undefined) {
-      this.#write(ip, this.#wrap({ acknowledges: number }));
+      this.#write(ip, this.#encode({ acknowledges: number }));
       if (!this.#remember(`${envelope.incarnation}:${number}`)) return;
     }
     this.#options.handle(envelope.from, message);
--- a/src/gateway/ports.ts
+++ b/src/gateway/ports.ts
@@ -122,7 +122,7 @@
     waitMs: Milliseconds,
   ): Promise<WatchResult>;
   /** Closes connections that may have gone silent. */
-  reset(): void;
+  closeConnections(): void;
 }
 
 export interface ChangeDecoder {
--- a/src/gateway/request_flow.ts
+++ b/src/gateway/request_flow.ts
@@ -110,31 +110,27 @@
   /** Serves the request; resolves when its answer has been given or its caller has left. */
   async run(): Promise<void> {
     const { allowance, metrics } = this.#context;
-    allowance.recordArrival(this.#service.name, this.#now());
+    allowance.recordArrival(this.#service.name, performance.now());
     metrics.count("requests", this.#route.repeatability);
     const timer = setTimeout(
       () => this.#handleTimeout(),
-      Math.max(0, this.#endsAt - this.#now()),
+      Math.max(0, this.#endsAt - performance.now()),
     );
     this.#exchange.onGone(() => this.#handleGone());
     try {
-      while (!this.#isFinished) await this.#attempt();
+      while (!this.#isFinished) await this.#tryOnce();
     } finally {
       clearTimeout(timer);
     }
   }
 
-  #now(): Milliseconds {
-    return performance.now();
-  }
-
   #getRemainingMs(): Milliseconds {
-    return this.#endsAt - this.#now();
+    return this.#endsAt - performance.now();
   }
 
-  async #attempt(): Promise<void> {
+  async #tryOnce(): Promise<void> {
     const { quarantine } = this.#context;
-    if (quarantine.isQuarantined(this.#fingerprint, this.#now())) {
+    if (quarantine.isQuarantined(this.#fingerprint, performance.now())) {
       this.#conclude("quarantined", { kind: "fail", isTimeout: false });
       return;
     }
@@ -177,7 +173,7 @@
     const isStream = this.#route.repeatability === Repeatability.Stream;
     const load = this.#getServiceLoad(upstream.id);
     this.#allAttempts += 1;
-    this.#sentAt = this.#now();
+    this.#sentAt = performance.now();
     load.ownRunning += 1;
     this.#running = runAttempt(this.#context, {
       exchange: this.#exchange,
@@ -217,7 +213,7 @@
     const { metrics } = this.#context;
     this.#hasForwarded = true;
     this.#exchange.startStream(this.#head.status, this.#head.rawHeaders);
-    this.#firstByteAt = this.#now();
+    this.#firstByteAt = performance.now();
     const elapsedMs = this.#firstByteAt - this.#exchange.arrivedAt;
     metrics.measure("first_byte", this.#route.repeatability, elapsedMs);
     if (!this.#place) return;
@@ -258,7 +254,7 @@
       allAttempts: this.#allAttempts,
       remainingMs: this.#getRemainingMs(),
     }, () => {
-      const now = this.#now();
+      const now = performance.now();
       const living = fleet.countLiving(now);
       return allowance.trySpend(this.#service.name, living, now);
     });
@@ -284,7 +280,7 @@
       ran: this.#ranAttempts,
       sentMs: roundMs(this.#sentAt - this.#exchange.arrivedAt),
       firstByteMs: roundMs(this.#firstByteAt - this.#exchange.arrivedAt),
-      elapsedMs: roundMs(this.#now() - this.#exchange.arrivedAt),
+      elapsedMs: roundMs(performance.now() - this.#exchange.arrivedAt),
       remainingMs: roundMs(this.#getRemainingMs()),
       configurationVersion: view.configuration?.version,
     };
@@ -292,7 +288,7 @@
     switch (verdict.kind) {
       case "tryAnother":
         metrics.count("repeats", result?.outcome ?? reason);
-        if (result) this.#passOver(result);
+        if (result) this.#excludeUpstream(result);
         // The next upstream starts with a whole event.
         this.#splitter.takeRest();
         break;
@@ -311,7 +307,7 @@
   }
 
   /** An engine whose load was late is asked once more; others are passed over. */
-  #passOver(result: AttemptResult): void {
+  #excludeUpstream(result: AttemptResult): void {
     const { upstreamId } = result;
     const isFirstRejection = this.#service.engine !== undefined &&
       result.outcome === AttemptOutcome.NotRun &&
@@ -322,7 +318,7 @@
 
   #deliver(result: AttemptResult | undefined): void {
     this.#isFinished = true;
-    const elapsedMs = this.#now() - this.#exchange.arrivedAt;
+    const elapsedMs = performance.now() - this.#exchange.arrivedAt;
     this.#context.metrics.measure(
       "whole_answer",
       this.#route.repeatability,
@@ -392,13 +388,13 @@
       route: this.#route.name,
       attempts: this.#allAttempts,
       hasStarted: this.#hasForwarded,
-      elapsedMs: roundMs(this.#now() - this.#exchange.arrivedAt),
+      elapsedMs: roundMs(performance.now() - this.#exchange.arrivedAt),
     });
   }
 
   #recordResult(upstream: PublishedUpstream, result: AttemptResult): void {
     const { health, quarantine, metrics } = this.#context;
-    const now = this.#now();
+    const now = performance.now();
     metrics.count("attempts", result.outcome);
     const sign = getHealthSign(result);
     if (sign) health.recordSign(upstream.id, sign, now);
@@ -429,7 +425,7 @@
       health,
       getLoad: (id) => serviceLoads.get(id),
       tieKey: this.#exchange.facts.requestId,
-    }, this.#now());
+    }, performance.now());
     return ranked.find((each) => !this.#passedOver.has(each.id)) ?? ranked[0];
   }
 
@@ -454,7 +450,12 @@
     const placementKey = facts.adapter === ""
       ? `${facts.model}|${facts.promptParts[0]?.id ?? facts.requestId}`
       : this.#getAdapterPath();
-    const ranked = rankEngines(placementKey, engines, health, this.#now());
+    const ranked = rankEngines(
+      placementKey,
+      engines,
+      health,
+      performance.now(),
+    );
     const fresh = ranked.filter((each) => !this.#passedOver.has(each.id));
     const candidates = (fresh.length > 0 ? fresh : ranked)
       .slice(0, MAX_ADAPTER_HOMES);
@@ -473,14 +474,14 @@
       }
     }
     const resident = this.#findResident(ranked);
-    if (!shortest) return this.#goWithoutPermit(resident);
+    if (!shortest) return this.#assignWithoutPermit(resident);
     const { engine } = shortest;
     const { answer, grantorId } = await this.#askPlace(engine, true);
     return this.#takeAnswer(engine, answer, grantorId) ? engine : undefined;
   }
 
   /** Notes the run, so that a holder to come knows of it. */
-  #goWithoutPermit(
+  #assignWithoutPermit(
     engine: PublishedUpstream | undefined,
   ): PublishedUpstream | undefined {
     if (!engine || this.#isFinished) return undefined;
@@ -532,7 +533,7 @@
     const { facts } = this.#exchange;
     const { latencyObjectiveMs, priorityRank } = this.#route;
     const remainingMs = Math.max(1, this.#getRemainingMs());
-    const elapsedMs = this.#now() - this.#exchange.arrivedAt;
+    const elapsedMs = performance.now() - this.#exchange.arrivedAt;
     const firstTokenBudgetMs = Math.max(0, latencyObjectiveMs - elapsedMs);
     const patienceMs = Math.max(
       firstTokenBudgetMs,
--- a/src/gateway/upstream_client.ts
+++ b/src/gateway/upstream_client.ts
@@ -133,7 +133,7 @@
   return () => {
     hasEnded = true;
     clearTimeout(timer);
-    call.on("error", ignoreAfterCancel);
+    call.on("error", dropError);
     call.destroy();
   };
 }
@@ -156,7 +156,7 @@
 }
 
 /** The error of a request that was given up on purpose tells nothing. */
-function ignoreAfterCancel(): void {}
+function dropError(): void {}
 
 /** Drops an idle connection on which bytes arrive: they answer no request. */
 class GuardedAgent extends Agent {
--- a/src/gateway/view_follower.ts
+++ b/src/gateway/view_follower.ts
@@ -112,7 +112,7 @@
     clearInterval(this.#timer);
     this.#server?.close();
     this.#server?.closeAllConnections();
-    this.#options.store.reset();
+    this.#options.store.closeConnections();
   }
 
   async #followStore(set: PublishedSet): Promise<void> {
