Test gateways against stand-ins of the platform; notice an engine that starts empty under its id

Cause of refusals of sound requests: any lost answer counted as a crash of its upstream; now only a broken connection does.

--- a/src/core/ordering/engine_holder.ts
+++ b/src/core/ordering/engine_holder.ts
@@ -146,6 +146,13 @@
     if (isMisdirected && !isLoadLate) this.#isInDoubt = true;
   }
 
+  /** Notes which start of the engine is registered: another one than is held holds nothing of before. */
+  recordRegistration(bornAtUnixMs: number): void {
+    const { state } = this.#tenure;
+    if (state.kind !== "holding" || bornAtUnixMs === 0) return;
+    if (bornAtUnixMs !== state.bornAtUnixMs) this.#isInDoubt = true;
+  }
+
   recordReport(report: HeldReport, now: Milliseconds): HolderEffect[] {
     this.#isReading = false;
     const wasHolding = this.isHolding();
--- a/src/gateway/attempt_runner.ts
+++ b/src/gateway/attempt_runner.ts
@@ -23,6 +23,8 @@
   /** Why it was not run, where the upstream says so. */
   notRun: NotRunReason | undefined;
   status: number;
+  /** Whether its connection broke, as when the upstream died. */
+  hasBroken: boolean;
   /** The whole answer; undefined when it was streamed or did not come. */
   answer: { status: number; rawHeaders: string[]; body: Buffer } | undefined;
   detail: string;
@@ -60,6 +62,7 @@
   let head: UpstreamHead | undefined;
   let rawHeaders: string[] = [];
   let isStreaming = false;
+  let hasBroken = false;
   let length = 0;
   const pieces: Buffer[] = [];
   let settle: (result: AttemptResult) => void = () => {};
@@ -77,6 +80,7 @@
       upstreamId: upstream.id,
       notRun: head?.notRun,
       status: head?.status ?? 0,
+      hasBroken,
       answer: isWhole
         ? {
           status: head?.status ?? 0,
@@ -136,6 +140,7 @@
     },
     onEnd: (end) => {
       if (isSettled) return;
+      hasBroken = end.kind === "broken";
       const [outcome, detail] = classifyEnd(end, head);
       finish(outcome, detail);
     },
--- a/src/gateway/engine_task.ts
+++ b/src/gateway/engine_task.ts
@@ -250,8 +250,10 @@
       const limits = view.getService(engine.service)?.engine;
       if (!limits) continue;
       const known = this.#holders.get(engine.id);
-      if (known) known.setLimits(limits);
-      else {
+      if (known) {
+        known.setLimits(limits);
+        known.recordRegistration(engine.bornAtUnixMs);
+      } else {
         this.#holders.set(
           engine.id,
           new EngineHolder({
--- a/src/gateway/request_flow.ts
+++ b/src/gateway/request_flow.ts
@@ -131,7 +131,12 @@
   async #tryOnce(): Promise<void> {
     const { quarantine } = this.#context;
     if (quarantine.isQuarantined(this.#fingerprint, performance.now())) {
-      this.#conclude("quarantined", { kind: "fail", isTimeout: false });
+      this.#conclude(
+        "quarantined",
+        this.#ranAttempts === 0
+          ? { kind: "refuse" }
+          : { kind: "fail", isTimeout: false },
+      );
       return;
     }
     const upstream = this.#service.engine
@@ -400,7 +405,7 @@
     if (sign) health.recordSign(upstream.id, sign, now);
     if (result.outcome === AttemptOutcome.Answered) {
       quarantine.recordSurvival(this.#fingerprint);
-    } else if (result.outcome === AttemptOutcome.Lost && !this.#hasForwarded) {
+    } else if (result.hasBroken && !this.#hasForwarded) {
       quarantine.recordCrash(this.#fingerprint, true, now);
     }
   }
--- a/src/gateway/view_follower.ts
+++ b/src/gateway/view_follower.ts
@@ -127,6 +127,7 @@
         const hasChanged = await this.#readOnce(set, state);
         if (hasChanged) await waitMs(GATHER_MS);
       } catch (error) {
+        if (this.#isStopped) return;
         this.#recordFailure(set, state, error);
         await waitMs(this.#hasReadingPeer() ? PROBE_INTERVAL_MS : RETRY_MS);
       }
--- /dev/null
+++ b/test/gateway/answers_test.ts
@@ -0,0 +1,172 @@
+/**
+ * Rules of requests and answers against misbehaving replicas, one row a fault:
+ * what the caller gets, and how often the request ran.
+ */
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import {
+  type FakePlatformReplica,
+  type ReplicaBehaviour,
+  STREAM_EVENTS,
+} from "../../fakes/fake_platform_replica.ts";
+import { GatewayBench, waitMs } from "./gateway_bench.ts";
+
+const bench = new GatewayBench();
+
+test.before(async () => {
+  bench.routeParts = { resume: { resumable: true } };
+  await bench.start({ gateways: 1, engines: 2, services: 2 });
+});
+test.after(() => bench.stop());
+
+interface FaultRow {
+  fault: ReplicaBehaviour;
+  path: string;
+  status: number;
+  runs: number;
+}
+
+/** Whichever replica is asked first shows the fault, the others are sound. */
+function misbehaveOnce(
+  replicas: FakePlatformReplica[],
+  fault: ReplicaBehaviour,
+): void {
+  const behaviours = [fault];
+  for (const replica of replicas) replica.behaviours = behaviours;
+}
+
+const ANSWER = "the whole answer of the service";
+const ROWS: FaultRow[] = [
+  { fault: "answer", path: "/unsafe/1", status: 200, runs: 1 },
+  { fault: "unframed", path: "/unsafe/1", status: 200, runs: 1 },
+  { fault: "fail", path: "/safe/1", status: 200, runs: 2 },
+  { fault: "fail", path: "/unsafe/1", status: 500, runs: 1 },
+  { fault: "shed", path: "/safe/1", status: 200, runs: 1 },
+  { fault: "shed", path: "/unsafe/1", status: 200, runs: 1 },
+  { fault: "reset", path: "/safe/1", status: 200, runs: 2 },
+  { fault: "reset", path: "/unsafe/1", status: 502, runs: 1 },
+  { fault: "truncate", path: "/safe/1", status: 200, runs: 2 },
+  { fault: "truncate", path: "/unsafe/1", status: 502, runs: 1 },
+  { fault: "unframedReset", path: "/safe/1", status: 200, runs: 2 },
+  { fault: "unframedReset", path: "/unsafe/1", status: 502, runs: 1 },
+  { fault: "wrongId", path: "/safe/1", status: 200, runs: 2 },
+  { fault: "wrongId", path: "/unsafe/1", status: 502, runs: 1 },
+  { fault: "noProof", path: "/unsafe/1", status: 502, runs: 1 },
+  { fault: "encoded", path: "/unsafe/1", status: 502, runs: 1 },
+  { fault: "hang", path: "/safe/1", status: 200, runs: 2 },
+];
+
+for (const { fault, path, status, runs } of ROWS) {
+  test(`${path}: ${fault} ends as ${status} after ${runs} runs`, async () => {
+    const id = `${fault}-${path}`;
+    misbehaveOnce(bench.services, fault);
+    const answer = await bench.call(path, { id, body: id });
+    assert.is(answer.status, status);
+    assert.ok(answer.isComplete);
+    if (status === 200) assert.is(answer.body, ANSWER);
+    assert.is(bench.countRuns(id), runs);
+  });
+}
+
+test("a second answer on a kept connection reaches nobody", async () => {
+  for (const service of bench.services) service.behaviours = ["extra"];
+  await bench.call("/safe/1");
+  await bench.call("/safe/1");
+  const answers = await Promise.all(
+    Array.from({ length: 6 }, () => bench.call("/safe/1")),
+  );
+  for (const answer of answers) assert.is(answer.body, ANSWER);
+});
+
+test("a stream comes whole, from an adapter that is loaded for it", async () => {
+  const answer = await bench.call("/brief/1");
+  assert.is(answer.status, 200);
+  assert.ok(answer.isComplete);
+  const events = answer.body.match(/data: piece \d/g) ?? [];
+  assert.is(events.length, STREAM_EVENTS);
+  const orders = bench.engines.flatMap((engine) => engine.orders);
+  assert.ok(orders.some((order) => order.adapter === "a1"));
+});
+
+test("a stream that breaks off never looks whole", async () => {
+  for (const engine of bench.engines) engine.behaviours = ["breakStream"];
+  const id = "broken-stream";
+  const answer = await bench.call("/brief/1", { id });
+  assert.not(answer.isComplete);
+  assert.is(bench.countRuns(id), 1);
+  for (const engine of bench.engines) engine.behaviours = [];
+});
+
+test("a resumable stream goes on elsewhere, each event once", async () => {
+  misbehaveOnce(bench.engines, "breakStream");
+  const id = "resumed-stream";
+  const answer = await bench.call("/resume/1", { id });
+  assert.ok(answer.isComplete);
+  const ids = [...answer.body.matchAll(/id: (\d+)/g)].map(([, number]) =>
+    number
+  );
+  assert.equal(ids, ["1", "2", "3", "4"]);
+  const resumedAfter = bench.engines.flatMap((engine) => engine.seen)
+    .filter((seen) => seen.id === id)
+    .map((seen) => seen.headers["last-event-id"] ?? "");
+  assert.equal(resumedAfter.sort(), ["", "2"]);
+  for (const engine of bench.engines) engine.behaviours = [];
+});
+
+test("a caller that leaves cancels the work", async () => {
+  for (const engine of bench.engines) engine.behaviours = ["slow"];
+  const id = "left";
+  await bench.call("/brief/1", { id, leaveAfterMs: 300 }).catch(() =>
+    undefined
+  );
+  await waitMs(200);
+  const seen = bench.engines.flatMap((engine) => engine.seen)
+    .find((each) => each.id === id);
+  assert.ok(seen?.wasCut);
+  for (const engine of bench.engines) engine.behaviours = [];
+});
+
+test("method, path, query, body and custom headers arrive unchanged, smuggled ones do not", async () => {
+  const id = "unchanged";
+  await bench.call("/unsafe/a%20b?x=1&y=%2F", {
+    id,
+    method: "PUT",
+    body: "kept",
+    headers: {
+      "X-Custom": "kept",
+      "X-Hold": "h",
+      "Kv-From": "10.0.0.1:1/h",
+      "X-Request-Priority": "0",
+    },
+  });
+  const seen = bench.services.flatMap((service) => service.seen)
+    .find((each) => each.id === id);
+  assert.is(seen?.method, "PUT");
+  assert.is(seen?.url, "/unsafe/a%20b?x=1&y=%2F");
+  assert.is(seen?.body, "kept");
+  assert.is(seen?.headers["x-custom"], "kept");
+  for (const name of ["x-hold", "kv-from", "x-request-priority"]) {
+    assert.is(seen?.headers[name], undefined, name);
+  }
+  assert.ok(Number(seen?.headers["x-deadline-ms"]) <= 2_500);
+});
+
+test("a route that is not there is not found, a body that is too long not taken", async () => {
+  assert.is((await bench.call("/nowhere/1")).status, 404);
+  const long = await bench.call("/safe/1", { body: "x".repeat(100_001) });
+  assert.is(long.status, 413);
+});
+
+test("a route's timeout ends a request that its upstream holds", async () => {
+  bench.routeParts = { ...bench.routeParts, unsafe: { timeout_ms: 400 } };
+  bench.publish();
+  await waitMs(600);
+  for (const service of bench.services) service.behaviours = ["hang"];
+  const startedAt = Date.now();
+  const answer = await bench.call("/unsafe/1", { body: "held" });
+  assert.is(answer.status, 504);
+  assert.ok(Date.now() - startedAt < 700);
+  for (const service of bench.services) service.behaviours = [];
+});
+
+test.run();
--- /dev/null
+++ b/test/gateway/gateway_bench.ts
@@ -0,0 +1,242 @@
+/** A store, replicas and gateways of the users' platform on loopback, and a caller. */
+import { Buffer } from "node:buffer";
+import { Agent, request } from "node:http";
+import { FakePlatformReplica } from "../../fakes/fake_platform_replica.ts";
+import { FakePlatformStore } from "../../fakes/fake_platform_store.ts";
+import { EntryDecoder } from "../../platform/entry_decoder.ts";
+import { HeaderDialect } from "../../platform/header_dialect.ts";
+import { ReplicaClient } from "../../platform/replica_client.ts";
+import { StoreClient } from "../../platform/store_client.ts";
+import { Gateway } from "../../src/gateway/gateway.ts";
+import { gatewaySettingsSchema } from "../../src/settings/gateway_settings.ts";
+
+const BASE_PORT = 20_000 + (process.pid % 400) * 100;
+/** Short, so that a takeover fits into a test. */
+export const TERM_MS = 600;
+
+export interface CallerAnswer {
+  status: number;
+  headers: Record<string, string | string[] | undefined>;
+  body: string;
+  /** Whether the body came whole by its own framing. */
+  isComplete: boolean;
+}
+
+export interface CallOptions {
+  gateway?: number;
+  id?: string;
+  method?: string;
+  headers?: Record<string, string>;
+  body?: string;
+  /** The caller leaves after this time. */
+  leaveAfterMs?: number;
+}
+
+export class GatewayBench {
+  readonly store = new FakePlatformStore();
+  readonly engines: FakePlatformReplica[] = [];
+  readonly services: FakePlatformReplica[] = [];
+  readonly gateways: Gateway[] = [];
+  readonly #agent = new Agent({ keepAlive: true });
+  #version = 1;
+  #lastId = 0;
+  /** Fields of routes that differ from the defaults. */
+  routeParts: Record<string, object> = {};
+
+  async start(sizes: {
+    gateways: number;
+    engines: number;
+    services: number;
+  }): Promise<void> {
+    await this.store.start();
+    for (let index = 0; index < sizes.engines; index += 1) {
+      this.engines.push(new FakePlatformReplica(`i-engine${index}`, true));
+    }
+    for (let index = 0; index < sizes.services; index += 1) {
+      this.services.push(new FakePlatformReplica(`i-plain${index}`, false));
+    }
+    for (const replica of [...this.engines, ...this.services]) {
+      await replica.start();
+      this.register(replica);
+    }
+    this.publish();
+    for (let index = 0; index < sizes.gateways; index += 1) {
+      const gateway = this.createGateway(index);
+      this.gateways.push(gateway);
+      await gateway.start();
+    }
+    await this.waitUntilReady(sizes.gateways);
+  }
+
+  createGateway(index: number): Gateway {
+    const ip = `127.0.0.${index + 1}`;
+    const settings = gatewaySettingsSchema.parse({
+      host: `host-${index}`,
+      failureDomain: "zone-a",
+      callers: { listen: `${ip}:${BASE_PORT}` },
+      readiness: { listen: `${ip}:${BASE_PORT + 1}` },
+      peers: {
+        listen: `${ip}:${BASE_PORT + 2}`,
+        port: BASE_PORT + 3,
+        seeds: [`127.0.0.1:${BASE_PORT + 2}`],
+      },
+      metrics: { port: BASE_PORT + 4 },
+      store: { address: this.store.address },
+      orders: { termMs: TERM_MS },
+      repeats: { ratio: 0.2, windowMs: 10_000, slack: 58 },
+      stop: { graceMs: 5_000 },
+      logLevel: "silent",
+    });
+    return new Gateway(settings, {
+      dialect: new HeaderDialect(),
+      decoder: new EntryDecoder(),
+      createStore: (address) => new StoreClient(address),
+      createEngineControl: () => new ReplicaClient(),
+    });
+  }
+
+  register(replica: FakePlatformReplica, state = "ready"): void {
+    const service = replica.isEngine ? "briefs" : "orders";
+    this.store.put(`servers/${replica.id}`, replica.describe(service, state));
+  }
+
+  /** Publishes the next configuration, with the route parts in force. */
+  publish(extraRoutes: object[] = []): void {
+    this.#version += 3;
+    const create = (name: string, kind: string, service: string) => ({
+      name,
+      host: "mill.example",
+      prefix: `/${name}/`,
+      kind,
+      timeout_ms: 3_000,
+      target_latency_ms: 800,
+      priority: 1,
+      service,
+      attempts: 2,
+      resumable: false,
+      ...this.routeParts[name],
+    });
+    this.store.put("op/config", {
+      version: this.#version,
+      routes: [
+        create("safe", "safe", "orders"),
+        create("unsafe", "unsafe", "orders"),
+        create("brief", "stream", "briefs"),
+        create("resume", "stream", "briefs"),
+        ...extraRoutes,
+      ],
+      services: [
+        { name: "orders", health_path: "/healthz", max_conns: 50 },
+        {
+          name: "briefs",
+          health_path: "/healthz",
+          max_conns: 50,
+          engine: {
+            slots: 8,
+            kv_capacity: 100_000,
+            adapter_slots: 2,
+            weights_mb: 110,
+            models: [{ name: "m", weights_mb: 100, load_s: 0.05 }],
+          },
+        },
+      ],
+      limits: {
+        max_body_bytes: 100_000,
+        header_timeout_ms: 3_000,
+        idle_timeout_ms: 15_000,
+      },
+    });
+  }
+
+  /** Calls a route as a caller does. */
+  call(path: string, options: CallOptions = {}): Promise<CallerAnswer> {
+    this.#lastId += 1;
+    const isStream = path.startsWith("/brief") || path.startsWith("/resume");
+    const headers: Record<string, string> = {
+      Host: "mill.example",
+      "X-Request-Id": options.id ?? `request-${this.#lastId}`,
+      "X-Deadline-Ms": "2500",
+      ...(isStream ? { "X-Model": "m/a1", "X-Token-Counts": "400,20" } : {}),
+      ...options.headers,
+    };
+    return new Promise((resolve, reject) => {
+      const call = request({
+        host: `127.0.0.${(options.gateway ?? 0) + 1}`,
+        port: BASE_PORT,
+        path,
+        method: options.method ?? "POST",
+        headers,
+        agent: this.#agent,
+      }, (response) => {
+        const chunks: Buffer[] = [];
+        response.on("data", (chunk: Buffer) => chunks.push(chunk));
+        response.on("error", () => {});
+        response.on("close", () =>
+          resolve({
+            status: response.statusCode ?? 0,
+            headers: response.headers,
+            body: Buffer.concat(chunks).toString(),
+            isComplete: response.complete,
+          }));
+      });
+      call.on("error", reject);
+      if (options.leaveAfterMs !== undefined) {
+        setTimeout(() => call.destroy(), options.leaveAfterMs);
+      }
+      call.end(options.body ?? "");
+    });
+  }
+
+  async isReady(gateway: number): Promise<boolean> {
+    try {
+      const answer = await fetch(
+        `http://127.0.0.${gateway + 1}:${BASE_PORT + 1}/-/readyz`,
+      );
+      return answer.status === 200;
+    } catch {
+      return false;
+    }
+  }
+
+  /** Waits until the gateways are ready and every engine has a holder. */
+  async waitUntilReady(gateways: number): Promise<void> {
+    await this.waitFor(async () => {
+      for (let index = 0; index < gateways; index += 1) {
+        if (!(await this.isReady(index))) return false;
+      }
+      return true;
+    });
+    await waitMs(1_800);
+  }
+
+  async waitFor(
+    check: () => boolean | Promise<boolean>,
+    timeoutMs = 8_000,
+  ): Promise<void> {
+    const endsAt = Date.now() + timeoutMs;
+    while (!(await check())) {
+      if (Date.now() > endsAt) {
+        throw new Error(`expected ${check} within ${timeoutMs} ms`);
+      }
+      await waitMs(20);
+    }
+  }
+
+  /** Requests that any replica has run. */
+  countRuns(id: string): number {
+    return [...this.engines, ...this.services]
+      .flatMap((replica) => replica.seen)
+      .filter((seen) => seen.id === id).length;
+  }
+
+  async stop(): Promise<void> {
+    await Promise.all(this.gateways.map((gateway) => gateway.stop()));
+    this.#agent.destroy();
+    for (const replica of [...this.engines, ...this.services]) replica.stop();
+    this.store.stop();
+  }
+}
+
+export function waitMs(spanMs: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, spanMs));
+}
