--- a/src/core/admission/engine_desk.ts
+++ b/src/core/admission/engine_desk.ts
@@ -209,6 +209,18 @@
     this.pump(now);
   }
 
+  /** Returns when the desk has to look again: a load is done, or a wait or a permit ends. */
+  getNextDueAt(): Milliseconds {
+    let dueAt = Number.POSITIVE_INFINITY;
+    for (const place of this.places.listPlaces()) {
+      if (place.state === "loading") dueAt = Math.min(dueAt, place.readyAt);
+    }
+    for (const { overdueAt } of this.#waiting.values()) {
+      dueAt = Math.min(dueAt, overdueAt);
+    }
+    return dueAt;
+  }
+
   /** Grants every place that is free, the most urgent request first. */
   pump(now: Milliseconds): void {
     for (const { request } of this.#listWaiting()) {
--- a/src/core/fleet/fleet_view.ts
+++ b/src/core/fleet/fleet_view.ts
@@ -37,14 +37,18 @@
   strikes: { fingerprint: string; strikes: number }[];
 }
 
-/** Period of heartbeats; a death is noticed within a few of them. */
-export const HEARTBEAT_INTERVAL_MS = 400;
-/** Silence after which a peer that is sent heartbeats by all is taken for dead. */
-const SILENCE_MS = 4 * HEARTBEAT_INTERVAL_MS;
+/** Period of heartbeats in a small fleet; a death is noticed within a few of them. */
+const SMALL_INTERVAL_MS = 400;
+/** Period in a large fleet, whose daemons have to keep to 3 KB a second for control. */
+const LARGE_INTERVAL_MS = 1_000;
+/** Heartbeats that fail to come before a member is taken for dead. */
+const MISSED_HEARTBEATS = 4;
 /** Fleet size up to which every daemon sends to every other one. */
 const FULL_MESH_MEMBERS = 24;
-/** Daemons of other failure domains that get a heartbeat in a period, beyond that size. */
-const DISTANT_TARGETS = 3;
+/** Daemons of the own failure domain that get a heartbeat in a period, beyond that size. */
+const NEAR_TARGETS = 5;
+/** Daemons of other failure domains that get one. */
+const DISTANT_TARGETS = 2;
 /** Members named in one heartbeat: keeps it within one datagram. */
 const SAMPLE_SIZE = 6;
 /** Silence after which a member is no longer sent anything. */
@@ -111,7 +115,7 @@
     const near = known.filter((each) => this.#isNear(each.member));
     const distant = known.filter((each) => !this.#isNear(each.member));
     return [
-      ...rotate(near, this.#round).slice(0, FULL_MESH_MEMBERS),
+      ...rotate(near, this.#round * NEAR_TARGETS).slice(0, NEAR_TARGETS),
       ...rankByRendezvous(
         String(this.#round),
         distant.map((each) => each.member),
@@ -216,14 +220,26 @@
     return member.failureDomain === this.#self.failureDomain;
   }
 
-  /** A distant member of a large fleet is heard only now and then. */
+  /** Returns the time until the next heartbeats. */
+  getIntervalMs(): Milliseconds {
+    return this.isSmall() ? SMALL_INTERVAL_MS : LARGE_INTERVAL_MS;
+  }
+
+  /** A member of a large fleet is heard only now and then. */
   #isLiving(known: KnownMember, now: Milliseconds): boolean {
     if (known.heartbeat === undefined) return false;
-    const isOftenHeard = this.isSmall() || this.#isNear(known.member);
-    const patience = isOftenHeard
-      ? 1
-      : Math.ceil(this.#members.size / DISTANT_TARGETS / 2);
-    return now - known.heardAt < SILENCE_MS * patience;
+    const silenceMs = MISSED_HEARTBEATS * this.getIntervalMs();
+    return now - known.heardAt < silenceMs * this.#getHeartbeatGap(known);
+  }
+
+  /** Returns the periods between two heartbeats of a member. */
+  #getHeartbeatGap(known: KnownMember): number {
+    if (this.isSmall()) return 1;
+    const isNear = this.#isNear(known.member);
+    const targets = isNear ? NEAR_TARGETS : DISTANT_TARGETS;
+    const likeIt = [...this.#members.values()]
+      .filter((each) => this.#isNear(each.member) === isNear).length;
+    return Math.max(1, Math.ceil(likeIt / targets / 2));
   }
 
   #listKnown(): KnownMember[] {
--- a/src/core/ordering/engine_holder.ts
+++ b/src/core/ordering/engine_holder.ts
@@ -225,6 +225,14 @@
     return effects;
   }
 
+  /** Returns when the holder has to look again, beside the regular ticks. */
+  getNextDueAt(): Milliseconds {
+    if (!this.isHolding()) return Number.POSITIVE_INFINITY;
+    const hasWork = this.desk.countWaiting() > 0;
+    const orderAt = hasWork ? this.#nextOrderAt : Number.POSITIVE_INFINITY;
+    return Math.min(this.desk.getNextDueAt(), orderAt);
+  }
+
   /** Serves the queue and gives the next order, without waiting for the tick. */
   pump(situation: HolderSituation, now: Milliseconds): HolderEffect[] {
     if (!this.isHolding()) return [];
--- a/src/gateway/decision_log.ts
+++ b/src/gateway/decision_log.ts
@@ -9,9 +9,9 @@
 import type { Milliseconds } from "../core/structures.ts";
 
 /** Time for which lines are gathered. */
-const FLUSH_INTERVAL_MS = 100;
+const FLUSH_INTERVAL_MS = 250;
 /** Bytes written in one period at most; about 640 KB a second. */
-const MAX_BYTES_PER_FLUSH = 64 * 1024;
+const MAX_BYTES_PER_FLUSH = 160 * 1024;
 
 export class DecisionLog {
   readonly #log: loglevel.Logger;
--- a/src/gateway/engine_task.ts
+++ b/src/gateway/engine_task.ts
@@ -27,7 +27,9 @@
 import type { EngineControl } from "./ports.ts";
 
 /** Period in which holders look at time-outs and at who should hold. */
-const TICK_INTERVAL_MS = 25;
+const TICK_INTERVAL_MS = 150;
+/** Shortest time between two looks. */
+const MIN_TICK_MS = 4;
 /** Loads from the weight store at once over all daemons; beyond it each takes longer. */
 const FLEET_FETCHES = 8;
 /** Period in which runs at engines are compared with who holds the engines. */
@@ -82,14 +84,15 @@
   #lastRunsAt = Number.NEGATIVE_INFINITY;
   readonly #startedAt = performance.now();
   #isStopping = false;
-  #timer: ReturnType<typeof setInterval> | undefined;
+  #timer: ReturnType<typeof setTimeout> | undefined;
+  #tickAt = Number.POSITIVE_INFINITY;
 
   constructor(options: EngineTaskOptions) {
     this.#options = options;
   }
 
   start(): void {
-    this.#timer = setInterval(() => this.#tick(), TICK_INTERVAL_MS);
+    this.#scheduleTick(performance.now() + TICK_INTERVAL_MS);
   }
 
   listHeldEngines(): string[] {
@@ -209,7 +212,7 @@
   /** Hands every engine over to the daemon that should hold it next. */
   async stop(): Promise<void> {
     this.#isStopping = true;
-    clearInterval(this.#timer);
+    clearTimeout(this.#timer);
     const now = performance.now();
     const sendings: Promise<boolean>[] = [];
     for (const holder of this.#holders.values()) {
@@ -229,13 +232,27 @@
     await Promise.all(sendings);
   }
 
+  /** Looks no later than at the given time. */
+  #scheduleTick(at: Milliseconds): void {
+    if (this.#isStopping || at >= this.#tickAt) return;
+    clearTimeout(this.#timer);
+    this.#tickAt = at;
+    const delayMs = Math.max(MIN_TICK_MS, at - performance.now());
+    this.#timer = setTimeout(() => this.#tick(), delayMs);
+  }
+
   #tick(): void {
     const now = performance.now();
+    this.#tickAt = Number.POSITIVE_INFINITY;
     this.#followView();
     this.#notifyHolders(now);
     for (const holder of this.#holders.values()) {
       this.#carryOut(holder.tick(this.#describeSituation(holder, now), now));
     }
+    this.#scheduleTick(now + TICK_INTERVAL_MS);
+    for (const holder of this.#holders.values()) {
+      this.#scheduleTick(holder.getNextDueAt());
+    }
   }
 
   /** Keeps a holder for each engine, and none for those that are gone. */
@@ -413,9 +430,9 @@
 
   #pump(engineId: string, now: Milliseconds): void {
     const holder = this.#getHeld(engineId);
-    if (holder) {
-      this.#carryOut(holder.pump(this.#describeSituation(holder, now), now));
-    }
+    if (!holder) return;
+    this.#carryOut(holder.pump(this.#describeSituation(holder, now), now));
+    this.#scheduleTick(holder.getNextDueAt());
   }
 
   #getHeld(engineId: string): EngineHolder | undefined {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -4,11 +4,7 @@
  */
 import { randomBytes } from "node:crypto";
 import { createServer, type Server } from "node:http";
-import {
-  FleetView,
-  type Heartbeat,
-  HEARTBEAT_INTERVAL_MS,
-} from "../core/fleet/fleet_view.ts";
+import { FleetView, type Heartbeat } from "../core/fleet/fleet_view.ts";
 import { CrashQuarantine } from "../core/limits/crash_quarantine.ts";
 import { RepeatAllowance } from "../core/limits/repeat_allowance.ts";
 import { FenceClock } from "../core/ordering/fence_clock.ts";
@@ -40,7 +36,7 @@
 /** Time for which news is gathered before peers are told. */
 const NEWS_DELAY_MS = 30;
 /** Gap between heartbeats from which this process is taken to have been paused. */
-const PAUSE_THRESHOLD_MS = 1_500;
+const PAUSE_THRESHOLD_MS = 2_500;
 /** Time after the notice of a stop in which the balancer learns of it: two questions a second apart. */
 const UNREADY_NOTICE_MS = 2_500;
 /** Period in which a stopping gateway looks whether it is idle. */
@@ -72,7 +68,7 @@
   readonly #incarnation = randomBytes(6).toString("hex");
   readonly #dialect: PlatformDialect;
   #readiness: Server | undefined;
-  #timer: ReturnType<typeof setInterval> | undefined;
+  #timer: ReturnType<typeof setTimeout> | undefined;
   #lastBeatAt = performance.now();
   #isReady = false;
   #isBeatDue = false;
@@ -145,10 +141,7 @@
     await this.#callers.listen(front.ip, front.port);
     await this.#listenForReadiness(readiness.listen);
     if (metrics) await this.#metrics.listen(front.ip, metrics.port);
-    this.#timer = setInterval(
-      () => this.#sendHeartbeats(),
-      HEARTBEAT_INTERVAL_MS,
-    );
+    this.#scheduleHeartbeats();
     this.#sendHeartbeats();
     this.#log.info("started", {
       failureDomain,
@@ -175,7 +168,7 @@
       await waitMs(DRAIN_CHECK_MS);
     }
     this.#log.info("stopped", { inFlight: this.#callers.inFlight });
-    clearInterval(this.#timer);
+    clearTimeout(this.#timer);
     this.#timer = undefined;
     this.#callers.close();
     this.#follower.stop();
@@ -224,6 +217,13 @@
     return isReady;
   }
 
+  #scheduleHeartbeats(): void {
+    this.#timer = setTimeout(() => {
+      this.#sendHeartbeats();
+      this.#scheduleHeartbeats();
+    }, this.#fleet.getIntervalMs());
+  }
+
   #sendHeartbeats(): void {
     const now = performance.now();
     const sinceLastMs = now - this.#lastBeatAt;
--- a/src/gateway/peer_task.ts
+++ b/src/gateway/peer_task.ts
@@ -12,6 +12,8 @@
 
 /** Times after the first sending at which a message is sent again: loss is rare, a way takes milliseconds. */
 const RESEND_AFTER_MS: readonly Milliseconds[] = [25, 60, 120, 250];
+/** Time for which an acknowledgement waits for a message that it can go with. */
+const ACK_DELAY_MS = 5;
 /** Numbers of messages remembered, so that a repeated one is handled once. */
 const MAX_REMEMBERED = 4_000;
 
@@ -21,7 +23,8 @@
   incarnation: string;
   /** Number to acknowledge; absent for messages sent once. */
   number?: number;
-  acknowledges?: number;
+  /** Numbers of the receiver's messages that have come. */
+  acknowledges?: number[];
   message?: GatewayMessage;
 }
 
@@ -44,6 +47,9 @@
   readonly #socket: Socket = createSocket("udp4");
   readonly #pending = new Map<number, PendingMessage>();
   readonly #seen = new Set<string>();
+  /** Numbers to acknowledge, by the sender's IP; they go with the next message there. */
+  readonly #dueAcks = new Map<string, number[]>();
+  #ackTimer: ReturnType<typeof setTimeout> | undefined;
   #lastNumber = 0;
 
   constructor(options: PeerTaskOptions) {
@@ -64,14 +70,14 @@
 
   /** Sends a message once. */
   send(ip: string, message: GatewayMessage): void {
-    this.#write(ip, this.#encode({ message }));
+    this.#write(ip, this.#encode(ip, { message }));
   }
 
   /** Sends until the peer acknowledges; returns whether it did. */
   deliver(ip: string, message: GatewayMessage): Promise<boolean> {
     this.#lastNumber += 1;
     const number = this.#lastNumber;
-    const bytes = this.#encode({ message, number });
+    const bytes = this.#encode(ip, { message, number });
     return new Promise((resolve) => {
       let sent = 0;
       const startedAt = performance.now();
@@ -95,13 +101,17 @@
 
   close(): void {
     for (const pending of this.#pending.values()) clearTimeout(pending.timer);
+    clearTimeout(this.#ackTimer);
     this.#pending.clear();
     this.#socket.close();
   }
 
-  #encode(part: Partial<Envelope>): Buffer {
+  #encode(ip: string, part: Partial<Envelope>): Buffer {
     const { selfId, incarnation } = this.#options;
     const envelope: Envelope = { from: selfId, incarnation, ...part };
+    const acknowledges = this.#dueAcks.get(ip);
+    if (acknowledges) envelope.acknowledges = acknowledges;
+    this.#dueAcks.delete(ip);
     return Buffer.from(JSON.stringify(envelope));
   }
 
@@ -127,17 +137,27 @@
       return;
     }
     const { number, acknowledges, message } = envelope;
-    if (acknowledges !== undefined) {
-      this.#pending.get(acknowledges)?.settle(true);
+    for (const each of acknowledges ?? []) {
+      this.#pending.get(each)?.settle(true);
     }
     if (!message) return;
     if (number !== undefined) {
-      this.#write(ip, this.#encode({ acknowledges: number }));
+      this.#scheduleAck(ip, number);
       if (!this.#remember(`${envelope.incarnation}:${number}`)) return;
     }
     this.#options.handle(envelope.from, message);
   }
 
+  #scheduleAck(ip: string, number: number): void {
+    this.#dueAcks.set(ip, [...this.#dueAcks.get(ip) ?? [], number]);
+    this.#ackTimer ??= setTimeout(() => {
+      this.#ackTimer = undefined;
+      for (const due of [...this.#dueAcks.keys()]) {
+        this.#write(due, this.#encode(due, {}));
+      }
+    }, ACK_DELAY_MS);
+  }
+
   /** Returns whether the message has not been seen yet. */
   #remember(key: string): boolean {
     if (this.#seen.has(key)) return false;
--- a/src/gateway/view_follower.ts
+++ b/src/gateway/view_follower.ts
@@ -24,7 +24,7 @@
 /** Pause after changes, so that those that follow come in one answer. */
 const GATHER_MS = 200;
 /** Period in which a daemon that does not read looks whether it should. */
-const STANDBY_MS = 100;
+const STANDBY_MS = 250;
 /** Period in which a daemon that lost the store tries it again. */
 const PROBE_INTERVAL_MS = 1_000;
 /** Silence of the store after which vanished entries count as lapsed. */
@@ -32,7 +32,7 @@
 /** Time after an outage in which peers are told that vanished entries may have lapsed. */
 const OUTAGE_TOLD_MS = 1_500;
 /** Period in which peers' revisions are compared. */
-const COMPARE_INTERVAL_MS = 150;
+const COMPARE_INTERVAL_MS = 200;
 /** Time for which the own watch may lag behind a peer before the peer is asked. */
 const LAG_PATIENCE_MS = 300;
 /** Bound on one call to a peer. */
