Prove the right to order before a load; claim untouched engines only with a majority

Ruled out: counts that restart, a lost answer. Now loads are given only within a term of an accepted order, in which nobody else can have taken over; else an eviction, or the load of an adapter that only this host names, comes first. Cause of the grown site's processor time: ranks of all members for each engine at each tick. The number of fetches at full speed follows the number of engines, as the sheets do.

--- a/src/core/admission/engine_desk.ts
+++ b/src/core/admission/engine_desk.ts
@@ -251,13 +251,19 @@
         version,
       };
       if (place || this.places.hasRoom()) return load;
-      const evictable = this.#findEvictable(now);
-      if (!evictable) continue;
-      return { kind: "evict", ...parseAdapterPath(evictable.adapterPath) };
+      const eviction = this.findEviction(now);
+      if (eviction) return eviction;
     }
     return undefined;
   }
 
+  /** Returns the eviction of the idle adapter that yields first, or undefined. */
+  findEviction(now: Milliseconds): WantedOrder | undefined {
+    const evictable = this.#findEvictable(now);
+    return evictable &&
+      { kind: "evict", ...parseAdapterPath(evictable.adapterPath) };
+  }
+
   /** Denies all that waits, when the engine is given up. */
   refuseAll(reason: DenialReason, now: Milliseconds): void {
     for (const { request } of this.#waiting.values()) {
--- a/src/core/fleet/fleet_view.ts
+++ b/src/core/fleet/fleet_view.ts
@@ -41,6 +41,8 @@
 const SMALL_INTERVAL_MS = 400;
 /** Period in a large fleet, whose daemons have to keep to 3 KB a second for control. */
 const LARGE_INTERVAL_MS = 1_000;
+/** Time after the start in which a daemon of a large fleet makes itself known faster. */
+const FIRST_GOSSIP_MS = 5_000;
 /** Heartbeats that fail to come before a member is taken for dead. */
 const MISSED_HEARTBEATS = 4;
 /** Fleet size up to which every daemon sends to every other one. */
@@ -57,6 +59,17 @@
 /** Key by which the reader of the store is drawn. */
 const READER_KEY = "store reader";
 
+/** Time for which a look through the members is used again. */
+const SURVEY_LIFETIME_MS = 100;
+
+interface Survey {
+  madeAt: Milliseconds;
+  /** Living members that are not leaving. */
+  staying: FleetMember[];
+  /** Holder of each engine that one of them holds. */
+  holders: Map<string, string>;
+}
+
 interface KnownMember {
   member: FleetMember;
   heartbeat: Heartbeat | undefined;
@@ -69,6 +82,8 @@
   readonly #self: FleetMember;
   readonly #members = new Map<string, KnownMember>();
   #round = 0;
+  #nearMembers = 0;
+  #survey: Survey | undefined;
 
   constructor(self: FleetMember) {
     this.#self = self;
@@ -84,6 +99,14 @@
       .length;
   }
 
+  /** Returns whether this daemon hears more than half of the daemons that it knows of. */
+  isHearingMajority(now: Milliseconds): boolean {
+    const known = this.#listKnown().filter((each) =>
+      now - Math.max(each.heardAt, each.namedAt) < FORGET_MS
+    );
+    return 2 * this.countLiving(now) > known.length + 1;
+  }
+
   isSmall(): boolean {
     return this.#members.size < FULL_MESH_MEMBERS;
   }
@@ -93,6 +116,10 @@
     const known = this.#members.get(heartbeat.sender.id);
     const isNew = !known || !this.#isLiving(known, now) ||
       known.heartbeat?.incarnation !== heartbeat.incarnation;
+    if (!known && this.#isNear(heartbeat.sender)) this.#nearMembers += 1;
+    if (isNew || known?.heartbeat?.isLeaving !== heartbeat.isLeaving) {
+      this.#survey = undefined;
+    }
     this.#members.set(heartbeat.sender.id, {
       member: heartbeat.sender,
       heartbeat,
@@ -153,14 +180,12 @@
 
   /** Returns the living daemon that says it holds the engine, or undefined. */
   findHolder(engineId: string, now: Milliseconds): string | undefined {
-    return this.listLiving(now).find((heartbeat) =>
-      heartbeat.heldEngines.includes(engineId) && !heartbeat.isLeaving
-    )?.sender.id;
+    return this.#getSurvey(now).holders.get(engineId);
   }
 
   /**
    * Returns the daemons that should order an engine, best first: those of its
-   * failure domain, then all others.
+   * failure domain, or all others where none of them lives.
    * @param isStopping whether this daemon itself is no candidate.
    */
   rankHolders(
@@ -168,19 +193,12 @@
     isStopping: boolean,
     now: Milliseconds,
   ): FleetMember[] {
-    const candidates = this.#listKnown()
-      .filter((each) =>
-        this.#isLiving(each, now) && each.heartbeat?.isLeaving !== true
-      )
-      .map((each) => each.member);
-    if (!isStopping) candidates.push(this.#self);
-    const isNear = (member: FleetMember) =>
-      member.failureDomain === engine.failureDomain;
-    const ranked = rankByRendezvous(engine.id, candidates);
-    return [
-      ...ranked.filter(isNear),
-      ...ranked.filter((member) => !isNear(member)),
-    ];
+    const { staying } = this.#getSurvey(now);
+    const candidates = isStopping ? staying : [...staying, this.#self];
+    const near = candidates.filter((member) =>
+      member.failureDomain === engine.failureDomain
+    );
+    return rankByRendezvous(engine.id, near.length > 0 ? near : candidates);
   }
 
   /**
@@ -199,15 +217,36 @@
     return ranked[0]?.id === this.#self.id;
   }
 
+  /** Looks through the members once for many questions. */
+  #getSurvey(now: Milliseconds): Survey {
+    const known = this.#survey;
+    const isFresh = known !== undefined && now >= known.madeAt &&
+      now - known.madeAt < SURVEY_LIFETIME_MS;
+    if (isFresh) return known;
+    const survey: Survey = { madeAt: now, staying: [], holders: new Map() };
+    for (const heartbeat of this.listLiving(now)) {
+      if (heartbeat.isLeaving) continue;
+      survey.staying.push(heartbeat.sender);
+      for (const engineId of heartbeat.heldEngines) {
+        if (survey.holders.has(engineId)) continue;
+        survey.holders.set(engineId, heartbeat.sender.id);
+      }
+    }
+    this.#survey = survey;
+    return survey;
+  }
+
   /** Takes every peer for silent, after a pause of this process. */
   expireAll(): void {
     for (const known of this.#members.values()) {
       known.heardAt = Number.NEGATIVE_INFINITY;
     }
+    this.#survey = undefined;
   }
 
   #addNamed(member: FleetMember, now: Milliseconds): void {
     if (member.id === this.#self.id || this.#members.has(member.id)) return;
+    if (this.#isNear(member)) this.#nearMembers += 1;
     this.#members.set(member.id, {
       member,
       heartbeat: undefined,
@@ -221,14 +260,17 @@
   }
 
   /** Returns the time until the next heartbeats. */
-  getIntervalMs(): Milliseconds {
-    return this.isSmall() ? SMALL_INTERVAL_MS : LARGE_INTERVAL_MS;
+  getIntervalMs(uptimeMs: Milliseconds): Milliseconds {
+    return this.isSmall() || uptimeMs < FIRST_GOSSIP_MS
+      ? SMALL_INTERVAL_MS
+      : LARGE_INTERVAL_MS;
   }
 
   /** A member of a large fleet is heard only now and then. */
   #isLiving(known: KnownMember, now: Milliseconds): boolean {
     if (known.heartbeat === undefined) return false;
-    const silenceMs = MISSED_HEARTBEATS * this.getIntervalMs();
+    const silenceMs = MISSED_HEARTBEATS *
+      (this.isSmall() ? SMALL_INTERVAL_MS : LARGE_INTERVAL_MS);
     return now - known.heardAt < silenceMs * this.#getHeartbeatGap(known);
   }
 
@@ -237,8 +279,9 @@
     if (this.isSmall()) return 1;
     const isNear = this.#isNear(known.member);
     const targets = isNear ? NEAR_TARGETS : DISTANT_TARGETS;
-    const likeIt = [...this.#members.values()]
-      .filter((each) => this.#isNear(each.member) === isNear).length;
+    const likeIt = isNear
+      ? this.#nearMembers
+      : this.#members.size - this.#nearMembers;
     return Math.max(1, Math.ceil(likeIt / targets / 2));
   }
 
--- a/src/core/ordering/engine_holder.ts
+++ b/src/core/ordering/engine_holder.ts
@@ -28,6 +28,8 @@
 
 /** What a holder that stops tells the next one. */
 export interface TenureHandover {
+  /** Time since the engine last accepted an order. */
+  acceptedAgeMs: Milliseconds;
   models: string[];
   sequence: number;
   bornAtUnixMs: number;
@@ -52,6 +54,8 @@
   limits: EngineLimits;
   termMs: Milliseconds;
   drawFence: () => number;
+  /** Names an adapter of a model that hardly any other daemon names; undefined when it has none. */
+  selectOwnAdapter: (model: string) => string | undefined;
 }
 
 /** What the daemon knows besides. */
@@ -60,14 +64,20 @@
   isWanted: boolean;
   /** Whether it should observe the engine, as it may come to give its orders. */
   isCandidate: boolean;
+  /** Whether this daemon hears most of those that it knows. */
+  hearsMajority: boolean;
   /** Loads from the weight store on their way, over all daemons. */
   fleetFetches: number;
+  /** How many of these go at full speed together. */
+  fullSpeedFetches: number;
   /** Whether this daemon may start another load from the weight store. */
   canFetch: boolean;
 }
 
 /** Shortest time between two readings of one engine. */
 const REPORT_INTERVAL_MS = 300;
+/** Age of the last accepted order beyond which it tells nothing. */
+const MAX_ACCEPTED_AGE_MS = 3_600_000;
 /** Time after which a conflicting or failed order is tried again. */
 const ORDER_RETRY_MS = 60;
 
@@ -189,7 +199,6 @@
 
   recordOrderAnswer(
     answer: OrderAnswer,
-    fleetFetches: number,
     now: Milliseconds,
   ): HolderEffect[] {
     const ordered = this.#ordered;
@@ -197,7 +206,6 @@
     this.#ordered = undefined;
     this.#tenure.recordOrderAnswer(answer, ordered.sentAt, now);
     if (answer.kind === "accepted") {
-      this.desk.places.setFleetFetches(fleetFetches);
       this.#applyOrder(ordered.order, now);
       return [];
     }
@@ -213,9 +221,7 @@
   tick(situation: HolderSituation, now: Milliseconds): HolderEffect[] {
     const effects: HolderEffect[] = [];
     if (!situation.isWanted) effects.push(...this.#giveUp(now));
-    if (situation.isWanted && this.#tenure.isTermOver(now)) {
-      effects.push(...this.#claim(now));
-    }
+    if (situation.isWanted) effects.push(...this.#claim(situation, now));
     if (this.isHolding()) {
       this.desk.tick(now);
       effects.push(...this.#giveNextOrder(situation, now));
@@ -259,6 +265,8 @@
       ? {
         sequence: state.sequence,
         bornAtUnixMs: state.bornAtUnixMs,
+        // Longer ages say no more than this one, and infinity can't be sent.
+        acceptedAgeMs: Math.min(now - state.acceptedAt, MAX_ACCEPTED_AGE_MS),
         models: [...this.#models],
         adapters: this.desk.places.listPlaces().map((
           place,
@@ -305,8 +313,8 @@
     };
   }
 
-  #claim(now: Milliseconds): HolderEffect[] {
-    if (!this.#tenure.claim(now)) return [];
+  #claim(situation: HolderSituation, now: Milliseconds): HolderEffect[] {
+    if (!this.#tenure.claim(situation.hearsMajority, now)) return [];
     this.desk.places.clear();
     this.desk.clearPermits();
     this.desk.beginAdoption(now);
@@ -324,9 +332,11 @@
     const isBlocked = expectedSequence === undefined || this.#ordered ||
       this.#isInDoubt || now < this.#nextOrderAt;
     if (isBlocked) return [];
-    this.desk.places.setFleetFetches(situation.fleetFetches);
-    const order = this.#findMissingModel() ??
-      this.desk.findWantedOrder(situation.canFetch, now);
+    this.desk.places.setFleetFetches(
+      situation.fleetFetches,
+      situation.fullSpeedFetches,
+    );
+    const order = this.#findNextOrder(situation, now);
     this.#isVerificationDue = order !== undefined &&
       !this.#tenure.isVerified(now);
     if (!order || this.#isVerificationDue) return [];
@@ -342,6 +352,31 @@
     }];
   }
 
+  #findNextOrder(
+    situation: HolderSituation,
+    now: Milliseconds,
+  ): WantedOrder | undefined {
+    const wanted = this.#findMissingModel() ??
+      this.desk.findWantedOrder(situation.canFetch, now);
+    const needsProof = wanted?.kind === "load" && wanted.adapter !== "" &&
+      !this.#tenure.isExclusive(now);
+    return needsProof ? this.#findProvingOrder(wanted, now) : wanted;
+  }
+
+  /**
+   * Returns an order that only the true holder's count lets pass: the eviction
+   * of an idle adapter, or the load of one that nobody else is loading.
+   */
+  #findProvingOrder(wanted: WantedOrder, now: Milliseconds): WantedOrder {
+    const { model } = wanted;
+    const eviction = this.desk.findEviction(now);
+    if (eviction) return eviction;
+    const adapter = this.#options.selectOwnAdapter(model);
+    if (adapter === undefined) return wanted;
+    const adapterPath = `${model}/${adapter}`;
+    return { kind: "load", model, adapter, adapterPath, version: undefined };
+  }
+
   /** Returns the load of a base model that the engine lacks and has room for. */
   #findMissingModel(): WantedOrder | undefined {
     const { models, weightsMb } = this.#limits;
--- a/src/core/ordering/order_tenure.ts
+++ b/src/core/ordering/order_tenure.ts
@@ -6,6 +6,10 @@
  * read more than a whole term ago, which the engine refuses if anybody ordered
  * since. Two holders therefore never order within one term of each other, and a
  * deposed holder's next order is refused.
+ *
+ * One order is not compared: the load of an adapter that is on its way already is
+ * confirmed whatever it expects. Loads are therefore given only within a term of
+ * an accepted order, in which nobody else can have taken over.
  */
 import type { Milliseconds } from "../structures.ts";
 
@@ -80,6 +84,8 @@
 const TERM_MARGIN_MS = 300;
 /** Age of the oldest state that a report may give: the protocol says some hundred milliseconds. */
 export const REPORT_LAG_MS = 450;
+/** Longest time that a handover is taken to be on its way. */
+const HANDOVER_TRAVEL_MS = 300;
 /** Time for which an accepted order or a report shows that the engine has not restarted: a restart takes longer. */
 const VERIFIED_MS = 800;
 
@@ -104,6 +110,15 @@
     return this.#state.kind === "holding" ? this.#state.sequence : undefined;
   }
 
+  /**
+   * Returns whether nobody else can have ordered: an order of this holder was
+   * accepted within the term that any other one has to wait.
+   */
+  isExclusive(now: Milliseconds): boolean {
+    return this.#state.kind === "holding" &&
+      now - this.#state.acceptedAt < this.#options.termMs;
+  }
+
   /**
    * Returns whether the engine has lately shown that it did not restart. One that
    * did counts anew, and a count from before may match by chance.
@@ -130,19 +145,20 @@
 
   /**
    * Returns whether a whole term has passed since the report that was observed.
-   * An engine that has accepted no order since its start has had no holder: its
-   * first order is refused to all but one.
+   * An engine that has accepted no order since its start has had no holder: one
+   * that hears most daemons need not wait.
    */
-  isTermOver(now: Milliseconds): boolean {
+  isTermOver(hearsMajority: boolean, now: Milliseconds): boolean {
     if (this.#state.kind !== "observing") return false;
     const { sequence, observedAt } = this.#state;
-    return sequence === 0 ||
+    return (sequence === 0 && hearsMajority) ||
       now - observedAt >= this.#options.termMs + TERM_MARGIN_MS;
   }
 
   /** Takes the right to order, once the term is over. */
-  claim(now: Milliseconds): boolean {
-    if (this.#state.kind !== "observing" || !this.isTermOver(now)) return false;
+  claim(hearsMajority: boolean, now: Milliseconds): boolean {
+    if (this.#state.kind !== "observing") return false;
+    if (!this.isTermOver(hearsMajority, now)) return false;
     const { sequence, bornAtUnixMs, observedAt } = this.#state;
     this.#state = {
       kind: "holding",
@@ -156,7 +172,12 @@
 
   /** Takes over from a holder that gave the engine up and orders it no more. */
   acceptHandover(
-    handover: { sequence: number; bornAtUnixMs: number },
+    handover: {
+      sequence: number;
+      bornAtUnixMs: number;
+      /** Time since the engine last accepted an order. */
+      acceptedAgeMs: Milliseconds;
+    },
     now: Milliseconds,
   ): boolean {
     if (this.isHolding() || this.#state.kind === "deposed") return false;
@@ -164,7 +185,7 @@
       kind: "holding",
       sequence: handover.sequence,
       bornAtUnixMs: handover.bornAtUnixMs,
-      acceptedAt: Number.NEGATIVE_INFINITY,
+      acceptedAt: now - handover.acceptedAgeMs - HANDOVER_TRAVEL_MS,
       verifiedAt: now,
     };
     return true;
--- a/src/core/placement/adapter_places.ts
+++ b/src/core/placement/adapter_places.ts
@@ -28,10 +28,11 @@
 const RELOAD_MS = 35;
 /** Adapters that an engine is taken to keep in its memory; a reload is faster from there. */
 const KEPT_ADAPTERS = 40;
-/** Loads from the store, over all engines, up to which each takes its full speed. */
-const FETCHES_AT_FULL_SPEED = 8;
-/** Loads on their way over all engines below which a new one starts at once. */
-const FETCHES_UNQUEUED = 4;
+/** Loads from the store up to which each takes its full speed: 8 on the sheets of 6 and 13 engines, 64 on those of 98. */
+const MIN_FULL_SPEED_FETCHES = 8;
+const FULL_SPEED_FETCHES_PER_ENGINE = 0.65;
+/** Part of these below which a new load starts at once. */
+const UNQUEUED_SHARE = 0.5;
 /** Adapters on their way to one engine, at most: the platform's bound. */
 export const MAX_COMING = 4;
 /** Time in which a use loses half of its weight. */
@@ -43,10 +44,20 @@
 /** Longest time for which a load that is not done is waited for before the engine is asked. */
 const LOAD_PATIENCE_MS = 3_000;
 
+/** Returns how many loads from the weight store go at full speed together. */
+export function estimateFullSpeedFetches(engines: number): number {
+  return Math.max(
+    MIN_FULL_SPEED_FETCHES,
+    Math.round(FULL_SPEED_FETCHES_PER_ENGINE * engines),
+  );
+}
+
 export class AdapterPlaces {
   #capacity: number;
   /** Loads from the weight store on their way, over all engines. */
   #fleetFetches = 0;
+  /** Loads over all engines up to which each takes its full speed. */
+  #fullSpeedFetches = MIN_FULL_SPEED_FETCHES;
   /** How much longer loads take than the first estimate. */
   #slowness = 1;
   readonly #places = new Map<string, Place>();
@@ -61,8 +72,9 @@
     this.#capacity = capacity;
   }
 
-  setFleetFetches(fleetFetches: number): void {
+  setFleetFetches(fleetFetches: number, fullSpeedFetches: number): void {
     this.#fleetFetches = fleetFetches;
+    this.#fullSpeedFetches = fullSpeedFetches;
   }
 
   getPlace(adapterPath: string): Place | undefined {
@@ -90,15 +102,15 @@
   /** Returns how long a load takes that starts now. */
   estimateLoadMs(adapterPath: string): Milliseconds {
     if (!this.isFetch(adapterPath)) return RELOAD_MS;
-    const crowd = (this.#fleetFetches + 1) / FETCHES_AT_FULL_SPEED;
+    const crowd = (this.#fleetFetches + 1) / this.#fullSpeedFetches;
     return FETCH_MS * this.#slowness * Math.max(1, crowd);
   }
 
   /** Returns how long a load waits for others of the weight store. */
   estimateFetchQueueMs(adapterPath: string, before: number): Milliseconds {
     if (!this.isFetch(adapterPath)) return 0;
-    const crowd = (this.#fleetFetches - FETCHES_UNQUEUED) /
-      FETCHES_AT_FULL_SPEED;
+    const crowd = this.#fleetFetches / this.#fullSpeedFetches -
+      UNQUEUED_SHARE;
     return FETCH_MS * (Math.max(0, crowd) + before);
   }
 
--- a/src/core/view/published_view.ts
+++ b/src/core/view/published_view.ts
@@ -52,6 +52,7 @@
 export interface ModelLimits {
   name: string;
   weightsMb: number;
+  adapterCount: number;
   /** Time of a load from the weight store. */
   loadMs: Milliseconds;
 }
--- a/src/gateway/engine_task.ts
+++ b/src/gateway/engine_task.ts
@@ -8,12 +8,14 @@
   type PermitRequest,
 } from "../core/admission/engine_desk.ts";
 import type { BatchDemand } from "../core/admission/batch_room.ts";
+import { hashText } from "../core/hashing.ts";
 import type { FleetView } from "../core/fleet/fleet_view.ts";
 import {
   EngineHolder,
   type HolderEffect,
   type HolderSituation,
 } from "../core/ordering/engine_holder.ts";
+import { estimateFullSpeedFetches } from "../core/placement/adapter_places.ts";
 import type { FenceClock } from "../core/ordering/fence_clock.ts";
 import type { Milliseconds } from "../core/structures.ts";
 import type {
@@ -28,10 +30,10 @@
 
 /** Period in which holders look at time-outs and at who should hold. */
 const TICK_INTERVAL_MS = 150;
+/** Period in which a daemon looks which engines it should hold. */
+const ROLES_INTERVAL_MS = 400;
 /** Shortest time between two looks. */
 const MIN_TICK_MS = 4;
-/** Loads from the weight store at once over all daemons; beyond it each takes longer. */
-const FLEET_FETCHES = 8;
 /** Period in which runs at engines are compared with who holds the engines. */
 const RUNS_INTERVAL_MS = 200;
 /** Runs told in one message, so that it stays one datagram. */
@@ -43,7 +45,7 @@
 /** Added to a permit's patience for the way there and back. */
 const ANSWER_SLACK_MS = 150;
 /** Time after the start before engines are sought: peers are heard by then. */
-const SETTLE_MS = 1_200;
+const SETTLE_MS = 2_500;
 
 export interface EngineTaskOptions {
   selfId: string;
@@ -80,6 +82,8 @@
   readonly #options: EngineTaskOptions;
   readonly #holders = new Map<string, EngineHolder>();
   readonly #pendingPermits = new Map<string, PendingPermit>();
+  readonly #activeEngines = new Set<string>();
+  #lastRolesAt = Number.NEGATIVE_INFINITY;
   readonly #ownRuns = new Map<string, OwnRun>();
   #lastRunsAt = Number.NEGATIVE_INFINITY;
   readonly #startedAt = performance.now();
@@ -96,14 +100,16 @@
   }
 
   listHeldEngines(): string[] {
-    return [...this.#holders.values()]
-      .filter((holder) => holder.isHolding())
-      .map((holder) => holder.engineId);
+    return [...this.#activeEngines].filter((engineId) =>
+      this.#holders.get(engineId)?.isHolding()
+    );
   }
 
   countFetches(): number {
     let count = 0;
-    for (const holder of this.#holders.values()) count += holder.countComing();
+    for (const engineId of this.#activeEngines) {
+      count += this.#holders.get(engineId)?.countComing() ?? 0;
+    }
     return count;
   }
 
@@ -244,14 +250,27 @@
   #tick(): void {
     const now = performance.now();
     this.#tickAt = Number.POSITIVE_INFINITY;
-    this.#followView();
     this.#notifyHolders(now);
-    for (const holder of this.#holders.values()) {
+    this.#updateRoles(now);
+    for (const engineId of this.#activeEngines) {
+      const holder = this.#holders.get(engineId);
+      if (!holder) continue;
       this.#carryOut(holder.tick(this.#describeSituation(holder, now), now));
+      this.#scheduleTick(holder.getNextDueAt());
     }
     this.#scheduleTick(now + TICK_INTERVAL_MS);
+  }
+
+  /** Finds the engines that this daemon holds, should hold or should observe. */
+  #updateRoles(now: Milliseconds): void {
+    if (now - this.#lastRolesAt < ROLES_INTERVAL_MS) return;
+    this.#lastRolesAt = now;
+    this.#followView();
+    this.#activeEngines.clear();
     for (const holder of this.#holders.values()) {
-      this.#scheduleTick(holder.getNextDueAt());
+      const { isWanted, isCandidate } = this.#describeSituation(holder, now);
+      const isActive = isWanted || isCandidate || holder.isHolding();
+      if (isActive) this.#activeEngines.add(holder.engineId);
     }
   }
 
@@ -278,6 +297,8 @@
             limits,
             termMs,
             drawFence: () => fences.drawFence(Date.now()),
+            selectOwnAdapter: (model) =>
+              this.#selectOwnAdapter(engine.id, model),
           }),
         );
       }
@@ -287,27 +308,37 @@
   #describeSituation(holder: EngineHolder, now: Milliseconds): HolderSituation {
     const { view } = this.#options;
     const fleetFetches = this.#countFleetFetches(now);
+    const fullSpeedFetches = estimateFullSpeedFetches(this.#holders.size);
     const engine = view.getUpstream(holder.engineId);
     const isSettled = now - this.#startedAt > SETTLE_MS;
     if (!engine || !isSettled || this.#isStopping) {
       const isCandidate = engine !== undefined && !this.#isStopping;
       const isWanted = holder.isHolding();
-      return { isWanted, isCandidate, fleetFetches, canFetch: false };
+      return {
+        isWanted,
+        isCandidate,
+        hearsMajority: false,
+        fleetFetches,
+        fullSpeedFetches,
+        canFetch: false,
+      };
     }
     const isWanted = this.#isWanted(engine, holder, now);
     return {
       isWanted,
+      hearsMajority: this.#options.fleet.isHearingMajority(now),
       isCandidate: isWanted || this.#isObserver(engine, now),
       fleetFetches,
-      canFetch: this.#canFetch(fleetFetches),
+      fullSpeedFetches,
+      canFetch: this.#canFetch(fleetFetches, fullSpeedFetches),
     };
   }
 
   /** What peers have on the way is known late, so each daemon keeps to a few. */
-  #canFetch(fleetFetches: number): boolean {
+  #canFetch(fleetFetches: number, fullSpeedFetches: number): boolean {
     const ownFetches = this.countFetches();
     return ownFetches === 0 ||
-      (fleetFetches < FLEET_FETCHES && ownFetches < MAX_OWN_FETCHES);
+      (fleetFetches < fullSpeedFetches && ownFetches < MAX_OWN_FETCHES);
   }
 
   /** A holder keeps the engine while it lives; of two, the preferred one does. */
@@ -324,9 +355,22 @@
     }
     if (!holder.isHolding()) return false;
     const ranked = fleet.rankHolders(engine, false, now);
-    const ownRank = ranked.findIndex((member) => member.id === selfId);
-    const otherRank = ranked.findIndex((member) => member.id === otherHolder);
-    return otherRank < 0 || ownRank < otherRank;
+    const own = ranked.findIndex((member) => member.id === selfId);
+    const other = ranked.findIndex((member) => member.id === otherHolder);
+    if (own < 0 && other < 0) return selfId < otherHolder;
+    return own >= 0 && (other < 0 || own < other);
+  }
+
+  /** Draws an adapter by host and engine, for orders that prove the right to give them. */
+  #selectOwnAdapter(engineId: string, model: string): string | undefined {
+    const { view, selfId, control } = this.#options;
+    const engine = view.getUpstream(engineId);
+    const limits = engine && view.getService(engine.service)?.engine;
+    const count = limits?.models.find((each) => each.name === model)
+      ?.adapterCount ?? 0;
+    return count === 0
+      ? undefined
+      : control.formatAdapterName(hashText(`${selfId} ${engineId}`) % count);
   }
 
   /** The first in rank observe an engine that nobody holds, so that a term has passed when one must claim it. */
@@ -425,7 +469,9 @@
       peer: from,
       isKnown: holder !== undefined,
     });
-    if (holder) this.#carryOut(holder.acceptHandover(handover, now));
+    if (!holder) return;
+    this.#activeEngines.add(engineId);
+    this.#carryOut(holder.acceptHandover(handover, now));
   }
 
   #pump(engineId: string, now: Milliseconds): void {
@@ -518,8 +564,7 @@
     });
     const now = performance.now();
     if (!holder) return;
-    const fetches = this.#countFleetFetches(now);
-    this.#carryOut(holder.recordOrderAnswer(answer, fetches, now));
+    this.#carryOut(holder.recordOrderAnswer(answer, now));
     this.#pump(engineId, now);
   }
 
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -69,6 +69,7 @@
   readonly #dialect: PlatformDialect;
   #readiness: Server | undefined;
   #timer: ReturnType<typeof setTimeout> | undefined;
+  readonly #startedAt = performance.now();
   #lastBeatAt = performance.now();
   #isReady = false;
   #isBeatDue = false;
@@ -221,7 +222,7 @@
     this.#timer = setTimeout(() => {
       this.#sendHeartbeats();
       this.#scheduleHeartbeats();
-    }, this.#fleet.getIntervalMs());
+    }, this.#fleet.getIntervalMs(performance.now() - this.#startedAt));
   }
 
   #sendHeartbeats(): void {
--- a/src/gateway/ports.ts
+++ b/src/gateway/ports.ts
@@ -150,6 +150,8 @@
 
 /** Gives orders to engines and reads their reports. */
 export interface EngineControl {
+  /** Names the adapter of a model by its index from 0. */
+  formatAdapterName(index: number): string;
   /** Throws a StepError when the engine can't be read. */
   readReport(
     engine: { id: string; address: string },
