--- a/src/cli/check_commands.ts
+++ b/src/cli/check_commands.ts
@@ -1,6 +1,8 @@
 /** Commands that check files without a daemon. */
 import { readFileSync } from "node:fs";
+import type { z } from "zod";
 import { daemonSettingsSchema } from "../settings/daemon_settings.ts";
+import { gatewaySettingsSchema } from "../settings/gateway_settings.ts";
 import { parseTables, type TableFileFault } from "../settings/table_files.ts";
 import { parseYamlAs } from "../settings/yaml_file.ts";
 import { ExitCode } from "./exit_codes.ts";
@@ -38,16 +40,33 @@
 
 /** Checks a daemon's settings file; returns the exit code. */
 export function checkSettingsFile(name: string, isJson: boolean): ExitCode {
+  return checkFile(name, daemonSettingsSchema, (value) => value.id, isJson);
+}
+
+/** Checks a gateway's settings file; returns the exit code. */
+export function checkGatewaySettingsFile(
+  name: string,
+  isJson: boolean,
+): ExitCode {
+  return checkFile(name, gatewaySettingsSchema, (value) => value.host, isJson);
+}
+
+function checkFile<Schema extends z.ZodType>(
+  name: string,
+  schema: Schema,
+  getHost: (value: z.infer<Schema>) => string,
+  isJson: boolean,
+): ExitCode {
   const text = readTextOrReport(name);
   if (text === undefined) return ExitCode.FaultsFound;
-  const settings = parseYamlAs(text, daemonSettingsSchema);
+  const settings = parseYamlAs(text, schema);
   if (settings.isErr()) {
     const faults = settings.error.map((fault) => ({ file: name, ...fault }));
     return reportFaults(faults, isJson);
   }
   if (isJson) {
     console.log(JSON.stringify({ valid: true, settings: settings.value }));
-  } else console.log(`Valid: settings of ${settings.value.id}`);
+  } else console.log(`Valid: settings of ${getHost(settings.value)}`);
   return ExitCode.Done;
 }
 
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -3,7 +3,11 @@
 import process from "node:process";
 import sade from "sade";
 import { VERSION } from "../settings/version.ts";
-import { checkSettingsFile, checkTableFiles } from "./check_commands.ts";
+import {
+  checkGatewaySettingsFile,
+  checkSettingsFile,
+  checkTableFiles,
+} from "./check_commands.ts";
 import {
   printExplanation,
   printRoutes,
@@ -44,6 +48,14 @@
     process.exitCode = checkSettingsFile(file, options.json);
   });
 
+program
+  .command("check-gateway-settings <file>")
+  .describe("Check a gateway's settings file.")
+  .example("check-gateway-settings examples/settings/gateway.yaml")
+  .action((file: string, options: { json: boolean }) => {
+    process.exitCode = checkGatewaySettingsFile(file, options.json);
+  });
+
 program
   .command("status")
   .describe(
--- /dev/null
+++ b/test/settings/gateway_settings_test.ts
@@ -0,0 +1,48 @@
+/** Settings of the gateway: the example loads, the template fills every key, faults name their line. */
+import { readFileSync } from "node:fs";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { gatewaySettingsSchema } from "../../src/settings/gateway_settings.ts";
+import { parseYamlAs } from "../../src/settings/yaml_file.ts";
+
+const EXAMPLE = readFileSync("examples/settings/gateway.yaml", "utf8");
+const TEMPLATE = readFileSync("deploy/settings.yaml.template", "utf8");
+
+/** Values that the platform puts into the template, by placeholder. */
+const PLATFORM_VALUES: Record<string, string> = {
+  "node_name|json": '"front-hobart-a-1"',
+  "zone|json": '"hobart-a"',
+  "listen.front|json": '"10.1.0.38:8149"',
+  "listen.ready|json": '"10.1.0.38:8141"',
+  "listen.control|json": '"10.1.0.38:8144"',
+  "port_range.0|json": "7380",
+  "seeds|json": '["10.2.0.40:8144","10.3.0.6:8144"]',
+  "platform.addr|json": '"10.200.1.7:8142"',
+  "bounds.lease_ms|json": "3000",
+  "bounds.budget_ratio|json": "0.2",
+  "bounds.budget_window_s": "10",
+  "bounds.budget_slack|json": "58",
+  "bounds.grace_s": "8",
+};
+
+test("the template, filled in, is the example", () => {
+  const filled = TEMPLATE.replace(/\{\{([^}]+)\}\}/g, (_, name: string) => {
+    assert.ok(name in PLATFORM_VALUES, name);
+    return PLATFORM_VALUES[name] ?? "";
+  });
+  const fromTemplate = parseYamlAs(filled, gatewaySettingsSchema);
+  const fromExample = parseYamlAs(EXAMPLE, gatewaySettingsSchema);
+  assert.ok(fromTemplate.isOk(), JSON.stringify(fromTemplate));
+  assert.equal(fromTemplate.unwrap(), fromExample.unwrap());
+});
+
+test("a fault names its line, what was expected and what was found", () => {
+  const text = EXAMPLE.replace("termMs: 3000", "termMs: soon");
+  const settings = parseYamlAs(text, gatewaySettingsSchema);
+  assert.ok(settings.isErr());
+  const [fault] = settings.isErr() ? settings.error : [];
+  assert.is(fault?.path, "orders.termMs");
+  assert.is(fault?.line, EXAMPLE.split("\n").indexOf("  termMs: 3000") + 1);
+});
+
+test.run();
