--- a/src/gateway/gateway_metrics.ts
+++ b/src/gateway/gateway_metrics.ts
@@ -19,6 +19,30 @@
   15_000,
 ];
 
+/** What each metric counts or measures; docs/OPERATIONS.md holds the same table. */
+export const GATEWAY_METRICS = {
+  requests: "Callers' requests on known routes, by kind",
+  attempts: "Attempts at upstreams, by outcome",
+  repeats: "Requests sent to another upstream, by the outcome before",
+  refusals: "Requests refused as not run, by reason",
+  failures: "Requests that may have run and failed, by outcome",
+  callers_gone: "Callers that left before their whole answer, by kind",
+  order_load: "Loads ordered, by how the engine answered",
+  order_evict: "Evictions ordered, by how the engine answered",
+  holder_belief: "Changes of what is believed of an engine, by change",
+  store_failure: "Readings of the store that failed, by set",
+  peer_view_failure: "Readings of a peer's view that failed, by set",
+  pauses: "Pauses of the process that were noticed",
+  first_byte: "Time from arrival to the first byte of a stream, in ms, by kind",
+  whole_answer: "Time from arrival to the whole answer, in ms, by kind",
+  living_daemons: "Gateways that live as far as is known",
+  upstreams: "Upstreams registered",
+  requests_in_flight: "Callers' requests in progress",
+  held_engines: "Engines whose orders this gateway gives",
+  configuration_version: "Version of the configuration in force",
+} as const;
+export type GatewayMetric = keyof typeof GATEWAY_METRICS;
+
 export class GatewayMetrics {
   readonly #registry = new Registry();
   readonly #counters = new Map<string, Counter<"reason">>();
@@ -27,12 +51,12 @@
   #server: Server | undefined;
 
   /** Counts one event under a name, and for a reason. */
-  count(name: string, reason: string): void {
+  count(name: GatewayMetric, reason: string): void {
     let counter = this.#counters.get(name);
     if (!counter) {
       counter = new Counter({
         name: `pistachiohatch_${name}_total`,
-        help: `Events of ${name}, by reason`,
+        help: GATEWAY_METRICS[name],
         labelNames: ["reason"],
         registers: [this.#registry],
       });
@@ -42,12 +66,12 @@
   }
 
   /** Records a time span of a kind of request. */
-  measure(name: string, kind: string, spanMs: Milliseconds): void {
+  measure(name: GatewayMetric, kind: string, spanMs: Milliseconds): void {
     let histogram = this.#histograms.get(name);
     if (!histogram) {
       histogram = new Histogram({
         name: `pistachiohatch_${name}_ms`,
-        help: `Time of ${name} in milliseconds, by kind`,
+        help: GATEWAY_METRICS[name],
         labelNames: ["kind"],
         buckets: LATENCY_BUCKETS_MS,
         registers: [this.#registry],
@@ -57,12 +81,12 @@
     histogram.observe({ kind }, spanMs);
   }
 
-  setGauge(name: string, value: number): void {
+  setGauge(name: GatewayMetric, value: number): void {
     let gauge = this.#gauges.get(name);
     if (!gauge) {
       gauge = new Gauge({
         name: `pistachiohatch_${name}`,
-        help: `Present ${name}`,
+        help: GATEWAY_METRICS[name],
         registers: [this.#registry],
       });
       this.#gauges.set(name, gauge);
--- a/test/daemon/pages_test.ts
+++ b/test/daemon/pages_test.ts
@@ -10,8 +10,10 @@
   RetryReason,
 } from "../../src/core/outcomes.ts";
 import { METRICS } from "../../src/daemon/metrics.ts";
+import { GATEWAY_METRICS } from "../../src/gateway/gateway_metrics.ts";
 import { getRefusalStatus } from "../../src/daemon/refusal_statuses.ts";
 
+const OPERATIONS_PAGE = readFileSync("docs/OPERATIONS.md", "utf8");
 const OPERATORS_PAGE = readFileSync("docs/OPERATORS.md", "utf8");
 const CALLERS_PAGE = readFileSync("docs/CALLERS.md", "utf8");
 
@@ -50,6 +52,12 @@
   assert.equal(Object.fromEntries(documented), METRICS);
 });
 
+test("the page on operations lists every metric of the gateway as the code describes it", () => {
+  const rows = readRows(OPERATIONS_PAGE, "Metrics");
+  const documented = rows.map(([name, meaning]) => [name, meaning]);
+  assert.equal(Object.fromEntries(documented), GATEWAY_METRICS);
+});
+
 test("every metric that the code emits is described", () => {
   const emitted = listSources("src").flatMap((file) =>
     [
@@ -58,7 +66,8 @@
       ),
     ].map((match) => match[1] ?? match[2] ?? "")
   );
-  const undescribed = emitted.filter((name) => !(name in METRICS));
+  const described = { ...METRICS, ...GATEWAY_METRICS };
+  const undescribed = emitted.filter((name) => !(name in described));
   assert.equal(undescribed, []);
 });
 
