Ask only engines with a living holder; pass over peers that do not acknowledge

Cause: in a zone cut each request asked up to six engines in turn whose holders were beyond the cut, 250 ms each until the messages were given up. A silent peer is now taken for dead until it is heard, and engines without a known holder are not asked in a small fleet.

--- a/src/core/fleet/fleet_view.ts
+++ b/src/core/fleet/fleet_view.ts
@@ -130,6 +130,14 @@
     return isNew;
   }
 
+  /** Takes a member for dead that did not acknowledge a message, until it is heard again. */
+  recordSilence(id: string): void {
+    const known = this.#members.get(id);
+    if (!known) return;
+    known.heardAt = Number.NEGATIVE_INFINITY;
+    this.#survey = undefined;
+  }
+
   /** Returns the members that get a heartbeat in this period. */
   selectTargets(now: Milliseconds): FleetMember[] {
     this.#round += 1;
--- a/src/gateway/engine_task.ts
+++ b/src/gateway/engine_task.ts
@@ -119,6 +119,16 @@
     );
   }
 
+  /**
+   * Returns whether it is worth asking for a place at the engine. In a small
+   * fleet every living holder is known; in a large one some are not yet.
+   */
+  hasHolder(engineId: string): boolean {
+    const { fleet } = this.#options;
+    return !fleet.isSmall() || this.#getHeld(engineId) !== undefined ||
+      fleet.findHolder(engineId, performance.now()) !== undefined;
+  }
+
   /** Asks the engine's holder for a place; always resolves. */
   async askPermit(
     engine: PublishedUpstream,
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -317,11 +317,15 @@
     }
   }
 
-  #deliver(peerId: string, message: GatewayMessage): Promise<boolean> {
+  async #deliver(peerId: string, message: GatewayMessage): Promise<boolean> {
     const member = this.#fleet.getMember(peerId);
-    return member
-      ? this.#peers.deliver(member.ip, message)
-      : Promise.resolve(false);
+    if (!member) return false;
+    const isDelivered = await this.#peers.deliver(member.ip, message);
+    if (!isDelivered && !this.#isStopping) {
+      this.#fleet.recordSilence(peerId);
+      this.#log.info("peerSilent", { peer: peerId, message: message.kind });
+    }
+    return isDelivered;
   }
 }
 
--- a/src/gateway/request_flow.ts
+++ b/src/gateway/request_flow.ts
@@ -463,6 +463,7 @@
     );
     const fresh = ranked.filter((each) => !this.#passedOver.has(each.id));
     const candidates = (fresh.length > 0 ? fresh : ranked)
+      .filter((engine) => this.#context.engines.hasHolder(engine.id))
       .slice(0, MAX_ADAPTER_HOMES);
     let shortest: { engine: PublishedUpstream; ms: Milliseconds } | undefined;
     for (const engine of candidates) {
--- a/test/core/fleet/fleet_view_test.ts
+++ b/test/core/fleet/fleet_view_test.ts
@@ -41,6 +41,17 @@
   assert.is(fleet.countLiving(5_100), 2);
 });
 
+test("a member that does not acknowledge is passed over until it is heard", () => {
+  const fleet = new FleetView(createMember("1"));
+  const heartbeat = createHeartbeat(createMember("2"), { heldEngines: ["e"] });
+  fleet.recordHeartbeat(heartbeat, 0);
+  assert.is(fleet.findHolder("e", 10), "2");
+  fleet.recordSilence("2");
+  assert.is(fleet.findHolder("e", 20), undefined);
+  fleet.recordHeartbeat(heartbeat, 400);
+  assert.is(fleet.findHolder("e", 410), "2");
+});
+
 test("members that others name are sent to, but live only once heard", () => {
   const fleet = new FleetView(createMember("1"));
   const named = createMember("3");
