--- a/src/core/ordering/engine_holder.ts
+++ b/src/core/ordering/engine_holder.ts
@@ -115,6 +115,11 @@
     return this.#tenure.isHolding();
   }
 
+  /** Returns the time until the engine may be claimed here. */
+  estimateClaimMs(now: Milliseconds): Milliseconds {
+    return this.#tenure.estimateClaimMs(now);
+  }
+
   setLimits(limits: EngineLimits): void {
     this.#limits = limits;
     this.desk.places.setCapacity(limits.adapterSlots);
@@ -133,7 +138,7 @@
         permitId: request.permitId,
         holder: request.holder,
         reason: DenialReason.NotHolder,
-        retryAfterMs: this.#options.termMs,
+        retryAfterMs: this.estimateClaimMs(now),
       };
       return [{ kind: "answerPermit", engineId: this.engineId, answer }];
     }
--- a/src/core/ordering/order_tenure.ts
+++ b/src/core/ordering/order_tenure.ts
@@ -155,6 +155,14 @@
       now - observedAt >= this.#options.termMs + TERM_MARGIN_MS;
   }
 
+  /** Returns the time until the engine may be claimed, a whole term where no report was read. */
+  estimateClaimMs(now: Milliseconds): Milliseconds {
+    const wholeTermMs = this.#options.termMs + TERM_MARGIN_MS;
+    return this.#state.kind === "observing"
+      ? Math.max(0, this.#state.observedAt + wholeTermMs - now)
+      : wholeTermMs;
+  }
+
   /** Takes the right to order, once the term is over. */
   claim(hearsMajority: boolean, now: Milliseconds): boolean {
     if (this.#state.kind !== "observing") return false;
--- a/src/gateway/engine_task.ts
+++ b/src/gateway/engine_task.ts
@@ -129,6 +129,18 @@
       fleet.findHolder(engineId, performance.now()) !== undefined;
   }
 
+  /** Returns the time until engines without a holder may be claimed, as far as is known here. */
+  estimateClaimMs(): Milliseconds {
+    const now = performance.now();
+    let soonestMs = this.#options.termMs;
+    for (const engineId of this.#activeEngines) {
+      const holder = this.#holders.get(engineId);
+      if (!holder || holder.isHolding()) continue;
+      soonestMs = Math.min(soonestMs, holder.estimateClaimMs(now));
+    }
+    return soonestMs;
+  }
+
   /** Asks the engine's holder for a place; always resolves. */
   async askPermit(
     engine: PublishedUpstream,
--- a/src/gateway/request_flow.ts
+++ b/src/gateway/request_flow.ts
@@ -40,6 +40,8 @@
 const TRAVEL_MS = 8;
 /** Part of the time left that a place is waited for, when the first token will be late. */
 const LATE_PATIENCE_SHARE = 0.25;
+/** Time from a claim until peers have heard of it and a load is done. */
+const CLAIM_SLACK_MS = 500;
 /** Time by which another engine must be faster than an adapter's home. */
 const COPY_GAIN_MS = 120;
 /** Times that a request looks for another upstream because its own began to leave. */
@@ -480,6 +482,10 @@
       }
     }
     const resident = this.#findResident(ranked);
+    if (candidates.length === 0) {
+      this.#expectedMs = this.#context.engines.estimateClaimMs() +
+        CLAIM_SLACK_MS;
+    }
     if (!shortest) return this.#assignWithoutPermit(resident);
     const { engine } = shortest;
     const { answer, grantorId } = await this.#askPlace(engine, true);
--- a/test/core/ordering/order_tenure_test.ts
+++ b/test/core/ordering/order_tenure_test.ts
@@ -162,4 +162,12 @@
   assert.not(tenure.isExclusive(4_000 + TERM_MS));
 });
 
+test("the time until a claim counts down from the report", () => {
+  const tenure = createTenure();
+  assert.is(tenure.estimateClaimMs(0), TERM_MS + 300);
+  tenure.recordReport({ sequence: 5, bornAtUnixMs: BORN, readAt: 100 }, 110);
+  assert.is(tenure.estimateClaimMs(1_100), TERM_MS + 300 - 1_000);
+  assert.is(tenure.estimateClaimMs(9_000), 0);
+});
+
 test.run();
