Hand engines over after their last order; confirm an observation before a claim

A stop now waits up to 400 ms for the order, and a claim wants a second report that shows the same count.

--- a/src/core/ordering/engine_holder.ts
+++ b/src/core/ordering/engine_holder.ts
@@ -94,6 +94,9 @@
   #isInDoubt = false;
   /** Whether an order waits for a report that shows no restart. */
   #isVerificationDue = false;
+  #isWanted = false;
+  /** Whether no more orders are given, before the engine is handed over. */
+  #isEnding = false;
   readonly #models = new Set<string>();
   #limits: EngineLimits;
 
@@ -225,6 +228,7 @@
   /** Seeks or keeps the right to order, and gives the next order. */
   tick(situation: HolderSituation, now: Milliseconds): HolderEffect[] {
     const effects: HolderEffect[] = [];
+    this.#isWanted = situation.isWanted;
     if (!situation.isWanted) effects.push(...this.#giveUp(now));
     if (situation.isWanted) effects.push(...this.#claim(situation, now));
     if (this.isHolding()) {
@@ -259,6 +263,12 @@
     return [{ kind: "readReport", engineId: this.engineId }];
   }
 
+  /** Gives no more orders; returns whether one is still under way. */
+  endOrders(): boolean {
+    this.#isEnding = true;
+    return this.isHolding() && this.#ordered !== undefined;
+  }
+
   /** Returns what the next holder needs, and gives the engine up; undefined while an order is in doubt. */
   handOver(now: Milliseconds): {
     handover: TenureHandover | undefined;
@@ -335,6 +345,7 @@
   ): HolderEffect[] {
     const expectedSequence = this.#tenure.getExpectedSequence();
     const isBlocked = expectedSequence === undefined || this.#ordered ||
+      this.#isEnding ||
       this.#isInDoubt || now < this.#nextOrderAt;
     if (isBlocked) return [];
     this.desk.places.setFleetFetches(
@@ -426,7 +437,8 @@
     if (this.#isReading || now - this.#lastReadAt < REPORT_INTERVAL_MS) {
       return false;
     }
-    if (this.#isVerificationDue || this.#tenure.needsReport(now)) return true;
+    if (this.#isVerificationDue) return true;
+    if (this.#tenure.needsReport(this.#isWanted, now)) return true;
     if (!this.isHolding() || this.#ordered) return false;
     return this.#isInDoubt || this.desk.places.hasOverdueLoad(now);
   }
--- a/src/core/ordering/order_tenure.ts
+++ b/src/core/ordering/order_tenure.ts
@@ -22,6 +22,8 @@
     sequence: number;
     bornAtUnixMs: number;
     observedAt: Milliseconds;
+    /** When a report last showed the same. */
+    confirmedAt: Milliseconds;
   }
   /** Orders may be given against `sequence`. */
   | {
@@ -128,8 +130,11 @@
       now - this.#state.verifiedAt <= VERIFIED_MS;
   }
 
-  /** Returns whether a report is wanted now, to observe, or to settle an order. */
-  needsReport(now: Milliseconds): boolean {
+  /**
+   * Returns whether a report is wanted now, to observe, to settle an order, or to
+   * see that nobody has ordered since the first one before the engine is claimed.
+   */
+  needsReport(isWanted: boolean, now: Milliseconds): boolean {
     switch (this.#state.kind) {
       case "idle":
         return true;
@@ -138,6 +143,8 @@
       case "unsettled":
         return now >= this.#state.readableAt;
       case "observing":
+        return isWanted && this.#isWholeTermOver(now) &&
+          !this.#isConfirmed(now);
       case "holding":
         return false;
     }
@@ -150,9 +157,19 @@
    */
   isTermOver(hearsMajority: boolean, now: Milliseconds): boolean {
     if (this.#state.kind !== "observing") return false;
-    const { sequence, observedAt } = this.#state;
-    return (sequence === 0 && hearsMajority) ||
-      now - observedAt >= this.#options.termMs + TERM_MARGIN_MS;
+    const isUntouched = this.#state.sequence === 0 && hearsMajority;
+    return isUntouched ||
+      (this.#isWholeTermOver(now) && this.#isConfirmed(now));
+  }
+
+  #isWholeTermOver(now: Milliseconds): boolean {
+    return this.#state.kind === "observing" &&
+      now - this.#state.observedAt >= this.#options.termMs + TERM_MARGIN_MS;
+  }
+
+  #isConfirmed(now: Milliseconds): boolean {
+    return this.#state.kind === "observing" &&
+      now - this.#state.confirmedAt <= VERIFIED_MS;
   }
 
   /** Returns the time until the engine may be claimed, a whole term where no report was read. */
@@ -167,13 +184,13 @@
   claim(hearsMajority: boolean, now: Milliseconds): boolean {
     if (this.#state.kind !== "observing") return false;
     if (!this.isTermOver(hearsMajority, now)) return false;
-    const { sequence, bornAtUnixMs, observedAt } = this.#state;
+    const { sequence, bornAtUnixMs, confirmedAt } = this.#state;
     this.#state = {
       kind: "holding",
       sequence,
       bornAtUnixMs,
       acceptedAt: Number.NEGATIVE_INFINITY,
-      verifiedAt: observedAt,
+      verifiedAt: confirmedAt,
     };
     return true;
   }
@@ -212,6 +229,7 @@
           report.sequence !== this.#state.sequence ||
           report.bornAtUnixMs !== this.#state.bornAtUnixMs
         ) this.#observe(report);
+        else this.#state = { ...this.#state, confirmedAt: report.readAt };
         return { kind: "none" };
       case "holding":
         return this.#checkHolding(this.#state, report, now);
@@ -264,6 +282,7 @@
       sequence: report.sequence,
       bornAtUnixMs: report.bornAtUnixMs,
       observedAt: report.readAt,
+      confirmedAt: report.readAt,
     };
   }
 
--- a/src/gateway/engine_task.ts
+++ b/src/gateway/engine_task.ts
@@ -32,6 +32,9 @@
 const TICK_INTERVAL_MS = 150;
 /** Period in which a daemon looks which engines it should hold. */
 const ROLES_INTERVAL_MS = 400;
+/** Longest time for which a stop waits for an order's answer. */
+const LAST_ORDER_MS = 400;
+const LAST_ORDER_CHECK_MS = 10;
 /** Shortest time between two looks. */
 const MIN_TICK_MS = 4;
 /** Period in which runs at engines are compared with who holds the engines. */
@@ -241,6 +244,7 @@
   async stop(): Promise<void> {
     this.#isStopping = true;
     clearTimeout(this.#timer);
+    await this.#endOrders();
     const now = performance.now();
     const sendings: Promise<boolean>[] = [];
     for (const holder of this.#holders.values()) {
@@ -260,6 +264,17 @@
     await Promise.all(sendings);
   }
 
+  /** Waits for the orders under way, so that their engines can be handed over. */
+  async #endOrders(): Promise<void> {
+    const endsAt = performance.now() + LAST_ORDER_MS;
+    const isOrdering = () =>
+      [...this.#holders.values()].filter((holder) => holder.endOrders())
+        .length > 0;
+    while (isOrdering() && performance.now() < endsAt) {
+      await new Promise((resolve) => setTimeout(resolve, LAST_ORDER_CHECK_MS));
+    }
+  }
+
   /** Looks no later than at the given time. */
   #scheduleTick(at: Milliseconds): void {
     if (this.#isStopping || at >= this.#tickAt) return;
