--- a/src/core/execution/event_splitter.ts
+++ b/src/core/execution/event_splitter.ts
@@ -6,15 +6,18 @@
 import { Buffer } from "node:buffer";
 
 const EVENT_END = Buffer.from("\n\n");
+const ID_FIELD = Buffer.from("id:");
 const ID_LINE = /(?:^|\n)id: ?([^\n\r]*)/g;
 
 export class EventSplitter {
   #rest: Buffer = Buffer.alloc(0);
-  #lastEventId: string | undefined;
+  /** The last whole events that carry an id; parsed only when a stream has to go on elsewhere. */
+  #lastWithId: Buffer | undefined;
 
   /** Id of the last whole event; undefined before the first one that has an id. */
   get lastEventId(): string | undefined {
-    return this.#lastEventId;
+    const text = this.#lastWithId?.toString("latin1") ?? "";
+    return [...text.matchAll(ID_LINE)].at(-1)?.[1];
   }
 
   /** Takes bytes in and returns those up to the end of the last whole event. */
@@ -29,9 +32,7 @@
     }
     const whole = bytes.subarray(0, end + EVENT_END.length);
     this.#rest = bytes.subarray(end + EVENT_END.length);
-    for (const [, id] of whole.toString("latin1").matchAll(ID_LINE)) {
-      this.#lastEventId = id;
-    }
+    if (whole.includes(ID_FIELD)) this.#lastWithId = whole;
     return whole;
   }
 
--- a/src/gateway/request_flow.ts
+++ b/src/gateway/request_flow.ts
@@ -4,6 +4,7 @@
  */
 import type { Buffer } from "node:buffer";
 import type { PermitAnswer } from "../core/admission/engine_desk.ts";
+import { computePlacePatienceMs } from "../core/admission/place_patience.ts";
 import { computeRetryAfterMs } from "../core/admission/refusal_advice.ts";
 import {
   AttemptOutcome,
@@ -38,16 +39,12 @@
 
 /** Time of a caller's deadline that the ways to it and back take. */
 const TRAVEL_MS = 8;
-/** Part of the time left that a place is waited for, when the first token will be late. */
-const LATE_PATIENCE_SHARE = 0.25;
 /** Time from a claim until peers have heard of it and a load is done. */
 const CLAIM_SLACK_MS = 500;
 /** Time by which another engine must be faster than an adapter's home. */
 const COPY_GAIN_MS = 120;
 /** Times that a request looks for another upstream because its own began to leave. */
 const MAX_LEFT_WHILE_WAITING = 3;
-/** Shortest wait for a place: a load of an adapter that the engine held lately takes this long. */
-const MIN_PATIENCE_MS = 60;
 /** Part of the time left that an idempotent request gives one upstream to answer. */
 const SILENCE_SHARE = 0.45;
 /** Return time for a refusal that no estimate speaks for. */
@@ -547,10 +544,11 @@
     const remainingMs = Math.max(1, this.#getRemainingMs());
     const elapsedMs = performance.now() - this.#exchange.arrivedAt;
     const firstTokenBudgetMs = Math.max(0, latencyObjectiveMs - elapsedMs);
-    const patienceMs = Math.max(
-      firstTokenBudgetMs,
-      LATE_PATIENCE_SHARE * remainingMs,
-    );
+    const patienceMs = computePlacePatienceMs({
+      latencyObjectiveMs,
+      elapsedMs,
+      remainingMs,
+    });
     this.#placeCount += 1;
     return engines.askPermit(engine, {
       permitId: `${facts.requestId}.${this.#placeCount}`,
@@ -563,7 +561,7 @@
       promptTokens: facts.promptTokens,
       outputTokens: facts.outputTokens,
       promptParts: facts.promptParts,
-      patienceMs: Math.min(remainingMs, Math.max(MIN_PATIENCE_MS, patienceMs)),
+      patienceMs,
       firstTokenBudgetMs,
       lifetimeMs: remainingMs,
       isLastChoice,
--- /dev/null
+++ b/test/core/admission/place_patience_test.ts
@@ -0,0 +1,37 @@
+/** Waits for a place end while the caller is still there. */
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { computePlacePatienceMs } from "../../../src/core/admission/place_patience.ts";
+
+/** Callers leave a stream after four objectives without an event, two seconds at the least. */
+const LEAVES_AT = (objectiveMs: number) => Math.max(2_000, 4 * objectiveMs);
+
+test("a chat with a long limit does not wait until its caller has left", () => {
+  const patience = computePlacePatienceMs({
+    latencyObjectiveMs: 800,
+    elapsedMs: 0,
+    remainingMs: 15_000,
+  });
+  assert.ok(patience < LEAVES_AT(800) - 500, String(patience));
+  assert.ok(patience > 800);
+});
+
+test("what has waited already counts", () => {
+  const patience = computePlacePatienceMs({
+    latencyObjectiveMs: 800,
+    elapsedMs: 2_400,
+    remainingMs: 12_600,
+  });
+  assert.ok(2_400 + patience < LEAVES_AT(800) - 500, String(patience));
+});
+
+test("a place that can still be in time is waited for, within the limit", () => {
+  const patience = computePlacePatienceMs({
+    latencyObjectiveMs: 1_000,
+    elapsedMs: 100,
+    remainingMs: 700,
+  });
+  assert.is(patience, 700);
+});
+
+test.run();
