A soak of real processes under drawn faults from outside

Gateways as processes on loopback, replicas and store behind proxies that delay, reset, silence or cut answers; processes stopped, paused, killed and restarted by their ids; restarts of replicas, configurations, a store that fails. Checked: non-idempotent work at most once, refused work not run, whole answers, versions that never go back, orders by the fuzzer's oracle. The stand-in confirms loads that are under way, as the platform does.

--- a/fakes/fake_platform_replica.ts
+++ b/fakes/fake_platform_replica.ts
@@ -44,6 +44,8 @@
   fence: number;
   expected: number;
   status: number;
+  /** Unix time of its arrival. */
+  at: number;
 }
 
 /** Events of a stream; each names its number. */
@@ -82,11 +84,23 @@
     return `127.0.0.1:${(this.#server.address() as AddressInfo).port}`;
   }
 
-  /** Describes itself as it registers. */
-  describe(service: string, state = "ready"): object {
+  /** Starts again, empty, under its id. */
+  restart(): void {
+    this.adapters.clear();
+    this.models = [];
+    this.sequence = 0;
+    this.born += 1;
+  }
+
+  /** Describes itself as it registers, at its own address or that of a proxy. */
+  describe(
+    service: string,
+    state = "ready",
+    address = this.address,
+  ): object {
     return {
       service,
-      addr: this.address,
+      addr: address,
       zone: "zone-a",
       version: "v1",
       slots: 8,
@@ -140,11 +154,16 @@
   #order(body: string, response: ServerResponse): void {
     const order = JSON.parse(body);
     const status = this.#carryOut(order);
-    this.orders.push({ ...order, status });
+    this.orders.push({ ...order, status, at: Date.now() });
     response.writeHead(status).end();
   }
 
   #carryOut(order: SeenOrder): number {
+    const held = this.adapters.get(order.adapter ?? "");
+    const isComing = order.op === "load" && held !== undefined &&
+      held.readyAt > Date.now();
+    // A load under way is confirmed whatever is expected, as the platform does.
+    if (isComing) return 202;
     if (order.expected !== this.sequence) return 409;
     this.sequence += 1;
     if (order.adapter === undefined) {
--- a/test/fuzz/tenure_fuzz_test.ts
+++ b/test/fuzz/tenure_fuzz_test.ts
@@ -15,6 +15,7 @@
   type HolderEffect,
 } from "../../src/core/ordering/engine_holder.ts";
 import { FenceClock } from "../../src/core/ordering/fence_clock.ts";
+import { TurnOracle } from "./turn_oracle.ts";
 import type { OrderAnswer } from "../../src/core/ordering/order_tenure.ts";
 
 const TERM_MS = 3_000;
@@ -34,34 +35,6 @@
 
 type GiveOrder = Extract<HolderEffect, { kind: "giveOrder" }>;
 
-interface AcceptedOrder {
-  daemon: number;
-  fence: number;
-  at: number;
-}
-
-/** Judges accepted orders as the users' rules do. */
-class TurnOracle {
-  readonly breaches: string[] = [];
-  #orders: AcceptedOrder[] = [];
-  #highestFence = { daemon: -1, fence: 0 };
-
-  judge(order: AcceptedOrder): void {
-    const last = this.#orders.at(-1);
-    if (last && last.daemon !== order.daemon) {
-      const hasTurned = this.#orders.some((earlier) =>
-        earlier.daemon === order.daemon && order.at - earlier.at < TERM_MS
-      );
-      if (hasTurned) this.breaches.push(`turns at ${order.at}`);
-      if (order.fence <= this.#highestFence.fence) {
-        this.breaches.push(`fence ${order.fence} not above at ${order.at}`);
-      }
-    }
-    if (order.fence > this.#highestFence.fence) this.#highestFence = order;
-    this.#orders.push(order);
-  }
-}
-
 /** An engine that ignores fencing but compares the expected count. */
 class ModelEngine {
   sequence = 0;
@@ -145,7 +118,7 @@
 function playRun(seed: number): string[] {
   const generator = xoroshiro128plus(seed);
   const draw = (from: number, to: number) => uniformInt(generator, from, to);
-  const oracle = new TurnOracle();
+  const oracle = new TurnOracle(TERM_MS);
   const engine = new ModelEngine(oracle);
   let deliveries: Delivery[] = [];
   const holders: EngineHolder[] = [];
@@ -287,7 +260,7 @@
 }
 
 test("the oracle sees turns, fences that fall and slots that are exceeded", () => {
-  const oracle = new TurnOracle();
+  const oracle = new TurnOracle(TERM_MS);
   oracle.judge({ daemon: 0, fence: 5, at: 0 });
   oracle.judge({ daemon: 1, fence: 6, at: 300 });
   assert.equal(oracle.breaches, []);
--- a/test/gateway/fleet_test.ts
+++ b/test/gateway/fleet_test.ts
@@ -102,10 +102,7 @@
 test("a replica that starts empty under its id is loaded again", async () => {
   const [engine] = bench.engines;
   if (!engine) throw new Error("expected an engine");
-  engine.adapters.clear();
-  engine.models = [];
-  engine.sequence = 0;
-  engine.born += 5_000;
+  engine.restart();
   bench.register(engine);
   await waitMs(300);
   for (let round = 0; round < 8; round += 1) {
--- /dev/null
+++ b/test/soak/soak_fleet.ts
@@ -0,0 +1,199 @@
+/** Gateways as separate processes on loopback, with stand-ins behind proxies that fail. */
+import { type ChildProcess, spawn } from "node:child_process";
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import process from "node:process";
+import { FakePlatformReplica } from "../../fakes/fake_platform_replica.ts";
+import { FakePlatformStore } from "../../fakes/fake_platform_store.ts";
+import { FaultProxy } from "./fault_proxy.ts";
+
+/** Short, so that holders change often within a run. */
+export const SOAK_TERM_MS = 1_000;
+const ENGINES = 3;
+const SERVICES = 2;
+const GRACE_MS = 3_000;
+
+export interface SoakGateway {
+  ip: string;
+  settingsFile: string;
+  storeProxy: FaultProxy;
+  child: ChildProcess;
+  /** Counts the processes that ran as this gateway. */
+  life: number;
+  isPaused: boolean;
+}
+
+export class SoakFleet {
+  readonly store = new FakePlatformStore();
+  readonly engines: FakePlatformReplica[] = [];
+  readonly services: FakePlatformReplica[] = [];
+  readonly proxies = new Map<FakePlatformReplica, FaultProxy>();
+  readonly gateways: SoakGateway[] = [];
+  readonly port: number;
+  readonly #folder = mkdtempSync(join(tmpdir(), "pistachiohatch-soak-"));
+  #isStopped = false;
+  version = 1;
+
+  constructor(port: number) {
+    this.port = port;
+  }
+
+  async start(gateways: number): Promise<void> {
+    await this.store.start();
+    for (let index = 0; index < ENGINES + SERVICES; index += 1) {
+      const isEngine = index < ENGINES;
+      const replica = new FakePlatformReplica(`i-${index}`, isEngine);
+      (isEngine ? this.engines : this.services).push(replica);
+      await replica.start();
+      const proxy = new FaultProxy(replica.address);
+      await proxy.start();
+      this.proxies.set(replica, proxy);
+      this.register(replica, "ready");
+    }
+    this.publish();
+    for (let index = 0; index < gateways; index += 1) {
+      await this.#createGateway(index);
+    }
+  }
+
+  register(replica: FakePlatformReplica, state: string): void {
+    const service = replica.isEngine ? "briefs" : "orders";
+    const address = this.proxies.get(replica)?.address;
+    this.store.put(
+      `servers/${replica.id}`,
+      replica.describe(service, state, address),
+    );
+  }
+
+  /** Publishes the next version, in which only one numbered route exists. */
+  publish(): void {
+    this.version += 1;
+    const create = (prefix: string, kind: string, service: string) => ({
+      name: prefix,
+      host: "mill.example",
+      prefix,
+      kind,
+      timeout_ms: 4_000,
+      target_latency_ms: 800,
+      priority: 1,
+      service,
+      attempts: 2,
+      resumable: prefix === "/resume/",
+    });
+    this.store.put("op/config", {
+      version: this.version,
+      routes: [
+        create("/safe/", "safe", "orders"),
+        create("/unsafe/", "unsafe", "orders"),
+        create("/brief/", "stream", "briefs"),
+        create("/resume/", "stream", "briefs"),
+        create(`/only-${this.version}/`, "safe", "orders"),
+      ],
+      services: [
+        { name: "orders", health_path: "/healthz", max_conns: 50 },
+        {
+          name: "briefs",
+          health_path: "/healthz",
+          max_conns: 50,
+          engine: {
+            slots: 8,
+            kv_capacity: 100_000,
+            adapter_slots: 2,
+            weights_mb: 110,
+            models: [{
+              name: "m",
+              weights_mb: 100,
+              load_s: 0.05,
+              adapters: 30,
+            }],
+          },
+        },
+      ],
+      limits: {
+        max_body_bytes: 100_000,
+        header_timeout_ms: 3_000,
+        idle_timeout_ms: 15_000,
+      },
+    });
+  }
+
+  /** Sends a signal to a gateway's process, which comes back if it ends. */
+  signal(gateway: SoakGateway, signal: NodeJS.Signals): void {
+    gateway.child.kill(signal);
+  }
+
+  async stop(): Promise<void> {
+    this.#isStopped = true;
+    for (const gateway of this.gateways) {
+      gateway.child.kill("SIGCONT");
+      gateway.child.kill("SIGKILL");
+      gateway.storeProxy.stop();
+    }
+    for (const proxy of this.proxies.values()) proxy.stop();
+    for (const replica of [...this.engines, ...this.services]) replica.stop();
+    this.store.stop();
+    await Promise.all(
+      this.gateways.map((gateway) =>
+        gateway.child.exitCode === null && gateway.child.signalCode === null
+          ? new Promise((resolve) => gateway.child.once("exit", resolve))
+          : undefined
+      ),
+    );
+    rmSync(this.#folder, { recursive: true, force: true });
+  }
+
+  async #createGateway(index: number): Promise<void> {
+    const ip = `127.0.0.${index + 1}`;
+    const storeProxy = new FaultProxy(this.store.address);
+    await storeProxy.start();
+    const settingsFile = join(this.#folder, `gateway-${index}.yaml`);
+    writeFileSync(
+      settingsFile,
+      JSON.stringify({
+        host: `host-${index}`,
+        failureDomain: "zone-a",
+        callers: { listen: `${ip}:${this.port}` },
+        readiness: { listen: `${ip}:${this.port + 1}` },
+        peers: {
+          listen: `${ip}:${this.port + 2}`,
+          port: this.port + 3,
+          seeds: [`127.0.0.1:${this.port + 2}`, `127.0.0.2:${this.port + 2}`],
+        },
+        store: { address: storeProxy.address },
+        orders: { termMs: SOAK_TERM_MS },
+        repeats: { ratio: 0.2, windowMs: 10_000, slack: 58 },
+        stop: { graceMs: GRACE_MS },
+        logLevel: "info",
+      }),
+    );
+    const gateway: SoakGateway = {
+      ip,
+      settingsFile,
+      storeProxy,
+      child: this.#spawn(settingsFile),
+      life: 1,
+      isPaused: false,
+    };
+    this.gateways.push(gateway);
+    this.#restartOnExit(gateway);
+  }
+
+  #restartOnExit(gateway: SoakGateway): void {
+    gateway.child.once("exit", () => {
+      if (this.#isStopped) return;
+      gateway.life += 1;
+      gateway.isPaused = false;
+      gateway.child = this.#spawn(gateway.settingsFile);
+      this.#restartOnExit(gateway);
+    });
+  }
+
+  #spawn(settingsFile: string): ChildProcess {
+    return spawn(
+      process.execPath,
+      ["--import", "tsx", "platform/main.ts", settingsFile],
+      { stdio: ["ignore", "ignore", "inherit"] },
+    );
+  }
+}
--- /dev/null
+++ b/test/soak/soak_run.ts
@@ -0,0 +1,297 @@
+/**
+ * One run of the soak: faults drawn from a seed in series and overlapping, callers
+ * that go on meanwhile, and checks of the promises from what callers and
+ * replicas see.
+ */
+import { Buffer } from "node:buffer";
+import { Agent, request } from "node:http";
+import { uniformInt } from "pure-rand/distribution/uniformInt";
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import {
+  type ReplicaBehaviour,
+  STREAM_EVENTS,
+} from "../../fakes/fake_platform_replica.ts";
+import { TurnOracle } from "../fuzz/turn_oracle.ts";
+import { ProxyFault } from "./fault_proxy.ts";
+import { SOAK_TERM_MS, SoakFleet } from "./soak_fleet.ts";
+
+const GATEWAYS = 3;
+const CALLERS = 6;
+/** Time for processes to start and engines to be claimed. */
+const SETTLE_MS = 5_000;
+/** Time after the last fault for late runs to show. */
+const DRAIN_MS = 4_000;
+/** Part of the calls that must be answered 200 for a run to prove anything. */
+const LEAST_SERVED = 0.2;
+const SLOTS = 2;
+const SERVICE_ANSWER = "the whole answer of the service";
+const BEHAVIOURS: ReplicaBehaviour[] = [
+  "fail",
+  "shed",
+  "hang",
+  "reset",
+  "truncate",
+  "unframedReset",
+  "extra",
+  "wrongId",
+  "noProof",
+  "breakStream",
+  "slow",
+];
+
+export interface SoakReport {
+  breaches: string[];
+  trace: string[];
+  calls: number;
+  served: number;
+}
+
+interface Answer {
+  status: number;
+  body: string;
+  isComplete: boolean;
+}
+
+export async function runSoak(
+  seed: number,
+  faultMs: number,
+  port: number,
+): Promise<SoakReport> {
+  const fleet = new SoakFleet(port);
+  const report: SoakReport = { breaches: [], trace: [], calls: 0, served: 0 };
+  await fleet.start(GATEWAYS);
+  try {
+    await waitMs(SETTLE_MS);
+    const endsAt = Date.now() + faultMs;
+    await Promise.all([
+      injectFaults(fleet, seed, endsAt, report),
+      ...Array.from(
+        { length: CALLERS },
+        (_, index) => runCaller(fleet, seed, index, endsAt, report),
+      ),
+    ]);
+    await waitMs(DRAIN_MS);
+    checkRuns(fleet, report);
+    checkOrders(fleet, report);
+    if (report.served < LEAST_SERVED * report.calls) {
+      report.breaches.push(`only ${report.served} of ${report.calls} served`);
+    }
+  } finally {
+    await fleet.stop();
+  }
+  return report;
+}
+
+async function injectFaults(
+  fleet: SoakFleet,
+  seed: number,
+  endsAt: number,
+  report: SoakReport,
+): Promise<void> {
+  const generator = xoroshiro128plus(seed);
+  const draw = (from: number, to: number) => uniformInt(generator, from, to);
+  const pick = <T>(values: readonly T[]): T =>
+    values[draw(0, values.length - 1)] as T;
+  const startedAt = Date.now();
+  while (Date.now() < endsAt) {
+    const gateway = pick(fleet.gateways);
+    const replica = pick([...fleet.engines, ...fleet.services]);
+    const proxy = pick([...fleet.proxies.values(), gateway.storeProxy]);
+    const fault = draw(0, 10);
+    const spanMs = draw(200, 3_000);
+    report.trace.push(
+      `${
+        Date.now() - startedAt
+      } ms: fault ${fault} ${gateway.ip} ${replica.id} ${spanMs}`,
+    );
+    switch (fault) {
+      case 0:
+        fleet.signal(gateway, "SIGKILL");
+        break;
+      case 1:
+        fleet.signal(gateway, "SIGTERM");
+        break;
+      case 2:
+        fleet.signal(gateway, "SIGSTOP");
+        setTimeout(() => fleet.signal(gateway, "SIGCONT"), spanMs);
+        break;
+      case 3:
+        fleet.signal(gateway, "SIGHUP");
+        break;
+      case 4:
+        proxy.resetAll();
+        break;
+      case 5:
+        proxy.fault = pick(Object.values(ProxyFault));
+        setTimeout(() => proxy.fault = ProxyFault.None, spanMs);
+        break;
+      case 6:
+        fleet.publish();
+        break;
+      case 7:
+        replica.restart();
+        fleet.register(replica, "ready");
+        break;
+      case 8:
+        replica.behaviours = [pick(BEHAVIOURS), pick(BEHAVIOURS)];
+        break;
+      case 9:
+        fleet.store.fault = pick(["busy", "silent", "historyGone"] as const);
+        setTimeout(() => fleet.store.fault = "none", spanMs);
+        break;
+      case 10:
+        fleet.register(replica, "draining");
+        setTimeout(() => fleet.register(replica, "ready"), spanMs);
+        break;
+    }
+    await waitMs(draw(50, 900));
+  }
+}
+
+/** Answers of requests that must not have run, to be checked at the end. */
+const refusedIds = new Set<string>();
+const unsafeIds = new Set<string>();
+
+async function runCaller(
+  fleet: SoakFleet,
+  seed: number,
+  index: number,
+  endsAt: number,
+  report: SoakReport,
+): Promise<void> {
+  const generator = xoroshiro128plus(seed * 1_000 + index + 1);
+  const draw = (from: number, to: number) => uniformInt(generator, from, to);
+  const agent = new Agent({ keepAlive: true });
+  const newestSeen = new Map<string, number>();
+  for (let call = 0; Date.now() < endsAt; call += 1) {
+    const gateway = fleet.gateways[draw(0, fleet.gateways.length - 1)];
+    if (!gateway) continue;
+    const lived = `${gateway.ip} ${gateway.life}`;
+    const version = Math.max(2, fleet.version - draw(0, 2));
+    const path =
+      ["/safe/", "/unsafe/", "/brief/", "/resume/", `/only-${version}/`][
+        draw(0, 4)
+      ] ?? "/safe/";
+    const id = `${seed}.${index}.${call}`;
+    report.calls += 1;
+    const answer = await callGateway(
+      agent,
+      `${gateway.ip}:${fleet.port}`,
+      path,
+      {
+        id,
+        adapter: `a${draw(1, 6)}`,
+      },
+    );
+    if (path === "/unsafe/" || path === "/brief/") unsafeIds.add(id);
+    if (answer) checkAnswer(report, path, id, answer);
+    const isSameLife = lived === `${gateway.ip} ${gateway.life}`;
+    if (answer?.status === 200 && path.startsWith("/only-") && isSameLife) {
+      if (version < (newestSeen.get(lived) ?? 0)) {
+        report.breaches.push(`${id}: version ${version} after a newer one`);
+      }
+      newestSeen.set(lived, Math.max(version, newestSeen.get(lived) ?? 0));
+    }
+    await waitMs(draw(5, 60));
+  }
+  agent.destroy();
+}
+
+function checkAnswer(
+  report: SoakReport,
+  path: string,
+  id: string,
+  answer: Answer,
+): void {
+  if (answer.status === 503 && answer.isComplete) refusedIds.add(id);
+  if (answer.status !== 200 || !answer.isComplete) return;
+  report.served += 1;
+  const isStream = path === "/brief/" || path === "/resume/";
+  const expected = isStream
+    ? Array.from(
+      { length: STREAM_EVENTS },
+      (_, index) => `id: ${index + 1}\ndata: piece ${index + 1}\n\n`,
+    ).join("")
+    : SERVICE_ANSWER;
+  if (answer.body !== expected) {
+    report.breaches.push(`${id} ${path}: wrong answer ${answer.body}`);
+  }
+}
+
+function checkRuns(fleet: SoakFleet, report: SoakReport): void {
+  const runs = new Map<string, number>();
+  for (const replica of [...fleet.engines, ...fleet.services]) {
+    for (const seen of replica.seen) {
+      runs.set(seen.id, (runs.get(seen.id) ?? 0) + 1);
+    }
+  }
+  for (const [id, count] of runs) {
+    if (count > 1 && unsafeIds.has(id)) {
+      report.breaches.push(`${id}: ran ${count} times`);
+    }
+    if (refusedIds.has(id) && unsafeIds.has(id)) {
+      report.breaches.push(`${id}: ran, though it was refused`);
+    }
+  }
+}
+
+function checkOrders(fleet: SoakFleet, report: SoakReport): void {
+  for (const engine of fleet.engines) {
+    const oracle = new TurnOracle(SOAK_TERM_MS);
+    for (const order of engine.orders) {
+      if (order.status >= 300) continue;
+      const { holder, fence, at } = order;
+      oracle.judge({ daemon: holder, fence, at });
+    }
+    report.breaches.push(
+      ...oracle.breaches.map((breach) => `${engine.id}: ${breach}`),
+    );
+    if (engine.adapters.size > SLOTS) {
+      report.breaches.push(`${engine.id}: ${engine.adapters.size} adapters`);
+    }
+  }
+}
+
+/** Returns undefined when no connection came about or nothing was answered. */
+function callGateway(
+  agent: Agent,
+  address: string,
+  path: string,
+  call: { id: string; adapter: string },
+): Promise<Answer | undefined> {
+  const [host, port] = address.split(":");
+  return new Promise((resolve) => {
+    const sent = request({
+      host,
+      port,
+      path,
+      method: "POST",
+      agent,
+      timeout: 6_000,
+      headers: {
+        Host: "mill.example",
+        "X-Request-Id": call.id,
+        "X-Deadline-Ms": "2500",
+        "X-Model": `m/${call.adapter}`,
+        "X-Token-Counts": "400,20",
+      },
+    }, (response) => {
+      const pieces: Buffer[] = [];
+      response.on("data", (piece: Buffer) => pieces.push(piece));
+      response.on("error", () => {});
+      response.on("close", () =>
+        resolve({
+          status: response.statusCode ?? 0,
+          body: Buffer.concat(pieces).toString(),
+          isComplete: response.complete,
+        }));
+    });
+    sent.on("timeout", () => sent.destroy());
+    sent.on("error", () => resolve(undefined));
+    sent.end(call.id);
+  });
+}
+
+function waitMs(spanMs: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, spanMs));
+}
