--- /dev/null
+++ b/fakes/platform_configuration.ts
@@ -0,0 +1,54 @@
+/** The operator's configuration as the platform's store publishes it, for stand-ins. */
+
+/** Builds the value of the configuration's entry: routes as given, two services, wide limits. */
+export function buildPlatformConfiguration(
+  version: number,
+  routes: object[],
+): object {
+  return {
+    version,
+    routes,
+    services: [
+      { name: "orders", health_path: "/healthz", max_conns: 50 },
+      {
+        name: "briefs",
+        health_path: "/healthz",
+        max_conns: 50,
+        engine: {
+          slots: 8,
+          kv_capacity: 100_000,
+          adapter_slots: 2,
+          weights_mb: 110,
+          models: [{ name: "m", weights_mb: 100, load_s: 0.05, adapters: 30 }],
+        },
+      },
+    ],
+    limits: {
+      max_body_bytes: 100_000,
+      header_timeout_ms: 3_000,
+      idle_timeout_ms: 15_000,
+    },
+  };
+}
+
+/** Builds a route of the configuration; parts replace the defaults. */
+export function buildPlatformRoute(
+  name: string,
+  kind: string,
+  service: string,
+  parts: object = {},
+): object {
+  return {
+    name,
+    host: "mill.example",
+    prefix: `/${name}/`,
+    kind,
+    timeout_ms: 4_000,
+    target_latency_ms: 800,
+    priority: 1,
+    service,
+    attempts: 2,
+    resumable: false,
+    ...parts,
+  };
+}
--- a/test/gateway/gateway_bench.ts
+++ b/test/gateway/gateway_bench.ts
@@ -3,6 +3,10 @@
 import process from "node:process";
 import { Agent, request } from "node:http";
 import { FakePlatformReplica } from "../../fakes/fake_platform_replica.ts";
+import {
+  buildPlatformConfiguration,
+  buildPlatformRoute,
+} from "../../fakes/platform_configuration.ts";
 import { FakePlatformStore } from "../../fakes/fake_platform_store.ts";
 import { EntryDecoder } from "../../platform/entry_decoder.ts";
 import { HeaderDialect } from "../../platform/header_dialect.ts";
@@ -105,49 +109,21 @@
   /** Publishes the next configuration, with the route parts in force. */
   publish(extraRoutes: object[] = []): void {
     this.#version += 3;
-    const create = (name: string, kind: string, service: string) => ({
-      name,
-      host: "mill.example",
-      prefix: `/${name}/`,
-      kind,
-      timeout_ms: 3_000,
-      target_latency_ms: 800,
-      priority: 1,
-      service,
-      attempts: 2,
-      resumable: false,
-      ...this.routeParts[name],
-    });
-    this.store.put("op/config", {
-      version: this.#version,
-      routes: [
+    const create = (name: string, kind: string, service: string) =>
+      buildPlatformRoute(name, kind, service, {
+        timeout_ms: 3_000,
+        ...this.routeParts[name],
+      });
+    this.store.put(
+      "op/config",
+      buildPlatformConfiguration(this.#version, [
         create("safe", "safe", "orders"),
         create("unsafe", "unsafe", "orders"),
         create("brief", "stream", "briefs"),
         create("resume", "stream", "briefs"),
         ...extraRoutes,
-      ],
-      services: [
-        { name: "orders", health_path: "/healthz", max_conns: 50 },
-        {
-          name: "briefs",
-          health_path: "/healthz",
-          max_conns: 50,
-          engine: {
-            slots: 8,
-            kv_capacity: 100_000,
-            adapter_slots: 2,
-            weights_mb: 110,
-            models: [{ name: "m", weights_mb: 100, load_s: 0.05 }],
-          },
-        },
-      ],
-      limits: {
-        max_body_bytes: 100_000,
-        header_timeout_ms: 3_000,
-        idle_timeout_ms: 15_000,
-      },
-    });
+      ]),
+    );
   }
 
   /** Calls a route as a caller does. */
--- a/test/soak/soak_fleet.ts
+++ b/test/soak/soak_fleet.ts
@@ -5,6 +5,10 @@
 import { join } from "node:path";
 import process from "node:process";
 import { FakePlatformReplica } from "../../fakes/fake_platform_replica.ts";
+import {
+  buildPlatformConfiguration,
+  buildPlatformRoute,
+} from "../../fakes/platform_configuration.ts";
 import { FakePlatformStore } from "../../fakes/fake_platform_store.ts";
 import { FaultProxy } from "./fault_proxy.ts";
 
@@ -37,6 +41,7 @@
 
   constructor(port: number) {
     this.port = port;
+    process.once("exit", () => this.#killAll());
   }
 
   async start(gateways: number): Promise<void> {
@@ -69,53 +74,16 @@
   /** Publishes the next version, in which only one numbered route exists. */
   publish(): void {
     this.version += 1;
-    const create = (prefix: string, kind: string, service: string) => ({
-      name: prefix,
-      host: "mill.example",
-      prefix,
-      kind,
-      timeout_ms: 4_000,
-      target_latency_ms: 800,
-      priority: 1,
-      service,
-      attempts: 2,
-      resumable: prefix === "/resume/",
-    });
-    this.store.put("op/config", {
-      version: this.version,
-      routes: [
-        create("/safe/", "safe", "orders"),
-        create("/unsafe/", "unsafe", "orders"),
-        create("/brief/", "stream", "briefs"),
-        create("/resume/", "stream", "briefs"),
-        create(`/only-${this.version}/`, "safe", "orders"),
-      ],
-      services: [
-        { name: "orders", health_path: "/healthz", max_conns: 50 },
-        {
-          name: "briefs",
-          health_path: "/healthz",
-          max_conns: 50,
-          engine: {
-            slots: 8,
-            kv_capacity: 100_000,
-            adapter_slots: 2,
-            weights_mb: 110,
-            models: [{
-              name: "m",
-              weights_mb: 100,
-              load_s: 0.05,
-              adapters: 30,
-            }],
-          },
-        },
-      ],
-      limits: {
-        max_body_bytes: 100_000,
-        header_timeout_ms: 3_000,
-        idle_timeout_ms: 15_000,
-      },
-    });
+    this.store.put(
+      "op/config",
+      buildPlatformConfiguration(this.version, [
+        buildPlatformRoute("safe", "safe", "orders"),
+        buildPlatformRoute("unsafe", "unsafe", "orders"),
+        buildPlatformRoute("brief", "stream", "briefs"),
+        buildPlatformRoute("resume", "stream", "briefs", { resumable: true }),
+        buildPlatformRoute(`only-${this.version}`, "safe", "orders"),
+      ]),
+    );
   }
 
   /** Sends a signal to a gateway's process, which comes back if it ends. */
@@ -125,11 +93,8 @@
 
   async stop(): Promise<void> {
     this.#isStopped = true;
-    for (const gateway of this.gateways) {
-      gateway.child.kill("SIGCONT");
-      gateway.child.kill("SIGKILL");
-      gateway.storeProxy.stop();
-    }
+    this.#killAll();
+    for (const gateway of this.gateways) gateway.storeProxy.stop();
     for (const proxy of this.proxies.values()) proxy.stop();
     for (const replica of [...this.engines, ...this.services]) replica.stop();
     this.store.stop();
@@ -143,6 +108,15 @@
     rmSync(this.#folder, { recursive: true, force: true });
   }
 
+  /** Ends the processes that this run started, paused ones too. */
+  #killAll(): void {
+    this.#isStopped = true;
+    for (const { child } of this.gateways) {
+      child.kill("SIGCONT");
+      child.kill("SIGKILL");
+    }
+  }
+
   async #createGateway(index: number): Promise<void> {
     const ip = `127.0.0.${index + 1}`;
     const storeProxy = new FaultProxy(this.store.address);
--- a/test/soak/soak_main.ts
+++ b/test/soak/soak_main.ts
@@ -13,6 +13,10 @@
   port: number;
 }
 
+// A run that is broken off ends its processes, too.
+process.once("SIGTERM", () => process.exit(1));
+process.once("SIGINT", () => process.exit(1));
+
 sade("soak", true)
   .describe("Checks the gateway's promises under drawn faults.")
   .option("--seed", "First seed", 1)
