--- a/src/core/fleet/fleet_view.ts
+++ b/src/core/fleet/fleet_view.ts
@@ -99,8 +99,12 @@
       .length;
   }
 
-  /** Returns whether this daemon hears more than half of the daemons that it knows of. */
+  /**
+   * Returns whether this daemon hears more than half of the daemons that it knows
+   * of. In a large fleet it hears too few of them, too seldom, to tell.
+   */
   isHearingMajority(now: Milliseconds): boolean {
+    if (!this.isSmall()) return false;
     const known = this.#listKnown().filter((each) =>
       now - Math.max(each.heardAt, each.namedAt) < FORGET_MS
     );
--- a/test/core/fleet/fleet_view_test.ts
+++ b/test/core/fleet/fleet_view_test.ts
@@ -122,6 +122,14 @@
   assert.is.not(next, reader);
 });
 
+test("a daemon of a large fleet never takes those that it hears for a majority", () => {
+  const fleet = new FleetView(createMember("self"));
+  for (let index = 0; index < 30; index += 1) {
+    fleet.recordHeartbeat(createHeartbeat(createMember(`m${index}`)), 0);
+  }
+  assert.not(fleet.isHearingMajority(1));
+});
+
 test("a large fleet is sent to in parts, its own failure domain first", () => {
   const fleet = new FleetView(createMember("self"));
   for (let index = 0; index < 300; index += 1) {
