Use the one address splitter and one wait; drop methods that nothing calls

Cause, found by reading the change: IP:port was split in three places of the gateway beside parseAddress of src/daemon/http_server.ts, the wait stood three times, and EngineDesk.countPermits, BatchRoom.getFill and UpstreamHealth.forget had no caller. Behaviour stays as it is.

--- a/src/core/admission/batch_room.ts
+++ b/src/core/admission/batch_room.ts
@@ -49,11 +49,6 @@
     return this.#running.size;
   }
 
-  /** Returns the part of the batch's places that is taken, 0 to 1. */
-  getFill(): number {
-    return this.#running.size / this.#batchSize;
-  }
-
   /** Returns whether the request fits into the batch and its memory now. */
   hasRoomFor(demand: BatchDemand): boolean {
     if (this.#running.size === 0) return true;
--- a/src/core/admission/engine_desk.ts
+++ b/src/core/admission/engine_desk.ts
@@ -104,10 +104,6 @@
     return this.#waiting.size;
   }
 
-  countPermits(): number {
-    return this.#permits.size;
-  }
-
   /** Returns the answers that are due, and forgets them. */
   takeAnswers(): PermitAnswer[] {
     const answers = this.#answers;
--- a/src/core/placement/upstream_health.ts
+++ b/src/core/placement/upstream_health.ts
@@ -75,10 +75,6 @@
       this.getFailureShare(upstreamId, now) >= ILL_FAILURE_SHARE;
   }
 
-  forget(upstreamId: string): void {
-    this.#records.delete(upstreamId);
-  }
-
   #updateRecord(upstreamId: string, now: Milliseconds): Record {
     const record = this.#records.get(upstreamId) ??
       { answered: 0, failed: 0, updatedAt: now, avoidedUntil: now };
--- a/src/gateway/engine_task.ts
+++ b/src/gateway/engine_task.ts
@@ -27,6 +27,7 @@
 import type { GatewayMetrics } from "./gateway_metrics.ts";
 import type { GatewayMessage } from "./peer_messages.ts";
 import { PermitClient } from "./permit_client.ts";
+import { waitMs } from "./wait.ts";
 import type { EngineControl } from "./ports.ts";
 
 /** Period in which holders look at time-outs and at who should hold. */
@@ -196,7 +197,7 @@
       [...this.#holders.values()].filter((holder) => holder.endOrders())
         .length > 0;
     while (isOrdering() && performance.now() < endsAt) {
-      await new Promise((resolve) => setTimeout(resolve, LAST_ORDER_CHECK_MS));
+      await waitMs(LAST_ORDER_CHECK_MS);
     }
   }
 
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -10,6 +10,7 @@
 import { FenceClock } from "../core/ordering/fence_clock.ts";
 import { UpstreamHealth } from "../core/placement/upstream_health.ts";
 import { PublishedView } from "../core/view/published_view.ts";
+import { parseAddress } from "../daemon/http_server.ts";
 import type { GatewaySettings } from "../settings/gateway_settings.ts";
 import { CallerTask } from "./caller_task.ts";
 import { DecisionLog } from "./decision_log.ts";
@@ -25,6 +26,7 @@
 } from "./ports.ts";
 import type { RequestContext } from "./request_context.ts";
 import { UpstreamClient } from "./upstream_client.ts";
+import { waitMs } from "./wait.ts";
 import { ViewFollower } from "./view_follower.ts";
 
 /** Crashes of upstreams after which a request is refused. */
@@ -80,7 +82,7 @@
     this.#settings = settings;
     this.#dialect = adapters.dialect;
     this.#log = new DecisionLog(host, settings.logLevel);
-    const { ip, port } = parseAddress(peers.listen);
+    const { host: ip, port } = parseAddress(peers.listen);
     this.#fleet = new FleetView({ id: host, ip, failureDomain });
     this.#fences = new FenceClock(host);
     this.#peers = new PeerTask({
@@ -139,9 +141,9 @@
     await this.#follower.start();
     this.#engines.start();
     const front = parseAddress(callers.listen);
-    await this.#callers.listen(front.ip, front.port);
+    await this.#callers.listen(front.host, front.port);
     await this.#listenForReadiness(readiness.listen);
-    if (metrics) await this.#metrics.listen(front.ip, metrics.port);
+    if (metrics) await this.#metrics.listen(front.host, metrics.port);
     this.#scheduleHeartbeats();
     this.#sendHeartbeats();
     this.#log.info("started", {
@@ -191,7 +193,7 @@
   }
 
   #listenForReadiness(address: string): Promise<void> {
-    const { ip, port } = parseAddress(address);
+    const { host, port } = parseAddress(address);
     const server = createServer((request, response) => {
       const isAsked = request.url === this.#dialect.readyPath;
       const status = !isAsked ? 404 : this.#updateReady() ? 200 : 503;
@@ -201,7 +203,7 @@
     server.unref();
     return new Promise((resolve, reject) => {
       server.once("error", reject);
-      server.listen(port, ip, resolve);
+      server.listen(port, host, resolve);
     });
   }
 
@@ -243,7 +245,7 @@
     );
     if (ips.size < this.#settings.peers.seeds.length) {
       for (const seed of this.#settings.peers.seeds) {
-        ips.add(parseAddress(seed).ip);
+        ips.add(parseAddress(seed).host);
       }
     }
     ips.delete(this.#fleet.self.ip);
@@ -328,15 +330,3 @@
     return isDelivered;
   }
 }
-
-function parseAddress(address: string): { ip: string; port: number } {
-  const separator = address.lastIndexOf(":");
-  return {
-    ip: address.slice(0, separator),
-    port: Number(address.slice(separator + 1)),
-  };
-}
-
-function waitMs(spanMs: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, spanMs));
-}
--- a/src/gateway/http_exchange.ts
+++ b/src/gateway/http_exchange.ts
@@ -1,6 +1,7 @@
 /** Small HTTP calls with a bound on the whole exchange, for the store, engines' orders and peers. */
 import { Agent, request } from "node:http";
 import { Buffer } from "node:buffer";
+import { parseAddress } from "../daemon/http_server.ts";
 import { StepError } from "../daemon/step_error.ts";
 import type { Milliseconds } from "../core/structures.ts";
 
@@ -44,12 +45,10 @@
 /** Makes one call and reads the whole answer. */
 export function callPeer(options: ExchangeOptions): Promise<ExchangeAnswer> {
   const { step, address, timeoutMs } = options;
-  const separator = address.lastIndexOf(":");
   return new Promise((resolve, reject) => {
     let hasConnected = false;
     const call = request({
-      host: address.slice(0, separator),
-      port: Number(address.slice(separator + 1)),
+      ...parseAddress(address),
       method: options.method,
       path: options.path,
       headers: options.headers ?? {},
--- a/src/gateway/upstream_client.ts
+++ b/src/gateway/upstream_client.ts
@@ -10,6 +10,7 @@
 } from "node:http";
 import type { Buffer } from "node:buffer";
 import type { Socket } from "node:net";
+import { parseAddress } from "../daemon/http_server.ts";
 import { describeError } from "../daemon/step_error.ts";
 
 export interface AttemptRequest {
@@ -60,13 +61,11 @@
     attempt: AttemptRequest,
     listener: AttemptListener,
   ): () => void {
-    const separator = attempt.address.lastIndexOf(":");
     const rawHeaders = [...attempt.rawHeaders];
     const hasBody = attempt.body.length > 0 || attempt.method === "POST";
     if (hasBody) rawHeaders.push("Content-Length", String(attempt.body.length));
     const call = request({
-      host: attempt.address.slice(0, separator),
-      port: Number(attempt.address.slice(separator + 1)),
+      ...parseAddress(attempt.address),
       method: attempt.method,
       path: attempt.url,
       headers: rawHeaders,
--- a/src/gateway/view_follower.ts
+++ b/src/gateway/view_follower.ts
@@ -16,6 +16,7 @@
   PublishedSet,
   type PublishedStore,
 } from "./ports.ts";
+import { waitMs } from "./wait.ts";
 
 /** Wait of one watch: bounds how long a silent connection goes unnoticed. */
 const WATCH_WAIT_MS = 2_000;
@@ -363,7 +364,3 @@
     newestRevision: 0,
   };
 }
-
-function waitMs(spanMs: Milliseconds): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, spanMs));
-}
