--- a/src/core/ordering/engine_holder.ts
+++ b/src/core/ordering/engine_holder.ts
@@ -423,7 +423,7 @@
     // A rival that has not seen the proof yet may still evict of its share.
     const isShared = wanted.kind === "evict" && this.#mayHaveRivals &&
       now - this.#provenAt < CONTESTED_WINDOW_MS;
-    if (isProven && !isShared) return plainly(wanted);
+    if (isProven && !isShared) return createPlainOrder(wanted);
     if (wanted.adapter !== "") {
       return this.#planProvingOrder(
         wanted.model,
@@ -432,7 +432,7 @@
       );
     }
     const isAlone = situation.hearsMajority || this.#tenure.isYoung(now);
-    if (isAlone) return plainly(wanted);
+    if (isAlone) return createPlainOrder(wanted);
     return this.#isContestedTurn(now)
       ? { order: wanted, isContested: true, isBlind: true }
       : undefined;
@@ -565,6 +565,6 @@
   }
 }
 
-function plainly(order: WantedOrder): PlannedOrder {
+function createPlainOrder(order: WantedOrder): PlannedOrder {
   return { order, isContested: false, isBlind: false };
 }
--- a/src/gateway/engine_task.ts
+++ b/src/gateway/engine_task.ts
@@ -368,7 +368,7 @@
   ): void {
     const holder = this.#getHeld(engineId);
     if (!holder || this.#options.view.getUpstream(engineId)?.isLeaving) {
-      this.#denyAsNotHolder(engineId, request, now);
+      this.#refuseAsNotHolder(engineId, request, now);
       return;
     }
     this.#carryOut(holder.requestPermit(request, now));
@@ -376,7 +376,7 @@
   }
 
   /** Tells the daemon that asks who holds the engine, and when nobody does, from when it may be claimed. */
-  #denyAsNotHolder(
+  #refuseAsNotHolder(
     engineId: string,
     request: PermitRequest,
     now: Milliseconds,
--- a/src/gateway/view_follower.ts
+++ b/src/gateway/view_follower.ts
@@ -362,15 +362,15 @@
 
 /** Packs a batch: a configuration of many routes is some hundred KB, and links may be narrow. */
 function encodePeerBatch(told: PeerBatch): Buffer {
-  return gzipSync(JSON.stringify(recode(told, "base64", "latin1")));
+  return gzipSync(JSON.stringify(changeEncoding(told, "base64", "latin1")));
 }
 
 function decodePeerBatch(bytes: Buffer): PeerBatch {
   const told: PeerBatch = JSON.parse(gunzipSync(bytes).toString());
-  return recode(told, "latin1", "base64");
+  return changeEncoding(told, "latin1", "base64");
 }
 
-function recode(
+function changeEncoding(
   told: PeerBatch,
   from: BufferEncoding,
   to: BufferEncoding,
