--- a/src/core/admission/engine_desk.ts
+++ b/src/core/admission/engine_desk.ts
@@ -169,7 +169,7 @@
   }
 
   recordFirstToken(permitId: string, now: Milliseconds): void {
-    this.places.recordLoadInTime();
+    this.places.recordLoadInTime(now);
     this.room.recordFirstToken(permitId);
     this.pump(now);
   }
