--- a/src/core/placement/adapter_places.ts
+++ b/src/core/placement/adapter_places.ts
@@ -41,7 +41,9 @@
 const MAX_SLOWNESS = 3;
 const SLOWNESS_GROWTH = 1.12;
 const SLOWNESS_DECAY = 0.97;
-/** Time for which the estimate stays above one that was too short: long against the seconds between loads. */
+/** Least factor for a while after a load was late: the sheets' loads differ by as much, what is beyond is a crowd that passes. */
+const REMEMBERED_SLOWNESS = 1.12;
+/** That while: long against the seconds between loads. */
 const SLOWNESS_MEMORY_MS = 30_000;
 /** Longest time for which a load that is not done is waited for before the engine is asked. */
 const LOAD_PATIENCE_MS = 3_000;
@@ -62,8 +64,7 @@
   #fullSpeedFetches = MIN_FULL_SPEED_FETCHES;
   /** How much longer loads take than the first estimate. */
   #slowness = 1;
-  /** That factor when a load was last late, and when that was. */
-  #lastLate = { slowness: 1, at: Number.NEGATIVE_INFINITY };
+  #lastLateAt = Number.NEGATIVE_INFINITY;
   readonly #places = new Map<string, Place>();
   /** Adapters that were evicted lately, oldest first. */
   readonly #kept = new Set<string>();
@@ -176,15 +177,15 @@
 
   /** Notes that a load has taken no longer than estimated. */
   recordLoadInTime(now: Milliseconds): void {
-    const isRemembered = now - this.#lastLate.at < SLOWNESS_MEMORY_MS;
-    const floor = isRemembered ? this.#lastLate.slowness : 1;
+    const isRemembered = now - this.#lastLateAt < SLOWNESS_MEMORY_MS;
+    const floor = isRemembered ? REMEMBERED_SLOWNESS : 1;
     this.#slowness = Math.max(floor, this.#slowness * SLOWNESS_DECAY);
   }
 
   /** Notes that the engine was not ready for the adapter yet. */
   recordLoadLate(place: Place, delayMs: Milliseconds, now: Milliseconds): void {
     this.#slowness = Math.min(MAX_SLOWNESS, this.#slowness * SLOWNESS_GROWTH);
-    this.#lastLate = { slowness: this.#slowness, at: now };
+    this.#lastLateAt = now;
     this.#delayLoad(place, delayMs, now);
   }
 
--- a/test/core/placement/adapter_places_test.ts
+++ b/test/core/placement/adapter_places_test.ts
@@ -33,6 +33,18 @@
   assert.ok(tooSoon <= 5, `${tooSoon} of 100 loads`);
 });
 
+test("what a crowd of loads delayed is not remembered for long", () => {
+  const places = new AdapterPlaces(SLOTS);
+  const first = places.estimateLoadMs("m/a");
+  places.recordLoadOrdered("m/a", undefined, 0);
+  const place = places.getPlace("m/a");
+  if (!place) throw new Error("expected a place, got none");
+  for (let late = 0; late < 8; late += 1) places.recordLoadLate(place, 60, 0);
+  assert.ok(places.estimateLoadMs("m/b") > 2 * first);
+  for (let token = 0; token < 40; token += 1) places.recordLoadInTime(2_000);
+  assert.ok(places.estimateLoadMs("m/b") < 1.2 * first);
+});
+
 test("the estimate shrinks again once loads are quick", () => {
   const places = new AdapterPlaces(SLOTS);
   const first = places.estimateLoadMs("m/a");
