Spend less on each message and each event; a taken peers' port ends the start

A gateway alone, 6 requests a second with 25 events each for 30 s, took 2,400 ms, 283 of them idle: 0.4 ms an event, most of it system calls and wake-ups. Change: acknowledgements leave in the turn in which the message came, not by a timer of their own; a chunk is one buffer (the relay's writer of the daemon); rankings and the sum of fetches are worked out once in 100 ms. A failed bind was only logged.

--- a/src/core/fleet/fleet_view.ts
+++ b/src/core/fleet/fleet_view.ts
@@ -88,10 +88,14 @@
 
 interface Survey {
   madeAt: Milliseconds;
+  /** Loads from the weight store on their way, at the living members. */
+  fetchesInFlight: number;
   /** Living members that are not leaving. */
   staying: FleetMember[];
   /** Holder of each engine that one of them holds. */
   holders: Map<string, string>;
+  /** Ranking of the holders to be, this daemon included, of engines asked for. */
+  ranked: Map<string, FleetMember[]>;
 }
 
 interface KnownMember {
@@ -256,12 +260,18 @@
     isStopping: boolean,
     now: Milliseconds,
   ): FleetMember[] {
-    const { staying } = this.#getSurvey(now);
-    const candidates = isStopping ? staying : [...staying, this.#self];
-    const near = candidates.filter((member) =>
-      member.failureDomain === engine.failureDomain
-    );
-    return rankByRendezvous(engine.id, near.length > 0 ? near : candidates);
+    const { staying, ranked } = this.#getSurvey(now);
+    if (isStopping) return rankNear(engine, staying);
+    const known = ranked.get(engine.id);
+    if (known) return known;
+    const ranking = rankNear(engine, [...staying, this.#self]);
+    ranked.set(engine.id, ranking);
+    return ranking;
+  }
+
+  /** Returns how many loads from the weight store the living peers have on the way. */
+  countFetches(now: Milliseconds): number {
+    return this.#getSurvey(now).fetchesInFlight;
   }
 
   /**
@@ -273,11 +283,8 @@
       this.#self,
       ...this.#listKnown().map((each) => each.member),
     ];
-    const near = members.filter((member) =>
-      member.failureDomain === engine.failureDomain
-    );
-    return rankByRendezvous(engine.id, near.length > 0 ? near : members)
-      .slice(0, MAX_RIVALS).map((member) => member.id);
+    return rankNear(engine, members).slice(0, MAX_RIVALS)
+      .map((member) => member.id);
   }
 
   /**
@@ -302,10 +309,18 @@
     const isFresh = known !== undefined && now >= known.madeAt &&
       now - known.madeAt < SURVEY_LIFETIME_MS;
     if (isFresh) return known;
-    const survey: Survey = { madeAt: now, staying: [], holders: new Map() };
-    for (const known of this.#listKnown()) {
+    const survey: Survey = {
+      madeAt: now,
+      fetchesInFlight: 0,
+      staying: [],
+      holders: new Map(),
+      ranked: new Map(),
+    };
+    for (const known of this.#members.values()) {
       const { member, heartbeat } = known;
-      if (heartbeat?.isLeaving || !this.#isLiving(known, now)) continue;
+      if (!this.#isLiving(known, now)) continue;
+      survey.fetchesInFlight += heartbeat?.fetchesInFlight ?? 0;
+      if (heartbeat?.isLeaving) continue;
       survey.staying.push(member);
       for (const engineId of heartbeat?.heldEngines ?? []) {
         if (survey.holders.has(engineId)) continue;
@@ -383,6 +398,17 @@
   }
 }
 
+/** Ranks an engine's holders to be: members of its failure domain, or all where there is none. */
+function rankNear(
+  engine: { id: string; failureDomain: string },
+  members: readonly FleetMember[],
+): FleetMember[] {
+  const near = members.filter((member) =>
+    member.failureDomain === engine.failureDomain
+  );
+  return rankByRendezvous(engine.id, near.length > 0 ? near : members);
+}
+
 function rotate<T>(values: readonly T[], by: number): T[] {
   if (values.length === 0) return [];
   const start = by % values.length;
--- a/src/daemon/chunk_writer.ts
+++ b/src/daemon/chunk_writer.ts
@@ -4,7 +4,7 @@
  * for each chunk, which costs about as much as all else that a relay does.
  */
 import { Buffer } from "node:buffer";
-import type { Response } from "express";
+import type { ServerResponse } from "node:http";
 
 const CARRIAGE_RETURN = 0x0d;
 const LINE_FEED = 0x0a;
@@ -12,7 +12,10 @@
 const HEXADECIMAL = 16;
 
 /** Writes the chunk of a response whose head has left; returns whether more can be taken at once. */
-export function writeChunk(response: Response, chunk: Uint8Array): boolean {
+export function writeChunk(
+  response: ServerResponse,
+  chunk: Uint8Array,
+): boolean {
   if (response.destroyed) return true;
   const { socket } = response;
   const canFrame = response.headersSent && response.chunkedEncoding &&
@@ -21,7 +24,7 @@
 }
 
 /** Returns whether the response waits for its reader. */
-export function needsDrain(response: Response): boolean {
+export function needsDrain(response: ServerResponse): boolean {
   if (response.destroyed) return false;
   return response.writableNeedDrain ||
     (response.socket?.writableNeedDrain ?? false);
--- a/src/gateway/caller_exchange.ts
+++ b/src/gateway/caller_exchange.ts
@@ -2,6 +2,7 @@
 import { Buffer } from "node:buffer";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Milliseconds } from "../core/structures.ts";
+import { writeChunk } from "../daemon/chunk_writer.ts";
 import type { CallerFacts } from "./ports.ts";
 
 export interface CallerExchangeOptions {
@@ -18,6 +19,7 @@
 export class CallerExchange {
   readonly #options: CallerExchangeOptions;
   #isGone = false;
+  #hasWritten = false;
   #handleGone: (() => void) | undefined;
 
   constructor(options: CallerExchangeOptions) {
@@ -103,7 +105,12 @@
   }
 
   write(piece: Buffer): void {
-    if (piece.length > 0 && !this.#isGone) this.#options.response.write(piece);
+    if (piece.length === 0 || this.#isGone) return;
+    const { response } = this.#options;
+    // The head leaves with the first piece.
+    if (this.#hasWritten) writeChunk(response, piece);
+    else response.write(piece);
+    this.#hasWritten = true;
   }
 
   /** Ends a streamed answer as complete. */
--- a/src/gateway/engine_task.ts
+++ b/src/gateway/engine_task.ts
@@ -356,9 +356,7 @@
   }
 
   #countFleetFetches(now: Milliseconds): number {
-    const others = this.#options.fleet.listLiving(now)
-      .reduce((sum, heartbeat) => sum + heartbeat.fetchesInFlight, 0);
-    return others + this.countFetches();
+    return this.#options.fleet.countFetches(now) + this.countFetches();
   }
 
   #requestPermit(
--- a/src/gateway/peer_task.ts
+++ b/src/gateway/peer_task.ts
@@ -5,15 +5,13 @@
  */
 import { createSocket, type Socket } from "node:dgram";
 import { Buffer } from "node:buffer";
-import { describeError } from "../daemon/step_error.ts";
+import { describeError, StepError } from "../daemon/step_error.ts";
 import type { Milliseconds } from "../core/structures.ts";
 import type { DecisionLog } from "./decision_log.ts";
 import type { GatewayMessage } from "./peer_messages.ts";
 
 /** Times after the first sending at which a message is sent again: loss is rare, a way takes milliseconds. */
 const RESEND_AFTER_MS: readonly Milliseconds[] = [25, 60, 120, 250];
-/** Time for which an acknowledgement waits for a message that it can go with. */
-const ACK_DELAY_MS = 5;
 /** Numbers of messages remembered, so that a repeated one is handled once. */
 const MAX_REMEMBERED = 4_000;
 
@@ -47,9 +45,9 @@
   readonly #socket: Socket = createSocket("udp4");
   readonly #pending = new Map<number, PendingMessage>();
   readonly #seen = new Set<string>();
-  /** Numbers to acknowledge, by the sender's IP; they go with the next message there. */
+  /** Numbers to acknowledge, by the sender's IP; they go with a message that answers at once, or alone. */
   readonly #dueAcks = new Map<string, number[]>();
-  #ackTimer: ReturnType<typeof setTimeout> | undefined;
+  #ackTimer: ReturnType<typeof setImmediate> | undefined;
   #lastNumber = 0;
 
   constructor(options: PeerTaskOptions) {
@@ -62,9 +60,19 @@
     });
   }
 
+  /** Rejects when the port is taken: a gateway that hears no peers must not start. */
   listen(): Promise<void> {
-    return new Promise((resolve) => {
-      this.#socket.bind(this.#options.port, this.#options.ip, resolve);
+    const { ip, port } = this.#options;
+    return new Promise((resolve, reject) => {
+      const fail = (error: Error): void => {
+        const step = { step: "bind the peers' socket", peer: `${ip}:${port}` };
+        reject(new StepError(describeError(error), step));
+      };
+      this.#socket.once("error", fail);
+      this.#socket.bind(port, ip, () => {
+        this.#socket.removeListener("error", fail);
+        resolve();
+      });
     });
   }
 
@@ -101,7 +109,7 @@
 
   close(): void {
     for (const pending of this.#pending.values()) clearTimeout(pending.timer);
-    clearTimeout(this.#ackTimer);
+    clearImmediate(this.#ackTimer);
     this.#pending.clear();
     this.#socket.close();
   }
@@ -150,12 +158,13 @@
 
   #scheduleAck(ip: string, number: number): void {
     this.#dueAcks.set(ip, [...this.#dueAcks.get(ip) ?? [], number]);
-    this.#ackTimer ??= setTimeout(() => {
+    // Still in this turn of the loop: a timer would wake the process once more.
+    this.#ackTimer ??= setImmediate(() => {
       this.#ackTimer = undefined;
       for (const due of [...this.#dueAcks.keys()]) {
         this.#write(due, this.#encode(due, {}));
       }
-    }, ACK_DELAY_MS);
+    });
   }
 
   /** Returns whether the message has not been seen yet. */
--- /dev/null
+++ b/test/gateway/peer_task_test.ts
@@ -0,0 +1,56 @@
+/** The datagram socket between gateways. */
+import process from "node:process";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { DecisionLog } from "../../src/gateway/decision_log.ts";
+import type { GatewayMessage } from "../../src/gateway/peer_messages.ts";
+import { PeerTask } from "../../src/gateway/peer_task.ts";
+
+/** Below the ports that the kernel gives out, apart from those of the other gateway tests. */
+const PORT = 9_000 + process.pid % 900;
+const RELEASED: GatewayMessage = {
+  kind: "permitReleased",
+  engineId: "e",
+  permitId: "p",
+};
+
+function createPeer(
+  ip: string,
+  handle: (from: string, message: GatewayMessage) => void = () => {},
+): PeerTask {
+  return new PeerTask({
+    selfId: ip,
+    incarnation: ip,
+    ip,
+    port: PORT,
+    log: new DecisionLog("test", "silent"),
+    handle,
+  });
+}
+
+test("a port that is taken ends the start", async () => {
+  const first = createPeer("127.0.0.1");
+  await first.listen();
+  const second = createPeer("127.0.0.1");
+  const error = await second.listen().catch((each) => each);
+  assert.instance(error, Error);
+  assert.match(String(error), "EADDRINUSE");
+  first.close();
+});
+
+test("a message is handled once and acknowledged; a silent peer is told", async () => {
+  const seen: string[] = [];
+  const sender = createPeer("127.0.0.1");
+  const receiver = createPeer("127.0.0.2", (from, message) => {
+    seen.push(`${from} ${message.kind}`);
+  });
+  await sender.listen();
+  await receiver.listen();
+  assert.ok(await sender.deliver("127.0.0.2", RELEASED));
+  assert.equal(seen, ["127.0.0.1 permitReleased"]);
+  receiver.close();
+  assert.not(await sender.deliver("127.0.0.2", RELEASED));
+  sender.close();
+});
+
+test.run();
