--- a/src/core/ordering/engine_holder.ts
+++ b/src/core/ordering/engine_holder.ts
@@ -14,9 +14,8 @@
 import { AdapterPlaces } from "../placement/adapter_places.ts";
 import type { Milliseconds } from "../structures.ts";
 import type { EngineLimits } from "../view/published_view.ts";
-import { selectProvingOrder } from "./proving_order.ts";
+import { OrderPlanner, type OrderPlannerOptions } from "./order_planner.ts";
 import {
-  CONTESTED_WINDOW_MS,
   type OrderAnswer,
   type OrderReport,
   OrderTenure,
@@ -51,16 +50,11 @@
   /** A change of what is believed of the engine, for the log. */
   | { kind: "belief"; engineId: string; change: string; detail: object };
 
-export interface EngineHolderOptions {
-  selfId: string;
+export interface EngineHolderOptions extends OrderPlannerOptions {
   engineId: string;
   limits: EngineLimits;
   termMs: Milliseconds;
   drawFence: () => number;
-  /** Returns the daemons, foremost first, that may take the engine over at the same time. */
-  listRivals: () => readonly string[];
-  /** Names an adapter of a model that hardly any other daemon names; undefined when it has none. */
-  selectOwnAdapter: (model: string) => string | undefined;
 }
 
 /** What the daemon knows besides. */
@@ -83,28 +77,14 @@
 const REPORT_INTERVAL_MS = 300;
 /** Age of the last accepted order beyond which it tells nothing. */
 const MAX_ACCEPTED_AGE_MS = 3_600_000;
-/** Time for which a new holder evicts only what no rival would: a term, after which rivals have seen it order. */
-const PROOF_PATIENCE_MS = 3_000;
-/** Part of a turn in which a contested order may be given: a look at the engine and the order take some ticks. */
-const CONTESTED_OPENING_MS = 500;
-/** Length of a turn for contested orders: what was given in one is seen in the next. */
-const CONTESTED_TURN_MS = CONTESTED_OPENING_MS + CONTESTED_WINDOW_MS;
 /** Time after which a conflicting or failed order is tried again. */
 const ORDER_RETRY_MS = 60;
 
-/** An order that is due, and what its acceptance will be worth. */
-interface PlannedOrder {
-  order: WantedOrder;
-  /** Whether a rival may give one too, so that the engine is looked at right before. */
-  isContested: boolean;
-  /** Whether a rival's would be accepted too, also after this one. */
-  isBlind: boolean;
-}
-
 export class EngineHolder {
   readonly #options: EngineHolderOptions;
   readonly #tenure: OrderTenure;
   readonly desk: EngineDesk;
+  readonly #planner: OrderPlanner;
   #observed: HeldReport | undefined;
   #isReading = false;
   #lastReadAt = Number.NEGATIVE_INFINITY;
@@ -117,12 +97,6 @@
   /** Whether an order waits for a report that shows no restart. */
   #isVerificationDue = false;
   #isWanted = false;
-  /** When the engine was claimed, handed over or found restarted. */
-  #heldSince = Number.NEGATIVE_INFINITY;
-  /** Whether others may have taken the engine over at the same time. */
-  #mayHaveRivals = false;
-  /** When the engine accepted the order that proved the right to give more. */
-  #provenAt = Number.NEGATIVE_INFINITY;
   /** Whether no more orders are given, before the engine is handed over. */
   #isEnding = false;
   readonly #models = new Set<string>();
@@ -136,6 +110,7 @@
       new AdapterPlaces(options.limits.adapterSlots),
       new BatchRoom(options.limits),
     );
+    this.#planner = new OrderPlanner(options, this.#tenure, this.desk);
   }
 
   get engineId(): string {
@@ -221,8 +196,7 @@
       case "restarted":
         this.desk.clearPermits();
         this.desk.places.clear();
-        this.#heldSince = now;
-        this.#mayHaveRivals = !this.#tenure.isYoung(now);
+        this.#planner.recordRight(!this.#tenure.isYoung(now), now);
         this.#recordHeld(report, now);
         return [this.#describeBelief("engineRestarted", {})];
       case "lastOrderAccepted":
@@ -250,7 +224,9 @@
     const { isBlind, sentAt } = ordered;
     const wasProven = this.#tenure.isExclusive(now);
     this.#tenure.recordOrderAnswer(answer, isBlind, sentAt, now);
-    if (!wasProven && this.#tenure.isExclusive(now)) this.#provenAt = now;
+    if (!wasProven && this.#tenure.isExclusive(now)) {
+      this.#planner.recordProof(now);
+    }
     if (answer.kind === "accepted") {
       this.#applyOrder(ordered.order, now);
       return [];
@@ -337,8 +313,7 @@
     if (!this.#tenure.acceptHandover(handover, now)) return [];
     this.desk.places.clear();
     this.desk.beginAdoption(now);
-    this.#heldSince = now;
-    this.#mayHaveRivals = false;
+    this.#planner.recordRight(false, now);
     this.#recordHeld({
       models: handover.models,
       adapters: new Map(
@@ -373,9 +348,9 @@
     this.desk.places.clear();
     this.desk.clearPermits();
     this.desk.beginAdoption(now);
-    this.#heldSince = now;
     const isUntouched = this.#tenure.getExpectedSequence(now) === 0;
-    this.#mayHaveRivals = !(isUntouched && situation.hearsMajority);
+    const mayHaveRivals = !(isUntouched && situation.hearsMajority);
+    this.#planner.recordRight(mayHaveRivals, now);
     if (this.#observed) this.#recordHeld(this.#observed, now);
     return [this.#describeBelief("claimed", {
       sequence: this.#tenure.getExpectedSequence(now),
@@ -395,7 +370,10 @@
       situation.fleetFetches,
       situation.fullSpeedFetches,
     );
-    const planned = this.#planNextOrder(situation, now);
+    const wanted = this.#findMissingModel() ??
+      this.desk.findWantedOrder(situation.canFetch, now);
+    const planned = wanted &&
+      this.#planner.plan(wanted, situation.hearsMajority, now);
     this.#isVerificationDue = planned !== undefined &&
       !this.#tenure.isVerified(planned.isContested, now);
     if (!planned || this.#isVerificationDue) return [];
@@ -412,70 +390,6 @@
     }];
   }
 
-  #planNextOrder(
-    situation: HolderSituation,
-    now: Milliseconds,
-  ): PlannedOrder | undefined {
-    const wanted = this.#findMissingModel() ??
-      this.desk.findWantedOrder(situation.canFetch, now);
-    if (!wanted) return undefined;
-    const isProven = this.#tenure.isExclusive(now);
-    // A rival that has not seen the proof yet may still evict of its share.
-    const isShared = wanted.kind === "evict" && this.#mayHaveRivals &&
-      now - this.#provenAt < CONTESTED_WINDOW_MS;
-    if (isProven && !isShared) return createPlainOrder(wanted);
-    if (wanted.adapter !== "") {
-      return this.#planProvingOrder(
-        wanted.model,
-        situation.hearsMajority,
-        now,
-      );
-    }
-    const isAlone = situation.hearsMajority || this.#tenure.isYoung(now);
-    if (isAlone) return createPlainOrder(wanted);
-    return this.#isContestedTurn(now)
-      ? { order: wanted, isContested: true, isBlind: true }
-      : undefined;
-  }
-
-  /**
-   * Returns whether it is this daemon's turn to give an order that rivals may give
-   * too. The engine's age deals the turns, so that those keep apart that do not
-   * hear each other.
-   */
-  #isContestedTurn(now: Milliseconds): boolean {
-    const { selfId, listRivals } = this.#options;
-    const ageMs = this.#tenure.getEngineAgeMs(now);
-    const rivals = listRivals();
-    const index = rivals.indexOf(selfId);
-    const turn = index < 0 ? rivals.length : index;
-    const cycleMs = (rivals.length + 1) * CONTESTED_TURN_MS;
-    const sinceTurnMs = (ageMs - turn * CONTESTED_TURN_MS) % cycleMs;
-    return sinceTurnMs >= 0 && sinceTurnMs < CONTESTED_OPENING_MS;
-  }
-
-  #planProvingOrder(
-    model: string,
-    hearsMajority: boolean,
-    now: Milliseconds,
-  ): PlannedOrder | undefined {
-    const { selfId, selectOwnAdapter, listRivals } = this.#options;
-    const { places } = this.desk;
-    const isPatienceOver = now - this.#heldSince > PROOF_PATIENCE_MS;
-    const proof = selectProvingOrder({
-      selfId,
-      rivals: listRivals(),
-      mayTakeAny: !this.#mayHaveRivals || (isPatienceOver &&
-        (hearsMajority || this.#isContestedTurn(now))),
-      model,
-      ownAdapter: selectOwnAdapter(model),
-      idlePaths: this.desk.listEvictable(now).map((place) => place.adapterPath),
-      hasRoom: places.hasRoom(),
-      isHeld: (adapterPath) => places.getPlace(adapterPath) !== undefined,
-    });
-    return proof && { order: proof, isContested: true, isBlind: false };
-  }
-
   /** Returns the load of a base model that the engine lacks and has room for. */
   #findMissingModel(): WantedOrder | undefined {
     const { models, weightsMb } = this.#limits;
@@ -564,7 +478,3 @@
     return { kind: "belief", engineId: this.engineId, change, detail };
   }
 }
-
-function createPlainOrder(order: WantedOrder): PlannedOrder {
-  return { order, isContested: false, isBlind: false };
-}
