Keep rankings while nobody comes or goes

Cause: each 400 ms a daemon ranks the holders of all engines, 98 on the grown sites, and forgot the rankings after 100 ms.

--- a/src/core/fleet/fleet_view.ts
+++ b/src/core/fleet/fleet_view.ts
@@ -117,6 +117,9 @@
   #round = 0;
   #nearMembers = 0;
   #survey: Survey | undefined;
+  /** Those who stay, and the rankings made of them, as of the last survey. */
+  #staying: readonly FleetMember[] = [];
+  #ranked = new Map<string, FleetMember[]>();
 
   /** @param firstBeat number of the first heartbeat; above those of earlier starts, as the wall clock is. */
   constructor(self: FleetMember, firstBeat = 0) {
@@ -327,10 +330,20 @@
         survey.holders.set(engineId, member.id);
       }
     }
+    // Rankings cost a hash a member and engine, and hold while nobody comes or goes.
+    const hasSameMembers = this.#isSameStaying(survey.staying);
+    if (hasSameMembers) survey.ranked = this.#ranked;
+    else this.#ranked = survey.ranked;
+    this.#staying = survey.staying;
     this.#survey = survey;
     return survey;
   }
 
+  #isSameStaying(staying: readonly FleetMember[]): boolean {
+    return staying.length === this.#staying.length &&
+      staying.every((member, index) => member.id === this.#staying[index]?.id);
+  }
+
   /** Takes every peer for silent, after a pause of this process. */
   expireAll(): void {
     for (const known of this.#members.values()) {
