--- a/src/core/ordering/order_tenure.ts
+++ b/src/core/ordering/order_tenure.ts
@@ -7,12 +7,13 @@
  * since. Two holders therefore never order within one term of each other, and a
  * deposed holder's next order is refused.
  *
- * One order is not compared: a load that is on its way already is confirmed
- * whatever it expects. Adapters are therefore loaded only within a term of an
- * accepted order, in which nobody else can have taken over. The base model of an
- * empty engine has no such order before it: unless nobody else can have observed
- * that engine for a term yet, its holder rests after it, until whoever else may
- * have given the same order is a term away; the next order is compared again.
+ * An order that is fulfilled already, or under way, is not compared: it is
+ * confirmed whatever it expects. Adapters are therefore loaded only within a term
+ * of an accepted order that rivals do not give (proving_order.ts), in which nobody
+ * else can have taken over. The base model of an empty engine has no such order
+ * before it: unless nobody else can have observed that engine for a term yet, its
+ * holder rests after it, until whoever else may have given the same order is a
+ * term away; the next order is compared again.
  */
 import type { Milliseconds } from "../structures.ts";
 
@@ -310,8 +311,8 @@
   }
 
   /**
-   * @param isBlind whether a base model was loaded blindly: another daemon's same order would have been accepted too,
-   * so that the acceptance shows nothing.
+   * @param isBlind whether another daemon's same order would have been accepted
+   * too, so that the acceptance shows nothing.
    */
   recordOrderAnswer(
     answer: OrderAnswer,
