--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -14,6 +14,7 @@
   printStatus,
 } from "./daemon_commands.ts";
 import { ExitCode } from "./exit_codes.ts";
+import { printRequestTrace } from "./explain_request_command.ts";
 import { watchDaemon } from "./watch_command.ts";
 
 interface DaemonOptions {
@@ -89,6 +90,23 @@
     );
   });
 
+program
+  .command("explain-request <id> <log>")
+  .describe(
+    "Show what gateways' logs say of a request and its upstreams. More files may follow.",
+  )
+  .example("explain-request 9c41d07be2a35f68 host-1.log host-2.log")
+  .action(
+    async (
+      id: string,
+      log: string,
+      options: { _: string[]; json: boolean },
+    ) => {
+      const files = [log, ...options._];
+      process.exitCode = await printRequestTrace(id, files, options.json);
+    },
+  );
+
 program
   .command("watch")
   .describe("Print a line of status each interval until interrupted.")
