--- /dev/null
+++ b/src/cli/gateway_status_command.ts
@@ -0,0 +1,54 @@
+/** The command that shows one gateway, read from its metrics address. */
+import { ExitCode } from "./exit_codes.ts";
+import { fetchText } from "./operator_client.ts";
+
+const METRIC_PREFIX = "pistachiohatch_";
+const METRICS_PATH = "/metrics";
+
+/** A value of the text format in which metrics are served. */
+export interface MetricSample {
+  /** Name without the product's prefix. */
+  name: string;
+  /** Labels as the text has them, or empty. */
+  labels: string;
+  value: number;
+}
+
+/** Prints a gateway's gauges and counters; returns the exit code. */
+export async function printGatewayStatus(
+  address: string,
+  isJson: boolean,
+): Promise<ExitCode> {
+  const text = await fetchText(address, METRICS_PATH);
+  if (text.isErr()) {
+    console.error(text.error);
+    return ExitCode.DaemonFailed;
+  }
+  const samples = parseMetricSamples(text.value);
+  if (samples.length === 0) {
+    console.error(`${address}: expected a gateway's metrics, found none`);
+    return ExitCode.DaemonFailed;
+  }
+  for (const sample of samples) {
+    console.log(isJson ? JSON.stringify(sample) : formatSample(sample));
+  }
+  return ExitCode.Done;
+}
+
+/** Reads the product's gauges and counters; the buckets of histograms are left out. */
+export function parseMetricSamples(text: string): MetricSample[] {
+  return text.split("\n").flatMap((line) => {
+    const match = /^([a-z_]+)(?:\{(.*)\})? (\S+)$/.exec(line);
+    const [, fullName = "", labels = "", value = ""] = match ?? [];
+    const isWanted = fullName.startsWith(METRIC_PREFIX) &&
+      !fullName.endsWith("_bucket");
+    if (!isWanted) return [];
+    const name = fullName.slice(METRIC_PREFIX.length);
+    return [{ name, labels, value: Number(value) }];
+  });
+}
+
+function formatSample({ name, labels, value }: MetricSample): string {
+  const label = labels === "" ? "" : ` ${labels}`;
+  return `${name}${label}: ${value}`;
+}
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -14,6 +14,7 @@
   printStatus,
 } from "./daemon_commands.ts";
 import { ExitCode } from "./exit_codes.ts";
+import { printGatewayStatus } from "./gateway_status_command.ts";
 import { printRequestTrace } from "./explain_request_command.ts";
 import { watchDaemon } from "./watch_command.ts";
 
@@ -90,6 +91,14 @@
     );
   });
 
+program
+  .command("gateway-status <metrics>")
+  .describe("Show one gateway's gauges and counters, from its metrics address.")
+  .example("gateway-status 10.0.0.5:9464")
+  .action(async (metrics: string, options: { json: boolean }) => {
+    process.exitCode = await printGatewayStatus(metrics, options.json);
+  });
+
 program
   .command("explain-request <id> <log>")
   .describe(
--- a/src/cli/operator_client.ts
+++ b/src/cli/operator_client.ts
@@ -1,14 +1,34 @@
-/** Reads the operators' port of one daemon. */
+/** Reads what one daemon or gateway serves to operators. */
 import { Err, Ok, type Result } from "ts-results-es";
-import { request } from "undici";
+import { type Dispatcher, request } from "undici";
 import { describeError } from "../daemon/step_error.ts";
 
 const TIMEOUT_MS = 3_000;
 
 /** Gets a JSON answer from the daemon's operators' port. */
-export async function fetchFromDaemon<T>(
+export function fetchFromDaemon<T>(
   address: string,
   path: string,
+): Promise<Result<T, string>> {
+  return fetchAnswer(
+    address,
+    path,
+    async (body) => await body.json() as T,
+  );
+}
+
+/** Gets an answer as text. */
+export function fetchText(
+  address: string,
+  path: string,
+): Promise<Result<string, string>> {
+  return fetchAnswer(address, path, (body) => body.text());
+}
+
+async function fetchAnswer<T>(
+  address: string,
+  path: string,
+  read: (body: Dispatcher.ResponseData["body"]) => Promise<T>,
 ): Promise<Result<T, string>> {
   try {
     const response = await request(`http://${address}${path}`, {
@@ -20,7 +40,7 @@
         `${address}${path}: expected status 200, found ${response.statusCode} ${text}`,
       );
     }
-    return Ok(await response.body.json() as T);
+    return Ok(await read(response.body));
   } catch (error) {
     return Err(
       `${address}${path}: expected a daemon's answer, found ${
--- /dev/null
+++ b/test/cli/gateway_status_test.ts
@@ -0,0 +1,42 @@
+/** What the tool shows of a gateway, read from real metrics. */
+import process from "node:process";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import {
+  parseMetricSamples,
+  printGatewayStatus,
+} from "../../src/cli/gateway_status_command.ts";
+import { ExitCode } from "../../src/cli/exit_codes.ts";
+import { GatewayMetrics } from "../../src/gateway/gateway_metrics.ts";
+
+/** Below the ports that the kernel gives out, apart from those of the gateway tests. */
+const PORT = 8_000 + process.pid % 900;
+
+test("gauges and counters are shown with their reasons, buckets are not", async () => {
+  const metrics = new GatewayMetrics();
+  metrics.setGauge("held_engines", 2);
+  metrics.count("refusals", "noPlace");
+  metrics.measure("first_byte", "stream", 30);
+  await metrics.listen("127.0.0.1", PORT);
+  const answer = await fetch(`http://127.0.0.1:${PORT}/metrics`);
+  const samples = parseMetricSamples(await answer.text());
+  const exitCode = await printGatewayStatus(`127.0.0.1:${PORT}`, true);
+  metrics.close();
+  assert.is(exitCode, ExitCode.Done);
+  const find = (name: string) => samples.find((each) => each.name === name);
+  assert.is(find("held_engines")?.value, 2);
+  assert.equal(find("refusals_total"), {
+    name: "refusals_total",
+    labels: 'reason="noPlace"',
+    value: 1,
+  });
+  assert.is(find("first_byte_ms_count")?.value, 1);
+  assert.is(find("first_byte_ms_bucket"), undefined);
+});
+
+test("a gateway that does not answer is told as such", async () => {
+  const exitCode = await printGatewayStatus(`127.0.0.1:${PORT}`, false);
+  assert.is(exitCode, ExitCode.DaemonFailed);
+});
+
+test.run();
