One eviction builder, one survey's state, one place that says not the holder

Read once more: proving_order split model/adapter as engine_desk did; FleetView kept the members and rankings of a survey beside the survey, and two of its methods had the same filter; EngineHolder still answered NotHolder, which EngineTask answers now with the holder's name. Behaviour unchanged: 121 cases of the tenure fuzzer with the same draws, fleet, ordering, admission and style tests pass.

--- a/src/core/admission/engine_desk.ts
+++ b/src/core/admission/engine_desk.ts
@@ -250,9 +250,7 @@
       };
       if (place || this.places.hasRoom()) return load;
       const evictable = this.#findEvictable(now);
-      if (evictable) {
-        return { kind: "evict", ...parseAdapterPath(evictable.adapterPath) };
-      }
+      if (evictable) return buildEviction(evictable.adapterPath);
     }
     return undefined;
   }
@@ -402,12 +400,11 @@
     place.version >= version;
 }
 
-/** Splits `model/adapter`. */
-function parseAdapterPath(
-  adapterPath: string,
-): { model: string; adapter: string; adapterPath: string } {
+/** Returns the eviction of an adapter, named as `model/adapter`. */
+export function buildEviction(adapterPath: string): WantedOrder {
   const separator = adapterPath.indexOf("/");
   return {
+    kind: "evict",
     model: adapterPath.slice(0, separator),
     adapter: adapterPath.slice(separator + 1),
     adapterPath,
--- a/src/core/fleet/fleet_view.ts
+++ b/src/core/fleet/fleet_view.ts
@@ -117,9 +117,6 @@
   #round = 0;
   #nearMembers = 0;
   #survey: Survey | undefined;
-  /** Those who stay, and the rankings made of them, as of the last survey. */
-  #staying: readonly FleetMember[] = [];
-  #ranked = new Map<string, FleetMember[]>();
 
   /** @param firstBeat number of the first heartbeat; above those of earlier starts, as the wall clock is. */
   constructor(self: FleetMember, firstBeat = 0) {
@@ -148,9 +145,7 @@
    */
   isHearingMajority(now: Milliseconds): boolean {
     if (!this.isSmall()) return false;
-    const known = this.#listKnown().filter((each) =>
-      now - Math.max(each.heardAt, each.namedAt) < FORGET_MS
-    );
+    const known = this.#listRemembered(now);
     return 2 * this.countLiving(now) > known.length + 1;
   }
 
@@ -165,7 +160,7 @@
       known.heartbeat?.incarnation !== heartbeat.incarnation;
     if (!known && this.#isNear(heartbeat.sender)) this.#nearMembers += 1;
     if (isNew || known?.heartbeat?.isLeaving !== heartbeat.isLeaving) {
-      this.#survey = undefined;
+      this.#expireSurvey();
     }
     this.#members.set(heartbeat.sender.id, {
       member: heartbeat.sender,
@@ -185,15 +180,13 @@
     if (!known) return;
     known.heardAt = Number.NEGATIVE_INFINITY;
     known.silencedUntil = now + SILENCED_MS;
-    this.#survey = undefined;
+    this.#expireSurvey();
   }
 
   /** Returns the members that get a heartbeat in this period. */
   selectTargets(now: Milliseconds): FleetMember[] {
     this.#round += 1;
-    const known = this.#listKnown().filter((each) =>
-      now - Math.max(each.heardAt, each.namedAt) < FORGET_MS
-    );
+    const known = this.#listRemembered(now);
     if (known.length < FULL_MESH_MEMBERS) {
       return known.map((each) => each.member);
     }
@@ -308,10 +301,10 @@
 
   /** Looks through the members once for many questions. */
   #getSurvey(now: Milliseconds): Survey {
-    const known = this.#survey;
-    const isFresh = known !== undefined && now >= known.madeAt &&
-      now - known.madeAt < SURVEY_LIFETIME_MS;
-    if (isFresh) return known;
+    const previous = this.#survey;
+    const isFresh = previous !== undefined && now >= previous.madeAt &&
+      now - previous.madeAt < SURVEY_LIFETIME_MS;
+    if (isFresh) return previous;
     const survey: Survey = {
       madeAt: now,
       fetchesInFlight: 0,
@@ -331,17 +324,16 @@
       }
     }
     // Rankings cost a hash a member and engine, and hold while nobody comes or goes.
-    const hasSameMembers = this.#isSameStaying(survey.staying);
-    if (hasSameMembers) survey.ranked = this.#ranked;
-    else this.#ranked = survey.ranked;
-    this.#staying = survey.staying;
+    if (previous && hasSameMembers(previous.staying, survey.staying)) {
+      survey.ranked = previous.ranked;
+    }
     this.#survey = survey;
     return survey;
   }
 
-  #isSameStaying(staying: readonly FleetMember[]): boolean {
-    return staying.length === this.#staying.length &&
-      staying.every((member, index) => member.id === this.#staying[index]?.id);
+  /** Has the members looked through again; their rankings may still hold. */
+  #expireSurvey(): void {
+    if (this.#survey) this.#survey.madeAt = Number.NEGATIVE_INFINITY;
   }
 
   /** Takes every peer for silent, after a pause of this process. */
@@ -349,7 +341,7 @@
     for (const known of this.#members.values()) {
       known.heardAt = Number.NEGATIVE_INFINITY;
     }
-    this.#survey = undefined;
+    this.#expireSurvey();
   }
 
   #recordNamed(named: NamedMember, now: Milliseconds): void {
@@ -372,7 +364,7 @@
     const isNews = beat > known.beat && !this.isSmall() &&
       now >= known.silencedUntil;
     if (!isNews) return;
-    if (!this.#isLiving(known, now)) this.#survey = undefined;
+    if (!this.#isLiving(known, now)) this.#expireSurvey();
     known.beat = beat;
     known.heardAt = now;
   }
@@ -406,11 +398,26 @@
       );
   }
 
+  /** Returns the members that were heard or named lately. */
+  #listRemembered(now: Milliseconds): KnownMember[] {
+    return this.#listKnown().filter((each) =>
+      now - Math.max(each.heardAt, each.namedAt) < FORGET_MS
+    );
+  }
+
   #listKnown(): KnownMember[] {
     return [...this.#members.values()];
   }
 }
 
+function hasSameMembers(
+  before: readonly FleetMember[],
+  after: readonly FleetMember[],
+): boolean {
+  return before.length === after.length &&
+    before.every((member, index) => member.id === after[index]?.id);
+}
+
 /** Ranks an engine's holders to be: members of its failure domain, or all where there is none. */
 function rankNear(
   engine: { id: string; failureDomain: string },
--- a/src/core/ordering/engine_holder.ts
+++ b/src/core/ordering/engine_holder.ts
@@ -137,17 +137,8 @@
     return this.isHolding() ? this.desk.places.countComing() : 0;
   }
 
+  /** Takes a request for a place in; only a daemon that holds the engine may. */
   requestPermit(request: PermitRequest, now: Milliseconds): HolderEffect[] {
-    if (!this.isHolding()) {
-      const answer: PermitAnswer = {
-        kind: "denied",
-        permitId: request.permitId,
-        holder: request.holder,
-        reason: DenialReason.NotHolder,
-        retryAfterMs: this.estimateClaimMs(now),
-      };
-      return [{ kind: "answerPermit", engineId: this.engineId, answer }];
-    }
     this.desk.requestPermit(request, now);
     return this.#takeAnswers();
   }
--- a/src/core/ordering/proving_order.ts
+++ b/src/core/ordering/proving_order.ts
@@ -6,7 +6,7 @@
  * at once must not give the same order: the adapters to evict are divided among
  * those that are likely to, and each has an adapter of its own to load.
  */
-import type { WantedOrder } from "../admission/engine_desk.ts";
+import { buildEviction, type WantedOrder } from "../admission/engine_desk.ts";
 import { findRendezvousWinner } from "../hashing.ts";
 
 /** What the engine holds, as far as it bears on the choice. */
@@ -60,12 +60,5 @@
   paths: readonly string[],
 ): WantedOrder | undefined {
   const victim = findRendezvousWinner(selfId, paths.map((id) => ({ id })))?.id;
-  if (victim === undefined) return undefined;
-  const separator = victim.indexOf("/");
-  return {
-    kind: "evict",
-    model: victim.slice(0, separator),
-    adapter: victim.slice(separator + 1),
-    adapterPath: victim,
-  };
+  return victim === undefined ? undefined : buildEviction(victim);
 }
