Soak: the proxy forgets a connection only when both of its sides are closed

A gateway that closes a connection while the proxy passes nothing on left the target's side open, and the proxy forgot the pair as soon as the caller's side had closed, so its stop reached it no more. The stand-in only; no change to the product.

--- a/test/soak/fault_proxy.ts
+++ b/test/soak/fault_proxy.ts
@@ -19,6 +19,7 @@
   readonly #target: string;
   readonly #server: Server = createServer((socket) => this.#join(socket));
   readonly #pairs = new Set<[Socket, Socket]>();
+  #isStopped = false;
   fault: ProxyFault = ProxyFault.None;
 
   constructor(target: string) {
@@ -43,11 +44,13 @@
   }
 
   stop(): void {
+    this.#isStopped = true;
     this.#server.close();
     this.resetAll();
   }
 
   #join(inner: Socket): void {
+    if (this.#isStopped) return void inner.destroy();
     const separator = this.#target.lastIndexOf(":");
     const outer = connect(
       Number(this.#target.slice(separator + 1)),
@@ -57,7 +60,12 @@
     this.#pairs.add(pair);
     this.#pass(inner, outer, false);
     this.#pass(outer, inner, true);
-    inner.once("close", () => this.#pairs.delete(pair));
+    // A fault can keep the close of one side from the other: both count.
+    const forget = () => {
+      if (inner.closed && outer.closed) this.#pairs.delete(pair);
+    };
+    inner.once("close", forget);
+    outer.once("close", forget);
   }
 
   #pass(from: Socket, to: Socket, isAnswer: boolean): void {
