Look once more for a request's crashes when its lease has come

The second daemon looked for strikes at the request's arrival only; the strikes came while the request waited for a lease, and it was dispatched all the same (answer after 161 ms, outcome mayHaveRun, one run at the second daemon). Ruled out: strikes published late (they leave before the first answer does); a count that does not merge. Change: dispatch refuses a request that is stopped by then, and hands a suspect's shared credit back so that it waits for a run alone.

--- a/src/core/execution/attempt_runner.ts
+++ b/src/core/execution/attempt_runner.ts
@@ -90,7 +90,10 @@
     this.#leases.pumpHolding(attempt.holdingKey, now);
   }
 
-  /** Starts an attempt under a credit. */
+  /**
+   * Starts an attempt under a credit, unless a peer has told meanwhile that the
+   * request crashes its upstreams.
+   */
   dispatch(
     request: LiveRequest,
     holdingKey: string,
@@ -105,6 +108,17 @@
       request.unassign();
       return;
     }
+    const { quarantine } = this.#context.options;
+    if (quarantine.isQuarantined(request.event.fingerprint, now)) {
+      this.#leases.freeCredit(holdingKey, credit.leaseId, now);
+      this.#refuseQuarantined(request, now);
+      return;
+    }
+    if (!credit.exclusive && this.#context.isSuspect(request, now)) {
+      this.#leases.freeCredit(holdingKey, credit.leaseId, now);
+      request.unassign();
+      return;
+    }
     request.apply("dispatched");
     request.attempts += 1;
     if (request.attempts === 1) this.#recordFirstAttempt(request, now);
@@ -262,10 +276,7 @@
   retry(request: LiveRequest, reason: RetryReason, now: Milliseconds): void {
     const { settings, quarantine, retryBudget } = this.#context.options;
     if (quarantine.isQuarantined(request.event.fingerprint, now)) {
-      this.#concluder.refuse(request, RefusalReason.Quarantined, {
-        outcome: Outcome.NotRun,
-        retryAfterMs: quarantine.getRemainingMs(request.event.fingerprint, now),
-      }, now);
+      this.#refuseQuarantined(request, now);
       return;
     }
     const isSpent = request.attempts >= settings.maxAttempts ||
@@ -285,6 +296,14 @@
     request.upstreamId = undefined;
     this.#assigner.assign(request, now);
   }
+
+  #refuseQuarantined(request: LiveRequest, now: Milliseconds): void {
+    const { quarantine } = this.#context.options;
+    this.#concluder.refuse(request, RefusalReason.Quarantined, {
+      outcome: Outcome.NotRun,
+      retryAfterMs: quarantine.getRemainingMs(request.event.fingerprint, now),
+    }, now);
+  }
 }
 
 /** Returns whether the upstream never started the attempt. */
--- /dev/null
+++ b/test/core/execution/attempt_runner_test.ts
@@ -0,0 +1,86 @@
+/** What a daemon hears of a request's crashes while the request waits for its lease counts at dispatch. */
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import type { StrikeDigest } from "../../../src/core/messages.ts";
+import { LoneDaemon, PEER_DOMAIN } from "../lone_daemon.ts";
+
+const PEER = "entry-2";
+/** Far more than an engine's owner lets run beside each other. */
+const MANY = 100;
+
+/** Returns the runs of a full engine, and a request that waits for one to end. */
+function startFullEngine(): {
+  daemon: LoneDaemon;
+  running: string[];
+  waiting: string;
+} {
+  const daemon = new LoneDaemon(["engine-1"], [PEER]);
+  const running: string[] = [];
+  for (let index = 0; index < MANY; index += 1) {
+    const id = daemon.request("briefing");
+    daemon.advance(100);
+    if (daemon.getDispatches(id).length === 0) {
+      return { daemon, running, waiting: id };
+    }
+    running.push(id);
+  }
+  throw new Error(`expected a full engine, actual ${MANY} runs beside others`);
+}
+
+function tellStrikes(daemon: LoneDaemon, strikes: number): void {
+  const digest: StrikeDigest = {
+    fingerprint: "f1",
+    strikes,
+    expiresInMs: 60_000,
+  };
+  daemon.handle({
+    kind: "peerMessage",
+    from: PEER,
+    message: {
+      kind: "linkUpdate",
+      failureDomain: PEER_DOMAIN,
+      incarnation: "p1",
+      sequence: 1,
+      full: true,
+      digests: [],
+      removedUpstreamIds: [],
+      storeKeeperId: "",
+      evictions: [],
+      tablesRevision: 1,
+      hostListRevision: 1,
+      strikes: [digest],
+    },
+  });
+}
+
+function endRun(daemon: LoneDaemon, requestId: string): void {
+  const [dispatch] = daemon.getDispatches(requestId);
+  assert.ok(dispatch);
+  daemon.endAttempt(dispatch.attemptId, {
+    kind: "completed",
+    servedModel: dispatch.model,
+  });
+}
+
+test("a request that a peer has stopped meanwhile is not dispatched", () => {
+  const { daemon, running, waiting } = startFullEngine();
+  tellStrikes(daemon, 1);
+  endRun(daemon, running[0] ?? "");
+  daemon.advance(500);
+  assert.is(daemon.getDispatches(waiting).length, 0);
+  assert.is(daemon.getRefusal(waiting)?.reason, "quarantined");
+  assert.is(daemon.getRefusal(waiting)?.outcome, "notRun");
+});
+
+test("a request that a peer has made a suspect meanwhile waits until it runs alone", () => {
+  const { daemon, running, waiting } = startFullEngine();
+  tellStrikes(daemon, 0);
+  endRun(daemon, running[0] ?? "");
+  daemon.advance(200);
+  assert.is(daemon.getDispatches(waiting).length, 0);
+  for (const id of running.slice(1)) endRun(daemon, id);
+  daemon.advance(2_000);
+  assert.is(daemon.getDispatches(waiting).length, 1);
+});
+
+test.run();
--- a/test/core/lone_daemon.ts
+++ b/test/core/lone_daemon.ts
@@ -18,7 +18,7 @@
 const TICK_MS = 50;
 const DOMAIN = "hobart-a";
 /** Failure domain of the peers, of which silence tells nothing. */
-const PEER_DOMAIN = "huon-b";
+export const PEER_DOMAIN = "huon-b";
 export const ENTRY_ID = "entry-1";
 
 export class LoneDaemon {
