--- a/src/cli/request_trace.ts
+++ b/src/cli/request_trace.ts
@@ -3,7 +3,7 @@
  * believed and ordered of the upstreams that they name, and what befell the hosts
  * that handled it, in the order of time.
  */
-import { z } from "zod";
+import * as z from "zod";
 import type { Milliseconds } from "../core/structures.ts";
 
 const recordSchema = z.object({
--- a/src/core/tables/table_schema.ts
+++ b/src/core/tables/table_schema.ts
@@ -1,6 +1,6 @@
 /** Schema of the two tables and the check of a revision as a whole. */
 import { Err, Ok, type Result } from "ts-results-es";
-import { z } from "zod";
+import * as z from "zod";
 import type { TablesDelta } from "../messages.ts";
 import {
   type CustomerStructure,
--- a/src/daemon/operator_task.ts
+++ b/src/daemon/operator_task.ts
@@ -2,7 +2,7 @@
 import type { Server } from "node:http";
 import { performance } from "node:perf_hooks";
 import express, { type Request, type Response } from "express";
-import { z } from "zod";
+import * as z from "zod";
 import type { DaemonCore } from "../core/daemon_core.ts";
 import { LOG_LEVELS } from "../settings/log_level.ts";
 import { close, createHttpServer, listen } from "./http_server.ts";
--- a/src/daemon/upstream_schemas.ts
+++ b/src/daemon/upstream_schemas.ts
@@ -1,5 +1,5 @@
 /** Schemas of what upstreams and the platform answer. */
-import { z } from "zod";
+import * as z from "zod";
 import { HostRole, HostState } from "../core/structures.ts";
 
 /** Answer of `GET /state` on an upstream. */
--- a/src/settings/daemon_settings.ts
+++ b/src/settings/daemon_settings.ts
@@ -1,5 +1,5 @@
 /** Schema of the daemon's settings file. */
-import { z } from "zod";
+import * as z from "zod";
 import { DEFAULT_CORE_SETTINGS } from "../core/core_settings.ts";
 import { LOG_LEVELS } from "./log_level.ts";
 
--- a/src/settings/gateway_settings.ts
+++ b/src/settings/gateway_settings.ts
@@ -1,5 +1,5 @@
 /** Schema of the gateway's settings file. */
-import { z } from "zod";
+import * as z from "zod";
 import { LOG_LEVELS } from "./log_level.ts";
 
 const ADDRESS = z.string().regex(
