Holders that other gateways named are forgotten

Change: a class of its own, which forgets old words as new ones come; the same lifetime as before. Test: a thousand engines that come and go leave ten entries.

--- a/src/gateway/permit_client.ts
+++ b/src/gateway/permit_client.ts
@@ -9,6 +9,7 @@
   type PermitRequest,
 } from "../core/admission/engine_desk.ts";
 import type { FleetView } from "../core/fleet/fleet_view.ts";
+import { ToldHolders } from "../core/fleet/told_holders.ts";
 import type { Milliseconds } from "../core/structures.ts";
 import type { PublishedUpstream } from "../core/view/published_view.ts";
 import type { GatewayMessage } from "./peer_messages.ts";
@@ -34,9 +35,6 @@
   knownTo: string | undefined;
 }
 
-/** Time for which a holder is believed that another daemon named: by then its own heartbeat has come. */
-const TOLD_LIFETIME_MS = 10_000;
-
 interface PendingPermit {
   settle: (reply: PermitReply) => void;
 }
@@ -56,11 +54,7 @@
   readonly #options: PermitClientOptions;
   readonly #pendingPermits = new Map<string, PendingPermit>();
   readonly #ownRuns = new Map<string, OwnRun>();
-  /** Holders that other daemons named, by engine. */
-  readonly #toldHolders = new Map<
-    string,
-    { holderId: string; toldAt: Milliseconds }
-  >();
+  readonly #toldHolders = new ToldHolders();
   #lastRunsAt = Number.NEGATIVE_INFINITY;
 
   constructor(options: PermitClientOptions) {
@@ -78,13 +72,10 @@
     const isElsewhere = answer.kind === "denied" &&
       answer.reason === DenialReason.NotHolder;
     if (!isElsewhere) return reply;
-    this.#toldHolders.delete(engine.id);
+    this.#toldHolders.forget(engine.id);
     const { knownHolder } = answer;
     if (knownHolder === undefined || knownHolder === asked) return reply;
-    this.#toldHolders.set(engine.id, {
-      holderId: knownHolder,
-      toldAt: performance.now(),
-    });
+    this.#toldHolders.record(engine.id, knownHolder, performance.now());
     return await this.#askDaemon(knownHolder, engine, request);
   }
 
@@ -93,11 +84,8 @@
     const { fleet, selfId, isHeldHere, isStopping } = this.#options;
     const now = performance.now();
     if (isHeldHere(engine.id)) return selfId;
-    const told = this.#toldHolders.get(engine.id);
-    const isToldFresh = told !== undefined &&
-      now - told.toldAt < TOLD_LIFETIME_MS &&
-      fleet.isLiving(told.holderId, now);
-    if (isToldFresh) return told.holderId;
+    const told = this.#toldHolders.find(engine.id, now);
+    if (told !== undefined && fleet.isLiving(told, now)) return told;
     return fleet.findHolder(engine.id, now) ??
       fleet.rankHolders(engine, isStopping(), now)[0]?.id;
   }
--- /dev/null
+++ b/test/core/fleet/told_holders_test.ts
@@ -0,0 +1,30 @@
+/** Holders that other daemons named are believed for a while, and then forgotten. */
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { ToldHolders } from "../../../src/core/fleet/told_holders.ts";
+
+test("the latest word counts until it is old", () => {
+  const told = new ToldHolders();
+  told.record("engine-1", "entry-1", 0);
+  told.record("engine-1", "entry-2", 1_000);
+  assert.is(told.find("engine-1", 10_999), "entry-2");
+  assert.is(told.find("engine-1", 11_000), undefined);
+  assert.is(told.find("engine-2", 1_000), undefined);
+});
+
+test("a word that proved wrong is forgotten", () => {
+  const told = new ToldHolders();
+  told.record("engine-1", "entry-1", 0);
+  told.forget("engine-1");
+  assert.is(told.find("engine-1", 1), undefined);
+});
+
+test("engines that come and go leave nothing behind", () => {
+  const told = new ToldHolders();
+  for (let index = 0; index < 1_000; index += 1) {
+    told.record(`engine-${index}`, "entry-1", index * 1_000);
+  }
+  assert.is(told.size, 10);
+});
+
+test.run();
