Fuzzer: after the heal, a crashing request is sent twice while nothing else is wrong

Change: each run ends with a crashing request on a retried route, sent once more through another daemon after the strikes' time to spread.

--- a/test/fuzz/fuzz_run.ts
+++ b/test/fuzz/fuzz_run.ts
@@ -13,6 +13,12 @@
   steps: Step[];
 }
 
+/** An idempotent route to an engine, whose requests are retried. */
+const CRASHING_ROUTE = 0;
+const CRASHING_SENDS = 2;
+/** Longer than a strike takes to be known everywhere. */
+const CRASHING_WAIT_MS = 3_500;
+
 export interface FuzzOptions {
   seed: number;
   runs: number;
@@ -114,6 +120,7 @@
   checkConfiguration(world);
   checkAnswers(world);
   checkProbes(world);
+  checkCrashBound(world);
   if (world.oracle.breach) describeDaemons(world);
   return world;
 }
@@ -180,6 +187,21 @@
   }
 }
 
+/** Sends a crashing request, and again elsewhere, while nothing else is wrong; the oracle counts what it kills. */
+function checkCrashBound(world: World): void {
+  if (world.oracle.breach) return;
+  const work = world.createWork({
+    routeIndex: CRASHING_ROUTE,
+    durationMs: 50,
+    isStream: false,
+    isCrashing: true,
+  });
+  for (const daemon of DAEMON_IDS.slice(0, CRASHING_SENDS)) {
+    world.sendCall(work, daemon);
+    world.advance(CRASHING_WAIT_MS);
+  }
+}
+
 function addCounts(
   total: Map<string, number>,
   counts: ReadonlyMap<string, number>,
