--- a/test/fuzz/mutants.ts
+++ b/test/fuzz/mutants.ts
@@ -16,6 +16,8 @@
   patches: Patch[];
   /** Seed that the mutant is tried with in place of the one given. */
   seed?: number;
+  /** Whether the fuzzer of the right to order tries it, in place of the daemon's. */
+  isOfTenure?: true;
 }
 
 export const MUTANTS: readonly Mutant[] = [
@@ -243,4 +245,69 @@
       replacement: "if (this.#savedRetries < Date.now() * 0 + 1) return false;",
     }],
   },
+  {
+    name: "claim an engine before a term has passed",
+    isOfTenure: true,
+    promise: FuzzPromise.OneHolder,
+    patches: [{
+      file: "ordering/order_tenure.ts",
+      search:
+        "now - this.#state.observedAt >= this.#options.termMs + TERM_MARGIN_MS",
+      replacement: "now >= this.#state.observedAt",
+    }],
+  },
+  {
+    name: "follow another daemon's orders by the count of a report",
+    isOfTenure: true,
+    promise: FuzzPromise.OneHolder,
+    patches: [{
+      file: "ordering/order_tenure.ts",
+      search:
+        "if (report.sequence > state.sequence) return this.#depose(now);\n    this.#state = {\n      ...state,",
+      replacement:
+        "this.#state = {\n      ...state,\n      sequence: report.sequence,",
+    }],
+  },
+  {
+    name: "settle a doubtful order by whatever count is reported",
+    isOfTenure: true,
+    promise: FuzzPromise.OneHolder,
+    patches: [{
+      file: "ordering/order_tenure.ts",
+      search: "if (!isOwn) return this.#depose(now);",
+      replacement: "",
+    }],
+  },
+  {
+    name: "order an engine that may have restarted unseen",
+    isOfTenure: true,
+    promise: FuzzPromise.OneHolder,
+    patches: [{
+      file: "ordering/order_tenure.ts",
+      search: "(isContested ? CONTESTED_VERIFIED_MS : VERIFIED_MS);",
+      replacement: "Number.POSITIVE_INFINITY;",
+    }],
+  },
+  {
+    name: "do not rest after a blind order",
+    isOfTenure: true,
+    promise: FuzzPromise.OneHolder,
+    patches: [{
+      file: "ordering/order_tenure.ts",
+      search:
+        "? now + CONTESTED_WINDOW_MS + this.#options.termMs + TERM_MARGIN_MS",
+      replacement: "? sentAt",
+    }],
+  },
+  {
+    name: "prove the right by an eviction of a rival's share",
+    isOfTenure: true,
+    promise: FuzzPromise.OneHolder,
+    patches: [{
+      file: "ordering/proving_order.ts",
+      search: "const own = selectVictim(situation, listOwnShare(situation));",
+      replacement:
+        "const own = selectVictim(situation, situation.idlePaths.slice(0, 1));",
+    }],
+  },
 ];
--- a/test/fuzz/oracle.ts
+++ b/test/fuzz/oracle.ts
@@ -19,6 +19,7 @@
   Configuration: "configuration in force and never back",
   CrashBound: "crashing requests are bounded, neighbours spared",
   Liveness: "every request is answered",
+  OneHolder: "holders of an engine take no turns",
   Robustness: "no event is refused and no wall clock is read",
 } as const;
 export type FuzzPromise = (typeof FuzzPromise)[keyof typeof FuzzPromise];
--- /dev/null
+++ b/test/gateway/bounds_test.ts
@@ -0,0 +1,178 @@
+/**
+ * Bounds on what reaches replicas, one row a fault: versions of adapters (VERSION),
+ * time and repeats that replicas are handed (BUDGET), and work for callers that
+ * have left (GONE).
+ */
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import type {
+  ReplicaBehaviour,
+  SeenRequest,
+} from "../../fakes/fake_platform_replica.ts";
+import { GatewayBench, waitMs } from "./gateway_bench.ts";
+
+/** Time in which a published version is known to a gateway, far below the rules' seconds. */
+const SPREAD_MS = 700;
+/** Deadline that the bench's callers name. */
+const CALLER_DEADLINE_MS = 2_500;
+/** Time in which a replica's work for a caller who left must have been stopped. */
+const GONE_MS = 500;
+/** Replicas that one crashing request may bring down before it is known; the rule allows it three more. */
+const MAX_CRASHES = 3;
+
+const bench = new GatewayBench();
+
+test.before(async () => {
+  bench.routeParts = { resume: { resumable: true } };
+  await bench.start({ gateways: 2, engines: 2, services: 4 });
+});
+test.after(() => bench.stop());
+test.after.each(() => misbehave([]));
+
+function misbehave(behaviours: ReplicaBehaviour[]): void {
+  for (const replica of [...bench.services, ...bench.engines]) {
+    replica.behaviours = behaviours;
+  }
+}
+
+function listRuns(id: string): SeenRequest[] {
+  return [...bench.services, ...bench.engines]
+    .flatMap((replica) => replica.seen)
+    .filter((seen) => seen.id === id);
+}
+
+function readDeadlineMs(seen: SeenRequest | undefined): number {
+  return Number(seen?.headers["x-deadline-ms"]);
+}
+
+interface VersionRow {
+  fault: string;
+  gateway: number;
+  version: number;
+  prepare: () => void;
+}
+
+const VERSION_ROWS: VersionRow[] = [
+  { fault: "none", gateway: 0, version: 2, prepare: () => {} },
+  {
+    fault: "the store turns watches away",
+    gateway: 1,
+    version: 3,
+    prepare: () => bench.store.fault = "busy",
+  },
+  {
+    fault: "the engine restarts empty",
+    gateway: 0,
+    version: 4,
+    prepare: () => {
+      for (const engine of bench.engines) {
+        engine.restart();
+        engine.models = ["m"];
+        bench.register(engine);
+      }
+    },
+  },
+];
+
+for (const { fault, gateway, version, prepare } of VERSION_ROWS) {
+  test(`VERSION: nothing begins on an older version than ${version}; fault: ${fault}`, async () => {
+    const before = await bench.call("/brief/1", { gateway });
+    assert.is(before.status, 200);
+    for (const engine of bench.engines) engine.newestVersion = version;
+    bench.store.put("op/version/m/a1", { model: "m", adapter: "a1", version });
+    await waitMs(SPREAD_MS);
+    prepare();
+    const id = `version-${version}`;
+    const answer = await bench.call("/brief/1", { id, gateway });
+    bench.store.fault = "none";
+    const runs = listRuns(id);
+    for (const run of runs) {
+      assert.is(run.headers["x-expect-version"], String(version));
+    }
+    assert.is(answer.status, 200);
+    assert.is(runs.length, 1);
+  });
+}
+
+interface BudgetRow {
+  fault: ReplicaBehaviour;
+  path: string;
+  /** What the caller names; undefined for nothing of its own. */
+  deadlineMs: number;
+  runs: number;
+}
+
+const BUDGET_ROWS: BudgetRow[] = [
+  { fault: "answer", path: "/safe/1", deadlineMs: 900, runs: 1 },
+  { fault: "answer", path: "/unsafe/1", deadlineMs: 60_000, runs: 1 },
+  { fault: "fail", path: "/safe/1", deadlineMs: CALLER_DEADLINE_MS, runs: 2 },
+  { fault: "hang", path: "/safe/1", deadlineMs: CALLER_DEADLINE_MS, runs: 2 },
+  { fault: "shed", path: "/unsafe/1", deadlineMs: CALLER_DEADLINE_MS, runs: 1 },
+];
+
+for (const { fault, path, deadlineMs, runs } of BUDGET_ROWS) {
+  test(`BUDGET: ${path} with ${deadlineMs} ms, ${fault}: no run is handed more time than is left`, async () => {
+    const id = `budget-${fault}-${deadlineMs}`;
+    misbehave([]);
+    const behaviours = [fault];
+    for (const service of bench.services) service.behaviours = behaviours;
+    await bench.call(path, {
+      id,
+      headers: { "X-Deadline-Ms": String(deadlineMs) },
+    });
+    const handed = listRuns(id).map(readDeadlineMs);
+    assert.is(handed.length, runs);
+    const routeMs = 3_000;
+    for (const each of handed) {
+      assert.ok(each > 0 && each <= Math.min(deadlineMs, routeMs), `${each}`);
+    }
+    if (fault === "hang") {
+      assert.ok(Math.min(...handed) < Math.max(...handed) - 500, `${handed}`);
+    }
+  });
+}
+
+test("BUDGET: a request that crashes replicas is stopped, whoever sends it again", async () => {
+  misbehave(Array.from({ length: 40 }, (): ReplicaBehaviour => "reset"));
+  for (let turn = 0; turn < 8; turn += 1) {
+    const id = `crash-${turn}`;
+    await bench.call("/unsafe/1", { id, gateway: 0, body: "crashes" });
+  }
+  const runs = bench.services.flatMap((service) => service.seen)
+    .filter(({ body }) => body === "crashes");
+  assert.is(runs.length, MAX_CRASHES);
+  // Another gateway has heard of it within its heartbeats.
+  await waitMs(1_500);
+  const answer = await bench.call("/unsafe/1", { gateway: 1, body: "crashes" });
+  assert.is(answer.status, 503);
+});
+
+interface GoneRow {
+  path: string;
+  fault: ReplicaBehaviour;
+  leaveAfterMs: number;
+}
+
+const GONE_ROWS: GoneRow[] = [
+  { path: "/safe/1", fault: "hang", leaveAfterMs: 200 },
+  { path: "/safe/1", fault: "hang", leaveAfterMs: 1_400 },
+  { path: "/brief/1", fault: "hang", leaveAfterMs: 300 },
+  { path: "/brief/1", fault: "slow", leaveAfterMs: 900 },
+  { path: "/resume/1", fault: "slow", leaveAfterMs: 900 },
+];
+
+for (const { path, fault, leaveAfterMs } of GONE_ROWS) {
+  test(`GONE: ${path}, ${fault}, left after ${leaveAfterMs} ms: its work stops and nothing follows`, async () => {
+    const id = `gone-${path}-${leaveAfterMs}`;
+    misbehave(Array.from({ length: 10 }, () => fault));
+    await bench.call(path, { id, leaveAfterMs }).catch(() => undefined);
+    const ran = bench.countRuns(id);
+    assert.ok(ran > 0);
+    await waitMs(GONE_MS);
+    assert.ok(listRuns(id).every(({ wasCut }) => wasCut));
+    await waitMs(1_500);
+    assert.is(bench.countRuns(id), ran);
+  });
+}
+
+test.run();
