--- a/test/gateway/gateway_bench.ts
+++ b/test/gateway/gateway_bench.ts
@@ -14,9 +14,8 @@
 import { StoreClient } from "../../platform/store_client.ts";
 import { Gateway } from "../../src/gateway/gateway.ts";
 import { gatewaySettingsSchema } from "../../src/settings/gateway_settings.ts";
+import { type PortReservation, reservePorts } from "../port_reservation.ts";
 
-/** Below the ports that the kernel gives to the stand-ins and to connections. */
-const BASE_PORT = 10_000 + (process.pid % 200) * 100;
 /** Short, so that a takeover fits into a test. */
 export const TERM_MS = 600;
 
@@ -44,6 +43,7 @@
   readonly services: FakePlatformReplica[] = [];
   readonly gateways: Gateway[] = [];
   readonly #agent = new Agent({ keepAlive: true });
+  #ports: PortReservation | undefined;
   #version = 1;
   #lastId = 0;
   /** Fields of routes that differ from the defaults. */
@@ -54,6 +54,7 @@
     engines: number;
     services: number;
   }): Promise<void> {
+    this.#ports = await reservePorts(process.pid);
     await this.store.start();
     for (let index = 0; index < sizes.engines; index += 1) {
       this.engines.push(new FakePlatformReplica(`i-engine${index}`, true));
@@ -74,19 +75,24 @@
     await this.waitUntilReady(sizes.gateways);
   }
 
+  get #port(): number {
+    if (!this.#ports) throw new Error("expected reserved ports, actual none");
+    return this.#ports.port;
+  }
+
   createGateway(index: number): Gateway {
     const ip = `127.0.0.${index + 1}`;
     const settings = gatewaySettingsSchema.parse({
       host: `host-${index}`,
       failureDomain: "zone-a",
-      callers: { listen: `${ip}:${BASE_PORT}` },
-      readiness: { listen: `${ip}:${BASE_PORT + 1}` },
+      callers: { listen: `${ip}:${this.#port}` },
+      readiness: { listen: `${ip}:${this.#port + 1}` },
       peers: {
-        listen: `${ip}:${BASE_PORT + 2}`,
-        port: BASE_PORT + 3,
-        seeds: [`127.0.0.1:${BASE_PORT + 2}`],
+        listen: `${ip}:${this.#port + 2}`,
+        port: this.#port + 3,
+        seeds: [`127.0.0.1:${this.#port + 2}`],
       },
-      metrics: { port: BASE_PORT + 4 },
+      metrics: { port: this.#port + 4 },
       store: { address: this.store.address },
       orders: { termMs: TERM_MS },
       repeats: { ratio: 0.2, windowMs: 10_000, slack: 58 },
@@ -140,7 +146,7 @@
     return new Promise((resolve, reject) => {
       const call = request({
         host: `127.0.0.${(options.gateway ?? 0) + 1}`,
-        port: BASE_PORT,
+        port: this.#port,
         path,
         method: options.method ?? "POST",
         headers,
@@ -168,7 +174,7 @@
   async isReady(gateway: number): Promise<boolean> {
     try {
       const answer = await fetch(
-        `http://127.0.0.${gateway + 1}:${BASE_PORT + 1}/-/readyz`,
+        `http://127.0.0.${gateway + 1}:${this.#port + 1}/-/readyz`,
       );
       return answer.status === 200;
     } catch {
@@ -213,6 +219,7 @@
     this.#agent.destroy();
     for (const replica of [...this.engines, ...this.services]) replica.stop();
     this.store.stop();
+    this.#ports?.release();
   }
 }
 
