--- a/src/core/admission/engine_desk.ts
+++ b/src/core/admission/engine_desk.ts
@@ -207,7 +207,7 @@
     this.pump(now);
   }
 
-  /** Returns when the desk has to look again: a load is done, or a wait or a permit ends. */
+  /** Returns when the desk has to look again: a load is done, or a wait ends. */
   getNextDueAt(): Milliseconds {
     let dueAt = Number.POSITIVE_INFINITY;
     for (const place of this.places.listPlaces()) {
--- a/test/core/ordering/order_tenure_test.ts
+++ b/test/core/ordering/order_tenure_test.ts
@@ -15,8 +15,12 @@
   return new OrderTenure({ termMs: TERM_MS });
 }
 
-/** Reads a report again that shows the same. */
-function confirm(tenure: OrderTenure, sequence: number, readAt: number): void {
+/** Reads a report of an engine that has run for a while. */
+function readReport(
+  tenure: OrderTenure,
+  sequence: number,
+  readAt: number,
+): void {
   tenure.recordReport(
     { sequence, bornAtUnixMs: BORN, ageMs: 60_000, readAt },
     readAt,
@@ -25,13 +29,8 @@
 
 function createHolding(sequence = 5): OrderTenure {
   const tenure = createTenure();
-  tenure.recordReport({
-    sequence,
-    bornAtUnixMs: BORN,
-    ageMs: 60_000,
-    readAt: 0,
-  }, 0);
-  confirm(tenure, sequence, TERM_MS + 300);
+  readReport(tenure, sequence, 0);
+  readReport(tenure, sequence, TERM_MS + 300);
   tenure.claim(true, TERM_MS + 400);
   return tenure;
 }
@@ -52,36 +51,23 @@
   );
   assert.ok(tenure.needsReport(true, TERM_MS + 300));
   assert.not(tenure.needsReport(false, TERM_MS + 300));
-  confirm(tenure, 5, TERM_MS + 300);
+  readReport(tenure, 5, TERM_MS + 300);
   assert.ok(tenure.claim(true, TERM_MS + 300));
   assert.is(tenure.getExpectedSequence(LATE), 5);
 });
 
 test("takes over an engine without orders at once", () => {
   const tenure = createTenure();
-  tenure.recordReport({
-    sequence: 0,
-    bornAtUnixMs: BORN,
-    ageMs: 60_000,
-    readAt: 0,
-  }, 0);
+  readReport(tenure, 0, 0);
   assert.ok(tenure.claim(true, 1));
 });
 
 test("starts the term again when somebody has ordered", () => {
   const tenure = createTenure();
-  tenure.recordReport({
-    sequence: 5,
-    bornAtUnixMs: BORN,
-    ageMs: 60_000,
-    readAt: 0,
-  }, 0);
-  tenure.recordReport(
-    { sequence: 6, bornAtUnixMs: BORN, ageMs: 60_000, readAt: 2_000 },
-    2_000,
-  );
+  readReport(tenure, 5, 0);
+  readReport(tenure, 6, 2_000);
   assert.not(tenure.claim(true, TERM_MS + 400));
-  confirm(tenure, 6, 2_000 + TERM_MS + 300);
+  readReport(tenure, 6, 2_000 + TERM_MS + 300);
   assert.ok(tenure.claim(true, 2_000 + TERM_MS + 300));
 });
 
@@ -193,7 +179,7 @@
 test("an engine that was idle is verified before the next order", () => {
   const tenure = createHolding();
   assert.not(tenure.isVerified(false, TERM_MS + 1_200));
-  confirm(tenure, 5, 5_000);
+  readReport(tenure, 5, 5_000);
   assert.ok(tenure.isVerified(false, 5_100));
   tenure.recordOrderAnswer({ kind: "accepted" }, false, 5_100, 5_101);
   assert.ok(tenure.isVerified(false, 5_800));
@@ -202,14 +188,9 @@
 
 test("a daemon that hears few of its peers waits a term also for an untouched engine", () => {
   const tenure = createTenure();
-  tenure.recordReport({
-    sequence: 0,
-    bornAtUnixMs: BORN,
-    ageMs: 60_000,
-    readAt: 0,
-  }, 0);
+  readReport(tenure, 0, 0);
   assert.not(tenure.claim(false, TERM_MS));
-  confirm(tenure, 0, TERM_MS + 300);
+  readReport(tenure, 0, TERM_MS + 300);
   assert.ok(tenure.claim(false, TERM_MS + 300));
 });
 
--- a/test/gateway/answers_test.ts
+++ b/test/gateway/answers_test.ts
@@ -9,7 +9,8 @@
   type ReplicaBehaviour,
   STREAM_EVENTS,
 } from "../../fakes/fake_platform_replica.ts";
-import { GatewayBench, waitMs } from "./gateway_bench.ts";
+import { waitMs } from "../../src/gateway/wait.ts";
+import { GatewayBench } from "./gateway_bench.ts";
 
 const bench = new GatewayBench();
 
--- a/test/gateway/bounds_test.ts
+++ b/test/gateway/bounds_test.ts
@@ -9,7 +9,8 @@
   ReplicaBehaviour,
   SeenRequest,
 } from "../../fakes/fake_platform_replica.ts";
-import { GatewayBench, waitMs } from "./gateway_bench.ts";
+import { waitMs } from "../../src/gateway/wait.ts";
+import { GatewayBench } from "./gateway_bench.ts";
 
 /** Time in which a published version is known to a gateway, far below the rules' seconds. */
 const SPREAD_MS = 700;
@@ -29,18 +30,13 @@
 test.after(() => bench.stop());
 test.after.each(() => misbehave([]));
 
+/** Whichever replica is asked next shows the next behaviour; sound ones follow. */
 function misbehave(behaviours: ReplicaBehaviour[]): void {
   for (const replica of [...bench.services, ...bench.engines]) {
     replica.behaviours = behaviours;
   }
 }
 
-function listRuns(id: string): SeenRequest[] {
-  return [...bench.services, ...bench.engines]
-    .flatMap((replica) => replica.seen)
-    .filter((seen) => seen.id === id);
-}
-
 function readDeadlineMs(seen: SeenRequest | undefined): number {
   return Number(seen?.headers["x-deadline-ms"]);
 }
@@ -85,7 +81,7 @@
     const id = `version-${version}`;
     const answer = await bench.call("/brief/1", { id, gateway });
     bench.store.fault = "none";
-    const runs = listRuns(id);
+    const runs = bench.listRuns(id);
     for (const run of runs) {
       assert.is(run.headers["x-expect-version"], String(version));
     }
@@ -97,7 +93,7 @@
 interface BudgetRow {
   fault: ReplicaBehaviour;
   path: string;
-  /** What the caller names; undefined for nothing of its own. */
+  /** What the caller names. */
   deadlineMs: number;
   runs: number;
 }
@@ -113,14 +109,12 @@
 for (const { fault, path, deadlineMs, runs } of BUDGET_ROWS) {
   test(`BUDGET: ${path} with ${deadlineMs} ms, ${fault}: no run is handed more time than is left`, async () => {
     const id = `budget-${fault}-${deadlineMs}`;
-    misbehave([]);
-    const behaviours = [fault];
-    for (const service of bench.services) service.behaviours = behaviours;
+    misbehave([fault]);
     await bench.call(path, {
       id,
       headers: { "X-Deadline-Ms": String(deadlineMs) },
     });
-    const handed = listRuns(id).map(readDeadlineMs);
+    const handed = bench.listRuns(id).map(readDeadlineMs);
     assert.is(handed.length, runs);
     const routeMs = 3_000;
     for (const each of handed) {
@@ -169,7 +163,7 @@
     const ran = bench.countRuns(id);
     assert.ok(ran > 0);
     await waitMs(GONE_MS);
-    assert.ok(listRuns(id).every(({ wasCut }) => wasCut));
+    assert.ok(bench.listRuns(id).every(({ wasCut }) => wasCut));
     await waitMs(1_500);
     assert.is(bench.countRuns(id), ran);
   });
--- a/test/gateway/fleet_test.ts
+++ b/test/gateway/fleet_test.ts
@@ -5,7 +5,8 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { FakePlatformReplica } from "../../fakes/fake_platform_replica.ts";
-import { GatewayBench, TERM_MS, waitMs } from "./gateway_bench.ts";
+import { waitMs } from "../../src/gateway/wait.ts";
+import { GatewayBench, TERM_MS } from "./gateway_bench.ts";
 
 const GATEWAYS = 3;
 /** The platform's bounds: a version in force, a leaving replica unused. */
--- a/test/gateway/gateway_bench.ts
+++ b/test/gateway/gateway_bench.ts
@@ -2,7 +2,10 @@
 import { Buffer } from "node:buffer";
 import process from "node:process";
 import { Agent, request } from "node:http";
-import { FakePlatformReplica } from "../../fakes/fake_platform_replica.ts";
+import {
+  FakePlatformReplica,
+  type SeenRequest,
+} from "../../fakes/fake_platform_replica.ts";
 import {
   buildPlatformConfiguration,
   buildPlatformRoute,
@@ -13,6 +16,7 @@
 import { ReplicaClient } from "../../platform/replica_client.ts";
 import { StoreClient } from "../../platform/store_client.ts";
 import { Gateway } from "../../src/gateway/gateway.ts";
+import { waitMs } from "../../src/gateway/wait.ts";
 import { gatewaySettingsSchema } from "../../src/settings/gateway_settings.ts";
 import { type PortReservation, reservePorts } from "../port_reservation.ts";
 
@@ -207,11 +211,15 @@
     }
   }
 
-  /** Requests that any replica has run. */
-  countRuns(id: string): number {
+  /** Returns the runs of a request, at whichever replica. */
+  listRuns(id: string): SeenRequest[] {
     return [...this.engines, ...this.services]
       .flatMap((replica) => replica.seen)
-      .filter((seen) => seen.id === id).length;
+      .filter((seen) => seen.id === id);
+  }
+
+  countRuns(id: string): number {
+    return this.listRuns(id).length;
   }
 
   async stop(): Promise<void> {
@@ -222,7 +230,3 @@
     this.#ports?.release();
   }
 }
-
-export function waitMs(spanMs: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, spanMs));
-}
--- a/test/soak/fault_proxy_test.ts
+++ b/test/soak/fault_proxy_test.ts
@@ -4,6 +4,7 @@
 import { once } from "node:events";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
+import { waitMs } from "../../src/gateway/wait.ts";
 import { FaultProxy, ProxyFault } from "./fault_proxy.ts";
 
 /** Long on loopback, where a close takes well under a millisecond. */
@@ -50,7 +51,3 @@
 }
 
 test.run();
-
-function waitMs(spanMs: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, spanMs));
-}
--- a/test/soak/soak_fleet.ts
+++ b/test/soak/soak_fleet.ts
@@ -25,7 +25,6 @@
   child: ChildProcess;
   /** Counts the processes that ran as this gateway. */
   life: number;
-  isPaused: boolean;
 }
 
 export class SoakFleet {
@@ -147,7 +146,6 @@
       storeProxy,
       child: this.#spawn(settingsFile),
       life: 1,
-      isPaused: false,
     };
     this.gateways.push(gateway);
     this.#restartOnExit(gateway);
@@ -157,7 +155,6 @@
     gateway.child.once("exit", () => {
       if (this.#isStopped) return;
       gateway.life += 1;
-      gateway.isPaused = false;
       gateway.child = this.#spawn(gateway.settingsFile);
       this.#restartOnExit(gateway);
     });
--- a/test/soak/soak_run.ts
+++ b/test/soak/soak_run.ts
@@ -12,6 +12,7 @@
   STREAM_EVENTS,
 } from "../../fakes/fake_platform_replica.ts";
 import { TurnOracle } from "../fuzz/turn_oracle.ts";
+import { waitMs } from "../../src/gateway/wait.ts";
 import { ProxyFault } from "./fault_proxy.ts";
 import { SOAK_TERM_MS, SoakFleet } from "./soak_fleet.ts";
 
@@ -291,7 +292,3 @@
     sent.end(call.id);
   });
 }
-
-function waitMs(spanMs: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, spanMs));
-}
