One way to hold an engine, one name of an adapter, no look that is not used

Read once more, behaviour unchanged: - OrderTenure built its holding state by hand in five places; they say what differs. - EnginePlaceFinder and proving_order wrote platform's formatAdapterPath again; it lives in core, and the three call it. - findEngine looked for a resident engine on each request, wanted only where no holder answered; its reasons were texts beside the constants. - selectTargets wrapped members to unwrap them.

--- a/src/core/fleet/fleet_view.ts
+++ b/src/core/fleet/fleet_view.ts
@@ -186,19 +186,15 @@
   /** Returns the members that get a heartbeat in this period. */
   selectTargets(now: Milliseconds): FleetMember[] {
     this.#round += 1;
-    const known = this.#listRemembered(now);
-    if (known.length < FULL_MESH_MEMBERS) {
-      return known.map((each) => each.member);
-    }
-    const near = known.filter((each) => this.#isNear(each.member));
-    const distant = known.filter((each) => !this.#isNear(each.member));
+    const members = this.#listRemembered(now).map((each) => each.member);
+    if (members.length < FULL_MESH_MEMBERS) return members;
+    const near = members.filter((member) => this.#isNear(member));
+    const distant = members.filter((member) => !this.#isNear(member));
     return [
       ...rotate(near, this.#round * NEAR_TARGETS).slice(0, NEAR_TARGETS),
-      ...rankByRendezvous(
-        String(this.#round),
-        distant.map((each) => each.member),
-      ).slice(0, DISTANT_TARGETS).map((member) => ({ member })),
-    ].map((each) => each.member);
+      ...rankByRendezvous(String(this.#round), distant)
+        .slice(0, DISTANT_TARGETS),
+    ];
   }
 
   /** Returns some members to name in a heartbeat, others each period; old news is not passed on. */
--- a/src/core/ordering/order_tenure.ts
+++ b/src/core/ordering/order_tenure.ts
@@ -60,6 +60,13 @@
   /** Another daemon has ordered since; this one stays away until then. */
   | { kind: "deposed"; until: Milliseconds };
 
+type HoldingState = Extract<TenureState, { kind: "holding" }>;
+
+/** What differs between the ways to hold an engine. */
+type HeldEngine =
+  & Omit<HoldingState, "kind" | "ordersFrom" | "isHeldSinceStart">
+  & Partial<Pick<HoldingState, "isHeldSinceStart">>;
+
 /** An engine's own account of the orders that it accepted. */
 export interface OrderReport {
   sequence: number;
@@ -226,16 +233,13 @@
     if (this.#state.kind !== "observing") return false;
     if (!this.isTermOver(hearsMajority, now)) return false;
     const { sequence, bornAtUnixMs, startedAt, confirmedAt } = this.#state;
-    this.#state = {
-      kind: "holding",
+    this.#hold({
       sequence,
       bornAtUnixMs,
       startedAt,
       acceptedAt: Number.NEGATIVE_INFINITY,
       verifiedAt: confirmedAt,
-      ordersFrom: now,
-      isHeldSinceStart: false,
-    };
+    }, now);
     return true;
   }
 
@@ -250,16 +254,13 @@
     now: Milliseconds,
   ): boolean {
     if (this.isHolding() || this.#state.kind === "deposed") return false;
-    this.#state = {
-      kind: "holding",
+    this.#hold({
       sequence: handover.sequence,
       bornAtUnixMs: handover.bornAtUnixMs,
+      startedAt: Number.NEGATIVE_INFINITY,
       acceptedAt: now - handover.acceptedAgeMs - HANDOVER_TRAVEL_MS,
       verifiedAt: now,
-      ordersFrom: now,
-      startedAt: Number.NEGATIVE_INFINITY,
-      isHeldSinceStart: false,
-    };
+    }, now);
     return true;
   }
 
@@ -357,6 +358,16 @@
     this.#state = { kind: "idle" };
   }
 
+  /** Holds the engine; orders may be given from now on. */
+  #hold(held: HeldEngine, now: Milliseconds): void {
+    this.#state = {
+      kind: "holding",
+      ordersFrom: now,
+      isHeldSinceStart: false,
+      ...held,
+    };
+  }
+
   #observe(report: OrderReport): void {
     this.#state = {
       kind: "observing",
@@ -369,7 +380,7 @@
   }
 
   #checkHolding(
-    state: Extract<TenureState, { kind: "holding" }>,
+    state: HoldingState,
     report: OrderReport,
     now: Milliseconds,
   ): Settlement {
@@ -396,16 +407,13 @@
     }
     if (report.sequence === state.sequence) {
       const { sequence, bornAtUnixMs, startedAt, acceptedAt } = state;
-      this.#state = {
-        kind: "holding",
+      this.#hold({
         sequence,
         bornAtUnixMs,
         startedAt,
         acceptedAt,
         verifiedAt: report.readAt,
-        ordersFrom: now,
-        isHeldSinceStart: false,
-      };
+      }, now);
       return { kind: "lastOrderNotAccepted" };
     }
     // Nobody else can have ordered within a term of an accepted order of this holder.
@@ -413,16 +421,13 @@
       report.readAt - state.acceptedAt < this.#options.termMs;
     if (!isOwn) return this.#depose(now);
     const { bornAtUnixMs, startedAt, sentAt } = state;
-    this.#state = {
-      kind: "holding",
+    this.#hold({
       sequence: report.sequence,
       bornAtUnixMs,
       startedAt,
       acceptedAt: sentAt,
       verifiedAt: report.readAt,
-      ordersFrom: now,
-      isHeldSinceStart: false,
-    };
+    }, now);
     return { kind: "lastOrderAccepted" };
   }
 
@@ -440,16 +445,14 @@
     // Whoever else claimed it first waited a term, and it was down for a while.
     const isHeldSinceStart =
       startedAt - acceptedAt < this.#options.termMs + MIN_RESTART_MS;
-    this.#state = {
-      kind: "holding",
+    this.#hold({
       sequence: 0,
       bornAtUnixMs: report.bornAtUnixMs,
       startedAt,
-      isHeldSinceStart,
       acceptedAt: Number.NEGATIVE_INFINITY,
       verifiedAt: report.readAt,
-      ordersFrom: now,
-    };
+      isHeldSinceStart,
+    }, now);
     return { kind: "restarted" };
   }
 
--- a/src/core/ordering/proving_order.ts
+++ b/src/core/ordering/proving_order.ts
@@ -8,6 +8,7 @@
  */
 import { buildEviction, type WantedOrder } from "../admission/engine_desk.ts";
 import { findRendezvousWinner } from "../hashing.ts";
+import { formatAdapterPath } from "../placement/adapter_path.ts";
 
 /** What the engine holds, as far as it bears on the choice. */
 export interface ProvingSituation {
@@ -32,7 +33,7 @@
   situation: ProvingSituation,
 ): WantedOrder | undefined {
   const { model, ownAdapter, hasRoom, isHeld } = situation;
-  const ownPath = ownAdapter === undefined ? "" : `${model}/${ownAdapter}`;
+  const ownPath = formatAdapterPath(model, ownAdapter ?? "");
   if (ownAdapter !== undefined && hasRoom && !isHeld(ownPath)) {
     return {
       kind: "load",
--- a/src/gateway/engine_place_finder.ts
+++ b/src/gateway/engine_place_finder.ts
@@ -3,9 +3,13 @@
  * that may have its adapter, home first, and waits where the first token comes
  * soonest. Without a holder to ask, goes where the adapter is said to be.
  */
-import type { PermitAnswer } from "../core/admission/engine_desk.ts";
+import {
+  DenialReason,
+  type PermitAnswer,
+} from "../core/admission/engine_desk.ts";
 import { computePlacePatienceMs } from "../core/admission/place_patience.ts";
 import { AttemptOutcome } from "../core/execution/attempt_verdict.ts";
+import { formatAdapterPath } from "../core/placement/adapter_path.ts";
 import {
   MAX_ADAPTER_HOMES,
   rankEngines,
@@ -104,8 +108,8 @@
       if (this.#options.isFinished() || answer.kind !== "denied") {
         return undefined;
       }
-      if (answer.reason === "overdue") return undefined;
-      if (answer.reason === "notHolder") continue;
+      if (answer.reason === DenialReason.Overdue) return undefined;
+      if (answer.reason === DenialReason.NotHolder) continue;
       // Each copy of an adapter costs a load: the home is left only for a clear gain.
       const isClearlyShorter = !shortest ||
         answer.retryAfterMs < shortest.ms - COPY_GAIN_MS;
@@ -113,12 +117,13 @@
         shortest = { engine, ms: answer.retryAfterMs };
       }
     }
-    const resident = this.#findResident(ranked);
     if (candidates.length === 0) {
       this.#expectedMs = this.#context.engines.estimateClaimMs() +
         CLAIM_SLACK_MS;
     }
-    if (!shortest) return this.#assignWithoutPermit(resident);
+    if (!shortest) {
+      return this.#assignWithoutPermit(this.#findResident(ranked));
+    }
     const { engine } = shortest;
     const { answer, grantorId } = await this.#askPlace(engine, true);
     return this.#takeAnswer(engine, answer, grantorId) ? engine : undefined;
@@ -261,6 +266,6 @@
 
   #getAdapterPath(): string {
     const { model, adapter } = this.#exchange.facts;
-    return adapter === "" ? model : `${model}/${adapter}`;
+    return formatAdapterPath(model, adapter);
   }
 }
