After a restart of the whole fleet, engines that nobody alive has held are claimed at once

Change: in its first 15 s a gateway says in its heartbeats which engines it has held since its start. One that has observed an engine, and then heard from every peer it knows (two at least) that it is new, too, and never held that engine, claims it after a second report with the same count: whoever ordered before is no more, whoever orders since that word shows in the second report, and what comes later still the engine refuses by its count. Contested orders stay as they are. What it rests on, beside the term: a gateway that is cut off from all others while every other one starts again would not be heard.

--- a/src/core/fleet/fleet_view.ts
+++ b/src/core/fleet/fleet_view.ts
@@ -39,6 +39,8 @@
   revisions: { configuration: number; upstreams: number };
   /** Engines whose orders the sender gives. */
   heldEngines: string[];
+  /** Engines that the sender held before, in the first seconds after its start; later absent. */
+  newcomerHeld?: string[];
   /** Loads from the weight store that the sender has on the way. */
   fetchesInFlight: number;
   /** Highest time of the sender's fence clock. */
@@ -77,6 +79,13 @@
 /** Silence after which a member is no longer sent anything. */
 const FORGET_MS = 60_000;
 
+/** Time from its start for which a daemon can say that it never held an engine: a restart of the whole fleet takes some seconds. */
+export const NEWCOMER_MS = 15_000;
+/** Peers that must say so before an engine is taken for unheld: a lone one can't tell who else lives. */
+const MIN_NEWCOMER_PEERS = 2;
+/** Longest time that a heartbeat is taken to be on its way. */
+const HEARTBEAT_TRAVEL_MS = 300;
+
 /** Daemons that are taken to claim an engine at the same time at most. */
 const MAX_RIVALS = 3;
 
@@ -261,6 +270,26 @@
     return ranking;
   }
 
+  /**
+   * Returns whether every peer has said, in a heartbeat sent after the given time,
+   * that it has started lately and has never held the engine since: so that
+   * nobody who lives can have ordered it.
+   */
+  isUnheld(
+    engineId: string,
+    since: Milliseconds,
+    now: Milliseconds,
+  ): boolean {
+    if (!this.isSmall()) return false;
+    const known = this.#listRemembered(now);
+    return known.length >= MIN_NEWCOMER_PEERS &&
+      known.every((each) =>
+        this.#isLiving(each, now) &&
+        each.heardAt >= since + HEARTBEAT_TRAVEL_MS &&
+        hasNeverHeld(each.heartbeat, engineId)
+      );
+  }
+
   /** Returns how many loads from the weight store the living peers have on the way. */
   countFetches(now: Milliseconds): number {
     return this.#getSurvey(now).fetchesInFlight;
@@ -406,6 +435,15 @@
   }
 }
 
+function hasNeverHeld(
+  heartbeat: Heartbeat | undefined,
+  engineId: string,
+): boolean {
+  return heartbeat?.newcomerHeld !== undefined &&
+    !heartbeat.newcomerHeld.includes(engineId) &&
+    !heartbeat.heldEngines.includes(engineId);
+}
+
 function hasSameMembers(
   before: readonly FleetMember[],
   after: readonly FleetMember[],
--- a/src/core/ordering/engine_holder.ts
+++ b/src/core/ordering/engine_holder.ts
@@ -24,6 +24,7 @@
   OrderEvidence,
   type OrderReport,
   OrderTenure,
+  type RivalKnowledge,
 } from "./order_tenure.ts";
 
 /** A report with what the engine holds. */
@@ -63,13 +64,11 @@
 }
 
 /** What the daemon knows besides. */
-export interface HolderSituation {
+export interface HolderSituation extends RivalKnowledge {
   /** Whether this daemon should give the engine's orders. */
   isWanted: boolean;
   /** Whether it should observe the engine, as it may come to give its orders. */
   isCandidate: boolean;
-  /** Whether this daemon hears most of those that it knows. */
-  hearsMajority: boolean;
   /** Loads from the weight store on their way, over all daemons. */
   fleetFetches: number;
   /** How many of these go at full speed together. */
@@ -102,6 +101,7 @@
   /** Whether an order waits for a report that shows no restart. */
   #isVerificationDue = false;
   #isWanted = false;
+  #rivals: RivalKnowledge = { hearsMajority: false, isUnheld: false };
   /** Whether no more orders are given, before the engine is handed over. */
   #isEnding = false;
   readonly #models = new Set<string>();
@@ -126,9 +126,14 @@
     return this.#tenure.isHolding();
   }
 
+  /** Returns when the report was read from which the engine is observed here. */
+  get observedAt(): Milliseconds | undefined {
+    return this.#tenure.observedAt;
+  }
+
   /** Returns the time until the engine may be claimed here. */
   estimateClaimMs(now: Milliseconds): Milliseconds {
-    return this.#tenure.estimateClaimMs(now);
+    return this.#tenure.estimateClaimMs(this.#rivals, now);
   }
 
   setLimits(limits: EngineLimits): void {
@@ -240,6 +245,7 @@
   tick(situation: HolderSituation, now: Milliseconds): HolderEffect[] {
     const effects: HolderEffect[] = [];
     this.#isWanted = situation.isWanted;
+    this.#rivals = situation;
     if (!situation.isWanted) effects.push(...this.#giveUp(now));
     if (situation.isWanted) effects.push(...this.#claim(situation, now));
     if (this.isHolding()) {
@@ -341,7 +347,7 @@
   }
 
   #claim(situation: HolderSituation, now: Milliseconds): HolderEffect[] {
-    if (!this.#tenure.claim(situation.hearsMajority, now)) return [];
+    if (!this.#tenure.claim(situation, now)) return [];
     this.desk.places.clear();
     this.desk.clearPermits();
     this.desk.beginAdoption(now);
@@ -433,7 +439,9 @@
       return false;
     }
     if (this.#isVerificationDue) return true;
-    if (this.#tenure.needsReport(this.#isWanted, now)) return true;
+    if (this.#tenure.needsReport(this.#isWanted, this.#rivals, now)) {
+      return true;
+    }
     if (!this.isHolding() || this.#ordered) return false;
     return this.#isInDoubt || this.desk.places.hasOverdueLoad(now);
   }
--- a/src/core/ordering/order_tenure.ts
+++ b/src/core/ordering/order_tenure.ts
@@ -117,6 +117,14 @@
   | { kind: "restarted" }
   | { kind: "deposed" };
 
+/** What is known of others that may hold the engine. */
+export interface RivalKnowledge {
+  /** Whether this daemon hears most of those that it knows. */
+  hearsMajority: boolean;
+  /** Whether all others said, since the report that is observed, that they never held it. */
+  isUnheld: boolean;
+}
+
 export interface OrderTenureOptions {
   /** Time within which two holders may not take turns; from the platform. */
   termMs: Milliseconds;
@@ -126,6 +134,8 @@
 const TERM_MARGIN_MS = 300;
 /** Age of the oldest state that a report may give: the protocol says some hundred milliseconds. */
 export const REPORT_LAG_MS = 450;
+/** Time from the first report of an engine that nobody alive has held to the one that shows the same: the others' word comes between. */
+const UNHELD_OBSERVATION_MS = 700;
 /** Longest time that a handover is taken to be on its way. */
 const HANDOVER_TRAVEL_MS = 300;
 /** Time for which an accepted order or a report shows that the engine has not restarted: a restart takes longer. */
@@ -201,7 +211,11 @@
    * Returns whether a report is wanted now, to observe, to settle an order, or to
    * see that nobody has ordered since the first one before the engine is claimed.
    */
-  needsReport(isWanted: boolean, now: Milliseconds): boolean {
+  needsReport(
+    isWanted: boolean,
+    rivals: RivalKnowledge,
+    now: Milliseconds,
+  ): boolean {
     switch (this.#state.kind) {
       case "idle":
         return true;
@@ -210,8 +224,11 @@
       case "unsettled":
         return now >= this.#state.readableAt;
       case "observing":
-        return isWanted && this.#isWholeTermOver(now) &&
-          !this.#isConfirmed(now);
+        if (!isWanted) return false;
+        if (rivals.isUnheld && !this.#isConfirmedUnheld()) {
+          return now - this.#state.observedAt >= UNHELD_OBSERVATION_MS;
+        }
+        return this.#mayClaim(rivals, now) && !this.#isConfirmed(now);
       case "holding":
         return false;
     }
@@ -220,13 +237,27 @@
   /**
    * Returns whether a whole term has passed since the report that was observed.
    * An engine that has accepted no order since its start has had no holder: one
-   * that hears most daemons need not wait.
+   * that hears most daemons need not wait. Nor need one that heard from all others,
+   * between two equal reports, that they never held it, as after a restart of the
+   * whole fleet: who ordered before is no more.
    */
-  isTermOver(hearsMajority: boolean, now: Milliseconds): boolean {
+  isTermOver(rivals: RivalKnowledge, now: Milliseconds): boolean {
+    return this.#mayClaim(rivals, now) && this.#isConfirmed(now);
+  }
+
+  /** Returns whether the engine may be claimed once a report shows what was observed. */
+  #mayClaim(rivals: RivalKnowledge, now: Milliseconds): boolean {
     if (this.#state.kind !== "observing") return false;
-    const isUntouched = this.#state.sequence === 0 && hearsMajority;
-    return isUntouched ||
-      (this.#isWholeTermOver(now) && this.#isConfirmed(now));
+    const isUntouched = this.#state.sequence === 0 && rivals.hearsMajority;
+    return isUntouched || this.#isWholeTermOver(now) ||
+      (rivals.isUnheld && this.#isConfirmedUnheld());
+  }
+
+  /** Returns whether a second report came late enough to show an order that others' word did not. */
+  #isConfirmedUnheld(): boolean {
+    return this.#state.kind === "observing" &&
+      this.#state.confirmedAt - this.#state.observedAt >=
+        UNHELD_OBSERVATION_MS;
   }
 
   #isWholeTermOver(now: Milliseconds): boolean {
@@ -239,18 +270,25 @@
       now - this.#state.confirmedAt <= VERIFIED_MS;
   }
 
+  /** Returns when the report was read from which the engine is observed; undefined otherwise. */
+  get observedAt(): Milliseconds | undefined {
+    return this.#state.kind === "observing"
+      ? this.#state.observedAt
+      : undefined;
+  }
+
   /** Returns the time until the engine may be claimed, a whole term where no report was read. */
-  estimateClaimMs(now: Milliseconds): Milliseconds {
+  estimateClaimMs(rivals: RivalKnowledge, now: Milliseconds): Milliseconds {
     const wholeTermMs = this.#options.termMs + TERM_MARGIN_MS;
-    return this.#state.kind === "observing"
-      ? Math.max(0, this.#state.observedAt + wholeTermMs - now)
-      : wholeTermMs;
+    if (this.#state.kind !== "observing") return wholeTermMs;
+    const observationMs = rivals.isUnheld ? UNHELD_OBSERVATION_MS : wholeTermMs;
+    return Math.max(0, this.#state.observedAt + observationMs - now);
   }
 
   /** Takes the right to order, once the term is over. */
-  claim(hearsMajority: boolean, now: Milliseconds): boolean {
+  claim(rivals: RivalKnowledge, now: Milliseconds): boolean {
     if (this.#state.kind !== "observing") return false;
-    if (!this.isTermOver(hearsMajority, now)) return false;
+    if (!this.isTermOver(rivals, now)) return false;
     const { sequence, bornAtUnixMs, startedAt, confirmedAt } = this.#state;
     this.#hold({
       sequence,
--- a/src/gateway/engine_task.ts
+++ b/src/gateway/engine_task.ts
@@ -8,7 +8,7 @@
   type PermitRequest,
 } from "../core/admission/engine_desk.ts";
 import { hashText } from "../core/hashing.ts";
-import type { FleetView } from "../core/fleet/fleet_view.ts";
+import { type FleetView, NEWCOMER_MS } from "../core/fleet/fleet_view.ts";
 import { PauseDetector } from "../core/fleet/pause_detector.ts";
 import {
   EngineHolder,
@@ -45,6 +45,8 @@
 const MAX_OWN_FETCHES = 3;
 /** Time after the start before engines are sought: peers are heard by then. */
 const SETTLE_MS = 2_500;
+/** The same where all peers that are known have just started, too: two heartbeats and a report. */
+const NEWCOMER_SETTLE_MS = 1_000;
 
 export interface EngineTaskOptions {
   selfId: string;
@@ -66,6 +68,8 @@
   readonly permits: PermitClient;
   readonly #pauses = new PauseDetector(performance.now(), Date.now());
   readonly #activeEngines = new Set<string>();
+  /** Engines that were held here since the start, whether they still are or not. */
+  readonly #everHeld = new Set<string>();
   #lastRolesAt = Number.NEGATIVE_INFINITY;
   readonly #startedAt = performance.now();
   #isStopping = false;
@@ -94,6 +98,15 @@
     );
   }
 
+  /** Returns the engines that were held here since the start, undefined when that was long ago. */
+  listNewcomerHeld(now: Milliseconds): string[] | undefined {
+    return this.#isNewcomer(now) ? [...this.#everHeld] : undefined;
+  }
+
+  #isNewcomer(now: Milliseconds): boolean {
+    return now - this.#startedAt < NEWCOMER_MS;
+  }
+
   countFetches(): number {
     let count = 0;
     for (const engineId of this.#activeEngines) {
@@ -220,6 +233,7 @@
       const holder = this.#holders.get(engineId);
       if (!holder) continue;
       this.#carryOut(holder.tick(this.#describeSituation(holder, now), now));
+      if (holder.isHolding()) this.#everHeld.add(engineId);
       this.#scheduleTick(holder.getNextDueAt());
     }
     this.#scheduleTick(now + TICK_INTERVAL_MS);
@@ -284,7 +298,9 @@
     const fleetFetches = this.#countFleetFetches(now);
     const fullSpeedFetches = estimateFullSpeedFetches(this.#holders.size);
     const engine = view.getUpstream(holder.engineId);
-    const isSettled = now - this.#startedAt > SETTLE_MS;
+    const isUnheld = this.#isUnheld(holder, now);
+    const settleMs = isUnheld ? NEWCOMER_SETTLE_MS : SETTLE_MS;
+    const isSettled = now - this.#startedAt > settleMs;
     if (!engine || !isSettled || this.#isStopping) {
       const isCandidate = engine !== undefined && !this.#isStopping;
       const isWanted = holder.isHolding();
@@ -292,6 +308,7 @@
         isWanted,
         isCandidate,
         hearsMajority: false,
+        isUnheld: false,
         fleetFetches,
         fullSpeedFetches,
         canFetch: false,
@@ -301,6 +318,7 @@
     return {
       isWanted,
       hearsMajority: this.#options.fleet.isHearingMajority(now),
+      isUnheld,
       isCandidate: isWanted || this.#isObserver(engine, now),
       fleetFetches,
       fullSpeedFetches,
@@ -308,6 +326,14 @@
     };
   }
 
+  /** Returns whether neither this daemon nor a peer has held the engine since all of them started. */
+  #isUnheld(holder: EngineHolder, now: Milliseconds): boolean {
+    const { observedAt, engineId } = holder;
+    return observedAt !== undefined && this.#isNewcomer(now) &&
+      !this.#everHeld.has(engineId) &&
+      this.#options.fleet.isUnheld(engineId, observedAt, now);
+  }
+
   /** What peers have on the way is known late, so each daemon keeps to a few. */
   #canFetch(fleetFetches: number, fullSpeedFetches: number): boolean {
     const ownFetches = this.countFetches();
@@ -417,6 +443,7 @@
     });
     if (!holder) return;
     this.#activeEngines.add(engineId);
+    this.#everHeld.add(engineId);
     this.#carryOut(holder.acceptHandover(handover, now));
   }
 
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -272,6 +272,7 @@
       hasStore: this.#follower.hasStore(),
       revisions: this.#follower.getRevisions(),
       heldEngines: this.#engines.listHeldEngines(),
+      newcomerHeld: this.#engines.listNewcomerHeld(now),
       fetchesInFlight: this.#engines.countFetches(),
       fenceUnixMs: this.#fences.highestMs,
       sample: this.#fleet.selectSample(now),
--- a/test/core/ordering/order_tenure_test.ts
+++ b/test/core/ordering/order_tenure_test.ts
@@ -12,6 +12,10 @@
 /** A time after all that a test plays. */
 const LATE = 60_000;
 
+const MAJORITY = { hearsMajority: true, isUnheld: false };
+const MINORITY = { hearsMajority: false, isUnheld: false };
+const UNHELD = { hearsMajority: true, isUnheld: true };
+
 function createTenure(): OrderTenure {
   return new OrderTenure({ termMs: TERM_MS });
 }
@@ -32,7 +36,7 @@
   const tenure = createTenure();
   readReport(tenure, sequence, 0);
   readReport(tenure, sequence, TERM_MS + 300);
-  tenure.claim(true, TERM_MS + 400);
+  tenure.claim(MAJORITY, TERM_MS + 400);
   return tenure;
 }
 
@@ -44,32 +48,58 @@
     ageMs: 60_000,
     readAt: 0,
   }, 10);
-  assert.not(tenure.claim(true, TERM_MS));
+  assert.not(tenure.claim(MAJORITY, TERM_MS));
   assert.is(tenure.getExpectedSequence(LATE), undefined);
   assert.not(
-    tenure.claim(true, TERM_MS + 300),
+    tenure.claim(MAJORITY, TERM_MS + 300),
     "before the report is confirmed",
   );
-  assert.ok(tenure.needsReport(true, TERM_MS + 300));
-  assert.not(tenure.needsReport(false, TERM_MS + 300));
+  assert.ok(tenure.needsReport(true, MAJORITY, TERM_MS + 300));
+  assert.not(tenure.needsReport(false, MAJORITY, TERM_MS + 300));
   readReport(tenure, 5, TERM_MS + 300);
-  assert.ok(tenure.claim(true, TERM_MS + 300));
+  assert.ok(tenure.claim(MAJORITY, TERM_MS + 300));
   assert.is(tenure.getExpectedSequence(LATE), 5);
 });
 
+test("takes over at once what nobody alive has held, once a second report shows no order since their word", () => {
+  const tenure = createTenure();
+  readReport(tenure, 5, 0);
+  assert.not(tenure.claim(UNHELD, 600));
+  assert.not(tenure.needsReport(true, UNHELD, 600), "others' word comes first");
+  assert.ok(tenure.needsReport(true, UNHELD, 700));
+  assert.not(tenure.needsReport(true, MAJORITY, 700));
+  readReport(tenure, 5, 700);
+  assert.not(tenure.claim(MAJORITY, 710), "somebody may hold it");
+  assert.ok(tenure.claim(UNHELD, 710));
+  const late = createTenure();
+  readReport(late, 5, 0);
+  readReport(late, 6, 700);
+  assert.not(late.claim(UNHELD, 710), "somebody has ordered");
+});
+
 test("takes over an engine without orders at once", () => {
   const tenure = createTenure();
   readReport(tenure, 0, 0);
-  assert.ok(tenure.claim(true, 1));
+  assert.ok(tenure.claim(MAJORITY, 1));
+});
+
+test("an engine that was observed without orders long ago is looked at again before it is claimed", () => {
+  const tenure = createTenure();
+  readReport(tenure, 0, 0);
+  assert.not(tenure.claim(MAJORITY, LATE));
+  assert.ok(tenure.needsReport(true, MAJORITY, LATE));
+  readReport(tenure, 138, LATE);
+  assert.is(tenure.state.kind, "observing", "not deposed");
+  assert.not(tenure.claim(MAJORITY, LATE + 10));
 });
 
 test("starts the term again when somebody has ordered", () => {
   const tenure = createTenure();
   readReport(tenure, 5, 0);
   readReport(tenure, 6, 2_000);
-  assert.not(tenure.claim(true, TERM_MS + 400));
+  assert.not(tenure.claim(MAJORITY, TERM_MS + 400));
   readReport(tenure, 6, 2_000 + TERM_MS + 300);
-  assert.ok(tenure.claim(true, 2_000 + TERM_MS + 300));
+  assert.ok(tenure.claim(MAJORITY, 2_000 + TERM_MS + 300));
 });
 
 test("counts accepted orders", () => {
@@ -92,8 +122,8 @@
     4_100,
   );
   assert.is(tenure.getExpectedSequence(LATE), undefined);
-  assert.not(tenure.needsReport(true, 4_100 + REPORT_LAG_MS - 1));
-  assert.ok(tenure.needsReport(true, 4_100 + REPORT_LAG_MS));
+  assert.not(tenure.needsReport(true, MAJORITY, 4_100 + REPORT_LAG_MS - 1));
+  assert.ok(tenure.needsReport(true, MAJORITY, 4_100 + REPORT_LAG_MS));
 });
 
 test("a report within a term of an accepted order settles a lost answer as its own", () => {
@@ -137,7 +167,7 @@
     readAt,
   }, readAt);
   assert.is(settled.kind, "deposed");
-  assert.not(tenure.needsReport(true, readAt + TERM_MS));
+  assert.not(tenure.needsReport(true, MAJORITY, readAt + TERM_MS));
   tenure.recordReport({
     sequence: 9,
     bornAtUnixMs: BORN,
@@ -238,9 +268,9 @@
 test("a daemon that hears few of its peers waits a term also for an untouched engine", () => {
   const tenure = createTenure();
   readReport(tenure, 0, 0);
-  assert.not(tenure.claim(false, TERM_MS));
+  assert.not(tenure.claim(MINORITY, TERM_MS));
   readReport(tenure, 0, TERM_MS + 300);
-  assert.ok(tenure.claim(false, TERM_MS + 300));
+  assert.ok(tenure.claim(MINORITY, TERM_MS + 300));
 });
 
 test("nobody else can have ordered within a term of an accepted order, only then", () => {
@@ -258,15 +288,15 @@
 
 test("the time until a claim counts down from the report", () => {
   const tenure = createTenure();
-  assert.is(tenure.estimateClaimMs(0), TERM_MS + 300);
+  assert.is(tenure.estimateClaimMs(MAJORITY, 0), TERM_MS + 300);
   tenure.recordReport({
     sequence: 5,
     bornAtUnixMs: BORN,
     ageMs: 60_000,
     readAt: 100,
   }, 110);
-  assert.is(tenure.estimateClaimMs(1_100), TERM_MS + 300 - 1_000);
-  assert.is(tenure.estimateClaimMs(9_000), 0);
+  assert.is(tenure.estimateClaimMs(MAJORITY, 1_100), TERM_MS + 300 - 1_000);
+  assert.is(tenure.estimateClaimMs(MAJORITY, 9_000), 0);
 });
 
 test("after a pause the engine is verified and the right proved anew", () => {
--- a/test/fuzz/tenure_fuzz_test.ts
+++ b/test/fuzz/tenure_fuzz_test.ts
@@ -3,6 +3,7 @@
  * frozen, killed and restarted, the engine restarts, and orders, answers and
  * reports are late or lost. An oracle judges every accepted order: holders do
  * not take turns within a term, fencing numbers rise, slots are not exceeded.
+ * Now and then all daemons start at once and say in heartbeats that they are new.
  * In half of the runs the engine starts without its base model, whose load is
  * confirmed whatever it expects, and no daemon hears a majority, as in a large
  * fleet.
@@ -72,8 +73,9 @@
     // As the platform's replicas do: a load under way is confirmed whatever is expected.
     const isComing = kind === "load" &&
       (this.adapters.get(adapterPath) ?? 0) > at;
-    // So is the eviction of an adapter that it does not hold.
-    const isGone = kind === "evict" && !this.adapters.has(adapterPath);
+    // So is the eviction of an adapter that it does not hold, or not yet: it stays on its way.
+    const isGone = kind === "evict" &&
+      (this.adapters.get(adapterPath) ?? Number.POSITIVE_INFINITY) > at;
     if (isComing || isGone) {
       this.oracle.judge({ daemon, fence: order.fence, at });
       return { kind: "accepted" };
@@ -145,14 +147,39 @@
   }
 }
 
+/** Period of heartbeats. */
+const BEAT_MS = 400;
+/** Time for which a daemon counts as new. */
+const NEWCOMER_MS = 15_000;
+
+/** What a daemon last said of itself, as another one heard it. */
+interface Word {
+  heardAt: number;
+  isNewcomer: boolean;
+  hasHeld: boolean;
+}
+
 interface Delivery {
   at: number;
   run: (at: number) => void;
 }
 
-function playRun(seed: number, isLarge: boolean): string[] {
+interface RunOptions {
+  /** Whether the fleet is too large to hear a majority, and the engine starts empty. */
+  isLarge: boolean;
+  /** Whether now and then all daemons start at once. */
+  restartsFleet: boolean;
+}
+
+function playRun(
+  seed: number,
+  { isLarge, restartsFleet }: RunOptions,
+): string[] {
   const generator = xoroshiro128plus(seed);
   const draw = (from: number, to: number) => uniformInt(generator, from, to);
+  const fleetGenerator = xoroshiro128plus(seed + 1);
+  const drawFleet = (from: number, to: number) =>
+    uniformInt(fleetGenerator, from, to);
   const oracle = new TurnOracle(TERM_MS);
   const engine = new ModelEngine(oracle, isLarge);
   let deliveries: Delivery[] = [];
@@ -162,7 +189,13 @@
   const cutUntil: number[] = [];
   const wanted: boolean[] = [];
   const skews = Array.from({ length: DAEMONS }, () => draw(-400, 400));
+  const startedAt: number[] = [];
+  const hasHeld: boolean[] = [];
+  const words: (Word | undefined)[][] = RIVALS.map(() => []);
   const startDaemon = (index: number, at: number): void => {
+    startedAt[index] = at;
+    hasHeld[index] = false;
+    words[index] = [];
     const fences = new FenceClock(`daemon ${index}`);
     lives[index] = (lives[index] ?? 0) + 1;
     holders[index] = new EngineHolder({
@@ -243,6 +276,35 @@
       }
     }
   };
+  /** Tells the others, late or not at all where links are cut. */
+  const sendWord = (index: number): void => {
+    const isNewcomer = now - (startedAt[index] ?? 0) < NEWCOMER_MS;
+    const word = { isNewcomer, hasHeld: hasHeld[index] ?? false };
+    for (let other = 0; other < DAEMONS; other += 1) {
+      const isLost = drawFleet(0, 99) < 6 || (cutUntil[index] ?? 0) > now ||
+        (cutUntil[other] ?? 0) > now;
+      if (other === index || isLost) continue;
+      const life = lives[other];
+      deliveries.push({
+        at: now + drawFleet(1, drawFleet(0, 9) === 0 ? 280 : 30),
+        run: (at) => {
+          if (lives[other] !== life) return;
+          (words[other] ?? [])[index] = { ...word, heardAt: at };
+        },
+      });
+    }
+  };
+  const isUnheld = (index: number): boolean => {
+    const observedAt = holders[index]?.observedAt;
+    const isNewcomer = now - (startedAt[index] ?? 0) < NEWCOMER_MS;
+    if (observedAt === undefined || !isNewcomer || hasHeld[index]) return false;
+    return RIVALS.every((_, other) => {
+      if (other === index) return true;
+      const word = words[index]?.[other];
+      return word !== undefined && word.isNewcomer && !word.hasHeld &&
+        word.heardAt >= observedAt + 300 && now - word.heardAt < 4 * BEAT_MS;
+    });
+  };
   let permits = 0;
   for (; now < RUN_MS; now += STEP_MS) {
     engine.record(now);
@@ -250,6 +312,11 @@
     deliveries = deliveries.filter((each) => each.at > now);
     for (const delivery of due) delivery.run(now);
     if (draw(0, 799) === 0) engine.restart(now);
+    if (restartsFleet && drawFleet(0, 599) === 0) {
+      for (let index = 0; index < DAEMONS; index += 1) {
+        startDaemon(index, now + drawFleet(1_000, 2_000));
+      }
+    }
     for (let index = 0; index < DAEMONS; index += 1) {
       if (draw(0, 399) === 0) wanted[index] = !wanted[index];
       if (draw(0, 599) === 0) cutUntil[index] = now + draw(100, 6_000);
@@ -258,6 +325,7 @@
       if ((downUntil[index] ?? 0) > now) continue;
       const holder = holders[index];
       if (!holder) continue;
+      if ((now + index * 100) % BEAT_MS === 0) sendWord(index);
       if (draw(0, 9) === 0) {
         permits += 1;
         const adapter = `a${draw(1, ADAPTERS)}`;
@@ -286,11 +354,13 @@
         isWanted: wanted[index] ?? false,
         isCandidate: true,
         hearsMajority: !isLarge,
+        isUnheld: !isLarge && isUnheld(index),
         fleetFetches: 0,
         fullSpeedFetches: 8,
         canFetch: true,
       };
       carryOut(index, holder.tick(situation, now));
+      if (holder.isHolding()) hasHeld[index] = true;
     }
   }
   return oracle.breaches;
@@ -298,10 +368,13 @@
 
 for (let seed = FIRST_SEED; seed < FIRST_SEED + RUNS; seed += 1) {
   test(`holders keep the rules, seed ${seed}`, () => {
-    assert.equal(playRun(seed, false), []);
+    assert.equal(playRun(seed, { isLarge: false, restartsFleet: false }), []);
+  });
+  test(`holders keep them when the whole fleet starts again, seed ${seed}`, () => {
+    assert.equal(playRun(seed, { isLarge: false, restartsFleet: true }), []);
   });
   test(`holders of empty engines in a large fleet keep them, seed ${seed}`, () => {
-    assert.equal(playRun(seed, true), []);
+    assert.equal(playRun(seed, { isLarge: true, restartsFleet: false }), []);
   });
 }
 
