--- a/scripts/run_tests.ts
+++ b/scripts/run_tests.ts
@@ -10,6 +10,8 @@
 
 const MAX_PARALLEL = Math.max(2, Math.floor(cpus().length / 2));
 const FILE_TIMEOUT_MS = 300_000;
+/** Time for a file that does not end to print why. */
+const KILL_DELAY_MS = 5_000;
 const KNOWN_RED_FILE = "KNOWN-RED.txt";
 
 interface FileResult {
@@ -71,16 +73,23 @@
 }
 
 function runFile(file: string): Promise<FileResult> {
-  const child = spawn(process.execPath, ["--import", "tsx", file], {
-    stdio: ["ignore", "pipe", "pipe"],
-  });
-  const timer = setTimeout(() => child.kill("SIGKILL"), FILE_TIMEOUT_MS);
+  const child = spawn(process.execPath, [
+    "--import",
+    "tsx",
+    "--import",
+    "./scripts/explain_hang.ts",
+    file,
+  ], { stdio: ["ignore", "pipe", "pipe"] });
+  const timers = [
+    setTimeout(() => child.kill("SIGTERM"), FILE_TIMEOUT_MS),
+    setTimeout(() => child.kill("SIGKILL"), FILE_TIMEOUT_MS + KILL_DELAY_MS),
+  ];
   let output = "";
   child.stdout.on("data", (chunk) => output += String(chunk));
   child.stderr.on("data", (chunk) => output += String(chunk));
   return new Promise((resolve) => {
     child.once("close", (exitCode) => {
-      clearTimeout(timer);
+      for (const timer of timers) clearTimeout(timer);
       resolve({ file, exitCode, output, ...readCounts(output) });
     });
   });
