--- a/bench/main.ts
+++ b/bench/main.ts
@@ -7,6 +7,7 @@
 import { wakeCommand } from "./control/wake_command.ts";
 import { leasesCommand } from "./policy/leases_command.ts";
 import { policyCommand } from "./policy/policy_command.ts";
+import { reportCommand } from "./report/report_command.ts";
 import { relayCommand } from "./relay/relay_command.ts";
 import { ticketsCommand } from "./tickets_command.ts";
 import type { Subcommand, SubcommandArguments } from "./subcommand.ts";
@@ -21,6 +22,7 @@
   startCommand,
   decideCommand,
   ticketsCommand,
+  reportCommand,
 ];
 
 const program = sade("bench");
--- a/src/core/fleet/fleet_view.ts
+++ b/src/core/fleet/fleet_view.ts
@@ -273,19 +273,22 @@
   /**
    * Returns whether every peer has said, in a heartbeat sent after the given time,
    * that it has started lately and has never held the engine since: so that
-   * nobody who lives can have ordered it.
+   * nobody who lives can have ordered it. All seeds must be among them: who has
+   * just started and is cut off knows only some of the others.
    */
   isUnheld(
     engineId: string,
-    since: Milliseconds,
+    heard: { since: Milliseconds; seedIps: readonly string[] },
     now: Milliseconds,
   ): boolean {
     if (!this.isSmall()) return false;
     const known = this.#listRemembered(now);
+    const ips = new Set(known.map((each) => each.member.ip));
     return known.length >= MIN_NEWCOMER_PEERS &&
+      heard.seedIps.every((ip) => ip === this.#self.ip || ips.has(ip)) &&
       known.every((each) =>
         this.#isLiving(each, now) &&
-        each.heardAt >= since + HEARTBEAT_TRAVEL_MS &&
+        each.heardAt >= heard.since + HEARTBEAT_TRAVEL_MS &&
         hasNeverHeld(each.heartbeat, engineId)
       );
   }
--- a/src/core/ordering/order_tenure.ts
+++ b/src/core/ordering/order_tenure.ts
@@ -228,7 +228,7 @@
         if (rivals.isUnheld && !this.#isConfirmedUnheld()) {
           return now - this.#state.observedAt >= UNHELD_OBSERVATION_MS;
         }
-        return this.#mayClaim(rivals, now) && !this.#isConfirmed(now);
+        return this.#canClaim(rivals, now) && !this.#isConfirmed(now);
       case "holding":
         return false;
     }
@@ -242,11 +242,11 @@
    * whole fleet: who ordered before is no more.
    */
   isTermOver(rivals: RivalKnowledge, now: Milliseconds): boolean {
-    return this.#mayClaim(rivals, now) && this.#isConfirmed(now);
+    return this.#canClaim(rivals, now) && this.#isConfirmed(now);
   }
 
   /** Returns whether the engine may be claimed once a report shows what was observed. */
-  #mayClaim(rivals: RivalKnowledge, now: Milliseconds): boolean {
+  #canClaim(rivals: RivalKnowledge, now: Milliseconds): boolean {
     if (this.#state.kind !== "observing") return false;
     const isUntouched = this.#state.sequence === 0 && rivals.hearsMajority;
     return isUntouched || this.#isWholeTermOver(now) ||
--- a/src/gateway/engine_task.ts
+++ b/src/gateway/engine_task.ts
@@ -53,6 +53,8 @@
   termMs: Milliseconds;
   view: PublishedView;
   fleet: FleetView;
+  /** Where peers are looked for first; all of them are heard where nobody is cut off. */
+  seedIps: readonly string[];
   fences: FenceClock;
   control: EngineControl;
   log: DecisionLog;
@@ -68,7 +70,7 @@
   readonly permits: PermitClient;
   readonly #pauses = new PauseDetector(performance.now(), Date.now());
   readonly #activeEngines = new Set<string>();
-  /** Engines that were held here since the start, whether they still are or not. */
+  /** Engines that were held here soon after the start, whether they still are or not. */
   readonly #everHeld = new Set<string>();
   #lastRolesAt = Number.NEGATIVE_INFINITY;
   readonly #startedAt = performance.now();
@@ -103,10 +105,6 @@
     return this.#isNewcomer(now) ? [...this.#everHeld] : undefined;
   }
 
-  #isNewcomer(now: Milliseconds): boolean {
-    return now - this.#startedAt < NEWCOMER_MS;
-  }
-
   countFetches(): number {
     let count = 0;
     for (const engineId of this.#activeEngines) {
@@ -233,7 +231,7 @@
       const holder = this.#holders.get(engineId);
       if (!holder) continue;
       this.#carryOut(holder.tick(this.#describeSituation(holder, now), now));
-      if (holder.isHolding()) this.#everHeld.add(engineId);
+      this.#rememberHeld(holder, now);
       this.#scheduleTick(holder.getNextDueAt());
     }
     this.#scheduleTick(now + TICK_INTERVAL_MS);
@@ -326,12 +324,23 @@
     };
   }
 
+  #isNewcomer(now: Milliseconds): boolean {
+    return now - this.#startedAt < NEWCOMER_MS;
+  }
+
+  /** Remembers which engines a newcomer held; nobody asks an older daemon. */
+  #rememberHeld(holder: EngineHolder, now: Milliseconds): void {
+    if (!holder.isHolding() || !this.#isNewcomer(now)) return;
+    this.#everHeld.add(holder.engineId);
+  }
+
   /** Returns whether neither this daemon nor a peer has held the engine since all of them started. */
   #isUnheld(holder: EngineHolder, now: Milliseconds): boolean {
     const { observedAt, engineId } = holder;
+    const { fleet, seedIps } = this.#options;
     return observedAt !== undefined && this.#isNewcomer(now) &&
       !this.#everHeld.has(engineId) &&
-      this.#options.fleet.isUnheld(engineId, observedAt, now);
+      fleet.isUnheld(engineId, { since: observedAt, seedIps }, now);
   }
 
   /** What peers have on the way is known late, so each daemon keeps to a few. */
@@ -443,8 +452,8 @@
     });
     if (!holder) return;
     this.#activeEngines.add(engineId);
-    this.#everHeld.add(engineId);
     this.#carryOut(holder.acceptHandover(handover, now));
+    this.#rememberHeld(holder, now);
   }
 
   #pump(engineId: string, now: Milliseconds): void {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -111,6 +111,7 @@
       termMs: settings.orders.termMs,
       view: this.#view,
       fleet: this.#fleet,
+      seedIps: settings.peers.seeds.map((seed) => parseAddress(seed).host),
       fences: this.#fences,
       control: adapters.createEngineControl(),
       log: this.#log,
--- a/test/core/fleet/fleet_view_test.ts
+++ b/test/core/fleet/fleet_view_test.ts
@@ -152,4 +152,35 @@
   assert.is(near.size, 20);
 });
 
+test("an engine is taken for unheld on the fresh word of every peer, all of them new", () => {
+  const view = new FleetView(createMember("1"));
+  const beat = (id: string, part: Partial<Heartbeat>, now: number) =>
+    view.recordHeartbeat(createHeartbeat(createMember(id), part), now);
+  const seedIps = ["10.0.0.1", "10.0.0.2"];
+  const isUnheld = (now: number) =>
+    view.isUnheld("e", { since: 1_000, seedIps }, now);
+  beat("2", { newcomerHeld: [] }, 1_350);
+  assert.not(isUnheld(1_400), "one peer is too few");
+  beat("3", { newcomerHeld: [] }, 1_250);
+  assert.not(isUnheld(1_400), "sent before the engine was observed, perhaps");
+  beat("3", { newcomerHeld: ["other"] }, 1_400);
+  assert.ok(isUnheld(1_400));
+  assert.not(isUnheld(3_400), "silent since");
+  const cut = { since: 1_000, seedIps: [...seedIps, "10.0.0.9"] };
+  assert.not(view.isUnheld("e", cut, 1_400), "a seed was not heard");
+  beat("2", { newcomerHeld: ["e"] }, 3_400);
+  beat("3", { newcomerHeld: [] }, 3_400);
+  assert.not(isUnheld(3_400), "held before");
+  beat("2", { newcomerHeld: [], heldEngines: ["e"] }, 3_410);
+  assert.not(isUnheld(3_410), "held");
+  beat("2", {}, 3_420);
+  assert.not(isUnheld(3_420), "not new");
+  beat(
+    "2",
+    { newcomerHeld: [], sample: [["4", "10.0.0.4", "zone-a", 1]] },
+    3_430,
+  );
+  assert.not(isUnheld(3_430), "somebody is known and was not heard");
+});
+
 test.run();
