--- a/bench/main.ts
+++ b/bench/main.ts
@@ -7,6 +7,7 @@
 import { wakeCommand } from "./control/wake_command.ts";
 import { leasesCommand } from "./policy/leases_command.ts";
 import { policyCommand } from "./policy/policy_command.ts";
+import { placesCommand } from "./places/places_command.ts";
 import { reportCommand } from "./report/report_command.ts";
 import { relayCommand } from "./relay/relay_command.ts";
 import { ticketsCommand } from "./tickets_command.ts";
@@ -23,6 +24,7 @@
   decideCommand,
   ticketsCommand,
   reportCommand,
+  placesCommand,
 ];
 
 const program = sade("bench");
