A test with real processes: after a restart of the whole fleet engines load before a term is over

Three gateways are killed at once, with a term of 12 s. An engine that never got an order is claimed at once in any case, so each gets one before the kill.

--- /dev/null
+++ b/test/soak/fleet_restart_test.ts
@@ -0,0 +1,60 @@
+/** All gateways are killed at once, as by a loss of power: their engines load again before a term is over. */
+import { Agent } from "node:http";
+import process from "node:process";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { waitMs } from "../../src/gateway/wait.ts";
+import { reservePorts } from "../port_reservation.ts";
+import { SoakFleet } from "./soak_fleet.ts";
+import { callGateway } from "./soak_run.ts";
+
+const GATEWAYS = 3;
+/** Long against the start of three processes, so that a wait for it shows. */
+const TERM_MS = 12_000;
+
+test("after a restart of the whole fleet engines load before a term is over", async () => {
+  const ports = await reservePorts(process.pid);
+  const fleet = new SoakFleet(ports.port, TERM_MS);
+  const agent = new Agent({ keepAlive: false });
+  const countOrders = () =>
+    fleet.engines.map((engine) =>
+      engine.orders.filter((order) => order.status < 300).length
+    );
+  let calls = 0;
+  /** Asks for new adapters until enough of the engines have accepted an order. */
+  const waitForOrders = async (
+    engines: number,
+    endsAt: number,
+  ): Promise<boolean> => {
+    const before = countOrders();
+    const countOrdered = () =>
+      countOrders().filter((count, index) => count > (before[index] ?? 0))
+        .length;
+    while (countOrdered() < engines && Date.now() < endsAt) {
+      calls += 1;
+      const gateway = fleet.gateways[calls % GATEWAYS];
+      await callGateway(agent, `${gateway?.ip}:${fleet.port}`, "/brief/", {
+        id: `call-${calls}`,
+        adapter: `a${calls}`,
+      });
+      await waitMs(50);
+    }
+    return countOrdered() >= engines;
+  };
+  await fleet.start(GATEWAYS);
+  try {
+    // One without orders would be claimed at once in any case.
+    const all = fleet.engines.length;
+    const startedBy = Date.now() + 3 * TERM_MS;
+    assert.ok(await waitForOrders(all, startedBy), "before the kill");
+    const killedAt = Date.now();
+    for (const gateway of fleet.gateways) fleet.signal(gateway, "SIGKILL");
+    assert.ok(await waitForOrders(1, killedAt + TERM_MS), "after the kill");
+  } finally {
+    agent.destroy();
+    await fleet.stop();
+    ports.release();
+  }
+});
+
+test.run();
--- a/test/soak/soak_fleet.ts
+++ b/test/soak/soak_fleet.ts
@@ -34,12 +34,14 @@
   readonly proxies = new Map<FakePlatformReplica, FaultProxy>();
   readonly gateways: SoakGateway[] = [];
   readonly port: number;
+  readonly #termMs: number;
   readonly #folder = mkdtempSync(join(tmpdir(), "pistachiohatch-soak-"));
   #isStopped = false;
   version = 1;
 
-  constructor(port: number) {
+  constructor(port: number, termMs = SOAK_TERM_MS) {
     this.port = port;
+    this.#termMs = termMs;
     process.once("exit", () => this.#killAll());
   }
 
@@ -134,7 +136,7 @@
           seeds: [`127.0.0.1:${this.port + 2}`, `127.0.0.2:${this.port + 2}`],
         },
         store: { address: storeProxy.address },
-        orders: { termMs: SOAK_TERM_MS },
+        orders: { termMs: this.#termMs },
         repeats: { ratio: 0.2, windowMs: 10_000, slack: 58 },
         stop: { graceMs: GRACE_MS },
         logLevel: "info",
--- a/test/soak/soak_run.ts
+++ b/test/soak/soak_run.ts
@@ -254,7 +254,7 @@
 }
 
 /** Returns undefined when no connection came about or nothing was answered. */
-function callGateway(
+export function callGateway(
   agent: Agent,
   address: string,
   path: string,
