--- a/src/core/ordering/engine_holder.ts
+++ b/src/core/ordering/engine_holder.ts
@@ -19,13 +19,12 @@
   type OrderPlannerOptions,
   type PlannedOrder,
 } from "./order_planner.ts";
-import {
-  type OrderAnswer,
-  OrderEvidence,
-  type OrderReport,
-  OrderTenure,
-  type RivalKnowledge,
-} from "./order_tenure.ts";
+import { OrderEvidence, OrderTenure } from "./order_tenure.ts";
+import type {
+  OrderAnswer,
+  OrderReport,
+  RivalKnowledge,
+} from "./tenure_state.ts";
 
 /** A report with what the engine holds. */
 export interface HeldReport extends OrderReport {
--- a/src/core/ordering/order_tenure.ts
+++ b/src/core/ordering/order_tenure.ts
@@ -16,85 +16,15 @@
  * term away; the next order is compared again.
  */
 import type { Milliseconds } from "../structures.ts";
-
-export type TenureState =
-  /** Nobody here wants the engine, or no report has been read yet. */
-  | { kind: "idle" }
-  /** A report was read; the term runs. */
-  | {
-    kind: "observing";
-    sequence: number;
-    bornAtUnixMs: number;
-    observedAt: Milliseconds;
-    startedAt: Milliseconds;
-    /** When a report last showed the same. */
-    confirmedAt: Milliseconds;
-  }
-  /** Orders may be given against `sequence`. */
-  | {
-    kind: "holding";
-    sequence: number;
-    bornAtUnixMs: number;
-    /** Time of the last order that the engine accepted from here. */
-    acceptedAt: Milliseconds;
-    /** Time of the last one that it surely counted. */
-    countedAt: Milliseconds;
-    /** Time at which the engine last showed that it is the one that is held. */
-    verifiedAt: Milliseconds;
-    /** Time from which orders may be given: later than now after a blind order. */
-    ordersFrom: Milliseconds;
-    /** Latest time at which the engine can have started; unknown after a handover. */
-    startedAt: Milliseconds;
-    /** Whether this daemon alone held the engine when it went down to start again. */
-    isHeldSinceStart: boolean;
-  }
-  /** An order's fate is unknown until a report is read later than `readableAt`. */
-  | {
-    kind: "unsettled";
-    sequence: number;
-    bornAtUnixMs: number;
-    acceptedAt: Milliseconds;
-    countedAt: Milliseconds;
-    startedAt: Milliseconds;
-    /** When the order in doubt was sent. */
-    sentAt: Milliseconds;
-    readableAt: Milliseconds;
-  }
-  /** Another daemon has ordered since; this one stays away until then. */
-  | { kind: "deposed"; until: Milliseconds };
-
-type HoldingState = Extract<TenureState, { kind: "holding" }>;
-
-/** What differs between the ways to hold an engine. */
-type HeldEngine =
-  & Omit<
-    HoldingState,
-    "kind" | "ordersFrom" | "isHeldSinceStart" | "countedAt"
-  >
-  & Partial<Pick<HoldingState, "isHeldSinceStart" | "countedAt">>;
-
-/** An engine's own account of the orders that it accepted. */
-export interface OrderReport {
-  sequence: number;
-  bornAtUnixMs: number;
-  /** Time since the engine's start, at least. */
-  ageMs: Milliseconds;
-  /** When the reading was asked for. */
-  readAt: Milliseconds;
-}
-
-/** How an engine answered an order. */
-export type OrderAnswer =
-  | { kind: "accepted" }
-  /** It held already; whether the count moved is not known. */
-  | { kind: "alreadyHeld" }
-  /** Another order is under way, or the count differs. */
-  | { kind: "conflict" }
-  | { kind: "rejected"; detail: string }
-  /** The order was never sent. */
-  | { kind: "notSent"; detail: string }
-  /** No answer: it may have been accepted. */
-  | { kind: "unanswered"; detail: string };
+import type {
+  HeldEngine,
+  HoldingState,
+  OrderAnswer,
+  OrderReport,
+  RivalKnowledge,
+  Settlement,
+  TenureState,
+} from "./tenure_state.ts";
 
 /** What it shows that an engine accepted an order. */
 export const OrderEvidence = {
@@ -107,24 +37,6 @@
 } as const;
 export type OrderEvidence = (typeof OrderEvidence)[keyof typeof OrderEvidence];
 
-/** What reading a report settled. */
-export type Settlement =
-  | { kind: "none" }
-  | { kind: "lastOrderAccepted" }
-  | { kind: "lastOrderNotAccepted" }
-  /** Evictions that were confirmed had not been counted. */
-  | { kind: "evictionNotCounted" }
-  | { kind: "restarted" }
-  | { kind: "deposed" };
-
-/** What is known of others that may hold the engine. */
-export interface RivalKnowledge {
-  /** Whether this daemon hears most of those that it knows. */
-  hearsMajority: boolean;
-  /** Whether all others said, since the report that is observed, that they never held it. */
-  isUnheld: boolean;
-}
-
 export interface OrderTenureOptions {
   /** Time within which two holders may not take turns; from the platform. */
   termMs: Milliseconds;
--- a/src/gateway/ports.ts
+++ b/src/gateway/ports.ts
@@ -6,7 +6,7 @@
 import type {
   OrderAnswer,
   OrderReport,
-} from "../core/ordering/order_tenure.ts";
+} from "../core/ordering/tenure_state.ts";
 import type { PublishedChange } from "../core/view/published_view.ts";
 import type { StoreBatch, StoreChange } from "../core/view/store_mirror.ts";
 import type { Milliseconds } from "../core/structures.ts";
--- a/test/fuzz/tenure_fuzz_test.ts
+++ b/test/fuzz/tenure_fuzz_test.ts
@@ -20,7 +20,7 @@
 } from "../../src/core/ordering/engine_holder.ts";
 import { FenceClock } from "../../src/core/ordering/fence_clock.ts";
 import { TurnOracle } from "./turn_oracle.ts";
-import type { OrderAnswer } from "../../src/core/ordering/order_tenure.ts";
+import type { OrderAnswer } from "../../src/core/ordering/tenure_state.ts";
 
 const TERM_MS = 3_000;
 const SLOTS = 3;
