The bench of places draws from the popularity law that the bench of policies has

The change had written the Zipf law, its draw (linear where the other searches by halves) and the swaps of ranks a second time, and its simulation as one function of nested closures, in which the product's rule alone could evict what had just come for somebody who waited. PopularityLaw and createRandom have files of their own now, both benches call them; the simulation is a class that starts what can run before it loads for others.

--- a/bench/places/places_demand.ts
+++ b/bench/places/places_demand.ts
@@ -1,15 +1,15 @@
 /** Demand for adapters as on a busy day of the users' sites, drawn from a seed. */
-import { uniformInt } from "pure-rand/distribution/uniformInt";
-import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import type { Milliseconds } from "../../src/core/structures.ts";
+import {
+  PopularityLaw,
+  type PopularityLawOptions,
+} from "../policy/popularity_law.ts";
+import { createRandom } from "../policy/random.ts";
 
-export interface PlacesSite {
+export interface PlacesSite extends PopularityLawOptions {
   name: string;
   engines: number;
   slotsPerEngine: number;
-  adapters: number;
-  /** Exponent of the Zipf law of their popularity. */
-  skew: number;
   requestsPerSecond: number;
 }
 
@@ -27,7 +27,7 @@
     engines: 13,
     slotsPerEngine: 8,
     adapters: 3_000,
-    skew: 1.2,
+    zipfExponent: 1.2,
     requestsPerSecond: 50,
   },
   {
@@ -35,7 +35,7 @@
     engines: 6,
     slotsPerEngine: 8,
     adapters: 3_000,
-    skew: 1.3,
+    zipfExponent: 1.3,
     requestsPerSecond: 22,
   },
 ];
@@ -43,54 +43,33 @@
 /** Time of a long generation and of a short one, as measured on the standard days. */
 const LONG_HOLD_MS = 4_000;
 const SHORT_HOLD_MS = 1_200;
-/** Part of the requests that are long generations, in thousandths. */
-const LONG_PER_MILLE = 590;
-/** Period in which some adapters change ranks, and how many thousandths of them do. */
+/** Part of the requests that are long generations. */
+const LONG_SHARE = 0.59;
+/** Period in which some adapters change ranks, and pairs that do for each adapter: two in ten change. */
 const SHIFT_PERIOD_MS = 6_000;
-const SHIFTED_PER_MILLE = 100;
-const RESOLUTION = 0x7fff_ffff;
+const SHIFTING_PAIRS_PER_ADAPTER = 0.1;
 
 export function createPlacesDemand(
   site: PlacesSite,
   spanMs: Milliseconds,
   seed: number,
 ): AdapterDemand[] {
-  const generator = xoroshiro128plus(seed);
-  const draw = (from: number, to: number) => uniformInt(generator, from, to);
-  const drawShare = () => draw(1, RESOLUTION) / RESOLUTION;
-  const cumulative: number[] = [];
-  let sum = 0;
-  for (let rank = 1; rank <= site.adapters; rank += 1) {
-    sum += rank ** -site.skew;
-    cumulative.push(sum);
-  }
-  const holders = Array.from({ length: site.adapters }, (_, index) => index);
+  const random = createRandom(seed);
+  const law = new PopularityLaw(site, random);
   const demand: AdapterDemand[] = [];
   let shiftAt = SHIFT_PERIOD_MS;
-  for (
-    let at = 0;
-    at < spanMs;
-    at += -Math.log(drawShare()) * 1_000 / site.requestsPerSecond
-  ) {
-    if (at >= shiftAt) {
-      shiftAt += SHIFT_PERIOD_MS;
-      const shifts = site.adapters * SHIFTED_PER_MILLE / 1_000;
-      for (let shift = 0; shift < shifts; shift += 1) {
-        const [a, b] = [
-          draw(0, site.adapters - 1),
-          draw(0, site.adapters - 1),
-        ];
-        [holders[a], holders[b]] = [holders[b] ?? 0, holders[a] ?? 0];
-      }
+  let at = 0;
+  while (at < spanMs) {
+    for (; at >= shiftAt; shiftAt += SHIFT_PERIOD_MS) {
+      law.changeSomeRanks(site.adapters * SHIFTING_PAIRS_PER_ADAPTER);
     }
-    const wanted = drawShare() * sum;
-    const rank = Math.max(0, cumulative.findIndex((each) => each >= wanted));
-    const isLong = draw(0, 999) < LONG_PER_MILLE;
+    const isLong = random() < LONG_SHARE;
     demand.push({
       at,
-      adapter: holders[rank] ?? 0,
+      adapter: law.draw(),
       holdMs: isLong ? LONG_HOLD_MS : SHORT_HOLD_MS,
     });
+    at += -Math.log(1 - random()) * 1_000 / site.requestsPerSecond;
   }
   return demand;
 }
--- a/bench/places/places_simulation.ts
+++ b/bench/places/places_simulation.ts
@@ -43,7 +43,7 @@
 interface SimulatedEngine {
   id: string;
   places: AdapterPlaces;
-  /** Requests whose adapter has no place yet. */
+  /** Requests that have not begun to run, in the order in which they came. */
   waiting: WaitingDemand[];
   uses: Map<string, number>;
   /** Times of requests to come, by adapter, for the rule that knows them. */
@@ -60,101 +60,105 @@
   demand: readonly AdapterDemand[],
   rule: YieldRule,
 ): PlacesResult {
-  const engines = Array.from({ length: site.engines }, (_, index) =>
-    ({
+  return new PlacesSimulation(site, rule).run(demand);
+}
+
+class PlacesSimulation {
+  readonly #rule: YieldRule;
+  readonly #engines: SimulatedEngine[];
+  readonly #heap = new EventHeap();
+  readonly #waits: Milliseconds[] = [];
+  #fetches = 0;
+  #reloads = 0;
+
+  constructor(site: PlacesSite, rule: YieldRule) {
+    this.#rule = rule;
+    this.#engines = Array.from({ length: site.engines }, (_, index) => ({
       id: `engine ${index}`,
       places: new AdapterPlaces(site.slotsPerEngine),
       waiting: [],
       uses: new Map(),
       coming: new Map(),
-    }) as SimulatedEngine);
-  const heap = new EventHeap();
-  const waits: Milliseconds[] = [];
-  let fetches = 0;
-  let reloads = 0;
-  const startRun = (
+    }));
+  }
+
+  run(demand: readonly AdapterDemand[]): PlacesResult {
+    demand.forEach((each, index) => this.#addRequest(each, String(index)));
+    this.#heap.runUntil(Number.POSITIVE_INFINITY);
+    const waits = this.#waits;
+    const requests = Math.max(1, waits.length);
+    return {
+      rule: this.#rule,
+      requests: waits.length,
+      fetches: this.#fetches,
+      reloads: this.#reloads,
+      meanWaitMs: waits.reduce((sum, wait) => sum + wait, 0) / requests,
+      slowShare: waits.filter((wait) => wait > SLOW_MS).length / requests,
+    };
+  }
+
+  #addRequest(demand: AdapterDemand, id: string): void {
+    const path = `m/a${demand.adapter}`;
+    const engine = findRendezvousWinner(path, this.#engines);
+    if (!engine) return;
+    const times = engine.coming.get(path) ?? [];
+    times.push(demand.at);
+    engine.coming.set(path, times);
+    this.#heap.add(demand.at, (now) => {
+      times.shift();
+      engine.uses.set(path, (engine.uses.get(path) ?? 0) + 1);
+      engine.waiting.push({ ...demand, id, path });
+      this.#pump(engine, now);
+    });
+  }
+
+  /** Starts what can run, and then loads for the others: what is there for somebody does not yield. */
+  #pump(engine: SimulatedEngine, now: Milliseconds): void {
+    engine.waiting = engine.waiting.filter((request) => {
+      const place = engine.places.getPlace(request.path);
+      if (place?.state !== "resident") return true;
+      this.#startRun(engine, place, request, now);
+      return false;
+    });
+    for (const { path } of engine.waiting) {
+      if (!engine.places.getPlace(path)) this.#load(engine, path, now);
+    }
+  }
+
+  #startRun(
     engine: SimulatedEngine,
     place: Place,
     request: WaitingDemand,
     now: Milliseconds,
-  ): void => {
-    waits.push(now - request.at);
+  ): void {
+    this.#waits.push(now - request.at);
     engine.places.recordUse(place, request.id, now);
-    heap.add(now + request.holdMs, (at) => {
+    this.#heap.add(now + request.holdMs, (at) => {
       place.permits.delete(request.id);
       place.lastUsedAt = at;
-      serveWaiting(engine, at);
+      this.#pump(engine, at);
     });
-  };
-  const completeLoad = (
-    engine: SimulatedEngine,
-    place: Place,
-    now: Milliseconds,
-  ): void => {
-    place.state = "resident";
-    place.isConfirmed = true;
-    serveWaiting(engine, now);
-  };
-  const load = (
-    engine: SimulatedEngine,
-    path: string,
-    now: Milliseconds,
-  ): boolean => {
-    if (!engine.places.hasRoom()) {
-      const victim = findVictim(engine, rule, now);
-      if (!victim) return false;
-      engine.places.recordEvicted(victim.adapterPath);
-    }
-    const isFetch = engine.places.isFetch(path);
-    if (isFetch) fetches += 1;
-    else reloads += 1;
-    engine.places.recordLoadOrdered(path, undefined, now);
-    const place = engine.places.getPlace(path);
-    if (!place) return false;
-    place.readyAt = Number.POSITIVE_INFINITY;
-    heap.add(
-      now + (isFetch ? FETCH_MS : RELOAD_MS),
-      (at) => completeLoad(engine, place, at),
-    );
-    return true;
-  };
-  const serveWaiting = (engine: SimulatedEngine, now: Milliseconds): void => {
-    const left: WaitingDemand[] = [];
-    for (const request of engine.waiting) {
-      const place = engine.places.getPlace(request.path);
-      if (place?.state === "resident") startRun(engine, place, request, now);
-      else {
-        if (!place) load(engine, request.path, now);
-        left.push(request);
-      }
+  }
+
+  #load(engine: SimulatedEngine, path: string, now: Milliseconds): void {
+    const { places } = engine;
+    if (!places.hasRoom()) {
+      const victim = findVictim(engine, this.#rule, now);
+      if (!victim) return;
+      places.recordEvicted(victim.adapterPath);
     }
-    engine.waiting = left;
-  };
-  demand.forEach((each, index) => {
-    const path = `m/a${each.adapter}`;
-    const engine = findRendezvousWinner(path, engines);
-    if (!engine) return;
-    const times = engine.coming.get(path) ?? [];
-    times.push(each.at);
-    engine.coming.set(path, times);
-    heap.add(each.at, (now) => {
-      engine.coming.get(path)?.shift();
-      engine.uses.set(path, (engine.uses.get(path) ?? 0) + 1);
-      engine.waiting.push({ ...each, id: String(index), path });
-      serveWaiting(engine, now);
+    const isFetch = places.isFetch(path);
+    if (isFetch) this.#fetches += 1;
+    else this.#reloads += 1;
+    places.recordLoadOrdered(path, undefined, now);
+    this.#heap.add(now + (isFetch ? FETCH_MS : RELOAD_MS), (at) => {
+      const place = places.getPlace(path);
+      if (!place) return;
+      place.state = "resident";
+      place.isConfirmed = true;
+      this.#pump(engine, at);
     });
-  });
-  heap.runUntil(Number.POSITIVE_INFINITY);
-  const slow = waits.filter((wait) => wait > SLOW_MS).length;
-  return {
-    rule,
-    requests: waits.length,
-    fetches,
-    reloads,
-    meanWaitMs: waits.reduce((sum, wait) => sum + wait, 0) /
-      Math.max(1, waits.length),
-    slowShare: slow / Math.max(1, waits.length),
-  };
+  }
 }
 
 function findVictim(
@@ -162,25 +166,22 @@
   rule: YieldRule,
   now: Milliseconds,
 ): Place | undefined {
-  const idle = engine.places.listIdle(now).filter((place) =>
-    engine.waiting.every((request) => request.path !== place.adapterPath)
-  );
+  const { places, uses, coming } = engine;
   switch (rule) {
     case YieldRule.DecayedUse:
-      return engine.places.findEvictable(now);
+      return places.findEvictable(now);
     case YieldRule.LeastRecent:
-      return selectLeast(idle, (place) => place.lastUsedAt);
+      return selectLeast(places.listIdle(now), (place) => place.lastUsedAt);
     case YieldRule.FewestUses:
       return selectLeast(
-        idle,
-        (place) => engine.uses.get(place.adapterPath) ?? 0,
+        places.listIdle(now),
+        (place) => uses.get(place.adapterPath) ?? 0,
       );
     case YieldRule.Clairvoyant:
       return selectLeast(
-        idle,
+        places.listIdle(now),
         (place) =>
-          -(engine.coming.get(place.adapterPath)?.[0] ??
-            Number.POSITIVE_INFINITY),
+          -(coming.get(place.adapterPath)?.[0] ?? Number.POSITIVE_INFINITY),
       );
   }
 }
--- a/bench/policy/policies.ts
+++ b/bench/policy/policies.ts
@@ -9,7 +9,7 @@
   type RankedUpstream,
   type UpstreamCandidate,
 } from "../../src/core/routing/upstream_selector.ts";
-import { createRandom } from "./workloads.ts";
+import { createRandom } from "./random.ts";
 
 /** Names of the rows that run on the core, in their order. */
 export const POLICY_NAMES = [
--- a/bench/policy/simulation.ts
+++ b/bench/policy/simulation.ts
@@ -24,9 +24,9 @@
 } from "./deployment_tables.ts";
 import { FakeEngine, FakeStore, StoreReading } from "./fakes.ts";
 import type { RequestRecord } from "./measures.ts";
+import { createRandom } from "./random.ts";
 import {
   CALLER_DELAY_MS,
-  createRandom,
   type Deployment,
   type Fault,
   LOCAL_DELAY_MS,
--- a/bench/policy/workloads.ts
+++ b/bench/policy/workloads.ts
@@ -1,7 +1,7 @@
 /** Deployments of the brief's sizes and the requests and faults of each case. */
-import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
-import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { Priority } from "../../src/core/structures.ts";
+import { PopularityLaw } from "./popularity_law.ts";
+import { createRandom, type Random } from "./random.ts";
 
 export interface Deployment {
   name: string;
@@ -124,15 +124,10 @@
 const WARM_UP_MS = 300_000;
 const MEASURED_MS = 300_000;
 const DRIFT_INTERVAL_MS = 30_000;
+/** Pairs of adapters that change ranks in it: 8.6% of 3,000 in an hour. */
+const DRIFTING_PAIRS = 2;
 const SERVICE_TOKENS = 4;
 
-export type Random = () => number;
-
-export function createRandom(seed: number): Random {
-  const generator = xoroshiro128plus(seed);
-  return () => uniformFloat64(generator);
-}
-
 export function getPriorityOf(adapter: number): Priority {
   const place = (adapter * 7_919) % 10;
   if (place < 5) return Priority.Interactive;
@@ -155,58 +150,6 @@
   }
 }
 
-/** Draws adapters by a Zipf law over ranks whose holders change. */
-class PopularityLaw {
-  readonly #cumulative: number[] = [];
-  readonly #adapterByRank: number[];
-  readonly #random: Random;
-
-  constructor(deployment: Deployment, random: Random) {
-    this.#random = random;
-    let sum = 0;
-    for (let rank = 1; rank <= deployment.adapters; rank += 1) {
-      sum += rank ** -deployment.zipfExponent;
-      this.#cumulative.push(sum);
-    }
-    this.#adapterByRank = Array.from(
-      { length: deployment.adapters },
-      (_, index) => index,
-    );
-    for (let index = deployment.adapters - 1; index > 0; index -= 1) {
-      this.changeRanks(index, Math.floor(random() * (index + 1)));
-    }
-  }
-
-  changeRanks(a: number, b: number): void {
-    const kept = this.#adapterByRank[a]!;
-    this.#adapterByRank[a] = this.#adapterByRank[b]!;
-    this.#adapterByRank[b] = kept;
-  }
-
-  /** Lets two adapters wake up and two fall idle: 8.6% of 3,000 in an hour. */
-  changeSomeRanks(): void {
-    for (let count = 0; count < 2; count += 1) {
-      this.changeRanks(this.#drawRank(), this.#drawRank());
-    }
-  }
-
-  draw(): number {
-    const target = this.#random() * this.#cumulative.at(-1)!;
-    let low = 0;
-    let high = this.#cumulative.length - 1;
-    while (low < high) {
-      const middle = (low + high) >> 1;
-      if (this.#cumulative[middle]! < target) low = middle + 1;
-      else high = middle;
-    }
-    return this.#adapterByRank[low]!;
-  }
-
-  #drawRank(): number {
-    return Math.floor(this.#random() * this.#adapterByRank.length);
-  }
-}
-
 /** Returns the rate of engine requests at a time, as a multiple of the steady one. */
 function getRateFactor(caseName: CaseName, at: number): number {
   const since = at - WARM_UP_MS;
@@ -242,7 +185,9 @@
   while (at < endAt) {
     const rate = deployment.requestsPerSecond * getRateFactor(caseName, at);
     at += -Math.log(1 - random()) / rate * 1_000;
-    for (; at >= driftAt; driftAt += DRIFT_INTERVAL_MS) law.changeSomeRanks();
+    for (; at >= driftAt; driftAt += DRIFT_INTERVAL_MS) {
+      law.changeSomeRanks(DRIFTING_PAIRS);
+    }
     if (caseName === "shift" && at >= shiftAt) {
       law.changeRanks(
         1 + Math.floor(random() * 4),
--- a/test/bench/places/places_simulation_test.ts
+++ b/test/bench/places/places_simulation_test.ts
@@ -17,7 +17,7 @@
   engines: 1,
   slotsPerEngine: 2,
   adapters: 10,
-  skew: 1,
+  zipfExponent: 1,
   requestsPerSecond: 1,
 };
 
