The tenure fuzzer asks the product's FleetView; one heartbeat builder, one way to reserve ports

The fuzzer had a model of its own of what FleetView.isUnheld decides, with its constants copied. Heartbeats for tests were written out in two files and would have been in a third. Two tests drew their ports from their process's number beside the reservation made for that. An accepted order was written out seven times in the tests of the tenure. No assertion has changed.

--- a/test/cli/gateway_status_test.ts
+++ b/test/cli/gateway_status_test.ts
@@ -8,9 +8,12 @@
 } from "../../src/cli/gateway_status_command.ts";
 import { ExitCode } from "../../src/cli/exit_codes.ts";
 import { GatewayMetrics } from "../../src/gateway/gateway_metrics.ts";
+import { reservePorts } from "../port_reservation.ts";
 
-/** Below the ports that the kernel gives out, apart from those of the gateway tests. */
-const PORT = 8_000 + process.pid % 900;
+const ports = await reservePorts(process.pid);
+const PORT = ports.port;
+
+test.after(() => ports.release());
 
 test("gauges and counters are shown with their reasons, buckets are not", async () => {
   const metrics = new GatewayMetrics();
--- a/test/core/fleet/fleet_view_test.ts
+++ b/test/core/fleet/fleet_view_test.ts
@@ -7,45 +7,26 @@
   type Heartbeat,
   type NamedMember,
 } from "../../../src/core/fleet/fleet_view.ts";
+import { buildHeartbeat } from "./heartbeat_builder.ts";
 
 function createMember(id: string, failureDomain = "a"): FleetMember {
   return { id, ip: `10.0.0.${id}`, failureDomain };
 }
 
-function createHeartbeat(
-  sender: FleetMember,
-  part: Partial<Heartbeat> = {},
-): Heartbeat {
-  return {
-    sender,
-    incarnation: "1",
-    beat: 1,
-    isLeaving: false,
-    hasStore: true,
-    revisions: { configuration: 0, upstreams: 0 },
-    heldEngines: [],
-    fetchesInFlight: 0,
-    fenceUnixMs: 0,
-    sample: [],
-    strikes: [],
-    ...part,
-  };
-}
-
 const ENGINE = { id: "e", failureDomain: "a" };
 
 test("a silent member is taken for dead, and lives again when it is heard", () => {
   const fleet = new FleetView(createMember("1"));
-  fleet.recordHeartbeat(createHeartbeat(createMember("2")), 0);
+  fleet.recordHeartbeat(buildHeartbeat(createMember("2")), 0);
   assert.is(fleet.countLiving(1_500), 2);
   assert.is(fleet.countLiving(1_700), 1);
-  fleet.recordHeartbeat(createHeartbeat(createMember("2")), 5_000);
+  fleet.recordHeartbeat(buildHeartbeat(createMember("2")), 5_000);
   assert.is(fleet.countLiving(5_100), 2);
 });
 
 test("a member that does not acknowledge is passed over until it is heard", () => {
   const fleet = new FleetView(createMember("1"));
-  const heartbeat = createHeartbeat(createMember("2"), { heldEngines: ["e"] });
+  const heartbeat = buildHeartbeat(createMember("2"), { heldEngines: ["e"] });
   fleet.recordHeartbeat(heartbeat, 0);
   assert.is(fleet.findHolder("e", 10), "2");
   fleet.recordSilence("2", 10);
@@ -58,7 +39,7 @@
   const fleet = new FleetView(createMember("1"));
   const named: NamedMember = ["3", "10.0.0.3", "a", 1];
   fleet.recordHeartbeat(
-    createHeartbeat(createMember("2"), { sample: [named] }),
+    buildHeartbeat(createMember("2"), { sample: [named] }),
     0,
   );
   assert.ok(fleet.selectTargets(10).some((member) => member.id === "3"));
@@ -71,7 +52,7 @@
   const rankings = members.map((self) => {
     const fleet = new FleetView(self);
     for (const other of members) {
-      fleet.recordHeartbeat(createHeartbeat(other), 0);
+      fleet.recordHeartbeat(buildHeartbeat(other), 0);
     }
     return fleet.rankHolders(ENGINE, false, 1).map((member) => member.id);
   });
@@ -81,7 +62,7 @@
 
 test("where nobody of the engine's failure domain lives, others take it", () => {
   const fleet = new FleetView(createMember("9", "b"));
-  fleet.recordHeartbeat(createHeartbeat(createMember("8", "c")), 0);
+  fleet.recordHeartbeat(buildHeartbeat(createMember("8", "c")), 0);
   const ranked = fleet.rankHolders(ENGINE, false, 1).map((each) => each.id);
   assert.equal(ranked.sort(), ["8", "9"]);
 });
@@ -93,16 +74,16 @@
     ["3", "10.0.0.3", "a", 1],
     ["4", "10.0.0.4", "a", 1],
   ];
-  fleet.recordHeartbeat(createHeartbeat(createMember("2"), { sample }), 0);
+  fleet.recordHeartbeat(buildHeartbeat(createMember("2"), { sample }), 0);
   assert.not(fleet.isHearingMajority(1));
-  fleet.recordHeartbeat(createHeartbeat(createMember("3")), 1);
+  fleet.recordHeartbeat(buildHeartbeat(createMember("3")), 1);
   assert.ok(fleet.isHearingMajority(2));
 });
 
 test("a leaving daemon is no candidate and no holder", () => {
   const fleet = new FleetView(createMember("1"));
   const leaving = { isLeaving: true, heldEngines: ["e"] };
-  fleet.recordHeartbeat(createHeartbeat(createMember("2"), leaving), 0);
+  fleet.recordHeartbeat(buildHeartbeat(createMember("2"), leaving), 0);
   assert.equal(fleet.rankHolders(ENGINE, false, 1).map((each) => each.id), [
     "1",
   ]);
@@ -116,7 +97,7 @@
       const fleet = new FleetView(self);
       for (const other of members) {
         const hasStore = other.id !== broken;
-        fleet.recordHeartbeat(createHeartbeat(other, { hasStore }), 0);
+        fleet.recordHeartbeat(buildHeartbeat(other, { hasStore }), 0);
       }
       return fleet.isReader(self.id !== broken, 1);
     }).map((member) => member.id);
@@ -130,7 +111,7 @@
 test("a daemon of a large fleet never takes those that it hears for a majority", () => {
   const fleet = new FleetView(createMember("self"));
   for (let index = 0; index < 30; index += 1) {
-    fleet.recordHeartbeat(createHeartbeat(createMember(`m${index}`)), 0);
+    fleet.recordHeartbeat(buildHeartbeat(createMember(`m${index}`)), 0);
   }
   assert.not(fleet.isHearingMajority(1));
 });
@@ -139,7 +120,7 @@
   const fleet = new FleetView(createMember("self"));
   for (let index = 0; index < 300; index += 1) {
     const member = createMember(`m${index}`, index < 20 ? "a" : "b");
-    fleet.recordHeartbeat(createHeartbeat(member), 0);
+    fleet.recordHeartbeat(buildHeartbeat(member), 0);
   }
   const near = new Set<string>();
   for (let round = 0; round < 5; round += 1) {
@@ -155,7 +136,7 @@
 test("an engine is taken for unheld on the fresh word of every peer, all of them new", () => {
   const view = new FleetView(createMember("1"));
   const beat = (id: string, part: Partial<Heartbeat>, now: number) =>
-    view.recordHeartbeat(createHeartbeat(createMember(id), part), now);
+    view.recordHeartbeat(buildHeartbeat(createMember(id), part), now);
   const seedIps = ["10.0.0.1", "10.0.0.2"];
   const isUnheld = (now: number) =>
     view.isUnheld("e", { since: 1_000, seedIps }, now);
--- a/test/core/fleet/large_fleet_test.ts
+++ b/test/core/fleet/large_fleet_test.ts
@@ -11,6 +11,7 @@
   FleetView,
   type Heartbeat,
 } from "../../../src/core/fleet/fleet_view.ts";
+import { buildHeartbeat } from "./heartbeat_builder.ts";
 
 /**
  * Sizes of the users' grown sites and of their sweep, and the time within which
@@ -111,19 +112,10 @@
   }
 
   #describe({ self, fleet }: Daemon): Heartbeat {
-    return {
-      sender: self,
-      incarnation: "1",
+    return buildHeartbeat(self, {
       beat: fleet.beat,
-      isLeaving: false,
-      hasStore: true,
-      revisions: { configuration: 0, upstreams: 0 },
-      heldEngines: [],
-      fetchesInFlight: 0,
-      fenceUnixMs: 0,
       sample: fleet.selectSample(this.now),
-      strikes: [],
-    };
+    });
   }
 
   #draw(from: number, to: number): number {
--- a/test/core/ordering/order_tenure_test.ts
+++ b/test/core/ordering/order_tenure_test.ts
@@ -40,6 +40,15 @@
   return tenure;
 }
 
+/** Has the engine accept an order. */
+function accept(
+  tenure: OrderTenure,
+  sentAt: number,
+  evidence: OrderEvidence = OrderEvidence.Load,
+): void {
+  tenure.recordOrderAnswer({ kind: "accepted" }, evidence, sentAt, sentAt + 1);
+}
+
 test("takes over only a whole term after a report", () => {
   const tenure = createTenure();
   tenure.recordReport({
@@ -104,12 +113,7 @@
 
 test("counts accepted orders", () => {
   const tenure = createHolding();
-  tenure.recordOrderAnswer(
-    { kind: "accepted" },
-    OrderEvidence.Load,
-    4_000,
-    4_001,
-  );
+  accept(tenure, 4_000);
   assert.is(tenure.getExpectedSequence(LATE), 6);
 });
 
@@ -128,12 +132,7 @@
 
 test("a report within a term of an accepted order settles a lost answer as its own", () => {
   const tenure = createHolding();
-  tenure.recordOrderAnswer(
-    { kind: "accepted" },
-    OrderEvidence.Load,
-    4_000,
-    4_001,
-  );
+  accept(tenure, 4_000);
   tenure.recordOrderAnswer(
     { kind: "unanswered", detail: "" },
     OrderEvidence.Load,
@@ -180,15 +179,8 @@
 test("evictions that the engine confirmed without counting them depose nobody within a term of a counted order", () => {
   const play = (readAt: number): OrderTenure => {
     const tenure = createHolding(5);
-    const accept = (evidence: OrderEvidence, sentAt: number) =>
-      tenure.recordOrderAnswer(
-        { kind: "accepted" },
-        evidence,
-        sentAt,
-        sentAt + 1,
-      );
-    accept(OrderEvidence.Load, 4_000);
-    accept(OrderEvidence.Eviction, 4_300);
+    accept(tenure, 4_000);
+    accept(tenure, 4_300, OrderEvidence.Eviction);
     tenure.recordOrderAnswer(
       { kind: "conflict" },
       OrderEvidence.Load,
@@ -255,12 +247,7 @@
   assert.not(tenure.isVerified(false, TERM_MS + 1_200));
   readReport(tenure, 5, 5_000);
   assert.ok(tenure.isVerified(false, 5_100));
-  tenure.recordOrderAnswer(
-    { kind: "accepted" },
-    OrderEvidence.Load,
-    5_100,
-    5_101,
-  );
+  accept(tenure, 5_100);
   assert.ok(tenure.isVerified(false, 5_800));
   assert.not(tenure.isVerified(false, 6_100));
 });
@@ -276,12 +263,7 @@
 test("nobody else can have ordered within a term of an accepted order, only then", () => {
   const tenure = createHolding();
   assert.not(tenure.isExclusive(TERM_MS + 400));
-  tenure.recordOrderAnswer(
-    { kind: "accepted" },
-    OrderEvidence.Load,
-    4_000,
-    4_001,
-  );
+  accept(tenure, 4_000);
   assert.ok(tenure.isExclusive(4_000 + TERM_MS - 1));
   assert.not(tenure.isExclusive(4_000 + TERM_MS));
 });
@@ -301,12 +283,7 @@
 
 test("after a pause the engine is verified and the right proved anew", () => {
   const tenure = createHolding();
-  tenure.recordOrderAnswer(
-    { kind: "accepted" },
-    OrderEvidence.Load,
-    4_000,
-    4_001,
-  );
+  accept(tenure, 4_000);
   tenure.recordPause();
   assert.not(tenure.isExclusive(4_010));
   assert.not(tenure.isVerified(false, 4_010));
@@ -336,12 +313,7 @@
     readAt: 7_000,
   };
   const tenure = createHolding();
-  tenure.recordOrderAnswer(
-    { kind: "accepted" },
-    OrderEvidence.Load,
-    4_000,
-    4_001,
-  );
+  accept(tenure, 4_000);
   tenure.recordReport(restart, 7_000);
   assert.ok(tenure.isYoung(7_100));
   assert.not(tenure.isYoung(6_500 + TERM_MS - REPORT_LAG_MS - 400));
--- a/test/fuzz/tenure_fuzz_test.ts
+++ b/test/fuzz/tenure_fuzz_test.ts
@@ -3,8 +3,9 @@
  * frozen, killed and restarted, the engine restarts, and orders, answers and
  * reports are late or lost. An oracle judges every accepted order: holders do
  * not take turns within a term, fencing numbers rise, slots are not exceeded.
- * Now and then all daemons start at once and say in heartbeats that they are new.
- * In half of the runs the engine starts without its base model, whose load is
+ * In another third all daemons start at once now and then, and say in heartbeats
+ * that they are new.
+ * In a third of the runs the engine starts without its base model, whose load is
  * confirmed whatever it expects, and no daemon hears a majority, as in a large
  * fleet.
  */
@@ -18,7 +19,13 @@
   type HeldReport,
   type HolderEffect,
 } from "../../src/core/ordering/engine_holder.ts";
+import {
+  type FleetMember,
+  FleetView,
+  NEWCOMER_MS,
+} from "../../src/core/fleet/fleet_view.ts";
 import { FenceClock } from "../../src/core/ordering/fence_clock.ts";
+import { buildHeartbeat } from "../core/fleet/heartbeat_builder.ts";
 import { TurnOracle } from "./turn_oracle.ts";
 import type { OrderAnswer } from "../../src/core/ordering/tenure_state.ts";
 
@@ -39,7 +46,12 @@
 const RUNS = Number(process.env.TENURE_RUNS ?? 60);
 const FIRST_SEED = Number(process.env.TENURE_SEED ?? 1);
 
-const RIVALS = Array.from({ length: DAEMONS }, (_, index) => `daemon ${index}`);
+const MEMBERS = Array.from(
+  { length: DAEMONS },
+  (_, index) => createMember(index),
+);
+const RIVALS = MEMBERS.map(({ id }) => id);
+const SEED_IPS = MEMBERS.map(({ ip }) => ip);
 
 type GiveOrder = Extract<HolderEffect, { kind: "giveOrder" }>;
 
@@ -149,15 +161,7 @@
 
 /** Period of heartbeats. */
 const BEAT_MS = 400;
-/** Time for which a daemon counts as new. */
-const NEWCOMER_MS = 15_000;
-
-/** What a daemon last said of itself, as another one heard it. */
-interface Word {
-  heardAt: number;
-  isNewcomer: boolean;
-  hasHeld: boolean;
-}
+const ENGINE_ID = "engine";
 
 interface Delivery {
   at: number;
@@ -171,6 +175,14 @@
   restartsFleet: boolean;
 }
 
+function createMember(index: number): FleetMember {
+  return {
+    id: `daemon ${index}`,
+    ip: `10.0.0.${index + 1}`,
+    failureDomain: "a",
+  };
+}
+
 function playRun(
   seed: number,
   { isLarge, restartsFleet }: RunOptions,
@@ -191,17 +203,17 @@
   const skews = Array.from({ length: DAEMONS }, () => draw(-400, 400));
   const startedAt: number[] = [];
   const hasHeld: boolean[] = [];
-  const words: (Word | undefined)[][] = RIVALS.map(() => []);
+  const views: FleetView[] = [];
   const startDaemon = (index: number, at: number): void => {
     startedAt[index] = at;
     hasHeld[index] = false;
-    words[index] = [];
+    views[index] = new FleetView(createMember(index));
     const fences = new FenceClock(`daemon ${index}`);
     lives[index] = (lives[index] ?? 0) + 1;
     holders[index] = new EngineHolder({
       selfId: `daemon ${index}`,
       listRivals: () => RIVALS,
-      engineId: "engine",
+      engineId: ENGINE_ID,
       limits: {
         adapterSlots: SLOTS,
         batchSize: 8,
@@ -276,34 +288,32 @@
       }
     }
   };
+  const isNewcomer = (index: number): boolean =>
+    now - (startedAt[index] ?? 0) < NEWCOMER_MS;
+  const listHeldBefore = (index: number): string[] =>
+    hasHeld[index] ? [ENGINE_ID] : [];
   /** Tells the others, late or not at all where links are cut. */
   const sendWord = (index: number): void => {
-    const isNewcomer = now - (startedAt[index] ?? 0) < NEWCOMER_MS;
-    const word = { isNewcomer, hasHeld: hasHeld[index] ?? false };
+    const heartbeat = buildHeartbeat(createMember(index), {
+      newcomerHeld: isNewcomer(index) ? listHeldBefore(index) : undefined,
+    });
     for (let other = 0; other < DAEMONS; other += 1) {
       const isLost = drawFleet(0, 99) < 6 || (cutUntil[index] ?? 0) > now ||
         (cutUntil[other] ?? 0) > now;
       if (other === index || isLost) continue;
-      const life = lives[other];
+      const view = views[other];
       deliveries.push({
         at: now + drawFleet(1, drawFleet(0, 9) === 0 ? 280 : 30),
-        run: (at) => {
-          if (lives[other] !== life) return;
-          (words[other] ?? [])[index] = { ...word, heardAt: at };
-        },
+        run: (at) => void view?.recordHeartbeat(heartbeat, at),
       });
     }
   };
   const isUnheld = (index: number): boolean => {
-    const observedAt = holders[index]?.observedAt;
-    const isNewcomer = now - (startedAt[index] ?? 0) < NEWCOMER_MS;
-    if (observedAt === undefined || !isNewcomer || hasHeld[index]) return false;
-    return RIVALS.every((_, other) => {
-      if (other === index) return true;
-      const word = words[index]?.[other];
-      return word !== undefined && word.isNewcomer && !word.hasHeld &&
-        word.heardAt >= observedAt + 300 && now - word.heardAt < 4 * BEAT_MS;
-    });
+    const since = holders[index]?.observedAt;
+    const mayAsk = since !== undefined && isNewcomer(index) && !hasHeld[index];
+    return mayAsk &&
+      views[index]?.isUnheld(ENGINE_ID, { since, seedIps: SEED_IPS }, now) ===
+        true;
   };
   let permits = 0;
   for (; now < RUN_MS; now += STEP_MS) {
--- a/test/gateway/peer_task_test.ts
+++ b/test/gateway/peer_task_test.ts
@@ -5,9 +5,13 @@
 import { DecisionLog } from "../../src/gateway/decision_log.ts";
 import type { GatewayMessage } from "../../src/gateway/peer_messages.ts";
 import { PeerTask } from "../../src/gateway/peer_task.ts";
+import { reservePorts } from "../port_reservation.ts";
+
+const ports = await reservePorts(process.pid);
+const PORT = ports.port;
+
+test.after(() => ports.release());
 
-/** Below the ports that the kernel gives out, apart from those of the other gateway tests. */
-const PORT = 9_000 + process.pid % 900;
 const RELEASED: GatewayMessage = {
   kind: "permitReleased",
   engineId: "e",
