No datagram ends a gateway: peers' messages are checked whole at the edge

Cause: PeerTask's receive trusted what JSON.parse gave: null, or acknowledges that are no list, threw out of the socket's handler and ended the process; a heartbeat without its fields did so one step on. A peer's question for '//' on the published view's port ended it too (new URL throws). Change: decodeEnvelope checks envelope and message with one schema, and that the sender speaks for itself; what fails is counted by reason and logged once a second and reason. Packed batches of peers have a schema and a bound on their length. Before: peer_datagrams_test and peer_batch_test end with the process. After: 8 of 8 pass.

--- a/src/core/admission/engine_desk.ts
+++ b/src/core/admission/engine_desk.ts
@@ -18,7 +18,7 @@
   /** Empty for the base model. */
   adapter: string;
   /** Version that must run it; undefined when none is declared. */
-  version: number | undefined;
+  version?: number | undefined;
   /** 0 is the most urgent. */
   priorityRank: number;
   /** Time that a place is worth waiting for. */
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -98,6 +98,7 @@
       ip,
       port: peers.port,
       log: this.#log,
+      metrics: this.#metrics,
       handle: (from, message) => this.#handleMessage(from, message),
     });
     this.#follower = new ViewFollower({
@@ -203,9 +204,15 @@
 
   reportError(step: string, error: unknown): void {
     const detail = error instanceof Error ? error.stack : String(error);
+    this.#metrics.count("internal_errors", step);
     this.#log.warn("internalError", { step, detail });
   }
 
+  /** Writes the log lines that are gathered, before the process ends. */
+  flushLog(): void {
+    this.#log.flush();
+  }
+
   #listenForReadiness(address: string): Promise<void> {
     const { host, port } = parseAddress(address);
     const server = createServer((request, response) => {
--- /dev/null
+++ b/src/gateway/peer_batch.ts
@@ -0,0 +1,63 @@
+/**
+ * How gateways pass on what the store published: a batch of changes, packed. Values
+ * are bytes as Latin-1 text, which packs better than base64.
+ */
+import { Buffer } from "node:buffer";
+import { gunzipSync, gzipSync } from "node:zlib";
+import * as z from "zod";
+import type { StoreBatch } from "../core/view/store_mirror.ts";
+
+/** Longest batch that is unpacked: entries of 900 hosts' upstreams, or a configuration of 4 MB in base64. */
+const MAX_UNPACKED_BYTES = 24 * 1024 * 1024;
+
+/** What a peer answers. */
+export interface PeerBatch {
+  batch: StoreBatch;
+  isAfterOutage: boolean;
+}
+
+const peerBatchSchema = z.object({
+  batch: z.object({
+    isSnapshot: z.boolean(),
+    asOf: z.number(),
+    changes: z.array(z.object({
+      key: z.string(),
+      revision: z.number(),
+      value: z.string().optional(),
+    })),
+  }),
+  isAfterOutage: z.boolean(),
+});
+
+export function encodePeerBatch(told: PeerBatch): Buffer {
+  return gzipSync(JSON.stringify(changeEncoding(told, "base64", "latin1")));
+}
+
+/** Throws where the bytes are no packed batch, or too long a one. */
+export function decodePeerBatch(bytes: Buffer): PeerBatch {
+  const text = gunzipSync(bytes, { maxOutputLength: MAX_UNPACKED_BYTES });
+  const told = peerBatchSchema.parse(JSON.parse(text.toString()));
+  const changes = told.batch.changes.map((change) => ({
+    ...change,
+    value: change.value,
+  }));
+  return changeEncoding(
+    { ...told, batch: { ...told.batch, changes } },
+    "latin1",
+    "base64",
+  );
+}
+
+function changeEncoding(
+  told: PeerBatch,
+  from: BufferEncoding,
+  to: BufferEncoding,
+): PeerBatch {
+  const changes = told.batch.changes.map((change) => ({
+    ...change,
+    value: change.value === undefined
+      ? undefined
+      : Buffer.from(change.value, from).toString(to),
+  }));
+  return { ...told, batch: { ...told.batch, changes } };
+}
--- a/src/gateway/peer_task.ts
+++ b/src/gateway/peer_task.ts
@@ -1,30 +1,28 @@
 /**
  * Owns the datagram socket between gateways. Heartbeats are sent once; other
  * messages are repeated until they are acknowledged, and handled once. There is
- * no connection that could go silent.
+ * no connection that could go silent. What is no valid message is counted and
+ * dropped.
  */
 import { createSocket, type Socket } from "node:dgram";
 import { Buffer } from "node:buffer";
 import { describeError, StepError } from "../daemon/step_error.ts";
 import type { Milliseconds } from "../core/structures.ts";
 import type { DecisionLog } from "./decision_log.ts";
+import type { GatewayMetrics } from "./gateway_metrics.ts";
+import {
+  decodeEnvelope,
+  DropReason,
+  type Envelope,
+} from "./peer_message_decoder.ts";
 import type { GatewayMessage } from "./peer_messages.ts";
 
 /** Times after the first sending at which a message is sent again: loss is rare, a way takes milliseconds. */
 const RESEND_AFTER_MS: readonly Milliseconds[] = [25, 60, 120, 250];
 /** Numbers of messages remembered, so that a repeated one is handled once. */
 const MAX_REMEMBERED = 4_000;
-
-interface Envelope {
-  /** Sender's id and incarnation. */
-  from: string;
-  incarnation: string;
-  /** Number to acknowledge; absent for messages sent once. */
-  number?: number;
-  /** Numbers of the receiver's messages that have come. */
-  acknowledges?: number[];
-  message?: GatewayMessage;
-}
+/** Time between two log lines on datagrams dropped for one reason: anybody may send any number of them. */
+const DROP_LOG_INTERVAL_MS = 1_000;
 
 interface PendingMessage {
   timer: ReturnType<typeof setTimeout>;
@@ -37,6 +35,7 @@
   ip: string;
   port: number;
   log: DecisionLog;
+  metrics: Pick<GatewayMetrics, "count">;
   handle: (from: string, message: GatewayMessage) => void;
 }
 
@@ -51,6 +50,7 @@
   /** Numbers to acknowledge, by the sender's IP; they go with a message that answers at once, or alone. */
   readonly #dueAcks = new Map<string, number[]>();
   #ackTimer: ReturnType<typeof setImmediate> | undefined;
+  readonly #dropsLoggedAt = new Map<DropReason, Milliseconds>();
   #lastNumber = 0;
 
   constructor(options: PeerTaskOptions) {
@@ -137,26 +137,43 @@
   }
 
   #receive(bytes: Buffer, ip: string): void {
-    let envelope: Envelope;
-    try {
-      envelope = JSON.parse(bytes.toString());
-    } catch (error) {
-      this.#options.log.warn("peerDatagramUnreadable", {
-        peer: ip,
-        detail: describeError(error),
-      });
+    const decoded = decodeEnvelope(bytes);
+    if (decoded.isErr()) {
+      this.#recordDrop(decoded.error, ip, performance.now());
       return;
     }
-    const { number, acknowledges, message } = envelope;
+    const { from, incarnation, number, acknowledges, message } = decoded.value;
     for (const each of acknowledges ?? []) {
       this.#pending.get(each)?.settle(true);
     }
     if (!message) return;
     if (number !== undefined) {
       this.#scheduleAck(ip, number);
-      if (!this.#remember(`${envelope.incarnation}:${number}`)) return;
+      if (!this.#remember(`${incarnation}:${number}`)) return;
+    }
+    try {
+      this.#options.handle(from, message);
+    } catch (error) {
+      this.#recordDrop(
+        DropReason.HandlerFault,
+        ip,
+        performance.now(),
+        error instanceof Error ? error.stack : String(error),
+      );
     }
-    this.#options.handle(envelope.from, message);
+  }
+
+  #recordDrop(
+    reason: DropReason,
+    ip: string,
+    now: Milliseconds,
+    detail?: string,
+  ): void {
+    this.#options.metrics.count("peer_messages_dropped", reason);
+    const loggedAt = this.#dropsLoggedAt.get(reason);
+    if (loggedAt !== undefined && now - loggedAt < DROP_LOG_INTERVAL_MS) return;
+    this.#dropsLoggedAt.set(reason, now);
+    this.#options.log.warn("peerDatagramDropped", { peer: ip, reason, detail });
   }
 
   #scheduleAck(ip: string, number: number): void {
--- a/src/gateway/view_follower.ts
+++ b/src/gateway/view_follower.ts
@@ -2,9 +2,7 @@
  * Keeps the published view current: watches the store and, where the store does
  * not answer or peers know more, asks a peer. Only news moves the view forward.
  */
-import { Buffer } from "node:buffer";
 import { Agent, createServer, type Server } from "node:http";
-import { gunzipSync, gzipSync } from "node:zlib";
 import type { FleetView } from "../core/fleet/fleet_view.ts";
 import type { Milliseconds } from "../core/structures.ts";
 import { CatchUp } from "../core/view/catch_up.ts";
@@ -14,6 +12,7 @@
 import type { DecisionLog } from "./decision_log.ts";
 import type { GatewayMetrics } from "./gateway_metrics.ts";
 import { callPeer } from "./http_exchange.ts";
+import { decodePeerBatch, encodePeerBatch } from "./peer_batch.ts";
 import {
   type ChangeDecoder,
   PublishedSet,
@@ -47,12 +46,6 @@
 
 const SETS = Object.values(PublishedSet);
 
-/** What a peer answers, compressed; values are bytes as Latin-1 text, which packs better than base64. */
-interface PeerBatch {
-  batch: StoreBatch;
-  isAfterOutage: boolean;
-}
-
 interface SetState {
   mirror: StoreMirror;
   needsAll: boolean;
@@ -344,20 +337,20 @@
   #listen(): Promise<void> {
     const { ip, port } = this.#options.listen;
     const server = createServer((request, response) => {
-      const url = new URL(request.url ?? "/", "http://peer");
-      const set = SETS.find((each) => each === url.searchParams.get("set"));
-      if (url.pathname !== PEER_PATH || !set) {
+      const [path, query] = (request.url ?? "").split("?");
+      const asked = new URLSearchParams(query);
+      const set = SETS.find((each) => each === asked.get("set"));
+      if (path !== PEER_PATH || !set) {
         response.writeHead(404).end();
         return;
       }
-      const after = Number(url.searchParams.get("after") ?? 0);
+      const after = Number(asked.get("after")) || 0;
       const state = this.#getState(set);
-      const told: PeerBatch = {
+      response.setHeader("Content-Type", "application/gzip");
+      response.end(encodePeerBatch({
         batch: state.mirror.buildBatchAfter(after),
         isAfterOutage: performance.now() - state.outageEndedAt < OUTAGE_TOLD_MS,
-      };
-      response.setHeader("Content-Type", "application/gzip");
-      response.end(encodePeerBatch(told));
+      }));
     });
     this.#server = server;
     return new Promise((resolve, reject) => {
@@ -373,30 +366,6 @@
   }
 }
 
-/** Packs a batch: a configuration of many routes is some hundred KB, and links may be narrow. */
-function encodePeerBatch(told: PeerBatch): Buffer {
-  return gzipSync(JSON.stringify(changeEncoding(told, "base64", "latin1")));
-}
-
-function decodePeerBatch(bytes: Buffer): PeerBatch {
-  const told: PeerBatch = JSON.parse(gunzipSync(bytes).toString());
-  return changeEncoding(told, "latin1", "base64");
-}
-
-function changeEncoding(
-  told: PeerBatch,
-  from: BufferEncoding,
-  to: BufferEncoding,
-): PeerBatch {
-  const changes = told.batch.changes.map((change) => ({
-    ...change,
-    value: change.value === undefined
-      ? undefined
-      : Buffer.from(change.value, from).toString(to),
-  }));
-  return { ...told, batch: { ...told.batch, changes } };
-}
-
 function createSetState(selfId: string): SetState {
   return {
     mirror: new StoreMirror(),
--- /dev/null
+++ b/test/gateway/peer_batch_test.ts
@@ -0,0 +1,87 @@
+/** What gateways pass on of the published view, and bytes that are no such thing. */
+import { Buffer } from "node:buffer";
+import { request } from "node:http";
+import process from "node:process";
+import { gzipSync } from "node:zlib";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { FleetView } from "../../src/core/fleet/fleet_view.ts";
+import { PublishedView } from "../../src/core/view/published_view.ts";
+import { DecisionLog } from "../../src/gateway/decision_log.ts";
+import { GatewayMetrics } from "../../src/gateway/gateway_metrics.ts";
+import {
+  decodePeerBatch,
+  encodePeerBatch,
+} from "../../src/gateway/peer_batch.ts";
+import { ViewFollower } from "../../src/gateway/view_follower.ts";
+import { reservePorts } from "../port_reservation.ts";
+
+const ports = await reservePorts(process.pid);
+
+test.after(() => ports.release());
+
+test("a batch comes out as it went in, bytes of any value included", () => {
+  const value = Buffer.from([...Array(256).keys()]).toString("base64");
+  const told = {
+    batch: {
+      isSnapshot: false,
+      asOf: 7,
+      changes: [
+        { key: "k", revision: 6, value },
+        { key: "gone", revision: 7, value: undefined },
+      ],
+    },
+    isAfterOutage: true,
+  };
+  assert.equal(decodePeerBatch(encodePeerBatch(told)), told);
+});
+
+test("what is no batch is refused whole", () => {
+  const bad = [
+    Buffer.from("no gzip"),
+    gzipSync("no JSON"),
+    gzipSync("null"),
+    gzipSync('{"batch":{"isSnapshot":true,"asOf":1}}'),
+    gzipSync(
+      '{"batch":{"isSnapshot":true,"asOf":"1","changes":[]},"isAfterOutage":false}',
+    ),
+    gzipSync(Buffer.alloc(32 * 1024 * 1024, 32)),
+  ];
+  for (const bytes of bad) assert.throws(() => decodePeerBatch(bytes));
+});
+
+test("a peer's question that is no URL path is answered, and so is the next", async () => {
+  const follower = new ViewFollower({
+    store: {
+      readAll: () => Promise.reject(new Error("no store here")),
+      watch: () => Promise.reject(new Error("no store here")),
+      closeConnections: () => {},
+    },
+    decoder: {
+      decode: () => {
+        throw new Error("nothing to decode");
+      },
+    },
+    view: new PublishedView(),
+    fleet: new FleetView({ id: "a", ip: "127.0.0.1", failureDomain: "a" }),
+    log: new DecisionLog("test", "silent"),
+    metrics: new GatewayMetrics(),
+    leavingMs: 2_000,
+    listen: { ip: "127.0.0.1", port: ports.port },
+    handleNews: () => {},
+  });
+  await follower.start();
+  const ask = (path: string) =>
+    new Promise<number | undefined>((resolve, reject) => {
+      request({ host: "127.0.0.1", port: ports.port, path }, (response) => {
+        response.resume();
+        resolve(response.statusCode);
+      }).on("error", reject).end();
+    });
+  assert.is(await ask("//"), 404);
+  assert.is(await ask("/published?set=none"), 404);
+  assert.is(await ask("/published?set=configuration&after=x"), 200);
+  follower.stop();
+});
+
+test.run();
--- /dev/null
+++ b/test/gateway/peer_datagrams_test.ts
@@ -0,0 +1,175 @@
+/** Datagrams from anybody: what is no whole, valid message is counted and changes nothing. */
+import { Buffer } from "node:buffer";
+import { createSocket } from "node:dgram";
+import process from "node:process";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { DecisionLog } from "../../src/gateway/decision_log.ts";
+import { GatewayMetrics } from "../../src/gateway/gateway_metrics.ts";
+import type { GatewayMessage } from "../../src/gateway/peer_messages.ts";
+import { PeerTask } from "../../src/gateway/peer_task.ts";
+import { reservePorts } from "../port_reservation.ts";
+
+const ports = await reservePorts(process.pid);
+const RECEIVER = "127.0.0.3";
+const SENDER = "127.0.0.4";
+
+test.after(() => ports.release());
+
+const HEARTBEAT = {
+  sender: { id: SENDER, ip: SENDER, failureDomain: "a" },
+  incarnation: "1",
+  beat: 1,
+  isLeaving: false,
+  hasStore: true,
+  revisions: { configuration: 1, upstreams: 1 },
+  heldEngines: ["e"],
+  fetchesInFlight: 0,
+  fenceUnixMs: 1,
+  sample: [["m", "127.0.0.5", "a", 3]],
+  strikes: [{ fingerprint: "f", strikes: 1 }],
+};
+const REQUEST = {
+  permitId: "p",
+  holder: SENDER,
+  model: "m",
+  adapter: "a1",
+  adapterPath: "m/a1",
+  priorityRank: 0,
+  promptTokens: 1,
+  outputTokens: 1,
+  promptParts: [{ id: "x", tokens: 1 }],
+  patienceMs: 1,
+  firstTokenBudgetMs: 1,
+  lifetimeMs: 1,
+  isLastChoice: false,
+};
+const RELEASED = { kind: "permitReleased", engineId: "e", permitId: "p" };
+
+/** Sends raw texts to a receiver, and a valid message after them; returns what was handled and counted. */
+async function receive(
+  texts: readonly (string | Buffer)[],
+  handleAlso: (message: GatewayMessage) => void = () => {},
+) {
+  const handled: GatewayMessage[] = [];
+  const dropped: string[] = [];
+  const metrics = new GatewayMetrics();
+  metrics.count = (name, reason) => {
+    if (name === "peer_messages_dropped") dropped.push(reason);
+  };
+  const receiver = new PeerTask({
+    selfId: RECEIVER,
+    incarnation: "r",
+    ip: RECEIVER,
+    port: ports.port,
+    log: new DecisionLog("test", "silent"),
+    metrics,
+    handle: (_from, message) => {
+      handled.push(message);
+      handleAlso(message);
+    },
+  });
+  await receiver.listen();
+  const socket = createSocket("udp4");
+  const acknowledged = new Promise<void>((resolve) => {
+    socket.on("message", () => resolve());
+  });
+  await new Promise<void>((resolve) =>
+    socket.bind(ports.port, SENDER, resolve)
+  );
+  const last = encode(RELEASED, { number: 77 });
+  for (const text of [...texts, last]) {
+    socket.send(text, ports.port, RECEIVER);
+  }
+  await acknowledged;
+  socket.close();
+  receiver.close();
+  return { handled, dropped };
+}
+
+function encode(message: object, rest: object = {}): string {
+  return JSON.stringify({ from: SENDER, incarnation: "1", message, ...rest });
+}
+
+test("bytes that are no envelope end nothing and are counted", async () => {
+  const { handled, dropped } = await receive([
+    "null",
+    "5",
+    "[]",
+    '{"acknowledges":5}',
+    '{"acknowledges":[{}]}',
+    '{"from":1,"incarnation":"1"}',
+    "{",
+    "",
+    Buffer.from([0xff, 0x00, 0xfe]),
+    "[".repeat(60_000),
+  ]);
+  assert.equal(handled, [RELEASED]);
+  assert.equal(dropped.length, 10);
+});
+
+test("messages without their fields, or with other types, are dropped", async () => {
+  const bad: object[] = [
+    { kind: "heartbeat" },
+    { kind: "heartbeat", heartbeat: {} },
+    { kind: "heartbeat", heartbeat: { ...HEARTBEAT, strikes: undefined } },
+    { kind: "heartbeat", heartbeat: { ...HEARTBEAT, sample: [["m"]] } },
+    { kind: "heartbeat", heartbeat: { ...HEARTBEAT, beat: "1" } },
+    { kind: "permitRequest", engineId: "e" },
+    {
+      kind: "permitRequest",
+      engineId: "e",
+      request: { ...REQUEST, patienceMs: null },
+    },
+    { kind: "permitAnswer", engineId: "e", answer: { kind: "maybe" } },
+    { kind: "permitReleased", engineId: 5, permitId: "p" },
+    { kind: "runsHeld", engineId: "e", runs: [null] },
+    { kind: "handover", engineId: "e", handover: { adapters: [["a"]] } },
+  ];
+  const { handled, dropped } = await receive(bad.map((each) => encode(each)));
+  assert.equal(handled, [RELEASED]);
+  assert.equal(dropped, bad.map(() => "invalid"));
+});
+
+test("a peer speaks only for itself", async () => {
+  const other = { ...HEARTBEAT, sender: { ...HEARTBEAT.sender, id: "x" } };
+  const { handled, dropped } = await receive([
+    encode({ kind: "heartbeat", heartbeat: other }),
+    encode({
+      kind: "permitRequest",
+      engineId: "e",
+      request: { ...REQUEST, holder: "x" },
+    }),
+  ]);
+  assert.equal(handled, [RELEASED]);
+  assert.equal(dropped, ["foreignSender", "foreignSender"]);
+});
+
+test("messages of a later version: unknown fields are left out, unknown kinds counted", async () => {
+  const { handled, dropped } = await receive([
+    encode({ kind: "heartbeat", heartbeat: { ...HEARTBEAT, later: 1 } }),
+    encode({ kind: "permitRequest", engineId: "e", request: REQUEST }),
+    encode({ kind: "somethingLater", engineId: "e" }),
+  ]);
+  assert.equal(handled, [
+    { kind: "heartbeat", heartbeat: HEARTBEAT },
+    { kind: "permitRequest", engineId: "e", request: REQUEST },
+    RELEASED,
+  ]);
+  assert.equal(dropped, ["unknownKind"]);
+});
+
+test("a fault in the handling of one message leaves the others served", async () => {
+  const { handled, dropped } = await receive(
+    [encode({ ...RELEASED, permitId: "faulty" })],
+    (message) => {
+      const isFaulty = message.kind === "permitReleased" &&
+        message.permitId === "faulty";
+      if (isFaulty) throw new Error("played fault");
+    },
+  );
+  assert.equal(handled.length, 2);
+  assert.equal(dropped, ["handlerFault"]);
+});
+
+test.run();
--- a/test/gateway/peer_task_test.ts
+++ b/test/gateway/peer_task_test.ts
@@ -3,6 +3,7 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { DecisionLog } from "../../src/gateway/decision_log.ts";
+import { GatewayMetrics } from "../../src/gateway/gateway_metrics.ts";
 import type { GatewayMessage } from "../../src/gateway/peer_messages.ts";
 import { PeerTask } from "../../src/gateway/peer_task.ts";
 import { reservePorts } from "../port_reservation.ts";
@@ -28,6 +29,7 @@
     ip,
     port: PORT,
     log: new DecisionLog("test", "silent"),
+    metrics: new GatewayMetrics(),
     handle,
   });
 }
