Trial of a desk that sends requests elsewhere only for what is scarce at its engine

Hypothesis: who waits for a load waits at home; fewer copies, fewer questions. Change: only reading, batch and slots of the engine itself send elsewhere; the time for a slot and a batch place follows the mean duration of runs; an engine keeps five adapters a slot in its memory (40 before).

--- a/src/core/admission/engine_desk.ts
+++ b/src/core/admission/engine_desk.ts
@@ -69,14 +69,14 @@
 
 /** Part of the time until the first token is late that an estimate may take here before another engine is tried. */
 const SPREAD_SHARE = 0.65;
-/** Time until one of an engine's slots falls idle, when all are in use: a run of some seconds over the slots. */
-const SLOT_WAIT_MS = 300;
+/** Duration of a run before any was seen: some tens of tokens. */
+const FIRST_RUN_MS = 1_000;
+/** Weight of the latest run in the mean duration: the runs of a few seconds count. */
+const RUN_WEIGHT = 1 / 32;
 /** Time after taking an engine over in which daemons tell of the runs that they have there. */
 const ADOPTION_MS = 900;
 /** Backlog of prompts beyond which a request waits here instead of in the engine. */
 const MAX_BACKLOG_MS = 600;
-/** Time that a run takes to leave room, for estimates of a wait. */
-const TYPICAL_RUN_MS = 500;
 
 interface WaitingRequest {
   request: PermitRequest;
@@ -84,18 +84,25 @@
   overdueAt: Milliseconds;
 }
 
+interface Permit {
+  adapterPath: string;
+  expiresAt: Milliseconds;
+  /** When it was granted; undefined for runs that were adopted. */
+  grantedAt: Milliseconds | undefined;
+  hasFirstToken: boolean;
+}
+
 export class EngineDesk {
   readonly places: AdapterPlaces;
   readonly room: BatchRoom;
   readonly #waiting = new Map<string, WaitingRequest>();
-  readonly #permits = new Map<
-    string,
-    { adapterPath: string; expiresAt: Milliseconds }
-  >();
+  readonly #permits = new Map<string, Permit>();
   /** Daemons that the engine has turned away, and until when. */
   readonly #backedOff = new Map<string, Milliseconds>();
   #answers: PermitAnswer[] = [];
   #evictableFrom = Number.NEGATIVE_INFINITY;
+  /** Mean duration of the runs here. */
+  #runMs = FIRST_RUN_MS;
 
   constructor(places: AdapterPlaces, room: BatchRoom) {
     this.places = places;
@@ -153,6 +160,8 @@
     this.#permits.set(permitId, {
       adapterPath,
       expiresAt: now + permit.lifetimeMs,
+      grantedAt: undefined,
+      hasFirstToken: true,
     });
     this.room.admit(permitId, permit, now);
     this.room.recordFirstToken(permitId);
@@ -167,6 +176,9 @@
     if (!permit) return;
     this.#permits.delete(permitId);
     this.room.release(permitId);
+    if (permit.hasFirstToken && permit.grantedAt !== undefined) {
+      this.#runMs += RUN_WEIGHT * (now - permit.grantedAt - this.#runMs);
+    }
     const place = this.places.getPlace(permit.adapterPath);
     place?.permits.delete(permitId);
     if (place) place.lastUsedAt = Math.max(place.lastUsedAt, now);
@@ -178,6 +190,7 @@
     const permit = this.#permits.get(permitId);
     const place = permit && this.places.getPlace(permit.adapterPath);
     if (place) this.places.recordConfirmed(place);
+    if (permit) permit.hasFirstToken = true;
     this.room.recordFirstToken(permitId);
     this.pump(now);
   }
@@ -312,22 +325,26 @@
     return place?.state === "resident" && hasVersion(place, request.version);
   }
 
+  /**
+   * Another engine is worth a try only for what is long here: a load from the weight
+   * store takes as long everywhere, and each copy of an adapter costs one.
+   */
   #findDenial(
     request: PermitRequest,
     now: Milliseconds,
   ): DenialReason | undefined {
-    const place = this.places.getPlace(request.adapterPath);
-    const isAbsent = request.adapter !== "" && place === undefined;
-    const isWithoutSlot = isAbsent && !this.places.hasRoom() &&
-      this.#findEvictable(now) === undefined;
-    const firstTokenMs = this.estimateFirstTokenMs(request, now);
+    const prefillMs = this.room.estimateOwnPrefillMs(request);
+    const localMs = this.#estimateLocalMs(request, now);
     if (request.isLastChoice) {
-      const placeMs = firstTokenMs - this.room.estimateOwnPrefillMs(request);
+      const placeMs = Math.max(localMs, this.#estimateLoadMs(request, now));
       return placeMs > request.patienceMs ? DenialReason.Busy : undefined;
     }
-    const isLate = firstTokenMs > SPREAD_SHARE * request.firstTokenBudgetMs;
+    const isLate = localMs + prefillMs >
+      SPREAD_SHARE * request.firstTokenBudgetMs;
     if (!isLate) return undefined;
-    return isWithoutSlot ? DenialReason.SlotsInUse : DenialReason.Busy;
+    return this.#needsSlot(request, now)
+      ? DenialReason.SlotsInUse
+      : DenialReason.Busy;
   }
 
   #findEvictable(now: Milliseconds): Place | undefined {
@@ -341,29 +358,46 @@
     request: PermitRequest,
     now: Milliseconds,
   ): Milliseconds {
-    const place = this.places.getPlace(request.adapterPath);
-    const isAbsent = request.adapter !== "" && place === undefined;
-    const backlogMs = this.room.estimateBacklogMs(now);
-    const queueMs = this.#sumWaitingPrefillMs(request);
-    const loadMs = isAbsent
-      ? this.#estimateLoadMs(request, now)
-      : place?.state === "loading"
-      ? Math.max(0, place.readyAt - now)
-      : 0;
-    const fullMs = this.room.hasRoomFor(request) ? 0 : TYPICAL_RUN_MS;
-    return Math.max(loadMs, backlogMs + queueMs, fullMs) +
+    const localMs = this.#estimateLocalMs(request, now);
+    return Math.max(localMs, this.#estimateLoadMs(request, now)) +
       this.room.estimateOwnPrefillMs(request);
   }
 
+  /** Returns the wait for what is scarce at this engine: its reading, its batch, its slots. */
+  #estimateLocalMs(request: PermitRequest, now: Milliseconds): Milliseconds {
+    const readMs = this.room.estimateBacklogMs(now) +
+      this.#sumWaitingPrefillMs(request);
+    const fullMs = this.room.hasRoomFor(request)
+      ? 0
+      : this.#runMs / Math.max(1, this.room.countRunning());
+    return Math.max(readMs, fullMs, this.#estimateSlotMs(request, now));
+  }
+
+  /** Returns the time until a slot falls idle for the request's adapter. */
+  #estimateSlotMs(request: PermitRequest, now: Milliseconds): Milliseconds {
+    if (!this.#needsSlot(request, now)) return 0;
+    const inUse = Math.max(1, this.places.countPlaces());
+    return this.#runMs / inUse * (1 + this.#countWaitingAbsent(request));
+  }
+
+  #needsSlot(request: PermitRequest, now: Milliseconds): boolean {
+    return request.adapter !== "" &&
+      this.places.getPlace(request.adapterPath) === undefined &&
+      !this.places.hasRoom() && this.#findEvictable(now) === undefined;
+  }
+
   /** Returns the time of a load, with that for a slot to fall idle and for loads before it. */
   #estimateLoadMs(request: PermitRequest, now: Milliseconds): Milliseconds {
+    const { adapterPath } = request;
+    if (request.adapter === "") return 0;
+    const place = this.places.getPlace(adapterPath);
+    if (place) {
+      return place.state === "loading" ? Math.max(0, place.readyAt - now) : 0;
+    }
     const before = this.#countWaitingAbsent(request);
-    const needsSlot = !this.places.hasRoom() &&
-      this.#findEvictable(now) === undefined;
-    const slotMs = needsSlot ? SLOT_WAIT_MS * (1 + before) : 0;
-    return slotMs +
-      this.places.estimateLoadMs(request.adapterPath) +
-      this.places.estimateFetchQueueMs(request.adapterPath, before);
+    return this.#estimateSlotMs(request, now) +
+      this.places.estimateLoadMs(adapterPath) +
+      this.places.estimateFetchQueueMs(adapterPath, before);
   }
 
   /** Counts the other adapters that wait for a load here. */
@@ -393,6 +427,8 @@
     this.#permits.set(permitId, {
       adapterPath,
       expiresAt: now + request.lifetimeMs,
+      grantedAt: now,
+      hasFirstToken: false,
     });
     this.room.admit(permitId, request, now);
     const place = this.places.getPlace(adapterPath);
--- a/src/core/placement/adapter_places.ts
+++ b/src/core/placement/adapter_places.ts
@@ -33,8 +33,8 @@
 const FETCH_MS = 260;
 /** First estimate of a load of an adapter that the engine held lately. */
 const RELOAD_MS = 35;
-/** Adapters that an engine is taken to keep in its memory; a reload is faster from there. */
-const KEPT_ADAPTERS = 40;
+/** Adapters that an engine is taken to keep in its memory beside its slots, for each of these; a reload is faster from there. */
+const KEPT_PER_SLOT = 5;
 /** Part of the loads at full speed below which a new load starts at once. */
 const UNQUEUED_SHARE = 0.5;
 /** Adapters on their way to one engine, at most: the platform's bound. */
@@ -97,6 +97,10 @@
     return [...this.#places.values()];
   }
 
+  countPlaces(): number {
+    return this.#places.size;
+  }
+
   countComing(): number {
     return this.listPlaces().filter((place) => place.state === "loading")
       .length;
@@ -175,7 +179,7 @@
     this.#places.delete(adapterPath);
     this.#kept.delete(adapterPath);
     this.#kept.add(adapterPath);
-    if (this.#kept.size <= KEPT_ADAPTERS) return;
+    if (this.#kept.size <= KEPT_PER_SLOT * this.#capacity) return;
     const [oldest] = this.#kept;
     if (oldest !== undefined) this.#kept.delete(oldest);
   }
