Adapters in wide use get a home in each failure domain

Found: one adapter is a fifth of the demand; its home's prompts took 98 to 148 ms in the median to a first token, those of quiet engines 60; three callers in four reached it through another failure domain. Change: each entry follows what it is asked for (AdapterDemand). Where runs of an adapter go on all the time in a failure domain, it has a home there, and several where one would spend over a quarter of its reading on it. The base model, which costs no load, is asked for nearby.

--- a/src/core/admission/batch_room.ts
+++ b/src/core/admission/batch_room.ts
@@ -7,7 +7,7 @@
 import type { Milliseconds } from "../structures.ts";
 
 /** Prompt tokens that an engine reads in a millisecond; the users' sheets give 38.4 and 38.7. */
-const PREFILL_TOKENS_PER_MS = 38;
+export const PREFILL_TOKENS_PER_MS = 38;
 /** Part of the memory for tokens that is given out: caches and estimates need the rest. */
 const USABLE_MEMORY_SHARE = 0.9;
 /** Prompt parts that an engine is taken to keep. */
--- a/src/core/fleet/fleet_view.ts
+++ b/src/core/fleet/fleet_view.ts
@@ -126,6 +126,16 @@
     return 1 + this.#getSurvey(now).living;
   }
 
+  /** The same within a failure domain; at least one. */
+  countLivingIn(failureDomain: string, now: Milliseconds): number {
+    const { staying } = this.#getSurvey(now);
+    const peers = staying.filter((member) =>
+      member.failureDomain === failureDomain
+    );
+    const own = failureDomain === this.#self.failureDomain ? 1 : 0;
+    return Math.max(1, peers.length + own);
+  }
+
   /**
    * Returns whether this daemon itself hears more than half of the daemons that
    * might order the engines of a failure domain: of all in a small fleet, of those
--- /dev/null
+++ b/src/core/placement/adapter_demand.ts
@@ -0,0 +1,76 @@
+/**
+ * How much each adapter is asked for here, so that those in wide use get homes near
+ * their callers. Load pattern: a few adapters out of thousands receive most of the
+ * requests, and which they are changes; one home would be their bottleneck, and
+ * three callers in four would reach it through another failure domain.
+ */
+import type { Milliseconds } from "../structures.ts";
+
+/** What a caller's request asks of an engine, as far as demand goes. */
+export interface DemandSample {
+  adapterPath: string;
+  /** Prompt tokens that no other request shares. */
+  ownTokens: number;
+}
+
+/** How much an adapter is asked for at this host, decayed. */
+export interface AdapterRate {
+  requestsPerMs: number;
+  tokensPerMs: number;
+}
+
+/** Time in which a request loses half of its weight: long against a run, short against changes of demand. */
+const HALF_LIFE_MS = 5_000;
+const MEAN_LIFE_MS = HALF_LIFE_MS / Math.LN2;
+/** Adapters that are remembered; those that are asked for least are forgotten first. */
+const MAX_REMEMBERED = 1_000;
+/** Decayed requests below which an adapter is forgotten. */
+const FORGET_BELOW = 0.05;
+
+interface Demand {
+  requests: number;
+  tokens: number;
+  updatedAt: Milliseconds;
+}
+
+export class AdapterDemand {
+  readonly #demands = new Map<string, Demand>();
+
+  recordRequest(sample: DemandSample, now: Milliseconds): void {
+    const { adapterPath, ownTokens } = sample;
+    const before = this.#demands.get(adapterPath);
+    const kept = before ? computeKept(before, now) : 0;
+    // The last one asked for comes last, so that the first is the oldest.
+    this.#demands.delete(adapterPath);
+    this.#demands.set(adapterPath, {
+      requests: (before?.requests ?? 0) * kept + 1,
+      tokens: (before?.tokens ?? 0) * kept + ownTokens,
+      updatedAt: now,
+    });
+    if (this.#demands.size > MAX_REMEMBERED) this.#forgetLeast(now);
+  }
+
+  getRate(adapterPath: string, now: Milliseconds): AdapterRate {
+    const demand = this.#demands.get(adapterPath);
+    if (!demand) return { requestsPerMs: 0, tokensPerMs: 0 };
+    const kept = computeKept(demand, now) / MEAN_LIFE_MS;
+    return {
+      requestsPerMs: demand.requests * kept,
+      tokensPerMs: demand.tokens * kept,
+    };
+  }
+
+  #forgetLeast(now: Milliseconds): void {
+    for (const [path, demand] of this.#demands) {
+      const requests = demand.requests * computeKept(demand, now);
+      if (requests < FORGET_BELOW) this.#demands.delete(path);
+    }
+    const [oldest] = this.#demands.keys();
+    const isStillFull = this.#demands.size > MAX_REMEMBERED;
+    if (isStillFull && oldest !== undefined) this.#demands.delete(oldest);
+  }
+}
+
+function computeKept(demand: Demand, now: Milliseconds): number {
+  return 0.5 ** ((now - demand.updatedAt) / HALF_LIFE_MS);
+}
--- a/src/core/placement/upstream_choice.ts
+++ b/src/core/placement/upstream_choice.ts
@@ -1,11 +1,13 @@
 /**
  * Ranks the upstreams for a request. Engines: an adapter has a home, drawn by
  * rendezvous, where it stays resident and where its prompts stay cached; the
- * next in the same order take copies when the home is full or too busy. Load
- * pattern: thousands of adapters with skewed popularity over a few slots each.
+ * next in the same order take copies when the home is full or too busy. One in
+ * wide use has a home in each failure domain, and several where one would be
+ * kept busy by it alone. Load pattern: thousands of adapters with skewed
+ * popularity over a few slots each.
  * Plain services: the least loaded upstream by its own word, near ones first.
  */
-import { rankByRendezvous } from "../hashing.ts";
+import { hashText, rankByRendezvous } from "../hashing.ts";
 import type { Milliseconds } from "../structures.ts";
 import type { PublishedUpstream } from "../view/published_view.ts";
 import type { UpstreamHealth } from "./upstream_health.ts";
@@ -13,20 +15,56 @@
 /** Engines that may take a copy of one adapter. */
 export const MAX_ADAPTER_HOMES = 6;
 
+/** Runs of an adapter that go on at once in a failure domain, from which it has a home there: its slot is seldom idle. */
+const NEAR_HOME_RUNS = 1;
+/** Part of an engine's reading that one adapter may take up before it gets a further home: as much is left for the rest of an even load. */
+const HOME_READING_SHARE = 0.25;
+
+/** How much an adapter is asked for in the failure domain of the one who asks. */
+export interface DomainDemand {
+  failureDomain: string;
+  /** Runs that go on at once. */
+  runs: number;
+  /** Prompt reading, in parts of what one engine reads. */
+  reading: number;
+  /** Whether each further home costs a load. */
+  costsLoads: boolean;
+  /** Spreads requests over several homes; another one for each request. */
+  spreadKey: string;
+}
+
 /** Returns the engines for an adapter, its home first; ill ones come last. */
 export function rankEngines(
   adapterPath: string,
   engines: readonly PublishedUpstream[],
+  demand: DomainDemand,
   health: UpstreamHealth,
   now: Milliseconds,
 ): PublishedUpstream[] {
   const ranked = rankByRendezvous(adapterPath, engines);
+  const sound = ranked.filter((engine) => !health.isAvoided(engine.id, now));
   return [
-    ...ranked.filter((engine) => !health.isAvoided(engine.id, now)),
+    ...moveHomesFirst(sound, demand),
     ...ranked.filter((engine) => health.isAvoided(engine.id, now)),
   ];
 }
 
+/** Puts the near homes of an adapter in wide use first, another one of them for each request. */
+function moveHomesFirst(
+  ranked: readonly PublishedUpstream[],
+  demand: DomainDemand,
+): readonly PublishedUpstream[] {
+  if (demand.costsLoads && demand.runs < NEAR_HOME_RUNS) return ranked;
+  const near = ranked.filter((engine) =>
+    engine.failureDomain === demand.failureDomain
+  );
+  const homeCount = Math.ceil(demand.reading / HOME_READING_SHARE);
+  const homes = near.slice(0, Math.max(1, homeCount));
+  const first = hashText(demand.spreadKey) % Math.max(1, homes.length);
+  const chosen = [...homes.slice(first), ...homes.slice(0, first)];
+  return [...chosen, ...ranked.filter((each) => !chosen.includes(each))];
+}
+
 /** What is known of the load of a plain service's upstream. */
 export interface ServiceLoad {
   /** Requests that this daemon has there. */
--- a/src/gateway/engine_place_finder.ts
+++ b/src/gateway/engine_place_finder.ts
@@ -7,10 +7,12 @@
   DenialReason,
   type PermitAnswer,
 } from "../core/admission/engine_desk.ts";
+import { PREFILL_TOKENS_PER_MS } from "../core/admission/batch_room.ts";
 import { computePlacePatienceMs } from "../core/admission/place_patience.ts";
 import { AttemptOutcome } from "../core/execution/attempt_verdict.ts";
 import { formatAdapterPath } from "../core/placement/adapter_path.ts";
 import {
+  type DomainDemand,
   MAX_ADAPTER_HOMES,
   rankEngines,
 } from "../core/placement/upstream_choice.ts";
@@ -60,6 +62,8 @@
   #expectedMs: Milliseconds = DEFAULT_RETRY_AFTER_MS;
   #place: EnginePlace | undefined;
   #placeCount = 0;
+  /** Whether the request has been counted as demand. */
+  #isCounted = false;
 
   constructor(options: EnginePlaceFinderOptions) {
     this.#options = options;
@@ -79,6 +83,19 @@
       : this.#context.view.getAdapterVersion(this.#getAdapterPath());
   }
 
+  #recordDemand(placementKey: string): void {
+    if (this.#isCounted) return;
+    this.#isCounted = true;
+    const { promptTokens, promptParts } = this.#exchange.facts;
+    const shared = promptParts.slice(0, -1)
+      .reduce((sum, part) => sum + part.tokens, 0);
+    const ownTokens = Math.max(0, promptTokens - shared);
+    this.#context.demand.recordRequest(
+      { adapterPath: placementKey, ownTokens },
+      performance.now(),
+    );
+  }
+
   /** Finds an engine with a place for the request; the place is released after the attempt. */
   async findEngine(): Promise<PublishedUpstream | undefined> {
     const { view, health, backoff } = this.#context;
@@ -96,11 +113,13 @@
     const placementKey = facts.adapter === ""
       ? `${facts.model}|${facts.promptParts[0]?.id ?? facts.requestId}`
       : this.#getAdapterPath();
+    this.#recordDemand(placementKey);
     const ranked = rankEngines(
       placementKey,
       engines,
+      this.#describeDemand(placementKey),
       health,
-      performance.now(),
+      startedAt,
     );
     const fresh = ranked.filter((each) =>
       !this.#options.passedOver.has(each.id)
@@ -136,6 +155,21 @@
     return this.#takeAnswer(engine, answer, grantorId) ? engine : undefined;
   }
 
+  /** Returns how much is asked for in this failure domain, whose callers come to its hosts alike. */
+  #describeDemand(placementKey: string): DomainDemand {
+    const { demand, engines, failureDomain, fleet } = this.#context;
+    const now = performance.now();
+    const rate = demand.getRate(placementKey, now);
+    const hosts = fleet.countLivingIn(failureDomain, now);
+    return {
+      failureDomain,
+      runs: hosts * rate.requestsPerMs * engines.permits.meanRunMs,
+      reading: hosts * rate.tokensPerMs / PREFILL_TOKENS_PER_MS,
+      costsLoads: this.#exchange.facts.adapter !== "",
+      spreadKey: this.#exchange.facts.requestId,
+    };
+  }
+
   /** Notes the run, so that a holder to come knows of it. */
   #assignWithoutPermit(
     engine: PublishedUpstream | undefined,
@@ -162,6 +196,7 @@
       promptTokens: facts.promptTokens,
       outputTokens: facts.outputTokens,
       promptParts: facts.promptParts,
+      startedAt: performance.now(),
       endsAt: this.#options.endsAt,
     });
   }
--- a/src/gateway/permit_client.ts
+++ b/src/gateway/permit_client.ts
@@ -19,6 +19,10 @@
 const RUNS_INTERVAL_MS = 200;
 /** Runs told in one message, so that it stays one datagram. */
 const MAX_RUNS_PER_MESSAGE = 6;
+/** Duration of a run before any was seen: some tens of tokens. */
+const FIRST_RUN_MS = 1_000;
+/** Weight of the latest run in the mean duration. */
+const RUN_WEIGHT = 1 / 32;
 /** Added to a permit's patience for the way there and back. */
 const ANSWER_SLACK_MS = 150;
 
@@ -30,6 +34,7 @@
 
 /** A run of this daemon at an engine, and the holder that knows of it. */
 export interface OwnRun extends BatchDemand {
+  startedAt: Milliseconds;
   engineId: string;
   permitId: string;
   endsAt: Milliseconds;
@@ -64,6 +69,7 @@
   readonly #toldHolders = new ToldHolders();
   readonly #returns = new UndeliveredReturns<ReturnMessage>();
   #lastRunsAt = Number.NEGATIVE_INFINITY;
+  #meanRunMs = FIRST_RUN_MS;
 
   constructor(options: PermitClientOptions) {
     this.#options = options;
@@ -144,6 +150,11 @@
     });
   }
 
+  /** Mean duration of this daemon's runs, from place to end. */
+  get meanRunMs(): Milliseconds {
+    return this.#meanRunMs;
+  }
+
   /** Notes a run of this daemon at an engine, so that a new holder can be told. */
   addRun(run: OwnRun): void {
     this.#ownRuns.set(run.permitId, run);
@@ -165,6 +176,10 @@
       case "permitReleased":
       case "permitUnusable":
         this.#ownRuns.delete(message.permitId);
+        if (run && message.kind === "permitReleased") {
+          const runMs = performance.now() - run.startedAt;
+          this.#meanRunMs += RUN_WEIGHT * (runMs - this.#meanRunMs);
+        }
         if (run?.knownTo !== undefined) {
           this.#returnPermit(message, run.knownTo, run.endsAt);
         }
--- a/test/core/placement/upstream_choice_test.ts
+++ b/test/core/placement/upstream_choice_test.ts
@@ -24,13 +24,22 @@
 
 const UPSTREAMS = ["1", "2", "3", "4", "5"].map((id) => createUpstream(id));
 
+/** An adapter that is hardly asked for. */
+const IDLE = {
+  failureDomain: "a",
+  runs: 0,
+  reading: 0,
+  costsLoads: true,
+  spreadKey: "r",
+};
+
 test("an adapter keeps its home when another engine goes", () => {
   const health = new UpstreamHealth();
   let moved = 0;
   for (let index = 0; index < 200; index += 1) {
     const path = `m/a${index}`;
-    const [home] = rankEngines(path, UPSTREAMS, health, 0);
-    const [after] = rankEngines(path, UPSTREAMS.slice(1), health, 0);
+    const [home] = rankEngines(path, UPSTREAMS, IDLE, health, 0);
+    const [after] = rankEngines(path, UPSTREAMS.slice(1), IDLE, health, 0);
     if (home?.id !== after?.id) moved += 1;
     if (home?.id !== "1") assert.is(after?.id, home?.id);
   }
@@ -39,11 +48,14 @@
 
 test("an engine that can't be reached is asked last, and again after its pause", () => {
   const health = new UpstreamHealth();
-  const [home] = rankEngines("m/a1", UPSTREAMS, health, 0);
+  const [home] = rankEngines("m/a1", UPSTREAMS, IDLE, health, 0);
   health.recordSign(home?.id ?? "", "unreachable", 0);
-  const during = rankEngines("m/a1", UPSTREAMS, health, 100);
+  const during = rankEngines("m/a1", UPSTREAMS, IDLE, health, 100);
   assert.is(during.at(-1)?.id, home?.id);
-  assert.is(rankEngines("m/a1", UPSTREAMS, health, 3_000)[0]?.id, home?.id);
+  assert.is(
+    rankEngines("m/a1", UPSTREAMS, IDLE, health, 3_000)[0]?.id,
+    home?.id,
+  );
 });
 
 test("an upstream that fails half of its requests gets few, and all when it recovers", () => {
