--- a/src/core/admission/engine_desk.ts
+++ b/src/core/admission/engine_desk.ts
@@ -5,7 +5,8 @@
  * slots and more prompts than the engine reads in time, from many daemons.
  */
 import type { AdapterPlaces, Place } from "../placement/adapter_places.ts";
-import { LOAD_LATENESS_MS, MAX_COMING } from "../placement/adapter_places.ts";
+import { LOAD_LATENESS_MS } from "../placement/adapter_places.ts";
+import { MAX_COMING } from "../placement/fetch_window.ts";
 import type { Milliseconds } from "../structures.ts";
 import type { BatchDemand, BatchRoom } from "./batch_room.ts";
 
--- a/src/core/fleet/fleet_view.ts
+++ b/src/core/fleet/fleet_view.ts
@@ -326,6 +326,12 @@
     return this.#getSurvey(now).fetchesInFlight;
   }
 
+  /** Returns how many loads the living peers have found to go at full speed together. */
+  listFullSpeedFetches(now: Milliseconds): number[] {
+    return this.listLiving(now)
+      .flatMap((heartbeat) => heartbeat.fullSpeedFetches ?? []);
+  }
+
   /**
    * Returns the daemons that come first for an engine's orders, living or not: so
    * daemons that disagree on who lives still agree on who is who.
--- a/src/core/fleet/heartbeat.ts
+++ b/src/core/fleet/heartbeat.ts
@@ -37,6 +37,8 @@
   newcomerHeld?: string[];
   /** Loads from the weight store that the sender has on the way. */
   fetchesInFlight: number;
+  /** How many of these go at full speed together, as the sender has found; absent before it has loaded any. */
+  fullSpeedFetches?: number | undefined;
   /** Highest time of the sender's fence clock. */
   fenceUnixMs: number;
   /** Some of the members that the sender knows. */
--- a/src/core/placement/adapter_places.ts
+++ b/src/core/placement/adapter_places.ts
@@ -16,7 +16,7 @@
   state: PlaceState;
   /** When its load from the weight store was ordered, and how many were on the way then; undefined for others. */
   fetch:
-    | Pick<FetchObservation, "orderedAt" | "crowd" | "isLast">
+    | Pick<FetchObservation, "orderedAt" | "crowd" | "isLast" | "isOnlyOwn">
     | undefined;
   /** When a load is taken to be done. */
   readyAt: Milliseconds;
@@ -37,8 +37,6 @@
 const KEPT_PER_SLOT = 5;
 /** Part of the loads at full speed below which a new load starts at once. */
 const UNQUEUED_SHARE = 0.5;
-/** Adapters on their way to one engine, at most: the platform's bound. */
-export const MAX_COMING = 4;
 /** Time in which a use loses half of its weight. */
 const USE_HALF_LIFE_MS = 15_000;
 /** Bounds and steps of the factor by which the estimate of a load follows what is seen. */
@@ -61,6 +59,7 @@
     fleetFetches: 0,
     fullSpeedFetches: 1,
     isLast: true,
+    isOnlyOwn: true,
   };
   #observations: FetchObservation[] = [];
   /** How much longer loads take than the first estimate. */
@@ -118,8 +117,7 @@
   /** Returns how long a load takes that starts now. */
   estimateLoadMs(adapterPath: string): Milliseconds {
     if (!this.isFetch(adapterPath)) return RELOAD_MS;
-    const crowd = this.#countCrowd() / this.#share.fullSpeedFetches;
-    return FETCH_MS * this.#slowness * Math.max(1, crowd);
+    return FETCH_MS * this.#slowness;
   }
 
   /** Returns how long a load waits for others of the weight store. */
@@ -168,6 +166,7 @@
         orderedAt: now,
         crowd: this.#countCrowd(),
         isLast: this.#share.isLast,
+        isOnlyOwn: this.#share.isOnlyOwn,
       }
       : undefined;
     place.readyAt = now + this.estimateLoadMs(adapterPath);
--- a/src/core/placement/fetch_window.ts
+++ b/src/core/placement/fetch_window.ts
@@ -4,7 +4,8 @@
  * engines hold; the store gives each load its full speed up to a number that
  * nobody publishes and that differs from site to site, and beyond it all loads grow
  * longer in proportion. The estimate rises with each load that was done in time
- * beside about as many others, and falls when one was late there.
+ * beside its host's share of others, and falls when one was late there. Hosts
+ * tell each other what they have found, and agree.
  */
 import type { Milliseconds } from "../structures.ts";
 
@@ -17,8 +18,10 @@
   durationMs: Milliseconds;
   /** Whether the adapter is there: otherwise it will take longer still. */
   isDone: boolean;
-  /** Whether no further one would have been started beside it. */
+  /** Whether the host had its share on the way with it. */
   isLast: boolean;
+  /** Whether the host had no other on the way when it was ordered. */
+  isOnlyOwn: boolean;
 }
 
 /** What a host knows of loads on their way. */
@@ -27,8 +30,8 @@
   own: number;
   /** Those that others say they have; undefined where not all are heard. */
   others: number | undefined;
-  /** Hosts that hold engines. */
-  holders: number;
+  /** Its share of the engines, as a part of all; at least one engine's. */
+  engineShare: number;
 }
 
 /** What follows for the next load of a host. */
@@ -38,13 +41,17 @@
   /** How many of these go at full speed together. */
   fullSpeedFetches: number;
   canFetch: boolean;
-  /** Whether no further one could be started beside it. */
+  /** Whether the host has its share on the way with one more. */
   isLast: boolean;
+  /** Whether it has none on the way. */
+  isOnlyOwn: boolean;
 }
 
 /** First estimate, before any load has told: the least and the part of an engine's of the users' first sites. */
 const FIRST_LEAST = 8;
 const FIRST_PER_ENGINE = 0.65;
+/** Adapters on their way to one engine, at most: the platform's bound. */
+export const MAX_COMING = 4;
 /** Loads that one host may have on the way in any case, while the store has room. */
 const MIN_OWN_FETCHES = 3;
 /** The same in parts of an even share: demand is uneven. */
@@ -55,10 +62,12 @@
 const CROWDED_SHARE = 0.5;
 /** Loads in time, one after the other, after which the estimate is taken for much too low. */
 const OPENING_STREAK = 16;
-/** Growth for a load in time after these, and before any was late, as a part of the estimate: a few rounds of loads to a multiple. */
-const OPENING_GROWTH = 0.125;
-/** Growth for any other load in time, in loads. */
-const GROWTH = 0.1;
+/** Growth for a load in time before any was late, as a part of the estimate: each host has a few on the way, so that these double it. */
+const FIRST_GROWTH = 0.3;
+/** The same after a streak of loads in time, and for a load that the host had alone: then it sees few. */
+const OPENING_GROWTH = 0.12;
+/** Growth for any other load in time, as a part of the estimate. */
+const GROWTH = 0.04;
 /** Parts of the estimate that are kept when a load was late: as much as it was late by, within these. */
 const LEAST_KEPT = 0.5;
 const MOST_KEPT = 0.85;
@@ -66,27 +75,53 @@
 const MILD_PART = 0.75;
 /** Least estimate: one load after the other. */
 const LEAST = 1;
+/** Part of the way to the mean of what others have found that a host goes each time it hears of it. */
+const AGREEMENT = 0.3;
+/** Duration of a load at full speed before any was seen; the users' sheets give 250 and 288 ms. */
+const FIRST_QUICKEST_MS = 290;
 /** Time for which the quickest load is remembered, in two halves: long against a load, short against a day's changes. */
 const QUICKEST_HALF_MS = 15_000;
+/** Time for which the figure of the users' sheets counts as well, which may be wrong here. */
+const FIRST_QUICKEST_COUNTS_MS = 3_000;
 
 export class FetchWindow {
   #fullSpeed = FIRST_LEAST;
   #first = FIRST_LEAST;
   #hasEvidence = false;
+  /** Whether a load was late. */
+  #hasBeenLate = false;
   /** Loads in time since the last late one. */
-  #streak = OPENING_STREAK;
+  #streak = 0;
   #cutAt = Number.NEGATIVE_INFINITY;
   #quickestMs = Number.POSITIVE_INFINITY;
   #quickestBeforeMs = Number.POSITIVE_INFINITY;
-  #halfBeganAt = Number.NEGATIVE_INFINITY;
+  #halfBeganAt: Milliseconds | undefined;
+  /** When a load was seen first. */
+  #firstSeenAt: Milliseconds | undefined;
+  /** Most loads that can be on the way: the platform bounds them by engine. */
+  #most = Number.POSITIVE_INFINITY;
 
   /** Loads that go at full speed together, as far as is known. */
   get fullSpeed(): number {
     return this.#fullSpeed;
   }
 
+  /** The same where it rests on this host's own loads, to be told to others. */
+  get found(): number | undefined {
+    return this.#hasEvidence ? this.#fullSpeed : undefined;
+  }
+
+  /** Takes in what the others have found: each sees a few loads only. */
+  recordFindings(findings: readonly number[]): void {
+    if (findings.length === 0) return;
+    const mean = findings.reduce((sum, each) => sum + each, 0) /
+      findings.length;
+    this.#fullSpeed += AGREEMENT * (mean - this.#fullSpeed);
+  }
+
   /** Sets the number of engines, by which the first estimate goes. */
   setEngines(engines: number): void {
+    this.#most = MAX_COMING * Math.max(1, engines);
     if (this.#hasEvidence) return;
     this.#first = Math.max(FIRST_LEAST, FIRST_PER_ENGINE * engines);
     this.#fullSpeed = this.#first;
@@ -94,18 +129,21 @@
 
   /** Returns whether a host may start a load, and beside how many. */
   computeShare(count: FetchCount): FetchShare {
+    const share = this.#fullSpeed * count.engineShare;
     return {
       fleetFetches: estimateFleet(count),
       fullSpeedFetches: this.#fullSpeed,
       canFetch: this.#canFetch(count),
-      isLast: !this.#canFetch({ ...count, own: count.own + 1 }),
+      isLast: count.own + 1 >= share ||
+        !this.#canFetch({ ...count, own: count.own + 1 }),
+      isOnlyOwn: count.own === 0,
     };
   }
 
-  /** What others have on the way is known late, so each host keeps to a few, and each gets on with one. */
+  /** What others have on the way is known late, so each host keeps to a few, and each gets on with one and with its even share. */
   #canFetch(count: FetchCount): boolean {
-    const share = this.#fullSpeed / count.holders;
-    return count.own === 0 ||
+    const share = this.#fullSpeed * count.engineShare;
+    return count.own === 0 || count.own < Math.floor(share) ||
       (estimateFleet(count) < this.#fullSpeed &&
         count.own < Math.max(MIN_OWN_FETCHES, OWN_SHARES * share));
   }
@@ -113,26 +151,40 @@
   recordFetch(fetch: FetchObservation, now: Milliseconds): void {
     const crowding = Math.max(1, fetch.crowd / this.#fullSpeed);
     const alikeMs = fetch.durationMs / crowding;
-    if (fetch.isDone) this.#recordQuickest(alikeMs, now);
-    const quickestMs = Math.min(this.#quickestMs, this.#quickestBeforeMs);
+    // A host that has one on the way can have none quicker.
+    const isAtFullSpeed = fetch.isOnlyOwn || fetch.crowd <= this.#fullSpeed;
+    if (fetch.isDone && isAtFullSpeed) {
+      this.#recordQuickest(fetch.durationMs, now);
+    }
+    const quickestMs = this.#getQuickestMs(now);
     const isLong = alikeMs > FLAT_RATIO * quickestMs;
     const isTelling = fetch.isLast ||
       (isLong && fetch.crowd > CROWDED_SHARE * this.#fullSpeed);
     if (!isTelling || (!isLong && !fetch.isDone)) return;
-    this.#hasEvidence = true;
     if (isLong) {
+      this.#hasEvidence = true;
       this.#cut(FLAT_RATIO * quickestMs / alikeMs, fetch.orderedAt, now);
       return;
     }
+    this.#hasEvidence = true;
     this.#streak += 1;
-    this.#fullSpeed += this.#streak > OPENING_STREAK
-      ? OPENING_GROWTH * this.#fullSpeed
-      : GROWTH;
+    this.#fullSpeed = Math.min(
+      Math.max(this.#most, this.#fullSpeed),
+      this.#fullSpeed + this.#computeGrowth(fetch.isOnlyOwn),
+    );
+  }
+
+  #computeGrowth(isOnlyOwn: boolean): number {
+    if (!this.#hasBeenLate) return FIRST_GROWTH * this.#fullSpeed;
+    const isStreak = this.#streak > OPENING_STREAK;
+    const growth = isStreak || isOnlyOwn ? OPENING_GROWTH : GROWTH;
+    return growth * this.#fullSpeed;
   }
 
   /** Lowers the estimate, once for all loads that were on the way together. */
   #cut(part: number, orderedAt: Milliseconds, now: Milliseconds): void {
     this.#streak = 0;
+    this.#hasBeenLate = true;
     if (orderedAt < this.#cutAt) return;
     this.#cutAt = now;
     const kept = Math.min(MOST_KEPT, Math.max(LEAST_KEPT, part));
@@ -143,17 +195,29 @@
     this.#fullSpeed = Math.max(least, kept * this.#fullSpeed);
   }
 
+  #getQuickestMs(now: Milliseconds): Milliseconds {
+    this.#firstSeenAt ??= now;
+    const seenMs = Math.min(this.#quickestMs, this.#quickestBeforeMs);
+    const isEarly = now - this.#firstSeenAt < FIRST_QUICKEST_COUNTS_MS;
+    return isEarly || !Number.isFinite(seenMs)
+      ? Math.min(seenMs, FIRST_QUICKEST_MS)
+      : seenMs;
+  }
+
   #recordQuickest(durationMs: Milliseconds, now: Milliseconds): void {
+    this.#halfBeganAt ??= now;
     if (now - this.#halfBeganAt >= QUICKEST_HALF_MS) {
       this.#halfBeganAt = now;
-      this.#quickestBeforeMs = this.#quickestMs;
+      if (Number.isFinite(this.#quickestMs)) {
+        this.#quickestBeforeMs = this.#quickestMs;
+      }
       this.#quickestMs = Number.POSITIVE_INFINITY;
     }
     this.#quickestMs = Math.min(this.#quickestMs, durationMs);
   }
 }
 
-/** Where others are not heard, each is taken to have as many on the way as this one, and half of one more. */
-function estimateFleet({ own, others, holders }: FetchCount): number {
-  return others === undefined ? (own + 0.5) * holders : own + others;
+/** Where others are not heard, each is taken to have as many on the way for each of its engines as this one. */
+function estimateFleet({ own, others, engineShare }: FetchCount): number {
+  return others === undefined ? own / engineShare : own + others;
 }
--- a/src/gateway/engine_task.ts
+++ b/src/gateway/engine_task.ts
@@ -111,6 +111,11 @@
     return count;
   }
 
+  /** Loads from the weight store that go at full speed together, as found here; undefined before any was seen. */
+  getFullSpeedFetches(): number | undefined {
+    return this.#fetchWindow.found;
+  }
+
   describe(): object {
     return Object.fromEntries(
       [...this.#holders].map(([id, holder]) => [id, holder.describe()]),
@@ -252,6 +257,9 @@
     if (now - this.#lastRolesAt < ROLES_INTERVAL_MS) return;
     this.#lastRolesAt = now;
     this.#followView();
+    this.#fetchWindow.recordFindings(
+      this.#options.fleet.listFullSpeedFetches(now),
+    );
     this.#activeEngines.clear();
     for (const holder of this.#holders.values()) {
       const { isWanted, isCandidate } = this.#describeSituation(holder, now);
@@ -307,10 +315,12 @@
   #computeFetchShare(now: Milliseconds): FetchShare {
     const { fleet } = this.#options;
     const living = fleet.countLiving(now);
+    const holders = Math.max(1, Math.min(living, this.#holders.size));
+    const held = Math.max(1, this.listHeldEngines().length);
     return this.#fetchWindow.computeShare({
       own: this.countFetches(),
       others: fleet.isFullMesh() ? fleet.countFetches(now) : undefined,
-      holders: Math.max(1, Math.min(living, this.#holders.size)),
+      engineShare: held / Math.max(this.#holders.size, holders),
     });
   }
 
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -313,6 +313,7 @@
       heldEngines: this.#engines.listHeldEngines(),
       newcomerHeld: this.#engines.listNewcomerHeld(now),
       fetchesInFlight: this.#engines.countFetches(),
+      fullSpeedFetches: this.#engines.getFullSpeedFetches(),
       fenceUnixMs: this.#fences.highestMs,
       sample: this.#fleet.selectSample(isPromised, now),
       strikes: this.#quarantine.getDigests(now)
--- a/src/gateway/peer_message_decoder.ts
+++ b/src/gateway/peer_message_decoder.ts
@@ -63,6 +63,7 @@
   heldEngines: z.array(z.string()),
   newcomerHeld: z.array(z.string()).optional(),
   fetchesInFlight: z.number(),
+  fullSpeedFetches: z.number().optional(),
   fenceUnixMs: z.number(),
   sample: z.array(z.tuple([z.string(), z.string(), z.string(), z.number()])),
   strikes: z.array(
--- a/test/core/ordering/holder_roles_test.ts
+++ b/test/core/ordering/holder_roles_test.ts
@@ -11,6 +11,7 @@
   fleetFetches: 0,
   fullSpeedFetches: 8,
   canFetch: true,
+  isOnlyOwn: true,
   isLast: false,
 };
 const SETTLED_MS = 3_000;
--- a/test/core/placement/fetch_window_test.ts
+++ b/test/core/placement/fetch_window_test.ts
@@ -27,8 +27,9 @@
 interface SimulatedHost {
   window: FetchWindow;
   engines: SimulatedEngine[];
-  /** What it said last of its loads on the way. */
+  /** What it said last of its loads on the way, and of those at full speed. */
   toldFetches: number;
+  toldFullSpeed: number | undefined;
 }
 
 class SimulatedEngine {
@@ -67,7 +68,7 @@
   const hosts = Array.from({ length: options.hosts }, (): SimulatedHost => {
     const window = new FetchWindow();
     window.setEngines(options.engines);
-    return { window, engines: [], toldFetches: 0 };
+    return { window, engines: [], toldFetches: 0, toldFullSpeed: undefined };
   });
   const engines = Array.from({ length: options.engines }, (_, index) => {
     const host = hosts[index % hosts.length];
@@ -96,7 +97,14 @@
     }
     hosts.forEach((host, index) => {
       const isBeat = (now + index * 70) % HEARTBEAT_MS < STEP_MS;
-      if (isBeat) host.toldFetches = countOwn(host);
+      if (!isBeat) return;
+      host.toldFetches = countOwn(host);
+      host.toldFullSpeed = host.window.found;
+      if (!isFullMesh) return;
+      host.window.recordFindings(
+        hosts.filter((each) => each !== host)
+          .flatMap((each) => each.toldFullSpeed ?? []),
+      );
     });
     for (const engine of engines) {
       const { host, places } = engine;
@@ -108,7 +116,8 @@
       const share = host.window.computeShare({
         own,
         others: isFullMesh ? others : undefined,
-        holders,
+        engineShare: Math.max(1, host.engines.length) /
+          Math.max(options.engines, holders),
       });
       if (places.countComing() >= MAX_COMING || !share.canFetch) continue;
       next += 1;
@@ -201,7 +210,14 @@
     const orderedAt = load * 300;
     const durationMs = load % 2 === 0 ? 260 : 600;
     window.recordFetch(
-      { orderedAt, crowd: 3, durationMs, isDone: true, isLast: false },
+      {
+        orderedAt,
+        crowd: 3,
+        durationMs,
+        isDone: true,
+        isOnlyOwn: false,
+        isLast: false,
+      },
       orderedAt + durationMs,
     );
   }
@@ -213,7 +229,14 @@
   window.setEngines(100);
   const record = (orderedAt: number, crowd: number, durationMs: number) =>
     window.recordFetch(
-      { orderedAt, crowd, durationMs, isDone: true, isLast: true },
+      {
+        orderedAt,
+        crowd,
+        durationMs,
+        isDone: true,
+        isOnlyOwn: false,
+        isLast: true,
+      },
       orderedAt + durationMs,
     );
   record(0, 1, 260);
@@ -230,7 +253,14 @@
   const first = window.fullSpeed;
   const record = (orderedAt: number, durationMs: number) =>
     window.recordFetch(
-      { orderedAt, crowd: 60, durationMs, isDone: true, isLast: true },
+      {
+        orderedAt,
+        crowd: 60,
+        durationMs,
+        isDone: true,
+        isOnlyOwn: false,
+        isLast: true,
+      },
       orderedAt + durationMs,
     );
   for (let load = 0; load < 9; load += 1) record(load, 260);
@@ -244,9 +274,9 @@
 test("a load that has not taken long yet tells nothing", () => {
   const window = new FetchWindow();
   window.setEngines(100);
-  const load = { orderedAt: 0, crowd: 60, isLast: true };
+  const load = { orderedAt: 0, crowd: 60, isOnlyOwn: false, isLast: true };
   window.recordFetch(
-    { ...load, isLast: false, durationMs: 260, isDone: true },
+    { ...load, isOnlyOwn: false, isLast: false, durationMs: 260, isDone: true },
     260,
   );
   window.recordFetch({ ...load, durationMs: 280, isDone: false }, 280);
--- a/test/fuzz/tenure_fuzz_test.ts
+++ b/test/fuzz/tenure_fuzz_test.ts
@@ -368,6 +368,7 @@
           fullSpeedFetches: 8,
           canFetch: true,
           isLast: false,
+          isOnlyOwn: false,
         },
       };
       carryOut(index, holder.tick(situation, now));
