Requests that can still be in time go before late ones; slots that fall idle are timed

Change: waiting requests are ranked by whether their first token can be in time, then by priority and arrival; the wait for a slot follows the mean time between slots that fall idle.

--- a/src/core/admission/engine_desk.ts
+++ b/src/core/admission/engine_desk.ts
@@ -74,6 +74,11 @@
 const FIRST_RUN_MS = 1_000;
 /** Weight of the latest run in the mean duration: the runs of a few seconds count. */
 const RUN_WEIGHT = 1 / 32;
+/** Time between slots that fall idle before any was seen: a run over some ten slots. */
+const FIRST_IDLE_INTERVAL_MS = 100;
+/** Weight of the latest of these times in their mean, and the longest that counts: beyond, too little was asked for. */
+const IDLE_WEIGHT = 1 / 8;
+const MAX_IDLE_INTERVAL_MS = 1_000;
 /** Time after taking an engine over in which daemons tell of the runs that they have there. */
 const ADOPTION_MS = 900;
 /** Backlog of prompts beyond which a request waits here instead of in the engine. */
@@ -104,6 +109,9 @@
   #evictableFrom = Number.NEGATIVE_INFINITY;
   /** Mean duration of the runs here. */
   #runMs = FIRST_RUN_MS;
+  /** Mean time between slots that fall idle. */
+  #idleIntervalMs = FIRST_IDLE_INTERVAL_MS;
+  #lastIdleAt: Milliseconds | undefined;
 
   constructor(places: AdapterPlaces, room: BatchRoom) {
     this.places = places;
@@ -183,6 +191,7 @@
     const place = this.places.getPlace(permit.adapterPath);
     place?.permits.delete(permitId);
     if (place) place.lastUsedAt = Math.max(place.lastUsedAt, now);
+    if (place?.permits.size === 0) this.#recordIdle(now);
     this.pump(now);
   }
 
@@ -260,7 +269,7 @@
 
   /** Grants every place that is free, the most urgent request first. */
   pump(now: Milliseconds): void {
-    for (const { request } of this.#listWaiting()) {
+    for (const { request } of this.#listWaiting(now)) {
       if (!this.#isUsable(request)) continue;
       const isFree = this.room.hasRoomFor(request) &&
         this.room.estimateBacklogMs(now) <= MAX_BACKLOG_MS;
@@ -274,7 +283,7 @@
     now: Milliseconds,
   ): WantedOrder | undefined {
     if (this.places.countComing() >= MAX_COMING) return undefined;
-    for (const { request } of this.#listWaiting()) {
+    for (const { request } of this.#listWaiting(now)) {
       const { adapterPath, model, adapter, version } = request;
       if (adapter === "" || this.#isUsable(request)) continue;
       const place = this.places.getPlace(adapterPath);
@@ -313,11 +322,33 @@
     this.room.clear();
   }
 
-  #listWaiting(): WaitingRequest[] {
-    return [...this.#waiting.values()].sort((a, b) =>
-      a.request.priorityRank - b.request.priorityRank ||
-      a.arrivedAt - b.arrivedAt
+  /** Returns who waits: first those whose first token can still be in time, of these the most urgent, then the longest waiting. */
+  #listWaiting(now: Milliseconds): WaitingRequest[] {
+    const ranked = [...this.#waiting.values()].map((waiting) => ({
+      waiting,
+      lateRank: this.#canBeInTime(waiting, now) ? 0 : 1,
+    }));
+    ranked.sort((a, b) =>
+      a.lateRank - b.lateRank ||
+      a.waiting.request.priorityRank - b.waiting.request.priorityRank ||
+      a.waiting.arrivedAt - b.waiting.arrivedAt
     );
+    return ranked.map((each) => each.waiting);
+  }
+
+  #canBeInTime(
+    { request, arrivedAt }: WaitingRequest,
+    now: Milliseconds,
+  ): boolean {
+    const { adapterPath, adapter } = request;
+    const place = this.places.getPlace(adapterPath);
+    const loadMs = adapter === ""
+      ? 0
+      : place
+      ? Math.max(0, place.readyAt - now)
+      : this.places.estimateLoadMs(adapterPath);
+    const firstTokenAt = now + loadMs + this.room.estimateOwnPrefillMs(request);
+    return firstTokenAt <= arrivedAt + request.firstTokenBudgetMs;
   }
 
   #isUsable(request: PermitRequest): boolean {
@@ -348,6 +379,13 @@
       : DenialReason.Busy;
   }
 
+  #recordIdle(now: Milliseconds): void {
+    const sinceMs = now - (this.#lastIdleAt ?? now);
+    this.#lastIdleAt = now;
+    const intervalMs = Math.min(MAX_IDLE_INTERVAL_MS, sinceMs);
+    this.#idleIntervalMs += IDLE_WEIGHT * (intervalMs - this.#idleIntervalMs);
+  }
+
   #findEvictable(now: Milliseconds): Place | undefined {
     return now < this.#evictableFrom
       ? undefined
@@ -377,8 +415,7 @@
   /** Returns the time until a slot falls idle for the request's adapter. */
   #estimateSlotMs(request: PermitRequest, now: Milliseconds): Milliseconds {
     if (!this.#needsSlot(request, now)) return 0;
-    const inUse = Math.max(1, this.places.countPlaces());
-    return this.#runMs / inUse * (1 + this.#countWaitingAbsent(request));
+    return this.#idleIntervalMs * (1 + this.#countWaitingAbsent(request));
   }
 
   #needsSlot(request: PermitRequest, now: Milliseconds): boolean {
--- a/src/core/placement/adapter_places.ts
+++ b/src/core/placement/adapter_places.ts
@@ -96,10 +96,6 @@
     return [...this.#places.values()];
   }
 
-  countPlaces(): number {
-    return this.#places.size;
-  }
-
   countComing(): number {
     return this.listPlaces().filter((place) => place.state === "loading")
       .length;
