A request moves only if it would be late and loses a fifth of its time at this engine

Hypothesis: with an objective of 800 ms and more a request was kept at an engine whose slot and load together made it late.

--- a/src/core/admission/engine_desk.ts
+++ b/src/core/admission/engine_desk.ts
@@ -70,6 +70,8 @@
 
 /** Part of the time until the first token is late that an estimate may take here before another engine is tried. */
 const SPREAD_SHARE = 0.65;
+/** Part of that time that has to be lost on what is scarce here alone, before another engine is worth a further load. */
+const MOVE_SHARE = 0.2;
 /** Duration of a run before any was seen: some tens of tokens. */
 const FIRST_RUN_MS = 1_000;
 /** Weight of the latest run in the mean duration: the runs of a few seconds count. */
@@ -371,8 +373,11 @@
       const placeMs = Math.max(localMs, this.#estimateLoadMs(request, now));
       return placeMs > request.patienceMs ? DenialReason.Busy : undefined;
     }
-    const isLate = localMs + prefillMs >
-      SPREAD_SHARE * request.firstTokenBudgetMs;
+    const { firstTokenBudgetMs } = request;
+    const hereMs = Math.max(localMs, this.#estimateOwnLoadMs(request, now)) +
+      prefillMs;
+    const isLate = hereMs > SPREAD_SHARE * firstTokenBudgetMs &&
+      localMs > MOVE_SHARE * firstTokenBudgetMs;
     if (!isLate) return undefined;
     return this.#needsSlot(request, now)
       ? DenialReason.SlotsInUse
@@ -424,18 +429,27 @@
       !this.places.hasRoom() && this.#findEvictable(now) === undefined;
   }
 
-  /** Returns the time of a load, with that for a slot to fall idle and for loads before it. */
-  #estimateLoadMs(request: PermitRequest, now: Milliseconds): Milliseconds {
-    const { adapterPath } = request;
-    if (request.adapter === "") return 0;
+  /** Returns the time of the request's own load, with that for a slot to fall idle. */
+  #estimateOwnLoadMs(request: PermitRequest, now: Milliseconds): Milliseconds {
+    const { adapterPath, adapter } = request;
+    if (adapter === "") return 0;
     const place = this.places.getPlace(adapterPath);
     if (place) {
       return place.state === "loading" ? Math.max(0, place.readyAt - now) : 0;
     }
-    const before = this.#countWaitingAbsent(request);
     return this.#estimateSlotMs(request, now) +
-      this.places.estimateLoadMs(adapterPath) +
-      this.places.estimateFetchQueueMs(adapterPath, before);
+      this.places.estimateLoadMs(adapterPath);
+  }
+
+  /** The same with the loads before it. */
+  #estimateLoadMs(request: PermitRequest, now: Milliseconds): Milliseconds {
+    const { adapterPath, adapter } = request;
+    const ownMs = this.#estimateOwnLoadMs(request, now);
+    const isAbsent = adapter !== "" &&
+      this.places.getPlace(adapterPath) === undefined;
+    if (!isAbsent) return ownMs;
+    const before = this.#countWaitingAbsent(request);
+    return ownMs + this.places.estimateFetchQueueMs(adapterPath, before);
   }
 
   /** Counts the other adapters that wait for a load here. */
