Engines that hold an adapter by the platform's word come before a home that would load it

Found: when an engine returns empty, or one is gone, homes move, and what others hold is fetched once more.

--- a/src/core/placement/upstream_choice.ts
+++ b/src/core/placement/upstream_choice.ts
@@ -3,7 +3,8 @@
  * rendezvous, where it stays resident and where its prompts stay cached; the
  * next in the same order take copies when the home is full or too busy. One in
  * wide use has a home in each failure domain, and several where one would be
- * kept busy by it alone. Load pattern: thousands of adapters with skewed
+ * kept busy by it alone. Where the platform says that an engine holds the
+ * adapter, that one comes before a home that would have to load it. Load pattern: thousands of adapters with skewed
  * popularity over a few slots each.
  * Plain services: the least loaded upstream by its own word, near ones first.
  */
@@ -43,12 +44,27 @@
 ): PublishedUpstream[] {
   const ranked = rankByRendezvous(adapterPath, engines);
   const sound = ranked.filter((engine) => !health.isAvoided(engine.id, now));
+  const holding = moveNearFirst(
+    sound.filter((engine) => engine.adapters.has(adapterPath)),
+    demand,
+  );
+  const others = sound.filter((engine) => !holding.includes(engine));
   return [
-    ...moveHomesFirst(sound, demand),
+    ...moveHomesFirst([...holding, ...others], demand),
     ...ranked.filter((engine) => health.isAvoided(engine.id, now)),
   ];
 }
 
+function moveNearFirst(
+  engines: readonly PublishedUpstream[],
+  { failureDomain }: DomainDemand,
+): PublishedUpstream[] {
+  return [
+    ...engines.filter((engine) => engine.failureDomain === failureDomain),
+    ...engines.filter((engine) => engine.failureDomain !== failureDomain),
+  ];
+}
+
 /** Puts the near homes of an adapter in wide use first, another one of them for each request. */
 function moveHomesFirst(
   ranked: readonly PublishedUpstream[],
