A load's estimate takes the crowd or what was late, not both

Change: the greater of the two; a late load shows at once by how much; the quickest load is learnt only while every host has one on the way at most.

--- a/src/core/placement/adapter_places.ts
+++ b/src/core/placement/adapter_places.ts
@@ -113,7 +113,10 @@
   /** Returns how long a load takes that starts now. */
   estimateLoadMs(adapterPath: string): Milliseconds {
     if (!this.isFetch(adapterPath)) return RELOAD_MS;
-    return FETCH_MS * this.#slowness;
+    const crowding = this.#countCrowd() / this.#share.fullSpeedFetches;
+    // What the crowd explains is seen as slowness, too: only the greater counts.
+    const factor = Math.max(this.#slowness, crowding);
+    return FETCH_MS * Math.min(MAX_SLOWNESS, factor);
   }
 
   /** Returns how long a load waits for others of the weight store. */
@@ -209,7 +212,10 @@
 
   /** Notes that the engine was not ready for the adapter yet. */
   recordLoadLate(place: Place, delayMs: Milliseconds, now: Milliseconds): void {
-    this.#slowness = Math.min(MAX_SLOWNESS, this.#slowness * SLOWNESS_GROWTH);
+    const { fetch } = place;
+    const seen = fetch ? (now - fetch.orderedAt) / FETCH_MS : 1;
+    const slowness = Math.max(seen, this.#slowness) * SLOWNESS_GROWTH;
+    this.#slowness = Math.min(MAX_SLOWNESS, slowness);
     this.#lastLateAt = now;
     this.#observeFetch(place, now, false);
     this.#delayLoad(place, delayMs, now);
--- a/src/core/placement/fetch_window.ts
+++ b/src/core/placement/fetch_window.ts
@@ -20,7 +20,7 @@
   isDone: boolean;
   /** Whether the host had its share on the way with it. */
   isLast: boolean;
-  /** Whether the host had no other on the way when it was ordered. */
+  /** Whether its host had no other on the way, and the others one each at most. */
   isOnlyOwn: boolean;
 }
 
@@ -32,6 +32,8 @@
   others: number | undefined;
   /** Its share of the engines, as a part of all; at least one engine's. */
   engineShare: number;
+  /** Hosts that hold engines. */
+  holders: number;
 }
 
 /** What follows for the next load of a host. */
@@ -43,7 +45,7 @@
   canFetch: boolean;
   /** Whether the host has its share on the way with one more. */
   isLast: boolean;
-  /** Whether it has none on the way. */
+  /** Whether it has none on the way, and the others have one each at most. */
   isOnlyOwn: boolean;
 }
 
@@ -136,7 +138,7 @@
       canFetch: this.#canFetch(count),
       isLast: count.own + 1 >= share ||
         !this.#canFetch({ ...count, own: count.own + 1 }),
-      isOnlyOwn: count.own === 0,
+      isOnlyOwn: count.own === 0 && estimateFleet(count) < count.holders,
     };
   }
 
@@ -151,7 +153,7 @@
   recordFetch(fetch: FetchObservation, now: Milliseconds): void {
     const crowding = Math.max(1, fetch.crowd / this.#fullSpeed);
     const alikeMs = fetch.durationMs / crowding;
-    // A host that has one on the way can have none quicker.
+    // Where each host has one on the way at most, none can be quicker.
     const isAtFullSpeed = fetch.isOnlyOwn || fetch.crowd <= this.#fullSpeed;
     if (fetch.isDone && isAtFullSpeed) {
       this.#recordQuickest(fetch.durationMs, now);
--- a/src/gateway/engine_task.ts
+++ b/src/gateway/engine_task.ts
@@ -321,6 +321,7 @@
       own: this.countFetches(),
       others: fleet.isFullMesh() ? fleet.countFetches(now) : undefined,
       engineShare: held / Math.max(this.#holders.size, holders),
+      holders,
     });
   }
 
--- a/test/core/placement/fetch_window_test.ts
+++ b/test/core/placement/fetch_window_test.ts
@@ -118,6 +118,7 @@
         others: isFullMesh ? others : undefined,
         engineShare: Math.max(1, host.engines.length) /
           Math.max(options.engines, holders),
+        holders,
       });
       if (places.countComing() >= MAX_COMING || !share.canFetch) continue;
       next += 1;
