A holder that claimed at once loads at once; daemons tell a new holder of their runs at once

Change: who holds an engine fetches; a newcomer sends its heartbeat each 150 ms for 3 s and settles in 0.6 s where all are new. A new holder tells so at once, each daemon answers with its runs, also that it has none, and the adoption ends when all have. An eviction that the engine answers with 202 waits for runs that nobody told of: its slot is not free until a report shows the adapter gone.

--- a/src/core/admission/engine_desk.ts
+++ b/src/core/admission/engine_desk.ts
@@ -57,6 +57,13 @@
     knownHolder?: string;
   };
 
+/** A run that goes on at an engine whose holder has changed. */
+export interface AdoptedRun extends BatchDemand {
+  permitId: string;
+  /** Time after which it can't be running any more. */
+  lifetimeMs: Milliseconds;
+}
+
 /** The next order that the engine should get. */
 export type WantedOrder =
   | {
@@ -161,11 +168,13 @@
     this.#evictableFrom = now + ADOPTION_MS;
   }
 
+  /** Notes that every daemon has told of its runs. */
+  endAdoption(now: Milliseconds): void {
+    this.#evictableFrom = Math.min(this.#evictableFrom, now);
+  }
+
   /** Counts a run that an earlier holder permitted, or nobody. */
-  adoptPermit(
-    permit: BatchDemand & { permitId: string; lifetimeMs: Milliseconds },
-    now: Milliseconds,
-  ): void {
+  adoptPermit(permit: AdoptedRun, now: Milliseconds): void {
     if (this.#permits.has(permit.permitId)) return;
     const { permitId, adapterPath } = permit;
     this.#permits.set(permitId, {
@@ -289,7 +298,7 @@
       const { adapterPath, model, adapter, version } = request;
       if (adapter === "" || this.#isUsable(request)) continue;
       const place = this.places.getPlace(adapterPath);
-      if (place?.state === "loading") continue;
+      if (place && place.state !== "resident") continue;
       if (!canFetch && this.places.isFetch(adapterPath)) continue;
       const load: WantedOrder = {
         kind: "load",
--- a/src/core/fleet/fleet_view.ts
+++ b/src/core/fleet/fleet_view.ts
@@ -26,6 +26,9 @@
 
 /** Period of heartbeats in a small fleet; a death is noticed within a few of them. */
 const SMALL_INTERVAL_MS = 400;
+/** Period in a small fleet for a daemon that has just started, and that time: engines without a holder wait for its word. */
+const NEWCOMER_INTERVAL_MS = 150;
+const NEWCOMER_HURRY_MS = 3_000;
 /** Period in a large fleet, whose daemons have to keep to 3 KB a second for control. */
 const LARGE_INTERVAL_MS = 1_000;
 /** Time after the start in which a daemon of a large fleet makes itself known faster. */
@@ -172,7 +175,10 @@
     const isNew = !known || !this.#isLiving(known, now) ||
       known.heartbeat?.incarnation !== heartbeat.incarnation;
     if (!known && this.#isNear(heartbeat.sender)) this.#nearMembers += 1;
-    if (isNew || known?.heartbeat?.isLeaving !== heartbeat.isLeaving) {
+    const isChanged = isNew ||
+      known?.heartbeat?.isLeaving !== heartbeat.isLeaving ||
+      !isSameList(known?.heartbeat?.heldEngines, heartbeat.heldEngines);
+    if (isChanged) {
       this.#expireSurvey();
     }
     this.#members.set(heartbeat.sender.id, {
@@ -240,6 +246,11 @@
       .flatMap((each) => each.heartbeat ?? []);
   }
 
+  /** Returns the engines that living daemons say they hold, with the daemon. */
+  listHolders(now: Milliseconds): ReadonlyMap<string, string> {
+    return this.#getSurvey(now).holders;
+  }
+
   /** Returns the living daemon that says it holds the engine, or undefined. */
   findHolder(engineId: string, now: Milliseconds): string | undefined {
     return this.#getSurvey(now).holders.get(engineId);
@@ -474,6 +485,8 @@
 
   /** Returns the time until the next heartbeats. */
   getIntervalMs(uptimeMs: Milliseconds, now: Milliseconds): Milliseconds {
+    const isStarting = uptimeMs < NEWCOMER_HURRY_MS && this.isFullMesh();
+    if (isStarting) return NEWCOMER_INTERVAL_MS;
     const isOften = this.isFullMesh() || uptimeMs < FIRST_GOSSIP_MS ||
       this.#isIn(this.#getGroup(this.#self.failureDomain, now));
     return isOften ? SMALL_INTERVAL_MS : LARGE_INTERVAL_MS;
@@ -538,3 +551,11 @@
   return known.promisedMs !== undefined &&
     now - known.sentAt > 2 * known.promisedMs;
 }
+
+function isSameList(
+  before: readonly string[] | undefined,
+  after: readonly string[],
+): boolean {
+  return before?.length === after.length &&
+    before.every((each, index) => each === after[index]);
+}
--- a/src/core/ordering/engine_holder.ts
+++ b/src/core/ordering/engine_holder.ts
@@ -5,6 +5,7 @@
  */
 import { BatchRoom } from "../admission/batch_room.ts";
 import {
+  type AdoptedRun,
   DenialReason,
   EngineDesk,
   type PermitAnswer,
@@ -21,6 +22,7 @@
   type PlannedOrder,
 } from "./order_planner.ts";
 import { OrderEvidence, OrderTenure } from "./order_tenure.ts";
+import { RunAdoption } from "./run_adoption.ts";
 import type {
   OrderAnswer,
   OrderReport,
@@ -69,6 +71,8 @@
   isWanted: boolean;
   /** Whether it should observe the engine, as it may come to give its orders. */
   isCandidate: boolean;
+  /** Daemons that may have runs at the engine, this one included; undefined where not all are known. */
+  peers: readonly string[] | undefined;
   /** Whether and beside how many others a load from the weight store may start. */
   fetchShare: FetchShare;
 }
@@ -98,6 +102,9 @@
   #isVerificationDue = false;
   #isWanted = false;
   #rivals: RivalKnowledge = { hearsMajority: false, isUnheld: false };
+  /** Living peers, of which each tells a new holder of its runs; undefined in a large fleet. */
+  #peers: readonly string[] | undefined;
+  readonly #adoption = new RunAdoption();
   /** Whether no more orders are given, before the engine is handed over. */
   #isEnding = false;
   readonly #models = new Set<string>();
@@ -149,6 +156,17 @@
     return this.#takeAnswers();
   }
 
+  /** Counts runs that a daemon has here; nothing needs to be waited for once all have told of theirs. */
+  adoptRuns(
+    from: string,
+    told: { runs: readonly AdoptedRun[]; total: number },
+    now: Milliseconds,
+  ): void {
+    for (const run of told.runs) this.desk.adoptPermit(run, now);
+    this.#adoption.recordTold(from, told.runs.length, told.total);
+    if (this.#adoption.isComplete()) this.desk.endAdoption(now);
+  }
+
   /** Notes that the engine did not run a permitted request. */
   recordUnusable(
     unusable: {
@@ -230,7 +248,7 @@
       this.#planner.recordProof(now);
     }
     if (answer.kind === "accepted") {
-      this.#applyOrder(ordered.order, now);
+      this.#applyOrder(ordered.order, answer.isDraining ?? false, now);
       return [];
     }
     this.#nextOrderAt = now + ORDER_RETRY_MS;
@@ -245,6 +263,7 @@
   tick(situation: HolderSituation, now: Milliseconds): HolderEffect[] {
     const effects: HolderEffect[] = [];
     this.#isWanted = situation.isWanted;
+    this.#peers = situation.peers;
     this.#rivals = situation;
     if (!situation.isWanted) effects.push(...this.#giveUp(now));
     if (situation.isWanted) effects.push(...this.#claim(situation, now));
@@ -316,6 +335,7 @@
     if (!this.#tenure.acceptHandover(handover, now)) return [];
     this.desk.places.clear();
     this.desk.beginAdoption(now);
+    this.#adoption.begin(this.#peers);
     this.#planner.recordRight(false, now);
     this.#recordHeld({
       models: handover.models,
@@ -351,6 +371,7 @@
     this.desk.places.clear();
     this.desk.clearPermits();
     this.desk.beginAdoption(now);
+    this.#adoption.begin(this.#peers);
     const isUntouched = this.#tenure.getExpectedSequence(now) === 0;
     const mayHaveRivals = !(isUntouched && situation.hearsMajority);
     this.#planner.recordRight(mayHaveRivals, now);
@@ -408,9 +429,14 @@
     };
   }
 
-  #applyOrder(order: WantedOrder, now: Milliseconds): void {
+  #applyOrder(
+    order: WantedOrder,
+    isDraining: boolean,
+    now: Milliseconds,
+  ): void {
     const { places } = this.desk;
-    if (order.kind === "evict") places.recordEvicted(order.adapterPath);
+    if (isDraining) places.recordDraining(order.adapterPath);
+    else if (order.kind === "evict") places.recordEvicted(order.adapterPath);
     else if (order.adapter !== "") {
       places.recordLoadOrdered(order.adapterPath, order.version, now);
     } else {
@@ -440,7 +466,8 @@
       return true;
     }
     if (!this.isHolding() || this.#ordered) return false;
-    return this.#isInDoubt || this.desk.places.hasOverdueLoad(now);
+    return this.#isInDoubt || this.desk.places.hasOverdueLoad(now) ||
+      this.desk.places.hasDraining();
   }
 
   /** Believes the report where it is newer than every order. */
--- a/src/core/ordering/holder_roles.ts
+++ b/src/core/ordering/holder_roles.ts
@@ -14,8 +14,8 @@
 const OBSERVERS = 2;
 /** Time after the start before engines are sought: peers are heard by then. */
 const SETTLE_MS = 2_500;
-/** The same where all peers that are known have just started, too: two heartbeats and a report. */
-const NEWCOMER_SETTLE_MS = 1_000;
+/** The same where all peers that are known have just started, too: four of a newcomer's heartbeats. */
+const NEWCOMER_SETTLE_MS = 600;
 
 export interface HolderRolesOptions {
   fleet: FleetView;
@@ -71,7 +71,11 @@
           engine.failureDomain === fleet.self.failureDomain,
         hearsMajority: false,
         isUnheld: false,
-        fetchShare: { ...fetchShare, canFetch: false },
+        peers: this.#listPeers(now),
+        // Who holds an engine already, by a quick claim or a handover, goes on with it.
+        fetchShare: holder.isHolding()
+          ? fetchShare
+          : { ...fetchShare, canFetch: false },
       };
     }
     const isWanted = this.#isWanted(engine, holder, now);
@@ -80,10 +84,19 @@
       isCandidate: isWanted || this.#isObserver(engine, now),
       hearsMajority: fleet.isHearingMajority(engine.failureDomain, now),
       isUnheld,
+      peers: this.#listPeers(now),
       fetchShare,
     };
   }
 
+  /** Returns the daemons that may have runs at an engine; undefined where not every one is heard. */
+  #listPeers(now: Milliseconds): string[] | undefined {
+    const { fleet } = this.#options;
+    if (!fleet.isFullMesh()) return undefined;
+    const peers = fleet.listLiving(now).map(({ sender }) => sender.id);
+    return [fleet.self.id, ...peers];
+  }
+
   /** Remembers which engines a newcomer held; nobody asks an older daemon. */
   recordHeld(holder: HeldOrNot, now: Milliseconds): void {
     if (!holder.isHolding() || !this.#isNewcomer(now)) return;
--- a/src/core/ordering/tenure_state.ts
+++ b/src/core/ordering/tenure_state.ts
@@ -73,7 +73,8 @@
 
 /** How an engine answered an order. */
 export type OrderAnswer =
-  | { kind: "accepted" }
+  /** `isDraining`: an eviction that waits for the adapter's runs; its slot is not free yet. */
+  | { kind: "accepted"; isDraining?: boolean }
   /** It held already; whether the count moved is not known. */
   | { kind: "alreadyHeld" }
   /** Another order is under way, or the count differs. */
--- a/src/core/placement/adapter_places.ts
+++ b/src/core/placement/adapter_places.ts
@@ -7,7 +7,8 @@
 import type { Milliseconds } from "../structures.ts";
 import type { FetchObservation, FetchShare } from "./fetch_window.ts";
 
-export type PlaceState = "loading" | "resident";
+/** A draining adapter was evicted while runs used it: its slot is not free until the engine reports it gone. */
+export type PlaceState = "loading" | "resident" | "draining";
 
 export interface Place {
   adapterPath: string;
@@ -182,6 +183,16 @@
     if (oldest !== undefined) this.#kept.delete(oldest);
   }
 
+  /** Notes an eviction that waits for runs that are not known here. */
+  recordDraining(adapterPath: string): void {
+    const place = this.#places.get(adapterPath);
+    if (place) place.state = "draining";
+  }
+
+  hasDraining(): boolean {
+    return this.listPlaces().some((place) => place.state === "draining");
+  }
+
   recordUse(place: Place, permitId: string, now: Milliseconds): void {
     place.uses = computeUses(place, now) + 1;
     place.lastUsedAt = now;
--- a/src/gateway/engine_task.ts
+++ b/src/gateway/engine_task.ts
@@ -52,6 +52,8 @@
   control: EngineControl;
   log: DecisionLog;
   metrics: GatewayMetrics;
+  /** Tells peers of engines that are newly held here, without waiting for the next heartbeat. */
+  announce: () => void;
   /** Sends until the peer acknowledges; resolves to false when it does not. */
   deliver: (peerId: string, message: GatewayMessage) => Promise<boolean>;
 }
@@ -84,6 +86,7 @@
       fleet: options.fleet,
       isHeldHere: (engineId) => this.#getHeld(engineId) !== undefined,
       isStopping: () => this.#isStopping,
+      listHolders: (now) => this.#listHolders(now),
       send: (peerId, message) => this.#send(peerId, message),
     });
   }
@@ -172,9 +175,8 @@
         this.#recordUnusable(from, message, now);
         break;
       case "runsHeld":
-        for (const run of message.runs) {
-          this.#getHeld(message.engineId)?.desk.adoptPermit(run, now);
-        }
+        this.#getHeld(message.engineId)?.adoptRuns(from, message, now);
+        this.#pump(message.engineId, now);
         break;
       case "handover":
         this.#acceptHandover(from, message.engineId, message.handover, now);
@@ -184,6 +186,11 @@
     }
   }
 
+  /** Tells new holders of the runs here, as soon as a peer says that it is one. */
+  followHolders(now: Milliseconds): void {
+    this.permits.notifyHolders(now);
+  }
+
   /** Hands every engine over to the daemon that should hold it next. */
   async stop(): Promise<void> {
     this.#isStopping = true;
@@ -232,6 +239,7 @@
     const now = performance.now();
     this.#tickAt = Number.POSITIVE_INFINITY;
     this.#checkPause(now);
+    this.permits.returnUndelivered(now);
     this.permits.notifyHolders(now);
     this.#updateRoles(now);
     for (const engineId of this.#activeEngines) {
@@ -423,6 +431,15 @@
     });
   }
 
+  /** Returns who gives each engine's orders; what this daemon holds goes before others' word. */
+  #listHolders(now: Milliseconds): ReadonlyMap<string, string> {
+    const holders = new Map(this.#options.fleet.listHolders(now));
+    for (const engineId of this.listHeldEngines()) {
+      holders.set(engineId, this.#options.selfId);
+    }
+    return holders;
+  }
+
   #getHeld(engineId: string): EngineHolder | undefined {
     const holder = this.#holders.get(engineId);
     return holder?.isHolding() ? holder : undefined;
@@ -446,6 +463,7 @@
           break;
         case "belief":
           this.#options.metrics.count("holder_belief", effect.change);
+          if (isTakeover(effect.change)) this.#options.announce();
           this.#options.log.info("engineBelief", {
             upstream: effect.engineId,
             change: effect.change,
@@ -524,3 +542,8 @@
     return await this.#options.deliver(peerId, message);
   }
 }
+
+/** Returns whether a change of belief makes this daemon an engine's holder. */
+function isTakeover(change: string): boolean {
+  return change === "claimed" || change === "handedOver";
+}
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -126,6 +126,7 @@
       control: adapters.createEngineControl(),
       log: this.#log,
       metrics: this.#metrics,
+      announce: () => this.#scheduleHeartbeat(),
       deliver: (peerId, message) => this.#deliver(peerId, message),
     });
     const context: RequestContext = {
@@ -352,6 +353,7 @@
       now,
     );
     const isNews = this.#fleet.recordHeartbeat(heartbeat, now);
+    this.#engines.followHolders(now);
     if (!isNews) return;
     this.#log.info("peerHeard", {
       peer: from,
--- a/src/gateway/peer_message_decoder.ts
+++ b/src/gateway/peer_message_decoder.ts
@@ -139,6 +139,7 @@
     runs: z.array(
       z.object({ ...demandFields, permitId, lifetimeMs: z.number() }),
     ),
+    total: z.number(),
   }),
   z.object({
     kind: z.literal("handover"),
--- a/src/gateway/peer_messages.ts
+++ b/src/gateway/peer_messages.ts
@@ -1,20 +1,13 @@
 /** Messages between gateways, one datagram each. */
 import type {
+  AdoptedRun,
   PermitAnswer,
   PermitRequest,
 } from "../core/admission/engine_desk.ts";
-import type { BatchDemand } from "../core/admission/batch_room.ts";
 import type { Heartbeat } from "../core/fleet/heartbeat.ts";
 import type { TenureHandover } from "../core/ordering/engine_holder.ts";
 import type { Milliseconds } from "../core/structures.ts";
 
-/** A run at an engine, as the daemon that sent it there tells a new holder. */
-export interface HeldRun extends BatchDemand {
-  permitId: string;
-  /** Time after which it can't be running any more. */
-  lifetimeMs: Milliseconds;
-}
-
 export type GatewayMessage =
   | { kind: "heartbeat"; heartbeat: Heartbeat }
   | { kind: "permitRequest"; engineId: string; request: PermitRequest }
@@ -33,6 +26,6 @@
     /** Time for which the engine wants no request of the sender, 0 when it named none. */
     backoffMs: Milliseconds;
   }
-  /** Runs that the sender has at an engine whose holder has changed. */
-  | { kind: "runsHeld"; engineId: string; runs: HeldRun[] }
+  /** Some of the runs, `total` in all, that the sender has at an engine whose holder has changed. */
+  | { kind: "runsHeld"; engineId: string; runs: AdoptedRun[]; total: number }
   | { kind: "handover"; engineId: string; handover: TenureHandover };
--- a/src/gateway/permit_client.ts
+++ b/src/gateway/permit_client.ts
@@ -15,8 +15,8 @@
 import type { PublishedUpstream } from "../core/view/published_view.ts";
 import type { GatewayMessage } from "./peer_messages.ts";
 
-/** Period in which runs at engines are compared with who holds the engines. */
-const RUNS_INTERVAL_MS = 200;
+/** Period in which returns that did not reach a holder are looked at. */
+const RETURNS_INTERVAL_MS = 200;
 /** Runs told in one message, so that it stays one datagram. */
 const MAX_RUNS_PER_MESSAGE = 6;
 /** Duration of a run before any was seen: some tens of tokens. */
@@ -58,6 +58,8 @@
   /** Whether this daemon gives the engine's orders. */
   isHeldHere: (engineId: string) => boolean;
   isStopping: () => boolean;
+  /** Who gives each engine's orders, as far as is known; this daemon included. */
+  listHolders: (now: Milliseconds) => ReadonlyMap<string, string>;
   /** Sends until the receiver acknowledges; resolves to false when it does not. */
   send: (peerId: string, message: GatewayMessage) => Promise<boolean>;
 }
@@ -68,7 +70,9 @@
   readonly #ownRuns = new Map<string, OwnRun>();
   readonly #toldHolders = new ToldHolders();
   readonly #returns = new UndeliveredReturns<ReturnMessage>();
-  #lastRunsAt = Number.NEGATIVE_INFINITY;
+  /** Holders that have been told of the runs here, by engine. */
+  readonly #informed = new Map<string, string>();
+  #lastReturnsAt = Number.NEGATIVE_INFINITY;
   #meanRunMs = FIRST_RUN_MS;
 
   constructor(options: PermitClientOptions) {
@@ -203,44 +207,70 @@
     });
   }
 
-  /** Tells holders of the runs that they do not know of, and of those that are over. */
-  notifyHolders(now: Milliseconds): void {
-    if (now - this.#lastRunsAt < RUNS_INTERVAL_MS) return;
-    this.#lastRunsAt = now;
+  /** Gives back to holders what did not reach them. */
+  returnUndelivered(now: Milliseconds): void {
+    if (now - this.#lastReturnsAt < RETURNS_INTERVAL_MS) return;
+    this.#lastReturnsAt = now;
     const isLiving = (id: string) => this.#options.fleet.isLiving(id, now);
     for (const due of this.#returns.takeDue(isLiving, now)) {
       this.#returnPermit(due.message, due.holderId, due.expiresAt);
     }
-    const { fleet, selfId, isHeldHere } = this.#options;
-    const untold = new Map<string, OwnRun[]>();
+  }
+
+  /** Tells each new holder of an engine all runs that this daemon has there, also that it has none. */
+  notifyHolders(now: Milliseconds): void {
+    const holders = this.#options.listHolders(now);
+    for (const [engineId, holderId] of holders) {
+      if (this.#informed.get(engineId) === holderId) continue;
+      this.#informed.set(engineId, holderId);
+      const runs = [...this.#ownRuns.values()].filter((run) =>
+        run.engineId === engineId
+      );
+      for (const run of runs) run.knownTo = holderId;
+      this.#sendRuns(holderId, engineId, runs, now);
+    }
+    for (const engineId of this.#informed.keys()) {
+      if (!holders.has(engineId)) this.#informed.delete(engineId);
+    }
+    this.#notifyUnpermitted(holders, now);
+  }
+
+  /** Tells holders of the runs that went without a permit since. */
+  #notifyUnpermitted(
+    holders: ReadonlyMap<string, string>,
+    now: Milliseconds,
+  ): void {
     for (const run of this.#ownRuns.values()) {
-      const holderId = isHeldHere(run.engineId)
-        ? selfId
-        : fleet.findHolder(run.engineId, now);
-      if (holderId === undefined || holderId === run.knownTo) continue;
+      const holderId = holders.get(run.engineId);
+      if (run.knownTo !== undefined || holderId === undefined) continue;
       run.knownTo = holderId;
-      const key = `${holderId} ${run.engineId}`;
-      untold.set(key, [...untold.get(key) ?? [], run]);
+      this.#sendRuns(holderId, run.engineId, [run], now);
     }
-    for (const runs of untold.values()) this.#sendRuns(runs, now);
   }
 
-  #sendRuns(runs: readonly OwnRun[], now: Milliseconds): void {
-    for (let from = 0; from < runs.length; from += MAX_RUNS_PER_MESSAGE) {
-      const part = runs.slice(from, from + MAX_RUNS_PER_MESSAGE);
-      const first = part[0];
-      if (first?.knownTo === undefined) return;
-      void this.#options.send(first.knownTo, {
+  #sendRuns(
+    holderId: string,
+    engineId: string,
+    runs: readonly OwnRun[],
+    now: Milliseconds,
+  ): void {
+    const described = runs.map((run) => ({
+      permitId: run.permitId,
+      adapterPath: run.adapterPath,
+      promptTokens: run.promptTokens,
+      outputTokens: run.outputTokens,
+      promptParts: run.promptParts,
+      lifetimeMs: Math.max(0, run.endsAt - now),
+    }));
+    // A daemon without runs says so, too.
+    const messages = Math.max(1, Math.ceil(runs.length / MAX_RUNS_PER_MESSAGE));
+    for (let index = 0; index < messages; index += 1) {
+      const from = index * MAX_RUNS_PER_MESSAGE;
+      void this.#options.send(holderId, {
         kind: "runsHeld",
-        engineId: first.engineId,
-        runs: part.map((run) => ({
-          permitId: run.permitId,
-          adapterPath: run.adapterPath,
-          promptTokens: run.promptTokens,
-          outputTokens: run.outputTokens,
-          promptParts: run.promptParts,
-          lifetimeMs: Math.max(0, run.endsAt - now),
-        })),
+        engineId,
+        runs: described.slice(from, from + MAX_RUNS_PER_MESSAGE),
+        total: runs.length,
       });
     }
   }
--- a/test/core/admission/engine_desk_test.ts
+++ b/test/core/admission/engine_desk_test.ts
@@ -274,6 +274,81 @@
   assert.is(desk.listEvictable(600).length, 2);
 });
 
+test("an eviction that waits for runs frees no slot until the engine reports the adapter gone", () => {
+  const desk = createDesk();
+  const reported = { version: 1, isComing: false };
+  const both = new Map([["m/a1", reported], ["m/a2", reported]]);
+  desk.places.reconcile(both, 0);
+  const request = createRequest({ adapter: "a3", patienceMs: 5_000 });
+  desk.requestPermit(request, 0);
+  assert.is(desk.findWantedOrder(true, 0)?.kind, "evict");
+  desk.places.recordDraining("m/a1");
+  desk.places.recordDraining("m/a2");
+  assert.is(desk.findWantedOrder(true, 10), undefined);
+  desk.places.reconcile(both, 300);
+  assert.is(desk.findWantedOrder(true, 300), undefined);
+  assert.ok(desk.places.hasDraining());
+  desk.places.reconcile(new Map([["m/a2", reported]]), 600);
+  assert.equal(desk.findWantedOrder(true, 600)?.adapterPath, "m/a3");
+});
+
+test("evictions begin as soon as all daemons have told of their runs", () => {
+  const desk = createDesk();
+  const reported = { version: 1, isComing: false };
+  desk.places.reconcile(
+    new Map([["m/a1", reported], ["m/a2", reported]]),
+    0,
+  );
+  desk.beginAdoption(0);
+  const request = createRequest({ adapter: "a3", patienceMs: 5_000 });
+  desk.requestPermit(request, 0);
+  assert.is(desk.findWantedOrder(true, 50), undefined);
+  desk.endAdoption(60);
+  assert.is(desk.findWantedOrder(true, 60)?.kind, "evict");
+});
+
+test("whose first token can still be in time is loaded for first, whoever waits longer", () => {
+  const desk = createDesk();
+  const late = createRequest({
+    adapter: "a1",
+    firstTokenBudgetMs: 100,
+    isLastChoice: true,
+  });
+  const inTime = createRequest({ adapter: "a2", firstTokenBudgetMs: 900 });
+  desk.requestPermit(late, 0);
+  desk.requestPermit(inTime, 5);
+  assert.is(desk.findWantedOrder(true, 10)?.adapterPath, "m/a2");
+  assert.equal(
+    carryOutOrders(desk, 10).map((order) => order.adapterPath),
+    ["m/a2", "m/a1"],
+  );
+});
+
+test("a long wait for the weight store sends nobody elsewhere, one for slots does", () => {
+  const desk = createDesk();
+  desk.places.setFetchShare({
+    fleetFetches: 30,
+    fullSpeedFetches: 10,
+    isLast: true,
+    isOnlyOwn: false,
+  });
+  const waiting = createRequest({ adapter: "a1", firstTokenBudgetMs: 500 });
+  desk.requestPermit(waiting, 0);
+  assert.equal(desk.takeAnswers(), []);
+  for (const adapter of ["a1", "a2"]) {
+    desk.requestPermit(createRequest({ adapter }), 0);
+  }
+  carryOutOrders(desk, 0);
+  desk.tick(900);
+  listGranted(desk);
+  const others = ["a3", "a4", "a5"].map((adapter) =>
+    createRequest({ adapter, firstTokenBudgetMs: 500 })
+  );
+  for (const request of others) desk.requestPermit(request, 900);
+  const denied = desk.takeAnswers().filter((each) => each.kind === "denied");
+  assert.ok(denied.length > 0);
+});
+
 test("an adapter that is still there after its eviction drains, and is not evicted again", () => {
   const desk = createDesk();
   const reported = { version: 1, isComing: false };
--- a/test/core/ordering/holder_roles_test.ts
+++ b/test/core/ordering/holder_roles_test.ts
@@ -56,6 +56,13 @@
   assert.not(describe({ id: "e", failureDomain: "b" }, 100).isCandidate);
 });
 
+test("an engine that is held already right after the start is loaded at once", () => {
+  const { describe } = createRoles();
+  const engine = { id: "e", failureDomain: "a" };
+  const held = describe(engine, 1_100, { isHolding: true });
+  assert.ok(held.isWanted && held.fetchShare.canFetch);
+});
+
 test("later the ranking decides, and both first observe what nobody holds", () => {
   const { fleet, describe } = createRoles();
   fleet.recordHeartbeat(buildHeartbeat(PEER), SETTLED_MS);
--- a/test/core/placement/upstream_choice_test.ts
+++ b/test/core/placement/upstream_choice_test.ts
@@ -46,6 +46,80 @@
   assert.ok(moved > 20 && moved < 60, `${moved} of 200 moved`);
 });
 
+/** Fifteen engines in three failure domains. */
+const SPREAD_OUT = Array.from(
+  { length: 15 },
+  (_, index) => createUpstream(`e${index}`, ["a", "b", "c"][index % 3]),
+);
+
+test("an adapter in wide use is served in its callers' failure domain, the rest at one home", () => {
+  const health = new UpstreamHealth();
+  const busy = { ...IDLE, runs: 3 };
+  for (const failureDomain of ["a", "b", "c"]) {
+    const [home] = rankEngines(
+      "m/a1",
+      SPREAD_OUT,
+      { ...busy, failureDomain },
+      health,
+      0,
+    );
+    assert.is(home?.failureDomain, failureDomain);
+  }
+  const homes = new Set(
+    ["a", "b", "c"].map((failureDomain) =>
+      rankEngines("m/a1", SPREAD_OUT, { ...IDLE, failureDomain }, health, 0)[0]
+        ?.id
+    ),
+  );
+  assert.is(homes.size, 1);
+});
+
+test("an adapter that would keep one engine busy alone gets several homes, evenly used", () => {
+  const health = new UpstreamHealth();
+  const uses = new Map<string, number>();
+  for (let request = 0; request < 300; request += 1) {
+    const demand = {
+      ...IDLE,
+      runs: 20,
+      reading: 0.6,
+      spreadKey: `r${request}`,
+    };
+    const [home] = rankEngines("m/a1", SPREAD_OUT, demand, health, 0);
+    assert.is(home?.failureDomain, "a");
+    const id = home?.id ?? "";
+    uses.set(id, (uses.get(id) ?? 0) + 1);
+  }
+  assert.is(uses.size, 3);
+  for (const count of uses.values()) assert.ok(count > 70, `${count} of 300`);
+});
+
+test("an engine that holds the adapter comes before a home that would load it, a near one first", () => {
+  const health = new UpstreamHealth();
+  const home = rankEngines("m/a7", SPREAD_OUT, IDLE, health, 0)[0]?.id;
+  const engines = SPREAD_OUT.map((engine) => ({
+    ...engine,
+    adapters: new Map(
+      engine.id !== home && ["e1", "e3", "e4"].includes(engine.id)
+        ? [["m/a7", 1]]
+        : [],
+    ),
+  }));
+  const ranked = rankEngines("m/a7", engines, IDLE, health, 0);
+  const holding = engines.filter((engine) => engine.adapters.size > 0);
+  assert.is(ranked[0]?.failureDomain, "a");
+  assert.equal(
+    new Set(ranked.slice(0, holding.length).map((engine) => engine.id)),
+    new Set(holding.map((engine) => engine.id)),
+  );
+});
+
+test("the base model costs no load and is asked for nearby", () => {
+  const health = new UpstreamHealth();
+  const demand = { ...IDLE, failureDomain: "b", costsLoads: false };
+  const [first] = rankEngines("m|part", SPREAD_OUT, demand, health, 0);
+  assert.is(first?.failureDomain, "b");
+});
+
 test("an engine that can't be reached is asked last, and again after its pause", () => {
   const health = new UpstreamHealth();
   const [home] = rankEngines("m/a1", UPSTREAMS, IDLE, health, 0);
--- a/test/fuzz/tenure_fuzz_test.ts
+++ b/test/fuzz/tenure_fuzz_test.ts
@@ -363,6 +363,7 @@
         isCandidate: true,
         hearsMajority: !isLarge,
         isUnheld: !isLarge && isUnheld(index),
+        peers: undefined,
         fetchShare: {
           fleetFetches: 0,
           fullSpeedFetches: 8,
