Answers at once and first tokens are sent once, a question that comes again is answered again

Each place took seven datagrams: question, answer, its acknowledgement, first token and release with theirs. The answer given in the turn of its question carries the question's acknowledgement; where both are lost the question comes again and is answered again. A lost first token is made up for as before. Test: peer_datagrams_test.

--- a/src/gateway/engine_task.ts
+++ b/src/gateway/engine_task.ts
@@ -56,6 +56,8 @@
   announce: () => void;
   /** Sends until the peer acknowledges; resolves to false when it does not. */
   deliver: (peerId: string, message: GatewayMessage) => Promise<boolean>;
+  /** Sends what may be lost. */
+  sendOnce: (peerId: string, message: GatewayMessage) => void;
 }
 
 export class EngineTask {
@@ -88,6 +90,10 @@
       isStopping: () => this.#isStopping,
       listHolders: (now) => this.#listHolders(now),
       send: (peerId, message) => this.#send(peerId, message),
+      sendOnce: (peerId, message) => {
+        if (peerId === options.selfId) this.handleMessage(peerId, message);
+        else options.sendOnce(peerId, message);
+      },
     });
   }
 
@@ -355,7 +361,7 @@
       this.#refuseAsNotHolder(engineId, request, now);
       return;
     }
-    this.#carryOut(holder.requestPermit(request, now));
+    this.#carryOut(holder.requestPermit(request, now), request.permitId);
     this.#pump(engineId, now);
   }
 
@@ -375,7 +381,10 @@
     };
     const knownHolder = this.#options.fleet.findHolder(engineId, now);
     if (knownHolder !== undefined) answer.knownHolder = knownHolder;
-    this.#carryOut([{ kind: "answerPermit", engineId, answer }]);
+    this.#carryOut(
+      [{ kind: "answerPermit", engineId, answer }],
+      request.permitId,
+    );
   }
 
   #recordUnusable(
@@ -445,15 +454,12 @@
     return holder?.isHolding() ? holder : undefined;
   }
 
-  #carryOut(effects: readonly HolderEffect[]): void {
+  /** @param askedPermitId permit that was asked for in this turn: where its answer is lost it is asked for again. */
+  #carryOut(effects: readonly HolderEffect[], askedPermitId?: string): void {
     for (const effect of effects) {
       switch (effect.kind) {
         case "answerPermit":
-          void this.#send(effect.answer.holder, {
-            kind: "permitAnswer",
-            engineId: effect.engineId,
-            answer: effect.answer,
-          });
+          this.#sendAnswer(effect, askedPermitId);
           break;
         case "readReport":
           void this.#readReport(effect.engineId);
@@ -534,6 +540,17 @@
     this.#pump(engineId, now);
   }
 
+  #sendAnswer(
+    { engineId, answer }: Extract<HolderEffect, { kind: "answerPermit" }>,
+    askedPermitId: string | undefined,
+  ): void {
+    const message: GatewayMessage = { kind: "permitAnswer", engineId, answer };
+    const isRemote = answer.holder !== this.#options.selfId;
+    if (isRemote && answer.permitId === askedPermitId) {
+      this.#options.sendOnce(answer.holder, message);
+    } else void this.#send(answer.holder, message);
+  }
+
   async #send(peerId: string, message: GatewayMessage): Promise<boolean> {
     if (peerId === this.#options.selfId) {
       this.handleMessage(peerId, message);
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -128,6 +128,10 @@
       metrics: this.#metrics,
       announce: () => this.#scheduleHeartbeat(),
       deliver: (peerId, message) => this.#deliver(peerId, message),
+      sendOnce: (peerId, message) => {
+        const member = this.#fleet.getMember(peerId);
+        if (member) this.#peers.send(member.ip, message);
+      },
     });
     const context: RequestContext = {
       selfId: host,
--- a/src/gateway/peer_task.ts
+++ b/src/gateway/peer_task.ts
@@ -1,7 +1,8 @@
 /**
- * Owns the datagram socket between gateways. Heartbeats are sent once; other
- * messages are repeated until they are acknowledged, and handled once. There is
- * no connection that could go silent. What is no valid message is counted and
+ * Owns the datagram socket between gateways. Heartbeats, answers at once and what
+ * may be lost are sent once; other messages are repeated until they are
+ * acknowledged, and handled once, questions each time they come. There is no
+ * connection that could go silent. What is no valid message is counted and
  * dropped.
  */
 import { createSocket, type Socket } from "node:dgram";
@@ -149,7 +150,8 @@
     if (!message) return;
     if (number !== undefined) {
       this.#scheduleAck(ip, number);
-      if (!this.#remember(`${incarnation}:${number}`)) return;
+      const isNew = this.#remember(`${incarnation}:${number}`);
+      if (!isNew && !isRepeatable(message)) return;
     }
     try {
       this.#options.handle(from, message);
@@ -199,6 +201,11 @@
   }
 }
 
+/** A question that comes again is answered again: its first answer may have been lost with the acknowledgement. */
+function isRepeatable(message: GatewayMessage): boolean {
+  return message.kind === "permitRequest";
+}
+
 /** Peers are named by their addresses: the way through name look-up is half of what a datagram costs. */
 function returnAddress(
   address: string,
--- a/src/gateway/permit_client.ts
+++ b/src/gateway/permit_client.ts
@@ -62,6 +62,8 @@
   listHolders: (now: Milliseconds) => ReadonlyMap<string, string>;
   /** Sends until the receiver acknowledges; resolves to false when it does not. */
   send: (peerId: string, message: GatewayMessage) => Promise<boolean>;
+  /** Sends what may be lost. */
+  sendOnce: (peerId: string, message: GatewayMessage) => void;
 }
 
 export class PermitClient {
@@ -172,10 +174,11 @@
     >,
   ): void {
     const run = this.#ownRuns.get(message.permitId);
-    const { send } = this.#options;
+    const { sendOnce } = this.#options;
     switch (message.kind) {
       case "firstToken":
-        if (run?.knownTo !== undefined) void send(run.knownTo, message);
+        // Lost ones are made up for: the holder takes a prompt for read after a while.
+        if (run?.knownTo !== undefined) sendOnce(run.knownTo, message);
         break;
       case "permitReleased":
       case "permitUnusable":
--- a/test/gateway/peer_datagrams_test.ts
+++ b/test/gateway/peer_datagrams_test.ts
@@ -159,6 +159,21 @@
   assert.equal(dropped, ["unknownKind"]);
 });
 
+test("a question that comes again is answered again, other messages are handled once", async () => {
+  const question = encode(
+    { kind: "permitRequest", engineId: "e", request: REQUEST },
+    { number: 5 },
+  );
+  const release = encode(RELEASED, { number: 6 });
+  const { handled } = await receive([question, question, release, release]);
+  assert.equal(handled.map((message) => message.kind), [
+    "permitRequest",
+    "permitRequest",
+    "permitReleased",
+    "permitReleased",
+  ]);
+});
+
 test("a fault in the handling of one message leaves the others served", async () => {
   const { handled, dropped } = await receive(
     [encode({ ...RELEASED, permitId: "faulty" })],
