A failure domain that is cut off is left alone, found out by one request

Change: an attempt without a connection counts for the upstream's failure domain while no peer there is heard; they are left out for 3 s or until one is heard. Logged as domainCutOff. Test: domain_reachability_test.

--- a/bench/main.ts
+++ b/bench/main.ts
@@ -7,6 +7,7 @@
 import { wakeCommand } from "./control/wake_command.ts";
 import { leasesCommand } from "./policy/leases_command.ts";
 import { policyCommand } from "./policy/policy_command.ts";
+import { lossesCommand } from "./losses/losses_command.ts";
 import { placesCommand } from "./places/places_command.ts";
 import { reportCommand } from "./report/report_command.ts";
 import { relayCommand } from "./relay/relay_command.ts";
@@ -25,6 +26,7 @@
   ticketsCommand,
   reportCommand,
   placesCommand,
+  lossesCommand,
 ];
 
 const program = sade("bench");
--- a/src/core/fleet/fleet_view.ts
+++ b/src/core/fleet/fleet_view.ts
@@ -139,6 +139,13 @@
     return Math.max(1, peers.length + own);
   }
 
+  /** Returns whether a peer in the failure domain lives as far as is known. */
+  isDomainHeard(failureDomain: string, now: Milliseconds): boolean {
+    return this.listLiving(now).some(({ sender }) =>
+      sender.failureDomain === failureDomain
+    );
+  }
+
   /**
    * Returns whether this daemon itself hears more than half of the daemons that
    * might order the engines of a failure domain: of all in a small fleet, of those
--- a/src/gateway/engine_place_finder.ts
+++ b/src/gateway/engine_place_finder.ts
@@ -71,6 +71,11 @@
     this.#exchange = options.exchange;
   }
 
+  /** Questions for a place that were asked so far. */
+  get questions(): number {
+    return this.#placeCount;
+  }
+
   /** Time after which a place is expected, for a request that is refused. */
   get expectedMs(): Milliseconds {
     return this.#expectedMs;
@@ -98,13 +103,17 @@
 
   /** Finds an engine with a place for the request; the place is released after the attempt. */
   async findEngine(): Promise<PublishedUpstream | undefined> {
-    const { view, health, backoff } = this.#context;
+    const { view, fleet, health, backoff, reachability } = this.#context;
     const { facts } = this.#exchange;
     const serving = view.listServing(this.#options.service.name).filter((
       engine,
     ) => facts.model === "" || engine.models.includes(facts.model));
     const startedAt = performance.now();
-    const engines = backoff.listOpen(serving, startedAt);
+    const engines = reachability.selectReachable(
+      backoff.listOpen(serving, startedAt),
+      (domain) => fleet.isDomainHeard(domain, startedAt),
+      startedAt,
+    );
     if (engines.length === 0) {
       this.#expectedMs = backoff.getShortestMs(serving, startedAt) ??
         DEFAULT_RETRY_AFTER_MS;
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -11,6 +11,7 @@
 import { RepeatAllowance } from "../core/limits/repeat_allowance.ts";
 import { FenceClock } from "../core/ordering/fence_clock.ts";
 import { AdapterDemand } from "../core/placement/adapter_demand.ts";
+import { DomainReachability } from "../core/placement/domain_reachability.ts";
 import { UpstreamBackoff } from "../core/placement/upstream_backoff.ts";
 import { UpstreamHealth } from "../core/placement/upstream_health.ts";
 import { PublishedView } from "../core/view/published_view.ts";
@@ -141,6 +142,7 @@
       fleet: this.#fleet,
       health: new UpstreamHealth(),
       backoff: new UpstreamBackoff(),
+      reachability: new DomainReachability(),
       demand: new AdapterDemand(),
       answerMemory: new AnswerMemory({
         freeBytes: FREE_ANSWER_BYTES,
--- a/src/gateway/request_context.ts
+++ b/src/gateway/request_context.ts
@@ -4,6 +4,7 @@
 import type { CrashQuarantine } from "../core/limits/crash_quarantine.ts";
 import type { RepeatAllowance } from "../core/limits/repeat_allowance.ts";
 import type { AdapterDemand } from "../core/placement/adapter_demand.ts";
+import type { DomainReachability } from "../core/placement/domain_reachability.ts";
 import type { UpstreamBackoff } from "../core/placement/upstream_backoff.ts";
 import type { ServiceLoad } from "../core/placement/upstream_choice.ts";
 import type { UpstreamHealth } from "../core/placement/upstream_health.ts";
@@ -22,6 +23,7 @@
   fleet: FleetView;
   health: UpstreamHealth;
   backoff: UpstreamBackoff;
+  reachability: DomainReachability;
   demand: AdapterDemand;
   answerMemory: AnswerMemory;
   allowance: RepeatAllowance;
--- a/src/gateway/request_flow.ts
+++ b/src/gateway/request_flow.ts
@@ -11,6 +11,7 @@
   isIdempotent,
 } from "../core/execution/attempt_verdict.ts";
 import { EventSplitter } from "../core/execution/event_splitter.ts";
+import { HealthSign } from "../core/placement/upstream_health.ts";
 import { rankServiceUpstreams } from "../core/placement/upstream_choice.ts";
 import type { Milliseconds } from "../core/structures.ts";
 import {
@@ -310,6 +311,8 @@
       status: result?.status,
       attempts: this.#allAttempts,
       ran: this.#ranAttempts,
+      questions: this.#places.questions,
+      objectiveMs: this.#route.latencyObjectiveMs,
       sentMs: roundMs(this.#sentAt - this.#exchange.arrivedAt),
       firstByteMs: roundMs(this.#firstByteAt - this.#exchange.arrivedAt),
       elapsedMs: roundMs(performance.now() - this.#exchange.arrivedAt),
@@ -429,7 +432,10 @@
     const now = performance.now();
     metrics.count("attempts", result.outcome);
     const sign = getHealthSign(result);
-    if (sign) health.recordSign(upstream.id, sign, now);
+    if (sign) {
+      health.recordSign(upstream.id, sign, now);
+      this.#recordReach(upstream, sign, now);
+    }
     if (result.outcome === AttemptOutcome.Answered) {
       quarantine.recordSurvival(this.#fingerprint);
     } else if (result.hasBroken && !this.#hasForwarded) {
@@ -437,6 +443,29 @@
     }
   }
 
+  /** Learns from an attempt whether the upstream's failure domain can be reached. */
+  #recordReach(
+    { id, failureDomain }: PublishedUpstream,
+    sign: HealthSign,
+    now: Milliseconds,
+  ): void {
+    const { reachability, fleet, log } = this.#context;
+    if (sign === HealthSign.Answered || sign === HealthSign.Rejected) {
+      reachability.recordReached(failureDomain);
+      return;
+    }
+    if (sign !== HealthSign.Unreachable) return;
+    const isHeard = fleet.isDomainHeard(failureDomain, now);
+    const wasCutOff = reachability.isCutOff(failureDomain, isHeard, now);
+    reachability.recordUnreachable(failureDomain, now);
+    if (isHeard || wasCutOff) return;
+    log.info("domainCutOff", {
+      requestId: this.#exchange.facts.requestId,
+      failureDomain,
+      upstream: id,
+    });
+  }
+
   #getServiceLoad(upstreamId: string) {
     const { serviceLoads } = this.#context;
     const load = serviceLoads.get(upstreamId) ??
@@ -450,15 +479,27 @@
   }
 
   #selectServiceUpstream(): PublishedUpstream | undefined {
-    const { view, health, backoff, failureDomain, serviceLoads } =
-      this.#context;
+    const {
+      view,
+      fleet,
+      health,
+      backoff,
+      reachability,
+      failureDomain,
+      serviceLoads,
+    } = this.#context;
     const now = performance.now();
     const upstreams = view.listServing(this.#service.name);
     const open = backoff.listOpen(upstreams, now);
     this.#reopensInMs = open.length === 0
       ? backoff.getShortestMs(upstreams, now)
       : undefined;
-    const ranked = rankServiceUpstreams(open, {
+    const reachable = reachability.selectReachable(
+      open,
+      (domain) => fleet.isDomainHeard(domain, now),
+      now,
+    );
+    const ranked = rankServiceUpstreams(reachable, {
       failureDomain,
       health,
       getLoad: (id) => serviceLoads.get(id),
--- /dev/null
+++ b/test/core/placement/domain_reachability_test.ts
@@ -0,0 +1,61 @@
+/** A failure domain that is cut off silently: found out by one request, over with the first heartbeat. */
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { DomainReachability } from "../../../src/core/placement/domain_reachability.ts";
+
+const UPSTREAMS = ["a1", "b1", "b2", "c1"].map((id) => ({
+  id,
+  failureDomain: id.slice(0, 1),
+}));
+const CUT_MS = 6_000;
+/** What an attempt at an upstream behind the cut costs. */
+const CONNECT_TIMEOUT_MS = 400;
+
+test("of hundreds of requests during a cut a few meet it, not one for each upstream and pause", () => {
+  const reachability = new DomainReachability();
+  let attempts = 0;
+  let failures: number[] = [];
+  for (let now = 0; now < CUT_MS; now += 10) {
+    for (const failedAt of failures.filter((at) => at <= now)) {
+      reachability.recordUnreachable("b", failedAt);
+    }
+    failures = failures.filter((at) => at > now);
+    // Heartbeats fail to come for 1.6 s before a peer is taken for dead.
+    const isHeard = (domain: string) => domain !== "b" || now < 1_600;
+    const open = reachability.selectReachable(UPSTREAMS, isHeard, now);
+    const chosen = open[(now / 10) % open.length];
+    if (chosen?.failureDomain !== "b" || now < 1_600) continue;
+    attempts += 1;
+    failures.push(now + CONNECT_TIMEOUT_MS);
+  }
+  // Two openings, each as long as a time-out, in which half of the requests go there.
+  assert.ok(attempts <= 2 * CONNECT_TIMEOUT_MS / 10 / 2 + 2, `${attempts}`);
+});
+
+test("one failed upstream does not close a failure domain whose peers are heard", () => {
+  const reachability = new DomainReachability();
+  reachability.recordUnreachable("b", 0);
+  assert.not(reachability.isCutOff("b", true, 10));
+  assert.ok(reachability.isCutOff("b", false, 10));
+  assert.not(reachability.isCutOff("c", false, 10));
+});
+
+test("an answer from there opens it again, and so does time", () => {
+  const reachability = new DomainReachability();
+  reachability.recordUnreachable("b", 0);
+  reachability.recordReached("b");
+  assert.not(reachability.isCutOff("b", false, 10));
+  reachability.recordUnreachable("b", 100);
+  assert.not(reachability.isCutOff("b", false, 4_000));
+});
+
+test("where nothing can be reached nothing is left out", () => {
+  const reachability = new DomainReachability();
+  for (const domain of ["a", "b", "c"]) {
+    reachability.recordUnreachable(domain, 0);
+  }
+  const open = reachability.selectReachable(UPSTREAMS, () => false, 10);
+  assert.is(open.length, UPSTREAMS.length);
+});
+
+test.run();
