How fast an engine reads is learnt from long prompts; patience follows the pauses callers bear

Constants of the older sheets: 38 tokens a millisecond are read (krua: 30.6, a third of its engines 23.5), and callers stay for two seconds, while the pages also say eight of the pauses that are in time (krua: 2.4 s; its callers left at 2,400 ms). Change: prompts of 4,000 tokens and more on the way to a first token tell the speed; the route's longest pause is decoded and counts.

--- a/src/core/admission/batch_room.ts
+++ b/src/core/admission/batch_room.ts
@@ -6,8 +6,15 @@
  */
 import type { Milliseconds } from "../structures.ts";
 
-/** Prompt tokens that an engine reads in a millisecond; the users' sheets give 38.4 and 38.7. */
+/** Prompt tokens that an engine reads in a millisecond, before any were seen read; the users' sheets give 30.6 to 38.7. */
 export const PREFILL_TOKENS_PER_MS = 38;
+/** Prompts, in tokens, from which the time to a first token tells how fast an engine reads: some hundred milliseconds. */
+const TELLING_TOKENS = 4_000;
+/** Weight of the latest such time in the mean. */
+const READING_WEIGHT = 1 / 8;
+/** Bounds of the mean, in parts of the first value: beyond, something else has taken the time. */
+const LEAST_READING = 0.4;
+const MOST_READING = 2;
 /** Part of the memory for tokens that is given out: caches and estimates need the rest. */
 const USABLE_MEMORY_SHARE = 0.9;
 /** Prompt parts that an engine is taken to keep. */
@@ -26,6 +33,8 @@
 interface RunningRequest {
   tokens: number;
   unreadTokens: number;
+  /** Tokens of prompts that were to be read before its own was done. */
+  tokensToFirst: number;
   admittedAt: Milliseconds;
 }
 
@@ -33,6 +42,8 @@
   readonly #running = new Map<string, RunningRequest>();
   readonly #cachedParts = new Set<string>();
   #batchSize: number;
+  /** Prompt tokens that the engine reads in a millisecond. */
+  #readingSpeed = PREFILL_TOKENS_PER_MS;
   #memoryTokens: number;
 
   constructor(limits: { batchSize: number; kvCapacityTokens: number }) {
@@ -60,34 +71,58 @@
 
   /** Returns how long the prompts before a new request take to be read. */
   estimateBacklogMs(now: Milliseconds): Milliseconds {
-    let unread = 0;
-    for (const request of this.#running.values()) {
-      const isTakenForRead = now - request.admittedAt > PREFILL_PATIENCE_MS;
-      if (!isTakenForRead) unread += request.unreadTokens;
-    }
-    return unread / PREFILL_TOKENS_PER_MS;
+    return this.#sumUnread(now) / this.#readingSpeed;
   }
 
   /** Returns how long the engine reads the request's own prompt. */
   estimateOwnPrefillMs(demand: BatchDemand): Milliseconds {
-    return this.#countUnread(demand) / PREFILL_TOKENS_PER_MS;
+    return this.#countUnread(demand) / this.#readingSpeed;
   }
 
   admit(permitId: string, demand: BatchDemand, now: Milliseconds): void {
+    const unreadTokens = this.#countUnread(demand);
     this.#running.set(permitId, {
       tokens: demand.promptTokens + demand.outputTokens,
-      unreadTokens: this.#countUnread(demand),
+      unreadTokens,
+      tokensToFirst: this.#sumUnread(now) + unreadTokens,
       admittedAt: now,
     });
     for (const part of demand.promptParts) this.#rememberPart(demand, part.id);
   }
 
-  /** Notes that the request's prompt has been read. */
-  recordFirstToken(permitId: string): void {
+  /** Counts a request whose prompt has been read. */
+  adopt(permitId: string, demand: BatchDemand, now: Milliseconds): void {
+    this.admit(permitId, demand, now);
     const request = this.#running.get(permitId);
     if (request) request.unreadTokens = 0;
   }
 
+  /** Notes that the request's prompt has been read. */
+  recordFirstToken(permitId: string, now: Milliseconds): void {
+    const request = this.#running.get(permitId);
+    if (!request || request.unreadTokens === 0) return;
+    request.unreadTokens = 0;
+    const elapsedMs = now - request.admittedAt;
+    if (request.tokensToFirst < TELLING_TOKENS || elapsedMs <= 0) return;
+    const speed = Math.min(
+      MOST_READING * PREFILL_TOKENS_PER_MS,
+      Math.max(
+        LEAST_READING * PREFILL_TOKENS_PER_MS,
+        request.tokensToFirst / elapsedMs,
+      ),
+    );
+    this.#readingSpeed += READING_WEIGHT * (speed - this.#readingSpeed);
+  }
+
+  #sumUnread(now: Milliseconds): number {
+    let unread = 0;
+    for (const request of this.#running.values()) {
+      const isTakenForRead = now - request.admittedAt > PREFILL_PATIENCE_MS;
+      if (!isTakenForRead) unread += request.unreadTokens;
+    }
+    return unread;
+  }
+
   release(permitId: string): boolean {
     return this.#running.delete(permitId);
   }
--- a/src/core/admission/engine_desk.ts
+++ b/src/core/admission/engine_desk.ts
@@ -183,8 +183,7 @@
       grantedAt: undefined,
       hasFirstToken: true,
     });
-    this.room.admit(permitId, permit, now);
-    this.room.recordFirstToken(permitId);
+    this.room.adopt(permitId, permit, now);
     const place = this.places.getPlace(adapterPath);
     if (place) this.places.recordUse(place, permitId, now);
   }
@@ -212,7 +211,7 @@
     const place = permit && this.places.getPlace(permit.adapterPath);
     if (place) this.places.recordConfirmed(place);
     if (permit) permit.hasFirstToken = true;
-    this.room.recordFirstToken(permitId);
+    this.room.recordFirstToken(permitId, now);
     this.pump(now);
   }
 
--- a/src/core/admission/place_patience.ts
+++ b/src/core/admission/place_patience.ts
@@ -10,6 +10,8 @@
 const ABANDON_OBJECTIVES = 4;
 /** They stay this long at the least: the users' pages. */
 const MIN_ABANDON_MS = 2_000;
+/** They stay for this many of the longest pauses between events for which a stream is in time: the users' pages. */
+const ABANDON_PAUSES = 8;
 /** Time that the engine takes from the place to the first event, in a busy batch. */
 const FIRST_EVENT_MS = 600;
 /** Part of the time left that a place is waited for, when the first token will be late. */
@@ -20,14 +22,17 @@
 export function computePlacePatienceMs(
   request: {
     latencyObjectiveMs: Milliseconds;
+    pauseObjectiveMs: Milliseconds;
     elapsedMs: Milliseconds;
     remainingMs: Milliseconds;
   },
 ): Milliseconds {
-  const { latencyObjectiveMs, elapsedMs, remainingMs } = request;
+  const { latencyObjectiveMs, pauseObjectiveMs, elapsedMs, remainingMs } =
+    request;
   const abandonedAtMs = Math.max(
     MIN_ABANDON_MS,
     ABANDON_OBJECTIVES * latencyObjectiveMs,
+    ABANDON_PAUSES * pauseObjectiveMs,
   );
   const presentMs = abandonedAtMs - FIRST_EVENT_MS - elapsedMs;
   const worthMs = Math.max(
--- a/src/core/view/published_view.ts
+++ b/src/core/view/published_view.ts
@@ -28,6 +28,8 @@
   timeoutMs: Milliseconds;
   /** Time within which the first byte is worth its full value. */
   latencyObjectiveMs: Milliseconds;
+  /** Longest pause between a stream's events for which it is still in time; 0 where none is declared. */
+  pauseObjectiveMs: Milliseconds;
   /** 0 is the most urgent. */
   priorityRank: number;
   /** Upstreams to which one request may be sent, at most. */
--- a/src/gateway/engine_place_finder.ts
+++ b/src/gateway/engine_place_finder.ts
@@ -231,12 +231,14 @@
   ): Promise<PermitReply> {
     const { selfId, engines } = this.#context;
     const { facts } = this.#exchange;
-    const { latencyObjectiveMs, priorityRank } = this.#options.route;
+    const { latencyObjectiveMs, pauseObjectiveMs, priorityRank } =
+      this.#options.route;
     const remainingMs = Math.max(1, this.#options.endsAt - performance.now());
     const elapsedMs = performance.now() - this.#exchange.arrivedAt;
     const firstTokenBudgetMs = Math.max(0, latencyObjectiveMs - elapsedMs);
     const patienceMs = computePlacePatienceMs({
       latencyObjectiveMs,
+      pauseObjectiveMs,
       elapsedMs,
       remainingMs,
     });
--- a/test/core/admission/place_patience_test.ts
+++ b/test/core/admission/place_patience_test.ts
@@ -9,6 +9,7 @@
 test("a chat with a long limit does not wait until its caller has left", () => {
   const patience = computePlacePatienceMs({
     latencyObjectiveMs: 800,
+    pauseObjectiveMs: 0,
     elapsedMs: 0,
     remainingMs: 15_000,
   });
@@ -16,9 +17,22 @@
   assert.ok(patience > 800);
 });
 
+test("a caller with a short objective stays for eight of the pauses that are in time", () => {
+  const request = {
+    latencyObjectiveMs: 500,
+    elapsedMs: 0,
+    remainingMs: 20_000,
+  };
+  const short = computePlacePatienceMs({ ...request, pauseObjectiveMs: 0 });
+  const long = computePlacePatienceMs({ ...request, pauseObjectiveMs: 300 });
+  assert.ok(short < LEAVES_AT(500) - 500, String(short));
+  assert.is(long - short, 400);
+});
+
 test("what has waited already counts", () => {
   const patience = computePlacePatienceMs({
     latencyObjectiveMs: 800,
+    pauseObjectiveMs: 0,
     elapsedMs: 2_400,
     remainingMs: 12_600,
   });
@@ -28,6 +42,7 @@
 test("a place that can still be in time is waited for, within the limit", () => {
   const patience = computePlacePatienceMs({
     latencyObjectiveMs: 1_000,
+    pauseObjectiveMs: 0,
     elapsedMs: 100,
     remainingMs: 700,
   });
