Failures of an upstream are added up over all hosts; the store is read a little less often

Change: heartbeats name failing upstreams with failed and answered attempts; what all see together, from two hosts on, marks one as ill at 0.22. A reader gathers entries of upstreams for a fifth of the time that a leaving one has, an eighth before. Moved: FetchPacer out of EngineTask, RunPace shared by desk and permit client.

--- a/src/core/admission/engine_desk.ts
+++ b/src/core/admission/engine_desk.ts
@@ -9,6 +9,7 @@
 import { MAX_COMING } from "../placement/fetch_window.ts";
 import type { Milliseconds } from "../structures.ts";
 import type { BatchDemand, BatchRoom } from "./batch_room.ts";
+import { RunPace } from "./run_pace.ts";
 
 /** A request for a place in an engine's batch. */
 export interface PermitRequest extends BatchDemand {
@@ -79,15 +80,6 @@
 const SPREAD_SHARE = 0.65;
 /** Part of that time that has to be lost on what is scarce here alone, before another engine is worth a further load. */
 const MOVE_SHARE = 0.2;
-/** Duration of a run before any was seen: some tens of tokens. */
-const FIRST_RUN_MS = 1_000;
-/** Weight of the latest run in the mean duration: the runs of a few seconds count. */
-const RUN_WEIGHT = 1 / 32;
-/** Time between slots that fall idle before any was seen: a run over some ten slots. */
-const FIRST_IDLE_INTERVAL_MS = 100;
-/** Weight of the latest of these times in their mean, and the longest that counts: beyond, too little was asked for. */
-const IDLE_WEIGHT = 1 / 8;
-const MAX_IDLE_INTERVAL_MS = 1_000;
 /** Time after taking an engine over in which daemons tell of the runs that they have there. */
 const ADOPTION_MS = 900;
 /** Backlog of prompts beyond which a request waits here instead of in the engine. */
@@ -116,11 +108,7 @@
   readonly #backedOff = new Map<string, Milliseconds>();
   #answers: PermitAnswer[] = [];
   #evictableFrom = Number.NEGATIVE_INFINITY;
-  /** Mean duration of the runs here. */
-  #runMs = FIRST_RUN_MS;
-  /** Mean time between slots that fall idle. */
-  #idleIntervalMs = FIRST_IDLE_INTERVAL_MS;
-  #lastIdleAt: Milliseconds | undefined;
+  readonly #pace = new RunPace();
 
   constructor(places: AdapterPlaces, room: BatchRoom) {
     this.places = places;
@@ -196,12 +184,12 @@
     this.#permits.delete(permitId);
     this.room.release(permitId);
     if (permit.hasFirstToken && permit.grantedAt !== undefined) {
-      this.#runMs += RUN_WEIGHT * (now - permit.grantedAt - this.#runMs);
+      this.#pace.recordRun(now - permit.grantedAt);
     }
     const place = this.places.getPlace(permit.adapterPath);
     place?.permits.delete(permitId);
     if (place) place.lastUsedAt = Math.max(place.lastUsedAt, now);
-    if (place?.permits.size === 0) this.#recordIdle(now);
+    if (place?.permits.size === 0) this.#pace.recordIdle(now);
     this.pump(now);
   }
 
@@ -392,13 +380,6 @@
       : DenialReason.Busy;
   }
 
-  #recordIdle(now: Milliseconds): void {
-    const sinceMs = now - (this.#lastIdleAt ?? now);
-    this.#lastIdleAt = now;
-    const intervalMs = Math.min(MAX_IDLE_INTERVAL_MS, sinceMs);
-    this.#idleIntervalMs += IDLE_WEIGHT * (intervalMs - this.#idleIntervalMs);
-  }
-
   #findEvictable(now: Milliseconds): Place | undefined {
     return now < this.#evictableFrom
       ? undefined
@@ -421,14 +402,14 @@
       this.#sumWaitingPrefillMs(request);
     const fullMs = this.room.hasRoomFor(request)
       ? 0
-      : this.#runMs / Math.max(1, this.room.countRunning());
+      : this.#pace.runMs / Math.max(1, this.room.countRunning());
     return Math.max(readMs, fullMs, this.#estimateSlotMs(request, now));
   }
 
   /** Returns the time until a slot falls idle for the request's adapter. */
   #estimateSlotMs(request: PermitRequest, now: Milliseconds): Milliseconds {
     if (!this.#needsSlot(request, now)) return 0;
-    return this.#idleIntervalMs * (1 + this.#countWaitingAbsent(request));
+    return this.#pace.idleIntervalMs * (1 + this.#countWaitingAbsent(request));
   }
 
   #needsSlot(request: PermitRequest, now: Milliseconds): boolean {
--- a/src/core/fleet/fleet_view.ts
+++ b/src/core/fleet/fleet_view.ts
@@ -11,6 +11,7 @@
  * small fleet. So what depends on who holds an engine works alike at every size.
  */
 import { rankByRendezvous } from "../hashing.ts";
+import type { OutcomeReport } from "../placement/upstream_health.ts";
 import type { Milliseconds } from "../structures.ts";
 import type { FleetMember, Heartbeat, NamedMember } from "./heartbeat.ts";
 import {
@@ -344,6 +345,12 @@
     return this.#getSurvey(now).fetchesInFlight;
   }
 
+  /** Returns what each living peer has seen of upstreams that fail requests. */
+  listFailing(now: Milliseconds): OutcomeReport[][] {
+    return this.listLiving(now)
+      .flatMap(({ failing }) => failing ? [failing] : []);
+  }
+
   /** Returns how many loads the living peers have found to go at full speed together. */
   listFullSpeedFetches(now: Milliseconds): number[] {
     return this.listLiving(now)
--- a/src/core/fleet/heartbeat.ts
+++ b/src/core/fleet/heartbeat.ts
@@ -1,4 +1,5 @@
 /** What daemons of a fleet tell each other of themselves, and of others. */
+import type { OutcomeReport } from "../placement/upstream_health.ts";
 import type { Milliseconds } from "../structures.ts";
 
 /** A daemon as its peers know it. */
@@ -39,6 +40,8 @@
   fetchesInFlight: number;
   /** How many of these go at full speed together, as the sender has found; absent before it has loaded any. */
   fullSpeedFetches?: number | undefined;
+  /** What the sender has seen of upstreams that fail requests; absent where there is none. */
+  failing?: OutcomeReport[] | undefined;
   /** Highest time of the sender's fence clock. */
   fenceUnixMs: number;
   /** Some of the members that the sender knows. */
--- a/src/core/placement/upstream_health.ts
+++ b/src/core/placement/upstream_health.ts
@@ -2,7 +2,9 @@
  * Judges upstreams by their own answers, since health checks may lie either way.
  * Load pattern: a part of the upstreams fails some requests, hangs, sheds or
  * turns slow while it reports itself healthy. Failures decay, so an upstream
- * that recovers is found out by the few requests that still reach it.
+ * that recovers is found out by the few requests that still reach it. Peers tell
+ * each other of failing upstreams: all that is seen together shows a part that fails
+ * where each host alone sees a few.
  */
 import type { Milliseconds } from "../structures.ts";
 
@@ -28,6 +30,27 @@
 const NEGLIGIBLE_SHARE = 0.05;
 /** Share of failures from which an upstream is taken for ill. */
 const ILL_FAILURE_SHARE = 0.35;
+/** The same share over all hosts, which see more requests and so tell it sooner from chance. */
+const ILL_FLEET_SHARE = 0.22;
+/** Failures over all hosts below which that share tells nothing. */
+const MIN_FLEET_FAILURES = 3;
+/** Hosts that must have seen a failure: one alone may have a bad path to it. */
+const MIN_REPORTS = 2;
+/** Failures from which a host tells its peers of an upstream. */
+const TOLD_FAILURES = 0.5;
+
+/** What a host has seen of an upstream that fails requests, recent ones foremost. */
+export type OutcomeReport = [
+  upstreamId: string,
+  failed: number,
+  answered: number,
+];
+
+interface ReportedOutcomes {
+  hosts: number;
+  failed: number;
+  answered: number;
+}
 
 interface Record {
   answered: number;
@@ -38,6 +61,8 @@
 
 export class UpstreamHealth {
   readonly #records = new Map<string, Record>();
+  /** What peers have seen of failing upstreams. */
+  #reported: ReadonlyMap<string, ReportedOutcomes> = new Map();
 
   recordSign(upstreamId: string, sign: HealthSign, now: Milliseconds): void {
     const record = this.#updateRecord(upstreamId, now);
@@ -67,14 +92,54 @@
     return share < NEGLIGIBLE_SHARE ? 0 : share;
   }
 
+  /** Returns what this host has seen of upstreams that fail requests, to be told to peers. */
+  listFailing(now: Milliseconds): OutcomeReport[] {
+    return [...this.#records.keys()].flatMap((upstreamId): OutcomeReport[] => {
+      const { failed, answered } = this.#updateRecord(upstreamId, now);
+      return failed < TOLD_FAILURES
+        ? []
+        : [[upstreamId, roundCount(failed), roundCount(answered)]];
+    });
+  }
+
+  /** Takes in what each living peer tells; replaces what was told before. */
+  recordReports(reports: readonly (readonly OutcomeReport[])[]): void {
+    const reported = new Map<string, ReportedOutcomes>();
+    for (const [upstreamId, failed, answered] of reports.flat()) {
+      const before = reported.get(upstreamId) ??
+        { hosts: 0, failed: 0, answered: 0 };
+      reported.set(upstreamId, {
+        hosts: before.hosts + 1,
+        failed: before.failed + failed,
+        answered: before.answered + answered,
+      });
+    }
+    this.#reported = reported;
+  }
+
   /** Returns whether requests go elsewhere where they can. */
   isAvoided(upstreamId: string, now: Milliseconds): boolean {
+    if (this.#isIllForFleet(upstreamId, now)) return true;
     const record = this.#records.get(upstreamId);
     if (!record) return false;
     return record.avoidedUntil > now ||
       this.getFailureShare(upstreamId, now) >= ILL_FAILURE_SHARE;
   }
 
+  /** Returns whether all hosts together see the upstream fail too many requests. */
+  #isIllForFleet(upstreamId: string, now: Milliseconds): boolean {
+    const reported = this.#reported.get(upstreamId);
+    if (!reported) return false;
+    const own = this.#records.has(upstreamId)
+      ? this.#updateRecord(upstreamId, now)
+      : { failed: 0, answered: 0 };
+    const hosts = reported.hosts + (own.failed >= TOLD_FAILURES ? 1 : 0);
+    const failed = reported.failed + own.failed;
+    const all = failed + reported.answered + own.answered;
+    return hosts >= MIN_REPORTS && failed >= MIN_FLEET_FAILURES &&
+      failed / (all + PRIOR_ANSWERS) >= ILL_FLEET_SHARE;
+  }
+
   #updateRecord(upstreamId: string, now: Milliseconds): Record {
     const record = this.#records.get(upstreamId) ??
       { answered: 0, failed: 0, updatedAt: now, avoidedUntil: now };
@@ -86,3 +151,8 @@
     return record;
   }
 }
+
+/** Rounds a decayed count for a message. */
+function roundCount(count: number): number {
+  return Math.round(count * 10) / 10;
+}
--- a/src/gateway/engine_task.ts
+++ b/src/gateway/engine_task.ts
@@ -15,16 +15,13 @@
   type HolderEffect,
   type HolderSituation,
 } from "../core/ordering/engine_holder.ts";
-import {
-  type FetchShare,
-  FetchWindow,
-} from "../core/placement/fetch_window.ts";
 import { HolderRoles } from "../core/ordering/holder_roles.ts";
 import type { FenceClock } from "../core/ordering/fence_clock.ts";
 import type { Milliseconds } from "../core/structures.ts";
 import type { PublishedView } from "../core/view/published_view.ts";
 import { describeStep } from "../daemon/step_error.ts";
 import type { DecisionLog } from "./decision_log.ts";
+import { FetchPacer } from "./fetch_pacer.ts";
 import type { GatewayMetrics } from "./gateway_metrics.ts";
 import type { GatewayMessage } from "./peer_messages.ts";
 import { PermitClient } from "./permit_client.ts";
@@ -67,8 +64,7 @@
   readonly permits: PermitClient;
   readonly #pauses = new PauseDetector(performance.now(), Date.now());
   readonly #activeEngines = new Set<string>();
-  readonly #fetchWindow = new FetchWindow();
-  #toldFullSpeed = 0;
+  readonly #fetches: FetchPacer;
   #lastRolesAt = Number.NEGATIVE_INFINITY;
   readonly #roles: HolderRoles;
   #isStopping = false;
@@ -77,6 +73,7 @@
 
   constructor(options: EngineTaskOptions) {
     this.#options = options;
+    this.#fetches = new FetchPacer(options);
     this.#roles = new HolderRoles({
       fleet: options.fleet,
       seedIps: options.seedIps,
@@ -122,7 +119,7 @@
 
   /** Loads from the weight store that go at full speed together, as found here; undefined before any was seen. */
   getFullSpeedFetches(): number | undefined {
-    return this.#fetchWindow.found;
+    return this.#fetches.found;
   }
 
   describe(): object {
@@ -271,9 +268,7 @@
     if (now - this.#lastRolesAt < ROLES_INTERVAL_MS) return;
     this.#lastRolesAt = now;
     this.#followView();
-    this.#fetchWindow.recordFindings(
-      this.#options.fleet.listFullSpeedFetches(now),
-    );
+    this.#fetches.followPeers(now);
     this.#activeEngines.clear();
     for (const holder of this.#holders.values()) {
       const { isWanted, isCandidate } = this.#describeSituation(holder, now);
@@ -287,7 +282,7 @@
     const { view, termMs, fences } = this.#options;
     const engines = view.listEngines();
     const ids = new Set(engines.map((engine) => engine.id));
-    this.#fetchWindow.setEngines(engines.length);
+    this.#fetches.setEngines(engines.length);
     for (const id of this.#holders.keys()) {
       if (!ids.has(id)) this.#holders.delete(id);
     }
@@ -321,24 +316,14 @@
     return this.#roles.describeSituation({
       engine: this.#options.view.getUpstream(holder.engineId),
       holder,
-      fetchShare: this.#computeFetchShare(now),
+      fetchShare: this.#fetches.computeShare({
+        fetches: this.countFetches(),
+        heldEngines: this.listHeldEngines().length,
+      }, now),
       isStopping: this.#isStopping,
     }, now);
   }
 
-  #computeFetchShare(now: Milliseconds): FetchShare {
-    const { fleet } = this.#options;
-    const living = fleet.countLiving(now);
-    const holders = Math.max(1, Math.min(living, this.#holders.size));
-    const held = Math.max(1, this.listHeldEngines().length);
-    return this.#fetchWindow.computeShare({
-      own: this.countFetches(),
-      others: fleet.isFullMesh() ? fleet.countFetches(now) : undefined,
-      engineShare: held / Math.max(this.#holders.size, holders),
-      holders,
-    });
-  }
-
   /** Draws an adapter by host and engine, for orders that prove the right to give them. */
   #selectOwnAdapter(engineId: string, model: string): string | undefined {
     const { view, selfId, control } = this.#options;
@@ -420,26 +405,11 @@
   #pump(engineId: string, now: Milliseconds): void {
     const holder = this.#getHeld(engineId);
     if (!holder) return;
-    this.#followFetches(holder, now);
+    this.#fetches.followLoads(holder, now);
     this.#carryOut(holder.pump(this.#describeSituation(holder, now), now));
     this.#scheduleTick(holder.getNextDueAt());
   }
 
-  /** Lets the number of loads on their way follow how long they take. */
-  #followFetches(holder: EngineHolder, now: Milliseconds): void {
-    for (const observation of holder.desk.places.takeObservations()) {
-      this.#fetchWindow.recordFetch(observation, now);
-    }
-    const { fullSpeed } = this.#fetchWindow;
-    if (Math.round(fullSpeed) === this.#toldFullSpeed) return;
-    this.#toldFullSpeed = Math.round(fullSpeed);
-    this.#options.metrics.setGauge("full_speed_fetches", this.#toldFullSpeed);
-    this.#options.log.debug("fullSpeedFetchesChanged", {
-      upstream: holder.engineId,
-      fullSpeed: this.#toldFullSpeed,
-    });
-  }
-
   /** Returns who gives each engine's orders; what this daemon holds goes before others' word. */
   #listHolders(now: Milliseconds): ReadonlyMap<string, string> {
     const holders = new Map(this.#options.fleet.listHolders(now));
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -40,6 +40,8 @@
 const STRIKE_LIFETIME_MS = 60_000;
 /** Strikes named in one heartbeat, so that it stays one datagram. */
 const MAX_HEARTBEAT_STRIKES = 6;
+/** Failing upstreams named in one heartbeat, so that it stays one datagram. */
+const MAX_HEARTBEAT_FAILING = 12;
 /** Time for which news is gathered before peers are told. */
 const NEWS_DELAY_MS = 30;
 /** Gap between heartbeats from which this process is taken to have been paused. */
@@ -67,6 +69,7 @@
   readonly #view = new PublishedView();
   readonly #fleet: FleetView;
   readonly #fences: FenceClock;
+  readonly #health = new UpstreamHealth();
   readonly #quarantine = new CrashQuarantine({
     maxStrikes: MAX_STRIKES,
     strikeLifetimeMs: STRIKE_LIFETIME_MS,
@@ -140,7 +143,7 @@
       dialect: adapters.dialect,
       view: this.#view,
       fleet: this.#fleet,
-      health: new UpstreamHealth(),
+      health: this.#health,
       backoff: new UpstreamBackoff(),
       reachability: new DomainReachability(),
       demand: new AdapterDemand(),
@@ -309,6 +312,8 @@
   }
 
   #describeSelf(isPromised: boolean, now: number): Heartbeat {
+    const failing = this.#health.listFailing(now)
+      .slice(0, MAX_HEARTBEAT_FAILING);
     return {
       sender: this.#fleet.self,
       incarnation: this.#incarnation,
@@ -321,6 +326,7 @@
       newcomerHeld: this.#engines.listNewcomerHeld(now),
       fetchesInFlight: this.#engines.countFetches(),
       fullSpeedFetches: this.#engines.getFullSpeedFetches(),
+      failing: failing.length > 0 ? failing : undefined,
       fenceUnixMs: this.#fences.highestMs,
       sample: this.#fleet.selectSample(isPromised, now),
       strikes: this.#quarantine.getDigests(now)
@@ -360,6 +366,7 @@
     );
     const isNews = this.#fleet.recordHeartbeat(heartbeat, now);
     this.#engines.followHolders(now);
+    this.#health.recordReports(this.#fleet.listFailing(now));
     if (!isNews) return;
     this.#log.info("peerHeard", {
       peer: from,
--- a/src/gateway/peer_message_decoder.ts
+++ b/src/gateway/peer_message_decoder.ts
@@ -64,6 +64,7 @@
   newcomerHeld: z.array(z.string()).optional(),
   fetchesInFlight: z.number(),
   fullSpeedFetches: z.number().optional(),
+  failing: z.array(z.tuple([z.string(), z.number(), z.number()])).optional(),
   fenceUnixMs: z.number(),
   sample: z.array(z.tuple([z.string(), z.string(), z.string(), z.number()])),
   strikes: z.array(
--- a/src/gateway/permit_client.ts
+++ b/src/gateway/permit_client.ts
@@ -10,6 +10,7 @@
 } from "../core/admission/engine_desk.ts";
 import type { FleetView } from "../core/fleet/fleet_view.ts";
 import { ToldHolders } from "../core/fleet/told_holders.ts";
+import { RunPace } from "../core/admission/run_pace.ts";
 import { UndeliveredReturns } from "../core/admission/undelivered_returns.ts";
 import type { Milliseconds } from "../core/structures.ts";
 import type { PublishedUpstream } from "../core/view/published_view.ts";
@@ -19,10 +20,6 @@
 const RETURNS_INTERVAL_MS = 200;
 /** Runs told in one message, so that it stays one datagram. */
 const MAX_RUNS_PER_MESSAGE = 6;
-/** Duration of a run before any was seen: some tens of tokens. */
-const FIRST_RUN_MS = 1_000;
-/** Weight of the latest run in the mean duration. */
-const RUN_WEIGHT = 1 / 32;
 /** Added to a permit's patience for the way there and back. */
 const ANSWER_SLACK_MS = 150;
 
@@ -75,7 +72,7 @@
   /** Holders that have been told of the runs here, by engine. */
   readonly #informed = new Map<string, string>();
   #lastReturnsAt = Number.NEGATIVE_INFINITY;
-  #meanRunMs = FIRST_RUN_MS;
+  readonly #pace = new RunPace();
 
   constructor(options: PermitClientOptions) {
     this.#options = options;
@@ -158,7 +155,7 @@
 
   /** Mean duration of this daemon's runs, from place to end. */
   get meanRunMs(): Milliseconds {
-    return this.#meanRunMs;
+    return this.#pace.runMs;
   }
 
   /** Notes a run of this daemon at an engine, so that a new holder can be told. */
@@ -184,8 +181,7 @@
       case "permitUnusable":
         this.#ownRuns.delete(message.permitId);
         if (run && message.kind === "permitReleased") {
-          const runMs = performance.now() - run.startedAt;
-          this.#meanRunMs += RUN_WEIGHT * (runMs - this.#meanRunMs);
+          this.#pace.recordRun(performance.now() - run.startedAt);
         }
         if (run?.knownTo !== undefined) {
           this.#returnPermit(message, run.knownTo, run.endsAt);
--- a/src/gateway/view_follower.ts
+++ b/src/gateway/view_follower.ts
@@ -27,7 +27,7 @@
 /** Pause after changes of the configuration, so that those that follow come in one answer. */
 const GATHER_MS = 200;
 /** The same for upstreams, as a part of the time within which one that leaves gets no new work: most is kept for the store, the way to peers and a second try. */
-const GATHER_SHARE = 0.125;
+const GATHER_SHARE = 0.2;
 /** Period in which a daemon that does not read looks whether it should. */
 const STANDBY_MS = 250;
 /** Period in which a daemon that lost the store tries it again. */
