--- a/src/core/placement/adapter_demand.ts
+++ b/src/core/placement/adapter_demand.ts
@@ -22,6 +22,8 @@
 /** Time in which a request loses half of its weight: long against a run, short against changes of demand. */
 const HALF_LIFE_MS = 5_000;
 const MEAN_LIFE_MS = HALF_LIFE_MS / Math.LN2;
+/** Decayed requests below which no rate is told: a host of a large fleet sees so few that one or two say nothing. */
+const LEAST_TELLING = 3;
 /** Adapters that are remembered; those that are asked for least are forgotten first. */
 const MAX_REMEMBERED = 1_000;
 /** Decayed requests below which an adapter is forgotten. */
@@ -52,11 +54,13 @@
 
   getRate(adapterPath: string, now: Milliseconds): AdapterRate {
     const demand = this.#demands.get(adapterPath);
-    if (!demand) return { requestsPerMs: 0, tokensPerMs: 0 };
-    const kept = computeKept(demand, now) / MEAN_LIFE_MS;
+    const kept = demand ? computeKept(demand, now) : 0;
+    if (!demand || demand.requests * kept < LEAST_TELLING) {
+      return { requestsPerMs: 0, tokensPerMs: 0 };
+    }
     return {
-      requestsPerMs: demand.requests * kept,
-      tokensPerMs: demand.tokens * kept,
+      requestsPerMs: demand.requests * kept / MEAN_LIFE_MS,
+      tokensPerMs: demand.tokens * kept / MEAN_LIFE_MS,
     };
   }
 
--- a/test/core/placement/adapter_demand_test.ts
+++ b/test/core/placement/adapter_demand_test.ts
@@ -15,6 +15,16 @@
   assert.is(demand.getRate("m/a2", 30_000).requestsPerMs, 0);
 });
 
+test("one or two requests are no demand, however many hosts there are to multiply them by", () => {
+  const demand = new AdapterDemand();
+  demand.recordRequest({ adapterPath: "m/a1", ownTokens: 400 }, 0);
+  demand.recordRequest({ adapterPath: "m/a1", ownTokens: 400 }, 100);
+  assert.is(demand.getRate("m/a1", 200).requestsPerMs, 0);
+  demand.recordRequest({ adapterPath: "m/a1", ownTokens: 400 }, 200);
+  demand.recordRequest({ adapterPath: "m/a1", ownTokens: 400 }, 300);
+  assert.ok(demand.getRate("m/a1", 300).requestsPerMs > 0);
+});
+
 test("thousands of rare adapters do not push out what is in use", () => {
   const demand = new AdapterDemand();
   for (let request = 0; request < 20_000; request += 1) {
