Whether a failure domain is cut off is asked once for each, not for each upstream

On a grown site a request would have looked through 84 peers for each of 63 engines while a failure domain is cut off. The decisions are the same.

--- a/src/core/placement/domain_reachability.ts
+++ b/src/core/placement/domain_reachability.ts
@@ -39,9 +39,14 @@
     isHeard: (failureDomain: string) => boolean,
     now: Milliseconds,
   ): readonly T[] {
-    if (this.#failedAt.size === 0) return upstreams;
-    const reachable = upstreams.filter(({ failureDomain }) =>
-      !this.isCutOff(failureDomain, isHeard(failureDomain), now)
+    const cutOff = new Set(
+      [...this.#failedAt.keys()].filter((failureDomain) =>
+        this.isCutOff(failureDomain, isHeard(failureDomain), now)
+      ),
+    );
+    if (cutOff.size === 0) return upstreams;
+    const reachable = upstreams.filter((each) =>
+      !cutOff.has(each.failureDomain)
     );
     return reachable.length > 0 ? reachable : upstreams;
   }
