Loads that wait before a request's own at its engine count for a move

Change: the wait for what is scarce at an engine includes the loads before one's own, divided by those that an engine can count on (its share of the loads at full speed).

--- a/src/core/admission/engine_desk.ts
+++ b/src/core/admission/engine_desk.ts
@@ -403,7 +403,18 @@
     const fullMs = this.room.hasRoomFor(request)
       ? 0
       : this.#pace.runMs / Math.max(1, this.room.countRunning());
-    return Math.max(readMs, fullMs, this.#estimateSlotMs(request, now));
+    const slotMs = this.#estimateSlotMs(request, now);
+    return Math.max(readMs, fullMs, slotMs, this.#estimateQueueMs(request));
+  }
+
+  /** Returns how long the loads take that wait here before the request's own. */
+  #estimateQueueMs(request: PermitRequest): Milliseconds {
+    const { adapterPath, adapter } = request;
+    const isAbsent = adapter !== "" &&
+      this.places.getPlace(adapterPath) === undefined;
+    if (!isAbsent) return 0;
+    const before = this.#countWaitingAbsent(request);
+    return this.places.estimateOwnQueueMs(adapterPath, before);
   }
 
   /** Returns the time until a slot falls idle for the request's adapter. */
@@ -418,7 +429,7 @@
       !this.places.hasRoom() && this.#findEvictable(now) === undefined;
   }
 
-  /** Returns the time of the request's own load, with that for a slot to fall idle. */
+  /** Returns the time of the request's own load, with that for a slot to fall idle and for the loads before it here. */
   #estimateOwnLoadMs(request: PermitRequest, now: Milliseconds): Milliseconds {
     const { adapterPath, adapter } = request;
     if (adapter === "") return 0;
@@ -426,19 +437,21 @@
     if (place) {
       return place.state === "loading" ? Math.max(0, place.readyAt - now) : 0;
     }
-    return this.#estimateSlotMs(request, now) +
-      this.places.estimateLoadMs(adapterPath);
+    const waitMs = Math.max(
+      this.#estimateSlotMs(request, now),
+      this.#estimateQueueMs(request),
+    );
+    return waitMs + this.places.estimateLoadMs(adapterPath);
   }
 
-  /** The same with the loads before it. */
+  /** The same with the loads elsewhere that the weight store is busy with. */
   #estimateLoadMs(request: PermitRequest, now: Milliseconds): Milliseconds {
     const { adapterPath, adapter } = request;
     const ownMs = this.#estimateOwnLoadMs(request, now);
     const isAbsent = adapter !== "" &&
       this.places.getPlace(adapterPath) === undefined;
     if (!isAbsent) return ownMs;
-    const before = this.#countWaitingAbsent(request);
-    return ownMs + this.places.estimateFetchQueueMs(adapterPath, before);
+    return ownMs + this.places.estimateStoreQueueMs(adapterPath);
   }
 
   /** Counts the other adapters that wait for a load here. */
--- a/src/core/placement/adapter_places.ts
+++ b/src/core/placement/adapter_places.ts
@@ -61,6 +61,7 @@
     fullSpeedFetches: 1,
     isLast: true,
     isOnlyOwn: true,
+    perEngine: 1,
   };
   #observations: FetchObservation[] = [];
   /** How much longer loads take than the first estimate. */
@@ -120,12 +121,18 @@
     return FETCH_MS * Math.min(MAX_SLOWNESS, factor);
   }
 
+  /** Returns how long a load waits for those that wait before it here. */
+  estimateOwnQueueMs(adapterPath: string, before: number): Milliseconds {
+    if (!this.isFetch(adapterPath)) return 0;
+    return FETCH_MS * this.#slowness * before / this.#share.perEngine;
+  }
+
   /** Returns how long a load waits for others of the weight store. */
-  estimateFetchQueueMs(adapterPath: string, before: number): Milliseconds {
+  estimateStoreQueueMs(adapterPath: string): Milliseconds {
     if (!this.isFetch(adapterPath)) return 0;
     const { fleetFetches, fullSpeedFetches } = this.#share;
     const crowd = fleetFetches / fullSpeedFetches - UNQUEUED_SHARE;
-    return FETCH_MS * (Math.max(0, crowd) + before);
+    return FETCH_MS * Math.max(0, crowd);
   }
 
   /**
--- a/src/core/placement/fetch_window.ts
+++ b/src/core/placement/fetch_window.ts
@@ -47,6 +47,8 @@
   isLast: boolean;
   /** Whether it has none on the way, and the others have one each at most. */
   isOnlyOwn: boolean;
+  /** Loads at once that an engine can count on. */
+  perEngine: number;
 }
 
 /** First estimate, before any load has told: the least and the part of an engine's of the users' first sites. */
@@ -100,8 +102,7 @@
   #halfBeganAt: Milliseconds | undefined;
   /** When a load was seen first. */
   #firstSeenAt: Milliseconds | undefined;
-  /** Most loads that can be on the way: the platform bounds them by engine. */
-  #most = Number.POSITIVE_INFINITY;
+  #engines = 1;
 
   /** Loads that go at full speed together, as far as is known. */
   get fullSpeed(): number {
@@ -123,7 +124,7 @@
 
   /** Sets the number of engines, by which the first estimate goes. */
   setEngines(engines: number): void {
-    this.#most = MAX_COMING * Math.max(1, engines);
+    this.#engines = Math.max(1, engines);
     if (this.#hasEvidence) return;
     this.#first = Math.max(FIRST_LEAST, FIRST_PER_ENGINE * engines);
     this.#fullSpeed = this.#first;
@@ -139,6 +140,10 @@
       isLast: count.own + 1 >= share ||
         !this.#canFetch({ ...count, own: count.own + 1 }),
       isOnlyOwn: count.own === 0 && estimateFleet(count) < count.holders,
+      perEngine: Math.min(
+        MAX_COMING,
+        Math.max(1, this.#fullSpeed / this.#engines),
+      ),
     };
   }
 
@@ -170,8 +175,10 @@
     }
     this.#hasEvidence = true;
     this.#streak += 1;
+    // No more can be on the way: the platform bounds them by engine.
+    const most = MAX_COMING * this.#engines;
     this.#fullSpeed = Math.min(
-      Math.max(this.#most, this.#fullSpeed),
+      Math.max(most, this.#fullSpeed),
       this.#fullSpeed + this.#computeGrowth(fetch.isOnlyOwn),
     );
   }
--- a/test/core/admission/engine_desk_test.ts
+++ b/test/core/admission/engine_desk_test.ts
@@ -331,6 +331,7 @@
     fullSpeedFetches: 10,
     isLast: true,
     isOnlyOwn: false,
+    perEngine: 1,
   });
   const waiting = createRequest({ adapter: "a1", firstTokenBudgetMs: 500 });
   desk.requestPermit(waiting, 0);
--- a/test/core/ordering/holder_roles_test.ts
+++ b/test/core/ordering/holder_roles_test.ts
@@ -12,6 +12,7 @@
   fullSpeedFetches: 8,
   canFetch: true,
   isOnlyOwn: true,
+  perEngine: 1,
   isLast: false,
 };
 const SETTLED_MS = 3_000;
--- a/test/fuzz/tenure_fuzz_test.ts
+++ b/test/fuzz/tenure_fuzz_test.ts
@@ -370,6 +370,7 @@
           canFetch: true,
           isLast: false,
           isOnlyOwn: false,
+          perEngine: 1,
         },
       };
       carryOut(index, holder.tick(situation, now));
