--- a/src/core/placement/adapter_places.ts
+++ b/src/core/placement/adapter_places.ts
@@ -48,6 +48,8 @@
 const REMEMBERED_SLOWNESS = 1.12;
 /** That while: long against the seconds between loads. */
 const SLOWNESS_MEMORY_MS = 30_000;
+/** Time without a late load after which what slowed them has passed, also where no first token tells so. */
+const SLOWNESS_LIFETIME_MS = 5_000;
 /** Time by which a load may be later than its estimate. */
 export const LOAD_LATENESS_MS = 1_200;
 /** Longest time for which a load that is not done is waited for before the engine is asked. */
@@ -208,6 +210,8 @@
 
   /** Takes loads whose time has come for done; returns them. */
   completeLoads(now: Milliseconds): Place[] {
+    const isPast = now - this.#lastLateAt > SLOWNESS_LIFETIME_MS;
+    if (isPast && this.#slowness > REMEMBERED_SLOWNESS) this.#slowness = 1;
     const done = this.listPlaces().filter((place) =>
       place.state === "loading" && place.readyAt <= now
     );
--- a/test/core/placement/adapter_places_test.ts
+++ b/test/core/placement/adapter_places_test.ts
@@ -59,4 +59,17 @@
   assert.is(places.estimateLoadMs("m/b"), first);
 });
 
+test("late loads of an engine that is idle since are forgotten", () => {
+  const places = new AdapterPlaces(4);
+  places.recordLoadOrdered("m/a1", undefined, 0);
+  const [late] = places.completeLoads(300);
+  const untoldMs = places.estimateLoadMs("m/a2");
+  if (late) places.recordLoadLate(late, 60, 1_000);
+  assert.ok(places.estimateLoadMs("m/a2") > 2 * untoldMs);
+  places.completeLoads(3_000);
+  assert.ok(places.estimateLoadMs("m/a2") > 2 * untoldMs);
+  places.completeLoads(7_000);
+  assert.is(places.estimateLoadMs("m/a2"), untoldMs);
+});
+
 test.run();
