--- a/src/core/admission/engine_desk.ts
+++ b/src/core/admission/engine_desk.ts
@@ -91,6 +91,16 @@
   overdueAt: Milliseconds;
 }
 
+/** How long a request would wait here, by what for. */
+interface WaitEstimate {
+  /** For what is scarce at this engine: its reading, its batch, its slots, its loads. */
+  localMs: Milliseconds;
+  /** Until its adapter is there, with the loads before its own here. */
+  loadMs: Milliseconds;
+  /** For the loads elsewhere that the weight store is busy with. */
+  storeMs: Milliseconds;
+}
+
 interface Permit {
   adapterPath: string;
   expiresAt: Milliseconds;
@@ -363,15 +373,14 @@
     request: PermitRequest,
     now: Milliseconds,
   ): DenialReason | undefined {
-    const prefillMs = this.room.estimateOwnPrefillMs(request);
-    const localMs = this.#estimateLocalMs(request, now);
+    const { localMs, loadMs, storeMs } = this.#estimateWaits(request, now);
     if (request.isLastChoice) {
-      const placeMs = Math.max(localMs, this.#estimateLoadMs(request, now));
+      const placeMs = Math.max(localMs, loadMs + storeMs);
       return placeMs > request.patienceMs ? DenialReason.Busy : undefined;
     }
     const { firstTokenBudgetMs } = request;
-    const hereMs = Math.max(localMs, this.#estimateOwnLoadMs(request, now)) +
-      prefillMs;
+    const hereMs = Math.max(localMs, loadMs) +
+      this.room.estimateOwnPrefillMs(request);
     const isLate = hereMs > SPREAD_SHARE * firstTokenBudgetMs &&
       localMs > MOVE_SHARE * firstTokenBudgetMs;
     if (!isLate) return undefined;
@@ -391,77 +400,57 @@
     request: PermitRequest,
     now: Milliseconds,
   ): Milliseconds {
-    const localMs = this.#estimateLocalMs(request, now);
-    return Math.max(localMs, this.#estimateLoadMs(request, now)) +
+    const { localMs, loadMs, storeMs } = this.#estimateWaits(request, now);
+    return Math.max(localMs, loadMs + storeMs) +
       this.room.estimateOwnPrefillMs(request);
   }
 
-  /** Returns the wait for what is scarce at this engine: its reading, its batch, its slots. */
-  #estimateLocalMs(request: PermitRequest, now: Milliseconds): Milliseconds {
+  #estimateWaits(request: PermitRequest, now: Milliseconds): WaitEstimate {
     const readMs = this.room.estimateBacklogMs(now) +
       this.#sumWaitingPrefillMs(request);
     const fullMs = this.room.hasRoomFor(request)
       ? 0
       : this.#pace.runMs / Math.max(1, this.room.countRunning());
-    const slotMs = this.#estimateSlotMs(request, now);
-    return Math.max(readMs, fullMs, slotMs, this.#estimateQueueMs(request));
-  }
-
-  /** Returns how long the loads take that wait here before the request's own. */
-  #estimateQueueMs(request: PermitRequest): Milliseconds {
-    const { adapterPath, adapter } = request;
-    const isAbsent = adapter !== "" &&
-      this.places.getPlace(adapterPath) === undefined;
-    if (!isAbsent) return 0;
+    const busyMs = Math.max(readMs, fullMs);
+    if (!this.#isAbsent(request)) {
+      const place = this.places.getPlace(request.adapterPath);
+      const loadMs = place?.state === "loading"
+        ? Math.max(0, place.readyAt - now)
+        : 0;
+      return { localMs: busyMs, loadMs, storeMs: 0 };
+    }
+    const { adapterPath } = request;
     const before = this.#countWaitingAbsent(request);
-    return this.places.estimateOwnQueueMs(adapterPath, before);
+    const slotMs = this.#needsSlot(request, now)
+      ? this.#pace.idleIntervalMs * (1 + before)
+      : 0;
+    const waitMs = Math.max(
+      slotMs,
+      this.places.estimateOwnQueueMs(adapterPath, before),
+    );
+    return {
+      localMs: Math.max(busyMs, waitMs),
+      loadMs: waitMs + this.places.estimateLoadMs(adapterPath),
+      storeMs: this.places.estimateStoreQueueMs(adapterPath),
+    };
   }
 
-  /** Returns the time until a slot falls idle for the request's adapter. */
-  #estimateSlotMs(request: PermitRequest, now: Milliseconds): Milliseconds {
-    if (!this.#needsSlot(request, now)) return 0;
-    return this.#pace.idleIntervalMs * (1 + this.#countWaitingAbsent(request));
+  /** Returns whether the request's adapter is neither here nor on its way. */
+  #isAbsent({ adapter, adapterPath }: PermitRequest): boolean {
+    return adapter !== "" && this.places.getPlace(adapterPath) === undefined;
   }
 
   #needsSlot(request: PermitRequest, now: Milliseconds): boolean {
-    return request.adapter !== "" &&
-      this.places.getPlace(request.adapterPath) === undefined &&
-      !this.places.hasRoom() && this.#findEvictable(now) === undefined;
-  }
-
-  /** Returns the time of the request's own load, with that for a slot to fall idle and for the loads before it here. */
-  #estimateOwnLoadMs(request: PermitRequest, now: Milliseconds): Milliseconds {
-    const { adapterPath, adapter } = request;
-    if (adapter === "") return 0;
-    const place = this.places.getPlace(adapterPath);
-    if (place) {
-      return place.state === "loading" ? Math.max(0, place.readyAt - now) : 0;
-    }
-    const waitMs = Math.max(
-      this.#estimateSlotMs(request, now),
-      this.#estimateQueueMs(request),
-    );
-    return waitMs + this.places.estimateLoadMs(adapterPath);
-  }
-
-  /** The same with the loads elsewhere that the weight store is busy with. */
-  #estimateLoadMs(request: PermitRequest, now: Milliseconds): Milliseconds {
-    const { adapterPath, adapter } = request;
-    const ownMs = this.#estimateOwnLoadMs(request, now);
-    const isAbsent = adapter !== "" &&
-      this.places.getPlace(adapterPath) === undefined;
-    if (!isAbsent) return ownMs;
-    return ownMs + this.places.estimateStoreQueueMs(adapterPath);
+    return this.#isAbsent(request) && !this.places.hasRoom() &&
+      this.#findEvictable(now) === undefined;
   }
 
   /** Counts the other adapters that wait for a load here. */
   #countWaitingAbsent(request: PermitRequest): number {
     const absent = new Set<string>();
     for (const { request: other } of this.#waiting.values()) {
-      const isAbsent = other.adapter !== "" &&
-        other.adapterPath !== request.adapterPath &&
-        this.places.getPlace(other.adapterPath) === undefined;
-      if (isAbsent) absent.add(other.adapterPath);
+      const isOther = other.adapterPath !== request.adapterPath;
+      if (isOther && this.#isAbsent(other)) absent.add(other.adapterPath);
     }
     return absent.size;
   }
--- a/src/core/fleet/fleet_view.ts
+++ b/src/core/fleet/fleet_view.ts
@@ -186,9 +186,7 @@
     const isChanged = isNew ||
       known?.heartbeat?.isLeaving !== heartbeat.isLeaving ||
       !isSameList(known?.heartbeat?.heldEngines, heartbeat.heldEngines);
-    if (isChanged) {
-      this.#expireSurvey();
-    }
+    if (isChanged) this.#expireSurvey();
     this.#members.set(heartbeat.sender.id, {
       member: heartbeat.sender,
       heartbeat,
--- a/src/core/ordering/engine_holder.ts
+++ b/src/core/ordering/engine_holder.ts
@@ -55,8 +55,16 @@
     expectedSequence: number;
   }
   | { kind: "answerPermit"; engineId: string; answer: PermitAnswer }
-  /** A change of what is believed of the engine, for the log. */
-  | { kind: "belief"; engineId: string; change: string; detail: object };
+  /** A change of what is believed of the engine, for the log; one that makes this daemon its holder is news for the peers. */
+  | {
+    kind: "belief";
+    engineId: string;
+    change: string;
+    detail: object;
+    isTakeover: boolean;
+  };
+
+type BeliefEffect = Extract<HolderEffect, { kind: "belief" }>;
 
 export interface EngineHolderOptions extends OrderPlannerOptions {
   engineId: string;
@@ -333,9 +341,7 @@
 
   acceptHandover(handover: TenureHandover, now: Milliseconds): HolderEffect[] {
     if (!this.#tenure.acceptHandover(handover, now)) return [];
-    this.desk.places.clear();
-    this.desk.beginAdoption(now);
-    this.#adoption.begin(this.#peers);
+    this.#takeOver(now);
     this.#planner.recordRight(false, now);
     this.#recordHeld({
       models: handover.models,
@@ -346,9 +352,11 @@
         ]),
       ),
     }, now);
-    return [this.#describeBelief("handedOver", {
-      sequence: handover.sequence,
-    })];
+    const { sequence } = handover;
+    return [{
+      ...this.#describeBelief("handedOver", { sequence }),
+      isTakeover: true,
+    }];
   }
 
   /** Returns places and queue, for the operators and the log. */
@@ -368,17 +376,24 @@
 
   #claim(situation: HolderSituation, now: Milliseconds): HolderEffect[] {
     if (!this.#tenure.claim(situation, now)) return [];
-    this.desk.places.clear();
+    this.#takeOver(now);
     this.desk.clearPermits();
-    this.desk.beginAdoption(now);
-    this.#adoption.begin(this.#peers);
     const isUntouched = this.#tenure.getExpectedSequence(now) === 0;
     const mayHaveRivals = !(isUntouched && situation.hearsMajority);
     this.#planner.recordRight(mayHaveRivals, now);
     if (this.#observed) this.#recordHeld(this.#observed, now);
-    return [this.#describeBelief("claimed", {
-      sequence: this.#tenure.getExpectedSequence(now),
-    })];
+    const sequence = this.#tenure.getExpectedSequence(now);
+    return [{
+      ...this.#describeBelief("claimed", { sequence }),
+      isTakeover: true,
+    }];
+  }
+
+  /** Starts with an engine whose adapters are to be noted, and whose runs nobody has told yet. */
+  #takeOver(now: Milliseconds): void {
+    this.desk.places.clear();
+    this.desk.beginAdoption(now);
+    this.#adoption.begin(this.#peers);
   }
 
   #giveNextOrder(
@@ -504,8 +519,14 @@
     }));
   }
 
-  #describeBelief(change: string, detail: object): HolderEffect {
-    return { kind: "belief", engineId: this.engineId, change, detail };
+  #describeBelief(change: string, detail: object): BeliefEffect {
+    return {
+      kind: "belief",
+      engineId: this.engineId,
+      change,
+      detail,
+      isTakeover: false,
+    };
   }
 }
 
--- a/src/core/placement/adapter_demand.ts
+++ b/src/core/placement/adapter_demand.ts
@@ -4,6 +4,7 @@
  * requests, and which they are changes; one home would be their bottleneck, and
  * three callers in four would reach it through another failure domain.
  */
+import { computeDecay } from "../decay.ts";
 import type { Milliseconds } from "../structures.ts";
 
 /** What a caller's request asks of an engine, as far as demand goes. */
@@ -76,5 +77,5 @@
 }
 
 function computeKept(demand: Demand, now: Milliseconds): number {
-  return 0.5 ** ((now - demand.updatedAt) / HALF_LIFE_MS);
+  return computeDecay(now - demand.updatedAt, HALF_LIFE_MS);
 }
--- a/src/core/placement/adapter_places.ts
+++ b/src/core/placement/adapter_places.ts
@@ -4,6 +4,7 @@
  * rarely used adapters sweep through few slots while a few stay busy; what was
  * evicted lately loads ten times as fast from the engine's own memory.
  */
+import { computeDecay } from "../decay.ts";
 import type { Milliseconds } from "../structures.ts";
 import type { FetchObservation, FetchShare } from "./fetch_window.ts";
 
@@ -313,7 +314,7 @@
 }
 
 function computeUses(place: Place, now: Milliseconds): number {
-  return place.uses * 0.5 ** ((now - place.lastUsedAt) / USE_HALF_LIFE_MS);
+  return place.uses * computeDecay(now - place.lastUsedAt, USE_HALF_LIFE_MS);
 }
 
 /** Frequency first, recency among equals. */
--- a/src/core/placement/fetch_window.ts
+++ b/src/core/placement/fetch_window.ts
@@ -168,12 +168,11 @@
     const isTelling = fetch.isLast ||
       (isLong && fetch.crowd > CROWDED_SHARE * this.#fullSpeed);
     if (!isTelling || (!isLong && !fetch.isDone)) return;
+    this.#hasEvidence = true;
     if (isLong) {
-      this.#hasEvidence = true;
       this.#cut(FLAT_RATIO * quickestMs / alikeMs, fetch.orderedAt, now);
       return;
     }
-    this.#hasEvidence = true;
     this.#streak += 1;
     // No more can be on the way: the platform bounds them by engine.
     const most = MAX_COMING * this.#engines;
--- a/src/core/placement/upstream_choice.ts
+++ b/src/core/placement/upstream_choice.ts
@@ -4,8 +4,8 @@
  * next in the same order take copies when the home is full or too busy. One in
  * wide use has a home in each failure domain, and several where one would be
  * kept busy by it alone. Where the platform says that an engine holds the
- * adapter, that one comes before a home that would have to load it. Load pattern: thousands of adapters with skewed
- * popularity over a few slots each.
+ * adapter, that one comes before a home that would have to load it. Load
+ * pattern: thousands of adapters with skewed popularity over a few slots each.
  * Plain services: the least loaded upstream by its own word, near ones first.
  */
 import { hashText, rankByRendezvous } from "../hashing.ts";
@@ -43,26 +43,30 @@
   now: Milliseconds,
 ): PublishedUpstream[] {
   const ranked = rankByRendezvous(adapterPath, engines);
-  const sound = ranked.filter((engine) => !health.isAvoided(engine.id, now));
-  const holding = moveNearFirst(
-    sound.filter((engine) => engine.adapters.has(adapterPath)),
-    demand,
+  const [ill, sound] = divide(
+    ranked,
+    (engine) => health.isAvoided(engine.id, now),
   );
-  const others = sound.filter((engine) => !holding.includes(engine));
-  return [
-    ...moveHomesFirst([...holding, ...others], demand),
-    ...ranked.filter((engine) => health.isAvoided(engine.id, now)),
-  ];
+  const [holding, others] = divide(
+    sound,
+    (engine) => engine.adapters.has(adapterPath),
+  );
+  const [near, distant] = divide(
+    holding,
+    (engine) => engine.failureDomain === demand.failureDomain,
+  );
+  return [...moveHomesFirst([...near, ...distant, ...others], demand), ...ill];
 }
 
-function moveNearFirst(
-  engines: readonly PublishedUpstream[],
-  { failureDomain }: DomainDemand,
-): PublishedUpstream[] {
-  return [
-    ...engines.filter((engine) => engine.failureDomain === failureDomain),
-    ...engines.filter((engine) => engine.failureDomain !== failureDomain),
-  ];
+/** Returns those for which the condition holds, and the others, each in their order. */
+function divide<T>(
+  values: readonly T[],
+  holds: (value: T) => boolean,
+): [those: T[], others: T[]] {
+  const those: T[] = [];
+  const others: T[] = [];
+  for (const value of values) (holds(value) ? those : others).push(value);
+  return [those, others];
 }
 
 /** Puts the near homes of an adapter in wide use first, another one of them for each request. */
--- a/src/core/placement/upstream_health.ts
+++ b/src/core/placement/upstream_health.ts
@@ -6,6 +6,7 @@
  * each other of failing upstreams: all that is seen together shows a part that fails
  * where each host alone sees a few.
  */
+import { computeDecay } from "../decay.ts";
 import type { Milliseconds } from "../structures.ts";
 
 /** How one attempt at an upstream ended, as far as it speaks of the upstream. */
@@ -143,7 +144,7 @@
   #updateRecord(upstreamId: string, now: Milliseconds): Record {
     const record = this.#records.get(upstreamId) ??
       { answered: 0, failed: 0, updatedAt: now, avoidedUntil: now };
-    const decay = 0.5 ** ((now - record.updatedAt) / HALF_LIFE_MS);
+    const decay = computeDecay(now - record.updatedAt, HALF_LIFE_MS);
     record.answered *= decay;
     record.failed *= decay;
     record.updatedAt = now;
--- a/src/gateway/engine_place_finder.ts
+++ b/src/gateway/engine_place_finder.ts
@@ -27,6 +27,7 @@
 import type { PermitReply } from "./permit_client.ts";
 import { NotRunReason } from "./ports.ts";
 import type { RequestContext } from "./request_context.ts";
+import { listUsableUpstreams } from "./usable_upstreams.ts";
 
 /** Time by which another engine must be faster than an adapter's home. */
 const COPY_GAIN_MS = 120;
@@ -88,32 +89,15 @@
       : this.#context.view.getAdapterVersion(this.#getAdapterPath());
   }
 
-  #recordDemand(placementKey: string): void {
-    if (this.#isCounted) return;
-    this.#isCounted = true;
-    const { promptTokens, promptParts } = this.#exchange.facts;
-    const shared = promptParts.slice(0, -1)
-      .reduce((sum, part) => sum + part.tokens, 0);
-    const ownTokens = Math.max(0, promptTokens - shared);
-    this.#context.demand.recordRequest(
-      { adapterPath: placementKey, ownTokens },
-      performance.now(),
-    );
-  }
-
   /** Finds an engine with a place for the request; the place is released after the attempt. */
   async findEngine(): Promise<PublishedUpstream | undefined> {
-    const { view, fleet, health, backoff, reachability } = this.#context;
+    const { view, health, backoff } = this.#context;
     const { facts } = this.#exchange;
     const serving = view.listServing(this.#options.service.name).filter((
       engine,
     ) => facts.model === "" || engine.models.includes(facts.model));
     const startedAt = performance.now();
-    const engines = reachability.selectReachable(
-      backoff.listOpen(serving, startedAt),
-      (domain) => fleet.isDomainHeard(domain, startedAt),
-      startedAt,
-    );
+    const engines = listUsableUpstreams(this.#context, serving, startedAt);
     if (engines.length === 0) {
       this.#expectedMs = backoff.getShortestMs(serving, startedAt) ??
         DEFAULT_RETRY_AFTER_MS;
@@ -122,11 +106,11 @@
     const placementKey = facts.adapter === ""
       ? `${facts.model}|${facts.promptParts[0]?.id ?? facts.requestId}`
       : this.#getAdapterPath();
-    this.#recordDemand(placementKey);
+    this.#recordDemand(placementKey, startedAt);
     const ranked = rankEngines(
       placementKey,
       engines,
-      this.#describeDemand(placementKey),
+      this.#describeDemand(placementKey, startedAt),
       health,
       startedAt,
     );
@@ -164,10 +148,22 @@
     return this.#takeAnswer(engine, answer, grantorId) ? engine : undefined;
   }
 
+  /** Counts the request as demand, once. */
+  #recordDemand(placementKey: string, now: Milliseconds): void {
+    if (this.#isCounted) return;
+    this.#isCounted = true;
+    const { promptTokens, promptParts } = this.#exchange.facts;
+    const sharedTokens = promptParts.slice(0, -1)
+      .reduce((sum, part) => sum + part.tokens, 0);
+    this.#context.demand.recordRequest({
+      adapterPath: placementKey,
+      ownTokens: Math.max(0, promptTokens - sharedTokens),
+    }, now);
+  }
+
   /** Returns how much is asked for in this failure domain, whose callers come to its hosts alike. */
-  #describeDemand(placementKey: string): DomainDemand {
+  #describeDemand(placementKey: string, now: Milliseconds): DomainDemand {
     const { demand, engines, failureDomain, fleet } = this.#context;
-    const now = performance.now();
     const rate = demand.getRate(placementKey, now);
     const hosts = fleet.countLivingIn(failureDomain, now);
     return {
--- a/src/gateway/engine_task.ts
+++ b/src/gateway/engine_task.ts
@@ -16,6 +16,7 @@
   type HolderSituation,
 } from "../core/ordering/engine_holder.ts";
 import { HolderRoles } from "../core/ordering/holder_roles.ts";
+import type { FetchShare } from "../core/placement/fetch_window.ts";
 import type { FenceClock } from "../core/ordering/fence_clock.ts";
 import type { Milliseconds } from "../core/structures.ts";
 import type { PublishedView } from "../core/view/published_view.ts";
@@ -270,8 +271,13 @@
     this.#followView();
     this.#fetches.followPeers(now);
     this.#activeEngines.clear();
+    const fetchShare = this.#computeFetchShare(now);
     for (const holder of this.#holders.values()) {
-      const { isWanted, isCandidate } = this.#describeSituation(holder, now);
+      const { isWanted, isCandidate } = this.#describeSituation(
+        holder,
+        now,
+        fetchShare,
+      );
       const isActive = isWanted || isCandidate || holder.isHolding();
       if (isActive) this.#activeEngines.add(holder.engineId);
     }
@@ -312,18 +318,26 @@
     }
   }
 
-  #describeSituation(holder: EngineHolder, now: Milliseconds): HolderSituation {
+  #describeSituation(
+    holder: EngineHolder,
+    now: Milliseconds,
+    fetchShare = this.#computeFetchShare(now),
+  ): HolderSituation {
     return this.#roles.describeSituation({
       engine: this.#options.view.getUpstream(holder.engineId),
       holder,
-      fetchShare: this.#fetches.computeShare({
-        fetches: this.countFetches(),
-        heldEngines: this.listHeldEngines().length,
-      }, now),
+      fetchShare,
       isStopping: this.#isStopping,
     }, now);
   }
 
+  #computeFetchShare(now: Milliseconds): FetchShare {
+    return this.#fetches.computeShare({
+      fetches: this.countFetches(),
+      heldEngines: this.listHeldEngines().length,
+    }, now);
+  }
+
   /** Draws an adapter by host and engine, for orders that prove the right to give them. */
   #selectOwnAdapter(engineId: string, model: string): string | undefined {
     const { view, selfId, control } = this.#options;
@@ -439,7 +453,7 @@
           break;
         case "belief":
           this.#options.metrics.count("holder_belief", effect.change);
-          if (isTakeover(effect.change)) this.#options.announce();
+          if (effect.isTakeover) this.#options.announce();
           this.#options.log.info("engineBelief", {
             upstream: effect.engineId,
             change: effect.change,
@@ -529,8 +543,3 @@
     return await this.#options.deliver(peerId, message);
   }
 }
-
-/** Returns whether a change of belief makes this daemon an engine's holder. */
-function isTakeover(change: string): boolean {
-  return change === "claimed" || change === "handedOver";
-}
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -286,10 +286,12 @@
       }
     }
     isPromised.delete(this.#fleet.self.ip);
-    const promising = this.#buildHeartbeat(true, now);
-    const other = this.#buildHeartbeat(false, now);
+    const heartbeats = new Map<boolean, GatewayMessage>();
     for (const [ip, isDue] of isPromised) {
-      this.#peers.send(ip, isDue ? promising : other);
+      const heartbeat = heartbeats.get(isDue) ??
+        this.#buildHeartbeat(isDue, now);
+      heartbeats.set(isDue, heartbeat);
+      this.#peers.send(ip, heartbeat);
     }
     this.#updateGauges(now);
   }
--- a/src/gateway/peer_batch.ts
+++ b/src/gateway/peer_batch.ts
@@ -37,19 +37,11 @@
 export function decodePeerBatch(bytes: Buffer): PeerBatch {
   const text = gunzipSync(bytes, { maxOutputLength: MAX_UNPACKED_BYTES });
   const told = peerBatchSchema.parse(JSON.parse(text.toString()));
-  const changes = told.batch.changes.map((change) => ({
-    ...change,
-    value: change.value,
-  }));
-  return changeEncoding(
-    { ...told, batch: { ...told.batch, changes } },
-    "latin1",
-    "base64",
-  );
+  return changeEncoding(told, "latin1", "base64");
 }
 
 function changeEncoding(
-  told: PeerBatch,
+  told: z.infer<typeof peerBatchSchema>,
   from: BufferEncoding,
   to: BufferEncoding,
 ): PeerBatch {
--- a/src/gateway/request_flow.ts
+++ b/src/gateway/request_flow.ts
@@ -32,6 +32,7 @@
 import { roundMs } from "./decision_log.ts";
 import type { UpstreamHead } from "./ports.ts";
 import type { RequestContext } from "./request_context.ts";
+import { listUsableUpstreams } from "./usable_upstreams.ts";
 
 /** Time of a caller's deadline that the ways to it and back take. */
 const TRAVEL_MS = 8;
@@ -479,27 +480,15 @@
   }
 
   #selectServiceUpstream(): PublishedUpstream | undefined {
-    const {
-      view,
-      fleet,
-      health,
-      backoff,
-      reachability,
-      failureDomain,
-      serviceLoads,
-    } = this.#context;
+    const { view, health, backoff, failureDomain, serviceLoads } =
+      this.#context;
     const now = performance.now();
     const upstreams = view.listServing(this.#service.name);
-    const open = backoff.listOpen(upstreams, now);
-    this.#reopensInMs = open.length === 0
+    const usable = listUsableUpstreams(this.#context, upstreams, now);
+    this.#reopensInMs = usable.length === 0
       ? backoff.getShortestMs(upstreams, now)
       : undefined;
-    const reachable = reachability.selectReachable(
-      open,
-      (domain) => fleet.isDomainHeard(domain, now),
-      now,
-    );
-    const ranked = rankServiceUpstreams(reachable, {
+    const ranked = rankServiceUpstreams(usable, {
       failureDomain,
       health,
       getLoad: (id) => serviceLoads.get(id),
