Ownership simulation and its model engine get files of their own

The simulation of competing owners stood in one test file. Further options (stepping clocks, empty engines with a majority) need it without its list of tests.

--- /dev/null
+++ b/test/fuzz/ownership_simulation.ts
@@ -0,0 +1,280 @@
+/**
+ * Several daemons compete for the ownership of one engine while they are
+ * partitioned, paused, killed and restarted, the engine restarts, and orders,
+ * answers and reports are late or lost. An oracle checks every accepted order:
+ * owners must not alternate within a term, fencing numbers must increase, and
+ * the adapter slots must not be exceeded.
+ */
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import { uniformInt } from "pure-rand/distribution/uniformInt";
+import {
+  EngineOwner,
+  type EngineOwnerEffect,
+} from "../../src/core/ordering/engine_owner.ts";
+import {
+  FleetView,
+  RECENTLY_STARTED_MS,
+} from "../../src/core/fleet/fleet_view.ts";
+import type { FleetMember } from "../../src/core/fleet/heartbeat.ts";
+import { FenceClock } from "../../src/core/ordering/fence_clock.ts";
+import type { OrderAnswer } from "../../src/core/ordering/ownership_state.ts";
+import { buildHeartbeat } from "../core/fleet/heartbeat_builder.ts";
+import {
+  ADAPTER_SLOTS,
+  CountingEngine,
+  MODEL_LOAD_MS,
+} from "./counting_engine.ts";
+import { OrderOracle } from "./order_oracle.ts";
+
+export const TERM_MS = 3_000;
+const DAEMONS = 3;
+const RUN_MS = 60_000;
+const STEP_MS = 20;
+/**
+ * Number of adapters that are requested: few, so that two daemons often want
+ * the same.
+ */
+const ADAPTERS = 5;
+
+const MEMBERS = Array.from(
+  { length: DAEMONS },
+  (_, index) => createMember(index),
+);
+const CLAIMANTS = MEMBERS.map(({ id }) => id);
+const SEED_IPS = MEMBERS.map(({ ip }) => ip);
+
+/** Heartbeat period. */
+const HEARTBEAT_MS = 400;
+const ENGINE_ID = "engine";
+const ENGINE = { id: ENGINE_ID, failureDomain: "a" };
+
+interface Delivery {
+  at: number;
+  run: (at: number) => void;
+}
+
+export interface OwnershipRunOptions {
+  /**
+   * Whether the fleet is too large for a quorum, and the engine starts without
+   * its base model.
+   */
+  isLarge: boolean;
+  /** Whether all daemons occasionally start at once. */
+  restartsFleet: boolean;
+}
+
+function createMember(index: number): FleetMember {
+  return {
+    id: `daemon ${index}`,
+    ip: `10.0.0.${index + 1}`,
+    failureDomain: "a",
+  };
+}
+
+/** Returns the violations of the rules in a run of one minute. */
+export function simulateRun(
+  seed: number,
+  { isLarge, restartsFleet }: OwnershipRunOptions,
+): string[] {
+  const generator = xoroshiro128plus(seed);
+  const draw = (from: number, to: number) => uniformInt(generator, from, to);
+  const fleetGenerator = xoroshiro128plus(seed + 1);
+  const drawFleet = (from: number, to: number) =>
+    uniformInt(fleetGenerator, from, to);
+  const oracle = new OrderOracle(TERM_MS);
+  const engine = new CountingEngine(oracle, isLarge);
+  let deliveries: Delivery[] = [];
+  const owners: EngineOwner[] = [];
+  const incarnations: number[] = [];
+  const downUntil: number[] = [];
+  const partitionedUntil: number[] = [];
+  const desired: boolean[] = [];
+  const clockSkews = Array.from({ length: DAEMONS }, () => draw(-400, 400));
+  const startedAt: number[] = [];
+  const hasOwned: boolean[] = [];
+  const views: FleetView[] = [];
+  const startDaemon = (index: number, at: number): void => {
+    startedAt[index] = at;
+    hasOwned[index] = false;
+    views[index] = new FleetView(createMember(index));
+    const fences = new FenceClock(`daemon ${index}`);
+    incarnations[index] = (incarnations[index] ?? 0) + 1;
+    owners[index] = new EngineOwner({
+      selfId: `daemon ${index}`,
+      listClaimants: () => CLAIMANTS,
+      engineId: ENGINE_ID,
+      limits: {
+        adapterSlots: ADAPTER_SLOTS,
+        batchSize: 8,
+        kvCapacityTokens: 100_000,
+        weightsMb: 100,
+        models: [{
+          name: "m",
+          weightsMb: 100,
+          adapterCount: 9,
+          loadMs: MODEL_LOAD_MS,
+        }],
+      },
+      termMs: TERM_MS,
+      selectOwnAdapter: () => `own${index}`,
+      drawFence: () =>
+        fences.drawFence(1_000_000 + now + (clockSkews[index] ?? 0)),
+    });
+    downUntil[index] = at;
+  };
+  let now = 0;
+  for (let index = 0; index < DAEMONS; index += 1) {
+    startDaemon(index, 0);
+    desired[index] = true;
+    partitionedUntil[index] = 0;
+  }
+  const carryOut = (index: number, effects: EngineOwnerEffect[]): void => {
+    const incarnation = incarnations[index];
+    const isSameIncarnation = () => incarnations[index] === incarnation;
+    for (const effect of effects) {
+      const isLost = draw(0, 99) < 6 || (partitionedUntil[index] ?? 0) > now;
+      const arrivesAt = now + draw(1, 30);
+      const answersAt = arrivesAt + draw(1, 30);
+      if (effect.kind === "readReport") {
+        const readAt = now;
+        const report = engine.report(arrivesAt, draw(0, 400));
+        const isUnread = isLost || engine.isDown(arrivesAt);
+        deliveries.push({
+          at: answersAt,
+          run: (at) => {
+            if (!isSameIncarnation()) return;
+            if (isUnread) owners[index]?.recordReportFailure();
+            else {
+              carryOut(
+                index,
+                owners[index]?.recordReport({ ...report, readAt }, at) ?? [],
+              );
+            }
+          },
+        });
+      } else if (effect.kind === "giveOrder") {
+        deliveries.push({
+          at: arrivesAt,
+          run: (at) => {
+            const isNeverSent = isLost && draw(0, 1) === 0;
+            const answer: OrderAnswer = isNeverSent
+              ? { kind: "unanswered", detail: "cut" }
+              : engine.order(index, effect, at);
+            const received: OrderAnswer = isLost
+              ? { kind: "unanswered", detail: "lost" }
+              : answer;
+            deliveries.push({
+              at: answersAt,
+              run: (later) => {
+                if (!isSameIncarnation()) return;
+                carryOut(
+                  index,
+                  owners[index]?.recordOrderAnswer(received, later) ?? [],
+                );
+              },
+            });
+          },
+        });
+      }
+    }
+  };
+  const isRecentlyStarted = (index: number): boolean =>
+    now - (startedAt[index] ?? 0) < RECENTLY_STARTED_MS;
+  const listOwnedBefore = (index: number): string[] =>
+    hasOwned[index] ? [ENGINE_ID] : [];
+  /**
+   * Sends a heartbeat to the other daemons, late, or not at all where the
+   * network is partitioned.
+   */
+  const sendHeartbeat = (index: number): void => {
+    const heartbeat = buildHeartbeat(createMember(index), {
+      newcomerHeld: isRecentlyStarted(index)
+        ? listOwnedBefore(index)
+        : undefined,
+    });
+    for (let other = 0; other < DAEMONS; other += 1) {
+      const isLost = drawFleet(0, 99) < 6 ||
+        (partitionedUntil[index] ?? 0) > now ||
+        (partitionedUntil[other] ?? 0) > now;
+      if (other === index || isLost) continue;
+      const view = views[other];
+      deliveries.push({
+        at: now + drawFleet(1, drawFleet(0, 9) === 0 ? 280 : 30),
+        run: (at) => void view?.recordHeartbeat(heartbeat, at),
+      });
+    }
+  };
+  const isUnowned = (index: number): boolean => {
+    const since = owners[index]?.observedAt;
+    const mayAsk = since !== undefined && isRecentlyStarted(index) &&
+      !hasOwned[index];
+    return mayAsk &&
+      views[index]?.isUnowned(ENGINE, { since, seedIps: SEED_IPS }, now) ===
+        true;
+  };
+  let permits = 0;
+  for (; now < RUN_MS; now += STEP_MS) {
+    engine.record(now);
+    const due = deliveries.filter((each) => each.at <= now);
+    deliveries = deliveries.filter((each) => each.at > now);
+    for (const delivery of due) delivery.run(now);
+    if (draw(0, 799) === 0) engine.restart(now);
+    if (restartsFleet && drawFleet(0, 599) === 0) {
+      for (let index = 0; index < DAEMONS; index += 1) {
+        startDaemon(index, now + drawFleet(1_000, 2_000));
+      }
+    }
+    for (let index = 0; index < DAEMONS; index += 1) {
+      if (draw(0, 399) === 0) desired[index] = !desired[index];
+      if (draw(0, 599) === 0) partitionedUntil[index] = now + draw(100, 6_000);
+      if (draw(0, 599) === 0) downUntil[index] = now + draw(100, 5_000);
+      if (draw(0, 799) === 0) startDaemon(index, now + draw(50, 1_500));
+      if ((downUntil[index] ?? 0) > now) continue;
+      const owner = owners[index];
+      if (!owner) continue;
+      if ((now + index * 100) % HEARTBEAT_MS === 0) sendHeartbeat(index);
+      if (draw(0, 9) === 0) {
+        permits += 1;
+        const adapter = `a${draw(1, ADAPTERS)}`;
+        const request = {
+          permitId: `p${permits}`,
+          holder: "entry",
+          model: "m",
+          adapter,
+          adapterPath: `m/${adapter}`,
+          version: undefined,
+          priorityRank: 0,
+          promptTokens: 10,
+          outputTokens: 10,
+          promptParts: [],
+          patienceMs: 500,
+          firstTokenBudgetMs: 1_000,
+          lifetimeMs: draw(50, 1_500),
+          isLastChoice: true,
+        };
+        // As in the gateway, only an owner is asked for permits.
+        if (owner.isOwner()) {
+          carryOut(index, owner.requestPermit(request, now));
+        }
+      }
+      const context = {
+        isDesiredOwner: desired[index] ?? false,
+        isCandidate: true,
+        hasQuorum: !isLarge,
+        isUnowned: !isLarge && isUnowned(index),
+        peers: undefined,
+        fetchShare: {
+          fleetFetches: 0,
+          fetchLimit: 8,
+          canFetch: true,
+          isAtHostShare: false,
+          isAtMinConcurrency: false,
+          fetchesPerEngine: 1,
+        },
+      };
+      carryOut(index, owner.tick(context, now));
+      if (owner.isOwner()) hasOwned[index] = true;
+    }
+  }
+  return oracle.violations;
+}
