Logs tell why a gateway claimed an engine and what its orders prove

Change: 'claimed' names the observed time, the engine's age and the conditions; 'engineRestarted' whether the owner goes on alone; 'deposed' the count known and the one read; 'orderGiven' the evidence, the engine's start and the time to the answer.

Behaviour unchanged.

--- a/src/core/ordering/engine_owner.ts
+++ b/src/core/ordering/engine_owner.ts
@@ -56,6 +56,8 @@
     order: EngineOrder;
     fence: number;
     expectedSequence: number;
+    /** What the engine's acceptance of the order will prove. */
+    evidence: OrderEvidence;
   }
   | { kind: "answerPermit"; engineId: string; answer: PermitAnswer }
   /**
@@ -252,6 +254,7 @@
   recordReport(report: ContentsReport, now: Milliseconds): EngineOwnerEffect[] {
     this.#isReading = false;
     const wasOwner = this.isOwner();
+    const before = this.#ownership.state;
     const settlement = this.#ownership.recordReport(report, now);
     if (!wasOwner) {
       this.#observedReport = report;
@@ -260,7 +263,12 @@
     switch (settlement.kind) {
       case "deposed":
         return [
-          this.#describeChange("deposed", { sequence: report.sequence }),
+          this.#describeChange("deposed", {
+            sequence: report.sequence,
+            knownSequence: "sequence" in before ? before.sequence : undefined,
+            hasRestarted: "bornAtUnixMs" in before &&
+              before.bornAtUnixMs !== report.bornAtUnixMs,
+          }),
           ...this.#clearAdmission(now),
         ];
       case "restarted":
@@ -271,7 +279,10 @@
           now,
         );
         this.#recordContents(report, now);
-        return [this.#describeChange("engineRestarted", {})];
+        return [this.#describeChange("engineRestarted", {
+          isSoleOwner: this.#ownership.isSoleOwnerSinceRestart(now),
+          engineAgeMs: Math.round(this.#ownership.getEngineAgeMs(now) ?? 0),
+        })];
       case "lastOrderAccepted":
       case "lastOrderNotAccepted":
       case "evictionNotCounted":
@@ -440,6 +451,7 @@
   }
 
   #claim(context: OwnershipContext, now: Milliseconds): EngineOwnerEffect[] {
+    const { observedAt } = this.#ownership;
     if (!this.#ownership.claim(context, now)) return [];
     this.#beginOwnership(now);
     this.admission.clearPermits();
@@ -449,7 +461,13 @@
     if (this.#observedReport) this.#recordContents(this.#observedReport, now);
     const sequence = this.#ownership.getExpectedSequence(now);
     return [{
-      ...this.#describeChange("claimed", { sequence }),
+      ...this.#describeChange("claimed", {
+        sequence,
+        observedMs: Math.round(now - (observedAt ?? now)),
+        engineAgeMs: Math.round(this.#ownership.getEngineAgeMs(now) ?? 0),
+        hasQuorum: context.hasQuorum,
+        isUnowned: context.isUnowned,
+      }),
       isTakeover: true,
     }];
   }
@@ -492,6 +510,7 @@
       // Drawn for each order, so that a later order has a higher number.
       fence: this.#options.drawFence(),
       expectedSequence,
+      evidence,
     }];
   }
 
--- a/src/core/ordering/engine_ownership.ts
+++ b/src/core/ordering/engine_ownership.ts
@@ -35,7 +35,7 @@
    * Nothing: the engine would have accepted the same order from another
    * claimant too.
    */
-  Inconclusive: "blind",
+  Inconclusive: "inconclusive",
   /**
    * That no other daemon has ordered the engine. The engine does not count the
    * eviction of an adapter that it has not loaded yet or no longer has.
--- a/src/gateway/engine_task.ts
+++ b/src/gateway/engine_task.ts
@@ -561,11 +561,12 @@
     effect: Extract<EngineOwnerEffect, { kind: "giveOrder" }>,
   ): Promise<void> {
     const { view, control, selfId, log, metrics } = this.#options;
-    const { engineId, order, fence, expectedSequence } = effect;
+    const { engineId, order, fence, expectedSequence, evidence } = effect;
     const owner = this.#owners.get(engineId);
     const engine = view.getUpstream(engineId);
     const { model, adapter } = order;
     const version = order.kind === "load" ? order.version : undefined;
+    const sentAt = performance.now();
     const answer = engine
       ? await control.giveOrder(
         engine,
@@ -581,6 +582,9 @@
       version,
       fence,
       expectedSequence,
+      evidence,
+      bornAtUnixMs: engine?.bornAtUnixMs,
+      elapsedMs: Math.round(performance.now() - sentAt),
       outcome: answer.kind,
     });
     const now = performance.now();
