Failing tests: fencing numbers fall where a wall clock had run ahead

The ownership simulation gets stepping wall clocks, kills of all daemons with restarts of 0.7 to 2 s, and handovers by owners that stop, from a random generator of its own. Its daemons read the wall clock by Date.now, as gateways do, and hear each other's fence clocks in heartbeats. The model engine tells the time of day of its start; before, each restart added the time since the run's start once more. The oracle also reports a number that one owner lowers, as the rule does.

Two unit tests show the two ways: a restart of all daemons, and a handover.

--- /dev/null
+++ b/test/core/ordering/engine_owner_test.ts
@@ -0,0 +1,137 @@
+/**
+ * Orders that one engine accepts from successive owners: their fencing numbers
+ * increase, whatever the owners' wall clocks show and whatever they forget.
+ */
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { FenceClock } from "../../../src/core/ordering/fence_clock.ts";
+import {
+  type ContentsReport,
+  EngineOwner,
+  type EngineOwnerEffect,
+  type OwnershipContext,
+} from "../../../src/core/ordering/engine_owner.ts";
+
+const TERM_MS = 3_000;
+const BORN = 1_700_000_000_000;
+/** How far a wall clock runs ahead. */
+const AHEAD_MS = 2_800;
+
+type GiveOrder = Extract<EngineOwnerEffect, { kind: "giveOrder" }>;
+
+const CONTEXT: OwnershipContext = {
+  isDesiredOwner: true,
+  isCandidate: true,
+  hasQuorum: true,
+  isUnowned: true,
+  peers: undefined,
+  fetchShare: {
+    fleetFetches: 0,
+    fetchLimit: 8,
+    canFetch: true,
+    isAtHostShare: false,
+    isAtMinConcurrency: false,
+    fetchesPerEngine: 1,
+  },
+};
+
+function createOwner(selfId: string, wallUnixMs: number): EngineOwner {
+  const fences = new FenceClock(selfId);
+  return new EngineOwner({
+    selfId,
+    listClaimants: () => [selfId],
+    engineId: "engine",
+    limits: {
+      adapterSlots: 3,
+      batchSize: 8,
+      kvCapacityTokens: 100_000,
+      weightsMb: 100,
+      models: [{ name: "m", weightsMb: 100, adapterCount: 9, loadMs: 600 }],
+    },
+    termMs: TERM_MS,
+    selectOwnAdapter: () => selfId,
+    drawFence: () => fences.drawFence(wallUnixMs),
+  });
+}
+
+/** Describes an engine whose base model is present once it counted an order. */
+function buildReport(sequence: number, readAt: number): ContentsReport {
+  return {
+    sequence,
+    bornAtUnixMs: BORN,
+    ageMs: 60_000 + readAt,
+    readAt,
+    models: sequence === 0 ? [] : ["m"],
+    adapters: new Map(),
+  };
+}
+
+/**
+ * Claims an engine that no alive daemon has owned, by two reports; returns when
+ * the second was read.
+ */
+function claim(owner: EngineOwner, sequence: number, from: number): number {
+  owner.tick(CONTEXT, from);
+  owner.recordReport(buildReport(sequence, from), from);
+  const confirmedAt = from + 700;
+  owner.tick(CONTEXT, confirmedAt);
+  owner.recordReport(buildReport(sequence, confirmedAt), confirmedAt);
+  return confirmedAt;
+}
+
+/** Requests an adapter and returns the order that follows. */
+function requestAdapter(owner: EngineOwner, now: number): GiveOrder {
+  owner.tick(CONTEXT, now);
+  owner.requestPermit({
+    permitId: "p",
+    holder: "entry",
+    model: "m",
+    adapter: "a1",
+    adapterPath: "m/a1",
+    version: undefined,
+    priorityRank: 0,
+    promptTokens: 10,
+    outputTokens: 10,
+    promptParts: [],
+    patienceMs: 500,
+    firstTokenBudgetMs: 1_000,
+    lifetimeMs: 1_000,
+    isLastChoice: true,
+  }, now);
+  return findOrder(owner.tick(CONTEXT, now));
+}
+
+function findOrder(effects: readonly EngineOwnerEffect[]): GiveOrder {
+  const order = effects.find((effect) => effect.kind === "giveOrder");
+  if (!order) throw new Error("no order was given");
+  return order;
+}
+
+/** Loads the base model of an empty engine. */
+function loadModel(owner: EngineOwner): GiveOrder {
+  owner.tick(CONTEXT, 0);
+  owner.recordReport(buildReport(0, 0), 0);
+  const order = findOrder(owner.tick(CONTEXT, 10));
+  owner.recordOrderAnswer({ kind: "accepted" }, 15);
+  return order;
+}
+
+test("an order after a restart of all daemons has a higher fencing number though clocks had run ahead", () => {
+  const before = loadModel(createOwner("first", BORN + AHEAD_MS));
+  const restarted = createOwner("second", BORN + 2_000);
+  const after = requestAdapter(restarted, claim(restarted, 1, 2_000));
+  assert.ok(after.fence > before.fence, `${after.fence} > ${before.fence}`);
+});
+
+test("an order after a handover has a higher fencing number though the former owner's clock ran ahead", () => {
+  const former = createOwner("first", BORN + AHEAD_MS);
+  const before = loadModel(former);
+  const { handover } = former.handOver(1_000);
+  assert.ok(handover);
+  const next = createOwner("second", BORN + 1_000);
+  next.acceptHandover(handover, 1_010);
+  const after = requestAdapter(next, 1_020);
+  assert.ok(after.fence > before.fence, `${after.fence} > ${before.fence}`);
+});
+
+test.run();
--- a/test/fuzz/counting_engine.ts
+++ b/test/fuzz/counting_engine.ts
@@ -24,12 +24,15 @@
  */
 const RESTART_MS = 1_500;
 
+/** Time of day at the start of a run. */
+export const RUN_START_UNIX_MS = 1_000_000;
+
 type GiveOrder = Extract<EngineOwnerEffect, { kind: "giveOrder" }>;
 
 /** Model of an engine that ignores fencing but compares the expected count. */
 export class CountingEngine {
   sequence = 0;
-  bornAtUnixMs = 1;
+  bornAtUnixMs = RUN_START_UNIX_MS;
   /**
    * Adapters that it has or is loading, with the time at which each is loaded.
    */
@@ -111,7 +114,7 @@
     this.#startedAt = this.#downUntil;
     this.sequence = 0;
     this.#modelReadyAt = this.#startsEmpty ? undefined : at;
-    this.bornAtUnixMs += 1 + at;
+    this.bornAtUnixMs = RUN_START_UNIX_MS + this.#startedAt;
     this.adapters.clear();
     this.#history = [];
   }
@@ -138,7 +141,12 @@
     const seen = this.#history.filter((each) => each.at <= readAt - lagMs)
       .at(-1) ?? this.#history[0];
     const report = seen?.report ??
-      { sequence: 0, bornAtUnixMs: 1, models: [], adapters: new Map() };
+      {
+        sequence: 0,
+        bornAtUnixMs: RUN_START_UNIX_MS,
+        models: [],
+        adapters: new Map(),
+      };
     return { ...report, ageMs: readAt - this.#startedAt, readAt };
   }
 }
--- a/test/fuzz/ownership_simulation.ts
+++ b/test/fuzz/ownership_simulation.ts
@@ -1,7 +1,8 @@
 /**
  * Several daemons compete for the ownership of one engine while they are
  * partitioned, paused, killed and restarted, the engine restarts, and orders,
- * answers and reports are late or lost. An oracle checks every accepted order:
+ * answers and reports are late or lost. On request their wall clocks step. An
+ * oracle checks every accepted order:
  * owners must not alternate within a term, fencing numbers must increase, and
  * the adapter slots must not be exceeded.
  */
@@ -23,6 +24,7 @@
   ADAPTER_SLOTS,
   CountingEngine,
   MODEL_LOAD_MS,
+  RUN_START_UNIX_MS,
 } from "./counting_engine.ts";
 import { OrderOracle } from "./order_oracle.ts";
 
@@ -48,6 +50,10 @@
 const ENGINE_ID = "engine";
 const ENGINE = { id: ENGINE_ID, failureDomain: "a" };
 
+/** Largest step of a wall clock in most cases, and in some. */
+const CLOCK_STEP_MS = 2_900;
+const LARGE_CLOCK_STEP_MS = 20_000;
+
 interface Delivery {
   at: number;
   run: (at: number) => void;
@@ -61,6 +67,11 @@
   isLarge: boolean;
   /** Whether all daemons occasionally start at once. */
   restartsFleet: boolean;
+  /**
+   * Whether the daemons' wall clocks step, all daemons are occasionally killed
+   * at once, and owners that stop hand the engine over.
+   */
+  stepsClocks?: boolean;
 }
 
 function createMember(index: number): FleetMember {
@@ -71,16 +82,34 @@
   };
 }
 
-/** Returns the violations of the rules in a run of one minute. */
+/**
+ * Returns the violations of the rules in a run of one minute, in which
+ * `Date.now` is the wall clock of the daemon that runs.
+ */
 export function simulateRun(
   seed: number,
-  { isLarge, restartsFleet }: OwnershipRunOptions,
+  options: OwnershipRunOptions,
+): string[] {
+  const dateNow = Date.now;
+  try {
+    return simulateMinute(seed, options);
+  } finally {
+    Date.now = dateNow;
+  }
+}
+
+function simulateMinute(
+  seed: number,
+  { isLarge, restartsFleet, stepsClocks = false }: OwnershipRunOptions,
 ): string[] {
   const generator = xoroshiro128plus(seed);
   const draw = (from: number, to: number) => uniformInt(generator, from, to);
   const fleetGenerator = xoroshiro128plus(seed + 1);
   const drawFleet = (from: number, to: number) =>
     uniformInt(fleetGenerator, from, to);
+  const clockGenerator = xoroshiro128plus(seed + 2);
+  const drawClock = (from: number, to: number) =>
+    uniformInt(clockGenerator, from, to);
   const oracle = new OrderOracle(TERM_MS);
   const engine = new CountingEngine(oracle, isLarge);
   let deliveries: Delivery[] = [];
@@ -90,14 +119,19 @@
   const partitionedUntil: number[] = [];
   const desired: boolean[] = [];
   const clockSkews = Array.from({ length: DAEMONS }, () => draw(-400, 400));
+  const clockSteps: { ms: number; until: number }[] = [];
+  const isStopping: boolean[] = [];
   const startedAt: number[] = [];
   const hasOwned: boolean[] = [];
   const views: FleetView[] = [];
+  const fenceClocks: FenceClock[] = [];
   const startDaemon = (index: number, at: number): void => {
     startedAt[index] = at;
     hasOwned[index] = false;
+    isStopping[index] = false;
     views[index] = new FleetView(createMember(index));
     const fences = new FenceClock(`daemon ${index}`);
+    fenceClocks[index] = fences;
     incarnations[index] = (incarnations[index] ?? 0) + 1;
     owners[index] = new EngineOwner({
       selfId: `daemon ${index}`,
@@ -117,12 +151,21 @@
       },
       termMs: TERM_MS,
       selectOwnAdapter: () => `own${index}`,
-      drawFence: () =>
-        fences.drawFence(1_000_000 + now + (clockSkews[index] ?? 0)),
+      drawFence: () => fences.drawFence(Date.now()),
     });
     downUntil[index] = at;
   };
   let now = 0;
+  let runningDaemon = 0;
+  Date.now = () => {
+    const step = clockSteps[runningDaemon];
+    const stepMs = step && now < step.until ? step.ms : 0;
+    return RUN_START_UNIX_MS + now + (clockSkews[runningDaemon] ?? 0) + stepMs;
+  };
+  const getOwner = (index: number): EngineOwner | undefined => {
+    runningDaemon = index;
+    return owners[index];
+  };
   for (let index = 0; index < DAEMONS; index += 1) {
     startDaemon(index, 0);
     desired[index] = true;
@@ -143,11 +186,11 @@
           at: answersAt,
           run: (at) => {
             if (!isSameIncarnation()) return;
-            if (isUnread) owners[index]?.recordReportFailure();
+            if (isUnread) getOwner(index)?.recordReportFailure();
             else {
               carryOut(
                 index,
-                owners[index]?.recordReport({ ...report, readAt }, at) ?? [],
+                getOwner(index)?.recordReport({ ...report, readAt }, at) ?? [],
               );
             }
           },
@@ -169,7 +212,7 @@
                 if (!isSameIncarnation()) return;
                 carryOut(
                   index,
-                  owners[index]?.recordOrderAnswer(received, later) ?? [],
+                  getOwner(index)?.recordOrderAnswer(received, later) ?? [],
                 );
               },
             });
@@ -191,6 +234,7 @@
       newcomerHeld: isRecentlyStarted(index)
         ? listOwnedBefore(index)
         : undefined,
+      fenceUnixMs: fenceClocks[index]?.highestMs ?? 0,
     });
     for (let other = 0; other < DAEMONS; other += 1) {
       const isLost = drawFleet(0, 99) < 6 ||
@@ -200,7 +244,10 @@
       const view = views[other];
       deliveries.push({
         at: now + drawFleet(1, drawFleet(0, 9) === 0 ? 280 : 30),
-        run: (at) => void view?.recordHeartbeat(heartbeat, at),
+        run: (at) => {
+          view?.recordHeartbeat(heartbeat, at);
+          fenceClocks[other]?.recordHeard(heartbeat.fenceUnixMs);
+        },
       });
     }
   };
@@ -212,6 +259,53 @@
       views[index]?.isUnowned(ENGINE, { since, seedIps: SEED_IPS }, now) ===
         true;
   };
+  const stepClocks = (): void => {
+    for (let index = 0; index < DAEMONS; index += 1) {
+      if (drawClock(0, 399) > 0) continue;
+      const limitMs = drawClock(0, 4) === 0
+        ? LARGE_CLOCK_STEP_MS
+        : CLOCK_STEP_MS;
+      clockSteps[index] = {
+        ms: drawClock(-limitMs, limitMs),
+        until: now + drawClock(1_000, 8_000),
+      };
+    }
+  };
+  /** Kills all daemons, after which most wall clocks are right again. */
+  const killFleet = (): void => {
+    for (let index = 0; index < DAEMONS; index += 1) {
+      startDaemon(index, now + drawClock(700, 2_000));
+      if (drawClock(0, 3) > 0) delete clockSteps[index];
+    }
+  };
+  /**
+   * Stops a daemon once its last order is answered. It hands the engine over to
+   * another daemon, unless the message is lost, and starts again.
+   */
+  const stopDaemon = (index: number): void => {
+    const owner = getOwner(index);
+    if (!owner || owner.stopOrders()) return;
+    const { handover } = owner.handOver(now);
+    const successor = (index + drawClock(1, DAEMONS - 1)) % DAEMONS;
+    const isCut = Math.max(
+      partitionedUntil[index] ?? 0,
+      partitionedUntil[successor] ?? 0,
+      downUntil[successor] ?? 0,
+    ) > now;
+    const delayMs = drawClock(1, 200);
+    if (handover && !isCut && drawClock(0, 9) > 0) {
+      const incarnation = incarnations[successor];
+      deliveries.push({
+        at: now + delayMs,
+        run: (at) => {
+          if (incarnations[successor] !== incarnation) return;
+          const effects = getOwner(successor)?.acceptHandover(handover, at);
+          carryOut(successor, effects ?? []);
+        },
+      });
+    }
+    startDaemon(index, now + drawClock(700, 2_000));
+  };
   let permits = 0;
   for (; now < RUN_MS; now += STEP_MS) {
     engine.record(now);
@@ -224,14 +318,25 @@
         startDaemon(index, now + drawFleet(1_000, 2_000));
       }
     }
+    if (stepsClocks) {
+      stepClocks();
+      if (drawClock(0, 599) === 0) killFleet();
+    }
     for (let index = 0; index < DAEMONS; index += 1) {
       if (draw(0, 399) === 0) desired[index] = !desired[index];
       if (draw(0, 599) === 0) partitionedUntil[index] = now + draw(100, 6_000);
       if (draw(0, 599) === 0) downUntil[index] = now + draw(100, 5_000);
       if (draw(0, 799) === 0) startDaemon(index, now + draw(50, 1_500));
       if ((downUntil[index] ?? 0) > now) continue;
-      const owner = owners[index];
+      const owner = getOwner(index);
       if (!owner) continue;
+      if (stepsClocks && owner.isOwner() && drawClock(0, 299) === 0) {
+        isStopping[index] = true;
+      }
+      if (isStopping[index]) {
+        stopDaemon(index);
+        continue;
+      }
       if ((now + index * 100) % HEARTBEAT_MS === 0) sendHeartbeat(index);
       if (draw(0, 9) === 0) {
         permits += 1;
--- a/test/fuzz/tenure_fuzz_test.ts
+++ b/test/fuzz/tenure_fuzz_test.ts
@@ -1,9 +1,11 @@
 /**
  * Plays seeded runs of daemons that compete for the ownership of one engine
- * (ownership_simulation.ts). In a third of the runs all daemons occasionally
+ * (ownership_simulation.ts). In one group of runs all daemons occasionally
  * start at once, and report in heartbeats that they have recently started. In
- * another third the engine starts without its base model, whose load it confirms
+ * another the engine starts without its base model, whose load it confirms
  * whatever the order expects, and no daemon has a quorum, as in a large fleet.
+ * In two more groups, one of each size, wall clocks step by seconds, all daemons
+ * are occasionally killed at once, and owners that stop hand the engine over.
  */
 import process from "node:process";
 import { test } from "uvu";
@@ -37,6 +39,26 @@
       [],
     );
   });
+  test(`holders whose clocks step keep them, seed ${seed}`, () => {
+    assert.equal(
+      simulateRun(seed, {
+        isLarge: false,
+        restartsFleet: false,
+        stepsClocks: true,
+      }),
+      [],
+    );
+  });
+  test(`holders of empty engines whose clocks step keep them, seed ${seed}`, () => {
+    assert.equal(
+      simulateRun(seed, {
+        isLarge: true,
+        restartsFleet: false,
+        stepsClocks: true,
+      }),
+      [],
+    );
+  });
 }
 
 test("the oracle detects owners that alternate within a term and fencing numbers that do not increase", () => {
@@ -48,6 +70,9 @@
   assert.is(oracle.violations.length, 1);
   oracle.check({ daemon: 1, fence: 7, at: 9_000 });
   assert.is(oracle.violations.length, 2);
+  oracle.check({ daemon: 1, fence: 7, at: 9_100 });
+  oracle.check({ daemon: 1, fence: 6, at: 9_200 });
+  assert.is(oracle.violations.length, 4, "lower and repeated by one owner");
 });
 
 test.run();
