Fencing numbers follow from the engine's start and count, not from a clock

Cause: FenceClock drew numbers from the wall clock and the highest time heard, in memory. A host whose clock ran ahead left numbers that its successors, which had forgotten or never heard them, stayed below.

Change: (born + position) * 2048 + host, all but the host from the engine. The position is 16 times a lower bound of the engine's count. A counted load and reports raise the bound; an eviction repeats the position of the order before it, since the engine may confirm it without counting it, and the next owner then reads the same count. A handover passes the position on and the successor starts one above. Claimants of an empty engine add the number of their turn. FenceClock and drawFence are gone; heartbeats still carry fenceUnixMs, 0, for the decoder of the previous release.

Why it works: an order that the engine counts makes every later owner read a higher count; where nothing is counted, positions stay below the next count's.

Not covered: in a fleet of both releases, an owner of the previous release that takes over from one of this release orders with a lower number.

--- a/src/core/fleet/heartbeat.ts
+++ b/src/core/fleet/heartbeat.ts
@@ -60,8 +60,8 @@
    * if there are none.
    */
   failing?: OutcomeReport[] | undefined;
-  /** Highest time of the sender's fence clock. */
-  fenceUnixMs: number;
+  /** Always 0: read by nobody, but the previous release requires it. */
+  fenceUnixMs?: number;
   /** Sample of the members that the sender knows. */
   sample: GossipEntry[];
   /**
--- a/src/core/ordering/engine_owner.ts
+++ b/src/core/ordering/engine_owner.ts
@@ -23,6 +23,7 @@
   type PlannedOrder,
 } from "./order_planner.ts";
 import { EngineOwnership, OrderEvidence } from "./engine_ownership.ts";
+import type { FencingBounds } from "./fencing_number.ts";
 import { RunAdoption } from "./run_adoption.ts";
 import type {
   ClaimConditions,
@@ -45,6 +46,8 @@
   models: string[];
   sequence: number;
   bornAtUnixMs: number;
+  /** Unknown to owners of the previous release. */
+  fencing?: FencingBounds | undefined;
   adapters: [adapterPath: string, version: number, isLoading: boolean][];
 }
 
@@ -77,7 +80,6 @@
   engineId: string;
   limits: EngineLimits;
   termMs: Milliseconds;
-  drawFence: () => number;
 }
 
 /** What the decisions about an engine depend on besides the engine itself. */
@@ -382,6 +384,7 @@
       ? {
         sequence: state.sequence,
         bornAtUnixMs: state.bornAtUnixMs,
+        fencing: this.#ownership.fencingBounds,
         // Longer ages prove no more than this one, and infinity cannot be
         // encoded.
         acceptedAgeMs: Math.min(now - state.acceptedAt, MAX_ACCEPTED_AGE_MS),
@@ -489,8 +492,11 @@
       kind: "giveOrder",
       engineId: this.engineId,
       order,
-      // Drawn for each order, so that a later order has a higher number.
-      fence: this.#options.drawFence(),
+      fence: this.#ownership.issueFence({
+        kind: order.kind,
+        contestedTurn: planned.contestedTurn,
+        host: this.#options.selfId,
+      }),
       expectedSequence,
     }];
   }
--- a/src/core/ordering/engine_ownership.ts
+++ b/src/core/ordering/engine_ownership.ts
@@ -18,7 +18,13 @@
  * another claimant may have sent the same order. The count of the next order is
  * compared again.
  */
+import type { EngineOrder } from "../admission/admission_controller.ts";
 import type { Milliseconds } from "../structures.ts";
+import {
+  computeFencingNumber,
+  type FencingBounds,
+  FencingSequence,
+} from "./fencing_number.ts";
 import type {
   AcquiredOwnership,
   ClaimConditions,
@@ -96,6 +102,7 @@
 export class EngineOwnership {
   readonly #options: EngineOwnershipOptions;
   #state: OwnershipState = { kind: "idle" };
+  readonly #fencing = new FencingSequence();
 
   constructor(options: EngineOwnershipOptions) {
     this.#options = options;
@@ -120,6 +127,30 @@
       : undefined;
   }
 
+  /** Returns what the next owner's fencing numbers have to exceed. */
+  get fencingBounds(): FencingBounds {
+    return this.#fencing.bounds;
+  }
+
+  /**
+   * Returns the fencing number of an order sent now.
+   * @param contestedTurn turn of an order that other claimants may send too.
+   */
+  issueFence(
+    { kind, contestedTurn, host }: {
+      kind: EngineOrder["kind"];
+      contestedTurn: number;
+      host: string;
+    },
+  ): number {
+    const { state } = this;
+    return computeFencingNumber({
+      bornAtUnixMs: state.kind === "holding" ? state.bornAtUnixMs : 0,
+      position: this.#fencing.issuePosition(kind, contestedTurn),
+      host,
+    });
+  }
+
   /**
    * Returns whether no other daemon can have ordered the engine: it accepted an
    * order of this owner within the term that any other daemon has to wait.
@@ -277,6 +308,7 @@
     if (this.#state.kind !== "observing") return false;
     if (!this.isClaimable(conditions, now)) return false;
     const { sequence, bornAtUnixMs, startedAt, confirmedAt } = this.#state;
+    this.#fencing.begin(sequence);
     this.#takeOwnership({
       sequence,
       bornAtUnixMs,
@@ -297,10 +329,14 @@
       bornAtUnixMs: number;
       /** Time since the engine last accepted an order. */
       acceptedAgeMs: Milliseconds;
+      /** Unknown to owners of the previous release. */
+      fencing?: FencingBounds | undefined;
     },
     now: Milliseconds,
   ): boolean {
     if (this.isOwner() || this.#state.kind === "deposed") return false;
+    if (handover.fencing) this.#fencing.adopt(handover.fencing);
+    else this.#fencing.begin(handover.sequence);
     this.#takeOwnership({
       sequence: handover.sequence,
       bornAtUnixMs: handover.bornAtUnixMs,
@@ -372,6 +408,10 @@
     const isInconclusive = evidence === OrderEvidence.Inconclusive;
     switch (answer.kind) {
       case "accepted":
+        this.#fencing.recordAccepted();
+        if (evidence === OrderEvidence.Load) {
+          this.#fencing.recordCounted(this.#state.sequence + 1);
+        }
         this.#state = {
           ...this.#state,
           sequence: this.#state.sequence + 1,
@@ -388,6 +428,7 @@
       case "alreadyHeld":
       case "conflict":
       case "unanswered":
+        if (answer.kind === "alreadyHeld") this.#fencing.recordAccepted();
         this.#state = {
           kind: "unsettled",
           sequence: this.#state.sequence,
@@ -444,6 +485,8 @@
       return this.#handleRestart(state.acceptedAt, report, now);
     }
     if (report.sequence > state.sequence) return this.#depose(now);
+    if (this.isExclusive(now)) this.#fencing.recordCounted(report.sequence);
+    else this.#fencing.recordContested(report.sequence);
     this.#state = {
       ...state,
       startedAt: report.readAt - report.ageMs,
@@ -461,6 +504,7 @@
     if (report.bornAtUnixMs !== state.bornAtUnixMs) {
       return this.#handleRestart(state.acceptedAt, report, now);
     }
+    this.#fencing.recordCounted(report.sequence);
     if (report.sequence === state.sequence) {
       const { sequence, bornAtUnixMs, startedAt, acceptedAt, countedAt } =
         state;
@@ -494,6 +538,7 @@
     const isOwn = report.sequence === state.sequence + 1 &&
       report.readAt - state.acceptedAt < this.#options.termMs;
     if (!isOwn) return this.#depose(now);
+    this.#fencing.recordAccepted();
     const { bornAtUnixMs, startedAt, sentAt } = state;
     this.#takeOwnership({
       sequence: report.sequence,
@@ -518,6 +563,7 @@
     now: Milliseconds,
   ): Settlement {
     if (report.sequence !== 0) return this.#depose(now);
+    this.#fencing.begin(0);
     const startedAt = report.readAt - report.ageMs;
     // Any other daemon waited a term before its claim, and the engine was down
     // for a while.
--- /dev/null
+++ b/src/core/ordering/fencing_number.ts
@@ -0,0 +1,109 @@
+/**
+ * Fencing numbers that follow from the engine alone, so that they increase from
+ * owner to owner whatever the owners' clocks show, forget or have not heard. A
+ * number is made of the engine's start time, a position that rises with the
+ * orders that the engine has counted, and a part that differs between hosts.
+ *
+ * An engine confirms some orders without counting them: the eviction of an
+ * adapter that it does not have, or the load of a model that it does. Positions
+ * therefore rest on a lower bound of the count, which reports and accepted loads
+ * raise, and an eviction repeats the position of the order before it. Otherwise
+ * the next owner, which reads the engine's own count, could use a lower number.
+ */
+import type { EngineOrder } from "../admission/admission_controller.ts";
+import { hashText } from "../hashing.ts";
+
+/**
+ * Numbers within one position, one for each host: twice as many as in the
+ * previous release, whose numbers were times of day and so stay lower; few
+ * enough that all numbers are below 2^53 until the year 2109.
+ */
+const HOSTS = 2_048;
+/**
+ * Positions within one count, for owners that order at the same count. A
+ * position is added to a start time in milliseconds, so an engine that restarts
+ * still starts above its former numbers if it counted less than one order in as
+ * many milliseconds.
+ */
+const POSITIONS_PER_COUNT = 16;
+
+/** What is known of the numbers that an engine has accepted since its start. */
+export interface FencingBounds {
+  /** Number of orders that the engine has counted at least. */
+  minSequence: number;
+  /** Lowest position that the next order may have. */
+  minPosition: number;
+}
+
+/** The positions of one owner's orders to one engine. */
+export class FencingSequence {
+  #minSequence = 0;
+  #minPosition = 0;
+  /** Position of the last order sent, whether the engine accepted it or not. */
+  #sentPosition = 0;
+
+  get bounds(): FencingBounds {
+    return {
+      minSequence: this.#minSequence,
+      minPosition: this.#minPosition,
+    };
+  }
+
+  /** Starts at the count that a report shows. */
+  begin(sequence: number): void {
+    this.#minSequence = sequence;
+    this.#minPosition = sequence * POSITIONS_PER_COUNT;
+  }
+
+  /** Continues above the former owner's last order. */
+  adopt({ minSequence, minPosition }: FencingBounds): void {
+    this.#minSequence = minSequence;
+    this.#minPosition = minPosition + 1;
+  }
+
+  /** Records that the engine has counted at least so many orders. */
+  recordCounted(sequence: number): void {
+    this.#minSequence = Math.max(this.#minSequence, sequence);
+  }
+
+  /** Records that other owners may have ordered at lower counts. */
+  recordContested(sequence: number): void {
+    this.recordCounted(sequence);
+    this.#minPosition = Math.max(
+      this.#minPosition,
+      sequence * POSITIONS_PER_COUNT,
+    );
+  }
+
+  /** Records that the engine accepted the order sent last. */
+  recordAccepted(): void {
+    this.#minPosition = Math.max(this.#minPosition, this.#sentPosition);
+  }
+
+  /**
+   * Returns the position of an order sent now.
+   * @param turn turn in which a claimant sends an order that others may send at
+   * the same count.
+   */
+  issuePosition(kind: EngineOrder["kind"], turn: number): number {
+    // An engine's age, from which turns follow, may be negative by a wrong clock.
+    const slot = Math.min(Math.max(turn, 0), POSITIONS_PER_COUNT - 1);
+    this.#sentPosition = kind === "evict" ? this.#minPosition : Math.max(
+      this.#minPosition,
+      this.#minSequence * POSITIONS_PER_COUNT + slot,
+    );
+    return this.#sentPosition;
+  }
+}
+
+/** Returns the fencing number of a host's order to an engine. */
+export function computeFencingNumber(
+  { bornAtUnixMs, position, host }: {
+    /** Start time that the engine reports, or 0 if it reports none. */
+    bornAtUnixMs: number;
+    position: number;
+    host: string;
+  },
+): number {
+  return (bornAtUnixMs + position) * HOSTS + hashText(host) % HOSTS;
+}
--- a/src/core/ordering/order_planner.ts
+++ b/src/core/ordering/order_planner.ts
@@ -45,6 +45,11 @@
    * after this one.
    */
   isInconclusive: boolean;
+  /**
+   * Number of the turn, counted from the engine's start, in which an
+   * inconclusive order is sent; 0 for other orders.
+   */
+  contestedTurn: number;
 }
 
 export interface OrderPlannerOptions {
@@ -125,7 +130,14 @@
       this.#ownership.isSoleOwnerSinceRestart(now);
     if (isAlone) return createUncontestedOrder(wanted);
     return this.#isContestedTurn(now)
-      ? { order: wanted, isContested: true, isInconclusive: true }
+      ? {
+        order: wanted,
+        isContested: true,
+        isInconclusive: true,
+        contestedTurn: Math.floor(
+          (this.#ownership.getEngineAgeMs(now) ?? 0) / CONTESTED_TURN_MS,
+        ),
+      }
       : undefined;
   }
 
@@ -168,10 +180,20 @@
       hasFreeSlot: slots.hasFreeSlot(),
       hasAdapter: (adapterPath) => slots.getSlot(adapterPath) !== undefined,
     });
-    return order && { order, isContested: true, isInconclusive: false };
+    return order && {
+      order,
+      isContested: true,
+      isInconclusive: false,
+      contestedTurn: 0,
+    };
   }
 }
 
 function createUncontestedOrder(order: EngineOrder): PlannedOrder {
-  return { order, isContested: false, isInconclusive: false };
+  return {
+    order,
+    isContested: false,
+    isInconclusive: false,
+    contestedTurn: 0,
+  };
 }
--- a/src/gateway/engine_task.ts
+++ b/src/gateway/engine_task.ts
@@ -21,7 +21,6 @@
 } from "../core/ordering/engine_owner.ts";
 import { OwnerRoles } from "../core/ordering/owner_roles.ts";
 import type { FetchShare } from "../core/placement/fetch_concurrency_limit.ts";
-import type { FenceClock } from "../core/ordering/fence_clock.ts";
 import type { Milliseconds } from "../core/structures.ts";
 import type { PublishedView } from "../core/view/published_view.ts";
 import { describeStep } from "../daemon/step_error.ts";
@@ -58,7 +57,6 @@
    * partitioned from the fleet hears from all of them.
    */
   seedIps: readonly string[];
-  fenceClock: FenceClock;
   control: EngineControl;
   log: DecisionLog;
   metrics: GatewayMetrics;
@@ -329,7 +327,7 @@
    * existing ones, and removes those of engines that are gone.
    */
   #reconcileOwners(): void {
-    const { view, termMs, fenceClock } = this.#options;
+    const { view, termMs } = this.#options;
     const engines = view.listEngines();
     const ids = new Set(engines.map((engine) => engine.id));
     this.#fetchLimiter.setEngineCount(engines.length);
@@ -351,7 +349,6 @@
             engineId: engine.id,
             limits,
             termMs,
-            drawFence: () => fenceClock.drawFence(Date.now()),
             listClaimants: () =>
               this.#options.fleet.listClaimants(engine, performance.now()),
             selectOwnAdapter: (model) =>
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -10,7 +10,6 @@
 import { ResponseMemoryBudget } from "../core/limits/response_memory_budget.ts";
 import { CrashQuarantine } from "../core/limits/crash_quarantine.ts";
 import { FleetRetryBudget } from "../core/limits/fleet_retry_budget.ts";
-import { FenceClock } from "../core/ordering/fence_clock.ts";
 import { AdapterDemand } from "../core/placement/adapter_demand.ts";
 import { DomainReachability } from "../core/placement/domain_reachability.ts";
 import { UpstreamBackoff } from "../core/placement/upstream_backoff.ts";
@@ -90,7 +89,6 @@
   readonly #metrics = new GatewayMetrics();
   readonly #view = new PublishedView();
   readonly #fleet: FleetView;
-  readonly #fenceClock: FenceClock;
   readonly #health = new UpstreamHealth();
   readonly #quarantine = new CrashQuarantine({
     maxStrikes: MAX_STRIKES,
@@ -118,7 +116,6 @@
     this.#log = new DecisionLog(host, settings.logLevel);
     const { host: ip, port } = parseAddress(peers.listen);
     this.#fleet = new FleetView({ id: host, ip, failureDomain }, Date.now());
-    this.#fenceClock = new FenceClock(host);
     this.#peers = new PeerTask({
       selfId: host,
       incarnation: this.#incarnation,
@@ -148,7 +145,6 @@
       view: this.#view,
       fleet: this.#fleet,
       seedIps: settings.peers.seeds.map((seed) => parseAddress(seed).host),
-      fenceClock: this.#fenceClock,
       control: platform.createEngineControl(),
       log: this.#log,
       metrics: this.#metrics,
@@ -362,7 +358,7 @@
       fetchesInFlight: this.#engines.countFetches(),
       fullSpeedFetches: this.#engines.getFullSpeedFetches(),
       failing: failing.length > 0 ? failing : undefined,
-      fenceUnixMs: this.#fenceClock.highestMs,
+      fenceUnixMs: 0,
       sample: this.#fleet.selectSample(isPromised, now),
       strikes: this.#quarantine.getDigests(now)
         .slice(-MAX_HEARTBEAT_STRIKES)
@@ -391,7 +387,6 @@
     }
     const now = performance.now();
     const { heartbeat } = message;
-    this.#fenceClock.recordHeard(heartbeat.fenceUnixMs);
     this.#quarantine.mergeDigests(
       heartbeat.strikes.map((strike) => ({
         ...strike,
--- a/src/gateway/peer_message_decoder.ts
+++ b/src/gateway/peer_message_decoder.ts
@@ -67,7 +67,7 @@
   fetchesInFlight: z.number(),
   fullSpeedFetches: z.number().optional(),
   failing: z.array(z.tuple([z.string(), z.number(), z.number()])).optional(),
-  fenceUnixMs: z.number(),
+  fenceUnixMs: z.number().optional(),
   sample: z.array(z.tuple([z.string(), z.string(), z.string(), z.number()])),
   strikes: z.array(
     z.object({ fingerprint: z.string(), strikes: z.number() }),
@@ -109,6 +109,8 @@
   models: z.array(z.string()),
   sequence: z.number(),
   bornAtUnixMs: z.number(),
+  fencing: z.object({ minSequence: z.number(), minPosition: z.number() })
+    .optional(),
   adapters: z.array(z.tuple([z.string(), z.number(), z.boolean()])),
 });
 
--- a/test/core/ordering/engine_owner_test.ts
+++ b/test/core/ordering/engine_owner_test.ts
@@ -4,7 +4,6 @@
  */
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import { FenceClock } from "../../../src/core/ordering/fence_clock.ts";
 import {
   type ContentsReport,
   EngineOwner,
@@ -35,8 +34,15 @@
   },
 };
 
+const dateNow = Date.now;
+
+test.after.each(() => {
+  Date.now = dateNow;
+});
+
+/** Creates an owner on a host whose wall clock shows the time of day. */
 function createOwner(selfId: string, wallUnixMs: number): EngineOwner {
-  const fences = new FenceClock(selfId);
+  Date.now = () => wallUnixMs;
   return new EngineOwner({
     selfId,
     listClaimants: () => [selfId],
@@ -50,7 +56,6 @@
     },
     termMs: TERM_MS,
     selectOwnAdapter: () => selfId,
-    drawFence: () => fences.drawFence(wallUnixMs),
   });
 }
 
--- a/test/fuzz/ownership_simulation.ts
+++ b/test/fuzz/ownership_simulation.ts
@@ -17,7 +17,6 @@
   RECENTLY_STARTED_MS,
 } from "../../src/core/fleet/fleet_view.ts";
 import type { FleetMember } from "../../src/core/fleet/heartbeat.ts";
-import { FenceClock } from "../../src/core/ordering/fence_clock.ts";
 import type { OrderAnswer } from "../../src/core/ordering/ownership_state.ts";
 import { buildHeartbeat } from "../core/fleet/heartbeat_builder.ts";
 import {
@@ -124,14 +123,11 @@
   const startedAt: number[] = [];
   const hasOwned: boolean[] = [];
   const views: FleetView[] = [];
-  const fenceClocks: FenceClock[] = [];
   const startDaemon = (index: number, at: number): void => {
     startedAt[index] = at;
     hasOwned[index] = false;
     isStopping[index] = false;
     views[index] = new FleetView(createMember(index));
-    const fences = new FenceClock(`daemon ${index}`);
-    fenceClocks[index] = fences;
     incarnations[index] = (incarnations[index] ?? 0) + 1;
     owners[index] = new EngineOwner({
       selfId: `daemon ${index}`,
@@ -151,7 +147,6 @@
       },
       termMs: TERM_MS,
       selectOwnAdapter: () => `own${index}`,
-      drawFence: () => fences.drawFence(Date.now()),
     });
     downUntil[index] = at;
   };
@@ -234,7 +229,6 @@
       newcomerHeld: isRecentlyStarted(index)
         ? listOwnedBefore(index)
         : undefined,
-      fenceUnixMs: fenceClocks[index]?.highestMs ?? 0,
     });
     for (let other = 0; other < DAEMONS; other += 1) {
       const isLost = drawFleet(0, 99) < 6 ||
@@ -244,10 +238,7 @@
       const view = views[other];
       deliveries.push({
         at: now + drawFleet(1, drawFleet(0, 9) === 0 ? 280 : 30),
-        run: (at) => {
-          view?.recordHeartbeat(heartbeat, at);
-          fenceClocks[other]?.recordHeard(heartbeat.fenceUnixMs);
-        },
+        run: (at) => void view?.recordHeartbeat(heartbeat, at),
       });
     }
   };
