An engine that was handed over is verified before the first order

Cause: a handover counted as a look at the engine.

Change: after a handover the first order waits for a report, which also tells the engine's age.

The handover case of engine_owner_test.ts gives the successor a report, its assertion is unchanged.

--- a/src/core/ordering/engine_ownership.ts
+++ b/src/core/ordering/engine_ownership.ts
@@ -321,7 +321,7 @@
 
   /**
    * Becomes the owner after a previous owner has released the engine and sends
-   * it no more orders.
+   * it no more orders. The first order waits for a report.
    */
   acceptHandover(
     handover: {
@@ -342,7 +342,8 @@
       bornAtUnixMs: handover.bornAtUnixMs,
       startedAt: Number.NEGATIVE_INFINITY,
       acceptedAt: now - handover.acceptedAgeMs - MAX_HANDOVER_DELAY_MS,
-      verifiedAt: now,
+      // The former owner may not have seen that the engine restarted.
+      verifiedAt: Number.NEGATIVE_INFINITY,
     }, now);
     return true;
   }
--- a/test/core/ordering/engine_owner_test.ts
+++ b/test/core/ordering/engine_owner_test.ts
@@ -135,6 +135,7 @@
   assert.ok(handover);
   const next = createOwner("second", BORN + 1_000);
   next.acceptHandover(handover, 1_010);
+  next.recordReport(buildReport(1, 1_015), 1_015);
   const after = requestAdapter(next, 1_020);
   assert.ok(after.fence > before.fence, `${after.fence} > ${before.fence}`);
 });
--- a/test/core/ordering/engine_ownership_test.ts
+++ b/test/core/ordering/engine_ownership_test.ts
@@ -256,6 +256,21 @@
   );
 });
 
+test("an engine that was handed over is verified before the first order: the former owner may have missed its restart", () => {
+  const next = createOwnership();
+  next.acceptHandover(
+    { sequence: 0, bornAtUnixMs: BORN, acceptedAgeMs: 9_000 },
+    0,
+  );
+  assert.not(next.isVerified(false, 10));
+  next.recordReport(
+    { sequence: 0, bornAtUnixMs: BORN + 1, ageMs: 2_500, readAt: 20 },
+    20,
+  );
+  assert.ok(next.isVerified(true, 30));
+  assert.is(next.getEngineAgeMs(30), 2_510, "contested turns depend on it");
+});
+
 test("an engine that was idle is verified before the next order", () => {
   const ownership = createOwned();
   assert.not(ownership.isVerified(false, TERM_MS + 1_200));
