--- a/test/core/ordering/engine_owner_test.ts
+++ b/test/core/ordering/engine_owner_test.ts
@@ -1,19 +1,30 @@
-/** What an engine's owner tells about its claims and orders, for the log. */
+/**
+ * Orders that one engine accepts from successive owners: their fencing numbers
+ * increase, whatever the owners' wall clocks show and whatever they forget, and
+ * the log tells on what each claim and order rests.
+ */
 import { test } from "uvu";
 import * as assert from "uvu/assert";
+import { OrderEvidence } from "../../../src/core/ordering/engine_ownership.ts";
 import {
+  type ContentsReport,
   EngineOwner,
   type EngineOwnerEffect,
   type OwnershipContext,
 } from "../../../src/core/ordering/engine_owner.ts";
-import { OrderEvidence } from "../../../src/core/ordering/engine_ownership.ts";
 
 const TERM_MS = 3_000;
+const BORN = 1_700_000_000_000;
+/** How far a wall clock runs ahead. */
+const AHEAD_MS = 2_800;
+
+type GiveOrder = Extract<EngineOwnerEffect, { kind: "giveOrder" }>;
+
 const CONTEXT: OwnershipContext = {
   isDesiredOwner: true,
   isCandidate: true,
   hasQuorum: true,
-  isUnowned: false,
+  isUnowned: true,
   peers: undefined,
   fetchShare: {
     fleetFetches: 0,
@@ -25,52 +36,127 @@
   },
 };
 
-function createOwner(): EngineOwner {
+const dateNow = Date.now;
+
+test.after.each(() => {
+  Date.now = dateNow;
+});
+
+/** Creates an owner on a host whose wall clock shows the time of day. */
+function createOwner(selfId: string, wallUnixMs: number): EngineOwner {
+  Date.now = () => wallUnixMs;
   return new EngineOwner({
-    selfId: "host-1",
+    selfId,
+    listClaimants: () => [selfId],
     engineId: "engine",
     limits: {
-      adapterSlots: 2,
+      adapterSlots: 3,
       batchSize: 8,
-      kvCapacityTokens: 1_000,
-      weightsMb: 10,
-      models: [{ name: "m", weightsMb: 10, adapterCount: 9, loadMs: 600 }],
+      kvCapacityTokens: 100_000,
+      weightsMb: 100,
+      models: [{ name: "m", weightsMb: 100, adapterCount: 9, loadMs: 600 }],
     },
     termMs: TERM_MS,
-    drawFence: () => 1,
-    listClaimants: () => ["host-1"],
-    selectOwnAdapter: () => "own",
+    selectOwnAdapter: () => selfId,
   });
 }
 
-/** Records a report of an engine that has no model and ran for a while. */
-function recordReport(
-  owner: EngineOwner,
-  sequence: number,
-  readAt: number,
-): EngineOwnerEffect[] {
-  return owner.recordReport({
+/** Describes an engine whose base model is present once it counted an order. */
+function buildReport(sequence: number, readAt: number): ContentsReport {
+  return {
     sequence,
-    bornAtUnixMs: 1_000,
-    ageMs: 60_000,
+    bornAtUnixMs: BORN,
+    ageMs: 60_000 + readAt,
     readAt,
-    models: [],
+    models: sequence === 0 ? [] : ["m"],
     adapters: new Map(),
-  }, readAt);
+  };
+}
+
+/**
+ * Claims an engine that no alive daemon has owned, by two reports; returns when
+ * the second was read.
+ */
+function claim(owner: EngineOwner, sequence: number, from: number): number {
+  owner.tick(CONTEXT, from);
+  owner.recordReport(buildReport(sequence, from), from);
+  const confirmedAt = from + 700;
+  owner.tick(CONTEXT, confirmedAt);
+  owner.recordReport(buildReport(sequence, confirmedAt), confirmedAt);
+  return confirmedAt;
+}
+
+/** Requests an adapter and returns the order that follows. */
+function requestAdapter(owner: EngineOwner, now: number): GiveOrder {
+  owner.tick(CONTEXT, now);
+  owner.requestPermit({
+    permitId: "p",
+    holder: "entry",
+    model: "m",
+    adapter: "a1",
+    adapterPath: "m/a1",
+    version: undefined,
+    priorityRank: 0,
+    promptTokens: 10,
+    outputTokens: 10,
+    promptParts: [],
+    patienceMs: 500,
+    firstTokenBudgetMs: 1_000,
+    lifetimeMs: 1_000,
+    isLastChoice: true,
+  }, now);
+  return findOrder(owner.tick(CONTEXT, now));
+}
+
+function findOrder(effects: readonly EngineOwnerEffect[]): GiveOrder {
+  const order = effects.find((effect) => effect.kind === "giveOrder");
+  if (!order) throw new Error("no order was given");
+  return order;
+}
+
+/** Loads the base model of an empty engine. */
+function loadModel(owner: EngineOwner): GiveOrder {
+  owner.tick(CONTEXT, 0);
+  owner.recordReport(buildReport(0, 0), 0);
+  const order = findOrder(owner.tick(CONTEXT, 10));
+  owner.recordOrderAnswer({ kind: "accepted" }, 15);
+  return order;
+}
+
+test("an order after a restart of all daemons has a higher fencing number though clocks had run ahead", () => {
+  const before = loadModel(createOwner("first", BORN + AHEAD_MS));
+  const restarted = createOwner("second", BORN + 2_000);
+  const after = requestAdapter(restarted, claim(restarted, 1, 2_000));
+  assert.ok(after.fence > before.fence, `${after.fence} > ${before.fence}`);
+});
+
+test("an order after a handover has a higher fencing number though the former owner's clock ran ahead", () => {
+  const former = createOwner("first", BORN + AHEAD_MS);
+  const before = loadModel(former);
+  const { handover } = former.handOver(1_000);
+  assert.ok(handover);
+  const next = createOwner("second", BORN + 1_000);
+  next.acceptHandover(handover, 1_010);
+  next.recordReport(buildReport(1, 1_015), 1_015);
+  const after = requestAdapter(next, 1_020);
+  assert.ok(after.fence > before.fence, `${after.fence} > ${before.fence}`);
+});
+
+/** Claims an engine that has accepted four orders, a term after a report. */
+function claimAfterTerm(owner: EngineOwner): EngineOwnerEffect[] {
+  owner.recordReport(buildReport(4, 0), 0);
+  owner.recordReport(buildReport(4, TERM_MS + 300), TERM_MS + 300);
+  return owner.tick({ ...CONTEXT, isUnowned: false }, TERM_MS + 310);
 }
 
 function getChange(effects: readonly EngineOwnerEffect[]): object {
   const effect = effects.find((each) => each.kind === "belief");
-  return effect?.kind === "belief"
-    ? { change: effect.change, ...effect.detail }
-    : {};
+  return effect ? { change: effect.change, ...effect.detail } : {};
 }
 
 test("a claim names its conditions, so that the log tells why two daemons claimed", () => {
-  const owner = createOwner();
-  recordReport(owner, 4, 0);
-  recordReport(owner, 4, TERM_MS + 300);
-  assert.equal(getChange(owner.tick(CONTEXT, TERM_MS + 310)), {
+  const owner = createOwner("first", BORN);
+  assert.equal(getChange(claimAfterTerm(owner)), {
     change: "claimed",
     sequence: 4,
     observedMs: TERM_MS + 310,
@@ -81,21 +167,22 @@
 });
 
 test("an order names what its acceptance will prove", () => {
-  const owner = createOwner();
-  recordReport(owner, 4, 0);
-  recordReport(owner, 4, TERM_MS + 300);
-  const effects = owner.tick(CONTEXT, TERM_MS + 310);
-  const order = effects.find((each) => each.kind === "giveOrder");
-  assert.is(order?.kind === "giveOrder" && order.evidence, OrderEvidence.Load);
+  const owner = createOwner("first", BORN);
+  claimAfterTerm(owner);
+  const order = requestAdapter(owner, TERM_MS + 320);
+  assert.is(order.evidence, OrderEvidence.Load);
 });
 
 test("a deposed owner names the count that it knew and the one that it read", () => {
-  const owner = createOwner();
-  recordReport(owner, 4, 0);
-  recordReport(owner, 4, TERM_MS + 300);
-  owner.tick(CONTEXT, TERM_MS + 310);
-  owner.recordOrderAnswer({ kind: "conflict" }, TERM_MS + 320);
-  assert.equal(getChange(recordReport(owner, 9, TERM_MS + 900)), {
+  const owner = createOwner("first", BORN);
+  claimAfterTerm(owner);
+  requestAdapter(owner, TERM_MS + 320);
+  owner.recordOrderAnswer({ kind: "conflict" }, TERM_MS + 330);
+  const effects = owner.recordReport(
+    buildReport(9, TERM_MS + 900),
+    TERM_MS + 900,
+  );
+  assert.equal(getChange(effects), {
     change: "deposed",
     sequence: 9,
     knownSequence: 4,
