Ownership simulation measures the time from a claim to the first requested load

Changes of the proving orders are compared by it: a rule that waits longer breaks fewer rules, and the sum of violations does not show what it costs.

--- a/test/fuzz/ownership_simulation.ts
+++ b/test/fuzz/ownership_simulation.ts
@@ -71,11 +71,24 @@
   };
 }
 
-/** Returns the violations of the rules in a run of one minute. */
+/** Result of a run. */
+export interface OwnershipRunResult {
+  /** Violations of the rules. */
+  violations: string[];
+  /**
+   * Time from each claim to the first accepted load of a requested adapter;
+   * claims that end without one are left out.
+   */
+  firstLoadMs: number[];
+  /** Number of accepted loads of requested adapters. */
+  loads: number;
+}
+
+/** Simulates one minute. */
 export function simulateRun(
   seed: number,
   { isLarge, restartsFleet }: OwnershipRunOptions,
-): string[] {
+): OwnershipRunResult {
   const generator = xoroshiro128plus(seed);
   const draw = (from: number, to: number) => uniformInt(generator, from, to);
   const fleetGenerator = xoroshiro128plus(seed + 1);
@@ -93,9 +106,14 @@
   const startedAt: number[] = [];
   const hasOwned: boolean[] = [];
   const views: FleetView[] = [];
+  const firstLoadMs: number[] = [];
+  let loads = 0;
+  /** When each owner claimed the engine; undefined after its first load. */
+  const claimedAt: (number | undefined)[] = [];
   const startDaemon = (index: number, at: number): void => {
     startedAt[index] = at;
     hasOwned[index] = false;
+    claimedAt[index] = undefined;
     views[index] = new FleetView(createMember(index));
     const fences = new FenceClock(`daemon ${index}`);
     incarnations[index] = (incarnations[index] ?? 0) + 1;
@@ -128,6 +146,12 @@
     desired[index] = true;
     partitionedUntil[index] = 0;
   }
+  const recordLoad = (index: number, at: number): void => {
+    loads += 1;
+    const since = claimedAt[index];
+    if (since !== undefined) firstLoadMs.push(at - since);
+    claimedAt[index] = undefined;
+  };
   const carryOut = (index: number, effects: EngineOwnerEffect[]): void => {
     const incarnation = incarnations[index];
     const isSameIncarnation = () => incarnations[index] === incarnation;
@@ -135,6 +159,7 @@
       const isLost = draw(0, 99) < 6 || (partitionedUntil[index] ?? 0) > now;
       const arrivesAt = now + draw(1, 30);
       const answersAt = arrivesAt + draw(1, 30);
+      if (effect.kind === "belief" && effect.isTakeover) claimedAt[index] = now;
       if (effect.kind === "readReport") {
         const readAt = now;
         const report = engine.report(arrivesAt, draw(0, 400));
@@ -160,6 +185,11 @@
             const answer: OrderAnswer = isNeverSent
               ? { kind: "unanswered", detail: "cut" }
               : engine.order(index, effect, at);
+            const { kind, adapter } = effect.order;
+            const isRequested = kind === "load" && adapter.startsWith("a");
+            if (isRequested && answer.kind === "accepted") {
+              recordLoad(index, at);
+            }
             const received: OrderAnswer = isLost
               ? { kind: "unanswered", detail: "lost" }
               : answer;
@@ -276,5 +306,5 @@
       if (owner.isOwner()) hasOwned[index] = true;
     }
   }
-  return oracle.violations;
+  return { violations: oracle.violations, firstLoadMs, loads };
 }
--- a/test/fuzz/tenure_fuzz_test.ts
+++ b/test/fuzz/tenure_fuzz_test.ts
@@ -21,19 +21,19 @@
 for (let seed = FIRST_SEED; seed < FIRST_SEED + RUNS; seed += 1) {
   test(`holders keep the rules, seed ${seed}`, () => {
     assert.equal(
-      simulateRun(seed, { isLarge: false, restartsFleet: false }),
+      simulateRun(seed, { isLarge: false, restartsFleet: false }).violations,
       [],
     );
   });
   test(`holders keep them when the whole fleet starts again, seed ${seed}`, () => {
     assert.equal(
-      simulateRun(seed, { isLarge: false, restartsFleet: true }),
+      simulateRun(seed, { isLarge: false, restartsFleet: true }).violations,
       [],
     );
   });
   test(`holders of empty engines in a large fleet keep them, seed ${seed}`, () => {
     assert.equal(
-      simulateRun(seed, { isLarge: true, restartsFleet: false }),
+      simulateRun(seed, { isLarge: true, restartsFleet: false }).violations,
       [],
     );
   });
