--- a/test/fuzz/counting_engine.ts
+++ b/test/fuzz/counting_engine.ts
@@ -37,6 +37,7 @@
   readonly oracle: OrderOracle;
   /** Whether it starts without its base model. */
   readonly #startsEmpty: boolean;
+  readonly #modelLoadMs: number;
   /**
    * When the base model is loaded; undefined while no daemon has ordered it.
    */
@@ -48,12 +49,18 @@
   #downUntil = 0;
   #history: { at: number; report: Omit<ContentsReport, "readAt" | "ageMs"> }[] =
     [];
-  #startedAt = 0;
+  #startedAt: number;
 
-  constructor(oracle: OrderOracle, startsEmpty: boolean) {
+  constructor(
+    oracle: OrderOracle,
+    startsEmpty: boolean,
+    { modelLoadMs = MODEL_LOAD_MS, startedAt = 0 } = {},
+  ) {
     this.oracle = oracle;
     this.#startsEmpty = startsEmpty;
-    this.#modelReadyAt = startsEmpty ? undefined : 0;
+    this.#modelLoadMs = modelLoadMs;
+    this.#startedAt = startedAt;
+    this.#modelReadyAt = startsEmpty ? undefined : startedAt;
   }
 
   order(daemon: number, order: GiveOrder, at: number): OrderAnswer {
@@ -92,7 +99,7 @@
     if (this.#modelReadyAt === undefined) {
       if (order.expectedSequence !== this.sequence) return { kind: "conflict" };
       this.sequence += 1;
-      this.#modelReadyAt = at + MODEL_LOAD_MS;
+      this.#modelReadyAt = at + this.#modelLoadMs;
     }
     this.oracle.check({ daemon, fence: order.fence, at });
     return this.#hasModel(at) ? { kind: "alreadyHeld" } : { kind: "accepted" };
--- a/test/fuzz/tenure_fuzz_test.ts
+++ b/test/fuzz/tenure_fuzz_test.ts
@@ -4,10 +4,13 @@
  * start at once, and report in heartbeats that they have recently started. In
  * another third the engine starts without its base model, whose load it confirms
  * whatever the order expects, and no daemon has a quorum, as in a large fleet.
+ * Further runs have such engines in a small fleet, whose daemons claim what they
+ * should own by the heartbeats that they hear (empty_engine_simulation.ts).
  */
 import process from "node:process";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
+import { EmptyEngineSimulation } from "./empty_engine_simulation.ts";
 import { OrderOracle } from "./order_oracle.ts";
 import { simulateRun, TERM_MS } from "./ownership_simulation.ts";
 
@@ -17,6 +20,11 @@
  */
 const RUNS = Number(process.env.TENURE_RUNS ?? 60);
 const FIRST_SEED = Number(process.env.TENURE_SEED ?? 1);
+/** Load times of the users' data sheets. */
+const EMPTY_ENGINE_RUNS = [
+  { daemons: 3, modelLoadMs: 600 },
+  { daemons: 5, modelLoadMs: 2_900 },
+];
 
 for (let seed = FIRST_SEED; seed < FIRST_SEED + RUNS; seed += 1) {
   test(`holders keep the rules, seed ${seed}`, () => {
@@ -37,6 +45,16 @@
       [],
     );
   });
+  for (const { daemons, modelLoadMs } of EMPTY_ENGINE_RUNS) {
+    test(`${daemons} holders of empty engines that load for ${modelLoadMs} ms keep them, seed ${seed}`, () => {
+      const simulation = new EmptyEngineSimulation(seed, {
+        daemons,
+        modelLoadMs,
+        disturbanceSteps: 500,
+      });
+      assert.equal(simulation.run().violations, []);
+    });
+  }
 }
 
 test("the oracle detects owners that alternate within a term and fencing numbers that do not increase", () => {
