An empty engine is loaded by one daemon at a time, or by none without a rest

Cause: the load of an empty engine's base model proves nothing, as the engine confirms it to everybody. Two rules let a daemon go on without a rest: it owned the engine before a restart, or it hears a majority and the engine has accepted no order. They contradict each other, and the second one itself where two daemons hear a majority each.

Change: - An engine without orders is claimed without a term only on the word of all possible owners, given after the engine's start, that they do not own it. The former owner of a restarted engine says that it does, or is not heard. This needs no memory of which engines are new. - A base model load is inconclusive unless the sender owned the engine alone before the restart. A daemon rests after it, also if it loses and regains the engine or the engine restarts meanwhile. The rest ends once all possible owners have said, late enough, that they neither own the engine nor sent that order; heartbeats name such orders (contestedEngines), since one who sent it may have let the engine go. The order then proves the ownership. - A daemon that claimed an engine without ordering it does not go on as its owner after a restart until its former owner no longer does. - Daemons with a majority send such orders 200 ms apart by rank, so that their fencing numbers arrive in order.

The test of claims without a term asserted the fault; it now asserts that the claim is refused without the others' word and made with it. The mutant without a rest was keyed to a line that is gone, and sets the rest to 0 instead.

With a possible owner silent, as for a minute after a host's death, the rest has its full length.

--- a/src/core/fleet/fleet_view.ts
+++ b/src/core/fleet/fleet_view.ts
@@ -97,6 +97,17 @@
 /** Time for which a snapshot of the members is reused. */
 const SNAPSHOT_LIFETIME_MS = 100;
 
+/** Which heartbeats count as a disclaimer of an engine. */
+export interface DisclaimerRequirements {
+  /** Time after which they must have been sent. */
+  since: Milliseconds;
+  /**
+   * Time since which their sender must not have restarted, and forgotten its
+   * orders.
+   */
+  sameProcessSince: Milliseconds;
+}
+
 interface Snapshot {
   createdAt: Milliseconds;
   /** Fetches (loads from the weight store) in progress at the alive members. */
@@ -138,6 +149,8 @@
   ignoreGossipUntil: Milliseconds;
   /** When this daemon first learned of it. */
   firstSeenAt: Milliseconds;
+  /** When a heartbeat of its current process first arrived. */
+  processSeenAt: Milliseconds;
 }
 
 export class FleetView {
@@ -245,6 +258,8 @@
       known?.heartbeat?.isLeaving !== heartbeat.isLeaving ||
       !isSameList(known?.heartbeat?.heldEngines, heartbeat.heldEngines);
     if (isChanged) this.#expireSnapshot();
+    const isSameProcess = known?.heartbeat?.incarnation ===
+      heartbeat.incarnation;
     this.#members.set(heartbeat.sender.id, {
       member: heartbeat.sender,
       heartbeat,
@@ -255,6 +270,7 @@
       isUnreachable: false,
       ignoreGossipUntil: Number.NEGATIVE_INFINITY,
       firstSeenAt: known?.firstSeenAt ?? now,
+      processSeenAt: known && isSameProcess ? known.processSeenAt : now,
     });
     if (!known) this.#groups.delete(heartbeat.sender.failureDomain);
     for (const entry of heartbeat.sample) this.#recordGossip(entry, now);
@@ -380,14 +396,10 @@
     requirements: { since: Milliseconds; seedIps: readonly string[] },
     now: Milliseconds,
   ): boolean {
-    const known = this.#listRemembered(now);
-    const ips = new Set(known.map((each) => each.member.ip));
-    const peers = this.isFullMesh()
-      ? known
-      : this.#listGroupPeers(engine.failureDomain, now);
+    const peers = this.#listPossibleOwners(engine.failureDomain, now);
     return peers !== undefined && peers.length >= MIN_UNOWNED_PEERS &&
       this.findOwner(engine.id, now) === undefined &&
-      requirements.seedIps.every((ip) => ip === this.#self.ip || ips.has(ip)) &&
+      this.#isEachKnown(requirements.seedIps, now) &&
       peers.every((each) =>
         this.#isAlive(each, now) &&
         each.lastHeartbeatAt >= requirements.since + MAX_HEARTBEAT_DELAY_MS &&
@@ -395,6 +407,47 @@
       );
   }
 
+  /**
+   * Returns whether every other daemon that may own an engine, alive or not,
+   * has reported in a heartbeat sent after the given time that it neither owns
+   * the engine nor has recently sent it a contested order. All seeds must be
+   * known, as for an unowned engine.
+   */
+  isDisclaimed(
+    engine: { id: string; failureDomain: string },
+    requirements: DisclaimerRequirements & { seedIps: readonly string[] },
+    now: Milliseconds,
+  ): boolean {
+    const { since, sameProcessSince, seedIps } = requirements;
+    const peers = this.#listPossibleOwners(engine.failureDomain, now);
+    return peers !== undefined && this.#isEachKnown(seedIps, now) &&
+      peers.every((each) =>
+        each.lastHeartbeatAt >= since + MAX_HEARTBEAT_DELAY_MS &&
+        each.processSeenAt <= sameProcessSince &&
+        hasDisclaimed(each.heartbeat, engine.id)
+      );
+  }
+
+  /**
+   * Returns the other daemons that may own the engines of a failure domain,
+   * alive or not; undefined if not all are known.
+   */
+  #listPossibleOwners(
+    failureDomain: string,
+    now: Milliseconds,
+  ): KnownMember[] | undefined {
+    return this.isFullMesh()
+      ? this.#listRemembered(now)
+      : this.#listGroupPeers(failureDomain, now);
+  }
+
+  #isEachKnown(ips: readonly string[], now: Milliseconds): boolean {
+    const known = new Set(
+      this.#listRemembered(now).map((each) => each.member.ip),
+    );
+    return ips.every((ip) => ip === this.#self.ip || known.has(ip));
+  }
+
   /**
    * Returns the other members of the owner group; undefined if the group is not
    * full or does not include this daemon.
@@ -540,6 +593,7 @@
         isUnreachable: false,
         ignoreGossipUntil: Number.NEGATIVE_INFINITY,
         firstSeenAt: now,
+        processSeenAt: now,
       });
       this.#groups.delete(failureDomain);
       return;
@@ -642,6 +696,19 @@
     !heartbeat.heldEngines.includes(engineId);
 }
 
+/**
+ * Returns whether the sender says that it neither owns the engine nor may have
+ * ordered it. One that is leaving may have handed it over to another.
+ */
+function hasDisclaimed(
+  heartbeat: Heartbeat | undefined,
+  engineId: string,
+): boolean {
+  return heartbeat !== undefined && !heartbeat.isLeaving &&
+    !heartbeat.heldEngines.includes(engineId) &&
+    !(heartbeat.contestedEngines?.includes(engineId) ?? false);
+}
+
 function hasSameMembers(
   before: readonly FleetMember[],
   after: readonly FleetMember[],
--- a/src/core/fleet/heartbeat.ts
+++ b/src/core/fleet/heartbeat.ts
@@ -48,6 +48,11 @@
    * was long ago.
    */
   newcomerHeld?: string[];
+  /**
+   * Engines that the sender has recently sent an order that others may have
+   * sent too, whether it still owns them or not; absent if there are none.
+   */
+  contestedEngines?: string[] | undefined;
   /** Fetches (loads from the weight store) that the sender has in progress. */
   fetchesInFlight: number;
   /**
--- a/src/core/ordering/engine_owner.ts
+++ b/src/core/ordering/engine_owner.ts
@@ -14,6 +14,7 @@
   type PermitRequest,
 } from "../admission/admission_controller.ts";
 import { AdapterSlots } from "../placement/adapter_slots.ts";
+import type { DisclaimerRequirements } from "../fleet/fleet_view.ts";
 import type { FetchShare } from "../placement/fetch_concurrency_limit.ts";
 import type { Milliseconds } from "../structures.ts";
 import type { EngineLimits } from "../view/published_view.ts";
@@ -125,7 +126,11 @@
    */
   #isVerificationDue = false;
   #isDesiredOwner = false;
-  #claimConditions: ClaimConditions = { hasQuorum: false, isUnowned: false };
+  #claimConditions: ClaimConditions = {
+    hasQuorum: false,
+    isUnowned: false,
+    isDisclaimed: false,
+  };
   /**
    * Alive daemons, each of which reports its runs to a new owner; undefined in
    * a large fleet.
@@ -167,6 +172,22 @@
     return this.#ownership.observedAt;
   }
 
+  /**
+   * Returns what the other daemons' word that they do not own the engine has to
+   * meet; undefined if it is not needed.
+   */
+  getDisclaimers(now: Milliseconds): DisclaimerRequirements | undefined {
+    return this.#ownership.getDisclaimers(now);
+  }
+
+  /**
+   * Returns whether this daemon has recently sent the engine an order that
+   * another claimant may have sent too.
+   */
+  hasRecentContestedOrder(now: Milliseconds): boolean {
+    return this.#ownership.hasRecentContestedOrder(now);
+  }
+
   /** Returns the time until this daemon may claim the engine. */
   estimateClaimMs(now: Milliseconds): Milliseconds {
     return this.#ownership.estimateClaimMs(this.#claimConditions, now);
@@ -266,10 +287,7 @@
       case "restarted":
         this.admission.clearPermits();
         this.admission.slots.clear();
-        this.#planner.recordOwnership(
-          !this.#ownership.isSoleOwnerSinceRestart(now),
-          now,
-        );
+        this.#planner.recordRestart(now);
         this.#recordContents(report, now);
         return [this.#describeChange("engineRestarted", {})];
       case "lastOrderAccepted":
@@ -320,6 +338,9 @@
     this.#peers = context.peers;
     this.#claimConditions = context;
     if (!context.isDesiredOwner) effects.push(...this.#releaseOwnership(now));
+    if (context.isDisclaimed && this.#ownership.endRest(now)) {
+      this.#planner.recordOwnership(false, now);
+    }
     if (context.isDesiredOwner) effects.push(...this.#claim(context, now));
     if (this.isOwner()) {
       this.admission.tick(now);
@@ -443,9 +464,7 @@
     if (!this.#ownership.claim(context, now)) return [];
     this.#beginOwnership(now);
     this.admission.clearPermits();
-    const hasNoOrders = this.#ownership.getExpectedSequence(now) === 0;
-    const mayHaveOtherClaimants = !(hasNoOrders && context.hasQuorum);
-    this.#planner.recordOwnership(mayHaveOtherClaimants, now);
+    this.#planner.recordOwnership(true, now);
     if (this.#observedReport) this.#recordContents(this.#observedReport, now);
     const sequence = this.#ownership.getExpectedSequence(now);
     return [{
@@ -477,13 +496,16 @@
     const wanted = this.#findMissingModel() ??
       this.admission.findNextOrder(context.fetchShare.canFetch, now);
     const planned = wanted &&
-      this.#planner.plan(wanted, context.hasQuorum, now);
+      this.#planner.plan(wanted, context, now);
     this.#isVerificationDue = planned !== undefined &&
       !this.#ownership.isVerified(planned.isContested, now);
     if (!planned || this.#isVerificationDue) return [];
     const { order } = planned;
     const evidence = getEvidence(planned);
     this.#pendingOrder = { order, evidence, sentAt: now };
+    if (evidence === OrderEvidence.Inconclusive) {
+      this.#ownership.recordContestedOrder(now);
+    }
     this.#lastOrderAt = now;
     return [{
       kind: "giveOrder",
--- a/src/core/ordering/engine_ownership.ts
+++ b/src/core/ordering/engine_ownership.ts
@@ -13,11 +13,18 @@
  * are therefore loaded only within a term of an accepted order that other
  * claimants do not send (proving_order.ts), during which no other daemon can
  * have taken over. No such order precedes the load of an empty engine's base
- * model. Unless no other daemon can have observed that engine for a term yet,
- * its owner sends no orders after that load until a term has passed since
- * another claimant may have sent the same order. The count of the next order is
- * compared again.
+ * model. Unless this daemon owned the engine before it restarted, and no other
+ * can have observed it for a term yet, its owner rests after that load: it sends
+ * no orders until a term has passed since another claimant may have sent the
+ * same order, or until all others have said that they did not. The count of the
+ * next order is compared again.
+ *
+ * An engine that has accepted no order since its start is claimed without a
+ * term by a daemon that hears a majority and, after that start, from each of the
+ * others that it does not own the engine: an owner from before a restart
+ * continues at once, and may not be heard.
  */
+import type { DisclaimerRequirements } from "../fleet/fleet_view.ts";
 import type { Milliseconds } from "../structures.ts";
 import type {
   AcquiredOwnership,
@@ -93,9 +100,25 @@
  */
 export const CONTESTED_WINDOW_MS = CONTESTED_VERIFIED_MS + REPORT_LAG_MS;
 
+/**
+ * Age up to which other daemons' word that they do not own an engine counts for
+ * a claim: the next of their heartbeats may be lost.
+ */
+const MAX_DISCLAIMER_AGE_MS = 1_200;
+
 export class EngineOwnership {
   readonly #options: EngineOwnershipOptions;
   #state: OwnershipState = { kind: "idle" };
+  /**
+   * When the last inconclusive order was sent, or answered, that may be
+   * accepted.
+   */
+  #contestedAnsweredAt = Number.NEGATIVE_INFINITY;
+  /**
+   * When the rest after that order ends, also if this daemon has lost the
+   * engine and owns it again, or the engine has restarted.
+   */
+  #restsUntil = Number.NEGATIVE_INFINITY;
 
   constructor(options: EngineOwnershipOptions) {
     this.#options = options;
@@ -148,6 +171,62 @@
       : undefined;
   }
 
+  /**
+   * Returns what the other daemons' word that they do not own the engine has to
+   * meet: for a claim, and for the first order after a restart, that it is recent and was given after the engine's
+   * start; for the end of
+   * a rest that it covers the time in which they may have sent the same order.
+   * Undefined if it is not needed.
+   */
+  getDisclaimers(now: Milliseconds): DisclaimerRequirements | undefined {
+    const { state } = this;
+    const isResting = now < this.#restsUntil;
+    const isUnordered = state.kind === "observing" ||
+      (state.kind === "holding" && state.sequence === 0 && !isResting);
+    if (isUnordered) {
+      return {
+        since: Math.max(state.startedAt, now - MAX_DISCLAIMER_AGE_MS),
+        sameProcessSince: Number.POSITIVE_INFINITY,
+      };
+    }
+    if (state.kind !== "holding" || !isResting) return undefined;
+    return {
+      since: this.#contestedAnsweredAt + CONTESTED_WINDOW_MS,
+      sameProcessSince: this.#contestedAnsweredAt,
+    };
+  }
+
+  /**
+   * Returns whether this daemon has recently sent an order that another claimant
+   * may have sent too, so that the other one has to rest.
+   */
+  hasRecentContestedOrder(now: Milliseconds): boolean {
+    return now - this.#contestedAnsweredAt <
+      this.#getRestMs() + CONTESTED_WINDOW_MS;
+  }
+
+  /** Returns the time for which no orders follow an inconclusive one. */
+  #getRestMs(): Milliseconds {
+    return CONTESTED_WINDOW_MS + this.#options.termMs + TERM_MARGIN_MS;
+  }
+
+  /**
+   * Ends the rest after an inconclusive order that no other daemon sent;
+   * returns whether there was one. The order then proves the ownership.
+   */
+  endRest(now: Milliseconds): boolean {
+    const { state } = this;
+    if (state.kind !== "holding" || now >= this.#restsUntil) return false;
+    this.#restsUntil = now;
+    this.#state = {
+      ...state,
+      ordersFrom: now,
+      acceptedAt: state.contestedAt ?? state.acceptedAt,
+      contestedAt: undefined,
+    };
+    return true;
+  }
+
   /**
    * Returns whether a daemon may consider itself the engine's only owner since
    * its start.
@@ -206,10 +285,11 @@
   /**
    * Returns whether the engine may be claimed: a whole term has passed since
    * the observed report, and a recent report shows the same. An engine that has
-   * accepted no order since its start has had no owner, so a daemon with a
-   * quorum need not wait. Nor does a daemon need to wait if, between two equal
-   * reports, all others told it that they never owned the engine, as after a
-   * restart of the whole fleet: the previous owner no longer exists.
+   * accepted no order since its start has had no owner since, so a daemon with a
+   * quorum need not wait if no other owned it before. Nor does a daemon need to
+   * wait if, between two equal reports, all others told it that they never owned
+   * the engine, as after a restart of the whole fleet: the previous owner no
+   * longer exists.
    */
   isClaimable(conditions: ClaimConditions, now: Milliseconds): boolean {
     return this.#canClaim(conditions, now) && this.#isConfirmed(now);
@@ -221,8 +301,9 @@
    */
   #canClaim(conditions: ClaimConditions, now: Milliseconds): boolean {
     if (this.#state.kind !== "observing") return false;
-    const hasNoOrders = this.#state.sequence === 0 && conditions.hasQuorum;
-    return hasNoOrders || this.#hasTermElapsed(now) ||
+    const hasHadNoOwner = this.#state.sequence === 0 && conditions.hasQuorum &&
+      conditions.isDisclaimed;
+    return hasHadNoOwner || this.#hasTermElapsed(now) ||
       (conditions.isUnowned && this.#isConfirmedUnowned());
   }
 
@@ -324,6 +405,7 @@
           ...state,
           acceptedAt: never,
           countedAt: never,
+          contestedAt: undefined,
           verifiedAt: never,
           isHeldSinceStart: false,
         };
@@ -362,14 +444,27 @@
     }
   }
 
+  /**
+   * Records that an order was sent which another claimant may send too; its
+   * answer may come after this daemon has lost the engine.
+   */
+  recordContestedOrder(now: Milliseconds): void {
+    this.#contestedAnsweredAt = now;
+    this.#restsUntil = now + this.#getRestMs();
+  }
+
   recordOrderAnswer(
     answer: OrderAnswer,
     evidence: OrderEvidence,
     sentAt: Milliseconds,
     now: Milliseconds,
   ): void {
-    if (this.#state.kind !== "holding") return;
     const isInconclusive = evidence === OrderEvidence.Inconclusive;
+    if (isInconclusive) {
+      if (isRefused(answer)) this.#forgetContestedOrder();
+      else this.recordContestedOrder(now);
+    }
+    if (this.#state.kind !== "holding") return;
     switch (answer.kind) {
       case "accepted":
         this.#state = {
@@ -380,9 +475,8 @@
             ? sentAt
             : this.#state.countedAt,
           verifiedAt: sentAt,
-          ordersFrom: isInconclusive
-            ? now + CONTESTED_WINDOW_MS + this.#options.termMs + TERM_MARGIN_MS
-            : sentAt,
+          ordersFrom: isInconclusive ? this.#restsUntil : sentAt,
+          contestedAt: isInconclusive ? sentAt : undefined,
         };
         break;
       case "alreadyHeld":
@@ -405,6 +499,11 @@
     }
   }
 
+  #forgetContestedOrder(): void {
+    this.#contestedAnsweredAt = Number.NEGATIVE_INFINITY;
+    this.#restsUntil = Number.NEGATIVE_INFINITY;
+  }
+
   /**
    * Releases ownership; the next claim starts with a new report and a whole
    * term.
@@ -413,11 +512,12 @@
     this.#state = { kind: "idle" };
   }
 
-  /** Becomes the owner; orders may be sent from now on. */
+  /** Becomes the owner; orders may be sent from now on or after the rest. */
   #takeOwnership(acquired: AcquiredOwnership, now: Milliseconds): void {
     this.#state = {
       kind: "holding",
-      ordersFrom: now,
+      ordersFrom: Math.max(now, this.#restsUntil),
+      contestedAt: undefined,
       isHeldSinceStart: false,
       countedAt: Number.NEGATIVE_INFINITY,
       ...acquired,
@@ -542,3 +642,9 @@
     return { kind: "deposed" };
   }
 }
+
+/** Returns whether the engine has certainly not accepted the order. */
+function isRefused(answer: OrderAnswer): boolean {
+  return answer.kind === "conflict" || answer.kind === "rejected" ||
+    answer.kind === "notSent";
+}
--- a/src/core/ordering/order_planner.ts
+++ b/src/core/ordering/order_planner.ts
@@ -14,6 +14,7 @@
   CONTESTED_WINDOW_MS,
   type EngineOwnership,
 } from "./engine_ownership.ts";
+import type { ClaimConditions } from "./ownership_state.ts";
 import { selectProvingOrder } from "./proving_order.ts";
 
 /**
@@ -32,6 +33,13 @@
  */
 const CONTESTED_TURN_MS = TURN_SEND_WINDOW_MS + CONTESTED_WINDOW_MS;
 
+/**
+ * Time between the contested orders of daemons that claim an engine at once and
+ * each hear a majority: longer than an order takes on the network, so that their
+ * fencing numbers arrive in the order in which they were drawn.
+ */
+const QUORUM_STAGGER_MS = 200;
+
 /** An order to send now, and what its acceptance proves. */
 export interface PlannedOrder {
   order: EngineOrder;
@@ -72,6 +80,11 @@
   #ownedSince = Number.NEGATIVE_INFINITY;
   /** Whether other daemons may have claimed the engine at the same time. */
   #mayHaveOtherClaimants = false;
+  /**
+   * Whether another daemon may have owned the engine alone before a restart, and
+   * continue.
+   */
+  #mayHaveFormerOwner = false;
   /** When the engine accepted the order that proved ownership. */
   #provenAt = Number.NEGATIVE_INFINITY;
 
@@ -92,6 +105,14 @@
   recordOwnership(mayHaveOtherClaimants: boolean, now: Milliseconds): void {
     this.#ownedSince = now;
     this.#mayHaveOtherClaimants = mayHaveOtherClaimants;
+    this.#mayHaveFormerOwner = false;
+  }
+
+  /** Records that an engine restarted of which this daemon is the owner. */
+  recordRestart(now: Milliseconds): void {
+    const isAlone = this.#ownership.isSoleOwnerSinceRestart(now);
+    this.recordOwnership(!isAlone, now);
+    this.#mayHaveFormerOwner = !isAlone;
   }
 
   /**
@@ -104,12 +125,13 @@
 
   /**
    * Returns the order to send now, or undefined while none may be sent.
-   * @param hasQuorum whether this daemon hears a majority of the daemons that
-   * could own the engine.
    */
   plan(
     wanted: EngineOrder,
-    hasQuorum: boolean,
+    { hasQuorum, isDisclaimed }: Pick<
+      ClaimConditions,
+      "hasQuorum" | "isDisclaimed"
+    >,
     now: Milliseconds,
   ): PlannedOrder | undefined {
     const isProven = this.#ownership.isExclusive(now);
@@ -121,10 +143,16 @@
     if (wanted.adapter !== "") {
       return this.#planProvingOrder(wanted.model, hasQuorum, now);
     }
-    const isAlone = hasQuorum ||
-      this.#ownership.isSoleOwnerSinceRestart(now);
-    if (isAlone) return createUncontestedOrder(wanted);
-    return this.#isContestedTurn(now)
+    if (this.#ownership.isSoleOwnerSinceRestart(now)) {
+      return createUncontestedOrder(wanted);
+    }
+    const isFormerOwnerExcluded = isDisclaimed || !this.#mayHaveFormerOwner ||
+      !this.#ownership.canBeOwnedSinceStart(now);
+    const mayOrder = hasQuorum
+      ? isFormerOwnerExcluded &&
+        now - this.#ownedSince >= this.#findTurn() * QUORUM_STAGGER_MS
+      : this.#isContestedTurn(now);
+    return mayOrder
       ? { order: wanted, isContested: true, isInconclusive: true }
       : undefined;
   }
@@ -137,17 +165,22 @@
    * start any more.
    */
   #isContestedTurn(now: Milliseconds): boolean {
-    const { selfId, listClaimants } = this.#options;
     if (this.#ownership.canBeOwnedSinceStart(now)) return false;
     const ageMs = this.#ownership.getEngineAgeMs(now) ?? 0;
-    const claimants = listClaimants();
-    const index = claimants.indexOf(selfId);
-    const turn = index < 0 ? claimants.length : index;
-    const cycleMs = (claimants.length + 1) * CONTESTED_TURN_MS;
-    const sinceTurnMs = (ageMs - turn * CONTESTED_TURN_MS) % cycleMs;
+    const cycleMs = (this.#options.listClaimants().length + 1) *
+      CONTESTED_TURN_MS;
+    const sinceTurnMs = (ageMs - this.#findTurn() * CONTESTED_TURN_MS) %
+      cycleMs;
     return sinceTurnMs >= 0 && sinceTurnMs < TURN_SEND_WINDOW_MS;
   }
 
+  /** Returns this daemon's rank among the claimants; the last if it has none. */
+  #findTurn(): number {
+    const claimants = this.#options.listClaimants();
+    const index = claimants.indexOf(this.#options.selfId);
+    return index < 0 ? claimants.length : index;
+  }
+
   #planProvingOrder(
     model: string,
     hasQuorum: boolean,
--- a/src/core/ordering/owner_roles.ts
+++ b/src/core/ordering/owner_roles.ts
@@ -5,7 +5,7 @@
  * its peers: it claims nothing until it has had time to hear them, which is
  * shorter if all of them have recently started too.
  */
-import type { FleetView } from "../fleet/fleet_view.ts";
+import type { DisclaimerRequirements, FleetView } from "../fleet/fleet_view.ts";
 import { RECENTLY_STARTED_MS } from "../fleet/fleet_view.ts";
 import type { FetchShare } from "../placement/fetch_concurrency_limit.ts";
 import type { Milliseconds } from "../structures.ts";
@@ -24,6 +24,12 @@
  */
 const FLEET_START_WAIT_MS = 600;
 
+/**
+ * Time for which a contested order is remembered while its engine is not
+ * published: longer than another daemon's rest after the same order.
+ */
+const CONTESTED_MEMORY_MS = 6_000;
+
 export interface OwnerRolesOptions {
   fleet: FleetView;
   /**
@@ -44,6 +50,16 @@
    * engine is not being observed.
    */
   readonly observedAt: Milliseconds | undefined;
+  /**
+   * Returns what the other daemons' word that they do not own the engine has to
+   * meet; undefined if it is not needed.
+   */
+  getDisclaimers(now: Milliseconds): DisclaimerRequirements | undefined;
+  /**
+   * Returns whether this daemon has recently sent the engine an order that
+   * another claimant may have sent too.
+   */
+  hasRecentContestedOrder(now: Milliseconds): boolean;
 }
 
 interface EngineIdentity {
@@ -58,6 +74,11 @@
    * them or not.
    */
   readonly #ownedSinceStart = new Set<string>();
+  /**
+   * When this daemon last had a recent contested order at an engine, also if
+   * the engine's entry has lapsed since.
+   */
+  readonly #contestedAt = new Map<string, Milliseconds>();
 
   constructor(options: OwnerRolesOptions) {
     this.#options = options;
@@ -77,7 +98,10 @@
     const { fleet, startedAt } = this.#options;
     const isUnowned = engine !== undefined &&
       this.#isUnowned(engine, owner, now);
-    const waitMs = isUnowned ? FLEET_START_WAIT_MS : STARTUP_WAIT_MS;
+    // An engine that this daemon already owns had no owner among its peers.
+    const waitMs = isUnowned || owner.isOwner()
+      ? FLEET_START_WAIT_MS
+      : STARTUP_WAIT_MS;
     const isStartupOver = now - startedAt > waitMs;
     if (!engine || !isStartupOver || isStopping) {
       return {
@@ -88,6 +112,7 @@
           engine.failureDomain === fleet.self.failureDomain,
         hasQuorum: false,
         isUnowned: false,
+        isDisclaimed: false,
         peers: this.#listPeers(now),
         // A daemon that already owns an engine, by an early claim or a
         // handover, continues to fetch adapters.
@@ -102,6 +127,7 @@
       isCandidate: isDesiredOwner || this.#isObserver(engine, now),
       hasQuorum: fleet.hasQuorum(engine.failureDomain, now),
       isUnowned,
+      isDisclaimed: this.#isDisclaimed(engine, owner, now),
       peers: this.#listPeers(now),
       fetchShare,
     };
@@ -119,10 +145,13 @@
   }
 
   /**
-   * Records which engines this daemon owned soon after its start; later no peer
-   * needs to know.
+   * Records which engines this daemon owned soon after its start, since later no
+   * peer needs to know, and to which it has sent contested orders.
    */
   recordOwned(owner: OwnershipStatus, now: Milliseconds): void {
+    if (owner.hasRecentContestedOrder(now)) {
+      this.#contestedAt.set(owner.engineId, now);
+    }
     if (!owner.isOwner() || !this.#isRecentlyStarted(now)) return;
     this.#ownedSinceStart.add(owner.engineId);
   }
@@ -137,6 +166,21 @@
       : undefined;
   }
 
+  /**
+   * Returns the engines to which this daemon has recently sent a contested
+   * order; undefined if there are none.
+   */
+  listContested(now: Milliseconds): string[] | undefined {
+    for (const [engineId, contestedAt] of this.#contestedAt) {
+      if (now - contestedAt >= CONTESTED_MEMORY_MS) {
+        this.#contestedAt.delete(engineId);
+      }
+    }
+    return this.#contestedAt.size > 0
+      ? [...this.#contestedAt.keys()]
+      : undefined;
+  }
+
   #isRecentlyStarted(now: Milliseconds): boolean {
     return now - this.#options.startedAt < RECENTLY_STARTED_MS;
   }
@@ -156,6 +200,21 @@
       fleet.isUnowned(engine, { since: observedAt, seedIps }, now);
   }
 
+  /**
+   * Returns whether all other daemons have said that they neither own the engine
+   * nor have recently sent it a contested order.
+   */
+  #isDisclaimed(
+    engine: EngineIdentity,
+    owner: OwnershipStatus,
+    now: Milliseconds,
+  ): boolean {
+    const { fleet, seedIps } = this.#options;
+    const requirements = owner.getDisclaimers(now);
+    return requirements !== undefined &&
+      fleet.isDisclaimed(engine, { ...requirements, seedIps }, now);
+  }
+
   #isDesiredOwner(
     engine: EngineIdentity,
     owner: OwnershipStatus,
--- a/src/core/ordering/ownership_state.ts
+++ b/src/core/ordering/ownership_state.ts
@@ -38,6 +38,11 @@
      * order.
      */
     ordersFrom: Milliseconds;
+    /**
+     * When the inconclusive order was sent after which this daemon rests;
+     * undefined if it does not.
+     */
+    contestedAt: Milliseconds | undefined;
     /**
      * Latest time at which the engine can have started; unknown after a
      * handover.
@@ -79,7 +84,7 @@
 export type AcquiredOwnership =
   & Omit<
     OwnedState,
-    "kind" | "ordersFrom" | "isHeldSinceStart" | "countedAt"
+    "kind" | "ordersFrom" | "contestedAt" | "isHeldSinceStart" | "countedAt"
   >
   & Partial<Pick<OwnedState, "isHeldSinceStart" | "countedAt">>;
 
@@ -138,4 +143,10 @@
    * never owned the engine.
    */
   isUnowned: boolean;
+  /**
+   * Whether all other daemons have said, in heartbeats that meet the
+   * requirements of the ownership (EngineOwnership.disclaimers), that they
+   * neither own the engine nor have recently sent it a contested order.
+   */
+  isDisclaimed: boolean;
 }
--- a/src/gateway/engine_task.ts
+++ b/src/gateway/engine_task.ts
@@ -130,6 +130,14 @@
     return this.#roles.listOwnedSinceStart(now);
   }
 
+  /**
+   * Returns the engines to which this daemon has recently sent an order that
+   * others may have sent too; undefined if there are none.
+   */
+  listContested(now: Milliseconds): string[] | undefined {
+    return this.#roles.listContested(now);
+  }
+
   countFetches(): number {
     let count = 0;
     for (const engineId of this.#activeEngines) {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -359,6 +359,7 @@
       revisions: this.#viewSynchronizer.getRevisions(),
       heldEngines: this.#engines.listOwnedEngines(),
       newcomerHeld: this.#engines.listOwnedSinceStart(now),
+      contestedEngines: this.#engines.listContested(now),
       fetchesInFlight: this.#engines.countFetches(),
       fullSpeedFetches: this.#engines.getFullSpeedFetches(),
       failing: failing.length > 0 ? failing : undefined,
--- a/src/gateway/peer_message_decoder.ts
+++ b/src/gateway/peer_message_decoder.ts
@@ -64,6 +64,7 @@
   revisions: z.object({ configuration: z.number(), upstreams: z.number() }),
   heldEngines: z.array(z.string()),
   newcomerHeld: z.array(z.string()).optional(),
+  contestedEngines: z.array(z.string()).optional(),
   fetchesInFlight: z.number(),
   fullSpeedFetches: z.number().optional(),
   failing: z.array(z.tuple([z.string(), z.number(), z.number()])).optional(),
--- a/test/core/fleet/fleet_view_test.ts
+++ b/test/core/fleet/fleet_view_test.ts
@@ -297,4 +297,41 @@
   assert.not(isUnowned(3_430), "a known member was not heard");
 });
 
+test("an engine is disclaimed once every remembered peer has said late enough that it neither owns nor recently ordered it", () => {
+  const view = new FleetView(createMember("1"));
+  const send = (id: string, part: Partial<Heartbeat>, now: number) =>
+    view.recordHeartbeat(buildHeartbeat(createMember(id), part), now);
+  const requirements = {
+    since: 1_000,
+    sameProcessSince: 500,
+    seedIps: ["10.0.0.1", "10.0.0.2"],
+  };
+  const isDisclaimed = (now: number) =>
+    view.isDisclaimed(ENGINE, requirements, now);
+  assert.not(isDisclaimed(100), "a seed is not known");
+  send("2", {}, 100);
+  send("3", {}, 100);
+  assert.not(isDisclaimed(200), "too early");
+  send("2", {}, 1_300);
+  send("3", {}, 1_290);
+  assert.not(isDisclaimed(1_310), "may have been sent before");
+  send("3", { contestedEngines: ["e"] }, 1_400);
+  assert.not(isDisclaimed(1_410), "recently ordered");
+  send("3", { heldEngines: ["e"] }, 1_500);
+  assert.not(isDisclaimed(1_510), "owned");
+  send("3", { isLeaving: true }, 1_600);
+  assert.not(isDisclaimed(1_610), "may have handed it over");
+  send("3", { incarnation: "2" }, 1_700);
+  assert.not(isDisclaimed(1_710), "has forgotten its orders");
+  const restarted = { ...requirements, sameProcessSince: 1_700 };
+  assert.ok(view.isDisclaimed(ENGINE, restarted, 1_710));
+  view.markUnreachable("3", 1_720);
+  assert.ok(view.isDisclaimed(ENGINE, restarted, 1_730), "its word stands");
+  send("2", { sample: [["4", "10.0.0.4", "a", 1]] }, 1_800);
+  assert.not(
+    view.isDisclaimed(ENGINE, restarted, 1_810),
+    "a known member was not heard",
+  );
+});
+
 test.run();
--- a/test/core/ordering/empty_engine_test.ts
+++ b/test/core/ordering/empty_engine_test.ts
@@ -10,6 +10,12 @@
   type OwnershipContext,
 } from "../../../src/core/ordering/engine_owner.ts";
 
+import {
+  CONTESTED_WINDOW_MS,
+  EngineOwnership,
+  OrderEvidence,
+} from "../../../src/core/ordering/engine_ownership.ts";
+
 const TERM_MS = 3_000;
 const MODEL_LOAD_MS = 2_900;
 const STEP_MS = 20;
@@ -19,6 +25,7 @@
   isCandidate: true,
   hasQuorum: true,
   isUnowned: false,
+  isDisclaimed: false,
   peers: undefined,
   fetchShare: {
     fleetFetches: 0,
@@ -30,6 +37,9 @@
   },
 };
 
+/** Inputs of a daemon to which all others say that they do not own the engine. */
+const DISCLAIMED: OwnershipContext = { ...CONTEXT, isDisclaimed: true };
+
 /** An engine that confirms the load of its base model to everybody. */
 class EmptyEngine {
   sequence = 0;
@@ -109,6 +119,7 @@
   engine: EmptyEngine,
   from: number,
   to: number,
+  context = CONTEXT,
 ): void {
   for (let now = from; now < to; now += STEP_MS) {
     for (const [daemon, owner] of Object.entries(owners)) {
@@ -130,7 +141,7 @@
           isLastChoice: true,
         }, now);
       }
-      carryOut(daemon, owner, engine, owner.tick(CONTEXT, now), now);
+      carryOut(daemon, owner, engine, owner.tick(context, now), now);
     }
   }
 }
@@ -181,15 +192,20 @@
   // Both read the report before either orders.
   readReport("former", first, engine, readAt);
   readReport("other", second, engine, readAt);
-  play({ former: first, other: second }, engine, 40, 12_000);
-  assert.ok(engine.orders.length > 0);
+  const owners = { former: first, other: second };
+  play(owners, engine, 40, 60, DISCLAIMED);
+  play(owners, engine, 60, 12_000);
+  assert.equal(
+    engine.orders.slice(0, 2).map(({ daemon }) => daemon),
+    ["former", "other"],
+  );
   assert.equal(listAlternations(engine), []);
 });
 
 test("a daemon that loaded a base model without proof does not order the engine again soon after it restarts", () => {
   const engine = new EmptyEngine();
   const first = createOwner("former");
-  play({ former: first }, engine, 0, 40);
+  play({ former: first }, engine, 0, 40, DISCLAIMED);
   assert.is(engine.orders.length, 1);
   engine.orders.push({ daemon: "other", at: 60 });
   engine.restart(1_600);
@@ -199,4 +215,72 @@
   assert.equal(listAlternations(engine), []);
 });
 
+test("the rest after an inconclusive load ends once all others say that they did not send it, and then the load proves the ownership", () => {
+  const ownership = new EngineOwnership({ termMs: TERM_MS });
+  ownership.recordReport(
+    { sequence: 0, bornAtUnixMs: 1, ageMs: 100, readAt: 0 },
+    0,
+  );
+  assert.ok(ownership.claim(DISCLAIMED, 10));
+  assert.is(ownership.getDisclaimers(15)?.since, -100, "the engine's start");
+  ownership.recordContestedOrder(20);
+  assert.ok(ownership.hasRecentContestedOrder(25), "before the answer too");
+  ownership.recordOrderAnswer(
+    { kind: "accepted" },
+    OrderEvidence.Inconclusive,
+    20,
+    50,
+  );
+  assert.equal(ownership.getDisclaimers(60), {
+    since: 50 + CONTESTED_WINDOW_MS,
+    sameProcessSince: 50,
+  });
+  assert.is(ownership.getExpectedSequence(TERM_MS), undefined);
+  assert.not(ownership.isExclusive(1_300));
+  assert.ok(ownership.endRest(1_300));
+  assert.is(ownership.getExpectedSequence(1_300), 1);
+  assert.ok(ownership.isExclusive(1_300));
+  assert.not(ownership.isExclusive(20 + TERM_MS), "counted from the order");
+});
+
+test("a daemon that claimed an engine without ordering it leaves it to its former owner when it restarts", () => {
+  const engine = new EmptyEngine();
+  const former = createOwner("former");
+  const other = createOwner("other");
+  play({ former }, engine, 0, 3_300, DISCLAIMED);
+  const before = engine.orders.length;
+  readReport("other", other, engine, 3_300);
+  for (const now of [6_620, 6_640]) {
+    carryOut("other", other, engine, other.tick(CONTEXT, now), now);
+  }
+  assert.ok(other.isOwner(), "it has observed the engine for a term");
+  engine.restart(7_000);
+  for (const owner of [former, other]) {
+    owner.recordRegistration(1 + engine.bornAt);
+  }
+  play({ former, other }, engine, 7_000, 14_000);
+  assert.is(engine.orders[before]?.daemon, "former");
+  assert.equal(listAlternations(engine), []);
+});
+
+test("a daemon that loses the engine before its inconclusive order is answered reports that order, and rests", () => {
+  const ownership = new EngineOwnership({ termMs: TERM_MS });
+  const report = { sequence: 0, bornAtUnixMs: 1, ageMs: 100, readAt: 0 };
+  ownership.recordReport(report, 0);
+  assert.ok(ownership.claim(DISCLAIMED, 10));
+  ownership.recordContestedOrder(20);
+  ownership.release();
+  assert.ok(ownership.hasRecentContestedOrder(30));
+  ownership.recordReport({ ...report, readAt: 40 }, 40);
+  assert.ok(ownership.claim(DISCLAIMED, 45));
+  assert.is(ownership.getExpectedSequence(TERM_MS), undefined);
+  ownership.recordOrderAnswer(
+    { kind: "notSent", detail: "" },
+    OrderEvidence.Inconclusive,
+    20,
+    50,
+  );
+  assert.not(ownership.hasRecentContestedOrder(60));
+});
+
 test.run();
--- a/test/core/ordering/engine_ownership_test.ts
+++ b/test/core/ordering/engine_ownership_test.ts
@@ -15,9 +15,11 @@
 /** A time after all events of a test. */
 const LATE = 60_000;
 
-const MAJORITY = { hasQuorum: true, isUnowned: false };
-const MINORITY = { hasQuorum: false, isUnowned: false };
-const UNOWNED = { hasQuorum: true, isUnowned: true };
+const MAJORITY = { hasQuorum: true, isUnowned: false, isDisclaimed: false };
+const MINORITY = { hasQuorum: false, isUnowned: false, isDisclaimed: true };
+const UNOWNED = { hasQuorum: true, isUnowned: true, isDisclaimed: false };
+/** All others are heard, and none of them owns the engine. */
+const DISCLAIMED = { hasQuorum: true, isUnowned: false, isDisclaimed: true };
 
 function createOwnership(): EngineOwnership {
   return new EngineOwnership({ termMs: TERM_MS });
@@ -97,10 +99,12 @@
   assert.not(late.claim(UNOWNED, 710), "another daemon has ordered");
 });
 
-test("an engine without orders is claimed at once by a daemon with a quorum", () => {
+test("an engine without orders is claimed at once by a daemon with a quorum if all others have said that they do not own it", () => {
   const ownership = createOwnership();
   recordReport(ownership, 0, 0);
-  assert.ok(ownership.claim(MAJORITY, 1));
+  assert.not(ownership.claim(MAJORITY, 1), "its owner may not be heard");
+  assert.not(ownership.claim(MINORITY, 1));
+  assert.ok(ownership.claim(DISCLAIMED, 1));
 });
 
 test("an engine that was observed without orders long ago is read again before it is claimed", () => {
@@ -353,7 +357,7 @@
   const other = createOwnership();
   const report = { sequence: 0, bornAtUnixMs: BORN, ageMs: 100, readAt: 100 };
   other.recordReport(report, 100);
-  assert.ok(other.claim(MAJORITY, 150));
+  assert.ok(other.claim(DISCLAIMED, 150));
   const soleOwnershipMs = TERM_MS - REPORT_LAG_MS - 400;
   assert.ok(other.canBeOwnedSinceStart(150));
   assert.ok(other.canBeOwnedSinceStart(soleOwnershipMs - 1));
--- a/test/core/ordering/owner_roles_test.ts
+++ b/test/core/ordering/owner_roles_test.ts
@@ -35,6 +35,8 @@
         engineId: engine?.id ?? "gone",
         isOwner: () => part.isOwner ?? false,
         observedAt: undefined,
+        getDisclaimers: () => undefined,
+        hasRecentContestedOrder: () => false,
       },
       fetchShare: FETCH_SHARE,
       isStopping: part.isStopping ?? false,
@@ -101,7 +103,13 @@
 
 test("engines owned soon after the start are reported for a while", () => {
   const { roles } = createRoles();
-  const owner = { engineId: "e", isOwner: () => true, observedAt: 0 };
+  const owner = {
+    engineId: "e",
+    isOwner: () => true,
+    observedAt: 0,
+    getDisclaimers: () => undefined,
+    hasRecentContestedOrder: () => false,
+  };
   roles.recordOwned(owner, 5_000);
   assert.equal(roles.listOwnedSinceStart(5_001), ["e"]);
   assert.is(roles.listOwnedSinceStart(15_000), undefined);
--- a/test/fuzz/empty_engine_simulation.ts
+++ b/test/fuzz/empty_engine_simulation.ts
@@ -299,6 +299,7 @@
       incarnation: String(daemon.incarnation),
       heldEngines: owner?.isOwner() ? [owner.engineId] : [],
       newcomerHeld: roles.listOwnedSinceStart(now),
+      contestedEngines: roles.listContested(now),
       fenceUnixMs: fences.highestMs,
     });
     for (let other = 0; other < this.#daemons.length; other += 1) {
--- a/test/fuzz/mutants.ts
+++ b/test/fuzz/mutants.ts
@@ -304,8 +304,8 @@
     patches: [{
       file: "ordering/engine_ownership.ts",
       search:
-        "? now + CONTESTED_WINDOW_MS + this.#options.termMs + TERM_MARGIN_MS",
-      replacement: "? sentAt",
+        "return CONTESTED_WINDOW_MS + this.#options.termMs + TERM_MARGIN_MS;",
+      replacement: "return 0;",
     }],
   },
   {
--- a/test/fuzz/ownership_simulation.ts
+++ b/test/fuzz/ownership_simulation.ts
@@ -262,6 +262,7 @@
         isCandidate: true,
         hasQuorum: !isLarge,
         isUnowned: !isLarge && isUnowned(index),
+        isDisclaimed: false,
         peers: undefined,
         fetchShare: {
           fleetFetches: 0,
--- a/test/fuzz/tenure_fuzz_test.ts
+++ b/test/fuzz/tenure_fuzz_test.ts
@@ -57,6 +57,24 @@
   }
 }
 
+for (const { modelLoadMs } of EMPTY_ENGINE_RUNS) {
+  test(`in a healthy fleet of eight an engine that restarts empty and loads for ${modelLoadMs} ms gets an adapter soon`, () => {
+    for (let seed = 1; seed <= 10; seed += 1) {
+      const { starts, violations } = new EmptyEngineSimulation(seed, {
+        daemons: 8,
+        modelLoadMs,
+        disturbanceSteps: 0,
+        crashesAt: [20_000],
+      }).run();
+      assert.equal(violations, []);
+      const [, restart] = starts;
+      assert.ok(restart);
+      const delayMs = restart.firstAdapterAt - restart.upAt;
+      assert.ok(delayMs < modelLoadMs + 4_000, `${delayMs} ms`);
+    }
+  });
+}
+
 test("the oracle detects owners that alternate within a term and fencing numbers that do not increase", () => {
   const oracle = new OrderOracle(TERM_MS);
   oracle.check({ daemon: 0, fence: 5, at: 0 });
