--- a/src/core/ordering/fencing_number.ts
+++ b/src/core/ordering/fencing_number.ts
@@ -26,6 +26,17 @@
  * many milliseconds.
  */
 const POSITIONS_PER_COUNT = 16;
+/**
+ * Additional positions of an engine that has counted no order: several claimants
+ * may load its base model before any of them sees the other's order.
+ */
+const EMPTY_ENGINE_POSITIONS = 240;
+/**
+ * Positions below those of a count for orders that the engine may confirm at this
+ * count without counting them, so that the next owner's first order has a higher
+ * one.
+ */
+const UNCOUNTED_POSITIONS = 8;
 
 /** What is known of the numbers that an engine has accepted since its start. */
 export interface FencingBounds {
@@ -52,7 +63,7 @@
   /** Starts at the count that a report shows. */
   begin(sequence: number): void {
     this.#minSequence = sequence;
-    this.#minPosition = sequence * POSITIONS_PER_COUNT;
+    this.#minPosition = getContestedPosition(sequence, 0);
   }
 
   /** Continues above the former owner's last order. */
@@ -71,7 +82,7 @@
     this.recordCounted(sequence);
     this.#minPosition = Math.max(
       this.#minPosition,
-      sequence * POSITIONS_PER_COUNT,
+      getContestedPosition(sequence, 0),
     );
   }
 
@@ -82,20 +93,39 @@
 
   /**
    * Returns the position of an order sent now.
-   * @param turn turn in which a claimant sends an order that others may send at
-   * the same count.
+   * @param contestedSlot how late a claimant sends an order that others may send
+   * at the same count; undefined for other orders.
    */
-  issuePosition(kind: EngineOrder["kind"], turn: number): number {
-    // An engine's age, from which turns follow, may be negative by a wrong clock.
-    const slot = Math.min(Math.max(turn, 0), POSITIONS_PER_COUNT - 1);
+  issuePosition(
+    kind: EngineOrder["kind"],
+    contestedSlot: number | undefined,
+  ): number {
     this.#sentPosition = kind === "evict" ? this.#minPosition : Math.max(
       this.#minPosition,
-      this.#minSequence * POSITIONS_PER_COUNT + slot,
+      contestedSlot === undefined
+        ? getFirstPosition(this.#minSequence)
+        : getContestedPosition(this.#minSequence, contestedSlot),
     );
     return this.#sentPosition;
   }
 }
 
+/** Returns the position of a load that other claimants may send too. */
+function getContestedPosition(sequence: number, contestedSlot: number): number {
+  // Slots follow from an engine's age, which a wrong clock may make negative.
+  const slot = Math.max(contestedSlot, 0);
+  if (sequence === 0) return Math.min(slot, getFirstPosition(1) - 1);
+  return getFirstPosition(sequence) - UNCOUNTED_POSITIONS +
+    Math.min(slot, UNCOUNTED_POSITIONS - 1);
+}
+
+/** Returns the lowest position of an order to an engine with this count. */
+function getFirstPosition(sequence: number): number {
+  return sequence === 0
+    ? 0
+    : EMPTY_ENGINE_POSITIONS + sequence * POSITIONS_PER_COUNT;
+}
+
 /** Returns the fencing number of a host's order to an engine. */
 export function computeFencingNumber(
   { bornAtUnixMs, position, host }: {
--- a/test/core/ordering/engine_owner_test.ts
+++ b/test/core/ordering/engine_owner_test.ts
@@ -25,6 +25,7 @@
   isCandidate: true,
   hasQuorum: true,
   isUnowned: true,
+  isDisclaimed: true,
   peers: undefined,
   fetchShare: {
     fleetFetches: 0,
--- a/test/fuzz/ownership_simulation.ts
+++ b/test/fuzz/ownership_simulation.ts
@@ -388,6 +388,7 @@
         isCandidate: true,
         hasQuorum: !isLarge,
         isUnowned: !isLarge && isUnowned(index),
+        isDisclaimed: false,
         peers: undefined,
         fetchShare: {
           fleetFetches: 0,
--- a/test/fuzz/tenure_fuzz_test.ts
+++ b/test/fuzz/tenure_fuzz_test.ts
@@ -6,10 +6,13 @@
  * whatever the order expects, and no daemon has a quorum, as in a large fleet.
  * In two more groups, one of each size, wall clocks step by seconds, all daemons
  * are occasionally killed at once, and owners that stop hand the engine over.
+ * Further runs have such engines in a small fleet, whose daemons claim what they
+ * should own by the heartbeats that they hear (empty_engine_simulation.ts).
  */
 import process from "node:process";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
+import { EmptyEngineSimulation } from "./empty_engine_simulation.ts";
 import { OrderOracle } from "./order_oracle.ts";
 import { simulateRun, TERM_MS } from "./ownership_simulation.ts";
 
@@ -19,6 +22,11 @@
  */
 const RUNS = Number(process.env.TENURE_RUNS ?? 60);
 const FIRST_SEED = Number(process.env.TENURE_SEED ?? 1);
+/** Load times of the users' data sheets. */
+const EMPTY_ENGINE_RUNS = [
+  { daemons: 3, modelLoadMs: 600 },
+  { daemons: 5, modelLoadMs: 2_900 },
+];
 
 for (let seed = FIRST_SEED; seed < FIRST_SEED + RUNS; seed += 1) {
   test(`holders keep the rules, seed ${seed}`, () => {
@@ -59,6 +67,34 @@
       [],
     );
   });
+  for (const { daemons, modelLoadMs } of EMPTY_ENGINE_RUNS) {
+    test(`${daemons} holders of empty engines that load for ${modelLoadMs} ms keep them, seed ${seed}`, () => {
+      const simulation = new EmptyEngineSimulation(seed, {
+        daemons,
+        modelLoadMs,
+        disturbanceSteps: 500,
+      });
+      assert.equal(simulation.run().violations, []);
+    });
+  }
+}
+
+for (const { modelLoadMs } of EMPTY_ENGINE_RUNS) {
+  test(`in a healthy fleet of eight an engine that restarts empty and loads for ${modelLoadMs} ms gets an adapter soon`, () => {
+    for (let seed = 1; seed <= 10; seed += 1) {
+      const { starts, violations } = new EmptyEngineSimulation(seed, {
+        daemons: 8,
+        modelLoadMs,
+        disturbanceSteps: 0,
+        crashesAt: [20_000],
+      }).run();
+      assert.equal(violations, []);
+      const [, restart] = starts;
+      assert.ok(restart);
+      const delayMs = restart.firstAdapterAt - restart.upAt;
+      assert.ok(delayMs < modelLoadMs + 4_000, `${delayMs} ms`);
+    }
+  });
 }
 
 test("the oracle detects owners that alternate within a term and fencing numbers that do not increase", () => {
