An owner orders a restarted engine alone by times that it observed itself

Callers would see two gateways order one replica within a term (rule ONE): after a restart of a replica its owner, without a majority, may load the base model alone as long as no other daemon can have observed the new start for a term. How long that is came from the replica's age, which is computed from the wall clock at this process's start. A gateway that started while its clock was 2.4 s behind, or that was suspended for as long since, takes the age for too small and orders alone for 2.4 s too long, when another daemon has waited its term and orders too. With 2.8 s the owner refuses to order alone instead.

The old start answered at time V: an accepted order or a report. The new one began no earlier than V plus the minimum downtime, and nobody else may claim it before a term after that. The owner now orders alone until V + downtime + term less the window in which an order is not seen yet, all on its own monotonic clock; a detected pause voids it, also while an order is unsettled. Whether it was the only owner until the engine went down is judged by the time of the report, which is never earlier than the start.

The cost, computed from the constants, is time alone after the start: with the engine down for 2 s and V 0.3 or 1 s before, 1.35 or 0.65 s instead of 2.15 s; with 3 s, 0.35 s or none; with 4.5 s none, as before. The owner then waits for its turn, unless it hears a majority. The wall-clock rule adds nothing sound to this, since its error has either sign.

--- a/src/core/ordering/engine_ownership.ts
+++ b/src/core/ordering/engine_ownership.ts
@@ -163,8 +163,7 @@
    * for a term by the time all daemons see an order sent now.
    */
   isSoleOwnerSinceRestart(now: Milliseconds): boolean {
-    return this.#state.kind === "holding" && this.#state.isHeldSinceStart &&
-      now - this.#state.startedAt < this.#getSoleOwnershipMs();
+    return this.#state.kind === "holding" && now < this.#state.soleOwnerUntil;
   }
 
   /**
@@ -325,11 +324,16 @@
           acceptedAt: never,
           countedAt: never,
           verifiedAt: never,
-          isHeldSinceStart: false,
+          soleOwnerUntil: never,
         };
         break;
       case "unsettled":
-        this.#state = { ...state, acceptedAt: never, countedAt: never };
+        this.#state = {
+          ...state,
+          acceptedAt: never,
+          countedAt: never,
+          verifiedAt: never,
+        };
         break;
       case "observing":
         this.#state = { ...state, confirmedAt: never };
@@ -395,6 +399,7 @@
           startedAt: this.#state.startedAt,
           acceptedAt: this.#state.acceptedAt,
           countedAt: this.#state.countedAt,
+          verifiedAt: this.#state.verifiedAt,
           sentAt,
           readableAt: now + REPORT_LAG_MS,
         };
@@ -418,7 +423,7 @@
     this.#state = {
       kind: "holding",
       ordersFrom: now,
-      isHeldSinceStart: false,
+      soleOwnerUntil: Number.NEGATIVE_INFINITY,
       countedAt: Number.NEGATIVE_INFINITY,
       ...acquired,
     };
@@ -441,7 +446,7 @@
     now: Milliseconds,
   ): Settlement {
     if (report.bornAtUnixMs !== state.bornAtUnixMs) {
-      return this.#handleRestart(state.acceptedAt, report, now);
+      return this.#handleRestart(state, report, now);
     }
     if (report.sequence > state.sequence) return this.#depose(now);
     this.#state = {
@@ -459,7 +464,7 @@
   ): Settlement {
     if (report.readAt < state.readableAt) return { kind: "none" };
     if (report.bornAtUnixMs !== state.bornAtUnixMs) {
-      return this.#handleRestart(state.acceptedAt, report, now);
+      return this.#handleRestart(state, report, now);
     }
     if (report.sequence === state.sequence) {
       const { sequence, bornAtUnixMs, startedAt, acceptedAt, countedAt } =
@@ -508,28 +513,31 @@
 
   /**
    * Keeps ownership of an engine that restarted, unless another daemon has
-   * already ordered it.
-   * @param acceptedAt when the engine last accepted an order of this daemon
-   * before.
+   * already ordered it. Only times that this daemon observed itself decide
+   * whether it orders alone: the engine's age depends on the wall clock, which
+   * may have been off by seconds when this process started.
+   * @param last what this daemon knows about the engine before the restart.
    */
   #handleRestart(
-    acceptedAt: Milliseconds,
+    last: Pick<OwnedState, "acceptedAt" | "verifiedAt">,
     report: OrderReport,
     now: Milliseconds,
   ): Settlement {
     if (report.sequence !== 0) return this.#depose(now);
-    const startedAt = report.readAt - report.ageMs;
-    // Any other daemon waited a term before its claim, and the engine was down
-    // for a while.
-    const isHeldSinceStart =
-      startedAt - acceptedAt < this.#options.termMs + MIN_RESTART_MS;
+    const { termMs } = this.#options;
+    // Any other daemon waited a term before its claim, and the engine went down
+    // this long before the report at the latest.
+    const wasSoleOwner =
+      report.readAt - last.acceptedAt < termMs + MIN_RESTART_MS;
+    const earliestStartAt = last.verifiedAt + MIN_RESTART_MS;
     this.#takeOwnership({
       sequence: 0,
       bornAtUnixMs: report.bornAtUnixMs,
-      startedAt,
+      startedAt: report.readAt - report.ageMs,
       acceptedAt: Number.NEGATIVE_INFINITY,
       verifiedAt: report.readAt,
-      isHeldSinceStart,
+      ...(wasSoleOwner &&
+        { soleOwnerUntil: earliestStartAt + this.#getSoleOwnershipMs() }),
     }, now);
     return { kind: "restarted" };
   }
--- a/src/core/ordering/ownership_state.ts
+++ b/src/core/ordering/ownership_state.ts
@@ -44,10 +44,10 @@
      */
     startedAt: Milliseconds;
     /**
-     * Whether this daemon was the only owner when the engine went down to
-     * restart.
+     * Until when this daemon may order the engine alone after a restart that it
+     * went through as the only owner.
      */
-    isHeldSinceStart: boolean;
+    soleOwnerUntil: Milliseconds;
   }
   /**
    * Whether the last order was accepted is unknown until a report is read at or
@@ -59,6 +59,8 @@
     bornAtUnixMs: number;
     acceptedAt: Milliseconds;
     countedAt: Milliseconds;
+    /** When the engine last showed that it had not restarted. */
+    verifiedAt: Milliseconds;
     startedAt: Milliseconds;
     /** When the unsettled order was sent. */
     sentAt: Milliseconds;
@@ -79,9 +81,9 @@
 export type AcquiredOwnership =
   & Omit<
     OwnedState,
-    "kind" | "ordersFrom" | "isHeldSinceStart" | "countedAt"
+    "kind" | "ordersFrom" | "soleOwnerUntil" | "countedAt"
   >
-  & Partial<Pick<OwnedState, "isHeldSinceStart" | "countedAt">>;
+  & Partial<Pick<OwnedState, "soleOwnerUntil" | "countedAt">>;
 
 /** What an engine reports about the orders that it accepted. */
 export interface OrderReport {
--- a/test/core/ordering/engine_ownership_test.ts
+++ b/test/core/ordering/engine_ownership_test.ts
@@ -12,6 +12,8 @@
 
 const TERM_MS = 3_000;
 const BORN = 1_000;
+/** Minimum downtime of an engine that crashes. */
+const MIN_RESTART_MS = 1_500;
 /** A time after all events of a test. */
 const LATE = 60_000;
 
@@ -322,7 +324,7 @@
   assert.is(ownership.getExpectedSequence(lastClaimantAt + TERM_MS + 300), 1);
 });
 
-test("the sole owner of an engine that restarts remains its only owner for a while", () => {
+test("the sole owner of an engine that restarts orders alone until another daemon may have observed the new start for a term", () => {
   const restart = {
     sequence: 0,
     bornAtUnixMs: BORN + 1,
@@ -332,10 +334,10 @@
   const ownership = createOwned();
   accept(ownership, 4_000);
   ownership.recordReport(restart, 7_000);
-  assert.ok(ownership.isSoleOwnerSinceRestart(7_100));
-  assert.not(
-    ownership.isSoleOwnerSinceRestart(6_500 + TERM_MS - REPORT_LAG_MS - 400),
-  );
+  const earliestStartAt = 4_000 + MIN_RESTART_MS;
+  const endsAt = earliestStartAt + TERM_MS - REPORT_LAG_MS - 400;
+  assert.ok(ownership.isSoleOwnerSinceRestart(endsAt - 1));
+  assert.not(ownership.isSoleOwnerSinceRestart(endsAt));
   ownership.recordPause();
   assert.not(
     ownership.isSoleOwnerSinceRestart(7_100),
@@ -347,6 +349,62 @@
     idle.isSoleOwnerSinceRestart(7_100),
     "another daemon may own it unseen",
   );
+  const late = createOwned();
+  accept(late, 4_000);
+  const readAt = 4_000 + TERM_MS + MIN_RESTART_MS;
+  late.recordReport({ ...restart, readAt }, readAt);
+  assert.not(
+    late.isSoleOwnerSinceRestart(readAt),
+    "another daemon may have ordered it before the restart",
+  );
+});
+
+test("a daemon whose clock was behind when it started does not order an engine that restarted alone for seconds longer", () => {
+  const ownership = createOwned();
+  accept(ownership, 4_000);
+  // The engine went down at 4,040 and is back at 6,040.
+  const clockLagMs = 2_400;
+  const readAt = 6_400;
+  ownership.recordReport({
+    sequence: 0,
+    bornAtUnixMs: BORN + 1,
+    ageMs: readAt - 6_040 - clockLagMs,
+    readAt,
+  }, readAt);
+  assert.ok(ownership.isSoleOwnerSinceRestart(readAt));
+  const otherClaimsAt = 6_040 + TERM_MS;
+  assert.not(ownership.isSoleOwnerSinceRestart(otherClaimsAt));
+});
+
+test("a report of an owned engine extends the time for which its owner orders alone after a restart", () => {
+  const restart = {
+    sequence: 0,
+    bornAtUnixMs: BORN + 1,
+    ageMs: 100,
+    readAt: 8_000,
+  };
+  const ownership = createOwned();
+  accept(ownership, 4_000);
+  recordReport(ownership, 6, 5_900);
+  ownership.recordReport(restart, 8_000);
+  assert.ok(ownership.isSoleOwnerSinceRestart(8_000));
+  const unsettled = createOwned();
+  accept(unsettled, 4_000);
+  recordReport(unsettled, 6, 5_900);
+  unsettled.recordOrderAnswer(
+    { kind: "unanswered", detail: "" },
+    OrderEvidence.Load,
+    6_000,
+    6_600,
+  );
+  unsettled.recordReport(restart, 8_000);
+  assert.ok(unsettled.isSoleOwnerSinceRestart(8_000));
+  const paused = createOwned();
+  accept(paused, 4_000);
+  recordReport(paused, 6, 5_900);
+  paused.recordPause();
+  paused.recordReport(restart, 8_000);
+  assert.not(paused.isSoleOwnerSinceRestart(8_000));
 });
 
 test("no other daemon takes a turn while an engine's owner since its start may order alone", () => {
