A handover does not count as a sign that the engine has not restarted

The daemon that received an engine in a handover took the moment of the message for a proof that the engine still ran with the counts of the handover, though the last proof was the earlier owner's last order. A replica that restarted in between, and counts from 0 again, could have got an order with a count that matches by chance, and the receiver would have ordered it alone for longer than no other daemon can (rule ONE). The last accepted order is now the proof; if it is older than that allows, a report is read before the first order.

--- a/src/core/ordering/engine_ownership.ts
+++ b/src/core/ordering/engine_ownership.ts
@@ -300,12 +300,13 @@
     now: Milliseconds,
   ): boolean {
     if (this.isOwner() || this.#state.kind === "deposed") return false;
+    const acceptedAt = now - handover.acceptedAgeMs - MAX_HANDOVER_DELAY_MS;
     this.#takeOwnership({
       sequence: handover.sequence,
       bornAtUnixMs: handover.bornAtUnixMs,
       startedAt: Number.NEGATIVE_INFINITY,
-      acceptedAt: now - handover.acceptedAgeMs - MAX_HANDOVER_DELAY_MS,
-      verifiedAt: now,
+      acceptedAt,
+      verifiedAt: acceptedAt,
     }, now);
     return true;
   }
--- a/test/core/ordering/engine_ownership_test.ts
+++ b/test/core/ordering/engine_ownership_test.ts
@@ -407,6 +407,30 @@
   assert.not(paused.isSoleOwnerSinceRestart(8_000));
 });
 
+test("a daemon that received an engine in a handover and has not verified it does not order it alone after a restart", () => {
+  const ownership = createOwnership();
+  ownership.acceptHandover({
+    sequence: 8,
+    bornAtUnixMs: BORN,
+    acceptedAgeMs: 2_500,
+  }, 10_000);
+  assert.not(
+    ownership.isVerified(false, 10_000),
+    "the engine may have restarted since the last order",
+  );
+  ownership.recordReport(
+    { sequence: 0, bornAtUnixMs: BORN + 1, ageMs: 100, readAt: 11_100 },
+    11_100,
+  );
+  const soleOwnershipMs = TERM_MS - REPORT_LAG_MS - 400;
+  const lastOrderAt = 10_000 - 2_500 - 300;
+  assert.not(
+    ownership.isSoleOwnerSinceRestart(
+      lastOrderAt + MIN_RESTART_MS + soleOwnershipMs,
+    ),
+  );
+});
+
 test("no other daemon takes a turn while an engine's owner since its start may order alone", () => {
   const other = createOwnership();
   const report = { sequence: 0, bornAtUnixMs: BORN, ageMs: 100, readAt: 100 };
