Turns for contested orders begin by what a daemon observed, not by the clock

After a restart of a replica the former owner may order it alone for a while; other daemons begin their turns when that time is over. They took it from the replica's age by the wall clock.

The turns now begin that long after the daemon's first report of the new start, which is never earlier than the start; it is at most the time of that read later than before. The age remains the phase of the turns only.

Failed before: "no other daemon takes a turn while an engine's owner since its start may order alone, whatever its age seems to be", which replaces the test of the age with the same bounds to the millisecond, for clocks that are right, ahead and behind.

--- a/src/core/ordering/engine_ownership.ts
+++ b/src/core/ordering/engine_ownership.ts
@@ -140,7 +140,10 @@
         (isContested ? CONTESTED_VERIFIED_MS : VERIFIED_MS);
   }
 
-  /** Returns the time since the engine's start; undefined if it is unknown. */
+  /**
+   * Returns the time since the engine's start by this host's wall clock, which
+   * may be off by seconds; undefined if it is unknown.
+   */
   getEngineAgeMs(now: Milliseconds): Milliseconds | undefined {
     const { state } = this;
     return state.kind === "holding" && Number.isFinite(state.startedAt)
@@ -150,11 +153,11 @@
 
   /**
    * Returns whether a daemon may consider itself the engine's only owner since
-   * its start.
+   * its start, as far as this daemon's own observations tell.
    */
   canBeOwnedSinceStart(now: Milliseconds): boolean {
-    const ageMs = this.getEngineAgeMs(now);
-    return ageMs !== undefined && ageMs < this.#getSoleOwnershipMs();
+    return this.#state.kind === "holding" &&
+      now - this.#state.firstSeenAt < this.#getSoleOwnershipMs();
   }
 
   /**
@@ -275,11 +278,13 @@
   claim(conditions: ClaimConditions, now: Milliseconds): boolean {
     if (this.#state.kind !== "observing") return false;
     if (!this.isClaimable(conditions, now)) return false;
-    const { sequence, bornAtUnixMs, startedAt, confirmedAt } = this.#state;
+    const { sequence, bornAtUnixMs, startedAt, observedAt, confirmedAt } =
+      this.#state;
     this.#takeOwnership({
       sequence,
       bornAtUnixMs,
       startedAt,
+      firstSeenAt: observedAt,
       acceptedAt: Number.NEGATIVE_INFINITY,
       verifiedAt: confirmedAt,
     }, now);
@@ -305,6 +310,7 @@
       sequence: handover.sequence,
       bornAtUnixMs: handover.bornAtUnixMs,
       startedAt: Number.NEGATIVE_INFINITY,
+      firstSeenAt: Number.NEGATIVE_INFINITY,
       acceptedAt,
       verifiedAt: acceptedAt,
     }, now);
@@ -398,6 +404,7 @@
           sequence: this.#state.sequence,
           bornAtUnixMs: this.#state.bornAtUnixMs,
           startedAt: this.#state.startedAt,
+          firstSeenAt: this.#state.firstSeenAt,
           acceptedAt: this.#state.acceptedAt,
           countedAt: this.#state.countedAt,
           verifiedAt: this.#state.verifiedAt,
@@ -468,12 +475,10 @@
       return this.#handleRestart(state, report, now);
     }
     if (report.sequence === state.sequence) {
-      const { sequence, bornAtUnixMs, startedAt, acceptedAt, countedAt } =
-        state;
+      const { sequence, acceptedAt, countedAt } = state;
       this.#takeOwnership({
+        ...getStart(state),
         sequence,
-        bornAtUnixMs,
-        startedAt,
         acceptedAt,
         countedAt,
         verifiedAt: report.readAt,
@@ -484,11 +489,10 @@
     const isMiscounted = report.sequence < state.sequence &&
       report.readAt - state.countedAt < this.#options.termMs;
     if (isMiscounted) {
-      const { bornAtUnixMs, startedAt, countedAt } = state;
+      const { countedAt } = state;
       this.#takeOwnership({
+        ...getStart(state),
         sequence: report.sequence,
-        bornAtUnixMs,
-        startedAt,
         acceptedAt: countedAt,
         countedAt,
         verifiedAt: report.readAt,
@@ -500,11 +504,10 @@
     const isOwn = report.sequence === state.sequence + 1 &&
       report.readAt - state.acceptedAt < this.#options.termMs;
     if (!isOwn) return this.#depose(now);
-    const { bornAtUnixMs, startedAt, sentAt } = state;
+    const { sentAt } = state;
     this.#takeOwnership({
+      ...getStart(state),
       sequence: report.sequence,
-      bornAtUnixMs,
-      startedAt,
       acceptedAt: sentAt,
       countedAt: sentAt,
       verifiedAt: report.readAt,
@@ -535,6 +538,7 @@
       sequence: 0,
       bornAtUnixMs: report.bornAtUnixMs,
       startedAt: report.readAt - report.ageMs,
+      firstSeenAt: report.readAt,
       acceptedAt: Number.NEGATIVE_INFINITY,
       verifiedAt: report.readAt,
       ...(wasSoleOwner &&
@@ -551,3 +555,13 @@
     return { kind: "deposed" };
   }
 }
+
+/** Returns what is known about the start of the engine's process. */
+function getStart(
+  { bornAtUnixMs, startedAt, firstSeenAt }: Extract<
+    OwnershipState,
+    { kind: "unsettled" }
+  >,
+): Pick<OwnedState, "bornAtUnixMs" | "startedAt" | "firstSeenAt"> {
+  return { bornAtUnixMs, startedAt, firstSeenAt };
+}
--- a/src/core/ordering/ownership_state.ts
+++ b/src/core/ordering/ownership_state.ts
@@ -39,10 +39,15 @@
      */
     ordersFrom: Milliseconds;
     /**
-     * Latest time at which the engine can have started; unknown after a
-     * handover.
+     * When the engine started by this host's wall clock, which may be off by
+     * seconds; unknown after a handover.
      */
     startedAt: Milliseconds;
+    /**
+     * Latest time at which the engine can have started: when the first report
+     * since then was read.
+     */
+    firstSeenAt: Milliseconds;
     /**
      * Until when this daemon may order the engine alone after a restart that it
      * went through as the only owner.
@@ -62,6 +67,7 @@
     /** When the engine last showed that it had not restarted. */
     verifiedAt: Milliseconds;
     startedAt: Milliseconds;
+    firstSeenAt: Milliseconds;
     /** When the unsettled order was sent. */
     sentAt: Milliseconds;
     readableAt: Milliseconds;
@@ -89,7 +95,7 @@
 export interface OrderReport {
   sequence: number;
   bornAtUnixMs: number;
-  /** Minimum time since the engine's start. */
+  /** Time since the engine's start by this host's wall clock. */
   ageMs: Milliseconds;
   /** When the report was requested. */
   readAt: Milliseconds;
--- a/test/core/ordering/engine_ownership_test.ts
+++ b/test/core/ordering/engine_ownership_test.ts
@@ -431,15 +431,18 @@
   );
 });
 
-test("no other daemon takes a turn while an engine's owner since its start may order alone", () => {
-  const other = createOwnership();
-  const report = { sequence: 0, bornAtUnixMs: BORN, ageMs: 100, readAt: 100 };
-  other.recordReport(report, 100);
-  assert.ok(other.claim(MAJORITY, 150));
+test("no other daemon takes a turn while an engine's owner since its start may order alone, whatever its age seems to be", () => {
   const soleOwnershipMs = TERM_MS - REPORT_LAG_MS - 400;
-  assert.ok(other.canBeOwnedSinceStart(150));
-  assert.ok(other.canBeOwnedSinceStart(soleOwnershipMs - 1));
-  assert.not(other.canBeOwnedSinceStart(soleOwnershipMs));
+  for (const clockErrorMs of [0, 2_800, -2_800]) {
+    const other = createOwnership();
+    const readAt = 100;
+    const ageMs = 100 + clockErrorMs;
+    other.recordReport({ sequence: 0, bornAtUnixMs: BORN, ageMs, readAt }, 100);
+    assert.ok(other.claim(MAJORITY, 150));
+    assert.ok(other.canBeOwnedSinceStart(150));
+    assert.ok(other.canBeOwnedSinceStart(readAt + soleOwnershipMs - 1));
+    assert.not(other.canBeOwnedSinceStart(readAt + soleOwnershipMs));
+  }
   assert.not(createOwned().canBeOwnedSinceStart(TERM_MS + 400));
 });
 
