An eviction that another claimant may order too proves nothing without a majority

A claimant that finds nothing idle in its own share evicts another's adapter in its turn. The turns follow from the replica's age by wall clocks, so two claimants that cannot hear each other may take the same turn and the same eviction, and a replica confirms an eviction that is done already whatever count it expects. Both took that for the proof of their ownership and went on to load adapters.

Without a majority such an eviction is now inconclusive: its sender rests until the other's orders are a term old, and proves its ownership with a compared load into the freed slot. Evictions of the own share, and those of a daemon that hears a majority, are as before.

Failed before: "the eviction of an adapter that another claimant may evict too proves nothing without a majority".

--- a/src/core/ordering/order_planner.ts
+++ b/src/core/ordering/order_planner.ts
@@ -155,20 +155,26 @@
   ): PlannedOrder | undefined {
     const { selfId, selectOwnAdapter, listClaimants } = this.#options;
     const { slots } = this.#admission;
-    const isOwnShareTimeOver = now - this.#ownedSince > PROOF_OWN_SHARE_MS;
-    const order = selectProvingOrder({
+    const input = {
       selfId,
       claimants: listClaimants(),
-      mayEvictAny: !this.#mayHaveOtherClaimants || (isOwnShareTimeOver &&
-        (hasQuorum || this.#isContestedTurn(now))),
       model,
       ownAdapter: selectOwnAdapter(model),
       idlePaths: this.#admission.listEvictable(now)
         .map((slot) => slot.adapterPath),
       hasFreeSlot: slots.hasFreeSlot(),
-      hasAdapter: (adapterPath) => slots.getSlot(adapterPath) !== undefined,
-    });
-    return order && { order, isContested: true, isInconclusive: false };
+      hasAdapter: (adapterPath: string) =>
+        slots.getSlot(adapterPath) !== undefined,
+    };
+    const own = selectProvingOrder({ ...input, mayEvictAny: false });
+    if (own) return { order: own, isContested: true, isInconclusive: false };
+    const isOwnShareTimeOver = now - this.#ownedSince > PROOF_OWN_SHARE_MS;
+    const mayEvictAny = !this.#mayHaveOtherClaimants || (isOwnShareTimeOver &&
+      (hasQuorum || this.#isContestedTurn(now)));
+    const order = selectProvingOrder({ ...input, mayEvictAny });
+    // Turns depend on wall clocks: another claimant may send the same eviction.
+    const isInconclusive = this.#mayHaveOtherClaimants && !hasQuorum;
+    return order && { order, isContested: true, isInconclusive };
   }
 }
 
