A clock that is set back does not hide a suspension

A gateway that is suspended for 2 s while its wall clock goes back by 2.8 s saw no pause: only a lead of the wall clock over the monotonic one counted. It would send an order on proofs that are 2 s older than they seem, while another daemon has waited its term and orders too (rule ONE).

A difference of either sign now counts. A step back alone causes owners to prove their ownership again, as a step ahead does already. A step that equals the suspension within 0.4 s still hides it. Node.js 20 has no call for a clock that counts suspensions and no steps: process.hrtime and performance.now are the monotonic clock, and os.uptime (libuv 1.46) reads /proc/uptime, with a resolution of 10 ms, 2.6 us a call here against 0.07 us of Date.now, and no promise that a host's file shows the clock that the process sees.

Failed before: "a wall clock that is set back during a suspension does not hide it". It replaces "a wall clock that is set back is no pause", which asserted the fault; that slight differences of the clocks' rates are no pause is now tested.

--- a/src/core/fleet/pause_detector.ts
+++ b/src/core/fleet/pause_detector.ts
@@ -2,15 +2,16 @@
  * Detects that this process or its host was suspended. The monotonic clock may
  * not count a suspension, so it is compared with the wall clock: what seems
  * recent by the monotonic clock is then older than it seems. A step of the wall
- * clock looks the same, but only causes state to be verified again.
+ * clock looks the same, or hides a suspension if it goes back meanwhile; on its
+ * own it only causes state to be verified again.
  */
 import type { Milliseconds } from "../structures.ts";
 
 /**
- * Lead of the wall clock from which a pause is assumed; clock slewing stays far
- * below.
+ * Difference of the clocks' progress from which a pause is assumed; clock
+ * slewing stays far below.
  */
-const CLOCK_LEAD_MS = 400;
+const CLOCK_STEP_MS = 400;
 
 export class PauseDetector {
   #lastAt: Milliseconds;
@@ -21,11 +22,13 @@
     this.#lastUnixMs = unixMs;
   }
 
-  /** Returns whether the process was suspended since the last call. */
+  /**
+   * Returns whether the process may have been suspended since the last call.
+   */
   hasPaused(now: Milliseconds, unixMs: number): boolean {
     const leadMs = (unixMs - this.#lastUnixMs) - (now - this.#lastAt);
     this.#lastAt = now;
     this.#lastUnixMs = unixMs;
-    return leadMs > CLOCK_LEAD_MS;
+    return Math.abs(leadMs) > CLOCK_STEP_MS;
   }
 }
--- a/test/core/fleet/pause_detector_test.ts
+++ b/test/core/fleet/pause_detector_test.ts
@@ -15,9 +15,19 @@
   assert.not(detector.hasPaused(5_000, 1_005_002));
 });
 
-test("a wall clock that is set back is no pause", () => {
+test("a wall clock that is set back during a suspension does not hide it", () => {
   const detector = new PauseDetector(0, 1_000_000);
-  assert.not(detector.hasPaused(10, 998_000));
+  assert.not(detector.hasPaused(100, 1_000_100));
+  const suspendedMs = 2_000;
+  const setBackMs = 2_800;
+  assert.ok(detector.hasPaused(110, 1_000_110 + suspendedMs - setBackMs));
+  assert.not(detector.hasPaused(210, 1_000_210 + suspendedMs - setBackMs));
+});
+
+test("clocks that run at slightly different rates are no pause", () => {
+  const detector = new PauseDetector(0, 1_000_000);
+  assert.not(detector.hasPaused(5_000, 1_004_700));
+  assert.not(detector.hasPaused(10_000, 1_010_000));
 });
 
 test.run();
