A daemon whose clock may be off by a step takes no turn for contested orders

Two gateways without a majority take turns at an empty replica, by its age.

A daemon now takes turns only when its wall clock has kept pace with the monotonic clock for ten seconds, in which a step of the users' scenarios ends: a daemon that started during one sees its end. This delays contested orders only; daemons that hear a majority and former owners order as before.

Evidence: the tenure fuzzer has a group whose hosts' clocks are off by 2.4 to 2.9 s for 6 s at times.

Failed before: "a daemon whose clock may be off takes no turn without a majority"; "a clock is steady ten seconds after the start and after each step" tests the new query.

--- a/src/core/fleet/pause_detector.ts
+++ b/src/core/fleet/pause_detector.ts
@@ -12,12 +12,20 @@
  * slewing stays far below.
  */
 const CLOCK_STEP_MS = 400;
+/**
+ * Time without a step from which the wall clock is assumed to be right: the
+ * users' scenarios have steps of 6 seconds.
+ */
+const CLOCK_SETTLE_MS = 10_000;
 
 export class PauseDetector {
   #lastAt: Milliseconds;
   #lastUnixMs: number;
+  /** When the process started or its wall clock last made a step. */
+  #steadySince: Milliseconds;
 
   constructor(now: Milliseconds, unixMs: number) {
+    this.#steadySince = now;
     this.#lastAt = now;
     this.#lastUnixMs = unixMs;
   }
@@ -29,6 +37,16 @@
     const leadMs = (unixMs - this.#lastUnixMs) - (now - this.#lastAt);
     this.#lastAt = now;
     this.#lastUnixMs = unixMs;
-    return Math.abs(leadMs) > CLOCK_STEP_MS;
+    const hasPaused = Math.abs(leadMs) > CLOCK_STEP_MS;
+    if (hasPaused) this.#steadySince = now;
+    return hasPaused;
+  }
+
+  /**
+   * Returns whether the wall clock has made no step for so long that one which
+   * began before, or before this process started, is over.
+   */
+  isClockSteady(now: Milliseconds): boolean {
+    return now - this.#steadySince >= CLOCK_SETTLE_MS;
   }
 }
--- a/src/core/ordering/order_planner.ts
+++ b/src/core/ordering/order_planner.ts
@@ -59,6 +59,10 @@
    * undefined if the model has no adapters.
    */
   selectOwnAdapter: (model: string) => string | undefined;
+  /**
+   * Returns whether the wall clock, and so the engine's age, can be trusted.
+   */
+  isClockSteady: (now: Milliseconds) => boolean;
 }
 
 export class OrderPlanner {
@@ -132,13 +136,14 @@
   /**
    * Returns whether it is this daemon's turn to send an order that other
    * claimants may send too. The turns follow from the engine's age, so that
-   * daemons that cannot hear each other still send at different times. They
-   * begin once no daemon can consider itself the engine's only owner since its
+   * daemons that cannot hear each other still send at different times. A daemon
+   * whose wall clock may be off by a step has no turn. They begin once no daemon can consider itself the engine's only owner since its
    * start any more.
    */
   #isContestedTurn(now: Milliseconds): boolean {
-    const { selfId, listClaimants } = this.#options;
+    const { selfId, listClaimants, isClockSteady } = this.#options;
     if (this.#ownership.canBeOwnedSinceStart(now)) return false;
+    if (!isClockSteady(now)) return false;
     const ageMs = this.#ownership.getEngineAgeMs(now) ?? 0;
     const claimants = listClaimants();
     const index = claimants.indexOf(selfId);
--- a/src/gateway/engine_task.ts
+++ b/src/gateway/engine_task.ts
@@ -356,6 +356,7 @@
               this.#options.fleet.listClaimants(engine, performance.now()),
             selectOwnAdapter: (model) =>
               this.#selectOwnAdapter(engine.id, model),
+            isClockSteady: (now) => this.#pauseDetector.isClockSteady(now),
           }),
         );
       }
--- a/test/core/fleet/pause_detector_test.ts
+++ b/test/core/fleet/pause_detector_test.ts
@@ -30,4 +30,18 @@
   assert.not(detector.hasPaused(10_000, 1_010_000));
 });
 
+test("a clock is steady ten seconds after the start and after each step", () => {
+  const detector = new PauseDetector(0, 1_000_000);
+  assert.not(detector.isClockSteady(9_999));
+  assert.ok(detector.isClockSteady(10_000));
+  assert.not(detector.hasPaused(12_000, 1_012_000));
+  assert.ok(detector.isClockSteady(12_000));
+  for (const [now, unixMs] of [[13_000, 1_015_800], [19_000, 1_019_000]]) {
+    detector.hasPaused(now ?? 0, unixMs ?? 0);
+    assert.not(detector.isClockSteady(now ?? 0));
+  }
+  assert.not(detector.isClockSteady(28_999));
+  assert.ok(detector.isClockSteady(29_000));
+});
+
 test.run();
--- a/test/core/ordering/order_planner_test.ts
+++ b/test/core/ordering/order_planner_test.ts
@@ -34,7 +34,7 @@
  * Creates the planner of a daemon that claimed an engine whose only adapter slot
  * is taken, at the same time as others.
  */
-function createClaimant(selfId: string): OrderPlanner {
+function createClaimant(selfId: string, isSteady = true): OrderPlanner {
   const ownership = new EngineOwnership({ termMs: TERM_MS });
   const report = { sequence: 5, bornAtUnixMs: 1_000, ageMs: CYCLE_MS };
   ownership.recordReport({ ...report, readAt: 0 }, 0);
@@ -50,6 +50,7 @@
       selfId,
       listClaimants: () => CLAIMANTS,
       selectOwnAdapter: () => "own",
+      isClockSteady: () => isSteady,
     },
     ownership,
     new AdmissionController(
@@ -84,6 +85,18 @@
   );
 });
 
+test("a daemon whose clock may be off takes no turn without a majority", () => {
+  const claimant = createClaimant(OTHER, false);
+  const baseModel: EngineOrder = { ...WANTED, adapter: "", adapterPath: "m" };
+  for (let at = 2 * CYCLE_MS; at < 3 * CYCLE_MS; at += 100) {
+    assert.is(claimant.plan(WANTED, false, at), undefined);
+    assert.is(claimant.plan(baseModel, false, at), undefined);
+  }
+  const at = computeTurnAt(OTHER);
+  assert.ok(createClaimant(OTHER).plan(baseModel, false, at)?.isInconclusive);
+  assert.is(claimant.plan(baseModel, true, at)?.order, baseModel);
+});
+
 test("the eviction of an adapter of the own share proves the ownership at once", () => {
   const planned = createClaimant(SHARE_OWNER).plan(WANTED, false, CLAIMED_AT);
   assert.is(planned?.order.adapterPath, RESIDENT);
--- a/test/fuzz/ownership_simulation.ts
+++ b/test/fuzz/ownership_simulation.ts
@@ -15,6 +15,7 @@
   FleetView,
   RECENTLY_STARTED_MS,
 } from "../../src/core/fleet/fleet_view.ts";
+import { PauseDetector } from "../../src/core/fleet/pause_detector.ts";
 import type { FleetMember } from "../../src/core/fleet/heartbeat.ts";
 import { FenceClock } from "../../src/core/ordering/fence_clock.ts";
 import type { OrderAnswer } from "../../src/core/ordering/ownership_state.ts";
@@ -61,8 +62,19 @@
   isLarge: boolean;
   /** Whether all daemons occasionally start at once. */
   restartsFleet: boolean;
+  /**
+   * Whether the wall clocks of the daemons' hosts are off by seconds at times,
+   * and the engine's age in their reports with them.
+   */
+  hasClockSteps?: boolean;
 }
 
+/** Range of a step of the wall clock. */
+const MIN_CLOCK_STEP_MS = 2_400;
+const MAX_CLOCK_STEP_MS = 2_900;
+/** Time after which a wall clock that was stepped is right again. */
+const CLOCK_STEP_LASTS_MS = 6_000;
+
 function createMember(index: number): FleetMember {
   return {
     id: `daemon ${index}`,
@@ -74,13 +86,22 @@
 /** Returns the violations of the rules in a run of one minute. */
 export function simulateRun(
   seed: number,
-  { isLarge, restartsFleet }: OwnershipRunOptions,
+  { isLarge, restartsFleet, hasClockSteps = false }: OwnershipRunOptions,
 ): string[] {
   const generator = xoroshiro128plus(seed);
   const draw = (from: number, to: number) => uniformInt(generator, from, to);
   const fleetGenerator = xoroshiro128plus(seed + 1);
   const drawFleet = (from: number, to: number) =>
     uniformInt(fleetGenerator, from, to);
+  const clockGenerator = xoroshiro128plus(seed + 2);
+  const drawClock = (from: number, to: number) =>
+    uniformInt(clockGenerator, from, to);
+  /** By what the wall clock of each daemon's host is off, and until when. */
+  const clockErrors = Array.from(
+    { length: DAEMONS },
+    () => ({ byMs: 0, until: 0 }),
+  );
+  const pauseDetectors: PauseDetector[] = [];
   const oracle = new OrderOracle(TERM_MS);
   const engine = new CountingEngine(oracle, isLarge);
   let deliveries: Delivery[] = [];
@@ -93,8 +114,11 @@
   const startedAt: number[] = [];
   const hasOwned: boolean[] = [];
   const views: FleetView[] = [];
+  const getWallClock = (index: number, at: number): number =>
+    at + (clockErrors[index]?.byMs ?? 0);
   const startDaemon = (index: number, at: number): void => {
     startedAt[index] = at;
+    pauseDetectors[index] = new PauseDetector(at, getWallClock(index, at));
     hasOwned[index] = false;
     views[index] = new FleetView(createMember(index));
     const fences = new FenceClock(`daemon ${index}`);
@@ -117,6 +141,7 @@
       },
       termMs: TERM_MS,
       selectOwnAdapter: () => `own${index}`,
+      isClockSteady: (at) => pauseDetectors[index]?.isClockSteady(at) ?? false,
       drawFence: () =>
         fences.drawFence(1_000_000 + now + (clockSkews[index] ?? 0)),
     });
@@ -138,6 +163,7 @@
       if (effect.kind === "readReport") {
         const readAt = now;
         const report = engine.report(arrivesAt, draw(0, 400));
+        report.ageMs += clockErrors[index]?.byMs ?? 0;
         const isUnread = isLost || engine.isDown(arrivesAt);
         deliveries.push({
           at: answersAt,
@@ -212,6 +238,16 @@
       views[index]?.isUnowned(ENGINE, { since, seedIps: SEED_IPS }, now) ===
         true;
   };
+  /** Ends or begins a step of the wall clock of a daemon's host. */
+  const stepClock = (index: number): void => {
+    const error = clockErrors[index];
+    if (!error || error.until > now) return;
+    error.byMs = 0;
+    if (drawClock(0, 999) > 0) return;
+    const stepMs = drawClock(MIN_CLOCK_STEP_MS, MAX_CLOCK_STEP_MS);
+    error.byMs = drawClock(0, 1) === 0 ? stepMs : -stepMs;
+    error.until = now + CLOCK_STEP_LASTS_MS;
+  };
   let permits = 0;
   for (; now < RUN_MS; now += STEP_MS) {
     engine.record(now);
@@ -228,10 +264,14 @@
       if (draw(0, 399) === 0) desired[index] = !desired[index];
       if (draw(0, 599) === 0) partitionedUntil[index] = now + draw(100, 6_000);
       if (draw(0, 599) === 0) downUntil[index] = now + draw(100, 5_000);
+      if (hasClockSteps) stepClock(index);
       if (draw(0, 799) === 0) startDaemon(index, now + draw(50, 1_500));
       if ((downUntil[index] ?? 0) > now) continue;
       const owner = owners[index];
       if (!owner) continue;
+      const hasPaused = pauseDetectors[index]
+        ?.hasPaused(now, getWallClock(index, now));
+      if (hasPaused) owner.recordPause();
       if ((now + index * 100) % HEARTBEAT_MS === 0) sendHeartbeat(index);
       if (draw(0, 9) === 0) {
         permits += 1;
--- a/test/fuzz/tenure_fuzz_test.ts
+++ b/test/fuzz/tenure_fuzz_test.ts
@@ -37,6 +37,16 @@
       [],
     );
   });
+  test(`holders of empty engines keep them when their hosts' clocks are off by seconds, seed ${seed}`, () => {
+    assert.equal(
+      simulateRun(seed, {
+        isLarge: true,
+        restartsFleet: false,
+        hasClockSteps: true,
+      }),
+      [],
+    );
+  });
 }
 
 test("the oracle detects owners that alternate within a term and fencing numbers that do not increase", () => {
