A gateway that starts again with its clock set back is not held for dead

In a large fleet a gateway that was started during a step of its clock ahead, and started again within seconds after the step, would be held for dead by those that hear of it from others: its heartbeats are numbered from the wall clock at its start, the new numbers stay below the old ones, and news with a lower number is ignored. A number grows by one in a period, so that 1,800 numbers take minutes and more. Others would claim its replicas meanwhile.

A gateway that reads in a peer's sample a number of itself above its own now continues above that. The datagrams are the same, so both builds understand each other. Direct heartbeats counted whatever their number and still do.

Failed before: "a daemon whose clock was ahead before its restart is not held for dead in a large fleet"; "a daemon's own heartbeats, listed by its peers, do not change their numbers" passed and guards the change.

--- a/src/core/fleet/fleet_view.ts
+++ b/src/core/fleet/fleet_view.ts
@@ -142,7 +142,8 @@
 
 export class FleetView {
   readonly #self: FleetMember;
-  readonly #firstBeat: number;
+  /** Difference between the numbers of heartbeats and of periods. */
+  #firstBeat: number;
   readonly #members = new Map<string, KnownMember>();
   #localMembers = 0;
   #snapshot: Snapshot | undefined;
@@ -153,8 +154,9 @@
   >();
 
   /**
-   * @param firstBeat number of the first heartbeat; must exceed the numbers
-   * used before a restart, as the wall clock does.
+   * @param firstBeat number of the first heartbeat; should exceed the numbers
+   * used before a restart, as the wall clock does unless it was ahead then. In
+   * that case the numbers continue above the one that peers still list.
    */
   constructor(self: FleetMember, firstBeat = 0) {
     this.#self = self;
@@ -525,7 +527,10 @@
 
   #recordGossip(entry: GossipEntry, now: Milliseconds): void {
     const [id, ip, failureDomain, beat] = entry;
-    if (id === this.#self.id) return;
+    if (id === this.#self.id) {
+      if (beat > this.beat) this.#firstBeat = beat + 1 - this.#fanout.round;
+      return;
+    }
     const known = this.#members.get(id);
     if (!known) {
       const member = { id, ip, failureDomain };
--- a/test/core/fleet/fleet_view_test.ts
+++ b/test/core/fleet/fleet_view_test.ts
@@ -297,4 +297,37 @@
   assert.not(isUnowned(3_430), "a known member was not heard");
 });
 
+test("a daemon whose clock was ahead before its restart is not held for dead in a large fleet", () => {
+  const restarted = createMember("2");
+  const third = createMember("3");
+  const before = 1_002_800;
+  const observer = new FleetView(createMember("1"));
+  for (let index = 10; index < 50; index += 1) {
+    observer.recordHeartbeat(buildHeartbeat(createMember(`${index}`)), 0);
+  }
+  assert.not(observer.isFullMesh());
+  const known: GossipEntry = ["2", restarted.ip, "a", before];
+  observer.recordHeartbeat(buildHeartbeat(third, { sample: [known] }), 0);
+
+  // It starts again once its clock is right, and a peer still lists it.
+  const fleet = new FleetView(restarted, 1_001_000);
+  fleet.recordHeartbeat(buildHeartbeat(third, { sample: [known] }), 100);
+  for (let now = 1_000; now <= 60_000; now += 1_000) {
+    fleet.selectTargets(now);
+    const heard: GossipEntry = ["2", restarted.ip, "a", fleet.beat];
+    observer.recordHeartbeat(buildHeartbeat(third, { sample: [heard] }), now);
+    assert.ok(observer.isAlive("2", now + 500), `at ${now}`);
+  }
+});
+
+test("a daemon's own heartbeats, listed by its peers, do not change their numbers", () => {
+  const fleet = new FleetView(createMember("1"), 5_000);
+  for (let now = 0; now < 4_000; now += 400) {
+    fleet.selectTargets(now);
+    const sample: GossipEntry[] = [["1", "10.0.0.1", "a", fleet.beat]];
+    fleet.recordHeartbeat(buildHeartbeat(createMember("2"), { sample }), now);
+  }
+  assert.is(fleet.beat, 5_010);
+});
+
 test.run();
