The daemon detects suspensions that its monotonic clock does not count

The daemon finds a pause by the time between two events, on the monotonic clock. That clock does not count the suspension of a host, after which the daemon would go on with its leases and the ownership of its upstreams though both have expired: on an engine that ignores fencing it could evict an adapter that the next owner has given to a run.

The task that owns the core now compares the wall clock with the monotonic one at each event, as the gateway does, and has the core expire leases, ownership and peer state. A step of the wall clock by more than the threshold of a pause costs the same.

--- a/src/core/daemon_core.ts
+++ b/src/core/daemon_core.ts
@@ -178,6 +178,15 @@
     return this.#takeEffects(now);
   }
 
+  /**
+   * Records that this process was suspended for longer than its monotonic clock
+   * shows, and returns the effects to carry out.
+   */
+  recordPause(now: Milliseconds): Effect[] {
+    this.#expireAfterPause(now);
+    return this.#takeEffects(now);
+  }
+
   describe(now: Milliseconds): DaemonDescription {
     return {
       id: this.#options.selfId,
--- a/src/core/fleet/pause_detector.ts
+++ b/src/core/fleet/pause_detector.ts
@@ -19,12 +19,19 @@
 const CLOCK_SETTLE_MS = 10_000;
 
 export class PauseDetector {
+  readonly #minStepMs: Milliseconds;
   #lastAt: Milliseconds;
   #lastUnixMs: number;
   /** When the process started or its wall clock last made a step. */
   #steadySince: Milliseconds;
 
-  constructor(now: Milliseconds, unixMs: number) {
+  /** @param minStepMs difference of the clocks' progress that is a pause. */
+  constructor(
+    now: Milliseconds,
+    unixMs: number,
+    minStepMs: Milliseconds = CLOCK_STEP_MS,
+  ) {
+    this.#minStepMs = minStepMs;
     this.#steadySince = now;
     this.#lastAt = now;
     this.#lastUnixMs = unixMs;
@@ -37,7 +44,7 @@
     const leadMs = (unixMs - this.#lastUnixMs) - (now - this.#lastAt);
     this.#lastAt = now;
     this.#lastUnixMs = unixMs;
-    const hasPaused = Math.abs(leadMs) > CLOCK_STEP_MS;
+    const hasPaused = Math.abs(leadMs) > this.#minStepMs;
     if (hasPaused) this.#steadySince = now;
     return hasPaused;
   }
--- a/src/daemon/core_task.ts
+++ b/src/daemon/core_task.ts
@@ -3,6 +3,7 @@
 import { DaemonCore, type DaemonCoreOptions } from "../core/daemon_core.ts";
 import type { Effect } from "../core/effects.ts";
 import type { CoreEvent } from "../core/events.ts";
+import { PauseDetector } from "../core/fleet/pause_detector.ts";
 import type { Bus } from "./bus.ts";
 import type { Logger } from "./logger.ts";
 
@@ -10,6 +11,7 @@
   readonly core: DaemonCore;
   readonly #bus: Bus;
   readonly #logger: Logger;
+  readonly #pauseDetector: PauseDetector;
   readonly #timer: NodeJS.Timeout;
 
   constructor(
@@ -21,7 +23,13 @@
   ) {
     this.#bus = options.bus;
     this.#logger = options.logger;
-    this.core = new DaemonCore(options, performance.now());
+    const now = performance.now();
+    this.core = new DaemonCore(options, now);
+    this.#pauseDetector = new PauseDetector(
+      now,
+      Date.now(),
+      options.settings.pauseThresholdMs,
+    );
     this.#bus.on("event", (event) => this.#handle(event));
     this.#timer = setInterval(
       () => this.#handle({ kind: "tick" }),
@@ -35,7 +43,10 @@
 
   #handle(event: CoreEvent): void {
     try {
-      for (const effect of this.core.handle(event, performance.now())) {
+      const now = performance.now();
+      const hasPaused = this.#pauseDetector.hasPaused(now, Date.now());
+      const expired = hasPaused ? this.core.recordPause(now) : [];
+      for (const effect of [...expired, ...this.core.handle(event, now)]) {
         this.#publish(effect);
       }
     } catch (error) {
