What was under way during a suspension proves nothing when it is answered

A gateway that is suspended for seconds while an order or the read of a report is under way gets the answer when it resumes, with a time by its monotonic clock that does not count the suspension. The acceptance of the order, seconds old by then, counted as the proof of ownership for a term from that time, though the pause had been detected, and a report from before the suspension confirmed a claim. The answer may also be handled before the next tick, which is where pauses were looked for.

An order that was under way now proves nothing once it is answered, a report that was requested before the pause is dropped, and both are preceded by the check for a pause. No test covers this last part, the order of two callbacks in the gateway's task.

--- a/src/core/ordering/engine_owner.ts
+++ b/src/core/ordering/engine_owner.ts
@@ -116,6 +116,8 @@
   #pendingOrder:
     | { order: EngineOrder; evidence: OrderEvidence; sentAt: Milliseconds }
     | undefined;
+  /** When this process last resumed after a suspension. */
+  #pausedAt = Number.NEGATIVE_INFINITY;
   #nextOrderAt = Number.NEGATIVE_INFINITY;
   #lastOrderAt = Number.NEGATIVE_INFINITY;
   #needsReconciliation = false;
@@ -235,8 +237,12 @@
    * Records that this process was suspended for longer than its monotonic clock
    * shows.
    */
-  recordPause(): void {
+  recordPause(now: Milliseconds): void {
+    this.#pausedAt = now;
     this.#ownership.recordPause();
+    if (!this.#pendingOrder) return;
+    // Its answer does not show how long ago the engine accepted it.
+    this.#pendingOrder.sentAt = Number.NEGATIVE_INFINITY;
   }
 
   /**
@@ -251,6 +257,8 @@
 
   recordReport(report: ContentsReport, now: Milliseconds): EngineOwnerEffect[] {
     this.#isReading = false;
+    // It may be older than it seems by the length of the suspension.
+    if (report.readAt < this.#pausedAt) return [];
     const wasOwner = this.isOwner();
     const settlement = this.#ownership.recordReport(report, now);
     if (!wasOwner) {
--- a/src/gateway/engine_task.ts
+++ b/src/gateway/engine_task.ts
@@ -300,7 +300,7 @@
     if (!this.#pauseDetector.hasPaused(now, Date.now())) return;
     this.#options.log.warn("pauseDetected", { held: this.listOwnedEngines() });
     this.#options.metrics.count("pauses", "holder");
-    for (const owner of this.#owners.values()) owner.recordPause();
+    for (const owner of this.#owners.values()) owner.recordPause(now);
   }
 
   /**
@@ -547,8 +547,10 @@
           bornAtUnixMs: engine.bornAtUnixMs,
         });
       }
-      this.#runEffects(owner.recordReport(report, performance.now()));
-      this.#serveQueue(engineId, performance.now());
+      const now = performance.now();
+      this.#checkPause(now);
+      this.#runEffects(owner.recordReport(report, now));
+      this.#serveQueue(engineId, now);
     } catch (error) {
       owner.recordReportFailure();
       log.info("reportUnread", {
@@ -586,6 +588,7 @@
     });
     const now = performance.now();
     if (!owner) return;
+    this.#checkPause(now);
     this.#runEffects(owner.recordOrderAnswer(answer, now));
     this.#serveQueue(engineId, now);
   }
--- a/test/fuzz/ownership_simulation.ts
+++ b/test/fuzz/ownership_simulation.ts
@@ -271,7 +271,7 @@
       if (!owner) continue;
       const hasPaused = pauseDetectors[index]
         ?.hasPaused(now, getWallClock(index, now));
-      if (hasPaused) owner.recordPause();
+      if (hasPaused) owner.recordPause(now);
       if ((now + index * 100) % HEARTBEAT_MS === 0) sendHeartbeat(index);
       if (draw(0, 9) === 0) {
         permits += 1;
