Heartbeats from before a suspension show no quorum after it

A gateway that was suspended for seconds still counts the heartbeats that it had heard just before as recent, by its monotonic clock, which does not count the suspension; more of them wait in its socket.

After a detected pause, only heartbeats that arrive later than the time which one takes on the network count towards a quorum and for engines without an owner. Members are still considered alive meanwhile, so that a step of the wall clock, which looks like a pause, changes no ranking and no route.

Failed before, as the view was not told of pauses: "heartbeats from before a suspension show no quorum after it" and "an engine counts as unowned only by heartbeats that followed a suspension".

--- a/src/core/fleet/fleet_view.ts
+++ b/src/core/fleet/fleet_view.ts
@@ -147,6 +147,8 @@
   readonly #members = new Map<string, KnownMember>();
   #localMembers = 0;
   #snapshot: Snapshot | undefined;
+  /** Time from which heartbeats count towards a quorum. */
+  #heardSince = Number.NEGATIVE_INFINITY;
   readonly #fanout: HeartbeatFanout;
   readonly #groups = new Map<
     string,
@@ -209,7 +211,10 @@
   hasQuorum(failureDomain: string, now: Milliseconds): boolean {
     if (this.isFullMesh()) {
       const known = this.#listRemembered(now);
-      return 2 * this.countAlive(now) > known.length + 1;
+      const heard = known.filter((each) =>
+        this.#isAlive(each, now) && each.lastHeartbeatAt >= this.#heardSince
+      );
+      return 2 * (heard.length + 1) > known.length + 1;
     }
     if (failureDomain !== this.#self.failureDomain) return false;
     const group = this.#getGroup(failureDomain, now);
@@ -226,6 +231,7 @@
   #hasFreshHeartbeat(id: string, now: Milliseconds): boolean {
     const known = this.#members.get(id);
     return known !== undefined && !known.isUnreachable &&
+      known.lastHeartbeatAt >= this.#heardSince &&
       now - known.lastHeartbeatAt < MISSED_HEARTBEATS * SMALL_INTERVAL_MS;
   }
 
@@ -275,6 +281,14 @@
     this.#expireSnapshot();
   }
 
+  /**
+   * Records that this process was suspended for longer than its monotonic clock
+   * shows. Heartbeats from before, which may still arrive, show no quorum.
+   */
+  recordPause(now: Milliseconds): void {
+    this.#heardSince = now + MAX_HEARTBEAT_DELAY_MS;
+  }
+
   /** Returns the members that receive a heartbeat in this period. */
   selectTargets(now: Milliseconds): HeartbeatTarget[] {
     const members = this.#listRemembered(now).map((each) => each.member);
@@ -392,6 +406,7 @@
       requirements.seedIps.every((ip) => ip === this.#self.ip || ips.has(ip)) &&
       peers.every((each) =>
         this.#isAlive(each, now) &&
+        each.lastHeartbeatAt >= this.#heardSince &&
         each.lastHeartbeatAt >= requirements.since + MAX_HEARTBEAT_DELAY_MS &&
         hasNeverOwned(each.heartbeat, engine.id)
       );
--- a/src/gateway/engine_task.ts
+++ b/src/gateway/engine_task.ts
@@ -300,6 +300,7 @@
     if (!this.#pauseDetector.hasPaused(now, Date.now())) return;
     this.#options.log.warn("pauseDetected", { held: this.listOwnedEngines() });
     this.#options.metrics.count("pauses", "holder");
+    this.#options.fleet.recordPause(now);
     for (const owner of this.#owners.values()) owner.recordPause(now);
   }
 
--- a/test/core/fleet/fleet_view_test.ts
+++ b/test/core/fleet/fleet_view_test.ts
@@ -330,4 +330,49 @@
   assert.is(fleet.beat, 5_010);
 });
 
+test("heartbeats from before a suspension show no quorum after it", () => {
+  for (const size of [3, 60]) {
+    const members = Array.from(
+      { length: size },
+      (_, index) => createMember(`${index}`),
+    );
+    const group = selectOwnerGroup("a", members);
+    const self = group[0] ?? createMember("0");
+    const fleet = new FleetView(self);
+    const hearAll = (at: number): void => {
+      for (const member of members) {
+        fleet.recordHeartbeat(buildHeartbeat(member), at);
+      }
+    };
+    hearAll(0);
+    assert.ok(fleet.hasQuorum("a", 10));
+    fleet.recordPause(20);
+    assert.not(fleet.hasQuorum("a", 30), `${size} members`);
+    hearAll(40);
+    assert.not(
+      fleet.hasQuorum("a", 50),
+      "these may have waited in the socket for seconds",
+    );
+    hearAll(420);
+    assert.ok(fleet.hasQuorum("a", 430));
+  }
+});
+
+test("an engine counts as unowned only by heartbeats that followed a suspension", () => {
+  const fleet = new FleetView(createMember("1"));
+  const hearAll = (at: number): void => {
+    for (const id of ["2", "3"]) {
+      const part = { newcomerHeld: [] };
+      fleet.recordHeartbeat(buildHeartbeat(createMember(id), part), at);
+    }
+  };
+  const requirements = { since: 0, seedIps: [] };
+  hearAll(400);
+  assert.ok(fleet.isUnowned(ENGINE, requirements, 410));
+  fleet.recordPause(420);
+  assert.not(fleet.isUnowned(ENGINE, requirements, 430));
+  hearAll(800);
+  assert.ok(fleet.isUnowned(ENGINE, requirements, 810));
+});
+
 test.run();
