--- a/src/core/fleet/fleet_view.ts
+++ b/src/core/fleet/fleet_view.ts
@@ -155,10 +155,13 @@
 
 export class FleetView {
   readonly #self: FleetMember;
-  readonly #firstBeat: number;
+  /** Difference between the numbers of heartbeats and of periods. */
+  #firstBeat: number;
   readonly #members = new Map<string, KnownMember>();
   #localMembers = 0;
   #snapshot: Snapshot | undefined;
+  /** Time from which heartbeats count towards a quorum. */
+  #heardSince = Number.NEGATIVE_INFINITY;
   readonly #fanout: HeartbeatFanout;
   readonly #groups = new Map<
     string,
@@ -166,8 +169,9 @@
   >();
 
   /**
-   * @param firstBeat number of the first heartbeat; must exceed the numbers
-   * used before a restart, as the wall clock does.
+   * @param firstBeat number of the first heartbeat; should exceed the numbers
+   * used before a restart, as the wall clock does unless it was ahead then. In
+   * that case the numbers continue above the one that peers still list.
    */
   constructor(self: FleetMember, firstBeat = 0) {
     this.#self = self;
@@ -220,7 +224,10 @@
   hasQuorum(failureDomain: string, now: Milliseconds): boolean {
     if (this.isFullMesh()) {
       const known = this.#listRemembered(now);
-      return 2 * this.countAlive(now) > known.length + 1;
+      const heard = known.filter((each) =>
+        this.#isAlive(each, now) && each.lastHeartbeatAt >= this.#heardSince
+      );
+      return 2 * (heard.length + 1) > known.length + 1;
     }
     if (failureDomain !== this.#self.failureDomain) return false;
     const group = this.#getGroup(failureDomain, now);
@@ -237,6 +244,7 @@
   #hasFreshHeartbeat(id: string, now: Milliseconds): boolean {
     const known = this.#members.get(id);
     return known !== undefined && !known.isUnreachable &&
+      known.lastHeartbeatAt >= this.#heardSince &&
       now - known.lastHeartbeatAt < MISSED_HEARTBEATS * SMALL_INTERVAL_MS;
   }
 
@@ -289,6 +297,14 @@
     this.#expireSnapshot();
   }
 
+  /**
+   * Records that this process was suspended for longer than its monotonic clock
+   * shows. Heartbeats from before, which may still arrive, show no quorum.
+   */
+  recordPause(now: Milliseconds): void {
+    this.#heardSince = now + MAX_HEARTBEAT_DELAY_MS;
+  }
+
   /** Returns the members that receive a heartbeat in this period. */
   selectTargets(now: Milliseconds): HeartbeatTarget[] {
     const members = this.#listRemembered(now).map((each) => each.member);
@@ -402,6 +418,7 @@
       this.#isEachKnown(requirements.seedIps, now) &&
       peers.every((each) =>
         this.#isAlive(each, now) &&
+        each.lastHeartbeatAt >= this.#heardSince &&
         each.lastHeartbeatAt >= requirements.since + MAX_HEARTBEAT_DELAY_MS &&
         hasNeverOwned(each.heartbeat, engine.id)
       );
@@ -578,7 +595,10 @@
 
   #recordGossip(entry: GossipEntry, now: Milliseconds): void {
     const [id, ip, failureDomain, beat] = entry;
-    if (id === this.#self.id) return;
+    if (id === this.#self.id) {
+      if (beat > this.beat) this.#firstBeat = beat + 1 - this.#fanout.round;
+      return;
+    }
     const known = this.#members.get(id);
     if (!known) {
       const member = { id, ip, failureDomain };
--- a/src/core/ordering/engine_ownership.ts
+++ b/src/core/ordering/engine_ownership.ts
@@ -195,7 +195,10 @@
         (isContested ? CONTESTED_VERIFIED_MS : VERIFIED_MS);
   }
 
-  /** Returns the time since the engine's start; undefined if it is unknown. */
+  /**
+   * Returns the time since the engine's start by this host's wall clock, which
+   * may be off by seconds; undefined if it is unknown.
+   */
   getEngineAgeMs(now: Milliseconds): Milliseconds | undefined {
     const { state } = this;
     return state.kind === "holding" && Number.isFinite(state.startedAt)
@@ -261,11 +264,11 @@
 
   /**
    * Returns whether a daemon may consider itself the engine's only owner since
-   * its start.
+   * its start, as far as this daemon's own observations tell.
    */
   canBeOwnedSinceStart(now: Milliseconds): boolean {
-    const ageMs = this.getEngineAgeMs(now);
-    return ageMs !== undefined && ageMs < this.#getSoleOwnershipMs();
+    return this.#state.kind === "holding" &&
+      now - this.#state.firstSeenAt < this.#getSoleOwnershipMs();
   }
 
   /**
@@ -274,8 +277,7 @@
    * for a term by the time all daemons see an order sent now.
    */
   isSoleOwnerSinceRestart(now: Milliseconds): boolean {
-    return this.#state.kind === "holding" && this.#state.isHeldSinceStart &&
-      now - this.#state.startedAt < this.#getSoleOwnershipMs();
+    return this.#state.kind === "holding" && now < this.#state.soleOwnerUntil;
   }
 
   /**
@@ -389,12 +391,14 @@
   claim(conditions: ClaimConditions, now: Milliseconds): boolean {
     if (this.#state.kind !== "observing") return false;
     if (!this.isClaimable(conditions, now)) return false;
-    const { sequence, bornAtUnixMs, startedAt, confirmedAt } = this.#state;
+    const { sequence, bornAtUnixMs, startedAt, observedAt, confirmedAt } =
+      this.#state;
     this.#fencing.begin(sequence);
     this.#takeOwnership({
       sequence,
       bornAtUnixMs,
       startedAt,
+      firstSeenAt: observedAt,
       acceptedAt: Number.NEGATIVE_INFINITY,
       verifiedAt: confirmedAt,
     }, now);
@@ -423,6 +427,7 @@
       sequence: handover.sequence,
       bornAtUnixMs: handover.bornAtUnixMs,
       startedAt: Number.NEGATIVE_INFINITY,
+      firstSeenAt: Number.NEGATIVE_INFINITY,
       acceptedAt: now - handover.acceptedAgeMs - MAX_HANDOVER_DELAY_MS,
       // The former owner may not have seen that the engine restarted.
       verifiedAt: Number.NEGATIVE_INFINITY,
@@ -445,11 +450,16 @@
           countedAt: never,
           contestedAt: undefined,
           verifiedAt: never,
-          isHeldSinceStart: false,
+          soleOwnerUntil: never,
         };
         break;
       case "unsettled":
-        this.#state = { ...state, acceptedAt: never, countedAt: never };
+        this.#state = {
+          ...state,
+          acceptedAt: never,
+          countedAt: never,
+          verifiedAt: never,
+        };
         break;
       case "observing":
         this.#state = { ...state, confirmedAt: never };
@@ -530,8 +540,10 @@
           sequence: this.#state.sequence,
           bornAtUnixMs: this.#state.bornAtUnixMs,
           startedAt: this.#state.startedAt,
+          firstSeenAt: this.#state.firstSeenAt,
           acceptedAt: this.#state.acceptedAt,
           countedAt: this.#state.countedAt,
+          verifiedAt: this.#state.verifiedAt,
           sentAt,
           readableAt: now + REPORT_LAG_MS,
         };
@@ -561,7 +573,7 @@
       kind: "holding",
       ordersFrom: Math.max(now, this.#restsUntil),
       contestedAt: undefined,
-      isHeldSinceStart: false,
+      soleOwnerUntil: Number.NEGATIVE_INFINITY,
       countedAt: Number.NEGATIVE_INFINITY,
       ...acquired,
     };
@@ -584,7 +596,7 @@
     now: Milliseconds,
   ): Settlement {
     if (report.bornAtUnixMs !== state.bornAtUnixMs) {
-      return this.#handleRestart(state.acceptedAt, report, now);
+      return this.#handleRestart(state, report, now);
     }
     if (report.sequence > state.sequence) return this.#depose(now);
     if (this.isExclusive(now)) this.#fencing.recordCounted(report.sequence);
@@ -604,16 +616,14 @@
   ): Settlement {
     if (report.readAt < state.readableAt) return { kind: "none" };
     if (report.bornAtUnixMs !== state.bornAtUnixMs) {
-      return this.#handleRestart(state.acceptedAt, report, now);
+      return this.#handleRestart(state, report, now);
     }
     this.#fencing.recordCounted(report.sequence);
     if (report.sequence === state.sequence) {
-      const { sequence, bornAtUnixMs, startedAt, acceptedAt, countedAt } =
-        state;
+      const { sequence, acceptedAt, countedAt } = state;
       this.#takeOwnership({
+        ...getStart(state),
         sequence,
-        bornAtUnixMs,
-        startedAt,
         acceptedAt,
         countedAt,
         verifiedAt: report.readAt,
@@ -624,11 +634,10 @@
     const isMiscounted = report.sequence < state.sequence &&
       report.readAt - state.countedAt < this.#options.termMs;
     if (isMiscounted) {
-      const { bornAtUnixMs, startedAt, countedAt } = state;
+      const { countedAt } = state;
       this.#takeOwnership({
+        ...getStart(state),
         sequence: report.sequence,
-        bornAtUnixMs,
-        startedAt,
         acceptedAt: countedAt,
         countedAt,
         verifiedAt: report.readAt,
@@ -641,11 +650,10 @@
       report.readAt - state.acceptedAt < this.#options.termMs;
     if (!isOwn) return this.#depose(now);
     this.#fencing.recordAccepted();
-    const { bornAtUnixMs, startedAt, sentAt } = state;
+    const { sentAt } = state;
     this.#takeOwnership({
+      ...getStart(state),
       sequence: report.sequence,
-      bornAtUnixMs,
-      startedAt,
       acceptedAt: sentAt,
       countedAt: sentAt,
       verifiedAt: report.readAt,
@@ -655,29 +663,33 @@
 
   /**
    * Keeps ownership of an engine that restarted, unless another daemon has
-   * already ordered it.
-   * @param acceptedAt when the engine last accepted an order of this daemon
-   * before.
+   * already ordered it. Only times that this daemon observed itself decide
+   * whether it orders alone: the engine's age depends on the wall clock, which
+   * may have been off by seconds when this process started.
+   * @param last what this daemon knows about the engine before the restart.
    */
   #handleRestart(
-    acceptedAt: Milliseconds,
+    last: Pick<OwnedState, "acceptedAt" | "verifiedAt">,
     report: OrderReport,
     now: Milliseconds,
   ): Settlement {
     if (report.sequence !== 0) return this.#depose(now);
     this.#fencing.begin(0);
-    const startedAt = report.readAt - report.ageMs;
-    // Any other daemon waited a term before its claim, and the engine was down
-    // for a while.
-    const isHeldSinceStart =
-      startedAt - acceptedAt < this.#options.termMs + MIN_RESTART_MS;
+    const { termMs } = this.#options;
+    // Any other daemon waited a term before its claim, and the engine went down
+    // this long before the report at the latest.
+    const wasSoleOwner =
+      report.readAt - last.acceptedAt < termMs + MIN_RESTART_MS;
+    const earliestStartAt = last.verifiedAt + MIN_RESTART_MS;
     this.#takeOwnership({
       sequence: 0,
       bornAtUnixMs: report.bornAtUnixMs,
-      startedAt,
+      startedAt: report.readAt - report.ageMs,
+      firstSeenAt: report.readAt,
       acceptedAt: Number.NEGATIVE_INFINITY,
       verifiedAt: report.readAt,
-      isHeldSinceStart,
+      ...(wasSoleOwner &&
+        { soleOwnerUntil: earliestStartAt + this.#getSoleOwnershipMs() }),
     }, now);
     return { kind: "restarted" };
   }
@@ -696,3 +708,13 @@
   return answer.kind === "conflict" || answer.kind === "rejected" ||
     answer.kind === "notSent";
 }
+
+/** Returns what is known about the start of the engine's process. */
+function getStart(
+  { bornAtUnixMs, startedAt, firstSeenAt }: Extract<
+    OwnershipState,
+    { kind: "unsettled" }
+  >,
+): Pick<OwnedState, "bornAtUnixMs" | "startedAt" | "firstSeenAt"> {
+  return { bornAtUnixMs, startedAt, firstSeenAt };
+}
--- a/src/core/ordering/order_planner.ts
+++ b/src/core/ordering/order_planner.ts
@@ -72,6 +72,10 @@
    * undefined if the model has no adapters.
    */
   selectOwnAdapter: (model: string) => string | undefined;
+  /**
+   * Returns whether the wall clock, and so the engine's age, can be trusted.
+   */
+  isClockSteady: (now: Milliseconds) => boolean;
 }
 
 export class OrderPlanner {
@@ -174,10 +178,12 @@
    * claimants may send too. The turns follow from the engine's age, so that
    * daemons that cannot hear each other still send at different times. They
    * begin once no daemon can consider itself the engine's only owner since its
-   * start any more.
+   * start any more. A daemon whose wall clock may be off by a step has no turn.
    */
   #isContestedTurn(now: Milliseconds): boolean {
+    const { isClockSteady } = this.#options;
     if (this.#ownership.canBeOwnedSinceStart(now)) return false;
+    if (!isClockSteady(now)) return false;
     const ageMs = this.#ownership.getEngineAgeMs(now) ?? 0;
     const cycleMs = (this.#options.listClaimants().length + 1) *
       CONTESTED_TURN_MS;
@@ -200,28 +206,36 @@
   ): PlannedOrder | undefined {
     const { selfId, selectOwnAdapter, listClaimants } = this.#options;
     const { slots } = this.#admission;
-    const isOwnShareTimeOver = now - this.#ownedSince > PROOF_OWN_SHARE_MS;
-    const order = selectProvingOrder({
+    const input = {
       selfId,
       claimants: listClaimants(),
-      mayEvictAny: !this.#mayHaveOtherClaimants || (isOwnShareTimeOver &&
-        (hasQuorum || this.#isContestedTurn(now))),
       model,
       ownAdapter: selectOwnAdapter(model),
       idlePaths: this.#admission.listEvictable(now)
         .map((slot) => slot.adapterPath),
       hasFreeSlot: slots.hasFreeSlot(),
-      hasAdapter: (adapterPath) => slots.getSlot(adapterPath) !== undefined,
-    });
-    return order && {
-      order,
-      isContested: true,
-      isInconclusive: false,
-      contestedSlot: undefined,
+      hasAdapter: (adapterPath: string) =>
+        slots.getSlot(adapterPath) !== undefined,
     };
+    const own = selectProvingOrder({ ...input, mayEvictAny: false });
+    if (own) return createProvingOrder(own, false);
+    const isOwnShareTimeOver = now - this.#ownedSince > PROOF_OWN_SHARE_MS;
+    const mayEvictAny = !this.#mayHaveOtherClaimants || (isOwnShareTimeOver &&
+      (hasQuorum || this.#isContestedTurn(now)));
+    const order = selectProvingOrder({ ...input, mayEvictAny });
+    // Turns depend on wall clocks: another claimant may send the same eviction.
+    const isInconclusive = this.#mayHaveOtherClaimants && !hasQuorum;
+    return order && createProvingOrder(order, isInconclusive);
   }
 }
 
+function createProvingOrder(
+  order: EngineOrder,
+  isInconclusive: boolean,
+): PlannedOrder {
+  return { order, isContested: true, isInconclusive, contestedSlot: undefined };
+}
+
 function createUncontestedOrder(order: EngineOrder): PlannedOrder {
   return {
     order,
--- a/src/core/ordering/ownership_state.ts
+++ b/src/core/ordering/ownership_state.ts
@@ -44,15 +44,20 @@
      */
     contestedAt: Milliseconds | undefined;
     /**
-     * Latest time at which the engine can have started; unknown after a
-     * handover.
+     * When the engine started by this host's wall clock, which may be off by
+     * seconds; unknown after a handover.
      */
     startedAt: Milliseconds;
     /**
-     * Whether this daemon was the only owner when the engine went down to
-     * restart.
+     * Latest time at which the engine can have started: when the first report
+     * since then was read.
      */
-    isHeldSinceStart: boolean;
+    firstSeenAt: Milliseconds;
+    /**
+     * Until when this daemon may order the engine alone after a restart that it
+     * went through as the only owner.
+     */
+    soleOwnerUntil: Milliseconds;
   }
   /**
    * Whether the last order was accepted is unknown until a report is read at or
@@ -64,7 +69,10 @@
     bornAtUnixMs: number;
     acceptedAt: Milliseconds;
     countedAt: Milliseconds;
+    /** When the engine last showed that it had not restarted. */
+    verifiedAt: Milliseconds;
     startedAt: Milliseconds;
+    firstSeenAt: Milliseconds;
     /** When the unsettled order was sent. */
     sentAt: Milliseconds;
     readableAt: Milliseconds;
@@ -84,15 +92,15 @@
 export type AcquiredOwnership =
   & Omit<
     OwnedState,
-    "kind" | "ordersFrom" | "contestedAt" | "isHeldSinceStart" | "countedAt"
+    "kind" | "ordersFrom" | "contestedAt" | "soleOwnerUntil" | "countedAt"
   >
-  & Partial<Pick<OwnedState, "isHeldSinceStart" | "countedAt">>;
+  & Partial<Pick<OwnedState, "soleOwnerUntil" | "countedAt">>;
 
 /** What an engine reports about the orders that it accepted. */
 export interface OrderReport {
   sequence: number;
   bornAtUnixMs: number;
-  /** Minimum time since the engine's start. */
+  /** Time since the engine's start by this host's wall clock. */
   ageMs: Milliseconds;
   /** When the report was requested. */
   readAt: Milliseconds;
--- a/src/gateway/engine_task.ts
+++ b/src/gateway/engine_task.ts
@@ -306,7 +306,8 @@
     if (!this.#pauseDetector.hasPaused(now, Date.now())) return;
     this.#options.log.warn("pauseDetected", { held: this.listOwnedEngines() });
     this.#options.metrics.count("pauses", "holder");
-    for (const owner of this.#owners.values()) owner.recordPause();
+    this.#options.fleet.recordPause(now);
+    for (const owner of this.#owners.values()) owner.recordPause(now);
   }
 
   /**
@@ -361,6 +362,7 @@
               this.#options.fleet.listClaimants(engine, performance.now()),
             selectOwnAdapter: (model) =>
               this.#selectOwnAdapter(engine.id, model),
+            isClockSteady: (now) => this.#pauseDetector.isClockSteady(now),
           }),
         );
       }
@@ -551,8 +553,10 @@
           bornAtUnixMs: engine.bornAtUnixMs,
         });
       }
-      this.#runEffects(owner.recordReport(report, performance.now()));
-      this.#serveQueue(engineId, performance.now());
+      const now = performance.now();
+      this.#checkPause(now);
+      this.#runEffects(owner.recordReport(report, now));
+      this.#serveQueue(engineId, now);
     } catch (error) {
       owner.recordReportFailure();
       log.info("reportUnread", {
@@ -594,6 +598,7 @@
     });
     const now = performance.now();
     if (!owner) return;
+    this.#checkPause(now);
     this.#runEffects(owner.recordOrderAnswer(answer, now));
     this.#serveQueue(engineId, now);
   }
--- a/test/core/fleet/fleet_view_test.ts
+++ b/test/core/fleet/fleet_view_test.ts
@@ -334,4 +334,82 @@
   );
 });
 
+test("a daemon whose clock was ahead before its restart is not held for dead in a large fleet", () => {
+  const restarted = createMember("2");
+  const third = createMember("3");
+  const before = 1_002_800;
+  const observer = new FleetView(createMember("1"));
+  for (let index = 10; index < 50; index += 1) {
+    observer.recordHeartbeat(buildHeartbeat(createMember(`${index}`)), 0);
+  }
+  assert.not(observer.isFullMesh());
+  const known: GossipEntry = ["2", restarted.ip, "a", before];
+  observer.recordHeartbeat(buildHeartbeat(third, { sample: [known] }), 0);
+
+  // It starts again once its clock is right, and a peer still lists it.
+  const fleet = new FleetView(restarted, 1_001_000);
+  fleet.recordHeartbeat(buildHeartbeat(third, { sample: [known] }), 100);
+  for (let now = 1_000; now <= 60_000; now += 1_000) {
+    fleet.selectTargets(now);
+    const heard: GossipEntry = ["2", restarted.ip, "a", fleet.beat];
+    observer.recordHeartbeat(buildHeartbeat(third, { sample: [heard] }), now);
+    assert.ok(observer.isAlive("2", now + 500), `at ${now}`);
+  }
+});
+
+test("a daemon's own heartbeats, listed by its peers, do not change their numbers", () => {
+  const fleet = new FleetView(createMember("1"), 5_000);
+  for (let now = 0; now < 4_000; now += 400) {
+    fleet.selectTargets(now);
+    const sample: GossipEntry[] = [["1", "10.0.0.1", "a", fleet.beat]];
+    fleet.recordHeartbeat(buildHeartbeat(createMember("2"), { sample }), now);
+  }
+  assert.is(fleet.beat, 5_010);
+});
+
+test("heartbeats from before a suspension show no quorum after it", () => {
+  for (const size of [3, 60]) {
+    const members = Array.from(
+      { length: size },
+      (_, index) => createMember(`${index}`),
+    );
+    const group = selectOwnerGroup("a", members);
+    const self = group[0] ?? createMember("0");
+    const fleet = new FleetView(self);
+    const hearAll = (at: number): void => {
+      for (const member of members) {
+        fleet.recordHeartbeat(buildHeartbeat(member), at);
+      }
+    };
+    hearAll(0);
+    assert.ok(fleet.hasQuorum("a", 10));
+    fleet.recordPause(20);
+    assert.not(fleet.hasQuorum("a", 30), `${size} members`);
+    hearAll(40);
+    assert.not(
+      fleet.hasQuorum("a", 50),
+      "these may have waited in the socket for seconds",
+    );
+    hearAll(420);
+    assert.ok(fleet.hasQuorum("a", 430));
+  }
+});
+
+test("an engine counts as unowned only by heartbeats that followed a suspension", () => {
+  const fleet = new FleetView(createMember("1"));
+  const hearAll = (at: number): void => {
+    for (const id of ["2", "3"]) {
+      const part = { newcomerHeld: [] };
+      fleet.recordHeartbeat(buildHeartbeat(createMember(id), part), at);
+    }
+  };
+  const requirements = { since: 0, seedIps: [] };
+  hearAll(400);
+  assert.ok(fleet.isUnowned(ENGINE, requirements, 410));
+  fleet.recordPause(420);
+  assert.not(fleet.isUnowned(ENGINE, requirements, 430));
+  hearAll(800);
+  assert.ok(fleet.isUnowned(ENGINE, requirements, 810));
+});
+
 test.run();
--- a/test/core/ordering/empty_engine_test.ts
+++ b/test/core/ordering/empty_engine_test.ts
@@ -60,6 +60,7 @@
     engineId: "engine",
     listClaimants: () => ["former", "other"],
     selectOwnAdapter: () => `own-${selfId}`,
+    isClockSteady: () => true,
     limits: {
       adapterSlots: 3,
       batchSize: 8,
--- a/test/core/ordering/engine_owner_test.ts
+++ b/test/core/ordering/engine_owner_test.ts
@@ -1,7 +1,8 @@
 /**
  * Orders that one engine accepts from successive owners: their fencing numbers
- * increase, whatever the owners' wall clocks show and whatever they forget, and
- * the log tells on what each claim and order rests.
+ * increase, whatever the owners' wall clocks show and whatever they forget, what
+ * was under way during a suspension proves nothing, and the log tells on what
+ * each claim and order rests.
  */
 import { test } from "uvu";
 import * as assert from "uvu/assert";
@@ -59,6 +60,7 @@
     },
     termMs: TERM_MS,
     selectOwnAdapter: () => selfId,
+    isClockSteady: () => true,
   });
 }
 
@@ -90,12 +92,17 @@
 /** Requests an adapter and returns the order that follows. */
 function requestAdapter(owner: EngineOwner, now: number): GiveOrder {
   owner.tick(CONTEXT, now);
+  requestPermit(owner, "a1", now);
+  return findOrder(owner.tick(CONTEXT, now));
+}
+
+function requestPermit(owner: EngineOwner, adapter: string, now: number): void {
   owner.requestPermit({
-    permitId: "p",
+    permitId: adapter,
     holder: "entry",
     model: "m",
-    adapter: "a1",
-    adapterPath: "m/a1",
+    adapter,
+    adapterPath: `m/${adapter}`,
     version: undefined,
     priorityRank: 0,
     promptTokens: 10,
@@ -106,7 +113,6 @@
     lifetimeMs: 1_000,
     isLastChoice: true,
   }, now);
-  return findOrder(owner.tick(CONTEXT, now));
 }
 
 function findOrder(effects: readonly EngineOwnerEffect[]): GiveOrder {
@@ -191,4 +197,33 @@
   });
 });
 
+test("an order that was under way during a suspension does not prove ownership once it is answered", () => {
+  const owner = createOwner("first", BORN);
+  const claimedAt = TERM_MS + 310;
+  claimAfterTerm(owner);
+  assert.ok(requestAdapter(owner, claimedAt + 10));
+  owner.recordPause(claimedAt + 20);
+  owner.recordOrderAnswer({ kind: "accepted" }, claimedAt + 30);
+  requestPermit(owner, "a2", claimedAt + 40);
+  const effects = owner.tick(CONTEXT, claimedAt + 40);
+  assert.not(
+    effects.some((effect) => effect.kind === "giveOrder"),
+    "another daemon may have ordered during the suspension",
+  );
+});
+
+test("a report that was requested before a suspension confirms nothing after it", () => {
+  const owner = createOwner("first", BORN);
+  const context = { ...CONTEXT, isUnowned: false };
+  const readAt = TERM_MS + 400;
+  owner.recordReport(buildReport(5, 0), 10);
+  owner.recordPause(readAt + 20);
+  owner.recordReport(buildReport(5, readAt), readAt + 30);
+  owner.tick(context, readAt + 40);
+  assert.not(owner.isOwner(), "another daemon may have ordered since");
+  owner.recordReport(buildReport(5, readAt + 50), readAt + 60);
+  owner.tick(context, readAt + 70);
+  assert.ok(owner.isOwner());
+});
+
 test.run();
--- a/test/fuzz/empty_engine_simulation.ts
+++ b/test/fuzz/empty_engine_simulation.ts
@@ -24,7 +24,6 @@
 const TERM_MS = 3_000;
 const RUN_MS = 60_000;
 const STEP_MS = 20;
-const UNIX_MS = 1_000_000;
 /**
  * Number of adapters that are requested: few, so that two daemons often want
  * the same.
@@ -177,6 +176,7 @@
       },
       termMs: TERM_MS,
       selectOwnAdapter: () => `own${index}`,
+      isClockSteady: () => true,
     });
   }
 
--- a/test/fuzz/ownership_simulation.ts
+++ b/test/fuzz/ownership_simulation.ts
@@ -16,6 +16,7 @@
   FleetView,
   RECENTLY_STARTED_MS,
 } from "../../src/core/fleet/fleet_view.ts";
+import { PauseDetector } from "../../src/core/fleet/pause_detector.ts";
 import type { FleetMember } from "../../src/core/fleet/heartbeat.ts";
 import type { OrderAnswer } from "../../src/core/ordering/ownership_state.ts";
 import { buildHeartbeat } from "../core/fleet/heartbeat_builder.ts";
@@ -132,6 +133,7 @@
   const desired: boolean[] = [];
   const clockSkews = Array.from({ length: DAEMONS }, () => draw(-400, 400));
   const clockSteps: { ms: number; until: number }[] = [];
+  const pauseDetectors: PauseDetector[] = [];
   const isStopping: boolean[] = [];
   const startedAt: number[] = [];
   const hasOwned: boolean[] = [];
@@ -140,8 +142,14 @@
   let loads = 0;
   /** When each owner claimed the engine; undefined after its first load. */
   const claimedAt: (number | undefined)[] = [];
+  /** Returns by what a step of a daemon's wall clock sets it off now. */
+  const getClockStep = (index: number): number => {
+    const step = clockSteps[index];
+    return step && now < step.until ? step.ms : 0;
+  };
   const startDaemon = (index: number, at: number): void => {
     startedAt[index] = at;
+    pauseDetectors[index] = new PauseDetector(at, at + getClockStep(index));
     hasOwned[index] = false;
     isStopping[index] = false;
     claimedAt[index] = undefined;
@@ -165,16 +173,15 @@
       },
       termMs: TERM_MS,
       selectOwnAdapter: () => `own${index}`,
+      isClockSteady: (at) => pauseDetectors[index]?.isClockSteady(at) ?? false,
     });
     downUntil[index] = at;
   };
   let now = 0;
   let runningDaemon = 0;
-  Date.now = () => {
-    const step = clockSteps[runningDaemon];
-    const stepMs = step && now < step.until ? step.ms : 0;
-    return RUN_START_UNIX_MS + now + (clockSkews[runningDaemon] ?? 0) + stepMs;
-  };
+  Date.now = () =>
+    RUN_START_UNIX_MS + now + (clockSkews[runningDaemon] ?? 0) +
+    getClockStep(runningDaemon);
   const getOwner = (index: number): EngineOwner | undefined => {
     runningDaemon = index;
     return owners[index];
@@ -201,6 +208,7 @@
       if (effect.kind === "readReport") {
         const readAt = now;
         const report = engine.report(arrivesAt, draw(0, 400));
+        report.ageMs += getClockStep(index);
         const isUnread = isLost || engine.isDown(arrivesAt);
         deliveries.push({
           at: answersAt,
@@ -358,6 +366,9 @@
         stopDaemon(index);
         continue;
       }
+      const hasPaused = pauseDetectors[index]
+        ?.hasPaused(now, now + getClockStep(index));
+      if (hasPaused) owner.recordPause(now);
       if ((now + index * 100) % HEARTBEAT_MS === 0) sendHeartbeat(index);
       if (draw(0, 9) === 0) {
         permits += 1;
