Claimants of an empty engine get rising numbers to the millisecond; model loads stay below their count

Change: at count 0 the position follows the engine's age in steps of 2 ms for 196 s; each load of a base model at a higher count has a position below those of its count.

--- a/src/core/ordering/engine_owner.ts
+++ b/src/core/ordering/engine_owner.ts
@@ -542,7 +542,8 @@
       order,
       fence: this.#ownership.issueFence({
         kind: order.kind,
-        contestedSlot: planned.contestedSlot,
+        contestedSlot: planned.contestedSlot ??
+          (order.adapter === "" ? 0 : undefined),
         host: this.#options.selfId,
       }),
       expectedSequence,
--- a/src/core/ordering/fencing_number.ts
+++ b/src/core/ordering/fencing_number.ts
@@ -5,13 +5,15 @@
  * orders that the engine has counted, and a part that differs between hosts.
  *
  * An engine confirms some orders without counting them: the eviction of an
- * adapter that it does not have, or the load of a model that it does. Positions
- * therefore rest on a lower bound of the count, which reports and accepted loads
- * raise, and an eviction repeats the position of the order before it. Otherwise
+ * adapter that it does not have, or the load of a model that it has or is
+ * loading. Positions therefore rest on a lower bound of the count, which reports
+ * and accepted loads raise; an eviction repeats the position of the order before
+ * it, and the load of a model stays below the positions of its count. Otherwise
  * the next owner, which reads the engine's own count, could use a lower number.
  */
 import type { EngineOrder } from "../admission/admission_controller.ts";
 import { hashText } from "../hashing.ts";
+import type { Milliseconds } from "../structures.ts";
 
 /**
  * Numbers within one position, one for each host: twice as many as in the
@@ -30,13 +32,19 @@
  * Additional positions of an engine that has counted no order: several claimants
  * may load its base model before any of them sees the other's order.
  */
-const EMPTY_ENGINE_POSITIONS = 240;
+const EMPTY_ENGINE_POSITIONS = 368;
 /**
  * Positions below those of a count for orders that the engine may confirm at this
  * count without counting them, so that the next owner's first order has a higher
  * one.
  */
 const UNCOUNTED_POSITIONS = 8;
+/**
+ * Slots within one position of an engine that has counted no order, and the time
+ * between two of them: claimants may load its base model within milliseconds.
+ */
+const SLOTS_PER_POSITION = 256;
+const SLOT_MS = 2;
 
 /** What is known of the numbers that an engine has accepted since its start. */
 export interface FencingBounds {
@@ -93,8 +101,8 @@
 
   /**
    * Returns the position of an order sent now.
-   * @param contestedSlot how late a claimant sends an order that others may send
-   * at the same count; undefined for other orders.
+   * @param contestedSlot slot of a load that the engine may confirm without
+   * counting it; undefined for other orders.
    */
   issuePosition(
     kind: EngineOrder["kind"],
@@ -110,11 +118,22 @@
   }
 }
 
-/** Returns the position of a load that other claimants may send too. */
+/**
+ * Returns the slot of a load that other claimants may send too: the later it is
+ * sent after the engine's start, the higher.
+ */
+export function computeContestedSlot(engineAgeMs: Milliseconds): number {
+  return Math.floor(engineAgeMs / SLOT_MS);
+}
+
+/** Returns the position of a load that the engine may not count. */
 function getContestedPosition(sequence: number, contestedSlot: number): number {
   // Slots follow from an engine's age, which a wrong clock may make negative.
   const slot = Math.max(contestedSlot, 0);
-  if (sequence === 0) return Math.min(slot, getFirstPosition(1) - 1);
+  if (sequence === 0) {
+    const slots = getFirstPosition(1) * SLOTS_PER_POSITION;
+    return Math.min(slot, slots - 1) / SLOTS_PER_POSITION;
+  }
   return getFirstPosition(sequence) - UNCOUNTED_POSITIONS +
     Math.min(slot, UNCOUNTED_POSITIONS - 1);
 }
@@ -135,5 +154,7 @@
     host: string;
   },
 ): number {
-  return (bornAtUnixMs + position) * HOSTS + hashText(host) % HOSTS;
+  const isEmptyEngine = position < getFirstPosition(1);
+  const hosts = isEmptyEngine ? HOSTS / SLOTS_PER_POSITION : HOSTS;
+  return (bornAtUnixMs + position) * HOSTS + hashText(host) % hosts;
 }
--- a/src/core/ordering/order_planner.ts
+++ b/src/core/ordering/order_planner.ts
@@ -14,6 +14,7 @@
   CONTESTED_WINDOW_MS,
   type EngineOwnership,
 } from "./engine_ownership.ts";
+import { computeContestedSlot } from "./fencing_number.ts";
 import type { ClaimConditions } from "./ownership_state.ts";
 import { selectProvingOrder } from "./proving_order.ts";
 
@@ -54,8 +55,8 @@
    */
   isInconclusive: boolean;
   /**
-   * How late after the engine's start an inconclusive order is sent, in steps of
-   * QUORUM_STAGGER_MS; undefined for other orders.
+   * Slot by the engine's age of a load that other claimants may send too;
+   * undefined for other orders.
    */
   contestedSlot: number | undefined;
 }
@@ -166,8 +167,8 @@
         order: wanted,
         isContested: true,
         isInconclusive: true,
-        contestedSlot: Math.floor(
-          (this.#ownership.getEngineAgeMs(now) ?? 0) / QUORUM_STAGGER_MS,
+        contestedSlot: computeContestedSlot(
+          this.#ownership.getEngineAgeMs(now) ?? 0,
         ),
       }
       : undefined;
--- a/test/core/ordering/fencing_number_test.ts
+++ b/test/core/ordering/fencing_number_test.ts
@@ -6,6 +6,7 @@
 import * as assert from "uvu/assert";
 import { hashText } from "../../../src/core/hashing.ts";
 import {
+  computeContestedSlot,
   computeFencingNumber,
   FencingSequence,
 } from "../../../src/core/ordering/fencing_number.ts";
@@ -72,15 +73,38 @@
 });
 
 test("a claimant's number at the same count is higher in a later slot", () => {
-  const slots = [-3, 0, 1, 5, 15, 40, 900];
+  const slots = [-3, 0, 1, 5, 15, 40, 100_000];
   const positions = slots.map((slot) =>
-    createSequence(0).issuePosition("load", slot)
+    createSequence(0).issuePosition("load", slot) * 256
   );
-  assert.equal(positions, [0, 0, 1, 5, 15, 40, 255]);
+  assert.equal(positions, [0, 0, 1, 5, 15, 40, 384 * 256 - 1]);
   const later = slots.map((slot) =>
     createSequence(1).issuePosition("load", slot)
   );
-  assert.equal(later, [248, 248, 249, 253, 255, 255, 255]);
+  assert.equal(later, [376, 376, 377, 381, 383, 383, 383]);
+});
+
+test("the later of two claimants that load the model of an empty engine has the higher number, also minutes after its start", () => {
+  for (const ageMs of [0, 20, 3_600, 9_388, 51_000, 180_000]) {
+    const [earlier, later] = [{ ageMs, host: HIGH }, {
+      ageMs: ageMs + 2,
+      host: LOW,
+    }].map(({ ageMs, host }) =>
+      computeFencingNumber({
+        bornAtUnixMs: BORN,
+        position: createSequence(0)
+          .issuePosition("load", computeContestedSlot(ageMs)),
+        host,
+      })
+    ) as [number, number];
+    assert.ok(later > earlier, `at ${ageMs} ms`);
+    assert.ok(Number.isSafeInteger(earlier) && Number.isSafeInteger(later));
+    const next = createSequence(1).issuePosition("load", undefined);
+    assert.ok(
+      computeFencingNumber({ bornAtUnixMs: BORN, position: next, host: LOW }) >
+        later,
+    );
+  }
 });
 
 test("an owner that reads the count after a load that was not counted has a higher number", () => {
