A model that is being loaded is not ordered again; a resting owner does not hand over

A report may lag 0.45 s: after the load of a base model it may not show the model yet, and its owner ordered it again, an order that the engine confirms without counting it. And an owner that rests after a contested order handed the engine over, to a daemon that did not know of the rest.

Change: a model counts as present from the accepted order until its load time and the lag have passed, whatever reports show; a resting owner releases the engine without a handover.

--- a/src/core/ordering/engine_owner.ts
+++ b/src/core/ordering/engine_owner.ts
@@ -23,7 +23,11 @@
   type OrderPlannerOptions,
   type PlannedOrder,
 } from "./order_planner.ts";
-import { EngineOwnership, OrderEvidence } from "./engine_ownership.ts";
+import {
+  EngineOwnership,
+  OrderEvidence,
+  REPORT_LAG_MS,
+} from "./engine_ownership.ts";
 import type { FencingBounds } from "./fencing_number.ts";
 import { RunAdoption } from "./run_adoption.ts";
 import type {
@@ -149,6 +153,8 @@
    */
   #hasStoppedOrders = false;
   readonly #models = new Set<string>();
+  /** Base model that the engine was last ordered to load. */
+  #loadingModel: { name: string; until: Milliseconds } | undefined;
   #limits: EngineLimits;
 
   constructor(options: EngineOwnerOptions) {
@@ -305,6 +311,7 @@
       case "restarted":
         this.admission.clearPermits();
         this.admission.slots.clear();
+        this.#loadingModel = undefined;
         this.#planner.recordRestart(now);
         this.#recordContents(report, now);
         return [this.#describeChange("engineRestarted", {
@@ -419,7 +426,10 @@
     effects: EngineOwnerEffect[];
   } {
     const { state } = this.#ownership;
-    const canHandOver = state.kind === "holding" && !this.#pendingOrder;
+    // The next owner would not know of the rest after a contested order.
+    const isResting = state.kind === "holding" && now < state.ordersFrom;
+    const canHandOver = state.kind === "holding" && !this.#pendingOrder &&
+      !isResting;
     const handover = canHandOver
       ? {
         sequence: state.sequence,
@@ -508,6 +518,7 @@
    */
   #beginOwnership(now: Milliseconds): void {
     this.admission.slots.clear();
+    this.#loadingModel = undefined;
     this.admission.beginAdoption(now);
     this.#adoption.begin(this.#peers);
   }
@@ -587,6 +598,10 @@
         .find((model) => model.name === order.model)?.loadMs ?? 0;
       // The engine rejects other orders until the model is loaded.
       this.#nextOrderAt = now + loadMs;
+      this.#loadingModel = {
+        name: order.model,
+        until: now + loadMs + REPORT_LAG_MS,
+      };
     }
   }
 
@@ -596,6 +611,10 @@
   ): void {
     this.#models.clear();
     for (const model of contents.models) this.#models.add(model);
+    // A report may not show the model yet.
+    if (this.#loadingModel && now < this.#loadingModel.until) {
+      this.#models.add(this.#loadingModel.name);
+    }
     this.admission.slots.reconcile(contents.adapters, now);
   }
 
