Two owners do not evict the same adapter; a lapsed owner evicts any that all others disclaim

An owner that had claimed alone also kept the right to evict anything when its last accepted order was more than a term old.

Change: the adapters that the engine had at the expected count are dealt evenly to the claimants and to a common share, from which all evict only in turns by the engine's age; nobody takes from another's share. They are dealt anew each 15 s of the engine's age. A proof that has lapsed ends the right to evict anything, unless this daemon has owned the engine for a term and every possible owner has disclaimed it by words at most 1.2 s old, or has left without it. The question is asked only while a request waits at a full engine. Why it works: claimants that expect one count divide one list, so their shares are disjoint; those that expect another are refused, unless the adapter is gone, which takes an eviction by the share's owner. Those that claimed together with an owner of a term have said so by then. A daemon that is leaving claims nothing, and one to which it hands an engine over says so at once.

What is left: a rival that has observed the engine for a term without an order, holds the owner for dead and claims after its last word, up to 1.2 s old, may evict the same adapter. It must hear less than it is heard, or have been suspended. While a daemon that has not left in order is silent, and while a seed is unknown, lapsed owners keep to their share and the turns.

--- a/src/core/fleet/fleet_view.ts
+++ b/src/core/fleet/fleet_view.ts
@@ -106,6 +106,11 @@
    * orders.
    */
   sameProcessSince: Milliseconds;
+  /**
+   * Whether the last word of a daemon that has left counts, however old it is: it
+   * claims no engine any more.
+   */
+  mayHaveLeft?: boolean;
 }
 
 interface Snapshot {
@@ -418,13 +423,14 @@
     requirements: DisclaimerRequirements & { seedIps: readonly string[] },
     now: Milliseconds,
   ): boolean {
-    const { since, sameProcessSince, seedIps } = requirements;
+    const { since, sameProcessSince, mayHaveLeft, seedIps } = requirements;
     const peers = this.#listPossibleOwners(engine.failureDomain, now);
     return peers !== undefined && this.#isEachKnown(seedIps, now) &&
       peers.every((each) =>
-        each.lastHeartbeatAt >= since + MAX_HEARTBEAT_DELAY_MS &&
-        each.processSeenAt <= sameProcessSince &&
-        hasDisclaimed(each.heartbeat, engine.id)
+        (mayHaveLeft && hasLeft(each, engine.id, now)) ||
+        (each.lastHeartbeatAt >= since + MAX_HEARTBEAT_DELAY_MS &&
+          each.processSeenAt <= sameProcessSince &&
+          hasDisclaimed(each.heartbeat, engine.id))
       );
   }
 
@@ -709,6 +715,20 @@
     !(heartbeat.contestedEngines?.includes(engineId) ?? false);
 }
 
+/**
+ * Returns whether a member has left without the engine, so long ago that the
+ * word of one to which it handed the engine over has arrived.
+ */
+function hasLeft(
+  { heartbeat, lastHeartbeatAt }: KnownMember,
+  engineId: string,
+  now: Milliseconds,
+): boolean {
+  return heartbeat !== undefined && heartbeat.isLeaving &&
+    now - lastHeartbeatAt >= 2 * MAX_HEARTBEAT_DELAY_MS &&
+    hasDisclaimed({ ...heartbeat, isLeaving: false }, engineId);
+}
+
 function hasSameMembers(
   before: readonly FleetMember[],
   after: readonly FleetMember[],
--- a/src/core/ordering/engine_owner.ts
+++ b/src/core/ordering/engine_owner.ts
@@ -181,7 +181,10 @@
    * meet; undefined if it is not needed.
    */
   getDisclaimers(now: Milliseconds): DisclaimerRequirements | undefined {
-    return this.#ownership.getDisclaimers(now);
+    const { slots } = this.admission;
+    const mayEvict = this.admission.countWaiting() > 0 && !slots.hasFreeSlot();
+    return this.#ownership.getDisclaimers(now) ??
+      (mayEvict ? this.#ownership.getEvictionDisclaimers(now) : undefined);
   }
 
   /**
--- a/src/core/ordering/engine_ownership.ts
+++ b/src/core/ordering/engine_ownership.ts
@@ -108,7 +108,7 @@
 
 /**
  * Age up to which other daemons' word that they do not own an engine counts for
- * a claim: the next of their heartbeats may be lost.
+ * a claim and for an eviction: the next of their heartbeats may be lost.
  */
 const MAX_DISCLAIMER_AGE_MS = 1_200;
 
@@ -228,6 +228,22 @@
     };
   }
 
+  /**
+   * Returns what that word has to meet for an eviction from another claimant's
+   * share: that it is recent. Undefined if this daemon may not order.
+   */
+  getEvictionDisclaimers(
+    now: Milliseconds,
+  ): DisclaimerRequirements | undefined {
+    const { state } = this;
+    if (state.kind !== "holding" || now < this.#restsUntil) return undefined;
+    return {
+      since: Math.max(state.startedAt, now - MAX_DISCLAIMER_AGE_MS),
+      sameProcessSince: Number.POSITIVE_INFINITY,
+      mayHaveLeft: true,
+    };
+  }
+
   /**
    * Returns whether this daemon has recently sent an order that another claimant
    * may have sent too, so that the other one has to rest.
--- a/src/core/ordering/order_planner.ts
+++ b/src/core/ordering/order_planner.ts
@@ -3,7 +3,10 @@
  * accepted order, that is the order that the engine's permit queue needs.
  * Otherwise the owner first sends an order that proves its ownership. Where
  * other claimants may send such an order as well, each claimant sends a
- * different one, or they send it in turns.
+ * different one, or they send it in turns. A turn and a division of the adapters
+ * follow from the engine's age. An owner of more than a term evicts any idle
+ * adapter while all daemons that may own the engine say that they do not: those
+ * that claimed it together with this one have said so by then.
  */
 import type {
   AdmissionController,
@@ -18,10 +21,15 @@
 import { selectProvingOrder } from "./proving_order.ts";
 
 /**
- * Time for which a new owner proves its ownership only with evictions from its
- * own share: one term, after which other claimants have seen its orders.
+ * Time after which other daemons may have claimed an engine that has accepted no
+ * order: one term.
  */
-const PROOF_OWN_SHARE_MS = 3_000;
+const SOLE_OWNER_MS = 3_000;
+/**
+ * Time after which the adapters are divided among the claimants anew, so that an
+ * owner whose share stays in use gets another one.
+ */
+const DIVISION_MS = 15_000;
 /**
  * Part of a turn in which a contested order may be sent: reading the engine's
  * report and sending the order take several ticks.
@@ -83,7 +91,10 @@
    * it had restarted.
    */
   #ownedSince = Number.NEGATIVE_INFINITY;
-  /** Whether other daemons may have claimed the engine at the same time. */
+  /**
+   * Whether other daemons may have claimed the engine at the same time, or after
+   * the last accepted order.
+   */
   #mayHaveOtherClaimants = false;
   /**
    * Whether another daemon may have owned the engine alone before a restart, and
@@ -92,6 +103,8 @@
   #mayHaveFormerOwner = false;
   /** When the engine accepted the order that proved ownership. */
   #provenAt = Number.NEGATIVE_INFINITY;
+  /** Adapters that the claimants divide among themselves. */
+  #dividedPaths: readonly string[] = [];
 
   constructor(
     options: OrderPlannerOptions,
@@ -111,6 +124,7 @@
     this.#ownedSince = now;
     this.#mayHaveOtherClaimants = mayHaveOtherClaimants;
     this.#mayHaveFormerOwner = false;
+    this.#dividedPaths = [];
   }
 
   /** Records that an engine restarted of which this daemon is the owner. */
@@ -140,13 +154,16 @@
     now: Milliseconds,
   ): PlannedOrder | undefined {
     const isProven = this.#ownership.isExclusive(now);
+    if (!isProven && now - this.#ownedSince >= SOLE_OWNER_MS) {
+      this.#mayHaveOtherClaimants = true;
+    }
     // Another claimant that has not seen the proof yet may still evict an
     // adapter from its own share.
     const mayCollide = wanted.kind === "evict" && this.#mayHaveOtherClaimants &&
       now - this.#provenAt < CONTESTED_WINDOW_MS;
     if (isProven && !mayCollide) return createUncontestedOrder(wanted);
     if (wanted.adapter !== "") {
-      return this.#planProvingOrder(wanted.model, hasQuorum, now);
+      return this.#planProvingOrder(wanted.model, isDisclaimed, now);
     }
     if (this.#ownership.isSoleOwnerSinceRestart(now)) {
       return createUncontestedOrder(wanted);
@@ -195,21 +212,35 @@
 
   #planProvingOrder(
     model: string,
-    hasQuorum: boolean,
+    isDisclaimed: boolean,
     now: Milliseconds,
   ): PlannedOrder | undefined {
     const { selfId, selectOwnAdapter, listClaimants } = this.#options;
     const { slots } = this.#admission;
-    const isOwnShareTimeOver = now - this.#ownedSince > PROOF_OWN_SHARE_MS;
+    // A claimant that has not seen the proof yet still divides the adapters that
+    // were there before it.
+    const isProven = this.#ownership.isExclusive(now);
+    if (!isProven) {
+      this.#dividedPaths = slots.listSlots().map((slot) => slot.adapterPath);
+    }
+    const ageMs = this.#ownership.getEngineAgeMs(now) ?? 0;
+    const isDivisionEnding =
+      ageMs % DIVISION_MS >= DIVISION_MS - CONTESTED_WINDOW_MS;
+    const mayEvictAny = !this.#mayHaveOtherClaimants ||
+      (isDisclaimed && now - this.#ownedSince >= SOLE_OWNER_MS);
+    const idlePaths = this.#admission.listEvictable(now)
+      .map((slot) => slot.adapterPath);
     const order = selectProvingOrder({
       selfId,
       claimants: listClaimants(),
-      mayEvictAny: !this.#mayHaveOtherClaimants || (isOwnShareTimeOver &&
-        (hasQuorum || this.#isContestedTurn(now))),
+      mayEvictAny,
+      mayEvictCommon: this.#isContestedTurn(now),
+      divisionKey: String(Math.floor(ageMs / DIVISION_MS)),
+      dividedPaths: this.#dividedPaths,
       model,
       ownAdapter: selectOwnAdapter(model),
-      idlePaths: this.#admission.listEvictable(now)
-        .map((slot) => slot.adapterPath),
+      // An order of the next division must see those of this one.
+      idlePaths: isDivisionEnding && !mayEvictAny ? [] : idlePaths,
       hasFreeSlot: slots.hasFreeSlot(),
       hasAdapter: (adapterPath) => slots.getSlot(adapterPath) !== undefined,
     });
--- a/src/core/ordering/proving_order.ts
+++ b/src/core/ordering/proving_order.ts
@@ -4,17 +4,20 @@
  * but it confirms an order that is already fulfilled, whatever sequence number
  * the order expects: the load of an adapter that is present, or the eviction of
  * one that is absent. Two daemons that claim an engine at the same time must
- * therefore not send the same order. The idle adapters that may be evicted are
- * divided among the likely claimants, and each claimant has an adapter of its
- * own to load.
+ * therefore not send the same order. Each claimant has an adapter of its own to
+ * load, and the engine's adapters are divided into a share for each likely
+ * claimant and a common one, from which the claimants evict in turns.
  */
 import {
   buildEvictionOrder,
   type EngineOrder,
 } from "../admission/admission_controller.ts";
-import { findRendezvousWinner } from "../hashing.ts";
+import { findRendezvousWinner, rankByRendezvous } from "../hashing.ts";
 import { formatAdapterPath } from "../placement/adapter_path.ts";
 
+/** Owner of the share from which all claimants evict in turns. */
+const COMMON = undefined;
+
 /** State of the engine and of its claimants that the selection depends on. */
 export interface ProvingOrderInput {
   selfId: string;
@@ -23,10 +26,12 @@
    */
   claimants: readonly string[];
   /**
-   * Whether an adapter from another claimant's share may be evicted if this
-   * daemon's own share has none left.
+   * Whether no other daemon can have claimed the engine, so that any adapter may
+   * be evicted.
    */
   mayEvictAny: boolean;
+  /** Whether it is this daemon's turn to evict from the common share. */
+  mayEvictCommon: boolean;
   /** Base model of the adapters. */
   model: string;
   /**
@@ -34,6 +39,13 @@
    * has no adapters.
    */
   ownAdapter: string | undefined;
+  /**
+   * Adapters to divide: those that the engine had or was loading at the count
+   * that the claimants expect, in use or not, so that all divide the same list.
+   */
+  dividedPaths: readonly string[];
+  /** Rendezvous hashing key of the division, the same for all claimants. */
+  divisionKey: string;
   /** Resident adapters that no request uses. */
   idlePaths: readonly string[];
   /** Whether an adapter slot is free. */
@@ -59,17 +71,29 @@
       version: undefined,
     };
   }
-  const own = selectVictim(input, listOwnShare(input));
-  if (own || !input.mayEvictAny) return own;
-  return selectVictim(input, input.idlePaths);
+  const own = selectVictim(input, listShare(input, input.selfId));
+  if (own) return own;
+  if (input.mayEvictAny) return selectVictim(input, input.idlePaths);
+  if (!input.mayEvictCommon) return undefined;
+  return selectVictim(input, listShare(input, COMMON));
 }
 
-function listOwnShare(input: ProvingOrderInput): string[] {
-  const { selfId, claimants, idlePaths } = input;
-  const candidates = [...new Set([...claimants, selfId])].map((id) => ({ id }));
-  return idlePaths.filter((path) =>
-    findRendezvousWinner(path, candidates)?.id === selfId
-  );
+/**
+ * Returns the idle adapters of an owner's share. Shares differ by one adapter at
+ * most. If there are fewer adapters than claimants, the common share comes
+ * first, so that each claimant may evict some adapter.
+ */
+function listShare(
+  { claimants, dividedPaths, divisionKey, idlePaths }: ProvingOrderInput,
+  owner: string | undefined,
+): string[] {
+  const isScarce = dividedPaths.length < claimants.length;
+  const owners = isScarce ? [COMMON, ...claimants] : [...claimants, COMMON];
+  const ranked = dividedPaths.map((id) => ({ id }));
+  const paths = rankByRendezvous(divisionKey, ranked)
+    .filter((_, rank) => owners[rank % owners.length] === owner)
+    .map(({ id }) => id);
+  return idlePaths.filter((path) => paths.includes(path));
 }
 
 function selectVictim(
--- a/test/core/fleet/fleet_view_test.ts
+++ b/test/core/fleet/fleet_view_test.ts
@@ -334,4 +334,26 @@
   );
 });
 
+test("a peer that has left without the engine disclaims it where that is enough", () => {
+  const view = new FleetView(createMember("1"));
+  const send = (part: Partial<Heartbeat>, now: number) =>
+    view.recordHeartbeat(buildHeartbeat(createMember("2"), part), now);
+  const isDisclaimed = (mayHaveLeft: boolean, now: number) =>
+    view.isDisclaimed(ENGINE, {
+      since: now - 1_200,
+      sameProcessSince: Number.POSITIVE_INFINITY,
+      mayHaveLeft,
+      seedIps: ["10.0.0.2"],
+    }, now);
+  send({ isLeaving: true }, 1_000);
+  assert.not(isDisclaimed(true, 1_590), "may be handing it over");
+  assert.ok(isDisclaimed(true, 1_600));
+  assert.ok(isDisclaimed(true, 9_000));
+  assert.not(isDisclaimed(false, 9_000), "not for a claim");
+  send({ isLeaving: true, heldEngines: ["e"] }, 10_000);
+  assert.not(isDisclaimed(true, 12_000), "left with the engine");
+  send({}, 13_000);
+  assert.not(isDisclaimed(true, 15_000), "is back, and silent");
+});
+
 test.run();
--- a/test/core/ordering/engine_owner_test.ts
+++ b/test/core/ordering/engine_owner_test.ts
@@ -90,6 +90,11 @@
 /** Requests an adapter and returns the order that follows. */
 function requestAdapter(owner: EngineOwner, now: number): GiveOrder {
   owner.tick(CONTEXT, now);
+  requestPermit(owner, now);
+  return findOrder(owner.tick(CONTEXT, now));
+}
+
+function requestPermit(owner: EngineOwner, now: number): void {
   owner.requestPermit({
     permitId: "p",
     holder: "entry",
@@ -106,7 +111,6 @@
     lifetimeMs: 1_000,
     isLastChoice: true,
   }, now);
-  return findOrder(owner.tick(CONTEXT, now));
 }
 
 function findOrder(effects: readonly EngineOwnerEffect[]): GiveOrder {
@@ -191,4 +195,41 @@
   });
 });
 
+test("the others' word is asked for an eviction only while a request waits at a full engine", () => {
+  const owner = createOwner("first", BORN);
+  const adapters = (count: number) =>
+    new Map(
+      Array.from({ length: count }, (_, index) => [
+        `m/b${index}`,
+        { version: 1, isLoading: false },
+      ]),
+    );
+  const report = (count: number, at: number) => {
+    owner.tick(CONTEXT, at);
+    owner.recordReport(
+      { ...buildReport(1, at), adapters: adapters(count) },
+      at,
+    );
+  };
+  report(3, 0);
+  report(3, 700);
+  owner.tick(CONTEXT, 700);
+  assert.ok(owner.isOwner());
+  assert.is(owner.getDisclaimers(800), undefined);
+  requestPermit(owner, 800);
+  assert.equal(owner.getDisclaimers(800), {
+    since: 800 - 1_200,
+    sameProcessSince: Number.POSITIVE_INFINITY,
+    mayHaveLeft: true,
+  });
+  owner.setLimits({
+    adapterSlots: 4,
+    batchSize: 8,
+    kvCapacityTokens: 100_000,
+    weightsMb: 100,
+    models: [],
+  });
+  assert.is(owner.getDisclaimers(800), undefined, "a slot is free");
+});
+
 test.run();
--- /dev/null
+++ b/test/core/ordering/order_planner_test.ts
@@ -0,0 +1,172 @@
+/**
+ * Two daemons that claim an engine at the same time must not give it the same
+ * eviction: the engine confirms both.
+ */
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { AdmissionController } from "../../../src/core/admission/admission_controller.ts";
+import { BatchCapacity } from "../../../src/core/admission/batch_capacity.ts";
+import { EngineOwnership } from "../../../src/core/ordering/engine_ownership.ts";
+import { OrderPlanner } from "../../../src/core/ordering/order_planner.ts";
+import { AdapterSlots } from "../../../src/core/placement/adapter_slots.ts";
+
+const CLAIMANTS = ["host-1", "host-2", "host-3"];
+const TERM_MS = 3_000;
+const REPORT = { sequence: 3, bornAtUnixMs: 1 };
+/** Age of the engine at time 0, when the adapters are divided anew. */
+const ENGINE_AGE_MS = 60_000;
+const CLAIMED_AT = 3_400;
+/** A majority is heard, and some possible owner is silent. */
+const SILENT = { hasQuorum: true, isDisclaimed: false };
+const DISCLAIMED = { hasQuorum: true, isDisclaimed: true };
+const WANTED = {
+  kind: "load",
+  model: "m",
+  adapter: "wanted",
+  adapterPath: "m/wanted",
+  version: undefined,
+} as const;
+
+/** Returns a new owner of a full engine that other daemons may have claimed. */
+function createOwner(selfId: string, paths: readonly string[]) {
+  const ownership = new EngineOwnership({ termMs: TERM_MS });
+  for (const readAt of [0, CLAIMED_AT]) {
+    const ageMs = ENGINE_AGE_MS + readAt;
+    ownership.recordReport({ ...REPORT, ageMs, readAt }, readAt);
+  }
+  ownership.claim({ ...SILENT, isUnowned: false }, CLAIMED_AT);
+  const admission = new AdmissionController(
+    new AdapterSlots(paths.length),
+    new BatchCapacity({ batchSize: 8, kvCapacityTokens: 100_000 }),
+  );
+  admission.slots.reconcile(
+    new Map(paths.map((path) => [path, { version: 1, isLoading: false }])),
+    CLAIMED_AT,
+  );
+  const planner = new OrderPlanner(
+    {
+      selfId,
+      listClaimants: () => CLAIMANTS,
+      selectOwnAdapter: () => `own ${selfId}`,
+    },
+    ownership,
+    admission,
+  );
+  planner.recordOwnership(true, CLAIMED_AT);
+  return { planner, ownership, admission };
+}
+
+/** Keeps an adapter in use. */
+function use(admission: AdmissionController, path: string): void {
+  admission.adoptPermit({
+    permitId: path,
+    adapterPath: path,
+    lifetimeMs: 60_000,
+    promptTokens: 1,
+    outputTokens: 1,
+    promptParts: [],
+  }, CLAIMED_AT);
+}
+
+function listEngines(): string[][] {
+  return Array.from(
+    { length: 50 },
+    (_, from) => [0, 1, 2].map((each) => `m/a${from + each}`),
+  );
+}
+
+test("new owners do not evict the same adapter within two terms of their claims", () => {
+  for (const paths of listEngines()) {
+    for (const sinceClaimMs of [0, TERM_MS + 100, 2 * TERM_MS]) {
+      const victims = CLAIMANTS.map((selfId) =>
+        createOwner(selfId, paths).planner
+          .plan(WANTED, SILENT, CLAIMED_AT + sinceClaimMs)?.order.adapterPath
+      );
+      assert.is(new Set(victims).size, CLAIMANTS.length);
+    }
+  }
+});
+
+test("an owner whose proof is a term old evicts nothing that new owners evict", () => {
+  for (const paths of listEngines()) {
+    const lapsed = createOwner("host-1", paths);
+    lapsed.planner.recordOwnership(false, CLAIMED_AT);
+    const { ownership, planner } = lapsed;
+    ownership.recordOrderAnswer(
+      { kind: "accepted" },
+      "load",
+      CLAIMED_AT,
+      CLAIMED_AT,
+    );
+    planner.recordProof(CLAIMED_AT);
+    const now = CLAIMED_AT + TERM_MS + 100;
+    const victims = ["host-2", "host-3"].map((selfId) =>
+      createOwner(selfId, paths).planner.plan(WANTED, SILENT, now)?.order
+        .adapterPath
+    );
+    const busy = paths.filter((path) => !victims.includes(path));
+    for (const path of busy) use(lapsed.admission, path);
+    assert.is(planner.plan(WANTED, SILENT, now), undefined);
+  }
+});
+
+test("no adapter is evicted shortly before the adapters are divided anew", () => {
+  const { planner } = createOwner("host-1", ["m/a1", "m/a2", "m/a3"]);
+  assert.ok(planner.plan(WANTED, SILENT, 14_000));
+  assert.is(planner.plan(WANTED, SILENT, 14_200), undefined);
+  assert.is(planner.plan(WANTED, SILENT, 14_980), undefined);
+  assert.ok(planner.plan(WANTED, SILENT, 15_000));
+});
+
+test("an owner whose rivals can't have seen its proof yet evicts only from the share that it had before", () => {
+  for (const paths of listEngines()) {
+    const rivalVictims = new Map(CLAIMANTS.map((selfId) => [
+      selfId,
+      createOwner(selfId, paths).planner.plan(WANTED, SILENT, CLAIMED_AT)?.order
+        .adapterPath,
+    ]));
+    const { planner, ownership, admission } = createOwner("host-1", paths);
+    const now = CLAIMED_AT + TERM_MS + 100;
+    const proof = planner.plan(WANTED, SILENT, now)?.order;
+    assert.is(proof?.adapterPath, rivalVictims.get("host-1"));
+    ownership.recordOrderAnswer({ kind: "accepted" }, "eviction", now, now);
+    planner.recordProof(now);
+    admission.slots.recordEvicted(proof?.adapterPath ?? "");
+    admission.slots.recordLoadOrdered("m/wanted", undefined, now);
+    const eviction = { ...WANTED, kind: "evict" } as const;
+    assert.is(planner.plan(eviction, SILENT, now + 100), undefined);
+    assert.is(planner.plan(eviction, SILENT, now + 1_000)?.order, eviction);
+  }
+});
+
+test("an owner of a term evicts any idle adapter while all others disclaim the engine", () => {
+  for (const paths of listEngines()) {
+    for (const path of paths) {
+      const { planner, admission } = createOwner("host-1", paths);
+      for (const other of paths) if (other !== path) use(admission, other);
+      // Also shortly before the adapters are divided anew.
+      for (const now of [CLAIMED_AT + TERM_MS, 14_500]) {
+        const order = planner.plan(WANTED, DISCLAIMED, now)?.order;
+        assert.is(order?.adapterPath, path);
+      }
+    }
+  }
+});
+
+test("a new owner keeps to its share, whatever others say", () => {
+  for (const paths of listEngines()) {
+    const victims = CLAIMANTS.map((selfId) =>
+      createOwner(selfId, paths).planner
+        .plan(WANTED, DISCLAIMED, CLAIMED_AT + TERM_MS - 100)?.order.adapterPath
+    );
+    assert.is(new Set(victims).size, CLAIMANTS.length);
+    for (const [index, selfId] of CLAIMANTS.entries()) {
+      const { planner, admission } = createOwner(selfId, paths);
+      use(admission, victims[index] ?? "");
+      const now = CLAIMED_AT + TERM_MS - 100;
+      assert.is(planner.plan(WANTED, DISCLAIMED, now), undefined);
+    }
+  }
+});
+
+test.run();
--- a/test/fuzz/mutants.ts
+++ b/test/fuzz/mutants.ts
@@ -314,7 +314,8 @@
     invariant: Invariant.NoAlternation,
     patches: [{
       file: "ordering/proving_order.ts",
-      search: "const own = selectVictim(input, listOwnShare(input));",
+      search:
+        "const own = selectVictim(input, listShare(input, input.selfId));",
       replacement:
         "const own = selectVictim(input, input.idlePaths.slice(0, 1));",
     }],
