--- a/fakes/fake_platform_replica.ts
+++ b/fakes/fake_platform_replica.ts
@@ -83,7 +83,8 @@
   /** Number of times the report was read. */
   reportReadCount = 0;
   sequence = 0;
-  born = 1_000;
+  /** Time of its start, in Unix milliseconds. */
+  born = Date.now();
   newestVersion = 1;
   /**
    * Whether every answer announces, in the header `Server-Leaving`, that the
@@ -128,7 +129,7 @@
     this.adapters.clear();
     this.models = [];
     this.sequence = 0;
-    this.born += 1;
+    this.born = Math.max(Date.now(), this.born + 1);
   }
 
   /**
--- a/test/core/ordering/engine_owner_test.ts
+++ b/test/core/ordering/engine_owner_test.ts
@@ -254,4 +254,41 @@
   assert.ok(owner.isOwner());
 });
 
+test("the others' word is asked for an eviction only while a request waits at a full engine", () => {
+  const owner = createOwner("first", BORN);
+  const adapters = (count: number) =>
+    new Map(
+      Array.from({ length: count }, (_, index) => [
+        `m/b${index}`,
+        { version: 1, isLoading: false },
+      ]),
+    );
+  const report = (count: number, at: number) => {
+    owner.tick(CONTEXT, at);
+    owner.recordReport(
+      { ...buildReport(1, at), adapters: adapters(count) },
+      at,
+    );
+  };
+  report(3, 0);
+  report(3, 700);
+  owner.tick(CONTEXT, 700);
+  assert.ok(owner.isOwner());
+  assert.is(owner.getDisclaimers(800), undefined);
+  requestPermit(owner, "a1", 800);
+  assert.equal(owner.getDisclaimers(800), {
+    since: 800 - 1_200,
+    sameProcessSince: Number.POSITIVE_INFINITY,
+    mayHaveLeft: true,
+  });
+  owner.setLimits({
+    adapterSlots: 4,
+    batchSize: 8,
+    kvCapacityTokens: 100_000,
+    weightsMb: 100,
+    models: [],
+  });
+  assert.is(owner.getDisclaimers(800), undefined, "a slot is free");
+});
+
 test.run();
--- a/test/fuzz/empty_engine_simulation.ts
+++ b/test/fuzz/empty_engine_simulation.ts
@@ -296,6 +296,7 @@
       heldEngines: owner?.isOwner() ? [owner.engineId] : [],
       newcomerHeld: roles.listOwnedSinceStart(now),
       contestedEngines: roles.listContested(now),
+      sample: daemon.view.selectSample(true, now),
     });
     for (let other = 0; other < this.#daemons.length; other += 1) {
       if (other === index) continue;
