An engine that is handed back is not ordered within a term of the former order

A rolling restart that is quicker than a term does the same.

Cause: the host that has started again doesn't know that it ordered a moment ago.

Change: a handover names the owners that ordered within a term, with the time since. One that is among them waits until its own order is a term old.

--- a/src/core/ordering/engine_owner.ts
+++ b/src/core/ordering/engine_owner.ts
@@ -54,6 +54,11 @@
   /** Unknown to owners of the previous release. */
   fencing?: FencingBounds | undefined;
   adapters: [adapterPath: string, version: number, isLoading: boolean][];
+  /**
+   * Owners that have ordered the engine within a term, with the time since each
+   * last did; unknown to owners of the previous release.
+   */
+  recentOwners?: [id: string, orderAgeMs: Milliseconds][] | undefined;
 }
 
 export type EngineOwnerEffect =
@@ -153,6 +158,8 @@
    */
   #hasStoppedOrders = false;
   readonly #models = new Set<string>();
+  /** When each owner before this one last ordered the engine, if recently. */
+  readonly #lastOrders = new Map<string, Milliseconds>();
   /** Base model that the engine was last ordered to load. */
   #loadingModel: { name: string; until: Milliseconds } | undefined;
   #limits: EngineLimits;
@@ -449,17 +456,35 @@
           slot.version ?? 0,
           slot.state === "loading",
         ]),
+        recentOwners: this.#listRecentOwners(now),
       }
       : undefined;
     return { handover, effects: this.#releaseOwnership(now) };
   }
 
+  /** Lists the owners that have ordered the engine within a term. */
+  #listRecentOwners(now: Milliseconds): [string, Milliseconds][] {
+    const lastOrders = new Map(this.#lastOrders);
+    lastOrders.set(this.#options.selfId, this.#lastOrderAt);
+    return [...lastOrders]
+      .map(([id, at]): [string, Milliseconds] => [id, now - at])
+      .filter(([, ageMs]) => this.#ownership.isWithinTurn(ageMs));
+  }
+
   acceptHandover(
     handover: OwnershipHandover,
     now: Milliseconds,
   ): EngineOwnerEffect[] {
-    if (!this.#ownership.acceptHandover(handover, now)) return [];
+    const recentOwners = new Map(handover.recentOwners);
+    const ownOrderAgeMs = recentOwners.get(this.#options.selfId);
+    if (!this.#ownership.acceptHandover({ ...handover, ownOrderAgeMs }, now)) {
+      return [];
+    }
     this.#beginOwnership(now);
+    recentOwners.delete(this.#options.selfId);
+    for (const [id, ageMs] of recentOwners) {
+      this.#lastOrders.set(id, now - ageMs);
+    }
     this.#planner.recordOwnership(false, now);
     this.#recordContents({
       models: handover.models,
@@ -522,6 +547,7 @@
   #beginOwnership(now: Milliseconds): void {
     this.admission.slots.clear();
     this.#loadingModel = undefined;
+    this.#lastOrders.clear();
     this.admission.beginAdoption(now);
     this.#adoption.begin(this.#peers);
   }
--- a/src/core/ordering/engine_ownership.ts
+++ b/src/core/ordering/engine_ownership.ts
@@ -132,6 +132,11 @@
    * engine and owns it again, or the engine has restarted.
    */
   #restsUntil = Number.NEGATIVE_INFINITY;
+  /**
+   * When a daemon to which the engine was handed back may order it again, so that
+   * it does not alternate with the owner in between within a term.
+   */
+  #resumesFrom = Number.NEGATIVE_INFINITY;
 
   constructor(options: EngineOwnershipOptions) {
     this.#options = options;
@@ -263,9 +268,21 @@
       this.#getRestMs() + CONTESTED_WINDOW_MS;
   }
 
+  /**
+   * Returns whether a daemon that ordered the engine so long ago, and another
+   * one since, would alternate with it by ordering the engine again.
+   */
+  isWithinTurn(orderAgeMs: Milliseconds): boolean {
+    return orderAgeMs < this.#getTurnMs();
+  }
+
+  #getTurnMs(): Milliseconds {
+    return this.#options.termMs + TERM_MARGIN_MS;
+  }
+
   /** Returns the time for which no orders follow an inconclusive one. */
   #getRestMs(): Milliseconds {
-    return CONTESTED_WINDOW_MS + this.#options.termMs + TERM_MARGIN_MS;
+    return CONTESTED_WINDOW_MS + this.#getTurnMs();
   }
 
   /**
@@ -440,10 +457,18 @@
       acceptedAgeMs: Milliseconds;
       /** Unknown to owners of the previous release. */
       fencing?: FencingBounds | undefined;
+      /**
+       * Time since this daemon itself last ordered the engine, before a restart;
+       * undefined if it did not within a term.
+       */
+      ownOrderAgeMs?: Milliseconds | undefined;
     },
     now: Milliseconds,
   ): boolean {
     if (this.isOwner() || this.#state.kind === "deposed") return false;
+    this.#resumesFrom = handover.ownOrderAgeMs === undefined
+      ? Number.NEGATIVE_INFINITY
+      : now + this.#getTurnMs() - handover.ownOrderAgeMs;
     if (handover.fencing) this.#fencing.adopt(handover.fencing);
     else this.#fencing.begin(handover.sequence);
     this.#takeOwnership({
@@ -594,7 +619,7 @@
   #takeOwnership(acquired: AcquiredOwnership, now: Milliseconds): void {
     this.#state = {
       kind: "holding",
-      ordersFrom: Math.max(now, this.#restsUntil),
+      ordersFrom: Math.max(now, this.#restsUntil, this.#resumesFrom),
       contestedAt: undefined,
       soleOwnerUntil: Number.NEGATIVE_INFINITY,
       countedAt: Number.NEGATIVE_INFINITY,
--- a/src/gateway/peer_message_decoder.ts
+++ b/src/gateway/peer_message_decoder.ts
@@ -113,6 +113,7 @@
   fencing: z.object({ minSequence: z.number(), minPosition: z.number() })
     .optional(),
   adapters: z.array(z.tuple([z.string(), z.number(), z.boolean()])),
+  recentOwners: z.array(z.tuple([z.string(), z.number()])).optional(),
 });
 
 const engineId = z.string();
--- a/test/core/ordering/engine_owner_test.ts
+++ b/test/core/ordering/engine_owner_test.ts
@@ -197,6 +197,35 @@
   });
 });
 
+test("a daemon that is handed an engine back within a term of its own order does not alternate with the owner in between", () => {
+  const first = createOwner("first", BORN);
+  claimAfterTerm(first);
+  const orderedAt = TERM_MS + 320;
+  requestAdapter(first, orderedAt);
+  first.recordOrderAnswer({ kind: "accepted" }, orderedAt + 5);
+  const there = first.handOver(orderedAt + 100).handover;
+  assert.ok(there);
+  const second = createOwner("second", BORN);
+  second.acceptHandover(there, orderedAt + 150);
+  second.recordReport(buildReport(5, orderedAt + 160), orderedAt + 160);
+  requestAdapter(second, orderedAt + 170);
+  second.recordOrderAnswer({ kind: "accepted" }, orderedAt + 175);
+  const back = second.handOver(orderedAt + 1_500).handover;
+  assert.ok(back);
+  const restarted = createOwner("first", BORN);
+  restarted.acceptHandover(back, orderedAt + 1_550);
+  requestPermit(restarted, "a2", orderedAt + 1_560);
+  const countOrders = (now: number) => {
+    restarted.recordReport(buildReport(6, now), now);
+    return restarted.tick(CONTEXT, now)
+      .filter((effect) => effect.kind === "giveOrder").length;
+  };
+  assert.is(countOrders(orderedAt + 1_600), 0);
+  assert.is(countOrders(orderedAt + TERM_MS), 0);
+  requestPermit(restarted, "a3", orderedAt + TERM_MS + 390);
+  assert.is(countOrders(orderedAt + TERM_MS + 400), 1);
+});
+
 test("a model that an engine is loading is not ordered again after a report that does not show it yet", () => {
   const owner = createOwner("first", BORN);
   claimAfterTerm(owner);
