Names of the ownership say what they are; the end of a rest keeps a handed-back engine waiting

Read as a newcomer: the requirements that the others' word has to meet are called so, as is the time of the last contested order. The end of a rest no longer sets the time of the next order below the one after a handover back.

--- a/src/core/ordering/engine_owner.ts
+++ b/src/core/ordering/engine_owner.ts
@@ -195,11 +195,15 @@
    * Returns what the other daemons' word that they do not own the engine has to
    * meet; undefined if it is not needed.
    */
-  getDisclaimers(now: Milliseconds): DisclaimerRequirements | undefined {
+  getDisclaimerRequirements(
+    now: Milliseconds,
+  ): DisclaimerRequirements | undefined {
     const { slots } = this.admission;
     const mayEvict = this.admission.countWaiting() > 0 && !slots.hasFreeSlot();
-    return this.#ownership.getDisclaimers(now) ??
-      (mayEvict ? this.#ownership.getEvictionDisclaimers(now) : undefined);
+    return this.#ownership.getDisclaimerRequirements(now) ??
+      (mayEvict
+        ? this.#ownership.getEvictionDisclaimerRequirements(now)
+        : undefined);
   }
 
   /**
--- a/src/core/ordering/engine_ownership.ts
+++ b/src/core/ordering/engine_ownership.ts
@@ -123,10 +123,10 @@
   #state: OwnershipState = { kind: "idle" };
   readonly #fencing = new FencingSequence();
   /**
-   * When the last inconclusive order was sent, or answered, that may be
-   * accepted.
+   * When the last inconclusive order was sent or, later, answered, unless the
+   * engine refused it.
    */
-  #contestedAnsweredAt = Number.NEGATIVE_INFINITY;
+  #lastContestedAt = Number.NEGATIVE_INFINITY;
   /**
    * When the rest after that order ends, also if this daemon has lost the
    * engine and owns it again, or the engine has restarted.
@@ -224,7 +224,9 @@
    * cover the time in which they may have sent the same order. Undefined if it
    * is not needed.
    */
-  getDisclaimers(now: Milliseconds): DisclaimerRequirements | undefined {
+  getDisclaimerRequirements(
+    now: Milliseconds,
+  ): DisclaimerRequirements | undefined {
     const { state } = this;
     const isResting = now < this.#restsUntil;
     const isUnordered = state.kind === "observing" ||
@@ -237,9 +239,9 @@
     }
     if (state.kind !== "holding" || !isResting) return undefined;
     return {
-      since: this.#contestedAnsweredAt + CONTESTED_WINDOW_MS +
+      since: this.#lastContestedAt + CONTESTED_WINDOW_MS +
         HEARTBEAT_QUEUE_MS,
-      sameProcessSince: this.#contestedAnsweredAt,
+      sameProcessSince: this.#lastContestedAt,
     };
   }
 
@@ -247,7 +249,7 @@
    * Returns what that word has to meet for an eviction from another claimant's
    * share: that it is recent. Undefined if this daemon may not order.
    */
-  getEvictionDisclaimers(
+  getEvictionDisclaimerRequirements(
     now: Milliseconds,
   ): DisclaimerRequirements | undefined {
     const { state } = this;
@@ -264,7 +266,7 @@
    * may have sent too, so that the other one has to rest.
    */
   hasRecentContestedOrder(now: Milliseconds): boolean {
-    return now - this.#contestedAnsweredAt <
+    return now - this.#lastContestedAt <
       this.#getRestMs() + CONTESTED_WINDOW_MS;
   }
 
@@ -287,7 +289,8 @@
 
   /**
    * Ends the rest after an inconclusive order that no other daemon sent;
-   * returns whether there was one. The order then proves the ownership.
+   * returns whether there was one. The order then proves the ownership, if the
+   * engine accepted it.
    */
   endRest(now: Milliseconds): boolean {
     const { state } = this;
@@ -295,7 +298,7 @@
     this.#restsUntil = now;
     this.#state = {
       ...state,
-      ordersFrom: now,
+      ordersFrom: Math.max(now, this.#resumesFrom),
       acceptedAt: state.contestedAt ?? state.acceptedAt,
       contestedAt: undefined,
     };
@@ -469,7 +472,7 @@
     this.#resumesFrom = handover.ownOrderAgeMs === undefined
       ? Number.NEGATIVE_INFINITY
       : now + this.#getTurnMs() - handover.ownOrderAgeMs;
-    if (handover.fencing) this.#fencing.adopt(handover.fencing);
+    if (handover.fencing) this.#fencing.setBoundsAbove(handover.fencing);
     else this.#fencing.begin(handover.sequence);
     this.#takeOwnership({
       sequence: handover.sequence,
@@ -545,7 +548,7 @@
    * answer may come after this daemon has lost the engine.
    */
   recordContestedOrder(now: Milliseconds): void {
-    this.#contestedAnsweredAt = now;
+    this.#lastContestedAt = now;
     this.#restsUntil = now + this.#getRestMs();
   }
 
@@ -603,7 +606,7 @@
   }
 
   #forgetContestedOrder(): void {
-    this.#contestedAnsweredAt = Number.NEGATIVE_INFINITY;
+    this.#lastContestedAt = Number.NEGATIVE_INFINITY;
     this.#restsUntil = Number.NEGATIVE_INFINITY;
   }
 
--- a/src/core/ordering/fencing_number.ts
+++ b/src/core/ordering/fencing_number.ts
@@ -75,7 +75,7 @@
   }
 
   /** Continues above the former owner's last order. */
-  adopt({ minSequence, minPosition }: FencingBounds): void {
+  setBoundsAbove({ minSequence, minPosition }: FencingBounds): void {
     this.#minSequence = minSequence;
     this.#minPosition = minPosition + 1;
   }
--- a/src/core/ordering/owner_roles.ts
+++ b/src/core/ordering/owner_roles.ts
@@ -54,7 +54,9 @@
    * Returns what the other daemons' word that they do not own the engine has to
    * meet; undefined if it is not needed.
    */
-  getDisclaimers(now: Milliseconds): DisclaimerRequirements | undefined;
+  getDisclaimerRequirements(
+    now: Milliseconds,
+  ): DisclaimerRequirements | undefined;
   /**
    * Returns whether this daemon has recently sent the engine an order that
    * another claimant may have sent too.
@@ -210,7 +212,7 @@
     now: Milliseconds,
   ): boolean {
     const { fleet, seedIps } = this.#options;
-    const requirements = owner.getDisclaimers(now);
+    const requirements = owner.getDisclaimerRequirements(now);
     return requirements !== undefined &&
       fleet.isDisclaimed(engine, { ...requirements, seedIps }, now);
   }
--- a/src/core/ordering/ownership_state.ts
+++ b/src/core/ordering/ownership_state.ts
@@ -152,9 +152,9 @@
    */
   isUnowned: boolean;
   /**
-   * Whether all other daemons have said, in heartbeats that meet the
-   * requirements of the ownership (EngineOwnership.disclaimers), that they
-   * neither own the engine nor have recently sent it a contested order.
+   * Whether all other daemons have said that they neither own the engine nor
+   * have recently sent it a contested order, in heartbeats that meet
+   * EngineOwnership.getDisclaimerRequirements.
    */
   isDisclaimed: boolean;
 }
--- a/test/core/ordering/empty_engine_test.ts
+++ b/test/core/ordering/empty_engine_test.ts
@@ -224,7 +224,11 @@
     0,
   );
   assert.ok(ownership.claim(DISCLAIMED, 10));
-  assert.is(ownership.getDisclaimers(15)?.since, -100, "the engine's start");
+  assert.is(
+    ownership.getDisclaimerRequirements(15)?.since,
+    -100,
+    "the engine's start",
+  );
   ownership.recordContestedOrder(20);
   assert.ok(ownership.hasRecentContestedOrder(25), "before the answer too");
   ownership.recordOrderAnswer(
@@ -233,7 +237,7 @@
     20,
     50,
   );
-  assert.equal(ownership.getDisclaimers(60), {
+  assert.equal(ownership.getDisclaimerRequirements(60), {
     since: 50 + CONTESTED_WINDOW_MS + HEARTBEAT_QUEUE_MS,
     sameProcessSince: 50,
   });
--- a/test/core/ordering/engine_owner_test.ts
+++ b/test/core/ordering/engine_owner_test.ts
@@ -303,9 +303,9 @@
   report(3, 700);
   owner.tick(CONTEXT, 700);
   assert.ok(owner.isOwner());
-  assert.is(owner.getDisclaimers(800), undefined);
+  assert.is(owner.getDisclaimerRequirements(800), undefined);
   requestPermit(owner, "a1", 800);
-  assert.equal(owner.getDisclaimers(800), {
+  assert.equal(owner.getDisclaimerRequirements(800), {
     since: 800 - 1_200,
     sameProcessSince: Number.POSITIVE_INFINITY,
     mayHaveLeft: true,
@@ -317,7 +317,7 @@
     weightsMb: 100,
     models: [],
   });
-  assert.is(owner.getDisclaimers(800), undefined, "a slot is free");
+  assert.is(owner.getDisclaimerRequirements(800), undefined, "a slot is free");
 });
 
 test.run();
--- a/test/core/ordering/fencing_number_test.ts
+++ b/test/core/ordering/fencing_number_test.ts
@@ -47,7 +47,7 @@
   const former = createSequence(5);
   const last = accept(former, "evict", HIGH);
   const successor = new FencingSequence();
-  successor.adopt(former.bounds);
+  successor.setBoundsAbove(former.bounds);
   const next = accept(successor, "evict", LOW);
   assert.ok(next > last);
   assert.ok(accept(createSequence(6), "evict", LOW) > next);
--- a/test/core/ordering/owner_roles_test.ts
+++ b/test/core/ordering/owner_roles_test.ts
@@ -35,7 +35,7 @@
         engineId: engine?.id ?? "gone",
         isOwner: () => part.isOwner ?? false,
         observedAt: undefined,
-        getDisclaimers: () => undefined,
+        getDisclaimerRequirements: () => undefined,
         hasRecentContestedOrder: () => false,
       },
       fetchShare: FETCH_SHARE,
@@ -107,7 +107,7 @@
     engineId: "e",
     isOwner: () => true,
     observedAt: 0,
-    getDisclaimers: () => undefined,
+    getDisclaimerRequirements: () => undefined,
     hasRecentContestedOrder: () => false,
   };
   roles.recordOwned(owner, 5_000);
