Tests of the ownership share one builder; the term with its margin is worked out once

Four test files each wrote out the limits, the permit request and the fetch share of an owner; engine_owner_builder.ts builds them. In EngineOwnership the term with its margin stood in four places. No behaviour, bound or assertion changes.

--- a/src/core/ordering/engine_ownership.ts
+++ b/src/core/ordering/engine_ownership.ts
@@ -278,6 +278,7 @@
     return orderAgeMs < this.#getTurnMs();
   }
 
+  /** Returns the term with its margin. */
   #getTurnMs(): Milliseconds {
     return this.#options.termMs + TERM_MARGIN_MS;
   }
@@ -396,7 +397,7 @@
 
   #hasTermElapsed(now: Milliseconds): boolean {
     return this.#state.kind === "observing" &&
-      now - this.#state.observedAt >= this.#options.termMs + TERM_MARGIN_MS;
+      now - this.#state.observedAt >= this.#getTurnMs();
   }
 
   #isConfirmed(now: Milliseconds): boolean {
@@ -422,7 +423,7 @@
     conditions: ClaimConditions,
     now: Milliseconds,
   ): Milliseconds {
-    const wholeTermMs = this.#options.termMs + TERM_MARGIN_MS;
+    const wholeTermMs = this.#getTurnMs();
     if (this.#state.kind !== "observing") return wholeTermMs;
     const observationMs = conditions.isUnowned
       ? UNOWNED_OBSERVATION_MS
@@ -748,7 +749,7 @@
   #depose(now: Milliseconds): Settlement {
     this.#state = {
       kind: "deposed",
-      until: now + this.#options.termMs + TERM_MARGIN_MS,
+      until: now + this.#getTurnMs(),
     };
     return { kind: "deposed" };
   }
--- a/test/core/ordering/empty_engine_test.ts
+++ b/test/core/ordering/empty_engine_test.ts
@@ -2,6 +2,7 @@
  * Daemons that each may load the base model of an empty engine, which confirms
  * that order to all of them: their orders do not alternate within a term.
  */
+import { buildEngineLimits, FETCH_SHARE } from "./engine_owner_builder.ts";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import {
@@ -29,14 +30,7 @@
   isUnowned: false,
   isDisclaimed: false,
   peers: undefined,
-  fetchShare: {
-    fleetFetches: 0,
-    fetchLimit: 8,
-    canFetch: true,
-    isAtHostShare: false,
-    isAtMinConcurrency: false,
-    fetchesPerEngine: 1,
-  },
+  fetchShare: FETCH_SHARE,
 };
 
 /** Inputs of a daemon to which all others say that they do not own the engine. */
@@ -63,18 +57,7 @@
     listClaimants: () => ["former", "other"],
     selectOwnAdapter: () => `own-${selfId}`,
     isClockSteady: () => true,
-    limits: {
-      adapterSlots: 3,
-      batchSize: 8,
-      kvCapacityTokens: 100_000,
-      weightsMb: 100,
-      models: [{
-        name: "m",
-        weightsMb: 100,
-        adapterCount: 9,
-        loadMs: MODEL_LOAD_MS,
-      }],
-    },
+    limits: buildEngineLimits(MODEL_LOAD_MS),
     termMs: TERM_MS,
   });
 }
--- a/test/core/ordering/engine_owner_test.ts
+++ b/test/core/ordering/engine_owner_test.ts
@@ -4,6 +4,11 @@
  * was under way during a suspension proves nothing, and the log tells on what
  * each claim and order rests.
  */
+import {
+  buildEngineLimits,
+  buildPermitRequest,
+  FETCH_SHARE,
+} from "./engine_owner_builder.ts";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { OrderEvidence } from "../../../src/core/ordering/engine_ownership.ts";
@@ -28,14 +33,7 @@
   isUnowned: true,
   isDisclaimed: true,
   peers: undefined,
-  fetchShare: {
-    fleetFetches: 0,
-    fetchLimit: 8,
-    canFetch: true,
-    isAtHostShare: false,
-    isAtMinConcurrency: false,
-    fetchesPerEngine: 1,
-  },
+  fetchShare: FETCH_SHARE,
 };
 
 const dateNow = Date.now;
@@ -51,13 +49,7 @@
     selfId,
     listClaimants: () => [selfId],
     engineId: "engine",
-    limits: {
-      adapterSlots: 3,
-      batchSize: 8,
-      kvCapacityTokens: 100_000,
-      weightsMb: 100,
-      models: [{ name: "m", weightsMb: 100, adapterCount: 9, loadMs: 600 }],
-    },
+    limits: buildEngineLimits(600),
     termMs: TERM_MS,
     selectOwnAdapter: () => selfId,
     isClockSteady: () => true,
@@ -97,22 +89,7 @@
 }
 
 function requestPermit(owner: EngineOwner, adapter: string, now: number): void {
-  owner.requestPermit({
-    permitId: adapter,
-    holder: "entry",
-    model: "m",
-    adapter,
-    adapterPath: `m/${adapter}`,
-    version: undefined,
-    priorityRank: 0,
-    promptTokens: 10,
-    outputTokens: 10,
-    promptParts: [],
-    patienceMs: 500,
-    firstTokenBudgetMs: 1_000,
-    lifetimeMs: 1_000,
-    isLastChoice: true,
-  }, now);
+  owner.requestPermit(buildPermitRequest(adapter, adapter, 1_000), now);
 }
 
 function findOrder(effects: readonly EngineOwnerEffect[]): GiveOrder {
--- a/test/fuzz/counting_engine.ts
+++ b/test/fuzz/counting_engine.ts
@@ -10,7 +10,7 @@
 import type { OrderAnswer } from "../../src/core/ordering/ownership_state.ts";
 import type { OrderOracle } from "./order_oracle.ts";
 
-export const ADAPTER_SLOTS = 3;
+const ADAPTER_SLOTS = 3;
 /** Duration of a load, in which the engine confirms the same order again. */
 const LOAD_MS = 260;
 /**
--- a/test/fuzz/empty_engine_simulation.ts
+++ b/test/fuzz/empty_engine_simulation.ts
@@ -7,6 +7,11 @@
  * Each daemon's majority, and whether it should own the engine, follow from the
  * heartbeats that it receives.
  */
+import {
+  buildEngineLimits,
+  buildPermitRequest,
+  FETCH_SHARE,
+} from "../core/ordering/engine_owner_builder.ts";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { uniformInt } from "pure-rand/distribution/uniformInt";
 import {
@@ -18,7 +23,7 @@
 import { OwnerRoles } from "../../src/core/ordering/owner_roles.ts";
 import type { OrderAnswer } from "../../src/core/ordering/ownership_state.ts";
 import { buildHeartbeat } from "../core/fleet/heartbeat_builder.ts";
-import { ADAPTER_SLOTS, CountingEngine } from "./counting_engine.ts";
+import { CountingEngine } from "./counting_engine.ts";
 import { OrderOracle } from "./order_oracle.ts";
 
 const TERM_MS = 3_000;
@@ -32,14 +37,6 @@
 const HEARTBEAT_MS = 400;
 const STARTUP_HEARTBEAT_MS = 150;
 const STARTUP_MS = 3_000;
-const FETCH_SHARE = {
-  fleetFetches: 0,
-  fetchLimit: 8,
-  canFetch: true,
-  isAtHostShare: false,
-  isAtMinConcurrency: false,
-  fetchesPerEngine: 1,
-};
 
 export interface EmptyEngineRunOptions {
   daemons: number;
@@ -162,18 +159,7 @@
       selfId: daemon.member.id,
       listClaimants: () => daemon.view.listClaimants(engine, this.#now),
       engineId: engine.id,
-      limits: {
-        adapterSlots: ADAPTER_SLOTS,
-        batchSize: 8,
-        kvCapacityTokens: 100_000,
-        weightsMb: 100,
-        models: [{
-          name: "m",
-          weightsMb: 100,
-          adapterCount: 9,
-          loadMs: this.#options.modelLoadMs,
-        }],
-      },
+      limits: buildEngineLimits(this.#options.modelLoadMs),
       termMs: TERM_MS,
       selectOwnAdapter: () => `own${index}`,
       isClockSteady: () => true,
@@ -270,22 +256,11 @@
   #createRequest() {
     this.#permits += 1;
     const adapter = `a${this.#draw(1, ADAPTERS)}`;
-    return {
-      permitId: `p${this.#permits}`,
-      holder: "entry",
-      model: "m",
+    return buildPermitRequest(
+      `p${this.#permits}`,
       adapter,
-      adapterPath: `m/${adapter}`,
-      version: undefined,
-      priorityRank: 0,
-      promptTokens: 10,
-      outputTokens: 10,
-      promptParts: [],
-      patienceMs: 500,
-      firstTokenBudgetMs: 1_000,
-      lifetimeMs: this.#draw(50, 1_500),
-      isLastChoice: true,
-    };
+      this.#draw(50, 1_500),
+    );
   }
 
   /** Sends a heartbeat to the daemons that are not cut off; it may be late. */
--- a/test/fuzz/ownership_simulation.ts
+++ b/test/fuzz/ownership_simulation.ts
@@ -6,6 +6,11 @@
  * owners must not alternate within a term, fencing numbers must increase, and
  * the adapter slots must not be exceeded.
  */
+import {
+  buildEngineLimits,
+  buildPermitRequest,
+  FETCH_SHARE,
+} from "../core/ordering/engine_owner_builder.ts";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { uniformInt } from "pure-rand/distribution/uniformInt";
 import {
@@ -21,7 +26,6 @@
 import type { OrderAnswer } from "../../src/core/ordering/ownership_state.ts";
 import { buildHeartbeat } from "../core/fleet/heartbeat_builder.ts";
 import {
-  ADAPTER_SLOTS,
   CountingEngine,
   MODEL_LOAD_MS,
   RUN_START_UNIX_MS,
@@ -159,18 +163,7 @@
       selfId: `daemon ${index}`,
       listClaimants: () => CLAIMANTS,
       engineId: ENGINE_ID,
-      limits: {
-        adapterSlots: ADAPTER_SLOTS,
-        batchSize: 8,
-        kvCapacityTokens: 100_000,
-        weightsMb: 100,
-        models: [{
-          name: "m",
-          weightsMb: 100,
-          adapterCount: 9,
-          loadMs: MODEL_LOAD_MS,
-        }],
-      },
+      limits: buildEngineLimits(MODEL_LOAD_MS),
       termMs: TERM_MS,
       selectOwnAdapter: () => `own${index}`,
       isClockSteady: (at) => pauseDetectors[index]?.isClockSteady(at) ?? false,
@@ -373,22 +366,11 @@
       if (draw(0, 9) === 0) {
         permits += 1;
         const adapter = `a${draw(1, ADAPTERS)}`;
-        const request = {
-          permitId: `p${permits}`,
-          holder: "entry",
-          model: "m",
+        const request = buildPermitRequest(
+          `p${permits}`,
           adapter,
-          adapterPath: `m/${adapter}`,
-          version: undefined,
-          priorityRank: 0,
-          promptTokens: 10,
-          outputTokens: 10,
-          promptParts: [],
-          patienceMs: 500,
-          firstTokenBudgetMs: 1_000,
-          lifetimeMs: draw(50, 1_500),
-          isLastChoice: true,
-        };
+          draw(50, 1_500),
+        );
         // As in the gateway, only an owner is asked for permits.
         if (owner.isOwner()) {
           carryOut(index, owner.requestPermit(request, now));
@@ -401,14 +383,7 @@
         isUnowned: !isLarge && isUnowned(index),
         isDisclaimed: false,
         peers: undefined,
-        fetchShare: {
-          fleetFetches: 0,
-          fetchLimit: 8,
-          canFetch: true,
-          isAtHostShare: false,
-          isAtMinConcurrency: false,
-          fetchesPerEngine: 1,
-        },
+        fetchShare: FETCH_SHARE,
       };
       carryOut(index, owner.tick(context, now));
       if (owner.isOwner()) hasOwned[index] = true;
