Log a failed request's adapter, prompt parts and upstream incarnation

Change: requestDecision names the adapter, the first eight prompt parts and the start of the upstream process. Served requests keep their short line.

--- a/src/gateway/request_handler.ts
+++ b/src/gateway/request_handler.ts
@@ -61,6 +61,12 @@
  */
 const FIRST_EVENT_TIMEOUT_OBJECTIVES = 2;
 
+/**
+ * Maximum number of prompt parts in a log line: prompts have a few, and a line
+ * must stay bounded whatever a caller sends.
+ */
+const MAX_LOGGED_PARTS = 8;
+
 const Status = {
   NotFound: 404,
   BadGateway: 502,
@@ -85,6 +91,8 @@
   #isFinished = false;
   #head: { status: number; rawHeaders: string[] } | undefined;
   readonly #engineSelector: EngineSelector;
+  /** Upstream of the latest attempt. */
+  #lastUpstream: PublishedUpstream | undefined;
   #sentAt: Milliseconds = Number.NaN;
   #firstByteAt: Milliseconds = Number.NaN;
   #reselections = 0;
@@ -226,6 +234,7 @@
     const isStream = this.#route.repeatability === Repeatability.Stream;
     const load = this.#getServiceLoad(upstream.id);
     this.#totalAttempts += 1;
+    this.#lastUpstream = upstream;
     this.#sentAt = performance.now();
     load.ownRunning += 1;
     this.#running = runAttempt(this.#context, {
@@ -349,7 +358,8 @@
       remainingMs: roundMs(this.#getRemainingMs()),
       configurationVersion: view.configuration?.version,
     };
-    log.info(isDelivered ? "requestServed" : "requestDecision", fields);
+    if (isDelivered) log.info("requestServed", fields);
+    else log.info("requestDecision", { ...fields, ...this.#describeContent() });
     switch (verdict.kind) {
       case "tryAnother":
         metrics.count("repeats", result?.outcome ?? reason);
@@ -372,6 +382,21 @@
     }
   }
 
+  /**
+   * Describes for the log what a failed request shares with others, and the
+   * start of the upstream process that it was last sent to.
+   */
+  #describeContent(): object {
+    const { model, adapter, promptParts } = this.#exchange.metadata;
+    return {
+      adapter: adapter === "" ? undefined : `${model}/${adapter}`,
+      promptParts: promptParts.length === 0
+        ? undefined
+        : promptParts.slice(0, MAX_LOGGED_PARTS).map((part) => part.id),
+      upstreamBornAtUnixMs: this.#lastUpstream?.bornAtUnixMs,
+    };
+  }
+
   /**
    * Excludes the upstream from further attempts. An engine is excluded only
    * after its second rejection: the first one may mean that a load had not
