Requests with a prompt part that crashes engines stop reaching engines

Cause: evidence was kept by the fingerprint of a whole request. Requests that share one part differ in all else, so each started without strikes. Class: evidence kept by identity where the cause is a shared attribute.

Change: CrashAttribution keeps, per crash, the shared parts of the requests that had no output, and per part when a run with it last produced output. A part that stays uncleared in two crashes with a response head, or three without, is convicted; crashes that it explains count against nobody else. Heartbeats carry the records, so that hosts that each saw one crash reach the verdict together and a newcomer learns it from one message. A broken connection counts only when a probe is refused or the engine reports another start. A convicted part is tried again, one host after the other, after 20 s, doubled with each crash.

--- a/fakes/fake_platform_replica.ts
+++ b/fakes/fake_platform_replica.ts
@@ -9,7 +9,7 @@
   type Server,
   type ServerResponse,
 } from "node:http";
-import type { AddressInfo } from "node:net";
+import type { AddressInfo, Socket } from "node:net";
 import {
   type EndlessAnswerRecord,
   type EndlessPart,
@@ -71,6 +71,8 @@
 export const STREAM_EVENT_COUNT = 4;
 const LOAD_TIME_MS = 30;
 const SLOW_ANSWER_DELAY_MS = 700;
+/** Time from the head of an answer to the crash that its first event causes. */
+const HEAD_BEFORE_CRASH_MS = 10;
 
 export class FakePlatformReplica {
   readonly id: string;
@@ -100,15 +102,32 @@
   refusalCount = 0;
   /** Records of the endless answers sent. */
   readonly endlessAnswers: EndlessAnswerRecord[] = [];
+  /**
+   * Parts of prompts that crash the replica when it begins to answer a request
+   * with one of them.
+   */
+  readonly deadlyParts = new Set<string>();
+  /** Time from a crash until the replica is back, empty, at its address. */
+  downMs = 400;
+  crashCount = 0;
+  /** Called when the replica is back after a crash. */
+  onRestart: () => void = () => {};
+  #isStopped = false;
   /** Behaviours of the upcoming requests, one per request; then `answer`. */
   behaviours: ReplicaBehaviour[] = [];
   readonly #server: Server = createServer((request, response) =>
     this.#handle(request, response)
   );
 
+  readonly #sockets = new Set<Socket>();
+
   constructor(id: string, isEngine: boolean) {
     this.id = id;
     this.isEngine = isEngine;
+    this.#server.on("connection", (socket: Socket) => {
+      this.#sockets.add(socket);
+      socket.once("close", () => this.#sockets.delete(socket));
+    });
   }
 
   async start(): Promise<void> {
@@ -156,10 +175,24 @@
   }
 
   stop(): void {
+    this.#isStopped = true;
     this.#server.close();
     this.#server.closeAllConnections();
   }
 
+  /** Ends all connections by a reset and refuses new ones until it is back. */
+  crash(): void {
+    const { port } = this.#server.address() as AddressInfo;
+    this.crashCount += 1;
+    this.#server.close();
+    for (const socket of this.#sockets) socket.resetAndDestroy();
+    setTimeout(() => {
+      if (this.#isStopped) return;
+      this.restart();
+      this.#server.listen(port, "127.0.0.1", this.onRestart);
+    }, this.downMs);
+  }
+
   #describeModels(): object[] {
     const adapters = [...this.adapters]
       .filter(([, { readyAt }]) => readyAt <= Date.now())
@@ -264,6 +297,11 @@
       "X-Request-Id": id,
       "X-Response-Stamp": `by-${this.id}`,
     };
+    if (this.#hasDeadlyPart(headers)) {
+      response.writeHead(200, identity).flushHeaders();
+      setTimeout(() => this.crash(), HEAD_BEFORE_CRASH_MS);
+      return;
+    }
     if (isEndless(behaviour)) {
       if (!response.socket) return;
       this.endlessAnswers.push(
@@ -275,6 +313,11 @@
     else sendServiceAnswer(behaviour, identity, response);
   }
 
+  #hasDeadlyPart(headers: IncomingMessage["headers"]): boolean {
+    return String(headers[Header.PromptPrefix] ?? "").split(",")
+      .some((part) => this.deadlyParts.has(part.split(":")[0] ?? ""));
+  }
+
   #hasRequestedAdapter(headers: IncomingMessage["headers"]): boolean {
     const [, adapter] = String(headers[Header.Model] ?? "").split("/");
     if (!this.isEngine || adapter === undefined) return true;
--- a/src/core/execution/retry_decision.ts
+++ b/src/core/execution/retry_decision.ts
@@ -46,6 +46,8 @@
   /** Attempts so far, also those that certainly did not run. */
   totalAttempts: number;
   remainingMs: Milliseconds;
+  /** Whether the request may be what crashed its upstream. */
+  isCrashSuspect: boolean;
 }
 
 /**
@@ -83,6 +85,7 @@
     conditions.repeatability,
     conditions.isResumable,
   );
+  const canRepeatRun = canRetry && !conditions.isCrashSuspect;
   const hasTime = remainingMs >= MIN_REMAINING_MS &&
     conditions.totalAttempts < MAX_TOTAL_ATTEMPTS;
   switch (outcome) {
@@ -105,7 +108,7 @@
     }
     case AttemptOutcome.Lost:
     case AttemptOutcome.TimedOut:
-      return canRetry && hasTime && possibleRuns < maxAttempts &&
+      return canRepeatRun && hasTime && possibleRuns < maxAttempts &&
           trySpendRetry()
         ? { kind: "tryAnother" }
         : { kind: "fail", isTimeout: outcome === AttemptOutcome.TimedOut };
--- a/src/core/fleet/heartbeat.ts
+++ b/src/core/fleet/heartbeat.ts
@@ -2,6 +2,7 @@
  * Heartbeats: what the daemons of a fleet tell each other about themselves and
  * about other members.
  */
+import type { CrashDigest } from "../limits/crash_attribution.ts";
 import type { OutcomeReport } from "../placement/upstream_health.ts";
 import type { Milliseconds } from "../structures.ts";
 
@@ -74,4 +75,6 @@
    * crashes.
    */
   strikes: { fingerprint: string; strikes: number }[];
+  /** What the sender knows of crashes; absent if there were none. */
+  crashes?: CrashDigest | undefined;
 }
--- /dev/null
+++ b/src/gateway/crash_probe.ts
@@ -0,0 +1,101 @@
+/**
+ * Finds out whether an upstream has crashed after a connection to it broke. A
+ * broken connection alone is no crash: connections are also reset, and answers
+ * truncated, by upstreams that live. An upstream has crashed if it refuses a new
+ * connection, or if an engine reports another start.
+ */
+import { connect } from "node:net";
+import type { PublishedUpstream } from "../core/view/published_view.ts";
+import { parseAddress } from "../daemon/http_server.ts";
+import { describeError } from "../daemon/step_error.ts";
+import type { DecisionLog } from "./decision_log.ts";
+import type { EngineControl } from "./ports.ts";
+
+/**
+ * Time limit of a probe: a refusal takes one round trip. A longer silence is a
+ * partition rather than a crash.
+ */
+const PROBE_TIMEOUT_MS = 150;
+/** Time for which the requests that broke together share one probe. */
+const PROBE_LIFETIME_MS = 500;
+
+export interface CrashProbeOptions {
+  control: Pick<EngineControl, "readReport">;
+  isEngine: (upstream: PublishedUpstream) => boolean;
+  log: Pick<DecisionLog, "debug">;
+}
+
+export class CrashProbe {
+  readonly #options: CrashProbeOptions;
+  readonly #results = new Map<string, Promise<boolean>>();
+
+  constructor(options: CrashProbeOptions) {
+    this.#options = options;
+  }
+
+  /** Resolves to whether this start of the upstream has ended; never rejects. */
+  hasCrashed(upstream: PublishedUpstream): Promise<boolean> {
+    const key = formatIncarnation(upstream);
+    const known = this.#results.get(key);
+    if (known) return known;
+    const result = this.#checkUpstream(upstream);
+    this.#results.set(key, result);
+    setTimeout(() => this.#results.delete(key), PROBE_LIFETIME_MS).unref();
+    return result;
+  }
+
+  async #checkUpstream(upstream: PublishedUpstream): Promise<boolean> {
+    switch (await openConnection(upstream.address)) {
+      case "refused":
+        return true;
+      case "silent":
+        return false;
+      case "open":
+        return this.#options.isEngine(upstream) &&
+          await this.#hasOtherStart(upstream);
+    }
+  }
+
+  async #hasOtherStart(upstream: PublishedUpstream): Promise<boolean> {
+    try {
+      const now = performance.now();
+      const report = await this.#options.control.readReport(upstream, now);
+      return upstream.bornAtUnixMs !== 0 &&
+        report.bornAtUnixMs !== upstream.bornAtUnixMs;
+    } catch (error) {
+      // An unread report proves nothing.
+      this.#options.log.debug("crashProbeUnread", {
+        upstream: upstream.id,
+        detail: describeError(error),
+      });
+      return false;
+    }
+  }
+}
+
+/** Returns the name of one start of an upstream, the same on all hosts. */
+export function formatIncarnation(
+  { id, bornAtUnixMs }: Pick<PublishedUpstream, "id" | "bornAtUnixMs">,
+): string {
+  return `${id}.${bornAtUnixMs.toString(36)}`;
+}
+
+type ProbeOutcome = "refused" | "open" | "silent";
+
+function openConnection(address: string): Promise<ProbeOutcome> {
+  return new Promise((resolve) => {
+    const socket = connect(parseAddress(address));
+    const finish = (outcome: ProbeOutcome): void => {
+      clearTimeout(timer);
+      socket.destroy();
+      resolve(outcome);
+    };
+    const timer = setTimeout(() => finish("silent"), PROBE_TIMEOUT_MS);
+    socket.once("connect", () => finish("open"));
+    socket.on(
+      "error",
+      (error: NodeJS.ErrnoException) =>
+        finish(error.code === "ECONNREFUSED" ? "refused" : "silent"),
+    );
+  });
+}
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -6,8 +6,10 @@
 import { randomBytes } from "node:crypto";
 import { createServer, type Server } from "node:http";
 import { FleetView } from "../core/fleet/fleet_view.ts";
+import { rankByRendezvous } from "../core/hashing.ts";
 import type { Heartbeat } from "../core/fleet/heartbeat.ts";
 import { ResponseMemoryBudget } from "../core/limits/response_memory_budget.ts";
+import { CrashAttribution } from "../core/limits/crash_attribution.ts";
 import { CrashQuarantine } from "../core/limits/crash_quarantine.ts";
 import { FleetRetryBudget } from "../core/limits/fleet_retry_budget.ts";
 import { AdapterDemand } from "../core/placement/adapter_demand.ts";
@@ -18,6 +20,7 @@
 import { parseAddress } from "../daemon/http_server.ts";
 import type { GatewaySettings } from "../settings/gateway_settings.ts";
 import { CallerTask } from "./caller_task.ts";
+import { CrashProbe } from "./crash_probe.ts";
 import { DecisionLog } from "./decision_log.ts";
 import { EngineTask } from "./engine_task.ts";
 import { GatewayMetrics } from "./gateway_metrics.ts";
@@ -41,6 +44,13 @@
  * again within seconds.
  */
 const STRIKE_LIFETIME_MS = 60_000;
+/**
+ * Time between the trials of a convicted trait by two hosts: long enough for
+ * the first trial to end and its outcome to spread.
+ */
+const TRIAL_STAGGER_MS = 2_000;
+/** Longest time by which a host's trial comes after the first host's. */
+const MAX_TRIAL_DELAY_MS = 60_000;
 /** Most strikes in one heartbeat, which has to fit into one datagram. */
 const MAX_HEARTBEAT_STRIKES = 6;
 /**
@@ -94,6 +104,9 @@
     maxStrikes: MAX_STRIKES,
     strikeLifetimeMs: STRIKE_LIFETIME_MS,
   });
+  readonly #crashAttribution = new CrashAttribution({
+    getTrialDelayMs: (trait, now) => this.#computeTrialDelayMs(trait, now),
+  });
   readonly #peers: PeerTask;
   readonly #viewSynchronizer: ViewSynchronizer;
   readonly #engines: EngineTask;
@@ -139,13 +152,14 @@
         this.#scheduleEarlyHeartbeats();
       },
     });
+    const control = platform.createEngineControl();
     this.#engines = new EngineTask({
       selfId: host,
       termMs: settings.orders.termMs,
       view: this.#view,
       fleet: this.#fleet,
       seedIps: settings.peers.seeds.map((seed) => parseAddress(seed).host),
-      control: platform.createEngineControl(),
+      control,
       log: this.#log,
       metrics: this.#metrics,
       announceOwnership: () => this.#scheduleEarlyHeartbeats(),
@@ -171,6 +185,14 @@
       }),
       retryBudget: new FleetRetryBudget(settings.repeats),
       quarantine: this.#quarantine,
+      crashAttribution: this.#crashAttribution,
+      crashProbe: new CrashProbe({
+        control,
+        isEngine: ({ service }) =>
+          this.#view.getService(service)?.engine !== undefined,
+        log: this.#log,
+      }),
+      announceCrashes: () => this.#scheduleEarlyHeartbeats(),
       serviceLoads: new Map(),
       upstreams: this.#upstreamClient,
       engines: this.#engines,
@@ -364,11 +386,29 @@
       strikes: this.#quarantine.getDigests(now)
         .slice(-MAX_HEARTBEAT_STRIKES)
         .map(({ fingerprint, strikes }) => ({ fingerprint, strikes })),
+      crashes: this.#crashAttribution.getDigest(now),
     };
   }
 
+  /**
+   * Returns by how much this host's trial of a convicted trait comes after the
+   * first one in the fleet, from its rank among the hosts that are alive.
+   */
+  #computeTrialDelayMs(trait: string, now: number): number {
+    const hosts = [
+      this.#fleet.self,
+      ...this.#fleet.listAlive(now).map(({ sender }) => sender),
+    ];
+    const rank = rankByRendezvous(trait, hosts).indexOf(this.#fleet.self);
+    return Math.min(MAX_TRIAL_DELAY_MS, rank * TRIAL_STAGGER_MS);
+  }
+
   #updateGauges(now: number): void {
     this.#metrics.setGauge("living_daemons", this.#fleet.countAlive(now));
+    this.#metrics.setGauge(
+      "convicted_traits",
+      this.#crashAttribution.listConvictions(now).length,
+    );
     this.#metrics.setGauge("upstreams", this.#view.countUpstreams());
     this.#metrics.setGauge("requests_in_flight", this.#callers.inFlight);
     this.#metrics.setGauge(
@@ -395,6 +435,7 @@
       })),
       now,
     );
+    this.#mergeCrashes(from, heartbeat, now);
     const isNew = this.#fleet.recordHeartbeat(heartbeat, now);
     this.#engines.notifyNewOwners(now);
     this.#health.recordReports(this.#fleet.listFailing(now));
@@ -410,6 +451,17 @@
     this.#peers.send(heartbeat.sender.ip, this.#buildHeartbeat(false, now));
   }
 
+  #mergeCrashes(from: string, { crashes }: Heartbeat, now: number): void {
+    if (!crashes) return;
+    if (!this.#crashAttribution.mergeDigest(crashes, now)) return;
+    this.#log.info("crashTraitsConvicted", {
+      peer: from,
+      convictions: this.#crashAttribution.listConvictions(now)
+        .map(({ traits, crashes }) => ({ traits, crashes })),
+    });
+    this.#scheduleEarlyHeartbeats();
+  }
+
   async #deliver(peerId: string, message: GatewayMessage): Promise<boolean> {
     const member = this.#fleet.getMember(peerId);
     if (!member) return false;
--- a/src/gateway/gateway_metrics.ts
+++ b/src/gateway/gateway_metrics.ts
@@ -37,6 +37,10 @@
     "Times a streamed response was paused because its caller read too slowly, by kind (always stream)",
   upstream_notices:
     "Leaving and backoff notices in upstream responses, by notice (leaving, backoff)",
+  crash_suspects:
+    "Requests without output at upstreams that crashed, by suspicion (likely, possible)",
+  crash_trials: "Requests admitted as the trial of a convicted trait (started)",
+  convicted_traits: "Groups of traits that are convicted of crashing upstreams",
   order_load: "Load orders to engines, by result",
   order_evict: "Eviction orders to engines, by result",
   holder_belief:
--- a/src/gateway/peer_message_decoder.ts
+++ b/src/gateway/peer_message_decoder.ts
@@ -50,6 +50,8 @@
   promptParts: promptPartsSchema,
 };
 
+const ageMs = z.number().nonnegative();
+
 const heartbeatSchema = z.object({
   sender: z.object({
     id: z.string(),
@@ -73,6 +75,13 @@
   strikes: z.array(
     z.object({ fingerprint: z.string(), strikes: z.number() }),
   ),
+  crashes: z.object({
+    crashes: z.array(
+      z.tuple([z.string(), ageMs, z.array(z.string()), z.array(z.string())]),
+    ),
+    outputs: z.array(z.tuple([z.string(), ageMs])),
+    crashCounts: z.array(z.tuple([z.string(), z.number()])),
+  }).optional(),
 });
 
 const permitRequestSchema = z.object({
--- a/src/gateway/request_context.ts
+++ b/src/gateway/request_context.ts
@@ -1,6 +1,7 @@
 /** The objects that the parts of the gateway share to serve requests. */
 import type { FleetView } from "../core/fleet/fleet_view.ts";
 import type { ResponseMemoryBudget } from "../core/limits/response_memory_budget.ts";
+import type { CrashAttribution } from "../core/limits/crash_attribution.ts";
 import type { CrashQuarantine } from "../core/limits/crash_quarantine.ts";
 import type { FleetRetryBudget } from "../core/limits/fleet_retry_budget.ts";
 import type { AdapterDemand } from "../core/placement/adapter_demand.ts";
@@ -9,6 +10,7 @@
 import type { ServiceLoad } from "../core/placement/upstream_ranking.ts";
 import type { UpstreamHealth } from "../core/placement/upstream_health.ts";
 import type { PublishedView } from "../core/view/published_view.ts";
+import type { CrashProbe } from "./crash_probe.ts";
 import type { DecisionLog } from "./decision_log.ts";
 import type { EngineTask } from "./engine_task.ts";
 import type { GatewayMetrics } from "./gateway_metrics.ts";
@@ -28,6 +30,10 @@
   responseMemory: ResponseMemoryBudget;
   retryBudget: FleetRetryBudget;
   quarantine: CrashQuarantine;
+  crashAttribution: CrashAttribution;
+  crashProbe: CrashProbe;
+  /** Tells peers of a crash or of a conviction that has ended. */
+  announceCrashes: () => void;
   serviceLoads: Map<string, ServiceLoad>;
   upstreams: UpstreamClient;
   engines: EngineTask;
--- a/src/gateway/request_handler.ts
+++ b/src/gateway/request_handler.ts
@@ -29,6 +29,7 @@
   SinkDecision,
 } from "./attempt_runner.ts";
 import type { CallerExchange } from "./caller_exchange.ts";
+import { CrashGuard } from "./crash_guard.ts";
 import { EngineSelector } from "./engine_selector.ts";
 import { roundMs } from "./decision_log.ts";
 import type { ResponseHead } from "./ports.ts";
@@ -91,6 +92,11 @@
   #isFinished = false;
   #head: { status: number; rawHeaders: string[] } | undefined;
   readonly #engineSelector: EngineSelector;
+  readonly #crashGuard: CrashGuard;
+  /** Time until a convicted part of the prompt is tried again. */
+  #quarantineMs: Milliseconds | undefined;
+  /** Whether the current attempt's upstream has sent output. */
+  #hasOutput = false;
   /** Upstream of the latest attempt. */
   #lastUpstream: PublishedUpstream | undefined;
   #sentAt: Milliseconds = Number.NaN;
@@ -113,6 +119,11 @@
     this.#route = target.route;
     this.#service = target.service;
     this.#fingerprint = fingerprint;
+    this.#crashGuard = new CrashGuard(
+      context,
+      exchange.metadata,
+      target.service,
+    );
     const deadlineMs = exchange.metadata.deadlineMs ?? target.route.timeoutMs;
     this.#endsAt = exchange.arrivedAt +
       Math.min(deadlineMs - NETWORK_ALLOWANCE_MS, target.route.timeoutMs);
@@ -143,6 +154,7 @@
       while (!this.#isFinished) await this.#tryOnce();
     } finally {
       clearTimeout(timer);
+      this.#crashGuard.finish();
     }
   }
 
@@ -161,10 +173,12 @@
       );
       return;
     }
+    if (this.#refuseCrashingPart()) return;
     const upstream = this.#service.engine
       ? await this.#engineSelector.selectEngine()
       : this.#selectServiceUpstream();
-    if (this.#isFinished) {
+    // A part may have been convicted while the request waited for its permit.
+    if (this.#isFinished || this.#refuseCrashingPart()) {
       this.#engineSelector.releaseEngine();
       return;
     }
@@ -189,9 +203,29 @@
     this.#engineSelector.releaseEngine(result);
     if (this.#isFinished) return;
     this.#recordResult(upstream, result);
+    if (result.isConnectionBroken && !this.#hasOutput) {
+      await this.#crashGuard.recordBreak(upstream, isSuccess(result.status));
+      if (this.#isFinished) return;
+    }
     this.#applyVerdict(result.detail, this.#decide(result), result);
   }
 
+  /** Refuses the request if one of its prompt parts crashes upstreams. */
+  #refuseCrashingPart(): boolean {
+    const refusal = this.#crashGuard.findRefusal(performance.now());
+    if (!refusal) return false;
+    this.#quarantineMs = refusal.retryAfterMs;
+    this.#applyVerdict(
+      "crashingPart",
+      this.#possibleRuns === 0
+        ? { kind: "refuse" }
+        : { kind: "fail", isTimeout: false },
+      undefined,
+      { trait: refusal.trait, retryAfterMs: roundMs(refusal.retryAfterMs) },
+    );
+    return true;
+  }
+
   /** Returns whether this daemon must not send the upstream a request now. */
   #isUnavailable(upstream: PublishedUpstream): boolean {
     const { view, backoff } = this.#context;
@@ -235,6 +269,7 @@
     const load = this.#getServiceLoad(upstream.id);
     this.#totalAttempts += 1;
     this.#lastUpstream = upstream;
+    this.#hasOutput = false;
     this.#sentAt = performance.now();
     load.ownRunning += 1;
     this.#running = runAttempt(this.#context, {
@@ -268,6 +303,7 @@
     const events = this.#splitter.push(chunk);
     if (this.#splitter.restBytes > MAX_EVENT_BYTES) return SinkDecision.Abort;
     if (events.length === 0 || this.#isFinished) return SinkDecision.Continue;
+    this.#recordOutput();
     if (!this.#hasForwarded) this.#startStream();
     this.#exchange.write(events);
     if (!this.#exchange.isWriteBufferFull) return SinkDecision.Continue;
@@ -279,6 +315,13 @@
     return SinkDecision.Pause;
   }
 
+  /** Records that the upstream has produced output for the request. */
+  #recordOutput(): void {
+    if (this.#hasOutput) return;
+    this.#hasOutput = true;
+    this.#crashGuard.recordOutput(performance.now());
+  }
+
   #startStream(): void {
     if (!this.#head) return;
     const { metrics } = this.#context;
@@ -314,9 +357,6 @@
   #decide(result: AttemptResult): RetryDecision {
     const { retryBudget, fleet } = this.#context;
     const { repeatability, isResumable, maxAttempts } = this.#route;
-    const mayHaveRun = result.outcome !== AttemptOutcome.NotRun &&
-      result.outcome !== AttemptOutcome.NotSent;
-    if (mayHaveRun) this.#possibleRuns += 1;
     return decideRetry({
       outcome: result.outcome,
       repeatability,
@@ -325,6 +365,7 @@
       maxAttempts,
       totalAttempts: this.#totalAttempts,
       remainingMs: this.#getRemainingMs(),
+      isCrashSuspect: this.#crashGuard.isSuspect(performance.now()),
     }, () => {
       const now = performance.now();
       const aliveDaemons = fleet.countAlive(now);
@@ -337,6 +378,7 @@
     reason: string,
     verdict: RetryDecision,
     result?: AttemptResult,
+    details: object = {},
   ): void {
     const { log, metrics, view } = this.#context;
     const isDelivered = verdict.kind === "deliver";
@@ -358,8 +400,15 @@
       remainingMs: roundMs(this.#getRemainingMs()),
       configurationVersion: view.configuration?.version,
     };
-    if (isDelivered) log.info("requestServed", fields);
-    else log.info("requestDecision", { ...fields, ...this.#describeContent() });
+    if (isDelivered) {
+      log.info("requestServed", fields);
+    } else {
+      log.info("requestDecision", {
+        ...fields,
+        ...this.#describeContent(),
+        ...details,
+      });
+    }
     switch (verdict.kind) {
       case "tryAnother":
         metrics.count("repeats", result?.outcome ?? reason);
@@ -441,7 +490,7 @@
       this.#exchange.abort();
       return;
     }
-    const retryAfterMs = computeRetryAfterMs({
+    const retryAfterMs = this.#quarantineMs ?? computeRetryAfterMs({
       requestId: this.#exchange.metadata.requestId,
       expectedWaitMs: this.#shortestBackoffMs ??
         this.#engineSelector.expectedWaitMs,
@@ -495,12 +544,16 @@
     const { health, quarantine, metrics } = this.#context;
     const now = performance.now();
     metrics.count("attempts", result.outcome);
+    const mayHaveRun = result.outcome !== AttemptOutcome.NotRun &&
+      result.outcome !== AttemptOutcome.NotSent;
+    if (mayHaveRun) this.#possibleRuns += 1;
     const signal = classifyHealth(result);
     if (signal) {
       health.recordSignal(upstream.id, signal, now);
       this.#recordReachability(upstream, signal, now);
     }
     if (result.outcome === AttemptOutcome.Answered) {
+      if (result.response) this.#recordOutput();
       quarantine.clearSuspect(this.#fingerprint);
     } else if (result.isConnectionBroken && !this.#hasForwarded) {
       quarantine.recordCrash(this.#fingerprint, true, now);
@@ -565,3 +618,7 @@
       ranked[0];
   }
 }
+
+function isSuccess(status: number): boolean {
+  return status >= 200 && status < 300;
+}
--- a/test/core/execution/retry_decision_test.ts
+++ b/test/core/execution/retry_decision_test.ts
@@ -17,6 +17,7 @@
   maxAttempts: 2,
   totalAttempts: 1,
   remainingMs: 800,
+  isCrashSuspect: false,
 };
 
 const CASES: [string, Partial<RetryConditions>, boolean, string][] = [
@@ -51,6 +52,12 @@
     true,
     "fail",
   ],
+  [
+    "a lost idempotent request that may have crashed its upstream is not retried",
+    { outcome: "lost", isCrashSuspect: true },
+    true,
+    "fail",
+  ],
   [
     "a lost idempotent request is retried",
     { outcome: "lost" },
