A stream that is closed inside an event is broken off, not complete

Callers saw: a stream whose upstream sent neither length nor chunks and ended inside an event, or before the first, was passed on as whole; its torn last event as well. A resumable one was not resumed.

Cause: Node.js takes the close of such a connection for the end of the body, and the gateway forwarded what was left of the last event with the end. Class: the end of a connection taken for the end of a message. Change: the splitter knows whether the bytes end inside an event; such a stream, and one without framing that brought no byte, is lost like one whose connection broke. So it is resumed where the route allows, broken off for the caller where not, and counts as a suspect if its upstream has crashed.

Test that failed before: four of the five new cases of answers_test (26 of 30 passed), 30 of 30 now; event_splitter_test has the boundary cases. The daemon forwards streams only up to [DONE] and reports others as broken (sse_inspector), so it is not affected.

--- a/fakes/fake_platform_replica.ts
+++ b/fakes/fake_platform_replica.ts
@@ -40,6 +40,12 @@
   | "encoded"
   /** The connection of a stream is reset within its third event. */
   | "breakStream"
+  /** A whole stream without length or chunks, which ends with its connection. */
+  | "unframedStream"
+  /** As `unframedStream`, but the connection is closed within the third event. */
+  | "unframedStreamEndsInEvent"
+  /** As `unframedStream`, but the connection is closed before the first event. */
+  | "unframedStreamWithoutEvent"
   | "slow"
   | EndlessPart;
 
@@ -339,11 +345,16 @@
       response.socket?.resetAndDestroy();
       return;
     }
+    const firstEvent = Number(headers["last-event-id"] ?? 0) + 1;
+    if (isUnframedStream(behaviour)) {
+      sendUnframedStream(behaviour, firstEvent, identity, response);
+      return;
+    }
     response.writeHead(200, {
       ...identity,
       "Content-Type": "text/event-stream",
     });
-    let nextEvent = Number(headers["last-event-id"] ?? 0) + 1;
+    let nextEvent = firstEvent;
     const timer = setInterval(() => {
       if (behaviour === "breakStream" && nextEvent === 3) {
         clearInterval(timer);
@@ -367,6 +378,36 @@
   return behaviour.startsWith("endless");
 }
 
+type UnframedStream = Extract<ReplicaBehaviour, `unframedStream${string}`>;
+
+function isUnframedStream(
+  behaviour: ReplicaBehaviour,
+): behaviour is UnframedStream {
+  return behaviour.startsWith("unframedStream");
+}
+
+/** Sends a stream whose end is that of its connection. */
+function sendUnframedStream(
+  behaviour: UnframedStream,
+  firstEvent: number,
+  identity: Record<string, string>,
+  response: ServerResponse,
+): void {
+  const { socket } = response;
+  const head = Object.entries({ ...identity, Connection: "close" })
+    .map(([name, value]) => `${name}: ${value}\r\n`).join("");
+  const events: string[] = [];
+  for (let event = firstEvent; event <= STREAM_EVENT_COUNT; event += 1) {
+    events.push(`id: ${event}\ndata: piece ${event}\n\n`);
+  }
+  const body = {
+    unframedStream: events.join(""),
+    unframedStreamEndsInEvent: `${events.slice(0, 2).join("")}id: 3\nda`,
+    unframedStreamWithoutEvent: "",
+  }[behaviour];
+  socket?.end(`HTTP/1.1 200 OK\r\n${head}\r\n${body}`);
+}
+
 /** Sends the answer of a plain service, with the selected fault. */
 function sendServiceAnswer(
   behaviour: Exclude<ReplicaBehaviour, EndlessPart>,
@@ -430,6 +471,9 @@
       break;
     case "shed":
     case "breakStream":
+    case "unframedStream":
+    case "unframedStreamEndsInEvent":
+    case "unframedStreamWithoutEvent":
     case "answer":
       response.writeHead(200, identity).end(text);
       break;
--- a/src/core/execution/event_splitter.ts
+++ b/src/core/execution/event_splitter.ts
@@ -28,6 +28,16 @@
     return this.#rest.length;
   }
 
+  /**
+   * Whether the bytes so far end within an event, so that a stream that closes
+   * here has been broken off. Events that end with CR LF are not split, but
+   * complete.
+   */
+  get isInEvent(): boolean {
+    const rest = this.#rest.toString("latin1");
+    return rest.trim() !== "" && !rest.endsWith("\r\n\r\n");
+  }
+
   /**
    * Adds a chunk, and returns the bytes up to the end of the last complete
    * event.
--- a/src/gateway/attempt_runner.ts
+++ b/src/gateway/attempt_runner.ts
@@ -59,6 +59,8 @@
 export interface StreamSink {
   start(status: number, rawHeaders: string[]): void;
   push(chunk: Buffer): SinkDecision;
+  /** Whether the bytes pushed so far end within an event. */
+  isInEvent(): boolean;
 }
 
 export interface AttemptOptions {
@@ -91,6 +93,9 @@
   let head: ResponseHead | undefined;
   let rawHeaders: string[] = [];
   let isStreaming = false;
+  /** Whether the response has a length or chunks, which show where it ends. */
+  let isFramed = false;
+  let hasBodyBytes = false;
   let isConnectionBroken = false;
   const chunks: Buffer[] = [];
   const { responseMemory } = context;
@@ -142,6 +147,8 @@
   }, {
     onHead: (response: IncomingMessage) => {
       rawHeaders = response.rawHeaders;
+      isFramed = response.headers["content-length"] !== undefined ||
+        response.headers["transfer-encoding"] !== undefined;
       head = headerCodec.decodeResponseHead(
         response.statusCode ?? 0,
         response.headers,
@@ -162,6 +169,7 @@
     },
     onChunk: (chunk) => {
       if (isSettled) return false;
+      hasBodyBytes = true;
       if (isStreaming && sink) {
         const decision = sink.push(chunk);
         if (decision === SinkDecision.Abort) {
@@ -176,8 +184,13 @@
       else abort(AttemptOutcome.Lost, "the answer is too long");
       return isBuffered;
     },
-    onEnd: (end) => {
+    onEnd: (closing) => {
       if (isSettled) return;
+      const isTruncated = closing.kind === "complete" && isStreaming &&
+        (sink?.isInEvent() || (!isFramed && !hasBodyBytes));
+      const end: AttemptEnd = isTruncated
+        ? { kind: "broken", detail: "the stream ended early" }
+        : closing;
       isConnectionBroken = end.kind === "broken";
       const [outcome, detail] = classifyEnd(end, head);
       finish(outcome, detail);
--- a/src/gateway/request_handler.ts
+++ b/src/gateway/request_handler.ts
@@ -289,6 +289,7 @@
         ? {
           start: (status, rawHeaders) => this.#head ??= { status, rawHeaders },
           push: (chunk) => this.#forwardChunk(chunk),
+          isInEvent: () => this.#splitter.isInEvent,
         }
         : undefined,
     });
--- a/test/core/execution/event_splitter_test.ts
+++ b/test/core/execution/event_splitter_test.ts
@@ -33,4 +33,21 @@
   assert.is(`${first}${second}`, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
 });
 
+test("bytes end in an event unless only a complete event or white space precedes", () => {
+  const cases: [string, boolean][] = [
+    ["", false],
+    ["id: 1\ndata: a\n\n", false],
+    ["id: 1\ndata: a\n\n\n", false],
+    ["id: 1\r\ndata: a\r\n\r\n", false],
+    ["id: 1\ndata: a\n", true],
+    ["id: 1\ndata: a\n\nid: 2\nda", true],
+    ["id: 1\r\ndata: a\r\n", true],
+  ];
+  for (const [text, expected] of cases) {
+    const splitter = new EventSplitter();
+    splitter.push(Buffer.from(text));
+    assert.is(splitter.isInEvent, expected, JSON.stringify(text));
+  }
+});
+
 test.run();
--- a/test/gateway/answers_test.ts
+++ b/test/gateway/answers_test.ts
@@ -116,6 +116,45 @@
   for (const engine of harness.engines) engine.behaviours = [];
 });
 
+test("a whole stream without length or chunks is complete", async () => {
+  setFaultOnce(harness.engines, "unframedStream");
+  const answer = await harness.call("/brief/1");
+  assert.is(answer.status, 200);
+  assert.ok(answer.isComplete);
+  const events = answer.body.match(/data: piece \d\n\n/g) ?? [];
+  assert.is(events.length, STREAM_EVENT_COUNT);
+});
+
+test("a stream without length or chunks that is closed inside an event never looks complete", async () => {
+  setFaultOnce(harness.engines, "unframedStreamEndsInEvent");
+  const answer = await harness.call("/brief/1");
+  assert.not(answer.isComplete);
+  const events = answer.body.match(/data: piece \d\n\n/g) ?? [];
+  assert.is(events.length, 2);
+});
+
+test("a stream without length or chunks that is closed before its first event never looks complete", async () => {
+  setFaultOnce(harness.engines, "unframedStreamWithoutEvent");
+  const answer = await harness.call("/brief/1");
+  assert.is(answer.status, 502);
+});
+
+for (
+  const fault of [
+    "unframedStreamEndsInEvent",
+    "unframedStreamWithoutEvent",
+  ] as const
+) {
+  test(`a resumable stream goes on after ${fault}, with each event sent once`, async () => {
+    setFaultOnce(harness.engines, fault);
+    const answer = await harness.call("/resume/1");
+    assert.ok(answer.isComplete);
+    const ids = [...answer.body.matchAll(/id: (\d+)\n/g)]
+      .map(([, number]) => number);
+    assert.equal(ids, ["1", "2", "3", "4"]);
+  });
+}
+
 test("the replica's work is cancelled when the caller disconnects", async () => {
   for (const engine of harness.engines) engine.behaviours = ["slow"];
   const id = "left";
