A broken connection is no longer taken for a crash of its upstream

Callers saw: a request whose connection was reset, or whose answer was truncated, three times by replicas that lived was refused for 60 s, at every gateway.

Cause: the gateway gave a strike for each connection that broke before the first event and called each run exclusive (recordCrash(..., true)). Found while looking for the same class elsewhere. Change: the fingerprint of the whole request is one of the traits of CrashAttribution, so that the gateway has one mechanism and one proof of a crash, the probe. Possible suspects count again only when they were sent after the crash before, in place of a fixed time. A probe that found its upstream alive is not reused for a later break, and a digest holds the three crashes that convict without a response head; both found by bounds_test.

--- a/fakes/fake_platform_replica.ts
+++ b/fakes/fake_platform_replica.ts
@@ -25,6 +25,8 @@
   | "shed"
   | "hang"
   | "reset"
+  /** The replica crashes before it answers. */
+  | "crash"
   /** The connection is closed before `Content-Length` bytes were sent. */
   | "truncate"
   /** An answer without length, whose end is the close of the connection. */
@@ -308,6 +310,10 @@
       setTimeout(() => this.crash(), HEAD_BEFORE_CRASH_MS);
       return;
     }
+    if (behaviour === "crash") {
+      this.crash();
+      return;
+    }
     if (isEndless(behaviour)) {
       if (!response.socket) return;
       this.endlessAnswers.push(
@@ -335,7 +341,7 @@
   }
 
   #sendEvents(
-    behaviour: Exclude<ReplicaBehaviour, EndlessPart>,
+    behaviour: Exclude<ReplicaBehaviour, EndlessPart | "crash">,
     identity: Record<string, string>,
     headers: IncomingMessage["headers"],
     response: ServerResponse,
@@ -410,7 +416,7 @@
 
 /** Sends the answer of a plain service, with the selected fault. */
 function sendServiceAnswer(
-  behaviour: Exclude<ReplicaBehaviour, EndlessPart>,
+  behaviour: Exclude<ReplicaBehaviour, EndlessPart | "crash">,
   identity: Record<string, string>,
   response: ServerResponse,
 ): void {
--- a/src/core/fleet/heartbeat.ts
+++ b/src/core/fleet/heartbeat.ts
@@ -70,10 +70,7 @@
   fenceUnixMs?: number;
   /** Sample of the members that the sender knows. */
   sample: GossipEntry[];
-  /**
-   * Fingerprints of requests that crashed upstreams, with the number of
-   * crashes.
-   */
+  /** Always empty: read by nobody, but the previous release requires it. */
   strikes: { fingerprint: string; strikes: number }[];
   /** What the sender knows of crashes; absent if there were none. */
   crashes?: CrashDigest | undefined;
--- a/src/core/limits/crash_attribution.ts
+++ b/src/core/limits/crash_attribution.ts
@@ -23,6 +23,8 @@
   traits: readonly string[];
   /** Whether the head of the response had arrived. */
   hasResponseHead: boolean;
+  /** Time from the dispatch of the request to the crash. */
+  runMs: Milliseconds;
 }
 
 /** Crash record in a message: the id, its age and the traits of the suspects. */
@@ -30,7 +32,7 @@
   crashId: string,
   ageMs: Milliseconds,
   likely: string[],
-  possible: string[],
+  possible: [trait: string, runMs: Milliseconds][],
 ];
 
 /** What a host knows of crashes, to be sent to its peers. */
@@ -67,7 +69,8 @@
   id: string;
   at: Milliseconds;
   likely: Set<string>;
-  possible: Set<string>;
+  /** Traits with the shortest time that a request with them had run. */
+  possible: Map<string, Milliseconds>;
 }
 
 interface Score {
@@ -88,11 +91,6 @@
 const SOUND_TRAIT_THRESHOLD = 12;
 /** Time for which output shows that a trait was sound. */
 const SOUND_TRAIT_LIFETIME_MS = 60_000;
-/**
- * Crashes within this time count once against a possible suspect: several
- * upstreams that fail together say little about a request on each of them.
- */
-const COINCIDENCE_MS = 300;
 /** Time after a conviction's last crash until the first trial. */
 const TRIAL_INTERVAL_MS = 20_000;
 /** Longest time between two trials. */
@@ -102,7 +100,7 @@
 /** Lifetime of crash records: as long as they may be needed for a refusal. */
 const CRASH_LIFETIME_MS = MAX_TRIAL_INTERVAL_MS + 5 * 60_000;
 
-const MAX_TRAITS = 20_000;
+const MAX_TRAITS = 8_000;
 const MAX_CRASHES = 64;
 const MAX_TRAITS_PER_CRASH = 48;
 /** Bounds of a digest, which shares one datagram with a heartbeat. */
@@ -151,8 +149,10 @@
     now: Milliseconds,
   ): void {
     const crash = this.#getCrash(crashId, now);
-    const target = suspect.hasResponseHead ? crash.likely : crash.possible;
-    this.#addTraits(crash, target, suspect.traits);
+    for (const trait of suspect.traits) {
+      if (suspect.hasResponseHead) this.#addLikely(crash, trait);
+      else this.#addPossible(crash, trait, suspect.runMs);
+    }
     this.#removeExcess(now);
   }
 
@@ -165,8 +165,10 @@
     for (const [crashId, ageMs, likely, possible] of digest.crashes) {
       if (ageMs >= CRASH_LIFETIME_MS) continue;
       const crash = this.#getCrash(crashId, now - ageMs);
-      this.#addTraits(crash, crash.likely, likely);
-      this.#addTraits(crash, crash.possible, possible);
+      for (const trait of likely) this.#addLikely(crash, trait);
+      for (const [trait, runMs] of possible) {
+        this.#addPossible(crash, trait, runMs);
+      }
     }
     for (const [trait, ageMs] of digest.outputs) {
       const at = now - ageMs;
@@ -195,7 +197,11 @@
         this.#selectDigestTraits(crash, crash.likely),
         crash.likely.size > 0
           ? []
-          : this.#selectDigestTraits(crash, crash.possible),
+          : this.#selectDigestTraits(crash, crash.possible.keys())
+            .map((trait): [string, number] => [
+              trait,
+              Math.round(crash.possible.get(trait) ?? 0),
+            ]),
       ]);
     const outputs: CrashDigest["outputs"] = [];
     for (const trait of this.#latestCrashAt.keys()) {
@@ -327,7 +333,7 @@
       const isLikely = likely.length > 0;
       const suspects = isLikely
         ? likely
-        : this.#listUncleared(crash, crash.possible);
+        : this.#listUncleared(crash, crash.possible.keys());
       for (const trait of suspects) {
         const score = scores.get(trait);
         if (!score) {
@@ -341,9 +347,10 @@
           continue;
         }
         const previousAt = score.crashes.at(-1)?.at ?? Number.NEGATIVE_INFINITY;
-        const isCoincidence = !isLikely &&
-          crash.at - previousAt < COINCIDENCE_MS;
-        if (isCoincidence) continue;
+        // Several upstreams that fail together say little about a request on
+        // each of them.
+        const sentAt = crash.at - (crash.possible.get(trait) ?? 0);
+        if (!isLikely && sentAt < previousAt) continue;
         score.points += isLikely ? LIKELY_POINTS : POSSIBLE_POINTS;
         score.crashes.push(crash);
       }
@@ -397,7 +404,7 @@
   #selectDigestCrashes(convictions: readonly Conviction[]): Crash[] {
     const latestFirst = [...this.#crashes.values()]
       .sort((a, b) => b.at - a.at);
-    const needed = UNKNOWN_TRAIT_THRESHOLD / LIKELY_POINTS;
+    const needed = UNKNOWN_TRAIT_THRESHOLD / POSSIBLE_POINTS;
     const selected = new Set<Crash>();
     for (const { traits } of convictions) {
       latestFirst.filter((crash) => isSuspectIn(crash, traits))
@@ -405,16 +412,17 @@
     }
     const unexplained = this.#listUnexplained(convictions);
     for (const crash of latestFirst) {
-      const hasSuspects =
-        this.#listUncleared(crash, [...crash.likely, ...crash.possible])
-          .length > 0;
+      const hasSuspects = this.#listUncleared(crash, [
+        ...crash.likely,
+        ...crash.possible.keys(),
+      ]).length > 0;
       if (hasSuspects && unexplained.includes(crash)) selected.add(crash);
     }
     return [...selected].slice(0, MAX_DIGEST_CRASHES);
   }
 
   /** Returns the most suspect traits: those that never produced output first. */
-  #selectDigestTraits(crash: Crash, traits: ReadonlySet<string>): string[] {
+  #selectDigestTraits(crash: Crash, traits: Iterable<string>): string[] {
     const getOutputAt = (trait: string) =>
       this.#outputAt.get(trait) ?? Number.NEGATIVE_INFINITY;
     return this.#listUncleared(crash, traits)
@@ -431,27 +439,29 @@
       known.at = Math.min(known.at, at);
       return known;
     }
-    const crash: Crash = { id, at, likely: new Set(), possible: new Set() };
+    const crash: Crash = { id, at, likely: new Set(), possible: new Map() };
     this.#crashes.set(id, crash);
     return crash;
   }
 
-  #addTraits(
-    crash: Crash,
-    target: Set<string>,
-    traits: readonly string[],
-  ): void {
-    for (const trait of traits) {
-      if (target.size >= MAX_TRAITS_PER_CRASH) break;
-      target.add(trait);
-      this.#recordCrashOf(trait, crash.at);
-    }
-    this.#convictions = undefined;
+  #addLikely(crash: Crash, trait: string): void {
+    if (crash.likely.size >= MAX_TRAITS_PER_CRASH) return;
+    crash.likely.add(trait);
+    this.#recordCrashOf(trait, crash.at);
+  }
+
+  #addPossible(crash: Crash, trait: string, runMs: Milliseconds): void {
+    const knownMs = crash.possible.get(trait);
+    const isFull = crash.possible.size >= MAX_TRAITS_PER_CRASH;
+    if (knownMs === undefined && isFull) return;
+    crash.possible.set(trait, Math.min(runMs, knownMs ?? runMs));
+    this.#recordCrashOf(trait, crash.at);
   }
 
   #recordCrashOf(trait: string, at: Milliseconds): void {
     const latestAt = this.#latestCrashAt.get(trait);
     this.#latestCrashAt.set(trait, Math.max(at, latestAt ?? at));
+    this.#convictions = undefined;
   }
 
   #setOutput(trait: string, at: Milliseconds): void {
@@ -481,7 +491,7 @@
     this.#convictions = undefined;
     this.#latestCrashAt.clear();
     for (const { at, likely, possible } of this.#crashes.values()) {
-      for (const trait of [...likely, ...possible]) {
+      for (const trait of [...likely, ...possible.keys()]) {
         this.#recordCrashOf(trait, at);
       }
     }
--- a/src/gateway/crash_guard.ts
+++ b/src/gateway/crash_guard.ts
@@ -1,7 +1,7 @@
 /**
  * One request's part in the attribution of crashes: keeps it from upstreams
- * while one of its prompt parts is convicted of crashing them, reports the
- * output that clears its parts, and reports it as a suspect when its upstream
+ * while the request or one of its prompt parts is convicted of crashing them,
+ * reports the output that clears them, and reports it as a suspect when its upstream
  * crashes before any output.
  */
 import type { CrashAdmission } from "../core/limits/crash_attribution.ts";
@@ -29,21 +29,24 @@
   /** The convicted traits of which this request is the trial. */
   #trial: readonly string[] | undefined;
 
+  /** @param fingerprint hash of what stays the same when a caller retries */
   constructor(
     context: RequestContext,
     metadata: RequestMetadata,
     service: PublishedService,
+    fingerprint: string,
   ) {
     this.#context = context;
     this.#requestId = metadata.requestId;
-    // The last part belongs to this request alone.
-    this.#traits = metadata.promptParts.slice(0, -1).slice(0, MAX_PARTS)
+    // The last part belongs to this request alone: its fingerprint covers it.
+    const parts = metadata.promptParts.slice(0, -1).slice(0, MAX_PARTS)
       .map((part) => `${service.name}/${part.id}`);
+    this.#traits = [...parts, fingerprint];
   }
 
   /** Returns why the request may not be sent now; undefined if it may. */
   findRefusal(now: Milliseconds): CrashRefusal | undefined {
-    if (this.#traits.length === 0 || this.#trial) return undefined;
+    if (this.#trial) return undefined;
     const { crashAttribution, log, metrics } = this.#context;
     const admission = crashAttribution.decideAdmission(this.#traits, now);
     switch (admission.kind) {
@@ -79,14 +82,17 @@
   /** Records a connection that broke before the upstream sent any output. */
   async recordBreak(
     upstream: PublishedUpstream,
-    hasResponseHead: boolean,
+    { hasResponseHead, sentAt }: {
+      hasResponseHead: boolean;
+      sentAt: Milliseconds;
+    },
   ): Promise<void> {
-    if (this.#traits.length === 0) return;
+    const runMs = performance.now() - sentAt;
     const { crashAttribution, crashProbe, announceCrashes, log, metrics } =
       this.#context;
     if (!(await crashProbe.hasCrashed(upstream))) return;
     const now = performance.now();
-    const suspect = { traits: this.#traits, hasResponseHead };
+    const suspect = { traits: this.#traits, hasResponseHead, runMs };
     crashAttribution.recordCrash(formatIncarnation(upstream), suspect, now);
     metrics.count("crash_suspects", hasResponseHead ? "likely" : "possible");
     log.info("upstreamCrashed", {
@@ -102,8 +108,7 @@
 
   /** Returns whether another attempt would risk another upstream. */
   isSuspect(now: Milliseconds): boolean {
-    return this.#traits.length > 0 &&
-      this.#context.crashAttribution.isSuspect(this.#traits, now);
+    return this.#context.crashAttribution.isSuspect(this.#traits, now);
   }
 
   /** Ends the request's trial, whether it had an outcome or not. */
--- a/src/gateway/crash_probe.ts
+++ b/src/gateway/crash_probe.ts
@@ -16,8 +16,8 @@
  * partition rather than a crash.
  */
 const PROBE_TIMEOUT_MS = 150;
-/** Time for which the requests that broke together share one probe. */
-const PROBE_LIFETIME_MS = 500;
+/** Time for which a crash that was found is not probed for again. */
+const CRASH_LIFETIME_MS = 500;
 
 export interface CrashProbeOptions {
   control: Pick<EngineControl, "readReport">;
@@ -27,6 +27,7 @@
 
 export class CrashProbe {
   readonly #options: CrashProbeOptions;
+  /** Probes in progress, and those that found a crash a moment ago. */
   readonly #results = new Map<string, Promise<boolean>>();
 
   constructor(options: CrashProbeOptions) {
@@ -39,8 +40,15 @@
     const known = this.#results.get(key);
     if (known) return known;
     const result = this.#checkUpstream(upstream);
+    // Requests that broke together share one probe. One that found the upstream
+    // alive says nothing about a later break.
     this.#results.set(key, result);
-    setTimeout(() => this.#results.delete(key), PROBE_LIFETIME_MS).unref();
+    void result.then((hasCrashed) => {
+      if (!hasCrashed) this.#results.delete(key);
+      else {
+        setTimeout(() => this.#results.delete(key), CRASH_LIFETIME_MS).unref();
+      }
+    });
     return result;
   }
 
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -10,7 +10,6 @@
 import type { Heartbeat } from "../core/fleet/heartbeat.ts";
 import { ResponseMemoryBudget } from "../core/limits/response_memory_budget.ts";
 import { CrashAttribution } from "../core/limits/crash_attribution.ts";
-import { CrashQuarantine } from "../core/limits/crash_quarantine.ts";
 import { FleetRetryBudget } from "../core/limits/fleet_retry_budget.ts";
 import { AdapterDemand } from "../core/placement/adapter_demand.ts";
 import { DomainReachability } from "../core/placement/domain_reachability.ts";
@@ -37,13 +36,6 @@
 import { waitMs } from "./wait.ts";
 import { ViewSynchronizer } from "./view_synchronizer.ts";
 
-/** Number of upstream crashes caused by a request after which it is refused. */
-const MAX_STRIKES = 4;
-/**
- * How long a request that crashed an upstream is remembered: callers send it
- * again within seconds.
- */
-const STRIKE_LIFETIME_MS = 60_000;
 /**
  * Time between the trials of a convicted trait by two hosts: long enough for
  * the first trial to end and its outcome to spread.
@@ -51,8 +43,6 @@
 const TRIAL_STAGGER_MS = 2_000;
 /** Longest time by which a host's trial comes after the first host's. */
 const MAX_TRIAL_DELAY_MS = 60_000;
-/** Most strikes in one heartbeat, which has to fit into one datagram. */
-const MAX_HEARTBEAT_STRIKES = 6;
 /**
  * Most failing upstreams in one heartbeat, which has to fit into one datagram.
  */
@@ -100,10 +90,6 @@
   readonly #view = new PublishedView();
   readonly #fleet: FleetView;
   readonly #health = new UpstreamHealth();
-  readonly #quarantine = new CrashQuarantine({
-    maxStrikes: MAX_STRIKES,
-    strikeLifetimeMs: STRIKE_LIFETIME_MS,
-  });
   readonly #crashAttribution = new CrashAttribution({
     getTrialDelayMs: (trait, now) => this.#computeTrialDelayMs(trait, now),
   });
@@ -184,7 +170,6 @@
         sharedBytes: ANSWER_BUDGET_BYTES,
       }),
       retryBudget: new FleetRetryBudget(settings.repeats),
-      quarantine: this.#quarantine,
       crashAttribution: this.#crashAttribution,
       crashProbe: new CrashProbe({
         control,
@@ -383,9 +368,7 @@
       failing: failing.length > 0 ? failing : undefined,
       fenceUnixMs: 0,
       sample: this.#fleet.selectSample(isPromised, now),
-      strikes: this.#quarantine.getDigests(now)
-        .slice(-MAX_HEARTBEAT_STRIKES)
-        .map(({ fingerprint, strikes }) => ({ fingerprint, strikes })),
+      strikes: [],
       crashes: this.#crashAttribution.getDigest(now),
     };
   }
@@ -428,13 +411,6 @@
     }
     const now = performance.now();
     const { heartbeat } = message;
-    this.#quarantine.mergeDigests(
-      heartbeat.strikes.map((strike) => ({
-        ...strike,
-        expiresInMs: STRIKE_LIFETIME_MS,
-      })),
-      now,
-    );
     this.#mergeCrashes(from, heartbeat, now);
     const isNew = this.#fleet.recordHeartbeat(heartbeat, now);
     this.#engines.notifyNewOwners(now);
--- a/src/gateway/peer_message_decoder.ts
+++ b/src/gateway/peer_message_decoder.ts
@@ -77,7 +77,12 @@
   ),
   crashes: z.object({
     crashes: z.array(
-      z.tuple([z.string(), ageMs, z.array(z.string()), z.array(z.string())]),
+      z.tuple([
+        z.string(),
+        ageMs,
+        z.array(z.string()),
+        z.array(z.tuple([z.string(), ageMs])),
+      ]),
     ),
     outputs: z.array(z.tuple([z.string(), ageMs])),
     crashCounts: z.array(z.tuple([z.string(), z.number()])),
--- a/src/gateway/request_context.ts
+++ b/src/gateway/request_context.ts
@@ -2,7 +2,6 @@
 import type { FleetView } from "../core/fleet/fleet_view.ts";
 import type { ResponseMemoryBudget } from "../core/limits/response_memory_budget.ts";
 import type { CrashAttribution } from "../core/limits/crash_attribution.ts";
-import type { CrashQuarantine } from "../core/limits/crash_quarantine.ts";
 import type { FleetRetryBudget } from "../core/limits/fleet_retry_budget.ts";
 import type { AdapterDemand } from "../core/placement/adapter_demand.ts";
 import type { DomainReachability } from "../core/placement/domain_reachability.ts";
@@ -29,7 +28,6 @@
   demand: AdapterDemand;
   responseMemory: ResponseMemoryBudget;
   retryBudget: FleetRetryBudget;
-  quarantine: CrashQuarantine;
   crashAttribution: CrashAttribution;
   crashProbe: CrashProbe;
   /** Tells peers of a crash or of a conviction that has ended. */
--- a/src/gateway/request_handler.ts
+++ b/src/gateway/request_handler.ts
@@ -80,7 +80,6 @@
   readonly #exchange: CallerExchange;
   readonly #route: PublishedRoute;
   readonly #service: PublishedService;
-  readonly #fingerprint: string;
   readonly #endsAt: Milliseconds;
   readonly #splitter = new EventSplitter();
   readonly #excludedUpstreamIds = new Set<string>();
@@ -93,7 +92,7 @@
   #head: { status: number; rawHeaders: string[] } | undefined;
   readonly #engineSelector: EngineSelector;
   readonly #crashGuard: CrashGuard;
-  /** Time until a convicted part of the prompt is tried again. */
+  /** Time until the request, or the convicted part of its prompt, is tried again. */
   #quarantineMs: Milliseconds | undefined;
   /** Whether the current attempt's upstream has sent output. */
   #hasOutput = false;
@@ -118,11 +117,11 @@
     this.#exchange = exchange;
     this.#route = target.route;
     this.#service = target.service;
-    this.#fingerprint = fingerprint;
     this.#crashGuard = new CrashGuard(
       context,
       exchange.metadata,
       target.service,
+      fingerprint,
     );
     const deadlineMs = exchange.metadata.deadlineMs ?? target.route.timeoutMs;
     this.#endsAt = exchange.arrivedAt +
@@ -163,22 +162,12 @@
   }
 
   async #tryOnce(): Promise<void> {
-    const { quarantine } = this.#context;
-    if (quarantine.isQuarantined(this.#fingerprint, performance.now())) {
-      this.#applyVerdict(
-        "quarantined",
-        this.#possibleRuns === 0
-          ? { kind: "refuse" }
-          : { kind: "fail", isTimeout: false },
-      );
-      return;
-    }
-    if (this.#refuseCrashingPart()) return;
+    if (this.#refuseIfQuarantined()) return;
     const upstream = this.#service.engine
       ? await this.#engineSelector.selectEngine()
       : this.#selectServiceUpstream();
     // A part may have been convicted while the request waited for its permit.
-    if (this.#isFinished || this.#refuseCrashingPart()) {
+    if (this.#isFinished || this.#refuseIfQuarantined()) {
       this.#engineSelector.releaseEngine();
       return;
     }
@@ -204,19 +193,22 @@
     if (this.#isFinished) return;
     this.#recordResult(upstream, result);
     if (result.isConnectionBroken && !this.#hasOutput) {
-      await this.#crashGuard.recordBreak(upstream, isSuccess(result.status));
+      await this.#crashGuard.recordBreak(upstream, {
+        hasResponseHead: isSuccess(result.status),
+        sentAt: this.#sentAt,
+      });
       if (this.#isFinished) return;
     }
     this.#applyVerdict(result.detail, this.#decide(result), result);
   }
 
-  /** Refuses the request if one of its prompt parts crashes upstreams. */
-  #refuseCrashingPart(): boolean {
+  /** Refuses the request if it, or one of its prompt parts, crashes upstreams. */
+  #refuseIfQuarantined(): boolean {
     const refusal = this.#crashGuard.findRefusal(performance.now());
     if (!refusal) return false;
     this.#quarantineMs = refusal.retryAfterMs;
     this.#applyVerdict(
-      "crashingPart",
+      "quarantined",
       this.#possibleRuns === 0
         ? { kind: "refuse" }
         : { kind: "fail", isTimeout: false },
@@ -542,7 +534,7 @@
   }
 
   #recordResult(upstream: PublishedUpstream, result: AttemptResult): void {
-    const { health, quarantine, metrics } = this.#context;
+    const { health, metrics } = this.#context;
     const now = performance.now();
     metrics.count("attempts", result.outcome);
     const mayHaveRun = result.outcome !== AttemptOutcome.NotRun &&
@@ -553,11 +545,8 @@
       health.recordSignal(upstream.id, signal, now);
       this.#recordReachability(upstream, signal, now);
     }
-    if (result.outcome === AttemptOutcome.Answered) {
-      if (result.response) this.#recordOutput();
-      quarantine.clearSuspect(this.#fingerprint);
-    } else if (result.isConnectionBroken && !this.#hasForwarded) {
-      quarantine.recordCrash(this.#fingerprint, true, now);
+    if (result.outcome === AttemptOutcome.Answered && result.response) {
+      this.#recordOutput();
     }
   }
 
--- a/test/gateway/crash_probe_test.ts
+++ b/test/gateway/crash_probe_test.ts
@@ -87,6 +87,15 @@
   assert.is(await probe.hasCrashed(describeUpstream(getOpenPort())), false);
 });
 
+test("an upstream that was alive at one break is probed again at the next", async () => {
+  let bornAtUnixMs = BORN_AT_UNIX_MS;
+  const probe = createProbe(() => bornAtUnixMs);
+  const upstream = describeUpstream(getOpenPort());
+  assert.is(await probe.hasCrashed(upstream), false);
+  bornAtUnixMs += 1;
+  assert.is(await probe.hasCrashed(upstream), true);
+});
+
 test("requests that broke together share one probe", async () => {
   const probe = createProbe(() => BORN_AT_UNIX_MS);
   const upstream = describeUpstream(getOpenPort());
