The daemon quarantines the messages that crash engines, not only whole chats

Callers saw: chats with one crashing message and different questions ended an engine each time, twice where they were repeated; nobody was refused.

Cause: the same as in the gateway: strikes by the fingerprint of the whole body. Change: the daemon hashes the messages of a chat but the last. The quarantine suspects sets of them: those of a crashed request with which no run has completed, and what two such sets have in common. A request that holds a whole set runs exclusively, is refused at maxStrikes exclusive crashes, and a completed run removes its parts from all sets. Sets travel as strikes, in the messages and the bound that strikes have.

--- a/bench/decide/decide_command.ts
+++ b/bench/decide/decide_command.ts
@@ -135,6 +135,7 @@
       customer: "derwent",
       route: `route-${(index * 7) % Math.min(routes, 160)}`,
       fingerprint: requestId,
+      sharedParts: [],
     }, fleet.now);
     node.core.handle({ kind: "callerGone", requestId }, fleet.now);
   };
--- a/bench/policy/simulation.ts
+++ b/bench/policy/simulation.ts
@@ -190,6 +190,7 @@
           customer: request.customer,
           route: request.route,
           fingerprint: requestId,
+          sharedParts: [],
         }, now);
       });
     }
--- a/scripts/site.ts
+++ b/scripts/site.ts
@@ -126,6 +126,17 @@
     return await this.startCall(daemonId, model, content).answer;
   }
 
+  /** Sends a chat whose last message, the content, follows shared ones. */
+  async callWithSharedMessages(
+    daemonId: string,
+    model: string,
+    messages: { shared: readonly string[]; content: string },
+  ): Promise<CallerAnswer> {
+    const { shared, content } = messages;
+    return await this.#startCompletion(daemonId, model, content, true, shared)
+      .answer;
+  }
+
   startCall(daemonId: string, model: string, content = "x"): RunningCall {
     return this.#startCompletion(daemonId, model, content, true);
   }
@@ -261,11 +272,16 @@
     model: string,
     content: string,
     stream: boolean,
+    shared: readonly string[] = [],
   ): RunningCall {
+    const messages = [
+      ...shared.map((text) => ({ role: "system", content: text })),
+      { role: "user", content },
+    ];
     return startCall({
       address: this.fleet.getDaemon(daemonId).callers,
       token: SITE_TOKEN,
-      body: { model, stream, messages: [{ role: "user", content }] },
+      body: { model, stream, messages },
     });
   }
 
--- a/src/core/events.ts
+++ b/src/core/events.ts
@@ -22,6 +22,8 @@
   route: string;
   /** Stable hash of customer, route and body. */
   fingerprint: string;
+  /** Hashes of the parts of the body that other requests may share. */
+  sharedParts: readonly string[];
   /** Value of `Idempotency-Key`; undefined when absent. */
   ticket?: string;
 }
--- a/src/core/execution/attempt_runner.ts
+++ b/src/core/execution/attempt_runner.ts
@@ -116,7 +116,7 @@
       return;
     }
     const { quarantine } = this.#context.options;
-    if (quarantine.isQuarantined(request.event.fingerprint, now)) {
+    if (quarantine.isQuarantined(request.event, now)) {
       this.#leases.freeCredit(groupKey, credit.leaseId, now);
       this.#refuseQuarantined(request, now);
       return;
@@ -194,6 +194,7 @@
     const isChecking = this.#crashDetector.checkForCrash(
       attempt,
       canRetry ? RetryReason.UpstreamLost : undefined,
+      result.bytesForwarded > 0,
     );
     if (!isChecking) return;
     if (canRetry) {
@@ -282,11 +283,11 @@
     attempt: RunningAttempt,
     now: Milliseconds,
   ): void {
-    if (attempt.credit.exclusive) {
-      this.#context.options.quarantine.clearSuspect(
-        request.event.fingerprint,
-      );
-    }
+    this.#context.options.quarantine.recordCompletion(
+      request.event,
+      attempt.credit.exclusive,
+      now,
+    );
     this.#finisher.complete(request, now);
   }
 
@@ -296,7 +297,7 @@
    */
   retry(request: LiveRequest, reason: RetryReason, now: Milliseconds): void {
     const { settings, quarantine, retryBudget } = this.#context.options;
-    if (quarantine.isQuarantined(request.event.fingerprint, now)) {
+    if (quarantine.isQuarantined(request.event, now)) {
       this.#refuseQuarantined(request, now);
       return;
     }
@@ -322,7 +323,7 @@
     const { quarantine } = this.#context.options;
     this.#finisher.refuse(request, RefusalReason.Quarantined, {
       outcome: Outcome.NotRun,
-      retryAfterMs: quarantine.getRemainingMs(request.event.fingerprint, now),
+      retryAfterMs: quarantine.getRemainingMs(request.event, now),
     }, now);
   }
 }
--- a/src/core/execution/crash_detector.ts
+++ b/src/core/execution/crash_detector.ts
@@ -20,6 +20,8 @@
    * final response.
    */
   retry: RetryReason | undefined;
+  /** Whether the upstream had sent output, which clears the shared parts. */
+  hadOutput: boolean;
   /** State reads started so far. */
   reads: number;
 }
@@ -59,8 +61,9 @@
   checkForCrash(
     attempt: RunningAttempt,
     retry: RetryReason | undefined,
+    hadOutput: boolean,
   ): boolean {
-    return this.#readState({ ...attempt, retry, reads: 0 });
+    return this.#readState({ ...attempt, retry, hadOutput, reads: 0 });
   }
 
   /**
@@ -86,7 +89,9 @@
     const { request, retry } = crashCheck;
     if (hasCrashed) {
       this.#context.options.quarantine.recordCrash(
-        request.event.fingerprint,
+        crashCheck.hadOutput
+          ? { ...request.event, sharedParts: [] }
+          : request.event,
         this.#hasRunAlone(crashCheck),
         now,
       );
--- a/src/core/execution/execution_context.ts
+++ b/src/core/execution/execution_context.ts
@@ -78,7 +78,7 @@
    * crashing upstreams.
    */
   isSuspect(request: LiveRequest, now: Milliseconds): boolean {
-    return this.options.quarantine.isSuspect(request.event.fingerprint, now);
+    return this.options.quarantine.isSuspect(request.event, now);
   }
 
   countRetry(reason: RetryReason): void {
--- a/src/core/execution/request_executor.ts
+++ b/src/core/execution/request_executor.ts
@@ -178,10 +178,10 @@
       });
       return;
     }
-    if (quarantine.isQuarantined(event.fingerprint, now)) {
+    if (quarantine.isQuarantined(event, now)) {
       this.#context.emitRefusal(event.requestId, RefusalReason.Quarantined, {
         outcome,
-        retryAfterMs: quarantine.getRemainingMs(event.fingerprint, now),
+        retryAfterMs: quarantine.getRemainingMs(event, now),
       });
       return;
     }
--- a/src/daemon/caller_task.ts
+++ b/src/daemon/caller_task.ts
@@ -22,6 +22,10 @@
 /** Time until a retry that is advised while the daemon has no tables yet. */
 const NOT_READY_RETRY_MS = 1_000;
 const FINGERPRINT_LENGTH = 22;
+/** Characters of a part's hash: several of them are in one strike. */
+const PART_HASH_LENGTH = 12;
+/** Most messages of a chat that are considered as shared with others. */
+const MAX_SHARED_PARTS = 8;
 
 export interface CallerTaskOptions {
   settings: DaemonSettings["callers"];
@@ -208,6 +212,7 @@
       customer,
       route: call.route,
       fingerprint: computeFingerprint(customer, call.route, rawBody),
+      sharedParts: listSharedParts(call.jsonBody),
       ...(ticket === undefined ? {} : { ticket }),
     });
   }
@@ -269,6 +274,21 @@
   return isMatch ? customer?.name : undefined;
 }
 
+/**
+ * Returns hashes of the messages that other chats may share: all but the last,
+ * which belongs to this request.
+ */
+function listSharedParts(
+  jsonBody: Record<string, unknown> | undefined,
+): string[] {
+  const messages = jsonBody?.["messages"];
+  if (!Array.isArray(messages)) return [];
+  return messages.slice(0, -1).slice(0, MAX_SHARED_PARTS).map((message) =>
+    createHash("sha256").update(JSON.stringify(message)).digest("base64url")
+      .slice(0, PART_HASH_LENGTH)
+  );
+}
+
 function computeFingerprint(
   customer: string,
   route: string,
--- a/test/core/execution/lease_client_test.ts
+++ b/test/core/execution/lease_client_test.ts
@@ -117,6 +117,7 @@
       customer: "mill-a",
       route: "briefing",
       fingerprint: "f1",
+      sharedParts: [],
     },
     route: { ...ROUTE, maxRunMs },
     pool: POOL,
--- a/test/core/membership/membership_fleet_test.ts
+++ b/test/core/membership/membership_fleet_test.ts
@@ -346,6 +346,7 @@
     customer: "derwent",
     route: "route-0",
     fingerprint: "f",
+    sharedParts: [],
   } as const;
   const issuer = fleet.getNode("entry-3-1");
   for (
--- a/test/core/residency/owned_upstreams_test.ts
+++ b/test/core/residency/owned_upstreams_test.ts
@@ -132,6 +132,7 @@
     customer: "derwent",
     route: "briefing",
     fingerprint: "f1",
+    sharedParts: [],
   }, daemon.now));
   daemon.apply(daemon.core.handle({ kind: "stopRequested" }, daemon.now));
   daemon.advance(DEFAULT_CORE_SETTINGS.loadTimeMs * 4);
--- a/test/core/single_daemon.ts
+++ b/test/core/single_daemon.ts
@@ -92,6 +92,7 @@
       customer: "derwent",
       route,
       fingerprint: "f1",
+      sharedParts: [],
       ...options,
     });
     return requestId;
--- a/test/fuzz/daemon_process.ts
+++ b/test/fuzz/daemon_process.ts
@@ -169,6 +169,7 @@
       customer: call.workItem.customer,
       route: call.workItem.route,
       fingerprint: call.workItem.id,
+      sharedParts: [],
       ...(call.ticket === undefined ? {} : { ticket: call.ticket }),
     });
   }
