Crash records go with heartbeats while they are news, and stay while they convict

Callers saw nothing of this: found by reading. A digest of up to 1 KB went with each heartbeat as long as any record existed (20 minutes), some 12 KB/s a host in a fleet of nine by count of heartbeats; and 64 ordinary crashes pushed out the records that convict a part.

Change: hosts pass news on for 3 s, repeat it every 3 s, and answer a newcomer's first heartbeat with all; crashes without a conviction are told for a minute. Records that convict go last. Two cases of crash_attribution_test fail without it (no needsDigest; the conviction is lost after 64 crashes); the simulation exchanges digests this way.

--- a/src/core/limits/crash_attribution.ts
+++ b/src/core/limits/crash_attribution.ts
@@ -100,6 +100,13 @@
 /** Lifetime of crash records: as long as they may be needed for a refusal. */
 const CRASH_LIFETIME_MS = MAX_TRIAL_INTERVAL_MS + 5 * 60_000;
 
+/** Time for which news of crashes goes with each digest, so that it spreads. */
+const NEWS_LIFETIME_MS = 3_000;
+/** Interval at which peers are told again without news, as digests may be lost. */
+const REPEAT_INTERVAL_MS = 3_000;
+/** Age up to which crashes without a conviction are told: others follow soon. */
+const UNEXPLAINED_DIGEST_AGE_MS = 60_000;
+
 const MAX_TRAITS = 8_000;
 const MAX_CRASHES = 64;
 const MAX_TRAITS_PER_CRASH = 48;
@@ -120,6 +127,8 @@
   readonly #trials = new Map<string, Milliseconds>();
   /** Traits of all crash records, with the time of their latest crash. */
   readonly #latestCrashAt = new Map<string, Milliseconds>();
+  /** When something was last recorded that peers may not know. */
+  #changedAt = Number.NEGATIVE_INFINITY;
   /** Derived from the records; undefined after a change. */
   #convictions: Conviction[] | undefined = [];
 
@@ -137,9 +146,11 @@
     for (const trait of traits) this.#setOutput(trait, now);
     if (!isClearing) return false;
     this.#convictions = undefined;
-    return before.some((each) =>
+    const hasEnded = before.some((each) =>
       each.traits.some((trait) => traits.includes(trait))
     );
+    if (hasEnded) this.#changedAt = now;
+    return hasEnded;
   }
 
   /** Records a suspect of a crash; the id is the same on all hosts. */
@@ -148,6 +159,7 @@
     suspect: CrashSuspect,
     now: Milliseconds,
   ): void {
+    this.#changedAt = now;
     const crash = this.#getCrash(crashId, now);
     for (const trait of suspect.traits) {
       if (suspect.hasResponseHead) this.#addLikely(crash, trait);
@@ -164,6 +176,7 @@
     const before = this.listConvictions(now).length;
     for (const [crashId, ageMs, likely, possible] of digest.crashes) {
       if (ageMs >= CRASH_LIFETIME_MS) continue;
+      if (!this.#crashes.has(crashId)) this.#changedAt = now;
       const crash = this.#getCrash(crashId, now - ageMs);
       for (const trait of likely) this.#addLikely(crash, trait);
       for (const [trait, runMs] of possible) {
@@ -183,14 +196,23 @@
     }
     this.#convictions = undefined;
     this.#removeExcess(now);
-    return this.listConvictions(now).length > before;
+    const hasNews = this.listConvictions(now).length > before;
+    if (hasNews) this.#changedAt = now;
+    return hasNews;
+  }
+
+  /** Returns whether peers that were told at the given time are to be told again. */
+  needsDigest(toldAt: Milliseconds, now: Milliseconds): boolean {
+    return this.#crashes.size > 0 &&
+      (now - this.#changedAt < NEWS_LIFETIME_MS ||
+        now - toldAt >= REPEAT_INTERVAL_MS);
   }
 
   /** Returns what peers should know, or undefined if there is nothing to tell. */
   getDigest(now: Milliseconds): CrashDigest | undefined {
     if (this.#crashes.size === 0) return undefined;
     const convictions = this.listConvictions(now);
-    const crashes = this.#selectDigestCrashes(convictions)
+    const crashes = this.#selectDigestCrashes(convictions, now)
       .map((crash): CrashEntry => [
         crash.id,
         Math.round(now - crash.at),
@@ -401,7 +423,10 @@
   }
 
   /** Prefers the latest crashes of each conviction, then the latest others. */
-  #selectDigestCrashes(convictions: readonly Conviction[]): Crash[] {
+  #selectDigestCrashes(
+    convictions: readonly Conviction[],
+    now: Milliseconds,
+  ): Crash[] {
     const latestFirst = [...this.#crashes.values()]
       .sort((a, b) => b.at - a.at);
     const needed = UNKNOWN_TRAIT_THRESHOLD / POSSIBLE_POINTS;
@@ -412,6 +437,7 @@
     }
     const unexplained = this.#listUnexplained(convictions);
     for (const crash of latestFirst) {
+      if (now - crash.at > UNEXPLAINED_DIGEST_AGE_MS) break;
       const hasSuspects = this.#listUncleared(crash, [
         ...crash.likely,
         ...crash.possible.keys(),
@@ -473,11 +499,13 @@
   }
 
   #removeExcess(now: Milliseconds): void {
+    this.#expireCrashes(now);
     while (this.#crashes.size > MAX_CRASHES) {
-      const [oldest] = [...this.#crashes.values()].sort((a, b) => a.at - b.at);
+      // Those that convict a trait stay as long as possible.
+      const oldest = this.#listUnexplained(this.listConvictions(now))[0] ??
+        [...this.#crashes.values()].sort((a, b) => a.at - b.at)[0];
       if (oldest) this.#removeCrash(oldest);
     }
-    this.#expireCrashes(now);
   }
 
   #expireCrashes(now: Milliseconds): void {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -9,7 +9,10 @@
 import { rankByRendezvous } from "../core/hashing.ts";
 import type { Heartbeat } from "../core/fleet/heartbeat.ts";
 import { ResponseMemoryBudget } from "../core/limits/response_memory_budget.ts";
-import { CrashAttribution } from "../core/limits/crash_attribution.ts";
+import {
+  CrashAttribution,
+  type CrashDigest,
+} from "../core/limits/crash_attribution.ts";
 import { FleetRetryBudget } from "../core/limits/fleet_retry_budget.ts";
 import { AdapterDemand } from "../core/placement/adapter_demand.ts";
 import { DomainReachability } from "../core/placement/domain_reachability.ts";
@@ -104,6 +107,8 @@
   #timer: ReturnType<typeof setTimeout> | undefined;
   readonly #startedAt = performance.now();
   #lastHeartbeatAt = performance.now();
+  /** When peers were last told of crashes. */
+  #crashesToldAt = Number.NEGATIVE_INFINITY;
   #isReady = false;
   #isHeartbeatScheduled = false;
   #isStopping = false;
@@ -319,10 +324,14 @@
       }
     }
     promisedByIp.delete(this.#fleet.self.ip);
+    const crashes = this.#crashAttribution.needsDigest(this.#crashesToldAt, now)
+      ? this.#crashAttribution.getDigest(now)
+      : undefined;
+    if (crashes) this.#crashesToldAt = now;
     const heartbeats = new Map<boolean, GatewayMessage>();
     for (const [ip, isPromised] of promisedByIp) {
       const heartbeat = heartbeats.get(isPromised) ??
-        this.#buildHeartbeat(isPromised, now);
+        this.#buildHeartbeat(isPromised, crashes, now);
       heartbeats.set(isPromised, heartbeat);
       this.#peers.send(ip, heartbeat);
     }
@@ -342,10 +351,14 @@
     }, HEARTBEAT_COALESCE_MS);
   }
 
-  #buildHeartbeat(isPromised: boolean, now: number): GatewayMessage {
+  #buildHeartbeat(
+    isPromised: boolean,
+    crashes: CrashDigest | undefined,
+    now: number,
+  ): GatewayMessage {
     return {
       kind: "heartbeat",
-      heartbeat: this.#describeSelf(isPromised, now),
+      heartbeat: { ...this.#describeSelf(isPromised, now), crashes },
     };
   }
 
@@ -369,7 +382,6 @@
       fenceUnixMs: 0,
       sample: this.#fleet.selectSample(isPromised, now),
       strikes: [],
-      crashes: this.#crashAttribution.getDigest(now),
     };
   }
 
@@ -421,10 +433,14 @@
       incarnation: heartbeat.incarnation,
       isLeaving: heartbeat.isLeaving,
     });
-    // A recently started peer knows few members, so it gets a heartbeat at
-    // once.
+    // A recently started peer knows few members and no crashes, so it gets a
+    // heartbeat at once.
     if (heartbeat.isLeaving || this.#isStopping) return;
-    this.#peers.send(heartbeat.sender.ip, this.#buildHeartbeat(false, now));
+    const crashes = this.#crashAttribution.getDigest(now);
+    this.#peers.send(
+      heartbeat.sender.ip,
+      this.#buildHeartbeat(false, crashes, now),
+    );
   }
 
   #mergeCrashes(from: string, { crashes }: Heartbeat, now: number): void {
--- a/test/core/limits/crash_attribution_simulation_test.ts
+++ b/test/core/limits/crash_attribution_simulation_test.ts
@@ -117,6 +117,7 @@
   };
   /** When a host sends its next digest. */
   const digestAt = hosts.map(() => draw() * 400);
+  const toldAt = hosts.map(() => Number.NEGATIVE_INFINITY);
 
   const crash = (index: number, isByRequest: boolean, now: number): void => {
     const engine = engines[index];
@@ -193,8 +194,11 @@
     for (const [index, at] of digestAt.entries()) {
       if (at > now) continue;
       digestAt[index] = now + 400;
-      const digest = hosts[index]?.getDigest(now);
+      const sender = hosts[index];
+      if (!sender?.needsDigest(toldAt[index] ?? now, now)) continue;
+      const digest = sender.getDigest(now);
       if (!digest) continue;
+      toldAt[index] = now;
       for (const [other, host] of hosts.entries()) {
         if (other === index || draw() < (scenario.lostDigests ?? 0)) continue;
         const hasNews = host.mergeDigest(digest, now + 2);
@@ -212,7 +216,14 @@
     }
     if (draw() < 0.005 * (scenario.restartsPerS ?? 0)) {
       const index = drawIndex(HOSTS);
-      hosts[index] = createHost(index);
+      const started = createHost(index);
+      hosts[index] = started;
+      toldAt[index] = Number.NEGATIVE_INFINITY;
+      // Peers answer the first heartbeat of a host that has just started.
+      for (const host of hosts) {
+        const digest = host === started ? undefined : host.getDigest(now);
+        if (digest) started.mergeDigest(digest, now + 10);
+      }
       for (const engine of engines) {
         engine.runs = engine.runs.filter((run) => run.host !== index);
       }
--- a/test/core/limits/crash_attribution_test.ts
+++ b/test/core/limits/crash_attribution_test.ts
@@ -284,6 +284,37 @@
   assert.ok(isRefused(started, ["deadly"], 2_020));
 });
 
+test("crashes that convict a part are kept when many others follow", () => {
+  const [host] = createHosts(1) as [CrashAttribution];
+  const suspect = { hasResponseHead: true, runMs: 100 };
+  for (const now of [0, 1_000]) {
+    host.recordCrash(`e${now}`, { ...suspect, traits: ["deadly"] }, now);
+  }
+  for (let crash = 0; crash < 200; crash += 1) {
+    const traits = [`other-${crash}`];
+    host.recordCrash(`o${crash}`, { ...suspect, traits }, 2_000 + crash);
+  }
+  assert.ok(isRefused(host, ["deadly"], 3_000));
+});
+
+test("peers are told with each digest while there is news, then every few seconds", () => {
+  const hosts = createHosts(2);
+  const [first, second] = hosts as [CrashAttribution, CrashAttribution];
+  assert.not.ok(first.needsDigest(Number.NEGATIVE_INFINITY, 900));
+  first.recordCrash(
+    "e1",
+    { traits: ["part"], hasResponseHead: true, runMs: 100 },
+    1_000,
+  );
+  assert.ok(first.needsDigest(1_400, 1_500));
+  exchangeDigests(hosts, 2_500);
+  assert.ok(second.needsDigest(5_000, 5_100), "passes it on");
+  exchangeDigests(hosts, 5_200);
+  assert.not.ok(first.needsDigest(5_000, 5_500));
+  assert.not.ok(second.needsDigest(5_000, 6_000), "it is no news any more");
+  assert.ok(first.needsDigest(5_000, 8_100), "it may have been lost");
+});
+
 test("a digest stays within its share of a datagram, whatever has crashed", () => {
   const [host] = createHosts(1) as [CrashAttribution];
   for (let crash = 0; crash < 200; crash += 1) {
