A request that waits at an engine when its part is convicted is cancelled there

Cause: the verdict was asked for before a request is sent, and never again. Requests that wait in an engine's queue crash it when their turn comes. Change: a conviction is made known to the requests in progress; one without output that holds the convicted traits is cancelled and fails at once, one without a permit is refused.

Test that failed before: crashing_part_test 'a request that waits at an engine when its part is convicted is cancelled there' (3 crashes for 2); passes twice now. bounds_test 15, answers_test 30, crash_attribution_test 17 pass.

--- a/fakes/fake_platform_replica.ts
+++ b/fakes/fake_platform_replica.ts
@@ -115,6 +115,8 @@
    * with one of them.
    */
   readonly deadlyParts = new Set<string>();
+  /** Times that upcoming requests with such a part wait before their head. */
+  deadlyDelaysMs: number[] = [];
   /** Time from a crash until the replica is back, empty, at its address. */
   downMs = 400;
   crashCount = 0;
@@ -306,8 +308,11 @@
       "X-Response-Stamp": `by-${this.id}`,
     };
     if (this.#hasDeadlyPart(headers)) {
-      response.writeHead(200, identity).flushHeaders();
-      setTimeout(() => this.crash(), HEAD_BEFORE_CRASH_MS);
+      const begin = setTimeout(() => {
+        response.writeHead(200, identity).flushHeaders();
+        setTimeout(() => this.crash(), HEAD_BEFORE_CRASH_MS);
+      }, this.deadlyDelaysMs.shift() ?? 0);
+      response.once("close", () => clearTimeout(begin));
       return;
     }
     if (behaviour === "crash") {
--- a/src/core/limits/crash_attribution.ts
+++ b/src/core/limits/crash_attribution.ts
@@ -278,6 +278,13 @@
     return { kind: "trial", traits: tried };
   }
 
+  /** Returns whether the traits hold all that one conviction may be due to. */
+  isConvicted(traits: readonly string[], now: Milliseconds): boolean {
+    return this.listConvictions(now).some((conviction) =>
+      conviction.traits.every((trait) => traits.includes(trait))
+    );
+  }
+
   /** Ends a trial, whatever its outcome, so that another one may follow. */
   endTrial(traits: readonly string[]): void {
     for (const trait of traits) this.#trials.delete(trait);
--- a/src/gateway/crash_guard.ts
+++ b/src/gateway/crash_guard.ts
@@ -22,7 +22,7 @@
 export class CrashGuard {
   readonly #context: Pick<
     RequestContext,
-    "crashAttribution" | "crashProbe" | "announceCrashes" | "log" | "metrics"
+    "crashAttribution" | "crashProbe" | "notifyCrashes" | "log" | "metrics"
   >;
   readonly #requestId: string;
   readonly #traits: readonly string[];
@@ -66,7 +66,7 @@
   }
 
   recordOutput(now: Milliseconds): void {
-    const { crashAttribution, announceCrashes, log } = this.#context;
+    const { crashAttribution, notifyCrashes, log } = this.#context;
     const hasEndedConviction = crashAttribution.recordOutput(
       this.#traits,
       now,
@@ -76,7 +76,7 @@
       requestId: this.#requestId,
       traits: this.#traits,
     });
-    announceCrashes();
+    notifyCrashes();
   }
 
   /** Records a connection that broke before the upstream sent any output. */
@@ -88,7 +88,7 @@
     },
   ): Promise<void> {
     const runMs = performance.now() - sentAt;
-    const { crashAttribution, crashProbe, announceCrashes, log, metrics } =
+    const { crashAttribution, crashProbe, notifyCrashes, log, metrics } =
       this.#context;
     if (!(await crashProbe.hasCrashed(upstream))) return;
     const now = performance.now();
@@ -103,7 +103,7 @@
       convictions: crashAttribution.listConvictions(now)
         .map(({ traits, crashes }) => ({ traits, crashes })),
     });
-    announceCrashes();
+    notifyCrashes();
   }
 
   /** Returns whether another attempt would risk another upstream. */
@@ -111,6 +111,12 @@
     return this.#context.crashAttribution.isSuspect(this.#traits, now);
   }
 
+  /** Returns whether the request would crash its upstream, and is no trial. */
+  isConvicted(now: Milliseconds): boolean {
+    return this.#trial === undefined &&
+      this.#context.crashAttribution.isConvicted(this.#traits, now);
+  }
+
   /** Ends the request's trial, whether it had an outcome or not. */
   finish(): void {
     if (this.#trial) this.#context.crashAttribution.endTrial(this.#trial);
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -96,6 +96,7 @@
   readonly #crashAttribution = new CrashAttribution({
     getTrialDelayMs: (trait, now) => this.#computeTrialDelayMs(trait, now),
   });
+  readonly #convictionListeners = new Set<() => void>();
   readonly #peers: PeerTask;
   readonly #viewSynchronizer: ViewSynchronizer;
   readonly #engines: EngineTask;
@@ -182,7 +183,8 @@
           this.#view.getService(service)?.engine !== undefined,
         log: this.#log,
       }),
-      announceCrashes: () => this.#scheduleEarlyHeartbeats(),
+      notifyCrashes: () => this.#notifyCrashes(),
+      convictionListeners: this.#convictionListeners,
       serviceLoads: new Map(),
       upstreams: this.#upstreamClient,
       engines: this.#engines,
@@ -451,7 +453,12 @@
       convictions: this.#crashAttribution.listConvictions(now)
         .map(({ traits, crashes }) => ({ traits, crashes })),
     });
+    this.#notifyCrashes();
+  }
+
+  #notifyCrashes(): void {
     this.#scheduleEarlyHeartbeats();
+    for (const listener of this.#convictionListeners) listener();
   }
 
   async #deliver(peerId: string, message: GatewayMessage): Promise<boolean> {
--- a/src/gateway/request_context.ts
+++ b/src/gateway/request_context.ts
@@ -30,8 +30,13 @@
   retryBudget: FleetRetryBudget;
   crashAttribution: CrashAttribution;
   crashProbe: CrashProbe;
-  /** Tells peers of a crash or of a conviction that has ended. */
-  announceCrashes: () => void;
+  /**
+   * Tells peers, and the requests in progress here, of a crash or of a
+   * conviction that has ended.
+   */
+  notifyCrashes: () => void;
+  /** Called when a trait may have been convicted of crashing upstreams. */
+  convictionListeners: Set<() => void>;
   serviceLoads: Map<string, ServiceLoad>;
   upstreams: UpstreamClient;
   engines: EngineTask;
--- a/src/gateway/request_handler.ts
+++ b/src/gateway/request_handler.ts
@@ -141,7 +141,9 @@
    * has disconnected.
    */
   async run(): Promise<void> {
-    const { retryBudget, metrics } = this.#context;
+    const { retryBudget, metrics, convictionListeners } = this.#context;
+    const handleConviction = () => this.#handleConviction();
+    convictionListeners.add(handleConviction);
     retryBudget.recordArrival(this.#service.name, performance.now());
     metrics.count("requests", this.#route.repeatability);
     const timer = setTimeout(
@@ -153,6 +155,7 @@
       while (!this.#isFinished) await this.#tryOnce();
     } finally {
       clearTimeout(timer);
+      convictionListeners.delete(handleConviction);
       this.#crashGuard.finish();
     }
   }
@@ -519,6 +522,21 @@
     );
   }
 
+  /**
+   * Ends the request if it waits for an upstream, or at one, that it would
+   * crash.
+   */
+  #handleConviction(): void {
+    if (this.#isFinished || this.#hasOutput) return;
+    if (!this.#crashGuard.isConvicted(performance.now())) return;
+    const isWaiting = this.#running === undefined && this.#possibleRuns === 0;
+    this.#running?.cancel();
+    this.#applyVerdict(
+      "convicted",
+      isWaiting ? { kind: "refuse" } : { kind: "fail", isTimeout: false },
+    );
+  }
+
   #handleDisconnect(): void {
     if (this.#isFinished) return;
     this.#isFinished = true;
--- a/test/core/limits/crash_attribution_test.ts
+++ b/test/core/limits/crash_attribution_test.ts
@@ -163,6 +163,8 @@
     }, now);
   }
   assert.ok(isRefused(host, ["deadly", "session"], 2_010));
+  assert.ok(host.isConvicted(["deadly", "session"], 2_010));
+  assert.not.ok(host.isConvicted(["session"], 2_010));
   const trial = host.decideAdmission(["session"], 2_020);
   assert.equal(trial, { kind: "trial", traits: ["session"] });
   assert.ok(isRefused(host, ["session"], 2_030), "one trial at a time");
@@ -170,6 +172,8 @@
   host.endTrial(["session"]);
   assert.not.ok(isRefused(host, ["session"], 2_110));
   assert.ok(isRefused(host, ["deadly"], 2_110));
+  assert.ok(host.isConvicted(["deadly", "session"], 2_110));
+  assert.not.ok(host.isConvicted(["session"], 2_110));
 });
 
 test("a conviction that a later crash contradicts is dropped", () => {
--- a/test/gateway/crashing_part_test.ts
+++ b/test/gateway/crashing_part_test.ts
@@ -28,7 +28,11 @@
 });
 test.after(() => harness.stop());
 
-function callWithParts(parts: string[], gateway: number) {
+function callWithParts(
+  parts: string[],
+  gateway: number,
+  model = `m/a${lastSession % 3}`,
+) {
   lastSession += 1;
   const prefix = [...parts, `own${lastSession}`].map((id) => `${id}:100`);
   return harness.call("/brief/1", {
@@ -36,11 +40,15 @@
     id: `parts-${lastSession}`,
     headers: {
       "X-Prompt-Prefix": prefix.join(","),
-      "X-Model": `m/a${lastSession % 3}`,
+      "X-Model": model,
     },
   });
 }
 
+function countCrashes(): number {
+  return harness.engines.reduce((sum, engine) => sum + engine.crashCount, 0);
+}
+
 function countDeadlyRuns(): number {
   return harness.engines.flatMap((engine) => engine.receivedRequests)
     .filter(({ headers }) =>
@@ -70,4 +78,26 @@
   assert.is(countDeadlyRuns(), runs);
 });
 
+test("a request that waits at an engine when its part is convicted is cancelled there before it crashes the engine", async () => {
+  const delays = [0, 0, 1_500];
+  for (const engine of harness.engines) {
+    engine.deadlyParts.add("deadly-too");
+    engine.deadlyDelaysMs = delays;
+  }
+  const crashesBefore = countCrashes();
+  const callDeadly = (gateway: number) =>
+    // The base model needs no load, which would delay the request.
+    callWithParts(["first", "deadly-too", "session"], gateway, "m");
+  const first = await callDeadly(0);
+  assert.is(first.status, 502);
+  delays.unshift(1_500);
+  const waiting = callDeadly(1);
+  await harness.waitFor(() => delays.length === 2);
+  await callDeadly(2);
+  const answer = await waiting;
+  assert.is(answer.status, 502);
+  await waitMs(1_600);
+  assert.is(countCrashes() - crashesBefore, 2);
+});
+
 test.run();
