Hosts that can tell two suspects apart try one after the other

Cause: a request that tells tied suspects apart was admitted at once by every host. Change: it waits for its host's turn, as trials of a convicted part do. Test that failed before: crash_attribution_test 'hosts that could tell two suspect parts apart try one after the other' (17 of 18 passed); 18 now.

--- a/src/core/limits/crash_attribution.ts
+++ b/src/core/limits/crash_attribution.ts
@@ -256,10 +256,10 @@
       const [trait] = held;
       if (trait === undefined) continue;
       // A request with some of the traits that could be to blame shows which
-      // of them it is, so it does not have to wait.
+      // of them it is, so it does not have to wait for more than its turn.
       const isDecisive = held.length < conviction.traits.length;
       const trialAt = isDecisive
-        ? Number.NEGATIVE_INFINITY
+        ? conviction.lastCrashAt + this.#options.getTrialDelayMs(trait, now)
         : this.#computeTrialAt(conviction, now);
       const runningTrialEndsAt = Math.max(
         ...held.map((each) =>
--- a/test/core/limits/crash_attribution_test.ts
+++ b/test/core/limits/crash_attribution_test.ts
@@ -176,6 +176,34 @@
   assert.not.ok(host.isConvicted(["session"], 2_110));
 });
 
+test("hosts that could tell two suspect parts apart try one after the other", () => {
+  const hosts = createHosts(3);
+  const [first, second, third] = hosts as [
+    CrashAttribution,
+    CrashAttribution,
+    CrashAttribution,
+  ];
+  for (const [id, now] of [["e1", 1_000], ["e2", 2_000]] as const) {
+    first.recordCrash(id, {
+      traits: ["deadly", "request"],
+      hasResponseHead: true,
+      runMs: 100,
+    }, now);
+  }
+  exchangeDigests(hosts, 2_050);
+  assert.is(first.decideAdmission(["deadly"], 2_100).kind, "trial");
+  assert.ok(isRefused(second, ["deadly"], 2_100));
+  assert.ok(isRefused(third, ["deadly"], 2_100));
+  first.recordCrash(
+    "e3",
+    { traits: ["deadly"], hasResponseHead: true, runMs: 100 },
+    2_500,
+  );
+  exchangeDigests(hosts, 2_550);
+  assert.ok(isRefused(second, ["deadly"], 4_100));
+  assert.not.ok(isRefused(third, ["request"], 2_600));
+});
+
 test("a conviction that a later crash contradicts is dropped", () => {
   const [host] = createHosts(1) as [CrashAttribution];
   for (const [id, now] of [["e1", 1_000], ["e2", 2_000]] as const) {
