The end of an unserved request is decided in one place, as are output times and time order

Cause: read-through of the change. 'Refused if it certainly has not run, else failed' stood four times in the request handler, the default of an output time five times and the order of crashes by time three times in CrashAttribution. Change: decideUnserved, getOutputAt, listByTime.

--- a/src/core/limits/crash_attribution.ts
+++ b/src/core/limits/crash_attribution.ts
@@ -185,8 +185,7 @@
     }
     for (const [trait, ageMs] of digest.outputs) {
       const at = now - ageMs;
-      const known = this.#outputAt.get(trait) ?? Number.NEGATIVE_INFINITY;
-      if (at > known) this.#setOutput(trait, at);
+      if (at > this.#getOutputAt(trait)) this.#setOutput(trait, at);
     }
     for (const [trait, crashes] of digest.crashCounts) {
       const known = this.#reportedCounts.get(trait) ?? 0;
@@ -318,7 +317,7 @@
 
   #computeConvictions(): Conviction[] {
     const convictions: Conviction[] = [];
-    let open = [...this.#crashes.values()].sort((a, b) => a.at - b.at);
+    let open = this.#listByTime();
     for (;;) {
       const worst = this.#listMostIncriminated(open);
       const [first] = worst;
@@ -389,28 +388,32 @@
 
   #listUnexplained(convictions: readonly Conviction[]): Crash[] {
     const convicted = convictions.flatMap(({ traits }) => traits);
-    return [...this.#crashes.values()]
-      .filter((crash) => !isSuspectIn(crash, convicted))
-      .sort((a, b) => a.at - b.at);
+    return this.#listByTime()
+      .filter((crash) => !isSuspectIn(crash, convicted));
+  }
+
+  #listByTime(): Crash[] {
+    return [...this.#crashes.values()].sort((a, b) => a.at - b.at);
+  }
+
+  /** Returns when a run with the trait last produced output, if ever. */
+  #getOutputAt(trait: string): Milliseconds {
+    return this.#outputAt.get(trait) ?? Number.NEGATIVE_INFINITY;
   }
 
   /** Returns whether no run has produced output since the trait's latest crash. */
   #isUncleared(trait: string): boolean {
     const crashAt = this.#latestCrashAt.get(trait);
-    return crashAt !== undefined &&
-      (this.#outputAt.get(trait) ?? Number.NEGATIVE_INFINITY) < crashAt;
+    return crashAt !== undefined && this.#getOutputAt(trait) < crashAt;
   }
 
   /** Returns the traits with which no run has produced output since the crash. */
   #listUncleared(crash: Crash, traits: Iterable<string>): string[] {
-    return [...traits].filter((trait) =>
-      (this.#outputAt.get(trait) ?? Number.NEGATIVE_INFINITY) < crash.at
-    );
+    return [...traits].filter((trait) => this.#getOutputAt(trait) < crash.at);
   }
 
   #hasBeenSound(trait: string, at: Milliseconds): boolean {
-    const outputAt = this.#outputAt.get(trait);
-    return outputAt !== undefined && outputAt > at - SOUND_TRAIT_LIFETIME_MS;
+    return this.#getOutputAt(trait) > at - SOUND_TRAIT_LIFETIME_MS;
   }
 
   #computeTrialAt(conviction: Conviction, now: Milliseconds): Milliseconds {
@@ -456,11 +459,9 @@
 
   /** Returns the most suspect traits: those that never produced output first. */
   #selectDigestTraits(crash: Crash, traits: Iterable<string>): string[] {
-    const getOutputAt = (trait: string) =>
-      this.#outputAt.get(trait) ?? Number.NEGATIVE_INFINITY;
     return this.#listUncleared(crash, traits)
       .sort((a, b) => {
-        const difference = getOutputAt(a) - getOutputAt(b);
+        const difference = this.#getOutputAt(a) - this.#getOutputAt(b);
         return Number.isNaN(difference) ? 0 : difference;
       })
       .slice(0, MAX_DIGEST_TRAITS_PER_CRASH);
@@ -510,7 +511,7 @@
     while (this.#crashes.size > MAX_CRASHES) {
       // Those that convict a trait stay as long as possible.
       const oldest = this.#listUnexplained(this.listConvictions(now))[0] ??
-        [...this.#crashes.values()].sort((a, b) => a.at - b.at)[0];
+        this.#listByTime()[0];
       if (oldest) this.#removeCrash(oldest);
     }
   }
--- a/src/gateway/request_handler.ts
+++ b/src/gateway/request_handler.ts
@@ -185,9 +185,7 @@
     if (!upstream || this.#isUnavailable(upstream)) {
       this.#applyVerdict(
         this.#shortestBackoffMs === undefined ? "noPlace" : "allBackedOff",
-        this.#possibleRuns === 0
-          ? { kind: "refuse" }
-          : { kind: "fail", isTimeout: false },
+        this.#decideUnserved(),
       );
       return;
     }
@@ -212,15 +210,20 @@
     this.#quarantineMs = refusal.retryAfterMs;
     this.#applyVerdict(
       "quarantined",
-      this.#possibleRuns === 0
-        ? { kind: "refuse" }
-        : { kind: "fail", isTimeout: false },
+      this.#decideUnserved(),
       undefined,
       { trait: refusal.trait, retryAfterMs: roundMs(refusal.retryAfterMs) },
     );
     return true;
   }
 
+  /** Returns how the request ends now: as not run only if it certainly has not. */
+  #decideUnserved(isTimeout = false): RetryDecision {
+    return this.#running === undefined && this.#possibleRuns === 0
+      ? { kind: "refuse" }
+      : { kind: "fail", isTimeout };
+  }
+
   /** Returns whether this daemon must not send the upstream a request now. */
   #isUnavailable(upstream: PublishedUpstream): boolean {
     const { view, backoff } = this.#context;
@@ -515,12 +518,9 @@
 
   #handleDeadline(): void {
     if (this.#isFinished) return;
-    const isWaiting = this.#running === undefined && this.#possibleRuns === 0;
+    const verdict = this.#decideUnserved(true);
     this.#running?.cancel();
-    this.#applyVerdict(
-      "deadline",
-      isWaiting ? { kind: "refuse" } : { kind: "fail", isTimeout: true },
-    );
+    this.#applyVerdict("deadline", verdict);
   }
 
   /**
@@ -530,12 +530,9 @@
   #handleConviction(): void {
     if (this.#isFinished || this.#hasOutput) return;
     if (!this.#crashGuard.isConvicted(performance.now())) return;
-    const isWaiting = this.#running === undefined && this.#possibleRuns === 0;
+    const verdict = this.#decideUnserved();
     this.#running?.cancel();
-    this.#applyVerdict(
-      "convicted",
-      isWaiting ? { kind: "refuse" } : { kind: "fail", isTimeout: false },
-    );
+    this.#applyVerdict("convicted", verdict);
   }
 
   #handleDisconnect(): void {
