Log the framing and the end of upstreams' answers

Cause: the logs could not tell the hypotheses of the incident apart: neither how an upstream's answer is framed, nor whether its connection ended cleanly, nor the bytes of a torn event, nor whether the caller depends on the close itself. Change: body_framing classifies a response as RFC 9112 does; decisions on requests carry framing, isClean, bodyBytes and incompleteEventBytes where the connection had to show the end; unframed_responses counts such responses by outcome. A response to HEAD and one with status 204 or 304 has no body: on a stream route it was taken for one that ended before its first byte.

--- a/src/gateway/attempt_runner.ts
+++ b/src/gateway/attempt_runner.ts
@@ -6,6 +6,10 @@
  */
 import { Buffer } from "node:buffer";
 import type { IncomingMessage } from "node:http";
+import {
+  BodyFraming,
+  classifyFraming,
+} from "../core/execution/body_framing.ts";
 import { AttemptOutcome } from "../core/execution/retry_decision.ts";
 import { HealthSignal } from "../core/placement/upstream_health.ts";
 import type { Milliseconds } from "../core/structures.ts";
@@ -42,9 +46,21 @@
   isConnectionBroken: boolean;
   /** The complete response; undefined if it was streamed or never completed. */
   response: { status: number; rawHeaders: string[]; body: Buffer } | undefined;
+  /** Undefined if no response head arrived. */
+  ending: ResponseEnding | undefined;
   detail: string;
 }
 
+/** What is known of the end of a response, for the log. */
+export interface ResponseEnding {
+  framing: BodyFraming;
+  /** Whether the upstream's connection ended without an error. */
+  isClean: boolean;
+  bodyBytes: number;
+  /** Bytes of a stream after its last complete event. */
+  incompleteEventBytes: number;
+}
+
 /** What the attempt does after its sink was given a chunk. */
 export const SinkDecision = {
   Continue: "readOn",
@@ -61,6 +77,8 @@
   push(chunk: Buffer): SinkDecision;
   /** Whether the bytes pushed so far end within an event. */
   isInEvent(): boolean;
+  /** Number of bytes pushed since the end of the last complete event. */
+  countIncompleteBytes(): number;
 }
 
 export interface AttemptOptions {
@@ -93,10 +111,10 @@
   let head: ResponseHead | undefined;
   let rawHeaders: string[] = [];
   let isStreaming = false;
-  /** Whether the response has a length or chunks, which show where it ends. */
-  let isFramed = false;
-  let hasBodyBytes = false;
+  let framing: BodyFraming | undefined;
+  let bodyBytes = 0;
   let isConnectionBroken = false;
+  let isClean = false;
   const chunks: Buffer[] = [];
   const { responseMemory } = context;
   const reservation = responseMemory.createReservation();
@@ -124,6 +142,14 @@
           body: Buffer.concat(chunks),
         }
         : undefined,
+      ending: framing && {
+        framing,
+        isClean,
+        bodyBytes,
+        incompleteEventBytes: isStreaming
+          ? sink?.countIncompleteBytes() ?? 0
+          : 0,
+      },
       detail,
     });
   };
@@ -147,8 +173,12 @@
   }, {
     onHead: (response: IncomingMessage) => {
       rawHeaders = response.rawHeaders;
-      isFramed = response.headers["content-length"] !== undefined ||
-        response.headers["transfer-encoding"] !== undefined;
+      framing = classifyFraming({
+        method: exchange.method,
+        status: response.statusCode ?? 0,
+        hasContentLength: response.headers["content-length"] !== undefined,
+        isChunked: response.headers["transfer-encoding"] !== undefined,
+      });
       head = headerCodec.decodeResponseHead(
         response.statusCode ?? 0,
         response.headers,
@@ -169,7 +199,7 @@
     },
     onChunk: (chunk) => {
       if (isSettled) return false;
-      hasBodyBytes = true;
+      bodyBytes += chunk.length;
       if (isStreaming && sink) {
         const decision = sink.push(chunk);
         if (decision === SinkDecision.Abort) {
@@ -186,8 +216,10 @@
     },
     onEnd: (closing) => {
       if (isSettled) return;
-      const isTruncated = closing.kind === "complete" && isStreaming &&
-        (sink?.isInEvent() || (!isFramed && !hasBodyBytes));
+      isClean = closing.kind === "complete";
+      const isTruncated = isClean && isStreaming &&
+        (sink?.isInEvent() ||
+          (framing === BodyFraming.Close && bodyBytes === 0));
       const end: AttemptEnd = isTruncated
         ? { kind: "broken", detail: "the stream ended early" }
         : closing;
--- a/src/gateway/caller_exchange.ts
+++ b/src/gateway/caller_exchange.ts
@@ -73,6 +73,14 @@
     return this.#options.response.headersSent;
   }
 
+  /**
+   * Whether only the close of the connection tells the caller where a stream
+   * ends: HTTP/1.0 has no chunks.
+   */
+  get isFramedByClose(): boolean {
+    return !this.#options.response.useChunkedEncodingByDefault;
+  }
+
   /**
    * Sets the listener that is called if the caller disconnects before the
    * response is complete. It is called at once if that has already happened.
--- a/src/gateway/gateway_metrics.ts
+++ b/src/gateway/gateway_metrics.ts
@@ -27,6 +27,8 @@
   requests:
     "Requests accepted for a known route, by kind (idempotent, nonIdempotent, stream)",
   attempts: "Finished attempts at upstreams, by outcome",
+  unframed_responses:
+    "Responses of upstreams without length or chunks, by outcome of the attempt",
   repeats: "Requests retried, by outcome of the previous attempt",
   refusals: "Requests refused without having run, by reason",
   failures:
--- a/src/gateway/request_handler.ts
+++ b/src/gateway/request_handler.ts
@@ -4,6 +4,7 @@
  * class carries the decisions out.
  */
 import type { Buffer } from "node:buffer";
+import { BodyFraming } from "../core/execution/body_framing.ts";
 import { computeRetryAfterMs } from "../core/admission/retry_after.ts";
 import {
   AttemptOutcome,
@@ -288,6 +289,7 @@
           start: (status, rawHeaders) => this.#head ??= { status, rawHeaders },
           push: (chunk) => this.#forwardChunk(chunk),
           isInEvent: () => this.#splitter.isInEvent,
+          countIncompleteBytes: () => this.#splitter.restBytes,
         }
         : undefined,
     });
@@ -399,6 +401,7 @@
       elapsedMs: roundMs(performance.now() - this.#exchange.arrivedAt),
       remainingMs: roundMs(this.#getRemainingMs()),
       configurationVersion: view.configuration?.version,
+      ...this.#describeEnding(result),
     };
     if (isDelivered) {
       log.info("requestServed", fields);
@@ -431,6 +434,22 @@
     }
   }
 
+  /**
+   * Describes for the log how the response ended, if its connection had to show
+   * the end, on either side.
+   */
+  #describeEnding(result: AttemptResult | undefined): object {
+    const { ending } = result ?? {};
+    const isShown = ending && (ending.framing === BodyFraming.Close ||
+      !ending.isClean);
+    return {
+      ...(isShown ? ending : {}),
+      callerFraming: this.#exchange.isFramedByClose
+        ? BodyFraming.Close
+        : undefined,
+    };
+  }
+
   /**
    * Describes for the log what a failed request shares with others, and the
    * start of the upstream process that it was last sent to.
@@ -553,6 +572,9 @@
     const { health, metrics } = this.#context;
     const now = performance.now();
     metrics.count("attempts", result.outcome);
+    if (result.ending?.framing === BodyFraming.Close) {
+      metrics.count("unframed_responses", result.outcome);
+    }
     const mayHaveRun = result.outcome !== AttemptOutcome.NotRun &&
       result.outcome !== AttemptOutcome.NotSent;
     if (mayHaveRun) this.#possibleRuns += 1;
