A broken-off stream no longer looks complete to an HTTP/1.0 caller

Callers saw: with HTTP/1.0 a stream that its engine broke off, or that was under way when the gateway's grace ended, as status 200, some events and a plain close. Cause: the gateway and the daemon break a response off by closing its connection. HTTP/1.0 has no chunks, so that the close is the end of the body. Class: the end of a connection taken for the end of a message, here by our own callers. Change: response_abort resets the connection where only its close shows the end; all ways of breaking off use it: failed attempts, stalled callers, errors of handlers, and the servers' close, which now knows the responses under way. watchForReset moves to a module that tests and the daemon share. Left: a gateway that is killed closes its sockets as the system does, which an HTTP/1.0 caller can't tell from the end.

--- a/fakes/fake_platform_replica.ts
+++ b/fakes/fake_platform_replica.ts
@@ -15,6 +15,7 @@
   type EndlessPart,
   sendEndlessAnswer,
 } from "./endless_answer.ts";
+import { type ScriptedAnswer, sendScriptedAnswer } from "./scripted_answer.ts";
 import { Header, ORDER_PATH, REPORT_PATH } from "../platform/wire_names.ts";
 
 /** How the replica handles one request. */
@@ -123,6 +124,11 @@
   /** Called when the replica is back after a crash. */
   onRestart: () => void = () => {};
   #isStopped = false;
+  /**
+   * Answers to the attempts of requests, by request id, in their order; may be
+   * shared by replicas.
+   */
+  scriptedAnswers: Map<string, ScriptedAnswer[]> = new Map();
   /** Behaviours of the upcoming requests, one per request; then `answer`. */
   behaviours: ReplicaBehaviour[] = [];
   readonly #server: Server = createServer((request, response) =>
@@ -284,6 +290,7 @@
       response.writeHead(421).end();
       return;
     }
+    const scripted = this.scriptedAnswers.get(id)?.shift();
     const behaviour = this.behaviours.shift() ?? "answer";
     if (behaviour === "shed") {
       this.refusalCount += 1;
@@ -307,6 +314,15 @@
       "X-Request-Id": id,
       "X-Response-Stamp": `by-${this.id}`,
     };
+    if (scripted && response.socket) {
+      sendScriptedAnswer(
+        response.socket,
+        scripted,
+        identity,
+        () => this.crash(),
+      );
+      return;
+    }
     if (this.#hasDeadlyPart(headers)) {
       const begin = setTimeout(() => {
         response.writeHead(200, identity).flushHeaders();
--- /dev/null
+++ b/fakes/scripted_answer.ts
@@ -0,0 +1,113 @@
+/**
+ * Answers of which a test decides every byte: how the body is framed, in which
+ * pieces it is sent, where it breaks off and how the connection ends.
+ */
+import { Buffer } from "node:buffer";
+import type { Socket } from "node:net";
+
+export interface ScriptedAnswer {
+  /** Status line; `HTTP/1.1 200 OK` by default. */
+  statusLine?: string;
+  /** Headers beside those of the replica and of the framing. */
+  headers?: Record<string, string>;
+  /** Whether the replica names the request and stamps the answer. */
+  isAnonymous?: boolean;
+  framing: "length" | "chunked" | "close";
+  body: string;
+  /** Bytes of the body that are sent; all of them by default. */
+  sentBytes?: number;
+  /** Size of the pieces in which they are sent; one piece by default. */
+  pieceBytes?: number;
+  /** Raw bytes that precede the answer on the connection. */
+  precedingBytes?: string;
+  /** What follows the last byte. */
+  end: "keep" | "close" | "reset" | "crash";
+}
+
+/** Time between two pieces, so that they arrive separately. */
+const PIECE_INTERVAL_MS = 1;
+
+/** Sends the answer; `crash` ends the replica where the answer asks for that. */
+export function sendScriptedAnswer(
+  socket: Socket,
+  answer: ScriptedAnswer,
+  identity: Record<string, string>,
+  crash: () => void,
+): void {
+  const body = Buffer.from(answer.body);
+  const sentBytes = answer.sentBytes ?? body.length;
+  const pieceBytes = answer.pieceBytes ?? Math.max(1, body.length);
+  const pieces: Buffer[] = [
+    Buffer.from(
+      `${answer.precedingBytes ?? ""}${formatHead(answer, identity)}`,
+    ),
+  ];
+  for (let start = 0; start < sentBytes; start += pieceBytes) {
+    const end = Math.min(sentBytes, start + pieceBytes);
+    pieces.push(framePiece(answer, body.subarray(start, end)));
+  }
+  if (answer.framing === "chunked" && sentBytes === body.length) {
+    pieces.push(Buffer.from("0\r\n\r\n"));
+  }
+  const finish = (): void => {
+    switch (answer.end) {
+      case "keep":
+        break;
+      case "close":
+        socket.end();
+        break;
+      case "reset":
+        // The peer reads what precedes a reset only if it arrives earlier.
+        setTimeout(() => socket.resetAndDestroy(), 20);
+        break;
+      case "crash":
+        crash();
+        break;
+    }
+  };
+  if (answer.pieceBytes === undefined) {
+    socket.write(Buffer.concat(pieces), finish);
+    return;
+  }
+  const timer = setInterval(() => {
+    const piece = pieces.shift();
+    if (piece) {
+      socket.write(piece);
+      return;
+    }
+    clearInterval(timer);
+    finish();
+  }, PIECE_INTERVAL_MS);
+  socket.once("close", () => clearInterval(timer));
+}
+
+function formatHead(
+  answer: ScriptedAnswer,
+  identity: Record<string, string>,
+): string {
+  const headers = {
+    ...(answer.isAnonymous ? {} : identity),
+    ...formatFraming(answer),
+    ...answer.headers,
+  };
+  const lines = Object.entries(headers)
+    .map(([name, value]) => `${name}: ${value}\r\n`).join("");
+  return `${answer.statusLine ?? "HTTP/1.1 200 OK"}\r\n${lines}\r\n`;
+}
+
+function formatFraming(answer: ScriptedAnswer): Record<string, string> {
+  switch (answer.framing) {
+    case "length":
+      return { "Content-Length": String(Buffer.byteLength(answer.body)) };
+    case "chunked":
+      return { "Transfer-Encoding": "chunked" };
+    case "close":
+      return { Connection: "close" };
+  }
+}
+
+function framePiece(answer: ScriptedAnswer, piece: Buffer): Buffer {
+  if (answer.framing !== "chunked") return piece;
+  const size = `${piece.length.toString(16)}\r\n`;
+  return Buffer.concat([Buffer.from(size), piece, Buffer.from("\r\n")]);
+}
--- a/src/daemon/caller_exchange.ts
+++ b/src/daemon/caller_exchange.ts
@@ -4,6 +4,7 @@
 import type { StoredAnswerStructure } from "../core/messages.ts";
 import { needsDrain, writeChunk } from "./chunk_writer.ts";
 import type { ResponseHead, ResponseSink } from "./exchange.ts";
+import { abortResponse } from "./response_abort.ts";
 import {
   formatRefusal,
   type RefusalStructure,
@@ -47,7 +48,7 @@
     const { socket } = response;
     if (!needsDrain(response)) return;
     await new Promise<void>((resolve) => {
-      const timer = setTimeout(() => response.destroy(), stallTimeoutMs);
+      const timer = setTimeout(() => abortResponse(response), stallTimeoutMs);
       const proceed = (): void => {
         clearTimeout(timer);
         response.off("drain", proceed);
@@ -99,13 +100,13 @@
     const event = JSON.stringify(formatRefusal(refusal));
     response.write(
       `event: error\ndata: ${event}\n\n`,
-      () => response.destroy(),
+      () => abortResponse(response),
     );
   }
 
   #setStallTimeout(): void {
     const { response, stallTimeoutMs } = this.#options;
-    response.setTimeout(stallTimeoutMs, () => response.destroy());
+    response.setTimeout(stallTimeoutMs, () => abortResponse(response));
   }
 }
 
--- a/src/daemon/caller_task.ts
+++ b/src/daemon/caller_task.ts
@@ -17,6 +17,7 @@
 import type { Logger } from "./logger.ts";
 import type { Metrics } from "./metrics.ts";
 import { type RefusalStructure, sendRefusal } from "./refusal_response.ts";
+import { abortResponse } from "./response_abort.ts";
 import { describeError } from "./step_error.ts";
 
 /** Time until a retry that is advised while the daemon has no tables yet. */
@@ -162,7 +163,7 @@
         peer: request.socket.remoteAddress ?? "",
         error: describeError(error),
       });
-      response.destroy();
+      abortResponse(response);
       return;
     }
     this.#refuse(response, { reason: RefusalReason.InvalidRequest });
--- a/src/daemon/http_server.ts
+++ b/src/daemon/http_server.ts
@@ -1,6 +1,7 @@
 /** Starts and stops HTTP servers on an IP address and port. */
 import { createServer, type RequestListener, type Server } from "node:http";
 import type { AddressInfo } from "node:net";
+import { ActiveResponses } from "./response_abort.ts";
 import { describeError, StepError } from "./step_error.ts";
 
 const DEFAULT_TIMEOUT_MS = 60_000;
@@ -10,6 +11,9 @@
 /** Time after which `close` destroys connections that are still active. */
 const CLOSE_TIMEOUT_MS = 500;
 
+/** The responses under way of each server that `createHttpServer` made. */
+const activeResponses = new WeakMap<Server, ActiveResponses>();
+
 /** Splits `IP:port`, with the IP in brackets for IPv6. */
 export function parseAddress(address: string): { host: string; port: number } {
   const separator = address.lastIndexOf(":");
@@ -37,6 +41,9 @@
       ? {}
       : { maxHeaderSize: limits.maxHeaderBytes }),
   }, listener);
+  const responses = new ActiveResponses();
+  activeResponses.set(server, responses);
+  server.on("request", (_request, response) => responses.add(response));
   if (limits.maxConnections) server.maxConnections = limits.maxConnections;
   return server;
 }
@@ -66,10 +73,10 @@
 /** Stops accepting connections and closes idle ones; active ones are destroyed after `CLOSE_TIMEOUT_MS`. */
 export async function close(server: Server): Promise<void> {
   await new Promise<void>((resolve) => {
-    const timer = setTimeout(
-      () => server.closeAllConnections(),
-      CLOSE_TIMEOUT_MS,
-    );
+    const timer = setTimeout(() => {
+      activeResponses.get(server)?.abortAll();
+      server.closeAllConnections();
+    }, CLOSE_TIMEOUT_MS);
     server.close(() => {
       clearTimeout(timer);
       resolve();
--- a/src/gateway/caller_exchange.ts
+++ b/src/gateway/caller_exchange.ts
@@ -3,6 +3,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Milliseconds } from "../core/structures.ts";
 import { writeChunk } from "../daemon/chunk_writer.ts";
+import { abortResponse } from "../daemon/response_abort.ts";
 import type { RequestMetadata } from "./ports.ts";
 
 /**
@@ -157,7 +158,7 @@
    * Closes the connection, so that the caller sees the response as incomplete.
    */
   abort(): void {
-    this.#options.response.destroy();
+    abortResponse(this.#options.response);
   }
 
   #writeHead(status: number, rawHeaders: string[]): void {
--- a/src/gateway/caller_task.ts
+++ b/src/gateway/caller_task.ts
@@ -15,6 +15,7 @@
 import type { Socket } from "node:net";
 import { canAdmitWhileStopping } from "../core/admission/stop_admission.ts";
 import type { Milliseconds } from "../core/structures.ts";
+import { abortResponse, ActiveResponses } from "../daemon/response_abort.ts";
 import { describeError } from "../daemon/step_error.ts";
 import { CallerExchange } from "./caller_exchange.ts";
 import type { RequestMetadata } from "./ports.ts";
@@ -57,6 +58,7 @@
   readonly #server: Server;
   readonly #idleSockets = new Set<Socket>();
   readonly #sockets = new Set<Socket>();
+  readonly #activeResponses = new ActiveResponses();
   readonly #closingSockets = new WeakSet<Socket>();
   #inFlight = 0;
   /**
@@ -121,6 +123,7 @@
 
   close(): void {
     this.#server.close();
+    this.#activeResponses.abortAll();
     for (const socket of this.#sockets) socket.destroy();
   }
 
@@ -136,6 +139,7 @@
     }
     this.#idleSockets.delete(socket);
     this.#inFlight += 1;
+    this.#activeResponses.add(response);
     response.once("close", () => {
       this.#inFlight -= 1;
       if (socket.destroyed) return;
@@ -154,7 +158,7 @@
         step: "serve request",
         detail: error instanceof Error ? error.stack : String(error),
       });
-      response.destroy();
+      abortResponse(response);
     });
   }
 
--- a/src/gateway/upstream_client.ts
+++ b/src/gateway/upstream_client.ts
@@ -10,6 +10,7 @@
 } from "node:http";
 import type { Buffer } from "node:buffer";
 import type { Socket } from "node:net";
+import { hasBeenReset, watchForReset } from "../daemon/connection_reset.ts";
 import { parseAddress } from "../daemon/http_server.ts";
 import { describeError } from "../daemon/step_error.ts";
 
@@ -166,7 +167,7 @@
     head.on("error", (error) => fail(describeError(error)));
     head.on("close", () => fail("connection closed within the answer"));
     head.on("end", () => {
-      const isReset = resetSockets.has(head.socket);
+      const isReset = hasBeenReset(head.socket);
       if (head.complete && !isReset) end({ kind: "complete" });
       else fail("answer ended early");
     });
@@ -183,24 +184,6 @@
   };
 }
 
-/** Sockets whose remote end reset the connection. */
-const resetSockets = new WeakSet<Socket>();
-const watchedSockets = new WeakSet<Socket>();
-
-/**
- * Detects connections that were reset. Node.js can report a reset as a normal
- * end of the stream, and a body without a length would then be taken for
- * complete. After a reset the socket has no remote address any more, after a
- * normal close it still has.
- */
-function watchForReset(socket: Socket): void {
-  if (watchedSockets.has(socket)) return;
-  watchedSockets.add(socket);
-  socket.prependListener("end", () => {
-    if (socket.remoteAddress === undefined) resetSockets.add(socket);
-  });
-}
-
 /** Ignores the error of a request that was cancelled on purpose. */
 function dropError(): void {}
 
--- a/test/gateway/gateway_harness.ts
+++ b/test/gateway/gateway_harness.ts
@@ -22,6 +22,8 @@
 import { waitMs } from "../../src/gateway/wait.ts";
 import { gatewaySettingsSchema } from "../../src/settings/gateway_settings.ts";
 import { type PortReservation, reservePorts } from "../port_reservation.ts";
+import type { ScriptedAnswer } from "../../fakes/scripted_answer.ts";
+import { callRaw, type RawAnswer, type RawCall } from "../raw_caller.ts";
 
 /**
  * Ownership term of the gateways: short, so that a takeover fits into a test.
@@ -46,6 +48,13 @@
   disconnectAfterMs?: number;
 }
 
+/** What a raw call sets itself; the harness adds address and metadata. */
+export interface RawCallOptions extends Pick<RawCall, "httpVersion"> {
+  id?: string;
+  headers?: Record<string, string>;
+  onBody?: () => void;
+}
+
 export class GatewayHarness {
   readonly store = new FakePlatformStore();
   readonly engines: FakePlatformReplica[] = [];
@@ -53,6 +62,7 @@
   readonly gateways: Gateway[] = [];
   readonly #agent = new Agent({ keepAlive: true });
   #ports: PortReservation | undefined;
+  readonly #scriptedAnswers = new Map<string, ScriptedAnswer[]>();
   #version = 1;
   #lastId = 0;
   /** Route fields that differ from the defaults, by route name. */
@@ -72,6 +82,7 @@
       this.services.push(new FakePlatformReplica(`i-plain${index}`, false));
     }
     for (const replica of [...this.engines, ...this.services]) {
+      replica.scriptedAnswers = this.#scriptedAnswers;
       await replica.start();
       this.register(replica);
     }
@@ -151,17 +162,40 @@
     );
   }
 
-  /** Sends a request as a caller does. */
-  call(path: string, options: CallOptions = {}): Promise<CallerResponse> {
+  /** Sets how the replicas answer the attempts of a request, in their order. */
+  scriptAnswers(id: string, answers: ScriptedAnswer[]): void {
+    this.#scriptedAnswers.set(id, answers);
+  }
+
+  #createHeaders(
+    path: string,
+    { id, headers }: Pick<CallOptions, "id" | "headers">,
+  ): Record<string, string> {
     this.#lastId += 1;
     const isStream = path.startsWith("/brief") || path.startsWith("/resume");
-    const headers: Record<string, string> = {
+    return {
       Host: "mill.example",
-      "X-Request-Id": options.id ?? `request-${this.#lastId}`,
+      "X-Request-Id": id ?? `request-${this.#lastId}`,
       "X-Deadline-Ms": "2500",
       ...(isStream ? { "X-Model": "m/a1", "X-Token-Counts": "400,20" } : {}),
-      ...options.headers,
+      ...headers,
     };
+  }
+
+  /** Sends a request to the first gateway as a caller on a plain socket does. */
+  callRaw(path: string, options: RawCallOptions): Promise<RawAnswer> {
+    return callRaw({
+      host: "127.0.0.1",
+      port: this.#port,
+      path,
+      ...options,
+      headers: this.#createHeaders(path, options),
+    });
+  }
+
+  /** Sends a request as a caller does. */
+  call(path: string, options: CallOptions = {}): Promise<CallerResponse> {
+    const headers = this.#createHeaders(path, options);
     return new Promise((resolve, reject) => {
       const call = request({
         host: `127.0.0.${(options.gateway ?? 0) + 1}`,
