--- a/fakes/scripted_answer.ts
+++ b/fakes/scripted_answer.ts
@@ -44,7 +44,7 @@
   ];
   for (let start = 0; start < sentBytes; start += pieceBytes) {
     const end = Math.min(sentBytes, start + pieceBytes);
-    pieces.push(framePiece(answer, body.subarray(start, end)));
+    pieces.push(encodePiece(answer, body.subarray(start, end)));
   }
   if (answer.framing === "chunked" && sentBytes === body.length) {
     pieces.push(Buffer.from("0\r\n\r\n"));
@@ -106,7 +106,7 @@
   }
 }
 
-function framePiece(answer: ScriptedAnswer, piece: Buffer): Buffer {
+function encodePiece(answer: ScriptedAnswer, piece: Buffer): Buffer {
   if (answer.framing !== "chunked") return piece;
   const size = `${piece.length.toString(16)}\r\n`;
   return Buffer.concat([Buffer.from(size), piece, Buffer.from("\r\n")]);
