Streams split at every line end of the format, and only whole events are complete

Callers saw: events that end with CR LF or CR were held back to the end of the stream, and a cut was told from a boundary by the last four bytes alone: such a stream that broke off was not resumed after its last event. An event that only mentions "id:" in its text made a resumption begin at the start, so that all events came twice. Cause: the splitter knew LF LF as the only boundary, and took any "id:" for an id line. Change: the splitter reads lines with LF, CR LF or CR and a byte order mark; a blank line ends an event; a lone CR that may be half of a CR LF is not yet an end. The last id is read where its line begins. The pieces of one event are joined once, not with each chunk.

--- a/fakes/fake_platform_replica.ts
+++ b/fakes/fake_platform_replica.ts
@@ -314,9 +314,9 @@
       "X-Request-Id": id,
       "X-Response-Stamp": `by-${this.id}`,
     };
-    if (scripted && response.socket) {
+    if (scripted) {
       sendScriptedAnswer(
-        response.socket,
+        request.socket,
         scripted,
         identity,
         () => this.crash(),
--- a/fakes/scripted_answer.ts
+++ b/fakes/scripted_answer.ts
@@ -20,7 +20,10 @@
   pieceBytes?: number;
   /** Raw bytes that precede the answer on the connection. */
   precedingBytes?: string;
-  /** What follows the last byte. */
+  /**
+   * What follows the last byte. After `keep` only scripted answers can follow on
+   * the connection.
+   */
   end: "keep" | "close" | "reset" | "crash";
 }
 
--- a/src/core/execution/event_splitter.ts
+++ b/src/core/execution/event_splitter.ts
@@ -1,41 +1,55 @@
 /**
  * Splits a stream of server-sent events at event boundaries, so that only
  * complete events are forwarded, and keeps the id of the last one: a broken
- * stream can resume after that event on another upstream.
+ * stream can resume after that event on another upstream. Lines end with LF,
+ * CR LF or CR, as the format allows; a blank line ends an event.
  */
 import { Buffer } from "node:buffer";
 
-const EVENT_END = Buffer.from("\n\n");
+const LINE_FEED = 0x0a;
+const CARRIAGE_RETURN = 0x0d;
+const BYTE_ORDER_MARK = [0xef, 0xbb, 0xbf] as const;
+const NO_BYTES = Buffer.alloc(0);
 const ID_FIELD = Buffer.from("id:");
-const ID_LINE = /(?:^|\n)id: ?([^\n\r]*)/g;
 
 export class EventSplitter {
-  #rest: Buffer = Buffer.alloc(0);
-  /**
-   * The last complete events that contain an id; parsed only when the stream
-   * has to resume.
-   */
-  #lastWithId: Buffer | undefined;
+  /** The bytes after the last event boundary. */
+  #rest: Buffer[] = [];
+  #restBytes = 0;
+  #lastEventId: string | undefined;
+  #eventCount = 0;
+  /** Whether the current line has no bytes yet. */
+  #isLineEmpty = true;
+  /** Whether a line that is not blank precedes in the current event. */
+  #hasLines = false;
+  #isAfterCarriageReturn = false;
+  /** Whether the blank line of the current event has its CR, but no LF yet. */
+  #isEndPending = false;
+  #usesCrLf = false;
+  /** Number of bytes of a byte order mark read so far; undefined after it. */
+  #markBytes: number | undefined = 0;
 
   /** Id of the last complete event that has one; undefined before the first. */
   get lastEventId(): string | undefined {
-    const text = this.#lastWithId?.toString("latin1") ?? "";
-    return [...text.matchAll(ID_LINE)].at(-1)?.[1];
+    return this.#lastEventId;
+  }
+
+  /** Number of complete events read. */
+  get eventCount(): number {
+    return this.#eventCount;
   }
 
   /** Number of buffered bytes of the incomplete event. */
   get restBytes(): number {
-    return this.#rest.length;
+    return this.#restBytes;
   }
 
   /**
    * Whether the bytes so far end within an event, so that a stream that closes
-   * here has been broken off. Events that end with CR LF are not split, but
-   * complete.
+   * here has been broken off.
    */
   get isInEvent(): boolean {
-    const rest = this.#rest.toString("latin1");
-    return rest.trim() !== "" && !rest.endsWith("\r\n\r\n");
+    return this.#hasLines || !this.#isLineEmpty;
   }
 
   /**
@@ -43,24 +57,146 @@
    * event.
    */
   push(chunk: Buffer): Buffer {
-    const bytes = this.#rest.length === 0
-      ? chunk
-      : Buffer.concat([this.#rest, chunk]);
-    const end = bytes.lastIndexOf(EVENT_END);
-    if (end < 0) {
-      this.#rest = bytes;
-      return Buffer.alloc(0);
+    const end = this.#findLastBoundary(chunk);
+    if (end === undefined) {
+      this.#addRest(chunk);
+      return NO_BYTES;
     }
-    const events = bytes.subarray(0, end + EVENT_END.length);
-    this.#rest = bytes.subarray(end + EVENT_END.length);
-    if (events.includes(ID_FIELD)) this.#lastWithId = events;
+    const completed = chunk.subarray(0, end);
+    const events = this.#restBytes === 0
+      ? completed
+      : Buffer.concat([...this.#rest, completed]);
+    this.#rest = [];
+    this.#restBytes = 0;
+    this.#addRest(chunk.subarray(end));
+    this.#readLastId(events);
     return events;
   }
 
   /** Removes and returns the bytes of the incomplete event. */
   takeRest(): Buffer {
-    const rest = this.#rest;
-    this.#rest = Buffer.alloc(0);
+    const rest = Buffer.concat(this.#rest);
+    this.#rest = [];
+    this.#restBytes = 0;
+    this.#isLineEmpty = true;
+    this.#hasLines = false;
+    this.#isAfterCarriageReturn = false;
+    this.#isEndPending = false;
     return rest;
   }
+
+  #addRest(bytes: Buffer): void {
+    if (bytes.length === 0) return;
+    this.#rest.push(bytes);
+    this.#restBytes += bytes.length;
+  }
+
+  /**
+   * Returns the offset in the chunk behind the last complete event; undefined if
+   * none ends in the chunk.
+   */
+  #findLastBoundary(chunk: Buffer): number | undefined {
+    let boundary: number | undefined;
+    let index = 0;
+    while (index < chunk.length) {
+      const byte = chunk[index];
+      if (this.#isEndPending && byte !== LINE_FEED) {
+        this.#endEvent();
+        boundary = index;
+      }
+      if (byte !== LINE_FEED && byte !== CARRIAGE_RETURN) {
+        index = this.#readText(chunk, index);
+        continue;
+      }
+      index += 1;
+      const hasEnded = byte === LINE_FEED
+        ? this.#readLineFeed()
+        : this.#readCarriageReturn();
+      if (hasEnded) boundary = index;
+    }
+    return boundary;
+  }
+
+  /** Returns whether the line feed ends an event. */
+  #readLineFeed(): boolean {
+    if (this.#isAfterCarriageReturn) {
+      // The second half of a line end.
+      this.#isAfterCarriageReturn = false;
+      this.#usesCrLf = true;
+      return this.#isEndPending && this.#endEvent();
+    }
+    return this.#endLine() && this.#endEvent();
+  }
+
+  /** Returns whether the carriage return ends an event. */
+  #readCarriageReturn(): boolean {
+    this.#isAfterCarriageReturn = true;
+    if (!this.#endLine()) return false;
+    this.#isEndPending = this.#usesCrLf;
+    return !this.#isEndPending && this.#endEvent();
+  }
+
+  /** Ends the current line; returns whether it is the blank line of an event. */
+  #endLine(): boolean {
+    this.#markBytes = undefined;
+    if (this.#isLineEmpty) return this.#hasLines;
+    this.#isLineEmpty = true;
+    this.#hasLines = true;
+    return false;
+  }
+
+  #endEvent(): true {
+    this.#isEndPending = false;
+    this.#hasLines = false;
+    this.#eventCount += 1;
+    return true;
+  }
+
+  /** Reads the bytes of a line; returns the offset of the line's end. */
+  #readText(chunk: Buffer, start: number): number {
+    let end = start;
+    this.#isAfterCarriageReturn = false;
+    while (this.#markBytes !== undefined && end < chunk.length) {
+      if (this.#readMark(chunk[end])) end += 1;
+    }
+    const textStart = end;
+    while (
+      end < chunk.length && chunk[end] !== LINE_FEED &&
+      chunk[end] !== CARRIAGE_RETURN
+    ) end += 1;
+    if (end > textStart) this.#isLineEmpty = false;
+    return end;
+  }
+
+  /** Returns whether the byte belongs to a byte order mark. */
+  #readMark(byte: number | undefined): boolean {
+    const index = this.#markBytes ?? BYTE_ORDER_MARK.length;
+    const isMark = byte === BYTE_ORDER_MARK[index];
+    this.#markBytes = isMark ? index + 1 : undefined;
+    return isMark;
+  }
+
+  /** Keeps the value of the last `id` line of the events, if they have one. */
+  #readLastId(events: Buffer): void {
+    let start = events.lastIndexOf(ID_FIELD);
+    while (start >= 0 && !isLineStart(events, start)) {
+      start = start === 0 ? -1 : events.lastIndexOf(ID_FIELD, start - 1);
+    }
+    if (start < 0) return;
+    let end = start + ID_FIELD.length;
+    while (events[end] !== LINE_FEED && events[end] !== CARRIAGE_RETURN) {
+      end += 1;
+    }
+    const value = events.toString("latin1", start + ID_FIELD.length, end);
+    // An empty id resets the last one.
+    this.#lastEventId = value.replace(/^ /, "") || undefined;
+  }
+}
+
+function isLineStart(bytes: Buffer, offset: number): boolean {
+  const before = bytes[offset - 1];
+  const isAfterMark = offset === BYTE_ORDER_MARK.length &&
+    BYTE_ORDER_MARK.every((byte, index) => bytes[index] === byte);
+  return offset === 0 || before === LINE_FEED || before === CARRIAGE_RETURN ||
+    isAfterMark;
 }
--- a/test/gateway/answers_test.ts
+++ b/test/gateway/answers_test.ts
@@ -139,6 +139,32 @@
   assert.is(answer.status, 502);
 });
 
+for (const lineEnd of ["\r\n", "\r"]) {
+  test(`a stream with the line end ${JSON.stringify(lineEnd)} is forwarded event by event, and resumed after the last one`, async () => {
+    const id = `line-end-${lineEnd.length}`;
+    const events = [1, 2, 3, 4].map((event) =>
+      `id: ${event}${lineEnd}data: piece${lineEnd}${lineEnd}`
+    );
+    const length = events[0]?.length ?? 0;
+    harness.scriptAnswers(id, [{
+      framing: "chunked",
+      body: events.join(""),
+      sentBytes: 2 * length + 5,
+      end: "close",
+    }, {
+      framing: "chunked",
+      body: events.slice(2).join(""),
+      end: "close",
+    }]);
+    const answer = await harness.call("/resume/1", { id });
+    assert.ok(answer.isComplete);
+    assert.is(answer.body, events.join(""));
+    const resumedAfter = harness.listRuns(id)
+      .map((run) => run.headers["last-event-id"] ?? "");
+    assert.equal(resumedAfter.sort(), ["", "2"]);
+  });
+}
+
 for (
   const fault of [
     "unframedStreamEndsInEvent",
