The daemon reads streams with CR LF and CR, and [DONE] only as a line of its own

Callers saw: a stream of an engine that ends its lines with CR LF or CR was held back to its end and then broken off, although it had its [DONE]. An event whose text ends with "data: [DONE]" counted as the end mark. Cause: the daemon had a splitter of its own that knew LF LF only, and compared the last bytes without the line's begin. Change: the inspector uses EventSplitter; one copy splits streams now.

--- a/src/daemon/sse_inspector.ts
+++ b/src/daemon/sse_inspector.ts
@@ -5,20 +5,22 @@
  * after the last one.
  */
 import { Buffer } from "node:buffer";
+import { EventSplitter } from "../core/execution/event_splitter.ts";
 
-const NEWLINE = 0x0a;
-const EVENT_SEPARATOR = Buffer.from("\n\n");
 const DONE_LINE = "data: [DONE]";
 const DONE_EVENT = Buffer.from(`${DONE_LINE}\n\n`);
-const NO_BYTES = Buffer.alloc(0);
+/** Events whose last one is `[DONE]`. */
+const DONE_AT_END = /(?:^|[\r\n])data: \[DONE\][\r\n]+$/;
+/** Bytes of a `[DONE]` event with the line ends around it. */
+const DONE_TAIL_BYTES = DONE_LINE.length + 6;
+const LINE_END = /\r\n|\r|\n/;
 /** Longest event accepted. */
 const MAX_EVENT_BYTES = 1_048_576;
 
 export class SseInspector {
-  #incompleteEvent: Buffer = NO_BYTES;
-  #lastEvents: Buffer = NO_BYTES;
+  readonly #splitter = new EventSplitter();
+  #lastEvents: Buffer = Buffer.alloc(0);
   #model: string | undefined;
-  #eventCount = 0;
 
   /** Model named in the first event; undefined until that event is complete. */
   get model(): string | undefined {
@@ -27,81 +29,53 @@
 
   /** Number of complete events received. */
   get eventCount(): number {
-    return this.#eventCount;
+    return this.#splitter.eventCount;
   }
 
   /** Adds a chunk and returns the events that it completes, or undefined if there are none. */
   push(chunk: Buffer): Buffer | undefined {
-    const bytes = this.#incompleteEvent.length === 0
-      ? chunk
-      : Buffer.concat([this.#incompleteEvent, chunk]);
-    const end = findEndOfEvents(bytes);
-    this.#incompleteEvent = end === bytes.length
-      ? NO_BYTES
-      : bytes.subarray(end);
-    if (this.#incompleteEvent.length > MAX_EVENT_BYTES) {
+    const events = this.#splitter.push(chunk);
+    if (this.#splitter.restBytes > MAX_EVENT_BYTES) {
       throw new Error(
         `Expected events of at most ${MAX_EVENT_BYTES} bytes, found a longer one`,
       );
     }
-    if (end === 0) return undefined;
-    const events = end === bytes.length ? bytes : bytes.subarray(0, end);
+    if (events.length === 0) return undefined;
     this.#model ??= readModel(events);
-    this.#eventCount += countEvents(events);
     this.#lastEvents = events;
     return events;
   }
 
   /** Called at the end of the stream; returns a `[DONE]` event whose blank line was missing. */
   finish(): Buffer | undefined {
-    if (this.#incompleteEvent.toString("utf8").trimEnd() !== DONE_LINE) {
+    if (this.#splitter.takeRest().toString("utf8").trim() !== DONE_LINE) {
       return undefined;
     }
-    this.#incompleteEvent = NO_BYTES;
     this.#lastEvents = DONE_EVENT;
     return DONE_EVENT;
   }
 
   /** Discards the partial event that was received before the connection was lost. */
   dropIncompleteEvent(): void {
-    this.#incompleteEvent = NO_BYTES;
+    this.#splitter.takeRest();
   }
 
   /** Returns whether the last event was `[DONE]`. */
   isComplete(): boolean {
-    return this.#lastEvents.subarray(-DONE_EVENT.length).equals(DONE_EVENT);
+    const tail = this.#lastEvents.subarray(-DONE_TAIL_BYTES);
+    return DONE_AT_END.test(tail.toString("latin1"));
   }
 }
 
-function findEndOfEvents(bytes: Buffer): number {
-  const { length } = bytes;
-  const isWhole = bytes[length - 1] === NEWLINE &&
-    bytes[length - 2] === NEWLINE;
-  if (isWhole) return length;
-  const last = bytes.lastIndexOf(EVENT_SEPARATOR);
-  return last < 0 ? 0 : last + EVENT_SEPARATOR.length;
-}
-
-function countEvents(bytes: Buffer): number {
-  let count = 0;
-  let at = bytes.indexOf(EVENT_SEPARATOR);
-  while (at >= 0) {
-    count += 1;
-    at = bytes.indexOf(EVENT_SEPARATOR, at + EVENT_SEPARATOR.length);
-  }
-  return count;
-}
-
 function readModel(events: Buffer): string {
-  const first = events.subarray(0, events.indexOf(EVENT_SEPARATOR)).toString(
-    "utf8",
-  );
-  const data = first.split("\n")
-    .filter((line) => line.startsWith("data:"))
-    .map((line) => line.slice("data:".length).trim())
-    .join("\n");
+  const data: string[] = [];
+  const text = events.toString("utf8").replace(/^\ufeff/, "");
+  for (const line of text.split(LINE_END)) {
+    if (line === "" && data.length > 0) break;
+    if (line.startsWith("data:")) data.push(line.slice("data:".length).trim());
+  }
   try {
-    const model = (JSON.parse(data) as { model?: unknown }).model;
+    const model = (JSON.parse(data.join("\n")) as { model?: unknown }).model;
     return typeof model === "string" ? model : "";
   } catch {
     return "";
--- a/test/daemon/sse_inspector_test.ts
+++ b/test/daemon/sse_inspector_test.ts
@@ -63,6 +63,30 @@
   assert.ok(inspector.isComplete());
 });
 
+for (const lineEnd of ["\n", "\r\n", "\r"]) {
+  test(`a stream with the line end ${JSON.stringify(lineEnd)} is complete only with its [DONE], wherever it is cut`, () => {
+    const stream = Buffer.from(
+      STREAM.toString().replaceAll("\n", lineEnd),
+    );
+    const doneEnds = stream.indexOf("[DONE]") + "[DONE]".length;
+    for (let length = 0; length <= stream.length; length += 1) {
+      const inspector = new SseInspector();
+      for (const byte of stream.subarray(0, length)) {
+        inspector.push(Buffer.from([byte]));
+      }
+      inspector.finish();
+      assert.is(inspector.isComplete(), length >= doneEnds, `${length} bytes`);
+      if (length === stream.length) assert.is(inspector.model, "a@v1");
+    }
+  });
+}
+
+test("an event that ends with the text of [DONE] is not the last one", () => {
+  const inspector = new SseInspector();
+  inspector.push(Buffer.from("data: the mark is data: [DONE]\n\n"));
+  assert.not.ok(inspector.isComplete());
+});
+
 test("an event over the size limit is rejected", () => {
   const inspector = new SseInspector();
   assert.throws(() => inspector.push(Buffer.alloc(1_100_000, "x")), /at most/);
