An unframed answer is complete only if its upstream's process lives

Cause: a process that ends closes its connections; for such a body that close is the end, and at an event's boundary the bytes can't tell. Class: the end of a connection taken for the end of a message. Change: response_end decides what a clean close means: complete where the framing shows it, truncated within an event or before the first, unproven otherwise. An unproven end waits for the probe that crash attribution uses: a refused connection or another start means that the upstream crashed, and the answer is broken off, or resumed where the route allows that. Framed answers cost nothing. Not told: a close by an upstream that lives on, and one that is silent when asked.

--- a/fakes/fake_platform_replica.ts
+++ b/fakes/fake_platform_replica.ts
@@ -152,6 +152,11 @@
     );
   }
 
+  /** Whether it has crashed and is not back yet. */
+  get isDown(): boolean {
+    return !this.#server.listening;
+  }
+
   get address(): string {
     return `127.0.0.1:${(this.#server.address() as AddressInfo).port}`;
   }
@@ -196,12 +201,19 @@
     this.#server.closeAllConnections();
   }
 
-  /** Ends all connections by a reset and refuses new ones until it is back. */
-  crash(): void {
+  /**
+   * Ends all connections by a reset and refuses new ones until it is back.
+   * @param closed a connection that is closed instead, as the system does where
+   * no bytes are unread.
+   */
+  crash(closed?: Socket): void {
     const { port } = this.#server.address() as AddressInfo;
     this.crashCount += 1;
     this.#server.close();
-    for (const socket of this.#sockets) socket.resetAndDestroy();
+    closed?.end();
+    for (const socket of this.#sockets) {
+      if (socket !== closed) socket.resetAndDestroy();
+    }
     setTimeout(() => {
       if (this.#isStopped) return;
       this.restart();
@@ -319,7 +331,7 @@
         request.socket,
         scripted,
         identity,
-        () => this.crash(),
+        () => this.crash(request.socket),
       );
       return;
     }
--- a/fakes/scripted_answer.ts
+++ b/fakes/scripted_answer.ts
@@ -24,13 +24,16 @@
    * What follows the last byte. After `keep` only scripted answers can follow on
    * the connection.
    */
-  end: "keep" | "close" | "reset" | "crash";
+  end: "keep" | "close" | "reset" | "closeAndCrash";
 }
 
 /** Time between two pieces, so that they arrive separately. */
 const PIECE_INTERVAL_MS = 1;
 
-/** Sends the answer; `crash` ends the replica where the answer asks for that. */
+/**
+ * Sends the answer.
+ * @param crash ends the replica's process, which closes this connection.
+ */
 export function sendScriptedAnswer(
   socket: Socket,
   answer: ScriptedAnswer,
@@ -63,7 +66,7 @@
         // The peer reads what precedes a reset only if it arrives earlier.
         setTimeout(() => socket.resetAndDestroy(), 20);
         break;
-      case "crash":
+      case "closeAndCrash":
         crash();
         break;
     }
--- a/src/gateway/attempt_runner.ts
+++ b/src/gateway/attempt_runner.ts
@@ -10,6 +10,7 @@
   BodyFraming,
   classifyFraming,
 } from "../core/execution/body_framing.ts";
+import { decideResponseEnd } from "../core/execution/response_end.ts";
 import { AttemptOutcome } from "../core/execution/retry_decision.ts";
 import { HealthSignal } from "../core/placement/upstream_health.ts";
 import type { Milliseconds } from "../core/structures.ts";
@@ -75,10 +76,16 @@
 export interface StreamSink {
   start(status: number, rawHeaders: string[]): void;
   push(chunk: Buffer): SinkDecision;
-  /** Whether the bytes pushed so far end within an event. */
-  isInEvent(): boolean;
-  /** Number of bytes pushed since the end of the last complete event. */
-  countIncompleteBytes(): number;
+  /** Returns what the bytes of this attempt amount to so far. */
+  getProgress(): StreamProgress;
+}
+
+export interface StreamProgress {
+  /** Whether the bytes end within an event. */
+  isInEvent: boolean;
+  eventCount: number;
+  /** Number of bytes since the end of the last complete event. */
+  incompleteEventBytes: number;
 }
 
 export interface AttemptOptions {
@@ -90,6 +97,11 @@
   responseHeaderTimeoutMs: Milliseconds;
   /** Receives a streamed response; undefined if the response is buffered. */
   sink: StreamSink | undefined;
+  /**
+   * Resolves to whether the upstream's process has ended; asked where only the
+   * close of the connection marks the end of the response.
+   */
+  hasUpstreamCrashed: () => Promise<boolean>;
   /** Called with each response head that belongs to this request. */
   handleHead: (head: ResponseHead) => void;
 }
@@ -121,6 +133,8 @@
   let settle: (result: AttemptResult) => void = () => {};
   const result = new Promise<AttemptResult>((resolve) => settle = resolve);
   let isSettled = false;
+  const getProgress = (): StreamProgress | undefined =>
+    isStreaming ? sink?.getProgress() : undefined;
   const finish = (outcome: AttemptOutcome, detail: string): void => {
     if (isSettled) return;
     isSettled = true;
@@ -146,13 +160,16 @@
         framing,
         isClean,
         bodyBytes,
-        incompleteEventBytes: isStreaming
-          ? sink?.countIncompleteBytes() ?? 0
-          : 0,
+        incompleteEventBytes: getProgress()?.incompleteEventBytes ?? 0,
       },
       detail,
     });
   };
+  const finishWith = (end: AttemptEnd): void => {
+    isConnectionBroken = end.kind === "broken";
+    const [outcome, detail] = classifyEnd(end, head);
+    finish(outcome, detail);
+  };
   const abort = (outcome: AttemptOutcome, detail: string): void => {
     attempt.cancel();
     finish(outcome, detail);
@@ -217,15 +234,28 @@
     onEnd: (closing) => {
       if (isSettled) return;
       isClean = closing.kind === "complete";
-      const isTruncated = isClean && isStreaming &&
-        (sink?.isInEvent() ||
-          (framing === BodyFraming.Close && bodyBytes === 0));
-      const end: AttemptEnd = isTruncated
-        ? { kind: "broken", detail: "the stream ended early" }
-        : closing;
-      isConnectionBroken = end.kind === "broken";
-      const [outcome, detail] = classifyEnd(end, head);
-      finish(outcome, detail);
+      if (!isClean || framing === undefined) {
+        finishWith(closing);
+        return;
+      }
+      const end = decideResponseEnd({ framing, stream: getProgress() });
+      switch (end.kind) {
+        case "complete":
+          finishWith(closing);
+          break;
+        case "truncated":
+          finishWith({ kind: "broken", detail: end.detail });
+          break;
+        case "unproven":
+          void options.hasUpstreamCrashed().then((hasCrashed) =>
+            finishWith(
+              hasCrashed
+                ? { kind: "broken", detail: "the upstream crashed" }
+                : closing,
+            )
+          );
+          break;
+      }
     },
   });
   return {
--- a/src/gateway/request_handler.ts
+++ b/src/gateway/request_handler.ts
@@ -270,6 +270,7 @@
     this.#lastUpstream = upstream;
     this.#hasOutput = false;
     this.#sentAt = performance.now();
+    const earlierEvents = this.#splitter.eventCount;
     load.ownRunning += 1;
     this.#running = runAttempt(this.#context, {
       exchange: this.#exchange,
@@ -283,13 +284,17 @@
       },
       mayReuseConnection: this.#canRetry(),
       responseHeaderTimeoutMs: this.#computeResponseHeaderTimeoutMs(),
+      hasUpstreamCrashed: () => this.#context.crashProbe.hasCrashed(upstream),
       handleHead: (head) => this.#handleHead(upstream, head),
       sink: isStream
         ? {
           start: (status, rawHeaders) => this.#head ??= { status, rawHeaders },
           push: (chunk) => this.#forwardChunk(chunk),
-          isInEvent: () => this.#splitter.isInEvent,
-          countIncompleteBytes: () => this.#splitter.restBytes,
+          getProgress: () => ({
+            isInEvent: this.#splitter.isInEvent,
+            eventCount: this.#splitter.eventCount - earlierEvents,
+            incompleteEventBytes: this.#splitter.restBytes,
+          }),
         }
         : undefined,
     });
