A refusal that is written once more is no answer to the next request

A repeated failure was passed on as the answer to another request. Cause: connections were kept after refusals and failures, the only answers that need not name their request. Class: an answer taken for one's own by its place on the connection. Change: a connection is kept only after a 2xx answer, which must name its request. CheckedAgent has a module of its own. Left: an answer without id, 400 or more, that arrives in the instant in which a connection is reused after a 2xx answer.

--- a/fakes/scripted_answer.ts
+++ b/fakes/scripted_answer.ts
@@ -18,8 +18,11 @@
   sentBytes?: number;
   /** Size of the pieces in which they are sent; one piece by default. */
   pieceBytes?: number;
-  /** Raw bytes that precede the answer on the connection. */
-  precedingBytes?: string;
+  /**
+   * Whether the replica first writes the previous answer of this connection once
+   * more, if there was one.
+   */
+  repeatsPrevious?: boolean;
   /**
    * What follows the last byte. After `keep` only scripted answers can follow on
    * the connection.
@@ -27,6 +30,8 @@
   end: "keep" | "close" | "reset" | "closeAndCrash";
 }
 
+/** The last answer on each connection. */
+const previousAnswers = new WeakMap<Socket, string>();
 /** Time between two pieces, so that they arrive separately. */
 const PIECE_INTERVAL_MS = 1;
 
@@ -43,11 +48,10 @@
   const body = Buffer.from(answer.body);
   const sentBytes = answer.sentBytes ?? body.length;
   const pieceBytes = answer.pieceBytes ?? Math.max(1, body.length);
-  const pieces: Buffer[] = [
-    Buffer.from(
-      `${answer.precedingBytes ?? ""}${formatHead(answer, identity)}`,
-    ),
-  ];
+  const previous = answer.repeatsPrevious ? previousAnswers.get(socket) : "";
+  const head = formatHead(answer, identity);
+  previousAnswers.set(socket, `${head}${answer.body}`);
+  const pieces: Buffer[] = [Buffer.from(`${previous ?? ""}${head}`)];
   for (let start = 0; start < sentBytes; start += pieceBytes) {
     const end = Math.min(sentBytes, start + pieceBytes);
     pieces.push(encodePiece(answer, body.subarray(start, end)));
--- a/src/gateway/upstream_client.ts
+++ b/src/gateway/upstream_client.ts
@@ -13,6 +13,7 @@
 import { hasBeenReset, watchForReset } from "../daemon/connection_reset.ts";
 import { parseAddress } from "../daemon/http_server.ts";
 import { describeError } from "../daemon/step_error.ts";
+import { CheckedAgent, excludeFromReuse } from "./checked_agent.ts";
 
 export interface AttemptRequest {
   /** `IP:port`. */
@@ -84,7 +85,7 @@
 const MAX_INTERIM_HEADS = 8;
 
 export class UpstreamClient {
-  readonly #keepAliveAgent = new IdleCheckingAgent({
+  readonly #keepAliveAgent = new CheckedAgent({
     keepAlive: true,
     timeout: IDLE_CONNECTION_TIMEOUT_MS,
     maxFreeSockets: MAX_IDLE_CONNECTIONS,
@@ -160,6 +161,7 @@
   call.on("response", (head) => {
     if (hasEnded) return;
     response = head;
+    if (!isSuccess(head.statusCode)) excludeFromReuse(head.socket);
     listener.onHead(head);
     head.on("data", (chunk: Buffer) => {
       if (!hasEnded && !listener.onChunk(chunk)) head.pause();
@@ -184,30 +186,14 @@
   };
 }
 
-/** Ignores the error of a request that was cancelled on purpose. */
-function dropError(): void {}
-
 /**
- * Agent that closes an idle connection on which bytes arrive: they belong to no
- * request.
+ * Returns whether a response shows which request it answers: refusals and errors
+ * may name none. One of these that is sent once more must not be taken for the
+ * answer to the next request, so that their connection carries no other.
  */
-class IdleCheckingAgent extends Agent {
-  override keepSocketAlive(socket: Socket): boolean {
-    // The base class reads the upstream's Keep-Alive header and may return
-    // false.
-    const keepAlive = super.keepSocketAlive as (socket: Socket) => unknown;
-    if (keepAlive.call(this, socket) === false) return false;
-    socket.on("data", dropConnection);
-    socket.resume();
-    return true;
-  }
-
-  override reuseSocket(socket: Socket, call: ClientRequest): void {
-    socket.removeListener("data", dropConnection);
-    super.reuseSocket(socket, call);
-  }
+function isSuccess(status: number | undefined): boolean {
+  return status !== undefined && status >= 200 && status < 300;
 }
 
-function dropConnection(this: Socket): void {
-  this.destroy();
-}
+/** Ignores the error of a request that was cancelled on purpose. */
+function dropError(): void {}
