An odd entry of another writer is not used, and no attempt throws

Cause: the schema checked an address by its digits, and numbers for their type alone; the HTTP client throws for a port out of range, inside a constructor whose callbacks used the attempt before it was assigned. Class: a value of another process used before its range is checked. Change: socket_address accepts IP:port of one machine only, in one place for all parts of the product: no port 0 or above 65535, no name, no address of this machine or of many. Deeply nested values were refused or skipped before, too: tests keep that.

--- a/src/daemon/http_server.ts
+++ b/src/daemon/http_server.ts
@@ -1,6 +1,7 @@
 /** Starts and stops HTTP servers on an IP address and port. */
 import { createServer, type RequestListener, type Server } from "node:http";
 import type { AddressInfo } from "node:net";
+import { parseSocketAddress } from "../core/socket_address.ts";
 import { ActiveResponses } from "./response_abort.ts";
 import { describeError, StepError } from "./step_error.ts";
 
@@ -14,15 +15,6 @@
 /** The responses under way of each server that `createHttpServer` made. */
 const activeResponses = new WeakMap<Server, ActiveResponses>();
 
-/** Splits `IP:port`, with the IP in brackets for IPv6. */
-export function parseAddress(address: string): { host: string; port: number } {
-  const separator = address.lastIndexOf(":");
-  return {
-    host: address.slice(0, separator).replace(/^\[|\]$/g, ""),
-    port: Number(address.slice(separator + 1)),
-  };
-}
-
 export function createHttpServer(
   listener: RequestListener,
   limits: {
@@ -50,7 +42,7 @@
 
 /** Listens and returns the port number, which the system assigns for port 0. */
 export async function listen(server: Server, address: string): Promise<number> {
-  const { host, port } = parseAddress(address);
+  const { host, port } = parseSocketAddress(address);
   await new Promise<void>((resolve, reject) => {
     const handleError = (cause: Error): void => {
       reject(
--- a/src/gateway/crash_probe.ts
+++ b/src/gateway/crash_probe.ts
@@ -6,7 +6,7 @@
  */
 import { connect } from "node:net";
 import type { PublishedUpstream } from "../core/view/published_view.ts";
-import { parseAddress } from "../daemon/http_server.ts";
+import { parseSocketAddress } from "../core/socket_address.ts";
 import { describeError } from "../daemon/step_error.ts";
 import type { DecisionLog } from "./decision_log.ts";
 import type { EngineControl } from "./ports.ts";
@@ -99,7 +99,7 @@
 
 function openConnection(address: string): Promise<ProbeOutcome> {
   return new Promise((resolve) => {
-    const socket = connect(parseAddress(address));
+    const socket = connect(parseSocketAddress(address));
     const finish = (outcome: ProbeOutcome): void => {
       clearTimeout(timer);
       socket.destroy();
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -19,7 +19,7 @@
 import { UpstreamBackoff } from "../core/placement/upstream_backoff.ts";
 import { UpstreamHealth } from "../core/placement/upstream_health.ts";
 import { PublishedView } from "../core/view/published_view.ts";
-import { parseAddress } from "../daemon/http_server.ts";
+import { parseSocketAddress } from "../core/socket_address.ts";
 import type { GatewaySettings } from "../settings/gateway_settings.ts";
 import { CallerTask } from "./caller_task.ts";
 import { CrashProbe } from "./crash_probe.ts";
@@ -119,7 +119,7 @@
     this.#settings = settings;
     this.#headerCodec = platform.headerCodec;
     this.#log = new DecisionLog(host, settings.logLevel);
-    const { host: ip, port } = parseAddress(peers.listen);
+    const { host: ip, port } = parseSocketAddress(peers.listen);
     this.#fleet = new FleetView({ id: host, ip, failureDomain }, Date.now());
     this.#peers = new PeerTask({
       selfId: host,
@@ -150,7 +150,9 @@
       termMs: settings.orders.termMs,
       view: this.#view,
       fleet: this.#fleet,
-      seedIps: settings.peers.seeds.map((seed) => parseAddress(seed).host),
+      seedIps: settings.peers.seeds.map((seed) =>
+        parseSocketAddress(seed).host
+      ),
       control,
       log: this.#log,
       metrics: this.#metrics,
@@ -199,7 +201,7 @@
     await this.#peers.listen();
     await this.#viewSynchronizer.start();
     this.#engines.start();
-    const callerAddress = parseAddress(callers.listen);
+    const callerAddress = parseSocketAddress(callers.listen);
     await this.#callers.listen(callerAddress.host, callerAddress.port);
     await this.#listenForReadiness(readiness.listen);
     if (metrics) await this.#metrics.listen(callerAddress.host, metrics.port);
@@ -261,7 +263,7 @@
   }
 
   #listenForReadiness(address: string): Promise<void> {
-    const { host, port } = parseAddress(address);
+    const { host, port } = parseSocketAddress(address);
     const server = createServer((request, response) => {
       const isReadyPath = request.url === this.#headerCodec.readyPath;
       const status = !isReadyPath ? 404 : this.#updateReadiness() ? 200 : 503;
@@ -316,7 +318,7 @@
     }
     const targets = this.#fleet.selectTargets(now);
     const seeds = this.#settings.peers.seeds
-      .map((seed) => parseAddress(seed).host);
+      .map((seed) => parseSocketAddress(seed).host);
     const promisedByIp = new Map(
       targets.map((target) => [target.member.ip, target.isPromised]),
     );
--- a/src/gateway/http_client.ts
+++ b/src/gateway/http_client.ts
@@ -4,7 +4,7 @@
  */
 import { Agent, type IncomingHttpHeaders, request } from "node:http";
 import { Buffer } from "node:buffer";
-import { parseAddress } from "../daemon/http_server.ts";
+import { parseSocketAddress } from "../core/socket_address.ts";
 import { StepError } from "../daemon/step_error.ts";
 import type { Milliseconds } from "../core/structures.ts";
 
@@ -69,7 +69,7 @@
   return new Promise((resolve, reject) => {
     let hasConnected = false;
     const call = request({
-      ...parseAddress(address),
+      ...parseSocketAddress(address),
       method: options.method,
       path: options.path,
       headers: options.headers ?? {},
--- a/src/gateway/upstream_client.ts
+++ b/src/gateway/upstream_client.ts
@@ -11,7 +11,7 @@
 import type { Buffer } from "node:buffer";
 import type { Socket } from "node:net";
 import { hasBeenReset, watchForReset } from "../daemon/connection_reset.ts";
-import { parseAddress } from "../daemon/http_server.ts";
+import { parseSocketAddress } from "../core/socket_address.ts";
 import { describeError } from "../daemon/step_error.ts";
 import { CheckedAgent, excludeFromReuse } from "./checked_agent.ts";
 
@@ -100,16 +100,21 @@
     const rawHeaders = [...attempt.rawHeaders];
     const hasBody = attempt.body.length > 0 || attempt.method === "POST";
     if (hasBody) rawHeaders.push("Content-Length", String(attempt.body.length));
-    const call = request({
-      ...parseAddress(attempt.address),
-      method: attempt.method,
-      path: attempt.url,
-      headers: rawHeaders,
-      setHost: false,
-      agent: attempt.mayReuseConnection
-        ? this.#keepAliveAgent
-        : this.#singleUseAgent,
-    });
+    let call: ClientRequest;
+    try {
+      call = request({
+        ...parseSocketAddress(attempt.address),
+        method: attempt.method,
+        path: attempt.url,
+        headers: rawHeaders,
+        setHost: false,
+        agent: attempt.mayReuseConnection
+          ? this.#keepAliveAgent
+          : this.#singleUseAgent,
+      });
+    } catch (error) {
+      return endUnsent(describeError(error), listener);
+    }
     return followAttempt(call, attempt.body, listener);
   }
 
@@ -119,6 +124,15 @@
   }
 }
 
+/** Ends an attempt of which Node.js rejects the address, a header or the path. */
+function endUnsent(detail: string, listener: AttemptListener): StartedAttempt {
+  let isCancelled = false;
+  queueMicrotask(() => {
+    if (!isCancelled) listener.onEnd({ kind: "notSent", detail });
+  });
+  return { cancel: () => isCancelled = true, resume: () => {} };
+}
+
 function followAttempt(
   call: ClientRequest,
   body: Buffer,
--- a/test/gateway/gateway_harness.ts
+++ b/test/gateway/gateway_harness.ts
@@ -30,6 +30,12 @@
  */
 export const TERM_MS = 600;
 
+/**
+ * Time within which a change in the store is known everywhere: changes are
+ * collected for 0.4 s, and peers compare their revisions each 0.2 s.
+ */
+const VIEW_MS = 1_500;
+
 export interface CallerResponse {
   status: number;
   headers: Record<string, string | string[] | undefined>;
@@ -65,6 +71,8 @@
   readonly #scriptedAnswers = new Map<string, ScriptedAnswer[]>();
   #version = 1;
   #lastId = 0;
+  /** Called before the gateways start. */
+  arrange: () => void = () => {};
   /** Route fields that differ from the defaults, by route name. */
   routeOverrides: Record<string, object> = {};
 
@@ -87,6 +95,7 @@
       this.register(replica);
     }
     this.publish();
+    this.arrange();
     for (let index = 0; index < sizes.gateways; index += 1) {
       const gateway = this.createGateway(index);
       this.gateways.push(gateway);
@@ -248,6 +257,11 @@
     await waitMs(3_200);
   }
 
+  /** Waits until changes in the store have reached all gateways. */
+  async waitForView(): Promise<void> {
+    await waitMs(VIEW_MS);
+  }
+
   async waitFor(
     check: () => boolean | Promise<boolean>,
     timeoutMs = 8_000,
--- /dev/null
+++ b/test/gateway/upstream_client_test.ts
@@ -0,0 +1,62 @@
+/** Attempts that can't be sent at all. */
+import { Buffer } from "node:buffer";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import {
+  type AttemptEnd,
+  type AttemptRequest,
+  UpstreamClient,
+} from "../../src/gateway/upstream_client.ts";
+
+const client = new UpstreamClient();
+test.after(() => client.close());
+
+const REQUEST: AttemptRequest = {
+  address: "127.0.0.1:1",
+  method: "POST",
+  url: "/",
+  rawHeaders: [],
+  body: Buffer.alloc(0),
+  mayReuseConnection: false,
+};
+
+const UNSENDABLE: [string, Partial<AttemptRequest>][] = [
+  ["a port out of range", { address: "127.0.0.1:70000" }],
+  ["a header with a control character", {
+    rawHeaders: ["Last-Event-Id", "4\u0001"],
+  }],
+  ["a path with a space", { url: "/a b" }],
+];
+
+for (const [name, fields] of UNSENDABLE) {
+  test(`an attempt with ${name} ends as not sent, after it has been returned`, async () => {
+    let hasReturned = false;
+    const end = await new Promise<AttemptEnd>((resolve) => {
+      client.startAttempt({ ...REQUEST, ...fields }, {
+        onHead: () => assert.unreachable("expected no head"),
+        onChunk: () => true,
+        onEnd: (attemptEnd) => {
+          assert.ok(hasReturned);
+          resolve(attemptEnd);
+        },
+      });
+      hasReturned = true;
+    });
+    assert.is(end.kind, "notSent");
+  });
+}
+
+test("an attempt that can't be sent and is cancelled calls its listener no more", async () => {
+  const attempt = client.startAttempt(
+    { ...REQUEST, address: "127.0.0.1:70000" },
+    {
+      onHead: () => assert.unreachable("expected no head"),
+      onChunk: () => true,
+      onEnd: () => assert.unreachable("expected no end"),
+    },
+  );
+  attempt.cancel();
+  await new Promise((resolve) => setTimeout(resolve, 10));
+});
+
+test.run();
--- a/test/platform/entry_decoder_test.ts
+++ b/test/platform/entry_decoder_test.ts
@@ -47,8 +47,49 @@
   ["a service that is not a string", { ...REPLICA, service: 7 }],
   ["a start time that is not an integer", { ...REPLICA, born: 1.5 }],
   ["a list in place of an object", [REPLICA]],
+  ["port 70000", { ...REPLICA, addr: "10.1.2.3:70000" }],
+  ["port 0", { ...REPLICA, addr: "10.1.2.3:0" }],
+  ["an address that would be looked up", { ...REPLICA, addr: "999.1.1.1:80" }],
+  ["this machine's address", { ...REPLICA, addr: "0.0.0.0:80" }],
+  ["more slots than a replica can have", { ...REPLICA, slots: 9e15 }],
+  [
+    "a number beyond all numbers",
+    JSON.stringify(REPLICA).replace("96", "1e999"),
+  ],
+  ["a start time beyond any date", { ...REPLICA, born: 9e15 }],
+  ["a start time before the epoch", { ...REPLICA, born: -1 }],
+  ["a million levels of nesting", "[".repeat(1e6) + "]".repeat(1e6)],
+  [
+    "a field of a million levels",
+    JSON.stringify({ ...REPLICA, models: 0 })
+      .replace('"models":0', `"models":${"[".repeat(1e6)}${"]".repeat(1e6)}`),
+  ],
 ];
 
+test("an entry with a field of a million levels that no schema names is decoded", () => {
+  const nested = `${"[".repeat(1e6)}${"]".repeat(1e6)}`;
+  const text = JSON.stringify({ ...REPLICA, extra: 0 })
+    .replace('"extra":0', `"extra":${nested}`);
+  assert.is(decode("servers/i-1", text).kind, "upstream");
+});
+
+test("the reason for an entry with thousands of faults has a bounded length", () => {
+  const models = Array.from({ length: 20_000 }, () => ({ name: 7 }));
+  const change = decode("servers/i-1", { ...REPLICA, models });
+  assert.is(change.kind, "unusable");
+  if (change.kind !== "unusable") return;
+  assert.ok(change.reason.length <= 400, `${change.reason.length} characters`);
+  assert.match(change.reason, "models.0.name");
+});
+
+test("adapter versions that no replica can have count as none", () => {
+  const models = [{ name: "m", adapters: ["a1@1e300", "a2@-1", "a3@1.5"] }];
+  const change = decode("servers/i-1", { ...REPLICA, models });
+  assert.ok(change.kind === "upstream");
+  if (change.kind !== "upstream") return;
+  assert.equal([...change.upstream.adapters.values()], [0, 0, 0]);
+});
+
 for (const [name, value] of UNUSABLE) {
   test(`decodes an entry with ${name} to unusable`, () => {
     assert.is(decode("servers/i-1", value).kind, "unusable");
