Peers' messages with addresses or numbers out of range are dropped

Cause: the schema of peers' datagrams took any text for an address, which would be looked up and sent to, and any number: a revision beyond all revisions is fetched for ever, a time beyond 2^31 ms ends a timer at once, a start beyond all dates makes inexact fencing numbers. Same class as odd entries of the store: a value of another process used before its range is checked.

--- a/src/gateway/peer_message_decoder.ts
+++ b/src/gateway/peer_message_decoder.ts
@@ -7,6 +7,7 @@
 import type { Buffer } from "node:buffer";
 import { Err, Ok, type Result } from "ts-results-es";
 import * as z from "zod";
+import { ipAddressSchema } from "../core/socket_address.ts";
 import { DenialReason } from "../core/admission/admission_controller.ts";
 import type { GatewayMessage } from "./peer_messages.ts";
 
@@ -39,39 +40,52 @@
 } as const;
 export type DropReason = (typeof DropReason)[keyof typeof DropReason];
 
+/**
+ * Longest time that a message may name, to either side: far beyond the time
+ * limits of requests, and less than a timer takes (2^31 ms).
+ */
+const MAX_DURATION_MS = 24 * 60 * 60 * 1_000;
+
+/** Time left, which may have passed already. */
+const durationMs = z.number().min(-MAX_DURATION_MS).max(MAX_DURATION_MS);
+const ageMs = z.number().nonnegative();
+/** A number of things, or an estimate of one. */
+const quantity = z.number().nonnegative().max(Number.MAX_SAFE_INTEGER);
+const revision = z.number().int().nonnegative();
+
 const promptPartsSchema = z.array(
-  z.object({ id: z.string(), tokens: z.number() }),
+  z.object({ id: z.string(), tokens: quantity }),
 );
 
 const demandFields = {
   adapterPath: z.string(),
-  promptTokens: z.number(),
-  outputTokens: z.number(),
+  promptTokens: quantity,
+  outputTokens: quantity,
   promptParts: promptPartsSchema,
 };
 
-const ageMs = z.number().nonnegative();
-
 const heartbeatSchema = z.object({
   sender: z.object({
     id: z.string(),
-    ip: z.string(),
+    ip: ipAddressSchema,
     failureDomain: z.string(),
   }),
   incarnation: z.string(),
-  beat: z.number(),
+  beat: quantity,
   isLeaving: z.boolean(),
-  promisedMs: z.number().optional(),
+  promisedMs: durationMs.optional(),
   hasStore: z.boolean(),
-  revisions: z.object({ configuration: z.number(), upstreams: z.number() }),
+  revisions: z.object({ configuration: revision, upstreams: revision }),
   heldEngines: z.array(z.string()),
   newcomerHeld: z.array(z.string()).optional(),
   contestedEngines: z.array(z.string()).optional(),
-  fetchesInFlight: z.number(),
-  fullSpeedFetches: z.number().optional(),
+  fetchesInFlight: quantity,
+  fullSpeedFetches: quantity.optional(),
   failing: z.array(z.tuple([z.string(), z.number(), z.number()])).optional(),
   fenceUnixMs: z.number().optional(),
-  sample: z.array(z.tuple([z.string(), z.string(), z.string(), z.number()])),
+  sample: z.array(
+    z.tuple([z.string(), ipAddressSchema, z.string(), quantity]),
+  ),
   strikes: z.array(
     z.object({ fingerprint: z.string(), strikes: z.number() }),
   ),
@@ -97,9 +111,9 @@
   adapter: z.string(),
   version: z.number().optional(),
   priorityRank: z.number(),
-  patienceMs: z.number(),
-  firstTokenBudgetMs: z.number(),
-  lifetimeMs: z.number(),
+  patienceMs: durationMs,
+  firstTokenBudgetMs: durationMs,
+  lifetimeMs: durationMs,
   isLastChoice: z.boolean(),
 });
 
@@ -114,17 +128,17 @@
     permitId: z.string(),
     holder: z.string(),
     reason: z.enum(DenialReason),
-    retryAfterMs: z.number(),
+    retryAfterMs: durationMs,
     knownHolder: z.string().optional(),
   }),
 ]);
 
 const handoverSchema = z.object({
-  acceptedAgeMs: z.number(),
+  acceptedAgeMs: durationMs,
   models: z.array(z.string()),
-  sequence: z.number(),
-  bornAtUnixMs: z.number(),
-  fencing: z.object({ minSequence: z.number(), minPosition: z.number() })
+  sequence: revision,
+  bornAtUnixMs: revision,
+  fencing: z.object({ minSequence: quantity, minPosition: quantity })
     .optional(),
   adapters: z.array(z.tuple([z.string(), z.number(), z.boolean()])),
   recentOwners: z.array(z.tuple([z.string(), z.number()])).optional(),
@@ -151,16 +165,16 @@
     engineId,
     permitId,
     isMisdirected: z.boolean(),
-    delayMs: z.number(),
-    backoffMs: z.number(),
+    delayMs: durationMs,
+    backoffMs: durationMs,
   }),
   z.object({
     kind: z.literal("runsHeld"),
     engineId,
     runs: z.array(
-      z.object({ ...demandFields, permitId, lifetimeMs: z.number() }),
+      z.object({ ...demandFields, permitId, lifetimeMs: durationMs }),
     ),
-    total: z.number(),
+    total: quantity,
   }),
   z.object({
     kind: z.literal("handover"),
--- a/test/gateway/peer_datagrams_test.ts
+++ b/test/gateway/peer_datagrams_test.ts
@@ -137,6 +137,48 @@
   assert.equal(dropped, bad.map(() => "invalid"));
 });
 
+test("messages with addresses that can't be used, or numbers out of range, are dropped", async () => {
+  const { sender } = HEARTBEAT;
+  const heartbeats: object[] = [
+    { sender: { ...sender, ip: "999.1.1.1" } },
+    { sender: { ...sender, ip: "a name" } },
+    { sender: { ...sender, ip: "0.0.0.0" } },
+    { sample: [["m", "224.0.0.1", "a", 3]] },
+    { revisions: { configuration: 1, upstreams: 1e300 } },
+    { revisions: { configuration: -1, upstreams: 1 } },
+    { beat: 1e300 },
+    { fetchesInFlight: -1e9 },
+    { promisedMs: 1e300 },
+  ];
+  const requests: object[] = [
+    { patienceMs: 1e12 },
+    { lifetimeMs: 1e300 },
+    { promptTokens: -1 },
+  ];
+  const handover = {
+    acceptedAgeMs: 1,
+    models: [],
+    sequence: 1e300,
+    bornAtUnixMs: 1,
+    adapters: [],
+  };
+  const bad: object[] = [
+    ...heartbeats.map((fields) => ({
+      kind: "heartbeat",
+      heartbeat: { ...HEARTBEAT, ...fields },
+    })),
+    ...requests.map((fields) => ({
+      kind: "permitRequest",
+      engineId: "e",
+      request: { ...REQUEST, ...fields },
+    })),
+    { kind: "handover", engineId: "e", handover },
+  ];
+  const { handled, dropped } = await receive(bad.map((each) => encode(each)));
+  assert.equal(handled, [RELEASED]);
+  assert.equal(dropped, bad.map(() => "invalid"));
+});
+
 test("messages that name another sender than the envelope are dropped", async () => {
   const other = { ...HEARTBEAT, sender: { ...HEARTBEAT.sender, id: "x" } };
   const { handled, dropped } = await receive([
