A resumed stream goes on only with its own events

An error status, an answer without stamp or id, a switch of protocols and an interim answer did no harm. Cause: any 2xx with the proof was passed on as the rest of the stream. Class: what follows taken for the continuation without being compared with what precedes. Change: stream_continuation: the second answer has the status and media type of the first, and its first id follows the last one that was forwarded; otherwise the attempt is lost. The next one resumes after the last forwarded event, not after those of an answer that was dropped, and a stream without ids is not begun anew. Not told: a second answer with the status, type and ids of the stream and other content.

--- a/src/core/execution/event_splitter.ts
+++ b/src/core/execution/event_splitter.ts
@@ -182,15 +182,26 @@
     while (start >= 0 && !isLineStart(events, start)) {
       start = start === 0 ? -1 : events.lastIndexOf(ID_FIELD, start - 1);
     }
-    if (start < 0) return;
-    let end = start + ID_FIELD.length;
-    while (events[end] !== LINE_FEED && events[end] !== CARRIAGE_RETURN) {
-      end += 1;
-    }
-    const value = events.toString("latin1", start + ID_FIELD.length, end);
     // An empty id resets the last one.
-    this.#lastEventId = value.replace(/^ /, "") || undefined;
+    if (start >= 0) this.#lastEventId = readId(events, start) || undefined;
+  }
+}
+
+/** Returns the first id in complete events; undefined if they have none. */
+export function findFirstEventId(events: Buffer): string | undefined {
+  let start = events.indexOf(ID_FIELD);
+  while (start >= 0 && !isLineStart(events, start)) {
+    start = events.indexOf(ID_FIELD, start + 1);
   }
+  return start < 0 ? undefined : readId(events, start);
+}
+
+/** Returns the value of the `id` line at the offset. */
+function readId(events: Buffer, start: number): string {
+  let end = start + ID_FIELD.length;
+  while (events[end] !== LINE_FEED && events[end] !== CARRIAGE_RETURN) end += 1;
+  return events.toString("latin1", start + ID_FIELD.length, end)
+    .replace(/^ /, "");
 }
 
 function isLineStart(bytes: Buffer, offset: number): boolean {
--- a/src/gateway/attempt_runner.ts
+++ b/src/gateway/attempt_runner.ts
@@ -10,6 +10,7 @@
   BodyFraming,
   classifyFraming,
 } from "../core/execution/body_framing.ts";
+import type { StreamHead } from "../core/execution/stream_continuation.ts";
 import { decideResponseEnd } from "../core/execution/response_end.ts";
 import { AttemptOutcome } from "../core/execution/retry_decision.ts";
 import { HealthSignal } from "../core/placement/upstream_health.ts";
@@ -67,14 +68,15 @@
   Continue: "readOn",
   /** The caller reads slowly: stop reading from the upstream until `resume`. */
   Pause: "pause",
-  /** The bytes are not valid events: end the attempt. */
+  /** The bytes can't be passed on: end the attempt. */
   Abort: "cut",
 } as const;
 export type SinkDecision = (typeof SinkDecision)[keyof typeof SinkDecision];
 
 /** Receives the head and the chunks of a successful streamed response. */
 export interface StreamSink {
-  start(status: number, rawHeaders: string[]): void;
+  /** Returns whether the response may be passed on. */
+  start(head: StreamHead, rawHeaders: string[]): boolean;
   push(chunk: Buffer): SinkDecision;
   /** Returns what the bytes of this attempt amount to so far. */
   getProgress(): StreamProgress;
@@ -210,8 +212,17 @@
       ) {
         abort(AttemptOutcome.Lost, "the answer is not the upstream's own");
       } else if (isSuccess && sink) {
-        isStreaming = true;
-        sink.start(head.status, headerCodec.encodeResponseHeaders(rawHeaders));
+        const streamHead = {
+          status: head.status,
+          contentType: response.headers["content-type"] ?? "",
+        };
+        isStreaming = sink.start(
+          streamHead,
+          headerCodec.encodeResponseHeaders(rawHeaders),
+        );
+        if (!isStreaming) {
+          abort(AttemptOutcome.Lost, "the answer does not continue the stream");
+        }
       }
     },
     onChunk: (chunk) => {
@@ -220,7 +231,7 @@
       if (isStreaming && sink) {
         const decision = sink.push(chunk);
         if (decision === SinkDecision.Abort) {
-          abort(AttemptOutcome.Lost, "an event without end");
+          abort(AttemptOutcome.Lost, "events that can't be passed on");
         }
         return decision === SinkDecision.Continue;
       }
--- a/src/gateway/request_handler.ts
+++ b/src/gateway/request_handler.ts
@@ -12,7 +12,15 @@
   isIdempotent,
   type RetryDecision,
 } from "../core/execution/retry_decision.ts";
-import { EventSplitter } from "../core/execution/event_splitter.ts";
+import {
+  EventSplitter,
+  findFirstEventId,
+} from "../core/execution/event_splitter.ts";
+import {
+  canFollowEvent,
+  isContinuation,
+  type StreamHead,
+} from "../core/execution/stream_continuation.ts";
 import { HealthSignal } from "../core/placement/upstream_health.ts";
 import { rankServiceUpstreams } from "../core/placement/upstream_ranking.ts";
 import type { Milliseconds } from "../core/structures.ts";
@@ -90,7 +98,11 @@
   #possibleRuns = 0;
   #hasForwarded = false;
   #isFinished = false;
-  #head: { status: number; rawHeaders: string[] } | undefined;
+  #head: (StreamHead & { rawHeaders: string[] }) | undefined;
+  /** Id of the last event that was forwarded. */
+  #forwardedEventId: string | undefined;
+  /** Whether the current attempt has to show that it continues the stream. */
+  #isContinuing = false;
   readonly #engineSelector: EngineSelector;
   readonly #crashGuard: CrashGuard;
   /** Time until the request, or the convicted part of its prompt, is tried again. */
@@ -280,7 +292,7 @@
         remainingMs: Math.max(1, this.#getRemainingMs()),
         adapterVersion: this.#engineSelector.adapterVersion,
         priorityRank: this.#service.engine && this.#route.priorityRank,
-        lastEventId: this.#splitter.lastEventId ?? metadata.lastEventId,
+        lastEventId: this.#forwardedEventId ?? metadata.lastEventId,
       },
       mayReuseConnection: this.#canRetry(),
       responseHeaderTimeoutMs: this.#computeResponseHeaderTimeoutMs(),
@@ -288,7 +300,7 @@
       handleHead: (head) => this.#handleHead(upstream, head),
       sink: isStream
         ? {
-          start: (status, rawHeaders) => this.#head ??= { status, rawHeaders },
+          start: (head, rawHeaders) => this.#acceptStream(head, rawHeaders),
           push: (chunk) => this.#forwardChunk(chunk),
           getProgress: () => ({
             isInEvent: this.#splitter.isInEvent,
@@ -304,14 +316,37 @@
     return result;
   }
 
+  /** Keeps the head of the stream; returns whether the stream may be passed on. */
+  #acceptStream(head: StreamHead, rawHeaders: string[]): boolean {
+    if (!this.#hasForwarded || !this.#head) {
+      this.#head = { ...head, rawHeaders };
+      return true;
+    }
+    this.#isContinuing = true;
+    return isContinuation(this.#head, head);
+  }
+
+  /** Returns whether the events may follow those that the caller has. */
+  #canFollow(events: Buffer): boolean {
+    const firstId = findFirstEventId(events);
+    const lastId = this.#forwardedEventId;
+    if (firstId === undefined || lastId === undefined) return true;
+    this.#isContinuing = false;
+    return canFollowEvent(lastId, firstId);
+  }
+
   /** Forwards complete events; the head is sent with the first of them. */
   #forwardChunk(chunk: Buffer): SinkDecision {
     const events = this.#splitter.push(chunk);
     if (this.#splitter.restBytes > MAX_EVENT_BYTES) return SinkDecision.Abort;
     if (events.length === 0 || this.#isFinished) return SinkDecision.Continue;
+    if (this.#isContinuing && !this.#canFollow(events)) {
+      return SinkDecision.Abort;
+    }
     this.#recordOutput();
     if (!this.#hasForwarded) this.#startStream();
     this.#exchange.write(events);
+    this.#forwardedEventId = this.#splitter.lastEventId;
     if (!this.#exchange.isWriteBufferFull) return SinkDecision.Continue;
     this.#context.metrics.count(
       "callers_backlogged",
@@ -362,7 +397,10 @@
 
   #decide(result: AttemptResult): RetryDecision {
     const { retryBudget, fleet } = this.#context;
-    const { repeatability, isResumable, maxAttempts } = this.#route;
+    const { repeatability, maxAttempts } = this.#route;
+    // A stream without ids could only begin anew.
+    const isResumable = this.#route.isResumable &&
+      (!this.#hasForwarded || this.#forwardedEventId !== undefined);
     return decideRetry({
       outcome: result.outcome,
       repeatability,
--- a/test/gateway/gateway_harness.ts
+++ b/test/gateway/gateway_harness.ts
@@ -71,6 +71,8 @@
   readonly #scriptedAnswers = new Map<string, ScriptedAnswer[]>();
   #version = 1;
   #lastId = 0;
+  /** Retries that a service may have in ten seconds beside a share of its requests. */
+  retrySlack = 58;
   /** Called before the gateways start. */
   arrange: () => void = () => {};
   /** Route fields that differ from the defaults, by route name. */
@@ -132,7 +134,7 @@
       metrics: { port: this.#port + 4 },
       store: { address: this.store.address },
       orders: { termMs: TERM_MS },
-      repeats: { ratio: 0.2, windowMs: 10_000, slack: 58 },
+      repeats: { ratio: 0.2, windowMs: 10_000, slack: this.retrySlack },
       stop: { graceMs: 5_000 },
       logLevel: "silent",
     });
