--- a/src/core/execution/stream_continuation.ts
+++ b/src/core/execution/stream_continuation.ts
@@ -12,9 +12,12 @@
   contentType: string;
 }
 
+/** An answer that names no media type may continue one that does. */
 export function isContinuation(first: StreamHead, next: StreamHead): boolean {
+  const firstType = getMediaType(first.contentType);
+  const nextType = getMediaType(next.contentType);
   return next.status === first.status &&
-    getMediaType(next.contentType) === getMediaType(first.contentType);
+    (firstType === nextType || firstType === "" || nextType === "");
 }
 
 /**
