The daemon takes no reset and no crash for the end of an unframed answer

Callers saw: an answer of a plain service without length or chunks that was reset, also together with its last bytes, or whose process ended, was passed on as complete. Cause: undici ends such a body with its connection, whatever ended that, a reset included. Change: AttemptSockets learns from undici's diagnostics channel on which connection an attempt was sent, and watches it for resets; after a clean close the upstream's state has to be readable under the same incarnation. Engines' answers name their model in a JSON body, and their streams end with [DONE], so that a cut was told there before. Evidence: upstream_answers_test failed 3 of 4 before (the upstream that lives on passed), 4 of 4 now. Cost: a read of the state for each unframed answer, none for others.

--- a/src/daemon/attempt_end.ts
+++ b/src/daemon/attempt_end.ts
@@ -1,6 +1,10 @@
 /** Classifies how attempts end from the responses of upstreams. */
 import { Buffer } from "node:buffer";
 import type { Dispatcher } from "undici";
+import {
+  type BodyFraming,
+  classifyFraming,
+} from "../core/execution/body_framing.ts";
 import type { StoredAnswerStructure } from "../core/messages.ts";
 import { type AttemptResult, Outcome } from "../core/outcomes.ts";
 
@@ -60,6 +64,16 @@
   return typeof value === "string" ? value : "";
 }
 
+/** Returns how the body of a response to POST ends. */
+export function getFraming(response: Dispatcher.ResponseData): BodyFraming {
+  return classifyFraming({
+    method: "POST",
+    status: response.statusCode,
+    hasContentLength: response.headers["content-length"] !== undefined,
+    isChunked: response.headers["transfer-encoding"] !== undefined,
+  });
+}
+
 export function readBodyModel(body: Buffer): string {
   try {
     const model = (JSON.parse(body.toString("utf8")) as { model?: unknown })
--- a/src/daemon/connection_reset.ts
+++ b/src/daemon/connection_reset.ts
@@ -19,10 +19,12 @@
   socket.prependListener("end", () => {
     if (socket.remoteAddress === undefined) resetSockets.add(socket);
   });
-  socket.prependListener("error", () => resetSockets.add(socket));
+  socket.prependListener("error", (error: NodeJS.ErrnoException) => {
+    if (error.code === "ECONNRESET") resetSockets.add(socket);
+  });
 }
 
-/** Returns whether a watched connection has been reset, or failed otherwise. */
+/** Returns whether a watched connection has been reset by the remote end. */
 export function hasBeenReset(socket: Socket): boolean {
   return resetSockets.has(socket);
 }
--- a/src/daemon/upstream_task.ts
+++ b/src/daemon/upstream_task.ts
@@ -4,6 +4,7 @@
 import { Agent, type Dispatcher } from "undici";
 import type { DispatchEffect, Effect } from "../core/effects.ts";
 import type { OrderResult } from "../core/events.ts";
+import { BodyFraming } from "../core/execution/body_framing.ts";
 import { type Milliseconds, PoolKind } from "../core/structures.ts";
 import {
   type AttemptEnd,
@@ -12,11 +13,13 @@
   createNotSentEnd,
   createStoredAnswer,
   dropBody,
+  getFraming,
   getHeader,
   readBody,
   readBodyModel,
   readErrorDetail,
 } from "./attempt_end.ts";
+import { AttemptSockets } from "./attempt_sockets.ts";
 import type { Bus } from "./bus.ts";
 import type { Exchange, ExchangeRegistry } from "./exchange.ts";
 import type { Logger } from "./logger.ts";
@@ -52,6 +55,7 @@
     headersTimeout: 0,
     bodyTimeout: 0,
   });
+  readonly #sockets = new AttemptSockets();
   readonly #attempts = new Map<string, RunningAttempt>();
   readonly #blocked = new Set<string>();
 
@@ -64,6 +68,7 @@
   }
 
   async stop(): Promise<void> {
+    this.#sockets.close();
     await this.#agent.destroy();
   }
 
@@ -82,6 +87,7 @@
       bytesForwarded: 0,
     };
     this.#attempts.set(effect.attemptId, attempt);
+    this.#sockets.add(effect.attemptId);
     const timer = setTimeout(
       () => attempt.abortController.abort(),
       effect.timeoutMs + TIMER_TOLERANCE_MS,
@@ -89,6 +95,7 @@
     const end = await this.#runToEnd(attempt);
     clearTimeout(timer);
     this.#attempts.delete(effect.attemptId);
+    this.#sockets.remove(effect.attemptId);
     await this.#options.bus.emit("event", {
       kind: "attemptEnded",
       attemptId: effect.attemptId,
@@ -235,6 +242,10 @@
         return { result: { kind: "wrongAdapter", servedModel: model } };
       }
     }
+    if (getFraming(response) === BodyFraming.Close) {
+      const fault = await this.#findFaultOfClose(attempt.effect);
+      if (fault !== undefined) return createLostEnd(fault, attempt);
+    }
     exchange.sink.begin(head);
     attempt.bytesForwarded += body.length;
     exchange.sink.write(body);
@@ -244,6 +255,21 @@
     };
   }
 
+  /**
+   * Returns why an answer that ended with its connection is not complete;
+   * undefined if the upstream lives on.
+   */
+  async #findFaultOfClose(effect: DispatchEffect): Promise<string | undefined> {
+    if (this.#sockets.hasBeenReset(effect.attemptId)) {
+      return "the connection was reset";
+    }
+    const state = await fetchState(this.#agent, effect.address);
+    const hasCrashed = "isRefused" in state
+      ? state.isRefused
+      : state.incarnation !== effect.upstreamIncarnation;
+    return hasCrashed ? "the upstream crashed" : undefined;
+  }
+
   async #dropMismatched(
     attempt: RunningAttempt,
     response: Dispatcher.ResponseData,
