The daemon believes no refusal of another attempt, and none repeated to at-most-once runs

Callers saw: an upstream refuses an attempt and writes that refusal once more on the kept connection: the next attempt, which runs, counted as refused, so that a non-idempotent request was sent to a second upstream and ran twice. Cause: an answer of 400 or more was classified before its request id was compared. Class: an answer taken for one's own by its place on the connection. Change: an error that names another request leaves the attempt lost. One that names none is believed, as the protocol has it, so that non-idempotent attempts use a connection each. Cost: a connection for each non-idempotent attempt.

--- a/src/daemon/upstream_task.ts
+++ b/src/daemon/upstream_task.ts
@@ -55,6 +55,13 @@
     headersTimeout: 0,
     bodyTimeout: 0,
   });
+  /** Opens a connection for each request, which carries no earlier answers. */
+  readonly #singleUseAgent = new Agent({
+    connect: { timeout: CONNECT_TIMEOUT_MS },
+    headersTimeout: 0,
+    bodyTimeout: 0,
+    pipelining: 0,
+  });
   readonly #sockets = new AttemptSockets();
   readonly #attempts = new Map<string, RunningAttempt>();
   readonly #blocked = new Set<string>();
@@ -69,7 +76,7 @@
 
   async stop(): Promise<void> {
     this.#sockets.close();
-    await this.#agent.destroy();
+    await Promise.all([this.#agent.destroy(), this.#singleUseAgent.destroy()]);
   }
 
   /** Stops communication with these upstreams, to simulate a network partition in tests. */
@@ -131,7 +138,8 @@
     const body = isEngine
       ? JSON.stringify({ ...exchange.jsonBody, model: effect.model })
       : exchange.rawBody;
-    return this.#agent.request({
+    const agent = effect.route.idempotent ? this.#agent : this.#singleUseAgent;
+    return agent.request({
       origin: `http://${effect.address}`,
       path: isEngine ? exchange.path : `/services/${effect.model}`,
       method: "POST",
@@ -153,15 +161,18 @@
     response: Dispatcher.ResponseData,
   ): Promise<AttemptEnd> {
     const { effect } = attempt;
+    const servedId = getHeader(response, "x-request-id");
     if (response.statusCode >= 400) {
       const detail = await readErrorDetail(response);
-      return { result: classifyStatus(response.statusCode, detail) };
+      // An error may name no request, but not another one.
+      return servedId === "" || servedId === effect.attemptId
+        ? { result: classifyStatus(response.statusCode, detail) }
+        : createLostEnd(`an answer to ${servedId}: ${detail}`, attempt);
     }
     const isEngine = effect.upstreamKind === PoolKind.Engine;
     const servedModel = isEngine
       ? getHeader(response, "x-served-model")
       : effect.model;
-    const servedId = getHeader(response, "x-request-id");
     if (servedModel !== effect.model || servedId !== effect.attemptId) {
       return await this.#dropMismatched(attempt, response, servedModel);
     }
--- a/test/daemon/upstream_answers_test.ts
+++ b/test/daemon/upstream_answers_test.ts
@@ -163,4 +163,32 @@
   assert.equal(kinds, ["lost"]);
 });
 
+for (const status of ["503 Service Unavailable", "400 Bad Request"]) {
+  test(`an earlier answer ${status} that is written once more does not end the next attempt`, async () => {
+    const kinds = await runAt(({ socket, attemptId, index }) => {
+      const refusal = (id: string) =>
+        formatAnswer(status, { id, length: 0 }, "");
+      socket.write(refusal(index === 0 ? attemptId : "attempt-1"));
+    }, [{ isIdempotent: true }, { isIdempotent: true }]);
+    assert.is(kinds[1], "lost");
+  });
+}
+
+test("a non-idempotent attempt uses no connection on which an earlier refusal can be written once more", async () => {
+  const refusal = formatAnswer("503 Service Unavailable", { length: 0 }, "");
+  const kinds = await runAt(({ socket, attemptId, index }) => {
+    if (index > 0 || attemptId === "attempt-1") {
+      socket.write(refusal);
+      return;
+    }
+    const answer = formatAnswer(
+      "200 OK",
+      { id: attemptId, length: 5 },
+      "whole",
+    );
+    socket.write(answer);
+  }, [{ isIdempotent: true }, { isIdempotent: false }]);
+  assert.equal(kinds, ["refused", "completed"]);
+});
+
 test.run();
