One odd entry of the host list does not keep daemons from following the others

Callers saw (the report of odd entries, looked for in the daemon): with one entry of another shape in the host list, or one whose port is out of range, daemons kept the list that they had: hosts that left were still used, new ones were not; an attempt at such an address counted as lost, so that a non-idempotent request was reported as one that may have run. Cause: the answer was checked as a whole, and addresses not at all. Class: a value of another process used before its range is checked. Change: entries are checked one by one; what can't be used is left out, named in a log line when it changes, and counted; an answer without any usable entry changes nothing, as before. Addresses are those of socket_address; an attempt at any other is not sent. Revisions of the tables are whole numbers.

--- a/src/daemon/platform_task.ts
+++ b/src/daemon/platform_task.ts
@@ -3,9 +3,8 @@
  * in the configuration service and polls the host list.
  */
 import { Agent, request } from "undici";
-import type { z } from "zod";
+import * as z from "zod";
 import type { CoreEvent } from "../core/events.ts";
-import type { HostListStructure } from "../core/structures.ts";
 import { applyCheckedDelta } from "../core/tables/table_schema.ts";
 import type { TableSnapshot } from "../core/tables/table_snapshot.ts";
 import type { DaemonSettings } from "../settings/daemon_settings.ts";
@@ -14,11 +13,8 @@
 import type { Bus } from "./bus.ts";
 import type { Logger } from "./logger.ts";
 import { describeError, StepError } from "./step_error.ts";
-import {
-  hostListSchema,
-  keysSchema,
-  keyValueSchema,
-} from "./upstream_schemas.ts";
+import { decodeHostList } from "./host_list_decoder.ts";
+import { keysSchema, keyValueSchema } from "./upstream_schemas.ts";
 
 /** Time for which one watch request waits for a newer revision. */
 const WATCH_TIMEOUT_MS = 10_000;
@@ -42,6 +38,8 @@
   /** Aborts the reads in progress; undefined before the first. */
   #abortController: AbortController | undefined;
   #isBlocked = false;
+  /** The entries of the host list that were left out last. */
+  #unusableHosts: string | undefined;
 
   constructor(options: PlatformTaskOptions) {
     this.#options = options;
@@ -128,12 +126,15 @@
     let failures = 0;
     while (!signal.aborted) {
       try {
-        const hostList: HostListStructure = await this.#fetchJson(
-          this.#options.settings.platform.hostList,
-          "/v1/hosts",
-          hostListSchema,
-          signal,
+        const { hostList, unusable } = decodeHostList(
+          await this.#fetchJson(
+            this.#options.settings.platform.hostList,
+            "/v1/hosts",
+            z.unknown(),
+            signal,
+          ),
         );
+        this.#reportUnusable(unusable);
         await this.#emit(signal, { kind: "hostListPublished", hostList });
         failures = 0;
         await this.#wait(this.#options.settings.platform.pollIntervalMs);
@@ -144,6 +145,23 @@
     }
   }
 
+  /** Logs the entries of the host list that can't be used, when they change. */
+  #reportUnusable(unusable: string | undefined): void {
+    if (unusable === this.#unusableHosts) return;
+    this.#unusableHosts = unusable;
+    if (unusable === undefined) return;
+    this.#options.logger.warn("Entries of the host list are left out", {
+      step: "readHostList",
+      peer: this.#options.settings.platform.hostList,
+      entries: unusable,
+    });
+    void this.#options.bus.emit("count", {
+      kind: "count",
+      counter: "host_list",
+      tag: "unusable",
+    });
+  }
+
   /** Reads all keys at the same revision. */
   async #readFiles(
     signal: AbortSignal,
--- a/src/daemon/upstream_schemas.ts
+++ b/src/daemon/upstream_schemas.ts
@@ -1,6 +1,5 @@
 /** Schemas of the responses of upstreams and of the platform. */
 import * as z from "zod";
-import { HostRole, HostState } from "../core/structures.ts";
 
 /** Response to `GET /state` on an upstream. */
 export const engineStateSchema = z.object({
@@ -14,27 +13,14 @@
   running: z.number().default(0),
 });
 
-/** Response to `GET /v1/hosts` of the host list. */
-export const hostListSchema = z.object({
-  revision: z.number(),
-  hosts: z.array(z.object({
-    id: z.string(),
-    address: z.string(),
-    failureDomain: z.string(),
-    role: z.enum(HostRole),
-    service: z.string().default(""),
-    state: z.enum(HostState),
-  })),
-});
-
 /** Response to `GET /v1/keys` and `GET /v1/watch` of the configuration service. */
 export const keysSchema = z.object({
-  revision: z.number(),
+  revision: z.number().int().nonnegative(),
   keys: z.array(z.string()),
 });
 
 /** Response to `GET /v1/keys/<key>` of the configuration service. */
 export const keyValueSchema = z.object({
-  revision: z.number(),
+  revision: z.number().int().nonnegative(),
   value: z.string(),
 });
--- a/src/daemon/upstream_task.ts
+++ b/src/daemon/upstream_task.ts
@@ -5,6 +5,7 @@
 import type { DispatchEffect, Effect } from "../core/effects.ts";
 import type { OrderResult } from "../core/events.ts";
 import { BodyFraming } from "../core/execution/body_framing.ts";
+import { isSocketAddress } from "../core/socket_address.ts";
 import { type Milliseconds, PoolKind } from "../core/structures.ts";
 import {
   type AttemptEnd,
@@ -121,6 +122,9 @@
     if (performance.now() >= effect.dispatchUntil) {
       return createNotSentEnd("dispatch window closed");
     }
+    if (!isSocketAddress(effect.address)) {
+      return createNotSentEnd(`no address: ${effect.address}`);
+    }
     try {
       const response = await this.#send(attempt, exchange);
       return await this.#receive(attempt, exchange, response);
--- a/test/contracts/platform_contract_test.ts
+++ b/test/contracts/platform_contract_test.ts
@@ -200,6 +200,46 @@
   });
 }
 
+const ODD_HOSTS: [string, object][] = [
+  ["a port out of range", { address: "127.0.0.1:70000" }],
+  ["port 0", { address: "127.0.0.1:0" }],
+  ["an address that would be looked up", { address: "somewhere:80" }],
+  ["an unknown role", { role: "other" }],
+  ["no failure domain", { failureDomain: undefined }],
+  ["a state that is a number", { state: 1e300 }],
+  ["deep nesting", {
+    service: JSON.parse(`${"[".repeat(900)}${"]".repeat(900)}`),
+  }],
+];
+
+for (const [name, fields] of ODD_HOSTS) {
+  platform(
+    `host list: one entry with ${name} does not keep the others from being followed`,
+    async ({ bench }) => {
+      await bench.start();
+      const before = await bench.getCounters();
+      const { hostListRevision } = await bench.getStatus();
+      const hosts = bench.hostList.getHosts();
+      const odd = { ...hosts.at(-1), id: "odd", ...fields } as never;
+      bench.hostList.setHosts([odd, ...hosts]);
+      await bench.waitUntil(
+        "the new host list is active",
+        async () =>
+          (await bench.getStatus()).hostListRevision > hostListRevision,
+      );
+      assert.is((await bench.call()).status, 200);
+      await bench.waitForCounter("host_list.unusable", before);
+      bench.hostList.setHosts(hosts);
+      await bench.waitUntil(
+        "the host list without it is active",
+        async () =>
+          (await bench.getStatus()).hostListRevision > hostListRevision + 1,
+      );
+      assert.is((await bench.call()).status, 200);
+    },
+  );
+}
+
 platform(
   "host list: a leaving upstream gets no new requests",
   async ({ bench }) => {
--- a/test/daemon/upstream_answers_test.ts
+++ b/test/daemon/upstream_answers_test.ts
@@ -191,4 +191,11 @@
   assert.equal(kinds, ["refused", "completed"]);
 });
 
+test("an attempt at an address that can't be used is not sent", async () => {
+  for (const address of ["127.0.0.1:70000", "somewhere", "127.0.0.1:0"]) {
+    const [result] = await runAttempts(address, [{ isIdempotent: true }]);
+    assert.is(result?.kind, "notSent", address);
+  }
+});
+
 test.run();
