--- /dev/null
+++ b/test/daemon/upstream_task_fixture.ts
@@ -0,0 +1,61 @@
+/** An upstream task with one exchange, whose response is not looked at. */
+import { Buffer } from "node:buffer";
+import { performance } from "node:perf_hooks";
+import type { DispatchEffect } from "../../src/core/effects.ts";
+import type { RouteStructure } from "../../src/core/structures.ts";
+import { type Bus, createBus } from "../../src/daemon/bus.ts";
+import { ExchangeRegistry } from "../../src/daemon/exchange.ts";
+import { createLogger } from "../../src/daemon/logger.ts";
+import { UpstreamTask } from "../../src/daemon/upstream_task.ts";
+
+const REQUEST_ID = "request-1";
+const TIMEOUT_MS = 10_000;
+
+export function createUpstreamTask(path: string): {
+  bus: Bus;
+  task: UpstreamTask;
+} {
+  const bus = createBus();
+  const exchanges = new ExchangeRegistry();
+  exchanges.add({
+    requestId: REQUEST_ID,
+    path,
+    rawBody: Buffer.from("{}"),
+    jsonBody: {},
+    contentType: "application/json",
+    isStreamed: false,
+    ticket: undefined,
+    sink: {
+      begin: () => {},
+      write: () => true,
+      waitUntilDrained: () => Promise.resolve(),
+    },
+  });
+  const task = new UpstreamTask({
+    bus,
+    logger: createLogger("test", "silent"),
+    exchanges,
+    maxAnswerBytes: 1_000,
+  });
+  return { bus, task };
+}
+
+export function createDispatch(
+  fields:
+    & Pick<DispatchEffect, "address" | "upstreamKind" | "model">
+    & Partial<DispatchEffect>,
+  route: Partial<RouteStructure>,
+): DispatchEffect {
+  return {
+    kind: "dispatch",
+    attemptId: "attempt-1",
+    requestId: REQUEST_ID,
+    upstreamId: "upstream-1",
+    upstreamIncarnation: "incarnation-1",
+    route: { priority: "standard", ...route } as RouteStructure,
+    tablesRevision: 1,
+    timeoutMs: TIMEOUT_MS,
+    dispatchUntil: performance.now() + TIMEOUT_MS,
+    ...fields,
+  };
+}
