--- a/test/gateway/answer_end_matrix_test.ts
+++ b/test/gateway/answer_end_matrix_test.ts
@@ -112,4 +112,29 @@
   }
 }
 
+/** More than the gateway writes ahead of a slow caller. */
+const BACKLOG_EVENTS = 40;
+const LONG_EVENT = `data: ${"x".repeat(40_000)}\n\n`;
+
+for (const framing of ["length", "chunked", "close"] as const) {
+  for (const httpVersion of ["1.1", "1.0"] as const) {
+    test(`a stream that ends while its caller reads nothing is complete only if it is whole: framing ${framing}, HTTP/${httpVersion} caller`, async () => {
+      const body = LONG_EVENT.repeat(BACKLOG_EVENTS);
+      const cuts = [body.length, body.length - 1, LONG_EVENT.length * 30 + 9];
+      await runAll(cuts.map((sentBytes) => async () => {
+        const id = `slow-${framing}-${httpVersion}-${sentBytes}`;
+        harness.scriptAnswers(id, [{ framing, body, sentBytes, end: "close" }]);
+        const answer = await harness.callRaw("/brief/1", {
+          httpVersion,
+          id,
+          pauseMs: 500,
+        });
+        assert.is(answer.status, 200);
+        assert.is(answer.isComplete, sentBytes === body.length, id);
+        assert.ok(body.startsWith(answer.body), id);
+      }));
+    });
+  }
+}
+
 test.run();
--- a/test/gateway/gateway_harness.ts
+++ b/test/gateway/gateway_harness.ts
@@ -55,10 +55,11 @@
 }
 
 /** What a raw call sets itself; the harness adds address and metadata. */
-export interface RawCallOptions extends Pick<RawCall, "httpVersion"> {
+export interface RawCallOptions
+  extends
+    Pick<RawCall, "httpVersion">,
+    Partial<Pick<RawCall, "headers" | "onBody" | "pauseMs">> {
   id?: string;
-  headers?: Record<string, string>;
-  onBody?: () => void;
 }
 
 export class GatewayHarness {
@@ -180,7 +181,10 @@
 
   #createHeaders(
     path: string,
-    { id, headers }: Pick<CallOptions, "id" | "headers">,
+    { id, headers }: {
+      id?: string | undefined;
+      headers?: Record<string, string> | undefined;
+    },
   ): Record<string, string> {
     this.#lastId += 1;
     const isStream = path.startsWith("/brief") || path.startsWith("/resume");
--- a/test/raw_caller.ts
+++ b/test/raw_caller.ts
@@ -14,6 +14,8 @@
   headers: Record<string, string>;
   /** Empty by default. */
   requestBody?: string;
+  /** Time for which nothing is read after the first bytes; 0 by default. */
+  pauseMs?: number;
   /** Called once, when the first bytes of the body have arrived. */
   onBody?: () => void;
 }
@@ -40,6 +42,10 @@
     // The reset is recorded; without a listener it would end the process.
     socket.on("error", () => {});
     socket.on("data", (chunk) => {
+      if (chunks.length === 0 && call.pauseMs !== undefined) {
+        socket.pause();
+        setTimeout(() => socket.resume(), call.pauseMs);
+      }
       chunks.push(Buffer.from(chunk));
       if (hasBody) return;
       const text = Buffer.concat(chunks).toString("latin1");
