A refusal without framing is believed without asking its upstream

Cause: an unframed answer was unproven until its upstream was seen to live, also a refusal, whose head says all that counts: a full upstream got another connection for each request that it had just turned away, and the caller waited for the answer. Change: an answer that says that the request has not run ends at once. Found by reading the diff.

--- a/fakes/fake_platform_replica.ts
+++ b/fakes/fake_platform_replica.ts
@@ -91,6 +91,8 @@
   readonly adapters = new Map<string, { version: number; readyAt: number }>();
   models = ["m"];
   failureDomain = "zone-a";
+  /** Number of connections that were opened to it. */
+  connectionCount = 0;
   /** Number of times the report was read. */
   reportReadCount = 0;
   sequence = 0;
@@ -142,6 +144,7 @@
     this.isEngine = isEngine;
     this.#server.on("connection", (socket: Socket) => {
       this.#sockets.add(socket);
+      this.connectionCount += 1;
       socket.once("close", () => this.#sockets.delete(socket));
     });
   }
--- a/fakes/scripted_answer.ts
+++ b/fakes/scripted_answer.ts
@@ -27,7 +27,7 @@
    * What follows the last byte. After `keep` only scripted answers can follow on
    * the connection.
    */
-  end: "keep" | "close" | "reset" | "closeAndCrash";
+  end: "keep" | "close" | "reset" | "resetAtOnce" | "closeAndCrash";
 }
 
 /** The last answer on each connection. */
@@ -70,6 +70,9 @@
         // The peer reads what precedes a reset only if it arrives earlier.
         setTimeout(() => socket.resetAndDestroy(), 20);
         break;
+      case "resetAtOnce":
+        socket.resetAndDestroy();
+        break;
       case "closeAndCrash":
         crash();
         break;
--- a/src/gateway/attempt_runner.ts
+++ b/src/gateway/attempt_runner.ts
@@ -245,7 +245,9 @@
     onEnd: (closing) => {
       if (isSettled) return;
       isClean = closing.kind === "complete";
-      if (!isClean || framing === undefined) {
+      // The body of a refusal does not matter.
+      const isRefusal = head?.notRunReason !== undefined;
+      if (!isClean || framing === undefined || isRefusal) {
         finishWith(closing);
         return;
       }
--- a/test/gateway/unframed_end_test.ts
+++ b/test/gateway/unframed_end_test.ts
@@ -31,6 +31,37 @@
   });
 });
 
+for (const framing of ["length", "chunked"] as const) {
+  test(`a whole answer with framing ${framing} is complete, though its connection is reset together with its last bytes`, async () => {
+    const id = `reset-${framing}`;
+    harness.scriptAnswers(id, [{
+      framing,
+      body: SERVICE_ANSWER,
+      end: "resetAtOnce",
+    }]);
+    const answer = await harness.call(`/unsafe/${id}`, { id });
+    assert.is(answer.status, 200);
+    assert.is(answer.body, SERVICE_ANSWER);
+  });
+}
+
+test("a refusal without framing is believed without another connection to its replica", async () => {
+  const id = "refused";
+  const countConnections = () =>
+    harness.services.reduce((sum, each) => sum + each.connectionCount, 0);
+  const before = countConnections();
+  harness.scriptAnswers(id, [{
+    statusLine: "HTTP/1.1 503 Service Unavailable",
+    headers: { "X-Not-Run": "1" },
+    framing: "close",
+    body: "",
+    end: "close",
+  }]);
+  const answer = await harness.call(`/unsafe/${id}`, { id });
+  assert.is(answer.status, 200);
+  assert.is(countConnections() - before, 2, "one for each attempt");
+});
+
 test("a resumable stream without framing whose engine crashes between events goes on after the last one", async () => {
   const id = "crash-resumed";
   harness.scriptAnswers(id, [{
