--- a/src/daemon/attempt_sockets.ts
+++ b/src/daemon/attempt_sockets.ts
@@ -20,7 +20,7 @@
 export class AttemptSockets {
   /** By attempt id; undefined until its request is sent. */
   readonly #sockets = new Map<string, Socket | undefined>();
-  readonly #listener = (message: unknown): void => {
+  readonly #recordSocket = (message: unknown): void => {
     const { headers, socket } = message as SentRequest;
     const attemptId = ATTEMPT_ID.exec(headers)?.[1]?.trim() ?? "";
     if (!this.#sockets.has(attemptId)) return;
@@ -29,7 +29,7 @@
   };
 
   constructor() {
-    subscribe(CHANNEL, this.#listener);
+    subscribe(CHANNEL, this.#recordSocket);
   }
 
   add(attemptId: string): void {
@@ -47,6 +47,6 @@
   }
 
   close(): void {
-    unsubscribe(CHANNEL, this.#listener);
+    unsubscribe(CHANNEL, this.#recordSocket);
   }
 }
