--- a/fakes/scripted_answer.ts
+++ b/fakes/scripted_answer.ts
@@ -10,7 +10,7 @@
   statusLine?: string;
   /** Headers beside those of the replica and of the framing. */
   headers?: Record<string, string>;
-  /** Whether the replica names the request and stamps the answer. */
+  /** Whether the answer neither names the request nor bears a stamp. */
   isAnonymous?: boolean;
   framing: "length" | "chunked" | "close";
   body: string;
