--- a/src/gateway/attempt_runner.ts
+++ b/src/gateway/attempt_runner.ts
@@ -49,12 +49,12 @@
   /** The complete response; undefined if it was streamed or never completed. */
   response: { status: number; rawHeaders: string[]; body: Buffer } | undefined;
   /** Undefined if no response head arrived. */
-  ending: ResponseEnding | undefined;
+  endDetails: EndDetails | undefined;
   detail: string;
 }
 
 /** What is known of the end of a response, for the log. */
-export interface ResponseEnding {
+export interface EndDetails {
   framing: BodyFraming;
   /** Whether the upstream's connection ended without an error. */
   isClean: boolean;
@@ -158,7 +158,7 @@
           body: Buffer.concat(chunks),
         }
         : undefined,
-      ending: framing && {
+      endDetails: framing && {
         framing,
         isClean,
         bodyBytes,
--- a/src/gateway/request_handler.ts
+++ b/src/gateway/request_handler.ts
@@ -444,7 +444,7 @@
       elapsedMs: roundMs(performance.now() - this.#exchange.arrivedAt),
       remainingMs: roundMs(this.#getRemainingMs()),
       configurationVersion: view.configuration?.version,
-      ...this.#describeEnding(result),
+      ...this.#describeEnd(result),
     };
     if (isDelivered) {
       log.info("requestServed", fields);
@@ -481,12 +481,12 @@
    * Describes for the log how the response ended, if its connection had to show
    * the end, on either side.
    */
-  #describeEnding(result: AttemptResult | undefined): object {
-    const { ending } = result ?? {};
-    const isShown = ending && (ending.framing === BodyFraming.Close ||
-      !ending.isClean);
+  #describeEnd(result: AttemptResult | undefined): object {
+    const { endDetails } = result ?? {};
+    const isShown = endDetails && (endDetails.framing === BodyFraming.Close ||
+      !endDetails.isClean);
     return {
-      ...(isShown ? ending : {}),
+      ...(isShown ? endDetails : {}),
       callerFraming: this.#exchange.isFramedByClose
         ? BodyFraming.Close
         : undefined,
@@ -615,7 +615,7 @@
     const { health, metrics } = this.#context;
     const now = performance.now();
     metrics.count("attempts", result.outcome);
-    if (result.ending?.framing === BodyFraming.Close) {
+    if (result.endDetails?.framing === BodyFraming.Close) {
       metrics.count("unframed_responses", result.outcome);
     }
     const mayHaveRun = result.outcome !== AttemptOutcome.NotRun &&
