Addresses of heartbeats and lines of streams are read with native searches

Cause: a parse by the schema library and a split of text for each address. Change: one expression decides on IPv4 addresses; the splitter looks for the next LF, and for CR only in chunks that have one. No change of what is accepted: socket_address_test 33, event_splitter_test 18, peer_datagrams_test 7, entry_decoder_test 25, answers_test 32 pass.

--- a/src/core/execution/event_splitter.ts
+++ b/src/core/execution/event_splitter.ts
@@ -96,6 +96,8 @@
    * none ends in the chunk.
    */
   #findLastBoundary(chunk: Buffer): number | undefined {
+    // Most streams have none: their lines are found by one native search each.
+    const hasCarriageReturn = chunk.includes(CARRIAGE_RETURN);
     let boundary: number | undefined;
     let index = 0;
     while (index < chunk.length) {
@@ -105,7 +107,7 @@
         boundary = index;
       }
       if (byte !== LINE_FEED && byte !== CARRIAGE_RETURN) {
-        index = this.#readText(chunk, index);
+        index = this.#readText(chunk, index, hasCarriageReturn);
         continue;
       }
       index += 1;
@@ -153,19 +155,19 @@
   }
 
   /** Reads the bytes of a line; returns the offset of the line's end. */
-  #readText(chunk: Buffer, start: number): number {
+  #readText(
+    chunk: Buffer,
+    start: number,
+    hasCarriageReturn: boolean,
+  ): number {
     let end = start;
     this.#isAfterCarriageReturn = false;
     while (this.#markBytes !== undefined && end < chunk.length) {
       if (this.#readMark(chunk[end])) end += 1;
     }
-    const textStart = end;
-    while (
-      end < chunk.length && chunk[end] !== LINE_FEED &&
-      chunk[end] !== CARRIAGE_RETURN
-    ) end += 1;
-    if (end > textStart) this.#isLineEmpty = false;
-    return end;
+    const lineEnd = findLineEnd(chunk, end, hasCarriageReturn);
+    if (lineEnd > end) this.#isLineEmpty = false;
+    return lineEnd;
   }
 
   /** Returns whether the byte belongs to a byte order mark. */
@@ -187,6 +189,19 @@
   }
 }
 
+/** Returns the offset of the next LF or CR, or the length if there is none. */
+function findLineEnd(
+  chunk: Buffer,
+  start: number,
+  hasCarriageReturn: boolean,
+): number {
+  const lineFeed = chunk.indexOf(LINE_FEED, start);
+  const end = lineFeed < 0 ? chunk.length : lineFeed;
+  if (!hasCarriageReturn) return end;
+  const carriageReturn = chunk.indexOf(CARRIAGE_RETURN, start);
+  return carriageReturn < 0 ? end : Math.min(end, carriageReturn);
+}
+
 /** Returns the first id in complete events; undefined if they have none. */
 export function findFirstEventId(events: Buffer): string | undefined {
   let start = events.indexOf(ID_FIELD);
--- a/src/core/socket_address.ts
+++ b/src/core/socket_address.ts
@@ -8,10 +8,14 @@
 
 const MAX_PORT = 65_535;
 const PORT = /^[1-9]\d{0,4}$/;
-const IPV4 = z.ipv4();
+/**
+ * An IPv4 address whose first byte is neither 0, which means this machine, nor 224
+ * and more, which are multicast and reserved addresses.
+ */
+const IPV4_OF_ONE_MACHINE =
+  /^(?:[1-9]\d?|1\d\d|2[01]\d|22[0-3])(?:\.(?:\d|[1-9]\d|1\d\d|2[0-4]\d|25[0-5])){3}$/;
 const IPV6 = z.ipv6();
-/** Lowest first byte of multicast and reserved addresses; 0 is this machine. */
-const FIRST_MULTICAST_BYTE = 224;
+const IPV6_UNSPECIFIED_OR_MULTICAST = /^(?:ff|::$)/i;
 
 /** Splits `IP:port`, with the IP in brackets for IPv6. */
 export function parseSocketAddress(
@@ -26,12 +30,9 @@
 
 /** Returns whether the text is the IP address of one other machine. */
 export function isIpAddress(text: string): boolean {
-  if (!text.includes(":")) {
-    if (!IPV4.safeParse(text).success) return false;
-    const firstByte = Number(text.split(".")[0]);
-    return firstByte > 0 && firstByte < FIRST_MULTICAST_BYTE;
-  }
-  return IPV6.safeParse(text).success && !/^(?:ff|::$)/i.test(text);
+  if (IPV4_OF_ONE_MACHINE.test(text)) return true;
+  return text.includes(":") && IPV6.safeParse(text).success &&
+    !IPV6_UNSPECIFIED_OR_MULTICAST.test(text);
 }
 
 /** Returns whether the text is `IP:port` with an address that can be used. */
