One check of 2xx, and the host list uses the shared schema of addresses

Found by reading the whole change: upstream_client had written isSuccess again beside the one of request_handler, and attempt_runner had it in line; http_status serves the three. The host list's schema refined its addresses anew instead of calling socketAddressSchema. A delay of the scripted answers has a name and its unit.

--- a/fakes/scripted_answer.ts
+++ b/fakes/scripted_answer.ts
@@ -32,6 +32,8 @@
 
 /** The last answer on each connection. */
 const previousAnswers = new WeakMap<Socket, string>();
+/** Time before a reset, in which the peer reads what precedes it. */
+const RESET_DELAY_MS = 20;
 /** Time between two pieces, so that they arrive separately. */
 const PIECE_INTERVAL_MS = 1;
 
@@ -67,8 +69,7 @@
         socket.end();
         break;
       case "reset":
-        // The peer reads what precedes a reset only if it arrives earlier.
-        setTimeout(() => socket.resetAndDestroy(), 20);
+        setTimeout(() => socket.resetAndDestroy(), RESET_DELAY_MS);
         break;
       case "resetAtOnce":
         socket.resetAndDestroy();
--- a/src/daemon/host_list_decoder.ts
+++ b/src/daemon/host_list_decoder.ts
@@ -4,7 +4,7 @@
  * others.
  */
 import * as z from "zod";
-import { isSocketAddress } from "../core/socket_address.ts";
+import { socketAddressSchema } from "../core/socket_address.ts";
 import {
   type HostListStructure,
   HostRole,
@@ -23,7 +23,7 @@
 
 const hostSchema = z.object({
   id: z.string().min(1),
-  address: z.string().refine(isSocketAddress),
+  address: socketAddressSchema,
   failureDomain: z.string(),
   role: z.enum(HostRole),
   service: z.string().default(""),
--- a/src/gateway/attempt_runner.ts
+++ b/src/gateway/attempt_runner.ts
@@ -17,6 +17,7 @@
 import type { Milliseconds } from "../core/structures.ts";
 import type { PublishedUpstream } from "../core/view/published_view.ts";
 import type { CallerExchange } from "./caller_exchange.ts";
+import { isSuccess } from "./http_status.ts";
 import {
   type AttemptMetadata,
   NotRunReason,
@@ -203,15 +204,15 @@
         response.headers,
         exchange.metadata.requestId,
       );
-      const isSuccess = head.status >= 200 && head.status < 300;
+      const hasSucceeded = isSuccess(head.status);
       if (head.isForRequest) options.handleHead(head);
       if (!head.isForRequest) {
         abort(AttemptOutcome.Lost, "the answer names another request");
       } else if (
-        isSuccess && (!head.hasResponseStamp || head.hasContentEncoding)
+        hasSucceeded && (!head.hasResponseStamp || head.hasContentEncoding)
       ) {
         abort(AttemptOutcome.Lost, "the answer is not the upstream's own");
-      } else if (isSuccess && sink) {
+      } else if (hasSucceeded && sink) {
         const streamHead = {
           status: head.status,
           contentType: response.headers["content-type"] ?? "",
--- a/src/gateway/request_handler.ts
+++ b/src/gateway/request_handler.ts
@@ -41,6 +41,7 @@
 import { CrashGuard } from "./crash_guard.ts";
 import { EngineSelector } from "./engine_selector.ts";
 import { roundMs } from "./decision_log.ts";
+import { isSuccess } from "./http_status.ts";
 import type { ResponseHead } from "./ports.ts";
 import type { RequestContext } from "./request_context.ts";
 import { listUsableUpstreams } from "./usable_upstreams.ts";
@@ -689,7 +690,3 @@
       ranked[0];
   }
 }
-
-function isSuccess(status: number): boolean {
-  return status >= 200 && status < 300;
-}
--- a/src/gateway/upstream_client.ts
+++ b/src/gateway/upstream_client.ts
@@ -14,6 +14,7 @@
 import { parseSocketAddress } from "../core/socket_address.ts";
 import { describeError } from "../daemon/step_error.ts";
 import { CheckedAgent, excludeFromReuse } from "./checked_agent.ts";
+import { isSuccess } from "./http_status.ts";
 
 export interface AttemptRequest {
   /** `IP:port`. */
@@ -175,7 +176,9 @@
   call.on("response", (head) => {
     if (hasEnded) return;
     response = head;
-    if (!isSuccess(head.statusCode)) excludeFromReuse(head.socket);
+    // Refusals and errors may name no request: one that is sent once more must
+    // not be taken for the answer to the next request.
+    if (!isSuccess(head.statusCode ?? 0)) excludeFromReuse(head.socket);
     listener.onHead(head);
     head.on("data", (chunk: Buffer) => {
       if (!hasEnded && !listener.onChunk(chunk)) head.pause();
@@ -200,14 +203,5 @@
   };
 }
 
-/**
- * Returns whether a response shows which request it answers: refusals and errors
- * may name none. One of these that is sent once more must not be taken for the
- * answer to the next request, so that their connection carries no other.
- */
-function isSuccess(status: number | undefined): boolean {
-  return status !== undefined && status >= 200 && status < 300;
-}
-
 /** Ignores the error of a request that was cancelled on purpose. */
 function dropError(): void {}
