Claimants divide an engine's adapters by its start, not by its age

What callers saw: nothing yet.

Cause: the key by which claimants divide the adapters was the engine's age in steps of 15 s, by each host's wall clock. Claimants whose clocks are seconds apart had different divisions, took the same adapter for theirs and evicted it 0.1 to 0.4 s apart. An engine confirms the eviction of an adapter that it no longer has, whatever count the order expects.

The key is now the engine's start time as it reports it, the same for all claimants. Divisions no longer change with time; an owner whose share stays in use still has the common share and, once all others disclaim the engine, any adapter.

--- a/src/core/ordering/engine_ownership.ts
+++ b/src/core/ordering/engine_ownership.ts
@@ -178,14 +178,19 @@
       host: string;
     },
   ): number {
-    const { state } = this;
     return computeFencingNumber({
-      bornAtUnixMs: state.kind === "holding" ? state.bornAtUnixMs : 0,
+      bornAtUnixMs: this.bornAtUnixMs,
       position: this.#fencing.issuePosition(kind, contestedSlot),
       host,
     });
   }
 
+  /** Start time that the owned engine reports; 0 if it reports none. */
+  get bornAtUnixMs(): number {
+    const { state } = this;
+    return state.kind === "holding" ? state.bornAtUnixMs : 0;
+  }
+
   /**
    * Returns whether no other daemon can have ordered the engine: it accepted an
    * order of this owner within the term that any other daemon has to wait.
--- a/src/core/ordering/order_planner.ts
+++ b/src/core/ordering/order_planner.ts
@@ -3,10 +3,11 @@
  * accepted order, that is the order that the engine's permit queue needs.
  * Otherwise the owner first sends an order that proves its ownership. Where
  * other claimants may send such an order as well, each claimant sends a
- * different one, or they send it in turns. A turn and a division of the adapters
- * follow from the engine's age. An owner of more than a term evicts any idle
- * adapter while all daemons that may own the engine say that they do not: those
- * that claimed it together with this one have said so by then.
+ * different one, or they send it in turns. Turns follow from the engine's age,
+ * the division of its adapters among the claimants only from what it reports,
+ * which is the same for all of them whatever their clocks show. An owner of more than a term
+ * evicts any idle adapter while all daemons that may own the engine say that
+ * they do not: those that claimed it together with this one have said so by then.
  */
 import type {
   AdmissionController,
@@ -26,11 +27,6 @@
  * order: one term.
  */
 const SOLE_OWNER_MS = 3_000;
-/**
- * Time after which the adapters are divided among the claimants anew, so that an
- * owner whose share stays in use gets another one.
- */
-const DIVISION_MS = 15_000;
 /**
  * Part of a turn in which a contested order may be sent: reading the engine's
  * report and sending the order take several ticks.
@@ -231,23 +227,18 @@
     if (!isProven) {
       this.#dividedPaths = slots.listSlots().map((slot) => slot.adapterPath);
     }
-    const ageMs = this.#ownership.getEngineAgeMs(now) ?? 0;
-    const isDivisionEnding =
-      ageMs % DIVISION_MS >= DIVISION_MS - CONTESTED_WINDOW_MS;
     const mayEvictAny = !this.#mayHaveOtherClaimants ||
       (isDisclaimed && now - this.#ownedSince >= SOLE_OWNER_MS);
-    const idlePaths = this.#admission.listEvictable(now)
-      .map((slot) => slot.adapterPath);
     const input = {
       selfId,
       claimants: listClaimants(),
       mayEvictAny,
-      divisionKey: String(Math.floor(ageMs / DIVISION_MS)),
+      divisionKey: String(this.#ownership.bornAtUnixMs),
       dividedPaths: this.#dividedPaths,
       model,
       ownAdapter: selectOwnAdapter(model),
-      // An order of the next division must see those of this one.
-      idlePaths: isDivisionEnding && !mayEvictAny ? [] : idlePaths,
+      idlePaths: this.#admission.listEvictable(now)
+        .map((slot) => slot.adapterPath),
       hasFreeSlot: slots.hasFreeSlot(),
       hasAdapter: (adapterPath: string) =>
         slots.getSlot(adapterPath) !== undefined,
--- a/test/core/ordering/order_planner_test.ts
+++ b/test/core/ordering/order_planner_test.ts
@@ -16,9 +16,14 @@
 const CLAIMANTS = ["host-1", "host-2", "host-3"];
 const TERM_MS = 3_000;
 const REPORT = { sequence: 3, bornAtUnixMs: 1 };
-/** Age of the engine at time 0, when the adapters are divided anew. */
+/** Age of the engine at time 0. */
 const ENGINE_AGE_MS = 60_000;
 const CLAIMED_AT = 3_400;
+/** By what a claimant's wall clock may be off, up to an age below 0. */
+const CLOCK_ERRORS_MS = Array.from(
+  { length: 35 },
+  (_, index) => -65_000 + index * 2_500,
+);
 /** A majority is heard, and some possible owner is silent. */
 const SILENT = { hasQuorum: true, isDisclaimed: false };
 const DISCLAIMED = { hasQuorum: true, isDisclaimed: true };
@@ -40,11 +45,11 @@
 function createOwner(
   selfId: string,
   paths: readonly string[],
-  isClockSteady = true,
+  { isClockSteady = true, clockErrorMs = 0 } = {},
 ) {
   const ownership = new EngineOwnership({ termMs: TERM_MS });
   for (const readAt of [0, CLAIMED_AT]) {
-    const ageMs = ENGINE_AGE_MS + readAt;
+    const ageMs = ENGINE_AGE_MS + clockErrorMs + readAt;
     ownership.recordReport({ ...REPORT, ageMs, readAt }, readAt);
   }
   ownership.claim({ ...SILENT, isUnowned: false }, CLAIMED_AT);
@@ -124,12 +129,31 @@
   }
 });
 
-test("no adapter is evicted shortly before the adapters are divided anew", () => {
-  const { planner } = createOwner("host-1", ["m/a1", "m/a2", "m/a3"]);
-  assert.ok(planner.plan(WANTED, SILENT, 14_000));
-  assert.is(planner.plan(WANTED, SILENT, 14_200), undefined);
-  assert.is(planner.plan(WANTED, SILENT, 14_980), undefined);
-  assert.ok(planner.plan(WANTED, SILENT, 15_000));
+test("new owners whose clocks differ by seconds do not evict the same adapter", () => {
+  for (const paths of listEngines()) {
+    for (const clockErrorMs of CLOCK_ERRORS_MS) {
+      const owners = CLAIMANTS.map((selfId, index) =>
+        createOwner(selfId, paths, {
+          clockErrorMs: index === 0 ? clockErrorMs : 0,
+        })
+      );
+      const victims = owners.map(({ planner }) =>
+        planner.plan(WANTED, SILENT, CLAIMED_AT)?.order.adapterPath
+      );
+      assert.not(victims.includes(undefined));
+      assert.is(new Set(victims).size, CLAIMANTS.length);
+    }
+  }
+});
+
+test("the adapters are not divided anew while new owners may evict them", () => {
+  for (const paths of listEngines()) {
+    const { planner } = createOwner("host-1", paths);
+    const victims = [CLAIMED_AT, 14_000, 14_200, 14_980, 15_000, 29_900]
+      .map((now) => planner.plan(WANTED, SILENT, now)?.order.adapterPath);
+    assert.is(new Set(victims).size, 1);
+    assert.ok(victims[0]);
+  }
 });
 
 test("an owner whose rivals can't have seen its proof yet evicts only from the share that it had before", () => {
@@ -158,7 +182,6 @@
     for (const path of paths) {
       const { planner, admission } = createOwner("host-1", paths);
       for (const other of paths) if (other !== path) use(admission, other);
-      // Also shortly before the adapters are divided anew.
       for (const now of [CLAIMED_AT + TERM_MS, 14_500]) {
         const order = planner.plan(WANTED, DISCLAIMED, now)?.order;
         assert.is(order?.adapterPath, path);
@@ -213,7 +236,9 @@
 });
 
 test("a daemon whose clock may be off takes no turn without a majority", () => {
-  const { planner } = createOwner("host-1", [COMMON], false);
+  const { planner } = createOwner("host-1", [COMMON], {
+    isClockSteady: false,
+  });
   const baseModel: EngineOrder = { ...WANTED, adapter: "", adapterPath: "m" };
   for (let at = 2 * CYCLE_MS; at < 3 * CYCLE_MS; at += 100) {
     assert.is(planner.plan(WANTED, MINORITY, at), undefined);
--- a/test/fuzz/tenure_fuzz_test.ts
+++ b/test/fuzz/tenure_fuzz_test.ts
@@ -28,6 +28,20 @@
   { daemons: 5, modelLoadMs: 2_900 },
 ];
 
+/** Seeds whose claimants divided the adapters by clocks that were seconds apart. */
+const DIVISION_SEEDS = [654, 751];
+
+for (const seed of DIVISION_SEEDS) {
+  test(`holders whose clocks are seconds apart do not evict the same adapter, seed ${seed}`, () => {
+    const options = {
+      isLarge: false,
+      restartsFleet: false,
+      stepsClocks: true,
+    };
+    assert.equal(simulateRun(seed, options).violations, []);
+  });
+}
+
 for (let seed = FIRST_SEED; seed < FIRST_SEED + RUNS; seed += 1) {
   test(`holders keep the rules, seed ${seed}`, () => {
     assert.equal(
