Claimants that hear a majority load a base model in turns by the engine's age

What callers saw: nothing yet.

Cause: claimants waited 200 ms for each that ranks before them, counted from their own claims. One that claims later and ranks first orders at the same moment as one that waited. Numbers follow from the engine's age, which each estimates to some 30 ms, and orders take up to 30 ms, so that the higher number may arrive first.

Each claimant now orders in the first 100 ms of its turn of 200 ms by the engine's age, whenever it claimed. Orders of two claimants are then 100 ms and more apart, and the later one has the higher number. The report that the order rests on is read ahead, so that the turn is not missed.

--- a/src/core/ordering/engine_owner.ts
+++ b/src/core/ordering/engine_owner.ts
@@ -133,6 +133,8 @@
   /** When this process last resumed after a suspension. */
   #pausedAt = Number.NEGATIVE_INFINITY;
   #nextOrderAt = Number.NEGATIVE_INFINITY;
+  /** When the planned order may be sent; infinity if none waits for its turn. */
+  #turnAt = Number.POSITIVE_INFINITY;
   #lastOrderAt = Number.NEGATIVE_INFINITY;
   #needsReconciliation = false;
   /**
@@ -401,7 +403,7 @@
     if (!this.isOwner()) return Number.POSITIVE_INFINITY;
     const hasWork = this.admission.countWaiting() > 0;
     const orderAt = hasWork ? this.#nextOrderAt : Number.POSITIVE_INFINITY;
-    return Math.min(this.admission.getNextTickAt(), orderAt);
+    return Math.min(this.admission.getNextTickAt(), orderAt, this.#turnAt);
   }
 
   /**
@@ -560,6 +562,7 @@
     context: OwnershipContext,
     now: Milliseconds,
   ): EngineOwnerEffect[] {
+    this.#turnAt = Number.POSITIVE_INFINITY;
     const expectedSequence = this.#ownership.getExpectedSequence(now);
     const isBlocked = expectedSequence === undefined || this.#pendingOrder ||
       this.#hasStoppedOrders ||
@@ -571,8 +574,10 @@
     const planned = wanted &&
       this.#planner.plan(wanted, context, now);
     this.#isVerificationDue = planned !== undefined &&
-      !this.#ownership.isVerified(planned.isContested, now);
-    if (!planned || this.#isVerificationDue) return [];
+      planned.sendAt - now <= REPORT_INTERVAL_MS &&
+      !this.#ownership.isVerified(planned.isContested, planned.sendAt);
+    if (planned && now < planned.sendAt) this.#turnAt = planned.sendAt;
+    if (!planned || this.#isVerificationDue || now < planned.sendAt) return [];
     const { order } = planned;
     const evidence = getEvidence(planned);
     this.#pendingOrder = { order, evidence, sentAt: now };
--- a/src/core/ordering/order_planner.ts
+++ b/src/core/ordering/order_planner.ts
@@ -39,15 +39,19 @@
 const CONTESTED_TURN_MS = TURN_SEND_WINDOW_MS + CONTESTED_WINDOW_MS;
 
 /**
- * Time between the contested orders of daemons that claim an engine at once and
- * each hear a majority: longer than an order takes on the network, so that their
- * fencing numbers arrive in the order in which they were drawn.
+ * Part of a turn in which a base model may be loaded where a majority is heard,
+ * and the length of such a turn: the rest of it is longer than an order takes on
+ * the network, so that the fencing numbers of claimants that do not hear each
+ * other arrive in the order in which they were drawn.
  */
-const QUORUM_STAGGER_MS = 200;
+const LOAD_SEND_WINDOW_MS = 100;
+const LOAD_TURN_MS = LOAD_SEND_WINDOW_MS + 100;
 
-/** An order to send now, and what its acceptance proves. */
+/** An order to send, and what its acceptance proves. */
 export interface PlannedOrder {
   order: EngineOrder;
+  /** When to send it: now, or when this daemon's turn begins. */
+  sendAt: Milliseconds;
   /**
    * Whether another claimant may send an order at the same time, so that a
    * recent report must be read before.
@@ -147,7 +151,7 @@
   }
 
   /**
-   * Returns the order to send now, or undefined while none may be sent.
+   * Returns the order to send next, or undefined while none may be planned.
    */
   plan(
     wanted: EngineOrder,
@@ -163,29 +167,45 @@
     // adapter from its own share.
     const mayCollide = wanted.kind === "evict" && this.#mayHaveOtherClaimants &&
       now - this.#provenAt < CONTESTED_WINDOW_MS;
-    if (isProven && !mayCollide) return createUncontestedOrder(wanted);
+    if (isProven && !mayCollide) return createUncontestedOrder(wanted, now);
     if (wanted.adapter !== "") {
       return this.#planProvingOrder(wanted.model, conditions, now);
     }
     if (this.#ownership.isSoleOwnerSinceRestart(now)) {
-      return createUncontestedOrder(wanted);
+      return createUncontestedOrder(wanted, now);
     }
     const isFormerOwnerExcluded = isDisclaimed || !this.#mayHaveFormerOwner ||
       !this.#ownership.canBeOwnedSinceStart(now);
     const mayOrder = hasQuorum
-      ? isFormerOwnerExcluded &&
-        now - this.#ownedSince >= this.#findTurn() * QUORUM_STAGGER_MS
+      ? isFormerOwnerExcluded
       : this.#isContestedTurn(now);
-    return mayOrder
-      ? {
-        order: wanted,
-        isContested: true,
-        isInconclusive: true,
-        contestedSlot: computeContestedSlot(
-          this.#ownership.getEngineAgeMs(now) ?? 0,
-        ),
-      }
-      : undefined;
+    if (!mayOrder) return undefined;
+    const sendAt = hasQuorum ? this.#findLoadTurnAt(now) : now;
+    return {
+      order: wanted,
+      sendAt,
+      isContested: true,
+      isInconclusive: true,
+      contestedSlot: computeContestedSlot(
+        this.#ownership.getEngineAgeMs(sendAt) ?? 0,
+      ),
+    };
+  }
+
+  /**
+   * Returns when this daemon may load an engine's base model: now or from the
+   * begin of its next turn. The turns follow from the engine's age.
+   */
+  #findLoadTurnAt(now: Milliseconds): Milliseconds {
+    const ageMs = this.#ownership.getEngineAgeMs(now);
+    // Unknown after a handover, until a report is read for the order.
+    if (ageMs === undefined) return now;
+    const cycleMs = (this.#options.listClaimants().length + 1) * LOAD_TURN_MS;
+    const remainderMs = (ageMs - this.#findTurn() * LOAD_TURN_MS) % cycleMs;
+    const sinceTurnMs = (remainderMs + cycleMs) % cycleMs;
+    return sinceTurnMs < LOAD_SEND_WINDOW_MS
+      ? now
+      : now + cycleMs - sinceTurnMs;
   }
 
   /**
@@ -244,25 +264,36 @@
         slots.getSlot(adapterPath) !== undefined,
     };
     const order = selectProvingOrder({ ...input, mayEvictCommon: false });
-    if (order) return createProvingOrder(order, false);
+    if (order) return createProvingOrder(order, false, now);
     if (!this.#isContestedTurn(now)) return undefined;
     const common = selectProvingOrder({ ...input, mayEvictCommon: true });
     // Turns depend on wall clocks: without a majority, another claimant that is
     // not heard may send the same eviction.
-    return common && createProvingOrder(common, !hasQuorum);
+    return common && createProvingOrder(common, !hasQuorum, now);
   }
 }
 
 function createProvingOrder(
   order: EngineOrder,
   isInconclusive: boolean,
+  now: Milliseconds,
 ): PlannedOrder {
-  return { order, isContested: true, isInconclusive, contestedSlot: undefined };
+  return {
+    order,
+    sendAt: now,
+    isContested: true,
+    isInconclusive,
+    contestedSlot: undefined,
+  };
 }
 
-function createUncontestedOrder(order: EngineOrder): PlannedOrder {
+function createUncontestedOrder(
+  order: EngineOrder,
+  now: Milliseconds,
+): PlannedOrder {
   return {
     order,
+    sendAt: now,
     isContested: false,
     isInconclusive: false,
     contestedSlot: undefined,
--- a/test/core/ordering/empty_engine_test.ts
+++ b/test/core/ordering/empty_engine_test.ts
@@ -21,6 +21,8 @@
 /** Time for which a heartbeat may wait in the socket of a slow host. */
 const HEARTBEAT_QUEUE_MS = 700;
 const MODEL_LOAD_MS = 2_900;
+/** Time that an order takes on the network at most. */
+const ORDER_DELAY_MS = 100;
 const STEP_MS = 20;
 
 const CONTEXT: OwnershipContext = {
@@ -187,6 +189,31 @@
   assert.equal(listAlternations(engine), []);
 });
 
+/** Returns when a daemon that claims an engine loads its base model. */
+function findModelLoad(daemon: string, claimedAt: number) {
+  const engine = new EmptyEngine();
+  const owner = createOwner(daemon);
+  for (let now = claimedAt; now < claimedAt + TERM_MS; now += STEP_MS) {
+    const effects = owner.tick(DISCLAIMED, now);
+    const load = effects.find((effect) => effect.kind === "giveOrder");
+    if (load) return { at: now, fence: load.fence };
+    carryOut(daemon, owner, engine, effects, now);
+  }
+  throw new Error("not loaded within a term");
+}
+
+test("the load orders of claimants that do not hear each other do not overtake each other", () => {
+  for (let delayMs = 0; delayMs <= 1_500; delayMs += 10) {
+    const [earlier, later] = [
+      findModelLoad("former", 2_000 + delayMs),
+      findModelLoad("other", 2_000),
+    ].sort((a, b) => a.at - b.at);
+    assert.ok(earlier && later);
+    assert.ok(later.at - earlier.at >= ORDER_DELAY_MS, `${delayMs} ms later`);
+    assert.ok(later.fence > earlier.fence);
+  }
+});
+
 test("a daemon that loaded a base model without proof does not order the engine again soon after it restarts", () => {
   const engine = new EmptyEngine();
   const first = createOwner("former");
--- a/test/fuzz/tenure_fuzz_test.ts
+++ b/test/fuzz/tenure_fuzz_test.ts
@@ -42,6 +42,20 @@
   });
 }
 
+/** Seeds whose claimants loaded a base model within 20 ms. */
+const CONTESTED_LOAD_SEEDS = [365, 2_552];
+
+for (const seed of CONTESTED_LOAD_SEEDS) {
+  test(`the loads of a base model by two holders do not overtake each other, seed ${seed}`, () => {
+    const simulation = new EmptyEngineSimulation(seed, {
+      daemons: 5,
+      modelLoadMs: 2_900,
+      disturbanceSteps: 500,
+    });
+    assert.equal(simulation.run().violations, []);
+  });
+}
+
 for (let seed = FIRST_SEED; seed < FIRST_SEED + RUNS; seed += 1) {
   test(`holders keep the rules, seed ${seed}`, () => {
     assert.equal(
