Test: two hosts load a restarted engine's base model within a second

The test plays this: both claim the engine from reports that do not show the other's load yet, the second 0 to 1 s after the first; the model loads for 2.9 s. On this code no delay gives two hosts that take turns within a term: the first rests.

--- a/test/core/ordering/empty_engine_test.ts
+++ b/test/core/ordering/empty_engine_test.ts
@@ -15,6 +15,7 @@
   CONTESTED_WINDOW_MS,
   EngineOwnership,
   OrderEvidence,
+  REPORT_LAG_MS,
 } from "../../../src/core/ordering/engine_ownership.ts";
 
 const TERM_MS = 3_000;
@@ -189,6 +190,54 @@
   assert.equal(listAlternations(engine), []);
 });
 
+/**
+ * Lets two daemons claim an engine after its restart, the second so much later,
+ * from reports that do not show the first one's load yet.
+ */
+function playLateReports(claimDelayMs: number): EmptyEngine {
+  const restartedAt = 6_400;
+  const claimsAt = 7_200;
+  const engine = new EmptyEngine();
+  engine.restart(restartedAt);
+  const before = new EmptyEngine();
+  before.restart(restartedAt);
+  const first = createOwner("former");
+  const second = createOwner("other");
+  for (let now = 6_900; now < claimsAt; now += STEP_MS) {
+    readReport("former", first, engine, now);
+    readReport("other", second, before, now);
+  }
+  for (let now = claimsAt; now < 20_000; now += STEP_MS) {
+    play({ former: first }, engine, now, now + STEP_MS, {
+      ...CONTEXT,
+      isDisclaimed: !first.hasRecentContestedOrder(now),
+    });
+    const loadedAt = engine.orders[0]?.at ?? now;
+    const isDesiredOwner = now >= claimsAt + claimDelayMs;
+    const shown = now < loadedAt + REPORT_LAG_MS ? before : engine;
+    const isDisclaimed = !second.hasRecentContestedOrder(now);
+    const context = { ...CONTEXT, isDesiredOwner, isDisclaimed };
+    const effects = second.tick(context, now);
+    const reads = effects.filter((effect) => effect.kind === "readReport");
+    const others = effects.filter((effect) => effect.kind !== "readReport");
+    carryOut("other", second, shown, reads, now);
+    carryOut("other", second, engine, others, now);
+  }
+  return engine;
+}
+
+test("hosts that load a restarted engine's base model within a second do not take turns when it is loaded", () => {
+  const gaps: number[] = [];
+  for (let delayMs = 0; delayMs <= 1_000; delayMs += STEP_MS) {
+    const engine = playLateReports(delayMs);
+    assert.equal(listAlternations(engine), [], `claimed ${delayMs} ms later`);
+    const [load, next] = engine.orders;
+    assert.ok(load && next, "the engine is ordered again");
+    if (next.daemon !== load.daemon) gaps.push(next.at - load.at);
+  }
+  assert.ok(gaps.some((gapMs) => gapMs >= 800 && gapMs < 1_000), `${gaps}`);
+});
+
 /** Returns when a daemon that claims an engine loads its base model. */
 function findModelLoad(daemon: string, claimedAt: number) {
   const engine = new EmptyEngine();
