--- a/test/core/ordering/empty_engine_test.ts
+++ b/test/core/ordering/empty_engine_test.ts
@@ -15,12 +15,15 @@
   CONTESTED_WINDOW_MS,
   EngineOwnership,
   OrderEvidence,
+  REPORT_LAG_MS,
 } from "../../../src/core/ordering/engine_ownership.ts";
 
 const TERM_MS = 3_000;
 /** Time for which a heartbeat may wait in the socket of a slow host. */
 const HEARTBEAT_QUEUE_MS = 700;
 const MODEL_LOAD_MS = 2_900;
+/** Time that an order takes on the network at most. */
+const ORDER_DELAY_MS = 100;
 const STEP_MS = 20;
 
 const CONTEXT: OwnershipContext = {
@@ -187,6 +190,79 @@
   assert.equal(listAlternations(engine), []);
 });
 
+/**
+ * Lets two daemons claim an engine after its restart, the second so much later,
+ * from reports that do not show the first one's load yet.
+ */
+function playLateReports(claimDelayMs: number): EmptyEngine {
+  const restartedAt = 6_400;
+  const claimsAt = 7_200;
+  const engine = new EmptyEngine();
+  engine.restart(restartedAt);
+  const before = new EmptyEngine();
+  before.restart(restartedAt);
+  const first = createOwner("former");
+  const second = createOwner("other");
+  for (let now = 6_900; now < claimsAt; now += STEP_MS) {
+    readReport("former", first, engine, now);
+    readReport("other", second, before, now);
+  }
+  for (let now = claimsAt; now < 20_000; now += STEP_MS) {
+    play({ former: first }, engine, now, now + STEP_MS, {
+      ...CONTEXT,
+      isDisclaimed: !first.hasRecentContestedOrder(now),
+    });
+    const loadedAt = engine.orders[0]?.at ?? now;
+    const isDesiredOwner = now >= claimsAt + claimDelayMs;
+    const shown = now < loadedAt + REPORT_LAG_MS ? before : engine;
+    const isDisclaimed = !second.hasRecentContestedOrder(now);
+    const context = { ...CONTEXT, isDesiredOwner, isDisclaimed };
+    const effects = second.tick(context, now);
+    const reads = effects.filter((effect) => effect.kind === "readReport");
+    const others = effects.filter((effect) => effect.kind !== "readReport");
+    carryOut("other", second, shown, reads, now);
+    carryOut("other", second, engine, others, now);
+  }
+  return engine;
+}
+
+test("hosts that load a restarted engine's base model within a second do not take turns when it is loaded", () => {
+  const gaps: number[] = [];
+  for (let delayMs = 0; delayMs <= 1_000; delayMs += STEP_MS) {
+    const engine = playLateReports(delayMs);
+    assert.equal(listAlternations(engine), [], `claimed ${delayMs} ms later`);
+    const [load, next] = engine.orders;
+    assert.ok(load && next, "the engine is ordered again");
+    if (next.daemon !== load.daemon) gaps.push(next.at - load.at);
+  }
+  assert.ok(gaps.some((gapMs) => gapMs >= 800 && gapMs < 1_000), `${gaps}`);
+});
+
+/** Returns when a daemon that claims an engine loads its base model. */
+function findModelLoad(daemon: string, claimedAt: number) {
+  const engine = new EmptyEngine();
+  const owner = createOwner(daemon);
+  for (let now = claimedAt; now < claimedAt + TERM_MS; now += STEP_MS) {
+    const effects = owner.tick(DISCLAIMED, now);
+    const load = effects.find((effect) => effect.kind === "giveOrder");
+    if (load) return { at: now, fence: load.fence };
+    carryOut(daemon, owner, engine, effects, now);
+  }
+  throw new Error("not loaded within a term");
+}
+
+test("the load orders of claimants that do not hear each other do not overtake each other", () => {
+  for (let delayMs = 0; delayMs <= 1_500; delayMs += 10) {
+    const [earlier, later] = [
+      findModelLoad("former", 2_000 + delayMs),
+      findModelLoad("other", 2_000),
+    ].sort((a, b) => a.at - b.at);
+    assert.ok(earlier && later);
+    assert.ok(later.at - earlier.at >= ORDER_DELAY_MS, `${delayMs} ms later`);
+    assert.ok(later.fence > earlier.fence);
+  }
+});
+
 test("a daemon that loaded a base model without proof does not order the engine again soon after it restarts", () => {
   const engine = new EmptyEngine();
   const first = createOwner("former");
