A planned stop answers each request before its process ends

What callers saw: with grace_s 5 and a route whose timeout_ms is 9,000, requests that may not be repeated, read up to 1.4 s after the SIGTERM, were passed on, ran, and got a reset at 4.7 s: no answer, and no way to know. The same for all that still ran or waited then, also those read before the signal.

Cause: admission went by an estimate (three latency objectives and 0.7 s), not by the time that a request may take, and nothing bound an admitted request to the end of the stop: close() aborted the rest without an answer.

Why this works: a request that may run only once is sent to an upstream only if its own time limit ends before the stop does, so that it has an answer whatever the upstream does; its caller hears at once "not run" otherwise, and is served elsewhere. For others an estimate is enough, as their callers may repeat them. The same is asked again before each further attempt and after the wait for a permit. Each deadline is cut to the stop's end: 504 there, 503 if certainly not run, a stream that has begun is broken off. An attempt that no other can follow is not given up before. Then half of the exit's reserve is left in which callers read the last answers, and what is still read, or has no whole body yet, gets 503.

Weighed: send non-idempotent requests with a shorter deadline (their callers would get 504 "may have run" where 503 costs 50 ms); bound idempotent ones and streams in the same way (routes with long limits would be refused for the whole grace, though they take milliseconds, and streams take a part of their limit).

--- a/fakes/scripted_answer.ts
+++ b/fakes/scripted_answer.ts
@@ -13,6 +13,10 @@
   /** Whether the answer neither names the request nor bears a stamp. */
   isAnonymous?: boolean;
   framing: "length" | "chunked" | "close";
+  /** Time before the first byte; 0 by default. */
+  delayMs?: number | undefined;
+  /** Bytes of the head that are sent, and no body; the whole answer by default. */
+  sentHeadBytes?: number;
   body: string;
   /** Bytes of the body that are sent; all of them by default. */
   sentBytes?: number;
@@ -47,6 +51,15 @@
   identity: Record<string, string>,
   crash: () => void,
 ): void {
+  if (answer.delayMs !== undefined) {
+    const delayed = { ...answer, delayMs: undefined };
+    const timer = setTimeout(
+      () => sendScriptedAnswer(socket, delayed, identity, crash),
+      answer.delayMs,
+    );
+    socket.once("close", () => clearTimeout(timer));
+    return;
+  }
   const body = Buffer.from(answer.body);
   const sentBytes = answer.sentBytes ?? body.length;
   const pieceBytes = answer.pieceBytes ?? Math.max(1, body.length);
@@ -79,6 +92,11 @@
         break;
     }
   };
+  if (answer.sentHeadBytes !== undefined) {
+    // The head is ASCII, so that a character is a byte.
+    socket.write(head.slice(0, answer.sentHeadBytes), finish);
+    return;
+  }
   if (answer.pieceBytes === undefined) {
     socket.write(Buffer.concat(pieces), finish);
     return;
--- a/src/gateway/attempt_runner.ts
+++ b/src/gateway/attempt_runner.ts
@@ -96,8 +96,12 @@
   upstream: PublishedUpstream;
   metadata: AttemptMetadata;
   mayReuseConnection: boolean;
-  /** Time limit for the response head to arrive. */
+  /**
+   * Time limit for the response head to arrive; applies only if another attempt
+   * can follow then.
+   */
   responseHeaderTimeoutMs: Milliseconds;
+  canRetry: () => boolean;
   /** Receives a streamed response; undefined if the response is buffered. */
   sink: StreamSink | undefined;
   /**
@@ -179,7 +183,8 @@
   };
   const timer = setTimeout(
     () => {
-      if (!head) abort(AttemptOutcome.TimedOut, "no head in time");
+      if (head || !options.canRetry()) return;
+      abort(AttemptOutcome.TimedOut, "no head in time");
     },
     Math.max(1, options.responseHeaderTimeoutMs),
   );
--- a/src/gateway/caller_task.ts
+++ b/src/gateway/caller_task.ts
@@ -13,7 +13,11 @@
   type ServerResponse,
 } from "node:http";
 import type { Socket } from "node:net";
-import { canAdmitWhileStopping } from "../core/admission/stop_admission.ts";
+import {
+  canAdmitWhileStopping,
+  type StopPeriod,
+  STOPPING_RETRY_AFTER_MS,
+} from "../core/admission/stop_admission.ts";
 import type { Milliseconds } from "../core/structures.ts";
 import { abortResponse, ActiveResponses } from "../daemon/response_abort.ts";
 import { describeError } from "../daemon/step_error.ts";
@@ -21,6 +25,8 @@
 import type { RequestMetadata } from "./ports.ts";
 import type { RequestContext } from "./request_context.ts";
 import { RequestHandler } from "./request_handler.ts";
+import { describeWork } from "./request_work.ts";
+import { waitMs } from "./wait.ts";
 
 /** Limits that apply until a configuration is known. */
 const DEFAULT_MAX_BODY_BYTES = 4 * 1024 * 1024;
@@ -41,11 +47,8 @@
 const OVERSIZED_BODY_LINGER_MS = 500;
 /** Retry-After for requests that arrive before a configuration is known. */
 const UNCONFIGURED_RETRY_AFTER_MS = 500;
-/**
- * Retry-After for requests refused by a stopping daemon: other daemons can take
- * them at once.
- */
-const STOPPING_RETRY_AFTER_MS = 50;
+/** Interval at which a stopping gateway checks whether all responses are read. */
+const CLOSE_POLL_INTERVAL_MS = 10;
 
 const Status = {
   NotFound: 404,
@@ -53,6 +56,14 @@
   Unavailable: 503,
 } as const;
 
+/** How the reading of a request's body ended. */
+type BodyRead =
+  | { kind: "complete"; body: Buffer }
+  | { kind: "tooLarge" }
+  /** The daemon stops before the body has arrived. */
+  | { kind: "stopped" }
+  | { kind: "disconnected" };
+
 export class CallerTask {
   readonly #context: RequestContext;
   readonly #server: Server;
@@ -60,12 +71,12 @@
   readonly #sockets = new Set<Socket>();
   readonly #activeResponses = new ActiveResponses();
   readonly #closingSockets = new WeakSet<Socket>();
+  readonly #handlers = new Set<RequestHandler>();
+  /** Ends the reading of each body that has not arrived yet. */
+  readonly #bodyStoppers = new Set<() => void>();
   #inFlight = 0;
-  /**
-   * When the stop began and when the process ends; undefined unless the daemon
-   * is stopping.
-   */
-  #stop: { beganAt: Milliseconds; endsAt: Milliseconds } | undefined;
+  /** Undefined unless the daemon is stopping. */
+  #stop: StopPeriod | undefined;
 
   constructor(context: RequestContext) {
     this.#context = context;
@@ -106,9 +117,13 @@
     this.#server.keepAliveTimeout = limits.idleTimeoutMs + KEEP_ALIVE_MARGIN_MS;
   }
 
-  /** Starts the stop: from now on each response closes its connection. */
-  beginStop(beganAt: Milliseconds, endsAt: Milliseconds): void {
-    this.#stop = { beganAt, endsAt };
+  /**
+   * Starts the stop: from now on each response closes its connection, and each
+   * request has its response by the end.
+   */
+  beginStop(stop: StopPeriod): void {
+    this.#stop = stop;
+    for (const handler of this.#handlers) handler.limitTo(stop);
   }
 
   /** Closes the connections that have no request in flight. */
@@ -116,13 +131,29 @@
     for (const socket of this.#idleSockets) this.#closeSocket(socket);
   }
 
+  /**
+   * Accepts no more connections, refuses what is still read on the others, and
+   * waits until all are closed or the time is over.
+   */
+  async finish(endsAt: Milliseconds): Promise<void> {
+    this.#server.close();
+    if (this.#stop) {
+      const now = performance.now();
+      this.#stop = { ...this.#stop, endsAt: Math.min(this.#stop.endsAt, now) };
+    }
+    for (const stopBody of this.#bodyStoppers) stopBody();
+    while (this.#sockets.size > 0 && performance.now() < endsAt) {
+      this.closeIdleConnections();
+      await waitMs(CLOSE_POLL_INTERVAL_MS);
+    }
+  }
+
   #closeSocket(socket: Socket): void {
     this.#closingSockets.add(socket);
     socket.end();
   }
 
   close(): void {
-    this.#server.close();
     this.#activeResponses.abortAll();
     for (const socket of this.#sockets) socket.destroy();
   }
@@ -172,17 +203,22 @@
       request.headers,
       request.url ?? "/",
     );
-    const body = await this.#readBody(request);
-    if (body === undefined) return;
+    const read = await this.#readBody(request);
+    if (read.kind === "disconnected") return;
+    const body = read.kind === "complete" ? read.body : Buffer.alloc(0);
     const exchange = new CallerExchange({
       request,
       response,
       metadata,
-      body: body ?? Buffer.alloc(0),
+      body,
       arrivedAt,
       isClosing: () => this.#stop !== undefined,
     });
-    if (body === null) {
+    if (read.kind === "stopped") {
+      this.#refuseStopping(exchange);
+      return;
+    }
+    if (read.kind === "tooLarge") {
       this.#refuse(exchange, Status.TooLarge, "body is too large", undefined);
       // The rest of the body is not read, as it may never end.
       setTimeout(() => request.destroy(), OVERSIZED_BODY_LINGER_MS);
@@ -212,26 +248,40 @@
       );
       return;
     }
+    const target = { route, service };
     const isTooLate = this.#stop !== undefined &&
-      !canAdmitWhileStopping(this.#stop, {
-        isGeneration: service.engine !== undefined,
-        promptTokens: metadata.promptTokens,
-        outputTokens: metadata.outputTokens,
-        latencyObjectiveMs: route.latencyObjectiveMs,
-      }, arrivedAt);
-    if (isTooLate) {
-      this.#refuse(
-        exchange,
-        Status.Unavailable,
-        "this daemon stops",
-        STOPPING_RETRY_AFTER_MS,
+      !canAdmitWhileStopping(
+        this.#stop,
+        describeWork(exchange, target),
+        performance.now(),
       );
+    if (isTooLate) {
+      this.#refuseStopping(exchange);
       return;
     }
     const fingerprint = computeFingerprint(request, metadata, body);
-    const target = { route, service };
-    await new RequestHandler(this.#context, exchange, target, fingerprint)
-      .run();
+    await this.#runHandler(
+      new RequestHandler(this.#context, exchange, target, fingerprint),
+    );
+  }
+
+  async #runHandler(handler: RequestHandler): Promise<void> {
+    if (this.#stop) handler.limitTo(this.#stop);
+    this.#handlers.add(handler);
+    try {
+      await handler.run();
+    } finally {
+      this.#handlers.delete(handler);
+    }
+  }
+
+  #refuseStopping(exchange: CallerExchange): void {
+    this.#refuse(
+      exchange,
+      Status.Unavailable,
+      "this daemon stops",
+      STOPPING_RETRY_AFTER_MS,
+    );
   }
 
   #refuse(
@@ -255,16 +305,18 @@
     exchange.sendError(status, headers, reason);
   }
 
-  /**
-   * Returns the body, null if it exceeds the limit, or undefined if the caller
-   * disconnected.
-   */
-  #readBody(request: IncomingMessage): Promise<Buffer | null | undefined> {
+  #readBody(request: IncomingMessage): Promise<BodyRead> {
     const limit = this.#context.view.configuration?.limits.maxBodyBytes ??
       DEFAULT_MAX_BODY_BYTES;
     return new Promise((resolve) => {
       const chunks: Buffer[] = [];
       let length = 0;
+      const settle = (read: BodyRead): void => {
+        this.#bodyStoppers.delete(stopBody);
+        resolve(read);
+      };
+      const stopBody = (): void => settle({ kind: "stopped" });
+      this.#bodyStoppers.add(stopBody);
       request.on("data", (chunk: Buffer) => {
         length += chunk.length;
         if (length <= limit) {
@@ -273,10 +325,13 @@
         }
         request.pause();
         chunks.length = 0;
-        resolve(null);
+        settle({ kind: "tooLarge" });
       });
-      request.once("end", () => resolve(Buffer.concat(chunks)));
-      request.once("close", () => resolve(undefined));
+      request.once(
+        "end",
+        () => settle({ kind: "complete", body: Buffer.concat(chunks) }),
+      );
+      request.once("close", () => settle({ kind: "disconnected" }));
     });
   }
 }
--- a/src/gateway/engine_selector.ts
+++ b/src/gateway/engine_selector.ts
@@ -63,8 +63,8 @@
   exchange: CallerExchange;
   route: PublishedRoute;
   service: PublishedService;
-  /** When the request has to have ended. */
-  endsAt: Milliseconds;
+  /** Returns when the request has to have ended. */
+  getEndsAt: () => Milliseconds;
   /** Upstreams that are not to be tried again for this request. */
   excludedUpstreamIds: ReadonlySet<string>;
   isFinished: () => boolean;
@@ -241,7 +241,7 @@
       outputTokens: metadata.outputTokens,
       promptParts: metadata.promptParts,
       startedAt: performance.now(),
-      endsAt: this.#options.endsAt,
+      endsAt: this.#options.getEndsAt(),
     });
   }
 
@@ -272,7 +272,10 @@
     const { metadata } = this.#exchange;
     const { latencyObjectiveMs, interTokenObjectiveMs, priorityRank } =
       this.#options.route;
-    const remainingMs = Math.max(1, this.#options.endsAt - performance.now());
+    const remainingMs = Math.max(
+      1,
+      this.#options.getEndsAt() - performance.now(),
+    );
     const elapsedMs = performance.now() - this.#exchange.arrivedAt;
     const firstTokenBudgetMs = Math.max(0, latencyObjectiveMs - elapsedMs);
     const patienceMs = computeMaxPermitWaitMs({
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -75,6 +75,11 @@
  * tenth of the 250 MB that the smallest hosts have.
  */
 const ANSWER_BUDGET_BYTES = 24 * 1024 * 1024;
+/**
+ * Share of the time reserved for the exit in which callers read the last
+ * responses.
+ */
+const CLOSE_SHARE = 0.5;
 /** Interval at which a stopping gateway checks whether it is idle. */
 const DRAIN_POLL_INTERVAL_MS = 50;
 
@@ -221,19 +226,31 @@
   async stop(): Promise<void> {
     if (this.#isStopping) return;
     this.#isStopping = true;
-    const startedAt = performance.now();
+    const beganAt = performance.now();
     const { graceMs, exitReserveMs } = this.#settings.stop;
+    const endsAt = beganAt + Math.max(0, graceMs - exitReserveMs);
     this.#log.info("stopping", { inFlight: this.#callers.inFlight, graceMs });
-    this.#callers.beginStop(startedAt, startedAt + graceMs - exitReserveMs);
+    this.#callers.beginStop({ beganAt, endsAt });
     this.#sendHeartbeats();
     await this.#engines.stop();
-    await waitMs(Math.min(READINESS_PROPAGATION_MS, graceMs / 2));
-    const endsAt = startedAt + graceMs - exitReserveMs;
-    while (performance.now() < endsAt) {
+    await waitMs(
+      Math.min(
+        READINESS_PROPAGATION_MS,
+        graceMs / 2,
+        endsAt - performance.now(),
+      ),
+    );
+    for (
+      let now = performance.now();
+      now < endsAt && this.#callers.inFlight > 0;
+      now = performance.now()
+    ) {
       this.#callers.closeIdleConnections();
-      if (this.#callers.inFlight === 0) break;
-      await waitMs(DRAIN_POLL_INTERVAL_MS);
+      await waitMs(Math.min(DRAIN_POLL_INTERVAL_MS, endsAt - now));
     }
+    await this.#callers.finish(
+      performance.now() + CLOSE_SHARE * exitReserveMs,
+    );
     this.#log.info("stopped", { inFlight: this.#callers.inFlight });
     clearTimeout(this.#timer);
     this.#timer = undefined;
--- a/src/gateway/request_handler.ts
+++ b/src/gateway/request_handler.ts
@@ -6,6 +6,12 @@
 import type { Buffer } from "node:buffer";
 import { BodyFraming } from "../core/execution/body_framing.ts";
 import { computeRetryAfterMs } from "../core/admission/retry_after.ts";
+import {
+  canDispatchWhileStopping,
+  type RequestWork,
+  type StopPeriod,
+  STOPPING_RETRY_AFTER_MS,
+} from "../core/admission/stop_admission.ts";
 import {
   AttemptOutcome,
   decideRetry,
@@ -44,13 +50,9 @@
 import { isSuccess } from "./http_status.ts";
 import type { ResponseHead } from "./ports.ts";
 import type { RequestContext } from "./request_context.ts";
+import { describeWork } from "./request_work.ts";
 import { listUsableUpstreams } from "./usable_upstreams.ts";
 
-/**
- * Part of a caller's deadline that is reserved for the network between the
- * caller and the gateway.
- */
-const NETWORK_ALLOWANCE_MS = 8;
 /**
  * Maximum number of times that a request selects another upstream because the
  * selected one began to shut down or asked to back off.
@@ -90,7 +92,12 @@
   readonly #exchange: CallerExchange;
   readonly #route: PublishedRoute;
   readonly #service: PublishedService;
-  readonly #endsAt: Milliseconds;
+  readonly #work: RequestWork;
+  /** When the request has to have its response. */
+  #endsAt: Milliseconds;
+  #deadlineTimer: ReturnType<typeof setTimeout> | undefined;
+  /** Undefined unless the daemon is stopping. */
+  #stop: StopPeriod | undefined;
   readonly #splitter = new EventSplitter();
   readonly #excludedUpstreamIds = new Set<string>();
   readonly #rejectedBy = new Set<string>();
@@ -137,14 +144,13 @@
       target.service,
       fingerprint,
     );
-    const deadlineMs = exchange.metadata.deadlineMs ?? target.route.timeoutMs;
-    this.#endsAt = exchange.arrivedAt +
-      Math.min(deadlineMs - NETWORK_ALLOWANCE_MS, target.route.timeoutMs);
+    this.#work = describeWork(exchange, target);
+    this.#endsAt = this.#work.deadlineAt;
     this.#engineSelector = new EngineSelector({
       context,
       exchange,
       ...target,
-      endsAt: this.#endsAt,
+      getEndsAt: () => this.#endsAt,
       excludedUpstreamIds: this.#excludedUpstreamIds,
       isFinished: () => this.#isFinished,
     });
@@ -160,31 +166,50 @@
     convictionListeners.add(handleConviction);
     retryBudget.recordArrival(this.#service.name, performance.now());
     metrics.count("requests", this.#route.repeatability);
-    const timer = setTimeout(
-      () => this.#handleDeadline(),
-      Math.max(0, this.#endsAt - performance.now()),
-    );
+    this.#scheduleDeadline();
     this.#exchange.onDisconnect(() => this.#handleDisconnect());
     try {
       while (!this.#isFinished) await this.#tryOnce();
     } finally {
-      clearTimeout(timer);
+      clearTimeout(this.#deadlineTimer);
       convictionListeners.delete(handleConviction);
       this.#crashGuard.finish();
     }
   }
 
+  /**
+   * Limits the request to the time until the daemon's shutdown ends. By then it
+   * has a response, whatever its upstream does.
+   */
+  limitTo(stop: StopPeriod): void {
+    this.#stop = stop;
+    this.#endsAt = Math.min(this.#endsAt, stop.endsAt);
+    if (this.#deadlineTimer !== undefined) this.#scheduleDeadline();
+  }
+
+  #scheduleDeadline(): void {
+    clearTimeout(this.#deadlineTimer);
+    this.#deadlineTimer = setTimeout(
+      () => this.#handleDeadline(),
+      Math.max(0, this.#getRemainingMs()),
+    );
+  }
+
   #getRemainingMs(): Milliseconds {
     return this.#endsAt - performance.now();
   }
 
   async #tryOnce(): Promise<void> {
-    if (this.#refuseIfQuarantined()) return;
+    if (this.#refuseIfQuarantined() || this.#refuseIfStopping()) return;
     const upstream = this.#service.engine
       ? await this.#engineSelector.selectEngine()
       : this.#selectServiceUpstream();
-    // A part may have been convicted while the request waited for its permit.
-    if (this.#isFinished || this.#refuseIfQuarantined()) {
+    // A part may have been convicted, or the shutdown may have begun, while the
+    // request waited for its permit.
+    if (
+      this.#isFinished || this.#refuseIfQuarantined() ||
+      this.#refuseIfStopping()
+    ) {
       this.#engineSelector.releaseEngine();
       return;
     }
@@ -231,6 +256,20 @@
     return true;
   }
 
+  /** Refuses the request if an attempt could outlast the daemon. */
+  #refuseIfStopping(): boolean {
+    if (this.#canDispatch()) return false;
+    this.#applyVerdict("stopping", this.#decideUnserved());
+    return true;
+  }
+
+  /** Returns whether another attempt may begin, as far as a shutdown decides. */
+  #canDispatch(): boolean {
+    // A stream that has begun can only go on or break off.
+    if (this.#stop === undefined || this.#hasForwarded) return true;
+    return canDispatchWhileStopping(this.#stop, this.#work, performance.now());
+  }
+
   /** Returns how the request ends now: as not run only if it certainly has not. */
   #decideUnserved(isTimeout = false): RetryDecision {
     return this.#running === undefined && this.#possibleRuns === 0
@@ -297,6 +336,7 @@
       },
       mayReuseConnection: this.#canRetry(),
       responseHeaderTimeoutMs: this.#computeResponseHeaderTimeoutMs(),
+      canRetry: () => this.#canDispatch(),
       hasUpstreamCrashed: () => this.#context.crashProbe.hasCrashed(upstream),
       handleHead: (head) => this.#handleHead(upstream, head),
       sink: isStream
@@ -409,7 +449,7 @@
       possibleRuns: this.#possibleRuns,
       maxAttempts,
       totalAttempts: this.#totalAttempts,
-      remainingMs: this.#getRemainingMs(),
+      remainingMs: this.#canDispatch() ? this.#getRemainingMs() : 0,
       isCrashSuspect: result.isConnectionBroken &&
         this.#crashGuard.isSuspect(performance.now()),
     }, () => {
@@ -553,14 +593,8 @@
       this.#exchange.abort();
       return;
     }
-    const retryAfterMs = this.#quarantineMs ?? computeRetryAfterMs({
-      requestId: this.#exchange.metadata.requestId,
-      expectedWaitMs: this.#shortestBackoffMs ??
-        this.#engineSelector.expectedWaitMs,
-      remainingMs: this.#getRemainingMs(),
-    });
     const headers = this.#context.headerCodec.encodeRefusalHeaders(
-      retryAfterMs,
+      this.#computeRetryAfterMs(),
     );
     this.#exchange.sendError(
       Status.Unavailable,
@@ -569,6 +603,17 @@
     );
   }
 
+  #computeRetryAfterMs(): Milliseconds {
+    if (this.#quarantineMs !== undefined) return this.#quarantineMs;
+    if (!this.#canDispatch()) return STOPPING_RETRY_AFTER_MS;
+    return computeRetryAfterMs({
+      requestId: this.#exchange.metadata.requestId,
+      expectedWaitMs: this.#shortestBackoffMs ??
+        this.#engineSelector.expectedWaitMs,
+      remainingMs: this.#getRemainingMs(),
+    });
+  }
+
   #fail(isTimeout: boolean, reason: string): void {
     this.#isFinished = true;
     if (this.#hasForwarded) {
@@ -583,7 +628,8 @@
     if (this.#isFinished) return;
     const verdict = this.#decideUnserved(true);
     this.#running?.cancel();
-    this.#applyVerdict("deadline", verdict);
+    const isCutShort = this.#endsAt < this.#work.deadlineAt;
+    this.#applyVerdict(isCutShort ? "stopping" : "deadline", verdict);
   }
 
   /**
--- a/test/gateway/gateway_harness.ts
+++ b/test/gateway/gateway_harness.ts
@@ -30,6 +30,9 @@
  */
 export const TERM_MS = 600;
 
+/** Time from the stop of a gateway until its process would be killed. */
+export const GRACE_MS = 5_000;
+
 /**
  * Time within which a change in the store is known everywhere: changes are
  * collected for 0.4 s, and peers compare their revisions each 0.2 s.
@@ -59,6 +62,7 @@
   extends
     Pick<RawCall, "httpVersion">,
     Partial<Pick<RawCall, "headers" | "onBody" | "pauseMs">> {
+  gateway?: number;
   id?: string;
 }
 
@@ -120,9 +124,10 @@
     return this.#port;
   }
 
-  createGateway(index: number): Gateway {
+  /** Returns the content of a gateway's settings file. */
+  describeSettings(index: number): object {
     const ip = `127.0.0.${index + 1}`;
-    const settings = gatewaySettingsSchema.parse({
+    return {
       host: `host-${index}`,
       failureDomain: "zone-a",
       callers: { listen: `${ip}:${this.#port}` },
@@ -136,9 +141,13 @@
       store: { address: this.store.address },
       orders: { termMs: TERM_MS },
       repeats: { ratio: 0.2, windowMs: 10_000, slack: this.retrySlack },
-      stop: { graceMs: 5_000 },
+      stop: { graceMs: GRACE_MS },
       logLevel: "silent",
-    });
+    };
+  }
+
+  createGateway(index: number): Gateway {
+    const settings = gatewaySettingsSchema.parse(this.describeSettings(index));
     return new Gateway(settings, {
       headerCodec: new PlatformHeaderCodec(),
       decoder: new EntryDecoder(),
@@ -197,10 +206,10 @@
     };
   }
 
-  /** Sends a request to the first gateway as a caller on a plain socket does. */
+  /** Sends a request as a caller on a plain socket does. */
   callRaw(path: string, options: RawCallOptions): Promise<RawAnswer> {
     return callRaw({
-      host: "127.0.0.1",
+      host: `127.0.0.${(options.gateway ?? 0) + 1}`,
       port: this.#port,
       path,
       ...options,
