A second stop signal does not end a stop that is under way

What callers saw: with a second SIGTERM during the grace, all requests in progress were cut without an answer.

Cause: the second call of Gateway.stop() resolved at once, and the entry point exits when stop() resolves.

Why this works: all calls wait for the one stop.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -118,6 +118,7 @@
   #isReady = false;
   #isHeartbeatScheduled = false;
   #isStopping = false;
+  #stopped: Promise<void> | undefined;
 
   constructor(settings: GatewaySettings, platform: GatewayPlatform) {
     const { host, failureDomain, peers } = settings;
@@ -221,10 +222,15 @@
 
   /**
    * Stops gracefully: hands the engines over, finishes the requests already
-   * read, and resolves when the process may exit.
+   * read, and resolves when the process may exit. Further calls wait for the
+   * same stop.
    */
-  async stop(): Promise<void> {
-    if (this.#isStopping) return;
+  stop(): Promise<void> {
+    this.#stopped ??= this.#stopOnce();
+    return this.#stopped;
+  }
+
+  async #stopOnce(): Promise<void> {
     this.#isStopping = true;
     const beganAt = performance.now();
     const { graceMs, exitReserveMs } = this.#settings.stop;
--- a/test/gateway/planned_stop_test.ts
+++ b/test/gateway/planned_stop_test.ts
@@ -1,6 +1,7 @@
 /**
  * Requests that were cut without an answer in a planned stop: those that were
- * taken late in the grace period or were left at its end. Every request that a stopping gateway reads gets an
+ * taken late in the grace period or were left at its end, and all of them after
+ * a second stop signal. Every request that a stopping gateway reads gets an
  * answer of its own before the process ends.
  */
 import { connect } from "node:net";
@@ -289,4 +290,25 @@
   });
 }
 
+test("a second stop signal cuts the requests in progress", async () => {
+  const gateway = harness.gateways[1];
+  if (!gateway) throw new Error("expected a second gateway");
+  harness.scriptAnswers("twice", [{ ...SERVED, delayMs: 1_500 }]);
+  const answer = harness.callRaw("/long-unsafe/1", {
+    gateway: 1,
+    httpVersion: "1.1",
+    id: "twice",
+    headers: { "X-Deadline-Ms": String(LONG_TIMEOUT_MS) },
+  });
+  await waitMs(200);
+  let isAnswered = false;
+  void answer.then(() => isAnswered = true);
+  const first = gateway.stop();
+  // The process exits as soon as any of the two has resolved.
+  await Promise.race([first, gateway.stop()]);
+  assert.ok(isAnswered);
+  assert.is((await answer).status, 200);
+  await first;
+});
+
 test.run();
