A stopping gateway gives a new connection time for its first request

What callers saw: in a stop, from 2.5 s after the SIGTERM on, connections that had just been opened were closed before their request was read: for its caller a reset without an answer.

Cause: a connection without a request counted as idle from its first millisecond, and idle ones are closed each 50 ms.

Evidence: "a request that is read as the process ends is cut without an answer" opens a connection each 10 ms and sends its request 40 ms later, until the end.

Why this works: a new connection counts as idle after 0.25 s. A request that crosses the close itself is still not read.

--- a/src/gateway/caller_task.ts
+++ b/src/gateway/caller_task.ts
@@ -47,6 +47,11 @@
 const OVERSIZED_BODY_LINGER_MS = 500;
 /** Retry-After for requests that arrive before a configuration is known. */
 const UNCONFIGURED_RETRY_AFTER_MS = 500;
+/**
+ * Time in which a caller sends the first request on a new connection. During a
+ * stop, the connection counts as idle only after it.
+ */
+const FIRST_REQUEST_MS = 250;
 /** Interval at which a stopping gateway checks whether all responses are read. */
 const CLOSE_POLL_INTERVAL_MS = 10;
 
@@ -67,7 +72,8 @@
 export class CallerTask {
   readonly #context: RequestContext;
   readonly #server: Server;
-  readonly #idleSockets = new Set<Socket>();
+  /** Connections without a request, with the time from which each is idle. */
+  readonly #idleSockets = new Map<Socket, Milliseconds>();
   readonly #sockets = new Set<Socket>();
   readonly #activeResponses = new ActiveResponses();
   readonly #closingSockets = new WeakSet<Socket>();
@@ -88,7 +94,7 @@
     this.#server.on("connection", (socket: Socket) => {
       socket.setNoDelay(true);
       this.#sockets.add(socket);
-      this.#idleSockets.add(socket);
+      this.#idleSockets.set(socket, performance.now() + FIRST_REQUEST_MS);
       socket.once("close", () => {
         this.#sockets.delete(socket);
         this.#idleSockets.delete(socket);
@@ -127,8 +133,10 @@
   }
 
   /** Closes the connections that have no request in flight. */
-  closeIdleConnections(): void {
-    for (const socket of this.#idleSockets) this.#closeSocket(socket);
+  closeIdleConnections(now: Milliseconds): void {
+    for (const [socket, idleAt] of this.#idleSockets) {
+      if (idleAt <= now) this.#closeSocket(socket);
+    }
   }
 
   /**
@@ -143,7 +151,7 @@
     }
     for (const stopBody of this.#bodyStoppers) stopBody();
     while (this.#sockets.size > 0 && performance.now() < endsAt) {
-      this.closeIdleConnections();
+      this.closeIdleConnections(performance.now());
       await waitMs(CLOSE_POLL_INTERVAL_MS);
     }
   }
@@ -174,7 +182,7 @@
     response.once("close", () => {
       this.#inFlight -= 1;
       if (socket.destroyed) return;
-      this.#idleSockets.add(socket);
+      this.#idleSockets.set(socket, performance.now());
       // The head of a stream that began before the stop did not announce the
       // close of its connection.
       if (this.#stop !== undefined) this.#closeSocket(socket);
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -251,7 +251,7 @@
       now < endsAt && this.#callers.inFlight > 0;
       now = performance.now()
     ) {
-      this.#callers.closeIdleConnections();
+      this.#callers.closeIdleConnections(now);
       await waitMs(Math.min(DRAIN_POLL_INTERVAL_MS, endsAt - now));
     }
     await this.#callers.finish(
--- a/test/gateway/planned_stop_test.ts
+++ b/test/gateway/planned_stop_test.ts
@@ -311,4 +311,63 @@
   await first;
 });
 
+/** Time from the opening of a connection until its request is sent. */
+const REQUEST_DELAY_MS = 40;
+
+test("a request that is read as the process ends is cut without an answer", async () => {
+  const gateway = harness.gateways[2];
+  if (!gateway) throw new Error("expected a third gateway");
+  // Keeps the gateway at work until the end of the grace.
+  harness.scriptAnswers("keeps-on", [ENDLESS]);
+  void harness.callRaw("/long-safe/1", {
+    gateway: 2,
+    httpVersion: "1.1",
+    id: "keeps-on",
+    headers: { "X-Deadline-Ms": String(LONG_TIMEOUT_MS) },
+  });
+  await waitMs(100);
+  let stoppedAt = Number.POSITIVE_INFINITY;
+  void gateway.stop().then(() => stoppedAt = performance.now());
+  const calls: Promise<{ sentAt: number; text: string }>[] = [];
+  while (stoppedAt === Number.POSITIVE_INFINITY) {
+    calls.push(callOnNewConnection(`ending-${calls.length}`));
+    await waitMs(10);
+  }
+  const answers = await Promise.all(calls);
+  // A request that is sent as the connection is closed crosses the close.
+  const lost = answers.filter(({ sentAt, text }, index) =>
+    !/^HTTP\/1\.1 (200|503) /.test(text) &&
+    (sentAt < stoppedAt - REQUEST_DELAY_MS ||
+      harness.countRuns(`ending-${index}`) > 0)
+  );
+  assert.equal(lost, []);
+  assert.ok(answers.some(({ text }) => text.startsWith("HTTP/1.1 200 ")));
+});
+
+/**
+ * Opens a connection to the third gateway and sends a request on it a moment
+ * later; `sentAt` is infinite if the connection was refused.
+ */
+function callOnNewConnection(
+  id: string,
+): Promise<{ sentAt: number; text: string }> {
+  return new Promise((resolve) => {
+    const socket = connect(harness.getCallerPort(), "127.0.0.3");
+    let sentAt = Number.POSITIVE_INFINITY;
+    let text = "";
+    socket.on("error", () => {});
+    socket.on("data", (chunk) => text += chunk.toString());
+    socket.on("connect", async () => {
+      await waitMs(REQUEST_DELAY_MS);
+      sentAt = performance.now();
+      socket.write(
+        "POST /unsafe/1 HTTP/1.1\r\nHost: mill.example\r\n" +
+          `X-Request-Id: ${id}\r\nX-Deadline-Ms: 2500\r\n` +
+          "Connection: close\r\nContent-Length: 0\r\n\r\n",
+      );
+    });
+    socket.on("close", () => resolve({ sentAt, text }));
+  });
+}
+
 test.run();
