--- a/fakes/fake_platform_replica.ts
+++ b/fakes/fake_platform_replica.ts
@@ -59,6 +59,8 @@
   url: string;
   headers: IncomingMessage["headers"];
   body: string;
+  /** Port of the connection's other end, which tells connections apart. */
+  remotePort: number | undefined;
   /** Whether the connection closed before the answer was complete. */
   wasAborted: boolean;
 }
@@ -321,6 +323,7 @@
       url: request.url ?? "",
       headers,
       body,
+      remotePort: request.socket.remotePort,
       wasAborted: false,
     };
     this.receivedRequests.push(seen);
--- a/fakes/scripted_answer.ts
+++ b/fakes/scripted_answer.ts
@@ -8,6 +8,8 @@
 export interface ScriptedAnswer {
   /** Status line; `HTTP/1.1 200 OK` by default. */
   statusLine?: string;
+  /** Line end of the head; CR LF by default. */
+  headLineEnd?: string;
   /** Headers beside those of the replica and of the framing. */
   headers?: Record<string, string>;
   /** Whether the answer neither names the request nor bears a stamp. */
@@ -113,7 +115,8 @@
   socket.once("close", () => clearInterval(timer));
 }
 
-function formatHead(
+/** Returns the head of the answer, with the empty line that ends it. */
+export function formatHead(
   answer: ScriptedAnswer,
   identity: Record<string, string>,
 ): string {
@@ -124,7 +127,8 @@
   };
   const lines = Object.entries(headers)
     .map(([name, value]) => `${name}: ${value}\r\n`).join("");
-  return `${answer.statusLine ?? "HTTP/1.1 200 OK"}\r\n${lines}\r\n`;
+  const head = `${answer.statusLine ?? "HTTP/1.1 200 OK"}\r\n${lines}\r\n`;
+  return head.replaceAll("\r\n", answer.headLineEnd ?? "\r\n");
 }
 
 function formatFraming(answer: ScriptedAnswer): Record<string, string> {
