An upstream that switches protocols has failed at once

What callers saw: no answer until their deadline, then 504, where an upstream answers 101 Switching Protocols.

Cause: without a listener for it, Node.js's client drops such an answer with its connection and tells nobody, so that the attempt had no end.

Evidence: "an answer that switches protocols leaves its caller without an answer" failed before (504 after 2.5 s in place of 502) and passes.

Why this works: the listener ends the attempt as broken; the request may have run, as for any other answer that can't be passed on.

--- a/src/gateway/upstream_client.ts
+++ b/src/gateway/upstream_client.ts
@@ -173,6 +173,11 @@
     interimHeads += 1;
     if (interimHeads > MAX_INTERIM_HEADS) fail("interim answers without end");
   });
+  // Without a listener, Node.js drops such an answer, and the attempt has no end.
+  call.on("upgrade", (_head, socket) => {
+    socket.destroy();
+    fail("the answer switches protocols");
+  });
   call.on("response", (head) => {
     if (hasEnded) return;
     response = head;
--- a/test/gateway/cut_head_test.ts
+++ b/test/gateway/cut_head_test.ts
@@ -173,4 +173,21 @@
   });
 }
 
+test("an answer that switches protocols leaves its caller without an answer", async () => {
+  for (const path of ["/unsafe/1", "/brief/1"]) {
+    const id = createId();
+    harness.scriptAnswers(id, [{
+      statusLine: "HTTP/1.1 101 Switching Protocols",
+      headers: { Connection: "Upgrade", Upgrade: "other" },
+      framing: "length",
+      body: "",
+      end: "keep",
+    }]);
+    const startedAt = performance.now();
+    const answer = await harness.callRaw(path, { httpVersion: "1.1", id });
+    assert.is(answer.status, 502);
+    assert.ok(performance.now() - startedAt < 1_000);
+  }
+});
+
 test.run();
