--- a/fakes/scripted_answer.ts
+++ b/fakes/scripted_answer.ts
@@ -8,11 +8,17 @@
 export interface ScriptedAnswer {
   /** Status line; `HTTP/1.1 200 OK` by default. */
   statusLine?: string;
+  /** Line end of the head; CR LF by default. */
+  headLineEnd?: string;
   /** Headers beside those of the replica and of the framing. */
   headers?: Record<string, string>;
   /** Whether the answer neither names the request nor bears a stamp. */
   isAnonymous?: boolean;
   framing: "length" | "chunked" | "close";
+  /** Time before the first byte; 0 by default. */
+  delayMs?: number | undefined;
+  /** Bytes of the head that are sent, and no body; the whole answer by default. */
+  sentHeadBytes?: number;
   body: string;
   /** Bytes of the body that are sent; all of them by default. */
   sentBytes?: number;
@@ -47,6 +53,15 @@
   identity: Record<string, string>,
   crash: () => void,
 ): void {
+  if (answer.delayMs !== undefined) {
+    const delayed = { ...answer, delayMs: undefined };
+    const timer = setTimeout(
+      () => sendScriptedAnswer(socket, delayed, identity, crash),
+      answer.delayMs,
+    );
+    socket.once("close", () => clearTimeout(timer));
+    return;
+  }
   const body = Buffer.from(answer.body);
   const sentBytes = answer.sentBytes ?? body.length;
   const pieceBytes = answer.pieceBytes ?? Math.max(1, body.length);
@@ -79,6 +94,11 @@
         break;
     }
   };
+  if (answer.sentHeadBytes !== undefined) {
+    // The head is ASCII, so that a character is a byte.
+    socket.write(head.slice(0, answer.sentHeadBytes), finish);
+    return;
+  }
   if (answer.pieceBytes === undefined) {
     socket.write(Buffer.concat(pieces), finish);
     return;
@@ -95,7 +115,8 @@
   socket.once("close", () => clearInterval(timer));
 }
 
-function formatHead(
+/** Returns the head of the answer, with the empty line that ends it. */
+export function formatHead(
   answer: ScriptedAnswer,
   identity: Record<string, string>,
 ): string {
@@ -106,7 +127,8 @@
   };
   const lines = Object.entries(headers)
     .map(([name, value]) => `${name}: ${value}\r\n`).join("");
-  return `${answer.statusLine ?? "HTTP/1.1 200 OK"}\r\n${lines}\r\n`;
+  const head = `${answer.statusLine ?? "HTTP/1.1 200 OK"}\r\n${lines}\r\n`;
+  return head.replaceAll("\r\n", answer.headLineEnd ?? "\r\n");
 }
 
 function formatFraming(answer: ScriptedAnswer): Record<string, string> {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -75,6 +75,11 @@
  * tenth of the 250 MB that the smallest hosts have.
  */
 const ANSWER_BUDGET_BYTES = 24 * 1024 * 1024;
+/**
+ * Share of the time reserved for the exit in which callers read the last
+ * responses.
+ */
+const CLOSE_SHARE = 0.5;
 /** Interval at which a stopping gateway checks whether it is idle. */
 const DRAIN_POLL_INTERVAL_MS = 50;
 
@@ -113,6 +118,7 @@
   #isReady = false;
   #isHeartbeatScheduled = false;
   #isStopping = false;
+  #stopped: Promise<void> | undefined;
 
   constructor(settings: GatewaySettings, platform: GatewayPlatform) {
     const { host, failureDomain, peers } = settings;
@@ -216,24 +222,41 @@
 
   /**
    * Stops gracefully: hands the engines over, finishes the requests already
-   * read, and resolves when the process may exit.
+   * read, and resolves when the process may exit. Further calls wait for the
+   * same stop.
    */
-  async stop(): Promise<void> {
-    if (this.#isStopping) return;
+  stop(): Promise<void> {
+    this.#stopped ??= this.#stopOnce();
+    return this.#stopped;
+  }
+
+  async #stopOnce(): Promise<void> {
     this.#isStopping = true;
-    const startedAt = performance.now();
+    const beganAt = performance.now();
     const { graceMs, exitReserveMs } = this.#settings.stop;
+    const endsAt = beganAt + Math.max(0, graceMs - exitReserveMs);
     this.#log.info("stopping", { inFlight: this.#callers.inFlight, graceMs });
-    this.#callers.beginStop(startedAt, startedAt + graceMs - exitReserveMs);
+    this.#callers.beginStop({ beganAt, endsAt });
     this.#sendHeartbeats();
     await this.#engines.stop();
-    await waitMs(Math.min(READINESS_PROPAGATION_MS, graceMs / 2));
-    const endsAt = startedAt + graceMs - exitReserveMs;
-    while (performance.now() < endsAt) {
-      this.#callers.closeIdleConnections();
-      if (this.#callers.inFlight === 0) break;
-      await waitMs(DRAIN_POLL_INTERVAL_MS);
+    await waitMs(
+      Math.min(
+        READINESS_PROPAGATION_MS,
+        graceMs / 2,
+        endsAt - performance.now(),
+      ),
+    );
+    for (
+      let now = performance.now();
+      now < endsAt && this.#callers.inFlight > 0;
+      now = performance.now()
+    ) {
+      this.#callers.closeIdleConnections(now);
+      await waitMs(Math.min(DRAIN_POLL_INTERVAL_MS, endsAt - now));
     }
+    await this.#callers.finish(
+      performance.now() + CLOSE_SHARE * exitReserveMs,
+    );
     this.#log.info("stopped", { inFlight: this.#callers.inFlight });
     clearTimeout(this.#timer);
     this.#timer = undefined;
--- a/test/gateway/gateway_harness.ts
+++ b/test/gateway/gateway_harness.ts
@@ -30,6 +30,9 @@
  */
 export const TERM_MS = 600;
 
+/** Time from the stop of a gateway until its process would be killed. */
+export const GRACE_MS = 5_000;
+
 /**
  * Time within which a change in the store is known everywhere: changes are
  * collected for 0.4 s, and peers compare their revisions each 0.2 s.
@@ -42,6 +45,8 @@
   body: string;
   /** Whether the body is complete according to its framing. */
   isComplete: boolean;
+  /** When its end was seen, on the clock of `performance.now()`. */
+  endedAt: number;
 }
 
 export interface CallOptions {
@@ -59,6 +64,7 @@
   extends
     Pick<RawCall, "httpVersion">,
     Partial<Pick<RawCall, "headers" | "onBody" | "pauseMs">> {
+  gateway?: number;
   id?: string;
 }
 
@@ -120,9 +126,10 @@
     return this.#port;
   }
 
-  createGateway(index: number): Gateway {
+  /** Returns the content of a gateway's settings file. */
+  describeSettings(index: number): object {
     const ip = `127.0.0.${index + 1}`;
-    const settings = gatewaySettingsSchema.parse({
+    return {
       host: `host-${index}`,
       failureDomain: "zone-a",
       callers: { listen: `${ip}:${this.#port}` },
@@ -136,9 +143,13 @@
       store: { address: this.store.address },
       orders: { termMs: TERM_MS },
       repeats: { ratio: 0.2, windowMs: 10_000, slack: this.retrySlack },
-      stop: { graceMs: 5_000 },
+      stop: { graceMs: GRACE_MS },
       logLevel: "silent",
-    });
+    };
+  }
+
+  createGateway(index: number): Gateway {
+    const settings = gatewaySettingsSchema.parse(this.describeSettings(index));
     return new Gateway(settings, {
       headerCodec: new PlatformHeaderCodec(),
       decoder: new EntryDecoder(),
@@ -197,10 +208,10 @@
     };
   }
 
-  /** Sends a request to the first gateway as a caller on a plain socket does. */
+  /** Sends a request as a caller on a plain socket does. */
   callRaw(path: string, options: RawCallOptions): Promise<RawAnswer> {
     return callRaw({
-      host: "127.0.0.1",
+      host: `127.0.0.${(options.gateway ?? 0) + 1}`,
       port: this.#port,
       path,
       ...options,
@@ -223,13 +234,17 @@
         const chunks: Buffer[] = [];
         response.on("data", (chunk: Buffer) => chunks.push(chunk));
         response.on("error", () => {});
-        response.on("close", () =>
+        response.on("close", () => {
+          // Before the body is built: a long one takes a while.
+          const endedAt = performance.now();
           resolve({
             status: response.statusCode ?? 0,
             headers: response.headers,
             body: Buffer.concat(chunks).toString(),
             isComplete: response.complete,
-          }));
+            endedAt,
+          });
+        });
       });
       call.on("error", reject);
       if (options.disconnectAfterMs !== undefined) {
