--- a/test/daemon/upstream_task_fixture.ts
+++ b/test/daemon/upstream_task_fixture.ts
@@ -1,43 +1,53 @@
-/** An upstream task with one exchange, whose response is not looked at. */
+/** An upstream task with one exchange, whose response is not looked at by default. */
 import { Buffer } from "node:buffer";
 import { performance } from "node:perf_hooks";
 import type { DispatchEffect } from "../../src/core/effects.ts";
 import type { RouteStructure } from "../../src/core/structures.ts";
 import { type Bus, createBus } from "../../src/daemon/bus.ts";
-import { ExchangeRegistry } from "../../src/daemon/exchange.ts";
+import {
+  ExchangeRegistry,
+  type ResponseSink,
+} from "../../src/daemon/exchange.ts";
 import { createLogger } from "../../src/daemon/logger.ts";
 import { UpstreamTask } from "../../src/daemon/upstream_task.ts";
 
 const REQUEST_ID = "request-1";
 const TIMEOUT_MS = 10_000;
 
+/** A sink that drops what it is given. */
+const NULL_SINK: ResponseSink = {
+  begin: () => {},
+  write: () => true,
+  waitUntilDrained: () => Promise.resolve(),
+};
+
 export function createUpstreamTask(path: string): {
   bus: Bus;
   task: UpstreamTask;
+  /** Adds another exchange, whose response goes to the sink. */
+  addExchange: (requestId: string, sink: ResponseSink) => void;
 } {
   const bus = createBus();
   const exchanges = new ExchangeRegistry();
-  exchanges.add({
-    requestId: REQUEST_ID,
-    path,
-    rawBody: Buffer.from("{}"),
-    jsonBody: {},
-    contentType: "application/json",
-    isStreamed: false,
-    ticket: undefined,
-    sink: {
-      begin: () => {},
-      write: () => true,
-      waitUntilDrained: () => Promise.resolve(),
-    },
-  });
+  const addExchange = (requestId: string, sink: ResponseSink): void =>
+    exchanges.add({
+      requestId,
+      path,
+      rawBody: Buffer.from("{}"),
+      jsonBody: {},
+      contentType: "application/json",
+      isStreamed: false,
+      ticket: undefined,
+      sink,
+    });
+  addExchange(REQUEST_ID, NULL_SINK);
   const task = new UpstreamTask({
     bus,
     logger: createLogger("test", "silent"),
     exchanges,
     maxAnswerBytes: 1_000,
   });
-  return { bus, task };
+  return { bus, task, addExchange };
 }
 
 export function createDispatch(
