Daemon: what is left at the end of a planned stop is answered, not cut

Report of other operators: in a planned stop requests were cut at the end of the grace with no answer, among them at-most-once ones (LOST). In the daemon late requests are refused at once, but what was in progress at stopTimeoutMs met a closed connection: running and waiting requests alike, and an at-most-once run's ticket stayed in progress at its issuer for 20 minutes.

Cause: the time-out of the stop was known to daemon.ts only, which closed the sockets. The core, which knows whether a request has started, was not told. It now gets stopTimedOut: each request left is refused as stopping, mayHaveRun or notRun, its attempt cancelled and its ticket settled, a heartbeat before the port closes. Streams end with the error event and without the last chunk.

--- a/src/core/daemon_core.ts
+++ b/src/core/daemon_core.ts
@@ -292,6 +292,9 @@
       case "stopRequested":
         this.#stop(now);
         break;
+      case "stopTimedOut":
+        this.#executor.refuseAll(RefusalReason.Stopping, now);
+        break;
     }
   }
 
--- a/src/core/events.ts
+++ b/src/core/events.ts
@@ -78,4 +78,6 @@
   | { kind: "platformReached" }
   | { kind: "platformUnreachable" }
   | { kind: "tick" }
-  | { kind: "stopRequested" };
+  | { kind: "stopRequested" }
+  /** The time for requests in progress at a planned stop has passed. */
+  | { kind: "stopTimedOut" };
--- a/src/core/execution/request_executor.ts
+++ b/src/core/execution/request_executor.ts
@@ -213,6 +213,21 @@
     const request = this.#context.requests.get(requestId);
     if (!request) return;
     if (!request.route.idempotent && request.state === "running") return;
+    this.#cancelAndRefuse(request, RefusalReason.CallerGone, now);
+  }
+
+  /** Ends all requests in progress; attempts that are running are cancelled. */
+  refuseAll(reason: RefusalReason, now: Milliseconds): void {
+    for (const request of this.#context.requests.values()) {
+      this.#cancelAndRefuse(request, reason, now);
+    }
+  }
+
+  #cancelAndRefuse(
+    request: LiveRequest,
+    reason: RefusalReason,
+    now: Milliseconds,
+  ): void {
     if (request.attempt) {
       this.#context.options.emit({
         kind: "cancelAttempt",
@@ -222,8 +237,9 @@
     const hasRun = request.state === "running" ||
       request.state === "checkingForCrash" ||
       request.state === "claimingTicket";
-    this.#finisher.refuse(request, RefusalReason.CallerGone, {
+    this.#finisher.refuse(request, reason, {
       outcome: hasRun ? Outcome.MayHaveRun : Outcome.NotRun,
+      retryAfterMs: DEFAULT_RETRY_AFTER_MS,
     }, now);
   }
 
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -119,7 +119,8 @@
 
   /**
    * Waits until requests in progress have finished and owned upstreams are handed
-   * over, at most for `stopTimeoutMs`; then stops the tasks.
+   * over, at most for `stopTimeoutMs`; then refuses the requests that are left and
+   * stops the tasks.
    */
   async stop(): Promise<void> {
     this.#logger.info("Daemon stops", { step: "stop" });
@@ -133,6 +134,7 @@
       this.#logger.error("Requests were still running at the stop timeout", {
         step: "stop",
       });
+      await this.#bus.emit("event", { kind: "stopTimedOut" });
     }
     clearInterval(this.#gaugeTimer);
     await waitMs(this.#settings.core.heartbeatIntervalMs);
--- a/test/daemon/daemon_test.ts
+++ b/test/daemon/daemon_test.ts
@@ -3,9 +3,16 @@
 import { once } from "node:events";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import { ContractBench } from "../contracts/contract_bench.ts";
+import { type CallerAnswer, NO_ANSWER_STATUS } from "../../scripts/caller.ts";
+import { Outcome, RefusalReason } from "../../src/core/outcomes.ts";
+import {
+  type BenchOptions,
+  ContractBench,
+} from "../contracts/contract_bench.ts";
 
 const STOP_TIMEOUT_MS = 200;
+/** Runs at a time of the bench's engine. */
+const BATCH_SIZE = 4;
 /** Time that a stop may take beyond its timeout, for last messages to peers and for closing sockets. */
 const STOP_ALLOWANCE_MS = 3_000;
 
@@ -112,24 +119,116 @@
   server.close();
 });
 
-test("a stop waits for a run that does not end no longer than its timeout", async () => {
-  const bench = new ContractBench({
+/** Stops the bench and checks how long that takes. */
+async function stopAtTimeout(bench: ContractBench): Promise<void> {
+  const startedAt = performance.now();
+  await bench.stop();
+  const stoppedAfterMs = performance.now() - startedAt;
+  assert.ok(stoppedAfterMs >= STOP_TIMEOUT_MS);
+  assert.ok(stoppedAfterMs < STOP_TIMEOUT_MS + STOP_ALLOWANCE_MS);
+}
+
+/** Returns the answer; one without a status if the connection was closed before its head. */
+function readAnswer(call: Promise<CallerAnswer>): Promise<CallerAnswer> {
+  return call.catch(() => ({
+    status: NO_ANSWER_STATUS,
+    headers: new Headers(),
+    text: "",
+    isWhole: false,
+    refusal: undefined,
+  }));
+}
+
+function createStopBench(engine: BenchOptions["engine"] = {}): ContractBench {
+  return new ContractBench({
+    engine,
     route: { maxRunMs: 60_000 },
     settings: { stopTimeoutMs: STOP_TIMEOUT_MS },
   });
+}
+
+test("a run that outlasts the stop's timeout is answered as one that may have run, not cut", async () => {
+  const bench = createStopBench();
   await bench.start();
   bench.engines[0]?.faults.nextRuns.push({ kind: "stall" });
-  const call = bench.call().catch(() => "aborted");
+  const call = readAnswer(bench.call());
   await bench.waitUntil(
     "the run starts",
     () => bench.engines[0]?.history.length === 1,
   );
-  const startedAt = performance.now();
-  await bench.stop();
-  const stoppedAfterMs = performance.now() - startedAt;
-  assert.is(await call, "aborted");
-  assert.ok(stoppedAfterMs >= STOP_TIMEOUT_MS);
-  assert.ok(stoppedAfterMs < STOP_TIMEOUT_MS + STOP_ALLOWANCE_MS);
+  await stopAtTimeout(bench);
+  const { status, isWhole, refusal } = await call;
+  assert.is(status, 503);
+  assert.ok(isWhole);
+  assert.equal(
+    [refusal?.reason, refusal?.outcome],
+    [RefusalReason.Stopping, Outcome.MayHaveRun],
+  );
+});
+
+test("a stream that outlasts the stop's timeout ends as broken with an error event", async () => {
+  const bench = createStopBench({ tokens: 1_000, tokenIntervalMs: 20 });
+  await bench.start();
+  const call = readAnswer(bench.call({ stream: true }));
+  await bench.waitUntil(
+    "the run starts",
+    () => bench.engines[0]?.history.length === 1,
+  );
+  await stopAtTimeout(bench);
+  const { status, isWhole, refusal, text } = await call;
+  assert.is(status, 200);
+  assert.not.ok(isWhole);
+  assert.not.match(text, "[DONE]");
+  assert.equal(
+    [refusal?.reason, refusal?.outcome],
+    [RefusalReason.Stopping, Outcome.MayHaveRun],
+  );
+});
+
+test("an at-most-once run that outlasts the stop's timeout is answered as one that may have run", async () => {
+  const bench = createStopBench();
+  await bench.start();
+  bench.service.faults.runTimeMs = 5_000;
+  const call = readAnswer(
+    bench.callWithTicket({ path: "/v1/services/unlock", body: {} }),
+  );
+  await bench.waitUntil("the run starts", () => bench.service.ran.length === 1);
+  await stopAtTimeout(bench);
+  const { status, refusal } = await call;
+  assert.is(status, 503);
+  assert.equal(
+    [refusal?.reason, refusal?.outcome],
+    [RefusalReason.Stopping, Outcome.MayHaveRun],
+  );
+});
+
+test("a request that still waits at the stop's timeout is answered as one that did not run", async () => {
+  const bench = createStopBench();
+  await bench.start();
+  const [engine] = bench.engines;
+  const runs = Array.from({ length: BATCH_SIZE }, () => {
+    engine?.faults.nextRuns.push({ kind: "stall" });
+    return readAnswer(bench.call());
+  });
+  await bench.waitUntil(
+    "the batch is full",
+    () => engine?.history.length === BATCH_SIZE,
+  );
+  const waiting = readAnswer(bench.call());
+  await bench.waitUntil("the next request waits", async () => {
+    return (await bench.getStatus()).execution.requests === BATCH_SIZE + 1;
+  });
+  await stopAtTimeout(bench);
+  const { status, refusal } = await waiting;
+  assert.is(status, 503);
+  assert.equal(
+    [refusal?.reason, refusal?.outcome],
+    [RefusalReason.Stopping, Outcome.NotRun],
+  );
+  assert.is(engine?.history.length, BATCH_SIZE);
+  for (const { refusal } of await Promise.all(runs)) {
+    assert.is(refusal?.outcome, Outcome.MayHaveRun);
+  }
 });
 
 test.run();
