Daemon: during a planned stop an at-most-once run starts only if it can end in time

The daemon takes no new request during a stop, but one that waited for a lease, or was to be sent elsewhere after a refusal, was dispatched until the last moment; its caller then could only be told that it may have run.

The core did not know when the stop ends. stopRequested now carries the time, and core/execution/stop_limit.ts decides: an at-most-once request whose longest run (maxRunMs) would end later is refused as stopping, certainly not run, at once and at each tick, and its ticket is free again. Idempotent requests still start: they are answered at the end and can be sent again.

--- a/src/core/daemon_core.ts
+++ b/src/core/daemon_core.ts
@@ -290,7 +290,7 @@
         this.#tick(now);
         break;
       case "stopRequested":
-        this.#stop(now);
+        this.#stop(event.endsAt, now);
         break;
       case "stopTimedOut":
         this.#executor.refuseAll(RefusalReason.Stopping, now);
@@ -413,9 +413,10 @@
     if (this.#controlPlane.hasConverged(now)) this.#ownership.update(now);
   }
 
-  #stop(now: Milliseconds): void {
+  #stop(endsAt: Milliseconds, now: Milliseconds): void {
     if (daemonChart.getNext(this.#state, "stopRequested") === undefined) return;
     this.#changeState("stopRequested");
+    this.#executor.beginStop(endsAt, now);
     this.#controlPlane.publishLeaving(now);
     this.#ownership.handOverAll(now);
     this.#controlPlane.flush(now);
--- a/src/core/events.ts
+++ b/src/core/events.ts
@@ -10,6 +10,7 @@
 import type { AttemptResult } from "./outcomes.ts";
 import type {
   HostListStructure,
+  Milliseconds,
   TablesStructure,
   UpstreamStateStructure,
 } from "./structures.ts";
@@ -78,6 +79,7 @@
   | { kind: "platformReached" }
   | { kind: "platformUnreachable" }
   | { kind: "tick" }
-  | { kind: "stopRequested" }
+  /** `endsAt` is the time at which the requests that are left are refused. */
+  | { kind: "stopRequested"; endsAt: Milliseconds }
   /** The time for requests in progress at a planned stop has passed. */
   | { kind: "stopTimedOut" };
--- a/src/core/execution/attempt_runner.ts
+++ b/src/core/execution/attempt_runner.ts
@@ -20,6 +20,7 @@
 import type { LiveRequest } from "./live_request.ts";
 import type { RequestAssigner } from "./request_assigner.ts";
 import type { RequestFinisher } from "./request_finisher.ts";
+import { canStartBeforeStop } from "./stop_limit.ts";
 
 /** Status with which an engine responds if the adapter isn't loaded. */
 const NOT_RESIDENT_STATUS = 404;
@@ -98,8 +99,9 @@
 
   /**
    * Starts an attempt with a credit. Frees the credit instead if the upstream
-   * has left the host list, or if the request was quarantined or became a
-   * suspect while it waited for the lease: a suspect needs an exclusive lease.
+   * has left the host list, if a planned stop leaves too little time, or if the
+   * request was quarantined or became a suspect while it waited for the lease: a
+   * suspect needs an exclusive lease.
    */
   dispatch(
     request: LiveRequest,
@@ -115,6 +117,11 @@
       request.unassign();
       return;
     }
+    if (!canStartBeforeStop(route, this.#context.stopEndsAt, now)) {
+      this.#leases.freeCredit(groupKey, credit.leaseId, now);
+      this.#finisher.refuseStopping(request, now);
+      return;
+    }
     const { quarantine } = this.#context.options;
     if (quarantine.isQuarantined(request.event, now)) {
       this.#leases.freeCredit(groupKey, credit.leaseId, now);
--- a/src/core/execution/execution_context.ts
+++ b/src/core/execution/execution_context.ts
@@ -46,6 +46,8 @@
   readonly options: RequestExecutorOptions;
   /** Requests without a final response, by identifier. */
   readonly requests = new Map<string, LiveRequest>();
+  /** End of a planned stop, when the requests that are left are refused. */
+  stopEndsAt: Milliseconds = Number.POSITIVE_INFINITY;
   readonly #ids: IdGenerator;
 
   constructor(options: RequestExecutorOptions) {
--- a/src/core/execution/request_executor.ts
+++ b/src/core/execution/request_executor.ts
@@ -28,6 +28,7 @@
 import { LiveRequest } from "./live_request.ts";
 import { RequestAssigner } from "./request_assigner.ts";
 import { RequestFinisher } from "./request_finisher.ts";
+import { canStartBeforeStop } from "./stop_limit.ts";
 import { UpstreamExclusions } from "./upstream_exclusions.ts";
 import { TicketAdmission } from "./ticket_admission.ts";
 
@@ -216,6 +217,17 @@
     this.#cancelAndRefuse(request, RefusalReason.CallerGone, now);
   }
 
+  /**
+   * Refuses the waiting requests whose run can outlast the stop, now and until
+   * it ends.
+   */
+  beginStop(endsAt: Milliseconds, now: Milliseconds): void {
+    this.#context.stopEndsAt = endsAt;
+    for (const request of this.#context.requests.values()) {
+      this.#refuseIfTooLate(request, now);
+    }
+  }
+
   /** Ends all requests in progress; attempts that are running are cancelled. */
   refuseAll(reason: RefusalReason, now: Milliseconds): void {
     for (const request of this.#context.requests.values()) {
@@ -243,7 +255,18 @@
     }, now);
   }
 
+  #refuseIfTooLate(request: LiveRequest, now: Milliseconds): void {
+    const isWaiting = request.state === "unassigned" ||
+      request.state === "leasing";
+    const { stopEndsAt } = this.#context;
+    if (!isWaiting || canStartBeforeStop(request.route, stopEndsAt, now)) {
+      return;
+    }
+    this.#finisher.refuseStopping(request, now);
+  }
+
   #tickRequest(request: LiveRequest, now: Milliseconds): void {
+    this.#refuseIfTooLate(request, now);
     switch (request.state) {
       case "claimingTicket":
         this.#tickets.tickClaim(request, now);
--- a/src/core/execution/request_finisher.ts
+++ b/src/core/execution/request_finisher.ts
@@ -2,9 +2,13 @@
  * Ends requests: emits the single final response and releases what the request
  * held.
  */
-import { Outcome, type RefusalReason } from "../outcomes.ts";
+import { Outcome, RefusalReason } from "../outcomes.ts";
 import type { Milliseconds } from "../structures.ts";
-import type { ExecutionContext, Refusal } from "./execution_context.ts";
+import {
+  DEFAULT_RETRY_AFTER_MS,
+  type ExecutionContext,
+  type Refusal,
+} from "./execution_context.ts";
 import type { LeaseClient } from "./lease_client.ts";
 import type { LiveRequest } from "./live_request.ts";
 import type { TicketAdmission } from "./ticket_admission.ts";
@@ -31,6 +35,14 @@
     this.#context.options.emit({ kind: "complete", requestId: request.id });
   }
 
+  /** Ends a request that can't start before the end of a planned stop. */
+  refuseStopping(request: LiveRequest, now: Milliseconds): void {
+    this.refuse(request, RefusalReason.Stopping, {
+      outcome: Outcome.NotRun,
+      retryAfterMs: DEFAULT_RETRY_AFTER_MS,
+    }, now);
+  }
+
   /**
    * Ends a request that did not complete. If an earlier attempt may have run,
    * the outcome is "may have run", even if the last attempt certainly did not.
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -125,10 +125,14 @@
   async stop(): Promise<void> {
     this.#logger.info("Daemon stops", { step: "stop" });
     const drained = this.#bus.once("stopCompleted");
-    await this.#bus.emit("event", { kind: "stopRequested" });
+    const { stopTimeoutMs } = this.#settings;
+    await this.#bus.emit("event", {
+      kind: "stopRequested",
+      endsAt: performance.now() + stopTimeoutMs,
+    });
     const isDrained = await Promise.race([
       drained.then(() => true),
-      waitMs(this.#settings.stopTimeoutMs).then(() => false),
+      waitMs(stopTimeoutMs).then(() => false),
     ]);
     if (!isDrained) {
       this.#logger.error("Requests were still running at the stop timeout", {
--- a/test/core/execution/outcome_test.ts
+++ b/test/core/execution/outcome_test.ts
@@ -39,7 +39,7 @@
   const daemon = new SingleDaemon(["engine-1"]);
   const ticket = daemon.getRefusal(daemon.request("order"))?.ticket ?? "";
   assert.is.not(ticket, "");
-  daemon.handle({ kind: "stopRequested" });
+  daemon.handle({ kind: "stopRequested", endsAt: Number.POSITIVE_INFINITY });
   const refused = daemon.getRefusal(daemon.request("order", { ticket }));
   assert.is(refused?.outcome, "mayHaveRun");
   const fresh = daemon.getRefusal(daemon.request("order"));
--- a/test/core/residency/owned_upstreams_test.ts
+++ b/test/core/residency/owned_upstreams_test.ts
@@ -134,7 +134,12 @@
     fingerprint: "f1",
     sharedParts: [],
   }, daemon.now));
-  daemon.apply(daemon.core.handle({ kind: "stopRequested" }, daemon.now));
+  daemon.apply(
+    daemon.core.handle({
+      kind: "stopRequested",
+      endsAt: Number.POSITIVE_INFINITY,
+    }, daemon.now),
+  );
   daemon.advance(DEFAULT_CORE_SETTINGS.loadTimeMs * 4);
   const kinds = daemon.effects.map((effect) => effect.kind);
   assert.ok(kinds.includes("dispatch"));
--- a/test/fuzz/daemon_process.ts
+++ b/test/fuzz/daemon_process.ts
@@ -102,7 +102,14 @@
   requestStop(): void {
     if (!this.isAlive || this.isStopping) return;
     this.isStopping = true;
-    this.runLocal(0, () => this.handle({ kind: "stopRequested" }));
+    this.runLocal(
+      0,
+      () =>
+        this.handle({
+          kind: "stopRequested",
+          endsAt: Number.POSITIVE_INFINITY,
+        }),
+    );
   }
 
   /**
