--- a/src/core/execution/request_executor.ts
+++ b/src/core/execution/request_executor.ts
@@ -28,6 +28,7 @@
 import { LiveRequest } from "./live_request.ts";
 import { RequestAssigner } from "./request_assigner.ts";
 import { RequestFinisher } from "./request_finisher.ts";
+import { canStartBeforeStop } from "./stop_limit.ts";
 import { UpstreamExclusions } from "./upstream_exclusions.ts";
 import { TicketAdmission } from "./ticket_admission.ts";
 
@@ -213,6 +214,32 @@
     const request = this.#context.requests.get(requestId);
     if (!request) return;
     if (!request.route.idempotent && request.state === "running") return;
+    this.#cancelAndRefuse(request, RefusalReason.CallerGone, now);
+  }
+
+  /**
+   * Refuses the waiting requests whose run can outlast the stop, now and until
+   * it ends.
+   */
+  beginStop(endsAt: Milliseconds, now: Milliseconds): void {
+    this.#context.stopEndsAt = endsAt;
+    for (const request of this.#context.requests.values()) {
+      this.#refuseIfTooLate(request, now);
+    }
+  }
+
+  /** Ends all requests in progress; attempts that are running are cancelled. */
+  refuseAll(reason: RefusalReason, now: Milliseconds): void {
+    for (const request of this.#context.requests.values()) {
+      this.#cancelAndRefuse(request, reason, now);
+    }
+  }
+
+  #cancelAndRefuse(
+    request: LiveRequest,
+    reason: RefusalReason,
+    now: Milliseconds,
+  ): void {
     if (request.attempt) {
       this.#context.options.emit({
         kind: "cancelAttempt",
@@ -222,12 +249,24 @@
     const hasRun = request.state === "running" ||
       request.state === "checkingForCrash" ||
       request.state === "claimingTicket";
-    this.#finisher.refuse(request, RefusalReason.CallerGone, {
+    this.#finisher.refuse(request, reason, {
       outcome: hasRun ? Outcome.MayHaveRun : Outcome.NotRun,
+      retryAfterMs: DEFAULT_RETRY_AFTER_MS,
     }, now);
   }
 
+  #refuseIfTooLate(request: LiveRequest, now: Milliseconds): void {
+    const isWaiting = request.state === "unassigned" ||
+      request.state === "leasing";
+    const { stopEndsAt } = this.#context;
+    if (!isWaiting || canStartBeforeStop(request.route, stopEndsAt, now)) {
+      return;
+    }
+    this.#finisher.refuseStopping(request, now);
+  }
+
   #tickRequest(request: LiveRequest, now: Milliseconds): void {
+    this.#refuseIfTooLate(request, now);
     switch (request.state) {
       case "claimingTicket":
         this.#tickets.tickClaim(request, now);
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -119,20 +119,26 @@
 
   /**
    * Waits until requests in progress have finished and owned upstreams are handed
-   * over, at most for `stopTimeoutMs`; then stops the tasks.
+   * over, at most for `stopTimeoutMs`; then refuses the requests that are left and
+   * stops the tasks.
    */
   async stop(): Promise<void> {
     this.#logger.info("Daemon stops", { step: "stop" });
     const drained = this.#bus.once("stopCompleted");
-    await this.#bus.emit("event", { kind: "stopRequested" });
+    const { stopTimeoutMs } = this.#settings;
+    await this.#bus.emit("event", {
+      kind: "stopRequested",
+      endsAt: performance.now() + stopTimeoutMs,
+    });
     const isDrained = await Promise.race([
       drained.then(() => true),
-      waitMs(this.#settings.stopTimeoutMs).then(() => false),
+      waitMs(stopTimeoutMs).then(() => false),
     ]);
     if (!isDrained) {
       this.#logger.error("Requests were still running at the stop timeout", {
         step: "stop",
       });
+      await this.#bus.emit("event", { kind: "stopTimedOut" });
     }
     clearInterval(this.#gaugeTimer);
     await waitMs(this.#settings.core.heartbeatIntervalMs);
