Gateway: a transfer coding other than chunked does not frame a body

Callers got a 200 with a part of a plain service's answer as whole when its replica crashed within it and had named a transfer coding that is not chunked, such as identity. The end was then not checked against the replica's process.

The rule is in classifyFraming now, where both programs get it; body_framing_test covers each coding beside a length as well.

Test that failed before: unframed_end_test, two codings, 200 in place of 502. Its wait between tests now includes the services that a test has crashed.

--- a/src/core/execution/body_framing.ts
+++ b/src/core/execution/body_framing.ts
@@ -20,8 +20,8 @@
   method: string;
   status: number;
   hasContentLength: boolean;
-  /** Whether chunked is the transfer coding. */
-  isChunked: boolean;
+  /** Transfer codings, separated by commas; undefined if there are none. */
+  transferEncoding: string | undefined;
 }
 
 const STATUS_NO_CONTENT = 204;
@@ -32,7 +32,12 @@
   const hasNoBody = method === "HEAD" || status === STATUS_NO_CONTENT ||
     status === STATUS_NOT_MODIFIED;
   if (hasNoBody) return BodyFraming.None;
-  if (headers.isChunked) return BodyFraming.Chunked;
+  // A transfer coding overrides a length.
+  if (headers.transferEncoding !== undefined) {
+    return isChunkedCoding(headers.transferEncoding)
+      ? BodyFraming.Chunked
+      : BodyFraming.Close;
+  }
   return headers.hasContentLength ? BodyFraming.Length : BodyFraming.Close;
 }
 
@@ -40,7 +45,7 @@
  * Returns whether chunked is the final transfer coding. With any other final
  * coding, the body ends with its connection.
  */
-export function isChunkedCoding(transferEncoding: string): boolean {
+function isChunkedCoding(transferEncoding: string): boolean {
   const finalCoding = transferEncoding.split(",").at(-1) ?? "";
   return finalCoding.trim().toLowerCase() === "chunked";
 }
--- a/src/daemon/attempt_end.ts
+++ b/src/daemon/attempt_end.ts
@@ -4,7 +4,6 @@
 import {
   type BodyFraming,
   classifyFraming,
-  isChunkedCoding,
 } from "../core/execution/body_framing.ts";
 import type { StoredAnswerStructure } from "../core/messages.ts";
 import { type AttemptResult, Outcome } from "../core/outcomes.ts";
@@ -67,14 +66,12 @@
 
 /** Returns how the body of a response to POST ends. */
 export function getFraming(response: Dispatcher.ResponseData): BodyFraming {
-  const transferEncoding = response.headers["transfer-encoding"];
+  const { headers, statusCode } = response;
   return classifyFraming({
     method: "POST",
-    status: response.statusCode,
-    // A transfer coding overrides a length.
-    hasContentLength: transferEncoding === undefined &&
-      response.headers["content-length"] !== undefined,
-    isChunked: isChunkedCoding(String(transferEncoding ?? "")),
+    status: statusCode,
+    hasContentLength: headers["content-length"] !== undefined,
+    transferEncoding: headers["transfer-encoding"]?.toString(),
   });
 }
 
--- a/src/gateway/attempt_runner.ts
+++ b/src/gateway/attempt_runner.ts
@@ -202,7 +202,7 @@
         method: exchange.method,
         status: response.statusCode ?? 0,
         hasContentLength: response.headers["content-length"] !== undefined,
-        isChunked: response.headers["transfer-encoding"] !== undefined,
+        transferEncoding: response.headers["transfer-encoding"],
       });
       head = headerCodec.decodeResponseHead(
         response.statusCode ?? 0,
--- a/test/core/execution/body_framing_test.ts
+++ b/test/core/execution/body_framing_test.ts
@@ -4,14 +4,13 @@
 import {
   BodyFraming,
   classifyFraming,
-  isChunkedCoding,
 } from "../../../src/core/execution/body_framing.ts";
 
 const UNFRAMED = {
   method: "POST",
   status: 200,
   hasContentLength: false,
-  isChunked: false,
+  transferEncoding: undefined,
 };
 
 test("a body without length or chunks ends with its connection", () => {
@@ -22,17 +21,30 @@
   const length = { ...UNFRAMED, hasContentLength: true };
   assert.is(classifyFraming(length), BodyFraming.Length);
   assert.is(
-    classifyFraming({ ...length, isChunked: true }),
+    classifyFraming({ ...length, transferEncoding: "chunked" }),
     BodyFraming.Chunked,
   );
 });
 
 test("only chunked as the final transfer coding marks the end of a body", () => {
-  for (const coding of ["chunked", "gzip, chunked", "gzip,Chunked "]) {
-    assert.ok(isChunkedCoding(coding), coding);
+  const length = { ...UNFRAMED, hasContentLength: true };
+  for (
+    const transferEncoding of ["chunked", "gzip, chunked", "gzip,Chunked "]
+  ) {
+    const framing = classifyFraming({ ...length, transferEncoding });
+    assert.is(framing, BodyFraming.Chunked, transferEncoding);
   }
-  for (const coding of ["", "identity", "gzip", "chunked, gzip", "xchunked"]) {
-    assert.not.ok(isChunkedCoding(coding), coding);
+  for (
+    const transferEncoding of [
+      "",
+      "identity",
+      "gzip",
+      "chunked, gzip",
+      "xchunked",
+    ]
+  ) {
+    const framing = classifyFraming({ ...length, transferEncoding });
+    assert.is(framing, BodyFraming.Close, transferEncoding);
   }
 });
 
--- a/test/gateway/unframed_end_test.ts
+++ b/test/gateway/unframed_end_test.ts
@@ -24,6 +24,7 @@
   await harness.waitFor(async () => {
     const engines = harness.engines.filter((engine) => !engine.isDown);
     if (engines.length < harness.engines.length) return false;
+    if (harness.services.some((service) => service.isDown)) return false;
     for (const engine of engines) harness.register(engine);
     const answer = await harness.call("/brief/ready");
     return answer.status === 200 &&
@@ -107,6 +108,21 @@
   });
 }
 
+for (const coding of ["identity", "chunked, gzip"]) {
+  test(`an answer in the transfer coding "${coding}" whose replica crashes within it is no success`, async () => {
+    const id = `crash-${coding.replaceAll(/\W+/g, "-")}`;
+    harness.scriptAnswers(id, [{
+      headers: { "Transfer-Encoding": coding },
+      framing: "close",
+      body: SERVICE_ANSWER.slice(0, 9),
+      end: "closeAndCrash",
+    }]);
+    const answer = await harness.call(`/unsafe/${id}`, { id });
+    assert.is(answer.status, 502);
+    assert.is(harness.countRuns(id), 1);
+  });
+}
+
 test("an answer without framing of a replica that lives on is complete", async () => {
   harness.scriptAnswers("alive", [{
     framing: "close",
