Heartbeats read just after a suspension do not disclaim an engine

Cause: a process that was suspended reads afterwards what waited in its socket, and dates it to that moment. The quorum and the claim of an unowned engine leave out what is read within 300 ms of a suspension; the others' word that they do not own an engine, which ends a rest and allows a claim without a term, counted such heartbeats as sent just now. They may be from before their sender's own load of the base model.

Failed before: "an engine is disclaimed only by heartbeats that followed a suspension".

Suspensions that both clocks count are still not noticed before 2.5 s.

--- a/src/core/fleet/fleet_view.ts
+++ b/src/core/fleet/fleet_view.ts
@@ -165,7 +165,7 @@
   readonly #members = new Map<string, KnownMember>();
   #localMembers = 0;
   #snapshot: Snapshot | undefined;
-  /** Time from which heartbeats count towards a quorum. */
+  /** Time from which heartbeats count towards a quorum and as disclaimers. */
   #heardSince = Number.NEGATIVE_INFINITY;
   readonly #fanout: HeartbeatFanout;
   readonly #groups = new Map<
@@ -304,7 +304,8 @@
 
   /**
    * Records that this process was suspended for longer than its monotonic clock
-   * shows. Heartbeats from before, which may still arrive, show no quorum.
+   * shows. Heartbeats from before, which may still arrive, show no quorum and
+   * disclaim nothing.
    */
   recordPause(now: Milliseconds): void {
     this.#heardSince = now + MAX_HEARTBEAT_DELAY_MS;
@@ -445,7 +446,8 @@
     return peers !== undefined && this.#isEachKnown(seedIps, now) &&
       peers.every((each) =>
         (mayHaveLeft && hasLeft(each, engine.id, now)) ||
-        (each.lastHeartbeatAt >= since + MAX_HEARTBEAT_DELAY_MS &&
+        (each.lastHeartbeatAt >= this.#heardSince &&
+          each.lastHeartbeatAt >= since + MAX_HEARTBEAT_DELAY_MS &&
           each.processSeenAt <= sameProcessSince &&
           hasDisclaimed(each.heartbeat, engine.id))
       );
--- a/test/core/fleet/fleet_view_test.ts
+++ b/test/core/fleet/fleet_view_test.ts
@@ -412,6 +412,27 @@
   assert.ok(fleet.isUnowned(ENGINE, requirements, 810));
 });
 
+test("an engine is disclaimed only by heartbeats that followed a suspension", () => {
+  const fleet = new FleetView(createMember("1"));
+  const hearAll = (at: number): void => {
+    for (const id of ["2", "3"]) {
+      fleet.recordHeartbeat(buildHeartbeat(createMember(id)), at);
+    }
+  };
+  const requirements = { since: 0, sameProcessSince: 500, seedIps: [] };
+  hearAll(400);
+  assert.ok(fleet.isDisclaimed(ENGINE, requirements, 410));
+  fleet.recordPause(420);
+  assert.not(fleet.isDisclaimed(ENGINE, requirements, 430));
+  hearAll(440);
+  assert.not(
+    fleet.isDisclaimed(ENGINE, requirements, 450),
+    "these may have waited in the socket for seconds",
+  );
+  hearAll(800);
+  assert.ok(fleet.isDisclaimed(ENGINE, requirements, 810));
+});
+
 test("a peer that has left without the engine disclaims it where that is enough", () => {
   const view = new FleetView(createMember("1"));
   const send = (part: Partial<Heartbeat>, now: number) =>
