An owner that takes over an unproven claim keeps to its share

What callers saw: nothing yet.

Cause: an owner to which the engine was handed over counted as the only one. The former owner may have claimed it beside another and proven nothing. The successor then evicted any idle adapter, and the other claimant the same one from its share; the engine confirms the eviction of an adapter that it no longer has, whatever count the order expects.

The successor now counts as alone only while the handed over order proves it, as the former owner did; else it proves itself by an order of its own share.

--- a/src/core/ordering/engine_owner.ts
+++ b/src/core/ordering/engine_owner.ts
@@ -491,7 +491,9 @@
     for (const [id, ageMs] of recentOwners) {
       this.#lastOrders.set(id, now - ageMs);
     }
-    this.#planner.recordOwnership(false, now);
+    // Others may have claimed the engine beside an owner that has not proven its
+    // ownership.
+    this.#planner.recordOwnership(!this.#ownership.isExclusive(now), now);
     this.#recordContents({
       models: handover.models,
       adapters: new Map(
--- a/test/core/ordering/engine_owner_test.ts
+++ b/test/core/ordering/engine_owner_test.ts
@@ -11,6 +11,7 @@
 } from "./engine_owner_builder.ts";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
+import type { AdoptedRun } from "../../../src/core/admission/admission_controller.ts";
 import { OrderEvidence } from "../../../src/core/ordering/engine_ownership.ts";
 import {
   type ContentsReport,
@@ -43,11 +44,15 @@
 });
 
 /** Creates an owner on a host whose wall clock shows the time of day. */
-function createOwner(selfId: string, wallUnixMs: number): EngineOwner {
+function createOwner(
+  selfId: string,
+  wallUnixMs: number,
+  claimants = [selfId],
+): EngineOwner {
   Date.now = () => wallUnixMs;
   return new EngineOwner({
     selfId,
-    listClaimants: () => [selfId],
+    listClaimants: () => claimants,
     engineId: "engine",
     limits: buildEngineLimits(600),
     termMs: TERM_MS,
@@ -92,6 +97,18 @@
   owner.requestPermit(buildPermitRequest(adapter, adapter, 1_000), now);
 }
 
+/** Builds a run that keeps an adapter in use. */
+function buildRun(adapterPath: string): AdoptedRun {
+  return {
+    permitId: adapterPath,
+    adapterPath,
+    lifetimeMs: 60_000,
+    promptTokens: 1,
+    outputTokens: 1,
+    promptParts: [],
+  };
+}
+
 function findOrder(effects: readonly EngineOwnerEffect[]): GiveOrder {
   const order = effects.find((effect) => effect.kind === "giveOrder");
   if (!order) throw new Error("no order was given");
@@ -174,6 +191,49 @@
   });
 });
 
+test("an owner to which a claimant hands the engine over unproven evicts no adapter that another claimant evicts", () => {
+  const claimants = ["former", "rival", "successor"];
+  for (let from = 0; from < 30; from += 1) {
+    const adapters = new Map(
+      [0, 1, 2].map((each) => [
+        `m/b${from + each}`,
+        { version: 1, isLoading: false },
+      ]),
+    );
+    const record = (owner: EngineOwner, at: number) =>
+      owner.recordReport({ ...buildReport(4, at), adapters }, at);
+    const claimedAt = TERM_MS + 310;
+    const createClaimant = (id: string) => {
+      const owner = createOwner(id, BORN, claimants);
+      record(owner, 0);
+      record(owner, claimedAt - 10);
+      owner.tick({ ...CONTEXT, isUnowned: false }, claimedAt);
+      return owner;
+    };
+    const rival = createClaimant("rival");
+    const { handover } = createClaimant("former").handOver(claimedAt + 10);
+    assert.ok(handover);
+    const findVictim = (owner: EngineOwner) => {
+      record(owner, claimedAt + 1_000);
+      requestPermit(owner, "a1", claimedAt + 1_010);
+      return owner.tick(CONTEXT, claimedAt + 1_010)
+        .find((effect) => effect.kind === "giveOrder")?.order.adapterPath;
+    };
+    const createSuccessor = (busyPaths: readonly string[]) => {
+      const owner = createOwner("successor", BORN, claimants);
+      owner.acceptHandover(handover, claimedAt + 60);
+      const runs = busyPaths.map((path) => buildRun(path));
+      owner.adoptRuns("entry", { runs, total: runs.length }, claimedAt + 70);
+      return owner;
+    };
+    const rivalVictim = findVictim(rival);
+    const ownVictim = findVictim(createSuccessor([]));
+    assert.ok(rivalVictim && ownVictim);
+    assert.is.not(ownVictim, rivalVictim);
+    assert.is(findVictim(createSuccessor([ownVictim])), undefined);
+  }
+});
+
 test("a daemon that is handed an engine back within a term of its own order does not alternate with the owner in between", () => {
   const first = createOwner("first", BORN);
   claimAfterTerm(first);
--- a/test/fuzz/tenure_fuzz_test.ts
+++ b/test/fuzz/tenure_fuzz_test.ts
@@ -28,10 +28,14 @@
   { daemons: 5, modelLoadMs: 2_900 },
 ];
 
-/** Seeds whose claimants divided the adapters by clocks that were seconds apart. */
-const DIVISION_SEEDS = [654, 751];
+/**
+ * Seeds whose claimants evicted the same adapter: two divided the adapters by
+ * clocks that were seconds apart; in the third one received the engine from a
+ * claimant that had proven nothing.
+ */
+const SAME_EVICTION_SEEDS = [654, 751, 2_323];
 
-for (const seed of DIVISION_SEEDS) {
+for (const seed of SAME_EVICTION_SEEDS) {
   test(`holders whose clocks are seconds apart do not evict the same adapter, seed ${seed}`, () => {
     const options = {
       isLarge: false,
