A restarted fleet waits a term before it claims an engine that counted one order

What callers saw: nothing yet.

Cause: after a restart of all daemons an engine is claimed without a term once all say that they have not owned it since. That rests on the former owner having been the only one. Two claimants that do not hear each other both load an empty engine's base model and rest afterwards; a restart erases the rest of both.

An engine whose count is 1 may have confirmed its only order to two hosts; such an engine is claimed after a term. A higher count includes an order that proved its sender's ownership, a rest and so a term after the others' last order.

Given up: 2.6 s after a restart of the whole fleet at engines that have been loaded and have no adapter yet.

--- a/src/core/ordering/engine_ownership.ts
+++ b/src/core/ordering/engine_ownership.ts
@@ -372,7 +372,7 @@
    * quorum need not wait if no other owned it before. Nor does a daemon need to
    * wait if, between two equal reports, all others told it that they never owned
    * the engine, as after a restart of the whole fleet: the previous owner no
-   * longer exists.
+   * longer exists, and there was only one.
    */
   isClaimable(conditions: ClaimConditions, now: Milliseconds): boolean {
     return this.#canClaim(conditions, now) && this.#isConfirmed(now);
@@ -387,7 +387,17 @@
     const hasHadNoOwner = this.#state.sequence === 0 && conditions.hasQuorum &&
       conditions.isDisclaimed;
     return hasHadNoOwner || this.#hasTermElapsed(now) ||
-      (conditions.isUnowned && this.#isConfirmedUnowned());
+      (conditions.isUnowned && this.#isConfirmedUnowned() &&
+        !this.#mayHaveHadTwoOwners());
+  }
+
+  /**
+   * Returns whether two owners may have ordered the engine just before all
+   * daemons restarted, so that one of their hosts would alternate with the other
+   * by ordering it again: its only counted order may be an inconclusive one.
+   */
+  #mayHaveHadTwoOwners(): boolean {
+    return this.#state.kind === "observing" && this.#state.sequence === 1;
   }
 
   /**
@@ -430,7 +440,7 @@
   ): Milliseconds {
     const wholeTermMs = this.#getTurnMs();
     if (this.#state.kind !== "observing") return wholeTermMs;
-    const observationMs = conditions.isUnowned
+    const observationMs = conditions.isUnowned && !this.#mayHaveHadTwoOwners()
       ? UNOWNED_OBSERVATION_MS
       : wholeTermMs;
     return Math.max(0, this.#state.observedAt + observationMs - now);
--- a/test/core/ordering/engine_ownership_test.ts
+++ b/test/core/ordering/engine_ownership_test.ts
@@ -101,6 +101,17 @@
   assert.not(late.claim(UNOWNED, 710), "another daemon has ordered");
 });
 
+test("an engine that may have confirmed one load to two hosts is not claimed before a term has passed, though no alive daemon has owned it", () => {
+  const ownership = createOwnership();
+  recordReport(ownership, 1, 0);
+  recordReport(ownership, 1, 700);
+  assert.not(ownership.claim(UNOWNED, 710), "one of them may be this host");
+  assert.ok(ownership.estimateClaimMs(UNOWNED, 710) > TERM_MS - 710);
+  const claimableAt = TERM_MS + 300;
+  recordReport(ownership, 1, claimableAt);
+  assert.ok(ownership.claim(UNOWNED, claimableAt + 10));
+});
+
 test("an engine without orders is claimed at once by a daemon with a quorum if all others have said that they do not own it", () => {
   const ownership = createOwnership();
   recordReport(ownership, 0, 0);
--- a/test/fuzz/tenure_fuzz_test.ts
+++ b/test/fuzz/tenure_fuzz_test.ts
@@ -60,6 +60,15 @@
   });
 }
 
+test("hosts that have loaded a base model at once do not take turns after a restart of all daemons, seed 2575", () => {
+  const simulation = new EmptyEngineSimulation(2_575, {
+    daemons: 3,
+    modelLoadMs: 600,
+    disturbanceSteps: 500,
+  });
+  assert.equal(simulation.run().violations, []);
+});
+
 for (let seed = FIRST_SEED; seed < FIRST_SEED + RUNS; seed += 1) {
   test(`holders keep the rules, seed ${seed}`, () => {
     assert.equal(
