A request leaves an engine whose owner can't order its load

Cause: while an engine loads its base model, or its owner rests after a contested order, no other order can be given. The estimates of waits did not know that: the request was queued for its whole patience, and then refused as overdue.

Why this works: an owner that can give orders asks for one after each tick. If it did not ask between two ticks, it is blocked, and the block is expected to last as long again. That counts as a wait of this engine, for new requests and for those that wait for a load: beyond the known shares of the first-token budget they go to the next engine. A request that has no other engine waits as before, so that a fleet whose engines are all blocked refuses no more than it did. Ticks that come late are no block.

--- a/fakes/platform_configuration.ts
+++ b/fakes/platform_configuration.ts
@@ -2,6 +2,9 @@
  * The operator's configuration as the platform's store publishes it, for fakes.
  */
 
+/** Time that the engines' base model takes to load, in seconds. */
+const MODEL_LOAD_S = 0.05;
+
 /**
  * Builds the configuration's value: the given routes, two services, and limits
  * that tests don't reach.
@@ -9,6 +12,7 @@
 export function buildPlatformConfiguration(
   version: number,
   routes: object[],
+  modelLoadS = MODEL_LOAD_S,
 ): object {
   return {
     version,
@@ -24,7 +28,12 @@
           kv_capacity: 100_000,
           adapter_slots: 2,
           weights_mb: 110,
-          models: [{ name: "m", weights_mb: 100, load_s: 0.05, adapters: 30 }],
+          models: [{
+            name: "m",
+            weights_mb: 100,
+            load_s: modelLoadS,
+            adapters: 30,
+          }],
         },
       },
     ],
--- a/src/core/admission/admission_controller.ts
+++ b/src/core/admission/admission_controller.ts
@@ -136,6 +136,14 @@
   /** Until when the engine accepts no requests of a daemon, by daemon. */
   readonly #backoffUntil = new Map<string, Milliseconds>();
   #answers: PermitAnswer[] = [];
+  /** Whether an order was asked for since the last tick. */
+  #wasAskedForOrder = true;
+  #lastTickAt = Number.NEGATIVE_INFINITY;
+  /**
+   * Since when the owner has not been able to give orders, for example because
+   * the engine loads its base model; undefined while it is.
+   */
+  #blockedSince: Milliseconds | undefined;
   #evictionAllowedAt = Number.NEGATIVE_INFINITY;
   readonly #runEstimator = new RunEstimator();
 
@@ -185,6 +193,8 @@
    * owner. Nothing is evicted until they are known.
    */
   beginAdoption(now: Milliseconds): void {
+    this.#blockedSince = undefined;
+    this.#wasAskedForOrder = true;
     this.#evictionAllowedAt = now + ADOPTION_TIMEOUT_MS;
   }
 
@@ -278,8 +288,10 @@
     }
   }
 
+  /** Called before each time at which the owner may give an order. */
   tick(now: Milliseconds): void {
     this.slots.completeLoads(now);
+    this.#updateBlock(now);
     for (const [daemonId, until] of this.#backoffUntil) {
       if (until <= now) this.#backoffUntil.delete(daemonId);
     }
@@ -292,6 +304,31 @@
       this.#refuse(waiting.request, DenialReason.Overdue, now);
     }
     this.grantWaiting(now);
+    if (this.#blockedSince !== undefined) this.#redirectWaiting(now);
+  }
+
+  /** An owner that can't give orders asks for none between two ticks. */
+  #updateBlock(now: Milliseconds): void {
+    if (!this.#wasAskedForOrder) this.#blockedSince ??= this.#lastTickAt;
+    this.#wasAskedForOrder = false;
+    this.#lastTickAt = now;
+  }
+
+  /**
+   * Denies the requests that wait for a load which the owner can't order, and
+   * that another engine may still serve in time.
+   */
+  #redirectWaiting(now: Milliseconds): void {
+    for (const { request, arrivedAt } of this.#waitingRequests.values()) {
+      if (request.isLastChoice || !this.#needsLoad(request)) continue;
+      const denial = this.#findDenial({
+        ...request,
+        firstTokenBudgetMs: request.firstTokenBudgetMs - (now - arrivedAt),
+      }, now);
+      if (!denial) continue;
+      this.#waitingRequests.delete(request.permitId);
+      this.#refuse(request, denial, now);
+    }
   }
 
   /**
@@ -329,6 +366,8 @@
     canFetch: boolean,
     now: Milliseconds,
   ): EngineOrder | undefined {
+    this.#wasAskedForOrder = true;
+    this.#blockedSince = undefined;
     if (this.slots.countLoading() >= MAX_LOADING) return undefined;
     for (const { request } of this.#listWaiting(now)) {
       const { adapterPath, model, adapter, version } = request;
@@ -483,8 +522,14 @@
     const slotMs = this.#isBlockedOnSlot(request, now)
       ? this.#runEstimator.slotReleaseIntervalMs * (1 + loadsAhead)
       : 0;
+    // A block of unknown end is expected to last as long again; a request that
+    // has no other engine waits for its end.
+    const blockMs = request.isLastChoice
+      ? 0
+      : now - (this.#blockedSince ?? now);
     const waitMs = Math.max(
       slotMs,
+      blockMs,
       this.slots.estimateEngineQueueMs(adapterPath, loadsAhead),
     );
     return {
@@ -517,7 +562,8 @@
   #estimateQueuedPrefillMs(request: PermitRequest): Milliseconds {
     let sum = 0;
     for (const waiting of this.#waitingRequests.values()) {
-      const isAhead = waiting.request.priorityRank <= request.priorityRank;
+      const isAhead = waiting.request.permitId !== request.permitId &&
+        waiting.request.priorityRank <= request.priorityRank;
       if (isAhead) sum += this.batch.estimatePrefillMs(waiting.request);
     }
     return sum;
--- a/test/core/admission/admission_controller_test.ts
+++ b/test/core/admission/admission_controller_test.ts
@@ -383,4 +383,65 @@
   assert.is(admission.listEvictable(2_000).length, 1);
 });
 
+/** Interval of the owner's ticks. */
+const TICK_MS = 150;
+
+test("a request waits its whole patience for a load that the owner can't order", () => {
+  const admission = createController();
+  executeOrders(admission, 0);
+  admission.tick(0);
+  // The owner gives no order from here on.
+  const waiting = createRequest({ firstTokenBudgetMs: 800 });
+  admission.requestPermit(waiting, 10);
+  const last = createRequest({
+    isLastChoice: true,
+    patienceMs: 5_000,
+    promptTokens: 10,
+  });
+  admission.requestPermit(last, 10);
+  let deniedAt = 0;
+  for (let now = TICK_MS; now < 800 && deniedAt === 0; now += TICK_MS) {
+    admission.tick(now);
+    const answers = admission.takeAnswers();
+    if (answers.length > 0) deniedAt = now;
+    for (const answer of answers) assert.is(answer.permitId, waiting.permitId);
+  }
+  assert.ok(deniedAt > 0 && deniedAt <= 400, `denied after ${deniedAt} ms`);
+  for (let now = deniedAt + TICK_MS; now < 950; now += TICK_MS) {
+    admission.tick(now);
+  }
+  assert.equal(admission.takeAnswers(), []);
+  const late = createRequest({ firstTokenBudgetMs: 800 });
+  admission.requestPermit(late, 950);
+  assert.is(admission.takeAnswers()[0]?.kind, "denied");
+  // Requests without another engine are served once orders are possible, first
+  // those that are not late.
+  const lateLast = createRequest({ isLastChoice: true, promptTokens: 10 });
+  admission.requestPermit(lateLast, 950);
+  executeOrders(admission, 960);
+  admission.tick(1_460);
+  assert.equal(listGranted(admission), [lateLast.permitId, last.permitId]);
+});
+
+test("requests for resident adapters are sent away while the owner can't give orders", () => {
+  const admission = createController();
+  admission.slots.recordLoadOrdered("m/a1", undefined, 0);
+  for (let now = 1_000; now < 2_000; now += TICK_MS) admission.tick(now);
+  const request = createRequest();
+  admission.requestPermit(request, 2_000);
+  assert.equal(listGranted(admission), [request.permitId]);
+});
+
+test("ticks that come late are taken for an owner that can't give orders", () => {
+  const admission = createController();
+  for (const now of [0, 700, 1_400]) {
+    admission.tick(now);
+    executeOrders(admission, now);
+  }
+  const request = createRequest({ firstTokenBudgetMs: 800 });
+  admission.requestPermit(request, 2_100);
+  admission.tick(2_100);
+  assert.equal(admission.takeAnswers(), []);
+});
+
 test.run();
--- a/test/gateway/gateway_harness.ts
+++ b/test/gateway/gateway_harness.ts
@@ -80,6 +80,8 @@
   #lastId = 0;
   /** Retries that a service may have in ten seconds beside a share of its requests. */
   retrySlack = 58;
+  /** Time that the engines' base model takes to load; the default if undefined. */
+  modelLoadS: number | undefined;
   /** Called before the gateways start. */
   arrange: () => void = () => {};
   /** Route fields that differ from the defaults, by route name. */
@@ -181,7 +183,7 @@
         create("brief", "stream", "briefs"),
         create("resume", "stream", "briefs"),
         ...extraRoutes,
-      ]),
+      ], this.modelLoadS),
     );
   }
 
