A message to a peer after the close is dropped

What was seen: at the end of a planned stop a permit was released after the peers' socket had been closed; sending threw ERR_SOCKET_DGRAM_NOT_RUNNING in a promise that nobody awaits. The process is about to exit, so that no caller saw it.

--- a/src/gateway/peer_task.ts
+++ b/src/gateway/peer_task.ts
@@ -63,6 +63,7 @@
   #ackTimer: ReturnType<typeof setImmediate> | undefined;
   readonly #dropsLoggedAt = new Map<DropReason, Milliseconds>();
   #lastNumber = 0;
+  #isClosed = false;
 
   constructor(options: PeerTaskOptions) {
     this.#options = options;
@@ -95,11 +96,13 @@
 
   /** Sends a message once, without acknowledgement. */
   send(ip: string, message: GatewayMessage): void {
+    if (this.#isClosed) return;
     this.#write(ip, this.#encode(ip, { message }));
   }
 
   /** Retransmits until the peer acknowledges; resolves to whether it did. */
   deliver(ip: string, message: GatewayMessage): Promise<boolean> {
+    if (this.#isClosed) return Promise.resolve(false);
     this.#lastNumber += 1;
     const number = this.#lastNumber;
     const bytes = this.#encode(ip, { message, number });
@@ -125,6 +128,7 @@
   }
 
   close(): void {
+    this.#isClosed = true;
     for (const pending of this.#pending.values()) clearTimeout(pending.timer);
     clearImmediate(this.#ackTimer);
     this.#pending.clear();
--- a/test/gateway/peer_task_test.ts
+++ b/test/gateway/peer_task_test.ts
@@ -44,6 +44,14 @@
   first.close();
 });
 
+test("a message that is sent after the close throws", async () => {
+  const sender = createPeer("127.0.0.1");
+  await sender.listen();
+  sender.close();
+  sender.send("127.0.0.2", RELEASED);
+  assert.not(await sender.deliver("127.0.0.2", RELEASED));
+});
+
 test("a message is handled once and acknowledged; delivery to a silent peer fails", async () => {
   const seen: string[] = [];
   const sender = createPeer("127.0.0.1");
