A short block of orders sends no waiting request away

An order in progress blocks for some milliseconds, and a request that waits behind the loads of others has by then less of its budget left: it would have gone to another engine, with a copy more, though nothing was wrong. Found by reading.

Now the block itself has to exceed the share of the budget above which a wait counts as the engine's own.

--- a/src/core/admission/admission_controller.ts
+++ b/src/core/admission/admission_controller.ts
@@ -304,7 +304,7 @@
       this.#refuse(waiting.request, DenialReason.Overdue, now);
     }
     this.grantWaiting(now);
-    if (this.#blockedSince !== undefined) this.#redirectWaiting(now);
+    this.#redirectWaiting(now - (this.#blockedSince ?? now), now);
   }
 
   /** An owner that can't give orders asks for none between two ticks. */
@@ -318,12 +318,15 @@
    * Denies the requests that wait for a load which the owner can't order, and
    * that another engine may still serve in time.
    */
-  #redirectWaiting(now: Milliseconds): void {
+  #redirectWaiting(blockMs: Milliseconds, now: Milliseconds): void {
     for (const { request, arrivedAt } of this.#waitingRequests.values()) {
-      if (request.isLastChoice || !this.#needsLoad(request)) continue;
+      const { firstTokenBudgetMs, isLastChoice } = request;
+      // An order takes some milliseconds, in which no other is given.
+      const isShort = blockMs <= SPILLOVER_LOCAL_FRACTION * firstTokenBudgetMs;
+      if (isShort || isLastChoice || !this.#needsLoad(request)) continue;
       const denial = this.#findDenial({
         ...request,
-        firstTokenBudgetMs: request.firstTokenBudgetMs - (now - arrivedAt),
+        firstTokenBudgetMs: firstTokenBudgetMs - (now - arrivedAt),
       }, now);
       if (!denial) continue;
       this.#waitingRequests.delete(request.permitId);
--- a/test/core/admission/admission_controller_test.ts
+++ b/test/core/admission/admission_controller_test.ts
@@ -444,4 +444,24 @@
   assert.equal(admission.takeAnswers(), []);
 });
 
+test("requests that wait behind loads are sent away because an order is in progress", () => {
+  const admission = createController();
+  executeOrders(admission, 0);
+  admission.tick(0);
+  for (const adapter of ["a1", "a2"]) {
+    admission.requestPermit(
+      createRequest({ adapter, patienceMs: 3_000, firstTokenBudgetMs: 2_000 }),
+      0,
+    );
+  }
+  assert.equal(admission.takeAnswers(), []);
+  // Each order is still in progress at the next tick.
+  for (let now = TICK_MS; now < 1_900; now += TICK_MS) {
+    admission.tick(now);
+    admission.tick(now + 4);
+    admission.findNextOrder(false, now + 10);
+    assert.equal(admission.takeAnswers(), []);
+  }
+});
+
 test.run();
