Daemon: a planned stop waits until callers have read whole answers

A caller that reads slowly lost the rest of an answer that was whole, in a stop with time left: 3.9 of 14.4 MB arrived (the framing showed it).

Cause: the core counts a request as done when its answer is handed to the response; the stop then closed all connections a heartbeat and 0.5 s later. The caller task now waits for the responses that have begun, at most until the end of the stop.

--- a/src/daemon/caller_task.ts
+++ b/src/daemon/caller_task.ts
@@ -12,7 +12,12 @@
 import { CallerExchange } from "./caller_exchange.ts";
 import { handleConnectionErrors } from "./connection_errors.ts";
 import type { ExchangeRegistry } from "./exchange.ts";
-import { close, createHttpServer, listen } from "./http_server.ts";
+import {
+  close,
+  createHttpServer,
+  listen,
+  waitUntilSent,
+} from "./http_server.ts";
 import { parseJsonObject } from "./json_body.ts";
 import type { Logger } from "./logger.ts";
 import type { Metrics } from "./metrics.ts";
@@ -84,6 +89,11 @@
     return await listen(this.#server, this.#options.settings.listen);
   }
 
+  /** Waits until callers have read the answers that have begun, at most for `timeoutMs`. */
+  async waitUntilSent(timeoutMs: number): Promise<void> {
+    await waitUntilSent(this.#server, timeoutMs);
+  }
+
   async stop(): Promise<void> {
     await close(this.#server);
   }
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -118,18 +118,16 @@
   }
 
   /**
-   * Waits until requests in progress have finished and owned upstreams are handed
-   * over, at most for `stopTimeoutMs`; then refuses the requests that are left and
+   * Waits until requests in progress have finished, their answers are sent and
+   * owned upstreams are handed over, at most for `stopTimeoutMs`; then refuses the requests that are left and
    * stops the tasks.
    */
   async stop(): Promise<void> {
     this.#logger.info("Daemon stops", { step: "stop" });
     const drained = this.#bus.once("stopCompleted");
     const { stopTimeoutMs } = this.#settings;
-    await this.#bus.emit("event", {
-      kind: "stopRequested",
-      endsAt: performance.now() + stopTimeoutMs,
-    });
+    const endsAt = performance.now() + stopTimeoutMs;
+    await this.#bus.emit("event", { kind: "stopRequested", endsAt });
     const isDrained = await Promise.race([
       drained.then(() => true),
       waitMs(stopTimeoutMs).then(() => false),
@@ -140,6 +138,7 @@
       });
       await this.#bus.emit("event", { kind: "stopTimedOut" });
     }
+    await this.#callers.waitUntilSent(endsAt - performance.now());
     clearInterval(this.#gaugeTimer);
     await waitMs(this.#settings.core.heartbeatIntervalMs);
     this.#core.stop();
--- a/src/daemon/http_server.ts
+++ b/src/daemon/http_server.ts
@@ -62,6 +62,19 @@
   return (server.address() as AddressInfo).port;
 }
 
+/** Waits until the responses that have begun are sent, at most for `timeoutMs`. */
+export async function waitUntilSent(
+  server: Server,
+  timeoutMs: number,
+): Promise<void> {
+  let timer: NodeJS.Timeout | undefined;
+  const timedOut = new Promise<void>((resolve) => {
+    timer = setTimeout(resolve, Math.max(0, timeoutMs));
+  });
+  await Promise.race([activeResponses.get(server)?.waitUntilSent(), timedOut]);
+  clearTimeout(timer);
+}
+
 /** Stops accepting connections and closes idle ones; active ones are destroyed after `CLOSE_TIMEOUT_MS`. */
 export async function close(server: Server): Promise<void> {
   await new Promise<void>((resolve) => {
--- a/src/daemon/response_abort.ts
+++ b/src/daemon/response_abort.ts
@@ -23,6 +23,18 @@
     response.once("close", () => this.#responses.delete(response));
   }
 
+  /** Waits until the responses that have begun are sent or closed. */
+  async waitUntilSent(): Promise<void> {
+    const begun = [...this.#responses].filter((response) =>
+      response.headersSent
+    );
+    await Promise.all(
+      begun.map((response) =>
+        new Promise((resolve) => response.once("close", resolve))
+      ),
+    );
+  }
+
   abortAll(): void {
     for (const response of this.#responses) abortResponse(response);
   }
--- a/test/daemon/daemon_test.ts
+++ b/test/daemon/daemon_test.ts
@@ -8,7 +8,9 @@
 import {
   type BenchOptions,
   ContractBench,
+  TOKENS,
 } from "../contracts/contract_bench.ts";
+import { callRaw, type RawCall } from "../raw_caller.ts";
 
 const STOP_TIMEOUT_MS = 200;
 /** Runs at a time of the bench's engine. */
@@ -16,6 +18,21 @@
 /** Time that a stop may take beyond its timeout, for last messages to peers and for closing sockets. */
 const STOP_ALLOWANCE_MS = 3_000;
 
+/** An answer larger than the buffers of a connection, within the largest one that is read. */
+const TOKEN_COUNT = 16;
+const TOKEN_PADDING = "x".repeat(900_000);
+
+function createRawCall(bench: ContractBench): RawCall {
+  return {
+    host: "127.0.0.1",
+    port: bench.callersPort,
+    path: "/v1/chat/completions",
+    httpVersion: "1.1",
+    headers: { host: "entry", authorization: `Bearer ${TOKENS.derwent}` },
+    requestBody: JSON.stringify({ model: "briefing" }),
+  };
+}
+
 async function withBench(
   bench: ContractBench,
   use: () => Promise<void>,
@@ -231,4 +248,29 @@
   }
 });
 
+test("a whole answer that a slow caller still reads is not cut by a stop", async () => {
+  const bench = new ContractBench({
+    engine: { tokens: TOKEN_COUNT },
+  });
+  await bench.start();
+  const [engine] = bench.engines;
+  if (engine) engine.tokenPadding = TOKEN_PADDING;
+  const call = callRaw({
+    ...createRawCall(bench),
+    // Longer than the time that a stop takes after its last request.
+    pauseMs: 2_000,
+  });
+  await bench.waitUntil(
+    "the answer is being sent",
+    async () =>
+      (await bench.getStatus()).execution.requests === 0 &&
+      engine?.history[0]?.ended === "completed",
+  );
+  await bench.stop();
+  const { status, body, isComplete } = await call;
+  assert.is(status, 200);
+  assert.ok(isComplete, `${body.length} bytes`);
+  assert.ok(body.length > TOKEN_COUNT * TOKEN_PADDING.length);
+});
+
 test.run();
