Daemon: requests that are read as the daemon goes are answered

A call whose body was not whole when the callers' port closed was cut 0.5 s later without an answer, and a caller with a kept connection could send its next request into the close.

From the start of a stop each answer is the last of its connection (Connection: close), and requests that have not been read to their end are refused as stopping before the port closes: not run, or with a ticket may have run, since an earlier call may have.

--- a/src/daemon/caller_task.ts
+++ b/src/daemon/caller_task.ts
@@ -4,7 +4,7 @@
 import type { Server } from "node:http";
 import { performance } from "node:perf_hooks";
 import express, { type Request, type Response } from "express";
-import { RefusalReason } from "../core/outcomes.ts";
+import { getUnclaimedOutcome, RefusalReason } from "../core/outcomes.ts";
 import { PoolKind } from "../core/structures.ts";
 import type { TableSnapshot } from "../core/tables/table_snapshot.ts";
 import type { DaemonSettings } from "../settings/daemon_settings.ts";
@@ -14,8 +14,10 @@
 import type { ExchangeRegistry } from "./exchange.ts";
 import {
   close,
+  closeAfterResponses,
   createHttpServer,
   listen,
+  listUnbegunResponses,
   waitUntilSent,
 } from "./http_server.ts";
 import { parseJsonObject } from "./json_body.ts";
@@ -25,7 +27,7 @@
 import { abortResponse } from "./response_abort.ts";
 import { describeError } from "./step_error.ts";
 
-/** Time until a retry that is advised while the daemon has no tables yet. */
+/** Time until a retry that is advised while the daemon has no tables yet, or stops. */
 const NOT_READY_RETRY_MS = 1_000;
 const FINGERPRINT_LENGTH = 22;
 /** Characters of a part's hash: several of them are in one strike. */
@@ -89,12 +91,26 @@
     return await listen(this.#server, this.#options.settings.listen);
   }
 
+  /** Lets callers send no further request on their connections. */
+  beginStop(): void {
+    closeAfterResponses(this.#server);
+  }
+
   /** Waits until callers have read the answers that have begun, at most for `timeoutMs`. */
   async waitUntilSent(timeoutMs: number): Promise<void> {
     await waitUntilSent(this.#server, timeoutMs);
   }
 
+  /** Stops; requests that have not been read to their end are refused. */
   async stop(): Promise<void> {
+    for (const response of listUnbegunResponses(this.#server)) {
+      const ticket = response.req.headers["idempotency-key"];
+      this.#refuse(response as Response, {
+        reason: RefusalReason.Stopping,
+        outcome: getUnclaimedOutcome(ticket?.toString()),
+        retryAfterMs: NOT_READY_RETRY_MS,
+      });
+    }
     await close(this.#server);
   }
 
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -127,6 +127,7 @@
     const drained = this.#bus.once("stopCompleted");
     const { stopTimeoutMs } = this.#settings;
     const endsAt = performance.now() + stopTimeoutMs;
+    this.#callers.beginStop();
     await this.#bus.emit("event", { kind: "stopRequested", endsAt });
     const isDrained = await Promise.race([
       drained.then(() => true),
--- a/src/daemon/http_server.ts
+++ b/src/daemon/http_server.ts
@@ -1,5 +1,10 @@
 /** Starts and stops HTTP servers on an IP address and port. */
-import { createServer, type RequestListener, type Server } from "node:http";
+import {
+  createServer,
+  type RequestListener,
+  type Server,
+  type ServerResponse,
+} from "node:http";
 import type { AddressInfo } from "node:net";
 import { parseSocketAddress } from "../core/socket_address.ts";
 import { ActiveResponses } from "./response_abort.ts";
@@ -35,7 +40,11 @@
   }, listener);
   const responses = new ActiveResponses();
   activeResponses.set(server, responses);
-  server.on("request", (_request, response) => responses.add(response));
+  // Before the listener above, which may answer at once.
+  server.prependListener(
+    "request",
+    (_request, response) => responses.add(response),
+  );
   if (limits.maxConnections) server.maxConnections = limits.maxConnections;
   return server;
 }
@@ -62,6 +71,16 @@
   return (server.address() as AddressInfo).port;
 }
 
+/** Makes the responses that have not begun, and all later ones, the last of their connections. */
+export function closeAfterResponses(server: Server): void {
+  activeResponses.get(server)?.closeConnections();
+}
+
+/** Lists the responses that have not begun. */
+export function listUnbegunResponses(server: Server): ServerResponse[] {
+  return activeResponses.get(server)?.listUnbegun() ?? [];
+}
+
 /** Waits until the responses that have begun are sent, at most for `timeoutMs`. */
 export async function waitUntilSent(
   server: Server,
--- a/src/daemon/response_abort.ts
+++ b/src/daemon/response_abort.ts
@@ -17,12 +17,29 @@
 /** The responses of a server that are under way. */
 export class ActiveResponses {
   readonly #responses = new Set<ServerResponse>();
+  #isLast = false;
 
   add(response: ServerResponse): void {
     this.#responses.add(response);
+    if (this.#isLast) response.setHeader("connection", "close");
     response.once("close", () => this.#responses.delete(response));
   }
 
+  /**
+   * Makes the responses that have not begun, and all later ones, the last of
+   * their connections.
+   */
+  closeConnections(): void {
+    this.#isLast = true;
+    for (const response of this.listUnbegun()) {
+      response.setHeader("connection", "close");
+    }
+  }
+
+  listUnbegun(): ServerResponse[] {
+    return [...this.#responses].filter((response) => !response.headersSent);
+  }
+
   /** Waits until the responses that have begun are sent or closed. */
   async waitUntilSent(): Promise<void> {
     const begun = [...this.#responses].filter((response) =>
--- a/test/daemon/daemon_test.ts
+++ b/test/daemon/daemon_test.ts
@@ -1,6 +1,7 @@
 /** The operators' port, the StatsD metrics and the graceful stop of a daemon. */
 import { createSocket } from "node:dgram";
 import { once } from "node:events";
+import { setTimeout as sleep } from "node:timers/promises";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { type CallerAnswer, NO_ANSWER_STATUS } from "../../scripts/caller.ts";
@@ -13,6 +14,8 @@
 import { callRaw, type RawCall } from "../raw_caller.ts";
 
 const STOP_TIMEOUT_MS = 200;
+/** Time in which the daemon reads the head of a request. */
+const HEAD_MS = 100;
 /** Runs at a time of the bench's engine. */
 const BATCH_SIZE = 4;
 /** Time that a stop may take beyond its timeout, for last messages to peers and for closing sockets. */
@@ -273,4 +276,52 @@
   assert.ok(body.length > TOKEN_COUNT * TOKEN_PADDING.length);
 });
 
+test("calls that come during a stop are refused at once and their connections closed", async () => {
+  const bench = createStopBench();
+  await bench.start();
+  bench.engines[0]?.faults.nextRuns.push({ kind: "stall" });
+  const running = readAnswer(bench.call());
+  await bench.waitUntil(
+    "the run starts",
+    () => bench.engines[0]?.history.length === 1,
+  );
+  const stopped = bench.stop();
+  const late = await bench.call();
+  assert.is(late.status, 503);
+  assert.equal(
+    [late.refusal?.reason, late.refusal?.outcome],
+    [RefusalReason.Stopping, Outcome.NotRun],
+  );
+  assert.is(late.headers.get("connection"), "close");
+  const unauthenticated = await bench.call({ token: "other" });
+  assert.is(unauthenticated.status, 401);
+  assert.is(unauthenticated.headers.get("connection"), "close");
+  await stopped;
+  assert.is((await running).headers.get("connection"), "close");
+});
+
+for (const ticket of [undefined, "entry-2~i1~1~check"]) {
+  const outcome = ticket === undefined ? Outcome.NotRun : Outcome.MayHaveRun;
+  test(`a call whose body is not whole when the daemon goes is answered as ${outcome}`, async () => {
+    const bench = new ContractBench();
+    await bench.start();
+    const call = createRawCall(bench);
+    const answer = callRaw({
+      ...call,
+      headers: {
+        ...call.headers,
+        ...(ticket === undefined ? {} : { "idempotency-key": ticket }),
+      },
+      sentBodyBytes: 3,
+    });
+    await sleep(HEAD_MS);
+    await bench.stop();
+    const { status, body, isComplete } = await answer;
+    assert.is(status, 503);
+    assert.ok(isComplete);
+    const { error } = JSON.parse(body);
+    assert.equal([error.reason, error.outcome], ["stopping", outcome]);
+  });
+}
+
 test.run();
--- a/test/raw_caller.ts
+++ b/test/raw_caller.ts
@@ -14,6 +14,8 @@
   headers: Record<string, string>;
   /** Empty by default. */
   requestBody?: string;
+  /** Bytes of the request body that are sent; all of them by default. */
+  sentBodyBytes?: number;
   /** Time for which nothing is read after the first bytes; 0 by default. */
   pauseMs?: number;
   /** Called once, when the first bytes of the body have arrived. */
@@ -64,7 +66,8 @@
     const length = `Content-Length: ${Buffer.byteLength(requestBody)}`;
     const head =
       `POST ${call.path} HTTP/${call.httpVersion}\r\n${lines}${length}`;
-    socket.write(`${head}${HEAD_END}${requestBody}`);
+    const sentBody = requestBody.slice(0, call.sentBodyBytes);
+    socket.write(`${head}${HEAD_END}${sentBody}`);
   });
 }
 
