Daemon: an answer under a ticket waits until the ticket's home has recorded it

A caller that had its whole answer and sent the same ticket again, through the ticket's home or any other daemon, could get 409 ticketInProgress (mayHaveRun) in place of the kept answer; after a refusal that said notRun, the same in place of a run.

Cause: the settlement and the answer left in the same turn. The settlement goes to another process, and the next call can reach that first. The settler now answers the caller when the home has acknowledged, at the latest after 0.5 s, so that a caller of a home that is cut off still gets its answer; at the end of a planned stop at once. The events of a stream are not held back, only its end.

--- a/src/core/execution/request_executor.ts
+++ b/src/core/execution/request_executor.ts
@@ -228,11 +228,15 @@
     }
   }
 
-  /** Ends all requests in progress; attempts that are running are cancelled. */
+  /**
+   * Ends all requests in progress; attempts that are running are cancelled. No
+   * answer waits any longer for its settlement.
+   */
   refuseAll(reason: RefusalReason, now: Milliseconds): void {
     for (const request of this.#context.requests.values()) {
       this.#cancelAndRefuse(request, reason, now);
     }
+    this.#tickets.answerAll();
   }
 
   #cancelAndRefuse(
--- a/src/core/execution/request_finisher.ts
+++ b/src/core/execution/request_finisher.ts
@@ -29,10 +29,11 @@
 
   /** Ends a request whose response has been forwarded completely. */
   complete(request: LiveRequest, now: Milliseconds): void {
-    this.#tickets.settle(request, now);
+    const answer = (): void =>
+      this.#context.options.emit({ kind: "complete", requestId: request.id });
+    this.#tickets.settle(request, answer, now);
     request.apply("finished");
     this.#context.requests.delete(request.id);
-    this.#context.options.emit({ kind: "complete", requestId: request.id });
   }
 
   /** Ends a request that can't start before the end of a planned stop. */
@@ -58,13 +59,14 @@
       : refusal.outcome;
     const hasStalled = request.isStalled();
     this.#leases.detach(request);
-    this.#tickets.settleRefused(request, outcome, now);
+    const answer = (): void =>
+      this.#context.emitRefusal(request.id, reason, {
+        ...refusal,
+        outcome,
+        hasStalled,
+      });
+    this.#tickets.settleRefused(request, outcome, answer, now);
     request.apply("finished");
     this.#context.requests.delete(request.id);
-    this.#context.emitRefusal(request.id, reason, {
-      ...refusal,
-      outcome,
-      hasStalled,
-    });
   }
 }
--- a/src/core/execution/ticket_admission.ts
+++ b/src/core/execution/ticket_admission.ts
@@ -190,40 +190,60 @@
     });
   }
 
-  /** Settles the claim of a completed run. */
-  settle(request: LiveRequest, now: Milliseconds): void {
-    if (!request.claim) return;
-    const answer = request.answer ?? {
+  /** Answers the callers whose settlements are not acknowledged yet. */
+  answerAll(): void {
+    this.#settler.answerAll();
+  }
+
+  /** Settles the claim of a completed run, if it has one, then answers the caller. */
+  settle(
+    request: LiveRequest,
+    answer: () => void,
+    now: Milliseconds,
+  ): void {
+    const { claim, event: { customer } } = request;
+    if (!claim) {
+      answer();
+      return;
+    }
+    const storedAnswer = request.answer ?? {
       outcome: Outcome.Completed,
       status: 200,
       contentType: "",
       body: new Uint8Array(),
       bodyKept: false,
     };
-    this.#settler.settle(request.claim, request.event.customer, answer, now);
+    this.#settler.settle(claim, customer, storedAnswer, answer, now);
   }
 
   /**
-   * Settles the claim of a refused or failed request. A claim whose verdict is
-   * outstanding is abandoned; one whose request did not run is released.
+   * Settles the claim of a refused or failed request, if it has one, then
+   * answers the caller. A claim whose verdict is outstanding is abandoned; one
+   * whose request did not run is released.
    */
   settleRefused(
     request: LiveRequest,
     outcome: Outcome,
+    answer: () => void,
     now: Milliseconds,
   ): void {
-    if (!request.claim) return;
+    const { claim, event: { customer } } = request;
+    if (!claim) {
+      answer();
+      return;
+    }
     if (request.state === "claimingTicket") {
-      this.#settler.abandon(request.claim, request.event.customer);
+      this.#settler.abandon(claim, customer);
+      answer();
       return;
     }
-    const answer = outcome === Outcome.NotRun ? undefined : {
+    const storedAnswer = outcome === Outcome.NotRun ? undefined : {
       outcome,
       status: 502,
       contentType: "",
       body: new Uint8Array(),
       bodyKept: false,
     };
-    this.#settler.settle(request.claim, request.event.customer, answer, now);
+    this.#settler.settle(claim, customer, storedAnswer, answer, now);
   }
 }
--- a/src/core/execution/ticket_settler.ts
+++ b/src/core/execution/ticket_settler.ts
@@ -1,6 +1,8 @@
 /**
  * Reports the outcome of claims to the tickets' issuers, and resends each
- * report until the issuer acknowledges it. A claim that was abandoned before
+ * report until the issuer acknowledges it. The answer to the caller waits for
+ * that: the caller's next call with the ticket could otherwise reach the issuer
+ * before the report. A claim that was abandoned before
  * its verdict arrived is released if the verdict is a grant, since no request
  * ran under it.
  */
@@ -19,9 +21,16 @@
   message: TicketSettleMessage;
   firstSentAt: Milliseconds;
   sentAt: Milliseconds;
+  /** Answers the caller; undefined once that is done. */
+  answer: (() => void) | undefined;
 }
 
 const RESEND_INTERVAL_MS = 500;
+/**
+ * Longest time for which an answer waits for its settlement: a caller of an
+ * issuer that is cut off still gets the answer.
+ */
+const MAX_ANSWER_DELAY_MS = RESEND_INTERVAL_MS;
 /**
  * Time after which a settlement is no longer resent to an issuer that doesn't
  * acknowledge it.
@@ -46,11 +55,15 @@
     return this.#pending.size === 0;
   }
 
-  /** Settles a granted claim; without an answer, the claim is released. */
+  /**
+   * Settles a granted claim, then answers the caller. Without a stored answer,
+   * the claim is released.
+   */
   settle(
     claim: TicketClaim,
     customer: string,
-    answer: StoredAnswerStructure | undefined,
+    storedAnswer: StoredAnswerStructure | undefined,
+    answer: () => void,
     now: Milliseconds,
   ): void {
     const message: TicketSettleMessage = {
@@ -58,16 +71,17 @@
       claimId: claim.claimId,
       ticket: claim.ticket,
       customer,
-      ...(answer ? { answer } : {}),
+      ...(storedAnswer ? { answer: storedAnswer } : {}),
     };
     const pending = {
       issuerId: claim.issuerId,
       message,
       firstSentAt: now,
       sentAt: now,
+      answer,
     };
     this.#pending.set(claim.claimId, pending);
-    if (!answer) this.#rememberAbandoned(message);
+    if (!storedAnswer) this.#rememberAbandoned(message);
     this.#emit({ kind: "send", to: claim.issuerId, message });
   }
 
@@ -87,16 +101,24 @@
    */
   recordVerdict(from: string, verdict: TicketVerdictMessage): void {
     if (verdict.verdict !== ClaimVerdict.Granted) {
+      const pending = this.#pending.get(verdict.claimId);
       this.#pending.delete(verdict.claimId);
+      if (pending) answerOnce(pending);
       return;
     }
     const message = this.#abandoned.get(verdict.claimId);
     if (message) this.#emit({ kind: "send", to: from, message });
   }
 
-  /** Resends unacknowledged settlements. */
+  /** Answers the callers whose settlements are not acknowledged yet. */
+  answerAll(): void {
+    for (const pending of this.#pending.values()) answerOnce(pending);
+  }
+
+  /** Resends unacknowledged settlements, and gives answers that have waited. */
   tick(now: Milliseconds): void {
     for (const [claimId, pending] of this.#pending) {
+      if (now - pending.firstSentAt >= MAX_ANSWER_DELAY_MS) answerOnce(pending);
       if (now - pending.firstSentAt >= SETTLE_TIMEOUT_MS) {
         this.#pending.delete(claimId);
         continue;
@@ -118,3 +140,9 @@
     if (oldest !== undefined) this.#abandoned.delete(oldest);
   }
 }
+
+function answerOnce(pending: PendingSettlement): void {
+  const { answer } = pending;
+  pending.answer = undefined;
+  answer?.();
+}
