--- a/test/daemon/daemon_test.ts
+++ b/test/daemon/daemon_test.ts
@@ -1,6 +1,7 @@
 /** The operators' port, the StatsD metrics and the graceful stop of a daemon. */
 import { createSocket } from "node:dgram";
 import { once } from "node:events";
+import { setTimeout as sleep } from "node:timers/promises";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { type CallerAnswer, NO_ANSWER_STATUS } from "../../scripts/caller.ts";
@@ -8,14 +9,33 @@
 import {
   type BenchOptions,
   ContractBench,
+  TOKENS,
 } from "../contracts/contract_bench.ts";
+import { callRaw, type RawCall } from "../raw_caller.ts";
 
 const STOP_TIMEOUT_MS = 200;
+/** Time in which the daemon reads the head of a request. */
+const HEAD_MS = 100;
 /** Runs at a time of the bench's engine. */
 const BATCH_SIZE = 4;
 /** Time that a stop may take beyond its timeout, for last messages to peers and for closing sockets. */
 const STOP_ALLOWANCE_MS = 3_000;
 
+/** An answer larger than the buffers of a connection, within the largest one that is read. */
+const TOKEN_COUNT = 16;
+const TOKEN_PADDING = "x".repeat(900_000);
+
+function createRawCall(bench: ContractBench): RawCall {
+  return {
+    host: "127.0.0.1",
+    port: bench.callersPort,
+    path: "/v1/chat/completions",
+    httpVersion: "1.1",
+    headers: { host: "entry", authorization: `Bearer ${TOKENS.derwent}` },
+    requestBody: JSON.stringify({ model: "briefing" }),
+  };
+}
+
 async function withBench(
   bench: ContractBench,
   use: () => Promise<void>,
@@ -231,4 +251,77 @@
   }
 });
 
+test("a whole answer that a slow caller still reads is not cut by a stop", async () => {
+  const bench = new ContractBench({
+    engine: { tokens: TOKEN_COUNT },
+  });
+  await bench.start();
+  const [engine] = bench.engines;
+  if (engine) engine.tokenPadding = TOKEN_PADDING;
+  const call = callRaw({
+    ...createRawCall(bench),
+    // Longer than the time that a stop takes after its last request.
+    pauseMs: 2_000,
+  });
+  await bench.waitUntil(
+    "the answer is being sent",
+    async () =>
+      (await bench.getStatus()).execution.requests === 0 &&
+      engine?.history[0]?.ended === "completed",
+  );
+  await bench.stop();
+  const { status, body, isComplete } = await call;
+  assert.is(status, 200);
+  assert.ok(isComplete, `${body.length} bytes`);
+  assert.ok(body.length > TOKEN_COUNT * TOKEN_PADDING.length);
+});
+
+test("calls that come during a stop are refused at once and their connections closed", async () => {
+  const bench = createStopBench();
+  await bench.start();
+  bench.engines[0]?.faults.nextRuns.push({ kind: "stall" });
+  const running = readAnswer(bench.call());
+  await bench.waitUntil(
+    "the run starts",
+    () => bench.engines[0]?.history.length === 1,
+  );
+  const stopped = bench.stop();
+  const late = await bench.call();
+  assert.is(late.status, 503);
+  assert.equal(
+    [late.refusal?.reason, late.refusal?.outcome],
+    [RefusalReason.Stopping, Outcome.NotRun],
+  );
+  assert.is(late.headers.get("connection"), "close");
+  const unauthenticated = await bench.call({ token: "other" });
+  assert.is(unauthenticated.status, 401);
+  assert.is(unauthenticated.headers.get("connection"), "close");
+  await stopped;
+  assert.is((await running).headers.get("connection"), "close");
+});
+
+for (const ticket of [undefined, "entry-2~i1~1~check"]) {
+  const outcome = ticket === undefined ? Outcome.NotRun : Outcome.MayHaveRun;
+  test(`a call whose body is not whole when the daemon goes is answered as ${outcome}`, async () => {
+    const bench = new ContractBench();
+    await bench.start();
+    const call = createRawCall(bench);
+    const answer = callRaw({
+      ...call,
+      headers: {
+        ...call.headers,
+        ...(ticket === undefined ? {} : { "idempotency-key": ticket }),
+      },
+      sentBodyBytes: 3,
+    });
+    await sleep(HEAD_MS);
+    await bench.stop();
+    const { status, body, isComplete } = await answer;
+    assert.is(status, 503);
+    assert.ok(isComplete);
+    const { error } = JSON.parse(body);
+    assert.equal([error.reason, error.outcome], ["stopping", outcome]);
+  });
+}
+
 test.run();
