Gateways log their processor time beside requests, connections and datagrams

Neither logs nor metrics told how much a host spent, on how many requests, or why an attempt opened a new connection to its upstream.

Each 5 s, at a heartbeat that is due anyway, the line processUsage says the processor time and what was counted since the line before: requests by kind, connections to upstreams by kind (kept, none kept, kept not allowed), datagrams to peers by purpose (message, retransmission, acknowledgement). The last two are new metrics.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -4,6 +4,7 @@
  * handles start, readiness and graceful stop.
  */
 import { randomBytes } from "node:crypto";
+import process from "node:process";
 import { createServer, type Server } from "node:http";
 import { FleetView } from "../core/fleet/fleet_view.ts";
 import { rankByRendezvous } from "../core/hashing.ts";
@@ -28,6 +29,7 @@
 import { GatewayMetrics } from "./gateway_metrics.ts";
 import { PeerTask } from "./peer_task.ts";
 import type { GatewayMessage } from "./peer_messages.ts";
+import { ProcessUsage } from "./process_usage.ts";
 import type {
   ChangeDecoder,
   EngineControl,
@@ -100,13 +102,20 @@
   readonly #peers: PeerTask;
   readonly #viewSynchronizer: ViewSynchronizer;
   readonly #engines: EngineTask;
-  readonly #upstreamClient = new UpstreamClient();
+  readonly #upstreamClient = new UpstreamClient(this.#metrics);
   readonly #callers: CallerTask;
   readonly #incarnation = randomBytes(6).toString("hex");
   readonly #headerCodec: HeaderCodec;
   #readinessServer: Server | undefined;
   #timer: ReturnType<typeof setTimeout> | undefined;
   readonly #startedAt = performance.now();
+  readonly #usage = new ProcessUsage(() => {
+    const { user, system } = process.cpuUsage();
+    return {
+      processorMicroseconds: user + system,
+      counts: this.#metrics.describeWork(),
+    };
+  }, this.#startedAt);
   #lastHeartbeatAt = performance.now();
   /** When peers were last told of crashes. */
   #crashesToldAt = Number.NEGATIVE_INFINITY;
@@ -340,6 +349,8 @@
       this.#peers.send(ip, heartbeat);
     }
     this.#updateGauges(now);
+    const usage = this.#usage.takeSummary(now);
+    if (usage) this.#log.info("processUsage", usage);
   }
 
   /**
--- a/src/gateway/gateway_metrics.ts
+++ b/src/gateway/gateway_metrics.ts
@@ -39,6 +39,10 @@
     "Times a streamed response was paused because its caller read too slowly, by kind (always stream)",
   upstream_notices:
     "Leaving and backoff notices in upstream responses, by notice (leaving, backoff)",
+  upstream_connections:
+    "Connections used by attempts at upstreams, by kind (kept, noneKept, keptNotAllowed)",
+  peer_datagrams:
+    "Datagrams sent to peers, by purpose (message, retransmission, acknowledgement)",
   crash_suspects:
     "Requests without output at upstreams that crashed, by suspicion (likely, possible)",
   crash_trials: "Requests admitted as the trial of a convicted trait (started)",
@@ -69,13 +73,27 @@
 } as const;
 export type GatewayMetric = keyof typeof GATEWAY_METRICS;
 
+/** Counters whose increase is logged beside the processor time. */
+const WORK_COUNTERS: ReadonlySet<GatewayMetric> = new Set<GatewayMetric>([
+  "requests",
+  "upstream_connections",
+  "peer_datagrams",
+]);
+
 export class GatewayMetrics {
   readonly #registry = new Registry();
   readonly #counters = new Map<string, Counter<"reason">>();
   readonly #histograms = new Map<string, Histogram<"kind">>();
   readonly #gauges = new Map<string, Gauge>();
+  /** Totals of the counters that summarise the work of the process. */
+  readonly #totals = new Map<string, number>();
   #server: Server | undefined;
 
+  /** Returns the totals of the counters in WORK_COUNTERS, by name and reason. */
+  describeWork(): Record<string, number> {
+    return Object.fromEntries(this.#totals);
+  }
+
   /** Increments a counter, labelled with a reason. */
   count(name: GatewayMetric, reason: string): void {
     let counter = this.#counters.get(name);
@@ -89,6 +107,9 @@
       this.#counters.set(name, counter);
     }
     counter.inc({ reason });
+    if (!WORK_COUNTERS.has(name)) return;
+    const key = `${name}.${reason}`;
+    this.#totals.set(key, (this.#totals.get(key) ?? 0) + 1);
   }
 
   /** Records a duration in a histogram, labelled with the kind of request. */
--- a/src/gateway/peer_task.ts
+++ b/src/gateway/peer_task.ts
@@ -32,6 +32,14 @@
  */
 const DROP_LOG_INTERVAL_MS = 1_000;
 
+/** Why a datagram is sent. */
+const DatagramPurpose = {
+  Message: "message",
+  Retransmission: "retransmission",
+  Acknowledgement: "acknowledgement",
+} as const;
+type DatagramPurpose = (typeof DatagramPurpose)[keyof typeof DatagramPurpose];
+
 interface PendingMessage {
   timer: ReturnType<typeof setTimeout>;
   settle: (isDelivered: boolean) => void;
@@ -95,7 +103,7 @@
 
   /** Sends a message once, without acknowledgement. */
   send(ip: string, message: GatewayMessage): void {
-    this.#write(ip, this.#encode(ip, { message }));
+    this.#write(ip, this.#encode(ip, { message }), DatagramPurpose.Message);
   }
 
   /** Retransmits until the peer acknowledges; resolves to whether it did. */
@@ -112,7 +120,13 @@
         resolve(isDelivered);
       };
       const sendNext = (): void => {
-        this.#write(ip, bytes);
+        this.#write(
+          ip,
+          bytes,
+          sendCount === 0
+            ? DatagramPurpose.Message
+            : DatagramPurpose.Retransmission,
+        );
         const offsetMs = RESEND_OFFSETS_MS[sendCount];
         sendCount += 1;
         if (offsetMs === undefined) return settle(false);
@@ -140,7 +154,8 @@
     return Buffer.from(JSON.stringify(envelope));
   }
 
-  #write(ip: string, bytes: Buffer): void {
+  #write(ip: string, bytes: Buffer, purpose: DatagramPurpose): void {
+    this.#options.metrics.count("peer_datagrams", purpose);
     this.#socket.send(bytes, this.#options.port, ip, (error) => {
       if (!error) return;
       this.#options.log.debug("peerUnsent", {
@@ -198,7 +213,11 @@
     this.#ackTimer ??= setImmediate(() => {
       this.#ackTimer = undefined;
       for (const peerIp of [...this.#pendingAcks.keys()]) {
-        this.#write(peerIp, this.#encode(peerIp, {}));
+        this.#write(
+          peerIp,
+          this.#encode(peerIp, {}),
+          DatagramPurpose.Acknowledgement,
+        );
       }
     });
   }
--- a/src/gateway/upstream_client.ts
+++ b/src/gateway/upstream_client.ts
@@ -14,6 +14,7 @@
 import { parseSocketAddress } from "../core/socket_address.ts";
 import { describeError } from "../daemon/step_error.ts";
 import { CheckedAgent, excludeFromReuse } from "./checked_agent.ts";
+import type { GatewayMetrics } from "./gateway_metrics.ts";
 import { isSuccess } from "./http_status.ts";
 
 export interface AttemptRequest {
@@ -85,7 +86,17 @@
  */
 const MAX_INTERIM_HEADS = 8;
 
+/** Which connection an attempt used, and why. */
+const ConnectionUse = {
+  Kept: "kept",
+  /** A new one, although a kept one would have been allowed. */
+  NoneKept: "noneKept",
+  /** A new one, since the request must not use a kept one. */
+  KeptNotAllowed: "keptNotAllowed",
+} as const;
+
 export class UpstreamClient {
+  readonly #metrics: Pick<GatewayMetrics, "count">;
   readonly #keepAliveAgent = new CheckedAgent({
     keepAlive: true,
     timeout: IDLE_CONNECTION_TIMEOUT_MS,
@@ -94,6 +105,10 @@
   });
   readonly #singleUseAgent = new Agent({ keepAlive: false });
 
+  constructor(metrics: Pick<GatewayMetrics, "count">) {
+    this.#metrics = metrics;
+  }
+
   startAttempt(
     attempt: AttemptRequest,
     listener: AttemptListener,
@@ -116,6 +131,15 @@
     } catch (error) {
       return endUnsent(describeError(error), listener);
     }
+    call.once("socket", (socket: Socket) => {
+      const newConnection = attempt.mayReuseConnection
+        ? ConnectionUse.NoneKept
+        : ConnectionUse.KeptNotAllowed;
+      this.#metrics.count(
+        "upstream_connections",
+        socket.connecting ? newConnection : ConnectionUse.Kept,
+      );
+    });
     return followAttempt(call, attempt.body, listener);
   }
 
--- a/test/gateway/upstream_client_test.ts
+++ b/test/gateway/upstream_client_test.ts
@@ -2,13 +2,14 @@
 import { Buffer } from "node:buffer";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
+import { GatewayMetrics } from "../../src/gateway/gateway_metrics.ts";
 import {
   type AttemptEnd,
   type AttemptRequest,
   UpstreamClient,
 } from "../../src/gateway/upstream_client.ts";
 
-const client = new UpstreamClient();
+const client = new UpstreamClient(new GatewayMetrics());
 test.after(() => client.close());
 
 const REQUEST: AttemptRequest = {
