Messages to a slow peer are retransmitted after its own round-trip time

Cause: messages between gateways were retransmitted 25, 60, 120 and 250 ms after the first transmission, whatever the peer. A host that is merely slow got each message up to five times, answered each permit request as often, and after 250 ms without an acknowledgement counted as unreachable, so that its engines had no owner for the sender. The repeats took the processor time that the answers needed: a congestion collapse.

The time-outs now follow each peer's round-trip time as in RFC 6298: smoothed time and four deviations, doubled after a time-out until a message is acknowledged that was sent once, 25 ms at least and 160 at most. A fast peer keeps the former times, so a dead one is found as before.

The test with a peer that acknowledges after 90 ms failed before (60 datagrams for 20 messages).

--- /dev/null
+++ b/src/core/fleet/retransmission_timeouts.ts
@@ -0,0 +1,106 @@
+/**
+ * Time-outs after which messages to peers are retransmitted, adapted to each
+ * peer as in RFC 6298: the smoothed round-trip time and four times its
+ * deviation, doubled after a time-out until a message has been acknowledged
+ * without a retransmission. Fixed time-outs would repeat every message to a host
+ * that is merely slow, and the repeats would take the processor time that its
+ * answers need.
+ */
+import type { Milliseconds } from "../structures.ts";
+
+/**
+ * Lower bound, which holds in a fleet with processor time to spare: the latency
+ * between gateways is a few milliseconds.
+ */
+const MIN_TIMEOUT_MS = 25;
+/**
+ * Upper bound. A message is given up after OFFSET_FACTORS' last multiple of its
+ * time-out, here as long as a dead peer's heartbeats take to be missed.
+ */
+const MAX_TIMEOUT_MS = 160;
+/** Times of the retransmissions of a message, in multiples of the time-out. */
+const OFFSET_FACTORS: readonly number[] = [1, 2.4, 4.8, 10];
+/** Weights of a new sample in the smoothed time and in its deviation. */
+const SMOOTHING_WEIGHT = 1 / 8;
+const DEVIATION_WEIGHT = 1 / 4;
+const DEVIATION_FACTOR = 4;
+const BACKOFF_GROWTH = 2;
+
+interface RoundTrip {
+  /** Undefined before the first sample. */
+  smoothedMs: Milliseconds | undefined;
+  deviationMs: Milliseconds;
+  /** Factor of the time-out since the last message that needed no repeat. */
+  backoff: number;
+  backedOffAt: Milliseconds;
+}
+
+export class RetransmissionTimeouts {
+  readonly #roundTrips = new Map<string, RoundTrip>();
+
+  /**
+   * Returns the times, from its first transmission, at which a message to the
+   * peer is retransmitted while it is not acknowledged; at the last one it is
+   * also given up.
+   */
+  listOffsets(peer: string): Milliseconds[] {
+    const timeoutMs = this.getTimeoutMs(peer);
+    return OFFSET_FACTORS.map((factor) => factor * timeoutMs);
+  }
+
+  getTimeoutMs(peer: string): Milliseconds {
+    const roundTrip = this.#roundTrips.get(peer);
+    if (!roundTrip) return MIN_TIMEOUT_MS;
+    const { smoothedMs = 0, deviationMs, backoff } = roundTrip;
+    const expectedMs = smoothedMs + DEVIATION_FACTOR * deviationMs;
+    return Math.min(
+      MAX_TIMEOUT_MS,
+      Math.max(MIN_TIMEOUT_MS, expectedMs) * backoff,
+    );
+  }
+
+  /**
+   * Records the round-trip time of a message that was transmitted once. After a
+   * retransmission it is not known which one was acknowledged.
+   */
+  recordRoundTrip(peer: string, durationMs: Milliseconds): void {
+    const roundTrip = this.#getRoundTrip(peer);
+    const { smoothedMs, deviationMs } = roundTrip;
+    if (smoothedMs === undefined) {
+      roundTrip.smoothedMs = durationMs;
+      roundTrip.deviationMs = durationMs / 2;
+    } else {
+      const errorMs = Math.abs(smoothedMs - durationMs);
+      roundTrip.deviationMs += DEVIATION_WEIGHT * (errorMs - deviationMs);
+      roundTrip.smoothedMs = smoothedMs +
+        SMOOTHING_WEIGHT * (durationMs - smoothedMs);
+    }
+    roundTrip.backoff = 1;
+  }
+
+  /**
+   * Records that a message was not acknowledged in time. Several messages that
+   * are on the way together count once.
+   */
+  recordTimeout(peer: string, now: Milliseconds): void {
+    const roundTrip = this.#getRoundTrip(peer);
+    const timeoutMs = this.getTimeoutMs(peer);
+    if (now - roundTrip.backedOffAt < timeoutMs) return;
+    if (timeoutMs < MAX_TIMEOUT_MS) roundTrip.backoff *= BACKOFF_GROWTH;
+    roundTrip.backedOffAt = now;
+  }
+
+  #getRoundTrip(peer: string): RoundTrip {
+    let roundTrip = this.#roundTrips.get(peer);
+    if (!roundTrip) {
+      roundTrip = {
+        smoothedMs: undefined,
+        deviationMs: 0,
+        backoff: 1,
+        backedOffAt: Number.NEGATIVE_INFINITY,
+      };
+      this.#roundTrips.set(peer, roundTrip);
+    }
+    return roundTrip;
+  }
+}
--- a/src/gateway/peer_task.ts
+++ b/src/gateway/peer_task.ts
@@ -8,6 +8,7 @@
  */
 import { createSocket, type Socket } from "node:dgram";
 import { Buffer } from "node:buffer";
+import { RetransmissionTimeouts } from "../core/fleet/retransmission_timeouts.ts";
 import { describeError, StepError } from "../daemon/step_error.ts";
 import type { Milliseconds } from "../core/structures.ts";
 import type { DecisionLog } from "./decision_log.ts";
@@ -19,11 +20,6 @@
 } from "./peer_message_decoder.ts";
 import type { GatewayMessage } from "./peer_messages.ts";
 
-/**
- * Times after the first transmission at which a message is retransmitted. Loss
- * is rare, and the latency between gateways is a few milliseconds.
- */
-const RESEND_OFFSETS_MS: readonly Milliseconds[] = [25, 60, 120, 250];
 /** Most message numbers that are remembered to recognise duplicates. */
 const MAX_SEEN_MESSAGES = 4_000;
 /**
@@ -69,6 +65,7 @@
    */
   readonly #pendingAcks = new Map<string, number[]>();
   #ackTimer: ReturnType<typeof setImmediate> | undefined;
+  readonly #timeouts = new RetransmissionTimeouts();
   readonly #dropsLoggedAt = new Map<DropReason, Milliseconds>();
   #lastNumber = 0;
 
@@ -111,23 +108,27 @@
     this.#lastNumber += 1;
     const number = this.#lastNumber;
     const bytes = this.#encode(ip, { message, number });
+    const offsetsMs = this.#timeouts.listOffsets(ip);
     return new Promise((resolve) => {
       let sendCount = 0;
       const startedAt = performance.now();
       const settle = (isDelivered: boolean): void => {
         clearTimeout(this.#pending.get(number)?.timer);
         this.#pending.delete(number);
+        if (isDelivered && sendCount === 1) {
+          this.#timeouts.recordRoundTrip(ip, performance.now() - startedAt);
+        }
         resolve(isDelivered);
       };
       const sendNext = (): void => {
+        const isRepeated = sendCount > 0;
+        if (isRepeated) this.#timeouts.recordTimeout(ip, performance.now());
         this.#write(
           ip,
           bytes,
-          sendCount === 0
-            ? DatagramPurpose.Message
-            : DatagramPurpose.Retransmission,
+          isRepeated ? DatagramPurpose.Retransmission : DatagramPurpose.Message,
         );
-        const offsetMs = RESEND_OFFSETS_MS[sendCount];
+        const offsetMs = offsetsMs[sendCount];
         sendCount += 1;
         if (offsetMs === undefined) return settle(false);
         const waitMs = startedAt + offsetMs - performance.now();
--- a/test/gateway/peer_task_test.ts
+++ b/test/gateway/peer_task_test.ts
@@ -1,4 +1,5 @@
 /** Messages between gateways over UDP. */
+import { createSocket } from "node:dgram";
 import process from "node:process";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
@@ -59,4 +60,36 @@
   sender.close();
 });
 
+/**
+ * Time after which the slow peer acknowledges: as a host does that has little
+ * processor time left.
+ */
+const SLOW_ACK_MS = 90;
+
+test("messages to a slow peer are not all sent three times", async () => {
+  const sender = createPeer("127.0.0.1");
+  await sender.listen();
+  const slow = createSocket("udp4");
+  let received = 0;
+  slow.on("message", (bytes, source) => {
+    received += 1;
+    const { number } = JSON.parse(bytes.toString());
+    setTimeout(() => {
+      const ack = { from: "slow", incarnation: "s", acknowledges: [number] };
+      slow.send(JSON.stringify(ack), PORT, source.address);
+    }, SLOW_ACK_MS);
+  });
+  await new Promise<void>((resolve) => slow.bind(PORT, "127.0.0.2", resolve));
+  const count = 20;
+  const outcomes = new Set<boolean>();
+  for (let sent = 0; sent < count; sent += 1) {
+    outcomes.add(await sender.deliver("127.0.0.2", RELEASED));
+  }
+  await new Promise((resolve) => setTimeout(resolve, 2 * SLOW_ACK_MS));
+  slow.close();
+  sender.close();
+  assert.equal([...outcomes], [true]);
+  assert.ok(received <= 1.5 * count, `${received} datagrams for ${count}`);
+});
+
 test.run();
