A large fleet sends no empty reports of runs to new owners

Cause: each gateway told each new owner of each engine which of its runs it has there, also if it has none. An owner waits for that word only in a fleet of up to 24 hosts; in a larger one it does not know all daemons (RunAdoption gets no list) and drops it. In a fleet of 84 hosts and 63 engines a restart cost 5,292 such messages and as many acknowledgements, and each owner that was taken for silent and heard again cost one for each of its engines from each host.

In a small fleet nothing changes, as the second test shows.

--- a/src/gateway/permit_client.ts
+++ b/src/gateway/permit_client.ts
@@ -252,10 +252,12 @@
   }
 
   /**
-   * Reports this daemon's runs at an engine to each new owner of it, also if
-   * there are none.
+   * Reports this daemon's runs at an engine to each new owner of it. In a small
+   * fleet an owner waits for the word of each daemon, so that it is also told if
+   * there are none; in a large one it does not know them all.
    */
   reportRunsToNewOwners(now: Milliseconds): void {
+    const isWordAwaited = this.#options.fleet.isFullMesh();
     const owners = this.#options.listOwners(now);
     for (const [engineId, ownerId] of owners) {
       if (this.#notifiedOwners.get(engineId) === ownerId) continue;
@@ -264,7 +266,9 @@
         run.engineId === engineId
       );
       for (const run of runs) run.reportedTo = ownerId;
-      this.#sendRuns(ownerId, engineId, runs, now);
+      if (runs.length > 0 || isWordAwaited) {
+        this.#sendRuns(ownerId, engineId, runs, now);
+      }
     }
     for (const engineId of this.#notifiedOwners.keys()) {
       if (!owners.has(engineId)) this.#notifiedOwners.delete(engineId);
