--- a/src/gateway/peer_task.ts
+++ b/src/gateway/peer_task.ts
@@ -8,6 +8,7 @@
  */
 import { createSocket, type Socket } from "node:dgram";
 import { Buffer } from "node:buffer";
+import { RetransmissionTimeouts } from "../core/fleet/retransmission_timeouts.ts";
 import { describeError, StepError } from "../daemon/step_error.ts";
 import type { Milliseconds } from "../core/structures.ts";
 import type { DecisionLog } from "./decision_log.ts";
@@ -19,11 +20,6 @@
 } from "./peer_message_decoder.ts";
 import type { GatewayMessage } from "./peer_messages.ts";
 
-/**
- * Times after the first transmission at which a message is retransmitted. Loss
- * is rare, and the latency between gateways is a few milliseconds.
- */
-const RESEND_OFFSETS_MS: readonly Milliseconds[] = [25, 60, 120, 250];
 /** Most message numbers that are remembered to recognise duplicates. */
 const MAX_SEEN_MESSAGES = 4_000;
 /**
@@ -32,6 +28,14 @@
  */
 const DROP_LOG_INTERVAL_MS = 1_000;
 
+/** Why a datagram is sent. */
+const DatagramPurpose = {
+  Message: "message",
+  Retransmission: "retransmission",
+  Acknowledgement: "acknowledgement",
+} as const;
+type DatagramPurpose = (typeof DatagramPurpose)[keyof typeof DatagramPurpose];
+
 interface PendingMessage {
   timer: ReturnType<typeof setTimeout>;
   settle: (isDelivered: boolean) => void;
@@ -61,6 +65,7 @@
    */
   readonly #pendingAcks = new Map<string, number[]>();
   #ackTimer: ReturnType<typeof setImmediate> | undefined;
+  readonly #timeouts = new RetransmissionTimeouts();
   readonly #dropsLoggedAt = new Map<DropReason, Milliseconds>();
   #lastNumber = 0;
   #isClosed = false;
@@ -97,7 +102,7 @@
   /** Sends a message once, without acknowledgement. */
   send(ip: string, message: GatewayMessage): void {
     if (this.#isClosed) return;
-    this.#write(ip, this.#encode(ip, { message }));
+    this.#write(ip, this.#encode(ip, { message }), DatagramPurpose.Message);
   }
 
   /** Retransmits until the peer acknowledges; resolves to whether it did. */
@@ -106,17 +111,27 @@
     this.#lastNumber += 1;
     const number = this.#lastNumber;
     const bytes = this.#encode(ip, { message, number });
+    const offsetsMs = this.#timeouts.listOffsets(ip);
     return new Promise((resolve) => {
       let sendCount = 0;
       const startedAt = performance.now();
       const settle = (isDelivered: boolean): void => {
         clearTimeout(this.#pending.get(number)?.timer);
         this.#pending.delete(number);
+        if (isDelivered && sendCount === 1) {
+          this.#timeouts.recordRoundTrip(ip, performance.now() - startedAt);
+        }
         resolve(isDelivered);
       };
       const sendNext = (): void => {
-        this.#write(ip, bytes);
-        const offsetMs = RESEND_OFFSETS_MS[sendCount];
+        const isRepeated = sendCount > 0;
+        if (isRepeated) this.#timeouts.recordTimeout(ip, performance.now());
+        this.#write(
+          ip,
+          bytes,
+          isRepeated ? DatagramPurpose.Retransmission : DatagramPurpose.Message,
+        );
+        const offsetMs = offsetsMs[sendCount];
         sendCount += 1;
         if (offsetMs === undefined) return settle(false);
         const waitMs = startedAt + offsetMs - performance.now();
@@ -144,7 +159,8 @@
     return Buffer.from(JSON.stringify(envelope));
   }
 
-  #write(ip: string, bytes: Buffer): void {
+  #write(ip: string, bytes: Buffer, purpose: DatagramPurpose): void {
+    this.#options.metrics.count("peer_datagrams", purpose);
     this.#socket.send(bytes, this.#options.port, ip, (error) => {
       if (!error) return;
       this.#options.log.debug("peerUnsent", {
@@ -202,7 +218,11 @@
     this.#ackTimer ??= setImmediate(() => {
       this.#ackTimer = undefined;
       for (const peerIp of [...this.#pendingAcks.keys()]) {
-        this.#write(peerIp, this.#encode(peerIp, {}));
+        this.#write(
+          peerIp,
+          this.#encode(peerIp, {}),
+          DatagramPurpose.Acknowledgement,
+        );
       }
     });
   }
