A handover to a slow successor arrives while its ages are true

What callers would see: two owners of one engine (ONE) after a planned stop whose successor is slow or hard to reach.

Cause: a handover says how long ago the engine accepted the last order, and the successor adds 300 ms for the way (MAX_HANDOVER_DELAY_MS), which covered the last of the fixed retransmissions, 250 ms after the first.

Evidence: found by reading; not seen in a run of a fleet. The new test failed before: the last transmission of a handover to a peer that had not acknowledged a message came 1,604 ms after the first.

A handover is now retransmitted for 250 ms at most, whatever the peer; MAX_HANDOVER_DELAY_MS is derived from that. A successor that does not get it claims the engine after a term, as after a crash.

--- a/src/core/ordering/engine_ownership.ts
+++ b/src/core/ordering/engine_ownership.ts
@@ -82,8 +82,16 @@
  * report that confirms it: the other daemons' heartbeats arrive in between.
  */
 const UNOWNED_OBSERVATION_MS = 700;
-/** Maximum time that a handover is assumed to take on the network. */
-const MAX_HANDOVER_DELAY_MS = 300;
+/**
+ * Time for which a handover is retransmitted. Its ages are those at the first
+ * transmission.
+ */
+export const HANDOVER_LIFETIME_MS = 250;
+/**
+ * Maximum time that a handover is assumed to take, from its first transmission
+ * to its arrival.
+ */
+export const MAX_HANDOVER_DELAY_MS = HANDOVER_LIFETIME_MS + 50;
 /**
  * Time for which an accepted order or a report proves that the engine has not
  * restarted: a restart takes longer.
--- a/src/gateway/peer_task.ts
+++ b/src/gateway/peer_task.ts
@@ -9,6 +9,7 @@
 import { createSocket, type Socket } from "node:dgram";
 import { Buffer } from "node:buffer";
 import { RetransmissionTimeouts } from "../core/fleet/retransmission_timeouts.ts";
+import { HANDOVER_LIFETIME_MS } from "../core/ordering/engine_ownership.ts";
 import { describeError, StepError } from "../daemon/step_error.ts";
 import type { Milliseconds } from "../core/structures.ts";
 import type { DecisionLog } from "./decision_log.ts";
@@ -111,7 +112,9 @@
     this.#lastNumber += 1;
     const number = this.#lastNumber;
     const bytes = this.#encode(ip, { message, number });
-    const offsetsMs = this.#timeouts.listOffsets(ip);
+    const lifetimeMs = getLifetimeMs(message);
+    const offsetsMs = this.#timeouts.listOffsets(ip)
+      .filter((offsetMs) => offsetMs <= lifetimeMs);
     return new Promise((resolve) => {
       let sendCount = 0;
       const startedAt = performance.now();
@@ -248,6 +251,16 @@
   return message.kind === "permitRequest";
 }
 
+/**
+ * Returns for how long a message is retransmitted, whatever the peer's
+ * round-trip time.
+ */
+function getLifetimeMs(message: GatewayMessage): Milliseconds {
+  return message.kind === "handover"
+    ? HANDOVER_LIFETIME_MS
+    : Number.POSITIVE_INFINITY;
+}
+
 /**
  * Replaces the name lookup of the socket. Peers are addressed by IP, and the
  * lookup would be half of the cost of sending a datagram.
--- a/test/gateway/peer_task_test.ts
+++ b/test/gateway/peer_task_test.ts
@@ -3,6 +3,7 @@
 import process from "node:process";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
+import { MAX_HANDOVER_DELAY_MS } from "../../src/core/ordering/engine_ownership.ts";
 import { DecisionLog } from "../../src/gateway/decision_log.ts";
 import { GatewayMetrics } from "../../src/gateway/gateway_metrics.ts";
 import type { GatewayMessage } from "../../src/gateway/peer_messages.ts";
@@ -100,4 +101,43 @@
   assert.ok(received <= 1.5 * count, `${received} datagrams for ${count}`);
 });
 
+const HANDOVER: GatewayMessage = {
+  kind: "handover",
+  engineId: "e",
+  handover: {
+    sequence: 3,
+    bornAtUnixMs: 1,
+    acceptedAgeMs: 0,
+    models: [],
+    adapters: [],
+    recentOwners: [],
+  },
+};
+
+test("a handover reaches a slow successor when its ages are no longer true", async () => {
+  const sender = createPeer("127.0.0.1");
+  await sender.listen();
+  const silent = createSocket("udp4");
+  let sentAt = Number.POSITIVE_INFINITY;
+  let lastDelayMs = 0;
+  silent.on("message", (bytes) => {
+    const { message } = JSON.parse(bytes.toString());
+    if (message.kind !== "handover") return;
+    lastDelayMs = performance.now() - sentAt;
+  });
+  await new Promise<void>((resolve) => silent.bind(PORT, "127.0.0.2", resolve));
+  // Its round-trip time is now assumed to be long.
+  await sender.deliver("127.0.0.2", RELEASED);
+  sentAt = performance.now();
+  await sender.deliver("127.0.0.2", HANDOVER);
+  await new Promise((resolve) => setTimeout(resolve, 50));
+  silent.close();
+  sender.close();
+  assert.ok(lastDelayMs > 0);
+  assert.ok(
+    lastDelayMs <= MAX_HANDOVER_DELAY_MS,
+    `it arrives after ${lastDelayMs} ms`,
+  );
+});
+
 test.run();
