Gateway: a planned stop answers each pipelined request

What callers saw: a request that was sent behind another one on the same connection, passed on and run, got no answer if the gateway began to stop meanwhile: among them requests that may not be repeated (LOST).

Cause: during a stop each response announced the close of its connection, also one with further requests behind it on the connection. Node.js closes the connection after such a response and drops those that wait behind it.

Now only the last response on a connection announces the close, and the connection is closed or counts as idle only after it. A request that is read after that response has begun is not handled: it crosses the close.

--- a/src/gateway/caller_task.ts
+++ b/src/gateway/caller_task.ts
@@ -77,6 +77,11 @@
   readonly #sockets = new Set<Socket>();
   readonly #activeResponses = new ActiveResponses();
   readonly #closingSockets = new WeakSet<Socket>();
+  /**
+   * The last of the responses in progress on each connection: callers may send
+   * further requests before they have read a response.
+   */
+  readonly #lastResponses = new Map<Socket, ServerResponse>();
   readonly #handlers = new Set<RequestHandler>();
   /** Ends the reading of each body that has not arrived yet. */
   readonly #bodyStoppers = new Set<() => void>();
@@ -98,6 +103,7 @@
       socket.once("close", () => {
         this.#sockets.delete(socket);
         this.#idleSockets.delete(socket);
+        this.#lastResponses.delete(socket);
       });
     });
   }
@@ -176,12 +182,19 @@
       socket.destroy();
       return;
     }
+    // The connection is closed after the response before, which has begun.
+    const isTooLate = this.#stop !== undefined &&
+      this.#lastResponses.get(socket)?.headersSent;
+    if (isTooLate) return;
     this.#idleSockets.delete(socket);
+    this.#lastResponses.set(socket, response);
     this.#inFlight += 1;
     this.#activeResponses.add(response);
     response.once("close", () => {
       this.#inFlight -= 1;
-      if (socket.destroyed) return;
+      const isLast = this.#lastResponses.get(socket) === response;
+      if (socket.destroyed || !isLast) return;
+      this.#lastResponses.delete(socket);
       this.#idleSockets.set(socket, performance.now());
       // The head of a stream that began before the stop did not announce the
       // close of its connection.
@@ -220,7 +233,9 @@
       metadata,
       body,
       arrivedAt,
-      isClosing: () => this.#stop !== undefined,
+      isClosing: () =>
+        this.#stop !== undefined &&
+        this.#lastResponses.get(request.socket) === response,
     });
     if (read.kind === "stopped") {
       this.#refuseStopping(exchange);
--- a/test/gateway/planned_stop_test.ts
+++ b/test/gateway/planned_stop_test.ts
@@ -278,10 +278,10 @@
   assert.is(harness.countRuns("left-part"), 0);
 });
 
-/** Sends bytes to the first gateway; resolves with all that it answers. */
-function sendPart(bytes: string): Promise<string> {
+/** Sends bytes to a gateway, the first by default; resolves with all that it answers. */
+function sendPart(bytes: string, ip = "127.0.0.1"): Promise<string> {
   return new Promise((resolve) => {
-    const socket = connect(harness.getCallerPort(), "127.0.0.1");
+    const socket = connect(harness.getCallerPort(), ip);
     let text = "";
     socket.on("error", () => {});
     socket.on("data", (chunk) => text += chunk.toString());
@@ -370,4 +370,21 @@
   });
 }
 
+test("a pipelined request that was passed on is cut with the response before it", async () => {
+  const gateway = harness.gateways[3];
+  if (!gateway) throw new Error("expected a fourth gateway");
+  harness.scriptAnswers("piped-0", [{ ...SERVED, delayMs: 600 }]);
+  harness.scriptAnswers("piped-1", [{ ...SERVED, delayMs: 1_200 }]);
+  const requests = ["piped-0", "piped-1"].map((id) =>
+    "POST /unsafe/1 HTTP/1.1\r\nHost: mill.example\r\n" +
+    `X-Request-Id: ${id}\r\nX-Deadline-Ms: 2500\r\n` +
+    "Content-Length: 0\r\n\r\n"
+  );
+  const answers = sendPart(requests.join(""), "127.0.0.4");
+  await waitMs(200);
+  await gateway.stop();
+  assert.is(harness.countRuns("piped-1"), 1);
+  assert.is((await answers).match(/HTTP\/1\.1 200 /g)?.length, 2);
+});
+
 test.run();
