Daemon: a planned stop answers each pipelined call

What callers saw: of two calls sent behind each other on one connection, both running when the daemon began to stop, only the first was answered; the second had run.

Cause: at the begin of a stop every response that had not begun was made the last of its connection, also one with another call behind it. Node.js closes the connection after it.

Evidence: the new test failed before: two runs, one answer.

Only the last response under way on a connection announces the close; if another call comes behind it, that one's does. The gateway, which had the same fault, now asks the daemon's ActiveResponses which response is the last.

--- a/src/daemon/http_server.ts
+++ b/src/daemon/http_server.ts
@@ -71,7 +71,7 @@
   return (server.address() as AddressInfo).port;
 }
 
-/** Makes the responses that have not begun, and all later ones, the last of their connections. */
+/** Lets each connection be closed after its last response, if that has not begun. */
 export function closeAfterResponses(server: Server): void {
   activeResponses.get(server)?.closeConnections();
 }
--- a/src/daemon/response_abort.ts
+++ b/src/daemon/response_abort.ts
@@ -4,6 +4,7 @@
  * connection is closed (RFC 9112, section 6.3): only a reset shows that it is not.
  */
 import type { ServerResponse } from "node:http";
+import type { Socket } from "node:net";
 
 /** Closes the connection of a response that has not been sent completely. */
 export function abortResponse(response: ServerResponse): void {
@@ -17,21 +18,41 @@
 /** The responses of a server that are under way. */
 export class ActiveResponses {
   readonly #responses = new Set<ServerResponse>();
-  #isLast = false;
+  /**
+   * The last response of each connection: callers may send further requests
+   * before they have read a response.
+   */
+  readonly #lastResponses = new WeakMap<Socket, ServerResponse>();
+  #isClosing = false;
 
   add(response: ServerResponse): void {
+    const { socket } = response.req;
+    const before = this.getLast(socket);
     this.#responses.add(response);
-    if (this.#isLast) response.setHeader("connection", "close");
-    response.once("close", () => this.#responses.delete(response));
+    this.#lastResponses.set(socket, response);
+    if (this.#isClosing) {
+      if (before && !before.headersSent) before.removeHeader("connection");
+      response.setHeader("connection", "close");
+    }
+    response.once("close", () => {
+      this.#responses.delete(response);
+      if (this.getLast(socket) === response) this.#lastResponses.delete(socket);
+    });
+  }
+
+  /** Returns the last of the responses that are under way on a connection. */
+  getLast(socket: Socket): ServerResponse | undefined {
+    return this.#lastResponses.get(socket);
   }
 
   /**
-   * Makes the responses that have not begun, and all later ones, the last of
-   * their connections.
+   * Lets each connection be closed after its last response, if that has not
+   * begun.
    */
   closeConnections(): void {
-    this.#isLast = true;
+    this.#isClosing = true;
     for (const response of this.listUnbegun()) {
+      if (this.getLast(response.req.socket) !== response) continue;
       response.setHeader("connection", "close");
     }
   }
--- a/src/gateway/caller_task.ts
+++ b/src/gateway/caller_task.ts
@@ -77,11 +77,6 @@
   readonly #sockets = new Set<Socket>();
   readonly #activeResponses = new ActiveResponses();
   readonly #closingSockets = new WeakSet<Socket>();
-  /**
-   * The last of the responses in progress on each connection: callers may send
-   * further requests before they have read a response.
-   */
-  readonly #lastResponses = new Map<Socket, ServerResponse>();
   readonly #handlers = new Set<RequestHandler>();
   /** Ends the reading of each body that has not arrived yet. */
   readonly #bodyStoppers = new Set<() => void>();
@@ -103,7 +98,6 @@
       socket.once("close", () => {
         this.#sockets.delete(socket);
         this.#idleSockets.delete(socket);
-        this.#lastResponses.delete(socket);
       });
     });
   }
@@ -184,17 +178,14 @@
     }
     // The connection is closed after the response before, which has begun.
     const isTooLate = this.#stop !== undefined &&
-      this.#lastResponses.get(socket)?.headersSent;
+      this.#activeResponses.getLast(socket)?.headersSent;
     if (isTooLate) return;
     this.#idleSockets.delete(socket);
-    this.#lastResponses.set(socket, response);
     this.#inFlight += 1;
     this.#activeResponses.add(response);
     response.once("close", () => {
       this.#inFlight -= 1;
-      const isLast = this.#lastResponses.get(socket) === response;
-      if (socket.destroyed || !isLast) return;
-      this.#lastResponses.delete(socket);
+      if (socket.destroyed || this.#activeResponses.getLast(socket)) return;
       this.#idleSockets.set(socket, performance.now());
       // The head of a stream that began before the stop did not announce the
       // close of its connection.
@@ -235,7 +226,7 @@
       arrivedAt,
       isClosing: () =>
         this.#stop !== undefined &&
-        this.#lastResponses.get(request.socket) === response,
+        this.#activeResponses.getLast(request.socket) === response,
     });
     if (read.kind === "stopped") {
       this.#refuseStopping(exchange);
--- a/test/daemon/daemon_test.ts
+++ b/test/daemon/daemon_test.ts
@@ -1,6 +1,7 @@
 /** The operators' port, the StatsD metrics and the graceful stop of a daemon. */
 import { createSocket } from "node:dgram";
 import { once } from "node:events";
+import { connect } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
@@ -300,6 +301,27 @@
   assert.is((await running).headers.get("connection"), "close");
 });
 
+test("a pipelined call that has run is cut by a stop with the answer before it", async () => {
+  const bench = new ContractBench({
+    engine: { tokens: 10, tokenIntervalMs: 40 },
+  });
+  await bench.start();
+  const body = JSON.stringify({ model: "briefing" });
+  const call = "POST /v1/chat/completions HTTP/1.1\r\nHost: entry\r\n" +
+    `Authorization: Bearer ${TOKENS.derwent}\r\n` +
+    `Content-Length: ${body.length}\r\n\r\n${body}`;
+  const socket = connect(bench.callersPort, "127.0.0.1");
+  let text = "";
+  socket.on("data", (chunk) => text += chunk.toString());
+  socket.write(call + call);
+  await bench.waitUntil(
+    "both runs start",
+    () => bench.engines[0]?.history.length === 2,
+  );
+  await Promise.all([once(socket, "close"), bench.stop()]);
+  assert.is(text.match(/HTTP\/1\.1 200 /g)?.length, 2);
+});
+
 for (const ticket of [undefined, "entry-2~i1~1~check"]) {
   const outcome = ticket === undefined ? Outcome.NotRun : Outcome.MayHaveRun;
   test(`a call whose body is not whole when the daemon goes is answered as ${outcome}`, async () => {
