Comments: lines of the usual length, and when a dead peer is noticed

The bound of the retransmissions was said to be the time in which a dead peer's heartbeats are missed. That holds in a small fleet; in a large one most members are missed later (FleetView.#getUpdateIntervalMs).

--- a/src/core/execution/ticket_settler.ts
+++ b/src/core/execution/ticket_settler.ts
@@ -2,9 +2,8 @@
  * Reports the outcome of claims to the tickets' issuers, and resends each
  * report until the issuer acknowledges it. The answer to the caller waits for
  * that: the caller's next call with the ticket could otherwise reach the issuer
- * before the report. A claim that was abandoned before
- * its verdict arrived is released if the verdict is a grant, since no request
- * ran under it.
+ * before the report. A claim that was abandoned before its verdict arrived is
+ * released if the verdict is a grant, since no request ran under it.
  */
 import type { Effect } from "../effects.ts";
 import {
--- a/src/core/fleet/retransmission_timeouts.ts
+++ b/src/core/fleet/retransmission_timeouts.ts
@@ -15,7 +15,8 @@
 const MIN_TIMEOUT_MS = 25;
 /**
  * Upper bound. A message is given up after OFFSET_FACTORS' last multiple of its
- * time-out, here as long as a dead peer's heartbeats take to be missed.
+ * time-out, here as long as the heartbeats of a dead peer in a small fleet take
+ * to be missed; in a large one that takes longer.
  */
 const MAX_TIMEOUT_MS = 160;
 /** Times of the retransmissions of a message, in multiples of the time-out. */
--- a/src/core/ordering/order_planner.ts
+++ b/src/core/ordering/order_planner.ts
@@ -5,9 +5,10 @@
  * other claimants may send such an order as well, each claimant sends a
  * different one, or they send it in turns. Turns follow from the engine's age,
  * the division of its adapters among the claimants only from what it reports,
- * which is the same for all of them whatever their clocks show. An owner of more than a term
- * evicts any idle adapter while all daemons that may own the engine say that
- * they do not: those that claimed it together with this one have said so by then.
+ * which is the same for all of them whatever their clocks show. An owner of more
+ * than a term evicts any idle adapter while all daemons that may own the engine
+ * say that they do not: those that claimed it together with this one have said
+ * so by then.
  */
 import type {
   AdmissionController,
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -119,8 +119,8 @@
 
   /**
    * Waits until requests in progress have finished, their answers are sent and
-   * owned upstreams are handed over, at most for `stopTimeoutMs`; then refuses the requests that are left and
-   * stops the tasks.
+   * owned upstreams are handed over, at most for `stopTimeoutMs`; then refuses
+   * the requests that are left and stops the tasks.
    */
   async stop(): Promise<void> {
     this.#logger.info("Daemon stops", { step: "stop" });
