--- a/src/gateway/caller_task.ts
+++ b/src/gateway/caller_task.ts
@@ -176,12 +176,16 @@
       socket.destroy();
       return;
     }
+    // The connection is closed after the response before, which has begun.
+    const isTooLate = this.#stop !== undefined &&
+      this.#activeResponses.getLast(socket)?.headersSent;
+    if (isTooLate) return;
     this.#idleSockets.delete(socket);
     this.#inFlight += 1;
     this.#activeResponses.add(response);
     response.once("close", () => {
       this.#inFlight -= 1;
-      if (socket.destroyed) return;
+      if (socket.destroyed || this.#activeResponses.getLast(socket)) return;
       this.#idleSockets.set(socket, performance.now());
       // The head of a stream that began before the stop did not announce the
       // close of its connection.
@@ -220,7 +224,9 @@
       metadata,
       body,
       arrivedAt,
-      isClosing: () => this.#stop !== undefined,
+      isClosing: () =>
+        this.#stop !== undefined &&
+        this.#activeResponses.getLast(request.socket) === response,
     });
     if (read.kind === "stopped") {
       this.#refuseStopping(exchange);
