Claimants keep their division while their last order may be unseen

What callers saw: nothing yet.

Cause: an owner divides the adapters by what the engine has, and anew whenever its ownership is not proven. Its own accepted eviction changes that list. Where a suspension or a step of the clock takes the proof of that eviction, it divided the shorter list, while a rival that had not seen the eviction still divided the longer one: both found the same adapter in their shares.

Evidence: seed 2306, two claimants at count 3 with own0, own1 and a1. Daemon 0 evicts own1 at 27.94 s, its clock steps before the answer, it divides own0 and a1 and evicts own0 at 28.22; daemon 2 evicts own0 from its share at 28.32.

The division now stays for 850 ms after an own order, the time in which a rival may not have seen it.

Failed before: "an owner that loses its proof in a suspension keeps to its share while rivals can't have seen its eviction", seed 2306.

--- a/src/core/ordering/engine_owner.ts
+++ b/src/core/ordering/engine_owner.ts
@@ -587,6 +587,7 @@
       this.#ownership.recordContestedOrder(now);
     }
     this.#lastOrderAt = now;
+    this.#planner.recordOrder(now);
     return [{
       kind: "giveOrder",
       engineId: this.engineId,
--- a/src/core/ordering/order_planner.ts
+++ b/src/core/ordering/order_planner.ts
@@ -111,6 +111,8 @@
   #mayHaveFormerOwner = false;
   /** When the engine accepted the order that proved ownership. */
   #provenAt = Number.NEGATIVE_INFINITY;
+  /** When this daemon last ordered the engine, accepted or not. */
+  #orderedAt = Number.NEGATIVE_INFINITY;
   /** Adapters that the claimants divide among themselves. */
   #dividedPaths: readonly string[] = [];
 
@@ -132,6 +134,7 @@
     this.#ownedSince = now;
     this.#mayHaveOtherClaimants = mayHaveOtherClaimants;
     this.#mayHaveFormerOwner = false;
+    this.#orderedAt = Number.NEGATIVE_INFINITY;
     this.#dividedPaths = [];
   }
 
@@ -150,6 +153,11 @@
     this.#provenAt = now;
   }
 
+  /** Records that the planned order is sent. */
+  recordOrder(now: Milliseconds): void {
+    this.#orderedAt = now;
+  }
+
   /**
    * Returns the order to send next, or undefined while none may be planned.
    */
@@ -241,10 +249,10 @@
   ): PlannedOrder | undefined {
     const { selfId, selectOwnAdapter, listClaimants } = this.#options;
     const { slots } = this.#admission;
-    // A claimant that has not seen the proof yet still divides the adapters that
-    // were there before it.
-    const isProven = this.#ownership.isExclusive(now);
-    if (!isProven) {
+    // A claimant that has not seen this daemon's last order yet still divides the
+    // adapters that were there before it.
+    const isSeen = now - this.#orderedAt >= CONTESTED_WINDOW_MS;
+    if (isSeen && !this.#ownership.isExclusive(now)) {
       this.#dividedPaths = slots.listSlots().map((slot) => slot.adapterPath);
     }
     const mayEvictAny = !this.#mayHaveOtherClaimants ||
--- a/test/core/ordering/order_planner_test.ts
+++ b/test/core/ordering/order_planner_test.ts
@@ -177,6 +177,27 @@
   }
 });
 
+test("an owner that loses its proof in a suspension keeps to its share while rivals can't have seen its eviction", () => {
+  for (const paths of listEngines()) {
+    const { planner, ownership, admission } = createOwner("host-1", paths);
+    const victim = planner.plan(WANTED, SILENT, CLAIMED_AT)?.order.adapterPath;
+    planner.recordOrder(CLAIMED_AT);
+    ownership.recordOrderAnswer(
+      { kind: "accepted" },
+      "eviction",
+      Number.NEGATIVE_INFINITY,
+      CLAIMED_AT + 10,
+    );
+    assert.not(ownership.isExclusive(CLAIMED_AT + 10));
+    admission.slots.recordEvicted(victim ?? "");
+    admission.slots.recordLoadOrdered("m/wanted", undefined, CLAIMED_AT + 10);
+    const eviction = { ...WANTED, kind: "evict" } as const;
+    for (const now of [CLAIMED_AT + 20, CLAIMED_AT + 840]) {
+      assert.is(planner.plan(eviction, SILENT, now), undefined);
+    }
+  }
+});
+
 test("an owner of a term evicts any idle adapter while all others disclaim the engine", () => {
   for (const paths of listEngines()) {
     for (const path of paths) {
--- a/test/fuzz/tenure_fuzz_test.ts
+++ b/test/fuzz/tenure_fuzz_test.ts
@@ -31,9 +31,10 @@
 /**
  * Seeds whose claimants evicted the same adapter: two divided the adapters by
  * clocks that were seconds apart; in the third one received the engine from a
- * claimant that had proven nothing.
+ * claimant that had proven nothing; in the last one divided the adapters anew
+ * after its own eviction, of which a suspension had taken the proof.
  */
-const SAME_EVICTION_SEEDS = [654, 751, 2_323];
+const SAME_EVICTION_SEEDS = [654, 751, 2_323, 2_306];
 
 for (const seed of SAME_EVICTION_SEEDS) {
   test(`holders whose clocks are seconds apart do not evict the same adapter, seed ${seed}`, () => {
