--- a/src/core/ordering/engine_ownership.ts
+++ b/src/core/ordering/engine_ownership.ts
@@ -388,7 +388,7 @@
       conditions.isDisclaimed;
     return hasHadNoOwner || this.#hasTermElapsed(now) ||
       (conditions.isUnowned && this.#isConfirmedUnowned() &&
-        !this.#mayHaveHadTwoOwners());
+        !this.#canHaveHadTwoOwners());
   }
 
   /**
@@ -396,7 +396,7 @@
    * daemons restarted, so that one of their hosts would alternate with the other
    * by ordering it again: its only counted order may be an inconclusive one.
    */
-  #mayHaveHadTwoOwners(): boolean {
+  #canHaveHadTwoOwners(): boolean {
     return this.#state.kind === "observing" && this.#state.sequence === 1;
   }
 
@@ -440,7 +440,7 @@
   ): Milliseconds {
     const wholeTermMs = this.#getTurnMs();
     if (this.#state.kind !== "observing") return wholeTermMs;
-    const observationMs = conditions.isUnowned && !this.#mayHaveHadTwoOwners()
+    const observationMs = conditions.isUnowned && !this.#canHaveHadTwoOwners()
       ? UNOWNED_OBSERVATION_MS
       : wholeTermMs;
     return Math.max(0, this.#state.observedAt + observationMs - now);
