Retransmissions to a host with a long backlog cease, so that it can catch up

The time-out now grows to 1.6 s, the time after which a message is given up at the latest, and nothing is sent at the moment of giving up: to a host that does not answer for so long each message is sent once. A fast peer's messages are sent at 0, 25, 60 and 120 ms and given up at 250 as before.

Evidence: a simulated host that takes 4 ms a datagram and gets a new message each 6 ms from 20 senders.

--- a/src/core/fleet/retransmission_timeouts.ts
+++ b/src/core/fleet/retransmission_timeouts.ts
@@ -14,11 +14,16 @@
  */
 const MIN_TIMEOUT_MS = 25;
 /**
- * Upper bound. A message is given up after OFFSET_FACTORS' last multiple of its
- * time-out, here as long as a dead peer's heartbeats take to be missed.
+ * Time after which a message is given up at the latest: as long as it takes to
+ * miss a dead peer's heartbeats.
+ */
+const GIVE_UP_MS = 1_600;
+/** Upper bound, with which a message is given up without a retransmission before. */
+const MAX_TIMEOUT_MS = GIVE_UP_MS;
+/**
+ * Times of the retransmissions of a message, and at last of its end, in
+ * multiples of the time-out.
  */
-const MAX_TIMEOUT_MS = 160;
-/** Times of the retransmissions of a message, in multiples of the time-out. */
 const OFFSET_FACTORS: readonly number[] = [1, 2.4, 4.8, 10];
 /** Weights of a new sample in the smoothed time and in its deviation. */
 const SMOOTHING_WEIGHT = 1 / 8;
@@ -41,11 +46,13 @@
   /**
    * Returns the times, from its first transmission, at which a message to the
    * peer is retransmitted while it is not acknowledged; at the last one it is
-   * also given up.
+   * given up instead.
    */
   listOffsets(peer: string): Milliseconds[] {
     const timeoutMs = this.getTimeoutMs(peer);
-    return OFFSET_FACTORS.map((factor) => factor * timeoutMs);
+    const offsets = OFFSET_FACTORS.map((factor) => factor * timeoutMs);
+    const inTime = offsets.filter((offsetMs) => offsetMs < GIVE_UP_MS);
+    return inTime.length === offsets.length ? offsets : [...inTime, GIVE_UP_MS];
   }
 
   getTimeoutMs(peer: string): Milliseconds {
--- a/src/gateway/peer_task.ts
+++ b/src/gateway/peer_task.ts
@@ -123,14 +123,14 @@
       const sendNext = (): void => {
         const isRepeated = sendCount > 0;
         if (isRepeated) this.#timeouts.recordTimeout(ip, performance.now());
+        const offsetMs = offsetsMs[sendCount];
+        if (offsetMs === undefined) return settle(false);
         this.#write(
           ip,
           bytes,
           isRepeated ? DatagramPurpose.Retransmission : DatagramPurpose.Message,
         );
-        const offsetMs = offsetsMs[sendCount];
         sendCount += 1;
-        if (offsetMs === undefined) return settle(false);
         const waitMs = startedAt + offsetMs - performance.now();
         const timer = setTimeout(sendNext, Math.max(5, waitMs));
         this.#pending.set(number, { timer, settle });
--- a/test/core/fleet/retransmission_timeouts_test.ts
+++ b/test/core/fleet/retransmission_timeouts_test.ts
@@ -52,4 +52,67 @@
   assert.is(timeouts.getTimeoutMs("a"), 25);
 });
 
+/** Time that the host of the simulation takes for a datagram. */
+const SERVICE_MS = 4;
+/** Interval of new messages: the host is busy two thirds of the time. */
+const ARRIVAL_MS = 6;
+const SENDERS = 20;
+const END_MS = 10_000;
+
+/**
+ * Simulates a host that handles datagrams one after the other, and starts with
+ * the given work. Returns how many messages that were sent in the second half
+ * were given up without an acknowledgement.
+ */
+function simulateBacklog(backlogMs: number): number {
+  const senders = Array.from(
+    { length: SENDERS },
+    () => new RetransmissionTimeouts(),
+  );
+  const queue = new Map<number, (() => void)[]>();
+  const schedule = (at: number, run: () => void): void => {
+    const key = Math.ceil(at);
+    queue.set(key, [...queue.get(key) ?? [], run]);
+  };
+  let busyUntil = backlogMs;
+  let givenUp = 0;
+  const deliver = (timeouts: RetransmissionTimeouts, sentAt: number): void => {
+    const offsets = timeouts.listOffsets("host");
+    let isAcknowledged = false;
+    const transmit = (now: number, sendCount: number): void => {
+      if (isAcknowledged) return;
+      if (sendCount > 0) timeouts.recordTimeout("host", now);
+      const offset = offsets[sendCount];
+      if (offset === undefined) {
+        isAcknowledged = true;
+        if (sentAt >= END_MS / 2) givenUp += 1;
+        return;
+      }
+      busyUntil = Math.max(now, busyUntil) + SERVICE_MS;
+      const durationMs = busyUntil - now;
+      schedule(busyUntil, () => {
+        if (isAcknowledged) return;
+        isAcknowledged = true;
+        if (lastCount === 0) timeouts.recordRoundTrip("host", durationMs);
+      });
+      lastCount = sendCount;
+      schedule(sentAt + offset, () => transmit(sentAt + offset, sendCount + 1));
+    };
+    let lastCount = 0;
+    transmit(sentAt, 0);
+  };
+  for (let sent = 0; sent * ARRIVAL_MS < END_MS; sent += 1) {
+    const sender = senders[sent % SENDERS] ?? new RetransmissionTimeouts();
+    schedule(sent * ARRIVAL_MS, () => deliver(sender, sent * ARRIVAL_MS));
+  }
+  for (let now = 0; now <= END_MS; now += 1) {
+    for (const run of queue.get(now) ?? []) run();
+  }
+  return givenUp;
+}
+
+test("retransmissions to a host that starts with a backlog do not keep it busy for good", () => {
+  assert.is(simulateBacklog(500), 0);
+});
+
 test.run();
