--- a/src/gateway/peer_task.ts
+++ b/src/gateway/peer_task.ts
@@ -112,9 +112,7 @@
     this.#lastNumber += 1;
     const number = this.#lastNumber;
     const bytes = this.#encode(ip, { message, number });
-    const lifetimeMs = getLifetimeMs(message);
-    const offsetsMs = this.#timeouts.listOffsets(ip)
-      .filter((offsetMs) => offsetMs <= lifetimeMs);
+    const offsetsMs = this.#timeouts.listOffsets(ip, getLifetimeMs(message));
     return new Promise((resolve) => {
       let sendCount = 0;
       const startedAt = performance.now();
@@ -129,14 +127,14 @@
       const sendNext = (): void => {
         const isRepeated = sendCount > 0;
         if (isRepeated) this.#timeouts.recordTimeout(ip, performance.now());
+        const offsetMs = offsetsMs[sendCount];
+        if (offsetMs === undefined) return settle(false);
         this.#write(
           ip,
           bytes,
           isRepeated ? DatagramPurpose.Retransmission : DatagramPurpose.Message,
         );
-        const offsetMs = offsetsMs[sendCount];
         sendCount += 1;
-        if (offsetMs === undefined) return settle(false);
         const waitMs = startedAt + offsetMs - performance.now();
         const timer = setTimeout(sendNext, Math.max(5, waitMs));
         this.#pending.set(number, { timer, settle });
@@ -252,13 +250,11 @@
 }
 
 /**
- * Returns for how long a message is retransmitted, whatever the peer's
- * round-trip time.
+ * Returns after which time a message is of no use, whatever the peer's
+ * round-trip time; undefined if it does not age.
  */
-function getLifetimeMs(message: GatewayMessage): Milliseconds {
-  return message.kind === "handover"
-    ? HANDOVER_LIFETIME_MS
-    : Number.POSITIVE_INFINITY;
+function getLifetimeMs(message: GatewayMessage): Milliseconds | undefined {
+  return message.kind === "handover" ? HANDOVER_LIFETIME_MS : undefined;
 }
 
 /**
