--- a/src/gateway/attempt_runner.ts
+++ b/src/gateway/attempt_runner.ts
@@ -101,7 +101,7 @@
    * can follow then.
    */
   responseHeaderTimeoutMs: Milliseconds;
-  canRetry: () => boolean;
+  canDispatchAnother: () => boolean;
   /** Receives a streamed response; undefined if the response is buffered. */
   sink: StreamSink | undefined;
   /**
@@ -183,7 +183,7 @@
   };
   const timer = setTimeout(
     () => {
-      if (head || !options.canRetry()) return;
+      if (head || !options.canDispatchAnother()) return;
       abort(AttemptOutcome.TimedOut, "no head in time");
     },
     Math.max(1, options.responseHeaderTimeoutMs),
--- a/src/gateway/request_handler.ts
+++ b/src/gateway/request_handler.ts
@@ -336,7 +336,7 @@
       },
       mayReuseConnection: this.#canRetry(),
       responseHeaderTimeoutMs: this.#computeResponseHeaderTimeoutMs(),
-      canRetry: () => this.#canDispatch(),
+      canDispatchAnother: () => this.#canDispatch(),
       hasUpstreamCrashed: () => this.#context.crashProbe.hasCrashed(upstream),
       handleHead: (head) => this.#handleHead(upstream, head),
       sink: isStream
