--- a/src/core/ordering/order_planner.ts
+++ b/src/core/ordering/order_planner.ts
@@ -203,7 +203,7 @@
 
   /**
    * Returns when this daemon may load an engine's base model: now or from the
-   * begin of its next turn. The turns follow from the engine's age.
+   * start of its next turn. The turns follow from the engine's age.
    */
   #findLoadTurnAt(now: Milliseconds): Milliseconds {
     const ageMs = this.#ownership.getEngineAgeMs(now);
