One settlement of a claim, one measure of a block

Read-through of the change, behaviour as it was. TicketAdmission wrote the case without a claim and the answer without a body twice; #settleClaim and createBodilessAnswer serve both ends. AdmissionController computed the length of the owner's block in two places and walked the queue at each tick also without one; #getBlockMs serves both, and the walk ends at once.

--- a/src/core/admission/admission_controller.ts
+++ b/src/core/admission/admission_controller.ts
@@ -304,7 +304,7 @@
       this.#refuse(waiting.request, DenialReason.Overdue, now);
     }
     this.grantWaiting(now);
-    this.#redirectWaiting(now - (this.#blockedSince ?? now), now);
+    this.#redirectWaiting(now);
   }
 
   /** An owner that can't give orders asks for none between two ticks. */
@@ -314,11 +314,18 @@
     this.#lastTickAt = now;
   }
 
+  /** Returns for how long the owner has not been able to give orders. */
+  #getBlockMs(now: Milliseconds): Milliseconds {
+    return now - (this.#blockedSince ?? now);
+  }
+
   /**
    * Denies the requests that wait for a load which the owner can't order, and
    * that another engine may still serve in time.
    */
-  #redirectWaiting(blockMs: Milliseconds, now: Milliseconds): void {
+  #redirectWaiting(now: Milliseconds): void {
+    const blockMs = this.#getBlockMs(now);
+    if (blockMs === 0) return;
     for (const { request, arrivedAt } of this.#waitingRequests.values()) {
       const { firstTokenBudgetMs, isLastChoice } = request;
       // An order takes some milliseconds, in which no other is given.
@@ -527,9 +534,7 @@
       : 0;
     // A block of unknown end is expected to last as long again; a request that
     // has no other engine waits for its end.
-    const blockMs = request.isLastChoice
-      ? 0
-      : now - (this.#blockedSince ?? now);
+    const blockMs = request.isLastChoice ? 0 : this.#getBlockMs(now);
     const waitMs = Math.max(
       slotMs,
       blockMs,
--- a/src/core/execution/ticket_admission.ts
+++ b/src/core/execution/ticket_admission.ts
@@ -2,7 +2,11 @@
  * Admits requests that must run at most once: claims each request's ticket at
  * the daemon that issued it, and settles the claim when the request ends.
  */
-import { ClaimVerdict, type TicketVerdictMessage } from "../messages.ts";
+import {
+  ClaimVerdict,
+  type StoredAnswerStructure,
+  type TicketVerdictMessage,
+} from "../messages.ts";
 import { Outcome, RefusalReason } from "../outcomes.ts";
 import type { Milliseconds } from "../structures.ts";
 import {
@@ -201,19 +205,9 @@
     answer: () => void,
     now: Milliseconds,
   ): void {
-    const { claim, event: { customer } } = request;
-    if (!claim) {
-      answer();
-      return;
-    }
-    const storedAnswer = request.answer ?? {
-      outcome: Outcome.Completed,
-      status: 200,
-      contentType: "",
-      body: new Uint8Array(),
-      bodyKept: false,
-    };
-    this.#settler.settle(claim, customer, storedAnswer, answer, now);
+    const storedAnswer = request.answer ??
+      createBodilessAnswer(Outcome.Completed, 200);
+    this.#settleClaim(request, storedAnswer, answer, now);
   }
 
   /**
@@ -228,22 +222,41 @@
     now: Milliseconds,
   ): void {
     const { claim, event: { customer } } = request;
-    if (!claim) {
+    if (claim && request.state === "claimingTicket") {
+      this.#settler.abandon(claim, customer);
       answer();
       return;
     }
-    if (request.state === "claimingTicket") {
-      this.#settler.abandon(claim, customer);
+    const storedAnswer = outcome === Outcome.NotRun
+      ? undefined
+      : createBodilessAnswer(outcome, 502);
+    this.#settleClaim(request, storedAnswer, answer, now);
+  }
+
+  #settleClaim(
+    { claim, event: { customer } }: LiveRequest,
+    storedAnswer: StoredAnswerStructure | undefined,
+    answer: () => void,
+    now: Milliseconds,
+  ): void {
+    if (!claim) {
       answer();
       return;
     }
-    const storedAnswer = outcome === Outcome.NotRun ? undefined : {
-      outcome,
-      status: 502,
-      contentType: "",
-      body: new Uint8Array(),
-      bodyKept: false,
-    };
     this.#settler.settle(claim, customer, storedAnswer, answer, now);
   }
 }
+
+/** Returns what a ticket keeps of a run whose body is not kept. */
+function createBodilessAnswer(
+  outcome: Outcome,
+  status: number,
+): StoredAnswerStructure {
+  return {
+    outcome,
+    status,
+    contentType: "",
+    body: new Uint8Array(),
+    bodyKept: false,
+  };
+}
