Logs and metrics tell how long a request lay unread

The gateway observes the turns of its event loop; input that is read after a stall, or from a queue of connections of which libuv accepts one a turn, can have waited since the queue was last found empty.

--- a/src/gateway/caller_exchange.ts
+++ b/src/gateway/caller_exchange.ts
@@ -21,6 +21,8 @@
    * When the head of the request was read, on the clock of `performance.now()`.
    */
   arrivedAt: Milliseconds;
+  /** Expected time for which the request lay unread before that. */
+  readDelayMs: Milliseconds;
   /** Returns whether the connection is to be closed after this response. */
   isClosing: () => boolean;
 }
@@ -52,6 +54,10 @@
     return this.#options.arrivedAt;
   }
 
+  get readDelayMs(): Milliseconds {
+    return this.#options.readDelayMs;
+  }
+
   get method(): string {
     return this.#options.request.method ?? "GET";
   }
--- a/src/gateway/caller_task.ts
+++ b/src/gateway/caller_task.ts
@@ -22,6 +22,7 @@
 import { abortResponse, ActiveResponses } from "../daemon/response_abort.ts";
 import { describeError } from "../daemon/step_error.ts";
 import { CallerExchange } from "./caller_exchange.ts";
+import { InputKind } from "./event_loop_monitor.ts";
 import type { RequestMetadata } from "./ports.ts";
 import type { RequestContext } from "./request_context.ts";
 import { RequestHandler } from "./request_handler.ts";
@@ -75,6 +76,11 @@
   /** Connections without a request, with the time from which each is idle. */
   readonly #idleSockets = new Map<Socket, Milliseconds>();
   readonly #sockets = new Set<Socket>();
+  /**
+   * Expected time for which each connection without a request so far waited to
+   * be accepted.
+   */
+  readonly #acceptDelaysMs = new WeakMap<Socket, Milliseconds>();
   readonly #activeResponses = new ActiveResponses();
   readonly #closingSockets = new WeakSet<Socket>();
   readonly #handlers = new Set<RequestHandler>();
@@ -92,9 +98,11 @@
       keepAliveTimeout: DEFAULT_IDLE_TIMEOUT_MS,
     }, (request, response) => this.#handleRequest(request, response));
     this.#server.on("connection", (socket: Socket) => {
+      const now = performance.now();
       socket.setNoDelay(true);
       this.#sockets.add(socket);
-      this.#idleSockets.set(socket, performance.now() + FIRST_REQUEST_MS);
+      this.#idleSockets.set(socket, now + FIRST_REQUEST_MS);
+      this.#recordAccept(socket, now);
       socket.once("close", () => {
         this.#sockets.delete(socket);
         this.#idleSockets.delete(socket);
@@ -156,6 +164,25 @@
     }
   }
 
+  #recordAccept(socket: Socket, now: Milliseconds): void {
+    const { eventLoop } = this.#context;
+    const delayMs = eventLoop.estimateDelayMs(InputKind.Connection, now);
+    this.#acceptDelaysMs.set(socket, delayMs);
+    eventLoop.recordInput(InputKind.Connection);
+  }
+
+  /** Returns the expected time for which a request that is read now lay unread. */
+  #takeReadDelayMs(socket: Socket, now: Milliseconds): Milliseconds {
+    const { eventLoop, metrics } = this.#context;
+    const acceptDelayMs = this.#acceptDelaysMs.get(socket) ?? 0;
+    this.#acceptDelaysMs.delete(socket);
+    const delayMs = acceptDelayMs +
+      eventLoop.estimateDelayMs(InputKind.Bytes, now);
+    eventLoop.recordInput(InputKind.Bytes);
+    if (delayMs > 0) metrics.measure("read_delay", "late", delayMs);
+    return delayMs;
+  }
+
   #closeSocket(socket: Socket): void {
     this.#closingSockets.add(socket);
     socket.end();
@@ -169,6 +196,7 @@
   #handleRequest(request: IncomingMessage, response: ServerResponse): void {
     const arrivedAt = performance.now();
     const { socket } = request;
+    const readDelayMs = this.#takeReadDelayMs(socket, arrivedAt);
     if (this.#closingSockets.has(socket)) {
       // The caller sent the request while the connection was being closed. It
       // is dropped without being run, so the caller can send it to another
@@ -196,7 +224,8 @@
         detail: describeError(error),
       });
     });
-    void this.#serve(request, response, arrivedAt).catch((error) => {
+    const timing = { arrivedAt, readDelayMs };
+    void this.#serve(request, response, timing).catch((error) => {
       this.#context.log.warn("requestFaulted", {
         step: "serve request",
         detail: error instanceof Error ? error.stack : String(error),
@@ -208,7 +237,7 @@
   async #serve(
     request: IncomingMessage,
     response: ServerResponse,
-    arrivedAt: Milliseconds,
+    timing: { arrivedAt: Milliseconds; readDelayMs: Milliseconds },
   ): Promise<void> {
     const { headerCodec, view } = this.#context;
     const metadata = headerCodec.decodeRequestMetadata(
@@ -223,7 +252,7 @@
       response,
       metadata,
       body,
-      arrivedAt,
+      ...timing,
       isClosing: () =>
         this.#stop !== undefined &&
         this.#activeResponses.getLast(request.socket) === response,
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -26,6 +26,7 @@
 import { CrashProbe } from "./crash_probe.ts";
 import { DecisionLog } from "./decision_log.ts";
 import { EngineTask } from "./engine_task.ts";
+import { EventLoopMonitor } from "./event_loop_monitor.ts";
 import { GatewayMetrics } from "./gateway_metrics.ts";
 import { PeerTask } from "./peer_task.ts";
 import type { GatewayMessage } from "./peer_messages.ts";
@@ -97,6 +98,7 @@
   readonly #settings: GatewaySettings;
   readonly #log: DecisionLog;
   readonly #metrics = new GatewayMetrics();
+  readonly #eventLoop = new EventLoopMonitor(performance.now());
   readonly #view = new PublishedView();
   readonly #fleet: FleetView;
   readonly #health = new UpstreamHealth();
@@ -205,6 +207,7 @@
       serviceLoads: new Map(),
       upstreams: this.#upstreamClient,
       engines: this.#engines,
+      eventLoop: this.#eventLoop,
       log: this.#log,
       metrics: this.#metrics,
     };
@@ -274,6 +277,7 @@
     this.#peers.close();
     this.#metrics.close();
     this.#upstreamClient.close();
+    this.#eventLoop.stop();
     this.#log.flush();
   }
 
@@ -373,7 +377,12 @@
     }
     this.#updateGauges(now);
     const usage = this.#usage.takeSummary(now);
-    if (usage) this.#log.info("processUsage", usage);
+    if (usage) {
+      this.#log.info("processUsage", {
+        ...usage,
+        longestReadDelayMs: Math.round(this.#eventLoop.takeLongestDelayMs()),
+      });
+    }
   }
 
   /**
--- a/src/gateway/gateway_metrics.ts
+++ b/src/gateway/gateway_metrics.ts
@@ -57,6 +57,8 @@
     "Failed reads of a peer's view, by set (configuration, upstreams)",
   peer_messages_dropped: "Datagrams from peers that were dropped, by reason",
   pauses: "Process pauses detected, by detector (process, holder)",
+  read_delay:
+    "Expected time for which requests lay unread, of those that did, in ms, by kind (always late)",
   first_byte:
     "Time from arrival to the first byte of a streamed response, in ms, by kind (always stream)",
   whole_answer:
--- a/src/gateway/request_handler.ts
+++ b/src/gateway/request_handler.ts
@@ -482,6 +482,7 @@
       objectiveMs: this.#route.latencyObjectiveMs,
       sentMs: roundMs(this.#sentAt - this.#exchange.arrivedAt),
       firstByteMs: roundMs(this.#firstByteAt - this.#exchange.arrivedAt),
+      readDelayMs: roundMs(this.#exchange.readDelayMs),
       elapsedMs: roundMs(performance.now() - this.#exchange.arrivedAt),
       remainingMs: roundMs(this.#getRemainingMs()),
       configurationVersion: view.configuration?.version,
@@ -647,15 +648,17 @@
   #handleDisconnect(): void {
     if (this.#isFinished) return;
     this.#isFinished = true;
-    this.#running?.cancel();
     this.#context.metrics.count("callers_gone", this.#route.repeatability);
     this.#context.log.info("callerGone", {
       requestId: this.#exchange.metadata.requestId,
       route: this.#route.name,
       attempts: this.#totalAttempts,
       hasStarted: this.#hasForwarded,
+      sentMs: roundMs(this.#sentAt - this.#exchange.arrivedAt),
+      readDelayMs: roundMs(this.#exchange.readDelayMs),
       elapsedMs: roundMs(performance.now() - this.#exchange.arrivedAt),
     });
+    this.#running?.cancel();
   }
 
   #recordResult(upstream: PublishedUpstream, result: AttemptResult): void {
