--- a/test/gateway/gateway_harness.ts
+++ b/test/gateway/gateway_harness.ts
@@ -210,6 +210,13 @@
     };
   }
 
+  /** Returns the bytes of a request without a body. */
+  formatRequest(path: string, options: { id?: string } = {}): string {
+    const lines = Object.entries(this.#createHeaders(path, options))
+      .map(([name, value]) => `${name}: ${value}\r\n`).join("");
+    return `POST ${path} HTTP/1.1\r\n${lines}Content-Length: 0\r\n\r\n`;
+  }
+
   /** Sends a request as a caller on a plain socket does. */
   callRaw(path: string, options: RawCallOptions): Promise<RawAnswer> {
     return callRaw({
--- a/test/gateway/stop_signal_test.ts
+++ b/test/gateway/stop_signal_test.ts
@@ -2,39 +2,26 @@
  * The gateway's process ended at a second stop signal, or at the end of the
  * grace period, with requests that had no answer.
  */
-import { type ChildProcess, spawn } from "node:child_process";
 import { once } from "node:events";
-import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
-import { tmpdir } from "node:os";
-import { join } from "node:path";
-import process from "node:process";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import type { ScriptedAnswer } from "../../fakes/scripted_answer.ts";
 import { waitMs } from "../../src/gateway/wait.ts";
 import { GatewayHarness, GRACE_MS } from "./gateway_harness.ts";
+import { GatewayProcess } from "./gateway_process.ts";
 
 const harness = new GatewayHarness();
-const folder = mkdtempSync(join(tmpdir(), "stop-signal-"));
-let gateway: ChildProcess;
+let gateway: GatewayProcess;
 /** Longer than the grace period. */
 const LONG_TIMEOUT_MS = 9_000;
 
 test.before(async () => {
   harness.routeOverrides = { unsafe: { timeout_ms: LONG_TIMEOUT_MS } };
   await harness.start({ gateways: 0, engines: 1, services: 1 });
-  const settingsPath = join(folder, "settings.yaml");
-  writeFileSync(settingsPath, JSON.stringify(harness.describeSettings(0)));
-  gateway = spawn(
-    process.execPath,
-    ["--import", "tsx", "platform/main.ts", settingsPath],
-    { stdio: "inherit" },
-  );
-  await harness.waitFor(() => harness.isReady(0));
+  gateway = await GatewayProcess.start(harness);
 });
 test.after(async () => {
-  gateway.kill("SIGKILL");
-  rmSync(folder, { recursive: true });
+  gateway.stop();
   await harness.stop();
 });
 
@@ -57,10 +44,10 @@
   );
   await harness.waitFor(() => harness.countRuns("left") === 1);
   const signalAt = performance.now();
-  const exit = once(gateway, "exit");
-  gateway.kill("SIGTERM");
+  const exit = once(gateway.child, "exit");
+  gateway.signal("SIGTERM");
   await waitMs(300);
-  gateway.kill("SIGTERM");
+  gateway.signal("SIGTERM");
   assert.equal(await exit, [0, null]);
   assert.ok(performance.now() - signalAt < GRACE_MS);
   assert.is((await served)?.status, 200);
