All runs of a caller that leaves end, also behind another response

Callers saw nothing; upstreams worked on for callers that had left, and were sent idempotent requests once more. Cause: Node.js emits close only for the first response of a connection, and both programs waited for it; requests in flight were also counted forever.

--- a/src/daemon/caller_task.ts
+++ b/src/daemon/caller_task.ts
@@ -18,6 +18,7 @@
   createHttpServer,
   listen,
   listUnbegunResponses,
+  onDeparture,
   waitUntilSent,
 } from "./http_server.ts";
 import { parseJsonObject } from "./json_body.ts";
@@ -222,7 +223,7 @@
     const ticket = request.get("idempotency-key");
     const exchange = this.#createExchange(response, call.isStreamed);
     this.#callerExchanges.set(requestId, exchange);
-    response.on("close", () => this.#handleClose(requestId));
+    onDeparture(this.#server, response, () => this.#handleClose(requestId));
     this.#options.exchanges.add({
       requestId,
       path: request.path,
--- a/src/daemon/http_server.ts
+++ b/src/daemon/http_server.ts
@@ -76,6 +76,15 @@
   activeResponses.get(server)?.closeConnections();
 }
 
+/** Calls the listener when the caller has left before the response was ended. */
+export function onDeparture(
+  server: Server,
+  response: ServerResponse,
+  listener: () => void,
+): void {
+  activeResponses.get(server)?.onDeparture(response, listener);
+}
+
 /** Lists the responses that have not begun. */
 export function listUnbegunResponses(server: Server): ServerResponse[] {
   return activeResponses.get(server)?.listUnbegun() ?? [];
--- a/src/daemon/response_abort.ts
+++ b/src/daemon/response_abort.ts
@@ -23,23 +23,62 @@
    * before they have read a response.
    */
   readonly #lastResponses = new WeakMap<Socket, ServerResponse>();
+  readonly #responsesBySocket = new WeakMap<Socket, Set<ServerResponse>>();
+  readonly #departureListeners = new WeakMap<ServerResponse, () => void>();
   #isClosing = false;
 
   add(response: ServerResponse): void {
     const { socket } = response.req;
     const before = this.getLast(socket);
     this.#responses.add(response);
+    this.#addToSocket(socket, response);
     this.#lastResponses.set(socket, response);
     if (this.#isClosing) {
       if (before && !before.headersSent) before.removeHeader("connection");
       response.setHeader("connection", "close");
     }
     response.once("close", () => {
+      this.#notifyDeparture(response);
       this.#responses.delete(response);
+      this.#responsesBySocket.get(socket)?.delete(response);
       if (this.getLast(socket) === response) this.#lastResponses.delete(socket);
     });
   }
 
+  /**
+   * Sets the listener that is called when the caller has closed its side of the
+   * connection, or the connection is lost, before the response was ended.
+   */
+  onDeparture(response: ServerResponse, listener: () => void): void {
+    const { socket } = response.req;
+    if (socket.readableEnded || socket.destroyed) listener();
+    else this.#departureListeners.set(response, listener);
+  }
+
+  #addToSocket(socket: Socket, response: ServerResponse): void {
+    const responses = this.#responsesBySocket.get(socket);
+    if (responses) {
+      responses.add(response);
+      return;
+    }
+    const first = new Set([response]);
+    this.#responsesBySocket.set(socket, first);
+    socket.once("end", () => {
+      for (const each of first) this.#notifyDeparture(each);
+    });
+    // Node.js emits `close` only for the first of the responses.
+    socket.once("close", () => {
+      for (const each of first) each.emit("close");
+    });
+  }
+
+  #notifyDeparture(response: ServerResponse): void {
+    if (response.writableEnded) return;
+    const listener = this.#departureListeners.get(response);
+    this.#departureListeners.delete(response);
+    listener?.();
+  }
+
   /** Returns the last of the responses that are under way on a connection. */
   getLast(socket: Socket): ServerResponse | undefined {
     return this.#lastResponses.get(socket);
--- a/src/gateway/caller_exchange.ts
+++ b/src/gateway/caller_exchange.ts
@@ -25,6 +25,8 @@
   readDelayMs: Milliseconds;
   /** Returns whether the connection is to be closed after this response. */
   isClosing: () => boolean;
+  /** Sets the listener for the caller's departure before the response ends. */
+  onDeparture: (listener: () => void) => void;
 }
 
 export class CallerExchange {
@@ -35,8 +37,7 @@
 
   constructor(options: CallerExchangeOptions) {
     this.#options = options;
-    options.response.once("close", () => {
-      if (options.response.writableFinished) return;
+    options.onDeparture(() => {
       this.#isDisconnected = true;
       this.#disconnectListener?.();
     });
--- a/src/gateway/caller_task.ts
+++ b/src/gateway/caller_task.ts
@@ -256,6 +256,8 @@
       isClosing: () =>
         this.#stop !== undefined &&
         this.#activeResponses.getLast(request.socket) === response,
+      onDeparture: (listener) =>
+        this.#activeResponses.onDeparture(response, listener),
     });
     if (read.kind === "stopped") {
       this.#refuseStopping(exchange);
