A request that lay unread beside its caller's close is not passed on

Callers saw nothing; upstreams ran requests whose callers had left (GONE). Cause: a process that reads late finds request and close in its buffers and reads the close a turn of its event loop after the request, when that has been sent.

--- a/src/gateway/caller_task.ts
+++ b/src/gateway/caller_task.ts
@@ -21,7 +21,9 @@
 import type { Milliseconds } from "../core/structures.ts";
 import { abortResponse, ActiveResponses } from "../daemon/response_abort.ts";
 import { describeError } from "../daemon/step_error.ts";
+import { awaitUnreadInput } from "../daemon/unread_input.ts";
 import { CallerExchange } from "./caller_exchange.ts";
+import { roundMs } from "./decision_log.ts";
 import { InputKind } from "./event_loop_monitor.ts";
 import type { RequestMetadata } from "./ports.ts";
 import type { RequestContext } from "./request_context.ts";
@@ -269,6 +271,11 @@
       setTimeout(() => request.destroy(), OVERSIZED_BODY_LINGER_MS);
       return;
     }
+    await awaitUnreadInput();
+    if (exchange.isDisconnected) {
+      this.#recordUnservedDeparture(exchange);
+      return;
+    }
     if (!view.configuration) {
       this.#refuse(
         exchange,
@@ -320,6 +327,18 @@
     }
   }
 
+  /** Records that a caller left before its request was acted upon. */
+  #recordUnservedDeparture(exchange: CallerExchange): void {
+    const { metrics, log } = this.#context;
+    metrics.count("callers_gone", "unread");
+    log.info("callerGone", {
+      requestId: exchange.metadata.requestId,
+      attempts: 0,
+      readDelayMs: roundMs(exchange.readDelayMs),
+      elapsedMs: roundMs(performance.now() - exchange.arrivedAt),
+    });
+  }
+
   #refuseStopping(exchange: CallerExchange): void {
     this.#refuse(
       exchange,
--- a/src/gateway/gateway_metrics.ts
+++ b/src/gateway/gateway_metrics.ts
@@ -34,7 +34,7 @@
   failures:
     "Failed requests that may have run, by outcome of the last attempt or by reason",
   callers_gone:
-    "Requests whose caller disconnected before the response was complete, by kind (idempotent, nonIdempotent, stream)",
+    "Requests whose caller disconnected before the response was complete, by kind (idempotent, nonIdempotent, stream; unread if the close lay unread beside the request)",
   callers_backlogged:
     "Times a streamed response was paused because its caller read too slowly, by kind (always stream)",
   upstream_notices:
--- a/src/gateway/request_handler.ts
+++ b/src/gateway/request_handler.ts
@@ -30,6 +30,7 @@
 import { HealthSignal } from "../core/placement/upstream_health.ts";
 import { rankServiceUpstreams } from "../core/placement/upstream_ranking.ts";
 import type { Milliseconds } from "../core/structures.ts";
+import { awaitTurnEnd } from "../daemon/unread_input.ts";
 import {
   type PublishedRoute,
   type PublishedService,
@@ -201,9 +202,7 @@
 
   async #tryOnce(): Promise<void> {
     if (this.#refuseIfQuarantined() || this.#refuseIfStopping()) return;
-    const upstream = this.#service.engine
-      ? await this.#engineSelector.selectEngine()
-      : this.#selectServiceUpstream();
+    const upstream = await this.#selectUpstream();
     // A part may have been convicted, or the shutdown may have begun, while the
     // request waited for its permit.
     if (
@@ -242,6 +241,20 @@
     this.#applyVerdict(result.detail, this.#decide(result), result);
   }
 
+  /**
+   * Selects an upstream, and reads the caller's departure if it lies beside the
+   * permit or the end of the attempt before.
+   */
+  async #selectUpstream(): Promise<PublishedUpstream | undefined> {
+    if (this.#service.engine) {
+      const engine = await this.#engineSelector.selectEngine();
+      await awaitTurnEnd();
+      return engine;
+    }
+    if (this.#totalAttempts > 0) await awaitTurnEnd();
+    return this.#isFinished ? undefined : this.#selectServiceUpstream();
+  }
+
   /** Refuses the request if it, or one of its prompt parts, crashes upstreams. */
   #refuseIfQuarantined(): boolean {
     const refusal = this.#crashGuard.findRefusal(performance.now());
--- a/src/gateway/upstream_client.ts
+++ b/src/gateway/upstream_client.ts
@@ -60,7 +60,7 @@
 export type AttemptEnd =
   /** The whole response has arrived. */
   | { kind: "complete" }
-  /** No connection was established, so nothing was sent. */
+  /** Nothing was sent. */
   | { kind: "notSent"; detail: string }
   /** The connection broke before or within the response. */
   | { kind: "broken"; detail: string };
@@ -163,7 +163,7 @@
   body: Buffer,
   listener: AttemptListener,
 ): StartedAttempt {
-  let hasConnected = false;
+  let hasSent = false;
   let hasEnded = false;
   let interimHeads = 0;
   let response: IncomingMessage | undefined;
@@ -176,11 +176,16 @@
     listener.onEnd(attemptEnd);
   };
   const fail = (detail: string): void =>
-    end({ kind: hasConnected ? "broken" : "notSent", detail });
+    end({ kind: hasSent ? "broken" : "notSent", detail });
+  const send = (): void => {
+    if (hasEnded) return;
+    hasSent = true;
+    call.end(body);
+  };
   call.on("socket", (socket: Socket) => {
     watchForReset(socket);
     if (!socket.connecting) {
-      hasConnected = true;
+      send();
       return;
     }
     timer = setTimeout(
@@ -188,8 +193,9 @@
       CONNECT_TIMEOUT_MS,
     );
     socket.once("connect", () => {
-      hasConnected = true;
       clearTimeout(timer);
+      // The caller may have left while the connection was established.
+      setImmediate(send);
     });
   });
   call.on("error", (error) => fail(describeError(error)));
@@ -220,7 +226,6 @@
       else fail("answer ended early");
     });
   });
-  call.end(body);
   return {
     cancel: () => {
       hasEnded = true;
--- a/test/gateway/late_reading_test.ts
+++ b/test/gateway/late_reading_test.ts
@@ -76,6 +76,24 @@
   }
 }
 
+test("a request whose attempt is lost and whose caller leaves while the process stands still is sent again", async () => {
+  for (const service of harness.services) service.behaviours = ["hang"];
+  const socket = await openUsedSocket();
+  socket.write(harness.formatRequest("/safe/1", { id: "lost" }));
+  await harness.waitFor(() => harness.countRuns("lost") === 1);
+  gateway.signal("SIGSTOP");
+  for (const service of harness.services) {
+    service.behaviours = [];
+    service.crash();
+  }
+  await waitMs(PATIENCE_MS);
+  socket.end();
+  await waitMs(STALL_MS - PATIENCE_MS);
+  gateway.signal("SIGCONT");
+  await waitMs(SETTLE_MS);
+  assert.is(harness.countRuns("lost"), 1);
+});
+
 test("requests of callers that still wait are served after the process stood still", async () => {
   gateway.signal("SIGSTOP");
   const answers = ["/safe/1", "/unsafe/1", "/brief/1"].flatMap((path) =>
--- a/test/gateway/upstream_client_test.ts
+++ b/test/gateway/upstream_client_test.ts
@@ -1,5 +1,7 @@
-/** Attempts that can't be sent at all. */
+/** Attempts that can't be sent at all, or whose caller leaves before they are. */
 import { Buffer } from "node:buffer";
+import { once } from "node:events";
+import { type AddressInfo, createServer } from "node:net";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { GatewayMetrics } from "../../src/gateway/gateway_metrics.ts";
@@ -60,4 +62,28 @@
   await new Promise((resolve) => setTimeout(resolve, 10));
 });
 
+test("a request is sent although its caller's departure is read in the turn in which the connection is established", async () => {
+  let received = "";
+  const upstream = createServer((socket) => {
+    socket.on("data", (bytes) => received += bytes.toString());
+    socket.on("error", () => {});
+  });
+  upstream.listen(0, "127.0.0.1");
+  await once(upstream, "listening");
+  const { port } = upstream.address() as AddressInfo;
+  const attempt = client.startAttempt(
+    { ...REQUEST, address: `127.0.0.1:${port}` },
+    {
+      onHead: () => assert.unreachable("expected no head"),
+      onChunk: () => true,
+      onEnd: () => assert.unreachable("expected no end"),
+    },
+  );
+  await once(upstream, "connection");
+  setImmediate(() => attempt.cancel());
+  await new Promise((resolve) => setTimeout(resolve, 50));
+  assert.is(received, "");
+  upstream.close();
+});
+
 test.run();
