Daemon: a call that lay unread beside its caller's close is not run

A call is handed to the core two turns after it was read, an attempt begins a turn after its lease came, and a new connection carries it a turn after it is up.

--- a/src/daemon/caller_task.ts
+++ b/src/daemon/caller_task.ts
@@ -27,6 +27,7 @@
 import { type RefusalStructure, sendRefusal } from "./refusal_response.ts";
 import { abortResponse } from "./response_abort.ts";
 import { describeError } from "./step_error.ts";
+import { awaitUnreadInput } from "./unread_input.ts";
 
 /** Time until a retry that is advised while the daemon has no tables yet, or stops. */
 const NOT_READY_RETRY_MS = 1_000;
@@ -127,21 +128,19 @@
       ["/v1/chat/completions", "/v1/completions"],
       this.#authenticate,
       body,
-      (request: Request, response: CallerResponse) => {
-        this.#acceptCompletion(request, response);
-      },
+      (request: Request, response: CallerResponse) =>
+        this.#acceptCompletion(request, response),
     );
     app.post(
       "/v1/services/:route",
       this.#authenticate,
       body,
-      (request: Request, response: CallerResponse) => {
+      (request: Request, response: CallerResponse) =>
         this.#accept(request, response, {
           route: String(request.params["route"]),
           jsonBody: undefined,
           isStreamed: false,
-        });
-      },
+        }),
     );
     app.use((_request: Request, response: Response) => {
       this.#refuse(response, { reason: RefusalReason.UnknownRoute });
@@ -196,21 +195,28 @@
     this.#refuse(response, { reason: RefusalReason.InvalidRequest });
   };
 
-  #acceptCompletion(request: Request, response: CallerResponse): void {
+  async #acceptCompletion(
+    request: Request,
+    response: CallerResponse,
+  ): Promise<void> {
     const jsonBody = parseJsonObject(request.body);
     const model = jsonBody?.["model"];
     if (!jsonBody || typeof model !== "string") {
       this.#refuse(response, { reason: RefusalReason.InvalidRequest });
       return;
     }
-    this.#accept(request, response, {
+    await this.#accept(request, response, {
       route: model,
       jsonBody,
       isStreamed: jsonBody["stream"] === true,
     });
   }
 
-  #accept(request: Request, response: CallerResponse, call: ParsedCall): void {
+  async #accept(
+    request: Request,
+    response: CallerResponse,
+    call: ParsedCall,
+  ): Promise<void> {
     const { customer } = response.locals;
     if (this.#isWrongPoolKind(call, customer)) {
       this.#refuse(response, { reason: RefusalReason.UnknownRoute });
@@ -222,6 +228,15 @@
       : Buffer.alloc(0);
     const ticket = request.get("idempotency-key");
     const exchange = this.#createExchange(response, call.isStreamed);
+    let hasDeparted = false;
+    onDeparture(this.#server, response, () => hasDeparted = true);
+    await awaitUnreadInput();
+    if (hasDeparted) {
+      this.#options.metrics.count("refused", RefusalReason.CallerGone);
+      return;
+    }
+    // A stop that began meanwhile has refused the request.
+    if (response.headersSent) return;
     this.#callerExchanges.set(requestId, exchange);
     onDeparture(this.#server, response, () => this.#handleClose(requestId));
     this.#options.exchanges.add({
--- a/src/daemon/upstream_task.ts
+++ b/src/daemon/upstream_task.ts
@@ -1,7 +1,7 @@
 /** The task that owns the connections to upstreams: dispatches attempts, sends orders and reads states. */
 import { performance } from "node:perf_hooks";
 import type { Readable } from "node:stream";
-import { Agent, type Dispatcher } from "undici";
+import { Agent, buildConnector, type Dispatcher } from "undici";
 import type { DispatchEffect, Effect } from "../core/effects.ts";
 import type { OrderResult } from "../core/events.ts";
 import { BodyFraming } from "../core/execution/body_framing.ts";
@@ -26,6 +26,7 @@
 import type { Logger } from "./logger.ts";
 import { describeError, getErrorCode, isConnectError } from "./step_error.ts";
 import { StreamForwarder } from "./stream_forwarder.ts";
+import { awaitTurnEnd } from "./unread_input.ts";
 import { cancelRun, fetchState, sendOrder } from "./upstream_orders.ts";
 import { resumeStream } from "./upstream_resumption.ts";
 
@@ -33,6 +34,17 @@
 /** Timers may fire early by up to this much. */
 const TIMER_TOLERANCE_MS = 1;
 
+const connectToUpstream = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
+
+/**
+ * Connects, and hands the connection out a turn later: the caller of the request
+ * that it is for may have left meanwhile.
+ */
+const connectDeferred: buildConnector.connector = (options, callback) =>
+  connectToUpstream(options, (...result) => {
+    setImmediate(() => callback(...result));
+  });
+
 export interface UpstreamTaskOptions {
   bus: Bus;
   logger: Logger;
@@ -52,13 +64,13 @@
 export class UpstreamTask {
   readonly #options: UpstreamTaskOptions;
   readonly #agent = new Agent({
-    connect: { timeout: CONNECT_TIMEOUT_MS },
+    connect: connectDeferred,
     headersTimeout: 0,
     bodyTimeout: 0,
   });
   /** Opens a connection for each request, which carries no earlier answers. */
   readonly #singleUseAgent = new Agent({
-    connect: { timeout: CONNECT_TIMEOUT_MS },
+    connect: connectDeferred,
     headersTimeout: 0,
     bodyTimeout: 0,
     pipelining: 0,
@@ -114,7 +126,10 @@
 
   async #runToEnd(attempt: RunningAttempt): Promise<AttemptEnd> {
     const { effect } = attempt;
+    // The lease may have been read before the caller's departure.
+    await awaitTurnEnd();
     const exchange = this.#options.exchanges.get(effect.requestId);
+    if (attempt.isCancelled) return createNotSentEnd("cancelled");
     if (!exchange) return createNotSentEnd("no exchange");
     if (this.#blocked.has(effect.upstreamId)) {
       return createNotSentEnd("blocked");
--- a/test/daemon/daemon_test.ts
+++ b/test/daemon/daemon_test.ts
@@ -301,15 +301,57 @@
   assert.is((await running).headers.get("connection"), "close");
 });
 
+/** Returns the bytes of a call that authenticates as a customer. */
+function formatCall(): string {
+  const body = JSON.stringify({ model: "briefing" });
+  return "POST /v1/chat/completions HTTP/1.1\r\nHost: entry\r\n" +
+    `Authorization: Bearer ${TOKENS.derwent}\r\n` +
+    `Content-Length: ${body.length}\r\n\r\n${body}`;
+}
+
+test("a call that lies unread beside its caller's close is run", async () => {
+  const bench = new ContractBench({
+    engine: { tokens: 10, tokenIntervalMs: 40 },
+  });
+  await withBench(bench, async () => {
+    await bench.call();
+    for (let index = 0; index < 10; index += 1) {
+      connect(bench.callersPort, "127.0.0.1").end(formatCall());
+    }
+    await sleep(HEAD_MS);
+    assert.is(bench.engines[0]?.history.length, 1);
+  });
+});
+
+test("calls go on whose caller left and that waited for the response before theirs", async () => {
+  const bench = new ContractBench({
+    engine: { tokens: 10, tokenIntervalMs: 400 },
+  });
+  await withBench(bench, async () => {
+    const socket = connect(bench.callersPort, "127.0.0.1");
+    socket.write(formatCall().repeat(3));
+    await bench.waitUntil(
+      "all runs start",
+      () => bench.engines[0]?.history.length === 3,
+    );
+    socket.end();
+    await bench.waitUntil(
+      "all runs are cancelled",
+      () =>
+        bench.engines[0]?.history.every((run) =>
+          run.ended === "cancelled" || run.ended === "cut"
+        ) ??
+          false,
+    );
+  });
+});
+
 test("a pipelined call that has run is cut by a stop with the answer before it", async () => {
   const bench = new ContractBench({
     engine: { tokens: 10, tokenIntervalMs: 40 },
   });
   await bench.start();
-  const body = JSON.stringify({ model: "briefing" });
-  const call = "POST /v1/chat/completions HTTP/1.1\r\nHost: entry\r\n" +
-    `Authorization: Bearer ${TOKENS.derwent}\r\n` +
-    `Content-Length: ${body.length}\r\n\r\n${body}`;
+  const call = formatCall();
   const socket = connect(bench.callersPort, "127.0.0.1");
   let text = "";
   socket.on("data", (chunk) => text += chunk.toString());
