The time for which a request lay unread counts towards its deadline

Callers' requests that a process read late were handed to upstreams, and to the owners of engines, as if they had come at that moment: their deadline began anew at the reading (BUDGET), work went on for callers that were about to leave, and a request whose objective was over took a permit before one that could be on time.

--- a/src/core/admission/read_delay.ts
+++ b/src/core/admission/read_delay.ts
@@ -38,12 +38,16 @@
   computeMaxMs(now: Milliseconds): Milliseconds {
     return Math.max(0, now - this.#emptyAt - RESOLUTION_MS);
   }
+}
 
-  /**
-   * Returns the expected wait of input that is read now: it is as likely to
-   * have arrived early as late.
-   */
-  estimateMs(now: Milliseconds): Milliseconds {
-    return this.computeMaxMs(now) / 2;
-  }
+/**
+ * Returns how long a request is expected to have lain unread whose sender would
+ * have given up after `patienceMs`: it is as likely to have arrived early as
+ * late, but not so early that its sender has left.
+ */
+export function estimateUnreadMs(
+  maxDelayMs: Milliseconds,
+  patienceMs: Milliseconds,
+): Milliseconds {
+  return Math.min(maxDelayMs, patienceMs) / 2;
 }
--- a/src/gateway/caller_exchange.ts
+++ b/src/gateway/caller_exchange.ts
@@ -18,10 +18,11 @@
   metadata: RequestMetadata;
   body: Buffer;
   /**
-   * When the head of the request was read, on the clock of `performance.now()`.
+   * When the request is expected to have arrived, on the clock of
+   * `performance.now()`.
    */
   arrivedAt: Milliseconds;
-  /** Expected time for which the request lay unread before that. */
+  /** Expected time from then until the head of the request was read. */
   readDelayMs: Milliseconds;
   /** Returns whether the connection is to be closed after this response. */
   isClosing: () => boolean;
--- a/src/gateway/caller_task.ts
+++ b/src/gateway/caller_task.ts
@@ -18,6 +18,7 @@
   type StopPeriod,
   STOPPING_RETRY_AFTER_MS,
 } from "../core/admission/stop_admission.ts";
+import { estimateUnreadMs } from "../core/admission/read_delay.ts";
 import type { Milliseconds } from "../core/structures.ts";
 import { abortResponse, ActiveResponses } from "../daemon/response_abort.ts";
 import { describeError } from "../daemon/step_error.ts";
@@ -79,8 +80,8 @@
   readonly #idleSockets = new Map<Socket, Milliseconds>();
   readonly #sockets = new Set<Socket>();
   /**
-   * Expected time for which each connection without a request so far waited to
-   * be accepted.
+   * Longest time for which each connection without a request so far can have
+   * waited to be accepted.
    */
   readonly #acceptDelaysMs = new WeakMap<Socket, Milliseconds>();
   readonly #activeResponses = new ActiveResponses();
@@ -168,21 +169,18 @@
 
   #recordAccept(socket: Socket, now: Milliseconds): void {
     const { eventLoop } = this.#context;
-    const delayMs = eventLoop.estimateDelayMs(InputKind.Connection, now);
+    const delayMs = eventLoop.computeMaxDelayMs(InputKind.Connection, now);
     this.#acceptDelaysMs.set(socket, delayMs);
     eventLoop.recordInput(InputKind.Connection);
   }
 
-  /** Returns the expected time for which a request that is read now lay unread. */
-  #takeReadDelayMs(socket: Socket, now: Milliseconds): Milliseconds {
-    const { eventLoop, metrics } = this.#context;
+  /** Returns the longest time for which a request that is read now can have waited. */
+  #takeMaxDelayMs(socket: Socket, now: Milliseconds): Milliseconds {
+    const { eventLoop } = this.#context;
     const acceptDelayMs = this.#acceptDelaysMs.get(socket) ?? 0;
     this.#acceptDelaysMs.delete(socket);
-    const delayMs = acceptDelayMs +
-      eventLoop.estimateDelayMs(InputKind.Bytes, now);
     eventLoop.recordInput(InputKind.Bytes);
-    if (delayMs > 0) metrics.measure("read_delay", "late", delayMs);
-    return delayMs;
+    return acceptDelayMs + eventLoop.computeMaxDelayMs(InputKind.Bytes, now);
   }
 
   #closeSocket(socket: Socket): void {
@@ -196,9 +194,9 @@
   }
 
   #handleRequest(request: IncomingMessage, response: ServerResponse): void {
-    const arrivedAt = performance.now();
+    const readAt = performance.now();
     const { socket } = request;
-    const readDelayMs = this.#takeReadDelayMs(socket, arrivedAt);
+    const maxDelayMs = this.#takeMaxDelayMs(socket, readAt);
     if (this.#closingSockets.has(socket)) {
       // The caller sent the request while the connection was being closed. It
       // is dropped without being run, so the caller can send it to another
@@ -226,8 +224,8 @@
         detail: describeError(error),
       });
     });
-    const timing = { arrivedAt, readDelayMs };
-    void this.#serve(request, response, timing).catch((error) => {
+    const reading = { readAt, maxDelayMs };
+    void this.#serve(request, response, reading).catch((error) => {
       this.#context.log.warn("requestFaulted", {
         step: "serve request",
         detail: error instanceof Error ? error.stack : String(error),
@@ -239,13 +237,18 @@
   async #serve(
     request: IncomingMessage,
     response: ServerResponse,
-    timing: { arrivedAt: Milliseconds; readDelayMs: Milliseconds },
+    { readAt, maxDelayMs }: { readAt: Milliseconds; maxDelayMs: Milliseconds },
   ): Promise<void> {
-    const { headerCodec, view } = this.#context;
+    const { headerCodec, view, metrics } = this.#context;
     const metadata = headerCodec.decodeRequestMetadata(
       request.headers,
       request.url ?? "/",
     );
+    const readDelayMs = estimateUnreadMs(
+      maxDelayMs,
+      metadata.deadlineMs ?? Number.POSITIVE_INFINITY,
+    );
+    if (readDelayMs > 0) metrics.measure("read_delay", "late", readDelayMs);
     const read = await this.#readBody(request);
     if (read.kind === "disconnected") return;
     const body = read.kind === "complete" ? read.body : Buffer.alloc(0);
@@ -254,7 +257,8 @@
       response,
       metadata,
       body,
-      ...timing,
+      arrivedAt: readAt - readDelayMs,
+      readDelayMs,
       isClosing: () =>
         this.#stop !== undefined &&
         this.#activeResponses.getLast(request.socket) === response,
--- a/src/gateway/event_loop_monitor.ts
+++ b/src/gateway/event_loop_monitor.ts
@@ -55,9 +55,9 @@
     this.#scheduleTurnEnd();
   }
 
-  /** Returns the expected time for which input that is read now lay unread. */
-  estimateDelayMs(kind: InputKind, now: Milliseconds): Milliseconds {
-    return this.#delays[kind].estimateMs(now);
+  /** Returns the longest time for which input that is read now can have waited. */
+  computeMaxDelayMs(kind: InputKind, now: Milliseconds): Milliseconds {
+    return this.#delays[kind].computeMaxMs(now);
   }
 
   /** Returns the longest possible delay since the last call. */
--- a/test/core/admission/read_delay_test.ts
+++ b/test/core/admission/read_delay_test.ts
@@ -2,6 +2,7 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import {
+  estimateUnreadMs,
   MAX_TURN_GAP_MS,
   ReadDelay,
 } from "../../../src/core/admission/read_delay.ts";
@@ -22,7 +23,6 @@
 test("input that is read after a stall can have lain unread all the while", () => {
   const delay = createCaughtUp(1_000);
   assert.is(delay.computeMaxMs(3_000), 1_950);
-  assert.is(delay.estimateMs(3_000), 975);
 });
 
 test("the delay ends two turns after the stall", () => {
@@ -43,4 +43,10 @@
   assert.is(delay.computeMaxMs(3_040), 0);
 });
 
+test("a request is expected to have come in the middle of the stall, or of its sender's patience", () => {
+  assert.is(estimateUnreadMs(0, 1_000), 0);
+  assert.is(estimateUnreadMs(800, 1_000), 400);
+  assert.is(estimateUnreadMs(5_000, 1_000), 500);
+});
+
 test.run();
--- a/test/gateway/late_reading_test.ts
+++ b/test/gateway/late_reading_test.ts
@@ -13,6 +13,9 @@
 const CALLERS = 10;
 /** Time for which the process stands still. */
 const STALL_MS = 1_000;
+const SHORT_STALL_MS = 800;
+/** Time by which an upstream may go on after its caller's deadline. */
+const MAX_EXCESS_MS = 500;
 /** Time after which a caller gives up. */
 const PATIENCE_MS = 330;
 /** Time in which a gateway that goes on sends what it has read. */
@@ -94,6 +97,23 @@
   assert.is(harness.countRuns("lost"), 1);
 });
 
+test("upstreams are handed the time for which a request lay unread, as if it were left", async () => {
+  const deadlineMs = 2_500;
+  const socket = await openUsedSocket();
+  gateway.signal("SIGSTOP");
+  socket.write(harness.formatRequest("/safe/1", { id: "unread" }));
+  await waitMs(SHORT_STALL_MS);
+  gateway.signal("SIGCONT");
+  await harness.waitFor(() => harness.countRuns("unread") === 1);
+  socket.end();
+  const [run] = harness.listRuns("unread");
+  const handedMs = Number(run?.headers["x-deadline-ms"]);
+  assert.ok(
+    handedMs <= deadlineMs - SHORT_STALL_MS + MAX_EXCESS_MS,
+    `handed ${handedMs} ms`,
+  );
+});
+
 test("requests of callers that still wait are served after the process stood still", async () => {
   gateway.signal("SIGSTOP");
   const answers = ["/safe/1", "/unsafe/1", "/brief/1"].flatMap((path) =>
