An owner counts the time for which a request for a permit lay unread

The same cause between gateways: an owner that read late took a request of seconds ago for new and gave it a permit, although its sender had given up, or let it wait for a patience that was over.

--- a/src/core/admission/admission_controller.ts
+++ b/src/core/admission/admission_controller.ts
@@ -170,6 +170,10 @@
       return;
     }
     if (this.#waitingRequests.has(request.permitId)) return;
+    if (request.patienceMs <= 0) {
+      this.#refuse(request, DenialReason.Overdue, now);
+      return;
+    }
     const backoffMs = (this.#backoffUntil.get(request.holder) ?? now) - now;
     if (backoffMs > 0) {
       this.#answerDenial(request, DenialReason.Busy, backoffMs);
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -145,6 +145,7 @@
       port: peers.port,
       log: this.#log,
       metrics: this.#metrics,
+      eventLoop: this.#eventLoop,
       handle: (from, message) => this.#handleMessage(from, message),
     });
     this.#viewSynchronizer = new ViewSynchronizer({
--- a/src/gateway/peer_task.ts
+++ b/src/gateway/peer_task.ts
@@ -9,10 +9,12 @@
 import { createSocket, type Socket } from "node:dgram";
 import { Buffer } from "node:buffer";
 import { RetransmissionTimeouts } from "../core/fleet/retransmission_timeouts.ts";
+import { reducePermitTimes } from "../core/admission/permit_age.ts";
 import { HANDOVER_LIFETIME_MS } from "../core/ordering/engine_ownership.ts";
 import { describeError, StepError } from "../daemon/step_error.ts";
 import type { Milliseconds } from "../core/structures.ts";
 import type { DecisionLog } from "./decision_log.ts";
+import { type EventLoopMonitor, InputKind } from "./event_loop_monitor.ts";
 import type { GatewayMetrics } from "./gateway_metrics.ts";
 import {
   decodeEnvelope,
@@ -49,6 +51,7 @@
   port: number;
   log: DecisionLog;
   metrics: Pick<GatewayMetrics, "count">;
+  eventLoop: Pick<EventLoopMonitor, "recordInput" | "computeMaxDelayMs">;
   handle: (from: string, message: GatewayMessage) => void;
 }
 
@@ -172,6 +175,12 @@
   }
 
   #receive(bytes: Buffer, ip: string): void {
+    const { eventLoop } = this.#options;
+    const maxDelayMs = eventLoop.computeMaxDelayMs(
+      InputKind.Datagram,
+      performance.now(),
+    );
+    eventLoop.recordInput(InputKind.Datagram);
     const decoded = decodeEnvelope(bytes);
     if (decoded.isErr()) {
       this.#recordDrop(decoded.error, ip, performance.now());
@@ -188,7 +197,7 @@
       if (!isNew && !needsRepeatedAnswer(message)) return;
     }
     try {
-      this.#options.handle(from, message);
+      this.#options.handle(from, reduceTimes(message, maxDelayMs));
     } catch (error) {
       this.#recordDrop(
         DropReason.HandlerFault,
@@ -257,6 +266,16 @@
   return message.kind === "handover" ? HANDOVER_LIFETIME_MS : undefined;
 }
 
+/** Returns the message as its sender would send it now. */
+function reduceTimes(
+  message: GatewayMessage,
+  maxDelayMs: Milliseconds,
+): GatewayMessage {
+  if (message.kind !== "permitRequest") return message;
+  const request = reducePermitTimes(message.request, maxDelayMs);
+  return { ...message, request };
+}
+
 /**
  * Replaces the name lookup of the socket. Peers are addressed by IP, and the
  * lookup would be half of the cost of sending a datagram.
--- a/test/gateway/peer_datagrams_test.ts
+++ b/test/gateway/peer_datagrams_test.ts
@@ -8,6 +8,7 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { DecisionLog } from "../../src/gateway/decision_log.ts";
+import { EventLoopMonitor } from "../../src/gateway/event_loop_monitor.ts";
 import { GatewayMetrics } from "../../src/gateway/gateway_metrics.ts";
 import type { GatewayMessage } from "../../src/gateway/peer_messages.ts";
 import { PeerTask } from "../../src/gateway/peer_task.ts";
@@ -63,6 +64,7 @@
   metrics.count = (name, reason) => {
     if (name === "peer_messages_dropped") dropped.push(reason);
   };
+  const eventLoop = new EventLoopMonitor(performance.now());
   const receiver = new PeerTask({
     selfId: RECEIVER,
     incarnation: "r",
@@ -70,6 +72,7 @@
     port: ports.port,
     log: new DecisionLog("test", "silent"),
     metrics,
+    eventLoop,
     handle: (_from, message) => {
       handled.push(message);
       afterHandling(message);
@@ -90,6 +93,7 @@
   await acknowledged;
   socket.close();
   receiver.close();
+  eventLoop.stop();
   return { handled, dropped };
 }
 
--- a/test/gateway/peer_task_test.ts
+++ b/test/gateway/peer_task_test.ts
@@ -5,6 +5,7 @@
 import * as assert from "uvu/assert";
 import { MAX_HANDOVER_DELAY_MS } from "../../src/core/ordering/engine_ownership.ts";
 import { DecisionLog } from "../../src/gateway/decision_log.ts";
+import { EventLoopMonitor } from "../../src/gateway/event_loop_monitor.ts";
 import { GatewayMetrics } from "../../src/gateway/gateway_metrics.ts";
 import type { GatewayMessage } from "../../src/gateway/peer_messages.ts";
 import { PeerTask } from "../../src/gateway/peer_task.ts";
@@ -13,7 +14,12 @@
 const ports = await reservePorts(process.pid);
 const PORT = ports.port;
 
-test.after(() => ports.release());
+const eventLoop = new EventLoopMonitor(performance.now());
+
+test.after(() => {
+  eventLoop.stop();
+  ports.release();
+});
 
 const RELEASED: GatewayMessage = {
   kind: "permitReleased",
@@ -32,6 +38,7 @@
     port: PORT,
     log: new DecisionLog("test", "silent"),
     metrics: new GatewayMetrics(),
+    eventLoop,
     handle,
   });
 }
@@ -140,4 +147,45 @@
   );
 });
 
+test("a permit request that lay unread keeps the times it was sent with", async () => {
+  const request = {
+    permitId: "r.1",
+    holder: "127.0.0.1",
+    model: "m",
+    adapter: "a1",
+    adapterPath: "m/a1",
+    priorityRank: 0,
+    promptTokens: 1,
+    outputTokens: 1,
+    promptParts: [],
+    patienceMs: 500,
+    firstTokenBudgetMs: 400,
+    lifetimeMs: 6_000,
+    isLastChoice: false,
+  };
+  const patiencesMs: number[] = [];
+  const owner = createPeer("127.0.0.2", (_from, message) => {
+    if (message.kind !== "permitRequest") return;
+    patiencesMs.push(message.request.patienceMs);
+  });
+  const entry = createPeer("127.0.0.1");
+  await Promise.all([owner.listen(), entry.listen()]);
+  const message: GatewayMessage = {
+    kind: "permitRequest",
+    engineId: "e",
+    request,
+  };
+  // Long enough that turns of the event loop have been observed.
+  await new Promise((resolve) => setTimeout(resolve, 200));
+  entry.send("127.0.0.2", message);
+  await new Promise((resolve) => setTimeout(resolve, 200));
+  entry.send("127.0.0.2", message);
+  for (const endsAt = performance.now() + 700; performance.now() < endsAt;);
+  await new Promise((resolve) => setTimeout(resolve, 50));
+  owner.close();
+  entry.close();
+  assert.is(patiencesMs[0], 500);
+  assert.ok(Number(patiencesMs[1]) < 250, `patience ${patiencesMs[1]} ms`);
+});
+
 test.run();
