--- a/src/core/admission/permit_age.ts
+++ b/src/core/admission/permit_age.ts
@@ -12,7 +12,7 @@
  *
  * @param maxDelayMs longest time for which the request can have lain unread.
  */
-export function reducePermitTimes(
+export function trimPermitTimes(
   request: PermitRequest,
   maxDelayMs: Milliseconds,
 ): PermitRequest {
--- a/src/gateway/peer_task.ts
+++ b/src/gateway/peer_task.ts
@@ -9,7 +9,7 @@
 import { createSocket, type Socket } from "node:dgram";
 import { Buffer } from "node:buffer";
 import { RetransmissionTimeouts } from "../core/fleet/retransmission_timeouts.ts";
-import { reducePermitTimes } from "../core/admission/permit_age.ts";
+import { trimPermitTimes } from "../core/admission/permit_age.ts";
 import { HANDOVER_LIFETIME_MS } from "../core/ordering/engine_ownership.ts";
 import { describeError, StepError } from "../daemon/step_error.ts";
 import type { Milliseconds } from "../core/structures.ts";
@@ -197,7 +197,7 @@
       if (!isNew && !needsRepeatedAnswer(message)) return;
     }
     try {
-      this.#options.handle(from, reduceTimes(message, maxDelayMs));
+      this.#options.handle(from, trimTimes(message, maxDelayMs));
     } catch (error) {
       this.#recordDrop(
         DropReason.HandlerFault,
@@ -267,12 +267,12 @@
 }
 
 /** Returns the message as its sender would send it now. */
-function reduceTimes(
+function trimTimes(
   message: GatewayMessage,
   maxDelayMs: Milliseconds,
 ): GatewayMessage {
   if (message.kind !== "permitRequest") return message;
-  const request = reducePermitTimes(message.request, maxDelayMs);
+  const request = trimPermitTimes(message.request, maxDelayMs);
   return { ...message, request };
 }
 
--- a/test/core/admission/admission_controller_test.ts
+++ b/test/core/admission/admission_controller_test.ts
@@ -10,7 +10,7 @@
   type EngineOrder,
   type PermitRequest,
 } from "../../../src/core/admission/admission_controller.ts";
-import { reducePermitTimes } from "../../../src/core/admission/permit_age.ts";
+import { trimPermitTimes } from "../../../src/core/admission/permit_age.ts";
 import { AdapterSlots } from "../../../src/core/placement/adapter_slots.ts";
 
 const SLOTS = 2;
@@ -469,7 +469,7 @@
   const admission = createController();
   admission.slots.recordLoadOrdered("m/a1", undefined, 0);
   const request = createRequest({ patienceMs: 500, lifetimeMs: 6_000 });
-  admission.requestPermit(reducePermitTimes(request, 2_000), 1_000);
+  admission.requestPermit(trimPermitTimes(request, 2_000), 1_000);
   assert.equal(
     admission.takeAnswers().map((answer) =>
       answer.kind === "denied" ? answer.reason : answer.kind
@@ -480,7 +480,7 @@
 
 test("a request that lay unread for a part of its patience waits for the rest", () => {
   const request = createRequest({ patienceMs: 500, lifetimeMs: 6_000 });
-  const { patienceMs, firstTokenBudgetMs, lifetimeMs } = reducePermitTimes(
+  const { patienceMs, firstTokenBudgetMs, lifetimeMs } = trimPermitTimes(
     request,
     400,
   );
