--- a/src/gateway/caller_task.ts
+++ b/src/gateway/caller_task.ts
@@ -18,13 +18,12 @@
   type StopPeriod,
   STOPPING_RETRY_AFTER_MS,
 } from "../core/admission/stop_admission.ts";
-import { computeRetryAfterMs } from "../core/admission/retry_after.ts";
 import { estimateUnreadMs } from "../core/admission/read_delay.ts";
 import type { Milliseconds } from "../core/structures.ts";
 import { abortResponse, ActiveResponses } from "../daemon/response_abort.ts";
 import { describeError } from "../daemon/step_error.ts";
+import { awaitUnreadInput } from "../daemon/unread_input.ts";
 import { CallerExchange } from "./caller_exchange.ts";
-import { CallerIntake, IntakeOutcome } from "./caller_intake.ts";
 import { roundMs } from "./decision_log.ts";
 import { InputKind } from "./event_loop_monitor.ts";
 import type { RequestMetadata } from "./ports.ts";
@@ -86,7 +85,6 @@
    */
   readonly #acceptDelaysMs = new WeakMap<Socket, Milliseconds>();
   readonly #activeResponses = new ActiveResponses();
-  readonly #intake: CallerIntake;
   readonly #closingSockets = new WeakSet<Socket>();
   readonly #handlers = new Set<RequestHandler>();
   /** Ends the reading of each body that has not arrived yet. */
@@ -97,7 +95,6 @@
 
   constructor(context: RequestContext) {
     this.#context = context;
-    this.#intake = new CallerIntake(context.eventLoop);
     this.#server = createServer({
       requestTimeout: BODY_TIMEOUT_MS,
       headersTimeout: DEFAULT_HEADER_TIMEOUT_MS,
@@ -278,15 +275,11 @@
       setTimeout(() => request.destroy(), OVERSIZED_BODY_LINGER_MS);
       return;
     }
-    const intake = await this.#intake.admit(exchange, maxDelayMs);
-    if (intake === IntakeOutcome.Departed) {
+    await awaitUnreadInput();
+    if (exchange.isDisconnected) {
       this.#recordUnservedDeparture(exchange);
       return;
     }
-    if (intake === IntakeOutcome.Refused) {
-      this.#refuseOverloaded(exchange);
-      return;
-    }
     if (!view.configuration) {
       this.#refuse(
         exchange,
@@ -350,24 +343,6 @@
     });
   }
 
-  #refuseOverloaded(exchange: CallerExchange): void {
-    const { arrivedAt, metadata } = exchange;
-    const now = performance.now();
-    const deadlineMs = metadata.deadlineMs ?? Number.POSITIVE_INFINITY;
-    const retryAfterMs = computeRetryAfterMs({
-      requestId: metadata.requestId,
-      // Other daemons can take the request at once.
-      expectedWaitMs: 0,
-      remainingMs: arrivedAt + deadlineMs - now,
-    });
-    this.#refuse(
-      exchange,
-      Status.Unavailable,
-      "this daemon is behind",
-      retryAfterMs,
-    );
-  }
-
   #refuseStopping(exchange: CallerExchange): void {
     this.#refuse(
       exchange,
--- a/src/gateway/event_loop_monitor.ts
+++ b/src/gateway/event_loop_monitor.ts
@@ -38,7 +38,6 @@
   #immediate: ReturnType<typeof setImmediate> | undefined;
   readonly #timer: ReturnType<typeof setInterval>;
   #longestDelayMs: Milliseconds = 0;
-  #hasAcceptedInLastTurn = false;
 
   constructor(now: Milliseconds) {
     this.#delays = {
@@ -61,12 +60,6 @@
     return this.#delays[kind].computeMaxMs(now);
   }
 
-  /** Whether connections may wait that have not been accepted. */
-  get isConnectionLeft(): boolean {
-    return this.#hasAcceptedInLastTurn ||
-      !this.#isDrained(InputKind.Connection);
-  }
-
   /** Returns the longest possible delay since the last call. */
   takeLongestDelayMs(): Milliseconds {
     const longestMs = this.#longestDelayMs;
@@ -88,9 +81,8 @@
   }
 
   #recordTurn(now: Milliseconds): void {
-    this.#hasAcceptedInLastTurn = !this.#isDrained(InputKind.Connection);
     // Only the next turn shows whether another connection was waiting.
-    if (this.#hasAcceptedInLastTurn) this.#scheduleTurnEnd();
+    if (!this.#isDrained(InputKind.Connection)) this.#scheduleTurnEnd();
     for (const kind of INPUT_KINDS) {
       const delay = this.#delays[kind];
       this.#longestDelayMs = Math.max(
