Daemon: the time for which a call lay unread counts towards its deadline

The same cause in the daemon: the queue deadline of a call that was read late began anew at the reading, so that it took a lease, and its wait was measured as none.

--- a/src/core/events.ts
+++ b/src/core/events.ts
@@ -27,6 +27,8 @@
   sharedParts: readonly string[];
   /** Value of `Idempotency-Key`; undefined when absent. */
   ticket?: string;
+  /** Expected time for which the request lay unread; 0 when absent. */
+  unreadMs?: Milliseconds;
 }
 
 /** Result of an order to an upstream. */
--- a/src/core/execution/live_request.ts
+++ b/src/core/execution/live_request.ts
@@ -88,8 +88,8 @@
     this.pool = options.pool;
     this.adapterKey = options.adapterKey;
     this.tablesRevision = options.tablesRevision;
-    this.arrivedAt = now;
-    this.deadlineAt = now + options.route.queueDeadlineMs;
+    this.arrivedAt = now - (options.event.unreadMs ?? 0);
+    this.deadlineAt = this.arrivedAt + options.route.queueDeadlineMs;
     this.#state = options.needsTicket ? "claimingTicket" : requestChart.initial;
   }
 
--- a/src/daemon/caller_task.ts
+++ b/src/daemon/caller_task.ts
@@ -1,15 +1,19 @@
 /** The task that owns the callers' port: accepts requests and sends responses and refusals. */
 import { Buffer } from "node:buffer";
 import { createHash, randomUUID, timingSafeEqual } from "node:crypto";
-import type { Server } from "node:http";
+import type { IncomingMessage, Server } from "node:http";
+import type { Socket } from "node:net";
 import { performance } from "node:perf_hooks";
 import express, { type Request, type Response } from "express";
+import { estimateUnreadMs } from "../core/admission/read_delay.ts";
 import { getUnclaimedOutcome, RefusalReason } from "../core/outcomes.ts";
-import { PoolKind } from "../core/structures.ts";
+import { type Milliseconds, PoolKind } from "../core/structures.ts";
 import type { TableSnapshot } from "../core/tables/table_snapshot.ts";
 import type { DaemonSettings } from "../settings/daemon_settings.ts";
 import type { Bus } from "./bus.ts";
 import { CallerExchange } from "./caller_exchange.ts";
+import { CallerReadDelay } from "./caller_read_delay.ts";
+import { EventLoopMonitor } from "./event_loop_monitor.ts";
 import { handleConnectionErrors } from "./connection_errors.ts";
 import type { ExchangeRegistry } from "./exchange.ts";
 import {
@@ -64,6 +68,10 @@
   readonly #options: CallerTaskOptions;
   readonly #server: Server;
   readonly #callerExchanges = new Map<string, CallerExchange>();
+  readonly #eventLoop = new EventLoopMonitor(performance.now());
+  readonly #readDelay = new CallerReadDelay(this.#eventLoop);
+  /** Longest time for which each request can have lain unread. */
+  readonly #maxDelaysMs = new WeakMap<IncomingMessage, Milliseconds>();
 
   constructor(options: CallerTaskOptions) {
     const { bus, settings } = options;
@@ -75,6 +83,7 @@
       requestTimeoutMs: settings.bodyTimeoutMs,
     });
     handleConnectionErrors(this.#server, options.metrics);
+    this.#observeReading();
     bus.on(
       "complete",
       (data) => this.#removeExchange(data.requestId)?.complete(),
@@ -114,6 +123,19 @@
       });
     }
     await close(this.#server);
+    this.#eventLoop.stop();
+  }
+
+  #observeReading(): void {
+    this.#server.on("connection", (socket: Socket) => {
+      this.#readDelay.recordAccept(socket, performance.now());
+    });
+    this.#server.prependListener("request", (request: IncomingMessage) => {
+      this.#maxDelaysMs.set(
+        request,
+        this.#readDelay.takeMaxDelayMs(request.socket, performance.now()),
+      );
+    });
   }
 
   #createApp(): express.Express {
@@ -257,9 +279,22 @@
       fingerprint: computeFingerprint(customer, call.route, rawBody),
       sharedParts: listSharedParts(call.jsonBody),
       ...(ticket === undefined ? {} : { ticket }),
+      unreadMs: this.#estimateUnreadMs(request, call, customer),
     });
   }
 
+  #estimateUnreadMs(
+    request: Request,
+    call: ParsedCall,
+    customer: string,
+  ): Milliseconds {
+    const route = this.#options.getTables()?.getRoute(call.route, customer);
+    return estimateUnreadMs(
+      this.#maxDelaysMs.get(request) ?? 0,
+      route?.queueDeadlineMs ?? 0,
+    );
+  }
+
   /** Returns whether the route's pool is of another kind than the path serves: engines or plain services. */
   #isWrongPoolKind(call: ParsedCall, customer: string): boolean {
     const tables = this.#options.getTables();
--- a/src/gateway/caller_task.ts
+++ b/src/gateway/caller_task.ts
@@ -20,12 +20,12 @@
 } from "../core/admission/stop_admission.ts";
 import { estimateUnreadMs } from "../core/admission/read_delay.ts";
 import type { Milliseconds } from "../core/structures.ts";
+import { CallerReadDelay } from "../daemon/caller_read_delay.ts";
 import { abortResponse, ActiveResponses } from "../daemon/response_abort.ts";
 import { describeError } from "../daemon/step_error.ts";
 import { awaitUnreadInput } from "../daemon/unread_input.ts";
 import { CallerExchange } from "./caller_exchange.ts";
 import { roundMs } from "./decision_log.ts";
-import { InputKind } from "./event_loop_monitor.ts";
 import type { RequestMetadata } from "./ports.ts";
 import type { RequestContext } from "./request_context.ts";
 import { RequestHandler } from "./request_handler.ts";
@@ -79,11 +79,7 @@
   /** Connections without a request, with the time from which each is idle. */
   readonly #idleSockets = new Map<Socket, Milliseconds>();
   readonly #sockets = new Set<Socket>();
-  /**
-   * Longest time for which each connection without a request so far can have
-   * waited to be accepted.
-   */
-  readonly #acceptDelaysMs = new WeakMap<Socket, Milliseconds>();
+  readonly #readDelay: CallerReadDelay;
   readonly #activeResponses = new ActiveResponses();
   readonly #closingSockets = new WeakSet<Socket>();
   readonly #handlers = new Set<RequestHandler>();
@@ -95,6 +91,7 @@
 
   constructor(context: RequestContext) {
     this.#context = context;
+    this.#readDelay = new CallerReadDelay(context.eventLoop);
     this.#server = createServer({
       requestTimeout: BODY_TIMEOUT_MS,
       headersTimeout: DEFAULT_HEADER_TIMEOUT_MS,
@@ -105,7 +102,7 @@
       socket.setNoDelay(true);
       this.#sockets.add(socket);
       this.#idleSockets.set(socket, now + FIRST_REQUEST_MS);
-      this.#recordAccept(socket, now);
+      this.#readDelay.recordAccept(socket, now);
       socket.once("close", () => {
         this.#sockets.delete(socket);
         this.#idleSockets.delete(socket);
@@ -167,22 +164,6 @@
     }
   }
 
-  #recordAccept(socket: Socket, now: Milliseconds): void {
-    const { eventLoop } = this.#context;
-    const delayMs = eventLoop.computeMaxDelayMs(InputKind.Connection, now);
-    this.#acceptDelaysMs.set(socket, delayMs);
-    eventLoop.recordInput(InputKind.Connection);
-  }
-
-  /** Returns the longest time for which a request that is read now can have waited. */
-  #takeMaxDelayMs(socket: Socket, now: Milliseconds): Milliseconds {
-    const { eventLoop } = this.#context;
-    const acceptDelayMs = this.#acceptDelaysMs.get(socket) ?? 0;
-    this.#acceptDelaysMs.delete(socket);
-    eventLoop.recordInput(InputKind.Bytes);
-    return acceptDelayMs + eventLoop.computeMaxDelayMs(InputKind.Bytes, now);
-  }
-
   #closeSocket(socket: Socket): void {
     this.#closingSockets.add(socket);
     socket.end();
@@ -196,7 +177,7 @@
   #handleRequest(request: IncomingMessage, response: ServerResponse): void {
     const readAt = performance.now();
     const { socket } = request;
-    const maxDelayMs = this.#takeMaxDelayMs(socket, readAt);
+    const maxDelayMs = this.#readDelay.takeMaxDelayMs(socket, readAt);
     if (this.#closingSockets.has(socket)) {
       // The caller sent the request while the connection was being closed. It
       // is dropped without being run, so the caller can send it to another
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -26,7 +26,7 @@
 import { CrashProbe } from "./crash_probe.ts";
 import { DecisionLog } from "./decision_log.ts";
 import { EngineTask } from "./engine_task.ts";
-import { EventLoopMonitor } from "./event_loop_monitor.ts";
+import { EventLoopMonitor } from "../daemon/event_loop_monitor.ts";
 import { GatewayMetrics } from "./gateway_metrics.ts";
 import { PeerTask } from "./peer_task.ts";
 import type { GatewayMessage } from "./peer_messages.ts";
--- a/src/gateway/peer_task.ts
+++ b/src/gateway/peer_task.ts
@@ -14,7 +14,10 @@
 import { describeError, StepError } from "../daemon/step_error.ts";
 import type { Milliseconds } from "../core/structures.ts";
 import type { DecisionLog } from "./decision_log.ts";
-import { type EventLoopMonitor, InputKind } from "./event_loop_monitor.ts";
+import {
+  type EventLoopMonitor,
+  InputKind,
+} from "../daemon/event_loop_monitor.ts";
 import type { GatewayMetrics } from "./gateway_metrics.ts";
 import {
   decodeEnvelope,
--- a/src/gateway/request_context.ts
+++ b/src/gateway/request_context.ts
@@ -12,7 +12,7 @@
 import type { CrashProbe } from "./crash_probe.ts";
 import type { DecisionLog } from "./decision_log.ts";
 import type { EngineTask } from "./engine_task.ts";
-import type { EventLoopMonitor } from "./event_loop_monitor.ts";
+import type { EventLoopMonitor } from "../daemon/event_loop_monitor.ts";
 import type { GatewayMetrics } from "./gateway_metrics.ts";
 import type { HeaderCodec } from "./ports.ts";
 import type { UpstreamClient } from "./upstream_client.ts";
--- a/test/core/execution/lease_client_test.ts
+++ b/test/core/execution/lease_client_test.ts
@@ -10,38 +10,12 @@
 import { RetryBudget } from "../../../src/core/limits/retry_budget.ts";
 import { Membership } from "../../../src/core/membership/membership.ts";
 import type { PeerMessage } from "../../../src/core/messages.ts";
-import type {
-  PoolStructure,
-  RouteStructure,
-} from "../../../src/core/structures.ts";
 import { TableReplica } from "../../../src/core/tables/table_replica.ts";
 import { TicketIssuer } from "../../../src/core/execution/ticket_issuer.ts";
+import { POOL, ROUTE } from "./request_fixture.ts";
 
 const UPSTREAM = "engine-1";
 const ADAPTER = "salmon@1";
-const ROUTE: RouteStructure = {
-  name: "briefing",
-  customer: "mill-a",
-  pool: "writers",
-  adapter: "salmon",
-  version: "1",
-  idempotent: true,
-  priority: "interactive",
-  queueDeadlineMs: 5_000,
-  maxRunMs: 10_000,
-};
-const POOL: PoolStructure = {
-  name: "writers",
-  kind: "engine",
-  service: "brief-writer",
-  baseModel: "base",
-  failureDomains: ["a"],
-  slots: 4,
-  batchSize: 4,
-  fencing: "checked",
-  loadStallWeight: 1,
-  batchEfficiencyWeight: 1,
-};
 
 function createClient(): {
   client: LeaseClient;
--- a/test/daemon/daemon_test.ts
+++ b/test/daemon/daemon_test.ts
@@ -6,6 +6,7 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { type CallerAnswer, NO_ANSWER_STATUS } from "../../scripts/caller.ts";
+import { MAX_TURN_GAP_MS } from "../../src/core/admission/read_delay.ts";
 import { Outcome, RefusalReason } from "../../src/core/outcomes.ts";
 import {
   type BenchOptions,
@@ -323,6 +324,28 @@
   });
 });
 
+test("the time for which a call lay unread is missing from its wait, and from its deadline", async () => {
+  const bench = new ContractBench({ route: { queueDeadlineMs: 5_000 } });
+  await withBench(bench, async () => {
+    await bench.call();
+    const socket = connect(bench.callersPort, "127.0.0.1");
+    await once(socket, "connect");
+    // Long enough that turns of the event loop have been observed.
+    await sleep(4 * MAX_TURN_GAP_MS);
+    socket.write(formatCall());
+    for (const endsAt = performance.now() + 700; performance.now() < endsAt;);
+    const getWait = async () =>
+      (await bench.getStatus()).metrics.histograms["lease_wait"];
+    await bench.waitUntil(
+      "the call is dispatched",
+      async () => (await getWait())?.count !== undefined,
+    );
+    const wait = await getWait();
+    assert.ok(Number(wait?.maxMs) >= 250, `waited ${wait?.maxMs} ms`);
+    socket.destroy();
+  });
+});
+
 test("calls go on whose caller left and that waited for the response before theirs", async () => {
   const bench = new ContractBench({
     engine: { tokens: 10, tokenIntervalMs: 400 },
--- a/test/gateway/peer_task_test.ts
+++ b/test/gateway/peer_task_test.ts
@@ -5,7 +5,7 @@
 import * as assert from "uvu/assert";
 import { MAX_HANDOVER_DELAY_MS } from "../../src/core/ordering/engine_ownership.ts";
 import { DecisionLog } from "../../src/gateway/decision_log.ts";
-import { EventLoopMonitor } from "../../src/gateway/event_loop_monitor.ts";
+import { EventLoopMonitor } from "../../src/daemon/event_loop_monitor.ts";
 import { GatewayMetrics } from "../../src/gateway/gateway_metrics.ts";
 import type { GatewayMessage } from "../../src/gateway/peer_messages.ts";
 import { PeerTask } from "../../src/gateway/peer_task.ts";
