--- a/src/gateway/peer_message_decoder.ts
+++ b/src/gateway/peer_message_decoder.ts
@@ -35,6 +35,8 @@
   UnknownKind: "unknownKind",
   /** The message names another gateway as its sender than the envelope does. */
   ForeignSender: "foreignSender",
+  /** The message lay unread for longer than it holds. */
+  Expired: "expired",
   /** The message is valid, but its handler threw an error. */
   HandlerFault: "handlerFault",
 } as const;
--- a/src/gateway/peer_task.ts
+++ b/src/gateway/peer_task.ts
@@ -194,6 +194,10 @@
       this.#pending.get(each)?.settle(true);
     }
     if (!message) return;
+    if (maxDelayMs > (getLifetimeMs(message) ?? Number.POSITIVE_INFINITY)) {
+      this.#recordDrop(DropReason.Expired, ip, performance.now());
+      return;
+    }
     if (number !== undefined) {
       this.#scheduleAck(ip, number);
       const isNew = this.#recordSeen(`${incarnation}:${number}`);
--- a/test/gateway/peer_task_test.ts
+++ b/test/gateway/peer_task_test.ts
@@ -147,43 +147,66 @@
   );
 });
 
-test("a permit request that lay unread keeps the times it was sent with", async () => {
-  const request = {
-    permitId: "r.1",
-    holder: "127.0.0.1",
-    model: "m",
-    adapter: "a1",
-    adapterPath: "m/a1",
-    priorityRank: 0,
-    promptTokens: 1,
-    outputTokens: 1,
-    promptParts: [],
-    patienceMs: 500,
-    firstTokenBudgetMs: 400,
-    lifetimeMs: 6_000,
-    isLastChoice: false,
-  };
-  const patiencesMs: number[] = [];
-  const owner = createPeer("127.0.0.2", (_from, message) => {
-    if (message.kind !== "permitRequest") return;
-    patiencesMs.push(message.request.patienceMs);
+/** Keeps the process from reading anything. */
+function block(durationMs: number): void {
+  for (
+    const endsAt = performance.now() + durationMs;
+    performance.now() < endsAt;
+  );
+}
+
+/**
+ * Sends a message that is read at once, and again to a process that then stands
+ * still; returns what the receiver handles.
+ */
+async function sendBeforeStall(
+  message: GatewayMessage,
+): Promise<GatewayMessage[]> {
+  const handled: GatewayMessage[] = [];
+  const receiver = createPeer("127.0.0.2", (_from, each) => {
+    handled.push(each);
   });
-  const entry = createPeer("127.0.0.1");
-  await Promise.all([owner.listen(), entry.listen()]);
-  const message: GatewayMessage = {
-    kind: "permitRequest",
-    engineId: "e",
-    request,
-  };
+  const sender = createPeer("127.0.0.1");
+  await Promise.all([receiver.listen(), sender.listen()]);
   // Long enough that turns of the event loop have been observed.
   await new Promise((resolve) => setTimeout(resolve, 200));
-  entry.send("127.0.0.2", message);
+  sender.send("127.0.0.2", message);
   await new Promise((resolve) => setTimeout(resolve, 200));
-  entry.send("127.0.0.2", message);
-  for (const endsAt = performance.now() + 700; performance.now() < endsAt;);
+  sender.send("127.0.0.2", message);
+  block(700);
   await new Promise((resolve) => setTimeout(resolve, 50));
-  owner.close();
-  entry.close();
+  receiver.close();
+  sender.close();
+  return handled;
+}
+
+test("a handover that lay unread for longer than it holds is accepted", async () => {
+  assert.equal(await sendBeforeStall(HANDOVER), [HANDOVER]);
+});
+
+test("a permit request that lay unread keeps the times it was sent with", async () => {
+  const handled = await sendBeforeStall({
+    kind: "permitRequest",
+    engineId: "e",
+    request: {
+      permitId: "r.1",
+      holder: "127.0.0.1",
+      model: "m",
+      adapter: "a1",
+      adapterPath: "m/a1",
+      priorityRank: 0,
+      promptTokens: 1,
+      outputTokens: 1,
+      promptParts: [],
+      patienceMs: 500,
+      firstTokenBudgetMs: 400,
+      lifetimeMs: 6_000,
+      isLastChoice: false,
+    },
+  });
+  const patiencesMs = handled.map((each) =>
+    each.kind === "permitRequest" ? each.request.patienceMs : Number.NaN
+  );
   assert.is(patiencesMs[0], 500);
   assert.ok(Number(patiencesMs[1]) < 250, `patience ${patiencesMs[1]} ms`);
 });
