Daemon: an owner counts the time for which a request for a lease lay unread

The same cause between daemons: a request for a lease that the owner read late waited there until after the deadlines of the requests it was for.

--- a/bench/control/envelope_command.ts
+++ b/bench/control/envelope_command.ts
@@ -109,7 +109,13 @@
     platform: { configuration: "127.0.0.1:1", hostList: "127.0.0.1:1" },
   });
   const logger = createLogger(id, "error");
-  return new PeerTask({ settings, bus, logger, getAddress: () => address });
+  return new PeerTask({
+    settings,
+    bus,
+    logger,
+    eventLoop: { recordInput: () => {}, computeMaxDelayMs: () => 0 },
+    getAddress: () => address,
+  });
 }
 
 /** Starts a TCP proxy to the port that counts the bytes in each direction. */
--- a/src/daemon/caller_task.ts
+++ b/src/daemon/caller_task.ts
@@ -13,7 +13,7 @@
 import type { Bus } from "./bus.ts";
 import { CallerExchange } from "./caller_exchange.ts";
 import { CallerReadDelay } from "./caller_read_delay.ts";
-import { EventLoopMonitor } from "./event_loop_monitor.ts";
+import type { EventLoopMonitor } from "./event_loop_monitor.ts";
 import { handleConnectionErrors } from "./connection_errors.ts";
 import type { ExchangeRegistry } from "./exchange.ts";
 import {
@@ -47,6 +47,7 @@
   logger: Logger;
   metrics: Metrics;
   exchanges: ExchangeRegistry;
+  eventLoop: EventLoopMonitor;
   getTables: () => TableSnapshot | undefined;
 }
 
@@ -68,14 +69,14 @@
   readonly #options: CallerTaskOptions;
   readonly #server: Server;
   readonly #callerExchanges = new Map<string, CallerExchange>();
-  readonly #eventLoop = new EventLoopMonitor(performance.now());
-  readonly #readDelay = new CallerReadDelay(this.#eventLoop);
+  readonly #readDelay: CallerReadDelay;
   /** Longest time for which each request can have lain unread. */
   readonly #maxDelaysMs = new WeakMap<IncomingMessage, Milliseconds>();
 
   constructor(options: CallerTaskOptions) {
     const { bus, settings } = options;
     this.#options = options;
+    this.#readDelay = new CallerReadDelay(options.eventLoop);
     this.#server = createHttpServer(this.#createApp(), {
       maxConnections: settings.maxConnections,
       maxHeaderBytes: settings.maxHeaderBytes,
@@ -123,7 +124,6 @@
       });
     }
     await close(this.#server);
-    this.#eventLoop.stop();
   }
 
   #observeReading(): void {
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -7,6 +7,7 @@
 import { type Bus, createBus } from "./bus.ts";
 import { CallerTask } from "./caller_task.ts";
 import { CoreTask } from "./core_task.ts";
+import { EventLoopMonitor } from "./event_loop_monitor.ts";
 import { ExchangeRegistry } from "./exchange.ts";
 import { createLogger, type Logger } from "./logger.ts";
 import { Metrics } from "./metrics.ts";
@@ -31,6 +32,7 @@
   readonly #bus: Bus = createBus();
   readonly #logger: Logger;
   readonly #metrics: Metrics;
+  readonly #eventLoop = new EventLoopMonitor(performance.now());
   readonly #core: CoreTask;
   readonly #callers: CallerTask;
   readonly #peers: PeerTask;
@@ -70,6 +72,7 @@
       settings,
       bus,
       logger,
+      eventLoop: this.#eventLoop,
       getAddress: (id) => core.getPeerAddress(id),
     });
     this.#upstreams = new UpstreamTask({
@@ -90,6 +93,7 @@
       logger,
       metrics: this.#metrics,
       exchanges,
+      eventLoop: this.#eventLoop,
       getTables: () => core.getSnapshot(),
     });
     this.#operators = new OperatorTask({
@@ -147,6 +151,7 @@
     await this.#platform.stop();
     await this.#upstreams.stop();
     this.#peers.stop();
+    this.#eventLoop.stop();
     await this.#operators.stop();
     await this.#metrics.stop();
     this.#logger.info("Daemon stopped", { step: "stop", isDrained });
--- a/src/daemon/peer_task.ts
+++ b/src/daemon/peer_task.ts
@@ -16,6 +16,7 @@
   setLogVerbosity,
 } from "@grpc/grpc-js";
 import type { PeerMessage } from "../core/messages.ts";
+import { trimLeaseTimes } from "../core/residency/lease_request_age.ts";
 import {
   decodeEnvelope,
   encodeReply,
@@ -23,6 +24,7 @@
 } from "../protocol/peer_codec.ts";
 import type { DaemonSettings } from "../settings/daemon_settings.ts";
 import type { Bus } from "./bus.ts";
+import { type EventLoopMonitor, InputKind } from "./event_loop_monitor.ts";
 import type { Logger } from "./logger.ts";
 import { CONNECT_PATH, PeerChannel, toBuffer } from "./peer_channel.ts";
 import { describeError, StepError } from "./step_error.ts";
@@ -67,6 +69,7 @@
   settings: DaemonSettings;
   bus: Bus;
   logger: Logger;
+  eventLoop: Pick<EventLoopMonitor, "recordInput" | "computeMaxDelayMs">;
   getAddress: (id: string) => string | undefined;
 }
 
@@ -142,6 +145,12 @@
   }
 
   #receive(bytes: Buffer, peerAddress: string): void {
+    const { eventLoop } = this.#options;
+    const maxDelayMs = eventLoop.computeMaxDelayMs(
+      InputKind.Bytes,
+      performance.now(),
+    );
+    eventLoop.recordInput(InputKind.Bytes);
     let envelope: EnvelopeStructure;
     try {
       envelope = decodeEnvelope(bytes);
@@ -162,7 +171,7 @@
       void this.#options.bus.emit("event", {
         kind: "peerMessage",
         from: envelope.from,
-        message,
+        message: trimLeaseTimes(message, maxDelayMs),
       });
     }
   }
