--- a/src/core/admission/permit_age.ts
+++ b/src/core/admission/permit_age.ts
@@ -1,6 +1,7 @@
 /**
  * Ages a request for a permit that lay unread at the engine's owner: its times
- * were left when it was sent.
+ * were left when it was sent. The lifetime of the permit stays as it is, since
+ * it is the time after which the run has surely ended, and the age is estimated.
  */
 import type { Milliseconds } from "../structures.ts";
 import type { PermitRequest } from "./admission_controller.ts";
@@ -22,6 +23,5 @@
     ...request,
     patienceMs: Math.max(0, request.patienceMs - ageMs),
     firstTokenBudgetMs: Math.max(0, request.firstTokenBudgetMs - ageMs),
-    lifetimeMs: request.lifetimeMs - ageMs,
   };
 }
--- a/test/core/admission/admission_controller_test.ts
+++ b/test/core/admission/admission_controller_test.ts
@@ -484,7 +484,22 @@
     request,
     400,
   );
-  assert.equal([patienceMs, firstTokenBudgetMs, lifetimeMs], [300, 800, 5_800]);
+  assert.equal([patienceMs, firstTokenBudgetMs], [300, 800]);
+  // The run can last as long as its sender said.
+  assert.is(lifetimeMs, 6_000);
+});
+
+test("a permit whose request is thought to have lain unread expires under its run", () => {
+  const admission = createController();
+  const resident = new Map([["m/a1", { version: 1, isLoading: false }]]);
+  admission.slots.reconcile(resident, 0);
+  const request = createRequest({ patienceMs: 3_000, lifetimeMs: 6_000 });
+  admission.requestPermit(trimPermitTimes(request, 4_000), 10_000);
+  assert.equal(listGranted(admission), [request.permitId]);
+  admission.tick(15_900);
+  assert.is(admission.listEvictable(15_900).length, 0);
+  admission.tick(16_001);
+  assert.is(admission.listEvictable(16_001).length, 1);
 });
 
 test.run();
