--- a/src/daemon/caller_task.ts
+++ b/src/daemon/caller_task.ts
@@ -13,8 +13,8 @@
 import type { Bus } from "./bus.ts";
 import { CallerExchange } from "./caller_exchange.ts";
 import { CallerReadDelay } from "./caller_read_delay.ts";
-import type { EventLoopMonitor } from "./event_loop_monitor.ts";
 import { handleConnectionErrors } from "./connection_errors.ts";
+import type { EventLoopMonitor } from "./event_loop_monitor.ts";
 import type { ExchangeRegistry } from "./exchange.ts";
 import {
   close,
--- a/src/gateway/caller_task.ts
+++ b/src/gateway/caller_task.ts
@@ -13,12 +13,12 @@
   type ServerResponse,
 } from "node:http";
 import type { Socket } from "node:net";
+import { estimateUnreadMs } from "../core/admission/read_delay.ts";
 import {
   canAdmitWhileStopping,
   type StopPeriod,
   STOPPING_RETRY_AFTER_MS,
 } from "../core/admission/stop_admission.ts";
-import { estimateUnreadMs } from "../core/admission/read_delay.ts";
 import type { Milliseconds } from "../core/structures.ts";
 import { CallerReadDelay } from "../daemon/caller_read_delay.ts";
 import { abortResponse, ActiveResponses } from "../daemon/response_abort.ts";
