--- a/test/gateway/pipelined_caller_test.ts
+++ b/test/gateway/pipelined_caller_test.ts
@@ -6,6 +6,7 @@
 import { connect } from "node:net";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
+import type { ScriptedAnswer } from "../../fakes/scripted_answer.ts";
 import { waitMs } from "../../src/gateway/wait.ts";
 import { GatewayHarness } from "./gateway_harness.ts";
 
@@ -14,6 +15,14 @@
 /** Longer than the time after which a silent upstream is given up. */
 const RETRY_MS = 2_000;
 
+/** More than Node.js buffers for a connection before it stops reading it. */
+const LONG_ANSWER: ScriptedAnswer = {
+  framing: "length",
+  body: "x".repeat(200_000),
+  delayMs: 0,
+  end: "keep",
+};
+
 const harness = new GatewayHarness();
 
 test.before(async () => {
@@ -49,4 +58,26 @@
   }
 }
 
+test("the run of a caller that leaves goes on if long answers wait behind its response", async () => {
+  const id = "paused-0";
+  harness.scriptAnswers(id, [{ ...LONG_ANSWER, delayMs: RETRY_MS }]);
+  harness.scriptAnswers("paused-1", [LONG_ANSWER]);
+  const socket = connect(harness.getCallerPort(), "127.0.0.1");
+  socket.on("error", () => {});
+  await once(socket, "connect");
+  socket.write(
+    [id, "paused-1"].map((each) =>
+      harness.formatRequest("/unsafe/1", { id: each })
+    ).join(""),
+  );
+  await harness.waitFor(() => harness.countRuns("paused-1") === 1);
+  await waitMs(CANCEL_MS);
+  // Node.js stops reading a connection of which so much waits to be sent.
+  socket.write(harness.formatRequest("/safe/1", { id: "paused-2" }));
+  await harness.waitFor(() => harness.countRuns("paused-2") === 1);
+  socket.end();
+  await waitMs(CANCEL_MS);
+  assert.is(harness.listRuns(id)[0]?.wasAborted, true);
+});
+
 test.run();
