One call records input and tells how long it can have waited

Each of four readers asked for the delay and then recorded the input, in this order; the order now stands in one place, and stand-ins have one method. Behaviour as before; assertions as they were.

--- a/bench/control/envelope_command.ts
+++ b/bench/control/envelope_command.ts
@@ -113,7 +113,7 @@
     settings,
     bus,
     logger,
-    eventLoop: { recordInput: () => {}, computeMaxDelayMs: () => 0 },
+    eventLoop: { recordInput: () => 0 },
     getAddress: () => address,
   });
 }
--- a/src/daemon/caller_read_delay.ts
+++ b/src/daemon/caller_read_delay.ts
@@ -2,7 +2,7 @@
 import type { Socket } from "node:net";
 import { MAX_TURN_GAP_MS } from "../core/admission/read_delay.ts";
 import type { Milliseconds } from "../core/structures.ts";
-import { type EventLoopMonitor, InputKind } from "./event_loop_monitor.ts";
+import { InputKind, type InputObserver } from "./event_loop_monitor.ts";
 
 /**
  * Time from the accepting of a connection within which its first request is
@@ -18,32 +18,22 @@
 }
 
 export class CallerReadDelay {
-  readonly #eventLoop: Pick<
-    EventLoopMonitor,
-    "recordInput" | "computeMaxDelayMs"
-  >;
+  readonly #eventLoop: InputObserver;
   readonly #accepted = new WeakMap<Socket, AcceptedConnection>();
 
-  constructor(
-    eventLoop: Pick<EventLoopMonitor, "recordInput" | "computeMaxDelayMs">,
-  ) {
+  constructor(eventLoop: InputObserver) {
     this.#eventLoop = eventLoop;
   }
 
   /** Records that a connection has been accepted. */
   recordAccept(socket: Socket, now: Milliseconds): void {
-    const maxDelayMs = this.#eventLoop.computeMaxDelayMs(
-      InputKind.Connection,
-      now,
-    );
+    const maxDelayMs = this.#eventLoop.recordInput(InputKind.Connection, now);
     this.#accepted.set(socket, { acceptedAt: now, maxDelayMs });
-    this.#eventLoop.recordInput(InputKind.Connection);
   }
 
   /** Returns the longest time for which a request that is read now can have waited. */
   takeMaxDelayMs(socket: Socket, now: Milliseconds): Milliseconds {
-    const maxDelayMs = this.#eventLoop.computeMaxDelayMs(InputKind.Bytes, now);
-    this.#eventLoop.recordInput(InputKind.Bytes);
+    const maxDelayMs = this.#eventLoop.recordInput(InputKind.Bytes, now);
     const connection = this.#accepted.get(socket);
     this.#accepted.delete(socket);
     if (!connection) return maxDelayMs;
--- a/src/daemon/event_loop_monitor.ts
+++ b/src/daemon/event_loop_monitor.ts
@@ -28,6 +28,9 @@
   [InputKind.Datagram]: 32,
 };
 
+/** What a task needs that reads input. */
+export type InputObserver = Pick<EventLoopMonitor, "recordInput">;
+
 export class EventLoopMonitor {
   readonly #delays: Record<InputKind, ReadDelay>;
   readonly #counts: Record<InputKind, number> = {
@@ -49,14 +52,13 @@
     this.#timer.unref();
   }
 
-  /** Records that input was read in this turn. */
-  recordInput(kind: InputKind): void {
+  /**
+   * Records that input was read in this turn; returns the longest time for which
+   * it can have waited.
+   */
+  recordInput(kind: InputKind, now: Milliseconds): Milliseconds {
     this.#counts[kind] += 1;
     this.#scheduleTurnEnd();
-  }
-
-  /** Returns the longest time for which input that is read now can have waited. */
-  computeMaxDelayMs(kind: InputKind, now: Milliseconds): Milliseconds {
     return this.#delays[kind].computeMaxMs(now);
   }
 
--- a/src/daemon/peer_task.ts
+++ b/src/daemon/peer_task.ts
@@ -24,7 +24,7 @@
 } from "../protocol/peer_codec.ts";
 import type { DaemonSettings } from "../settings/daemon_settings.ts";
 import type { Bus } from "./bus.ts";
-import { type EventLoopMonitor, InputKind } from "./event_loop_monitor.ts";
+import { InputKind, type InputObserver } from "./event_loop_monitor.ts";
 import type { Logger } from "./logger.ts";
 import { CONNECT_PATH, PeerChannel, toBuffer } from "./peer_channel.ts";
 import { describeError, StepError } from "./step_error.ts";
@@ -69,7 +69,7 @@
   settings: DaemonSettings;
   bus: Bus;
   logger: Logger;
-  eventLoop: Pick<EventLoopMonitor, "recordInput" | "computeMaxDelayMs">;
+  eventLoop: InputObserver;
   getAddress: (id: string) => string | undefined;
 }
 
@@ -145,12 +145,10 @@
   }
 
   #receive(bytes: Buffer, peerAddress: string): void {
-    const { eventLoop } = this.#options;
-    const maxDelayMs = eventLoop.computeMaxDelayMs(
+    const maxDelayMs = this.#options.eventLoop.recordInput(
       InputKind.Bytes,
       performance.now(),
     );
-    eventLoop.recordInput(InputKind.Bytes);
     let envelope: EnvelopeStructure;
     try {
       envelope = decodeEnvelope(bytes);
--- a/src/gateway/peer_task.ts
+++ b/src/gateway/peer_task.ts
@@ -14,10 +14,7 @@
 import { describeError, StepError } from "../daemon/step_error.ts";
 import type { Milliseconds } from "../core/structures.ts";
 import type { DecisionLog } from "./decision_log.ts";
-import {
-  type EventLoopMonitor,
-  InputKind,
-} from "../daemon/event_loop_monitor.ts";
+import { InputKind, type InputObserver } from "../daemon/event_loop_monitor.ts";
 import type { GatewayMetrics } from "./gateway_metrics.ts";
 import {
   decodeEnvelope,
@@ -54,7 +51,7 @@
   port: number;
   log: DecisionLog;
   metrics: Pick<GatewayMetrics, "count">;
-  eventLoop: Pick<EventLoopMonitor, "recordInput" | "computeMaxDelayMs">;
+  eventLoop: InputObserver;
   handle: (from: string, message: GatewayMessage) => void;
 }
 
@@ -178,12 +175,10 @@
   }
 
   #receive(bytes: Buffer, ip: string): void {
-    const { eventLoop } = this.#options;
-    const maxDelayMs = eventLoop.computeMaxDelayMs(
+    const maxDelayMs = this.#options.eventLoop.recordInput(
       InputKind.Datagram,
       performance.now(),
     );
-    eventLoop.recordInput(InputKind.Datagram);
     const decoded = decodeEnvelope(bytes);
     if (decoded.isErr()) {
       this.#recordDrop(decoded.error, ip, performance.now());
--- a/test/daemon/caller_read_delay_test.ts
+++ b/test/daemon/caller_read_delay_test.ts
@@ -10,8 +10,7 @@
   delaysMs: Partial<Record<InputKind, number>>,
 ): CallerReadDelay {
   return new CallerReadDelay({
-    recordInput: () => {},
-    computeMaxDelayMs: (kind) => delaysMs[kind] ?? 0,
+    recordInput: (kind) => delaysMs[kind] ?? 0,
   });
 }
 
--- a/test/gateway/peer_task_test.ts
+++ b/test/gateway/peer_task_test.ts
@@ -4,10 +4,11 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { MAX_HANDOVER_DELAY_MS } from "../../src/core/ordering/engine_ownership.ts";
+import type { InputObserver } from "../../src/daemon/event_loop_monitor.ts";
 import { DecisionLog } from "../../src/gateway/decision_log.ts";
 import { GatewayMetrics } from "../../src/gateway/gateway_metrics.ts";
 import type { GatewayMessage } from "../../src/gateway/peer_messages.ts";
-import { PeerTask, type PeerTaskOptions } from "../../src/gateway/peer_task.ts";
+import { PeerTask } from "../../src/gateway/peer_task.ts";
 import { reservePorts } from "../port_reservation.ts";
 
 const ports = await reservePorts(process.pid);
@@ -15,13 +16,8 @@
 
 test.after(() => ports.release());
 
-type EventLoop = PeerTaskOptions["eventLoop"];
-
 /** An event loop that reads everything at once. */
-const TIMELY: EventLoop = {
-  recordInput: () => {},
-  computeMaxDelayMs: () => 0,
-};
+const TIMELY: InputObserver = { recordInput: () => 0 };
 
 const RELEASED: GatewayMessage = {
   kind: "permitReleased",
@@ -32,7 +28,7 @@
 function createPeer(
   ip: string,
   handle: (from: string, message: GatewayMessage) => void = () => {},
-  eventLoop: EventLoop = TIMELY,
+  eventLoop: InputObserver = TIMELY,
 ): PeerTask {
   return new PeerTask({
     selfId: ip,
@@ -160,7 +156,7 @@
   const receiver = createPeer(
     "127.0.0.2",
     (_from, each) => handled.push(each),
-    { recordInput: () => {}, computeMaxDelayMs: () => delaysMs.shift() ?? 0 },
+    { recordInput: () => delaysMs.shift() ?? 0 },
   );
   const sender = createPeer("127.0.0.1");
   await Promise.all([receiver.listen(), sender.listen()]);
