--- a/src/daemon/response_abort.ts
+++ b/src/daemon/response_abort.ts
@@ -19,10 +19,9 @@
 export class ActiveResponses {
   readonly #responses = new Set<ServerResponse>();
   /**
-   * The last response of each connection: callers may send further requests
-   * before they have read a response.
+   * The responses of each connection in their order: callers may send further
+   * requests before they have read a response.
    */
-  readonly #lastResponses = new WeakMap<Socket, ServerResponse>();
   readonly #responsesBySocket = new WeakMap<Socket, Set<ServerResponse>>();
   readonly #departureListeners = new WeakMap<ServerResponse, () => void>();
   #isClosing = false;
@@ -32,7 +31,6 @@
     const before = this.getLast(socket);
     this.#responses.add(response);
     this.#addToSocket(socket, response);
-    this.#lastResponses.set(socket, response);
     if (this.#isClosing) {
       if (before && !before.headersSent) before.removeHeader("connection");
       response.setHeader("connection", "close");
@@ -41,7 +39,6 @@
       this.#notifyDeparture(response);
       this.#responses.delete(response);
       this.#responsesBySocket.get(socket)?.delete(response);
-      if (this.getLast(socket) === response) this.#lastResponses.delete(socket);
     });
   }
 
@@ -81,7 +78,7 @@
 
   /** Returns the last of the responses that are under way on a connection. */
   getLast(socket: Socket): ServerResponse | undefined {
-    return this.#lastResponses.get(socket);
+    return [...this.#responsesBySocket.get(socket) ?? []].at(-1);
   }
 
   /**
