--- a/review/standins/fleet.mjs
+++ b/review/standins/fleet.mjs
@@ -38,6 +38,7 @@
 export class Fleet {
   #folder = mkdtempSync(join(tmpdir(), "review-"));
   #storeAddress;
+  #storeViews = [];
   #seeds = [];
   gateways = [];
 
@@ -46,9 +47,13 @@
     this.network = `127.${64 + process.pid % 128}.${process.pid >> 7 & 255}`;
   }
 
-  /** Sets the address at which the gateways reach the store. */
-  useStore(address) {
+  /**
+   * Sets the address at which the gateways reach the store.
+   * @param views the addresses for each gateway, where they differ.
+   */
+  useStore(address, views = []) {
     this.#storeAddress = address;
+    this.#storeViews = views;
   }
 
   async start(zones) {
@@ -81,7 +86,7 @@
       },
       port_range: [RANGE_PORT, RANGE_PORT + 15],
       seeds: this.#seeds,
-      platform: { addr: this.#storeAddress },
+      platform: { addr: this.#storeViews[index] ?? this.#storeAddress },
       bounds: BOUNDS,
     };
     const template = readFileSync("deploy/settings.yaml.template", "utf8");
@@ -135,7 +140,8 @@
   });
 }
 
-function isReady(ip) {
+/** Asks a gateway whether it is ready, as the platform does. */
+export function isReady(ip) {
   return new Promise((resolve) => {
     const call = request(
       { host: ip, port: READY_PORT, path: "/-/readyz", agent: false },
--- a/review/standins/replicas.mjs
+++ b/review/standins/replicas.mjs
@@ -99,6 +99,21 @@
     this.begin();
   }
 
+  /**
+   * Leaves without reporting that it drains: its entry is removed, it goes on
+   * serving for the given time, and exits.
+   */
+  async leave(exitAfterMs) {
+    clearInterval(this.#timer);
+    this.#store.remove(`servers/${this.id}`);
+    this.isLeaving = true;
+    await sleep(exitAfterMs);
+    this.isDown = true;
+    this.isStopped = true;
+    this.server.close();
+    for (const socket of this.#sockets) socket.resetAndDestroy();
+  }
+
   close() {
     this.isStopped = true;
     clearInterval(this.#timer);
@@ -119,7 +134,9 @@
     this.handle(request, Buffer.concat(chunks).toString(), response);
   }
 
-  addHeaders() {}
+  addHeaders(response) {
+    if (this.isLeaving) response.setHeader("Server-Leaving", "1");
+  }
 }
 
 export class ServiceReplica extends Replica {
@@ -131,7 +148,6 @@
     super(options);
     this.workMs = options.workMs;
     this.queue = options.queue;
-    this.handleRejection = options.handleRejection ?? (() => {});
   }
 
   reset() {
@@ -144,19 +160,56 @@
   }
 
   addHeaders(response) {
+    super.addHeaders(response);
     response.setHeader(
       "X-Server-Load",
       `${this.running},${this.waiting.length},${this.slots}`,
     );
+    if (this.brittleAt !== undefined) {
+      response.setHeader("Server-Brittle", String(this.brittle.rejections));
+    }
+  }
+
+  /**
+   * From now on the replica says in all its answers that it is brittle; undefined
+   * ends it. A while later it lets fewer wait, and falls over where it has to turn
+   * away more requests in a second than it says.
+   */
+  setBrittle(brittle) {
+    this.brittle = brittle;
+    this.brittleAt = brittle && performance.now();
+    this.rejectedAt = [];
+  }
+
+  get queueLimit() {
+    return this.#isFragile() ? this.brittle.queue : this.queue;
+  }
+
+  #isFragile() {
+    return this.brittleAt !== undefined &&
+      performance.now() - this.brittleAt >= this.brittle.afterMs;
+  }
+
+  #recordRejection() {
+    if (!this.#isFragile()) return;
+    const now = performance.now();
+    this.rejectedAt = this.rejectedAt.filter((at) => now - at < 1_000);
+    this.rejectedAt.push(now);
+    if (this.rejectedAt.length <= this.brittle.rejections) return;
+    this.rejectedAt = [];
+    this.record({ kind: "fall", replica: this.id, running: this.running });
+    void this.crash(this.brittle.downMs);
   }
 
   handle(request, _body, response) {
     const work = { request, response, start: this.starts };
     if (this.running < this.slots) this.#run(work);
-    else if (this.waiting.length < this.queue) this.waiting.push(work);
+    else if (this.waiting.length < this.queueLimit) this.waiting.push(work);
     else {
+      const { "x-request-id": id } = request.headers;
+      this.record({ kind: "turnedAway", id, replica: this.id });
       response.writeHead(503, { "X-Not-Run": "1" }).end();
-      this.handleRejection(this);
+      this.#recordRejection();
     }
   }
 
--- a/review/standins/store.mjs
+++ b/review/standins/store.mjs
@@ -14,22 +14,34 @@
   #era = 1;
   #isAway = false;
   #watches = new Set();
-  #server = createServer((request, response) =>
-    this.#handle(request, response)
-  );
+  #servers = [];
 
   get revision() {
     return this.#revision;
   }
 
   async listen(ip) {
-    await new Promise((resolve) => this.#server.listen(0, ip, resolve));
-    this.address = `${ip}:${this.#server.address().port}`;
+    this.address = await this.listenView(ip, new Map());
+  }
+
+  /**
+   * Opens a further address, at which replicas have the addresses of the links
+   * through which the reader reaches them.
+   */
+  async listenView(ip, links) {
+    const server = createServer((request, response) =>
+      this.#handle(request, response, links)
+    );
+    this.#servers.push(server);
+    await new Promise((resolve) => server.listen(0, ip, resolve));
+    return `${ip}:${server.address().port}`;
   }
 
   close() {
-    this.#server.close();
-    this.#server.closeAllConnections();
+    for (const server of this.#servers) {
+      server.close();
+      server.closeAllConnections();
+    }
   }
 
   /** Returns the value of a key; undefined if there is none. */
@@ -71,6 +83,17 @@
     };
   }
 
+  /** Waits until the watches of replicas' entries have waited for so long. */
+  async untilWatchesWaited(waitMs) {
+    const endsAt = performance.now() + 6_000;
+    while (performance.now() < endsAt) {
+      const waits = [...this.#watches].filter(({ prefix }) => prefix !== "op/")
+        .map(({ startedAt }) => performance.now() - startedAt);
+      if (waits.length > 0 && Math.min(...waits) >= waitMs) return;
+      await new Promise((resolve) => setTimeout(resolve, 10));
+    }
+  }
+
   /** Cuts the watches that are waiting. */
   cutWatches() {
     const watches = [...this.#watches];
@@ -83,7 +106,7 @@
   leave() {
     this.#isAway = true;
     this.#watches.clear();
-    this.#server.closeAllConnections();
+    for (const server of this.#servers) server.closeAllConnections();
   }
 
   /** Comes back from a copy; revisions go back to the copy's. */
@@ -95,7 +118,7 @@
     this.#isAway = false;
   }
 
-  #handle(request, response) {
+  #handle(request, response, links) {
     response.setHeader("Store-Era", String(this.#era));
     if (this.#isAway) {
       response.writeHead(503).end();
@@ -108,26 +131,28 @@
         const after = url.searchParams.get("after") ?? "";
         const items = [...this.#items.values()]
           .filter(({ key }) => key.startsWith(prefix) && key > after)
-          .sort((a, b) => a.key < b.key ? -1 : 1);
+          .sort((a, b) => a.key < b.key ? -1 : 1)
+          .map((item) => replaceAddress(item, links));
         send(response, 200, { items, truncated: false, as_of: this.#revision });
         break;
       }
       case "/-/kv-watch":
-        this.#watch(url.searchParams, prefix, response);
+        this.#watch(url.searchParams, prefix, response, links);
         break;
       default:
         send(response, 404, { error: "no such call" });
     }
   }
 
-  #watch(parameters, prefix, response) {
+  #watch(parameters, prefix, response, links) {
     const after = Number(parameters.get("after"));
     // A revision that the store does not have is part of no history.
     if (after > this.#revision) {
       send(response, 410, { error: "no such revision" });
       return;
     }
-    const watch = { prefix, after, response };
+    const startedAt = performance.now();
+    const watch = { prefix, after, response, links, startedAt };
     const waitMs = Math.min(30_000, Number(parameters.get("wait_ms")));
     const timer = setTimeout(() => {
       if (this.#watches.delete(watch)) {
@@ -146,7 +171,7 @@
     for (const watch of this.#watches) {
       const events = this.#history.filter(({ key, rev }) =>
         key.startsWith(watch.prefix) && rev > watch.after
-      );
+      ).map((item) => replaceAddress(item, watch.links));
       if (events.length === 0) continue;
       this.#watches.delete(watch);
       send(watch.response, 200, { events, as_of: this.#revision });
@@ -154,6 +179,15 @@
   }
 }
 
+/** Returns a replica's item with the address of its link, if it has one. */
+function replaceAddress(item, links) {
+  if (item.value === undefined || !item.key.startsWith("servers/")) return item;
+  const entry = JSON.parse(Buffer.from(item.value, "base64").toString());
+  const addr = links.get(entry.addr) ?? entry.addr;
+  const text = JSON.stringify({ ...entry, addr });
+  return { ...item, value: Buffer.from(text).toString("base64") };
+}
+
 function send(response, status, body) {
   response.writeHead(status, { "Content-Type": "application/json" });
   response.end(JSON.stringify(body));
