--- a/fakes/endless_answer.ts
+++ b/fakes/endless_answer.ts
@@ -18,7 +18,15 @@
   | "endlessTrailers"
   | "endlessAfterAnswer"
   | "endlessEvent"
-  | "endlessEvents";
+  | "endlessEvents"
+  | EndlessPartInBytes;
+
+/** Parts that are sent in chunks of one byte. */
+export type EndlessPartInBytes =
+  | "endlessBodyInBytes"
+  | "endlessEventInBytes"
+  | "endlessCommentsInBytes"
+  | "endlessBlankLinesInBytes";
 
 /** What was sent of an endless answer, for the assertions of tests. */
 export interface EndlessAnswerRecord {
@@ -87,6 +95,7 @@
     case "endlessBody":
       return `${head}Connection: close\r\n\r\n`;
     case "endlessChunks":
+    case "endlessBodyInBytes":
       return `${head}Transfer-Encoding: chunked\r\n\r\n`;
     case "endlessChunkExtension":
       return `${head}Transfer-Encoding: chunked\r\n\r\n5;extension=`;
@@ -98,6 +107,10 @@
       return `${head}Content-Type: text/event-stream\r\nConnection: close\r\n\r\nid: 1\ndata: `;
     case "endlessEvents":
       return `${head}Content-Type: text/event-stream\r\nConnection: close\r\n\r\n`;
+    case "endlessEventInBytes":
+    case "endlessCommentsInBytes":
+    case "endlessBlankLinesInBytes":
+      return `${head}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n`;
   }
 }
 
@@ -114,6 +127,13 @@
       return "10\r\n0123456789abcdef\r\n";
     case "endlessEvents":
       return "id: 7\ndata: an event\n\n";
+    case "endlessBodyInBytes":
+    case "endlessEventInBytes":
+      return "1\r\nx\r\n";
+    case "endlessCommentsInBytes":
+      return "1\r\n:\r\n1\r\n\n\r\n";
+    case "endlessBlankLinesInBytes":
+      return "1\r\n\n\r\n";
     case "endlessStatusLine":
     case "endlessHeader":
     case "endlessBody":
--- /dev/null
+++ b/src/core/execution/byte_accumulator.ts
@@ -0,0 +1,86 @@
+/**
+ * Collects the bytes of one body or event in a block that grows with them. A
+ * list of the received chunks would take over a hundred bytes of memory for
+ * each of them, and the sender decides how small they are.
+ */
+import { Buffer } from "node:buffer";
+import type {
+  MemoryBudget,
+  MemoryReservation,
+} from "../limits/memory_budget.ts";
+
+export interface ByteAccumulatorOptions {
+  /** Maximum number of bytes collected. */
+  maxBytes: number;
+  /** Budget from which the block is reserved. */
+  memory: MemoryBudget;
+}
+
+const NO_BYTES = Buffer.alloc(0);
+/** Size of the first block, which most incomplete events fit into. */
+const MIN_BLOCK_BYTES = 512;
+const GROWTH_FACTOR = 2;
+
+export class ByteAccumulator {
+  readonly #options: ByteAccumulatorOptions;
+  readonly #reservation: MemoryReservation;
+  #block: Buffer = NO_BYTES;
+  #length = 0;
+
+  constructor(options: ByteAccumulatorOptions) {
+    this.#options = options;
+    this.#reservation = options.memory.createReservation();
+  }
+
+  /** Number of bytes collected. */
+  get length(): number {
+    return this.#length;
+  }
+
+  /** The bytes collected. They share memory with the accumulator. */
+  get bytes(): Buffer {
+    return this.#block.subarray(0, this.#length);
+  }
+
+  /**
+   * Adds a copy of the bytes; returns false, and adds nothing, if they exceed
+   * the maximum or the budget.
+   */
+  tryAppend(bytes: Uint8Array): boolean {
+    const length = this.#length + bytes.length;
+    if (length > this.#options.maxBytes) return false;
+    if (length > this.#block.length && !this.#tryGrow(length)) return false;
+    this.#block.set(bytes, this.#length);
+    this.#length = length;
+    return true;
+  }
+
+  /** Returns the bytes collected, and starts over with none. */
+  take(): Buffer {
+    const { bytes } = this;
+    this.release();
+    return bytes;
+  }
+
+  /** Drops the bytes collected and returns their memory to the budget. */
+  release(): void {
+    this.#options.memory.release(this.#reservation);
+    this.#block = NO_BYTES;
+    this.#length = 0;
+  }
+
+  /** Replaces the block by one for at least that many bytes. */
+  #tryGrow(length: number): boolean {
+    const { maxBytes, memory } = this.#options;
+    const size = Math.min(
+      maxBytes,
+      Math.max(length, MIN_BLOCK_BYTES, GROWTH_FACTOR * this.#block.length),
+    );
+    const addedBytes = size - this.#block.length;
+    if (!memory.tryExtend(this.#reservation, addedBytes)) return false;
+    const block = Buffer.allocUnsafe(size);
+    block.set(this.bytes);
+    this.#block = block;
+    return true;
+  }
+}
--- a/src/core/execution/event_splitter.ts
+++ b/src/core/execution/event_splitter.ts
@@ -5,6 +5,10 @@
  * CR LF or CR, as the format allows; a blank line ends an event.
  */
 import { Buffer } from "node:buffer";
+import {
+  ByteAccumulator,
+  type ByteAccumulatorOptions,
+} from "./byte_accumulator.ts";
 
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
@@ -14,8 +18,8 @@
 
 export class EventSplitter {
   /** The bytes after the last event boundary. */
-  #rest: Buffer[] = [];
-  #restBytes = 0;
+  readonly #rest: ByteAccumulator;
+  #hasOverflowed = false;
   #lastEventId: string | undefined;
   #eventCount = 0;
   /** Whether the current line has no bytes yet. */
@@ -29,6 +33,11 @@
   /** Number of bytes of a byte order mark read so far; undefined after it. */
   #markBytes: number | undefined = 0;
 
+  /** @param options limits of an incomplete event. */
+  constructor(options: ByteAccumulatorOptions) {
+    this.#rest = new ByteAccumulator(options);
+  }
+
   /** Id of the last complete event that has one; undefined before the first. */
   get lastEventId(): string | undefined {
     return this.#lastEventId;
@@ -41,7 +50,15 @@
 
   /** Number of buffered bytes of the incomplete event. */
   get restBytes(): number {
-    return this.#restBytes;
+    return this.#rest.length;
+  }
+
+  /**
+   * Whether an incomplete event has exceeded its limits, so that bytes of the
+   * stream are missing.
+   */
+  get hasOverflowed(): boolean {
+    return this.#hasOverflowed;
   }
 
   /**
@@ -63,11 +80,9 @@
       return NO_BYTES;
     }
     const completed = chunk.subarray(0, end);
-    const events = this.#restBytes === 0
+    const events = this.#rest.length === 0
       ? completed
-      : Buffer.concat([...this.#rest, completed]);
-    this.#rest = [];
-    this.#restBytes = 0;
+      : Buffer.concat([this.#rest.take(), completed]);
     this.#addRest(chunk.subarray(end));
     this.#readLastId(events);
     return events;
@@ -75,9 +90,7 @@
 
   /** Removes and returns the bytes of the incomplete event. */
   takeRest(): Buffer {
-    const rest = Buffer.concat(this.#rest);
-    this.#rest = [];
-    this.#restBytes = 0;
+    const rest = this.#rest.take();
     this.#isLineEmpty = true;
     this.#hasLines = false;
     this.#isAfterCarriageReturn = false;
@@ -86,9 +99,8 @@
   }
 
   #addRest(bytes: Buffer): void {
-    if (bytes.length === 0) return;
-    this.#rest.push(bytes);
-    this.#restBytes += bytes.length;
+    if (bytes.length === 0 || this.#hasOverflowed) return;
+    this.#hasOverflowed = !this.#rest.tryAppend(bytes);
   }
 
   /**
--- a/src/daemon/attempt_end.ts
+++ b/src/daemon/attempt_end.ts
@@ -1,5 +1,5 @@
 /** Classifies how attempts end from the responses of upstreams. */
-import { Buffer } from "node:buffer";
+import type { Buffer } from "node:buffer";
 import type { Dispatcher } from "undici";
 import {
   type BodyFraming,
@@ -103,22 +103,3 @@
   response.body.on("error", () => {});
   response.body.destroy();
 }
-
-/** Reads a whole response body; throws if it is longer than `maxBytes`. */
-export async function readBody(
-  response: Dispatcher.ResponseData,
-  maxBytes: number,
-): Promise<Buffer> {
-  const chunks: Buffer[] = [];
-  let length = 0;
-  for await (const chunk of response.body as AsyncIterable<Buffer>) {
-    length += chunk.length;
-    if (length > maxBytes) {
-      throw new Error(
-        `Expected a response of at most ${maxBytes} bytes, found more`,
-      );
-    }
-    chunks.push(chunk);
-  }
-  return Buffer.concat(chunks);
-}
--- a/src/daemon/caller_exchange.ts
+++ b/src/daemon/caller_exchange.ts
@@ -1,6 +1,7 @@
 /** The HTTP response to one caller: headers, body with backpressure, and end. */
 import { Buffer } from "node:buffer";
 import type { Response } from "express";
+import type { ByteAccumulator } from "../core/execution/byte_accumulator.ts";
 import type { StoredAnswerStructure } from "../core/messages.ts";
 import { needsDrain, writeChunk } from "./chunk_writer.ts";
 import type { ResponseHead, ResponseSink } from "./exchange.ts";
@@ -13,7 +14,11 @@
 
 export interface CallerExchangeOptions {
   response: Response;
-  isStreamed: boolean;
+  /**
+   * Collects the body until the response is known to be complete; undefined for
+   * streams, which are written as they arrive.
+   */
+  body: ByteAccumulator | undefined;
   /** The connection is closed when the caller has read nothing for this long. */
   stallTimeoutMs: number;
   reportBegin: () => void;
@@ -21,24 +26,27 @@
 
 export class CallerExchange implements ResponseSink {
   readonly #options: CallerExchangeOptions;
-  /** Body, buffered until the response is known to be complete; undefined for streams. */
-  readonly #bufferedChunks: Uint8Array[] | undefined;
   #head: ResponseHead | undefined;
 
   constructor(options: CallerExchangeOptions) {
     this.#options = options;
-    this.#bufferedChunks = options.isStreamed ? undefined : [];
+    options.response.once("close", () => options.body?.release());
   }
 
   begin(head: ResponseHead): void {
     this.#head = head;
     this.#options.reportBegin();
-    if (!this.#bufferedChunks) writeHead(this.#options.response, head);
+    if (!this.#options.body) writeHead(this.#options.response, head);
   }
 
   write(chunk: Uint8Array): boolean {
-    if (!this.#bufferedChunks) return writeChunk(this.#options.response, chunk);
-    this.#bufferedChunks.push(chunk);
+    const { body, response } = this.#options;
+    if (!body) return writeChunk(response, chunk);
+    if (!body.tryAppend(chunk)) {
+      throw new Error(
+        `Expected memory for the response, found none after ${body.length} bytes`,
+      );
+    }
     return true;
   }
 
@@ -64,15 +72,15 @@
 
   /** Ends a response that is complete. */
   complete(): void {
-    const { response } = this.#options;
+    const { body, response } = this.#options;
     if (!this.#head) return;
     this.#setStallTimeout();
-    if (!this.#bufferedChunks) {
+    if (!body) {
       response.end();
       return;
     }
     writeHead(response, this.#head);
-    response.end(Buffer.concat(this.#bufferedChunks));
+    response.end(body.bytes);
   }
 
   /** Sends the response stored from an earlier call with the same ticket. */
--- a/src/daemon/caller_task.ts
+++ b/src/daemon/caller_task.ts
@@ -5,12 +5,15 @@
 import type { Socket } from "node:net";
 import { performance } from "node:perf_hooks";
 import express, { type Request, type Response } from "express";
+import { ByteAccumulator } from "../core/execution/byte_accumulator.ts";
 import { estimateUnreadMs } from "../core/admission/read_delay.ts";
+import type { MemoryBudget } from "../core/limits/memory_budget.ts";
 import { getUnclaimedOutcome, RefusalReason } from "../core/outcomes.ts";
 import { type Milliseconds, PoolKind } from "../core/structures.ts";
 import type { TableSnapshot } from "../core/tables/table_snapshot.ts";
 import type { DaemonSettings } from "../settings/daemon_settings.ts";
 import type { Bus } from "./bus.ts";
+import { createBodyHandler } from "./caller_body.ts";
 import { CallerExchange } from "./caller_exchange.ts";
 import { CallerReadDelay } from "./caller_read_delay.ts";
 import { handleConnectionErrors } from "./connection_errors.ts";
@@ -47,6 +50,8 @@
   logger: Logger;
   metrics: Metrics;
   exchanges: ExchangeRegistry;
+  /** Budget for bodies while they are collected. */
+  memory: MemoryBudget;
   eventLoop: EventLoopMonitor;
   getTables: () => TableSnapshot | undefined;
 }
@@ -142,9 +147,9 @@
     const app = express();
     app.disable("x-powered-by");
     app.disable("etag");
-    const body = express.raw({
-      type: () => true,
-      limit: this.#options.settings.maxBodyBytes,
+    const body = createBodyHandler({
+      maxBytes: this.#options.settings.maxBodyBytes,
+      memory: this.#options.memory,
     });
     app.post(
       ["/v1/chat/completions", "/v1/completions"],
@@ -309,7 +314,10 @@
     const arrivedAt = performance.now();
     return new CallerExchange({
       response,
-      isStreamed,
+      body: isStreamed ? undefined : new ByteAccumulator({
+        maxBytes: settings.maxAnswerBytes,
+        memory: this.#options.memory,
+      }),
       stallTimeoutMs: settings.stallTimeoutMs,
       reportBegin: () => {
         metrics.measure("first_token", performance.now() - arrivedAt);
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -2,6 +2,7 @@
 import { randomBytes, randomUUID } from "node:crypto";
 import { performance } from "node:perf_hooks";
 import type { DaemonDescription } from "../core/daemon_core.ts";
+import { MemoryBudget } from "../core/limits/memory_budget.ts";
 import { HostRole, HostState } from "../core/structures.ts";
 import type { DaemonSettings } from "../settings/daemon_settings.ts";
 import { type Bus, createBus } from "./bus.ts";
@@ -19,6 +20,13 @@
 /** Time between updates of the gauges. */
 const GAUGE_INTERVAL_MS = 1_000;
 const TICKET_SECRET_BYTES = 32;
+/** Size up to which a body doesn't count against the shared budget. */
+const UNCOUNTED_BODY_BYTES = 64 * 1024;
+/**
+ * Budget that all bodies share for the bytes beyond that size: a quarter of the
+ * 256 MB that a daemon may take.
+ */
+const BODY_BUDGET_BYTES = 64 * 1024 * 1024;
 
 /** Ports that a daemon listens on. */
 export interface DaemonPorts {
@@ -51,6 +59,10 @@
     this.#metrics = new Metrics(settings.metrics, settings.id);
     this.#metrics.listen(bus);
     const exchanges = new ExchangeRegistry();
+    const memory = new MemoryBudget({
+      exemptBytes: UNCOUNTED_BODY_BYTES,
+      sharedBytes: BODY_BUDGET_BYTES,
+    });
     this.#core = new CoreTask({
       selfId: settings.id,
       incarnation: randomUUID().slice(0, 8),
@@ -80,11 +92,13 @@
       logger,
       exchanges,
       maxAnswerBytes: settings.callers.maxAnswerBytes,
+      memory,
     });
     this.#platform = new PlatformTask({
       settings,
       bus,
       logger,
+      memory,
       getTables: () => core.getSnapshot(),
     });
     this.#callers = new CallerTask({
@@ -93,6 +107,7 @@
       logger,
       metrics: this.#metrics,
       exchanges,
+      memory,
       eventLoop: this.#eventLoop,
       getTables: () => core.getSnapshot(),
     });
--- a/src/daemon/exchange.ts
+++ b/src/daemon/exchange.ts
@@ -13,7 +13,10 @@
 export interface ResponseSink {
   /** Starts the response; called once, before the first chunk. */
   begin(head: ResponseHead): void;
-  /** Writes a chunk; returns false when the writer should wait for `waitUntilDrained`. */
+  /**
+   * Writes a chunk; returns false when the writer should wait for
+   * `waitUntilDrained`. Throws if the chunk exceeds the limits of a response.
+   */
   write(chunk: Uint8Array): boolean;
   /** Resolves when the write buffer has drained or the connection is closed. */
   waitUntilDrained(): Promise<void>;
--- a/src/daemon/platform_task.ts
+++ b/src/daemon/platform_task.ts
@@ -5,11 +5,13 @@
 import { Agent, request } from "undici";
 import * as z from "zod";
 import type { CoreEvent } from "../core/events.ts";
+import type { MemoryBudget } from "../core/limits/memory_budget.ts";
 import { applyCheckedDelta } from "../core/tables/table_schema.ts";
 import type { TableSnapshot } from "../core/tables/table_snapshot.ts";
 import type { DaemonSettings } from "../settings/daemon_settings.ts";
 import { TableFileSet } from "../settings/table_file_set.ts";
 import type { TableFile, TableFileFault } from "../settings/table_files.ts";
+import { readBody } from "./body_reader.ts";
 import type { Bus } from "./bus.ts";
 import type { Logger } from "./logger.ts";
 import { describeError, StepError } from "./step_error.ts";
@@ -22,11 +24,15 @@
 const MAX_RETRY_DELAY_MS = 10_000;
 /** Attempts to read all keys at the same revision before the read fails. */
 const MAX_INCONSISTENT_READS = 5;
+/** Maximum size of a response: one table file or the host list. */
+const MAX_RESPONSE_BYTES = 16 * 1024 * 1024;
 
 export interface PlatformTaskOptions {
   settings: DaemonSettings;
   bus: Bus;
   logger: Logger;
+  /** Budget for responses while they are read. */
+  memory: MemoryBudget;
   /** Returns the active tables. */
   getTables: () => TableSnapshot | undefined;
 }
@@ -270,7 +276,11 @@
         peer: address,
       });
     }
-    return schema.parse(await response.body.json());
+    const body = await readBody(response.body, {
+      maxBytes: MAX_RESPONSE_BYTES,
+      memory: this.#options.memory,
+    });
+    return schema.parse(JSON.parse(body.toString()));
   }
 
   async #reportFailure(
--- a/src/daemon/sse_inspector.ts
+++ b/src/daemon/sse_inspector.ts
@@ -6,6 +6,7 @@
  */
 import { Buffer } from "node:buffer";
 import { EventSplitter } from "../core/execution/event_splitter.ts";
+import type { MemoryBudget } from "../core/limits/memory_budget.ts";
 
 const DONE_LINE = "data: [DONE]";
 const DONE_EVENT = Buffer.from(`${DONE_LINE}\n\n`);
@@ -18,10 +19,15 @@
 const MAX_EVENT_BYTES = 1_048_576;
 
 export class SseInspector {
-  readonly #splitter = new EventSplitter();
+  readonly #splitter: EventSplitter;
   #lastEvents: Buffer = Buffer.alloc(0);
   #model: string | undefined;
 
+  /** @param memory budget for an incomplete event. */
+  constructor(memory: MemoryBudget) {
+    this.#splitter = new EventSplitter({ maxBytes: MAX_EVENT_BYTES, memory });
+  }
+
   /** Model named in the first event; undefined until that event is complete. */
   get model(): string | undefined {
     return this.#model;
@@ -35,9 +41,9 @@
   /** Adds a chunk and returns the events that it completes, or undefined if there are none. */
   push(chunk: Buffer): Buffer | undefined {
     const events = this.#splitter.push(chunk);
-    if (this.#splitter.restBytes > MAX_EVENT_BYTES) {
+    if (this.#splitter.hasOverflowed) {
       throw new Error(
-        `Expected events of at most ${MAX_EVENT_BYTES} bytes, found a longer one`,
+        `Expected events of at most ${MAX_EVENT_BYTES} bytes within the memory budget, found a longer one`,
       );
     }
     if (events.length === 0) return undefined;
--- a/src/daemon/stream_forwarder.ts
+++ b/src/daemon/stream_forwarder.ts
@@ -5,6 +5,7 @@
  */
 import type { Buffer } from "node:buffer";
 import type { Readable } from "node:stream";
+import type { MemoryBudget } from "../core/limits/memory_budget.ts";
 import type { ResponseHead, ResponseSink } from "./exchange.ts";
 import { SseInspector } from "./sse_inspector.ts";
 
@@ -19,6 +20,8 @@
 export interface StreamForwarderOptions {
   sink: ResponseSink;
   head: ResponseHead;
+  /** Budget for an incomplete event. */
+  memory: MemoryBudget;
   /** Called with the length of each chunk that is forwarded. */
   onForward: (bytes: number) => void;
   /** Resumes the stream after the given number of events; returns undefined if that is not possible. */
@@ -30,11 +33,12 @@
 
 export class StreamForwarder {
   readonly #options: StreamForwarderOptions;
-  readonly #inspector = new SseInspector();
+  readonly #inspector: SseInspector;
   #hasBegun = false;
 
   constructor(options: StreamForwarderOptions) {
     this.#options = options;
+    this.#inspector = new SseInspector(options.memory);
   }
 
   /** Forwards the stream to its end, resuming it on new connections as needed. */
--- a/src/daemon/upstream_orders.ts
+++ b/src/daemon/upstream_orders.ts
@@ -1,8 +1,10 @@
 /** Control requests to an upstream: orders, cancellations and reads of its state. */
 import type { Dispatcher } from "undici";
+import type { MemoryBudget } from "../core/limits/memory_budget.ts";
 import type { Effect } from "../core/effects.ts";
 import type { OrderResult } from "../core/events.ts";
 import type { UpstreamStateStructure } from "../core/structures.ts";
+import { readBody } from "./body_reader.ts";
 import { describeError, getErrorCode, isConnectError } from "./step_error.ts";
 import { engineStateSchema } from "./upstream_schemas.ts";
 
@@ -11,10 +13,19 @@
 const STATE_TIMEOUT_MS = 800;
 const ORDER_TIMEOUT_MS = 30_000;
 const CANCEL_TIMEOUT_MS = 2_000;
+/** Maximum size of a response: a state lists some hundred runs and adapters. */
+const MAX_RESPONSE_BYTES = 512 * 1024;
+
+/** What control requests are sent and received with. */
+export interface ControlClient {
+  agent: Dispatcher;
+  /** Budget for responses while they are read. */
+  memory: MemoryBudget;
+}
 
 /** Sends an order and returns its result. */
 export async function sendOrder(
-  agent: Dispatcher,
+  { agent, memory }: ControlClient,
   effect: OrderEffect,
 ): Promise<OrderResult> {
   const { path, body } = formatOrder(effect);
@@ -27,7 +38,7 @@
       body: JSON.stringify({ ...body, fencing: effect.fencing }),
       signal: AbortSignal.timeout(ORDER_TIMEOUT_MS),
     });
-    const text = await response.body.text();
+    const text = await readText(response, memory);
     if (response.statusCode === 200) return { kind: "done" };
     if (response.statusCode === 412) {
       return { kind: "refusedByFencing", fencing: 0 };
@@ -42,7 +53,7 @@
 
 /** Reads the state of an upstream; a failure tells whether the connection was refused. */
 export async function fetchState(
-  agent: Dispatcher,
+  { agent, memory }: ControlClient,
   address: string,
 ): Promise<UpstreamStateStructure | { isRefused: boolean }> {
   try {
@@ -52,7 +63,8 @@
       method: "GET",
       signal: AbortSignal.timeout(STATE_TIMEOUT_MS),
     });
-    return engineStateSchema.parse(await response.body.json());
+    const text = await readText(response, memory);
+    return engineStateSchema.parse(JSON.parse(text));
   } catch (error) {
     return { isRefused: getErrorCode(error) === "ECONNREFUSED" };
   }
@@ -78,6 +90,14 @@
   }
 }
 
+async function readText(
+  response: Dispatcher.ResponseData,
+  memory: MemoryBudget,
+): Promise<string> {
+  const limits = { maxBytes: MAX_RESPONSE_BYTES, memory };
+  return (await readBody(response.body, limits)).toString();
+}
+
 function formatOrder(
   effect: OrderEffect,
 ): { path: string; body: Record<string, string> } {
--- a/src/daemon/upstream_task.ts
+++ b/src/daemon/upstream_task.ts
@@ -4,6 +4,7 @@
 import { Agent, buildConnector, type Dispatcher } from "undici";
 import type { DispatchEffect, Effect } from "../core/effects.ts";
 import type { OrderResult } from "../core/events.ts";
+import type { MemoryBudget } from "../core/limits/memory_budget.ts";
 import { BodyFraming } from "../core/execution/body_framing.ts";
 import { isSocketAddress } from "../core/socket_address.ts";
 import { type Milliseconds, PoolKind } from "../core/structures.ts";
@@ -16,18 +17,23 @@
   dropBody,
   getFraming,
   getHeader,
-  readBody,
   readBodyModel,
   readErrorDetail,
 } from "./attempt_end.ts";
 import { AttemptSockets } from "./attempt_sockets.ts";
+import { readBody } from "./body_reader.ts";
 import type { Bus } from "./bus.ts";
 import type { Exchange, ExchangeRegistry } from "./exchange.ts";
 import type { Logger } from "./logger.ts";
 import { describeError, getErrorCode, isConnectError } from "./step_error.ts";
 import { StreamForwarder } from "./stream_forwarder.ts";
 import { awaitTurnEnd } from "./unread_input.ts";
-import { cancelRun, fetchState, sendOrder } from "./upstream_orders.ts";
+import {
+  cancelRun,
+  type ControlClient,
+  fetchState,
+  sendOrder,
+} from "./upstream_orders.ts";
 import { resumeStream } from "./upstream_resumption.ts";
 
 const CONNECT_TIMEOUT_MS = 1_000;
@@ -50,6 +56,8 @@
   logger: Logger;
   exchanges: ExchangeRegistry;
   maxAnswerBytes: number;
+  /** Budget for responses while they are read. */
+  memory: MemoryBudget;
 }
 
 interface RunningAttempt {
@@ -75,12 +83,14 @@
     bodyTimeout: 0,
     pipelining: 0,
   });
+  readonly #client: ControlClient;
   readonly #sockets = new AttemptSockets();
   readonly #attempts = new Map<string, RunningAttempt>();
   readonly #blocked = new Set<string>();
 
   constructor(options: UpstreamTaskOptions) {
     this.#options = options;
+    this.#client = { agent: this.#agent, memory: options.memory };
     options.bus.on("dispatch", (data) => this.#run(data));
     options.bus.on("cancelAttempt", (data) => this.#cancel(data.attemptId));
     options.bus.on("order", (data) => this.#handleOrder(data));
@@ -216,6 +226,7 @@
     const forwarder = new StreamForwarder({
       sink: exchange.sink,
       head,
+      memory: this.#options.memory,
       onForward: (bytes) => {
         attempt.bytesForwarded += bytes;
       },
@@ -265,7 +276,11 @@
     response: Dispatcher.ResponseData,
     head: Parameters<Exchange["sink"]["begin"]>[0],
   ): Promise<AttemptEnd> {
-    const body = await readBody(response, this.#options.maxAnswerBytes);
+    const { maxAnswerBytes, memory } = this.#options;
+    const body = await readBody(response.body, {
+      maxBytes: maxAnswerBytes,
+      memory,
+    });
     if (attempt.effect.upstreamKind === PoolKind.Engine) {
       const model = readBodyModel(body);
       if (model !== attempt.effect.model) {
@@ -293,7 +308,7 @@
     if (this.#sockets.hasBeenReset(effect.attemptId)) {
       return "the connection was reset";
     }
-    const state = await fetchState(this.#agent, effect.address);
+    const state = await fetchState(this.#client, effect.address);
     const hasCrashed = "isRefused" in state
       ? state.isRefused
       : state.incarnation !== effect.upstreamIncarnation;
@@ -379,7 +394,7 @@
     if (this.#blocked.has(effect.upstreamId)) {
       return { kind: "unknown", detail: "blocked" };
     }
-    return await sendOrder(this.#agent, effect);
+    return await sendOrder(this.#client, effect);
   }
 
   async #readState(
@@ -388,7 +403,7 @@
     const { upstreamId, readId } = effect;
     const state = this.#blocked.has(upstreamId)
       ? { isRefused: false }
-      : await fetchState(this.#agent, effect.address);
+      : await fetchState(this.#client, effect.address);
     await this.#options.bus.emit(
       "event",
       "isRefused" in state
--- a/src/gateway/attempt_runner.ts
+++ b/src/gateway/attempt_runner.ts
@@ -4,12 +4,13 @@
  * buffered completely first, so that the request can still be retried when the
  * response is incomplete.
  */
-import { Buffer } from "node:buffer";
+import type { Buffer } from "node:buffer";
 import type { IncomingMessage } from "node:http";
 import {
   BodyFraming,
   classifyFraming,
 } from "../core/execution/body_framing.ts";
+import { ByteAccumulator } from "../core/execution/byte_accumulator.ts";
 import type { StreamHead } from "../core/execution/stream_continuation.ts";
 import { decideResponseEnd } from "../core/execution/response_end.ts";
 import { AttemptOutcome } from "../core/execution/retry_decision.ts";
@@ -32,13 +33,6 @@
  */
 const MAX_RESPONSE_BYTES = 4 * 1024 * 1024;
 
-/**
- * Memory that a buffered chunk takes besides its bytes: the Buffer object and
- * its array element. Counted so that the bound also holds for a flood of tiny
- * chunks.
- */
-const CHUNK_OVERHEAD_BYTES = 128;
-
 export interface AttemptResult {
   outcome: AttemptOutcome;
   upstreamId: string;
@@ -134,9 +128,10 @@
   let bodyBytes = 0;
   let isConnectionBroken = false;
   let isClean = false;
-  const chunks: Buffer[] = [];
-  const { responseMemory } = context;
-  const reservation = responseMemory.createReservation();
+  const body = new ByteAccumulator({
+    maxBytes: MAX_RESPONSE_BYTES,
+    memory: context.memory,
+  });
   let settle: (result: AttemptResult) => void = () => {};
   const result = new Promise<AttemptResult>((resolve) => settle = resolve);
   let isSettled = false;
@@ -146,7 +141,6 @@
     if (isSettled) return;
     isSettled = true;
     clearTimeout(timer);
-    responseMemory.release(reservation);
     const hasWholeResponse = head !== undefined && !isStreaming &&
       (outcome === AttemptOutcome.Answered ||
         outcome === AttemptOutcome.Failed);
@@ -160,7 +154,7 @@
         ? {
           status: head?.status ?? 0,
           rawHeaders: headerCodec.encodeResponseHeaders(rawHeaders),
-          body: Buffer.concat(chunks),
+          body: body.bytes,
         }
         : undefined,
       endDetails: framing && {
@@ -171,6 +165,8 @@
       },
       detail,
     });
+    if (hasWholeResponse) exchange.onClose(() => body.release());
+    else body.release();
   };
   const finishWith = (end: AttemptEnd): void => {
     isConnectionBroken = end.kind === "broken";
@@ -241,11 +237,8 @@
         }
         return decision === SinkDecision.Continue;
       }
-      const bytes = chunk.length + CHUNK_OVERHEAD_BYTES;
-      const isBuffered = reservation.bytes + bytes <= MAX_RESPONSE_BYTES &&
-        responseMemory.tryExtend(reservation, bytes);
-      if (isBuffered) chunks.push(chunk);
-      else abort(AttemptOutcome.Lost, "the answer is too long");
+      const isBuffered = body.tryAppend(chunk);
+      if (!isBuffered) abort(AttemptOutcome.Lost, "the answer is too long");
       return isBuffered;
     },
     onEnd: (closing) => {
--- a/src/gateway/caller_exchange.ts
+++ b/src/gateway/caller_exchange.ts
@@ -99,6 +99,13 @@
     if (this.#isDisconnected) listener();
   }
 
+  /** Calls the listener when the response has been sent or its connection is lost. */
+  onClose(listener: () => void): void {
+    const { response } = this.#options;
+    if (response.closed) listener();
+    else response.once("close", listener);
+  }
+
   /** Sends a response with a complete body. */
   sendResponse(
     status: number,
--- a/src/gateway/caller_task.ts
+++ b/src/gateway/caller_task.ts
@@ -13,6 +13,7 @@
   type ServerResponse,
 } from "node:http";
 import type { Socket } from "node:net";
+import { ByteAccumulator } from "../core/execution/byte_accumulator.ts";
 import { estimateUnreadMs } from "../core/admission/read_delay.ts";
 import {
   canAdmitWhileStopping,
@@ -45,10 +46,15 @@
 /** Time limit for a request to arrive completely. */
 const BODY_TIMEOUT_MS = 30_000;
 /**
- * Time given to a caller to read the refusal of an oversized body before its
- * connection is closed.
+ * Time given to a caller to read the refusal of a body before its connection is
+ * closed.
  */
-const OVERSIZED_BODY_LINGER_MS = 500;
+const UNREAD_BODY_LINGER_MS = 500;
+/**
+ * Retry-After for requests whose body found no memory: as long as most
+ * requests, whose bodies are dropped when they end, take.
+ */
+const NO_MEMORY_RETRY_AFTER_MS = 1_000;
 /** Retry-After for requests that arrive before a configuration is known. */
 const UNCONFIGURED_RETRY_AFTER_MS = 500;
 /**
@@ -69,6 +75,8 @@
 type BodyRead =
   | { kind: "complete"; body: Buffer }
   | { kind: "tooLarge" }
+  /** Other bodies take the memory that there is for them. */
+  | { kind: "noMemory" }
   /** The daemon stops before the body has arrived. */
   | { kind: "stopped" }
   | { kind: "disconnected" };
@@ -230,7 +238,7 @@
       metadata.deadlineMs ?? Number.POSITIVE_INFINITY,
     );
     if (readDelayMs > 0) metrics.measure("read_delay", "late", readDelayMs);
-    const read = await this.#readBody(request);
+    const read = await this.#readBody(request, response);
     if (read.kind === "disconnected") return;
     const body = read.kind === "complete" ? read.body : Buffer.alloc(0);
     const exchange = new CallerExchange({
@@ -250,10 +258,10 @@
       this.#refuseStopping(exchange);
       return;
     }
-    if (read.kind === "tooLarge") {
-      this.#refuse(exchange, Status.TooLarge, "body is too large", undefined);
+    if (read.kind === "tooLarge" || read.kind === "noMemory") {
+      this.#refuseBody(exchange, read.kind);
       // The rest of the body is not read, as it may never end.
-      setTimeout(() => request.destroy(), OVERSIZED_BODY_LINGER_MS);
+      setTimeout(() => request.destroy(), UNREAD_BODY_LINGER_MS);
       return;
     }
     await awaitUnreadInput();
@@ -324,6 +332,25 @@
     });
   }
 
+  #refuseBody(
+    exchange: CallerExchange,
+    kind: "tooLarge" | "noMemory",
+  ): void {
+    switch (kind) {
+      case "tooLarge":
+        this.#refuse(exchange, Status.TooLarge, "body is too large", undefined);
+        break;
+      case "noMemory":
+        this.#refuse(
+          exchange,
+          Status.Unavailable,
+          "no memory for the body",
+          NO_MEMORY_RETRY_AFTER_MS,
+        );
+        break;
+    }
+  }
+
   #refuseStopping(exchange: CallerExchange): void {
     this.#refuse(
       exchange,
@@ -354,31 +381,34 @@
     exchange.sendError(status, headers, reason);
   }
 
-  #readBody(request: IncomingMessage): Promise<BodyRead> {
-    const limit = this.#context.view.configuration?.limits.maxBodyBytes ??
+  #readBody(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<BodyRead> {
+    const { memory, view } = this.#context;
+    const maxBytes = view.configuration?.limits.maxBodyBytes ??
       DEFAULT_MAX_BODY_BYTES;
+    const body = new ByteAccumulator({ maxBytes, memory });
+    response.once("close", () => body.release());
     return new Promise((resolve) => {
-      const chunks: Buffer[] = [];
-      let length = 0;
+      let isSettled = false;
       const settle = (read: BodyRead): void => {
+        isSettled = true;
         this.#bodyStoppers.delete(stopBody);
         resolve(read);
       };
       const stopBody = (): void => settle({ kind: "stopped" });
       this.#bodyStoppers.add(stopBody);
       request.on("data", (chunk: Buffer) => {
-        length += chunk.length;
-        if (length <= limit) {
-          chunks.push(chunk);
-          return;
-        }
+        if (isSettled || body.tryAppend(chunk)) return;
+        const isTooLarge = body.length + chunk.length > maxBytes;
         request.pause();
-        chunks.length = 0;
-        settle({ kind: "tooLarge" });
+        body.release();
+        settle({ kind: isTooLarge ? "tooLarge" : "noMemory" });
       });
       request.once(
         "end",
-        () => settle({ kind: "complete", body: Buffer.concat(chunks) }),
+        () => settle({ kind: "complete", body: body.bytes }),
       );
       request.once("close", () => settle({ kind: "disconnected" }));
     });
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -9,7 +9,7 @@
 import { FleetView } from "../core/fleet/fleet_view.ts";
 import { rankByRendezvous } from "../core/hashing.ts";
 import type { Heartbeat } from "../core/fleet/heartbeat.ts";
-import { ResponseMemoryBudget } from "../core/limits/response_memory_budget.ts";
+import { MemoryBudget } from "../core/limits/memory_budget.ts";
 import {
   CrashAttribution,
   type CrashDigest,
@@ -69,15 +69,15 @@
  */
 const READINESS_PROPAGATION_MS = 2_500;
 /**
- * Size up to which a buffered answer doesn't count against the shared budget.
- * The users' answers are a few KB long.
+ * Size up to which a body or an incomplete event doesn't count against the
+ * shared budget. The users' bodies are a few KB long.
  */
-const UNCOUNTED_ANSWER_BYTES = 64 * 1024;
+const UNCOUNTED_BODY_BYTES = 64 * 1024;
 /**
- * Budget that all buffered answers share for the bytes beyond that size: a
- * tenth of the 250 MB that the smallest hosts have.
+ * Budget that all bodies and incomplete events share for the bytes beyond that
+ * size: a tenth of the 250 MB that the smallest hosts have.
  */
-const ANSWER_BUDGET_BYTES = 24 * 1024 * 1024;
+const BODY_BUDGET_BYTES = 24 * 1024 * 1024;
 /**
  * Share of the time reserved for the exit in which callers read the last
  * responses.
@@ -90,8 +90,8 @@
 export interface GatewayPlatform {
   headerCodec: HeaderCodec;
   decoder: ChangeDecoder;
-  createStore: (address: string) => PublishedStore;
-  createEngineControl: () => EngineControl;
+  createStore: (address: string, memory: MemoryBudget) => PublishedStore;
+  createEngineControl: (memory: MemoryBudget) => EngineControl;
 }
 
 export class Gateway {
@@ -110,6 +110,10 @@
   readonly #viewSynchronizer: ViewSynchronizer;
   readonly #engines: EngineTask;
   readonly #upstreamClient = new UpstreamClient(this.#metrics);
+  readonly #memory = new MemoryBudget({
+    exemptBytes: UNCOUNTED_BODY_BYTES,
+    sharedBytes: BODY_BUDGET_BYTES,
+  });
   readonly #callers: CallerTask;
   readonly #incarnation = randomBytes(6).toString("hex");
   readonly #headerCodec: HeaderCodec;
@@ -149,7 +153,7 @@
       handle: (from, message) => this.#handleMessage(from, message),
     });
     this.#viewSynchronizer = new ViewSynchronizer({
-      store: platform.createStore(settings.store.address),
+      store: platform.createStore(settings.store.address, this.#memory),
       decoder: platform.decoder,
       view: this.#view,
       fleet: this.#fleet,
@@ -157,12 +161,13 @@
       metrics: this.#metrics,
       leavingMs: settings.store.leavingMs,
       listen: { ip, port },
+      memory: this.#memory,
       handleChange: () => {
         this.#callers.applyLimits();
         this.#scheduleEarlyHeartbeats();
       },
     });
-    const control = platform.createEngineControl();
+    const control = platform.createEngineControl(this.#memory);
     this.#engines = new EngineTask({
       selfId: host,
       termMs: settings.orders.termMs,
@@ -191,10 +196,7 @@
       backoff: new UpstreamBackoff(),
       reachability: new DomainReachability(),
       demand: new AdapterDemand(),
-      responseMemory: new ResponseMemoryBudget({
-        exemptBytes: UNCOUNTED_ANSWER_BYTES,
-        sharedBytes: ANSWER_BUDGET_BYTES,
-      }),
+      memory: this.#memory,
       retryBudget: new FleetRetryBudget(settings.repeats),
       crashAttribution: this.#crashAttribution,
       crashProbe: new CrashProbe({
--- a/src/gateway/http_client.ts
+++ b/src/gateway/http_client.ts
@@ -3,7 +3,9 @@
  * to peers, with a time limit for the whole call.
  */
 import { Agent, type IncomingHttpHeaders, request } from "node:http";
-import { Buffer } from "node:buffer";
+import type { Buffer } from "node:buffer";
+import { ByteAccumulator } from "../core/execution/byte_accumulator.ts";
+import type { MemoryBudget } from "../core/limits/memory_budget.ts";
 import { parseSocketAddress } from "../core/socket_address.ts";
 import { StepError } from "../daemon/step_error.ts";
 import type { Milliseconds } from "../core/structures.ts";
@@ -27,6 +29,8 @@
    * store.
    */
   maxAnswerBytes?: number;
+  /** Budget for the response body while it is read. */
+  memory: MemoryBudget;
   agent: Agent;
 }
 
@@ -68,6 +72,10 @@
     options;
   return new Promise((resolve, reject) => {
     let hasConnected = false;
+    const body = new ByteAccumulator({
+      maxBytes: maxAnswerBytes,
+      memory: options.memory,
+    });
     const call = request({
       ...parseSocketAddress(address),
       method: options.method,
@@ -77,6 +85,7 @@
     });
     const fail = (detail: string): void => {
       clearTimeout(timer);
+      body.release();
       call.destroy();
       reject(new HttpRequestError(step, address, detail, hasConnected));
     };
@@ -90,12 +99,10 @@
     });
     call.on("error", (error) => fail(error.message));
     call.on("response", (response) => {
-      const chunks: Buffer[] = [];
-      let length = 0;
       response.on("data", (chunk: Buffer) => {
-        length += chunk.length;
-        if (length > maxAnswerBytes) fail("response is too large");
-        else chunks.push(chunk);
+        if (!call.destroyed && !body.tryAppend(chunk)) {
+          fail("response is too large");
+        }
       });
       response.on("error", (error) => fail(error.message));
       response.on("end", () => {
@@ -104,7 +111,7 @@
         resolve({
           status: response.statusCode ?? 0,
           headers: response.headers,
-          body: Buffer.concat(chunks),
+          body: body.take(),
         });
       });
     });
--- a/src/gateway/request_context.ts
+++ b/src/gateway/request_context.ts
@@ -1,6 +1,6 @@
 /** The objects that the parts of the gateway share to serve requests. */
 import type { FleetView } from "../core/fleet/fleet_view.ts";
-import type { ResponseMemoryBudget } from "../core/limits/response_memory_budget.ts";
+import type { MemoryBudget } from "../core/limits/memory_budget.ts";
 import type { CrashAttribution } from "../core/limits/crash_attribution.ts";
 import type { FleetRetryBudget } from "../core/limits/fleet_retry_budget.ts";
 import type { AdapterDemand } from "../core/placement/adapter_demand.ts";
@@ -27,7 +27,7 @@
   backoff: UpstreamBackoff;
   reachability: DomainReachability;
   demand: AdapterDemand;
-  responseMemory: ResponseMemoryBudget;
+  memory: MemoryBudget;
   retryBudget: FleetRetryBudget;
   crashAttribution: CrashAttribution;
   crashProbe: CrashProbe;
--- a/src/gateway/request_handler.ts
+++ b/src/gateway/request_handler.ts
@@ -99,7 +99,7 @@
   #deadlineTimer: ReturnType<typeof setTimeout> | undefined;
   /** Undefined unless the daemon is stopping. */
   #stop: StopPeriod | undefined;
-  readonly #splitter = new EventSplitter();
+  readonly #splitter: EventSplitter;
   readonly #excludedUpstreamIds = new Set<string>();
   readonly #rejectedBy = new Set<string>();
   #running: RunningAttempt | undefined;
@@ -137,6 +137,10 @@
   ) {
     this.#context = context;
     this.#exchange = exchange;
+    this.#splitter = new EventSplitter({
+      maxBytes: MAX_EVENT_BYTES,
+      memory: context.memory,
+    });
     this.#route = target.route;
     this.#service = target.service;
     this.#crashGuard = new CrashGuard(
@@ -175,6 +179,7 @@
       clearTimeout(this.#deadlineTimer);
       convictionListeners.delete(handleConviction);
       this.#crashGuard.finish();
+      this.#splitter.takeRest();
     }
   }
 
@@ -392,7 +397,7 @@
   /** Forwards complete events; the head is sent with the first of them. */
   #forwardChunk(chunk: Buffer): SinkDecision {
     const events = this.#splitter.push(chunk);
-    if (this.#splitter.restBytes > MAX_EVENT_BYTES) return SinkDecision.Abort;
+    if (this.#splitter.hasOverflowed) return SinkDecision.Abort;
     if (events.length === 0 || this.#isFinished) return SinkDecision.Continue;
     if (this.#isContinuing && !this.#canFollow(events)) {
       return SinkDecision.Abort;
--- a/src/gateway/view_synchronizer.ts
+++ b/src/gateway/view_synchronizer.ts
@@ -5,6 +5,7 @@
  */
 import { Agent, createServer, type Server } from "node:http";
 import type { FleetView } from "../core/fleet/fleet_view.ts";
+import type { MemoryBudget } from "../core/limits/memory_budget.ts";
 import type { Milliseconds } from "../core/structures.ts";
 import { SyncPeerSelector } from "../core/view/sync_peer_selector.ts";
 import type { PublishedView } from "../core/view/published_view.ts";
@@ -100,6 +101,8 @@
    * Address at which peers fetch the view; the port is the same on all hosts.
    */
   listen: { ip: string; port: number };
+  /** Budget for the answers of peers while they are read. */
+  memory: MemoryBudget;
   /** Called after a change that peers should learn of. */
   handleChange: () => void;
 }
@@ -358,6 +361,7 @@
         method: "GET",
         path: `${PEER_PATH}?set=${set}&after=${state.mirror.asOf}`,
         timeoutMs: PEER_TIMEOUT_MS,
+        memory: this.#options.memory,
         agent: this.#agent,
       });
       const peerBatch = decodePeerBatch(answer.body);
--- a/test/core/execution/event_splitter_test.ts
+++ b/test/core/execution/event_splitter_test.ts
@@ -8,9 +8,12 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { EventSplitter } from "../../../src/core/execution/event_splitter.ts";
+import { UNLIMITED_MEMORY } from "../../unlimited_memory.ts";
+
+const LIMITS = { maxBytes: 1_048_576, memory: UNLIMITED_MEMORY };
 
 test("an event that arrives in two chunks is forwarded when complete", () => {
-  const splitter = new EventSplitter();
+  const splitter = new EventSplitter(LIMITS);
   assert.is(splitter.push(Buffer.from("id: 1\nda")).toString(), "");
   assert.is(
     splitter.push(Buffer.from("ta: a\n\nid: 2\n")).toString(),
@@ -21,13 +24,13 @@
 });
 
 test("the last id that counts is that of the last complete event", () => {
-  const splitter = new EventSplitter();
+  const splitter = new EventSplitter(LIMITS);
   splitter.push(Buffer.from("id: 7\ndata: a\n\nid: 8\ndata: b\n\nid: 9\nda"));
   assert.is(splitter.lastEventId, "8");
 });
 
 test("a stream that breaks within an event resumes without the incomplete event", () => {
-  const splitter = new EventSplitter();
+  const splitter = new EventSplitter(LIMITS);
   const first = splitter.push(Buffer.from("id: 1\ndata: a\n\nid: 2\nda"));
   splitter.takeRest();
   const second = splitter.push(Buffer.from("id: 2\ndata: b\n\n"));
@@ -45,14 +48,14 @@
     ["id: 1\r\ndata: a\r\n", true],
   ];
   for (const [text, expected] of cases) {
-    const splitter = new EventSplitter();
+    const splitter = new EventSplitter(LIMITS);
     splitter.push(Buffer.from(text));
     assert.is(splitter.isInEvent, expected, JSON.stringify(text));
   }
 });
 
 test("an id is not lost where a later event only mentions one", () => {
-  const splitter = new EventSplitter();
+  const splitter = new EventSplitter(LIMITS);
   splitter.push(Buffer.from("id: 3\ndata: a\n\n"));
   splitter.push(Buffer.from("data: an id: in the text\n\n"));
   assert.is(splitter.lastEventId, "3");
@@ -89,7 +92,7 @@
     }`;
 
     test(`a stream read byte by byte forwards each event when it is complete, and is complete only there: ${name}`, () => {
-      const splitter = new EventSplitter();
+      const splitter = new EventSplitter(LIMITS);
       let forwarded = 0;
       for (let offset = 1; offset <= stream.length; offset += 1) {
         const bytes = stream.subarray(offset - 1, offset);
@@ -108,7 +111,7 @@
       const cuts = fc.array(fc.integer({ min: 0, max: stream.length }));
       fc.assert(
         fc.property(cuts, (positions) => {
-          const splitter = new EventSplitter();
+          const splitter = new EventSplitter(LIMITS);
           const sorted = [0, ...positions, stream.length].sort((a, b) => a - b);
           const parts = sorted.slice(1).map((end, index) =>
             splitter.push(stream.subarray(sorted[index], end))
@@ -125,7 +128,7 @@
 
 test("white space and a byte order mark are no event", () => {
   for (const text of ["", "\n\n", "\r\n\r\n", BYTE_ORDER_MARK]) {
-    const splitter = new EventSplitter();
+    const splitter = new EventSplitter(LIMITS);
     assert.is(splitter.push(Buffer.from(text)).length, 0, JSON.stringify(text));
     assert.is(splitter.eventCount, 0);
   }
--- a/test/core/limits/response_memory_budget_test.ts
+++ b/test/core/limits/memory_budget_test.ts
@@ -4,13 +4,13 @@
  */
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import { ResponseMemoryBudget } from "../../../src/core/limits/response_memory_budget.ts";
+import { MemoryBudget } from "../../../src/core/limits/memory_budget.ts";
 
 const EXEMPT_BYTES = 100;
 const SHARED_BYTES = 1_000;
 
-function createBudget(): ResponseMemoryBudget {
-  return new ResponseMemoryBudget({
+function createBudget(): MemoryBudget {
+  return new MemoryBudget({
     exemptBytes: EXEMPT_BYTES,
     sharedBytes: SHARED_BYTES,
   });
--- a/test/daemon/sse_inspector_test.ts
+++ b/test/daemon/sse_inspector_test.ts
@@ -3,6 +3,7 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { SseInspector } from "../../src/daemon/sse_inspector.ts";
+import { UNLIMITED_MEMORY } from "../unlimited_memory.ts";
 
 const STREAM = Buffer.from(
   'data: {"model":"a@v1","n":0}\n\ndata: {"n":1}\n\ndata: [DONE]\n\n',
@@ -10,7 +11,7 @@
 
 test("every split into two chunks gives the same events", () => {
   for (let splitAt = 0; splitAt <= STREAM.length; splitAt += 1) {
-    const inspector = new SseInspector();
+    const inspector = new SseInspector(UNLIMITED_MEMORY);
     const output: Buffer[] = [];
     for (
       const chunk of [STREAM.subarray(0, splitAt), STREAM.subarray(splitAt)]
@@ -29,7 +30,7 @@
 });
 
 test("a stream read byte by byte gives the same events", () => {
-  const inspector = new SseInspector();
+  const inspector = new SseInspector(UNLIMITED_MEMORY);
   let text = "";
   for (const byte of STREAM) {
     text += inspector.push(Buffer.from([byte]))?.toString() ?? "";
@@ -39,7 +40,7 @@
 });
 
 test("a partial event is buffered, and discarded when the connection is lost", () => {
-  const inspector = new SseInspector();
+  const inspector = new SseInspector(UNLIMITED_MEMORY);
   inspector.push(Buffer.from('data: {"model":"a@v1"}\n\ndata: {"n"'));
   assert.is(inspector.eventCount, 1);
   inspector.dropIncompleteEvent();
@@ -49,14 +50,14 @@
 });
 
 test("a stream without [DONE] is not complete", () => {
-  const inspector = new SseInspector();
+  const inspector = new SseInspector(UNLIMITED_MEMORY);
   inspector.push(Buffer.from('data: {"model":"a@v1"}\n\ndata: [DONE'));
   assert.is(inspector.finish(), undefined);
   assert.not.ok(inspector.isComplete());
 });
 
 test("a [DONE] without its blank line is accepted at the end of the stream", () => {
-  const inspector = new SseInspector();
+  const inspector = new SseInspector(UNLIMITED_MEMORY);
   inspector.push(Buffer.from('data: {"model":"a@v1"}\n\ndata: [DONE]\n'));
   assert.not.ok(inspector.isComplete());
   assert.is(inspector.finish()?.toString(), "data: [DONE]\n\n");
@@ -70,7 +71,7 @@
     );
     const doneEnds = stream.indexOf("[DONE]") + "[DONE]".length;
     for (let length = 0; length <= stream.length; length += 1) {
-      const inspector = new SseInspector();
+      const inspector = new SseInspector(UNLIMITED_MEMORY);
       for (const byte of stream.subarray(0, length)) {
         inspector.push(Buffer.from([byte]));
       }
@@ -82,13 +83,13 @@
 }
 
 test("an event that ends with the text of [DONE] is not the last one", () => {
-  const inspector = new SseInspector();
+  const inspector = new SseInspector(UNLIMITED_MEMORY);
   inspector.push(Buffer.from("data: the mark is data: [DONE]\n\n"));
   assert.not.ok(inspector.isComplete());
 });
 
 test("an event over the size limit is rejected", () => {
-  const inspector = new SseInspector();
+  const inspector = new SseInspector(UNLIMITED_MEMORY);
   assert.throws(() => inspector.push(Buffer.alloc(1_100_000, "x")), /at most/);
 });
 
--- a/test/daemon/upstream_task_fixture.ts
+++ b/test/daemon/upstream_task_fixture.ts
@@ -10,6 +10,7 @@
 } from "../../src/daemon/exchange.ts";
 import { createLogger } from "../../src/daemon/logger.ts";
 import { UpstreamTask } from "../../src/daemon/upstream_task.ts";
+import { UNLIMITED_MEMORY } from "../unlimited_memory.ts";
 
 const REQUEST_ID = "request-1";
 const TIMEOUT_MS = 10_000;
@@ -46,6 +47,7 @@
     logger: createLogger("test", "silent"),
     exchanges,
     maxAnswerBytes: 1_000,
+    memory: UNLIMITED_MEMORY,
   });
   return { bus, task, addExchange };
 }
--- a/test/gateway/gateway_harness.ts
+++ b/test/gateway/gateway_harness.ts
@@ -155,8 +155,8 @@
     return new Gateway(settings, {
       headerCodec: new PlatformHeaderCodec(),
       decoder: new EntryDecoder(),
-      createStore: (address) => new StoreClient(address),
-      createEngineControl: () => new ReplicaClient(),
+      createStore: (address, memory) => new StoreClient(address, memory),
+      createEngineControl: (memory) => new ReplicaClient(memory),
     });
   }
 
--- a/test/gateway/peer_batch_test.ts
+++ b/test/gateway/peer_batch_test.ts
@@ -18,6 +18,7 @@
 } from "../../src/gateway/peer_batch.ts";
 import { ViewSynchronizer } from "../../src/gateway/view_synchronizer.ts";
 import { reservePorts } from "../port_reservation.ts";
+import { UNLIMITED_MEMORY } from "../unlimited_memory.ts";
 
 const ports = await reservePorts(process.pid);
 
@@ -71,6 +72,7 @@
     metrics: new GatewayMetrics(),
     leavingMs: 2_000,
     listen: { ip: "127.0.0.1", port: ports.port },
+    memory: UNLIMITED_MEMORY,
     handleChange: () => {},
   });
   await synchronizer.start();
--- a/test/platform/repeated_answer_test.ts
+++ b/test/platform/repeated_answer_test.ts
@@ -7,6 +7,7 @@
 import { ReplicaClient } from "../../platform/replica_client.ts";
 import { StoreClient } from "../../platform/store_client.ts";
 import { waitMs } from "../../src/gateway/wait.ts";
+import { UNLIMITED_MEMORY } from "../unlimited_memory.ts";
 
 /** Time in which an idle connection can be seen to carry bytes. */
 const IDLE_MS = 50;
@@ -38,7 +39,7 @@
     as_of: revision,
   });
   const server = await startRepeatingServer([createPage(1), createPage(2)]);
-  const store = new StoreClient(getAddress(server));
+  const store = new StoreClient(getAddress(server), UNLIMITED_MEMORY);
   const revisions: number[] = [];
   for (let read = 0; read < 2; read += 1) {
     revisions.push((await store.readAll(PublishedSet.Upstreams)).asOf);
@@ -57,7 +58,7 @@
     models: [],
   });
   const server = await startRepeatingServer([createReport(1), createReport(2)]);
-  const client = new ReplicaClient();
+  const client = new ReplicaClient(UNLIMITED_MEMORY);
   const engine = { id: "i-1", address: getAddress(server) };
   const sequences: number[] = [];
   for (let read = 0; read < 2; read += 1) {
--- a/test/platform/replica_client_test.ts
+++ b/test/platform/replica_client_test.ts
@@ -3,9 +3,10 @@
 import * as assert from "uvu/assert";
 import { FakePlatformReplica } from "../../fakes/fake_platform_replica.ts";
 import { ReplicaClient } from "../../platform/replica_client.ts";
+import { UNLIMITED_MEMORY } from "../unlimited_memory.ts";
 
 const replica = new FakePlatformReplica("i-1", true);
-const client = new ReplicaClient();
+const client = new ReplicaClient(UNLIMITED_MEMORY);
 
 test.before(async () => {
   await replica.start();
