Eras and revisions together order what was read from the store

Cause: the revision alone ordered changes. A restored store gives revisions out again, so that new writes look older than lost ones.

Change: positions are pairs of era and revision in the mirror, between peers and in heartbeats. ConfigurationOrder decides what is in force: a lower version that was read before the restore is not put back, one that is new is after 0.7 s. Upstreams that the copy lacks get two seconds, leaving ones stay leaving. Messages without an era, of the previous release, count as era 0.

Found beside it by the new test: a watch that begins in the restored store at a revision which that store has reached again told of the era only after its wait of 2 s. After a failed call the next watch does not wait; a set that sees a new era ends the other's watch; the first retry comes after 0.25 s.

--- a/fakes/fake_platform_store.ts
+++ b/fakes/fake_platform_store.ts
@@ -1,6 +1,6 @@
 /**
  * Fake of the platform's key-value store: range reads and watches by prefix,
- * with faults.
+ * with faults, and restores from an older copy.
  */
 import { Buffer } from "node:buffer";
 import {
@@ -10,7 +10,7 @@
   type ServerResponse,
 } from "node:http";
 import type { AddressInfo } from "node:net";
-import { RANGE_PATH, WATCH_PATH } from "../platform/wire_names.ts";
+import { Header, RANGE_PATH, WATCH_PATH } from "../platform/wire_names.ts";
 
 /**
  * Fault of the store: `busy` answers 503, `silent` never answers, `historyGone`
@@ -31,13 +31,21 @@
   response: ServerResponse;
 }
 
+/** What a restored store has. */
+export interface StoreCopy {
+  revision: number;
+  items: Map<string, StoredItem>;
+}
+
 export class FakePlatformStore {
   readonly #server: Server = createServer((request, response) =>
     this.#handle(request, response)
   );
-  readonly #items = new Map<string, StoredItem>();
+  #items = new Map<string, StoredItem>();
   #watches: WaitingWatch[] = [];
   #revision = 1;
+  /** The era that answers name, as text; undefined for none. */
+  era: string | undefined = "1";
   fault: StoreFault = "none";
   calls = 0;
 
@@ -69,6 +77,23 @@
     this.#notifyWatches();
   }
 
+  copy(): StoreCopy {
+    return { revision: this.#revision, items: new Map(this.#items) };
+  }
+
+  /** Goes back to the copy, under the next era; waiting watches are cut. */
+  restore(copy: StoreCopy): void {
+    this.#revision = copy.revision;
+    this.#items = new Map(copy.items);
+    this.era = String(Number(this.era) + 1);
+    this.cutWatches();
+  }
+
+  /** Closes the connections of the watches that wait. */
+  cutWatches(): void {
+    for (const { response } of this.#watches.splice(0)) response.destroy();
+  }
+
   stop(): void {
     this.#server.close();
     this.#server.closeAllConnections();
@@ -76,6 +101,7 @@
 
   #handle(request: IncomingMessage, response: ServerResponse): void {
     this.calls += 1;
+    if (this.era !== undefined) response.setHeader(Header.StoreEra, this.era);
     const url = new URL(request.url ?? "/", "http://store");
     const prefix = url.searchParams.get("prefix") ?? "";
     switch (this.fault) {
@@ -99,6 +125,10 @@
     } else {
       const after = Number(url.searchParams.get("after"));
       const waitMs = Number(url.searchParams.get("wait_ms"));
+      if (after > this.#revision) {
+        response.writeHead(410).end();
+        return;
+      }
       this.#watches.push({ prefix, after, response });
       setTimeout(() => this.#endWatch(response), waitMs).unref();
       this.#notifyWatches();
--- a/src/core/fleet/heartbeat.ts
+++ b/src/core/fleet/heartbeat.ts
@@ -42,6 +42,11 @@
   hasStore: boolean;
   /** Store revision up to which the sender has read each prefix. */
   revisions: { configuration: number; upstreams: number };
+  /**
+   * Eras of the store to which the revisions belong; absent where the store
+   * names none.
+   */
+  eras?: { configuration: number; upstreams: number } | undefined;
   /** Engines that the sender owns. */
   heldEngines: string[];
   /**
--- a/src/core/view/published_view.ts
+++ b/src/core/view/published_view.ts
@@ -6,6 +6,11 @@
  */
 import type { Milliseconds } from "../structures.ts";
 import { hashText } from "../hashing.ts";
+import {
+  ConfigurationOrder,
+  type ConfigurationWrite,
+} from "./configuration_order.ts";
+import type { StorePosition } from "./store_position.ts";
 
 /** Whether a request may run more than once. */
 export const Repeatability = {
@@ -116,6 +121,21 @@
   | { kind: "adapterVersion"; adapterPath: string; version: number }
   | { kind: "unusable"; key: string; reason: string };
 
+/** How a change came to be known. */
+export interface ChangeOrigin {
+  /** Position of the write in the store. */
+  position: StorePosition;
+  /** Hash of the entry as it was written. */
+  contentHash: number;
+  /** Whether the store was unreachable before the change was read. */
+  isAfterOutage: boolean;
+  /**
+   * Whether the change was read when the store had been restored from an older
+   * copy, so that it may be older than what is known.
+   */
+  isRestored: boolean;
+}
+
 /**
  * Maximum number of leaving notices that are kept: the replicas of a large
  * site, with some restarts each.
@@ -130,6 +150,14 @@
 
 export class PublishedView {
   #configuration: PublishedConfiguration | undefined;
+  readonly #configurationOrder = new ConfigurationOrder();
+  #deferred:
+    | {
+      configuration: PublishedConfiguration;
+      write: ConfigurationWrite;
+      until: Milliseconds;
+    }
+    | undefined;
   readonly #upstreams = new Map<string, PublishedUpstream>();
   readonly #lapsed = new Map<string, Milliseconds>();
   readonly #adapterVersions = new Map<string, number>();
@@ -148,28 +176,25 @@
   /**
    * Applies a change; returns whether other daemons should learn of it. Changes
    * of an upstream's adapters occur many times a second and don't count.
-   * @param isAfterOutage whether the store was unreachable before this change
-   * was read.
    */
   apply(
     change: PublishedChange,
-    isAfterOutage: boolean,
+    origin: ChangeOrigin,
     now: Milliseconds,
   ): boolean {
     switch (change.kind) {
       case "configuration":
-        return this.#applyConfiguration(change.configuration);
+        return this.#receiveConfiguration(change.configuration, origin, now);
       case "upstream":
-        return this.#applyUpstream(change.upstream);
+        return this.#applyUpstream(change.upstream, origin);
       case "upstreamGone":
-        if (isAfterOutage && this.#isServing(change.id)) {
+        if (mayHaveLapsed(origin) && this.#isServing(change.id)) {
           this.#lapsed.set(change.id, now + LAPSE_GRACE_MS);
           return false;
         }
         return this.#upstreams.delete(change.id);
       case "adapterVersion":
-        this.#adapterVersions.set(change.adapterPath, change.version);
-        return true;
+        return this.#applyAdapterVersion(change, origin);
       case "unusable":
         return this.#upstreams.delete(change.key);
     }
@@ -212,6 +237,19 @@
     return expired;
   }
 
+  /**
+   * Puts a deferred configuration into force if it is due; returns whether it
+   * did.
+   */
+  applyDeferred(now: Milliseconds): boolean {
+    const deferred = this.#deferred;
+    if (!deferred || deferred.until > now) return false;
+    this.#deferred = undefined;
+    this.#configurationOrder.recordInForce(deferred.write);
+    this.#setConfiguration(deferred.configuration);
+    return true;
+  }
+
   /** Returns the route with the longest matching prefix, or undefined. */
   findRoute(hostName: string, path: string): PublishedRoute | undefined {
     const routes = this.#routesByHost.get(hostName.toLowerCase()) ?? [];
@@ -269,9 +307,15 @@
     return this.#adapterVersions.get(adapterPath);
   }
 
-  #applyUpstream(published: PublishedUpstream): boolean {
+  #applyUpstream(
+    published: PublishedUpstream,
+    { isRestored }: ChangeOrigin,
+  ): boolean {
+    const known = this.#upstreams.get(published.id);
+    const hasLostItsLeave = isRestored && known?.isLeaving === true &&
+      known.bornAtUnixMs === published.bornAtUnixMs;
+    if (hasLostItsLeave) this.recordLeavingNotice(published);
     const upstream = this.#applyLeavingNotice(published);
-    const known = this.#upstreams.get(upstream.id);
     const hasLapsed = this.#lapsed.delete(upstream.id);
     this.#upstreams.set(upstream.id, upstream);
     return hasLapsed || !known || known.isLeaving !== upstream.isLeaving ||
@@ -292,9 +336,37 @@
     return upstream !== undefined && !upstream.isLeaving;
   }
 
-  #applyConfiguration(configuration: PublishedConfiguration): boolean {
-    const versionInForce = this.#configuration?.version ?? 0;
-    if (configuration.version <= versionInForce) return false;
+  #applyAdapterVersion(
+    { adapterPath, version }: { adapterPath: string; version: number },
+    { isRestored }: ChangeOrigin,
+  ): boolean {
+    const known = this.#adapterVersions.get(adapterPath) ?? 0;
+    if (isRestored && version < known) return false;
+    this.#adapterVersions.set(adapterPath, version);
+    return true;
+  }
+
+  #receiveConfiguration(
+    configuration: PublishedConfiguration,
+    { position, contentHash }: ChangeOrigin,
+    now: Milliseconds,
+  ): boolean {
+    const write = { ...position, version: configuration.version, contentHash };
+    const decision = this.#configurationOrder.decide(write, now);
+    this.#deferred = undefined;
+    switch (decision.kind) {
+      case "apply":
+        this.#setConfiguration(configuration);
+        return true;
+      case "defer":
+        this.#deferred = { configuration, write, until: decision.until };
+        return true;
+      case "ignore":
+        return false;
+    }
+  }
+
+  #setConfiguration(configuration: PublishedConfiguration): void {
     this.#configuration = configuration;
     this.#services.clear();
     for (const service of configuration.services) {
@@ -310,6 +382,13 @@
     for (const routes of this.#routesByHost.values()) {
       routes.sort((a, b) => b.pathPrefix.length - a.pathPrefix.length);
     }
-    return true;
   }
 }
+
+/**
+ * Returns whether an entry that is missing may belong to an upstream that still
+ * runs and registers again.
+ */
+function mayHaveLapsed({ isAfterOutage, isRestored }: ChangeOrigin): boolean {
+  return isAfterOutage || isRestored;
+}
--- a/src/core/view/store_mirror.ts
+++ b/src/core/view/store_mirror.ts
@@ -1,8 +1,10 @@
 /**
  * A copy of the entries that the platform's store has under one prefix. An
- * entry is never replaced by an older revision, whether a change comes from the
- * store itself or from a peer that reads it.
+ * entry is never replaced by an older revision of the same era, whether a change
+ * comes from the store itself or from a peer that reads it. A new era of the
+ * store begins with a snapshot, which replaces all entries.
  */
+import type { StorePosition } from "./store_position.ts";
 
 /** One change, as read from the store or a peer. */
 export interface StoreChange {
@@ -15,6 +17,8 @@
 
 /** Changes from one source, complete up to `asOf`. */
 export interface StoreBatch {
+  /** Era of the store to which all revisions of the batch belong. */
+  era: number;
   /** Whether the batch lists all keys, so that others don't exist. */
   isSnapshot: boolean;
   /** The batch is complete up to this store revision. */
@@ -30,6 +34,7 @@
 export class StoreMirror {
   readonly #items = new Map<string, StoreChange>();
   readonly #tombstones = new Map<string, StoreChange>();
+  #era = 0;
   #asOf = 0;
   /**
    * Removals up to this revision may be forgotten; a peer behind it gets a
@@ -44,8 +49,26 @@
     return this.#asOf;
   }
 
-  /** Applies a batch; returns the changes that altered this copy. */
+  /** Era of the store to which the revisions of this copy belong. */
+  get era(): number {
+    return this.#era;
+  }
+
+  /** Position up to which this copy is complete. */
+  get position(): StorePosition {
+    return { era: this.#era, revision: this.#asOf };
+  }
+
+  /**
+   * Applies a batch; returns the changes that altered this copy. A batch of an
+   * earlier era is ignored, and so is one of a later era that is no snapshot:
+   * the changes before it are unknown.
+   */
   applyBatch(batch: StoreBatch): StoreChange[] {
+    if (batch.era < this.#era) return [];
+    if (batch.era > this.#era) {
+      return batch.isSnapshot ? this.#beginEra(batch) : [];
+    }
     const applied = batch.changes.filter((change) => this.#applyChange(change));
     if (batch.isSnapshot) applied.push(...this.#removeUnlisted(batch));
     this.#asOf = Math.max(this.#asOf, batch.asOf);
@@ -53,17 +76,40 @@
   }
 
   /**
-   * Returns the changes after a revision, for a peer that lags behind; a
-   * snapshot if the peer has no data (revision 0) or removals after its
-   * revision have been forgotten.
+   * Returns the changes after a position, for a peer that lags behind; a
+   * snapshot if the peer has no data (revision 0), its data is of another era,
+   * or removals after its revision have been forgotten.
    */
-  buildBatchAfter(revision: number): StoreBatch {
-    const isSnapshot = revision < this.#compactedRevision || revision === 0;
+  buildBatchAfter({ era, revision }: StorePosition): StoreBatch {
+    const isSnapshot = era !== this.#era || revision === 0 ||
+      revision < this.#compactedRevision;
     const changes = isSnapshot
       ? [...this.#items.values()]
       : [...this.#items.values(), ...this.#tombstones.values()]
         .filter((change) => change.revision > revision);
-    return { isSnapshot, asOf: this.#asOf, changes };
+    return { era: this.#era, isSnapshot, asOf: this.#asOf, changes };
+  }
+
+  /**
+   * Replaces all entries by those of a later era. Returns each listed entry that
+   * is not known in this form, and the removal of each entry that is not listed.
+   */
+  #beginEra(batch: StoreBatch): StoreChange[] {
+    const changed = batch.changes.filter(({ key, value, revision }) => {
+      const known = this.#items.get(key);
+      return known?.value !== value || known?.revision !== revision;
+    });
+    const listed = new Set(batch.changes.map((change) => change.key));
+    const removed = [...this.#items.keys()].filter((key) => !listed.has(key))
+      .map((key) => ({ key, revision: batch.asOf, value: undefined }));
+    this.#items.clear();
+    this.#tombstones.clear();
+    for (const change of batch.changes) this.#items.set(change.key, change);
+    this.#era = batch.era;
+    this.#asOf = batch.asOf;
+    // Removals before the snapshot are unknown in this era.
+    this.#compactedRevision = batch.asOf;
+    return [...changed, ...removed];
   }
 
   #applyChange(change: StoreChange): boolean {
--- a/src/core/view/sync_peer_selector.ts
+++ b/src/core/view/sync_peer_selector.ts
@@ -7,13 +7,14 @@
  */
 import { findRendezvousWinner } from "../hashing.ts";
 import type { Milliseconds } from "../structures.ts";
+import type { StorePosition } from "./store_position.ts";
 
-/** A peer that has a newer revision than this daemon. */
+/** A peer that has changes that this daemon lacks. */
 export interface NewerPeer {
   id: string;
   ip: string;
-  /** Store revision that the peer has. */
-  revision: number;
+  /** Position in the store's history that the peer has reached. */
+  position: StorePosition;
   isSameDomain: boolean;
 }
 
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -422,7 +422,7 @@
       isLeaving: this.#isStopping,
       promisedMs: this.#fleet.getPromisedMs(isPromised),
       hasStore: this.#viewSynchronizer.isStoreReachable(),
-      revisions: this.#viewSynchronizer.getRevisions(),
+      ...this.#viewSynchronizer.describePositions(),
       heldEngines: this.#engines.listOwnedEngines(),
       newcomerHeld: this.#engines.listOwnedSinceStart(now),
       contestedEngines: this.#engines.listContested(now),
--- a/src/gateway/gateway_metrics.ts
+++ b/src/gateway/gateway_metrics.ts
@@ -37,6 +37,8 @@
     "Requests whose caller disconnected before the response was complete, by kind (idempotent, nonIdempotent, stream; unread if the close lay unread beside the request)",
   callers_backlogged:
     "Times a streamed response was paused because its caller read too slowly, by kind (always stream)",
+  store_restores:
+    "Times the store was found restored from an older copy, by set (configuration, upstreams)",
   upstream_notices:
     "Leaving and backoff notices in upstream responses, by notice (leaving, backoff)",
   upstream_connections:
--- a/src/gateway/http_client.ts
+++ b/src/gateway/http_client.ts
@@ -32,6 +32,8 @@
   /** Budget for the response body while it is read. */
   memory: MemoryBudget;
   agent: Agent;
+  /** Ends the call, which fails then. */
+  signal?: AbortSignal | undefined;
 }
 
 export interface HttpResponse {
@@ -97,6 +99,9 @@
       if (!socket.connecting) hasConnected = true;
       else socket.once("connect", () => hasConnected = true);
     });
+    options.signal?.addEventListener("abort", () => fail("cancelled"), {
+      once: true,
+    });
     call.on("error", (error) => fail(error.message));
     call.on("response", (response) => {
       response.on("data", (chunk: Buffer) => {
--- a/src/gateway/peer_batch.ts
+++ b/src/gateway/peer_batch.ts
@@ -22,6 +22,8 @@
 
 const peerBatchSchema = z.object({
   batch: z.object({
+    /** Absent in the batches of the previous release. */
+    era: z.number().int().nonnegative().default(0),
     isSnapshot: z.boolean(),
     asOf: z.number(),
     changes: z.array(z.object({
--- a/src/gateway/peer_message_decoder.ts
+++ b/src/gateway/peer_message_decoder.ts
@@ -54,6 +54,7 @@
 /** A number of things, or an estimate of one. */
 const quantity = z.number().nonnegative().max(Number.MAX_SAFE_INTEGER);
 const revision = z.number().int().nonnegative();
+const era = revision;
 
 const promptPartsSchema = z.array(
   z.object({ id: z.string(), tokens: quantity }),
@@ -78,6 +79,7 @@
   promisedMs: durationMs.optional(),
   hasStore: z.boolean(),
   revisions: z.object({ configuration: revision, upstreams: revision }),
+  eras: z.object({ configuration: era, upstreams: era }).optional(),
   heldEngines: z.array(z.string()),
   newcomerHeld: z.array(z.string()).optional(),
   contestedEngines: z.array(z.string()).optional(),
--- a/src/gateway/ports.ts
+++ b/src/gateway/ports.ts
@@ -135,9 +135,17 @@
 } as const;
 export type PublishedSet = (typeof PublishedSet)[keyof typeof PublishedSet];
 
+/**
+ * What was read from the store; the era is undefined if the store named none
+ * that is valid.
+ */
+export type StoreReading = Omit<StoreBatch, "era"> & {
+  era: number | undefined;
+};
+
 /** Result of a watch. */
 export type WatchResult =
-  | { kind: "batch"; batch: StoreBatch }
+  | { kind: "batch"; batch: StoreReading }
   /**
    * The changes after the revision are no longer available: the set has to be
    * read again.
@@ -146,12 +154,16 @@
 
 /** Reads the platform's store. Each call throws a StepError if it fails. */
 export interface PublishedStore {
-  readAll(set: PublishedSet): Promise<StoreBatch>;
-  /** Waits for changes after the revision, for up to the given time. */
+  readAll(set: PublishedSet): Promise<StoreReading>;
+  /**
+   * Waits for changes after the revision, for up to the given time or until the
+   * signal is aborted.
+   */
   watch(
     set: PublishedSet,
     afterRevision: number,
     waitMs: Milliseconds,
+    signal: AbortSignal,
   ): Promise<WatchResult>;
   /** Closes connections that may be half-open. */
   closeConnections(): void;
--- a/src/gateway/view_synchronizer.ts
+++ b/src/gateway/view_synchronizer.ts
@@ -1,16 +1,31 @@
 /**
  * Keeps the published view up to date: watches the platform's store and, if the
- * store doesn't answer or a peer has a newer revision, fetches the changes from
- * a peer. Changes of an older revision are ignored.
+ * store doesn't answer or a peer has reached a later position, fetches the
+ * changes from a peer. Changes of an earlier position are ignored. A store that
+ * was restored from an older copy names a new era and is read again whole.
  */
 import { Agent, createServer, type Server } from "node:http";
 import type { FleetView } from "../core/fleet/fleet_view.ts";
 import type { MemoryBudget } from "../core/limits/memory_budget.ts";
 import type { Milliseconds } from "../core/structures.ts";
-import { SyncPeerSelector } from "../core/view/sync_peer_selector.ts";
+import { hashText } from "../core/hashing.ts";
+import {
+  comparePositions,
+  START_POSITION,
+  type StorePosition,
+} from "../core/view/store_position.ts";
+import {
+  type NewerPeer,
+  SyncPeerSelector,
+} from "../core/view/sync_peer_selector.ts";
 import type { PublishedView } from "../core/view/published_view.ts";
 import { type StoreBatch, StoreMirror } from "../core/view/store_mirror.ts";
-import { describeError, describeStep } from "../daemon/step_error.ts";
+import type { Heartbeat } from "../core/fleet/heartbeat.ts";
+import {
+  describeError,
+  describeStep,
+  StepError,
+} from "../daemon/step_error.ts";
 import type { DecisionLog } from "./decision_log.ts";
 import type { GatewayMetrics } from "./gateway_metrics.ts";
 import { sendHttpRequest } from "./http_client.ts";
@@ -19,6 +34,7 @@
   type ChangeDecoder,
   PublishedSet,
   type PublishedStore,
+  type StoreReading,
 } from "./ports.ts";
 import { waitMs } from "./wait.ts";
 
@@ -27,6 +43,11 @@
  * connection goes unnoticed.
  */
 const WATCH_TIMEOUT_MS = 2_000;
+/**
+ * Wait of the watch after a failed call. The store may have been restored
+ * meanwhile, which only its answer tells.
+ */
+const PROBE_WATCH_MS = 1;
 /** Delay after a failed call to the store. */
 const RETRY_DELAY_MS = 250;
 /**
@@ -47,7 +68,7 @@
 const STANDBY_POLL_INTERVAL_MS = 250;
 /**
  * Interval at which a daemon that can't reach the store retries it while a peer
- * can.
+ * can. The first retry comes earlier, as the store may cut a watch.
  */
 const STORE_PROBE_INTERVAL_MS = 1_000;
 /**
@@ -76,16 +97,20 @@
   mirror: StoreMirror;
   needsSnapshot: boolean;
   isStoreAnswering: boolean;
-  /** Whether the last call to the store failed. */
-  hasFailed: boolean;
+  /** Calls to the store that have failed since the last answer. */
+  failures: number;
   /** When the store last answered again after an outage. */
   outageEndedAt: Milliseconds;
   lastAnsweredAt: Milliseconds;
   behindSince: Milliseconds | undefined;
   isFetchingFromPeer: boolean;
   peerSelector: SyncPeerSelector;
-  /** Newest revision among the changes that peers should learn of. */
-  newestRevision: number;
+  /** Latest position among the changes that peers should learn of. */
+  newest: StorePosition;
+  /** Ends the watch that waits. */
+  watchController: AbortController;
+  /** Whether the store's last answer named a valid era. */
+  isEraKnown: boolean;
 }
 
 export interface ViewSynchronizerOptions {
@@ -132,13 +157,24 @@
    * before the first one.
    */
   isStoreReachable(): boolean {
-    return [...this.#sets.values()].every((state) => !state.hasFailed);
+    return [...this.#sets.values()].every((state) => state.failures === 0);
   }
 
-  getRevisions(): { configuration: number; upstreams: number } {
+  /** Returns the latest positions for a heartbeat. */
+  describePositions(): Pick<Heartbeat, "revisions" | "eras"> {
+    const { newest: configuration } = this.#getState(
+      PublishedSet.Configuration,
+    );
+    const { newest: upstreams } = this.#getState(PublishedSet.Upstreams);
+    const hasEra = configuration.era > 0 || upstreams.era > 0;
     return {
-      configuration: this.#getState(PublishedSet.Configuration).newestRevision,
-      upstreams: this.#getState(PublishedSet.Upstreams).newestRevision,
+      revisions: {
+        configuration: configuration.revision,
+        upstreams: upstreams.revision,
+      },
+      eras: hasEra
+        ? { configuration: configuration.era, upstreams: upstreams.era }
+        : undefined,
     };
   }
 
@@ -163,9 +199,13 @@
         if (hasChanged) await waitMs(this.#getCoalesceMs(set));
       } catch (error) {
         if (this.#isStopped) return;
+        if (state.watchController.signal.aborted) continue;
         this.#recordFailure(set, state, error);
+        const isFirstRetry = state.failures === 1;
         await waitMs(
-          this.#hasPeerWithStore() ? STORE_PROBE_INTERVAL_MS : RETRY_DELAY_MS,
+          this.#hasPeerWithStore() && !isFirstRetry
+            ? STORE_PROBE_INTERVAL_MS
+            : RETRY_DELAY_MS,
         );
       }
     }
@@ -186,7 +226,7 @@
    * failed, or that failed to get changes from a peer.
    */
   #needsStoreRead(state: SetState): boolean {
-    if (state.mirror.asOf === 0 || state.hasFailed) return true;
+    if (state.mirror.asOf === 0 || state.failures > 0) return true;
     if (state.peerSelector.needsStore) return true;
     return this.#options.fleet.isStoreReader(true, performance.now());
   }
@@ -199,17 +239,32 @@
   /** Reads or watches the store once; returns whether there were changes. */
   async #readOnce(set: PublishedSet, state: SetState): Promise<boolean> {
     const { store } = this.#options;
+    state.watchController = new AbortController();
     if (state.needsSnapshot || state.mirror.asOf === 0) {
-      const batch = await store.readAll(set);
+      const reading = await store.readAll(set);
+      const batch = this.#resolveEra(set, state, reading);
       state.needsSnapshot = false;
       this.#recordSuccess(set, state, batch);
       return true;
     }
-    const result = await store.watch(set, state.mirror.asOf, WATCH_TIMEOUT_MS);
+    const waitMs = state.failures > 0 ? PROBE_WATCH_MS : WATCH_TIMEOUT_MS;
+    const result = await store.watch(
+      set,
+      state.mirror.asOf,
+      waitMs,
+      state.watchController.signal,
+    );
     switch (result.kind) {
-      case "batch":
-        this.#recordSuccess(set, state, result.batch);
-        return result.batch.changes.length > 0;
+      case "batch": {
+        const batch = this.#resolveEra(set, state, result.batch);
+        // The changes before this one, since the restore, are unknown.
+        if (batch.era > state.mirror.era) {
+          state.needsSnapshot = true;
+          return false;
+        }
+        this.#recordSuccess(set, state, batch);
+        return batch.changes.length > 0;
+      }
       case "historyGone":
         this.#options.log.info("storeHistoryGone", {
           set,
@@ -220,6 +275,31 @@
     }
   }
 
+  /**
+   * Returns the batch with its era: the last known one if the store named none.
+   * Throws a StepError if it is an earlier one than a peer has passed on.
+   */
+  #resolveEra(
+    set: PublishedSet,
+    state: SetState,
+    reading: StoreReading,
+  ): StoreBatch {
+    const knownEra = state.mirror.era;
+    const isEraKnown = reading.era !== undefined || knownEra === 0;
+    if (!isEraKnown && state.isEraKnown) {
+      this.#options.log.warn("storeEraUnknown", { set, era: knownEra });
+    }
+    state.isEraKnown = isEraKnown;
+    const era = reading.era ?? knownEra;
+    if (era < knownEra) {
+      throw new StepError(`expected era ${knownEra} or later, got ${era}`, {
+        step: `read ${set}`,
+        peer: "store",
+      });
+    }
+    return { ...reading, era };
+  }
+
   #recordSuccess(set: PublishedSet, state: SetState, batch: StoreBatch): void {
     const now = performance.now();
     const isAfterOutage =
@@ -227,7 +307,7 @@
       (!state.isStoreAnswering &&
         now - state.lastAnsweredAt > OUTAGE_THRESHOLD_MS);
     state.lastAnsweredAt = now;
-    state.hasFailed = false;
+    state.failures = 0;
     if (isAfterOutage) state.outageEndedAt = now;
     if (!state.isStoreAnswering) {
       state.isStoreAnswering = true;
@@ -243,7 +323,7 @@
       log.warn("storeLost", { set, detail: describeStep(error) });
     }
     state.isStoreAnswering = false;
-    state.hasFailed = true;
+    state.failures += 1;
   }
 
   #applyBatch(
@@ -255,13 +335,27 @@
     const { decoder, view, log } = this.#options;
     const state = this.#getState(set);
     const now = performance.now();
-    let hasRelevantChange = false;
-    for (const change of state.mirror.applyBatch(batch)) {
+    const before = state.mirror.position;
+    const changes = state.mirror.applyBatch(batch);
+    const { era } = state.mirror;
+    const isRestored = era > before.era && before.revision > 0;
+    let hasRelevantChange = isRestored;
+    if (era > before.era) state.newest = { era, revision: 0 };
+    if (isRestored) this.#recordRestore(set, before, source);
+    for (const change of changes) {
+      const { revision } = change;
       const decoded = decoder.decode(change);
-      const isRelevant = view.apply(decoded, isAfterOutage, now);
+      const isRelevant = view.apply(decoded, {
+        position: { era, revision },
+        contentHash: decoded.kind === "configuration"
+          ? hashText(change.value ?? "")
+          : 0,
+        isAfterOutage,
+        isRestored,
+      }, now);
       if (isRelevant || decoded.kind === "upstreamGone") {
         hasRelevantChange = true;
-        state.newestRevision = Math.max(state.newestRevision, change.revision);
+        this.#advanceNewest(state, { era, revision });
       }
       switch (decoded.kind) {
         case "unusable":
@@ -275,7 +369,9 @@
         case "configuration":
           log.info("configurationInForce", {
             version: decoded.configuration.version,
-            revision: change.revision,
+            versionInForce: view.configuration?.version,
+            era,
+            revision,
             source,
             isNews: isRelevant,
           });
@@ -286,15 +382,16 @@
             upstream: decoded.upstream.id,
             isLeaving: decoded.upstream.isLeaving,
             address: decoded.upstream.address,
-            revision: change.revision,
+            revision,
             source,
           });
           break;
         case "upstreamGone":
           log.info("upstreamGone", {
             upstream: decoded.id,
-            revision: change.revision,
+            revision,
             isAfterOutage,
+            isRestored,
             source,
           });
           break;
@@ -310,8 +407,48 @@
     if (hasRelevantChange) this.#options.handleChange();
   }
 
+  #recordRestore(
+    set: PublishedSet,
+    before: StorePosition,
+    source: string,
+  ): void {
+    const { log, metrics } = this.#options;
+    metrics.count("store_restores", set);
+    log.warn("storeRestored", {
+      set,
+      before,
+      after: this.#getState(set).mirror.position,
+      source,
+    });
+    this.#reloadOtherSets(set);
+  }
+
+  /**
+   * Reads the sets again that are of an earlier era than this one. Their watches
+   * may go on in the restored store, and then end with their wait only.
+   */
+  #reloadOtherSets(set: PublishedSet): void {
+    const { era } = this.#getState(set).mirror;
+    for (const state of this.#sets.values()) {
+      if (state.mirror.era >= era || state.mirror.asOf === 0) continue;
+      state.needsSnapshot = true;
+      state.watchController.abort();
+    }
+  }
+
+  #advanceNewest(state: SetState, position: StorePosition): void {
+    if (comparePositions(position, state.newest) > 0) state.newest = position;
+  }
+
   #tick(): void {
     const now = performance.now();
+    const { view, log } = this.#options;
+    if (view.applyDeferred(now)) {
+      log.info("deferredConfigurationInForce", {
+        version: view.configuration?.version,
+      });
+      this.#options.handleChange();
+    }
     const expired = this.#options.view.removeLapsed(now);
     for (const upstream of expired) {
       this.#options.log.info("upstreamLapsed", { upstream });
@@ -323,13 +460,13 @@
     const state = this.#getState(set);
     const ownDomain = this.#options.fleet.self.failureDomain;
     const newerPeers = this.#options.fleet.listAlive(now)
-      .filter((heartbeat) => heartbeat.revisions[set] > state.newestRevision)
-      .map(({ sender, revisions }) => ({
+      .map(({ sender, revisions, eras }) => ({
         id: sender.id,
         ip: sender.ip,
-        revision: revisions[set],
+        position: { era: eras?.[set] ?? 0, revision: revisions[set] },
         isSameDomain: sender.failureDomain === ownDomain,
-      }));
+      }))
+      .filter(({ position }) => comparePositions(position, state.newest) > 0);
     if (newerPeers.length === 0) {
       state.behindSince = undefined;
       state.peerSelector.recordCaughtUp();
@@ -337,7 +474,7 @@
     }
     state.behindSince ??= now;
     const isWithinTolerance =
-      this.#options.fleet.isStoreReader(!state.hasFailed, now) &&
+      this.#options.fleet.isStoreReader(state.failures === 0, now) &&
       now - state.behindSince < LAG_TOLERANCE_MS;
     if (isWithinTolerance || state.isFetchingFromPeer) return;
     const peer = state.peerSelector.choosePeer(newerPeers, now);
@@ -351,7 +488,7 @@
   async #fetchFromPeer(
     set: PublishedSet,
     state: SetState,
-    peer: { id: string; ip: string },
+    peer: NewerPeer,
   ): Promise<void> {
     const address = `${peer.ip}:${this.#options.listen.port}`;
     try {
@@ -359,13 +496,18 @@
         step: "fetch the published view from a peer",
         address,
         method: "GET",
-        path: `${PEER_PATH}?set=${set}&after=${state.mirror.asOf}`,
+        path:
+          `${PEER_PATH}?set=${set}&era=${state.mirror.era}&after=${state.mirror.asOf}`,
         timeoutMs: PEER_TIMEOUT_MS,
         memory: this.#options.memory,
         agent: this.#agent,
       });
       const peerBatch = decodePeerBatch(answer.body);
       this.#applyBatch(set, peerBatch.batch, peerBatch.isAfterOutage, peer.ip);
+      // What the peer has beyond the batch is no change that peers learn of.
+      if (comparePositions(state.mirror.position, peer.position) >= 0) {
+        this.#advanceNewest(state, peer.position);
+      }
     } catch (error) {
       state.peerSelector.recordFailure(peer.id, performance.now());
       this.#options.metrics.count("peer_view_failure", set);
@@ -386,11 +528,14 @@
         response.writeHead(404).end();
         return;
       }
-      const afterRevision = Number(parameters.get("after")) || 0;
+      const after = {
+        era: Number(parameters.get("era")) || 0,
+        revision: Number(parameters.get("after")) || 0,
+      };
       const state = this.#getState(set);
       response.setHeader("Content-Type", "application/gzip");
       response.end(encodePeerBatch({
-        batch: state.mirror.buildBatchAfter(afterRevision),
+        batch: state.mirror.buildBatchAfter(after),
         isAfterOutage:
           performance.now() - state.outageEndedAt < OUTAGE_REPORT_MS,
       }));
@@ -414,12 +559,14 @@
     mirror: new StoreMirror(),
     needsSnapshot: true,
     isStoreAnswering: false,
-    hasFailed: false,
+    failures: 0,
     outageEndedAt: Number.NEGATIVE_INFINITY,
     lastAnsweredAt: performance.now(),
     behindSince: undefined,
     isFetchingFromPeer: false,
     peerSelector: new SyncPeerSelector(selfId),
-    newestRevision: 0,
+    newest: START_POSITION,
+    watchController: new AbortController(),
+    isEraKnown: true,
   };
 }
--- a/test/core/view/sync_peer_selector_test.ts
+++ b/test/core/view/sync_peer_selector_test.ts
@@ -10,7 +10,7 @@
 } from "../../../src/core/view/sync_peer_selector.ts";
 
 function createPeer(id: string, isSameDomain = true): NewerPeer {
-  return { id, ip: id, revision: 9, isSameDomain };
+  return { id, ip: id, position: { era: 0, revision: 9 }, isSameDomain };
 }
 
 test("daemons spread over the peers that have the change", () => {
--- a/test/gateway/gateway_harness.ts
+++ b/test/gateway/gateway_harness.ts
@@ -146,7 +146,7 @@
       orders: { termMs: TERM_MS },
       repeats: { ratio: 0.2, windowMs: 10_000, slack: this.retrySlack },
       stop: { graceMs: GRACE_MS },
-      logLevel: "silent",
+      logLevel: process.env["GATEWAY_LOG"] ?? "silent",
     };
   }
 
@@ -165,11 +165,17 @@
     this.store.put(`servers/${replica.id}`, replica.describe(service, state));
   }
 
+  /** The version that was published last. */
+  get version(): number {
+    return this.#version;
+  }
+
   /**
-   * Publishes the next configuration version, with the current route overrides.
+   * Publishes a configuration version, by default the next one, with the
+   * current route overrides.
    */
-  publish(extraRoutes: object[] = []): void {
-    this.#version += 3;
+  publish(extraRoutes: object[] = [], version = this.#version + 3): void {
+    this.#version = version;
     const create = (name: string, kind: string, service: string) =>
       buildPlatformRoute(name, kind, service, {
         timeout_ms: 3_000,
--- a/test/gateway/peer_batch_test.ts
+++ b/test/gateway/peer_batch_test.ts
@@ -28,6 +28,7 @@
   const value = Buffer.from([...Array(256).keys()]).toString("base64");
   const peerBatch = {
     batch: {
+      era: 3,
       isSnapshot: false,
       asOf: 7,
       changes: [
