A cut watch is no outage: removed replicas get no request two seconds more

What callers saw: requests reached replicas after they had to be left alone (DRAIN), if a waiting watch of the store was cut as the entry was removed.

Cause: an outage was told from the time since the last answer. A watch that waited for over a second and was then cut counted as one, so that the removed entry was kept for the two seconds that lapsed entries get. Peers took every removal within 1.5 s of an outage for a lapse.

Change: StoreOutage tells an outage from failed calls alone: one without an answer in its time limit, or calls that fail for over a second. Each removal carries whether it may be a lapse.

--- a/src/core/view/store_mirror.ts
+++ b/src/core/view/store_mirror.ts
@@ -13,6 +13,11 @@
   revision: number;
   /** Raw bytes as base64 text; undefined if the key was removed. */
   value: string | undefined;
+  /**
+   * Whether the key may have lapsed in an outage of the store; only of a
+   * removal, and undefined if the reader did not say.
+   */
+  mayHaveLapsed?: boolean | undefined;
 }
 
 /** Changes from one source, complete up to `asOf`. */
@@ -63,14 +68,20 @@
    * Applies a batch; returns the changes that altered this copy. A batch of an
    * earlier era is ignored, and so is one of a later era that is no snapshot:
    * the changes before it are unknown.
+   * @param isAfterOutage whether keys that were removed may have lapsed, unless
+   * a change says so itself.
    */
-  applyBatch(batch: StoreBatch): StoreChange[] {
+  applyBatch(batch: StoreBatch, isAfterOutage = false): StoreChange[] {
     if (batch.era < this.#era) return [];
     if (batch.era > this.#era) {
-      return batch.isSnapshot ? this.#beginEra(batch) : [];
+      return batch.isSnapshot ? this.#beginEra(batch, isAfterOutage) : [];
+    }
+    const applied = batch.changes
+      .map((change) => completeRemoval(change, isAfterOutage))
+      .filter((change) => this.#applyChange(change));
+    if (batch.isSnapshot) {
+      applied.push(...this.#removeUnlisted(batch, isAfterOutage));
     }
-    const applied = batch.changes.filter((change) => this.#applyChange(change));
-    if (batch.isSnapshot) applied.push(...this.#removeUnlisted(batch));
     this.#asOf = Math.max(this.#asOf, batch.asOf);
     return applied;
   }
@@ -94,14 +105,14 @@
    * Replaces all entries by those of a later era. Returns each listed entry that
    * is not known in this form, and the removal of each entry that is not listed.
    */
-  #beginEra(batch: StoreBatch): StoreChange[] {
+  #beginEra(batch: StoreBatch, isAfterOutage: boolean): StoreChange[] {
     const changed = batch.changes.filter(({ key, value, revision }) => {
       const known = this.#items.get(key);
       return known?.value !== value || known?.revision !== revision;
     });
     const listed = new Set(batch.changes.map((change) => change.key));
     const removed = [...this.#items.keys()].filter((key) => !listed.has(key))
-      .map((key) => ({ key, revision: batch.asOf, value: undefined }));
+      .map((key) => createRemoval(key, batch.asOf, isAfterOutage));
     this.#items.clear();
     this.#tombstones.clear();
     for (const change of batch.changes) this.#items.set(change.key, change);
@@ -126,12 +137,12 @@
     return known?.value !== change.value;
   }
 
-  #removeUnlisted(batch: StoreBatch): StoreChange[] {
+  #removeUnlisted(batch: StoreBatch, isAfterOutage: boolean): StoreChange[] {
     const listed = new Set(batch.changes.map((change) => change.key));
     const removed: StoreChange[] = [];
     for (const item of this.#items.values()) {
       if (listed.has(item.key) || item.revision > batch.asOf) continue;
-      removed.push({ key: item.key, revision: batch.asOf, value: undefined });
+      removed.push(createRemoval(item.key, batch.asOf, isAfterOutage));
     }
     for (const change of removed) {
       this.#items.delete(change.key);
@@ -152,3 +163,21 @@
     );
   }
 }
+
+function createRemoval(
+  key: string,
+  revision: number,
+  mayHaveLapsed: boolean,
+): StoreChange {
+  return { key, revision, value: undefined, mayHaveLapsed };
+}
+
+/** Returns the change; a removal with what is known of its cause. */
+function completeRemoval(
+  change: StoreChange,
+  isAfterOutage: boolean,
+): StoreChange {
+  return change.value === undefined && change.mayHaveLapsed === undefined
+    ? { ...change, mayHaveLapsed: isAfterOutage }
+    : change;
+}
--- a/src/gateway/http_client.ts
+++ b/src/gateway/http_client.ts
@@ -44,19 +44,22 @@
 
 /**
  * A call that failed. `hasBeenSent` says whether a connection existed, so that
- * the server may have read the request.
+ * the server may have read the request; `hasTimedOut` whether the call reached
+ * its time limit.
  */
 export class HttpRequestError extends StepError {
   readonly hasBeenSent: boolean;
+  readonly hasTimedOut: boolean;
 
   constructor(
     step: string,
     peer: string,
     detail: string,
-    hasBeenSent: boolean,
+    call: { hasBeenSent: boolean; hasTimedOut: boolean },
   ) {
     super(detail, { step, peer });
-    this.hasBeenSent = hasBeenSent;
+    this.hasBeenSent = call.hasBeenSent;
+    this.hasTimedOut = call.hasTimedOut;
   }
 }
 
@@ -85,14 +88,19 @@
       headers: options.headers ?? {},
       agent: options.agent,
     });
-    const fail = (detail: string): void => {
+    const fail = (detail: string, hasTimedOut = false): void => {
       clearTimeout(timer);
       body.release();
       call.destroy();
-      reject(new HttpRequestError(step, address, detail, hasConnected));
+      reject(
+        new HttpRequestError(step, address, detail, {
+          hasBeenSent: hasConnected,
+          hasTimedOut,
+        }),
+      );
     };
     const timer = setTimeout(
-      () => fail(`no response within ${timeoutMs} ms`),
+      () => fail(`no response within ${timeoutMs} ms`, true),
       timeoutMs,
     );
     call.on("socket", (socket) => {
--- a/src/gateway/peer_batch.ts
+++ b/src/gateway/peer_batch.ts
@@ -30,6 +30,8 @@
       key: z.string(),
       revision: z.number(),
       value: z.string().optional(),
+      /** Absent in the batches of the previous release. */
+      mayHaveLapsed: z.boolean().optional(),
     })),
   }),
   isAfterOutage: z.boolean(),
--- a/src/gateway/view_synchronizer.ts
+++ b/src/gateway/view_synchronizer.ts
@@ -18,6 +18,7 @@
   type NewerPeer,
   SyncPeerSelector,
 } from "../core/view/sync_peer_selector.ts";
+import { StoreOutage } from "../core/view/store_outage.ts";
 import type { PublishedView } from "../core/view/published_view.ts";
 import { type StoreBatch, StoreMirror } from "../core/view/store_mirror.ts";
 import type { Heartbeat } from "../core/fleet/heartbeat.ts";
@@ -28,7 +29,7 @@
 } from "../daemon/step_error.ts";
 import type { DecisionLog } from "./decision_log.ts";
 import type { GatewayMetrics } from "./gateway_metrics.ts";
-import { sendHttpRequest } from "./http_client.ts";
+import { HttpRequestError, sendHttpRequest } from "./http_client.ts";
 import { decodePeerBatch, encodePeerBatch } from "./peer_batch.ts";
 import {
   type ChangeDecoder,
@@ -71,11 +72,6 @@
  * can. The first retry comes earlier, as the store may cut a watch.
  */
 const STORE_PROBE_INTERVAL_MS = 1_000;
-/**
- * Time without an answer from the store after which missing entries count as
- * lapsed rather than removed.
- */
-const OUTAGE_THRESHOLD_MS = 1_000;
 /**
  * How long after an outage peers are told that missing entries may have lapsed.
  */
@@ -97,11 +93,9 @@
   mirror: StoreMirror;
   needsSnapshot: boolean;
   isStoreAnswering: boolean;
-  /** Calls to the store that have failed since the last answer. */
-  failures: number;
+  outage: StoreOutage;
   /** When the store last answered again after an outage. */
   outageEndedAt: Milliseconds;
-  lastAnsweredAt: Milliseconds;
   behindSince: Milliseconds | undefined;
   isFetchingFromPeer: boolean;
   peerSelector: SyncPeerSelector;
@@ -157,7 +151,9 @@
    * before the first one.
    */
   isStoreReachable(): boolean {
-    return [...this.#sets.values()].every((state) => state.failures === 0);
+    return [...this.#sets.values()].every((state) =>
+      state.outage.failures === 0
+    );
   }
 
   /** Returns the latest positions for a heartbeat. */
@@ -190,18 +186,18 @@
     const state = this.#getState(set);
     while (!this.#isStopped) {
       if (!this.#needsStoreRead(state)) {
-        state.lastAnsweredAt = performance.now();
         await waitMs(STANDBY_POLL_INTERVAL_MS);
         continue;
       }
+      const startedAt = performance.now();
       try {
         const hasChanged = await this.#readOnce(set, state);
         if (hasChanged) await waitMs(this.#getCoalesceMs(set));
       } catch (error) {
         if (this.#isStopped) return;
         if (state.watchController.signal.aborted) continue;
-        this.#recordFailure(set, state, error);
-        const isFirstRetry = state.failures === 1;
+        this.#recordFailure(set, state, error, startedAt);
+        const isFirstRetry = state.outage.failures === 1;
         await waitMs(
           this.#hasPeerWithStore() && !isFirstRetry
             ? STORE_PROBE_INTERVAL_MS
@@ -226,7 +222,7 @@
    * failed, or that failed to get changes from a peer.
    */
   #needsStoreRead(state: SetState): boolean {
-    if (state.mirror.asOf === 0 || state.failures > 0) return true;
+    if (state.mirror.asOf === 0 || state.outage.failures > 0) return true;
     if (state.peerSelector.needsStore) return true;
     return this.#options.fleet.isStoreReader(true, performance.now());
   }
@@ -247,7 +243,9 @@
       this.#recordSuccess(set, state, batch);
       return true;
     }
-    const waitMs = state.failures > 0 ? PROBE_WATCH_MS : WATCH_TIMEOUT_MS;
+    const waitMs = state.outage.failures > 0
+      ? PROBE_WATCH_MS
+      : WATCH_TIMEOUT_MS;
     const result = await store.watch(
       set,
       state.mirror.asOf,
@@ -302,12 +300,7 @@
 
   #recordSuccess(set: PublishedSet, state: SetState, batch: StoreBatch): void {
     const now = performance.now();
-    const isAfterOutage =
-      now - state.lastAnsweredAt > WATCH_TIMEOUT_MS + OUTAGE_THRESHOLD_MS ||
-      (!state.isStoreAnswering &&
-        now - state.lastAnsweredAt > OUTAGE_THRESHOLD_MS);
-    state.lastAnsweredAt = now;
-    state.failures = 0;
+    const isAfterOutage = state.outage.recordAnswer(now);
     if (isAfterOutage) state.outageEndedAt = now;
     if (!state.isStoreAnswering) {
       state.isStoreAnswering = true;
@@ -316,14 +309,20 @@
     this.#applyBatch(set, batch, isAfterOutage, "store");
   }
 
-  #recordFailure(set: PublishedSet, state: SetState, error: unknown): void {
+  #recordFailure(
+    set: PublishedSet,
+    state: SetState,
+    error: unknown,
+    startedAt: Milliseconds,
+  ): void {
     const { log, metrics } = this.#options;
     metrics.count("store_failure", set);
     if (state.isStoreAnswering) {
       log.warn("storeLost", { set, detail: describeStep(error) });
     }
     state.isStoreAnswering = false;
-    state.failures += 1;
+    const hasTimedOut = error instanceof HttpRequestError && error.hasTimedOut;
+    state.outage.recordFailure({ startedAt, hasTimedOut }, performance.now());
   }
 
   #applyBatch(
@@ -336,7 +335,7 @@
     const state = this.#getState(set);
     const now = performance.now();
     const before = state.mirror.position;
-    const changes = state.mirror.applyBatch(batch);
+    const changes = state.mirror.applyBatch(batch, isAfterOutage);
     const { era } = state.mirror;
     const isRestored = era > before.era && before.revision > 0;
     let hasRelevantChange = isRestored;
@@ -350,7 +349,7 @@
         contentHash: decoded.kind === "configuration"
           ? hashText(change.value ?? "")
           : 0,
-        isAfterOutage,
+        isAfterOutage: change.mayHaveLapsed ?? false,
         isRestored,
       }, now);
       if (isRelevant || decoded.kind === "upstreamGone") {
@@ -390,7 +389,7 @@
           log.info("upstreamGone", {
             upstream: decoded.id,
             revision,
-            isAfterOutage,
+            isAfterOutage: change.mayHaveLapsed,
             isRestored,
             source,
           });
@@ -474,7 +473,7 @@
     }
     state.behindSince ??= now;
     const isWithinTolerance =
-      this.#options.fleet.isStoreReader(state.failures === 0, now) &&
+      this.#options.fleet.isStoreReader(state.outage.failures === 0, now) &&
       now - state.behindSince < LAG_TOLERANCE_MS;
     if (isWithinTolerance || state.isFetchingFromPeer) return;
     const peer = state.peerSelector.choosePeer(newerPeers, now);
@@ -559,9 +558,8 @@
     mirror: new StoreMirror(),
     needsSnapshot: true,
     isStoreAnswering: false,
-    failures: 0,
+    outage: new StoreOutage(),
     outageEndedAt: Number.NEGATIVE_INFINITY,
-    lastAnsweredAt: performance.now(),
     behindSince: undefined,
     isFetchingFromPeer: false,
     peerSelector: new SyncPeerSelector(selfId),
--- a/test/core/view/store_mirror_test.ts
+++ b/test/core/view/store_mirror_test.ts
@@ -17,6 +17,14 @@
   return { key, revision, value };
 }
 
+function remove(
+  key: string,
+  revision: number,
+  mayHaveLapsed = false,
+): StoreChange {
+  return { key, revision, value: undefined, mayHaveLapsed };
+}
+
 test("an older revision never replaces a newer one", () => {
   const mirror = new StoreMirror();
   mirror.applyBatch({
@@ -53,7 +61,7 @@
     asOf: 10,
     changes: [],
   });
-  assert.equal(applied, [{ key: "a", revision: 10, value: undefined }]);
+  assert.equal(applied, [remove("a", 10)]);
   assert.equal(mirror.buildBatchAfter({ era: 0, revision: 0 }).changes, [
     put("b", 12),
   ]);
@@ -107,7 +115,7 @@
   });
   const delta = mirror.buildBatchAfter({ era: 0, revision: 3 });
   assert.not(delta.isSnapshot);
-  assert.equal(delta.changes, [{ key: "a", revision: 5, value: undefined }]);
+  assert.equal(delta.changes, [remove("a", 5)]);
   const whole = mirror.buildBatchAfter({ era: 0, revision: 0 });
   assert.ok(whole.isSnapshot);
   assert.equal(whole.changes, [put("b", 3)]);
@@ -145,7 +153,7 @@
   mirror.applyBatch(BEFORE_RESTORE);
   assert.equal(mirror.applyBatch(RESTORED), [
     put("changed", 50, "old"),
-    { key: "lost", revision: 60, value: undefined },
+    remove("lost", 60),
   ]);
   assert.equal(mirror.position, { era: 2, revision: 60 });
   const next = put("changed", 61, "again");
@@ -177,6 +185,28 @@
   assert.not(mirror.buildBatchAfter({ era: 2, revision: 60 }).isSnapshot);
 });
 
+test("a removal keeps what its reader knew of an outage, also for peers that ask later", () => {
+  const reader = new StoreMirror();
+  reader.applyBatch({
+    era: 1,
+    isSnapshot: true,
+    asOf: 3,
+    changes: [put("a", 1), put("b", 2), put("c", 3)],
+  });
+  const removal = { era: 1, isSnapshot: false };
+  const lapsed = { key: "a", revision: 4, value: undefined };
+  reader.applyBatch({ ...removal, asOf: 4, changes: [lapsed] }, true);
+  const removed = { key: "b", revision: 5, value: undefined };
+  reader.applyBatch({ ...removal, asOf: 5, changes: [removed] }, false);
+  const peer = new StoreMirror();
+  const batch = reader.buildBatchAfter({ era: 1, revision: 3 });
+  peer.applyBatch({ era: 1, isSnapshot: true, asOf: 3, changes: [] });
+  assert.equal(peer.applyBatch(batch, true), [
+    remove("a", 4, true),
+    remove("b", 5, false),
+  ]);
+});
+
 /** A store that is written to and goes back to its own older copies. */
 class DrawnStore {
   era = 1;
