--- a/src/core/fleet/fleet_view.ts
+++ b/src/core/fleet/fleet_view.ts
@@ -121,6 +121,8 @@
   aliveCount: number;
   /** Alive members that are not leaving. */
   notLeaving: FleetMember[];
+  /** Members that can order engines: not leaving, and not cut off from them. */
+  ownerCandidates: FleetMember[];
   /** Owner of each engine that one of these members owns. */
   owners: Map<string, string>;
   /**
@@ -269,6 +271,7 @@
     if (!known && this.#isLocal(heartbeat.sender)) this.#localMembers += 1;
     const isChanged = isNew ||
       known?.heartbeat?.isLeaving !== heartbeat.isLeaving ||
+      isCutOff(known?.heartbeat) !== isCutOff(heartbeat) ||
       !isSameList(known?.heartbeat?.heldEngines, heartbeat.heldEngines);
     if (isChanged) this.#expireSnapshot();
     const isSameProcess = known?.heartbeat?.incarnation ===
@@ -376,11 +379,11 @@
     isStopping: boolean,
     now: Milliseconds,
   ): FleetMember[] {
-    const { notLeaving, rankings } = this.#getSnapshot(now);
-    if (isStopping) return this.#rankCandidates(engine, notLeaving, now);
+    const { ownerCandidates, rankings } = this.#getSnapshot(now);
+    if (isStopping) return this.#rankCandidates(engine, ownerCandidates, now);
     const known = rankings.get(engine.id);
     if (known) return known;
-    const candidates = [...notLeaving, this.#self];
+    const candidates = [...ownerCandidates, this.#self];
     const ranking = this.#rankCandidates(engine, candidates, now);
     rankings.set(engine.id, ranking);
     return ranking;
@@ -560,6 +563,7 @@
       aliveCount: 0,
       fetchesInFlight: 0,
       notLeaving: [],
+      ownerCandidates: [],
       owners: new Map(),
       rankings: new Map(),
     };
@@ -570,6 +574,7 @@
       snapshot.fetchesInFlight += heartbeat?.fetchesInFlight ?? 0;
       if (heartbeat?.isLeaving) continue;
       snapshot.notLeaving.push(member);
+      if (!isCutOff(heartbeat)) snapshot.ownerCandidates.push(member);
       for (const engineId of heartbeat?.heldEngines ?? []) {
         if (snapshot.owners.has(engineId)) continue;
         snapshot.owners.set(engineId, member.id);
@@ -577,7 +582,9 @@
     }
     // A ranking costs one hash per member and engine, and remains valid while
     // no member joins or leaves.
-    if (previous && hasSameMembers(previous.notLeaving, snapshot.notLeaving)) {
+    const isSame = previous &&
+      hasSameMembers(previous.ownerCandidates, snapshot.ownerCandidates);
+    if (isSame) {
       snapshot.rankings = previous.rankings;
     }
     this.#snapshot = snapshot;
@@ -772,3 +779,8 @@
   return before?.length === after.length &&
     before.every((each, index) => each === after[index]);
 }
+
+/** Returns whether the sender is cut off from upstreams. */
+function isCutOff(heartbeat: Heartbeat | undefined): boolean {
+  return (heartbeat?.cutOffServices?.length ?? 0) > 0;
+}
--- a/src/core/fleet/heartbeat.ts
+++ b/src/core/fleet/heartbeat.ts
@@ -73,6 +73,13 @@
   failing?: OutcomeReport[] | undefined;
   /** Always 0: read by nobody, but the previous release requires it. */
   fenceUnixMs?: number;
+  /** Whether the sender accepts requests that peers relay to it. */
+  acceptsRelays?: boolean;
+  /**
+   * Services from whose upstreams the sender is cut off; absent if there are
+   * none.
+   */
+  cutOffServices?: string[] | undefined;
   /** Sample of the members that the sender knows. */
   sample: GossipEntry[];
   /** Always empty: read by nobody, but the previous release requires it. */
--- a/src/core/ordering/engine_owner.ts
+++ b/src/core/ordering/engine_owner.ts
@@ -427,6 +427,11 @@
     return [{ kind: "readReport", engineId: this.engineId }];
   }
 
+  /** Whether the outcome of an order is unknown. */
+  get hasPendingOrder(): boolean {
+    return this.#pendingOrder !== undefined;
+  }
+
   /** Stops sending orders; returns whether one is still in progress. */
   stopOrders(): boolean {
     this.#hasStoppedOrders = true;
--- /dev/null
+++ b/src/core/placement/service_reachability.ts
@@ -0,0 +1,87 @@
+/**
+ * Tells whether this host is cut off from all upstreams, or from those of one
+ * service, while its callers and peers still reach it. Every attempt would cost
+ * a connect timeout, so a few failed connections to different upstreams stand
+ * for all of them. Answers on connections that already exist don't count: these
+ * may live on while new ones are refused. The first new connection ends the
+ * state.
+ */
+import type { Milliseconds } from "../structures.ts";
+
+/**
+ * Upstreams that must be found unreachable, with none reached in between: a
+ * single one may have crashed.
+ */
+const MIN_UNREACHABLE = 2;
+/** Age up to which a failed connection counts towards the beginning of a cut. */
+const EVIDENCE_LIFETIME_MS = 3_000;
+
+/** Evidence on a set of upstreams, none of which was reached since its first part. */
+class PathState {
+  readonly #failedAt = new Map<string, Milliseconds>();
+  #cutOffSince: Milliseconds | undefined;
+
+  get cutOffSince(): Milliseconds | undefined {
+    return this.#cutOffSince;
+  }
+
+  recordUnreachable(
+    upstreamId: string,
+    upstreamIds: readonly string[],
+    now: Milliseconds,
+  ): void {
+    this.#failedAt.set(upstreamId, now);
+    const unreachable = upstreamIds.filter((id) => {
+      const failedAt = this.#failedAt.get(id);
+      return failedAt !== undefined && now - failedAt <= EVIDENCE_LIFETIME_MS;
+    });
+    const needed = Math.min(MIN_UNREACHABLE, upstreamIds.length);
+    if (needed > 0 && unreachable.length >= needed) this.#cutOffSince ??= now;
+  }
+}
+
+/** The upstreams that a failed connection may stand for. */
+export interface UpstreamIds {
+  ofService: readonly string[];
+  ofAllServices: readonly string[];
+}
+
+export class ServiceReachability {
+  #host = new PathState();
+  readonly #services = new Map<string, PathState>();
+
+  /** Records a new connection; returns whether it ended a cut. */
+  recordReached(service: string): boolean {
+    const wasCutOff = this.isCutOff(service);
+    this.#host = new PathState();
+    this.#services.delete(service);
+    return wasCutOff;
+  }
+
+  /**
+   * Records a connection that could not be established; returns whether the
+   * service counts as cut off from now on.
+   */
+  recordUnreachable(
+    service: string,
+    upstreamId: string,
+    upstreamIds: UpstreamIds,
+    now: Milliseconds,
+  ): boolean {
+    const wasCutOff = this.isCutOff(service);
+    const state = this.#services.get(service) ?? new PathState();
+    this.#services.set(service, state);
+    state.recordUnreachable(upstreamId, upstreamIds.ofService, now);
+    this.#host.recordUnreachable(upstreamId, upstreamIds.ofAllServices, now);
+    return !wasCutOff && this.isCutOff(service);
+  }
+
+  isCutOff(service: string): boolean {
+    return this.getCutOffSince(service) !== undefined;
+  }
+
+  /** Returns when the service was found cut off; undefined if it isn't. */
+  getCutOffSince(service: string): Milliseconds | undefined {
+    return this.#services.get(service)?.cutOffSince ?? this.#host.cutOffSince;
+  }
+}
--- a/src/gateway/attempt_runner.ts
+++ b/src/gateway/attempt_runner.ts
@@ -16,14 +16,9 @@
 import { AttemptOutcome } from "../core/execution/retry_decision.ts";
 import { HealthSignal } from "../core/placement/upstream_health.ts";
 import type { Milliseconds } from "../core/structures.ts";
-import type { PublishedUpstream } from "../core/view/published_view.ts";
 import type { CallerExchange } from "./caller_exchange.ts";
 import { isSuccess } from "./http_status.ts";
-import {
-  type AttemptMetadata,
-  NotRunReason,
-  type ResponseHead,
-} from "./ports.ts";
+import { NotRunReason, type ResponseHead } from "./ports.ts";
 import type { RequestContext } from "./request_context.ts";
 import type { AttemptEnd } from "./upstream_client.ts";
 
@@ -39,6 +34,8 @@
   /** Why the upstream did not run the request; undefined unless it said so. */
   notRunReason: NotRunReason | undefined;
   status: number;
+  /** Whether no connection could be established. */
+  isUnreachable: boolean;
   /** Whether the connection broke, for example because the upstream died. */
   isConnectionBroken: boolean;
   /** The complete response; undefined if it was streamed or never completed. */
@@ -85,10 +82,19 @@
   incompleteEventBytes: number;
 }
 
+/** Where an attempt is sent: to an upstream, or to a peer that relays it. */
+export interface AttemptTarget {
+  id: string;
+  /** `IP:port`. */
+  address: string;
+  /** Headers of the request. */
+  rawHeaders: string[];
+  decodeHead: (response: IncomingMessage) => ResponseHead;
+}
+
 export interface AttemptOptions {
   exchange: CallerExchange;
-  upstream: PublishedUpstream;
-  metadata: AttemptMetadata;
+  target: AttemptTarget;
   mayReuseConnection: boolean;
   /**
    * Time limit for the response head to arrive; applies only if another attempt
@@ -103,6 +109,8 @@
    * close of the connection marks the end of the response.
    */
   hasUpstreamCrashed: () => Promise<boolean>;
+  /** Called when a new connection was established. */
+  handleConnect: () => void;
   /** Called with each response head that belongs to this request. */
   handleHead: (head: ResponseHead) => void;
 }
@@ -121,7 +129,7 @@
   context: RequestContext,
   options: AttemptOptions,
 ): RunningAttempt {
-  const { exchange, upstream, metadata, sink } = options;
+  const { exchange, target, sink } = options;
   const { headerCodec } = context;
   let head: ResponseHead | undefined;
   let rawHeaders: string[] = [];
@@ -129,6 +137,7 @@
   let framing: BodyFraming | undefined;
   let bodyBytes = 0;
   let isConnectionBroken = false;
+  let isUnreachable = false;
   let isClean = false;
   const body = new ByteAccumulator({
     maxBytes: MAX_RESPONSE_BYTES,
@@ -148,9 +157,10 @@
         outcome === AttemptOutcome.Failed);
     settle({
       outcome,
-      upstreamId: upstream.id,
+      upstreamId: target.id,
       notRunReason: head?.notRunReason,
       status: head?.status ?? 0,
+      isUnreachable,
       isConnectionBroken,
       response: hasWholeResponse
         ? {
@@ -172,6 +182,7 @@
   };
   const finishWith = (end: AttemptEnd): void => {
     isConnectionBroken = end.kind === "broken";
+    isUnreachable = end.kind === "notSent" && end.isUnreachable;
     const [outcome, detail] = classifyEnd(end, head);
     finish(outcome, detail);
   };
@@ -187,13 +198,14 @@
     Math.max(1, options.responseHeaderTimeoutMs),
   );
   const attempt = context.upstreams.startAttempt({
-    address: upstream.address,
+    address: target.address,
     method: exchange.method,
     url: exchange.url,
-    rawHeaders: headerCodec.encodeAttemptHeaders(exchange.rawHeaders, metadata),
+    rawHeaders: target.rawHeaders,
     body: exchange.body,
     mayReuseConnection: options.mayReuseConnection,
   }, {
+    onConnect: () => options.handleConnect(),
     onHead: (response: IncomingMessage) => {
       rawHeaders = response.rawHeaders;
       framing = classifyFraming({
@@ -202,11 +214,7 @@
         hasContentLength: response.headers["content-length"] !== undefined,
         transferEncoding: response.headers["transfer-encoding"],
       });
-      head = headerCodec.decodeResponseHead(
-        response.statusCode ?? 0,
-        response.headers,
-        exchange.metadata.requestId,
-      );
+      head = target.decodeHead(response);
       const hasSucceeded = isSuccess(head.status);
       if (head.isForRequest) options.handleHead(head);
       if (!head.isForRequest) {
--- a/src/gateway/caller_exchange.ts
+++ b/src/gateway/caller_exchange.ts
@@ -5,6 +5,7 @@
 import { writeChunk } from "../daemon/chunk_writer.ts";
 import { abortResponse } from "../daemon/response_abort.ts";
 import type { RequestMetadata } from "./ports.ts";
+import { encodeRelayVerdict, type RelayVerdict } from "./relay_headers.ts";
 
 /**
  * Number of bytes written but not yet read by the caller above which reading
@@ -26,6 +27,8 @@
   readDelayMs: Milliseconds;
   /** Returns whether the connection is to be closed after this response. */
   isClosing: () => boolean;
+  /** Whether a peer relayed the request. */
+  isRelayed: boolean;
   /** Sets the listener for the caller's departure before the response ends. */
   onDeparture: (listener: () => void) => void;
 }
@@ -48,6 +51,10 @@
     return this.#options.metadata;
   }
 
+  get isRelayed(): boolean {
+    return this.#options.isRelayed;
+  }
+
   get body(): Buffer {
     return this.#options.body;
   }
@@ -125,13 +132,20 @@
   /**
    * Sends a response that the gateway makes itself: a JSON object with the
    * error.
+   * @param verdict what a peer that relayed the request learns.
    */
   sendError(
     status: number,
     rawHeaders: readonly string[],
     text: string,
+    verdict: RelayVerdict,
   ): void {
-    const headers = [...rawHeaders, "Content-Type", "application/json"];
+    const headers = [
+      ...rawHeaders,
+      ...(this.isRelayed ? encodeRelayVerdict(verdict) : []),
+      "Content-Type",
+      "application/json",
+    ];
     const body = Buffer.from(`${JSON.stringify({ error: text })}\n`);
     this.sendResponse(status, headers, body);
   }
--- a/src/gateway/caller_task.ts
+++ b/src/gateway/caller_task.ts
@@ -1,6 +1,7 @@
 /**
  * Owns the HTTP server for callers: reads each request completely, finds its
- * route and hands it to a RequestHandler. During a stop, responses announce the
+ * route and hands it to a RequestHandler. A second server accepts requests that
+ * peers relay, within a limit; these are not relayed again. During a stop, responses announce the
  * close of their connections, idle connections are closed, and requests that
  * were accepted are finished.
  */
@@ -15,6 +16,7 @@
 import type { Socket } from "node:net";
 import { ByteAccumulator } from "../core/execution/byte_accumulator.ts";
 import { estimateUnreadMs } from "../core/admission/read_delay.ts";
+import { canAdmitRelay } from "../core/admission/relay_admission.ts";
 import {
   canAdmitWhileStopping,
   type StopPeriod,
@@ -28,6 +30,7 @@
 import { CallerExchange } from "./caller_exchange.ts";
 import { roundMs } from "./decision_log.ts";
 import type { RequestMetadata } from "./ports.ts";
+import { RelayVerdict } from "./relay_headers.ts";
 import type { RequestContext } from "./request_context.ts";
 import { RequestHandler } from "./request_handler.ts";
 import { describeWork } from "./request_work.ts";
@@ -57,6 +60,8 @@
 const NO_MEMORY_RETRY_AFTER_MS = 1_000;
 /** Retry-After for requests that arrive before a configuration is known. */
 const UNCONFIGURED_RETRY_AFTER_MS = 500;
+/** Retry-After for relayed requests beyond the limit. */
+const RELAYS_RETRY_AFTER_MS = 500;
 /**
  * Time in which a caller sends the first request on a new connection. During a
  * stop, the connection counts as idle only after it.
@@ -84,6 +89,7 @@
 export class CallerTask {
   readonly #context: RequestContext;
   readonly #server: Server;
+  readonly #relayServer: Server;
   /** Connections without a request, with the time from which each is idle. */
   readonly #idleSockets = new Map<Socket, Milliseconds>();
   readonly #sockets = new Set<Socket>();
@@ -94,18 +100,28 @@
   /** Ends the reading of each body that has not arrived yet. */
   readonly #bodyStoppers = new Set<() => void>();
   #inFlight = 0;
+  /** Number of requests in flight that peers relayed. */
+  #relayedInFlight = 0;
   /** Undefined unless the daemon is stopping. */
   #stop: StopPeriod | undefined;
 
   constructor(context: RequestContext) {
     this.#context = context;
     this.#readDelay = new CallerReadDelay(context.eventLoop);
-    this.#server = createServer({
-      requestTimeout: BODY_TIMEOUT_MS,
-      headersTimeout: DEFAULT_HEADER_TIMEOUT_MS,
-      keepAliveTimeout: DEFAULT_IDLE_TIMEOUT_MS,
-    }, (request, response) => this.#handleRequest(request, response));
-    this.#server.on("connection", (socket: Socket) => {
+    this.#server = this.#createServer(false);
+    this.#relayServer = this.#createServer(true);
+  }
+
+  #createServer(isRelayed: boolean): Server {
+    const server = createServer(
+      {
+        requestTimeout: BODY_TIMEOUT_MS,
+        headersTimeout: DEFAULT_HEADER_TIMEOUT_MS,
+        keepAliveTimeout: DEFAULT_IDLE_TIMEOUT_MS,
+      },
+      (request, response) => this.#handleRequest(request, response, isRelayed),
+    );
+    server.on("connection", (socket: Socket) => {
       const now = performance.now();
       socket.setNoDelay(true);
       this.#sockets.add(socket);
@@ -116,6 +132,7 @@
         this.#idleSockets.delete(socket);
       });
     });
+    return server;
   }
 
   get inFlight(): number {
@@ -123,10 +140,12 @@
   }
 
   listen(host: string, port: number): Promise<void> {
-    return new Promise((resolve, reject) => {
-      this.#server.once("error", reject);
-      this.#server.listen(port, host, resolve);
-    });
+    return listen(this.#server, host, port);
+  }
+
+  /** Listens for requests that peers relay. */
+  listenForRelays(host: string, port: number): Promise<void> {
+    return listen(this.#relayServer, host, port);
   }
 
   /**
@@ -135,8 +154,10 @@
   applyLimits(): void {
     const limits = this.#context.view.configuration?.limits;
     if (!limits) return;
-    this.#server.headersTimeout = limits.headerTimeoutMs;
-    this.#server.keepAliveTimeout = limits.idleTimeoutMs + KEEP_ALIVE_MARGIN_MS;
+    for (const server of [this.#server, this.#relayServer]) {
+      server.headersTimeout = limits.headerTimeoutMs;
+      server.keepAliveTimeout = limits.idleTimeoutMs + KEEP_ALIVE_MARGIN_MS;
+    }
   }
 
   /**
@@ -161,6 +182,7 @@
    */
   async finish(endsAt: Milliseconds): Promise<void> {
     this.#server.close();
+    this.#relayServer.close();
     if (this.#stop) {
       const now = performance.now();
       this.#stop = { ...this.#stop, endsAt: Math.min(this.#stop.endsAt, now) };
@@ -182,7 +204,11 @@
     for (const socket of this.#sockets) socket.destroy();
   }
 
-  #handleRequest(request: IncomingMessage, response: ServerResponse): void {
+  #handleRequest(
+    request: IncomingMessage,
+    response: ServerResponse,
+    isRelayed: boolean,
+  ): void {
     const readAt = performance.now();
     const { socket } = request;
     const maxDelayMs = this.#readDelay.takeMaxDelayMs(socket, readAt);
@@ -199,9 +225,11 @@
     if (isTooLate) return;
     this.#idleSockets.delete(socket);
     this.#inFlight += 1;
+    if (isRelayed) this.#relayedInFlight += 1;
     this.#activeResponses.add(response);
     response.once("close", () => {
       this.#inFlight -= 1;
+      if (isRelayed) this.#relayedInFlight -= 1;
       if (socket.destroyed || this.#activeResponses.getLast(socket)) return;
       this.#idleSockets.set(socket, performance.now());
       // The head of a stream that began before the stop did not announce the
@@ -213,7 +241,7 @@
         detail: describeError(error),
       });
     });
-    const reading = { readAt, maxDelayMs };
+    const reading = { readAt, maxDelayMs, isRelayed };
     void this.#serve(request, response, reading).catch((error) => {
       this.#context.log.warn("requestFaulted", {
         step: "serve request",
@@ -226,7 +254,11 @@
   async #serve(
     request: IncomingMessage,
     response: ServerResponse,
-    { readAt, maxDelayMs }: { readAt: Milliseconds; maxDelayMs: Milliseconds },
+    { readAt, maxDelayMs, isRelayed }: {
+      readAt: Milliseconds;
+      maxDelayMs: Milliseconds;
+      isRelayed: boolean;
+    },
   ): Promise<void> {
     const { headerCodec, view, metrics } = this.#context;
     const metadata = headerCodec.decodeRequestMetadata(
@@ -248,6 +280,7 @@
       body,
       arrivedAt: readAt - readDelayMs,
       readDelayMs,
+      isRelayed,
       isClosing: () =>
         this.#stop !== undefined &&
         this.#activeResponses.getLast(request.socket) === response,
@@ -269,6 +302,15 @@
       this.#recordUnservedDeparture(exchange);
       return;
     }
+    if (isRelayed && !this.#canAdmitRelay()) {
+      this.#refuse(
+        exchange,
+        Status.Unavailable,
+        "too many relayed requests",
+        RELAYS_RETRY_AFTER_MS,
+      );
+      return;
+    }
     if (!view.configuration) {
       this.#refuse(
         exchange,
@@ -310,6 +352,14 @@
     );
   }
 
+  /** Returns whether the latest relayed request, which is counted, is admitted. */
+  #canAdmitRelay(): boolean {
+    return canAdmitRelay({
+      relayed: this.#relayedInFlight - 1,
+      own: this.#inFlight - this.#relayedInFlight,
+    });
+  }
+
   async #runHandler(handler: RequestHandler): Promise<void> {
     if (this.#stop) handler.limitTo(this.#stop);
     this.#handlers.add(handler);
@@ -378,7 +428,7 @@
       configurationVersion: view.configuration?.version,
     });
     const headers = headerCodec.encodeRefusalHeaders(retryAfterMs);
-    exchange.sendError(status, headers, reason);
+    exchange.sendError(status, headers, reason, RelayVerdict.Unable);
   }
 
   #readBody(
@@ -415,6 +465,13 @@
   }
 }
 
+function listen(server: Server, host: string, port: number): Promise<void> {
+  return new Promise((resolve, reject) => {
+    server.once("error", reject);
+    server.listen(port, host, resolve);
+  });
+}
+
 /**
  * Hashes the parts of a request that stay the same when the caller retries it.
  */
--- a/src/gateway/crash_probe.ts
+++ b/src/gateway/crash_probe.ts
@@ -97,7 +97,8 @@
 
 type ProbeOutcome = "refused" | "open" | "silent";
 
-function openConnection(address: string): Promise<ProbeOutcome> {
+/** Opens a connection and closes it; never rejects. */
+export function openConnection(address: string): Promise<ProbeOutcome> {
   return new Promise((resolve) => {
     const socket = connect(parseSocketAddress(address));
     const finish = (outcome: ProbeOutcome): void => {
--- a/src/gateway/engine_selector.ts
+++ b/src/gateway/engine_selector.ts
@@ -219,8 +219,7 @@
   ): PublishedUpstream | undefined {
     if (!engine || this.#options.isFinished()) return undefined;
     this.#permitCount += 1;
-    const permitId =
-      `${this.#exchange.metadata.requestId}.${this.#permitCount}`;
+    const permitId = this.#formatPermitId();
     this.#addRun(engine, permitId, undefined);
     return engine;
   }
@@ -286,7 +285,7 @@
     });
     this.#permitCount += 1;
     return engines.permits.requestPermit(engine, {
-      permitId: `${metadata.requestId}.${this.#permitCount}`,
+      permitId: this.#formatPermitId(),
       holder: selfId,
       model: metadata.model,
       adapter: metadata.adapter,
@@ -365,6 +364,13 @@
     });
   }
 
+  /** Returns an id that differs from those of a host that relayed the request. */
+  #formatPermitId(): string {
+    const { metadata, isRelayed } = this.#exchange;
+    const suffix = isRelayed ? `.${this.#context.selfId}` : "";
+    return `${metadata.requestId}${suffix}.${this.#permitCount}`;
+  }
+
   #getAdapterPath(): string {
     const { model, adapter } = this.#exchange.metadata;
     return formatAdapterPath(model, adapter);
--- a/src/gateway/engine_task.ts
+++ b/src/gateway/engine_task.ts
@@ -22,13 +22,18 @@
 import { OwnerRoles } from "../core/ordering/owner_roles.ts";
 import type { FetchShare } from "../core/placement/fetch_concurrency_limit.ts";
 import type { Milliseconds } from "../core/structures.ts";
-import type { PublishedView } from "../core/view/published_view.ts";
+import type {
+  PublishedUpstream,
+  PublishedView,
+} from "../core/view/published_view.ts";
 import { describeStep } from "../daemon/step_error.ts";
 import type { DecisionLog } from "./decision_log.ts";
 import { FetchLimiter } from "./fetch_limiter.ts";
+import { HttpRequestError } from "./http_client.ts";
 import type { GatewayMetrics } from "./gateway_metrics.ts";
 import type { GatewayMessage } from "./peer_messages.ts";
 import { PermitClient } from "./permit_client.ts";
+import type { UpstreamPath } from "./upstream_path.ts";
 import { waitMs } from "./wait.ts";
 import type { EngineControl } from "./ports.ts";
 
@@ -44,6 +49,13 @@
  */
 const LAST_ORDER_TIMEOUT_MS = 400;
 const LAST_ORDER_POLL_INTERVAL_MS = 10;
+/**
+ * Time after which an engine that can't be reached is released: a probe has
+ * failed by then.
+ */
+const CUT_OFF_RELEASE_MS = 700;
+/** The same while the answer to an order is awaited. */
+const CUT_OFF_MAX_RELEASE_MS = 1_500;
 /** Shortest delay before a tick. */
 const MIN_TICK_DELAY_MS = 4;
 
@@ -58,6 +70,8 @@
    */
   seedIps: readonly string[];
   control: EngineControl;
+  /** This host's path to the engines. */
+  path: UpstreamPath;
   log: DecisionLog;
   metrics: GatewayMetrics;
   /**
@@ -239,22 +253,58 @@
     clearTimeout(this.#timer);
     await this.#awaitPendingOrders();
     const now = performance.now();
-    const deliveries: Promise<boolean>[] = [];
+    await Promise.all(
+      [...this.#owners.values()].filter((owner) => owner.isOwner())
+        .map((owner) => this.#handOver(owner, now)),
+    );
+  }
+
+  /** Releases an engine, to the daemon that ranks next if that can be. */
+  async #handOver(owner: EngineOwner, now: Milliseconds): Promise<void> {
+    const { view, fleet, deliver } = this.#options;
+    const { engineId } = owner;
+    const { handover, effects } = owner.handOver(now);
+    this.#runEffects(effects);
+    const engine = view.getUpstream(engineId);
+    const successor = engine && fleet.rankOwners(engine, true, now)[0];
+    if (!handover || !successor) return;
+    await deliver(successor.id, { kind: "handover", engineId, handover });
+  }
+
+  /**
+   * Releases the engines that can't be reached from here, so that others order
+   * them. Waits a moment for the answer to an order, without which an engine
+   * can't be handed over.
+   */
+  #releaseCutOffEngines(now: Milliseconds): void {
+    const { view, path } = this.#options;
     for (const owner of this.#owners.values()) {
-      if (!owner.isOwner()) continue;
-      const { handover, effects } = owner.handOver(now);
-      this.#runEffects(effects);
-      const engine = this.#options.view.getUpstream(owner.engineId);
-      const successor = engine &&
-        this.#options.fleet.rankOwners(engine, true, now)[0];
-      if (!handover || !successor) continue;
-      deliveries.push(this.#options.deliver(successor.id, {
-        kind: "handover",
-        engineId: owner.engineId,
-        handover,
-      }));
+      const engine = view.getUpstream(owner.engineId);
+      if (!engine || !owner.isOwner()) continue;
+      const cutOffMs = path.getCutOffMs(engine.service, now);
+      if (cutOffMs === undefined || cutOffMs < CUT_OFF_RELEASE_MS) continue;
+      if (owner.hasPendingOrder && cutOffMs < CUT_OFF_MAX_RELEASE_MS) continue;
+      this.#options.log.warn("cutOffEngineReleased", {
+        upstream: engine.id,
+        hasPendingOrder: owner.hasPendingOrder,
+      });
+      void this.#handOver(owner, now);
     }
-    await Promise.all(deliveries);
+  }
+
+  /** Returns whether the engine can't be ordered from here. */
+  #isCutOff(engine: PublishedUpstream | undefined): boolean {
+    return engine !== undefined && this.#options.path.isCutOff(engine.service);
+  }
+
+  #recordControlFailure(
+    engine: PublishedUpstream,
+    error: unknown,
+    now: Milliseconds,
+  ): void {
+    const isUnreachable = error instanceof HttpRequestError &&
+      !error.hasBeenSent;
+    if (isUnreachable) this.#options.path.recordUnreachable(engine, now);
   }
 
   /**
@@ -287,6 +337,7 @@
     this.permits.retryUndeliveredReleases(now);
     this.permits.reportRunsToNewOwners(now);
     this.#updateRoles(now);
+    this.#releaseCutOffEngines(now);
     for (const engineId of this.#activeEngines) {
       const owner = this.#owners.get(engineId);
       if (!owner) continue;
@@ -374,11 +425,12 @@
     now: Milliseconds,
     fetchShare = this.#computeFetchShare(now),
   ): OwnershipContext {
+    const engine = this.#options.view.getUpstream(owner.engineId);
     return this.#roles.describeContext({
-      engine: this.#options.view.getUpstream(owner.engineId),
+      engine,
       owner,
       fetchShare,
-      isStopping: this.#isStopping,
+      isStopping: this.#isStopping || this.#isCutOff(engine),
     }, now);
   }
 
@@ -559,6 +611,7 @@
       this.#serveQueue(engineId, now);
     } catch (error) {
       owner.recordReportFailure();
+      this.#recordControlFailure(engine, error, performance.now());
       log.info("reportUnread", {
         upstream: engineId,
         detail: describeStep(error),
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -17,6 +17,7 @@
 import { FleetRetryBudget } from "../core/limits/fleet_retry_budget.ts";
 import { AdapterDemand } from "../core/placement/adapter_demand.ts";
 import { DomainReachability } from "../core/placement/domain_reachability.ts";
+import { canRelay } from "../core/placement/relay_selector.ts";
 import { UpstreamBackoff } from "../core/placement/upstream_backoff.ts";
 import { UpstreamHealth } from "../core/placement/upstream_health.ts";
 import { PublishedView } from "../core/view/published_view.ts";
@@ -38,6 +39,7 @@
   PublishedStore,
 } from "./ports.ts";
 import type { RequestContext } from "./request_context.ts";
+import { UpstreamPath } from "./upstream_path.ts";
 import { UpstreamClient } from "./upstream_client.ts";
 import { waitMs } from "./wait.ts";
 import { ViewSynchronizer } from "./view_synchronizer.ts";
@@ -53,6 +55,8 @@
  * Most failing upstreams in one heartbeat, which has to fit into one datagram.
  */
 const MAX_HEARTBEAT_FAILING = 12;
+/** Most services that a heartbeat names as cut off, for the same reason. */
+const MAX_HEARTBEAT_CUT_OFF = 12;
 /**
  * Delay of an early heartbeat, so that changes in quick succession are sent in
  * one.
@@ -105,6 +109,7 @@
   readonly #crashAttribution = new CrashAttribution({
     getTrialDelayMs: (trait, now) => this.#computeTrialDelayMs(trait, now),
   });
+  readonly #path: UpstreamPath;
   readonly #convictionListeners = new Set<() => void>();
   readonly #peers: PeerTask;
   readonly #viewSynchronizer: ViewSynchronizer;
@@ -131,6 +136,8 @@
   /** When peers were last told of crashes. */
   #crashesToldAt = Number.NEGATIVE_INFINITY;
   #isReady = false;
+  /** Whether the port for relayed requests could be opened. */
+  #acceptsRelays = false;
   #isHeartbeatScheduled = false;
   #isStopping = false;
   #stopped: Promise<void> | undefined;
@@ -167,6 +174,11 @@
         this.#scheduleEarlyHeartbeats();
       },
     });
+    this.#path = new UpstreamPath({
+      view: this.#view,
+      log: this.#log,
+      handleChange: () => this.#scheduleEarlyHeartbeats(),
+    });
     const control = platform.createEngineControl(this.#memory);
     this.#engines = new EngineTask({
       selfId: host,
@@ -177,6 +189,7 @@
         parseSocketAddress(seed).host
       ),
       control,
+      path: this.#path,
       log: this.#log,
       metrics: this.#metrics,
       announceOwnership: () => this.#scheduleEarlyHeartbeats(),
@@ -195,6 +208,8 @@
       health: this.#health,
       backoff: new UpstreamBackoff(),
       reachability: new DomainReachability(),
+      path: this.#path,
+      relayPort: peers.port,
       demand: new AdapterDemand(),
       memory: this.#memory,
       retryBudget: new FleetRetryBudget(settings.repeats),
@@ -224,6 +239,7 @@
     this.#engines.start();
     const callerAddress = parseSocketAddress(callers.listen);
     await this.#callers.listen(callerAddress.host, callerAddress.port);
+    await this.#listenForRelays();
     await this.#listenForReadiness(readiness.listen);
     if (metrics) await this.#metrics.listen(callerAddress.host, metrics.port);
     this.#scheduleNextHeartbeats();
@@ -279,6 +295,7 @@
     this.#viewSynchronizer.stop();
     this.#peers.close();
     this.#metrics.close();
+    this.#path.stop();
     this.#upstreamClient.close();
     this.#eventLoop.stop();
     this.#log.flush();
@@ -301,6 +318,18 @@
     this.#log.flush();
   }
 
+  /** Without the port, this gateway serves its own callers only. */
+  async #listenForRelays(): Promise<void> {
+    const { listen, port } = this.#settings.peers;
+    const { host } = parseSocketAddress(listen);
+    try {
+      await this.#callers.listenForRelays(host, port);
+      this.#acceptsRelays = true;
+    } catch (error) {
+      this.reportError("listen for relayed requests", error);
+    }
+  }
+
   #listenForReadiness(address: string): Promise<void> {
     const { host, port } = parseSocketAddress(address);
     const server = createServer((request, response) => {
@@ -317,7 +346,8 @@
   }
 
   #updateReadiness(): boolean {
-    const isReady = !this.#isStopping && this.#view.configuration !== undefined;
+    const isReady = !this.#isStopping &&
+      this.#view.configuration !== undefined && this.#canServe();
     if (isReady !== this.#isReady) {
       this.#isReady = isReady;
       this.#log.info("readinessChanged", {
@@ -329,6 +359,17 @@
     return isReady;
   }
 
+  /** Returns whether any service can be reached, from here or over a peer. */
+  #canServe(): boolean {
+    const cutOff = this.#path.listCutOff();
+    if (cutOff.length === 0) return true;
+    const peers = this.#fleet.listAlive(performance.now());
+    const services = this.#view.configuration?.services ?? [];
+    return services.some(({ name }) =>
+      !cutOff.includes(name) || peers.some((peer) => canRelay(peer, name))
+    );
+  }
+
   #scheduleNextHeartbeats(): void {
     this.#timer = setTimeout(() => {
       this.#sendHeartbeats();
@@ -413,7 +454,12 @@
   }
 
   #describeSelf(isPromised: boolean, now: number): Heartbeat {
+    const cutOff = this.#path.listCutOff();
+    // Failures that the path from here explains say nothing about an upstream.
     const failing = this.#health.listFailing(now)
+      .filter(([id]) =>
+        !cutOff.includes(this.#view.getUpstream(id)?.service ?? "")
+      )
       .slice(0, MAX_HEARTBEAT_FAILING);
     return {
       sender: this.#fleet.self,
@@ -429,6 +475,10 @@
       fetchesInFlight: this.#engines.countFetches(),
       fullSpeedFetches: this.#engines.getFullSpeedFetches(),
       failing: failing.length > 0 ? failing : undefined,
+      acceptsRelays: this.#acceptsRelays,
+      cutOffServices: cutOff.length > 0
+        ? cutOff.slice(0, MAX_HEARTBEAT_CUT_OFF)
+        : undefined,
       fenceUnixMs: 0,
       sample: this.#fleet.selectSample(isPromised, now),
       strikes: [],
--- a/src/gateway/gateway_metrics.ts
+++ b/src/gateway/gateway_metrics.ts
@@ -37,6 +37,9 @@
     "Requests whose caller disconnected before the response was complete, by kind (idempotent, nonIdempotent, stream; unread if the close lay unread beside the request)",
   callers_backlogged:
     "Times a streamed response was paused because its caller read too slowly, by kind (always stream)",
+  relays: "Requests sent over a peer, by outcome of the attempt",
+  relay:
+    "Time of a request over a peer, in ms, by kind (idempotent, nonIdempotent, stream)",
   store_restores:
     "Times the store was found restored from an older copy, by set (configuration, upstreams)",
   upstream_notices:
--- a/src/gateway/peer_message_decoder.ts
+++ b/src/gateway/peer_message_decoder.ts
@@ -86,6 +86,8 @@
   fetchesInFlight: quantity,
   fullSpeedFetches: quantity.optional(),
   failing: z.array(z.tuple([z.string(), z.number(), z.number()])).optional(),
+  acceptsRelays: z.boolean().optional(),
+  cutOffServices: z.array(z.string()).optional(),
   fenceUnixMs: z.number().optional(),
   sample: z.array(
     z.tuple([z.string(), ipAddressSchema, z.string(), quantity]),
--- a/src/gateway/ports.ts
+++ b/src/gateway/ports.ts
@@ -44,8 +44,11 @@
 
 /** What an attempt at an upstream adds to the caller's request. */
 export interface AttemptMetadata {
-  /** The upstream that the attempt is meant for; any other must not run it. */
-  upstreamId: string;
+  /**
+   * The upstream that the attempt is meant for; any other must not run it.
+   * Undefined for a peer that relays the request.
+   */
+  upstreamId: string | undefined;
   /**
    * Time left until the deadline, at which the upstream is to stop its work.
    */
--- a/src/gateway/request_context.ts
+++ b/src/gateway/request_context.ts
@@ -15,6 +15,7 @@
 import type { EventLoopMonitor } from "../daemon/event_loop_monitor.ts";
 import type { GatewayMetrics } from "./gateway_metrics.ts";
 import type { HeaderCodec } from "./ports.ts";
+import type { UpstreamPath } from "./upstream_path.ts";
 import type { UpstreamClient } from "./upstream_client.ts";
 
 export interface RequestContext {
@@ -26,6 +27,9 @@
   health: UpstreamHealth;
   backoff: UpstreamBackoff;
   reachability: DomainReachability;
+  path: UpstreamPath;
+  /** Port at which every peer accepts relayed requests. */
+  relayPort: number;
   demand: AdapterDemand;
   memory: MemoryBudget;
   retryBudget: FleetRetryBudget;
--- a/src/gateway/request_handler.ts
+++ b/src/gateway/request_handler.ts
@@ -38,7 +38,9 @@
   Repeatability,
 } from "../core/view/published_view.ts";
 import {
+  type AttemptOptions,
   type AttemptResult,
+  type AttemptTarget,
   classifyHealth,
   runAttempt,
   type RunningAttempt,
@@ -50,6 +52,12 @@
 import { roundMs } from "./decision_log.ts";
 import { isSuccess } from "./http_status.ts";
 import type { ResponseHead } from "./ports.ts";
+import {
+  encodeRelayUpstream,
+  RelayVerdict,
+  stripRelayHeaders,
+} from "./relay_headers.ts";
+import { RequestRelay } from "./request_relay.ts";
 import type { RequestContext } from "./request_context.ts";
 import { describeWork } from "./request_work.ts";
 import { listUsableUpstreams } from "./usable_upstreams.ts";
@@ -113,6 +121,7 @@
   /** Whether the current attempt has to show that it continues the stream. */
   #isContinuing = false;
   readonly #engineSelector: EngineSelector;
+  readonly #relay: RequestRelay;
   readonly #crashGuard: CrashGuard;
   /** Time until the request, or the convicted part of its prompt, is tried again. */
   #quarantineMs: Milliseconds | undefined;
@@ -159,6 +168,12 @@
       excludedUpstreamIds: this.#excludedUpstreamIds,
       isFinished: () => this.#isFinished,
     });
+    this.#relay = new RequestRelay({
+      context,
+      exchange,
+      serviceName: target.service.name,
+      excludedPeerIds: this.#excludedUpstreamIds,
+    });
   }
 
   /**
@@ -169,8 +184,12 @@
     const { retryBudget, metrics, convictionListeners } = this.#context;
     const handleConviction = () => this.#handleConviction();
     convictionListeners.add(handleConviction);
-    retryBudget.recordArrival(this.#service.name, performance.now());
-    metrics.count("requests", this.#route.repeatability);
+    if (this.#exchange.isRelayed) {
+      metrics.count("requests", "relayed");
+    } else {
+      retryBudget.recordArrival(this.#service.name, performance.now());
+      metrics.count("requests", this.#route.repeatability);
+    }
     this.#scheduleDeadline();
     this.#exchange.onDisconnect(() => this.#handleDisconnect());
     try {
@@ -207,6 +226,10 @@
 
   async #tryOnce(): Promise<void> {
     if (this.#refuseIfQuarantined() || this.#refuseIfStopping()) return;
+    if (this.#relay.isCutOff) {
+      await this.#tryRelay();
+      return;
+    }
     const upstream = await this.#selectUpstream();
     // A part may have been convicted, or the shutdown may have begun, while the
     // request waited for its permit.
@@ -334,30 +357,107 @@
   }
 
   async #sendAttempt(upstream: PublishedUpstream): Promise<AttemptResult> {
-    const { metadata } = this.#exchange;
-    const isStream = this.#route.repeatability === Repeatability.Stream;
+    const { headerCodec, crashProbe, path } = this.#context;
+    const { metadata, rawHeaders } = this.#exchange;
     const load = this.#getServiceLoad(upstream.id);
-    this.#totalAttempts += 1;
     this.#lastUpstream = upstream;
-    this.#hasOutput = false;
-    this.#sentAt = performance.now();
-    const earlierEvents = this.#splitter.eventCount;
     load.ownRunning += 1;
-    this.#running = runAttempt(this.#context, {
-      exchange: this.#exchange,
-      upstream,
-      metadata: {
+    const result = await this.#runAttempt({
+      id: upstream.id,
+      address: upstream.address,
+      rawHeaders: headerCodec.encodeAttemptHeaders(rawHeaders, {
         upstreamId: upstream.id,
         remainingMs: Math.max(1, this.#getRemainingMs()),
         adapterVersion: this.#engineSelector.adapterVersion,
         priorityRank: this.#service.engine && this.#route.priorityRank,
         lastEventId: this.#forwardedEventId ?? metadata.lastEventId,
-      },
+      }),
+      decodeHead: ({ statusCode = 0, headers }) =>
+        headerCodec.decodeResponseHead(statusCode, headers, metadata.requestId),
+    }, {
       mayReuseConnection: this.#canRetry(),
+      hasUpstreamCrashed: () => crashProbe.hasCrashed(upstream),
+      handleConnect: () => path.recordReached(this.#service.name),
+      handleHead: (head) => this.#handleHead(upstream, head),
+    });
+    load.ownRunning -= 1;
+    return result;
+  }
+
+  /** Sends the request over a peer, or ends it if there is none to try. */
+  async #tryRelay(): Promise<void> {
+    const { log, metrics } = this.#context;
+    const { metadata } = this.#exchange;
+    const peer = this.#relay.selectPeer(performance.now());
+    if (!peer) {
+      this.#applyVerdict("cutOff", this.#decideUnserved());
+      return;
+    }
+    const result = this.#relay.convertResult(
+      await this.#runAttempt(
+        this.#relay.createTarget(peer, {
+          remainingMs: Math.max(1, this.#getRemainingMs()),
+          lastEventId: this.#forwardedEventId ?? metadata.lastEventId,
+        }),
+        {
+          mayReuseConnection: false,
+          hasUpstreamCrashed: () => Promise.resolve(false),
+          handleConnect: () => {},
+          handleHead: (head) => this.#handleRelayedHead(head),
+        },
+      ),
+    );
+    if (this.#isFinished) return;
+    metrics.count("relays", result.outcome);
+    metrics.measure(
+      "relay",
+      this.#route.repeatability,
+      performance.now() - this.#sentAt,
+    );
+    log.info("requestRelayed", {
+      requestId: metadata.requestId,
+      peer: peer.id,
+      upstream: this.#relay.upstreamId,
+      outcome: result.outcome,
+      status: result.status,
+      elapsedMs: roundMs(performance.now() - this.#sentAt),
+    });
+    if (mayHaveRun(result)) this.#possibleRuns += 1;
+    const verdict: RetryDecision = this.#relay.isRefused
+      ? this.#decideUnserved()
+      : this.#decide(result);
+    this.#applyVerdict(result.detail, verdict, result);
+  }
+
+  /** Records what a relayed response says about its upstream. */
+  #handleRelayedHead(head: ResponseHead): void {
+    const upstream = this.#context.view.getUpstream(
+      this.#relay.upstreamId ?? "",
+    );
+    if (upstream) this.#handleHead(upstream, head);
+  }
+
+  async #runAttempt(
+    target: AttemptTarget,
+    options: Pick<
+      AttemptOptions,
+      | "mayReuseConnection"
+      | "hasUpstreamCrashed"
+      | "handleConnect"
+      | "handleHead"
+    >,
+  ): Promise<AttemptResult> {
+    const isStream = this.#route.repeatability === Repeatability.Stream;
+    this.#totalAttempts += 1;
+    this.#hasOutput = false;
+    this.#sentAt = performance.now();
+    const earlierEvents = this.#splitter.eventCount;
+    this.#running = runAttempt(this.#context, {
+      ...options,
+      exchange: this.#exchange,
+      target,
       responseHeaderTimeoutMs: this.#computeResponseHeaderTimeoutMs(),
       canDispatchAnother: () => this.#canDispatch(),
-      hasUpstreamCrashed: () => this.#context.crashProbe.hasCrashed(upstream),
-      handleHead: (head) => this.#handleHead(upstream, head),
       sink: isStream
         ? {
           start: (head, rawHeaders) => this.#acceptStream(head, rawHeaders),
@@ -372,7 +472,6 @@
     });
     const result = await this.#running.result;
     this.#running = undefined;
-    load.ownRunning -= 1;
     return result;
   }
 
@@ -427,13 +526,34 @@
     if (!this.#head) return;
     const { metrics } = this.#context;
     this.#hasForwarded = true;
-    this.#exchange.startStream(this.#head.status, this.#head.rawHeaders);
+    this.#exchange.startStream(
+      this.#head.status,
+      this.#completeHeaders(this.#head.rawHeaders),
+    );
     this.#firstByteAt = performance.now();
     const elapsedMs = this.#firstByteAt - this.#exchange.arrivedAt;
     metrics.measure("first_byte", this.#route.repeatability, elapsedMs);
     this.#engineSelector.notifyFirstToken();
   }
 
+  /**
+   * Returns the headers of the response, without those that gateways set, and
+   * with the upstream's id for a peer that relayed the request.
+   */
+  #completeHeaders(rawHeaders: readonly string[]): string[] {
+    const headers = stripRelayHeaders(rawHeaders);
+    const { id } = this.#lastUpstream ?? {};
+    if (this.#exchange.isRelayed && id !== undefined) {
+      headers.push(...encodeRelayUpstream(id));
+    }
+    return headers;
+  }
+
+  /** A relayed request has one attempt: the peer decides on any other. */
+  get #maxAttempts(): number {
+    return this.#exchange.isRelayed ? 1 : this.#route.maxAttempts;
+  }
+
   #canRetry(): boolean {
     return isIdempotent(this.#route.repeatability, this.#route.isResumable);
   }
@@ -441,7 +561,7 @@
   #computeResponseHeaderTimeoutMs(): Milliseconds {
     const remainingMs = Math.max(1, this.#getRemainingMs());
     const isLastAttempt = !this.#canRetry() ||
-      this.#possibleRuns + 1 >= this.#route.maxAttempts;
+      this.#possibleRuns + 1 >= this.#maxAttempts;
     if (isLastAttempt) return remainingMs;
     const { latencyObjectiveMs, repeatability } = this.#route;
     return repeatability === Repeatability.Stream
@@ -457,7 +577,7 @@
 
   #decide(result: AttemptResult): RetryDecision {
     const { retryBudget, fleet } = this.#context;
-    const { repeatability, maxAttempts } = this.#route;
+    const { repeatability } = this.#route;
     // A stream without ids could only begin anew.
     const isResumable = this.#route.isResumable &&
       (!this.#hasForwarded || this.#forwardedEventId !== undefined);
@@ -466,7 +586,7 @@
       repeatability,
       isResumable,
       possibleRuns: this.#possibleRuns,
-      maxAttempts,
+      maxAttempts: this.#maxAttempts,
       totalAttempts: this.#totalAttempts,
       remainingMs: this.#canDispatch() ? this.#getRemainingMs() : 0,
       isCrashSuspect: result.isConnectionBroken &&
@@ -593,7 +713,11 @@
     );
     if (result?.response && !this.#hasForwarded) {
       const { status, rawHeaders, body } = result.response;
-      this.#exchange.sendResponse(status, rawHeaders, body);
+      this.#exchange.sendResponse(
+        status,
+        this.#completeHeaders(rawHeaders),
+        body,
+      );
       return;
     }
     if (result?.response) {
@@ -620,16 +744,24 @@
       Status.Unavailable,
       headers,
       `not run: ${reason}`,
+      this.#isHostUnable() ? RelayVerdict.Unable : RelayVerdict.Refused,
     );
   }
 
+  /** Returns whether a reason that concerns this host alone keeps it from serving. */
+  #isHostUnable(): boolean {
+    return this.#relay.isCutOff || !this.#canDispatch() ||
+      this.#shortestBackoffMs !== undefined;
+  }
+
   #computeRetryAfterMs(): Milliseconds {
     if (this.#quarantineMs !== undefined) return this.#quarantineMs;
     if (!this.#canDispatch()) return STOPPING_RETRY_AFTER_MS;
     return computeRetryAfterMs({
       requestId: this.#exchange.metadata.requestId,
-      expectedWaitMs: this.#shortestBackoffMs ??
-        this.#engineSelector.expectedWaitMs,
+      expectedWaitMs: this.#relay.isCutOff
+        ? this.#relay.retryAfterMs
+        : this.#shortestBackoffMs ?? this.#engineSelector.expectedWaitMs,
       remainingMs: this.#getRemainingMs(),
     });
   }
@@ -641,7 +773,12 @@
       return;
     }
     const status = isTimeout ? Status.GatewayTimeout : Status.BadGateway;
-    this.#exchange.sendError(status, [], `may have run: ${reason}`);
+    this.#exchange.sendError(
+      status,
+      [],
+      `may have run: ${reason}`,
+      RelayVerdict.MayHaveRun,
+    );
   }
 
   #handleDeadline(): void {
@@ -681,15 +818,14 @@
   }
 
   #recordResult(upstream: PublishedUpstream, result: AttemptResult): void {
-    const { health, metrics } = this.#context;
+    const { health, metrics, path } = this.#context;
     const now = performance.now();
     metrics.count("attempts", result.outcome);
     if (result.endDetails?.framing === BodyFraming.Close) {
       metrics.count("unframed_responses", result.outcome);
     }
-    const mayHaveRun = result.outcome !== AttemptOutcome.NotRun &&
-      result.outcome !== AttemptOutcome.NotSent;
-    if (mayHaveRun) this.#possibleRuns += 1;
+    if (mayHaveRun(result)) this.#possibleRuns += 1;
+    if (result.isUnreachable) path.recordUnreachable(upstream, now);
     const signal = classifyHealth(result);
     if (signal) {
       health.recordSignal(upstream.id, signal, now);
@@ -758,3 +894,8 @@
       ranked[0];
   }
 }
+
+function mayHaveRun({ outcome }: AttemptResult): boolean {
+  return outcome !== AttemptOutcome.NotRun &&
+    outcome !== AttemptOutcome.NotSent;
+}
--- a/src/gateway/upstream_client.ts
+++ b/src/gateway/upstream_client.ts
@@ -37,6 +37,8 @@
  * and one end.
  */
 export interface AttemptListener {
+  /** Called when a new connection was established for the attempt. */
+  onConnect(): void;
   onHead(head: IncomingMessage): void;
   /**
    * Returns whether to continue reading; after false nothing is read until
@@ -62,8 +64,8 @@
 export type AttemptEnd =
   /** The whole response has arrived. */
   | { kind: "complete" }
-  /** Nothing was sent. */
-  | { kind: "notSent"; detail: string }
+  /** Nothing was sent; `isUnreachable` if no connection could be established. */
+  | { kind: "notSent"; detail: string; isUnreachable: boolean }
   /** The connection broke before or within the response. */
   | { kind: "broken"; detail: string };
 
@@ -155,7 +157,9 @@
 function endUnsent(detail: string, listener: AttemptListener): StartedAttempt {
   let isCancelled = false;
   queueMicrotask(() => {
-    if (!isCancelled) listener.onEnd({ kind: "notSent", detail });
+    if (!isCancelled) {
+      listener.onEnd({ kind: "notSent", detail, isUnreachable: false });
+    }
   });
   return {
     cancel: () => isCancelled = true,
@@ -182,7 +186,11 @@
     listener.onEnd(attemptEnd);
   };
   const fail = (detail: string): void =>
-    end({ kind: hasSent ? "broken" : "notSent", detail });
+    end(
+      hasSent
+        ? { kind: "broken", detail }
+        : { kind: "notSent", detail, isUnreachable: true },
+    );
   const send = (): void => {
     if (hasEnded) return;
     hasSent = true;
@@ -200,6 +208,7 @@
     );
     socket.once("connect", () => {
       clearTimeout(timer);
+      if (!hasEnded) listener.onConnect();
       // The caller may have left while the connection was established.
       setImmediate(send);
     });
--- a/test/gateway/gateway_harness.ts
+++ b/test/gateway/gateway_harness.ts
@@ -19,6 +19,7 @@
 import { ReplicaClient } from "../../platform/replica_client.ts";
 import { StoreClient } from "../../platform/store_client.ts";
 import { Gateway } from "../../src/gateway/gateway.ts";
+import type { ChangeDecoder } from "../../src/gateway/ports.ts";
 import { waitMs } from "../../src/gateway/wait.ts";
 import { gatewaySettingsSchema } from "../../src/settings/gateway_settings.ts";
 import { type PortReservation, reservePorts } from "../port_reservation.ts";
@@ -82,8 +83,10 @@
   retrySlack = 58;
   /** Time that the engines' base model takes to load; the default if undefined. */
   modelLoadS: number | undefined;
+  /** Returns what a gateway reads the store's entries with. */
+  createDecoder: (gateway: number) => ChangeDecoder = () => new EntryDecoder();
   /** Called before the gateways start. */
-  arrange: () => void = () => {};
+  arrange: () => void | Promise<void> = () => {};
   /** Route fields that differ from the defaults, by route name. */
   routeOverrides: Record<string, object> = {};
 
@@ -106,7 +109,7 @@
       this.register(replica);
     }
     this.publish();
-    this.arrange();
+    await this.arrange();
     for (let index = 0; index < sizes.gateways; index += 1) {
       const gateway = this.createGateway(index);
       this.gateways.push(gateway);
@@ -154,7 +157,7 @@
     const settings = gatewaySettingsSchema.parse(this.describeSettings(index));
     return new Gateway(settings, {
       headerCodec: new PlatformHeaderCodec(),
-      decoder: new EntryDecoder(),
+      decoder: this.createDecoder(index),
       createStore: (address, memory) => new StoreClient(address, memory),
       createEngineControl: (memory) => new ReplicaClient(memory),
     });
--- a/test/gateway/upstream_client_test.ts
+++ b/test/gateway/upstream_client_test.ts
@@ -36,6 +36,7 @@
     let hasReturned = false;
     const end = await new Promise<AttemptEnd>((resolve) => {
       client.startAttempt({ ...REQUEST, ...fields }, {
+        onConnect: () => {},
         onHead: () => assert.unreachable("expected no head"),
         onChunk: () => true,
         onEnd: (attemptEnd) => {
@@ -53,6 +54,7 @@
   const attempt = client.startAttempt(
     { ...REQUEST, address: "127.0.0.1:70000" },
     {
+      onConnect: () => {},
       onHead: () => assert.unreachable("expected no head"),
       onChunk: () => true,
       onEnd: () => assert.unreachable("expected no end"),
@@ -74,6 +76,7 @@
   const attempt = client.startAttempt(
     { ...REQUEST, address: `127.0.0.1:${port}` },
     {
+      onConnect: () => {},
       onHead: () => assert.unreachable("expected no head"),
       onChunk: () => true,
       onEnd: () => assert.unreachable("expected no end"),
--- a/test/soak/fault_proxy.ts
+++ b/test/soak/fault_proxy.ts
@@ -23,6 +23,9 @@
   readonly #server: Server = createServer((socket) => this.#accept(socket));
   readonly #pairs = new Set<[Socket, Socket]>();
   #isStopped = false;
+  #port = 0;
+  /** Number of connections accepted. */
+  connectionCount = 0;
   fault: ProxyFault = ProxyFault.None;
 
   constructor(target: string) {
@@ -30,13 +33,19 @@
   }
 
   get address(): string {
-    return `127.0.0.1:${(this.#server.address() as AddressInfo).port}`;
+    return `127.0.0.1:${this.#port}`;
   }
 
   async start(): Promise<void> {
     await new Promise<void>((resolve) =>
-      this.#server.listen(0, "127.0.0.1", resolve)
+      this.#server.listen(this.#port, "127.0.0.1", resolve)
     );
+    this.#port = (this.#server.address() as AddressInfo).port;
+  }
+
+  /** Refuses new connections until the next start; existing ones live on. */
+  refuseConnections(): void {
+    this.#server.close();
   }
 
   /** Resets all connections. */
@@ -54,6 +63,7 @@
 
   #accept(callerSocket: Socket): void {
     if (this.#isStopped) return void callerSocket.destroy();
+    this.connectionCount += 1;
     const separator = this.#target.lastIndexOf(":");
     const targetSocket = connect(
       Number(this.#target.slice(separator + 1)),
