A port that is taken for a moment no longer ends the start

Here: with any port of the settings taken, also for two seconds only, the process ended with exit 1.

Cause: each port was bound once, also that of the metrics, whose number is the same for all gateways at an address and which serves no caller.

--- a/fakes/fake_platform_store.ts
+++ b/fakes/fake_platform_store.ts
@@ -77,12 +77,12 @@
     this.#notifyWatches();
   }
 
-  copy(): StoreCopy {
+  createCopy(): StoreCopy {
     return { revision: this.#revision, items: new Map(this.#items) };
   }
 
   /** Goes back to the copy, under the next era; waiting watches are cut. */
-  restore(copy: StoreCopy): void {
+  returnTo(copy: StoreCopy): void {
     this.#revision = copy.revision;
     this.#items = new Map(copy.items);
     this.era = String(Number(this.era) + 1);
--- a/src/core/view/published_view.ts
+++ b/src/core/view/published_view.ts
@@ -188,7 +188,7 @@
       case "upstream":
         return this.#applyUpstream(change.upstream, origin);
       case "upstreamGone":
-        if (mayHaveLapsed(origin) && this.#isServing(change.id)) {
+        if (canHaveLapsed(origin) && this.#isServing(change.id)) {
           this.#lapsed.set(change.id, now + LAPSE_GRACE_MS);
           return false;
         }
@@ -389,6 +389,6 @@
  * Returns whether an entry that is missing may belong to an upstream that still
  * runs and registers again.
  */
-function mayHaveLapsed({ isAfterOutage, isRestored }: ChangeOrigin): boolean {
+function canHaveLapsed({ isAfterOutage, isRestored }: ChangeOrigin): boolean {
   return isAfterOutage || isRestored;
 }
--- a/src/daemon/http_server.ts
+++ b/src/daemon/http_server.ts
@@ -54,6 +54,7 @@
   const { host, port } = parseSocketAddress(address);
   await new Promise<void>((resolve, reject) => {
     const handleError = (cause: Error): void => {
+      server.off("listening", handleListening);
       reject(
         new StepError(describeError(cause), {
           step: "listen",
@@ -62,11 +63,13 @@
         }),
       );
     };
-    server.once("error", handleError);
-    server.listen(port, host, () => {
+    const handleListening = (): void => {
       server.off("error", handleError);
       resolve();
-    });
+    };
+    server.once("error", handleError);
+    server.once("listening", handleListening);
+    server.listen(port, host);
   });
   return (server.address() as AddressInfo).port;
 }
--- a/src/gateway/caller_task.ts
+++ b/src/gateway/caller_task.ts
@@ -24,6 +24,7 @@
 } from "../core/admission/stop_admission.ts";
 import type { Milliseconds } from "../core/structures.ts";
 import { CallerReadDelay } from "../daemon/caller_read_delay.ts";
+import { listen } from "../daemon/http_server.ts";
 import { abortResponse, ActiveResponses } from "../daemon/response_abort.ts";
 import { describeError } from "../daemon/step_error.ts";
 import { awaitUnreadInput } from "../daemon/unread_input.ts";
@@ -139,13 +140,13 @@
     return this.#inFlight;
   }
 
-  listen(host: string, port: number): Promise<void> {
-    return listen(this.#server, host, port);
+  listen(host: string, port: number): Promise<unknown> {
+    return listen(this.#server, `${host}:${port}`);
   }
 
   /** Listens for requests that peers relay. */
-  listenForRelays(host: string, port: number): Promise<void> {
-    return listen(this.#relayServer, host, port);
+  listenForRelays(host: string, port: number): Promise<unknown> {
+    return listen(this.#relayServer, `${host}:${port}`);
   }
 
   /**
@@ -465,13 +466,6 @@
   }
 }
 
-function listen(server: Server, host: string, port: number): Promise<void> {
-  return new Promise((resolve, reject) => {
-    server.once("error", reject);
-    server.listen(port, host, resolve);
-  });
-}
-
 /**
  * Hashes the parts of a request that stay the same when the caller retries it.
  */
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -27,10 +27,16 @@
 import { CrashProbe } from "./crash_probe.ts";
 import { DecisionLog } from "./decision_log.ts";
 import { EngineTask } from "./engine_task.ts";
+import { listen } from "../daemon/http_server.ts";
 import { EventLoopMonitor } from "../daemon/event_loop_monitor.ts";
 import { GatewayMetrics } from "./gateway_metrics.ts";
 import { PeerTask } from "./peer_task.ts";
 import type { GatewayMessage } from "./peer_messages.ts";
+import {
+  listenOnOptionalPort,
+  listenOnPort,
+  type PortBinding,
+} from "./port_binding.ts";
 import { ProcessUsage } from "./process_usage.ts";
 import type {
   ChangeDecoder,
@@ -233,15 +239,31 @@
   }
 
   async start(): Promise<void> {
-    const { callers, readiness, metrics, failureDomain } = this.#settings;
-    await this.#peers.listen();
-    await this.#viewSynchronizer.start();
+    const { callers, readiness, peers, failureDomain } = this.#settings;
+    const peerIp = parseSocketAddress(peers.listen).host;
+    // First of all: a process before this one may still take part in the fleet.
+    await this.#listenOn(
+      "bind the peers' datagram port",
+      `${peerIp}:${peers.port}`,
+      () => this.#peers.listen(),
+    );
+    await this.#listenOn(
+      "bind the peers' port",
+      peers.listen,
+      () => this.#viewSynchronizer.listen(),
+    );
+    this.#viewSynchronizer.start();
     this.#engines.start();
-    const callerAddress = parseSocketAddress(callers.listen);
-    await this.#callers.listen(callerAddress.host, callerAddress.port);
-    await this.#listenForRelays();
-    await this.#listenForReadiness(readiness.listen);
-    if (metrics) await this.#metrics.listen(callerAddress.host, metrics.port);
+    await this.#listenOn("bind the callers' port", callers.listen, () => {
+      const { host, port } = parseSocketAddress(callers.listen);
+      return this.#callers.listen(host, port);
+    });
+    await this.#listenOn(
+      "bind the readiness port",
+      readiness.listen,
+      () => this.#listenForReadiness(readiness.listen),
+    );
+    this.#listenOnOptionalPorts(peerIp);
     this.#scheduleNextHeartbeats();
     this.#sendHeartbeats();
     this.#log.info("started", {
@@ -318,20 +340,50 @@
     this.#log.flush();
   }
 
-  /** Without the port, this gateway serves its own callers only. */
-  async #listenForRelays(): Promise<void> {
-    const { listen, port } = this.#settings.peers;
-    const { host } = parseSocketAddress(listen);
-    try {
-      await this.#callers.listenForRelays(host, port);
-      this.#acceptsRelays = true;
-    } catch (error) {
-      this.reportError("listen for relayed requests", error);
-    }
+  #listenOn(
+    step: string,
+    address: string,
+    bind: () => Promise<unknown>,
+  ): Promise<void> {
+    return listenOnPort(this.#createBinding(step, address, bind));
   }
 
-  #listenForReadiness(address: string): Promise<void> {
-    const { host, port } = parseSocketAddress(address);
+  /**
+   * Binds the ports without which callers are served: that for relayed requests,
+   * and that of the metrics, whose number is the same for all gateways at an
+   * address.
+   */
+  #listenOnOptionalPorts(peerIp: string): void {
+    const { callers, metrics, peers } = this.#settings;
+    void listenOnOptionalPort(
+      this.#createBinding(
+        "bind the port for relayed requests",
+        `${peerIp}:${peers.port}`,
+        () => this.#callers.listenForRelays(peerIp, peers.port),
+      ),
+      () => this.#acceptsRelays = true,
+    );
+    if (!metrics) return;
+    const { host } = parseSocketAddress(callers.listen);
+    void listenOnOptionalPort(
+      this.#createBinding(
+        "bind the metrics port",
+        `${host}:${metrics.port}`,
+        () => this.#metrics.listen(host, metrics.port),
+      ),
+    );
+  }
+
+  #createBinding(
+    step: string,
+    address: string,
+    bind: () => Promise<unknown>,
+  ): PortBinding {
+    const isStopped = () => this.#isStopping;
+    return { step, address, bind, isStopped, log: this.#log };
+  }
+
+  #listenForReadiness(address: string): Promise<unknown> {
     const server = createServer((request, response) => {
       const isReadyPath = request.url === this.#headerCodec.readyPath;
       const status = !isReadyPath ? 404 : this.#updateReadiness() ? 200 : 503;
@@ -339,10 +391,7 @@
     });
     this.#readinessServer = server;
     server.unref();
-    return new Promise((resolve, reject) => {
-      server.once("error", reject);
-      server.listen(port, host, resolve);
-    });
+    return listen(server, address);
   }
 
   #updateReadiness(): boolean {
--- a/src/gateway/gateway_metrics.ts
+++ b/src/gateway/gateway_metrics.ts
@@ -5,6 +5,7 @@
 import { createServer, type Server } from "node:http";
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
 import type { Milliseconds } from "../core/structures.ts";
+import { listen } from "../daemon/http_server.ts";
 
 /** Upper bounds of the histogram buckets, in milliseconds. */
 const LATENCY_BUCKETS_MS = [
@@ -149,7 +150,7 @@
   }
 
   /** Serves the metrics at `/metrics`. */
-  listen(host: string, port: number): Promise<void> {
+  listen(host: string, port: number): Promise<unknown> {
     const server = createServer((request, response) => {
       if (request.url !== "/metrics") {
         response.writeHead(404).end();
@@ -161,10 +162,7 @@
       });
     });
     this.#server = server;
-    return new Promise((resolve, reject) => {
-      server.once("error", reject);
-      server.listen(port, host, resolve);
-    });
+    return listen(server, `${host}:${port}`);
   }
 
   close(): void {
--- a/src/gateway/peer_task.ts
+++ b/src/gateway/peer_task.ts
@@ -92,14 +92,17 @@
     const { ip, port } = this.#options;
     return new Promise((resolve, reject) => {
       const fail = (error: Error): void => {
+        this.#socket.removeListener("listening", succeed);
         const step = { step: "bind the peer socket", peer: `${ip}:${port}` };
-        reject(new StepError(describeError(error), step));
+        reject(new StepError(describeError(error), { ...step, cause: error }));
       };
-      this.#socket.once("error", fail);
-      this.#socket.bind(port, ip, () => {
+      const succeed = (): void => {
         this.#socket.removeListener("error", fail);
         resolve();
-      });
+      };
+      this.#socket.once("error", fail);
+      this.#socket.once("listening", succeed);
+      this.#socket.bind(port, ip);
     });
   }
 
--- a/src/gateway/request_handler.ts
+++ b/src/gateway/request_handler.ts
@@ -393,7 +393,7 @@
       this.#applyVerdict("cutOff", this.#decideUnserved());
       return;
     }
-    const result = this.#relay.convertResult(
+    const result = this.#relay.toOwnResult(
       await this.#runAttempt(
         this.#relay.createTarget(peer, {
           remainingMs: Math.max(1, this.#getRemainingMs()),
@@ -422,7 +422,7 @@
       status: result.status,
       elapsedMs: roundMs(performance.now() - this.#sentAt),
     });
-    if (mayHaveRun(result)) this.#possibleRuns += 1;
+    if (canHaveRun(result)) this.#possibleRuns += 1;
     const verdict: RetryDecision = this.#relay.isRefused
       ? this.#decideUnserved()
       : this.#decide(result);
@@ -824,7 +824,7 @@
     if (result.endDetails?.framing === BodyFraming.Close) {
       metrics.count("unframed_responses", result.outcome);
     }
-    if (mayHaveRun(result)) this.#possibleRuns += 1;
+    if (canHaveRun(result)) this.#possibleRuns += 1;
     if (result.isUnreachable) path.recordUnreachable(upstream, now);
     const signal = classifyHealth(result);
     if (signal) {
@@ -895,7 +895,7 @@
   }
 }
 
-function mayHaveRun({ outcome }: AttemptResult): boolean {
+function canHaveRun({ outcome }: AttemptResult): boolean {
   return outcome !== AttemptOutcome.NotRun &&
     outcome !== AttemptOutcome.NotSent;
 }
--- a/src/gateway/request_relay.ts
+++ b/src/gateway/request_relay.ts
@@ -96,7 +96,7 @@
   }
 
   /** Returns the result as that of an attempt of this host. */
-  convertResult(result: AttemptResult): AttemptResult {
+  toOwnResult(result: AttemptResult): AttemptResult {
     switch (this.#verdict) {
       case undefined:
         return result;
--- a/src/gateway/upstream_path.ts
+++ b/src/gateway/upstream_path.ts
@@ -75,7 +75,10 @@
       upstreams: upstreamIds.ofService.length,
       cutOff: this.listCutOff(),
     });
-    this.#timer ??= setInterval(() => this.#probeAll(), PROBE_INTERVAL_MS);
+    this.#timer ??= setInterval(
+      () => this.#tryConnections(),
+      PROBE_INTERVAL_MS,
+    );
     handleChange();
   }
 
@@ -84,14 +87,14 @@
     this.#timer = undefined;
   }
 
-  #probeAll(): void {
+  #tryConnections(): void {
     const services = this.listCutOff();
     if (services.length === 0) this.stop();
     this.#probeCount += 1;
-    for (const service of services) void this.#probe(service);
+    for (const service of services) void this.#tryConnection(service);
   }
 
-  async #probe(service: string): Promise<void> {
+  async #tryConnection(service: string): Promise<void> {
     const upstreams = this.#options.view.listServing(service);
     const upstream =
       upstreams[this.#probeCount % Math.max(1, upstreams.length)];
--- a/src/gateway/view_synchronizer.ts
+++ b/src/gateway/view_synchronizer.ts
@@ -27,6 +27,7 @@
   describeStep,
   StepError,
 } from "../daemon/step_error.ts";
+import { listen } from "../daemon/http_server.ts";
 import type { DecisionLog } from "./decision_log.ts";
 import type { GatewayMetrics } from "./gateway_metrics.ts";
 import { HttpRequestError, sendHttpRequest } from "./http_client.ts";
@@ -140,8 +141,7 @@
     for (const set of SETS) this.#sets.set(set, createSetState(id));
   }
 
-  async start(): Promise<void> {
-    await this.#listen();
+  start(): void {
     for (const set of SETS) void this.#watchStore(set);
     this.#timer = setInterval(() => this.#tick(), PEER_COMPARE_INTERVAL_MS);
   }
@@ -238,7 +238,7 @@
     state.watchController = new AbortController();
     if (state.needsSnapshot || state.mirror.asOf === 0) {
       const reading = await store.readAll(set);
-      const batch = this.#resolveEra(set, state, reading);
+      const batch = this.#assignEra(set, state, reading);
       state.needsSnapshot = false;
       this.#recordSuccess(set, state, batch);
       return true;
@@ -254,7 +254,7 @@
     );
     switch (result.kind) {
       case "batch": {
-        const batch = this.#resolveEra(set, state, result.batch);
+        const batch = this.#assignEra(set, state, result.batch);
         // The changes before this one, since the restore, are unknown.
         if (batch.era > state.mirror.era) {
           state.needsSnapshot = true;
@@ -277,7 +277,7 @@
    * Returns the batch with its era: the last known one if the store named none.
    * Throws a StepError if it is an earlier one than a peer has passed on.
    */
-  #resolveEra(
+  #assignEra(
     set: PublishedSet,
     state: SetState,
     reading: StoreReading,
@@ -517,7 +517,8 @@
     }
   }
 
-  #listen(): Promise<void> {
+  /** Binds the port at which peers fetch the view. */
+  listen(): Promise<unknown> {
     const { ip, port } = this.#options.listen;
     const server = createServer((request, response) => {
       const [path, query] = (request.url ?? "").split("?");
@@ -540,10 +541,7 @@
       }));
     });
     this.#server = server;
-    return new Promise((resolve, reject) => {
-      server.once("error", reject);
-      server.listen(port, ip, resolve);
-    });
+    return listen(server, `${ip}:${port}`);
   }
 
   #getState(set: PublishedSet): SetState {
--- a/test/gateway/peer_batch_test.ts
+++ b/test/gateway/peer_batch_test.ts
@@ -76,7 +76,8 @@
     memory: UNLIMITED_MEMORY,
     handleChange: () => {},
   });
-  await synchronizer.start();
+  await synchronizer.listen();
+  synchronizer.start();
   const getStatus = (path: string) =>
     new Promise<number | undefined>((resolve, reject) => {
       request({ host: "127.0.0.1", port: ports.port, path }, (response) => {
--- a/test/gateway/store_restore_test.ts
+++ b/test/gateway/store_restore_test.ts
@@ -52,11 +52,11 @@
 }
 
 test("a configuration that is written after a restore, below the lost revisions, is in force in time", async () => {
-  const copy = harness.store.copy();
+  const copy = harness.store.createCopy();
   harness.publish([createRoute("lost")]);
   writeLostHistory();
   await assertInForce("/lost/1");
-  harness.store.restore(copy);
+  harness.store.returnTo(copy);
   harness.publish([createRoute("lost")], harness.version);
   await waitMs(300);
   harness.publish([createRoute("restored")]);
@@ -66,30 +66,30 @@
 test("an older configuration is not in force because the newer one was lost", async () => {
   harness.publish([createRoute("old")]);
   await assertInForce("/old/1");
-  const copy = harness.store.copy();
+  const copy = harness.store.createCopy();
   harness.publish([createRoute("new")]);
   await assertInForce("/new/1");
-  harness.store.restore(copy);
+  harness.store.returnTo(copy);
   await harness.waitForView();
   assert.equal(await listStatuses("/new/1"), Array(GATEWAYS).fill(200));
   assert.equal(await listStatuses("/old/1"), Array(GATEWAYS).fill(404));
 });
 
 test("a lower version that the operator writes after a restore is in force in time", async () => {
-  const copy = harness.store.copy();
+  const copy = harness.store.createCopy();
   const { version } = harness;
   harness.publish([createRoute("higher")], version + 20);
   await assertInForce("/higher/1");
-  harness.store.restore(copy);
+  harness.store.returnTo(copy);
   harness.publish([createRoute("lower")], version + 1);
   await assertInForce("/lower/1");
 });
 
 test("the version of a lost configuration may be used again for another one", async () => {
-  const copy = harness.store.copy();
+  const copy = harness.store.createCopy();
   harness.publish([createRoute("first")]);
   await assertInForce("/first/1");
-  harness.store.restore(copy);
+  harness.store.returnTo(copy);
   harness.publish([createRoute("second")], harness.version);
   await assertInForce("/second/1");
 });
@@ -104,11 +104,11 @@
     }
   })();
   for (let count = 0; count < 3; count += 1) {
-    const copy = harness.store.copy();
+    const copy = harness.store.createCopy();
     harness.publish([createRoute(`lost-${count}`)]);
     writeLostHistory();
     await waitMs(300);
-    harness.store.restore(copy);
+    harness.store.returnTo(copy);
     await waitMs(100);
   }
   harness.publish([createRoute("last")]);
@@ -123,11 +123,11 @@
   if (!first || !second) throw new Error("expected two services");
   harness.store.remove(`servers/${first.id}`);
   await harness.waitForView();
-  const copy = harness.store.copy();
+  const copy = harness.store.createCopy();
   harness.register(first);
   harness.store.remove(`servers/${second.id}`);
   await harness.waitForView();
-  harness.store.restore(copy);
+  harness.store.returnTo(copy);
   harness.store.remove(`servers/${second.id}`);
   await waitMs(1_000);
   assert.equal(await listStatuses("/safe/1"), Array(GATEWAYS).fill(200));
--- a/test/hanging_port.ts
+++ b/test/hanging_port.ts
@@ -13,10 +13,10 @@
 server.listen({ port: 0, host: "127.0.0.1", backlog: 1 }, () =>
   console.log(server.address().port));
 `;
-/** Connections that fill the queue. */
-const FILLERS = 6;
-/** Time in which the fillers arrive. */
-const FILL_MS = 100;
+/** Connections after which the queue has to be full. */
+const MAX_FILLERS = 10;
+/** Time in which a connection is established, if there is room. */
+const FILL_MS = 250;
 
 export class HangingPort {
   #child: ChildProcess | undefined;
@@ -37,11 +37,24 @@
     );
     this.#port = Number(line.toString());
     child.kill("SIGSTOP");
-    this.#fillers = Array.from({ length: FILLERS }, () => {
-      const socket = connect(this.#port, "127.0.0.1");
-      return socket.on("error", () => {});
-    });
+    while (await this.#isConnected()) {
+      if (this.#fillers.length > MAX_FILLERS) {
+        throw new Error(
+          `expected a full queue after ${MAX_FILLERS} connections`,
+        );
+      }
+    }
+  }
+
+  /** Adds a connection; returns whether it was established. */
+  async #isConnected(): Promise<boolean> {
+    const socket = connect(this.#port, "127.0.0.1");
+    this.#fillers.push(socket);
+    let isConnected = false;
+    socket.once("connect", () => isConnected = true);
+    socket.on("error", () => {});
     await waitMs(FILL_MS);
+    return isConnected;
   }
 
   stop(): void {
