An answer in too many small chunks is cut before it takes the event loop

What callers saw: while a replica sent one-byte chunks without end, requests of other callers on that gateway were late or got 504, also with memory bounded.

Cause: reading a chunk takes over a microsecond whatever its size, and the limit of a megabyte for an event is a million chunks.

Change: an answer that is collected may have 32,768 chunks if these are below 16 bytes on average, which is what buffered answers had before, by their counted overhead. Bodies of callers keep any number.

--- a/src/core/execution/byte_accumulator.ts
+++ b/src/core/execution/byte_accumulator.ts
@@ -14,8 +14,21 @@
   maxBytes: number;
   /** Budget from which the block is reserved. */
   memory: MemoryBudget;
+  /**
+   * Maximum number of chunks, where they are small on average: reading one takes
+   * as long as many bytes of a large one. No limit if undefined.
+   */
+  maxSmallChunks?: number;
 }
 
+/**
+ * Limit for the answers of other processes: about 0.1 s of processor time. An
+ * answer of this many bytes may still arrive byte by byte.
+ */
+export const MAX_SMALL_CHUNKS = 32 * 1024;
+/** Mean size below which chunks count as small, in bytes. */
+const SMALL_CHUNK_BYTES = 16;
+
 const NO_BYTES = Buffer.alloc(0);
 /** Size of the first block, which most incomplete events fit into. */
 const MIN_BLOCK_BYTES = 512;
@@ -26,6 +39,7 @@
   readonly #reservation: MemoryReservation;
   #block: Buffer = NO_BYTES;
   #length = 0;
+  #chunkCount = 0;
 
   constructor(options: ByteAccumulatorOptions) {
     this.#options = options;
@@ -44,11 +58,13 @@
 
   /**
    * Adds a copy of the bytes; returns false, and adds nothing, if they exceed
-   * the maximum or the budget.
+   * the maxima or the budget.
    */
   tryAppend(bytes: Uint8Array): boolean {
     const length = this.#length + bytes.length;
     if (length > this.#options.maxBytes) return false;
+    this.#chunkCount += 1;
+    if (this.#hasTooSmallChunks(length)) return false;
     if (length > this.#block.length && !this.#tryGrow(length)) return false;
     this.#block.set(bytes, this.#length);
     this.#length = length;
@@ -67,6 +83,13 @@
     this.#options.memory.release(this.#reservation);
     this.#block = NO_BYTES;
     this.#length = 0;
+    this.#chunkCount = 0;
+  }
+
+  #hasTooSmallChunks(length: number): boolean {
+    const { maxSmallChunks } = this.#options;
+    return maxSmallChunks !== undefined && this.#chunkCount > maxSmallChunks &&
+      length < this.#chunkCount * SMALL_CHUNK_BYTES;
   }
 
   /** Replaces the block by one for at least that many bytes. */
--- a/src/daemon/platform_task.ts
+++ b/src/daemon/platform_task.ts
@@ -5,6 +5,7 @@
 import { Agent, request } from "undici";
 import * as z from "zod";
 import type { CoreEvent } from "../core/events.ts";
+import { MAX_SMALL_CHUNKS } from "../core/execution/byte_accumulator.ts";
 import type { MemoryBudget } from "../core/limits/memory_budget.ts";
 import { applyCheckedDelta } from "../core/tables/table_schema.ts";
 import type { TableSnapshot } from "../core/tables/table_snapshot.ts";
@@ -279,6 +280,7 @@
     const body = await readBody(response.body, {
       maxBytes: MAX_RESPONSE_BYTES,
       memory: this.#options.memory,
+      maxSmallChunks: MAX_SMALL_CHUNKS,
     });
     return schema.parse(JSON.parse(body.toString()));
   }
--- a/src/daemon/sse_inspector.ts
+++ b/src/daemon/sse_inspector.ts
@@ -5,6 +5,7 @@
  * after the last one.
  */
 import { Buffer } from "node:buffer";
+import { MAX_SMALL_CHUNKS } from "../core/execution/byte_accumulator.ts";
 import { EventSplitter } from "../core/execution/event_splitter.ts";
 import type { MemoryBudget } from "../core/limits/memory_budget.ts";
 
@@ -25,7 +26,11 @@
 
   /** @param memory budget for an incomplete event. */
   constructor(memory: MemoryBudget) {
-    this.#splitter = new EventSplitter({ maxBytes: MAX_EVENT_BYTES, memory });
+    this.#splitter = new EventSplitter({
+      maxBytes: MAX_EVENT_BYTES,
+      memory,
+      maxSmallChunks: MAX_SMALL_CHUNKS,
+    });
   }
 
   /** Model named in the first event; undefined until that event is complete. */
--- a/src/daemon/upstream_orders.ts
+++ b/src/daemon/upstream_orders.ts
@@ -1,5 +1,6 @@
 /** Control requests to an upstream: orders, cancellations and reads of its state. */
 import type { Dispatcher } from "undici";
+import { MAX_SMALL_CHUNKS } from "../core/execution/byte_accumulator.ts";
 import type { MemoryBudget } from "../core/limits/memory_budget.ts";
 import type { Effect } from "../core/effects.ts";
 import type { OrderResult } from "../core/events.ts";
@@ -94,7 +95,11 @@
   response: Dispatcher.ResponseData,
   memory: MemoryBudget,
 ): Promise<string> {
-  const limits = { maxBytes: MAX_RESPONSE_BYTES, memory };
+  const limits = {
+    maxBytes: MAX_RESPONSE_BYTES,
+    memory,
+    maxSmallChunks: MAX_SMALL_CHUNKS,
+  };
   return (await readBody(response.body, limits)).toString();
 }
 
--- a/src/daemon/upstream_task.ts
+++ b/src/daemon/upstream_task.ts
@@ -4,6 +4,7 @@
 import { Agent, buildConnector, type Dispatcher } from "undici";
 import type { DispatchEffect, Effect } from "../core/effects.ts";
 import type { OrderResult } from "../core/events.ts";
+import { MAX_SMALL_CHUNKS } from "../core/execution/byte_accumulator.ts";
 import type { MemoryBudget } from "../core/limits/memory_budget.ts";
 import { BodyFraming } from "../core/execution/body_framing.ts";
 import { isSocketAddress } from "../core/socket_address.ts";
@@ -280,6 +281,7 @@
     const body = await readBody(response.body, {
       maxBytes: maxAnswerBytes,
       memory,
+      maxSmallChunks: MAX_SMALL_CHUNKS,
     });
     if (attempt.effect.upstreamKind === PoolKind.Engine) {
       const model = readBodyModel(body);
--- a/src/gateway/attempt_runner.ts
+++ b/src/gateway/attempt_runner.ts
@@ -10,7 +10,10 @@
   BodyFraming,
   classifyFraming,
 } from "../core/execution/body_framing.ts";
-import { ByteAccumulator } from "../core/execution/byte_accumulator.ts";
+import {
+  ByteAccumulator,
+  MAX_SMALL_CHUNKS,
+} from "../core/execution/byte_accumulator.ts";
 import type { StreamHead } from "../core/execution/stream_continuation.ts";
 import { decideResponseEnd } from "../core/execution/response_end.ts";
 import { AttemptOutcome } from "../core/execution/retry_decision.ts";
@@ -142,6 +145,7 @@
   const body = new ByteAccumulator({
     maxBytes: MAX_RESPONSE_BYTES,
     memory: context.memory,
+    maxSmallChunks: MAX_SMALL_CHUNKS,
   });
   let settle: (result: AttemptResult) => void = () => {};
   const result = new Promise<AttemptResult>((resolve) => settle = resolve);
@@ -248,7 +252,12 @@
         return decision === SinkDecision.Continue;
       }
       const isBuffered = body.tryAppend(chunk);
-      if (!isBuffered) abort(AttemptOutcome.Lost, "the answer is too long");
+      if (!isBuffered) {
+        abort(
+          AttemptOutcome.Lost,
+          "the answer is too long, or its chunks too small",
+        );
+      }
       return isBuffered;
     },
     onEnd: (closing) => {
--- a/src/gateway/http_client.ts
+++ b/src/gateway/http_client.ts
@@ -4,7 +4,10 @@
  */
 import { Agent, type IncomingHttpHeaders, request } from "node:http";
 import type { Buffer } from "node:buffer";
-import { ByteAccumulator } from "../core/execution/byte_accumulator.ts";
+import {
+  ByteAccumulator,
+  MAX_SMALL_CHUNKS,
+} from "../core/execution/byte_accumulator.ts";
 import type { MemoryBudget } from "../core/limits/memory_budget.ts";
 import { parseSocketAddress } from "../core/socket_address.ts";
 import { StepError } from "../daemon/step_error.ts";
@@ -80,6 +83,7 @@
     const body = new ByteAccumulator({
       maxBytes: maxAnswerBytes,
       memory: options.memory,
+      maxSmallChunks: MAX_SMALL_CHUNKS,
     });
     const call = request({
       ...parseSocketAddress(address),
--- a/src/gateway/request_handler.ts
+++ b/src/gateway/request_handler.ts
@@ -5,6 +5,7 @@
  */
 import type { Buffer } from "node:buffer";
 import { BodyFraming } from "../core/execution/body_framing.ts";
+import { MAX_SMALL_CHUNKS } from "../core/execution/byte_accumulator.ts";
 import { computeRetryAfterMs } from "../core/admission/retry_after.ts";
 import {
   canDispatchWhileStopping,
@@ -149,6 +150,7 @@
     this.#splitter = new EventSplitter({
       maxBytes: MAX_EVENT_BYTES,
       memory: context.memory,
+      maxSmallChunks: MAX_SMALL_CHUNKS,
     });
     this.#route = target.route;
     this.#service = target.service;
--- a/test/core/execution/byte_accumulator_test.ts
+++ b/test/core/execution/byte_accumulator_test.ts
@@ -57,6 +57,26 @@
   assert.is(memory.usedBytes, 0);
 });
 
+test("many small chunks are refused, and as many bytes in larger ones are not", () => {
+  const options = {
+    maxBytes: MAX_BYTES,
+    memory: UNLIMITED_MEMORY,
+    maxSmallChunks: 100,
+  };
+  const inBytes = new ByteAccumulator(options);
+  for (let count = 0; count < 100; count += 1) {
+    assert.ok(inBytes.tryAppend(Buffer.from("x")));
+  }
+  assert.not(inBytes.tryAppend(Buffer.from("x")));
+  const inWords = new ByteAccumulator(options);
+  for (let count = 0; count < 1_000; count += 1) {
+    assert.ok(inWords.tryAppend(Buffer.alloc(16)));
+  }
+  assert.ok(inWords.tryAppend(Buffer.from("x")) === false);
+  inWords.take();
+  assert.ok(inWords.tryAppend(Buffer.from("x")));
+});
+
 test("an event without end in chunks of one byte takes no memory beyond its bytes", () => {
   const memory = new MemoryBudget({ exemptBytes: 0, sharedBytes: MAX_BYTES });
   const splitter = new EventSplitter({ maxBytes: MAX_BYTES, memory });
--- a/test/gateway/small_chunks_test.ts
+++ b/test/gateway/small_chunks_test.ts
@@ -18,9 +18,8 @@
  * the smallest hosts.
  */
 const MAX_GROWTH_BYTES = 125 * 1024 * 1024;
-/** Time limit of a caller's request, after which it has an answer. */
+/** Time limit of a caller's request: such an answer is recognized before it. */
 const DEADLINE_MS = 2_500;
-const TOLERANCE_MS = 500;
 
 test.before(() => harness.start({ gateways: 1, engines: 2, services: 2 }));
 test.after(() => harness.stop());
@@ -55,8 +54,9 @@
     clearInterval(sampling);
     for (const replica of replicas) replica.behaviours = [];
     for (const { status, endedAt } of answers) {
-      assert.ok([502, 503, 504].includes(status), `${status}`);
-      assert.ok(endedAt - startedAt < DEADLINE_MS + TOLERANCE_MS);
+      assert.is(status, 502);
+      const elapsedMs = endedAt - startedAt;
+      assert.ok(elapsedMs < DEADLINE_MS, `${elapsedMs} ms`);
     }
     assert.ok(maxGrowth < MAX_GROWTH_BYTES, `${maxGrowth} bytes`);
     await harness.waitFor(async () =>
