Gateways that lose each other divide the retries' slack as before

Cause: the slack of the retry budget was divided by the daemons alive. A gateway that hears nobody took all of it.

Change: it is divided by all daemons heard in the last minute that did not say that they leave.

Beside it: relay_selector_test uses the builder of heartbeats, a name after docs/VERBS.md.

--- a/src/core/fleet/fleet_view.ts
+++ b/src/core/fleet/fleet_view.ts
@@ -203,6 +203,17 @@
     return 1 + this.#getSnapshot(now).aliveCount;
   }
 
+  /**
+   * Returns the number of daemons that share a fleet-wide limit, including this
+   * one: also those that are silent, as they may live on out of earshot.
+   */
+  countSharing(now: Milliseconds): number {
+    const sharing = this.#listRemembered(now).filter((each) =>
+      !each.heartbeat?.isLeaving || this.#isAlive(each, now)
+    );
+    return 1 + sharing.length;
+  }
+
   /**
    * Returns the number of alive daemons in a failure domain that are not
    * leaving; at least 1.
--- a/src/core/limits/fleet_retry_budget.ts
+++ b/src/core/limits/fleet_retry_budget.ts
@@ -40,16 +40,17 @@
 
   /**
    * Takes one retry from the service's budget; returns false if none is left.
+   * @param daemons number of daemons that share the slack.
    */
   trySpend(
     service: string,
-    aliveDaemons: number,
+    daemons: number,
     now: Milliseconds,
   ): boolean {
     const window = this.#getWindow(service, now);
     const { ratio, slack } = this.#options;
     const allowed = USED_FRACTION *
-      (ratio * window.arrivals.length + slack / Math.max(1, aliveDaemons));
+      (ratio * window.arrivals.length + slack / Math.max(1, daemons));
     if (window.retries.length + 1 > Math.max(1, allowed)) return false;
     window.retries.push(now);
     return true;
--- a/src/gateway/peer_task.ts
+++ b/src/gateway/peer_task.ts
@@ -92,16 +92,16 @@
     const { ip, port } = this.#options;
     return new Promise((resolve, reject) => {
       const fail = (error: Error): void => {
-        this.#socket.removeListener("listening", succeed);
+        this.#socket.removeListener("listening", handleListening);
         const step = { step: "bind the peer socket", peer: `${ip}:${port}` };
         reject(new StepError(describeError(error), { ...step, cause: error }));
       };
-      const succeed = (): void => {
+      const handleListening = (): void => {
         this.#socket.removeListener("error", fail);
         resolve();
       };
       this.#socket.once("error", fail);
-      this.#socket.once("listening", succeed);
+      this.#socket.once("listening", handleListening);
       this.#socket.bind(port, ip);
     });
   }
--- a/src/gateway/request_handler.ts
+++ b/src/gateway/request_handler.ts
@@ -595,8 +595,8 @@
         this.#crashGuard.isSuspect(performance.now()),
     }, () => {
       const now = performance.now();
-      const aliveDaemons = fleet.countAlive(now);
-      return retryBudget.trySpend(this.#service.name, aliveDaemons, now);
+      const daemons = fleet.countSharing(now);
+      return retryBudget.trySpend(this.#service.name, daemons, now);
     });
   }
 
--- a/test/core/limits/fleet_retry_budget_test.ts
+++ b/test/core/limits/fleet_retry_budget_test.ts
@@ -1,6 +1,8 @@
 /** Retries stay within each daemon's part of the fleet-wide budget. */
 import { test } from "uvu";
 import * as assert from "uvu/assert";
+import { FleetView } from "../../../src/core/fleet/fleet_view.ts";
+import { buildHeartbeat } from "../fleet/heartbeat_builder.ts";
 import { FleetRetryBudget } from "../../../src/core/limits/fleet_retry_budget.ts";
 
 const OPTIONS = { ratio: 0.2, windowMs: 10_000, slack: 58 };
@@ -29,6 +31,23 @@
   assert.ok(retries > 0 && retries <= limit, `${retries} of ${limit}`);
 });
 
+test("nine daemons that can't hear each other any more stay within the fleet-wide budget", () => {
+  const ids = Array.from({ length: 9 }, (_, index) => `host-${index}`);
+  const silentAt = 10_000;
+  let retries = 0;
+  for (const id of ids) {
+    const fleet = new FleetView({ id, ip: id, failureDomain: "a" });
+    for (const peer of ids.filter((each) => each !== id)) {
+      const member = { id: peer, ip: peer, failureDomain: "a" };
+      fleet.recordHeartbeat(buildHeartbeat(member), 0);
+    }
+    assert.is(fleet.countAlive(silentAt), 1);
+    const daemons = fleet.countSharing(silentAt);
+    retries += spendAll(new FleetRetryBudget(OPTIONS), daemons, silentAt);
+  }
+  assert.ok(retries > 0 && retries <= OPTIONS.slack, `${retries}`);
+});
+
 test("each service has its own budget, which is renewed when the window has passed", () => {
   const budget = new FleetRetryBudget(OPTIONS);
   const first = spendAll(budget, 9, 0);
--- a/test/core/placement/relay_selector_test.ts
+++ b/test/core/placement/relay_selector_test.ts
@@ -3,23 +3,12 @@
 import * as assert from "uvu/assert";
 import { canAdmitRelay } from "../../../src/core/admission/relay_admission.ts";
 import type { Heartbeat } from "../../../src/core/fleet/heartbeat.ts";
+import { buildHeartbeat } from "../fleet/heartbeat_builder.ts";
 import { selectRelay } from "../../../src/core/placement/relay_selector.ts";
 
 function createHeartbeat(id: string, part: Partial<Heartbeat> = {}): Heartbeat {
-  return {
-    sender: { id, ip: "127.0.0.1", failureDomain: id[0] ?? "" },
-    incarnation: "1",
-    beat: 1,
-    isLeaving: false,
-    hasStore: true,
-    revisions: { configuration: 1, upstreams: 1 },
-    heldEngines: [],
-    fetchesInFlight: 0,
-    acceptsRelays: true,
-    sample: [],
-    strikes: [],
-    ...part,
-  };
+  const sender = { id, ip: "127.0.0.1", failureDomain: id[0] ?? "" };
+  return buildHeartbeat(sender, { acceptsRelays: true, ...part });
 }
 
 function select(
