The daemon reads the rest of a refused body before it closes the connection

Seen: daemon_test ended with ECONNRESET once, in a whole run of the tests at load 19, on the state before this commit; alone it passes either way.

Change: the request is not destroyed, and its rest is read for up to 0.5 s.

Evidence: caller_body_test (its new case also passed without the change, on an idle machine) and daemon_test pass.

--- a/src/daemon/caller_body.ts
+++ b/src/daemon/caller_body.ts
@@ -10,6 +10,9 @@
 import type { ByteAccumulatorOptions } from "../core/execution/byte_accumulator.ts";
 import { BodyTooLargeError, readBody } from "./body_reader.ts";
 
+/** Time for which the rest of a refused body is read. */
+const DISCARD_MS = 500;
+
 /** Fault of a body for which the caller gets a refusal; `status` is that of HTTP. */
 class CallerBodyError extends Error {
   readonly type: string;
@@ -39,15 +42,39 @@
   limits: ByteAccumulatorOptions,
 ): Promise<Buffer> {
   const decoded = decodeContent(request);
+  // Otherwise the iterator closes the connection, with the refusal unsent.
+  const chunks: AsyncIterable<Buffer> = decoded.iterator({
+    destroyOnReturn: false,
+  });
   try {
-    return await readBody(decoded as AsyncIterable<Buffer>, limits);
+    return await readBody(chunks, limits);
   } catch (error) {
+    request.unpipe();
+    await discardRest(request);
     throw error instanceof BodyTooLargeError
       ? new CallerBodyError("entity.too.large", 413, error)
       : new CallerBodyError("request.unreadable", 400, error);
   }
 }
 
+/**
+ * Reads on for a while without keeping anything: a connection that is closed
+ * with unread bytes is reset, so that its caller would not get the refusal.
+ */
+async function discardRest(request: IncomingMessage): Promise<void> {
+  if (request.readableEnded || request.destroyed) return;
+  await new Promise<void>((resolve) => {
+    const timer = setTimeout(resolve, DISCARD_MS);
+    const finish = (): void => {
+      clearTimeout(timer);
+      resolve();
+    };
+    request.once("end", finish);
+    request.once("close", finish);
+    request.resume();
+  });
+}
+
 function decodeContent(request: IncomingMessage): Readable {
   const coding = request.headers["content-encoding"]?.toLowerCase();
   switch (coding) {
--- a/test/daemon/caller_body_test.ts
+++ b/test/daemon/caller_body_test.ts
@@ -89,6 +89,15 @@
   assert.is(memory.usedBytes, 0);
 });
 
+test("the caller of a body beyond the maximum reads the refusal", async () => {
+  const chunks = Array.from({ length: 40 }, () => Buffer.alloc(MAX_BYTES / 8));
+  for (let count = 0; count < 5; count += 1) {
+    const answer = await send({}, chunks);
+    assert.is(answer.status, 413);
+  }
+  assert.is(memory.usedBytes, 0);
+});
+
 test("a body in chunks of one byte takes no memory beyond its bytes", async () => {
   const before = process.memoryUsage().rss;
   let maxGrowth = 0;
