--- a/src/daemon/caller_body.ts
+++ b/src/daemon/caller_body.ts
@@ -11,7 +11,7 @@
 import { BodyTooLargeError, readBody } from "./body_reader.ts";
 
 /** Time for which the rest of a refused body is read. */
-const DISCARD_MS = 500;
+const DROP_MS = 500;
 
 /** Fault of a body for which the caller gets a refusal; `status` is that of HTTP. */
 class CallerBodyError extends Error {
@@ -50,7 +50,7 @@
     return await readBody(chunks, limits);
   } catch (error) {
     request.unpipe();
-    await discardRest(request);
+    await dropRest(request);
     throw error instanceof BodyTooLargeError
       ? new CallerBodyError("entity.too.large", 413, error)
       : new CallerBodyError("request.unreadable", 400, error);
@@ -61,10 +61,10 @@
  * Reads on for a while without keeping anything: a connection that is closed
  * with unread bytes is reset, so that its caller would not get the refusal.
  */
-async function discardRest(request: IncomingMessage): Promise<void> {
+async function dropRest(request: IncomingMessage): Promise<void> {
   if (request.readableEnded || request.destroyed) return;
   await new Promise<void>((resolve) => {
-    const timer = setTimeout(resolve, DISCARD_MS);
+    const timer = setTimeout(resolve, DROP_MS);
     const finish = (): void => {
       clearTimeout(timer);
       resolve();
