--- a/src/core/placement/service_reachability.ts
+++ b/src/core/placement/service_reachability.ts
@@ -47,13 +47,14 @@
 }
 
 export class ServiceReachability {
-  #host = new PathState();
+  /** Undefined while no connection has failed since the last one that did not. */
+  #host: PathState | undefined;
   readonly #services = new Map<string, PathState>();
 
   /** Records a new connection; returns whether it ended a cut. */
   recordReached(service: string): boolean {
     const wasCutOff = this.isCutOff(service);
-    this.#host = new PathState();
+    this.#host = undefined;
     this.#services.delete(service);
     return wasCutOff;
   }
@@ -72,6 +73,7 @@
     const state = this.#services.get(service) ?? new PathState();
     this.#services.set(service, state);
     state.recordUnreachable(upstreamId, upstreamIds.ofService, now);
+    this.#host ??= new PathState();
     this.#host.recordUnreachable(upstreamId, upstreamIds.ofAllServices, now);
     return !wasCutOff && this.isCutOff(service);
   }
@@ -82,6 +84,6 @@
 
   /** Returns when the service was found cut off; undefined if it isn't. */
   getCutOffSince(service: string): Milliseconds | undefined {
-    return this.#services.get(service)?.cutOffSince ?? this.#host.cutOffSince;
+    return this.#services.get(service)?.cutOffSince ?? this.#host?.cutOffSince;
   }
 }
--- a/src/gateway/caller_task.ts
+++ b/src/gateway/caller_task.ts
@@ -1,9 +1,9 @@
 /**
  * Owns the HTTP server for callers: reads each request completely, finds its
  * route and hands it to a RequestHandler. A second server accepts requests that
- * peers relay, within a limit; these are not relayed again. During a stop, responses announce the
- * close of their connections, idle connections are closed, and requests that
- * were accepted are finished.
+ * peers relay, within a limit; these are not relayed again. During a stop,
+ * responses announce the close of their connections, idle connections are
+ * closed, and requests that were accepted are finished.
  */
 import { createHash } from "node:crypto";
 import { Buffer } from "node:buffer";
@@ -55,8 +55,8 @@
  */
 const UNREAD_BODY_LINGER_MS = 500;
 /**
- * Retry-After for requests whose body found no memory: as long as most
- * requests, whose bodies are dropped when they end, take.
+ * Retry-After for requests whose body found no memory: most requests take less,
+ * and their bodies are dropped at their end.
  */
 const NO_MEMORY_RETRY_AFTER_MS = 1_000;
 /** Retry-After for requests that arrive before a configuration is known. */
