A failure domain that is lost is no cut from its services

Cause: two upstreams without a connection stood for all, also two of one failure domain.

Change: each failure domain of the upstreams has to have one.

--- a/src/core/placement/service_reachability.ts
+++ b/src/core/placement/service_reachability.ts
@@ -1,7 +1,7 @@
 /**
  * Tells whether this host is cut off from all upstreams, or from those of one
  * service, while its callers and peers still reach it. Every attempt would cost
- * a connect timeout, so a few failed connections to different upstreams stand
+ * a connect timeout, so failed connections to some upstreams, in each failure domain, stand
  * for all of them. Answers on connections that already exist don't count: these
  * may live on while new ones are refused. The first new connection ends the
  * state.
@@ -16,6 +16,10 @@
 /** Age up to which a failed connection counts towards the beginning of a cut. */
 const EVIDENCE_LIFETIME_MS = 3_000;
 
+function countDomains(upstreams: readonly PathUpstream[]): number {
+  return new Set(upstreams.map(({ failureDomain }) => failureDomain)).size;
+}
+
 /** Evidence on a set of upstreams, none of which was reached since its first part. */
 class PathState {
   readonly #failedAt = new Map<string, Milliseconds>();
@@ -27,23 +31,31 @@
 
   recordUnreachable(
     upstreamId: string,
-    upstreamIds: readonly string[],
+    upstreams: readonly PathUpstream[],
     now: Milliseconds,
   ): void {
     this.#failedAt.set(upstreamId, now);
-    const unreachable = upstreamIds.filter((id) => {
+    const unreachable = upstreams.filter(({ id }) => {
       const failedAt = this.#failedAt.get(id);
       return failedAt !== undefined && now - failedAt <= EVIDENCE_LIFETIME_MS;
     });
-    const needed = Math.min(MIN_UNREACHABLE, upstreamIds.length);
-    if (needed > 0 && unreachable.length >= needed) this.#cutOffSince ??= now;
+    const needed = Math.min(MIN_UNREACHABLE, upstreams.length);
+    const isCutOff = needed > 0 && unreachable.length >= needed &&
+      countDomains(unreachable) === countDomains(upstreams);
+    if (isCutOff) this.#cutOffSince ??= now;
   }
 }
 
+/** An upstream that accepts requests. */
+export interface PathUpstream {
+  id: string;
+  failureDomain: string;
+}
+
 /** The upstreams that a failed connection may stand for. */
-export interface UpstreamIds {
-  ofService: readonly string[];
-  ofAllServices: readonly string[];
+export interface PathUpstreams {
+  ofService: readonly PathUpstream[];
+  ofAllServices: readonly PathUpstream[];
 }
 
 export class ServiceReachability {
@@ -66,15 +78,15 @@
   recordUnreachable(
     service: string,
     upstreamId: string,
-    upstreamIds: UpstreamIds,
+    upstreams: PathUpstreams,
     now: Milliseconds,
   ): boolean {
     const wasCutOff = this.isCutOff(service);
     const state = this.#services.get(service) ?? new PathState();
     this.#services.set(service, state);
-    state.recordUnreachable(upstreamId, upstreamIds.ofService, now);
+    state.recordUnreachable(upstreamId, upstreams.ofService, now);
     this.#host ??= new PathState();
-    this.#host.recordUnreachable(upstreamId, upstreamIds.ofAllServices, now);
+    this.#host.recordUnreachable(upstreamId, upstreams.ofAllServices, now);
     return !wasCutOff && this.isCutOff(service);
   }
 
--- a/src/gateway/upstream_path.ts
+++ b/src/gateway/upstream_path.ts
@@ -60,19 +60,18 @@
   recordUnreachable(upstream: PublishedUpstream, now: Milliseconds): void {
     const { view, log, handleChange } = this.#options;
     const { id, service } = upstream;
-    const upstreamIds = {
-      ofService: view.listServing(service).map((each) => each.id),
+    const upstreams = {
+      ofService: view.listServing(service),
       ofAllServices: (view.configuration?.services ?? [])
-        .flatMap(({ name }) => view.listServing(name))
-        .map((each) => each.id),
+        .flatMap(({ name }) => view.listServing(name)),
     };
     const isNewlyCutOff = this.#reachability
-      .recordUnreachable(service, id, upstreamIds, now);
+      .recordUnreachable(service, id, upstreams, now);
     if (!isNewlyCutOff) return;
     log.warn("serviceCutOff", {
       service,
       upstream: id,
-      upstreams: upstreamIds.ofService.length,
+      upstreams: upstreams.ofService.length,
       cutOff: this.listCutOff(),
     });
     this.#timer ??= setInterval(
--- a/test/core/placement/service_reachability_test.ts
+++ b/test/core/placement/service_reachability_test.ts
@@ -5,8 +5,18 @@
 
 const DESK = ["a", "b", "c", "d"];
 const OTHER = ["x", "y"];
-const DESK_IDS = { ofService: DESK, ofAllServices: [...DESK, ...OTHER] };
-const OTHER_IDS = { ofService: OTHER, ofAllServices: [...DESK, ...OTHER] };
+const DESK_IDS = {
+  ofService: listUpstreams(DESK),
+  ofAllServices: listUpstreams([...DESK, ...OTHER]),
+};
+const OTHER_IDS = {
+  ...DESK_IDS,
+  ofService: listUpstreams(OTHER),
+};
+
+function listUpstreams(ids: string[], failureDomain = "a") {
+  return ids.map((id) => ({ id, failureDomain }));
+}
 
 test("two upstreams without a connection, none reached in between, stand for all", () => {
   const reachability = new ServiceReachability();
@@ -41,7 +51,10 @@
   for (let now = 0; now < 3_000; now += 100) {
     assert.not(reachability.recordUnreachable("desk", "a", DESK_IDS, now));
   }
-  const single = { ofService: ["a"], ofAllServices: ["a", "x"] };
+  const single = {
+    ofService: listUpstreams(["a"]),
+    ofAllServices: listUpstreams(["a", "x"]),
+  };
   assert.ok(reachability.recordUnreachable("single", "a", single, 0));
 });
 
@@ -59,10 +72,25 @@
   const reachability = new ServiceReachability();
   reachability.recordUnreachable("desk", "a", DESK_IDS, 0);
   assert.not(reachability.recordUnreachable("desk", "b", DESK_IDS, 3_001));
-  const left = { ofService: ["c", "d"], ofAllServices: ["c", "d"] };
+  const left = {
+    ofService: listUpstreams(["c", "d"]),
+    ofAllServices: listUpstreams(["c", "d"]),
+  };
   assert.not(reachability.recordUnreachable("desk", "c", left, 3_100));
 });
 
+test("a failure domain that is cut off by itself is no cut from the service", () => {
+  const reachability = new ServiceReachability();
+  const upstreams = [
+    ...listUpstreams(["a", "b"], "near"),
+    ...listUpstreams(["c", "d"], "far"),
+  ];
+  const ids = { ofService: upstreams, ofAllServices: upstreams };
+  assert.not(reachability.recordUnreachable("desk", "c", ids, 0));
+  assert.not(reachability.recordUnreachable("desk", "d", ids, 100));
+  assert.ok(reachability.recordUnreachable("desk", "a", ids, 200));
+});
+
 test("the first connection ends the cut, and a new one needs new evidence", () => {
   const reachability = new ServiceReachability();
   reachability.recordUnreachable("desk", "a", DESK_IDS, 0);
