--- a/src/core/placement/service_reachability.ts
+++ b/src/core/placement/service_reachability.ts
@@ -1,10 +1,10 @@
 /**
  * Tells whether this host is cut off from all upstreams, or from those of one
  * service, while its callers and peers still reach it. Every attempt would cost
- * a connect timeout, so failed connections to some upstreams, in each failure domain, stand
- * for all of them. Answers on connections that already exist don't count: these
- * may live on while new ones are refused. The first new connection ends the
- * state.
+ * a connect timeout, so failed connections to some upstreams stand for all of
+ * them, if there is one in each failure domain: a single domain may be lost.
+ * Answers on connections that already exist don't count, as these may live on
+ * while new ones are refused. The first new connection ends the state.
  */
 import type { Milliseconds } from "../structures.ts";
 
