Read-through: one way to strip headers, addresses passed on as they are

Two loops that left headers out of raw headers, one of them added by the relays, are one (raw_headers.ts). The callers', relay and metrics ports take the address that their listener needs, in place of parts that were joined again. Each tick asks first whether an engine is owned here.

No change of behaviour.

--- a/src/gateway/caller_exchange.ts
+++ b/src/gateway/caller_exchange.ts
@@ -5,6 +5,7 @@
 import { writeChunk } from "../daemon/chunk_writer.ts";
 import { abortResponse } from "../daemon/response_abort.ts";
 import type { RequestMetadata } from "./ports.ts";
+import { stripRawHeaders } from "./raw_headers.ts";
 import { encodeRelayVerdict, type RelayVerdict } from "./relay_headers.ts";
 
 /**
@@ -12,6 +13,7 @@
  * from the upstream pauses: some thousand events.
  */
 const WRITE_BUFFER_LIMIT_BYTES = 256 * 1024;
+const LENGTH_HEADERS: ReadonlySet<string> = new Set(["content-length"]);
 
 export interface CallerExchangeOptions {
   request: IncomingMessage;
@@ -203,11 +205,5 @@
  * chunked transfer coding.
  */
 function stripContentLength(rawHeaders: readonly string[]): string[] {
-  const kept: string[] = [];
-  for (let index = 0; index + 1 < rawHeaders.length; index += 2) {
-    const name = rawHeaders[index] ?? "";
-    if (name.toLowerCase() === "content-length") continue;
-    kept.push(name, rawHeaders[index + 1] ?? "");
-  }
-  return kept;
+  return stripRawHeaders(rawHeaders, LENGTH_HEADERS);
 }
--- a/src/gateway/caller_task.ts
+++ b/src/gateway/caller_task.ts
@@ -140,13 +140,14 @@
     return this.#inFlight;
   }
 
-  listen(host: string, port: number): Promise<unknown> {
-    return listen(this.#server, `${host}:${port}`);
+  /** @param address `IP:port`. */
+  listen(address: string): Promise<unknown> {
+    return listen(this.#server, address);
   }
 
   /** Listens for requests that peers relay. */
-  listenForRelays(host: string, port: number): Promise<unknown> {
-    return listen(this.#relayServer, `${host}:${port}`);
+  listenForRelays(address: string): Promise<unknown> {
+    return listen(this.#relayServer, address);
   }
 
   /**
--- a/src/gateway/engine_task.ts
+++ b/src/gateway/engine_task.ts
@@ -279,8 +279,9 @@
   #releaseCutOffEngines(now: Milliseconds): void {
     const { view, path } = this.#options;
     for (const owner of this.#owners.values()) {
+      if (!owner.isOwner()) continue;
       const engine = view.getUpstream(owner.engineId);
-      if (!engine || !owner.isOwner()) continue;
+      if (!engine) continue;
       const cutOffMs = path.getCutOffMs(engine.service, now);
       if (cutOffMs === undefined || cutOffMs < CUT_OFF_RELEASE_MS) continue;
       if (owner.hasPendingOrder && cutOffMs < CUT_OFF_MAX_RELEASE_MS) continue;
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -254,10 +254,11 @@
     );
     this.#viewSynchronizer.start();
     this.#engines.start();
-    await this.#listenOn("bind the callers' port", callers.listen, () => {
-      const { host, port } = parseSocketAddress(callers.listen);
-      return this.#callers.listen(host, port);
-    });
+    await this.#listenOn(
+      "bind the callers' port",
+      callers.listen,
+      () => this.#callers.listen(callers.listen),
+    );
     await this.#listenOn(
       "bind the readiness port",
       readiness.listen,
@@ -355,21 +356,23 @@
    */
   #listenOnOptionalPorts(peerIp: string): void {
     const { callers, metrics, peers } = this.#settings;
+    const relayAddress = `${peerIp}:${peers.port}`;
     void listenOnOptionalPort(
       this.#createBinding(
         "bind the port for relayed requests",
-        `${peerIp}:${peers.port}`,
-        () => this.#callers.listenForRelays(peerIp, peers.port),
+        relayAddress,
+        () => this.#callers.listenForRelays(relayAddress),
       ),
       () => this.#acceptsRelays = true,
     );
     if (!metrics) return;
     const { host } = parseSocketAddress(callers.listen);
+    const metricsAddress = `${host}:${metrics.port}`;
     void listenOnOptionalPort(
       this.#createBinding(
         "bind the metrics port",
-        `${host}:${metrics.port}`,
-        () => this.#metrics.listen(host, metrics.port),
+        metricsAddress,
+        () => this.#metrics.listen(metricsAddress),
       ),
     );
   }
--- a/src/gateway/gateway_metrics.ts
+++ b/src/gateway/gateway_metrics.ts
@@ -150,7 +150,7 @@
   }
 
   /** Serves the metrics at `/metrics`. */
-  listen(host: string, port: number): Promise<unknown> {
+  listen(address: string): Promise<unknown> {
     const server = createServer((request, response) => {
       if (request.url !== "/metrics") {
         response.writeHead(404).end();
@@ -162,7 +162,7 @@
       });
     });
     this.#server = server;
-    return listen(server, `${host}:${port}`);
+    return listen(server, address);
   }
 
   close(): void {
--- a/src/gateway/relay_headers.ts
+++ b/src/gateway/relay_headers.ts
@@ -3,6 +3,7 @@
  * became of the request. They are set by gateways only, and reach no caller.
  */
 import type { IncomingHttpHeaders } from "node:http";
+import { stripRawHeaders } from "./raw_headers.ts";
 
 /** What an answer of the gateway itself says about a relayed request. */
 export const RelayVerdict = {
@@ -17,6 +18,10 @@
 const VERDICT_HEADER = "x-relay-verdict";
 /** Id of the upstream that answered. */
 const UPSTREAM_HEADER = "x-relay-upstream";
+const RELAY_HEADERS: ReadonlySet<string> = new Set([
+  VERDICT_HEADER,
+  UPSTREAM_HEADER,
+]);
 
 export function encodeRelayVerdict(verdict: RelayVerdict): string[] {
   return [VERDICT_HEADER, verdict];
@@ -41,12 +46,5 @@
 }
 
 export function stripRelayHeaders(rawHeaders: readonly string[]): string[] {
-  const kept: string[] = [];
-  for (let index = 0; index + 1 < rawHeaders.length; index += 2) {
-    const name = rawHeaders[index] ?? "";
-    const lowerName = name.toLowerCase();
-    if (lowerName === VERDICT_HEADER || lowerName === UPSTREAM_HEADER) continue;
-    kept.push(name, rawHeaders[index + 1] ?? "");
-  }
-  return kept;
+  return stripRawHeaders(rawHeaders, RELAY_HEADERS);
 }
--- a/test/cli/gateway_status_test.ts
+++ b/test/cli/gateway_status_test.ts
@@ -20,7 +20,7 @@
   metrics.setGauge("held_engines", 2);
   metrics.count("refusals", "noPlace");
   metrics.measure("first_byte", "stream", 30);
-  await metrics.listen("127.0.0.1", PORT);
+  await metrics.listen(`127.0.0.1:${PORT}`);
   const response = await fetch(`http://127.0.0.1:${PORT}/metrics`);
   const samples = parseMetricSamples(await response.text());
   const exitCode = await printGatewayStatus(`127.0.0.1:${PORT}`, true);
