--- a/fakes/fake_platform_replica.ts
+++ b/fakes/fake_platform_replica.ts
@@ -78,6 +78,14 @@
   at: number;
 }
 
+/** How a request crashes the replica that runs it. */
+export interface CrashingRun {
+  /** Number of whole events of a stream that are sent before the crash. */
+  events: number;
+  /** Time from the beginning of the run to the crash. */
+  delayMs: number;
+}
+
 /** Number of events in a stream; each event has its number as id. */
 export const STREAM_EVENT_COUNT = 4;
 const LOAD_TIME_MS = 30;
@@ -125,6 +133,11 @@
   /** Time from a crash until the replica is back, empty, at its address. */
   downMs = 400;
   crashCount = 0;
+  /** Returns how a request crashes the replica; undefined for a sound one. */
+  findCrash: (request: ReceivedRequest) => CrashingRun | undefined = () =>
+    undefined;
+  /** Called when a request that `findCrash` selected crashes the replica. */
+  onCrash: (request: ReceivedRequest) => void = () => {};
   /** Called when the replica is back after a crash. */
   onRestart: () => void = () => {};
   #isStopped = false;
@@ -226,6 +239,25 @@
     }, this.downMs);
   }
 
+  /** Crashes during the run, whether or not its caller still waits. */
+  #runUntilCrash(
+    request: ReceivedRequest,
+    { events, delayMs }: CrashingRun,
+    identity: Record<string, string>,
+    response: ServerResponse,
+  ): void {
+    if (events > 0) response.writeHead(200, identity);
+    for (let event = 1; event <= events; event += 1) {
+      response.write(`id: ${event}\ndata: token ${event}\n\n`);
+    }
+    const { born } = this;
+    setTimeout(() => {
+      if (this.isDown || this.born !== born) return;
+      this.onCrash(request);
+      this.crash();
+    }, delayMs);
+  }
+
   #describeModels(): object[] {
     const adapters = [...this.adapters]
       .filter(([, { readyAt }]) => readyAt <= Date.now())
@@ -341,6 +373,11 @@
       );
       return;
     }
+    const crashing = this.findCrash(seen);
+    if (crashing) {
+      this.#runUntilCrash(seen, crashing, identity, response);
+      return;
+    }
     if (this.#hasDeadlyPart(headers)) {
       const begin = setTimeout(() => {
         response.writeHead(200, identity).flushHeaders();
--- a/test/gateway/gateway_process.ts
+++ b/test/gateway/gateway_process.ts
@@ -15,17 +15,23 @@
     this.#folder = folder;
   }
 
-  /** Starts the harness's first gateway; resolves when it is ready. */
-  static async start(harness: GatewayHarness): Promise<GatewayProcess> {
+  /** Starts one of the harness's gateways; resolves when it is ready. */
+  static async start(
+    harness: GatewayHarness,
+    index = 0,
+  ): Promise<GatewayProcess> {
     const folder = mkdtempSync(join(tmpdir(), "gateway-process-"));
     const settingsPath = join(folder, "settings.yaml");
-    writeFileSync(settingsPath, JSON.stringify(harness.describeSettings(0)));
+    writeFileSync(
+      settingsPath,
+      JSON.stringify(harness.describeSettings(index)),
+    );
     const child = spawn(
       process.execPath,
       ["--import", "tsx", "platform/main.ts", settingsPath],
       { stdio: "inherit" },
     );
-    await harness.waitFor(() => harness.isReady(0));
+    await harness.waitFor(() => harness.isReady(index));
     return new GatewayProcess(child, folder);
   }
 
