A request is recognised by what upstreams run, not by every header

Cause: the fingerprint held every header that was not on a list of those that change, so that each try was a new request.

--- a/src/gateway/caller_task.ts
+++ b/src/gateway/caller_task.ts
@@ -468,7 +468,8 @@
 }
 
 /**
- * Hashes the parts of a request that stay the same when the caller retries it.
+ * Hashes what an upstream runs, which is the same when the caller sends the
+ * request again, whatever else it adds.
  */
 function computeFingerprint(
   request: IncomingMessage,
@@ -476,6 +477,6 @@
   body: Buffer,
 ): string {
   const hash = createHash("sha256");
-  hash.update(`${request.method} ${request.url}\n${metadata.stableHeaders}\n`);
+  hash.update(`${request.method} ${request.url}\n${metadata.contentHeaders}\n`);
   return hash.update(body).digest("base64url").slice(0, 22);
 }
--- a/src/gateway/ports.ts
+++ b/src/gateway/ports.ts
@@ -38,8 +38,8 @@
    * for a new one.
    */
   lastEventId: string | undefined;
-  /** The headers that stay the same when the caller retries the request. */
-  stableHeaders: string;
+  /** The headers that decide what an upstream runs for the request. */
+  contentHeaders: string;
 }
 
 /** What an attempt at an upstream adds to the caller's request. */
