Crashes that no connection shows are confirmed by the host list or a peer

Cause: a plain upstream that accepts a connection counted as alive, and a run whose caller had left was cancelled and not looked at.

They count as running at a crash once the host list shows another process under the id or at the address, or the end of the entry, or once a peer or another request reports the crash.

--- a/src/core/view/published_view.ts
+++ b/src/core/view/published_view.ts
@@ -298,6 +298,24 @@
     );
   }
 
+  /**
+   * Returns whether the process that the upstream was has ended: it is no longer
+   * registered, or another one is under its id or at its address.
+   */
+  hasEnded(
+    { id, address, bornAtUnixMs }: Pick<
+      PublishedUpstream,
+      "id" | "address" | "bornAtUnixMs"
+    >,
+  ): boolean {
+    const current = this.#upstreams.get(id);
+    if (current?.bornAtUnixMs !== bornAtUnixMs) return true;
+    return [...this.#upstreams.values()].some((other) =>
+      other.id !== id && other.address === address &&
+      other.bornAtUnixMs > bornAtUnixMs
+    );
+  }
+
   countUpstreams(): number {
     return this.#upstreams.size;
   }
--- a/src/gateway/crash_guard.ts
+++ b/src/gateway/crash_guard.ts
@@ -26,12 +26,20 @@
   sentAt: Milliseconds;
 }
 
+interface EndedRun {
+  upstream: PublishedUpstream;
+  sentAt: Milliseconds;
+  endedAt: Milliseconds;
+}
+
 export class CrashGuard {
   readonly #context: Pick<
     RequestContext,
     | "crashAttribution"
     | "crashHistory"
     | "crashProbe"
+    | "unconfirmedCrashes"
+    | "view"
     | "notifyCrashes"
     | "log"
     | "metrics"
@@ -135,35 +143,69 @@
     upstream: PublishedUpstream,
     { hasResponseHead, hasOutput, sentAt }: BrokenRun,
   ): Promise<void> {
-    const endedAt = performance.now();
-    const runMs = endedAt - sentAt;
-    const {
-      crashAttribution,
-      crashHistory,
-      crashProbe,
-      notifyCrashes,
-      log,
-      metrics,
-    } = this.#context;
-    if (!(await crashProbe.hasCrashed(upstream))) return;
+    const run = { upstream, sentAt, endedAt: performance.now() };
+    const { crashAttribution, crashProbe, metrics, unconfirmedCrashes } =
+      this.#context;
+    if (!(await crashProbe.hasCrashed(upstream))) {
+      this.#awaitConfirmation(run);
+      return;
+    }
     const now = performance.now();
     const crashId = formatIncarnation(upstream);
+    const runMs = run.endedAt - sentAt;
     const suspect = { traits: this.#traits, hasResponseHead, runMs };
     if (!hasOutput) {
       crashAttribution.recordCrash(crashId, suspect, now);
       metrics.count("crash_suspects", hasResponseHead ? "likely" : "possible");
     }
+    this.#recordCrash(run, { ...suspect, hasOutput, isLate: false }, now);
+    unconfirmedCrashes.confirmCrashes(new Set([crashId]), now);
+  }
+
+  /**
+   * Records that the caller has left during a run, which may yet crash its
+   * upstream.
+   */
+  recordDeparture(upstream: PublishedUpstream, sentAt: Milliseconds): void {
+    this.#awaitConfirmation({ upstream, sentAt, endedAt: performance.now() });
+  }
+
+  /** Records the run as one of a crash if that turns out to have happened. */
+  #awaitConfirmation(run: EndedRun): void {
+    const { unconfirmedCrashes, view } = this.#context;
+    const { upstream, sentAt, endedAt } = run;
+    // An upstream that shuts down ends without a crash.
+    if (view.getUpstream(upstream.id)?.isLeaving) return;
+    unconfirmedCrashes.add({
+      upstream,
+      crashId: formatIncarnation(upstream),
+      endedAt,
+      confirm: (now) =>
+        this.#recordCrash(
+          run,
+          { runMs: endedAt - sentAt, isLate: true },
+          now,
+        ),
+    });
+  }
+
+  #recordCrash(
+    { upstream, sentAt, endedAt }: EndedRun,
+    details: object,
+    now: Milliseconds,
+  ): void {
+    const { crashAttribution, crashHistory, notifyCrashes, log } =
+      this.#context;
     const isHeldBack = crashHistory.recordCrash(
       this.#fingerprint,
-      { crashId, sentAt, endedAt },
+      { crashId: formatIncarnation(upstream), sentAt, endedAt },
       now,
     );
     log.info("upstreamCrashed", {
       requestId: this.#requestId,
       upstream: upstream.id,
       bornAtUnixMs: upstream.bornAtUnixMs,
-      ...suspect,
-      hasOutput,
+      ...details,
       fingerprint: this.#fingerprint,
       isHeldBack,
       convictions: crashAttribution.listConvictions(now)
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -18,13 +18,17 @@
   type RequestCrashEntry,
   RequestCrashHistory,
 } from "../core/limits/request_crash_history.ts";
+import { UnconfirmedCrashes } from "../core/limits/unconfirmed_crashes.ts";
 import { FleetRetryBudget } from "../core/limits/fleet_retry_budget.ts";
 import { AdapterDemand } from "../core/placement/adapter_demand.ts";
 import { DomainReachability } from "../core/placement/domain_reachability.ts";
 import { canRelay } from "../core/placement/relay_selector.ts";
 import { UpstreamBackoff } from "../core/placement/upstream_backoff.ts";
 import { UpstreamHealth } from "../core/placement/upstream_health.ts";
-import { PublishedView } from "../core/view/published_view.ts";
+import {
+  type PublishedUpstream,
+  PublishedView,
+} from "../core/view/published_view.ts";
 import { parseSocketAddress } from "../core/socket_address.ts";
 import type { GatewaySettings } from "../settings/gateway_settings.ts";
 import { CallerTask } from "./caller_task.ts";
@@ -129,6 +133,7 @@
     getTrialDelayMs: (fingerprint, now) =>
       this.#computeTrialDelayMs(fingerprint, now),
   });
+  readonly #unconfirmedCrashes = new UnconfirmedCrashes<PublishedUpstream>();
   readonly #path: UpstreamPath;
   readonly #convictionListeners = new Set<() => void>();
   readonly #peers: PeerTask;
@@ -191,6 +196,7 @@
       memory: this.#memory,
       handleChange: () => {
         this.#callers.applyLimits();
+        this.#confirmCrashes();
         this.#scheduleEarlyHeartbeats();
       },
     });
@@ -235,6 +241,7 @@
       retryBudget: new FleetRetryBudget(settings.repeats),
       crashAttribution: this.#crashAttribution,
       crashHistory: this.#crashHistory,
+      unconfirmedCrashes: this.#unconfirmedCrashes,
       crashProbe: new CrashProbe({
         control,
         isEngine: ({ service }) =>
@@ -486,6 +493,7 @@
       heartbeats.set(isPromised, heartbeat);
       this.#peers.send(ip, heartbeat);
     }
+    this.#confirmCrashes();
     this.#updateGauges(now);
     const usage = this.#usage.takeSummary(now);
     if (usage) {
@@ -626,6 +634,13 @@
     { crashes, requestCrashes = [] }: Heartbeat,
     now: number,
   ): void {
+    const crashIds = [
+      ...(crashes?.crashes ?? []).map(([crashId]) => crashId),
+      ...requestCrashes.flatMap(([, , runs]) =>
+        runs.map(([crashId]) => crashId)
+      ),
+    ];
+    this.#unconfirmedCrashes.confirmCrashes(new Set(crashIds), now);
     if (this.#crashHistory.mergeDigest(requestCrashes, now)) {
       this.#log.info("requestsHeldBack", {
         peer: from,
@@ -644,6 +659,13 @@
     this.#notifyCrashes();
   }
 
+  #confirmCrashes(): void {
+    this.#unconfirmedCrashes.confirmEnded(
+      (upstream) => this.#view.hasEnded(upstream),
+      performance.now(),
+    );
+  }
+
   #notifyCrashes(): void {
     this.#scheduleEarlyHeartbeats();
     for (const listener of this.#convictionListeners) listener();
--- a/src/gateway/request_context.ts
+++ b/src/gateway/request_context.ts
@@ -9,7 +9,11 @@
 import type { UpstreamBackoff } from "../core/placement/upstream_backoff.ts";
 import type { ServiceLoad } from "../core/placement/upstream_ranking.ts";
 import type { UpstreamHealth } from "../core/placement/upstream_health.ts";
-import type { PublishedView } from "../core/view/published_view.ts";
+import type { UnconfirmedCrashes } from "../core/limits/unconfirmed_crashes.ts";
+import type {
+  PublishedUpstream,
+  PublishedView,
+} from "../core/view/published_view.ts";
 import type { CrashProbe } from "./crash_probe.ts";
 import type { DecisionLog } from "./decision_log.ts";
 import type { EngineTask } from "./engine_task.ts";
@@ -37,6 +41,7 @@
   crashAttribution: CrashAttribution;
   crashHistory: RequestCrashHistory;
   crashProbe: CrashProbe;
+  unconfirmedCrashes: UnconfirmedCrashes<PublishedUpstream>;
   /**
    * Tells peers, and the requests in progress here, of a crash or of a
    * conviction that has ended.
--- a/src/gateway/request_handler.ts
+++ b/src/gateway/request_handler.ts
@@ -818,6 +818,9 @@
       readDelayMs: roundMs(this.#exchange.readDelayMs),
       elapsedMs: roundMs(performance.now() - this.#exchange.arrivedAt),
     });
+    if (this.#lastUpstream && this.#running?.hasBeenSent()) {
+      this.#crashGuard.recordDeparture(this.#lastUpstream, this.#sentAt);
+    }
     this.#running?.cancel();
   }
 
