The daemon counts crashes of a request that completes in between

Change: CrashQuarantine counts crashes of each request beside its strikes; three with fewer than twelve completed runs between them refuse it. Crashes after output and fingerprints without headers were right already.

--- a/src/core/limits/crash_quarantine.ts
+++ b/src/core/limits/crash_quarantine.ts
@@ -3,7 +3,8 @@
  * that shared the upstream with others becomes a suspect and runs exclusively
  * from then on; each upstream that crashes while it runs exclusively counts as
  * a strike. At the limit the request is refused. An exclusive run that
- * completes clears the suspect.
+ * completes clears the suspect, but not the number of crashes: a request that
+ * completes now and then is refused after `MAX_CRASHES` crashes as well.
  *
  * One of the parts that a request shares with others may be to blame, whatever
  * else the request holds. Suspected are sets of parts: those of a crashed request
@@ -44,6 +45,23 @@
  */
 const SOUND_PART_CRASHES = 3;
 
+/** Crashes at which a request was running after which it is refused. */
+const MAX_CRASHES = 3;
+/**
+ * Completed runs since its first crash from which on a request counts as sound:
+ * it then crashed at most one upstream in five runs.
+ */
+const SOUND_COMPLETIONS = 12;
+/** Maximum number of requests whose crashes are counted; the oldest are dropped. */
+const MAX_CRASH_RECORDS = 10_000;
+
+interface CrashRecord {
+  crashes: number;
+  /** Completed runs since the first crash. */
+  completions: number;
+  expiresAt: Milliseconds;
+}
+
 interface Suspect {
   strikes: number;
   expiresAt: Milliseconds;
@@ -61,6 +79,7 @@
 export class CrashQuarantine {
   readonly #options: CrashQuarantineOptions;
   readonly #suspects = new Map<string, Suspect>();
+  readonly #crashRecords = new Map<string, CrashRecord>();
   /** Suspect sets of parts by their keys. */
   readonly #partSets = new Map<string, PartSet>();
   /** Parts with completed runs, least recent first. */
@@ -78,8 +97,12 @@
   ): void {
     const strikes = wasAlone ? 1 : 0;
     const expiresAt = now + this.#options.strikeLifetimeMs;
+    const hasCrashedOften = this.#countCrash(fingerprint, expiresAt, now);
+    const counted = this.#getStrikes(fingerprint, now) + strikes;
     this.#setSuspect(fingerprint, {
-      strikes: this.#getStrikes(fingerprint, now) + strikes,
+      strikes: hasCrashedOften
+        ? Math.max(counted, 1, this.#options.maxStrikes - 1)
+        : counted,
       expiresAt,
     });
     const parts = sharedParts.filter((part) => this.#recordPartCrash(part));
@@ -102,6 +125,8 @@
     now: Milliseconds,
   ): void {
     if (wasAlone) this.#suspects.delete(fingerprint);
+    const record = this.#crashRecords.get(fingerprint);
+    if (record) record.completions += 1;
     for (const part of sharedParts) {
       this.#knownParts.delete(part);
       this.#knownParts.set(part, { completedAt: now, crashesSince: 0 });
@@ -178,6 +203,26 @@
     return [...digests, ...partDigests].slice(-MAX_DIGEST_STRIKES);
   }
 
+  /** Counts a crash; returns whether the request is to be refused for it. */
+  #countCrash(
+    fingerprint: string,
+    expiresAt: Milliseconds,
+    now: Milliseconds,
+  ): boolean {
+    const known = this.#crashRecords.get(fingerprint);
+    const isCurrent = known !== undefined && known.expiresAt > now &&
+      known.completions < SOUND_COMPLETIONS;
+    const record = {
+      crashes: (isCurrent ? known.crashes : 0) + 1,
+      completions: isCurrent ? known.completions : 0,
+      expiresAt,
+    };
+    this.#crashRecords.delete(fingerprint);
+    this.#crashRecords.set(fingerprint, record);
+    removeOldest(this.#crashRecords, MAX_CRASH_RECORDS);
+    return record.crashes >= MAX_CRASHES;
+  }
+
   #listQuarantined(traits: RequestTraits, now: Milliseconds): Suspect[] {
     const { maxStrikes } = this.#options;
     const request = this.#getSuspect(traits.fingerprint, now);
--- a/test/core/limits/crash_quarantine_test.ts
+++ b/test/core/limits/crash_quarantine_test.ts
@@ -93,4 +93,27 @@
   assert.not.ok(known.isQuarantined(createTraits(FIRST), 2_101));
 });
 
+test("a request that crashes upstreams and completes alone in between is refused after three crashes", () => {
+  const quarantine = createQuarantine();
+  const request = createTraits();
+  for (const now of [1_000, 2_000, 3_000]) {
+    assert.not.ok(quarantine.isQuarantined(request, now));
+    quarantine.recordCrash(request, false, now);
+    if (now < 3_000) quarantine.recordCompletion(request, true, now + 500);
+  }
+  assert.ok(quarantine.isQuarantined(request, 3_001));
+});
+
+test("a request that completes far more often than it is in crashes is not refused", () => {
+  const quarantine = createQuarantine();
+  const request = createTraits();
+  for (let crash = 1; crash <= 6; crash += 1) {
+    quarantine.recordCrash(request, false, 1_000 * crash);
+    for (let run = 0; run < 12; run += 1) {
+      quarantine.recordCompletion(request, run === 0, 1_000 * crash + run);
+    }
+    assert.not.ok(quarantine.isQuarantined(request, 1_000 * crash + 100));
+  }
+});
+
 test.run();
