Callers' keys: customers of the configuration, 401, the customer's name upstream

Change: CustomerDirectory finds a customer by the hash of a key. A request on a route that is not public needs a known key, else 401; a relaying peer names the customer. The key goes to nobody; the upstream gets the customer's name. A customer's priority goes before its route's. Without customers nothing changes. The fingerprint of a request holds the customer.

--- a/fakes/platform_configuration.ts
+++ b/fakes/platform_configuration.ts
@@ -12,11 +12,16 @@
 export function buildPlatformConfiguration(
   version: number,
   routes: object[],
-  modelLoadS = MODEL_LOAD_S,
+  { modelLoadS = MODEL_LOAD_S, tenants }: {
+    modelLoadS?: number | undefined;
+    /** Customers; requests need no key without any. */
+    tenants?: object[] | undefined;
+  } = {},
 ): object {
   return {
     version,
     routes,
+    ...(tenants ? { tenants } : {}),
     services: [
       { name: "orders", health_path: "/healthz", max_conns: 50 },
       {
--- a/src/core/view/published_view.ts
+++ b/src/core/view/published_view.ts
@@ -5,6 +5,10 @@
  * for a grace period, since running ones register again once the store is back.
  */
 import type { Milliseconds } from "../structures.ts";
+import {
+  CustomerDirectory,
+  type PublishedCustomer,
+} from "../customers/customer_directory.ts";
 import { hashText } from "../hashing.ts";
 import {
   ConfigurationOrder,
@@ -42,6 +46,8 @@
   priorityRank: number;
   /** Maximum number of upstreams to which one request may be sent. */
   maxAttempts: number;
+  /** Whether requests need no key although the configuration has customers. */
+  isPublic: boolean;
   /** Services and their weights; one entry unless the route is split. */
   targets: { service: string; weight: number }[];
 }
@@ -87,6 +93,8 @@
   routes: PublishedRoute[];
   services: PublishedService[];
   limits: CallerLimits;
+  /** Undefined if requests need no key at all. */
+  customers: PublishedCustomer[] | undefined;
 }
 
 /** An upstream as it registered itself. */
@@ -168,11 +176,17 @@
   readonly #leavingNotices = new Map<string, number>();
   readonly #services = new Map<string, PublishedService>();
   readonly #routesByHost = new Map<string, PublishedRoute[]>();
+  #customers: CustomerDirectory | undefined;
 
   get configuration(): PublishedConfiguration | undefined {
     return this.#configuration;
   }
 
+  /** The customers of the configuration; undefined if it has none. */
+  get customers(): CustomerDirectory | undefined {
+    return this.#customers;
+  }
+
   /**
    * Applies a change; returns whether other daemons should learn of it. Changes
    * of an upstream's adapters occur many times a second and don't count.
@@ -386,6 +400,8 @@
 
   #setConfiguration(configuration: PublishedConfiguration): void {
     this.#configuration = configuration;
+    this.#customers = configuration.customers &&
+      new CustomerDirectory(configuration.customers);
     this.#services.clear();
     for (const service of configuration.services) {
       this.#services.set(service.name, service);
--- a/src/gateway/caller_task.ts
+++ b/src/gateway/caller_task.ts
@@ -9,6 +9,7 @@
 import { Buffer } from "node:buffer";
 import {
   createServer,
+  type IncomingHttpHeaders,
   type IncomingMessage,
   type Server,
   type ServerResponse,
@@ -23,6 +24,7 @@
   STOPPING_RETRY_AFTER_MS,
 } from "../core/admission/stop_admission.ts";
 import type { Milliseconds } from "../core/structures.ts";
+import type { PublishedRoute } from "../core/view/published_view.ts";
 import { CallerReadDelay } from "../daemon/caller_read_delay.ts";
 import { listen } from "../daemon/http_server.ts";
 import { abortResponse, ActiveResponses } from "../daemon/response_abort.ts";
@@ -30,8 +32,8 @@
 import { awaitUnreadInput } from "../daemon/unread_input.ts";
 import { CallerExchange } from "./caller_exchange.ts";
 import { roundMs } from "./decision_log.ts";
-import type { RequestMetadata } from "./ports.ts";
-import { RelayVerdict } from "./relay_headers.ts";
+import type { AttemptMetadata, RequestMetadata } from "./ports.ts";
+import { decodeRelayCustomer, RelayVerdict } from "./relay_headers.ts";
 import type { RequestContext } from "./request_context.ts";
 import { RequestHandler } from "./request_handler.ts";
 import { describeWork } from "./request_work.ts";
@@ -72,6 +74,7 @@
 const CLOSE_POLL_INTERVAL_MS = 10;
 
 const Status = {
+  Unauthorized: 401,
   NotFound: 404,
   TooLarge: 413,
   Unavailable: 503,
@@ -87,6 +90,14 @@
   | { kind: "stopped" }
   | { kind: "disconnected" };
 
+type IdentifiedCaller =
+  | {
+    kind: "identified";
+    caller: AttemptMetadata["caller"];
+    priorityRank: number;
+  }
+  | { kind: "refused" };
+
 export class CallerTask {
   readonly #context: RequestContext;
   readonly #server: Server;
@@ -327,6 +338,9 @@
       this.#refuse(exchange, Status.NotFound, "no such route", undefined);
       return;
     }
+    const identified = this.#identifyCaller(exchange, route, request.headers);
+    if (identified.kind === "refused") return;
+    const { caller, priorityRank } = identified;
     const service = view.selectService(route, metadata.requestId);
     if (!service) {
       this.#refuse(
@@ -337,7 +351,7 @@
       );
       return;
     }
-    const target = { route, service };
+    const target = { route: { ...route, priorityRank }, service, caller };
     const isTooLate = this.#stop !== undefined &&
       !canAdmitWhileStopping(
         this.#stop,
@@ -348,12 +362,57 @@
       this.#refuseStopping(exchange);
       return;
     }
-    const fingerprint = computeFingerprint(request, metadata, body);
+    const fingerprint = computeFingerprint(
+      request,
+      metadata,
+      caller?.customer ?? "",
+      body,
+    );
     await this.#runHandler(
       new RequestHandler(this.#context, exchange, target, fingerprint),
     );
   }
 
+  /**
+   * Finds out who calls, and refuses a request whose key no customer holds. A
+   * peer that relays a request has checked the key and names the customer.
+   */
+  #identifyCaller(
+    exchange: CallerExchange,
+    route: PublishedRoute,
+    headers: IncomingHttpHeaders,
+  ): IdentifiedCaller {
+    const { headerCodec, view } = this.#context;
+    const { priorityRank } = route;
+    const { customers } = view;
+    if (!customers) {
+      return { kind: "identified", caller: undefined, priorityRank };
+    }
+    const caller = { customer: undefined };
+    if (route.isPublic) return { kind: "identified", caller, priorityRank };
+    const customer = exchange.isRelayed
+      ? customers.findByName(decodeRelayCustomer(headers) ?? "")
+      : customers.findByKey(headerCodec.decodeApiKey(headers));
+    if (customer) {
+      return {
+        kind: "identified",
+        caller: { customer: customer.name },
+        priorityRank: customer.priorityRank ?? priorityRank,
+      };
+    }
+    if (exchange.isRelayed) {
+      this.#refuse(
+        exchange,
+        Status.Unavailable,
+        "the relayed customer is not known here",
+        UNCONFIGURED_RETRY_AFTER_MS,
+      );
+    } else {
+      this.#refuse(exchange, Status.Unauthorized, "unknown key", undefined);
+    }
+    return { kind: "refused" };
+  }
+
   /** Returns whether the latest relayed request, which is counted, is admitted. */
   #canAdmitRelay(): boolean {
     return canAdmitRelay({
@@ -474,9 +533,11 @@
 function computeFingerprint(
   request: IncomingMessage,
   metadata: RequestMetadata,
+  customer: string,
   body: Buffer,
 ): string {
   const hash = createHash("sha256");
+  hash.update(`${customer}\n`);
   hash.update(`${request.method} ${request.url}\n${metadata.contentHeaders}\n`);
   return hash.update(body).digest("base64url").slice(0, 22);
 }
--- a/src/gateway/ports.ts
+++ b/src/gateway/ports.ts
@@ -58,6 +58,11 @@
   /** 0 is the most urgent; undefined for plain services. */
   priorityRank: number | undefined;
   lastEventId: string | undefined;
+  /**
+   * Who calls, where requests have keys; a request without a key, on a public
+   * route, has no customer. Undefined where requests need no keys at all.
+   */
+  caller: { customer: string | undefined } | undefined;
 }
 
 /** Why an upstream did not run a request. */
@@ -108,6 +113,11 @@
     headers: IncomingHttpHeaders,
     url: string,
   ): RequestMetadata;
+  /**
+   * Returns the caller's API key as it was sent, empty if there was none; several
+   * are joined and so match none.
+   */
+  decodeApiKey(headers: IncomingHttpHeaders): string;
   /**
    * Returns the raw headers of the request to the upstream, without those that
    * describe the body.
--- a/src/gateway/request_handler.ts
+++ b/src/gateway/request_handler.ts
@@ -52,7 +52,7 @@
 import { EngineSelector } from "./engine_selector.ts";
 import { roundMs } from "./decision_log.ts";
 import { isSuccess } from "./http_status.ts";
-import type { ResponseHead } from "./ports.ts";
+import type { AttemptMetadata, ResponseHead } from "./ports.ts";
 import {
   encodeRelayUpstream,
   RelayVerdict,
@@ -97,11 +97,19 @@
   GatewayTimeout: 504,
 } as const;
 
+/** What a request was found to ask for, and for whom. */
+export interface RequestTarget {
+  route: PublishedRoute;
+  service: PublishedService;
+  caller: AttemptMetadata["caller"];
+}
+
 export class RequestHandler {
   readonly #context: RequestContext;
   readonly #exchange: CallerExchange;
   readonly #route: PublishedRoute;
   readonly #service: PublishedService;
+  readonly #caller: AttemptMetadata["caller"];
   readonly #work: RequestWork;
   /** When the request has to have its response. */
   #endsAt: Milliseconds;
@@ -142,7 +150,7 @@
   constructor(
     context: RequestContext,
     exchange: CallerExchange,
-    target: { route: PublishedRoute; service: PublishedService },
+    target: RequestTarget,
     fingerprint: string,
   ) {
     this.#context = context;
@@ -154,6 +162,7 @@
     });
     this.#route = target.route;
     this.#service = target.service;
+    this.#caller = target.caller;
     this.#crashGuard = new CrashGuard(
       context,
       exchange.metadata,
@@ -174,6 +183,7 @@
       context,
       exchange,
       serviceName: target.service.name,
+      caller: target.caller,
       excludedPeerIds: this.#excludedUpstreamIds,
     });
   }
@@ -361,19 +371,20 @@
 
   async #sendAttempt(upstream: PublishedUpstream): Promise<AttemptResult> {
     const { headerCodec, crashProbe, path } = this.#context;
-    const { metadata, rawHeaders } = this.#exchange;
+    const { metadata } = this.#exchange;
     const load = this.#getServiceLoad(upstream.id);
     this.#lastUpstream = upstream;
     load.ownRunning += 1;
     const result = await this.#runAttempt({
       id: upstream.id,
       address: upstream.address,
-      rawHeaders: headerCodec.encodeAttemptHeaders(rawHeaders, {
+      rawHeaders: headerCodec.encodeAttemptHeaders(this.#listOwnHeaders(), {
         upstreamId: upstream.id,
         remainingMs: Math.max(1, this.#getRemainingMs()),
         adapterVersion: this.#engineSelector.adapterVersion,
         priorityRank: this.#service.engine && this.#route.priorityRank,
         lastEventId: this.#forwardedEventId ?? metadata.lastEventId,
+        caller: this.#caller,
       }),
       decodeHead: ({ statusCode = 0, headers }) =>
         headerCodec.decodeResponseHead(statusCode, headers, metadata.requestId),
@@ -387,6 +398,12 @@
     return result;
   }
 
+  /** Returns the caller's headers, without those that a relaying peer added. */
+  #listOwnHeaders(): string[] {
+    const { rawHeaders, isRelayed } = this.#exchange;
+    return isRelayed ? stripRelayHeaders(rawHeaders) : rawHeaders;
+  }
+
   /** Sends the request over a peer, or ends it if there is none to try. */
   async #tryRelay(): Promise<void> {
     const { log, metrics } = this.#context;
@@ -613,6 +630,7 @@
     const fields = {
       requestId: this.#exchange.metadata.requestId,
       route: this.#route.name,
+      customer: this.#caller?.customer,
       verdict: verdict.kind,
       reason,
       outcome: result?.outcome,
--- a/src/gateway/request_relay.ts
+++ b/src/gateway/request_relay.ts
@@ -11,11 +11,17 @@
 import type { Milliseconds } from "../core/structures.ts";
 import type { AttemptResult, AttemptTarget } from "./attempt_runner.ts";
 import type { CallerExchange } from "./caller_exchange.ts";
-import { NotRunReason, type ResponseHead } from "./ports.ts";
+import {
+  type AttemptMetadata,
+  NotRunReason,
+  type ResponseHead,
+} from "./ports.ts";
 import {
   decodeRelayUpstream,
   decodeRelayVerdict,
+  encodeRelayCustomer,
   RelayVerdict,
+  stripRelayHeaders,
 } from "./relay_headers.ts";
 import type { RequestContext } from "./request_context.ts";
 
@@ -26,6 +32,8 @@
   context: RequestContext;
   exchange: CallerExchange;
   serviceName: string;
+  /** As `AttemptMetadata.caller`. */
+  caller: AttemptMetadata["caller"];
   /** Peers that are not to be tried again for this request. */
   excludedPeerIds: ReadonlySet<string>;
 }
@@ -76,21 +84,26 @@
     peer: FleetMember,
     attempt: { remainingMs: Milliseconds; lastEventId: string | undefined },
   ): AttemptTarget {
-    const { context, exchange } = this.#options;
+    const { context, exchange, caller } = this.#options;
+    const customer = caller?.customer;
     this.#verdict = undefined;
     this.#upstreamId = undefined;
     return {
       id: peer.id,
       address: `${peer.ip}:${context.relayPort}`,
-      rawHeaders: context.headerCodec.encodeAttemptHeaders(
-        exchange.rawHeaders,
-        {
-          ...attempt,
-          upstreamId: undefined,
-          adapterVersion: undefined,
-          priorityRank: undefined,
-        },
-      ),
+      rawHeaders: [
+        ...context.headerCodec.encodeAttemptHeaders(
+          stripRelayHeaders(exchange.rawHeaders),
+          {
+            ...attempt,
+            upstreamId: undefined,
+            adapterVersion: undefined,
+            priorityRank: undefined,
+            caller: caller && { customer: undefined },
+          },
+        ),
+        ...(customer === undefined ? [] : encodeRelayCustomer(customer)),
+      ],
       decodeHead: (response) => this.#decodeHead(response),
     };
   }
--- a/test/core/view/published_view_test.ts
+++ b/test/core/view/published_view_test.ts
@@ -40,6 +40,7 @@
     interTokenObjectiveMs: 0,
     priorityRank: 1,
     maxAttempts: 2,
+    isPublic: false,
     targets: [{ service: "plain", weight: 1 }],
     ...part,
   };
@@ -57,6 +58,7 @@
       { name: "other", maxConnections: 10, engine: undefined },
     ],
     limits: { maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
+    customers: undefined,
   };
 }
 
--- a/test/gateway/gateway_harness.ts
+++ b/test/gateway/gateway_harness.ts
@@ -87,6 +87,10 @@
   createDecoder: (gateway: number) => ChangeDecoder = () => new EntryDecoder();
   /** Called before the gateways start. */
   arrange: () => void | Promise<void> = () => {};
+  /** Customers of the configuration, as the operator writes them. */
+  tenants: object[] | undefined;
+  /** Routes that each published configuration has beside its own. */
+  extraRoutes: object[] = [];
   /** Route fields that differ from the defaults, by route name. */
   routeOverrides: Record<string, object> = {};
 
@@ -191,8 +195,9 @@
         create("unsafe", "unsafe", "orders"),
         create("brief", "stream", "briefs"),
         create("resume", "stream", "briefs"),
+        ...this.extraRoutes,
         ...extraRoutes,
-      ], this.modelLoadS),
+      ], { modelLoadS: this.modelLoadS, tenants: this.tenants }),
     );
   }
 
--- a/test/platform/platform_header_codec_test.ts
+++ b/test/platform/platform_header_codec_test.ts
@@ -9,6 +9,7 @@
   remainingMs: 812.9,
   adapterVersion: 3,
   priorityRank: 1,
+  caller: undefined,
   lastEventId: undefined,
 };
 
@@ -42,6 +43,30 @@
   assert.is(metadata.deadlineMs, 5_000);
 });
 
+test("UNASKED: where requests have keys, the key is dropped and the customer replaced by the one that holds it", () => {
+  const raw = ["X-Key", "secret", "x-tenant", "theirs", "X-Trace", "t1"];
+  const sent = codec.encodeAttemptHeaders(raw, {
+    ...ATTEMPT,
+    caller: { customer: "mill-1" },
+  });
+  assert.not(sent.includes("secret"));
+  assert.not(sent.includes("theirs"));
+  assert.is(toMap(sent).get("x-tenant"), "mill-1");
+  const onPublicRoute = toMap(codec.encodeAttemptHeaders(raw, {
+    ...ATTEMPT,
+    caller: { customer: undefined },
+  }));
+  assert.equal(
+    [...onPublicRoute.keys()].filter((name) =>
+      name === "x-key" || name === "x-tenant"
+    ),
+    [],
+  );
+  const withoutKeys = toMap(codec.encodeAttemptHeaders(raw, ATTEMPT));
+  assert.is(withoutKeys.get("x-key"), "secret");
+  assert.is(withoutKeys.get("x-trace"), "t1");
+});
+
 test("drops reserved headers that callers send and sets its own", () => {
   const reservedHeaders = [
     "X-Hold",
