The digest of crashed requests stays within a thousand bytes

Cause: up to sixteen requests with three crashes each, named at full length, took some 2 KB of a heartbeat, which shares one datagram with other fields.

Change: fingerprints have 72 bits, crashes are named by a 32-bit hash, and a digest holds at most 22 crashes.

--- a/src/core/limits/request_crash_history.ts
+++ b/src/core/limits/request_crash_history.ts
@@ -92,6 +92,8 @@
 /** Bounds of a digest, which shares one datagram with a heartbeat. */
 const MAX_DIGEST_REQUESTS = 16;
 const MAX_DIGEST_CRASHES = 3;
+/** Crashes of all requests in one digest. */
+const MAX_DIGEST_RECORDS = 22;
 
 export class RequestCrashHistory {
   readonly #options: RequestCrashHistoryOptions;
@@ -164,20 +166,15 @@
   /** Returns what peers should know: the requests with the most crashes first. */
   getDigest(now: Milliseconds): RequestCrashEntry[] {
     this.#expire(now);
-    return [...this.#histories].reverse()
+    const entries = [...this.#histories].reverse()
       .sort(([, a], [, b]) => b.crashCount - a.crashCount)
       .slice(0, MAX_DIGEST_REQUESTS)
-      .map(([fingerprint, { crashCount, crashes }]) => [
-        fingerprint,
-        crashCount,
-        crashes.slice(-MAX_DIGEST_CRASHES).map((
-          { crashId, sentAt, endedAt },
-        ) => [
-          crashId,
-          Math.round(now - endedAt),
-          Math.round(endedAt - sentAt),
-        ]),
-      ]);
+      .map(([fingerprint, history]) => toEntry(fingerprint, history, now));
+    let records = 0;
+    return entries.filter(([, , crashes]) => {
+      records += crashes.length;
+      return records <= MAX_DIGEST_RECORDS;
+    });
   }
 
   /** Decides whether the request may be sent to an upstream. */
@@ -262,6 +259,22 @@
   }
 }
 
+function toEntry(
+  fingerprint: string,
+  { crashCount, crashes }: History,
+  now: Milliseconds,
+): RequestCrashEntry {
+  return [
+    fingerprint,
+    crashCount,
+    crashes.slice(-MAX_DIGEST_CRASHES).map(({ crashId, sentAt, endedAt }) => [
+      crashId,
+      Math.round(now - endedAt),
+      Math.round(endedAt - sentAt),
+    ]),
+  ];
+}
+
 function getLastCrashAt({ crashes }: History): Milliseconds {
   return crashes.at(-1)?.endedAt ?? Number.NEGATIVE_INFINITY;
 }
--- a/src/gateway/caller_task.ts
+++ b/src/gateway/caller_task.ts
@@ -73,6 +73,12 @@
 /** Interval at which a stopping gateway checks whether all responses are read. */
 const CLOSE_POLL_INTERVAL_MS = 10;
 
+/**
+ * Characters of a fingerprint: 72 bits, which fit into a heartbeat for several
+ * requests.
+ */
+const FINGERPRINT_LENGTH = 12;
+
 const Status = {
   Unauthorized: 401,
   NotFound: 404,
@@ -539,5 +545,6 @@
   const hash = createHash("sha256");
   hash.update(`${customer}\n`);
   hash.update(`${request.method} ${request.url}\n${metadata.contentHeaders}\n`);
-  return hash.update(body).digest("base64url").slice(0, 22);
+  return hash.update(body).digest("base64url")
+    .slice(0, FINGERPRINT_LENGTH);
 }
--- a/src/gateway/crash_guard.ts
+++ b/src/gateway/crash_guard.ts
@@ -10,7 +10,7 @@
   PublishedService,
   PublishedUpstream,
 } from "../core/view/published_view.ts";
-import { formatIncarnation } from "./crash_probe.ts";
+import { formatCrashId, formatIncarnation } from "./crash_probe.ts";
 import type { RequestMetadata } from "./ports.ts";
 import type { RequestContext } from "./request_context.ts";
 
@@ -151,15 +151,18 @@
       return;
     }
     const now = performance.now();
-    const crashId = formatIncarnation(upstream);
+    const incarnation = formatIncarnation(upstream);
     const runMs = run.endedAt - sentAt;
     const suspect = { traits: this.#traits, hasResponseHead, runMs };
     if (!hasOutput) {
-      crashAttribution.recordCrash(crashId, suspect, now);
+      crashAttribution.recordCrash(incarnation, suspect, now);
       metrics.count("crash_suspects", hasResponseHead ? "likely" : "possible");
     }
     this.#recordCrash(run, { ...suspect, hasOutput, isLate: false }, now);
-    unconfirmedCrashes.confirmCrashes(new Set([crashId]), now);
+    unconfirmedCrashes.confirmCrashes(
+      new Set([formatCrashId(incarnation)]),
+      now,
+    );
   }
 
   /**
@@ -178,7 +181,7 @@
     if (view.getUpstream(upstream.id)?.isLeaving) return;
     unconfirmedCrashes.add({
       upstream,
-      crashId: formatIncarnation(upstream),
+      crashId: formatCrashId(formatIncarnation(upstream)),
       endedAt,
       confirm: (now) =>
         this.#recordCrash(
@@ -198,7 +201,7 @@
       this.#context;
     const isHeldBack = crashHistory.recordCrash(
       this.#fingerprint,
-      { crashId: formatIncarnation(upstream), sentAt, endedAt },
+      { crashId: formatCrashId(formatIncarnation(upstream)), sentAt, endedAt },
       now,
     );
     log.info("upstreamCrashed", {
--- a/src/gateway/crash_probe.ts
+++ b/src/gateway/crash_probe.ts
@@ -6,6 +6,7 @@
  */
 import { connect } from "node:net";
 import type { PublishedUpstream } from "../core/view/published_view.ts";
+import { hashText } from "../core/hashing.ts";
 import { parseSocketAddress } from "../core/socket_address.ts";
 import { describeError } from "../daemon/step_error.ts";
 import type { DecisionLog } from "./decision_log.ts";
@@ -95,6 +96,11 @@
   return `${id}.${bornAtUnixMs.toString(36)}`;
 }
 
+/** Returns a short name of the crash that ended a start of an upstream. */
+export function formatCrashId(incarnation: string): string {
+  return hashText(incarnation).toString(36);
+}
+
 type ProbeOutcome = "refused" | "open" | "silent";
 
 /** Opens a connection and closes it; never rejects. */
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -32,7 +32,7 @@
 import { parseSocketAddress } from "../core/socket_address.ts";
 import type { GatewaySettings } from "../settings/gateway_settings.ts";
 import { CallerTask } from "./caller_task.ts";
-import { CrashProbe } from "./crash_probe.ts";
+import { CrashProbe, formatCrashId } from "./crash_probe.ts";
 import { DecisionLog } from "./decision_log.ts";
 import { EngineTask } from "./engine_task.ts";
 import { listen } from "../daemon/http_server.ts";
@@ -635,7 +635,9 @@
     now: number,
   ): void {
     const crashIds = [
-      ...(crashes?.crashes ?? []).map(([crashId]) => crashId),
+      ...(crashes?.crashes ?? []).map(([incarnation]) =>
+        formatCrashId(incarnation)
+      ),
       ...requestCrashes.flatMap(([, , runs]) =>
         runs.map(([crashId]) => crashId)
       ),
--- a/test/core/limits/request_crash_history_test.ts
+++ b/test/core/limits/request_crash_history_test.ts
@@ -157,6 +157,16 @@
   assert.is(young.decideAdmission("deadly", 7_010).kind, "refused");
 });
 
+test("a digest stays within its share of a datagram, whatever has crashed", () => {
+  const host = createHost();
+  for (let index = 0; index < 400; index += 1) {
+    const request = `fingerprint-${index % 40}`.slice(-12);
+    crash(host, request, 1_000 * index, `zz${1_000_000 + index}`, 4_000);
+  }
+  const size = JSON.stringify(host.getDigest(500_000)).length;
+  assert.ok(size <= 1_000, `${size} bytes`);
+});
+
 test("the number of requests that are remembered is bounded, and those held back stay", () => {
   const host = createHost();
   for (const at of [1_000, 2_000, 3_000]) crash(host, "deadly", at);
