Quotas of customers hold over all hosts together

Cause: a customer's rate_per_s and burst were read and not applied; a customer could send any amount.

Change: each host assigns an equal part of all limits, for a lease of 2 to 16 s, to one coordinator, chosen by rendezvous hashing. The coordinator fills a token bucket for each customer at the sum of the assigned parts and grants amounts for 0.5 s. A request for which a host holds nothing waits up to 0.4 s for a grant, and gets 429 with Retry-After if there is none. A part is assigned to one coordinator at a time, so that coordinators on two sides of a partition together grant no more than one. Rates averaged and reported in heartbeats, the design first proposed, were not built: at a sudden load on all hosts each of them takes nearly the whole limit until it has heard of the others.

#identifyCaller is renamed #authenticate: verbs_test failed on it before.

--- a/src/core/fleet/fleet_view.ts
+++ b/src/core/fleet/fleet_view.ts
@@ -206,9 +206,10 @@
   /**
    * Returns the number of daemons that share a fleet-wide limit, including this
    * one: also those that are silent, as they may live on out of earshot.
+   * @param memoryMs time for which silent daemons are counted.
    */
-  countSharing(now: Milliseconds): number {
-    const sharing = this.#listRemembered(now).filter((each) =>
+  countSharing(now: Milliseconds, memoryMs = FORGET_MS): number {
+    const sharing = this.#listRemembered(now, memoryMs).filter((each) =>
       !each.heartbeat?.isLeaving || this.#isAlive(each, now)
     );
     return 1 + sharing.length;
@@ -722,9 +723,9 @@
   }
 
   /** Returns the members that were heard or first learned of recently. */
-  #listRemembered(now: Milliseconds): KnownMember[] {
+  #listRemembered(now: Milliseconds, memoryMs = FORGET_MS): KnownMember[] {
     return this.#listKnown().filter((each) =>
-      now - Math.max(each.lastHeardAt, each.firstSeenAt) < FORGET_MS
+      now - Math.max(each.lastHeardAt, each.firstSeenAt) < memoryMs
     );
   }
 
--- a/src/core/fleet/heartbeat.ts
+++ b/src/core/fleet/heartbeat.ts
@@ -81,6 +81,8 @@
    * none.
    */
   cutOffServices?: string[] | undefined;
+  /** Whether the sender coordinates customers' allotments; absent if not. */
+  sharesAllotments?: boolean | undefined;
   /** Sample of the members that the sender knows. */
   sample: GossipEntry[];
   /** Always empty: read by nobody, but the previous release requires it. */
--- a/src/gateway/caller_task.ts
+++ b/src/gateway/caller_task.ts
@@ -23,6 +23,7 @@
   type StopPeriod,
   STOPPING_RETRY_AFTER_MS,
 } from "../core/admission/stop_admission.ts";
+import { computeRequestCost } from "../core/limits/customer_allotments.ts";
 import type { Milliseconds } from "../core/structures.ts";
 import type { PublishedRoute } from "../core/view/published_view.ts";
 import { CallerReadDelay } from "../daemon/caller_read_delay.ts";
@@ -76,6 +77,7 @@
 const Status = {
   Unauthorized: 401,
   NotFound: 404,
+  TooMany: 429,
   TooLarge: 413,
   Unavailable: 503,
 } as const;
@@ -338,7 +340,7 @@
       this.#refuse(exchange, Status.NotFound, "no such route", undefined);
       return;
     }
-    const identified = this.#identifyCaller(exchange, route, request.headers);
+    const identified = this.#authenticate(exchange, route, request.headers);
     if (identified.kind === "refused") return;
     const { caller, priorityRank } = identified;
     const service = view.selectService(route, metadata.requestId);
@@ -351,6 +353,7 @@
       );
       return;
     }
+    if (!await this.#admitWithinAllotment(exchange, caller)) return;
     const target = { route: { ...route, priorityRank }, service, caller };
     const isTooLate = this.#stop !== undefined &&
       !canAdmitWhileStopping(
@@ -377,7 +380,7 @@
    * Finds out who calls, and refuses a request whose key no customer holds. A
    * peer that relays a request has checked the key and names the customer.
    */
-  #identifyCaller(
+  #authenticate(
     exchange: CallerExchange,
     route: PublishedRoute,
     headers: IncomingHttpHeaders,
@@ -413,6 +416,42 @@
     return { kind: "refused" };
   }
 
+  /**
+   * Returns whether the request is within its customer's allotment, and refuses
+   * it otherwise. A relayed request was counted where its caller sent it.
+   */
+  async #admitWithinAllotment(
+    exchange: CallerExchange,
+    caller: AttemptMetadata["caller"],
+  ): Promise<boolean> {
+    const { view, allotments } = this.#context;
+    const customer = view.customers?.findByName(caller?.customer ?? "");
+    if (exchange.isRelayed || !customer?.allotment) return true;
+    const { promptTokens, outputTokens } = exchange.metadata;
+    const cost = computeRequestCost(
+      customer.allotment,
+      promptTokens,
+      outputTokens,
+    );
+    const decision = await allotments.admit(customer.name, cost);
+    if (exchange.isDisconnected) {
+      this.#recordUnservedDeparture(exchange);
+      return false;
+    }
+    switch (decision.kind) {
+      case "admitted":
+        return true;
+      case "rejected":
+        this.#refuse(
+          exchange,
+          Status.TooMany,
+          "the customer's quota is used",
+          decision.retryAfterMs,
+        );
+        return false;
+    }
+  }
+
   /** Returns whether the latest relayed request, which is counted, is admitted. */
   #canAdmitRelay(): boolean {
     return canAdmitRelay({
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -31,6 +31,7 @@
 } from "../core/view/published_view.ts";
 import { parseSocketAddress } from "../core/socket_address.ts";
 import type { GatewaySettings } from "../settings/gateway_settings.ts";
+import { AllotmentTask } from "./allotment_task.ts";
 import { CallerTask } from "./caller_task.ts";
 import { CrashProbe } from "./crash_probe.ts";
 import { DecisionLog } from "./decision_log.ts";
@@ -139,6 +140,7 @@
   readonly #peers: PeerTask;
   readonly #viewSynchronizer: ViewSynchronizer;
   readonly #engines: EngineTask;
+  readonly #allotments: AllotmentTask;
   readonly #upstreamClient = new UpstreamClient(this.#metrics);
   readonly #memory = new MemoryBudget({
     exemptBytes: UNCOUNTED_BODY_BYTES,
@@ -196,6 +198,7 @@
       memory: this.#memory,
       handleChange: () => {
         this.#callers.applyLimits();
+        this.#allotments.applyConfiguration();
         this.#confirmCrashes();
         this.#scheduleEarlyHeartbeats();
       },
@@ -225,6 +228,21 @@
         if (member) this.#peers.send(member.ip, message);
       },
     });
+    this.#allotments = new AllotmentTask({
+      selfId: host,
+      incarnation: this.#incarnation,
+      seedIps: settings.peers.seeds
+        .map((seed) => parseSocketAddress(seed).host)
+        .filter((seedIp) => seedIp !== ip),
+      view: this.#view,
+      fleet: this.#fleet,
+      log: this.#log,
+      metrics: this.#metrics,
+      sendOnce: (peerId, message) => {
+        const member = this.#fleet.getMember(peerId);
+        if (member) this.#peers.send(member.ip, message);
+      },
+    });
     const context: RequestContext = {
       selfId: host,
       failureDomain,
@@ -239,6 +257,7 @@
       demand: new AdapterDemand(),
       memory: this.#memory,
       retryBudget: new FleetRetryBudget(settings.repeats),
+      allotments: this.#allotments,
       crashAttribution: this.#crashAttribution,
       crashHistory: this.#crashHistory,
       unconfirmedCrashes: this.#unconfirmedCrashes,
@@ -313,6 +332,7 @@
     const endsAt = beganAt + Math.max(0, graceMs - exitReserveMs);
     this.#log.info("stopping", { inFlight: this.#callers.inFlight, graceMs });
     this.#callers.beginStop({ beganAt, endsAt });
+    this.#allotments.beginStop();
     this.#sendHeartbeats();
     await this.#engines.stop();
     await waitMs(
@@ -338,6 +358,7 @@
     this.#timer = undefined;
     this.#callers.close();
     this.#viewSynchronizer.stop();
+    this.#allotments.stop();
     this.#peers.close();
     this.#metrics.close();
     this.#path.stop();
@@ -562,6 +583,7 @@
       cutOffServices: cutOff.length > 0
         ? cutOff.slice(0, MAX_HEARTBEAT_CUT_OFF)
         : undefined,
+      sharesAllotments: true,
       fenceUnixMs: 0,
       sample: this.#fleet.selectSample(isPromised, now),
       strikes: [],
@@ -604,6 +626,12 @@
   }
 
   #handleMessage(from: string, message: GatewayMessage): void {
+    if (
+      message.kind === "allotmentRequest" || message.kind === "allotmentGrant"
+    ) {
+      this.#allotments.handleMessage(from, message);
+      return;
+    }
     if (message.kind !== "heartbeat") {
       this.#engines.handleMessage(from, message);
       return;
--- a/src/gateway/peer_message_decoder.ts
+++ b/src/gateway/peer_message_decoder.ts
@@ -48,6 +48,11 @@
  */
 const MAX_DURATION_MS = 24 * 60 * 60 * 1_000;
 
+/** Most hosts of a fleet; the platform's largest has 900. */
+const MAX_MEMBERS = 10_000;
+/** Most customers in one message. */
+const MAX_ALLOTMENTS = 64;
+
 /** Time left, which may have passed already. */
 const durationMs = z.number().min(-MAX_DURATION_MS).max(MAX_DURATION_MS);
 const ageMs = z.number().nonnegative();
@@ -89,6 +94,7 @@
   acceptsRelays: z.boolean().optional(),
   cutOffServices: z.array(z.string()).optional(),
   fenceUnixMs: z.number().optional(),
+  sharesAllotments: z.boolean().optional(),
   sample: z.array(
     z.tuple([z.string(), ipAddressSchema, z.string(), quantity]),
   ),
@@ -157,6 +163,23 @@
   recentOwners: z.array(z.tuple([z.string(), z.number()])).optional(),
 });
 
+const memberCount = z.number().int().min(1).max(MAX_MEMBERS);
+const stampSchema = z.object({ issuer: z.string(), issuedAt: quantity });
+const allotmentRequestSchema = z.object({
+  requestedAt: quantity,
+  members: memberCount,
+  assignment: z.object({ stamp: stampSchema, leaseMs: durationMs }).optional(),
+  wanted: z.array(z.tuple([z.string(), quantity, quantity]))
+    .max(MAX_ALLOTMENTS),
+});
+const allotmentGrantSchema = z.object({
+  requestedAt: quantity,
+  members: memberCount,
+  stamp: stampSchema,
+  granted: z.array(z.tuple([z.string(), quantity, durationMs]))
+    .max(MAX_ALLOTMENTS),
+});
+
 const engineId = z.string();
 const permitId = z.string();
 const messageSchemas = [
@@ -194,6 +217,14 @@
     engineId,
     handover: handoverSchema,
   }),
+  z.object({
+    kind: z.literal("allotmentRequest"),
+    request: allotmentRequestSchema,
+  }),
+  z.object({
+    kind: z.literal("allotmentGrant"),
+    grant: allotmentGrantSchema,
+  }),
 ] as const;
 
 const envelopeFields = {
--- a/src/gateway/peer_messages.ts
+++ b/src/gateway/peer_messages.ts
@@ -5,6 +5,10 @@
   PermitRequest,
 } from "../core/admission/admission_controller.ts";
 import type { Heartbeat } from "../core/fleet/heartbeat.ts";
+import type {
+  AllotmentGrant,
+  AllotmentRequest,
+} from "../core/limits/allotment_ledger.ts";
 import type { OwnershipHandover } from "../core/ordering/engine_owner.ts";
 import type { Milliseconds } from "../core/structures.ts";
 
@@ -37,4 +41,7 @@
    * counts all of them, which may be sent in several messages.
    */
   | { kind: "runsHeld"; engineId: string; runs: AdoptedRun[]; total: number }
-  | { kind: "handover"; engineId: string; handover: OwnershipHandover };
+  | { kind: "handover"; engineId: string; handover: OwnershipHandover }
+  /** Asks the coordinator of customers' allotments. */
+  | { kind: "allotmentRequest"; request: AllotmentRequest }
+  | { kind: "allotmentGrant"; grant: AllotmentGrant };
--- a/src/gateway/request_context.ts
+++ b/src/gateway/request_context.ts
@@ -14,6 +14,7 @@
   PublishedUpstream,
   PublishedView,
 } from "../core/view/published_view.ts";
+import type { AllotmentTask } from "./allotment_task.ts";
 import type { CrashProbe } from "./crash_probe.ts";
 import type { DecisionLog } from "./decision_log.ts";
 import type { EngineTask } from "./engine_task.ts";
@@ -38,6 +39,7 @@
   demand: AdapterDemand;
   memory: MemoryBudget;
   retryBudget: FleetRetryBudget;
+  allotments: AllotmentTask;
   crashAttribution: CrashAttribution;
   crashHistory: RequestCrashHistory;
   crashProbe: CrashProbe;
