--- a/src/gateway/allotment_task.ts
+++ b/src/gateway/allotment_task.ts
@@ -1,13 +1,15 @@
 /**
  * Applies the allotments of customers (core/limits/customer_allotments.ts) to
- * callers' requests, and exchanges the messages about them with the other
- * gateways. Does nothing unless the configuration limits a customer.
+ * callers' requests, and exchanges offered rates with the coordinator: the host
+ * that rendezvous hashing selects from those alive, which may be this one. Does
+ * nothing unless the configuration limits a customer.
  */
+import { hashText, rankByRendezvous } from "../core/hashing.ts";
 import type { FleetView } from "../core/fleet/fleet_view.ts";
 import {
+  AllotmentCoordinator,
   type AllotmentDecision,
   CustomerAllotments,
-  type SettledRequest,
 } from "../core/limits/customer_allotments.ts";
 import type { Milliseconds } from "../core/structures.ts";
 import type { PublishedView } from "../core/view/published_view.ts";
@@ -15,26 +17,23 @@
 import type { GatewayMetrics } from "./gateway_metrics.ts";
 import type { GatewayMessage } from "./peer_messages.ts";
 
-/** Interval at which leases and waiting requests are looked after. */
-const TICK_INTERVAL_MS = 50;
+/** Interval at which reports that are due are sent. */
+const TICK_INTERVAL_MS = 200;
 /** Interval at which the members of the fleet are read. */
-const PEERS_INTERVAL_MS = 200;
-/**
- * Time for which a silent host counts among those that share the limits. While
- * it may be cut off and spend its part, the others do not take that over; each
- * host that was lost costs the customers one part in the number of hosts.
- */
-const SILENT_MEMORY_MS = 60 * 60 * 1_000;
+const FLEET_INTERVAL_MS = 400;
+/** Unanswered reports after which another coordinator is taken. */
+const MAX_UNANSWERED = 3;
+/** Time for which a coordinator that did not answer is not taken again. */
+const EXCLUSION_MS = 5_000;
+const COORDINATOR_KEY = "allotments";
 /** Shortest time between two log lines about a customer. */
 const LOG_INTERVAL_MS = 5_000;
 /** Customers that are counted by name, which bounds the number of series. */
 const MAX_NAMED_CUSTOMERS = 200;
-
-export type AdmissionDecision = SettledRequest["decision"];
+const MAX_HASH = 2 ** 32;
 
 export interface AllotmentTaskOptions {
   selfId: string;
-  incarnation: string;
   /** Addresses of the seeds other than this host. */
   seedIps: readonly string[];
   view: PublishedView;
@@ -44,29 +43,24 @@
   sendOnce: (peerId: string, message: GatewayMessage) => void;
 }
 
-interface WaitingRequest {
-  beganAt: Milliseconds;
-  settle: (decision: AdmissionDecision) => void;
-}
-
 export class AllotmentTask {
   readonly #options: AllotmentTaskOptions;
-  readonly #allotments: CustomerAllotments;
-  readonly #waiting = new Map<number, WaitingRequest>();
+  readonly #allotments = new CustomerAllotments(performance.now());
+  readonly #ledger = new AllotmentCoordinator();
   /** Requests rejected since the last log line, by customer. */
-  readonly #rejections = new Map<string, { count: number; loggedAt: number }>();
-  #peersReadAt = Number.NEGATIVE_INFINITY;
+  readonly #rejections = new Map<
+    string,
+    { count: number; loggedAt: Milliseconds }
+  >();
+  /** Until when hosts that did not answer are not taken as coordinators. */
+  readonly #excludedUntil = new Map<string, Milliseconds>();
   #coordinator: string | undefined;
-  #isStopping = false;
+  #unanswered = 0;
+  #fleetReadAt = Number.NEGATIVE_INFINITY;
   #timer: ReturnType<typeof setInterval> | undefined;
 
   constructor(options: AllotmentTaskOptions) {
     this.#options = options;
-    const { selfId, incarnation } = options;
-    this.#allotments = new CustomerAllotments(
-      { selfId, incarnation },
-      performance.now(),
-    );
   }
 
   /** Applies the limits of the present configuration. */
@@ -75,16 +69,8 @@
     if (this.#allotments.isActive) {
       this.#timer ??= setInterval(() => this.#tick(), TICK_INTERVAL_MS);
     } else {
-      clearInterval(this.#timer);
-      this.#timer = undefined;
+      this.stop();
     }
-    this.#advance(performance.now());
-  }
-
-  /** Moves what this host coordinates to others, while it still answers. */
-  beginStop(): void {
-    this.#isStopping = true;
-    this.#peersReadAt = Number.NEGATIVE_INFINITY;
   }
 
   stop(): void {
@@ -92,57 +78,36 @@
     this.#timer = undefined;
   }
 
-  /** Decides on a request, which may wait briefly for a grant. */
-  async admit(customer: string, cost: number): Promise<AdmissionDecision> {
-    const beganAt = performance.now();
-    const decision = await this.#decide(customer, cost, beganAt);
-    if (decision.kind === "rejected") this.#recordRejection(customer);
-    return decision;
-  }
-
-  #decide(
+  /** Decides on a request before anything of it is sent. */
+  decideAdmission(
     customer: string,
     cost: number,
-    now: Milliseconds,
-  ): AdmissionDecision | Promise<AdmissionDecision> {
-    const decision: AllotmentDecision = this.#allotments.decideAdmission(
+    requestId: string,
+  ): AllotmentDecision {
+    const now = performance.now();
+    const decision = this.#allotments.decideAdmission(
       customer,
       cost,
+      hashText(requestId) / MAX_HASH,
       now,
     );
-    switch (decision.kind) {
-      case "admitted":
-      case "rejected":
-        return decision;
-      case "waiting":
-        return new Promise((resolve) => {
-          this.#waiting.set(decision.id, { beganAt: now, settle: resolve });
-          this.#advance(now);
-        });
-    }
+    if (decision.kind === "rejected") this.#recordRejection(customer, now);
+    this.#reportIfDue(now);
+    return decision;
   }
 
   handleMessage(from: string, message: GatewayMessage): void {
     const now = performance.now();
-    // The answer goes to the address that the member's heartbeats gave.
-    if (!this.#options.fleet.getMember(from)) return;
     switch (message.kind) {
-      case "allotmentRequest": {
-        const grant = this.#allotments.handleRequest(
-          from,
-          message.request,
-          now,
-        );
-        this.#options.metrics.count("allotment_messages", "grant");
-        this.#options.sendOnce(from, { kind: "allotmentGrant", grant });
+      case "allotmentReport": {
+        const totals = this.#ledger.handleReport(from, message.report, now);
+        this.#options.metrics.count("allotment_messages", "totals");
+        this.#options.sendOnce(from, { kind: "allotmentTotals", totals });
         break;
       }
-      case "allotmentGrant":
-        this.#settle(
-          this.#allotments.recordGrant(from, message.grant, now),
-          now,
-        );
-        this.#advance(now);
+      case "allotmentTotals":
+        if (from === this.#coordinator) this.#unanswered = 0;
+        this.#allotments.recordTotals(message.totals);
         break;
       default:
         break;
@@ -151,58 +116,62 @@
 
   #tick(): void {
     const now = performance.now();
-    this.#advance(now);
+    if (now - this.#fleetReadAt >= FLEET_INTERVAL_MS) this.#readFleet(now);
+    this.#reportIfDue(now);
     this.#options.metrics.setGauge(
-      "coordinated_allotments",
-      this.#allotments.coordinatedFraction,
+      "reporting_hosts",
+      this.#ledger.countHosts(),
     );
-    const { coordinator } = this.#allotments;
-    if (coordinator === undefined || coordinator === this.#coordinator) return;
-    this.#coordinator = coordinator;
-    this.#options.log.info("allotmentCoordinatorChanged", { coordinator });
-  }
-
-  #advance(now: Milliseconds): void {
-    if (now - this.#peersReadAt >= PEERS_INTERVAL_MS) this.#readPeers(now);
-    const { settled, outgoing } = this.#allotments.advance(now);
-    this.#settle(settled, now);
-    for (const { to, request } of outgoing) {
-      this.#options.metrics.count("allotment_messages", "request");
-      this.#options.sendOnce(to, { kind: "allotmentRequest", request });
-    }
   }
 
-  #readPeers(now: Milliseconds): void {
-    this.#peersReadAt = now;
-    const { fleet, seedIps } = this.#options;
-    const candidates = fleet.listAlive(now)
-      .filter(({ sharesAllotments, isLeaving }) =>
-        sharesAllotments && !isLeaving
-      )
-      .map(({ sender }) => sender.id);
-    const members = fleet.countSharing(now, SILENT_MEMORY_MS);
-    this.#allotments.setPeers({
-      candidates,
+  #readFleet(now: Milliseconds): void {
+    this.#fleetReadAt = now;
+    const { fleet, seedIps, selfId, log } = this.#options;
+    const members = fleet.countSharing(now);
+    this.#allotments.setFleet({
       members,
       isSolitary: seedIps.length === 0 && members === 1,
-      seeds: seedIps.length,
-      isStopping: this.#isStopping,
     });
+    const peers = fleet.listAlive(now)
+      .filter(({ sender, sharesAllotments, isLeaving }) =>
+        sharesAllotments && !isLeaving &&
+        (this.#excludedUntil.get(sender.id) ?? 0) <= now
+      )
+      .map(({ sender }) => ({ id: sender.id }));
+    const [first] = rankByRendezvous(COORDINATOR_KEY, [
+      ...peers,
+      { id: selfId },
+    ]);
+    if (first && first.id !== this.#coordinator) {
+      this.#coordinator = first.id;
+      this.#unanswered = 0;
+      log.info("allotmentCoordinatorChanged", { coordinator: first.id });
+    }
   }
 
-  #settle(settled: readonly SettledRequest[], now: Milliseconds): void {
-    for (const { id, decision } of settled) {
-      const waiting = this.#waiting.get(id);
-      this.#waiting.delete(id);
-      if (!waiting) continue;
-      const waitMs = now - waiting.beganAt;
-      this.#options.metrics.measure("allotment_wait", decision.kind, waitMs);
-      waiting.settle(decision);
+  #reportIfDue(now: Milliseconds): void {
+    if (this.#coordinator === undefined) return;
+    if (!this.#allotments.isActive || !this.#allotments.needsReport(now)) {
+      return;
+    }
+    const report = this.#allotments.takeReport(now);
+    const { selfId, metrics, sendOnce } = this.#options;
+    if (this.#coordinator === selfId) {
+      this.#allotments.recordTotals(
+        this.#ledger.handleReport(selfId, report, now),
+      );
+      return;
     }
+    this.#unanswered += 1;
+    if (this.#unanswered > MAX_UNANSWERED) {
+      this.#excludedUntil.set(this.#coordinator, now + EXCLUSION_MS);
+      this.#readFleet(now);
+    }
+    metrics.count("allotment_messages", "report");
+    sendOnce(this.#coordinator, { kind: "allotmentReport", report });
   }
 
-  #recordRejection(customer: string): void {
-    const now = performance.now();
+  #recordRejection(customer: string, now: Milliseconds): void {
     const isNamed = this.#rejections.has(customer) ||
       this.#rejections.size < MAX_NAMED_CUSTOMERS;
     const name = isNamed ? customer : "other";
--- a/src/gateway/caller_task.ts
+++ b/src/gateway/caller_task.ts
@@ -359,7 +359,7 @@
       );
       return;
     }
-    if (!await this.#admitWithinAllotment(exchange, caller)) return;
+    if (!this.#admitWithinAllotment(exchange, caller)) return;
     const target = { route: { ...route, priorityRank }, service, caller };
     const isTooLate = this.#stop !== undefined &&
       !canAdmitWhileStopping(
@@ -426,10 +426,10 @@
    * Returns whether the request is within its customer's allotment, and refuses
    * it otherwise. A relayed request was counted where its caller sent it.
    */
-  async #admitWithinAllotment(
+  #admitWithinAllotment(
     exchange: CallerExchange,
     caller: AttemptMetadata["caller"],
-  ): Promise<boolean> {
+  ): boolean {
     const { view, allotments } = this.#context;
     const customer = view.customers?.findByName(caller?.customer ?? "");
     if (exchange.isRelayed || !customer?.allotment) return true;
@@ -439,11 +439,11 @@
       promptTokens,
       outputTokens,
     );
-    const decision = await allotments.admit(customer.name, cost);
-    if (exchange.isDisconnected) {
-      this.#recordUnservedDeparture(exchange);
-      return false;
-    }
+    const decision = allotments.decideAdmission(
+      customer.name,
+      cost,
+      exchange.metadata.requestId,
+    );
     switch (decision.kind) {
       case "admitted":
         return true;
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -230,7 +230,6 @@
     });
     this.#allotments = new AllotmentTask({
       selfId: host,
-      incarnation: this.#incarnation,
       seedIps: settings.peers.seeds
         .map((seed) => parseSocketAddress(seed).host)
         .filter((seedIp) => seedIp !== ip),
@@ -332,7 +331,6 @@
     const endsAt = beganAt + Math.max(0, graceMs - exitReserveMs);
     this.#log.info("stopping", { inFlight: this.#callers.inFlight, graceMs });
     this.#callers.beginStop({ beganAt, endsAt });
-    this.#allotments.beginStop();
     this.#sendHeartbeats();
     await this.#engines.stop();
     await waitMs(
@@ -627,7 +625,7 @@
 
   #handleMessage(from: string, message: GatewayMessage): void {
     if (
-      message.kind === "allotmentRequest" || message.kind === "allotmentGrant"
+      message.kind === "allotmentReport" || message.kind === "allotmentTotals"
     ) {
       this.#allotments.handleMessage(from, message);
       return;
--- a/src/gateway/gateway_metrics.ts
+++ b/src/gateway/gateway_metrics.ts
@@ -56,12 +56,10 @@
     "Requests that are held back after several crashes at which they were running",
   allotment_rejections:
     "Requests rejected because their customer has used its quota, by customer (other beyond 200)",
-  allotment_wait:
-    "Time for which requests waited for a part of their customer's quota, in ms, by kind (admitted, rejected)",
   allotment_messages:
-    "Messages about customers' quotas, by message (request, grant)",
-  coordinated_allotments:
-    "Part of all quotas that hosts have assigned to this one, 0 to 1",
+    "Messages about customers' quotas, by message (report, totals)",
+  reporting_hosts:
+    "Hosts that report customers' rates to this one as their coordinator",
   convicted_traits: "Groups of traits that are convicted of crashing upstreams",
   order_load: "Load orders to engines, by result",
   order_evict: "Eviction orders to engines, by result",
--- a/src/gateway/peer_message_decoder.ts
+++ b/src/gateway/peer_message_decoder.ts
@@ -7,6 +7,7 @@
 import type { Buffer } from "node:buffer";
 import { Err, Ok, type Result } from "ts-results-es";
 import * as z from "zod";
+import { MAX_REPORTED_CUSTOMERS } from "../core/limits/customer_allotments.ts";
 import { ipAddressSchema } from "../core/socket_address.ts";
 import { DenialReason } from "../core/admission/admission_controller.ts";
 import type { GatewayMessage } from "./peer_messages.ts";
@@ -48,11 +49,6 @@
  */
 const MAX_DURATION_MS = 24 * 60 * 60 * 1_000;
 
-/** Most hosts of a fleet; the platform's largest has 900. */
-const MAX_MEMBERS = 10_000;
-/** Most customers in one message. */
-const MAX_ALLOTMENTS = 64;
-
 /** Time left, which may have passed already. */
 const durationMs = z.number().min(-MAX_DURATION_MS).max(MAX_DURATION_MS);
 const ageMs = z.number().nonnegative();
@@ -163,21 +159,16 @@
   recentOwners: z.array(z.tuple([z.string(), z.number()])).optional(),
 });
 
-const memberCount = z.number().int().min(1).max(MAX_MEMBERS);
-const stampSchema = z.object({ issuer: z.string(), issuedAt: quantity });
-const allotmentRequestSchema = z.object({
-  requestedAt: quantity,
-  members: memberCount,
-  assignment: z.object({ stamp: stampSchema, leaseMs: durationMs }).optional(),
-  wanted: z.array(z.tuple([z.string(), quantity, quantity]))
-    .max(MAX_ALLOTMENTS),
+const allotmentRatesSchema = z.array(z.tuple([z.string(), quantity]))
+  .max(MAX_REPORTED_CUSTOMERS);
+
+const allotmentReportSchema = z.object({
+  reportedAt: quantity,
+  rates: allotmentRatesSchema,
 });
-const allotmentGrantSchema = z.object({
-  requestedAt: quantity,
-  members: memberCount,
-  stamp: stampSchema,
-  granted: z.array(z.tuple([z.string(), quantity, durationMs]))
-    .max(MAX_ALLOTMENTS),
+
+const allotmentTotalsSchema = allotmentReportSchema.extend({
+  hosts: quantity,
 });
 
 const engineId = z.string();
@@ -218,12 +209,12 @@
     handover: handoverSchema,
   }),
   z.object({
-    kind: z.literal("allotmentRequest"),
-    request: allotmentRequestSchema,
+    kind: z.literal("allotmentReport"),
+    report: allotmentReportSchema,
   }),
   z.object({
-    kind: z.literal("allotmentGrant"),
-    grant: allotmentGrantSchema,
+    kind: z.literal("allotmentTotals"),
+    totals: allotmentTotalsSchema,
   }),
 ] as const;
 
--- a/src/gateway/peer_messages.ts
+++ b/src/gateway/peer_messages.ts
@@ -6,9 +6,9 @@
 } from "../core/admission/admission_controller.ts";
 import type { Heartbeat } from "../core/fleet/heartbeat.ts";
 import type {
-  AllotmentGrant,
-  AllotmentRequest,
-} from "../core/limits/allotment_ledger.ts";
+  AllotmentReport,
+  AllotmentTotals,
+} from "../core/limits/customer_allotments.ts";
 import type { OwnershipHandover } from "../core/ordering/engine_owner.ts";
 import type { Milliseconds } from "../core/structures.ts";
 
@@ -42,6 +42,6 @@
    */
   | { kind: "runsHeld"; engineId: string; runs: AdoptedRun[]; total: number }
   | { kind: "handover"; engineId: string; handover: OwnershipHandover }
-  /** Asks the coordinator of customers' allotments. */
-  | { kind: "allotmentRequest"; request: AllotmentRequest }
-  | { kind: "allotmentGrant"; grant: AllotmentGrant };
+  /** Tells the coordinator of customers' allotments the rates offered here. */
+  | { kind: "allotmentReport"; report: AllotmentReport }
+  | { kind: "allotmentTotals"; totals: AllotmentTotals };
--- a/test/gateway/customer_quota_test.ts
+++ b/test/gateway/customer_quota_test.ts
@@ -20,7 +20,7 @@
     createTenant("bad", { ...TOKENS, rate_per_s: 1_000, burst: 1_000 }),
   ];
   await harness.start({ gateways: 2, engines: 0, services: 2 });
-  // Gateways assign their part of the limits a lease after their start.
+  // Gateways admit without knowing the rates of others shortly after their start.
   await waitMs(3_000);
 });
 test.after(() => harness.stop());
