Plain services whose upstreams report their pace are placed by expected time

Cause: upstreams that share their machines report in a fourth figure of X-Server-Load how long work takes there. It was not read: a slow upstream that was not full counted as good as a fast one.

Change: the codec reads waiting requests, slots and pace. ServiceLoads estimates an upstream's requests and pace between its reports, rankPacedUpstreams ranks by (1 + requests) x pace / slots and takes the better of two upstreams drawn from those near the best. A service without any reported pace is ranked as before. Operators see upstreamPaced, placement, pace and load in the lines of requests, service_placements and slowest_pace_percent.

--- a/fakes/fake_platform_replica.ts
+++ b/fakes/fake_platform_replica.ts
@@ -119,6 +119,11 @@
    * header.
    */
   retryAfterS: number | undefined;
+  /**
+   * `X-Server-Load` of every answer, RUNNING,WAITING,SLOTS or with PACE as well;
+   * undefined for no such header.
+   */
+  serverLoad: string | undefined;
   /** Number of requests refused by `shed`. */
   refusalCount = 0;
   /** Records of the endless answers sent. */
@@ -267,6 +272,9 @@
 
   #handle(request: IncomingMessage, response: ServerResponse): void {
     if (this.isLeaving) response.setHeader("Server-Leaving", "1");
+    if (this.serverLoad !== undefined) {
+      response.setHeader("X-Server-Load", this.serverLoad);
+    }
     const chunks: Buffer[] = [];
     request.on("data", (chunk: Buffer) => chunks.push(chunk));
     request.on("end", () => {
--- a/src/core/placement/upstream_ranking.ts
+++ b/src/core/placement/upstream_ranking.ts
@@ -10,11 +10,13 @@
  * popularity with a few slots per engine.
  *
  * Plain services: the least loaded upstream by its own report first, with a
- * preference for the local failure domain.
+ * preference for the local failure domain; `paced_ranking.ts` ranks those that
+ * report their pace.
  */
 import { hashText, rankByRendezvous } from "../hashing.ts";
 import type { Milliseconds } from "../structures.ts";
 import type { PublishedUpstream } from "../view/published_view.ts";
+import type { ServiceLoad } from "./service_loads.ts";
 import type { UpstreamHealth } from "./upstream_health.ts";
 
 /** Maximum number of engines that may hold a replica of one adapter. */
@@ -109,18 +111,6 @@
   return [...rotated, ...ranked.filter((each) => !rotated.includes(each))];
 }
 
-/** Known load of an upstream of a plain service. */
-export interface ServiceLoad {
-  /** Requests that this daemon has in flight there. */
-  ownRunning: number;
-  /**
-   * Requests running or waiting there by the upstream's own report, including
-   * those of other daemons.
-   */
-  reportedRunning: number;
-  reportedAt: Milliseconds;
-}
-
 /** Age above which an upstream's report of its load is ignored. */
 const MAX_LOAD_REPORT_AGE_MS = 1_000;
 /**
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -24,6 +24,7 @@
 import { DomainReachability } from "../core/placement/domain_reachability.ts";
 import { canRelay } from "../core/placement/relay_selector.ts";
 import { UpstreamBackoff } from "../core/placement/upstream_backoff.ts";
+import { ServiceLoads } from "../core/placement/service_loads.ts";
 import { UpstreamHealth } from "../core/placement/upstream_health.ts";
 import {
   type PublishedUpstream,
@@ -139,6 +140,7 @@
   readonly #peers: PeerTask;
   readonly #viewSynchronizer: ViewSynchronizer;
   readonly #engines: EngineTask;
+  readonly #serviceLoads = new ServiceLoads();
   readonly #upstreamClient = new UpstreamClient(this.#metrics);
   readonly #memory = new MemoryBudget({
     exemptBytes: UNCOUNTED_BODY_BYTES,
@@ -250,7 +252,7 @@
       }),
       notifyCrashes: () => this.#notifyCrashes(),
       convictionListeners: this.#convictionListeners,
-      serviceLoads: new Map(),
+      serviceLoads: this.#serviceLoads,
       upstreams: this.#upstreamClient,
       engines: this.#engines,
       eventLoop: this.#eventLoop,
@@ -591,6 +593,10 @@
       "held_back_requests",
       this.#crashHistory.countHeldBack(),
     );
+    this.#metrics.setGauge(
+      "slowest_pace_percent",
+      Math.round((this.#serviceLoads.estimateHighestPace(now) ?? 0) * 100),
+    );
     this.#metrics.setGauge("upstreams", this.#view.countUpstreams());
     this.#metrics.setGauge("requests_in_flight", this.#callers.inFlight);
     this.#metrics.setGauge(
--- a/src/gateway/gateway_metrics.ts
+++ b/src/gateway/gateway_metrics.ts
@@ -47,6 +47,10 @@
     "Leaving and backoff notices in upstream responses, by notice (leaving, backoff)",
   upstream_connections:
     "Connections used by attempts at upstreams, by kind (kept, noneKept, keptNotAllowed)",
+  service_placements:
+    "Requests sent to plain services that report their pace, by reason of the choice (fastest, spread, noneFree)",
+  slowest_pace_percent:
+    "Highest estimated pace of the upstreams of plain services, in percent of the normal time; 0 if none reports its pace",
   peer_datagrams:
     "Datagrams sent to peers, by purpose (message, retransmission, acknowledgement)",
   crash_suspects:
--- a/src/gateway/ports.ts
+++ b/src/gateway/ports.ts
@@ -98,6 +98,18 @@
    * not say.
    */
   reportedRunning: number | undefined;
+  /** Number of them that wait. */
+  reportedWaiting: number;
+  /**
+   * Number of requests that the upstream runs concurrently; undefined if it does
+   * not say.
+   */
+  reportedSlots: number | undefined;
+  /**
+   * How long work currently takes at the upstream, as a multiple of the normal
+   * time; undefined if it does not say.
+   */
+  reportedPace: number | undefined;
   /** Whether the upstream says that it is about to shut down. */
   isLeaving: boolean;
   /**
--- a/src/gateway/request_context.ts
+++ b/src/gateway/request_context.ts
@@ -7,7 +7,7 @@
 import type { AdapterDemand } from "../core/placement/adapter_demand.ts";
 import type { DomainReachability } from "../core/placement/domain_reachability.ts";
 import type { UpstreamBackoff } from "../core/placement/upstream_backoff.ts";
-import type { ServiceLoad } from "../core/placement/upstream_ranking.ts";
+import type { ServiceLoads } from "../core/placement/service_loads.ts";
 import type { UpstreamHealth } from "../core/placement/upstream_health.ts";
 import type { UnconfirmedCrashes } from "../core/limits/unconfirmed_crashes.ts";
 import type {
@@ -49,7 +49,7 @@
   notifyCrashes: () => void;
   /** Called when a trait or a request may have been convicted of crashing upstreams. */
   convictionListeners: Set<() => void>;
-  serviceLoads: Map<string, ServiceLoad>;
+  serviceLoads: ServiceLoads;
   upstreams: UpstreamClient;
   engines: EngineTask;
   eventLoop: EventLoopMonitor;
--- a/src/gateway/request_handler.ts
+++ b/src/gateway/request_handler.ts
@@ -29,6 +29,7 @@
   type StreamHead,
 } from "../core/execution/stream_continuation.ts";
 import { HealthSignal } from "../core/placement/upstream_health.ts";
+import { rankPacedUpstreams } from "../core/placement/paced_ranking.ts";
 import { rankServiceUpstreams } from "../core/placement/upstream_ranking.ts";
 import type { Milliseconds } from "../core/structures.ts";
 import { awaitTurnEnd } from "../daemon/unread_input.ts";
@@ -52,7 +53,11 @@
 import { EngineSelector } from "./engine_selector.ts";
 import { roundMs } from "./decision_log.ts";
 import { isSuccess } from "./http_status.ts";
-import type { AttemptMetadata, ResponseHead } from "./ports.ts";
+import {
+  type AttemptMetadata,
+  NotRunReason,
+  type ResponseHead,
+} from "./ports.ts";
 import {
   encodeRelayUpstream,
   RelayVerdict,
@@ -141,6 +146,8 @@
   #sentAt: Milliseconds = Number.NaN;
   #firstByteAt: Milliseconds = Number.NaN;
   #reselections = 0;
+  /** Why the latest upstream was selected, for the log; empty without paces. */
+  #placement: { placement?: string; pace?: number; load?: number } = {};
   /**
    * Time until the first upstream of a plain service accepts requests again, if
    * all of them asked to back off.
@@ -362,19 +369,32 @@
         backoffMs: roundMs(head.backoffMs),
       });
     }
-    const load = serviceLoads.get(upstream.id);
-    if (load && head.reportedRunning !== undefined) {
-      load.reportedRunning = head.reportedRunning;
-      load.reportedAt = now;
+    if (head.reportedRunning !== undefined) {
+      const isFirstPace = serviceLoads.recordReport(upstream.id, {
+        requests: head.reportedRunning,
+        waiting: head.reportedWaiting,
+        slots: head.reportedSlots,
+        pace: head.reportedPace,
+      }, now);
+      if (isFirstPace) {
+        log.info("upstreamPaced", {
+          requestId,
+          upstream: upstream.id,
+          pace: head.reportedPace,
+          slots: head.reportedSlots,
+        });
+      }
+    }
+    if (head.notRunReason === NotRunReason.Rejected) {
+      serviceLoads.recordRejection(upstream.id, now);
     }
   }
 
   async #sendAttempt(upstream: PublishedUpstream): Promise<AttemptResult> {
-    const { headerCodec, crashProbe, path } = this.#context;
+    const { headerCodec, crashProbe, path, serviceLoads } = this.#context;
     const { metadata } = this.#exchange;
-    const load = this.#getServiceLoad(upstream.id);
     this.#lastUpstream = upstream;
-    load.ownRunning += 1;
+    serviceLoads.recordStart(upstream.id);
     const result = await this.#runAttempt({
       id: upstream.id,
       address: upstream.address,
@@ -394,7 +414,7 @@
       handleConnect: () => path.recordReached(this.#service.name),
       handleHead: (head) => this.#handleHead(upstream, head),
     });
-    load.ownRunning -= 1;
+    serviceLoads.recordEnd(upstream.id);
     return result;
   }
 
@@ -646,6 +666,7 @@
       elapsedMs: roundMs(performance.now() - this.#exchange.arrivedAt),
       remainingMs: roundMs(this.#getRemainingMs()),
       configurationVersion: view.configuration?.version,
+      ...this.#placement,
       ...this.#describeEnd(result),
     };
     if (isDelivered) {
@@ -889,18 +910,6 @@
     });
   }
 
-  #getServiceLoad(upstreamId: string) {
-    const { serviceLoads } = this.#context;
-    const load = serviceLoads.get(upstreamId) ??
-      {
-        ownRunning: 0,
-        reportedRunning: 0,
-        reportedAt: Number.NEGATIVE_INFINITY,
-      };
-    serviceLoads.set(upstreamId, load);
-    return load;
-  }
-
   #selectServiceUpstream(): PublishedUpstream | undefined {
     const { view, health, backoff, failureDomain, serviceLoads } =
       this.#context;
@@ -910,6 +919,9 @@
     this.#shortestBackoffMs = usable.length === 0
       ? backoff.getShortestRemainingMs(upstreams, now)
       : undefined;
+    if (upstreams.some(({ id }) => serviceLoads.hasPace(id))) {
+      return this.#selectPacedUpstream(usable, now);
+    }
     const ranked = rankServiceUpstreams(usable, {
       failureDomain,
       health,
@@ -919,6 +931,41 @@
     return ranked.find((each) => !this.#excludedUpstreamIds.has(each.id)) ??
       ranked[0];
   }
+
+  /** Selects an upstream of a plain service some of which report their pace. */
+  #selectPacedUpstream(
+    usable: readonly PublishedUpstream[],
+    now: Milliseconds,
+  ): PublishedUpstream | undefined {
+    const { health, failureDomain, serviceLoads, metrics } = this.#context;
+    const untried = usable.filter(({ id }) =>
+      !this.#excludedUpstreamIds.has(id)
+    );
+    const { upstreams: [selected], reason } = rankPacedUpstreams(
+      untried.length > 0 ? untried : usable,
+      {
+        failureDomain,
+        health,
+        loads: serviceLoads,
+        spreadKey: this.#exchange.metadata.requestId,
+      },
+      now,
+    );
+    if (!selected) return undefined;
+    metrics.count("service_placements", reason);
+    const { pace, requests } = serviceLoads.estimateLoad(selected.id, now);
+    this.#placement = {
+      placement: reason,
+      pace: roundEstimate(pace),
+      load: roundEstimate(requests),
+    };
+    return selected;
+  }
+}
+
+/** Rounds an estimate to two digits after the point, for the log. */
+function roundEstimate(value: number): number {
+  return Math.round(value * 100) / 100;
 }
 
 function canHaveRun({ outcome }: AttemptResult): boolean {
--- a/test/platform/platform_header_codec_test.ts
+++ b/test/platform/platform_header_codec_test.ts
@@ -160,6 +160,30 @@
     "x-server-load": "3,2,8",
   }, {
     reportedRunning: 5,
+    reportedWaiting: 2,
+    reportedSlots: 8,
+    reportedPace: undefined,
+  }],
+  ["a response with the server's load and pace", 200, {
+    "x-request-id": "r1",
+    "x-server-load": "3, 2, 8, 250",
+  }, {
+    reportedRunning: 5,
+    reportedWaiting: 2,
+    reportedSlots: 8,
+    reportedPace: 2.5,
+  }],
+  ["a response with neither slots nor a valid pace", 200, {
+    "x-request-id": "r1",
+    "x-server-load": "3,2,,-4",
+  }, {
+    reportedRunning: 5,
+    reportedSlots: undefined,
+    reportedPace: undefined,
+  }],
+  ["a response without the server's load", 200, { "x-request-id": "r1" }, {
+    reportedRunning: undefined,
+    reportedPace: undefined,
   }],
 ];
 
