Idle connections are kept as long as the upstream announced, where there is room

Cause: connections were idle for 2 s at most, and hosts opened about as many connections as they sent requests. Where an upstream announced less than 2 s, they were kept up to the moment at which it closes them.

Change: IdleConnectionPolicy keeps a connection for the announced time less a margin, at most 10 s; longer than 2 s only within half of max_conns divided by the number of known hosts, and not for a minute after the upstream ended a kept connection. Without an announcement nothing changes. Requests that must not run twice use new connections as before. kept_connection_ends counts the ends.

--- a/src/gateway/attempt_runner.ts
+++ b/src/gateway/attempt_runner.ts
@@ -99,6 +99,8 @@
   exchange: CallerExchange;
   target: AttemptTarget;
   mayReuseConnection: boolean;
+  /** See AttemptRequest. */
+  longIdleLimit?: number | undefined;
   /**
    * Time limit for the response head to arrive; applies only if another attempt
    * can follow then.
@@ -208,6 +210,7 @@
     rawHeaders: target.rawHeaders,
     body: exchange.body,
     mayReuseConnection: options.mayReuseConnection,
+    longIdleLimit: options.longIdleLimit,
   }, {
     onConnect: () => options.handleConnect(),
     onHead: (response: IncomingMessage) => {
--- a/src/gateway/checked_agent.ts
+++ b/src/gateway/checked_agent.ts
@@ -3,25 +3,53 @@
  * one on which bytes arrive while it is idle is closed, and so is one that a
  * caller of this module does not trust any more.
  */
-import { Agent, type ClientRequest } from "node:http";
+import { Agent, type AgentOptions, type ClientRequest } from "node:http";
 import type { Socket } from "node:net";
+import type { Milliseconds } from "../core/structures.ts";
 
 const untrustedSockets = new WeakSet<Socket>();
 
+/** Decides on connections that become idle, and hears how they end. */
+export interface IdleObserver {
+  /** Returns how long the connection is kept; 0 if it is closed. */
+  decideIdleTime(socket: Socket): Milliseconds;
+  /** Called when the upstream closes an idle connection. */
+  handleIdleClose(socket: Socket): void;
+}
+
 export class CheckedAgent extends Agent {
+  readonly #observer: IdleObserver;
+  /** One listener for all sockets, so that it can be removed. */
+  readonly #handleEnd: (this: Socket) => void;
+
+  constructor(options: AgentOptions, observer: IdleObserver) {
+    super(options);
+    this.#observer = observer;
+    this.#handleEnd = function () {
+      observer.handleIdleClose(this);
+    };
+  }
+
   override keepSocketAlive(socket: Socket): boolean {
     if (untrustedSockets.has(socket)) return false;
+    const idleMs = this.#observer.decideIdleTime(socket);
+    if (idleMs <= 0) return false;
     // The base class reads the upstream's Keep-Alive header and may return
     // false.
     const keepAlive = super.keepSocketAlive as (socket: Socket) => unknown;
     if (keepAlive.call(this, socket) === false) return false;
+    socket.setTimeout(idleMs);
     socket.on("data", dropConnection);
+    socket.on("end", this.#handleEnd);
+    socket.on("error", this.#handleEnd);
     socket.resume();
     return true;
   }
 
   override reuseSocket(socket: Socket, call: ClientRequest): void {
     socket.removeListener("data", dropConnection);
+    socket.removeListener("end", this.#handleEnd);
+    socket.removeListener("error", this.#handleEnd);
     super.reuseSocket(socket, call);
   }
 }
--- a/src/gateway/gateway_metrics.ts
+++ b/src/gateway/gateway_metrics.ts
@@ -47,6 +47,8 @@
     "Leaving and backoff notices in upstream responses, by notice (leaving, backoff)",
   upstream_connections:
     "Connections used by attempts at upstreams, by kind (kept, noneKept, keptNotAllowed)",
+  kept_connection_ends:
+    "Kept connections that an upstream ended, by kind (closedIdle, brokenInUse)",
   service_placements:
     "Requests sent to plain services that report their pace, by reason of the choice (fastest, spread, noneFree)",
   slowest_pace_percent:
--- a/src/gateway/request_handler.ts
+++ b/src/gateway/request_handler.ts
@@ -29,6 +29,7 @@
   type StreamHead,
 } from "../core/execution/stream_continuation.ts";
 import { HealthSignal } from "../core/placement/upstream_health.ts";
+import { computeLongIdleLimit } from "../core/placement/idle_connections.ts";
 import { rankPacedUpstreams } from "../core/placement/paced_ranking.ts";
 import { rankServiceUpstreams } from "../core/placement/upstream_ranking.ts";
 import type { Milliseconds } from "../core/structures.ts";
@@ -391,7 +392,8 @@
   }
 
   async #sendAttempt(upstream: PublishedUpstream): Promise<AttemptResult> {
-    const { headerCodec, crashProbe, path, serviceLoads } = this.#context;
+    const { headerCodec, crashProbe, path, serviceLoads, fleet } =
+      this.#context;
     const { metadata } = this.#exchange;
     this.#lastUpstream = upstream;
     serviceLoads.recordStart(upstream.id);
@@ -410,6 +412,10 @@
         headerCodec.decodeResponseHead(statusCode, headers, metadata.requestId),
     }, {
       mayReuseConnection: this.#canRetry(),
+      longIdleLimit: computeLongIdleLimit(
+        this.#service.maxConnections,
+        fleet.countSharing(performance.now()),
+      ),
       hasUpstreamCrashed: () => crashProbe.hasCrashed(upstream),
       handleConnect: () => path.recordReached(this.#service.name),
       handleHead: (head) => this.#handleHead(upstream, head),
@@ -482,6 +488,7 @@
     options: Pick<
       AttemptOptions,
       | "mayReuseConnection"
+      | "longIdleLimit"
       | "hasUpstreamCrashed"
       | "handleConnect"
       | "handleHead"
--- a/src/gateway/upstream_client.ts
+++ b/src/gateway/upstream_client.ts
@@ -11,6 +11,12 @@
 import type { Buffer } from "node:buffer";
 import type { Socket } from "node:net";
 import { hasBeenReset, watchForReset } from "../daemon/connection_reset.ts";
+import {
+  DEFAULT_IDLE_MS,
+  IdleConnectionPolicy,
+  parseKeepAliveTimeout,
+} from "../core/placement/idle_connections.ts";
+import type { Milliseconds } from "../core/structures.ts";
 import { parseSocketAddress } from "../core/socket_address.ts";
 import { describeError } from "../daemon/step_error.ts";
 import { CheckedAgent, excludeFromReuse } from "./checked_agent.ts";
@@ -30,6 +36,11 @@
    * closing at that moment.
    */
   mayReuseConnection: boolean;
+  /**
+   * How many idle connections to the upstream may be kept for longer than the
+   * default; none if undefined.
+   */
+  longIdleLimit?: number | undefined;
 }
 
 /**
@@ -74,11 +85,6 @@
  * and a new connection needs a handshake.
  */
 const CONNECT_TIMEOUT_MS = 400;
-/**
- * Time for which an idle connection is kept. Shorter than the idle limits of
- * the upstreams, which are some seconds.
- */
-const IDLE_CONNECTION_TIMEOUT_MS = 2_000;
 /**
  * Maximum number of idle connections that one daemon keeps to an upstream, out
  * of those that the upstream allows.
@@ -99,13 +105,35 @@
   KeptNotAllowed: "keptNotAllowed",
 } as const;
 
+/** How a connection that had been kept came to an end. */
+const KeptConnectionEnd = {
+  /** The upstream closed it while it was idle. */
+  ClosedIdle: "closedIdle",
+  /** It broke before the head of the response to the request that used it. */
+  BrokenInUse: "brokenInUse",
+} as const;
+
+/** What is known of a connection that may be kept. */
+interface ConnectionFacts {
+  address: string;
+  announcedMs: Milliseconds | undefined;
+  longIdleLimit: number;
+}
+
 export class UpstreamClient {
   readonly #metrics: Pick<GatewayMetrics, "count">;
+  readonly #idlePolicy = new IdleConnectionPolicy();
+  readonly #facts = new WeakMap<Socket, ConnectionFacts>();
   readonly #keepAliveAgent = new CheckedAgent({
     keepAlive: true,
-    timeout: IDLE_CONNECTION_TIMEOUT_MS,
+    timeout: DEFAULT_IDLE_MS,
     maxFreeSockets: MAX_IDLE_CONNECTIONS,
     scheduling: "lifo",
+  }, {
+    decideIdleTime: (socket) => this.#decideIdleTime(socket),
+    handleIdleClose: (socket) => {
+      this.#recordEnd(socket, KeptConnectionEnd.ClosedIdle);
+    },
   });
   readonly #singleUseAgent = new Agent({ keepAlive: false });
 
@@ -144,13 +172,78 @@
         socket.connecting ? newConnection : ConnectionUse.Kept,
       );
     });
-    return followAttempt(call, attempt.body, listener);
+    return followAttempt(
+      call,
+      attempt.body,
+      attempt.mayReuseConnection
+        ? this.#observeConnection(call, attempt, listener)
+        : listener,
+    );
   }
 
   close(): void {
     this.#keepAliveAgent.destroy();
     this.#singleUseAgent.destroy();
   }
+
+  /**
+   * Returns a listener that also records what the attempt shows of its
+   * connection, which is known from the call's `socket` event on.
+   */
+  #observeConnection(
+    call: ClientRequest,
+    { address, longIdleLimit = 0 }: AttemptRequest,
+    listener: AttemptListener,
+  ): AttemptListener {
+    let keptSocket: Socket | undefined;
+    let hasHead = false;
+    call.once("socket", (socket: Socket) => {
+      if (!socket.connecting) keptSocket = socket;
+    });
+    return {
+      onConnect: () => listener.onConnect(),
+      onHead: (head) => {
+        hasHead = true;
+        this.#facts.set(head.socket, {
+          address,
+          announcedMs: parseKeepAliveTimeout(
+            head.headers["keep-alive"]?.toString(),
+          ),
+          longIdleLimit,
+        });
+        listener.onHead(head);
+      },
+      onChunk: (chunk) => listener.onChunk(chunk),
+      onEnd: (end) => {
+        if (keptSocket && !hasHead && end.kind === "broken") {
+          this.#recordEnd(keptSocket, KeptConnectionEnd.BrokenInUse);
+        }
+        listener.onEnd(end);
+      },
+    };
+  }
+
+  #recordEnd(
+    socket: Socket,
+    end: (typeof KeptConnectionEnd)[keyof typeof KeptConnectionEnd],
+  ): void {
+    this.#metrics.count("kept_connection_ends", end);
+    const facts = this.#facts.get(socket);
+    if (!facts) return;
+    this.#idlePolicy.recordEarlyClose(facts.address, performance.now());
+  }
+
+  #decideIdleTime(socket: Socket): Milliseconds {
+    const facts = this.#facts.get(socket);
+    if (!facts) return DEFAULT_IDLE_MS;
+    const { host, port } = parseSocketAddress(facts.address);
+    const name = this.#keepAliveAgent.getName({ host, port });
+    const otherIdle = this.#keepAliveAgent.freeSockets[name]?.length ?? 0;
+    return this.#idlePolicy.decideIdleTime(
+      { ...facts, otherIdle },
+      performance.now(),
+    );
+  }
 }
 
 /** Ends an attempt of which Node.js rejects the address, a header or the path. */
