Where urgency differs, priority orders the queue before lateness

Cause: a request that could no longer meet its objective waited behind every request in time, whatever their priorities. Requests with a short objective become late first, and were denied while less urgent ones were granted. With one priority for all of a customer's requests, arrival alone decided.

Change: if requests of several priorities wait, priority comes first. Requests of one priority with different objectives are ordered by the time left: until they become late, or, a second later, until their wait ends. Requests of one priority and one objective keep their order.

--- a/src/core/admission/admission_controller.ts
+++ b/src/core/admission/admission_controller.ts
@@ -12,6 +12,7 @@
 import type { BatchCapacity, BatchDemand } from "./batch_capacity.ts";
 import { RunEstimator } from "./run_estimator.ts";
 import { compareUrgency, GrantTurns, type Urgency } from "./urgency.ts";
+import { rankWaiting } from "./waiting_order.ts";
 
 /** A request for permission to run on an engine. */
 export interface PermitRequest extends BatchDemand, Urgency {
@@ -470,28 +471,24 @@
     this.batch.clear();
   }
 
-  /**
-   * Returns the waiting requests: first those that can still meet their
-   * first-token deadline, among these the most urgent, then the longest
-   * waiting.
-   */
+  /** Returns the waiting requests in the order in which they are to be served. */
   #listWaiting(now: Milliseconds): WaitingRequest[] {
-    const ranked = [...this.#waitingRequests.values()].map((waiting) => ({
-      waiting,
-      lateRank: this.#canMeetDeadline(waiting, now) ? 0 : 1,
-    }));
-    ranked.sort((a, b) =>
-      a.lateRank - b.lateRank ||
-      a.waiting.request.priorityRank - b.waiting.request.priorityRank ||
-      a.waiting.arrivedAt - b.waiting.arrivedAt
-    );
-    return ranked.map((each) => each.waiting);
+    return rankWaiting(
+      [...this.#waitingRequests.values()].map((waiting) => {
+        const { request, arrivedAt, overdueAt } = waiting;
+        const onTimeUntil = arrivedAt + request.firstTokenBudgetMs -
+          this.#estimateGrantToFirstTokenMs(request, now);
+        return { waiting, urgency: request, arrivedAt, onTimeUntil, overdueAt };
+      }),
+      now,
+    ).map((each) => each.waiting);
   }
 
-  #canMeetDeadline(
-    { request, arrivedAt }: WaitingRequest,
+  /** Estimates the time from an immediate grant to the first token. */
+  #estimateGrantToFirstTokenMs(
+    request: PermitRequest,
     now: Milliseconds,
-  ): boolean {
+  ): Milliseconds {
     const { adapterPath, adapter } = request;
     const slot = this.slots.getSlot(adapterPath);
     const loadMs = adapter === ""
@@ -499,8 +496,7 @@
       : slot
       ? Math.max(0, slot.readyAt - now)
       : this.slots.estimateLoadMs(adapterPath);
-    const firstTokenAt = now + loadMs + this.batch.estimatePrefillMs(request);
-    return firstTokenAt <= arrivedAt + request.firstTokenBudgetMs;
+    return loadMs + this.batch.estimatePrefillMs(request);
   }
 
   #isAdapterReady(request: PermitRequest): boolean {
--- a/test/core/admission/competing_requests_test.ts
+++ b/test/core/admission/competing_requests_test.ts
@@ -120,6 +120,19 @@
   assert.ok(get("summary").granted > 0.9 * get("summary").arrived);
 });
 
+test("with one priority for all, the time left keeps briefs from being displaced", () => {
+  // In the order of arrival, 86 of 1,269 briefs were denied and no summary.
+  const get = replay(
+    [HEADLINE, BRIEF, SUMMARY].map((traffic) => ({
+      ...traffic,
+      priorityRank: 0,
+    })),
+  );
+  assert.ok(get("brief").denied <= 75, String(get("brief").denied));
+  assert.is(get("headline").denied, 0);
+  assert.ok(get("summary").denied <= 25, String(get("summary").denied));
+});
+
 test("background requests are not starved by a load that is too high", () => {
   const get = replay([HEADLINE, BRIEF, SUMMARY], 2);
   const { granted, longestGapMs } = get("summary");
