What a class's grants can't reach in time is denied at once

Cause: while requests of different urgency wait, the expected wait for room took no account of the requests ahead. Background requests waited their whole patience, became late or were denied at its end, and their Retry-After named the wait for one release.

Change: the interval between grants to waiting requests is measured for each class of equally urgent ones. Where several classes wait, the expected wait is at least 0.85 of that interval for each equally urgent request ahead.

--- a/src/core/admission/admission_controller.ts
+++ b/src/core/admission/admission_controller.ts
@@ -98,6 +98,11 @@
 const ADOPTION_TIMEOUT_MS = 900;
 /** Prefill backlog above which requests wait here instead of in the engine. */
 const MAX_PREFILL_BACKLOG_MS = 600;
+/**
+ * Fraction of the expected wait for the requests ahead that is taken for
+ * certain: the interval between grants is an average of the last few.
+ */
+const CERTAIN_TURN_FRACTION = 0.85;
 
 interface WaitingRequest {
   request: PermitRequest;
@@ -185,6 +190,9 @@
       this.#refuse(request, denial, now);
       return;
     }
+    if (!this.#hasEquallyUrgentWaiting(request)) {
+      this.#turns.recordFirstWaiting(request, now);
+    }
     this.#waitingRequests.set(request.permitId, {
       request,
       arrivedAt: now,
@@ -561,7 +569,11 @@
     const batchSlotMs = this.batch.hasCapacityFor(request)
       ? 0
       : this.#runEstimator.meanRunMs / Math.max(1, this.batch.countRunning());
-    const capacityMs = Math.max(prefillMs, batchSlotMs);
+    const capacityMs = Math.max(
+      prefillMs,
+      batchSlotMs,
+      this.#estimateTurnMs(request),
+    );
     if (!this.#needsLoad(request)) {
       const slot = this.slots.getSlot(request.adapterPath);
       const loadMs = slot?.state === "loading"
@@ -589,6 +601,32 @@
     };
   }
 
+  #hasEquallyUrgentWaiting(request: PermitRequest): boolean {
+    for (const { request: other } of this.#waitingRequests.values()) {
+      if (compareUrgency(other, request) === 0) return true;
+    }
+    return false;
+  }
+
+  /**
+   * Returns how long the request waits for the equally urgent ones before it,
+   * at the rate at which these are served while requests of other urgency wait
+   * too; 0 if none do.
+   */
+  #estimateTurnMs(request: PermitRequest): Milliseconds {
+    let equalCount = 0;
+    let hasCompetitor = false;
+    for (const { request: other } of this.#waitingRequests.values()) {
+      if (other.permitId === request.permitId) continue;
+      if (compareUrgency(other, request) === 0) equalCount += 1;
+      else hasCompetitor = true;
+    }
+    return hasCompetitor && equalCount > 0
+      ? CERTAIN_TURN_FRACTION * equalCount *
+        this.#turns.estimateIntervalMs(request)
+      : 0;
+  }
+
   /** Returns whether the request's adapter is neither loaded nor loading. */
   #needsLoad({ adapter, adapterPath }: PermitRequest): boolean {
     return adapter !== "" && this.slots.getSlot(adapterPath) === undefined;
@@ -634,7 +672,7 @@
     const ready = [...this.#waitingRequests.values()]
       .map((waiting) => waiting.request)
       .filter((waiting) => this.#isAdapterReady(waiting));
-    this.#turns.recordGrant(request, ready);
+    this.#turns.recordGrant(request, ready, now);
     this.#answerGrant(request);
   }
 
--- a/src/core/admission/urgency.ts
+++ b/src/core/admission/urgency.ts
@@ -10,6 +10,8 @@
  * that the long prompts would wait until they are rejected.
  */
 
+import type { Milliseconds } from "../structures.ts";
+
 /** What the urgency of a request depends on. */
 export interface Urgency {
   /** 0 is the most urgent. */
@@ -32,45 +34,85 @@
  */
 const MAX_CLASSES = 64;
 
+/** Weight of the latest interval in the average. */
+const INTERVAL_WEIGHT = 1 / 8;
+
 /** Returns a negative number if the first request is the more urgent one. */
 export function compareUrgency(a: Urgency, b: Urgency): number {
   return a.priorityRank - b.priorityRank ||
     (a.latencyObjectiveMs ?? 0) - (b.latencyObjectiveMs ?? 0);
 }
 
+interface ClassGrants {
+  /** Grants to more urgent requests since the last one to this class. */
+  grantsPast: number;
+  /**
+   * When the last grant was given, or when the first of the requests that wait
+   * now arrived; the later of the two.
+   */
+  waitingSince: Milliseconds;
+  /** Moving average of the time between two grants while requests waited. */
+  intervalMs: Milliseconds;
+}
+
 /**
- * Counts the grants to more urgent requests while a request waited, by class of
- * equally urgent requests.
+ * Records which grants were given to each class of equally urgent requests, and
+ * which were given past its waiting requests.
  */
 export class GrantTurns {
-  readonly #grantsPast = new Map<string, number>();
+  readonly #classes = new Map<string, ClassGrants>();
+
+  /** Records the first waiting request of its class. */
+  recordFirstWaiting(request: Urgency, now: Milliseconds): void {
+    this.#getClass(request, now).waitingSince = now;
+  }
 
   /** Records a grant and the requests that wait on. */
-  recordGrant(granted: Urgency, waiting: Iterable<Urgency>): void {
-    this.#grantsPast.delete(formatClass(granted));
-    const passed = new Set<string>();
+  recordGrant(
+    granted: Urgency,
+    waiting: Iterable<Urgency>,
+    now: Milliseconds,
+  ): void {
+    const own = this.#getClass(granted, now);
+    own.grantsPast = 0;
+    own.intervalMs += INTERVAL_WEIGHT *
+      (now - own.waitingSince - own.intervalMs);
+    own.waitingSince = now;
+    const passed = new Set<ClassGrants>();
     for (const each of waiting) {
-      if (compareUrgency(granted, each) < 0) passed.add(formatClass(each));
-    }
-    for (const key of passed) {
-      const count = this.#grantsPast.get(key) ?? 0;
-      this.#grantsPast.delete(key);
-      this.#grantsPast.set(key, count + 1);
-    }
-    for (const key of this.#grantsPast.keys()) {
-      if (this.#grantsPast.size <= MAX_CLASSES) break;
-      this.#grantsPast.delete(key);
+      if (compareUrgency(granted, each) < 0) {
+        passed.add(this.#getClass(each, now));
+      }
     }
+    for (const each of passed) each.grantsPast += 1;
   }
 
   /** Returns whether the next grant is to go to a request of this class. */
   isDue(request: Urgency): boolean {
-    return this.#grantsPast.size > 0 &&
-      (this.#grantsPast.get(formatClass(request)) ?? 0) >= MAX_GRANTS_PAST;
+    const known = this.#classes.get(formatClass(request));
+    return known !== undefined && known.grantsPast >= MAX_GRANTS_PAST;
+  }
+
+  /** Estimates the time between two grants to waiting requests of the class. */
+  estimateIntervalMs(request: Urgency): Milliseconds {
+    return this.#classes.get(formatClass(request))?.intervalMs ?? 0;
   }
 
   clear(): void {
-    this.#grantsPast.clear();
+    this.#classes.clear();
+  }
+
+  #getClass(request: Urgency, now: Milliseconds): ClassGrants {
+    const key = formatClass(request);
+    const known = this.#classes.get(key) ??
+      { grantsPast: 0, waitingSince: now, intervalMs: 0 };
+    this.#classes.delete(key);
+    this.#classes.set(key, known);
+    const [oldest] = this.#classes.keys();
+    if (this.#classes.size > MAX_CLASSES && oldest !== undefined) {
+      this.#classes.delete(oldest);
+    }
+    return known;
   }
 }
 
--- a/test/core/admission/competing_requests_test.ts
+++ b/test/core/admission/competing_requests_test.ts
@@ -141,15 +141,71 @@
   assert.ok(longestGapMs < 2_500, String(longestGapMs));
 });
 
+test("a request that its class's grants can't reach in time is denied at once, with their rate as retry time", () => {
+  const admission = new AdmissionController(
+    new AdapterSlots(1),
+    new BatchCapacity({ batchSize: 1, kvCapacityTokens: 240_174 }),
+  );
+  const short = { promptTokens: 10, outputTokens: 10, lifetimeMs: 60_000 };
+  const urgent = { ...createPermitRequest(HEADLINE, "u"), ...short };
+  const background = { ...createPermitRequest(SUMMARY, "b"), ...short };
+  let count = 0;
+  let runningId = "";
+  const waitingIds: string[] = [];
+  for (let now = 0; now < 80_000; now += 200) {
+    count += 1;
+    const permitId = `u${count}`;
+    admission.requestPermit({ ...urgent, permitId }, now);
+    while (waitingIds.length < 2) {
+      count += 1;
+      waitingIds.push(`b${count}`);
+      admission.requestPermit(
+        { ...background, permitId: `b${count}`, patienceMs: 60_000 },
+        now,
+      );
+    }
+    if (runningId !== "") admission.releasePermit(runningId, now);
+    for (const answer of admission.takeAnswers()) {
+      if (answer.kind !== "granted") continue;
+      runningId = answer.permitId;
+      if (waitingIds.includes(runningId)) {
+        waitingIds.splice(waitingIds.indexOf(runningId), 1);
+      }
+      admission.recordFirstToken(runningId, now);
+    }
+  }
+  // One grant in eight, each 200 ms, two requests ahead, less the margin.
+  admission.requestPermit({
+    ...background,
+    permitId: "last",
+    patienceMs: 2_500,
+  }, 80_000);
+  const answer = admission.takeAnswers().find((each) =>
+    each.permitId === "last"
+  );
+  assert.ok(answer?.kind === "denied");
+  assert.ok(
+    answer.retryAfterMs > 2_700 && answer.retryAfterMs < 3_600,
+    String(answer.retryAfterMs),
+  );
+});
+
+test("what can't be served during a burst is not kept waiting for nothing", () => {
+  // Without the rate of grants, summaries waited 2,592 ms for their denials.
+  const get = replay([HEADLINE, BRIEF, SUMMARY]);
+  const { denied, deniedWaitMs } = get("summary");
+  assert.ok(deniedWaitMs / denied < 1_600, String(deniedWaitMs / denied));
+});
+
 test("a waiting class has its turn after the grants that are allowed past it", () => {
   const turns = new GrantTurns();
   for (let count = 0; count < MAX_GRANTS_PAST; count += 1) {
     assert.not(turns.isDue(SUMMARY));
-    turns.recordGrant(BRIEF, [BRIEF, SUMMARY, HEADLINE]);
+    turns.recordGrant(BRIEF, [BRIEF, SUMMARY, HEADLINE], 0);
   }
   assert.ok(turns.isDue(SUMMARY));
   assert.not(turns.isDue(HEADLINE));
-  turns.recordGrant(SUMMARY, [BRIEF]);
+  turns.recordGrant(SUMMARY, [BRIEF], 0);
   assert.not(turns.isDue(SUMMARY));
 });
 
--- a/test/core/admission/one_engine_simulation.ts
+++ b/test/core/admission/one_engine_simulation.ts
@@ -40,6 +40,8 @@
   /** Granted, with a first token after the objective. */
   late: number;
   denied: number;
+  /** Sum of the times that denied requests waited for their denials. */
+  deniedWaitMs: number;
   /** Longest time between two grants while a request of this kind waited. */
   longestGapMs: number;
 }
@@ -73,6 +75,7 @@
       granted: 0,
       late: 0,
       denied: 0,
+      deniedWaitMs: 0,
       longestGapMs: 0,
     }]),
   );
@@ -91,6 +94,7 @@
       const { traffic, arrivedAt } = origin;
       if (answer.kind === "denied") {
         result.denied += 1;
+        result.deniedWaitMs += now - arrivedAt;
         continue;
       }
       prefillFreeAt = Math.max(prefillFreeAt, now) +
@@ -199,6 +203,7 @@
             granted: sum.granted + result.granted,
             late: sum.late + result.late,
             denied: sum.denied + result.denied,
+            deniedWaitMs: sum.deniedWaitMs + result.deniedWaitMs,
             longestGapMs: Math.max(sum.longestGapMs, result.longestGapMs),
           }
           : result,
