Turns of less urgent requests are counted in tokens and held briefly

Cause: a turn after seven grants gave long background prompts far more than an eighth of the engine, and a turn held the room until it sufficed. On an engine full of long runs that is seconds, in which urgent requests that would fit were denied.

Change: a class has its turn once more urgent ones have been granted six times the request's own tokens while it waited; what exceeds that counts for its next turn. The room is held for at most 300 ms, then the turn is over.

--- a/src/core/admission/admission_controller.ts
+++ b/src/core/admission/admission_controller.ts
@@ -389,14 +389,15 @@
     );
     const turn = this.#findTurn(waiting);
     if (turn) {
-      if (!this.#tryGrant(turn.request, now)) return false;
-      return true;
+      if (this.#tryGrant(turn.request, now)) return true;
+      if (this.#turns.tryHold(turn.request, now)) return false;
     }
     let blocked: PermitRequest | undefined;
     for (const { request } of waiting) {
       if (blocked && compareUrgency(blocked, request) < 0) continue;
       if (this.#tryGrant(request, now)) {
-        if (this.#findTurn(waiting)) return true;
+        const next = this.#findTurn(waiting);
+        if (next && next !== turn) return true;
       } else if (!blocked || compareUrgency(request, blocked) < 0) {
         blocked = request;
       }
@@ -405,8 +406,8 @@
   }
 
   /**
-   * Returns the request that is to be granted next because too many more urgent
-   * ones were granted while requests of its class waited.
+   * Returns the request that is to be granted next because enough more
+   * urgent ones were granted while requests of its class waited.
    */
   #findTurn(waiting: readonly WaitingRequest[]): WaitingRequest | undefined {
     return waiting.find(({ request }) =>
