The pauses that callers accept bound an engine's batch

Cause: an engine is filled up to its slots whatever the pace of its events. On a site with 48 slots and accepted pauses of 400 ms, half of the streams were late although their first events came in 283 ms in the median.

Change: the gateway measures the longest pause between events of each stream whose route declares an objective, without pauses after a caller's full write buffer, and reports it with the release of the permit (optional field; the request for the permit names the objective).

Not measured: a whole site.

--- a/src/core/admission/admission_controller.ts
+++ b/src/core/admission/admission_controller.ts
@@ -10,6 +10,7 @@
 import { MAX_LOADING } from "../placement/fetch_concurrency_limit.ts";
 import type { Milliseconds } from "../structures.ts";
 import type { BatchCapacity, BatchDemand } from "./batch_capacity.ts";
+import { PauseLimit } from "./pause_limit.ts";
 import { PrefillShare } from "./prefill_share.ts";
 import { type Reservation, RoomReservation } from "./room_reservation.ts";
 import { RunEstimator } from "./run_estimator.ts";
@@ -30,6 +31,11 @@
   patienceMs: Milliseconds;
   /** Time left until the first token is late. */
   firstTokenBudgetMs: Milliseconds;
+  /**
+   * Longest pause between events that the caller accepts; undefined if the
+   * route declares none, or an older gateway sent the request.
+   */
+  interTokenObjectiveMs?: Milliseconds | undefined;
   /** Time after which the request can't be running any more. */
   lifetimeMs: Milliseconds;
   /** Whether no other engine will be tried, so that the request waits here. */
@@ -131,6 +137,7 @@
   /** When it was granted; undefined for adopted runs. */
   grantedAt: Milliseconds | undefined;
   hasFirstToken: boolean;
+  interTokenObjectiveMs: Milliseconds | undefined;
 }
 
 export class AdmissionController {
@@ -154,6 +161,7 @@
   readonly #turns = new GrantTurns();
   readonly #reservation = new RoomReservation();
   readonly #prefillShare = new PrefillShare();
+  readonly #pauseLimit = new PauseLimit();
 
   constructor(slots: AdapterSlots, batch: BatchCapacity) {
     this.slots = slots;
@@ -234,6 +242,7 @@
       expiresAt: now + permit.lifetimeMs,
       grantedAt: undefined,
       hasFirstToken: true,
+      interTokenObjectiveMs: undefined,
     });
     this.batch.admitPrefilled(permitId, permit, now);
     const slot = this.slots.getSlot(adapterPath);
@@ -243,11 +252,19 @@
   /**
    * Releases the permit of a run that has ended and grants its capacity to
    * waiting requests.
+   *
+   * @param longestPauseMs longest pause between two events of the run, if it
+   * was a stream whose route declares an objective for it.
    */
-  releasePermit(permitId: string, now: Milliseconds): void {
+  releasePermit(
+    permitId: string,
+    now: Milliseconds,
+    longestPauseMs?: Milliseconds,
+  ): void {
     this.#waitingRequests.delete(permitId);
     const permit = this.#permits.get(permitId);
     if (!permit) return;
+    if (longestPauseMs !== undefined) this.#recordPause(longestPauseMs);
     this.#permits.delete(permitId);
     this.batch.release(permitId);
     this.#reservation.recordRelease(permitId, now);
@@ -261,6 +278,22 @@
     this.grantWaiting(now);
   }
 
+  /** Adapts the number of running requests to the pauses that callers accept. */
+  #recordPause(longestPauseMs: Milliseconds): void {
+    let objectiveMs = Number.POSITIVE_INFINITY;
+    for (const { interTokenObjectiveMs } of this.#permits.values()) {
+      if (interTokenObjectiveMs === undefined) continue;
+      objectiveMs = Math.min(objectiveMs, interTokenObjectiveMs);
+    }
+    if (objectiveMs === Number.POSITIVE_INFINITY) return;
+    this.#pauseLimit.recordPause(longestPauseMs, {
+      objectiveMs,
+      running: this.batch.countRunning(),
+      batchSize: this.batch.batchSize,
+    });
+    this.batch.setMaxRunning(this.#pauseLimit.maxRunning);
+  }
+
   recordFirstToken(permitId: string, now: Milliseconds): void {
     this.slots.recordLoadOnTime(now);
     const permit = this.#permits.get(permitId);
@@ -502,6 +535,8 @@
     this.#permits.clear();
     this.#turns.clear();
     this.#reservation.clear();
+    this.#pauseLimit.clear();
+    this.batch.setMaxRunning(undefined);
     this.batch.clear();
   }
 
@@ -691,6 +726,7 @@
       expiresAt: now + request.lifetimeMs,
       grantedAt: now,
       hasFirstToken: false,
+      interTokenObjectiveMs: request.interTokenObjectiveMs,
     });
     this.batch.admit(permitId, request, now);
     this.#reservation.recordGrant(permitId, request, now);
--- a/src/core/admission/batch_capacity.ts
+++ b/src/core/admission/batch_capacity.ts
@@ -65,6 +65,8 @@
   /** Prompt tokens that the engine prefills per millisecond. */
   #prefillTokensPerMs = DEFAULT_PREFILL_TOKENS_PER_MS;
   #kvCacheTokens: number;
+  /** Number of requests that may run; undefined if only the batch size counts. */
+  #maxRunning: number | undefined;
 
   constructor(limits: { batchSize: number; kvCapacityTokens: number }) {
     this.#batchSize = limits.batchSize;
@@ -76,6 +78,15 @@
     this.#kvCacheTokens = limits.kvCapacityTokens * USABLE_KV_CACHE_FRACTION;
   }
 
+  get batchSize(): number {
+    return this.#batchSize;
+  }
+
+  /** Limits the batch below its size; undefined removes the limit. */
+  setMaxRunning(maxRunning: number | undefined): void {
+    this.#maxRunning = maxRunning;
+  }
+
   countRunning(): number {
     return this.#running.size;
   }
@@ -95,7 +106,11 @@
   ): boolean {
     if (this.#running.size === 0) return true;
     const usedTokens = this.#sumTokens() + reserved.tokens;
-    return this.#running.size + reserved.runs < this.#batchSize &&
+    const maxRunning = Math.min(
+      this.#batchSize,
+      this.#maxRunning ?? this.#batchSize,
+    );
+    return this.#running.size + reserved.runs < maxRunning &&
       usedTokens + demand.promptTokens + demand.outputTokens <=
         this.#kvCacheTokens;
   }
--- a/src/gateway/engine_selector.ts
+++ b/src/gateway/engine_selector.ts
@@ -298,6 +298,9 @@
       promptParts: metadata.promptParts,
       patienceMs,
       firstTokenBudgetMs,
+      interTokenObjectiveMs: interTokenObjectiveMs > 0
+        ? interTokenObjectiveMs
+        : undefined,
       lifetimeMs: remainingMs,
       isLastChoice,
     });
@@ -328,9 +331,12 @@
 
   /**
    * Releases the permit after the attempt, and tells the owner if the engine
-   * did not run the request.
+   * did not run the request, or how long the stream paused at most.
    */
-  releaseEngine(result?: AttemptResult): void {
+  releaseEngine(
+    result?: AttemptResult,
+    longestPauseMs?: Milliseconds,
+  ): void {
     const assignment = this.#assignment;
     this.#assignment = undefined;
     if (!assignment) return;
@@ -351,6 +357,7 @@
           kind: "permitReleased",
           engineId: assignment.engine.id,
           permitId: assignment.permitId,
+          longestPauseMs,
         },
     );
   }
--- a/src/gateway/engine_task.ts
+++ b/src/gateway/engine_task.ts
@@ -214,7 +214,11 @@
         break;
       case "permitReleased":
         this.#getOwned(message.engineId)
-          ?.admission.releasePermit(message.permitId, now);
+          ?.admission.releasePermit(
+            message.permitId,
+            now,
+            message.longestPauseMs,
+          );
         this.#serveQueue(message.engineId, now);
         break;
       case "firstToken":
--- a/src/gateway/peer_message_decoder.ts
+++ b/src/gateway/peer_message_decoder.ts
@@ -127,6 +127,7 @@
   latencyObjectiveMs: durationMs.optional(),
   patienceMs: durationMs,
   firstTokenBudgetMs: durationMs,
+  interTokenObjectiveMs: durationMs.optional(),
   lifetimeMs: durationMs,
   isLastChoice: z.boolean(),
 });
@@ -172,7 +173,12 @@
     engineId,
     answer: permitAnswerSchema,
   }),
-  z.object({ kind: z.literal("permitReleased"), engineId, permitId }),
+  z.object({
+    kind: z.literal("permitReleased"),
+    engineId,
+    permitId,
+    longestPauseMs: ageMs.max(MAX_DURATION_MS).optional(),
+  }),
   z.object({ kind: z.literal("firstToken"), engineId, permitId }),
   z.object({
     kind: z.literal("permitUnusable"),
--- a/src/gateway/peer_messages.ts
+++ b/src/gateway/peer_messages.ts
@@ -12,8 +12,17 @@
   | { kind: "heartbeat"; heartbeat: Heartbeat }
   | { kind: "permitRequest"; engineId: string; request: PermitRequest }
   | { kind: "permitAnswer"; engineId: string; answer: PermitAnswer }
-  /** The run has ended, or the permit is no longer needed. */
-  | { kind: "permitReleased"; engineId: string; permitId: string }
+  /**
+   * The run has ended, or the permit is no longer needed. The longest pause
+   * between events of the run is known if its route declares an objective for
+   * it.
+   */
+  | {
+    kind: "permitReleased";
+    engineId: string;
+    permitId: string;
+    longestPauseMs?: Milliseconds | undefined;
+  }
   /** The engine has processed the prompt and produced the first token. */
   | { kind: "firstToken"; engineId: string; permitId: string }
   /**
--- a/src/gateway/request_handler.ts
+++ b/src/gateway/request_handler.ts
@@ -138,6 +138,11 @@
   #hasOutput = false;
   /** Upstream of the latest attempt. */
   #lastUpstream: PublishedUpstream | undefined;
+  /** When the current attempt's latest event came; NaN before the first. */
+  #lastEventAt: Milliseconds = Number.NaN;
+  /** Longest pause between two events of the current attempt. */
+  #longestPauseMs: Milliseconds = 0;
+  readonly #measuresPauses: boolean;
   #sentAt: Milliseconds = Number.NaN;
   #firstByteAt: Milliseconds = Number.NaN;
   #reselections = 0;
@@ -162,6 +167,8 @@
     });
     this.#route = target.route;
     this.#service = target.service;
+    this.#measuresPauses = target.service.engine !== undefined &&
+      target.route.interTokenObjectiveMs > 0;
     this.#caller = target.caller;
     this.#crashGuard = new CrashGuard(
       context,
@@ -268,7 +275,10 @@
       return;
     }
     const result = await this.#sendAttempt(upstream);
-    this.#engineSelector.releaseEngine(result);
+    this.#engineSelector.releaseEngine(
+      result,
+      this.#longestPauseMs > 0 ? this.#longestPauseMs : undefined,
+    );
     if (this.#isFinished) return;
     this.#recordResult(upstream, result);
     if (result.isConnectionBroken) {
@@ -470,6 +480,8 @@
     const isStream = this.#route.repeatability === Repeatability.Stream;
     this.#totalAttempts += 1;
     this.#hasOutput = false;
+    this.#lastEventAt = Number.NaN;
+    this.#longestPauseMs = 0;
     this.#sentAt = performance.now();
     const earlierEvents = this.#splitter.eventCount;
     this.#running = runAttempt(this.#context, {
@@ -523,10 +535,13 @@
       return SinkDecision.Abort;
     }
     this.#recordOutput();
+    if (this.#measuresPauses) this.#recordEvent(performance.now());
     if (!this.#hasForwarded) this.#startStream();
     this.#exchange.write(events);
     this.#forwardedEventId = this.#splitter.lastEventId;
     if (!this.#exchange.isWriteBufferFull) return SinkDecision.Continue;
+    // The pause that follows is the caller's.
+    this.#lastEventAt = Number.NaN;
     this.#context.metrics.count(
       "callers_backlogged",
       this.#route.repeatability,
@@ -535,6 +550,13 @@
     return SinkDecision.Pause;
   }
 
+  /** Records when events arrived; called for each chunk of a stream. */
+  #recordEvent(now: Milliseconds): void {
+    const pauseMs = now - this.#lastEventAt;
+    if (pauseMs > this.#longestPauseMs) this.#longestPauseMs = pauseMs;
+    this.#lastEventAt = now;
+  }
+
   /** Records that the upstream has produced output for the request. */
   #recordOutput(): void {
     if (this.#hasOutput) return;
--- a/test/gateway/peer_datagrams_test.ts
+++ b/test/gateway/peer_datagrams_test.ts
@@ -133,6 +133,13 @@
     },
     { kind: "permitAnswer", engineId: "e", answer: { kind: "maybe" } },
     { kind: "permitReleased", engineId: 5, permitId: "p" },
+    { ...RELEASED, longestPauseMs: -1 },
+    { ...RELEASED, longestPauseMs: "400" },
+    {
+      kind: "permitRequest",
+      engineId: "e",
+      request: { ...REQUEST, latencyObjectiveMs: "800" },
+    },
     { kind: "runsHeld", engineId: "e", runs: [null] },
     { kind: "handover", engineId: "e", handover: { adapters: [["a"]] } },
   ];
@@ -141,6 +148,21 @@
   assert.equal(dropped, bad.map(() => "invalid"));
 });
 
+test("the optional fields of permit messages pass", async () => {
+  const request = {
+    ...REQUEST,
+    latencyObjectiveMs: 800,
+    interTokenObjectiveMs: 400,
+  };
+  const good: object[] = [
+    { kind: "permitRequest", engineId: "e", request },
+    { ...RELEASED, longestPauseMs: 412.5 },
+  ];
+  const { handled, dropped } = await receive(good.map((each) => encode(each)));
+  assert.equal(handled, [...good, RELEASED]);
+  assert.equal(dropped, []);
+});
+
 test("messages with addresses that can't be used, or numbers out of range, are dropped", async () => {
   const { sender } = HEARTBEAT;
   const heartbeats: object[] = [
