--- a/src/gateway/request_handler.ts
+++ b/src/gateway/request_handler.ts
@@ -23,6 +23,7 @@
   EventSplitter,
   findFirstEventId,
 } from "../core/execution/event_splitter.ts";
+import { PauseMeter } from "../core/execution/pause_meter.ts";
 import {
   canFollowEvent,
   isContinuation,
@@ -138,11 +139,11 @@
   #hasOutput = false;
   /** Upstream of the latest attempt. */
   #lastUpstream: PublishedUpstream | undefined;
-  /** When the current attempt's latest event came; NaN before the first. */
-  #lastEventAt: Milliseconds = Number.NaN;
-  /** Longest pause between two events of the current attempt. */
-  #longestPauseMs: Milliseconds = 0;
-  readonly #measuresPauses: boolean;
+  /**
+   * Pauses of the current attempt; undefined unless the route declares an
+   * objective for them.
+   */
+  readonly #pauseMeter: PauseMeter | undefined;
   #sentAt: Milliseconds = Number.NaN;
   #firstByteAt: Milliseconds = Number.NaN;
   #reselections = 0;
@@ -167,8 +168,9 @@
     });
     this.#route = target.route;
     this.#service = target.service;
-    this.#measuresPauses = target.service.engine !== undefined &&
+    const hasPauseObjective = target.service.engine !== undefined &&
       target.route.interTokenObjectiveMs > 0;
+    this.#pauseMeter = hasPauseObjective ? new PauseMeter() : undefined;
     this.#caller = target.caller;
     this.#crashGuard = new CrashGuard(
       context,
@@ -277,7 +279,7 @@
     const result = await this.#sendAttempt(upstream);
     this.#engineSelector.releaseEngine(
       result,
-      this.#longestPauseMs > 0 ? this.#longestPauseMs : undefined,
+      this.#pauseMeter?.longestPauseMs,
     );
     if (this.#isFinished) return;
     this.#recordResult(upstream, result);
@@ -480,8 +482,7 @@
     const isStream = this.#route.repeatability === Repeatability.Stream;
     this.#totalAttempts += 1;
     this.#hasOutput = false;
-    this.#lastEventAt = Number.NaN;
-    this.#longestPauseMs = 0;
+    this.#pauseMeter?.clear();
     this.#sentAt = performance.now();
     const earlierEvents = this.#splitter.eventCount;
     this.#running = runAttempt(this.#context, {
@@ -535,13 +536,12 @@
       return SinkDecision.Abort;
     }
     this.#recordOutput();
-    if (this.#measuresPauses) this.#recordEvent(performance.now());
+    this.#pauseMeter?.recordEvent(performance.now());
     if (!this.#hasForwarded) this.#startStream();
     this.#exchange.write(events);
     this.#forwardedEventId = this.#splitter.lastEventId;
     if (!this.#exchange.isWriteBufferFull) return SinkDecision.Continue;
-    // The pause that follows is the caller's.
-    this.#lastEventAt = Number.NaN;
+    this.#pauseMeter?.recordInterruption();
     this.#context.metrics.count(
       "callers_backlogged",
       this.#route.repeatability,
@@ -550,13 +550,6 @@
     return SinkDecision.Pause;
   }
 
-  /** Records when events arrived; called for each chunk of a stream. */
-  #recordEvent(now: Milliseconds): void {
-    const pauseMs = now - this.#lastEventAt;
-    if (pauseMs > this.#longestPauseMs) this.#longestPauseMs = pauseMs;
-    this.#lastEventAt = now;
-  }
-
   /** Records that the upstream has produced output for the request. */
   #recordOutput(): void {
     if (this.#hasOutput) return;
