--- a/src/core/admission/admission_controller.ts
+++ b/src/core/admission/admission_controller.ts
@@ -11,7 +11,7 @@
 import type { Milliseconds } from "../structures.ts";
 import type { BatchCapacity, BatchDemand } from "./batch_capacity.ts";
 import { PauseLimit } from "./pause_limit.ts";
-import { PrefillShare } from "./prefill_share.ts";
+import { MAX_PREFILL_BACKLOG_MS, PrefillShare } from "./prefill_share.ts";
 import { type Reservation, RoomReservation } from "./room_reservation.ts";
 import { RunEstimator } from "./run_estimator.ts";
 import { compareUrgency, GrantTurns, type Urgency } from "./urgency.ts";
@@ -457,6 +457,16 @@
     );
   }
 
+  #canQueuePrefill(request: PermitRequest, now: Milliseconds): boolean {
+    const backlogMs = this.batch.estimatePrefillBacklogMs(now);
+    return backlogMs <= MAX_PREFILL_BACKLOG_MS &&
+      backlogMs <= this.#prefillShare.computeMaxBacklogMs(
+          request,
+          this.batch.estimatePrefillMs(request),
+          now,
+        );
+  }
+
   #computeReservation(
     request: PermitRequest,
     now: Milliseconds,
@@ -470,13 +480,8 @@
     now: Milliseconds,
     reserved?: Reservation,
   ): boolean {
-    const maxBacklogMs = this.#prefillShare.computeMaxBacklogMs(
-      request,
-      this.batch.estimatePrefillMs(request),
-      now,
-    );
     const hasCapacity = this.batch.hasCapacityFor(request, reserved) &&
-      this.batch.estimatePrefillBacklogMs(now) <= maxBacklogMs;
+      this.#canQueuePrefill(request, now);
     if (hasCapacity) this.#grant(request, now);
     return hasCapacity;
   }
@@ -732,10 +737,13 @@
     this.#reservation.recordGrant(permitId, request, now);
     const slot = this.slots.getSlot(adapterPath);
     if (slot) this.slots.recordUse(slot, permitId, now);
-    const ready = [...this.#waitingRequests.values()]
-      .map((waiting) => waiting.request)
-      .filter((waiting) => this.#isAdapterReady(waiting));
-    this.#turns.recordGrant(request, ready, now);
+    const passed: PermitRequest[] = [];
+    for (const { request: other } of this.#waitingRequests.values()) {
+      const isPassed = compareUrgency(request, other) < 0 &&
+        this.#isAdapterReady(other);
+      if (isPassed) passed.push(other);
+    }
+    this.#turns.recordGrant(request, passed, now);
     this.#answerGrant(request);
   }
 
--- a/src/core/admission/urgency.ts
+++ b/src/core/admission/urgency.ts
@@ -72,6 +72,8 @@
  */
 export class GrantTurns {
   readonly #classes = new Map<string, ClassGrants>();
+  /** Whether any class may have a turn; most engines serve one class. */
+  #hasPassed = false;
 
   /** Records the first waiting request of its class. */
   recordFirstWaiting(request: Urgency, now: Milliseconds): void {
@@ -102,10 +104,12 @@
       }
     }
     for (const each of passed) each.tokensPast += sumTokens(granted);
+    this.#hasPassed ||= passed.size > 0;
   }
 
   /** Returns whether the request is to be granted before more urgent ones. */
   isDue(request: SizedRequest): boolean {
+    if (!this.#hasPassed) return false;
     const known = this.#classes.get(formatUrgencyClass(request));
     return known !== undefined &&
       known.tokensPast >= MAX_TOKENS_PAST_FACTOR * sumTokens(request);
@@ -131,6 +135,7 @@
 
   clear(): void {
     this.#classes.clear();
+    this.#hasPassed = false;
   }
 
   #getClass(request: Urgency, now: Milliseconds): ClassGrants {
