--- a/src/core/admission/admission_controller.ts
+++ b/src/core/admission/admission_controller.ts
@@ -10,10 +10,15 @@
 import { MAX_LOADING } from "../placement/fetch_concurrency_limit.ts";
 import type { Milliseconds } from "../structures.ts";
 import type { BatchCapacity, BatchDemand } from "./batch_capacity.ts";
+import { PauseLimit } from "./pause_limit.ts";
+import { MAX_PREFILL_BACKLOG_MS, PrefillShare } from "./prefill_share.ts";
+import { type Reservation, RoomReservation } from "./room_reservation.ts";
 import { RunEstimator } from "./run_estimator.ts";
+import { compareUrgency, GrantTurns, type Urgency } from "./urgency.ts";
+import { rankWaiting } from "./waiting_order.ts";
 
 /** A request for permission to run on an engine. */
-export interface PermitRequest extends BatchDemand {
+export interface PermitRequest extends BatchDemand, Urgency {
   permitId: string;
   /** Daemon that asks for the permit and would hold it. */
   holder: string;
@@ -22,12 +27,15 @@
   adapter: string;
   /** Required version of the adapter; undefined when none is declared. */
   version?: number | undefined;
-  /** 0 is the most urgent. */
-  priorityRank: number;
   /** Longest time to wait for the permit. */
   patienceMs: Milliseconds;
   /** Time left until the first token is late. */
   firstTokenBudgetMs: Milliseconds;
+  /**
+   * Longest pause between events that the caller accepts; undefined if the
+   * route declares none, or an older gateway sent the request.
+   */
+  interTokenObjectiveMs?: Milliseconds | undefined;
   /** Time after which the request can't be running any more. */
   lifetimeMs: Milliseconds;
   /** Whether no other engine will be tried, so that the request waits here. */
@@ -96,8 +104,11 @@
  * run on the engine. Nothing is evicted before it has passed.
  */
 const ADOPTION_TIMEOUT_MS = 900;
-/** Prefill backlog above which requests wait here instead of in the engine. */
-const MAX_PREFILL_BACKLOG_MS = 600;
+/**
+ * Fraction of the expected wait for the requests ahead that is taken for
+ * certain: the interval between grants is an average of the last few.
+ */
+const CERTAIN_TURN_FRACTION = 0.95;
 
 interface WaitingRequest {
   request: PermitRequest;
@@ -126,6 +137,7 @@
   /** When it was granted; undefined for adopted runs. */
   grantedAt: Milliseconds | undefined;
   hasFirstToken: boolean;
+  interTokenObjectiveMs: Milliseconds | undefined;
 }
 
 export class AdmissionController {
@@ -146,6 +158,10 @@
   #blockedSince: Milliseconds | undefined;
   #evictionAllowedAt = Number.NEGATIVE_INFINITY;
   readonly #runEstimator = new RunEstimator();
+  readonly #turns = new GrantTurns();
+  readonly #reservation = new RoomReservation();
+  readonly #prefillShare = new PrefillShare();
+  readonly #pauseLimit = new PauseLimit();
 
   constructor(slots: AdapterSlots, batch: BatchCapacity) {
     this.slots = slots;
@@ -179,11 +195,18 @@
       this.#answerDenial(request, DenialReason.Busy, backoffMs);
       return;
     }
+    this.#prefillShare.recordArrival(request, now);
     const denial = this.#findDenial(request, now);
+    if (!denial || request.isLastChoice) {
+      this.#reservation.recordArrival(request, now);
+    }
     if (denial) {
       this.#refuse(request, denial, now);
       return;
     }
+    if (!this.#hasEquallyUrgentWaiting(request)) {
+      this.#turns.recordFirstWaiting(request, now);
+    }
     this.#waitingRequests.set(request.permitId, {
       request,
       arrivedAt: now,
@@ -219,6 +242,7 @@
       expiresAt: now + permit.lifetimeMs,
       grantedAt: undefined,
       hasFirstToken: true,
+      interTokenObjectiveMs: undefined,
     });
     this.batch.admitPrefilled(permitId, permit, now);
     const slot = this.slots.getSlot(adapterPath);
@@ -228,13 +252,22 @@
   /**
    * Releases the permit of a run that has ended and grants its capacity to
    * waiting requests.
+   *
+   * @param longestPauseMs longest pause between two events of the run, if it
+   * was a stream whose route declares an objective for it.
    */
-  releasePermit(permitId: string, now: Milliseconds): void {
+  releasePermit(
+    permitId: string,
+    now: Milliseconds,
+    longestPauseMs?: Milliseconds,
+  ): void {
     this.#waitingRequests.delete(permitId);
     const permit = this.#permits.get(permitId);
     if (!permit) return;
+    if (longestPauseMs !== undefined) this.#recordPause(longestPauseMs);
     this.#permits.delete(permitId);
     this.batch.release(permitId);
+    this.#reservation.recordRelease(permitId, now);
     if (permit.hasFirstToken && permit.grantedAt !== undefined) {
       this.#runEstimator.recordRun(now - permit.grantedAt);
     }
@@ -245,6 +278,22 @@
     this.grantWaiting(now);
   }
 
+  /** Adapts the number of running requests to the pauses that callers accept. */
+  #recordPause(longestPauseMs: Milliseconds): void {
+    let objectiveMs = Number.POSITIVE_INFINITY;
+    for (const { interTokenObjectiveMs } of this.#permits.values()) {
+      if (interTokenObjectiveMs === undefined) continue;
+      objectiveMs = Math.min(objectiveMs, interTokenObjectiveMs);
+    }
+    if (objectiveMs === Number.POSITIVE_INFINITY) return;
+    this.#pauseLimit.recordPause(longestPauseMs, {
+      objectiveMs,
+      running: this.batch.countRunning(),
+      batchSize: this.batch.batchSize,
+    });
+    this.batch.setMaxRunning(this.#pauseLimit.maxRunning);
+  }
+
   recordFirstToken(permitId: string, now: Milliseconds): void {
     this.slots.recordLoadOnTime(now);
     const permit = this.#permits.get(permitId);
@@ -362,15 +411,79 @@
 
   /**
    * Grants permits to waiting requests, the most urgent first, while the engine
-   * has capacity.
+   * has capacity. Requests that are less urgent than one that finds no room
+   * leave it what is released.
    */
   grantWaiting(now: Milliseconds): void {
-    for (const { request } of this.#listWaiting(now)) {
-      if (!this.#isAdapterReady(request)) continue;
-      const hasCapacity = this.batch.hasCapacityFor(request) &&
-        this.batch.estimatePrefillBacklogMs(now) <= MAX_PREFILL_BACKLOG_MS;
-      if (hasCapacity) this.#grant(request, now);
+    let hasGranted = true;
+    while (hasGranted) hasGranted = this.#grantUntilTurn(now);
+  }
+
+  /**
+   * Grants permits until another class of requests has its turn; returns
+   * whether one has.
+   */
+  #grantUntilTurn(now: Milliseconds): boolean {
+    const waiting = this.#listWaiting(now).filter(({ request }) =>
+      this.#isAdapterReady(request)
+    );
+    const turn = this.#findTurn(waiting);
+    if (turn) {
+      if (this.#tryGrant(turn.request, now)) return true;
+      if (this.#turns.tryHold(turn.request, now)) return false;
     }
+    let blocked: PermitRequest | undefined;
+    for (const { request } of waiting) {
+      if (blocked && compareUrgency(blocked, request) < 0) continue;
+      const reserved = this.#computeReservation(request, now);
+      if (this.#tryGrant(request, now, reserved)) {
+        const next = this.#findTurn(waiting);
+        if (next && next !== turn) return true;
+      } else if (!blocked || compareUrgency(request, blocked) < 0) {
+        blocked = request;
+      }
+    }
+    return false;
+  }
+
+  /**
+   * Returns the request that is to be granted next because enough more
+   * urgent ones were granted while requests of its class waited.
+   */
+  #findTurn(waiting: readonly WaitingRequest[]): WaitingRequest | undefined {
+    return waiting.find(({ request }) =>
+      this.#waitingRequests.has(request.permitId) &&
+      this.#turns.isDue(request)
+    );
+  }
+
+  #canQueuePrefill(request: PermitRequest, now: Milliseconds): boolean {
+    const backlogMs = this.batch.estimatePrefillBacklogMs(now);
+    return backlogMs <= MAX_PREFILL_BACKLOG_MS &&
+      backlogMs <= this.#prefillShare.computeMaxBacklogMs(
+          request,
+          this.batch.estimatePrefillMs(request),
+          now,
+        );
+  }
+
+  #computeReservation(
+    request: PermitRequest,
+    now: Milliseconds,
+  ): Reservation {
+    return this.#reservation.computeReservation(request, this.batch.room, now);
+  }
+
+  /** Grants the permit if the engine has capacity; returns whether it has. */
+  #tryGrant(
+    request: PermitRequest,
+    now: Milliseconds,
+    reserved?: Reservation,
+  ): boolean {
+    const hasCapacity = this.batch.hasCapacityFor(request, reserved) &&
+      this.#canQueuePrefill(request, now);
+    if (hasCapacity) this.#grant(request, now);
+    return hasCapacity;
   }
 
   /**
@@ -425,31 +538,31 @@
    */
   clearPermits(): void {
     this.#permits.clear();
+    this.#turns.clear();
+    this.#reservation.clear();
+    this.#pauseLimit.clear();
+    this.batch.setMaxRunning(undefined);
     this.batch.clear();
   }
 
-  /**
-   * Returns the waiting requests: first those that can still meet their
-   * first-token deadline, among these the most urgent, then the longest
-   * waiting.
-   */
+  /** Returns the waiting requests in the order in which they are to be served. */
   #listWaiting(now: Milliseconds): WaitingRequest[] {
-    const ranked = [...this.#waitingRequests.values()].map((waiting) => ({
-      waiting,
-      lateRank: this.#canMeetDeadline(waiting, now) ? 0 : 1,
-    }));
-    ranked.sort((a, b) =>
-      a.lateRank - b.lateRank ||
-      a.waiting.request.priorityRank - b.waiting.request.priorityRank ||
-      a.waiting.arrivedAt - b.waiting.arrivedAt
-    );
-    return ranked.map((each) => each.waiting);
+    return rankWaiting(
+      [...this.#waitingRequests.values()].map((waiting) => {
+        const { request, arrivedAt, overdueAt } = waiting;
+        const onTimeUntil = arrivedAt + request.firstTokenBudgetMs -
+          this.#estimateGrantToFirstTokenMs(request, now);
+        return { waiting, urgency: request, arrivedAt, onTimeUntil, overdueAt };
+      }),
+      now,
+    ).map((each) => each.waiting);
   }
 
-  #canMeetDeadline(
-    { request, arrivedAt }: WaitingRequest,
+  /** Estimates the time from an immediate grant to the first token. */
+  #estimateGrantToFirstTokenMs(
+    request: PermitRequest,
     now: Milliseconds,
-  ): boolean {
+  ): Milliseconds {
     const { adapterPath, adapter } = request;
     const slot = this.slots.getSlot(adapterPath);
     const loadMs = adapter === ""
@@ -457,8 +570,7 @@
       : slot
       ? Math.max(0, slot.readyAt - now)
       : this.slots.estimateLoadMs(adapterPath);
-    const firstTokenAt = now + loadMs + this.batch.estimatePrefillMs(request);
-    return firstTokenAt <= arrivedAt + request.firstTokenBudgetMs;
+    return loadMs + this.batch.estimatePrefillMs(request);
   }
 
   #isAdapterReady(request: PermitRequest): boolean {
@@ -523,7 +635,11 @@
     const batchSlotMs = this.batch.hasCapacityFor(request)
       ? 0
       : this.#runEstimator.meanRunMs / Math.max(1, this.batch.countRunning());
-    const capacityMs = Math.max(prefillMs, batchSlotMs);
+    const capacityMs = Math.max(
+      prefillMs,
+      batchSlotMs,
+      this.#estimateTurnMs(request, now),
+    );
     if (!this.#needsLoad(request)) {
       const slot = this.slots.getSlot(request.adapterPath);
       const loadMs = slot?.state === "loading"
@@ -551,6 +667,32 @@
     };
   }
 
+  #hasEquallyUrgentWaiting(request: PermitRequest): boolean {
+    for (const { request: other } of this.#waitingRequests.values()) {
+      if (compareUrgency(other, request) === 0) return true;
+    }
+    return false;
+  }
+
+  /**
+   * Returns how long the request waits for the equally urgent ones before it,
+   * at the rate at which these are served while requests of other urgency wait
+   * too or room is reserved for them; 0 if neither is so.
+   */
+  #estimateTurnMs(request: PermitRequest, now: Milliseconds): Milliseconds {
+    let equalCount = 0;
+    let hasCompetitor = this.#computeReservation(request, now).tokens > 0;
+    for (const { request: other } of this.#waitingRequests.values()) {
+      if (other.permitId === request.permitId) continue;
+      if (compareUrgency(other, request) === 0) equalCount += 1;
+      else hasCompetitor = true;
+    }
+    return hasCompetitor && equalCount > 0
+      ? CERTAIN_TURN_FRACTION * equalCount *
+        this.#turns.estimateIntervalMs(request)
+      : 0;
+  }
+
   /** Returns whether the request's adapter is neither loaded nor loading. */
   #needsLoad({ adapter, adapterPath }: PermitRequest): boolean {
     return adapter !== "" && this.slots.getSlot(adapterPath) === undefined;
@@ -589,10 +731,19 @@
       expiresAt: now + request.lifetimeMs,
       grantedAt: now,
       hasFirstToken: false,
+      interTokenObjectiveMs: request.interTokenObjectiveMs,
     });
     this.batch.admit(permitId, request, now);
+    this.#reservation.recordGrant(permitId, request, now);
     const slot = this.slots.getSlot(adapterPath);
     if (slot) this.slots.recordUse(slot, permitId, now);
+    const passed: PermitRequest[] = [];
+    for (const { request: other } of this.#waitingRequests.values()) {
+      const isPassed = compareUrgency(request, other) < 0 &&
+        this.#isAdapterReady(other);
+      if (isPassed) passed.push(other);
+    }
+    this.#turns.recordGrant(request, passed, now);
     this.#answerGrant(request);
   }
 
--- a/src/core/admission/batch_capacity.ts
+++ b/src/core/admission/batch_capacity.ts
@@ -6,6 +6,7 @@
  * cached and cost nothing.
  */
 import type { Milliseconds } from "../structures.ts";
+import type { Reservation } from "./room_reservation.ts";
 
 /**
  * Prompt tokens that an engine prefills per millisecond, until its own rate was
@@ -64,6 +65,8 @@
   /** Prompt tokens that the engine prefills per millisecond. */
   #prefillTokensPerMs = DEFAULT_PREFILL_TOKENS_PER_MS;
   #kvCacheTokens: number;
+  /** Number of requests that may run; undefined if only the batch size counts. */
+  #maxRunning: number | undefined;
 
   constructor(limits: { batchSize: number; kvCapacityTokens: number }) {
     this.#batchSize = limits.batchSize;
@@ -75,18 +78,39 @@
     this.#kvCacheTokens = limits.kvCapacityTokens * USABLE_KV_CACHE_FRACTION;
   }
 
+  get batchSize(): number {
+    return this.#batchSize;
+  }
+
+  /** Limits the batch below its size; undefined removes the limit. */
+  setMaxRunning(maxRunning: number | undefined): void {
+    this.#maxRunning = maxRunning;
+  }
+
   countRunning(): number {
     return this.#running.size;
   }
 
+  /** Returns the room of the empty batch. */
+  get room(): Reservation {
+    return { tokens: this.#kvCacheTokens, runs: this.#batchSize };
+  }
+
   /**
-   * Returns whether the request fits into the batch and the KV cache now. An
-   * idle engine takes any request.
+   * Returns whether the request fits into the batch and the KV cache now,
+   * beside what is reserved for others. An idle engine takes any request.
    */
-  hasCapacityFor(demand: BatchDemand): boolean {
+  hasCapacityFor(
+    demand: BatchDemand,
+    reserved: Reservation = { tokens: 0, runs: 0 },
+  ): boolean {
     if (this.#running.size === 0) return true;
-    const usedTokens = this.#sumTokens();
-    return this.#running.size < this.#batchSize &&
+    const usedTokens = this.#sumTokens() + reserved.tokens;
+    const maxRunning = Math.min(
+      this.#batchSize,
+      this.#maxRunning ?? this.#batchSize,
+    );
+    return this.#running.size + reserved.runs < maxRunning &&
       usedTokens + demand.promptTokens + demand.outputTokens <=
         this.#kvCacheTokens;
   }
--- a/src/gateway/engine_selector.ts
+++ b/src/gateway/engine_selector.ts
@@ -292,11 +292,15 @@
       adapterPath: this.#getAdapterPath(),
       version: this.adapterVersion,
       priorityRank,
+      latencyObjectiveMs,
       promptTokens: metadata.promptTokens,
       outputTokens: metadata.outputTokens,
       promptParts: metadata.promptParts,
       patienceMs,
       firstTokenBudgetMs,
+      interTokenObjectiveMs: interTokenObjectiveMs > 0
+        ? interTokenObjectiveMs
+        : undefined,
       lifetimeMs: remainingMs,
       isLastChoice,
     });
@@ -327,9 +331,12 @@
 
   /**
    * Releases the permit after the attempt, and tells the owner if the engine
-   * did not run the request.
+   * did not run the request, or how long the stream paused at most.
    */
-  releaseEngine(result?: AttemptResult): void {
+  releaseEngine(
+    result?: AttemptResult,
+    longestPauseMs?: Milliseconds,
+  ): void {
     const assignment = this.#assignment;
     this.#assignment = undefined;
     if (!assignment) return;
@@ -350,6 +357,7 @@
           kind: "permitReleased",
           engineId: assignment.engine.id,
           permitId: assignment.permitId,
+          longestPauseMs,
         },
     );
   }
--- a/src/gateway/peer_message_decoder.ts
+++ b/src/gateway/peer_message_decoder.ts
@@ -126,8 +126,10 @@
   adapter: z.string(),
   version: z.number().optional(),
   priorityRank: z.number(),
+  latencyObjectiveMs: durationMs.optional(),
   patienceMs: durationMs,
   firstTokenBudgetMs: durationMs,
+  interTokenObjectiveMs: durationMs.optional(),
   lifetimeMs: durationMs,
   isLastChoice: z.boolean(),
 });
@@ -185,7 +187,12 @@
     engineId,
     answer: permitAnswerSchema,
   }),
-  z.object({ kind: z.literal("permitReleased"), engineId, permitId }),
+  z.object({
+    kind: z.literal("permitReleased"),
+    engineId,
+    permitId,
+    longestPauseMs: ageMs.max(MAX_DURATION_MS).optional(),
+  }),
   z.object({ kind: z.literal("firstToken"), engineId, permitId }),
   z.object({
     kind: z.literal("permitUnusable"),
--- a/src/gateway/request_handler.ts
+++ b/src/gateway/request_handler.ts
@@ -23,6 +23,7 @@
   EventSplitter,
   findFirstEventId,
 } from "../core/execution/event_splitter.ts";
+import { PauseMeter } from "../core/execution/pause_meter.ts";
 import {
   canFollowEvent,
   isContinuation,
@@ -144,6 +145,11 @@
   #hasOutput = false;
   /** Upstream of the latest attempt. */
   #lastUpstream: PublishedUpstream | undefined;
+  /**
+   * Pauses of the current attempt; undefined unless the route declares an
+   * objective for them.
+   */
+  readonly #pauseMeter: PauseMeter | undefined;
   #sentAt: Milliseconds = Number.NaN;
   #firstByteAt: Milliseconds = Number.NaN;
   #reselections = 0;
@@ -170,6 +176,9 @@
     });
     this.#route = target.route;
     this.#service = target.service;
+    const hasPauseObjective = target.service.engine !== undefined &&
+      target.route.interTokenObjectiveMs > 0;
+    this.#pauseMeter = hasPauseObjective ? new PauseMeter() : undefined;
     this.#caller = target.caller;
     this.#crashGuard = new CrashGuard(
       context,
@@ -276,7 +285,10 @@
       return;
     }
     const result = await this.#sendAttempt(upstream);
-    this.#engineSelector.releaseEngine(result);
+    this.#engineSelector.releaseEngine(
+      result,
+      this.#pauseMeter?.longestPauseMs,
+    );
     if (this.#isFinished) return;
     this.#recordResult(upstream, result);
     if (result.isConnectionBroken) {
@@ -497,6 +509,7 @@
     const isStream = this.#route.repeatability === Repeatability.Stream;
     this.#totalAttempts += 1;
     this.#hasOutput = false;
+    this.#pauseMeter?.clear();
     this.#sentAt = performance.now();
     const earlierEvents = this.#splitter.eventCount;
     this.#running = runAttempt(this.#context, {
@@ -550,10 +563,12 @@
       return SinkDecision.Abort;
     }
     this.#recordOutput();
+    this.#pauseMeter?.recordEvent(performance.now());
     if (!this.#hasForwarded) this.#startStream();
     this.#exchange.write(events);
     this.#forwardedEventId = this.#splitter.lastEventId;
     if (!this.#exchange.isWriteBufferFull) return SinkDecision.Continue;
+    this.#pauseMeter?.recordInterruption();
     this.#context.metrics.count(
       "callers_backlogged",
       this.#route.repeatability,
