Connections, requests and held input of clients are bounded on each HTTP port

What clients saw: 40 connections of 10,000 pipelined requests ended a gateway at its heap limit of 64 MB; 500 connections without a request took all of 320 descriptors, and ordinary requests reached no upstream, or no daemon.

Cause: Node.js parses a whole read, thousands of short requests, before a pause of the connection takes effect. Nothing limited the connections of a port or those to upstreams.

Change: ConnectionGuard gives the parser each connection's input in pieces that end with a head or a body, at most 8 in a turn of the event loop, and none while the connection has too many unanswered requests or unread bytes. Each port has a share of the descriptors and closes the connection that has waited longest for its client. What follows a request that closes its connection is not run. The limits are settings (clients.*, callers.maxConnections); connections_cut and connectionCut say who was cut.

--- a/src/daemon/caller_task.ts
+++ b/src/daemon/caller_task.ts
@@ -53,6 +53,8 @@
   /** Budget for bodies while they are collected. */
   memory: MemoryBudget;
   eventLoop: EventLoopMonitor;
+  /** Limits what clients of the port take of the process. */
+  limitClients: (server: Server) => void;
   getTables: () => TableSnapshot | undefined;
 }
 
@@ -88,6 +90,7 @@
       headersTimeoutMs: settings.headersTimeoutMs,
       requestTimeoutMs: settings.bodyTimeoutMs,
     });
+    options.limitClients(this.#server);
     handleConnectionErrors(this.#server, options.metrics);
     this.#observeReading();
     bus.on(
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -1,5 +1,6 @@
 /** Builds a daemon from its settings: the tasks, the bus between them and their order of start and stop. */
 import { randomBytes, randomUUID } from "node:crypto";
+import type { Server } from "node:http";
 import { performance } from "node:perf_hooks";
 import type { DaemonDescription } from "../core/daemon_core.ts";
 import { MemoryBudget } from "../core/limits/memory_budget.ts";
@@ -7,7 +8,13 @@
 import type { DaemonSettings } from "../settings/daemon_settings.ts";
 import { type Bus, createBus } from "./bus.ts";
 import { CallerTask } from "./caller_task.ts";
+import { ConnectionGuard } from "./connection_guard.ts";
 import { CoreTask } from "./core_task.ts";
+import {
+  computeMaxConnections,
+  type LimitedPort,
+  readDescriptorLimit,
+} from "./descriptor_limit.ts";
 import { EventLoopMonitor } from "./event_loop_monitor.ts";
 import { ExchangeRegistry } from "./exchange.ts";
 import { createLogger, type Logger } from "./logger.ts";
@@ -47,6 +54,7 @@
   readonly #upstreams: UpstreamTask;
   readonly #platform: PlatformTask;
   readonly #operators: OperatorTask;
+  readonly #guard: ConnectionGuard;
   #gaugeTimer: NodeJS.Timeout | undefined;
   /** State and revisions that were last logged. */
   #lastReported = "";
@@ -58,6 +66,23 @@
     const logger = this.#logger;
     this.#metrics = new Metrics(settings.metrics, settings.id);
     this.#metrics.listen(bus);
+    this.#guard = new ConnectionGuard({
+      limits: settings.clients,
+      countCut: (reason) => this.#metrics.count("connections_cut", reason),
+      logCut: ({ client, ...report }) =>
+        logger.warn("Connection of a client was closed", {
+          step: "limitClients",
+          peer: client,
+          ...report,
+        }),
+    });
+    const descriptorLimit = readDescriptorLimit();
+    const limitClients = (server: Server, port: LimitedPort): void =>
+      this.#guard.attach(
+        server,
+        port,
+        computeMaxConnections(port, descriptorLimit),
+      );
     const exchanges = new ExchangeRegistry();
     const memory = new MemoryBudget({
       exemptBytes: UNCOUNTED_BODY_BYTES,
@@ -109,6 +134,7 @@
       exchanges,
       memory,
       eventLoop: this.#eventLoop,
+      limitClients: (server) => limitClients(server, "callers"),
       getTables: () => core.getSnapshot(),
     });
     this.#operators = new OperatorTask({
@@ -116,6 +142,7 @@
       core,
       metrics: this.#metrics,
       logger,
+      limitClients: (server) => limitClients(server, "operators"),
       applyPartition: settings.operators.allowCuts
         ? (partition) => this.#applyPartition(partition)
         : undefined,
@@ -168,6 +195,7 @@
     this.#peers.stop();
     this.#eventLoop.stop();
     await this.#operators.stop();
+    this.#guard.stop();
     await this.#metrics.stop();
     this.#logger.info("Daemon stopped", { step: "stop", isDrained });
   }
--- a/src/daemon/metrics.ts
+++ b/src/daemon/metrics.ts
@@ -27,6 +27,8 @@
     "Caller connections dropped because callers.maxConnections was reached",
   connection_malformed:
     "Caller connections closed after a connection or HTTP parse error, by error code",
+  connections_cut:
+    "Connections of clients that were closed because of a limit, by reason (idle, full, unread, heldInput)",
   envelope_malformed: "Envelopes received from peers that could not be decoded",
   envelope_undelivered: "Envelope streams to peers that failed",
   tables: "Table revisions received, by result",
--- a/src/daemon/operator_task.ts
+++ b/src/daemon/operator_task.ts
@@ -22,6 +22,8 @@
   core: DaemonCore;
   metrics: Metrics;
   logger: Logger;
+  /** Limits what clients of the port take of the process. */
+  limitClients: (server: Server) => void;
   /** Undefined unless the setting `allowCuts` is on. */
   applyPartition: ((partition: NetworkPartition) => void) | undefined;
 }
@@ -41,6 +43,7 @@
   constructor(options: OperatorTaskOptions) {
     this.#options = options;
     this.#server = createHttpServer(this.#createApp());
+    options.limitClients(this.#server);
   }
 
   /** Listens on the operators' port; returns its number. */
--- a/src/gateway/caller_task.ts
+++ b/src/gateway/caller_task.ts
@@ -117,11 +117,17 @@
   /** Undefined unless the daemon is stopping. */
   #stop: StopPeriod | undefined;
 
-  constructor(context: RequestContext) {
+  /** @param limitClients limits what clients of a port take of the process. */
+  constructor(
+    context: RequestContext,
+    limitClients: (server: Server, port: "callers" | "relays") => void,
+  ) {
     this.#context = context;
     this.#readDelay = new CallerReadDelay(context.eventLoop);
     this.#server = this.#createServer(false);
     this.#relayServer = this.#createServer(true);
+    limitClients(this.#server, "callers");
+    limitClients(this.#relayServer, "relays");
   }
 
   #createServer(isRelayed: boolean): Server {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -35,7 +35,16 @@
 import { CrashProbe } from "./crash_probe.ts";
 import { DecisionLog } from "./decision_log.ts";
 import { EngineTask } from "./engine_task.ts";
+import { ConnectionGuard } from "../daemon/connection_guard.ts";
+import {
+  computeMaxCallerSetting,
+  computeMaxConnections,
+  computeMaxUpstreamConnections,
+  type LimitedPort,
+  readDescriptorLimit,
+} from "../daemon/descriptor_limit.ts";
 import { listen } from "../daemon/http_server.ts";
+import { StepError } from "../daemon/step_error.ts";
 import { EventLoopMonitor } from "../daemon/event_loop_monitor.ts";
 import { GatewayMetrics } from "./gateway_metrics.ts";
 import { PeerTask } from "./peer_task.ts";
@@ -139,11 +148,16 @@
   readonly #peers: PeerTask;
   readonly #viewSynchronizer: ViewSynchronizer;
   readonly #engines: EngineTask;
-  readonly #upstreamClient = new UpstreamClient(this.#metrics);
+  readonly #descriptorLimit = readDescriptorLimit();
+  readonly #upstreamClient = new UpstreamClient(
+    this.#metrics,
+    computeMaxUpstreamConnections(this.#descriptorLimit),
+  );
   readonly #memory = new MemoryBudget({
     exemptBytes: UNCOUNTED_BODY_BYTES,
     sharedBytes: BODY_BUDGET_BYTES,
   });
+  readonly #guard: ConnectionGuard;
   readonly #callers: CallerTask;
   readonly #incarnation = randomBytes(6).toString("hex");
   readonly #headerCodec: HeaderCodec;
@@ -172,6 +186,11 @@
     this.#settings = settings;
     this.#headerCodec = platform.headerCodec;
     this.#log = new DecisionLog(host, settings.logLevel);
+    this.#guard = new ConnectionGuard({
+      limits: settings.clients,
+      countCut: (reason) => this.#metrics.count("connections_cut", reason),
+      logCut: (report) => this.#log.warn("connectionCut", report),
+    });
     const { host: ip, port } = parseSocketAddress(peers.listen);
     this.#fleet = new FleetView({ id: host, ip, failureDomain }, Date.now());
     this.#peers = new PeerTask({
@@ -193,6 +212,7 @@
       metrics: this.#metrics,
       leavingMs: settings.store.leavingMs,
       listen: { ip, port },
+      limitClients: (server) => this.#limitPort(server, "peers"),
       memory: this.#memory,
       handleChange: () => {
         this.#callers.applyLimits();
@@ -257,11 +277,15 @@
       log: this.#log,
       metrics: this.#metrics,
     };
-    this.#callers = new CallerTask(context);
+    this.#callers = new CallerTask(
+      context,
+      (server, port) => this.#limitPort(server, port),
+    );
   }
 
   async start(): Promise<void> {
     const { callers, readiness, peers, failureDomain } = this.#settings;
+    this.#checkConnectionLimit();
     const peerIp = parseSocketAddress(peers.listen).host;
     // First of all: a process before this one may still take part in the fleet.
     await this.#listenOn(
@@ -342,6 +366,7 @@
     this.#metrics.close();
     this.#path.stop();
     this.#upstreamClient.close();
+    this.#guard.stop();
     this.#eventLoop.stop();
     this.#log.flush();
   }
@@ -363,6 +388,27 @@
     this.#log.flush();
   }
 
+  /** Throws a StepError if the settings allow too many connections. */
+  #checkConnectionLimit(): void {
+    const { listen: address, maxConnections = 0 } = this.#settings.callers;
+    const most = computeMaxCallerSetting(this.#descriptorLimit);
+    if (maxConnections <= most) return;
+    throw new StepError(
+      `callers.maxConnections: expected at most ${most}, half of the process's ${this.#descriptorLimit} descriptors, found ${maxConnections}`,
+      { step: "check the limit of connections", peer: address },
+    );
+  }
+
+  #limitPort(server: Server, port: LimitedPort): void {
+    const { maxConnections } = this.#settings.callers;
+    const setting = port === "callers" ? maxConnections : undefined;
+    this.#guard.attach(
+      server,
+      port,
+      setting ?? computeMaxConnections(port, this.#descriptorLimit),
+    );
+  }
+
   #listenOn(
     step: string,
     address: string,
@@ -394,7 +440,11 @@
       this.#createBinding(
         "bind the metrics port",
         metricsAddress,
-        () => this.#metrics.listen(metricsAddress),
+        () =>
+          this.#metrics.listen(
+            metricsAddress,
+            (server) => this.#limitPort(server, "metrics"),
+          ),
       ),
     );
   }
@@ -414,6 +464,7 @@
       const status = !isReadyPath ? 404 : this.#updateReadiness() ? 200 : 503;
       response.writeHead(status, { "Content-Length": 0 }).end();
     });
+    this.#limitPort(server, "readiness");
     this.#readinessServer = server;
     server.unref();
     return listen(server, address);
--- a/src/gateway/gateway_metrics.ts
+++ b/src/gateway/gateway_metrics.ts
@@ -38,6 +38,8 @@
     "Requests whose caller disconnected before the response was complete, by kind (idempotent, nonIdempotent, stream; unread if the close lay unread beside the request)",
   callers_backlogged:
     "Times a streamed response was paused because its caller read too slowly, by kind (always stream)",
+  connections_cut:
+    "Connections of clients that were closed because of a limit, by reason (idle, full, unread, heldInput)",
   relays: "Requests sent over a peer, by outcome of the attempt",
   relay:
     "Time of a request over a peer, in ms, by kind (idempotent, nonIdempotent, stream)",
@@ -151,8 +153,14 @@
     gauge.set(value);
   }
 
-  /** Serves the metrics at `/metrics`. */
-  listen(address: string): Promise<unknown> {
+  /**
+   * Serves the metrics at `/metrics`.
+   * @param limitClients limits what clients of the port take of the process.
+   */
+  listen(
+    address: string,
+    limitClients: (server: Server) => void = () => {},
+  ): Promise<unknown> {
     const server = createServer((request, response) => {
       if (request.url !== "/metrics") {
         response.writeHead(404).end();
@@ -163,6 +171,7 @@
         response.end(text);
       });
     });
+    limitClients(server);
     this.#server = server;
     return listen(server, address);
   }
--- a/src/gateway/upstream_client.ts
+++ b/src/gateway/upstream_client.ts
@@ -101,16 +101,29 @@
 
 export class UpstreamClient {
   readonly #metrics: Pick<GatewayMetrics, "count">;
-  readonly #keepAliveAgent = new CheckedAgent({
-    keepAlive: true,
-    timeout: IDLE_CONNECTION_TIMEOUT_MS,
-    maxFreeSockets: MAX_IDLE_CONNECTIONS,
-    scheduling: "lifo",
-  });
-  readonly #singleUseAgent = new Agent({ keepAlive: false });
+  readonly #keepAliveAgent: CheckedAgent;
+  readonly #singleUseAgent: Agent;
 
-  constructor(metrics: Pick<GatewayMetrics, "count">) {
+  /**
+   * @param maxConnections connections of each kind, kept or not; further
+   * attempts wait for one.
+   */
+  constructor(
+    metrics: Pick<GatewayMetrics, "count">,
+    maxConnections = Number.POSITIVE_INFINITY,
+  ) {
     this.#metrics = metrics;
+    this.#keepAliveAgent = new CheckedAgent({
+      keepAlive: true,
+      timeout: IDLE_CONNECTION_TIMEOUT_MS,
+      maxFreeSockets: MAX_IDLE_CONNECTIONS,
+      maxTotalSockets: maxConnections,
+      scheduling: "lifo",
+    });
+    this.#singleUseAgent = new Agent({
+      keepAlive: false,
+      maxTotalSockets: maxConnections,
+    });
   }
 
   startAttempt(
--- a/src/gateway/view_synchronizer.ts
+++ b/src/gateway/view_synchronizer.ts
@@ -121,6 +121,8 @@
    * Address at which peers fetch the view; the port is the same on all hosts.
    */
   listen: { ip: string; port: number };
+  /** Limits what clients of the port take of the process. */
+  limitClients?: (server: Server) => void;
   /** Budget for the answers of peers while they are read. */
   memory: MemoryBudget;
   /** Called after a change that peers should learn of. */
@@ -540,6 +542,7 @@
           performance.now() - state.outageEndedAt < OUTAGE_REPORT_MS,
       }));
     });
+    this.#options.limitClients?.(server);
     this.#server = server;
     return listen(server, `${ip}:${port}`);
   }
--- a/src/settings/daemon_settings.ts
+++ b/src/settings/daemon_settings.ts
@@ -1,6 +1,7 @@
 /** Schema of the daemon's settings file. */
 import * as z from "zod";
 import { DEFAULT_CORE_SETTINGS } from "../core/core_settings.ts";
+import { clientLimitsSchema } from "./client_limits.ts";
 import { LOG_LEVELS } from "./log_level.ts";
 
 const ADDRESS = z.string().regex(
@@ -38,6 +39,7 @@
     stallTimeoutMs: POSITIVE.default(30_000),
     maxAnswerBytes: POSITIVE.int().default(16_777_216),
   }),
+  clients: clientLimitsSchema.strict().prefault({}),
   peers: z.strictObject({
     listen: ADDRESS,
     tls: TLS.optional(),
--- a/src/settings/gateway_settings.ts
+++ b/src/settings/gateway_settings.ts
@@ -1,5 +1,6 @@
 /** Schema of the gateway's settings file. */
 import * as z from "zod";
+import { clientLimitsSchema } from "./client_limits.ts";
 import { LOG_LEVELS } from "./log_level.ts";
 
 const ADDRESS = z.string().regex(
@@ -20,7 +21,12 @@
 export const gatewaySettingsSchema = z.object({
   host: z.string().min(1),
   failureDomain: z.string().min(1),
-  callers: z.object({ listen: ADDRESS }),
+  callers: z.object({
+    listen: ADDRESS,
+    /** Open connections; by default half of the process's descriptors. */
+    maxConnections: z.number().int().positive().optional(),
+  }),
+  clients: clientLimitsSchema.prefault({}),
   readiness: z.object({ listen: ADDRESS }),
   peers: z.object({
     /** Address at which peers request the published view. */
--- a/test/gateway/gateway_harness.ts
+++ b/test/gateway/gateway_harness.ts
@@ -91,6 +91,8 @@
   tenants: object[] | undefined;
   /** Routes that each published configuration has beside its own. */
   extraRoutes: object[] = [];
+  /** Setting `callers.maxConnections`; the default if undefined. */
+  maxCallerConnections: number | undefined;
   /** Route fields that differ from the defaults, by route name. */
   routeOverrides: Record<string, object> = {};
 
@@ -141,7 +143,10 @@
     return {
       host: `host-${index}`,
       failureDomain: "zone-a",
-      callers: { listen: `${ip}:${this.#port}` },
+      callers: {
+        listen: `${ip}:${this.#port}`,
+        maxConnections: this.maxCallerConnections,
+      },
       readiness: { listen: `${ip}:${this.#port + 1}` },
       peers: {
         listen: `${ip}:${this.#port + 2}`,
