--- a/src/gateway/upstream_client.ts
+++ b/src/gateway/upstream_client.ts
@@ -124,21 +124,34 @@
   readonly #metrics: Pick<GatewayMetrics, "count">;
   readonly #idlePolicy = new IdleConnectionPolicy();
   readonly #facts = new WeakMap<Socket, ConnectionFacts>();
-  readonly #keepAliveAgent = new CheckedAgent({
-    keepAlive: true,
-    timeout: DEFAULT_IDLE_MS,
-    maxFreeSockets: MAX_IDLE_CONNECTIONS,
-    scheduling: "lifo",
-  }, {
-    decideIdleTime: (socket) => this.#decideIdleTime(socket),
-    handleIdleClose: (socket) => {
-      this.#recordEnd(socket, KeptConnectionEnd.ClosedIdle);
-    },
-  });
-  readonly #singleUseAgent = new Agent({ keepAlive: false });
+  readonly #keepAliveAgent: CheckedAgent;
+  readonly #singleUseAgent: Agent;
 
-  constructor(metrics: Pick<GatewayMetrics, "count">) {
+  /**
+   * @param maxConnections connections of each kind, kept or not; further
+   * attempts wait for one.
+   */
+  constructor(
+    metrics: Pick<GatewayMetrics, "count">,
+    maxConnections = Number.POSITIVE_INFINITY,
+  ) {
     this.#metrics = metrics;
+    this.#keepAliveAgent = new CheckedAgent({
+      keepAlive: true,
+      timeout: DEFAULT_IDLE_MS,
+      maxFreeSockets: MAX_IDLE_CONNECTIONS,
+      maxTotalSockets: maxConnections,
+      scheduling: "lifo",
+    }, {
+      decideIdleTime: (socket) => this.#decideIdleTime(socket),
+      handleIdleClose: (socket) => {
+        this.#recordEnd(socket, KeptConnectionEnd.ClosedIdle);
+      },
+    });
+    this.#singleUseAgent = new Agent({
+      keepAlive: false,
+      maxTotalSockets: maxConnections,
+    });
   }
 
   startAttempt(
