Digests tell new crashes first, however many requests are held back

What callers saw: once some eight requests were held back, a new one that crashes upstreams reached up to ten of them (BUDGET).

Cause: a digest holds 22 crashes, those of the requests with the most crashes first, so that the first crash of another request was never told.

Change: requests with a crash in the last 3 s come first; those held back take turns in the rest, so that a host that starts learns all of them.

--- a/src/core/limits/request_crash_history.ts
+++ b/src/core/limits/request_crash_history.ts
@@ -61,6 +61,8 @@
   /** End of the latest trial that completed. */
   provenAt: Milliseconds;
   trialStartedAt: Milliseconds;
+  /** When a crash was last added. */
+  changedAt: Milliseconds;
 }
 
 /** Separate crashes after which a request is held back. */
@@ -100,6 +102,7 @@
   /** Histories by fingerprint, those with the oldest news first. */
   readonly #histories = new Map<string, History>();
   #changedAt = Number.NEGATIVE_INFINITY;
+  #digestCount = 0;
 
   constructor(options: RequestCrashHistoryOptions) {
     this.#options = options;
@@ -115,7 +118,7 @@
     now: Milliseconds,
   ): boolean {
     const wasHeldBack = this.isHeldBack(fingerprint, now);
-    if (!this.#addCrash(fingerprint, run)) return false;
+    if (!this.#addCrash(fingerprint, run, now)) return false;
     this.#changedAt = now;
     return !wasHeldBack && this.isHeldBack(fingerprint, now);
   }
@@ -145,7 +148,7 @@
         if (ageMs >= CRASH_LIFETIME_MS) continue;
         const endedAt = now - ageMs;
         const run = { crashId, sentAt: endedAt - runMs, endedAt };
-        hasNews = this.#addCrash(fingerprint, run) || hasNews;
+        hasNews = this.#addCrash(fingerprint, run, now) || hasNews;
       }
       const history = this.#histories.get(fingerprint);
       if (!history) continue;
@@ -163,12 +166,27 @@
     return now - this.#changedAt < NEWS_LIFETIME_MS;
   }
 
-  /** Returns what peers should know: the requests with the most crashes first. */
+  /**
+   * Returns what peers should know: requests with a recent crash first, then
+   * those with the most crashes, which take turns.
+   */
   getDigest(now: Milliseconds): RequestCrashEntry[] {
     this.#expire(now);
-    const entries = [...this.#histories].reverse()
-      .sort(([, a], [, b]) => b.crashCount - a.crashCount)
-      .slice(0, MAX_DIGEST_REQUESTS)
+    const ranked = [...this.#histories].reverse()
+      .sort(([, a], [, b]) => b.crashCount - a.crashCount);
+    const isNews = ([, { changedAt }]: [string, History]) =>
+      now - changedAt < NEWS_LIFETIME_MS;
+    const older = ranked.filter((each) => !isNews(each));
+    const heldBack = older.filter(([, history]) => isHeldBack(history));
+    const others = older.filter(([, history]) => !isHeldBack(history));
+    this.#digestCount += 1;
+    const offset = this.#digestCount % Math.max(1, heldBack.length);
+    const entries = [
+      ...ranked.filter(isNews),
+      ...heldBack.slice(offset),
+      ...heldBack.slice(0, offset),
+      ...others,
+    ].slice(0, MAX_DIGEST_REQUESTS)
       .map(([fingerprint, history]) => toEntry(fingerprint, history, now));
     let records = 0;
     return entries.filter(([, , crashes]) => {
@@ -207,18 +225,28 @@
       now - getLastCrashAt(history) < CRASH_LIFETIME_MS && isHeldBack(history);
   }
 
+  /** Returns whether the request was running at any crash. */
+  hasCrashes(fingerprint: string): boolean {
+    return this.#histories.has(fingerprint);
+  }
+
   countHeldBack(): number {
     return [...this.#histories.values()].filter(isHeldBack).length;
   }
 
   /** Adds a crash; returns whether it was unknown. */
-  #addCrash(fingerprint: string, run: CrashedRun): boolean {
+  #addCrash(
+    fingerprint: string,
+    run: CrashedRun,
+    now: Milliseconds,
+  ): boolean {
     const history: History = this.#histories.get(fingerprint) ?? {
       crashes: [],
       crashCount: 0,
       completions: 0,
       provenAt: Number.NEGATIVE_INFINITY,
       trialStartedAt: Number.NEGATIVE_INFINITY,
+      changedAt: now,
     };
     const known = history.crashes.find(({ crashId }) =>
       crashId === run.crashId
@@ -233,6 +261,7 @@
     if (history.crashes.length > MAX_CRASHES_PER_REQUEST) {
       history.crashes.shift();
     }
+    history.changedAt = now;
     this.#histories.delete(fingerprint);
     this.#histories.set(fingerprint, history);
     if (this.#histories.size > MAX_REQUESTS) this.#removeLeastSuspect();
--- a/test/core/limits/request_crash_history_test.ts
+++ b/test/core/limits/request_crash_history_test.ts
@@ -157,6 +157,44 @@
   assert.is(young.decideAdmission("deadly", 7_010).kind, "refused");
 });
 
+test("BUDGET: a new request that crashes upstreams is told although many others are held back", () => {
+  const hosts = createHosts(3) as [
+    RequestCrashHistory,
+    RequestCrashHistory,
+    RequestCrashHistory,
+  ];
+  const [host] = hosts;
+  for (let request = 0; request < 40; request += 1) {
+    for (const at of [1_000, 2_000, 3_000, 4_000]) {
+      crash(host, `old-${request}`, at + request, `u${request}-${at}`);
+    }
+  }
+  exchangeDigests(hosts, 5_000);
+  hosts.forEach((each, index) => {
+    crash(each, "deadly", 20_000 + 300 * index);
+    exchangeDigests(hosts, 20_050 + 300 * index);
+  });
+  for (const each of hosts) {
+    assert.is(each.decideAdmission("deadly", 21_000).kind, "refused");
+  }
+});
+
+test("a host that starts learns all requests that are held back from some digests", () => {
+  const [old, young] = createHosts(2) as [
+    RequestCrashHistory,
+    RequestCrashHistory,
+  ];
+  for (let request = 0; request < 30; request += 1) {
+    for (const at of [1_000, 2_000, 3_000]) {
+      crash(old, `old-${request}`, at + request, `u${request}-${at}`);
+    }
+  }
+  for (let digest = 0; digest < 30; digest += 1) {
+    young.mergeDigest(old.getDigest(20_000 + digest), 20_000 + digest);
+  }
+  assert.is(young.countHeldBack(), 30);
+});
+
 test("a digest stays within its share of a datagram, whatever has crashed", () => {
   const host = createHost();
   for (let index = 0; index < 400; index += 1) {
