Upstreams are probed after a caller that left its request for the second time

Cause: a crash after the caller's departure was seen by the host list only, which takes up to 5.6 s after missed heartbeats, later than contact_ms.

Change: from the second such departure of a request on, or after its first crash, the upstream is probed 0.1 to 1.5 s later. The first one costs no connection.

--- a/src/core/limits/unconfirmed_crashes.ts
+++ b/src/core/limits/unconfirmed_crashes.ts
@@ -13,6 +13,8 @@
   upstream: U;
   /** Name of this start of the upstream, the same on all hosts. */
   crashId: string;
+  /** Of the request. */
+  fingerprint: string;
   /** When the run ended on this host. */
   endedAt: Milliseconds;
   /** Called once when the crash is confirmed. */
@@ -37,6 +39,11 @@
     if (this.#runs.length > MAX_RUNS) this.#runs.shift();
   }
 
+  /** Returns whether another run of the request waits for proof. */
+  hasRunOf(fingerprint: string): boolean {
+    return this.#runs.some((run) => run.fingerprint === fingerprint);
+  }
+
   get size(): number {
     return this.#runs.length;
   }
--- a/src/gateway/crash_guard.ts
+++ b/src/gateway/crash_guard.ts
@@ -17,6 +17,13 @@
 /** Most prompt parts that are considered: prompts have a few. */
 const MAX_PARTS = 12;
 
+/**
+ * Times after the departure of a caller at which its upstream is probed, if an
+ * earlier run of the same request ended so, too. The host list alone shows a
+ * crash after the missed heartbeats of several seconds.
+ */
+const DEPARTURE_PROBE_DELAYS_MS = [100, 300, 700, 1_500];
+
 export type CrashRefusal = Extract<CrashAdmission, { kind: "refused" }>;
 
 /** A run whose connection broke. */
@@ -170,7 +177,21 @@
    * upstream.
    */
   recordDeparture(upstream: PublishedUpstream, sentAt: Milliseconds): void {
+    const { crashHistory, unconfirmedCrashes } = this.#context;
+    const isRepeated = crashHistory.hasCrashes(this.#fingerprint) ||
+      unconfirmedCrashes.hasRunOf(this.#fingerprint);
     this.#awaitConfirmation({ upstream, sentAt, endedAt: performance.now() });
+    if (!isRepeated) return;
+    for (const delayMs of DEPARTURE_PROBE_DELAYS_MS) {
+      setTimeout(() => void this.#probeLater(upstream), delayMs).unref();
+    }
+  }
+
+  async #probeLater(upstream: PublishedUpstream): Promise<void> {
+    const { crashProbe, unconfirmedCrashes } = this.#context;
+    if (!(await crashProbe.hasCrashed(upstream))) return;
+    const crashId = formatCrashId(formatIncarnation(upstream));
+    unconfirmedCrashes.confirmCrashes(new Set([crashId]), performance.now());
   }
 
   /** Records the run as one of a crash if that turns out to have happened. */
@@ -182,6 +203,7 @@
     unconfirmedCrashes.add({
       upstream,
       crashId: formatCrashId(formatIncarnation(upstream)),
+      fingerprint: this.#fingerprint,
       endedAt,
       confirm: (now) =>
         this.#recordCrash(
--- a/test/core/limits/unconfirmed_crashes_test.ts
+++ b/test/core/limits/unconfirmed_crashes_test.ts
@@ -10,6 +10,7 @@
     crashes.add({
       upstream: crashId,
       crashId,
+      fingerprint: `request at ${crashId}`,
       endedAt,
       confirm: () => confirmed.push(crashId),
     });
@@ -41,6 +42,14 @@
   assert.is(crashes.size, 0);
 });
 
+test("a second run of a request is known while the first waits for proof", () => {
+  const { crashes } = createCrashes([["a", 1_000]]);
+  assert.ok(crashes.hasRunOf("request at a"));
+  assert.not.ok(crashes.hasRunOf("request at b"));
+  crashes.confirmCrashes(new Set(["a"]), 1_100);
+  assert.not.ok(crashes.hasRunOf("request at a"));
+});
+
 test("the number of runs that are kept is bounded", () => {
   const { crashes } = createCrashes(
     Array.from({ length: 5_000 }, (_, index) => [`a${index}`, index]),
