Gateways take the descriptors of their machine from the settings

Cause: the shares of descriptors follow the limit that a process reads of itself, which is 200 on the users' platform, where machines allow 2,212 and more: 37 connections to upstreams.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -152,11 +152,8 @@
   readonly #engines: EngineTask;
   readonly #allotments: AllotmentTask;
   readonly #serviceLoads = new ServiceLoads();
-  readonly #descriptorLimit = readDescriptorLimit();
-  readonly #upstreamClient = new UpstreamClient(
-    this.#metrics,
-    computeMaxUpstreamConnections(this.#descriptorLimit),
-  );
+  readonly #descriptorLimit: number;
+  readonly #upstreamClient: UpstreamClient;
   readonly #memory = new MemoryBudget({
     exemptBytes: UNCOUNTED_BODY_BYTES,
     sharedBytes: BODY_BUDGET_BYTES,
@@ -188,6 +185,11 @@
   constructor(settings: GatewaySettings, platform: GatewayPlatform) {
     const { host, failureDomain, peers } = settings;
     this.#settings = settings;
+    this.#descriptorLimit = settings.descriptors ?? readDescriptorLimit();
+    this.#upstreamClient = new UpstreamClient(
+      this.#metrics,
+      computeMaxUpstreamConnections(this.#descriptorLimit),
+    );
     this.#headerCodec = platform.headerCodec;
     this.#log = new DecisionLog(host, settings.logLevel);
     this.#guard = new ConnectionGuard({
@@ -334,6 +336,7 @@
     this.#scheduleNextHeartbeats();
     this.#sendHeartbeats();
     this.#log.info("started", {
+      descriptorLimit: this.#descriptorLimit,
       failureDomain,
       incarnation: this.#incarnation,
       callers: callers.listen,
--- a/src/settings/gateway_settings.ts
+++ b/src/settings/gateway_settings.ts
@@ -61,6 +61,11 @@
     graceMs: POSITIVE,
     exitReserveMs: POSITIVE.default(DEFAULT_EXIT_RESERVE_MS),
   }),
+  /**
+   * Descriptors that this process may open, of which its ports and upstreams
+   * have shares; what the system reports if absent.
+   */
+  descriptors: z.number().int().positive().optional(),
   logLevel: z.enum(LOG_LEVELS).default("info"),
 });
 
