--- a/src/gateway/crash_guard.ts
+++ b/src/gateway/crash_guard.ts
@@ -183,11 +183,11 @@
     this.#awaitConfirmation({ upstream, sentAt, endedAt: performance.now() });
     if (!isRepeated) return;
     for (const delayMs of DEPARTURE_PROBE_DELAYS_MS) {
-      setTimeout(() => void this.#probeLater(upstream), delayMs).unref();
+      setTimeout(() => void this.#confirmIfCrashed(upstream), delayMs).unref();
     }
   }
 
-  async #probeLater(upstream: PublishedUpstream): Promise<void> {
+  async #confirmIfCrashed(upstream: PublishedUpstream): Promise<void> {
     const { crashProbe, unconfirmedCrashes } = this.#context;
     if (!(await crashProbe.hasCrashed(upstream))) return;
     const crashId = formatCrashId(formatIncarnation(upstream));
