Both attributions of crashes share their times and the interval of trials

Cause: RequestCrashHistory had copies of the trial time-out, the longest interval, the lifetimes and the doubling of CrashAttribution.

Change: crash_timing.ts holds them once. No change of behaviour.

--- a/src/core/limits/crash_attribution.ts
+++ b/src/core/limits/crash_attribution.ts
@@ -17,6 +17,12 @@
  * exchange. Hosts with the same records come to the same verdicts.
  */
 import type { Milliseconds } from "../structures.ts";
+import {
+  computeTrialIntervalMs,
+  CRASH_LIFETIME_MS,
+  NEWS_LIFETIME_MS,
+  TRIAL_TIMEOUT_MS,
+} from "./crash_timing.ts";
 
 /** A request that an upstream was running without output when it crashed. */
 export interface CrashSuspect {
@@ -93,15 +99,7 @@
 const SOUND_TRAIT_LIFETIME_MS = 60_000;
 /** Time after a conviction's last crash until the first trial. */
 const TRIAL_INTERVAL_MS = 20_000;
-/** Longest time between two trials. */
-const MAX_TRIAL_INTERVAL_MS = 15 * 60_000;
-/** Time after which a trial without outcome no longer blocks the next one. */
-const TRIAL_TIMEOUT_MS = 30_000;
-/** Lifetime of crash records: as long as they may be needed for a refusal. */
-const CRASH_LIFETIME_MS = MAX_TRIAL_INTERVAL_MS + 5 * 60_000;
-
-/** Time for which news of crashes goes with each digest, so that it spreads. */
-const NEWS_LIFETIME_MS = 3_000;
+
 /** Interval at which peers are told again without news, as digests may be lost. */
 const REPEAT_INTERVAL_MS = 3_000;
 /** Age up to which crashes without a conviction are told: others follow soon. */
@@ -423,10 +421,9 @@
       ...traits.map((trait) => this.#reportedCounts.get(trait) ?? 0),
     );
     const firstConviction = UNKNOWN_TRAIT_THRESHOLD / LIKELY_POINTS;
-    const doublings = Math.max(0, crashes - firstConviction);
-    const intervalMs = Math.min(
-      MAX_TRIAL_INTERVAL_MS,
-      TRIAL_INTERVAL_MS * 2 ** doublings,
+    const intervalMs = computeTrialIntervalMs(
+      TRIAL_INTERVAL_MS,
+      crashes - firstConviction,
     );
     const [trait = ""] = traits;
     return lastCrashAt + intervalMs + this.#options.getTrialDelayMs(trait, now);
--- a/src/core/limits/request_crash_history.ts
+++ b/src/core/limits/request_crash_history.ts
@@ -15,6 +15,12 @@
  * is tried once; a trial that completes admits it until its next crash.
  */
 import type { Milliseconds } from "../structures.ts";
+import {
+  computeTrialIntervalMs,
+  CRASH_LIFETIME_MS,
+  NEWS_LIFETIME_MS,
+  TRIAL_TIMEOUT_MS,
+} from "./crash_timing.ts";
 
 /** A run that was in progress when its upstream crashed. */
 export interface CrashedRun {
@@ -80,17 +86,10 @@
 const TIME_TOLERANCE_MS = 50;
 /** Time after the latest crash until the first trial. */
 const TRIAL_INTERVAL_MS = 60_000;
-const MAX_TRIAL_INTERVAL_MS = 15 * 60_000;
-/** Time after which a trial without outcome no longer blocks the next one. */
-const TRIAL_TIMEOUT_MS = 30_000;
-/** Lifetime of crashes: as long as they may be needed for a refusal. */
-const CRASH_LIFETIME_MS = MAX_TRIAL_INTERVAL_MS + 5 * 60_000;
 
 const MAX_REQUESTS = 2_000;
 const MAX_CRASHES_PER_REQUEST = 8;
 
-/** Time for which news goes with each digest, so that it spreads. */
-const NEWS_LIFETIME_MS = 3_000;
 /** Bounds of a digest, which shares one datagram with a heartbeat. */
 const MAX_DIGEST_REQUESTS = 16;
 const MAX_DIGEST_CRASHES = 3;
@@ -200,7 +199,11 @@
     const history = this.#histories.get(fingerprint);
     if (!history || !isHeldBack(history)) return { kind: "admitted" };
     const lastCrashAt = getLastCrashAt(history);
-    const trialAt = lastCrashAt + computeTrialIntervalMs(history) +
+    const intervalMs = computeTrialIntervalMs(
+      TRIAL_INTERVAL_MS,
+      history.crashCount - MAX_CRASHES,
+    );
+    const trialAt = lastCrashAt + intervalMs +
       this.#options.getTrialDelayMs(fingerprint, now);
     const allowedAt = Math.max(
       trialAt,
@@ -331,8 +334,3 @@
   }
   return count;
 }
-
-function computeTrialIntervalMs({ crashCount }: History): Milliseconds {
-  const doublings = Math.max(0, crashCount - MAX_CRASHES);
-  return Math.min(MAX_TRIAL_INTERVAL_MS, TRIAL_INTERVAL_MS * 2 ** doublings);
-}
