--- a/src/gateway/crash_guard.ts
+++ b/src/gateway/crash_guard.ts
@@ -35,6 +35,8 @@
 
 interface EndedRun {
   upstream: PublishedUpstream;
+  /** Name of the crash that would end this start of the upstream. */
+  crashId: string;
   sentAt: Milliseconds;
   endedAt: Milliseconds;
 }
@@ -150,7 +152,7 @@
     upstream: PublishedUpstream,
     { hasResponseHead, hasOutput, sentAt }: BrokenRun,
   ): Promise<void> {
-    const run = { upstream, sentAt, endedAt: performance.now() };
+    const run = createEndedRun(upstream, sentAt);
     const { crashAttribution, crashProbe, metrics, unconfirmedCrashes } =
       this.#context;
     if (!(await crashProbe.hasCrashed(upstream))) {
@@ -158,18 +160,14 @@
       return;
     }
     const now = performance.now();
-    const incarnation = formatIncarnation(upstream);
     const runMs = run.endedAt - sentAt;
     const suspect = { traits: this.#traits, hasResponseHead, runMs };
     if (!hasOutput) {
-      crashAttribution.recordCrash(incarnation, suspect, now);
+      crashAttribution.recordCrash(formatIncarnation(upstream), suspect, now);
       metrics.count("crash_suspects", hasResponseHead ? "likely" : "possible");
     }
     this.#recordCrash(run, { ...suspect, hasOutput, isLate: false }, now);
-    unconfirmedCrashes.confirmCrashes(
-      new Set([formatCrashId(incarnation)]),
-      now,
-    );
+    unconfirmedCrashes.confirmCrashes(new Set([run.crashId]), now);
   }
 
   /**
@@ -180,29 +178,29 @@
     const { crashHistory, unconfirmedCrashes } = this.#context;
     const isRepeated = crashHistory.hasCrashes(this.#fingerprint) ||
       unconfirmedCrashes.hasRunOf(this.#fingerprint);
-    this.#awaitConfirmation({ upstream, sentAt, endedAt: performance.now() });
+    const run = createEndedRun(upstream, sentAt);
+    this.#awaitConfirmation(run);
     if (!isRepeated) return;
     for (const delayMs of DEPARTURE_PROBE_DELAYS_MS) {
-      setTimeout(() => void this.#confirmIfCrashed(upstream), delayMs).unref();
+      setTimeout(() => void this.#confirmIfCrashed(run), delayMs).unref();
     }
   }
 
-  async #confirmIfCrashed(upstream: PublishedUpstream): Promise<void> {
+  async #confirmIfCrashed({ upstream, crashId }: EndedRun): Promise<void> {
     const { crashProbe, unconfirmedCrashes } = this.#context;
     if (!(await crashProbe.hasCrashed(upstream))) return;
-    const crashId = formatCrashId(formatIncarnation(upstream));
     unconfirmedCrashes.confirmCrashes(new Set([crashId]), performance.now());
   }
 
   /** Records the run as one of a crash if that turns out to have happened. */
   #awaitConfirmation(run: EndedRun): void {
     const { unconfirmedCrashes, view } = this.#context;
-    const { upstream, sentAt, endedAt } = run;
+    const { upstream, crashId, sentAt, endedAt } = run;
     // An upstream that shuts down ends without a crash.
     if (view.getUpstream(upstream.id)?.isLeaving) return;
     unconfirmedCrashes.add({
       upstream,
-      crashId: formatCrashId(formatIncarnation(upstream)),
+      crashId,
       fingerprint: this.#fingerprint,
       endedAt,
       confirm: (now) =>
@@ -215,7 +213,7 @@
   }
 
   #recordCrash(
-    { upstream, sentAt, endedAt }: EndedRun,
+    { upstream, crashId, sentAt, endedAt }: EndedRun,
     details: object,
     now: Milliseconds,
   ): void {
@@ -223,7 +221,7 @@
       this.#context;
     const isHeldBack = crashHistory.recordCrash(
       this.#fingerprint,
-      { crashId: formatCrashId(formatIncarnation(upstream)), sentAt, endedAt },
+      { crashId, sentAt, endedAt },
       now,
     );
     log.info("upstreamCrashed", {
@@ -264,3 +262,11 @@
     this.#isTrial = false;
   }
 }
+
+function createEndedRun(
+  upstream: PublishedUpstream,
+  sentAt: Milliseconds,
+): EndedRun {
+  const crashId = formatCrashId(formatIncarnation(upstream));
+  return { upstream, crashId, sentAt, endedAt: performance.now() };
+}
