Requests copy no route, count no fleet and decay no rate without need

Cause: each request copied its route also where no customer has a priority, each attempt counted the fleet also where its connection is not kept, the offered rate was decayed twice, and two tasks had the same function to send to a peer.

Change: the route is copied for a customer's priority only, the fleet is counted for connections that may be kept, recordOffer returns the rate before, and Gateway has one #sendOnce. No change of behaviour.

--- a/src/core/limits/customer_allotments.ts
+++ b/src/core/limits/customer_allotments.ts
@@ -78,6 +78,8 @@
 /** Least and largest capacity of a host's bucket, in seconds at its part. */
 const MIN_BUCKET_S = 0.25;
 const MAX_BUCKET_S = 1;
+/** Weight of the latest request in the moving average of the cost. */
+const COST_WEIGHT = 1 / 8;
 /** Interval of reports while requests of limited customers arrive. */
 const BUSY_REPORT_INTERVAL_MS = 400;
 /** Interval of reports without any, by which the coordinator counts hosts. */
@@ -182,8 +184,7 @@
     }
     const state = this.#getState(customer, cost, now);
     // Without this request: the average just after an arrival is too high.
-    const ownPerS = computeDecayed(state.ratePerS, now - state.updatedAt);
-    recordOffer(state, cost, now);
+    const ownPerS = recordOffer(state, cost, now);
     const known = this.#getKnownFleet(customer, now);
     if (!known) return { kind: "admitted" };
     const limitPerS = allotment.ratePerS * known.fraction;
@@ -290,16 +291,20 @@
   }
 }
 
-/** Updates the offered rate, which counts rejected requests too. */
+/**
+ * Updates the offered rate, which counts rejected requests too. Returns the rate
+ * before.
+ */
 function recordOffer(
   state: CustomerState,
   cost: number,
   now: Milliseconds,
-): void {
-  state.ratePerS = computeDecayed(state.ratePerS, now - state.updatedAt) +
-    cost * 1_000 / RATE_PERIOD_MS;
-  state.meanCost += (cost - state.meanCost) / 8;
+): number {
+  const ratePerS = computeDecayed(state.ratePerS, now - state.updatedAt);
+  state.ratePerS = ratePerS + cost * 1_000 / RATE_PERIOD_MS;
+  state.meanCost += COST_WEIGHT * (cost - state.meanCost);
   state.updatedAt = now;
+  return ratePerS;
 }
 
 /** Spends the cost from the customer's bucket on this host, if it is not empty. */
--- a/src/gateway/caller_task.ts
+++ b/src/gateway/caller_task.ts
@@ -102,7 +102,8 @@
   | {
     kind: "identified";
     caller: AttemptMetadata["caller"];
-    priorityRank: number;
+    /** The route, with the customer's priority if it has one. */
+    route: PublishedRoute;
   }
   | { kind: "refused" };
 
@@ -354,7 +355,7 @@
     }
     const identified = this.#authenticate(exchange, route, request.headers);
     if (identified.kind === "refused") return;
-    const { caller, priorityRank } = identified;
+    const { caller } = identified;
     const service = view.selectService(route, metadata.requestId);
     if (!service) {
       this.#refuse(
@@ -366,7 +367,7 @@
       return;
     }
     if (!this.#admitWithinAllotment(exchange, caller)) return;
-    const target = { route: { ...route, priorityRank }, service, caller };
+    const target = { route: identified.route, service, caller };
     const isTooLate = this.#stop !== undefined &&
       !canAdmitWhileStopping(
         this.#stop,
@@ -398,21 +399,19 @@
     headers: IncomingHttpHeaders,
   ): IdentifiedCaller {
     const { headerCodec, view } = this.#context;
-    const { priorityRank } = route;
     const { customers } = view;
-    if (!customers) {
-      return { kind: "identified", caller: undefined, priorityRank };
-    }
+    if (!customers) return { kind: "identified", caller: undefined, route };
     const caller = { customer: undefined };
-    if (route.isPublic) return { kind: "identified", caller, priorityRank };
+    if (route.isPublic) return { kind: "identified", caller, route };
     const customer = exchange.isRelayed
       ? customers.findByName(decodeRelayCustomer(headers) ?? "")
       : customers.findByKey(headerCodec.decodeApiKey(headers));
     if (customer) {
+      const { name, priorityRank } = customer;
       return {
         kind: "identified",
-        caller: { customer: customer.name },
-        priorityRank: customer.priorityRank ?? priorityRank,
+        caller: { customer: name },
+        route: priorityRank === undefined ? route : { ...route, priorityRank },
       };
     }
     if (exchange.isRelayed) {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -247,10 +247,7 @@
       metrics: this.#metrics,
       announceOwnership: () => this.#scheduleEarlyHeartbeats(),
       deliver: (peerId, message) => this.#deliver(peerId, message),
-      sendOnce: (peerId, message) => {
-        const member = this.#fleet.getMember(peerId);
-        if (member) this.#peers.send(member.ip, message);
-      },
+      sendOnce: (peerId, message) => this.#sendOnce(peerId, message),
     });
     this.#allotments = new AllotmentTask({
       selfId: host,
@@ -261,10 +258,7 @@
       fleet: this.#fleet,
       log: this.#log,
       metrics: this.#metrics,
-      sendOnce: (peerId, message) => {
-        const member = this.#fleet.getMember(peerId);
-        if (member) this.#peers.send(member.ip, message);
-      },
+      sendOnce: (peerId, message) => this.#sendOnce(peerId, message),
     });
     const context: RequestContext = {
       selfId: host,
@@ -759,6 +753,11 @@
     for (const listener of this.#convictionListeners) listener();
   }
 
+  #sendOnce(peerId: string, message: GatewayMessage): void {
+    const member = this.#fleet.getMember(peerId);
+    if (member) this.#peers.send(member.ip, message);
+  }
+
   async #deliver(peerId: string, message: GatewayMessage): Promise<boolean> {
     const member = this.#fleet.getMember(peerId);
     if (!member) return false;
--- a/src/gateway/request_handler.ts
+++ b/src/gateway/request_handler.ts
@@ -407,6 +407,7 @@
     const { headerCodec, crashProbe, path, serviceLoads, fleet } =
       this.#context;
     const { metadata } = this.#exchange;
+    const mayReuseConnection = this.#canRetry();
     this.#lastUpstream = upstream;
     serviceLoads.recordStart(upstream.id);
     const result = await this.#runAttempt({
@@ -423,11 +424,14 @@
       decodeHead: ({ statusCode = 0, headers }) =>
         headerCodec.decodeResponseHead(statusCode, headers, metadata.requestId),
     }, {
-      mayReuseConnection: this.#canRetry(),
-      longIdleLimit: computeLongIdleLimit(
-        this.#service.maxConnections,
-        fleet.countSharing(performance.now()),
-      ),
+      mayReuseConnection,
+      // Counting the fleet takes time in proportion to it.
+      longIdleLimit: mayReuseConnection
+        ? computeLongIdleLimit(
+          this.#service.maxConnections,
+          fleet.countSharing(performance.now()),
+        )
+        : undefined,
       hasUpstreamCrashed: () => crashProbe.hasCrashed(upstream),
       handleConnect: () => path.recordReached(this.#service.name),
       handleHead: (head) => this.#handleHead(upstream, head),
