One check of memory and descriptors for both crowd tests

Cause: the tests of gateway and daemon had the same two assertions and the same print, letter for letter.

Change: MeasuredProcess.checkPeaks holds them; bounds, crowds and assertions are the same.

--- a/test/daemon/client_limits_test.ts
+++ b/test/daemon/client_limits_test.ts
@@ -3,7 +3,6 @@
  * connections, must leave a daemon alive, within its memory and its descriptors,
  * and able to serve.
  */
-import process from "node:process";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { waitUntil } from "../../scripts/fleet.ts";
@@ -15,11 +14,7 @@
   HoldingKind,
   readStatus,
 } from "../client_crowd.ts";
-import {
-  MAX_DESCRIPTORS,
-  MAX_RESIDENT_BYTES,
-  MeasuredProcess,
-} from "../measured_process.ts";
+import { MeasuredProcess } from "../measured_process.ts";
 
 const DOMAIN = "hobart-a";
 const DAEMON = `entry-${DOMAIN}-1`;
@@ -80,18 +75,7 @@
   assert.is(await readStatus(answer), 200, "an ordinary request");
   assert.ok(await isReady(), "the readiness check");
   assert.ok(daemon.isAlive, "the daemon's process ended");
-  const { peakResidentBytes, peakDescriptors } = daemon;
-  if (process.env["PRINT_USAGE"]) {
-    console.log({ peakResidentBytes, peakDescriptors });
-  }
-  assert.ok(
-    peakResidentBytes <= MAX_RESIDENT_BYTES,
-    `resident memory: ${peakResidentBytes}`,
-  );
-  assert.ok(
-    peakDescriptors <= MAX_DESCRIPTORS,
-    `open descriptors: ${peakDescriptors}`,
-  );
+  daemon.checkPeaks();
 }
 
 const requests = formatPipelinedRequests({
--- a/test/gateway/client_limits_test.ts
+++ b/test/gateway/client_limits_test.ts
@@ -3,7 +3,6 @@
  * process at its heap limit, and clients that hold connections took all of its
  * descriptors, so that it reached no upstream.
  */
-import process from "node:process";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import {
@@ -12,11 +11,7 @@
   HoldingKind,
   readStatus,
 } from "../client_crowd.ts";
-import {
-  MAX_DESCRIPTORS,
-  MAX_RESIDENT_BYTES,
-  MeasuredProcess,
-} from "../measured_process.ts";
+import { MeasuredProcess } from "../measured_process.ts";
 import { GatewayHarness } from "./gateway_harness.ts";
 
 const HOST = "127.0.0.1";
@@ -69,18 +64,7 @@
   assert.is(await readStatus(answer), 200, "an ordinary request");
   assert.ok(await harness.isReady(0), "the readiness check");
   assert.ok(gateway.isAlive, "the gateway's process ended");
-  const { peakResidentBytes, peakDescriptors } = gateway;
-  if (process.env["PRINT_USAGE"]) {
-    console.log({ peakResidentBytes, peakDescriptors });
-  }
-  assert.ok(
-    peakResidentBytes <= MAX_RESIDENT_BYTES,
-    `resident memory: ${peakResidentBytes}`,
-  );
-  assert.ok(
-    peakDescriptors <= MAX_DESCRIPTORS,
-    `open descriptors: ${peakDescriptors}`,
-  );
+  gateway.checkPeaks();
 }
 
 const requests = formatPipelinedRequests({ servedPath: "/safe/1" });
--- a/test/measured_process.ts
+++ b/test/measured_process.ts
@@ -15,9 +15,10 @@
 import { join } from "node:path";
 import process from "node:process";
 import { buildSync } from "esbuild";
+import * as assert from "uvu/assert";
 
 /** Memory of the smallest machine on which a process runs. */
-export const MAX_RESIDENT_BYTES = 210_000_000;
+const MAX_RESIDENT_BYTES = 210_000_000;
 /**
  * Heap of the measured processes: half of the 128 MB that deployments give, so
  * that a small number of clients is enough.
@@ -33,7 +34,7 @@
  * a tenth of the limit.
  */
 const RESERVED_DESCRIPTORS = DESCRIPTOR_LIMIT / 10;
-export const MAX_DESCRIPTORS = DESCRIPTOR_LIMIT - RESERVED_DESCRIPTORS;
+const MAX_DESCRIPTORS = DESCRIPTOR_LIMIT - RESERVED_DESCRIPTORS;
 const SAMPLE_INTERVAL_MS = 20;
 /** CommonJS dependencies call `require`, which ES modules lack. */
 const REQUIRE_BANNER =
@@ -104,6 +105,22 @@
     return this.#peakDescriptors;
   }
 
+  /** Asserts that memory and descriptors have stayed within their bounds. */
+  checkPeaks(): void {
+    const { peakResidentBytes, peakDescriptors } = this;
+    if (process.env["PRINT_USAGE"]) {
+      console.log({ peakResidentBytes, peakDescriptors });
+    }
+    assert.ok(
+      peakResidentBytes <= MAX_RESIDENT_BYTES,
+      `resident memory: ${peakResidentBytes}`,
+    );
+    assert.ok(
+      peakDescriptors <= MAX_DESCRIPTORS,
+      `open descriptors: ${peakDescriptors}`,
+    );
+  }
+
   stop(): void {
     clearInterval(this.#timer);
     this.child.kill("SIGKILL");
