Requests that crash upstreams are told before those that ran beside them

A digest holds 16 requests, and each crash ends dozens of sound runs: with twenty crashing requests at a time the news of sound runs pushed theirs out, so that no host heard of all three crashes. And copies of one request that are sent at the same moment crash upstreams together, which counted as one crash whatever their number.

Change: news is told by suspicion (held back, number of crashes, shortest run); one record tells of a request that is held back. Three crashes of overlapping runs put a request that has not completed lately on probation: it runs once at a time, one host after the other, until a run completes or three crashes are separate. An older crash that a peer reports late no longer counts as a further one.

--- a/src/core/limits/request_crash_history.ts
+++ b/src/core/limits/request_crash_history.ts
@@ -13,6 +13,11 @@
  * completed runs between them. Output and completed runs lower the suspicion,
  * they do not erase it. After a time that doubles with each further crash it
  * is tried once; a trial that completes admits it until its next crash.
+ *
+ * Crashes of runs that overlap may have one cause that is not the request, such
+ * as a failure domain without power. Three of them put a request that has not
+ * completed lately on probation: it runs once at a time, one host after the
+ * other, until a run completes or the crashes are three separate ones.
  */
 import type { Milliseconds } from "../structures.ts";
 import {
@@ -40,7 +45,7 @@
 
 export type RequestAdmission =
   | { kind: "admitted" }
-  /** Admitted as the only run of a request that is held back. */
+  /** Admitted as the only run of a request that is held back or on probation. */
   | { kind: "trial" }
   | { kind: "refused"; retryAfterMs: Milliseconds };
 
@@ -64,6 +69,8 @@
   crashCount: number;
   /** Completed runs on this host since the first crash. */
   completions: number;
+  /** Whether a run on this host had completed shortly before the first crash. */
+  wasSound: boolean;
   /** End of the latest trial that completed. */
   provenAt: Milliseconds;
   trialStartedAt: Milliseconds;
@@ -87,8 +94,13 @@
 /** Time after the latest crash until the first trial. */
 const TRIAL_INTERVAL_MS = 60_000;
 
+/** Time for which a completed run shows that a request was sound. */
+const SOUND_LIFETIME_MS = 60_000;
+
 const MAX_REQUESTS = 2_000;
 const MAX_CRASHES_PER_REQUEST = 8;
+/** Requests of which the latest completed run is remembered. */
+const MAX_COMPLETED_REQUESTS = 4_000;
 
 /** Bounds of a digest, which shares one datagram with a heartbeat. */
 const MAX_DIGEST_REQUESTS = 16;
@@ -100,6 +112,8 @@
   readonly #options: RequestCrashHistoryOptions;
   /** Histories by fingerprint, those with the oldest news first. */
   readonly #histories = new Map<string, History>();
+  /** When a run of each request last completed, the oldest first. */
+  readonly #completedAt = new Map<string, Milliseconds>();
   #changedAt = Number.NEGATIVE_INFINITY;
   #digestCount = 0;
 
@@ -128,6 +142,12 @@
     isTrial: boolean,
     now: Milliseconds,
   ): void {
+    this.#completedAt.delete(fingerprint);
+    this.#completedAt.set(fingerprint, now);
+    if (this.#completedAt.size > MAX_COMPLETED_REQUESTS) {
+      const [oldest] = this.#completedAt.keys();
+      if (oldest !== undefined) this.#completedAt.delete(oldest);
+    }
     const history = this.#histories.get(fingerprint);
     if (!history) return;
     history.completions += 1;
@@ -151,8 +171,14 @@
       }
       const history = this.#histories.get(fingerprint);
       if (!history) continue;
-      history.crashCount = Math.max(history.crashCount, crashCount);
-      if (hasNews) this.#changedAt = now;
+      if (crashCount > history.crashCount) {
+        history.crashCount = crashCount;
+        hasNews = true;
+      }
+      if (hasNews) {
+        history.changedAt = now;
+        this.#changedAt = now;
+      }
       if (!wasHeldBack && this.isHeldBack(fingerprint, now)) {
         isAnyHeldBack = true;
       }
@@ -166,25 +192,25 @@
   }
 
   /**
-   * Returns what peers should know: requests with a recent crash first, then
-   * those with the most crashes, which take turns.
+   * Returns what peers should know: requests with a recent crash first, the most
+   * suspect of them before the others, then those held back, which take turns.
    */
   getDigest(now: Milliseconds): RequestCrashEntry[] {
     this.#expire(now);
-    const ranked = [...this.#histories].reverse()
-      .sort(([, a], [, b]) => b.crashCount - a.crashCount);
+    this.#digestCount += 1;
+    const latestFirst = [...this.#histories].reverse();
     const isNews = ([, { changedAt }]: [string, History]) =>
       now - changedAt < NEWS_LIFETIME_MS;
-    const older = ranked.filter((each) => !isNews(each));
-    const heldBack = older.filter(([, history]) => isHeldBack(history));
-    const others = older.filter(([, history]) => !isHeldBack(history));
-    this.#digestCount += 1;
-    const offset = this.#digestCount % Math.max(1, heldBack.length);
+    const older = latestFirst.filter((each) => !isNews(each));
     const entries = [
-      ...ranked.filter(isNews),
-      ...heldBack.slice(offset),
-      ...heldBack.slice(0, offset),
-      ...others,
+      ...latestFirst.filter(isNews).sort(([, a], [, b]) =>
+        compareSuspicion(a, b)
+      ),
+      ...rotate(
+        older.filter(([, history]) => isHeldBack(history)),
+        this.#digestCount,
+      ),
+      ...older.filter(([, history]) => !isHeldBack(history)),
     ].slice(0, MAX_DIGEST_REQUESTS)
       .map(([fingerprint, history]) => toEntry(fingerprint, history, now));
     let records = 0;
@@ -197,13 +223,10 @@
   /** Decides whether the request may be sent to an upstream. */
   decideAdmission(fingerprint: string, now: Milliseconds): RequestAdmission {
     const history = this.#histories.get(fingerprint);
-    if (!history || !isHeldBack(history)) return { kind: "admitted" };
-    const lastCrashAt = getLastCrashAt(history);
-    const intervalMs = computeTrialIntervalMs(
-      TRIAL_INTERVAL_MS,
-      history.crashCount - MAX_CRASHES,
-    );
-    const trialAt = lastCrashAt + intervalMs +
+    if (!history) return { kind: "admitted" };
+    const mayTryAgainAt = computeTrialAt(history);
+    if (mayTryAgainAt === undefined) return { kind: "admitted" };
+    const trialAt = mayTryAgainAt +
       this.#options.getTrialDelayMs(fingerprint, now);
     const allowedAt = Math.max(
       trialAt,
@@ -228,6 +251,12 @@
       now - getLastCrashAt(history) < CRASH_LIFETIME_MS && isHeldBack(history);
   }
 
+  /** Returns whether the request runs once at a time for its crashes. */
+  isOnProbation(fingerprint: string): boolean {
+    const history = this.#histories.get(fingerprint);
+    return history !== undefined && isOnProbation(history);
+  }
+
   /** Returns whether the request was running at any crash. */
   hasCrashes(fingerprint: string): boolean {
     return this.#histories.has(fingerprint);
@@ -247,6 +276,10 @@
       crashes: [],
       crashCount: 0,
       completions: 0,
+      wasSound: this.#hasCompletedSince(
+        fingerprint,
+        run.sentAt - SOUND_LIFETIME_MS,
+      ),
       provenAt: Number.NEGATIVE_INFINITY,
       trialStartedAt: Number.NEGATIVE_INFINITY,
       changedAt: now,
@@ -255,10 +288,12 @@
       crashId === run.crashId
     );
     if (known) return false;
+    const isLatest = run.endedAt > getLastCrashAt(history);
     history.crashes.push({ ...run, completionsBefore: history.completions });
     history.crashes.sort((a, b) => a.endedAt - b.endedAt);
+    const isFurther = isLatest && history.crashCount >= MAX_CRASHES;
     history.crashCount = Math.max(
-      history.crashCount + (history.crashCount >= MAX_CRASHES ? 1 : 0),
+      history.crashCount + (isFurther ? 1 : 0),
       countSeparate(history.crashes),
     );
     if (history.crashes.length > MAX_CRASHES_PER_REQUEST) {
@@ -271,6 +306,11 @@
     return true;
   }
 
+  #hasCompletedSince(fingerprint: string, time: Milliseconds): boolean {
+    const completedAt = this.#completedAt.get(fingerprint);
+    return completedAt !== undefined && completedAt >= time;
+  }
+
   /** Removes the oldest request that is not held back, or the oldest of all. */
   #removeLeastSuspect(): void {
     const [oldest] = this.#histories.keys();
@@ -291,15 +331,39 @@
   }
 }
 
+/**
+ * Orders histories of which peers may not know: held back ones first, then by
+ * the number of crashes, then by the shortest run, as most requests that crash
+ * upstreams do so at once.
+ */
+function compareSuspicion(a: History, b: History): number {
+  return Number(isHeldBack(b)) - Number(isHeldBack(a)) ||
+    b.crashes.length - a.crashes.length ||
+    getLastRunMs(a) - getLastRunMs(b);
+}
+
+function getLastRunMs({ crashes }: History): Milliseconds {
+  const last = crashes.at(-1);
+  return last ? last.endedAt - last.sentAt : Number.POSITIVE_INFINITY;
+}
+
+function rotate<T>(items: readonly T[], count: number): T[] {
+  const offset = count % Math.max(1, items.length);
+  return [...items.slice(offset), ...items.slice(0, offset)];
+}
+
+/** The count of a request that is held back says all but when it crashed last. */
 function toEntry(
   fingerprint: string,
-  { crashCount, crashes }: History,
+  history: History,
   now: Milliseconds,
 ): RequestCrashEntry {
+  const { crashCount, crashes } = history;
+  const told = crashes.slice(isHeldBack(history) ? -1 : -MAX_DIGEST_CRASHES);
   return [
     fingerprint,
     crashCount,
-    crashes.slice(-MAX_DIGEST_CRASHES).map(({ crashId, sentAt, endedAt }) => [
+    told.map(({ crashId, sentAt, endedAt }) => [
       crashId,
       Math.round(now - endedAt),
       Math.round(endedAt - sentAt),
@@ -312,11 +376,35 @@
 }
 
 function isHeldBack(history: History): boolean {
-  const { crashes, crashCount, completions, provenAt } = history;
-  if (crashCount < MAX_CRASHES) return false;
-  if (getLastCrashAt(history) <= provenAt) return false;
+  return history.crashCount >= MAX_CRASHES && !isProvenSound(history);
+}
+
+function isOnProbation(history: History): boolean {
+  return history.crashCount < MAX_CRASHES &&
+    history.crashes.length >= MAX_CRASHES && !history.wasSound &&
+    !isProvenSound(history);
+}
+
+/** Returns whether runs have completed that outweigh the crashes. */
+function isProvenSound(history: History): boolean {
+  const { crashes, completions, provenAt } = history;
+  if (getLastCrashAt(history) <= provenAt) return true;
   const before = crashes.at(-MAX_CRASHES) ?? crashes[0];
-  return completions - (before?.completionsBefore ?? 0) < SOUND_COMPLETIONS;
+  return completions - (before?.completionsBefore ?? 0) >= SOUND_COMPLETIONS;
+}
+
+/**
+ * Returns when the first host may try the request again; undefined if it is
+ * admitted.
+ */
+function computeTrialAt(history: History): Milliseconds | undefined {
+  const lastCrashAt = getLastCrashAt(history);
+  if (isOnProbation(history)) return lastCrashAt;
+  if (!isHeldBack(history)) return undefined;
+  return lastCrashAt + computeTrialIntervalMs(
+    TRIAL_INTERVAL_MS,
+    history.crashCount - MAX_CRASHES,
+  );
 }
 
 /**
--- a/src/gateway/crash_guard.ts
+++ b/src/gateway/crash_guard.ts
@@ -241,6 +241,7 @@
   isSuspect(now: Milliseconds): boolean {
     const { crashAttribution, crashHistory } = this.#context;
     return crashHistory.isHeldBack(this.#fingerprint, now) ||
+      crashHistory.isOnProbation(this.#fingerprint) ||
       crashAttribution.isSuspect(this.#traits, now);
   }
 
--- a/test/core/limits/request_crash_history_test.ts
+++ b/test/core/limits/request_crash_history_test.ts
@@ -269,4 +269,214 @@
   return late;
 }
 
+/** Crashing requests in a fleet whose hosts tell few others in a period. */
+interface FleetLoad {
+  name: string;
+  hosts: number;
+  requests: number;
+  /** Sends of one request at the same moment, to different hosts. */
+  copies: number;
+  /** Mean time between two sends of one request. */
+  gapMs: number;
+  /** Time until a run crashes its upstream. */
+  runMs: number;
+  /** Runs of other requests that each crash ends. */
+  runsBeside: number;
+}
+
+const FLEET_LOADS: FleetLoad[] = [
+  {
+    name: "twenty of them every 300 ms, 60 hosts",
+    hosts: 60,
+    requests: 20,
+    copies: 1,
+    gapMs: 300,
+    runMs: 20,
+    runsBeside: 30,
+  },
+  {
+    name: "three of them, four copies at a time every 5 s, 9 hosts",
+    hosts: 9,
+    requests: 3,
+    copies: 4,
+    gapMs: 5_000,
+    runMs: 20,
+    runsBeside: 20,
+  },
+  {
+    name: "three of them, four copies at a time that work 400 ms, 60 hosts",
+    hosts: 60,
+    requests: 3,
+    copies: 4,
+    gapMs: 4_000,
+    runMs: 400,
+    runsBeside: 20,
+  },
+];
+
+for (const load of FLEET_LOADS) {
+  test(`BUDGET: simulated fleet, requests that crash upstreams are run at most three times later than the bound: ${load.name}`, () => {
+    for (let seed = 1; seed <= 4; seed += 1) {
+      const late = new CrashingFleet(load, seed).run();
+      assert.ok(late <= ALLOWED_AFTER, `seed ${seed}: ${late} late runs`);
+    }
+  });
+}
+
+const STEP_MS = 10;
+const HEARTBEAT_MS = 1_000;
+const EARLY_HEARTBEAT_MS = 30;
+const TRIAL_STAGGER_MS = 2_000;
+/** Hosts that get a heartbeat in a period; all of them in a small fleet. */
+const FANOUT = 7;
+const SMALL_FLEET = 24;
+const LOST_SHARE = 0.02;
+
+/** Hosts that exchange digests as gateways do, in simulated time. */
+class CrashingFleet {
+  readonly #load: FleetLoad;
+  readonly #draw: () => number;
+  readonly #hosts: RequestCrashHistory[];
+  readonly #heartbeatAt: number[];
+  readonly #crashTimes: number[][];
+  readonly #late: number[];
+  readonly #nextSendAt: number[];
+  /** Events to come, in no order. */
+  #events: { at: number; handle: (now: number) => void }[] = [];
+
+  constructor(load: FleetLoad, seed: number) {
+    this.#load = load;
+    const generator = xoroshiro128plus(seed);
+    this.#draw = () => uniformFloat64(generator);
+    this.#hosts = Array.from(
+      { length: load.hosts },
+      (_, index) =>
+        new RequestCrashHistory({
+          getTrialDelayMs: (fingerprint) =>
+            TRIAL_STAGGER_MS * ((index + fingerprint.length) % load.hosts),
+        }),
+    );
+    this.#heartbeatAt = this.#hosts.map(() => this.#draw() * HEARTBEAT_MS);
+    const requests = Array.from({ length: load.requests });
+    this.#crashTimes = requests.map(() => []);
+    this.#late = requests.map(() => 0);
+    this.#nextSendAt = requests.map(() => this.#draw() * load.gapMs);
+  }
+
+  /** Returns the most late runs of a request. */
+  run(): number {
+    for (let now = 0; now < 40_000; now += STEP_MS) {
+      this.#nextSendAt.forEach((at, request) => {
+        if (at <= now) this.#send(request, now);
+      });
+      const due = this.#events.filter(({ at }) => at <= now);
+      this.#events = this.#events.filter(({ at }) => at > now);
+      for (const { handle } of due) handle(now);
+      this.#heartbeatAt.forEach((at, host) => {
+        if (at <= now) this.#sendHeartbeats(host, now);
+      });
+    }
+    return Math.max(...this.#late);
+  }
+
+  #drawHost(): number {
+    return Math.floor(this.#draw() * this.#hosts.length);
+  }
+
+  #send(request: number, now: number): void {
+    const { copies, gapMs, runMs, runsBeside } = this.#load;
+    this.#nextSendAt[request] = now + gapMs * (0.5 + this.#draw());
+    const name = `deadly-${request}`;
+    for (let copy = 0; copy < copies; copy += 1) {
+      const index = this.#drawHost();
+      const host = this.#hosts[index];
+      if (!host || host.decideAdmission(name, now).kind === "refused") continue;
+      const times = this.#crashTimes[request] ?? [];
+      const countedAt = [...times].sort((a, b) => a - b)[2] ??
+        Number.POSITIVE_INFINITY;
+      if (now > countedAt + CONTACT_MS) {
+        this.#late[request] = (this.#late[request] ?? 0) + 1;
+      }
+      const endedAt = now + runMs * (0.5 + this.#draw());
+      const crashId = `u${request}-${times.length}`;
+      times.push(endedAt);
+      this.#crashRun(index, name, { crashId, sentAt: now, endedAt });
+      for (let beside = 0; beside < runsBeside; beside += 1) {
+        const sentAt = now - this.#draw() * 600;
+        const run = { crashId, sentAt, endedAt };
+        this.#crashRun(this.#drawHost(), `${crashId}-${beside}`, run);
+      }
+    }
+  }
+
+  #crashRun(
+    index: number,
+    name: string,
+    run: Parameters<RequestCrashHistory["recordCrash"]>[1],
+  ): void {
+    const handle = (now: number) => {
+      this.#hosts[index]?.recordCrash(name, run, now);
+      this.#hurryHeartbeat(index, now);
+    };
+    this.#events.push({ at: run.endedAt, handle });
+  }
+
+  #hurryHeartbeat(index: number, now: number): void {
+    const at = this.#heartbeatAt[index] ?? now;
+    this.#heartbeatAt[index] = Math.min(at, now + EARLY_HEARTBEAT_MS);
+  }
+
+  #sendHeartbeats(index: number, now: number): void {
+    this.#heartbeatAt[index] = now + HEARTBEAT_MS;
+    const sender = this.#hosts[index];
+    if (!sender?.hasNews(now)) return;
+    const digest = sender.getDigest(now);
+    const targets = this.#hosts.length < SMALL_FLEET
+      ? [...this.#hosts.keys()].filter((each) => each !== index)
+      : Array.from({ length: FANOUT }, () => this.#drawHost());
+    for (const target of targets) {
+      if (this.#draw() < LOST_SHARE) continue;
+      const handle = (at: number) => {
+        const isAnyHeldBack = this.#hosts[target]?.mergeDigest(digest, at);
+        if (isAnyHeldBack) this.#hurryHeartbeat(target, at);
+      };
+      this.#events.push({ at: now + 3, handle });
+    }
+  }
+}
+
+test("a request without a completed run that was running in three crashes at the same moment is tried once at a time until it completes", () => {
+  const host = createHost();
+  for (let upstream = 0; upstream < 3; upstream += 1) {
+    crash(host, "rare", 1_000 + upstream, `u${upstream}`);
+  }
+  assert.is(host.decideAdmission("rare", 1_010).kind, "trial");
+  assert.is(host.decideAdmission("rare", 1_020).kind, "refused");
+  host.recordCompletion("rare", true, 1_050);
+  host.endTrial("rare");
+  assert.is(host.decideAdmission("rare", 1_060).kind, "admitted");
+});
+
+test("a request that completed lately is admitted after crashes at the same moment", () => {
+  const host = createHost();
+  host.recordCompletion("popular", false, 500);
+  for (let upstream = 0; upstream < 6; upstream += 1) {
+    crash(host, "popular", 1_000 + upstream, `u${upstream}`);
+  }
+  assert.is(host.decideAdmission("popular", 1_100).kind, "admitted");
+  assert.is(host.decideAdmission("popular", 1_101).kind, "admitted");
+});
+
+test("a request that is held back stays so for a host that hears of its latest crash alone", () => {
+  const [old, young] = createHosts(2) as [
+    RequestCrashHistory,
+    RequestCrashHistory,
+  ];
+  for (const at of [1_000, 2_000, 3_000]) crash(old, "deadly", at);
+  const [entry] = old.getDigest(3_500);
+  assert.is(entry?.[2].length, 1);
+  young.mergeDigest(entry ? [entry] : [], 3_510);
+  assert.is(young.decideAdmission("deadly", 3_520).kind, "refused");
+});
+
 test.run();
--- a/test/gateway/deadly_request_test.ts
+++ b/test/gateway/deadly_request_test.ts
@@ -35,6 +35,8 @@
   path: string;
   /** Number of such requests at a time. */
   count: number;
+  /** Sends of one request at the same moment; one if absent. */
+  copies?: number;
   downMs: number;
   findCrash: (run: number) => CrashingRun | undefined;
   createHeaders?: (attempt: number) => Record<string, string>;
@@ -80,6 +82,21 @@
     downMs: 1_000,
     findCrash: () => ({ events: 0, delayMs: 60 }),
   },
+  {
+    name: "twenty such requests run at a time",
+    path: "/safe/1",
+    count: 20,
+    downMs: 500,
+    findCrash: () => ({ events: 0, delayMs: 60 }),
+  },
+  {
+    name: "four copies of it are sent at the same moment",
+    path: "/safe/1",
+    count: 1,
+    copies: 4,
+    downMs: 1_000,
+    findCrash: () => ({ events: 0, delayMs: 60 }),
+  },
   {
     name: "a plain upstream is back at once",
     path: "/safe/1",
@@ -137,8 +154,13 @@
     return this.#row.findCrash(this.runTimes.length - 1);
   }
 
-  /** Sends the request once more; resolves when its caller is done. */
+  /** Sends the row's copies of the request; resolves when their callers are done. */
   async send(): Promise<void> {
+    const { copies = 1 } = this.#row;
+    await Promise.all(Array.from({ length: copies }, () => this.#sendCopy()));
+  }
+
+  async #sendCopy(): Promise<void> {
     const attempt = this.#attempts;
     this.#attempts += 1;
     const { path, createHeaders, disconnectAfterMs } = this.#row;
