Answers in chunks of 16 to 63 bytes count as small ones

Cause: chunks counted as small below a mean of 16 bytes. At 16 bytes it depended on where reads split a chunk whether an answer was cut after 0.8 MB (0.1 s) or after 5.8 MB on the wire.

Change: the mean is 64 bytes.

--- a/src/core/execution/byte_accumulator.ts
+++ b/src/core/execution/byte_accumulator.ts
@@ -26,8 +26,11 @@
  * answer of this many bytes may still arrive byte by byte.
  */
 export const MAX_SMALL_CHUNKS = 32 * 1024;
-/** Mean size below which chunks count as small, in bytes. */
-const SMALL_CHUNK_BYTES = 16;
+/**
+ * Mean size below which chunks count as small, in bytes. At 16, an answer of 4 MB
+ * in chunks of 16 bytes took 0.55 s of processor time.
+ */
+const SMALL_CHUNK_BYTES = 64;
 
 const NO_BYTES = Buffer.alloc(0);
 /** Size of the first block, which most incomplete events fit into. */
