Moderate excess of a customer is admitted from a reserve of the fleet

Cause: from 0.95 of the limit on, measured over 2 s, each host admitted its proportion of the limit and no more. What the allotment's burst and the platform's window allow was never used.

Change: each host follows a reserve of the whole fleet by the offered rates that it already knows: the burst and a tenth of the platform's tolerance (optional settings quotas, filled from the platform's bounds). Up to 1.25 times the limit is admitted from it; once it is empty a host's part is 1.03 in place of 1.1 of its proportion, which makes up for what was admitted late. Without customers nothing changes.

--- a/src/core/limits/customer_allotments.ts
+++ b/src/core/limits/customer_allotments.ts
@@ -7,9 +7,14 @@
  * own proportion of the limit, as a token bucket that may go into debt by one
  * request.
  *
+ * A moderate excess is admitted from a reserve of the whole fleet: the burst of
+ * the allotment and a fraction of what the platform tolerates beyond it. Each
+ * host follows the reserve by the fleet's offered rates.
+ *
  * Load: a few customers send most of the load, through few hosts or all of
  * them, and one of them at times sends many times its usual. A request can cost
- * more than one host's part of the limit in a second.
+ * more than one host's part of the limit in a second. Demand swings round its
+ * mean, and small customers send few requests a second, at random.
  *
  * A host that cannot reach a coordinator that hears the fleet divides what the
  * unheard hosts may spend by their number, so that the parts of a partitioned
@@ -47,6 +52,18 @@
     retryAfterMs: Milliseconds | undefined;
   };
 
+/** What the platform tolerates beyond an allotment. */
+export interface AllotmentTolerance {
+  /** Time over which the platform sums up. */
+  windowMs: Milliseconds;
+  /** Fraction of rate x window + burst. */
+  over: number;
+  /** In the unit of the allotment. */
+  slack: number;
+}
+
+const NO_TOLERANCE: AllotmentTolerance = { windowMs: 0, over: 0, slack: 0 };
+
 /** What a host knows of the others. */
 export interface AllotmentFleet {
   /** Hosts that share the limits, silent ones and this one included. */
@@ -71,10 +88,25 @@
  */
 const FREE_REQUESTS = 2;
 /**
- * Factor on a host's part of the limit. The others report their rates mostly
- * just after an arrival, so that their moving averages are too high.
+ * Fraction of the platform's tolerance that the reserve holds. The rest is for
+ * what arrives until the fleet's rate is known.
+ */
+const RESERVE_FRACTION = 0.1;
+/**
+ * Offered rate, as a multiple of the limit, up to which the reserve is used. A
+ * larger excess would have spent it before the hosts know.
+ */
+const MAX_RESERVE_RATE = 1.25;
+/** Requests of average cost by which a moving average may exceed that rate. */
+const RESERVE_REQUESTS = 4;
+/**
+ * Factor on a host's part of the limit while there is a reserve. The others
+ * report their rates mostly just after an arrival, so that their moving averages
+ * are too high.
  */
 const PART_FACTOR = 1.1;
+/** The same once the reserve is empty: what was admitted late is made up for. */
+const EMPTY_PART_FACTOR = 1.03;
 /** Least and largest capacity of a host's bucket, in seconds at its part. */
 const MIN_BUCKET_S = 0.25;
 const MAX_BUCKET_S = 1;
@@ -122,6 +154,13 @@
   refilledAt: Milliseconds;
 }
 
+/** What the whole fleet may spend beyond a customer's limit. */
+interface Reserve {
+  /** In units. */
+  level: number;
+  updatedAt: Milliseconds;
+}
+
 interface KnownTotals {
   /** When the report that they answer was sent. */
   at: Milliseconds;
@@ -133,6 +172,9 @@
 export class CustomerAllotments {
   #table: ReadonlyMap<string, CustomerAllotment> = new Map();
   readonly #states = new Map<string, CustomerState>();
+  /** Reserves of the customers that some host has heard of lately. */
+  readonly #reserves = new Map<string, Reserve>();
+  readonly #tolerance: AllotmentTolerance;
   #fleet: AllotmentFleet = { members: 1, isSolitary: false };
   #totals: KnownTotals | undefined;
   /** What was reported last, with its time. */
@@ -144,8 +186,12 @@
   readonly #pending = new Map<Milliseconds, Map<string, number>>();
   readonly #startedAt: Milliseconds;
 
-  constructor(now: Milliseconds) {
+  constructor(
+    now: Milliseconds,
+    tolerance: AllotmentTolerance = NO_TOLERANCE,
+  ) {
     this.#startedAt = now;
+    this.#tolerance = tolerance;
   }
 
   /** Whether any customer has a limit. */
@@ -182,6 +228,7 @@
     if (!Number.isFinite(cost) || cost > Number.MAX_SAFE_INTEGER) {
       return { kind: "rejected", retryAfterMs: undefined };
     }
+    const reserve = this.#updateReserve(customer, allotment, now);
     const state = this.#getState(customer, cost, now);
     // Without this request: the average just after an arrival is too high.
     const ownPerS = recordOffer(state, cost, now);
@@ -191,11 +238,17 @@
     const offeredPerS = state.ratePerS + known.othersPerS;
     const freePerS = FREE_FRACTION * limitPerS +
       FREE_REQUESTS * state.meanCost * 1_000 / RATE_PERIOD_MS * known.fraction;
-    if (offeredPerS <= freePerS) {
+    const reservePerS = MAX_RESERVE_RATE * limitPerS +
+      RESERVE_REQUESTS * state.meanCost * 1_000 / RATE_PERIOD_MS *
+        known.fraction;
+    if (
+      offeredPerS <= freePerS || (reserve > 0 && offeredPerS <= reservePerS)
+    ) {
       state.level = undefined;
       return { kind: "admitted" };
     }
-    const partPerS = PART_FACTOR * limitPerS * ownPerS /
+    const partPerS = (reserve > 0 ? PART_FACTOR : EMPTY_PART_FACTOR) *
+      limitPerS * ownPerS /
       (ownPerS + known.othersPerS || 1);
     const bucketS = Math.min(
       MAX_BUCKET_S,
@@ -225,6 +278,7 @@
     for (const [customer, state] of this.#states) {
       const isDropped = !this.#table.has(customer) ||
         now - state.updatedAt > IDLE_LIFETIME_MS;
+      if (isDropped) this.#reserves.delete(customer);
       if (isDropped) this.#states.delete(customer);
       else {rates.set(
           customer,
@@ -242,11 +296,16 @@
   }
 
   /** Records a coordinator's answer; one to an unknown report is ignored. */
-  recordTotals(totals: AllotmentTotals): void {
+  recordTotals(totals: AllotmentTotals, now: Milliseconds): void {
     const own = this.#pending.get(totals.reportedAt);
     if (!own) return;
     this.#pending.delete(totals.reportedAt);
     if (this.#totals && this.#totals.at > totals.reportedAt) return;
+    // Up to here the rates known before hold.
+    for (const [customer] of totals.rates) {
+      const allotment = this.#table.get(customer);
+      if (allotment) this.#updateReserve(customer, allotment, now);
+    }
     const others = new Map(
       totals.rates.map(([customer, ratePerS]) => [
         customer,
@@ -268,6 +327,43 @@
     return state;
   }
 
+  /**
+   * Brings the fleet's reserve for the customer up to date, and returns it. A
+   * customer that nobody has sent requests of lately has a full one.
+   */
+  #updateReserve(
+    customer: string,
+    allotment: CustomerAllotment,
+    now: Milliseconds,
+  ): number {
+    const { windowMs, over, slack } = this.#tolerance;
+    const { ratePerS, burst } = allotment;
+    const tolerated = over * (ratePerS * windowMs / 1_000 + burst) + slack;
+    const known = this.#getKnownFleet(customer, now);
+    const fraction = known?.fraction ?? 1;
+    const capacity = fraction * (burst + RESERVE_FRACTION * tolerated);
+    const reserve = this.#reserves.get(customer) ??
+      { level: capacity, updatedAt: now };
+    this.#reserves.set(customer, reserve);
+    const state = this.#states.get(customer);
+    const ownPerS = state
+      ? computeDecayed(state.ratePerS, now - state.updatedAt)
+      : 0;
+    const limitPerS = fraction * ratePerS;
+    const offeredPerS = ownPerS + (known?.othersPerS ?? 0);
+    // Without a reserve, the hosts admit no more than the limit.
+    const spentPerS = reserve.level > 0
+      ? offeredPerS
+      : Math.min(offeredPerS, limitPerS);
+    const elapsedS = Math.max(0, now - reserve.updatedAt) / 1_000;
+    reserve.updatedAt = now;
+    reserve.level = Math.min(
+      capacity,
+      Math.max(0, reserve.level + elapsedS * (limitPerS - spentPerS)),
+    );
+    return reserve.level;
+  }
+
   /**
    * Returns what is known of the other hosts, and the fraction of the limits
    * that the known ones may spend; undefined shortly after the start.
--- a/src/gateway/allotment_task.ts
+++ b/src/gateway/allotment_task.ts
@@ -9,6 +9,7 @@
 import {
   AllotmentCoordinator,
   type AllotmentDecision,
+  type AllotmentTolerance,
   CustomerAllotments,
 } from "../core/limits/customer_allotments.ts";
 import type { Milliseconds } from "../core/structures.ts";
@@ -36,6 +37,8 @@
   selfId: string;
   /** Addresses of the seeds other than this host. */
   seedIps: readonly string[];
+  /** What the platform tolerates beyond the limits; nothing if undefined. */
+  tolerance: AllotmentTolerance | undefined;
   view: PublishedView;
   fleet: FleetView;
   log: DecisionLog;
@@ -45,7 +48,7 @@
 
 export class AllotmentTask {
   readonly #options: AllotmentTaskOptions;
-  readonly #allotments = new CustomerAllotments(performance.now());
+  readonly #allotments: CustomerAllotments;
   readonly #ledger = new AllotmentCoordinator();
   /** Requests rejected since the last log line, by customer. */
   readonly #rejections = new Map<
@@ -61,6 +64,10 @@
 
   constructor(options: AllotmentTaskOptions) {
     this.#options = options;
+    this.#allotments = new CustomerAllotments(
+      performance.now(),
+      options.tolerance,
+    );
   }
 
   /** Applies the limits of the present configuration. */
@@ -107,7 +114,7 @@
       }
       case "allotmentTotals":
         if (from === this.#coordinator) this.#unanswered = 0;
-        this.#allotments.recordTotals(message.totals);
+        this.#allotments.recordTotals(message.totals, now);
         break;
       default:
         break;
@@ -159,6 +166,7 @@
     if (this.#coordinator === selfId) {
       this.#allotments.recordTotals(
         this.#ledger.handleReport(selfId, report, now),
+        now,
       );
       return;
     }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -254,6 +254,7 @@
       seedIps: settings.peers.seeds
         .map((seed) => parseSocketAddress(seed).host)
         .filter((seedIp) => seedIp !== ip),
+      tolerance: settings.quotas,
       view: this.#view,
       fleet: this.#fleet,
       log: this.#log,
--- a/src/settings/gateway_settings.ts
+++ b/src/settings/gateway_settings.ts
@@ -56,6 +56,14 @@
     /** Retries allowed in addition, over all daemons. */
     slack: z.number().nonnegative(),
   }),
+  quotas: z.object({
+    /** Time over which the platform sums up what reaches upstreams. */
+    windowMs: z.number().nonnegative(),
+    /** Tolerated fraction of a customer's rate x window + burst. */
+    over: z.number().nonnegative(),
+    /** Tolerated in addition, in the quota's unit. */
+    slack: z.number().nonnegative(),
+  }).optional(),
   stop: z.object({
     /** Time from the stop signal until the process is killed. */
     graceMs: POSITIVE,
--- a/test/core/limits/customer_allotments_test.ts
+++ b/test/core/limits/customer_allotments_test.ts
@@ -19,11 +19,13 @@
 
 const WINDOW_MS = 8_000;
 const STEP_MS = 10;
+const TURN = 2 * Math.PI;
 const HOSTS = 58;
 const MEAN_COST = 9_190;
 /** What the platform allows beyond the limit. */
 const OVER = 0.25;
 const SLACK = 110_000;
+const TOLERANCE = { windowMs: WINDOW_MS, over: OVER, slack: SLACK };
 
 function createCustomer(ratePerS: number, burst = ratePerS): PublishedCustomer {
   return {
@@ -71,7 +73,7 @@
   );
   let limit = scenario.limit;
   const createHost = (now: number) => {
-    const host = new CustomerAllotments(now);
+    const host = new CustomerAllotments(now, TOLERANCE);
     host.setCustomers([createCustomer(limit)]);
     host.setFleet({ members: HOSTS, isSolitary: false });
     return host;
@@ -131,7 +133,7 @@
       if (!totals || draw() < lostMessages) return;
       answers.push({
         at: now + 10,
-        deliver: () => hosts[index]?.recordTotals(totals),
+        deliver: () => hosts[index]?.recordTotals(totals, now + 10),
       });
     });
   }
@@ -200,6 +202,48 @@
   }
 }
 
+for (const limit of LIMITS) {
+  test(`QUOTA: loads somewhat above a limit of ${limit}, steady or in turns, stay within it`, () => {
+    for (const factor of [1.1, 1.3, 1.5, 1.7, 2.2, 3]) {
+      for (let seed = 1; seed <= 4; seed += 1) {
+        for (const isSteady of [true, false]) {
+          const getLoad = (now: number) =>
+            isSteady || now % 8_000 < 4_000 ? factor : 0.55;
+          const outcome = simulate({ limit, getLoad }, seed);
+          const worst = computeWorstWindow(outcome, limit);
+          assert.ok(worst <= 1, `${factor} times, seed ${seed}: ${worst}`);
+        }
+      }
+    }
+  });
+
+  test(`a load that swings round 0.55 of a limit of ${limit} by 0.55 of itself is served`, () => {
+    for (let seed = 1; seed <= 4; seed += 1) {
+      const { rejected, offered } = simulate({
+        limit,
+        getLoad: (now) => 0.55 * (1 + 0.55 * Math.sin(now * TURN / 15_000)),
+      }, seed);
+      assert.ok(
+        rejected / offered < 0.005,
+        `seed ${seed}: ${rejected / offered}`,
+      );
+    }
+  });
+
+  test(`three seconds of 1.3 times a limit of ${limit} are served`, () => {
+    for (let seed = 1; seed <= 4; seed += 1) {
+      const { rejected, offered } = simulate({
+        limit,
+        getLoad: (now) => now % 13_000 > 10_000 ? 1.3 : 0.55,
+      }, seed);
+      assert.ok(
+        rejected / offered < 0.005,
+        `seed ${seed}: ${rejected / offered}`,
+      );
+    }
+  });
+}
+
 test("nothing is rejected at 0.9 of a large limit", () => {
   for (let seed = 1; seed <= 6; seed += 1) {
     const { rejected } = simulate(
