Reports of closed connections have a class of their own

Cause: counting and rate-bounded logging of closed connections was part of the guard of HTTP ports; the daemon's gRPC port needs the same.

Change: CutReporter counts each closed connection and writes one log line a second and reason; ConnectionGuard uses it.

--- a/src/daemon/connection_guard.ts
+++ b/src/daemon/connection_guard.ts
@@ -16,6 +16,13 @@
 } from "../core/limits/memory_budget.ts";
 import type { Milliseconds } from "../core/structures.ts";
 import type { ClientLimits } from "../settings/client_limits.ts";
+import {
+  CutReason,
+  CutReporter,
+  type CutReporterOptions,
+} from "./cut_reporter.ts";
+
+export { CutReason, type CutReport } from "./cut_reporter.ts";
 
 /** Largest piece of input that may contain heads or chunks. */
 const MAX_PIECE_BYTES = 4 * 1024;
@@ -40,42 +47,11 @@
  * favour of a new one.
  */
 const EVICTABLE_UNREAD_MS = 2_000;
-/** Time in which one log line is written for each reason. */
-const LOG_INTERVAL_MS = 1_000;
 /** Ends of heads; Node.js accepts a line feed alone, too. */
 const HEAD_ENDS = [Buffer.from("\n\r\n"), Buffer.from("\n\n")];
 
-/** Why a connection was closed. */
-export const CutReason = {
-  /** The longest idle one, in favour of a new one. */
-  Idle: "idle",
-  /** A new one, as none of the others was idle. */
-  Full: "full",
-  /** The client did not read its responses. */
-  Unread: "unread",
-  /** The input of paused connections takes too much memory. */
-  HeldInput: "heldInput",
-} as const;
-export type CutReason = typeof CutReason[keyof typeof CutReason];
-
-/** What is known of a connection that is closed. */
-export interface CutReport {
-  reason: CutReason;
-  /** Name of the port. */
-  port: string;
-  /** IP address of the client. */
-  client: string;
-  unanswered: number;
-  /** Other connections closed for this reason since the last line of the log. */
-  unlogged: number;
-}
-
-export interface ConnectionGuardOptions {
+export interface ConnectionGuardOptions extends CutReporterOptions {
   limits: ClientLimits;
-  /** Counts a closed connection. */
-  countCut: (reason: CutReason) => void;
-  /** Writes a log line; called at most once a second for each reason. */
-  logCut: (report: CutReport) => void;
 }
 
 /** What the guard uses of Node.js beyond its types. */
@@ -136,16 +112,14 @@
   /** Connections that await their client, the longest idle first, by server. */
   readonly #idle = new Map<Server, Set<GuardedConnection>>();
   readonly #heldConnections = new Set<GuardedConnection>();
-  readonly #cuts = new Map<
-    CutReason,
-    { loggedAt: Milliseconds; unlogged: number }
-  >();
+  readonly #cuts: CutReporter;
   /** Unanswered requests beyond the first of each connection. */
   #pipelined = 0;
   readonly #timer: ReturnType<typeof setInterval>;
 
   constructor(options: ConnectionGuardOptions) {
     this.#options = options;
+    this.#cuts = new CutReporter(options);
     this.#heldInput = new MemoryBudget({
       exemptBytes: UNCOUNTED_HELD_BYTES,
       sharedBytes: options.limits.maxHeldBytes,
@@ -393,23 +367,12 @@
     now: Milliseconds,
   ): void {
     const { socket, port, unanswered } = connection;
-    this.#options.countCut(reason);
-    const cuts = this.#cuts.get(reason) ??
-      { loggedAt: Number.NEGATIVE_INFINITY, unlogged: 0 };
-    this.#cuts.set(reason, cuts);
-    if (now - cuts.loggedAt < LOG_INTERVAL_MS) {
-      cuts.unlogged += 1;
-    } else {
-      this.#options.logCut({
-        reason,
-        port,
-        client: socket.remoteAddress ?? "",
-        unanswered: unanswered.size,
-        unlogged: cuts.unlogged,
-      });
-      cuts.loggedAt = now;
-      cuts.unlogged = 0;
-    }
+    this.#cuts.report({
+      reason,
+      port,
+      client: socket.remoteAddress ?? "",
+      unanswered: unanswered.size,
+    }, now);
     socket.destroy();
   }
 }
