The daemon's port for peers limits its connections

Cause: grpc-js accepted the connections itself. It limits none, and does not show those whose clients have sent nothing.

Change: the daemon accepts the connections, ends TLS, and passes a connection to grpc-js once the HTTP/2 preface and its SETTINGS frame have arrived. The limit is the lower of peers.maxConnections (1000) and 1/8 of the descriptors; a fleet of 900 daemons in 11 failure domains needs some 120. Beyond it the connection that has waited longest for its preface is closed, else the new one (core/limits/connection_admission.ts). The metric peer_connections_cut counts both; one log line a second and reason. The system probes connections that are idle for 30 s: a lost host would otherwise keep its place.

Measured: client_limits_test, 500 silent connections with 320 descriptors: before 15 of 16 cases (an ordinary request unanswered for 15 s), after 16 of 16 in two runs, at most 72 descriptors with the crowd at this port.

--- a/bench/control/envelope_command.ts
+++ b/bench/control/envelope_command.ts
@@ -5,6 +5,7 @@
 import { connect, createServer, type Server } from "node:net";
 import type { PeerMessage } from "../../src/core/messages.ts";
 import { createBus } from "../../src/daemon/bus.ts";
+import { CutReporter } from "../../src/daemon/cut_reporter.ts";
 import { createLogger } from "../../src/daemon/logger.ts";
 import { PeerTask } from "../../src/daemon/peer_task.ts";
 import { encodeEnvelope } from "../../src/protocol/peer_codec.ts";
@@ -114,6 +115,8 @@
     bus,
     logger,
     eventLoop: { recordInput: () => 0 },
+    maxConnections: settings.peers.maxConnections,
+    cuts: new CutReporter({ countCut: () => {}, logCut: () => {} }),
     getAddress: () => address,
   });
 }
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -12,11 +12,13 @@
 import { CoreTask } from "./core_task.ts";
 import {
   computeMaxConnections,
+  computeMaxPeerConnections,
   type LimitedPort,
   readDescriptorLimit,
 } from "./descriptor_limit.ts";
 import { EventLoopMonitor } from "./event_loop_monitor.ts";
 import { ExchangeRegistry } from "./exchange.ts";
+import { type CutReport, CutReporter } from "./cut_reporter.ts";
 import { createLogger, type Logger } from "./logger.ts";
 import { Metrics } from "./metrics.ts";
 import { type NetworkPartition, OperatorTask } from "./operator_task.ts";
@@ -66,15 +68,16 @@
     const logger = this.#logger;
     this.#metrics = new Metrics(settings.metrics, settings.id);
     this.#metrics.listen(bus);
+    const reportCut = ({ client, ...report }: CutReport): void =>
+      logger.warn("Connection of a client was closed", {
+        step: "limitClients",
+        peer: client,
+        ...report,
+      });
     this.#guard = new ConnectionGuard({
       limits: settings.clients,
       countCut: (reason) => this.#metrics.count("connections_cut", reason),
-      logCut: ({ client, ...report }) =>
-        logger.warn("Connection of a client was closed", {
-          step: "limitClients",
-          peer: client,
-          ...report,
-        }),
+      logCut: reportCut,
     });
     const descriptorLimit = readDescriptorLimit();
     const limitClients = (server: Server, port: LimitedPort): void =>
@@ -110,6 +113,15 @@
       bus,
       logger,
       eventLoop: this.#eventLoop,
+      maxConnections: computeMaxPeerConnections(
+        settings.peers.maxConnections,
+        descriptorLimit,
+      ),
+      cuts: new CutReporter({
+        countCut: (reason) =>
+          this.#metrics.count("peer_connections_cut", reason),
+        logCut: reportCut,
+      }),
       getAddress: (id) => core.getPeerAddress(id),
     });
     this.#upstreams = new UpstreamTask({
--- a/src/daemon/descriptor_limit.ts
+++ b/src/daemon/descriptor_limit.ts
@@ -35,6 +35,13 @@
 } as const;
 const MIN_PORT_CONNECTIONS = 8;
 
+/**
+ * Share of connections from other daemons at the peers' port of a daemon: 276 of
+ * the smallest machine's 2,212 descriptors. The daemons of a failure domain (82)
+ * and those with links to it from ten others need some 120.
+ */
+const DAEMON_PEER_SHARE = 1 / 8;
+
 export type LimitedPort = keyof typeof PORT_SHARES;
 
 /** Reads the limit, which Node.js raises to the hard limit when it starts. */
@@ -60,6 +67,18 @@
   );
 }
 
+/**
+ * Returns how many connections a daemon accepts from others: the lower of the
+ * setting and the share of its descriptors.
+ */
+export function computeMaxPeerConnections(
+  setting: number,
+  descriptorLimit: number,
+): number {
+  const share = Math.floor(DAEMON_PEER_SHARE * descriptorLimit);
+  return Math.min(setting, Math.max(MIN_PORT_CONNECTIONS, share));
+}
+
 /** Returns how many connections of either kind lead to upstreams. */
 export function computeMaxUpstreamConnections(descriptorLimit: number): number {
   return Math.max(
--- a/src/daemon/metrics.ts
+++ b/src/daemon/metrics.ts
@@ -29,6 +29,8 @@
     "Caller connections closed after a connection or HTTP parse error, by error code",
   connections_cut:
     "Connections of clients that were closed because of a limit, by reason (idle, full, unread, heldInput)",
+  peer_connections_cut:
+    "Connections at the peers' port that were closed because of its limit, by reason (idle: no complete HTTP/2 preface, full: a new one)",
   envelope_malformed: "Envelopes received from peers that could not be decoded",
   envelope_undelivered: "Envelope streams to peers that failed",
   tables: "Table revisions received, by result",
--- a/src/daemon/peer_task.ts
+++ b/src/daemon/peer_task.ts
@@ -24,9 +24,11 @@
 } from "../protocol/peer_codec.ts";
 import type { DaemonSettings } from "../settings/daemon_settings.ts";
 import type { Bus } from "./bus.ts";
+import type { CutReporter } from "./cut_reporter.ts";
 import { InputKind, type InputObserver } from "./event_loop_monitor.ts";
 import type { Logger } from "./logger.ts";
 import { CONNECT_PATH, PeerChannel, toBuffer } from "./peer_channel.ts";
+import { PeerListener, type TlsFiles } from "./peer_listener.ts";
 import { describeError, StepError } from "./step_error.ts";
 
 const MAX_MESSAGE_BYTES = 8 * 1_048_576;
@@ -70,6 +72,9 @@
   bus: Bus;
   logger: Logger;
   eventLoop: InputObserver;
+  /** Most connections from other daemons. */
+  maxConnections: number;
+  cuts: CutReporter;
   getAddress: (id: string) => string | undefined;
 }
 
@@ -85,6 +90,7 @@
   /** When an envelope was last received from each peer, on the monotonic clock. */
   readonly #lastReceivedAt = new Map<string, number>();
   readonly #blocked = new Set<string>();
+  #listener: PeerListener | undefined;
   #bytesSent = 0;
   #messagesSent = 0;
 
@@ -116,20 +122,32 @@
         call.on("error", () => {});
       },
     });
-    return await new Promise((resolve, reject) => {
-      this.#server.bindAsync(
-        settings.peers.listen,
-        this.#createServerCredentials(),
-        (cause, port) => {
-          if (!cause) resolve(port);
-          else reject(createListenError(settings.peers.listen, cause));
-        },
-      );
+    const { maxConnections, cuts } = this.#options;
+    const tls = this.#readServerTls();
+    // The listener ends TLS itself: a connection counts before its handshake.
+    const injector = this.#server.createConnectionInjector(
+      ServerCredentials.createInsecure(),
+    );
+    this.#listener = new PeerListener({
+      maxConnections,
+      tls,
+      cuts,
+      serve: (connection) => injector.injectConnection(connection),
     });
+    try {
+      return await this.#listener.listen(settings.peers.listen);
+    } catch (cause) {
+      throw new StepError(describeError(cause), {
+        step: "listenPeers",
+        peer: settings.peers.listen,
+        cause,
+      });
+    }
   }
 
   stop(): void {
     this.#server.forceShutdown();
+    this.#listener?.close();
     for (const { channel } of this.#channels.values()) channel.close();
     this.#channels.clear();
   }
@@ -224,23 +242,16 @@
     return channel;
   }
 
-  #createServerCredentials(): ServerCredentials {
+  #readServerTls(): TlsFiles | undefined {
     const { peers } = this.#options.settings;
-    if (!peers.tls) {
-      if (!isLoopback(peers.listen) && !peers.allowPlaintextBeyondLoopback) {
-        throw new StepError(
-          `Expected peers.tls or peers.allowPlaintextBeyondLoopback to listen on ${peers.listen}, found neither`,
-          { step: "listenPeers", peer: peers.listen },
-        );
-      }
-      return ServerCredentials.createInsecure();
+    if (peers.tls) return readTlsFiles(peers.tls);
+    if (!isLoopback(peers.listen) && !peers.allowPlaintextBeyondLoopback) {
+      throw new StepError(
+        `Expected peers.tls or peers.allowPlaintextBeyondLoopback to listen on ${peers.listen}, found neither`,
+        { step: "listenPeers", peer: peers.listen },
+      );
     }
-    const { authority, key, certificate } = readTlsFiles(peers.tls);
-    return ServerCredentials.createSsl(
-      authority,
-      [{ private_key: key, cert_chain: certificate }],
-      true,
-    );
+    return undefined;
   }
 
   #createClientCredentials(): ChannelCredentials {
@@ -251,20 +262,6 @@
   }
 }
 
-function createListenError(address: string, cause: Error): StepError {
-  return new StepError(describeError(cause), {
-    step: "listenPeers",
-    peer: address,
-    cause,
-  });
-}
-
-interface TlsFiles {
-  authority: Buffer;
-  key: Buffer;
-  certificate: Buffer;
-}
-
 function readTlsFiles(tls: TlsSettings): TlsFiles {
   return {
     authority: readTlsFile(tls.authorityFile),
--- a/src/settings/daemon_settings.ts
+++ b/src/settings/daemon_settings.ts
@@ -44,6 +44,8 @@
     listen: ADDRESS,
     tls: TLS.optional(),
     allowPlaintextBeyondLoopback: z.boolean().default(false),
+    /** More than a fleet of 900 daemons opens at one of them. */
+    maxConnections: POSITIVE.int().default(1_000),
     seed: z.array(z.strictObject({
       id: NAME,
       address: ADDRESS,
