The daemon attributes crashes to runs whose callers have left

Cause: the daemon cancels the run of a caller that has left. The upstream confirms the cancellation and crashes afterwards, or does not confirm it and is still alive when its state is read at once: nobody looks again.

Change: core/execution/departed_runs.ts watches the upstream of such a run for 2.5 s. Its state is read 0.5 and 1.5 s after the departure, and after 0.1, 0.3, 0.7 and 1.5 s if the request is suspected or its callers left before; one read of an upstream serves all its runs, and readings of its owner count as well. Another incarnation or a refused connection records the crash, unless the upstream shuts down. The exclusive lease of a suspect is kept until the watch ends, so that a crash counts as a strike and hits no other run. Runs that ended without confirmation are watched in the same way, in place of one check. The fake engine can crash some time after a run begins, cancelled or not.

--- a/fakes/engine_options.ts
+++ b/fakes/engine_options.ts
@@ -24,6 +24,11 @@
   crossAnswers: number;
   /** Text that crashes the engine when a request body contains it. */
   crashMarker: string;
+  /**
+   * Time from the beginning of such a run to the crash, whether or not the run
+   * is cancelled meanwhile.
+   */
+  crashDelayMs: number;
   /** Delay after a crash until the engine listens again. */
   restartAfterMs: number;
   /** Delay of the reported in-flight counts; this fake does not apply it. */
@@ -52,6 +57,7 @@
   cutAfterTokens: 0,
   crossAnswers: 0,
   crashMarker: "CRASH-ENGINE",
+  crashDelayMs: 0,
   restartAfterMs: 300,
   reportLagMs: 0,
   leaving: false,
--- a/fakes/fake_engine.ts
+++ b/fakes/fake_engine.ts
@@ -27,6 +27,8 @@
   readonly options: FakeEngineOptions;
   /** All runs since this fake was created, across crashes. */
   readonly history: RunRecord[] = [];
+  /** When the engine crashed, on the monotonic clock. */
+  readonly crashTimes: number[] = [];
   /** Number of evictions of adapters that had running requests. */
   evictionsInUse = 0;
   /** Number of connections closed by the fault while their runs continued. */
@@ -90,6 +92,7 @@
    * listens again under a new incarnation after `restartAfterMs`.
    */
   async crash(): Promise<void> {
+    this.crashTimes.push(performance.now());
     for (const record of this.history) {
       if (record.ended === "running") record.ended = "crashed";
     }
@@ -228,7 +231,7 @@
     this.#runs.set(id, run);
     this.history.push(record);
     if (body.includes(this.faults.crashMarker)) {
-      void this.crash();
+      this.#scheduleCrash();
       return;
     }
     await this.#generate(request, response, { run, record, fault });
@@ -237,6 +240,18 @@
     if (record.ended === "completed" && run.log) this.#recordEndedRun(run);
   }
 
+  #scheduleCrash(): void {
+    const { crashDelayMs } = this.faults;
+    if (crashDelayMs === 0) {
+      void this.crash();
+      return;
+    }
+    const incarnation = this.#incarnation;
+    setTimeout(() => {
+      if (this.#incarnation === incarnation) void this.crash();
+    }, crashDelayMs);
+  }
+
   #recordEndedRun(run: Run): void {
     this.#endedRuns.set(run.id, run);
     setTimeout(
--- a/src/core/execution/attempt_runner.ts
+++ b/src/core/execution/attempt_runner.ts
@@ -11,6 +11,7 @@
 } from "../outcomes.ts";
 import { type Milliseconds, PoolKind } from "../structures.ts";
 import { CrashDetector, type RunningAttempt } from "./crash_detector.ts";
+import { DepartedRuns } from "./departed_runs.ts";
 import {
   DEFAULT_RETRY_AFTER_MS,
   type ExecutionContext,
@@ -31,6 +32,7 @@
   readonly #assigner: RequestAssigner;
   readonly #finisher: RequestFinisher;
   readonly #crashDetector: CrashDetector;
+  readonly #departedRuns: DepartedRuns;
   readonly #attempts = new Map<string, RunningAttempt>();
 
   constructor(
@@ -49,6 +51,7 @@
       context,
       (request, reason, now) => this.retry(request, reason, now),
     );
+    this.#departedRuns = new DepartedRuns(context);
   }
 
   countAttempts(): number {
@@ -66,7 +69,12 @@
     >,
     now: Milliseconds,
   ): boolean {
-    return this.#crashDetector.handleStateRead(event, now);
+    return this.#departedRuns.handleStateRead(event, now) ||
+      this.#crashDetector.handleStateRead(event, now);
+  }
+
+  tick(now: Milliseconds): void {
+    this.#departedRuns.tick(now);
   }
 
   handleAttemptEnded(
@@ -91,8 +99,13 @@
       attempt.request.answer = event.answer;
       attempt.request.attempt = undefined;
     }
-    this.#releaseCredit(attempt, event.result, now);
-    this.#checkCrashIfLost(attempt, event.result, isLive, now);
+    const { result } = event;
+    if (!isLive && (result.kind === "cancelled" || result.kind === "lost")) {
+      this.#watchDeparted(attempt, result, now);
+    } else {
+      this.#releaseCredit(attempt, result, now);
+      this.#checkCrashIfLost(attempt, result, now);
+    }
     if (isLive) this.#handleResult(attempt, event.result, now);
     this.#leases.dispatchWaiting(attempt.groupKey, now);
   }
@@ -185,19 +198,40 @@
   }
 
   /**
-   * Starts a crash check of a lost attempt's upstream, which precedes any
-   * retry.
+   * Watches the upstream of a run whose request ended before it. An exclusive
+   * lease is kept meanwhile, so that a crash is due to this run alone.
+   */
+  #watchDeparted(
+    attempt: RunningAttempt,
+    result: Extract<AttemptResult, { kind: "cancelled" | "lost" }>,
+    now: Milliseconds,
+  ): void {
+    const isExclusive = attempt.credit.exclusive;
+    if (!isExclusive) this.#releaseCredit(attempt, result, now);
+    const release = (at: Milliseconds): void => {
+      this.#releaseCredit(attempt, result, at);
+      this.#leases.dispatchWaiting(attempt.groupKey, at);
+    };
+    const isLost = result.kind === "lost";
+    this.#departedRuns.add(attempt, {
+      isLost,
+      suspectsParts: isLost && result.bytesForwarded === 0,
+      release: isExclusive ? release : undefined,
+    }, now);
+  }
+
+  /**
+   * Starts a crash check of the upstream of an open request's lost attempt,
+   * which precedes any retry.
    */
   #checkCrashIfLost(
     attempt: RunningAttempt,
     result: AttemptResult,
-    isLive: boolean,
     now: Milliseconds,
   ): void {
     if (result.kind !== "lost") return;
     const { request } = attempt;
-    const canRetry = isLive && request.route.idempotent &&
-      result.bytesForwarded === 0;
+    const canRetry = request.route.idempotent && result.bytesForwarded === 0;
     const isChecking = this.#crashDetector.checkForCrash(
       attempt,
       canRetry ? RetryReason.UpstreamLost : undefined,
@@ -207,7 +241,7 @@
     if (canRetry) {
       request.apply("upstreamSuspected");
       request.excludedUpstreams.add(attempt.upstreamId);
-    } else if (isLive) {
+    } else {
       this.#finisher.refuse(request, RefusalReason.UpstreamLost, {
         outcome: Outcome.MayHaveRun,
       }, now);
--- a/src/core/execution/request_executor.ts
+++ b/src/core/execution/request_executor.ts
@@ -146,13 +146,14 @@
   }
 
   /**
-   * Refuses overdue requests, resends unanswered messages and returns idle
-   * credits.
+   * Refuses overdue requests, watches the upstreams of departed callers' runs,
+   * resends unanswered messages and returns idle credits.
    */
   tick(now: Milliseconds): void {
     for (const request of this.#context.requests.values()) {
       this.#tickRequest(request, now);
     }
+    this.#runner.tick(now);
     this.#leases.tick(now);
     this.#tickets.tick(now);
   }
