Prompts with an objective nearly as short as an urgent one wait for it no longer

Cause: beside chats with an objective of 500 ms a digest of 240 ms of prefill and an objective of 800 ms was admitted only while 10 ms of prefill or less were queued. The rule was made for background prompts, whose objectives are several times longer.

Change: it applies to requests whose objective is at least 1.75 times that of the more urgent ones.

--- a/src/core/admission/prefill_share.ts
+++ b/src/core/admission/prefill_share.ts
@@ -18,6 +18,12 @@
  * prefill.
  */
 const BACKLOG_OBJECTIVE_FRACTION = 0.5;
+/**
+ * How many times a request's objective must be that of a more urgent one for its
+ * prompt to wait for it. A prompt with an objective nearly as short would be late
+ * itself if it waited for a backlog of less than its own length.
+ */
+const MIN_OBJECTIVE_RATIO = 1.75;
 /**
  * Time after its latest request for which a class counts as present. Most
  * classes of a site send several requests a second.
@@ -57,6 +63,8 @@
       const { latencyObjectiveMs } = urgency;
       const isAhead = until > now && compareUrgency(urgency, request) < 0;
       if (!isAhead || latencyObjectiveMs === undefined) continue;
+      const { latencyObjectiveMs: ownObjectiveMs = 0 } = request;
+      if (ownObjectiveMs < MIN_OBJECTIVE_RATIO * latencyObjectiveMs) continue;
       maxBacklogMs = Math.min(
         maxBacklogMs,
         BACKLOG_OBJECTIVE_FRACTION * latencyObjectiveMs - ownPrefillMs,
--- a/test/core/admission/prefill_share_test.ts
+++ b/test/core/admission/prefill_share_test.ts
@@ -20,6 +20,13 @@
   assert.is(share.computeMaxBacklogMs(URGENT, 900, 10), MAX_PREFILL_BACKLOG_MS);
 });
 
+test("a long prompt whose objective is nearly as short as an urgent one does not wait for an empty backlog", () => {
+  const share = new PrefillShare();
+  share.recordArrival({ priorityRank: 0, latencyObjectiveMs: 500 }, 0);
+  const digest = { priorityRank: 2, latencyObjectiveMs: 800 };
+  assert.is(share.computeMaxBacklogMs(digest, 240, 10), MAX_PREFILL_BACKLOG_MS);
+});
+
 test("what is left for urgent requests is given back when they stay away", () => {
   const share = new PrefillShare();
   share.recordArrival(URGENT, 0);
