Customers take turns where their equally urgent requests wait for an engine

Cause: equally urgent requests queued by arrival, whoever sent them.

Change: start-time fair queueing by tokens in the owner's admission controller (core/admission/customer_turns.ts); permit requests carry a 32-bit hash of the customer's name. Estimates count what is ahead in the turns. The metric customer_turns counts grants before an earlier request of another customer; placeDenied names the customer.

--- a/src/core/admission/admission_controller.ts
+++ b/src/core/admission/admission_controller.ts
@@ -10,15 +10,23 @@
 import { MAX_LOADING } from "../placement/fetch_concurrency_limit.ts";
 import type { Milliseconds } from "../structures.ts";
 import type { BatchCapacity, BatchDemand } from "./batch_capacity.ts";
+import {
+  type CustomerRequest,
+  type CustomerTurn,
+  CustomerTurns,
+  hasSeveralCustomers,
+  isHeldBack,
+  rankByTurn,
+} from "./customer_turns.ts";
 import { PauseLimit } from "./pause_limit.ts";
 import { MAX_PREFILL_BACKLOG_MS, PrefillShare } from "./prefill_share.ts";
 import { type Reservation, RoomReservation } from "./room_reservation.ts";
 import { RunEstimator } from "./run_estimator.ts";
-import { compareUrgency, GrantTurns, type Urgency } from "./urgency.ts";
+import { compareUrgency, GrantTurns } from "./urgency.ts";
 import { rankWaiting } from "./waiting_order.ts";
 
 /** A request for permission to run on an engine. */
-export interface PermitRequest extends BatchDemand, Urgency {
+export interface PermitRequest extends BatchDemand, CustomerRequest {
   permitId: string;
   /** Daemon that asks for the permit and would hold it. */
   holder: string;
@@ -116,6 +124,9 @@
   overdueAt: Milliseconds;
 }
 
+/** A waiting request in the order of service. */
+type RankedRequest = WaitingRequest & CustomerTurn;
+
 /** Expected wait of a request at this engine, by cause. */
 interface WaitEstimate {
   /**
@@ -159,6 +170,12 @@
   #evictionAllowedAt = Number.NEGATIVE_INFINITY;
   readonly #runEstimator = new RunEstimator();
   readonly #turns = new GrantTurns();
+  readonly #customerTurns = new CustomerTurns();
+  /**
+   * Grants before an earlier, equally urgent request of another customer, since
+   * they were last taken.
+   */
+  #earlyGrants = 0;
   readonly #reservation = new RoomReservation();
   readonly #prefillShare = new PrefillShare();
   readonly #pauseLimit = new PauseLimit();
@@ -179,6 +196,16 @@
     return answers;
   }
 
+  /**
+   * Returns how many grants were given before an earlier, equally urgent request
+   * of another customer, and counts anew.
+   */
+  takeEarlyGrants(): number {
+    const count = this.#earlyGrants;
+    this.#earlyGrants = 0;
+    return count;
+  }
+
   /** Accepts a request for a permit; its answer is ready now or later. */
   requestPermit(request: PermitRequest, now: Milliseconds): void {
     if (this.#permits.has(request.permitId)) {
@@ -199,6 +226,7 @@
     const denial = this.#findDenial(request, now);
     if (!denial || request.isLastChoice) {
       this.#reservation.recordArrival(request, now);
+      this.#customerTurns.recordArrival(request, now);
     }
     if (denial) {
       this.#refuse(request, denial, now);
@@ -207,6 +235,9 @@
     if (!this.#hasEquallyUrgentWaiting(request)) {
       this.#turns.recordFirstWaiting(request, now);
     }
+    if (!this.#hasCustomerWaiting(request)) {
+      this.#customerTurns.recordFirstWaiting(request, now);
+    }
     this.#waitingRequests.set(request.permitId, {
       request,
       arrivedAt: now,
@@ -412,7 +443,8 @@
   /**
    * Grants permits to waiting requests, the most urgent first, while the engine
    * has capacity. Requests that are less urgent than one that finds no room
-   * leave it what is released.
+   * leave it what is released, and so do equally urgent ones of customers that
+   * are ahead of its customer.
    */
   grantWaiting(now: Milliseconds): void {
     let hasGranted = true;
@@ -432,15 +464,22 @@
       if (this.#tryGrant(turn.request, now)) return true;
       if (this.#turns.tryHold(turn.request, now)) return false;
     }
-    let blocked: PermitRequest | undefined;
-    for (const { request } of waiting) {
-      if (blocked && compareUrgency(blocked, request) < 0) continue;
+    let blocked: RankedRequest | undefined;
+    let isHoldOver = false;
+    for (const ranked of waiting) {
+      const { request } = ranked;
+      if (blocked && compareUrgency(blocked.request, request) < 0) continue;
+      if (blocked && !isHoldOver && isHeldBack(blocked, ranked)) {
+        isHoldOver = !this.#customerTurns.tryHold(blocked.request, now);
+        if (!isHoldOver) continue;
+      }
       const reserved = this.#computeReservation(request, now);
       if (this.#tryGrant(request, now, reserved)) {
         const next = this.#findTurn(waiting);
         if (next && next !== turn) return true;
-      } else if (!blocked || compareUrgency(request, blocked) < 0) {
-        blocked = request;
+      } else if (!blocked || compareUrgency(request, blocked.request) < 0) {
+        blocked = ranked;
+        isHoldOver = false;
       }
     }
     return false;
@@ -450,7 +489,7 @@
    * Returns the request that is to be granted next because enough more
    * urgent ones were granted while requests of its class waited.
    */
-  #findTurn(waiting: readonly WaitingRequest[]): WaitingRequest | undefined {
+  #findTurn(waiting: readonly RankedRequest[]): RankedRequest | undefined {
     return waiting.find(({ request }) =>
       this.#waitingRequests.has(request.permitId) &&
       this.#turns.isDue(request)
@@ -539,6 +578,7 @@
   clearPermits(): void {
     this.#permits.clear();
     this.#turns.clear();
+    this.#customerTurns.clear();
     this.#reservation.clear();
     this.#pauseLimit.clear();
     this.batch.setMaxRunning(undefined);
@@ -546,16 +586,56 @@
   }
 
   /** Returns the waiting requests in the order in which they are to be served. */
-  #listWaiting(now: Milliseconds): WaitingRequest[] {
-    return rankWaiting(
+  #listWaiting(now: Milliseconds): RankedRequest[] {
+    const ranked = rankWaiting(
       [...this.#waitingRequests.values()].map((waiting) => {
         const { request, arrivedAt, overdueAt } = waiting;
         const onTimeUntil = arrivedAt + request.firstTokenBudgetMs -
           this.#estimateGrantToFirstTokenMs(request, now);
-        return { waiting, urgency: request, arrivedAt, onTimeUntil, overdueAt };
+        return {
+          waiting,
+          request,
+          urgency: request,
+          arrivedAt,
+          onTimeUntil,
+          overdueAt,
+        };
       }),
       now,
-    ).map((each) => each.waiting);
+    );
+    if (!hasSeveralCustomers(ranked)) return ranked.map((each) => each.waiting);
+    return rankByTurn(
+      ranked,
+      this.#customerTurns,
+      ({ onTimeUntil }) => now <= onTimeUntil,
+      now,
+    ).map(({ waiting, startTag }) => ({ ...waiting.waiting, startTag }));
+  }
+
+  /**
+   * Returns the equally urgent requests that are served before this one: all
+   * that wait, unless customers take turns.
+   */
+  #findEqualAhead(
+    request: PermitRequest,
+    now: Milliseconds,
+  ): ReadonlySet<PermitRequest> {
+    const equal: PermitRequest[] = [];
+    let hasSeveral = false;
+    for (const { request: other } of this.#waitingRequests.values()) {
+      const isEqual = other.permitId !== request.permitId &&
+        compareUrgency(other, request) === 0;
+      if (!isEqual) continue;
+      equal.push(other);
+      hasSeveral ||= other.customer !== request.customer;
+    }
+    if (!hasSeveral) return new Set(equal);
+    const startTags = this.#customerTurns
+      .computeStartTags([...equal, request], now);
+    const ownTag = startTags.at(-1) ?? 0;
+    return new Set(
+      equal.filter((_, index) => (startTags[index] ?? 0) <= ownTag),
+    );
   }
 
   /** Estimates the time from an immediate grant to the first token. */
@@ -630,15 +710,16 @@
   }
 
   #estimateWaits(request: PermitRequest, now: Milliseconds): WaitEstimate {
+    const equalAhead = this.#findEqualAhead(request, now);
     const prefillMs = this.batch.estimatePrefillBacklogMs(now) +
-      this.#estimateQueuedPrefillMs(request);
+      this.#estimateQueuedPrefillMs(request, equalAhead);
     const batchSlotMs = this.batch.hasCapacityFor(request)
       ? 0
       : this.#runEstimator.meanRunMs / Math.max(1, this.batch.countRunning());
     const capacityMs = Math.max(
       prefillMs,
       batchSlotMs,
-      this.#estimateTurnMs(request, now),
+      this.#estimateTurnMs(request, equalAhead.size, now),
     );
     if (!this.#needsLoad(request)) {
       const slot = this.slots.getSlot(request.adapterPath);
@@ -674,18 +755,26 @@
     return false;
   }
 
+  #hasCustomerWaiting({ customer }: PermitRequest): boolean {
+    for (const { request: other } of this.#waitingRequests.values()) {
+      if (other.customer === customer) return true;
+    }
+    return false;
+  }
+
   /**
    * Returns how long the request waits for the equally urgent ones before it,
    * at the rate at which these are served while requests of other urgency wait
    * too or room is reserved for them; 0 if neither is so.
    */
-  #estimateTurnMs(request: PermitRequest, now: Milliseconds): Milliseconds {
-    let equalCount = 0;
+  #estimateTurnMs(
+    request: PermitRequest,
+    equalCount: number,
+    now: Milliseconds,
+  ): Milliseconds {
     let hasCompetitor = this.#computeReservation(request, now).tokens > 0;
     for (const { request: other } of this.#waitingRequests.values()) {
-      if (other.permitId === request.permitId) continue;
-      if (compareUrgency(other, request) === 0) equalCount += 1;
-      else hasCompetitor = true;
+      if (compareUrgency(other, request) !== 0) hasCompetitor = true;
     }
     return hasCompetitor && equalCount > 0
       ? CERTAIN_TURN_FRACTION * equalCount *
@@ -713,18 +802,23 @@
     return paths.size;
   }
 
-  #estimateQueuedPrefillMs(request: PermitRequest): Milliseconds {
+  #estimateQueuedPrefillMs(
+    request: PermitRequest,
+    equalAhead: ReadonlySet<PermitRequest>,
+  ): Milliseconds {
     let sum = 0;
-    for (const waiting of this.#waitingRequests.values()) {
-      const isAhead = waiting.request.permitId !== request.permitId &&
-        waiting.request.priorityRank <= request.priorityRank;
-      if (isAhead) sum += this.batch.estimatePrefillMs(waiting.request);
+    for (const { request: other } of this.#waitingRequests.values()) {
+      const isAhead = other.permitId !== request.permitId &&
+        other.priorityRank <= request.priorityRank &&
+        (equalAhead.has(other) || compareUrgency(other, request) !== 0);
+      if (isAhead) sum += this.batch.estimatePrefillMs(other);
     }
     return sum;
   }
 
   #grant(request: PermitRequest, now: Milliseconds): void {
     const { permitId, adapterPath } = request;
+    const arrivedAt = this.#waitingRequests.get(permitId)?.arrivedAt ?? now;
     this.#waitingRequests.delete(permitId);
     this.#permits.set(permitId, {
       adapterPath,
@@ -735,14 +829,20 @@
     });
     this.batch.admit(permitId, request, now);
     this.#reservation.recordGrant(permitId, request, now);
+    this.#customerTurns.recordGrant(request, now);
     const slot = this.slots.getSlot(adapterPath);
     if (slot) this.slots.recordUse(slot, permitId, now);
     const passed: PermitRequest[] = [];
-    for (const { request: other } of this.#waitingRequests.values()) {
-      const isPassed = compareUrgency(request, other) < 0 &&
-        this.#isAdapterReady(other);
-      if (isPassed) passed.push(other);
+    let isEarly = false;
+    for (const waiting of this.#waitingRequests.values()) {
+      const { request: other } = waiting;
+      if (!this.#isAdapterReady(other)) continue;
+      const urgency = compareUrgency(request, other);
+      if (urgency < 0) passed.push(other);
+      isEarly ||= urgency === 0 && waiting.arrivedAt < arrivedAt &&
+        other.customer !== request.customer;
     }
+    if (isEarly) this.#earlyGrants += 1;
     this.#turns.recordGrant(request, passed, now);
     this.#answerGrant(request);
   }
--- a/src/gateway/engine_selector.ts
+++ b/src/gateway/engine_selector.ts
@@ -12,6 +12,7 @@
 import { DEFAULT_PREFILL_TOKENS_PER_MS } from "../core/admission/batch_capacity.ts";
 import { computeMaxPermitWaitMs } from "../core/admission/permit_wait.ts";
 import { AttemptOutcome } from "../core/execution/retry_decision.ts";
+import { hashText } from "../core/hashing.ts";
 import { formatAdapterPath } from "../core/placement/adapter_path.ts";
 import {
   type DomainDemand,
@@ -27,7 +28,7 @@
 import type { AttemptResult } from "./attempt_runner.ts";
 import type { CallerExchange } from "./caller_exchange.ts";
 import type { PermitReply } from "./permit_client.ts";
-import { NotRunReason } from "./ports.ts";
+import { type AttemptMetadata, NotRunReason } from "./ports.ts";
 import type { RequestContext } from "./request_context.ts";
 import { listUsableUpstreams } from "./usable_upstreams.ts";
 
@@ -63,6 +64,7 @@
   exchange: CallerExchange;
   route: PublishedRoute;
   service: PublishedService;
+  caller: AttemptMetadata["caller"];
   /** Returns when the request has to have ended. */
   getEndsAt: () => Milliseconds;
   /** Upstreams that are not to be tried again for this request. */
@@ -74,6 +76,8 @@
   readonly #options: EngineSelectorOptions;
   readonly #context: RequestContext;
   readonly #exchange: CallerExchange;
+  /** Tells customers apart at the owner; undefined for requests without one. */
+  readonly #customerHash: number | undefined;
   #expectedWaitMs: Milliseconds = DEFAULT_RETRY_AFTER_MS;
   #assignment: EngineAssignment | undefined;
   #permitCount = 0;
@@ -84,6 +88,10 @@
     this.#options = options;
     this.#context = options.context;
     this.#exchange = options.exchange;
+    const customer = options.caller?.customer;
+    this.#customerHash = customer === undefined
+      ? undefined
+      : hashText(customer);
   }
 
   /**
@@ -293,6 +301,7 @@
       version: this.adapterVersion,
       priorityRank,
       latencyObjectiveMs,
+      customer: this.#customerHash,
       promptTokens: metadata.promptTokens,
       outputTokens: metadata.outputTokens,
       promptParts: metadata.promptParts,
@@ -324,6 +333,7 @@
           grantor: grantorId,
           reason: answer.reason,
           retryAfterMs: answer.retryAfterMs,
+          customer: this.#options.caller?.customer,
         });
         return false;
     }
--- a/src/gateway/engine_task.ts
+++ b/src/gateway/engine_task.ts
@@ -348,11 +348,19 @@
       if (!owner) continue;
       this.#runEffects(owner.tick(this.#describeContext(owner, now), now));
       this.#roles.recordOwned(owner, now);
+      this.#countEarlyGrants(owner);
       this.#scheduleTick(owner.getNextDueAt());
     }
     this.#scheduleTick(now + TICK_INTERVAL_MS);
   }
 
+  #countEarlyGrants(owner: EngineOwner): void {
+    const count = owner.admission.takeEarlyGrants();
+    for (let index = 0; index < count; index += 1) {
+      this.#options.metrics.count("customer_turns", "early");
+    }
+  }
+
   /**
    * After a pause of this process, owners have to prove their right to give
    * orders again before they load anything, since another daemon may have
--- a/src/gateway/gateway_metrics.ts
+++ b/src/gateway/gateway_metrics.ts
@@ -62,6 +62,8 @@
   crash_trials: "Requests admitted as the trial of a convicted trait (started)",
   held_back_requests:
     "Requests that are held back after several crashes at which they were running",
+  customer_turns:
+    "Permits granted by turn, before an earlier request of another customer that is as urgent, by kind (always early)",
   allotment_rejections:
     "Requests rejected because their customer has used its quota, by customer (other beyond 200)",
   allotment_messages:
--- a/src/gateway/peer_message_decoder.ts
+++ b/src/gateway/peer_message_decoder.ts
@@ -127,6 +127,7 @@
   version: z.number().optional(),
   priorityRank: z.number(),
   latencyObjectiveMs: durationMs.optional(),
+  customer: z.number().int().nonnegative().max(0xffff_ffff).optional(),
   patienceMs: durationMs,
   firstTokenBudgetMs: durationMs,
   interTokenObjectiveMs: durationMs.optional(),
--- a/test/core/admission/one_engine_simulation.ts
+++ b/test/core/admission/one_engine_simulation.ts
@@ -30,6 +30,8 @@
   /** Beginning of the prompt that all prompts of the kind share. */
   sharedTokens: number;
   outputTokens: number;
+  /** Hash of the customer's name; undefined where there are no customers. */
+  customer?: number;
   /** Requests per second at a time. */
   getRate: (now: number) => number;
 }
@@ -182,6 +184,7 @@
     }),
     firstTokenBudgetMs: latencyObjectiveMs,
     latencyObjectiveMs,
+    customer: traffic.customer,
     lifetimeMs: deadlineMs,
     isLastChoice: true,
   };
--- a/test/gateway/peer_datagrams_test.ts
+++ b/test/gateway/peer_datagrams_test.ts
@@ -153,6 +153,7 @@
     ...REQUEST,
     latencyObjectiveMs: 800,
     interTokenObjectiveMs: 400,
+    customer: 4_294_967_295,
   };
   const good: object[] = [
     { kind: "permitRequest", engineId: "e", request },
@@ -180,6 +181,9 @@
     { patienceMs: 1e12 },
     { lifetimeMs: 1e300 },
     { promptTokens: -1 },
+    { customer: -1 },
+    { customer: 2 ** 32 },
+    { customer: 0.5 },
   ];
   const handover = {
     acceptedAgeMs: 1,
