The soak removes customers' keys in use and checks that they are refused

Cause: the soak ran without customers, so a key that stays valid after its removal, or that reaches an upstream, would not be found under faults.

Change: every configuration of a run has two customers. One keeps its key and is never refused with 401; the other's keys are replaced at drawn times while callers use the current, the removed and unknown keys. A request with a removed key must not run at a gateway that could learn of the removal for 3 s, from the store or a peer. Unknown keys get 401 or 503 and do not run; upstreams get the customer's name and no key.

--- /dev/null
+++ b/test/soak/soak_customers.ts
@@ -0,0 +1,172 @@
+/**
+ * Customers of a soak run: their keys are replaced while callers use them, and
+ * callers send keys that were removed or never existed. Checks which of these
+ * requests reach upstreams, and as whose.
+ */
+import { Agent } from "node:http";
+import { uniformInt } from "pure-rand/distribution/uniformInt";
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import { Header } from "../../platform/wire_names.ts";
+import { waitMs } from "../../src/gateway/wait.ts";
+import type { SoakFleet } from "./soak_fleet.ts";
+import { type Answer, callGateway, type SoakReport } from "./soak_run.ts";
+import { StoreContact } from "./store_contact.ts";
+
+/** Customer whose key every configuration has, and which has no quota. */
+export const STEADY_CUSTOMER = { name: "steady", key: "key-steady" };
+const ROTATING_CUSTOMER = "rotating";
+const CALLERS = 2;
+const OBSERVE_INTERVAL_MS = 50;
+
+type Draw = (from: number, to: number) => number;
+
+interface CustomerCall {
+  key: string;
+  /** Customer that held the key; undefined for a key that never existed. */
+  customer: string | undefined;
+}
+
+export class SoakCustomers {
+  readonly #fleet: SoakFleet;
+  readonly #seed: number;
+  readonly #report: SoakReport;
+  readonly #contact: StoreContact;
+  #keyCount = 0;
+  #keys = [this.#createKey(), this.#createKey()];
+  /** When the removal of each removed key was acknowledged. */
+  readonly #removedAt = new Map<string, number>();
+  /** Customers by the ids of their requests, steady callers' excepted. */
+  readonly #customers = new Map<string, string | undefined>();
+  readonly #revokedIds = new Set<string>();
+
+  constructor(fleet: SoakFleet, seed: number, report: SoakReport) {
+    this.#fleet = fleet;
+    this.#seed = seed;
+    this.#report = report;
+    this.#contact = new StoreContact(fleet);
+    this.#fleet.tenants = this.#buildTenants();
+  }
+
+  async run(endsAt: number): Promise<void> {
+    const timer = setInterval(
+      () => this.#contact.observe(Date.now()),
+      OBSERVE_INTERVAL_MS,
+    );
+    await Promise.all([
+      this.#changeCustomers(endsAt),
+      ...Array.from(
+        { length: CALLERS },
+        (_, index) => this.#runCaller(index, endsAt),
+      ),
+    ]);
+    clearInterval(timer);
+  }
+
+  /** Checks what the upstreams received, after the run. */
+  checkRuns(): void {
+    const { engines, services } = this.#fleet;
+    const { violations } = this.#report;
+    for (const replica of [...engines, ...services]) {
+      for (const { id, headers } of replica.receivedRequests) {
+        const customer = this.#customers.has(id)
+          ? this.#customers.get(id)
+          : STEADY_CUSTOMER.name;
+        if (customer === undefined) violations.push(`${id}: ran without a key`);
+        else if (headers[Header.Tenant] !== customer) {
+          violations.push(`${id}: ran as ${headers[Header.Tenant]}`);
+        }
+        if (JSON.stringify(headers).includes("key-")) {
+          violations.push(`${id}: its key reached ${replica.id}`);
+        }
+        if (this.#revokedIds.has(id)) {
+          violations.push(`${id}: ran with a revoked key`);
+        }
+      }
+    }
+    this.#report.revoked = this.#revokedIds.size;
+  }
+
+  async #changeCustomers(endsAt: number): Promise<void> {
+    const draw = createDraw(this.#seed * 1_000 + 501);
+    const startedAt = Date.now();
+    while (Date.now() < endsAt) {
+      const index = draw(0, this.#keys.length - 1);
+      const removed = this.#keys[index] ?? "";
+      this.#keys[index] = this.#createKey();
+      this.#fleet.tenants = this.#buildTenants();
+      this.#fleet.publish();
+      this.#removedAt.set(removed, Date.now());
+      this.#report.trace.push(
+        `${Date.now() - startedAt} ms: ${removed} is removed`,
+      );
+      await waitMs(draw(500, 3_000));
+    }
+  }
+
+  async #runCaller(index: number, endsAt: number): Promise<void> {
+    const draw = createDraw(this.#seed * 1_000 + 601 + index);
+    const agent = new Agent({ keepAlive: true });
+    for (let call = 0; Date.now() < endsAt; call += 1) {
+      const { gateways, port } = this.#fleet;
+      const gateway = gateways[draw(0, gateways.length - 1)];
+      if (!gateway) continue;
+      const id = `${this.#seed}.customer-${index}.${call}`;
+      const { key, customer } = this.#drawCall(draw, id);
+      const path = ["/safe/", "/unsafe/", "/brief/"][draw(0, 2)] ?? "/safe/";
+      this.#customers.set(id, customer);
+      const removedAt = this.#removedAt.get(key);
+      if (
+        removedAt !== undefined && this.#contact.hasLearned(gateway, removedAt)
+      ) this.#revokedIds.add(id);
+      const answer = await callGateway(
+        agent,
+        `${gateway.ip}:${port}`,
+        path,
+        { id, adapter: `a${draw(1, 6)}`, key },
+      );
+      if (customer === undefined) this.#checkUnknown(id, answer);
+      await waitMs(draw(5, 60));
+    }
+    agent.destroy();
+  }
+
+  #drawCall(draw: Draw, id: string): CustomerCall {
+    const removed = [...this.#removedAt.keys()];
+    const drawFrom = (keys: readonly string[]): CustomerCall => ({
+      key: keys[draw(0, keys.length - 1)] ?? "",
+      customer: ROTATING_CUSTOMER,
+    });
+    switch (draw(0, 3)) {
+      case 0:
+        return { key: `key-unknown-${id}`, customer: undefined };
+      case 1:
+        return drawFrom(this.#keys);
+      default:
+        return drawFrom(removed);
+    }
+  }
+
+  #checkUnknown(id: string, answer: Answer | undefined): void {
+    if (!answer || answer.status === 401 || answer.status === 503) return;
+    this.#report.violations.push(
+      `${id}: an unknown key was answered with ${answer.status}`,
+    );
+  }
+
+  #createKey(): string {
+    this.#keyCount += 1;
+    return `key-rotating-${this.#keyCount}`;
+  }
+
+  #buildTenants(): object[] {
+    return [
+      { name: STEADY_CUSTOMER.name, api_keys: [STEADY_CUSTOMER.key] },
+      { name: ROTATING_CUSTOMER, api_keys: this.#keys },
+    ];
+  }
+}
+
+function createDraw(seed: number): Draw {
+  const generator = xoroshiro128plus(seed);
+  return (from, to) => uniformInt(generator, from, to);
+}
--- a/test/soak/soak_fleet.ts
+++ b/test/soak/soak_fleet.ts
@@ -30,6 +30,9 @@
   child: ChildProcess;
   /** Number of processes that have been started for this gateway. */
   incarnation: number;
+  /** When the present process was started, in Unix milliseconds. */
+  startedAt: number;
+  isPaused: boolean;
 }
 
 export class SoakFleet {
@@ -43,6 +46,8 @@
   readonly #folder = mkdtempSync(join(tmpdir(), "pistachiohatch-soak-"));
   #isStopped = false;
   version = 1;
+  /** Customers of the next configurations; undefined for none. */
+  tenants: object[] | undefined;
 
   constructor(port: number, termMs = SOAK_TERM_MS) {
     this.port = port;
@@ -91,13 +96,15 @@
         buildPlatformRoute("brief", "stream", "briefs"),
         buildPlatformRoute("resume", "stream", "briefs", { resumable: true }),
         buildPlatformRoute(`only-${this.version}`, "safe", "orders"),
-      ]),
+      ], { tenants: this.tenants }),
     );
   }
 
   /** Sends a signal to a gateway's process, which is restarted if it exits. */
   signal(gateway: SoakGateway, signal: NodeJS.Signals): void {
     gateway.child.kill(signal);
+    if (signal === "SIGSTOP") gateway.isPaused = true;
+    if (signal === "SIGCONT") gateway.isPaused = false;
   }
 
   async stop(): Promise<void> {
@@ -158,6 +165,8 @@
       storeProxy,
       child: this.#spawn(program, settingsFile),
       incarnation: 1,
+      startedAt: Date.now(),
+      isPaused: false,
     };
     this.gateways.push(gateway);
     this.#restartOnExit(gateway);
@@ -167,6 +176,8 @@
     gateway.child.once("exit", () => {
       if (this.#isStopped) return;
       gateway.incarnation += 1;
+      gateway.startedAt = Date.now();
+      gateway.isPaused = false;
       gateway.child = this.#spawn(gateway.program, gateway.settingsFile);
       this.#restartOnExit(gateway);
     });
--- a/test/soak/soak_run.ts
+++ b/test/soak/soak_run.ts
@@ -14,6 +14,7 @@
 import { OrderOracle } from "../fuzz/order_oracle.ts";
 import { waitMs } from "../../src/gateway/wait.ts";
 import { ProxyFault } from "./fault_proxy.ts";
+import { SoakCustomers, STEADY_CUSTOMER } from "./soak_customers.ts";
 import { SOAK_TERM_MS, SoakFleet } from "./soak_fleet.ts";
 
 const GATEWAYS = 3;
@@ -48,9 +49,11 @@
   trace: string[];
   calls: number;
   served: number;
+  /** Requests that must not run, because their key was removed long ago. */
+  revoked: number;
 }
 
-interface Answer {
+export interface Answer {
   status: number;
   body: string;
   isComplete: boolean;
@@ -62,7 +65,14 @@
   port: number,
 ): Promise<SoakReport> {
   const fleet = new SoakFleet(port);
-  const report: SoakReport = { violations: [], trace: [], calls: 0, served: 0 };
+  const report: SoakReport = {
+    violations: [],
+    trace: [],
+    calls: 0,
+    served: 0,
+    revoked: 0,
+  };
+  const customers = new SoakCustomers(fleet, seed, report);
   await fleet.start(GATEWAYS);
   try {
     await waitMs(STARTUP_MS);
@@ -73,10 +83,12 @@
         { length: CALLERS },
         (_, index) => runCaller(fleet, seed, index, endsAt, report),
       ),
+      customers.run(endsAt),
     ]);
     await waitMs(DRAIN_MS);
     checkRuns(fleet, report);
     checkOrders(fleet, report);
+    customers.checkRuns();
     if (report.served < MIN_SERVED_RATIO * report.calls) {
       report.violations.push(
         `only ${report.served} of ${report.calls} calls were served`,
@@ -190,6 +202,7 @@
       {
         id,
         adapter: `a${draw(1, 6)}`,
+        key: STEADY_CUSTOMER.key,
       },
     );
     if (path === "/unsafe/" || path === "/brief/") unsafeIds.add(id);
@@ -221,6 +234,9 @@
   answer: Answer,
 ): void {
   if (answer.status === 503 && answer.isComplete) refusedIds.add(id);
+  if (answer.status === 401 || answer.status === 429) {
+    report.violations.push(`${id} ${path}: refused with ${answer.status}`);
+  }
   if (answer.status !== 200 || !answer.isComplete) return;
   report.served += 1;
   const isStream = path === "/brief/" || path === "/resume/";
@@ -279,7 +295,7 @@
   agent: Agent,
   address: string,
   path: string,
-  call: { id: string; adapter: string },
+  call: { id: string; adapter: string; key?: string },
 ): Promise<Answer | undefined> {
   const [host, port] = address.split(":");
   return new Promise((resolve) => {
@@ -296,6 +312,7 @@
         "X-Deadline-Ms": "2500",
         "X-Model": `m/${call.adapter}`,
         "X-Token-Counts": "400,20",
+        ...(call.key === undefined ? {} : { "X-Key": call.key }),
       },
     }, (response) => {
       const chunks: Buffer[] = [];
