A host that has just started admits no more than a customer's whole limit

Cause: for 1.5 s after its start a host that knew no other's rates admitted each request of a limited customer.

Change: in that time the host goes by the whole limit and its own rate.

--- a/src/core/limits/customer_allotments.ts
+++ b/src/core/limits/customer_allotments.ts
@@ -93,8 +93,10 @@
 /** Age from which a host that does not report is not counted. */
 const HOST_LIFETIME_MS = 3_000;
 /**
- * Time after the start in which requests are admitted although the fleet's rates
- * are unknown.
+ * Time after the start in which a host that knows no other's rates admits up to
+ * the whole limit, as it may be the only one that gets requests. Without that
+ * bound, hosts that restart under many times the limit admit more than the
+ * fleet's limit allows.
  */
 const UNKNOWN_GRACE_MS = 1_500;
 /**
@@ -186,7 +188,6 @@
     // Without this request: the average just after an arrival is too high.
     const ownPerS = recordOffer(state, cost, now);
     const known = this.#getKnownFleet(customer, now);
-    if (!known) return { kind: "admitted" };
     const limitPerS = allotment.ratePerS * known.fraction;
     const offeredPerS = state.ratePerS + known.othersPerS;
     const freePerS = FREE_FRACTION * limitPerS +
@@ -270,12 +271,12 @@
 
   /**
    * Returns what is known of the other hosts, and the fraction of the limits
-   * that the known ones may spend; undefined shortly after the start.
+   * that the known ones may spend.
    */
   #getKnownFleet(
     customer: string,
     now: Milliseconds,
-  ): { othersPerS: number; fraction: number } | undefined {
+  ): { othersPerS: number; fraction: number } {
     const { members, isSolitary } = this.#fleet;
     if (isSolitary) return { othersPerS: 0, fraction: 1 };
     const totals = this.#totals;
@@ -286,8 +287,11 @@
         fraction: Math.min(1, heard),
       };
     }
-    if (now - this.#startedAt < UNKNOWN_GRACE_MS) return undefined;
-    return { othersPerS: 0, fraction: 1 / Math.max(2, members) };
+    const isStarting = now - this.#startedAt < UNKNOWN_GRACE_MS;
+    return {
+      othersPerS: 0,
+      fraction: isStarting ? 1 : 1 / Math.max(2, members),
+    };
   }
 }
 
--- a/test/core/limits/customer_allotments_test.ts
+++ b/test/core/limits/customer_allotments_test.ts
@@ -304,4 +304,20 @@
   assert.ok(admitted <= 3_500, `${admitted}`);
 });
 
+test("a host that has just started admits any load until it hears the others", () => {
+  const host = new CustomerAllotments(0);
+  host.setCustomers([createCustomer(4_473)]);
+  host.setFleet({ members: 3, isSolitary: false });
+  let admitted = 0;
+  for (let now = 0; now < 1_500; now += 10) {
+    const decision = host.decideAdmission("c", 5_000, 0.5, now);
+    if (decision.kind === "admitted") admitted += 5_000;
+  }
+  // The limit in that time, and what is free below it: 3 requests.
+  assert.ok(
+    admitted <= (4_473 * 1.5 + 4_473) * (1 + OVER) + 15_000,
+    `${admitted}`,
+  );
+});
+
 test.run();
