The soak lowers quotas in use and sums what reaches upstreams

Cause: no test under faults compared a customer's load at the upstreams with a quota that is lowered to far below what the customer sends.

Change: a third customer sends 5,000 tokens a request through all gateways as fast as they answer, against limits of 500 to 10,000 tokens a second that are drawn and changed during the run. Positions of the configuration, polled as peers do, say when gateways have it, and must not go back within a process.

--- a/fakes/fake_platform_replica.ts
+++ b/fakes/fake_platform_replica.ts
@@ -55,6 +55,8 @@
 /** A request that the replica did not refuse, for the assertions of tests. */
 export interface ReceivedRequest {
   id: string;
+  /** Unix time of arrival in milliseconds. */
+  at: number;
   method: string;
   url: string;
   headers: IncomingMessage["headers"];
@@ -359,6 +361,7 @@
     }
     const seen: ReceivedRequest = {
       id,
+      at: Date.now(),
       method: request.method ?? "",
       url: request.url ?? "",
       headers,
--- a/fakes/fake_platform_store.ts
+++ b/fakes/fake_platform_store.ts
@@ -10,6 +10,7 @@
   type ServerResponse,
 } from "node:http";
 import type { AddressInfo } from "node:net";
+import type { StorePosition } from "../src/core/view/store_position.ts";
 import { Header, RANGE_PATH, WATCH_PATH } from "../platform/wire_names.ts";
 
 /**
@@ -59,6 +60,11 @@
     return `127.0.0.1:${(this.#server.address() as AddressInfo).port}`;
   }
 
+  /** Position of the latest write. */
+  get position(): StorePosition {
+    return { era: Number(this.era), revision: this.#revision };
+  }
+
   /** Writes a value: strings unchanged, everything else as JSON. */
   put(key: string, value: unknown): void {
     const text = typeof value === "string" ? value : JSON.stringify(value);
--- a/test/soak/soak_customers.ts
+++ b/test/soak/soak_customers.ts
@@ -1,13 +1,16 @@
 /**
- * Customers of a soak run: their keys are replaced while callers use them, and
- * callers send keys that were removed or never existed. Checks which of these
- * requests reach upstreams, and as whose.
+ * Customers of a soak run: their keys are replaced and their quotas lowered
+ * while callers use them, and callers send keys that were removed or never
+ * existed. Checks which of these requests reach upstreams, and as whose.
  */
 import { Agent } from "node:http";
 import { uniformInt } from "pure-rand/distribution/uniformInt";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { Header } from "../../platform/wire_names.ts";
 import { waitMs } from "../../src/gateway/wait.ts";
+import type { StorePosition } from "../../src/core/view/store_position.ts";
+import { PositionPoller } from "./position_poller.ts";
+import { checkQuota } from "./quota_check.ts";
 import type { SoakFleet } from "./soak_fleet.ts";
 import { type Answer, callGateway, type SoakReport } from "./soak_run.ts";
 import { StoreContact } from "./store_contact.ts";
@@ -15,7 +18,13 @@
 /** Customer whose key every configuration has, and which has no quota. */
 export const STEADY_CUSTOMER = { name: "steady", key: "key-steady" };
 const ROTATING_CUSTOMER = "rotating";
+const LIMITED_CUSTOMER = { name: "limited", key: "key-limited" };
+/** Cost of each request of the limited customer, in tokens. */
+const LIMITED_COST = 5_000;
+/** Tokens per second that the limited customer can't reach. */
+const UNREACHED_LIMIT = 1e9;
 const CALLERS = 2;
+const LIMITED_CALLERS = 2;
 const OBSERVE_INTERVAL_MS = 50;
 
 type Draw = (from: number, to: number) => number;
@@ -26,11 +35,23 @@
   customer: string | undefined;
 }
 
+interface Limit {
+  /** Tokens per second, and the burst in tokens. */
+  limit: number;
+  writtenAt: StorePosition;
+  /** When all gateways were first seen to have it. */
+  from: number | undefined;
+  /** When the next limit was written. */
+  until: number;
+}
+
 export class SoakCustomers {
   readonly #fleet: SoakFleet;
   readonly #seed: number;
   readonly #report: SoakReport;
   readonly #contact: StoreContact;
+  readonly #poller: PositionPoller;
+  #limits: Limit[] = [];
   #keyCount = 0;
   #keys = [this.#createKey(), this.#createKey()];
   /** When the removal of each removed key was acknowledged. */
@@ -44,16 +65,22 @@
     this.#seed = seed;
     this.#report = report;
     this.#contact = new StoreContact(fleet);
+    this.#poller = new PositionPoller(fleet, report.violations);
     this.#fleet.tenants = this.#buildTenants();
   }
 
   async run(endsAt: number): Promise<void> {
     const timer = setInterval(
-      () => this.#contact.observe(Date.now()),
+      () => this.#observe(Date.now()),
       OBSERVE_INTERVAL_MS,
     );
     await Promise.all([
       this.#changeCustomers(endsAt),
+      this.#poller.run(endsAt),
+      ...Array.from(
+        { length: LIMITED_CALLERS },
+        (_, index) => this.#runLimitedCaller(index, endsAt),
+      ),
       ...Array.from(
         { length: CALLERS },
         (_, index) => this.#runCaller(index, endsAt),
@@ -62,6 +89,14 @@
     clearInterval(timer);
   }
 
+  #observe(now: number): void {
+    this.#contact.observe(now);
+    const limit = this.#limits.at(-1);
+    if (limit && this.#poller.haveAllReached(limit.writtenAt)) {
+      limit.from ??= now;
+    }
+  }
+
   /** Checks what the upstreams received, after the run. */
   checkRuns(): void {
     const { engines, services } = this.#fleet;
@@ -84,6 +119,19 @@
       }
     }
     this.#report.revoked = this.#revokedIds.size;
+    this.#checkQuotas();
+  }
+
+  #checkQuotas(): void {
+    const runs = this.#fleet.services
+      .flatMap(({ receivedRequests }) => receivedRequests)
+      .filter(({ headers }) => headers[Header.Tenant] === LIMITED_CUSTOMER.name)
+      .map(({ at }) => ({ at, cost: LIMITED_COST }));
+    for (const { limit, from, until } of this.#limits) {
+      if (from === undefined || limit === UNREACHED_LIMIT) continue;
+      this.#report.quotas += 1;
+      this.#report.violations.push(...checkQuota({ limit, from, until }, runs));
+    }
   }
 
   async #changeCustomers(endsAt: number): Promise<void> {
@@ -93,16 +141,57 @@
       const index = draw(0, this.#keys.length - 1);
       const removed = this.#keys[index] ?? "";
       this.#keys[index] = this.#createKey();
-      this.#fleet.tenants = this.#buildTenants();
-      this.#fleet.publish();
+      // Limits stand for long enough that a window fits between two changes.
+      const limit = draw(0, 4) === 0
+        ? drawLimit(draw)
+        : this.#limits.at(-1)?.limit ?? drawLimit(draw);
+      this.#publish(limit);
       this.#removedAt.set(removed, Date.now());
       this.#report.trace.push(
-        `${Date.now() - startedAt} ms: ${removed} is removed`,
+        `${
+          Date.now() - startedAt
+        } ms: ${removed} is removed, limit ${limit} tokens/s`,
       );
       await waitMs(draw(500, 3_000));
     }
   }
 
+  /** Publishes the customers with this limit. */
+  #publish(limit: number): void {
+    const last = this.#limits.at(-1);
+    this.#fleet.tenants = this.#buildTenants(limit);
+    this.#fleet.publish();
+    if (last?.limit === limit) return;
+    if (last) last.until = Date.now();
+    this.#limits.push({
+      limit,
+      writtenAt: this.#fleet.store.position,
+      from: undefined,
+      until: Number.POSITIVE_INFINITY,
+    });
+  }
+
+  /** Sends many times the customer's lowered limits. */
+  async #runLimitedCaller(index: number, endsAt: number): Promise<void> {
+    const draw = createDraw(this.#seed * 1_000 + 701 + index);
+    const agent = new Agent({ keepAlive: true });
+    for (let call = 0; Date.now() < endsAt; call += 1) {
+      const { gateways, port } = this.#fleet;
+      const gateway = gateways[draw(0, gateways.length - 1)];
+      if (!gateway) continue;
+      const id = `${this.#seed}.limited-${index}.${call}`;
+      this.#customers.set(id, LIMITED_CUSTOMER.name);
+      await callGateway(agent, `${gateway.ip}:${port}`, "/safe/", {
+        id,
+        adapter: "a1",
+        key: LIMITED_CUSTOMER.key,
+        tokens: `${LIMITED_COST - 100},100`,
+      });
+      await waitMs(draw(2, 20));
+    }
+    agent.destroy();
+  }
+
   async #runCaller(index: number, endsAt: number): Promise<void> {
     const draw = createDraw(this.#seed * 1_000 + 601 + index);
     const agent = new Agent({ keepAlive: true });
@@ -158,14 +247,27 @@
     return `key-rotating-${this.#keyCount}`;
   }
 
-  #buildTenants(): object[] {
+  #buildTenants(limit = UNREACHED_LIMIT): object[] {
     return [
       { name: STEADY_CUSTOMER.name, api_keys: [STEADY_CUSTOMER.key] },
       { name: ROTATING_CUSTOMER, api_keys: this.#keys },
+      {
+        name: LIMITED_CUSTOMER.name,
+        api_keys: [LIMITED_CUSTOMER.key],
+        unit: "tokens",
+        plain_tokens: 200,
+        rate_per_s: limit,
+        burst: limit,
+      },
     ];
   }
 }
 
+/** Draws a limit: one far below what the customer sends, or none in effect. */
+function drawLimit(draw: Draw): number {
+  return draw(0, 4) === 0 ? UNREACHED_LIMIT : draw(500, 10_000);
+}
+
 function createDraw(seed: number): Draw {
   const generator = xoroshiro128plus(seed);
   return (from, to) => uniformInt(generator, from, to);
--- a/test/soak/soak_fleet.ts
+++ b/test/soak/soak_fleet.ts
@@ -55,6 +55,11 @@
     process.once("exit", () => this.#killAll());
   }
 
+  /** Port at which gateways give the published view to their peers. */
+  get viewPort(): number {
+    return this.port + 2;
+  }
+
   async start(gateways: number): Promise<void> {
     await this.store.start();
     for (let index = 0; index < ENGINES + SERVICES; index += 1) {
@@ -146,9 +151,9 @@
         callers: { listen: `${ip}:${this.port}` },
         readiness: { listen: `${ip}:${this.port + 1}` },
         peers: {
-          listen: `${ip}:${this.port + 2}`,
+          listen: `${ip}:${this.viewPort}`,
           port: this.port + 3,
-          seeds: [`127.0.0.1:${this.port + 2}`, `127.0.0.2:${this.port + 2}`],
+          seeds: [`127.0.0.1:${this.viewPort}`, `127.0.0.2:${this.viewPort}`],
         },
         store: { address: storeProxy.address },
         orders: { termMs: this.#termMs },
--- a/test/soak/soak_run.ts
+++ b/test/soak/soak_run.ts
@@ -51,6 +51,8 @@
   served: number;
   /** Requests that must not run, because their key was removed long ago. */
   revoked: number;
+  /** Periods in which all gateways had a lowered quota. */
+  quotas: number;
 }
 
 export interface Answer {
@@ -71,6 +73,7 @@
     calls: 0,
     served: 0,
     revoked: 0,
+    quotas: 0,
   };
   const customers = new SoakCustomers(fleet, seed, report);
   await fleet.start(GATEWAYS);
@@ -295,7 +298,7 @@
   agent: Agent,
   address: string,
   path: string,
-  call: { id: string; adapter: string; key?: string },
+  call: { id: string; adapter: string; key?: string; tokens?: string },
 ): Promise<Answer | undefined> {
   const [host, port] = address.split(":");
   return new Promise((resolve) => {
@@ -311,7 +314,7 @@
         "X-Request-Id": call.id,
         "X-Deadline-Ms": "2500",
         "X-Model": `m/${call.adapter}`,
-        "X-Token-Counts": "400,20",
+        "X-Token-Counts": call.tokens ?? "400,20",
         ...(call.key === undefined ? {} : { "X-Key": call.key }),
       },
     }, (response) => {
