The soak restores the store from older copies

Change: at drawn times the store goes back to one of its last three copies, up to eight configurations later than it are lost, and the operator writes the configuration again up to 0.5 s later, with a version of its own or one below the lost. The first configuration after a restore must be in force at each gateway that could learn of it for 3 s, and must not be replaced by an older write; routes have the number of the write, as versions are given out again.

--- a/test/soak/soak_customers.ts
+++ b/test/soak/soak_customers.ts
@@ -1,7 +1,8 @@
 /**
  * Customers of a soak run: their keys are replaced and their quotas lowered
- * while callers use them, and callers send keys that were removed or never
- * existed. Checks which of these requests reach upstreams, and as whose.
+ * while callers use them, and the store is restored from older copies. Callers
+ * also send keys that were removed or never existed. Checks which of these
+ * requests reach upstreams, and as whose.
  */
 import { Agent } from "node:http";
 import { uniformInt } from "pure-rand/distribution/uniformInt";
@@ -11,7 +12,7 @@
 import type { StorePosition } from "../../src/core/view/store_position.ts";
 import { PositionPoller } from "./position_poller.ts";
 import { checkQuota } from "./quota_check.ts";
-import type { SoakFleet } from "./soak_fleet.ts";
+import type { FleetCopy, SoakFleet, SoakGateway } from "./soak_fleet.ts";
 import { type Answer, callGateway, type SoakReport } from "./soak_run.ts";
 import { StoreContact } from "./store_contact.ts";
 
@@ -25,6 +26,10 @@
 const UNREACHED_LIMIT = 1e9;
 const CALLERS = 2;
 const LIMITED_CALLERS = 2;
+/** Copies of the store that a restore chooses from, the latest ones. */
+const MAX_COPIES = 3;
+/** Configurations that are written and lost again by a restore. */
+const MAX_LOST_WRITES = 8;
 const OBSERVE_INTERVAL_MS = 50;
 
 type Draw = (from: number, to: number) => number;
@@ -38,7 +43,8 @@
 interface Limit {
   /** Tokens per second, and the burst in tokens. */
   limit: number;
-  writtenAt: StorePosition;
+  position: StorePosition;
+  writtenAt: number;
   /** When all gateways were first seen to have it. */
   from: number | undefined;
   /** When the next limit was written. */
@@ -52,9 +58,15 @@
   readonly #contact: StoreContact;
   readonly #poller: PositionPoller;
   #limits: Limit[] = [];
+  readonly #copies: FleetCopy[] = [];
+  /** When the first configuration after the last restore was written. */
+  #restoredAt = Number.POSITIVE_INFINITY;
   #keyCount = 0;
   #keys = [this.#createKey(), this.#createKey()];
-  /** When the removal of each removed key was acknowledged. */
+  /**
+   * When the removal of each removed key was acknowledged; infinite while a
+   * restore has lost it.
+   */
   readonly #removedAt = new Map<string, number>();
   /** Customers by the ids of their requests, steady callers' excepted. */
   readonly #customers = new Map<string, string | undefined>();
@@ -92,7 +104,7 @@
   #observe(now: number): void {
     this.#contact.observe(now);
     const limit = this.#limits.at(-1);
-    if (limit && this.#poller.haveAllReached(limit.writtenAt)) {
+    if (limit && this.#poller.haveAllReached(limit.position)) {
       limit.from ??= now;
     }
   }
@@ -138,9 +150,9 @@
     const draw = createDraw(this.#seed * 1_000 + 501);
     const startedAt = Date.now();
     while (Date.now() < endsAt) {
-      const index = draw(0, this.#keys.length - 1);
-      const removed = this.#keys[index] ?? "";
-      this.#keys[index] = this.#createKey();
+      this.#copies.push(this.#fleet.createCopy());
+      if (this.#copies.length > MAX_COPIES) this.#copies.shift();
+      const removed = this.#replaceKey(draw);
       // Limits stand for long enough that a window fits between two changes.
       const limit = draw(0, 4) === 0
         ? drawLimit(draw)
@@ -153,19 +165,66 @@
         } ms: ${removed} is removed, limit ${limit} tokens/s`,
       );
       await waitMs(draw(500, 3_000));
+      if (draw(0, 5) === 0) {
+        this.#report.trace.push(`${Date.now() - startedAt} ms: restore`);
+        await this.#restore(draw);
+      }
+    }
+  }
+
+  /** Replaces one of the keys; returns the key that is removed. */
+  #replaceKey(draw: Draw): string {
+    const index = draw(0, this.#keys.length - 1);
+    const removed = this.#keys[index] ?? "";
+    this.#keys[index] = this.#createKey();
+    return removed;
+  }
+
+  /**
+   * Restores the store from a copy, and writes the present customers again some
+   * time later. What was written after the copy counts from then on.
+   */
+  async #restore(draw: Draw): Promise<void> {
+    // Copies of the history that is lost are of no later use.
+    this.#copies.length = draw(1, this.#copies.length);
+    const copy = this.#copies.at(-1);
+    const last = this.#limits.at(-1);
+    if (!copy || !last) return;
+    const isLost = (writtenAt: number) => writtenAt >= copy.takenAt;
+    const lostKeys = [...this.#removedAt]
+      .filter(([, removedAt]) => isLost(removedAt))
+      .map(([key]) => key);
+    const setRemovedAt = (at: number) => {
+      for (const key of lostKeys) this.#removedAt.set(key, at);
+    };
+    for (let lost = draw(0, MAX_LOST_WRITES); lost > 0; lost -= 1) {
+      this.#publish(last.limit);
     }
+    await waitMs(draw(0, 1_000));
+    this.#restoredAt = Number.POSITIVE_INFINITY;
+    setRemovedAt(Number.POSITIVE_INFINITY);
+    if (isLost(last.writtenAt)) last.until = Date.now();
+    this.#fleet.restore(copy, draw(0, 1) === 0);
+    await waitMs(draw(0, 500));
+    this.#publish(last.limit);
+    setRemovedAt(Date.now());
+    this.#restoredAt = Date.now();
+    // No later write replaces this one before its effect is due.
+    await waitMs(draw(3_000, 5_000));
   }
 
   /** Publishes the customers with this limit. */
   #publish(limit: number): void {
     const last = this.#limits.at(-1);
+    const now = Date.now();
     this.#fleet.tenants = this.#buildTenants(limit);
     this.#fleet.publish();
-    if (last?.limit === limit) return;
-    if (last) last.until = Date.now();
+    if (last?.limit === limit && last.until > now) return;
+    if (last) last.until = Math.min(last.until, now);
     this.#limits.push({
       limit,
-      writtenAt: this.#fleet.store.position,
+      position: this.#fleet.store.position,
+      writtenAt: now,
       from: undefined,
       until: Number.POSITIVE_INFINITY,
     });
@@ -200,6 +259,10 @@
       const gateway = gateways[draw(0, gateways.length - 1)];
       if (!gateway) continue;
       const id = `${this.#seed}.customer-${index}.${call}`;
+      if (draw(0, 5) === 0) {
+        await this.#callRestored(agent, gateway, id);
+        continue;
+      }
       const { key, customer } = this.#drawCall(draw, id);
       const path = ["/safe/", "/unsafe/", "/brief/"][draw(0, 2)] ?? "/safe/";
       this.#customers.set(id, customer);
@@ -219,6 +282,31 @@
     agent.destroy();
   }
 
+  /** Requests a route that every configuration since the last restore has. */
+  async #callRestored(
+    agent: Agent,
+    gateway: SoakGateway,
+    id: string,
+  ): Promise<void> {
+    const { restoreCount, port } = this.#fleet;
+    if (!this.#contact.hasLearned(gateway, this.#restoredAt)) {
+      return await waitMs(OBSERVE_INTERVAL_MS);
+    }
+    this.#report.restored += 1;
+    this.#customers.set(id, STEADY_CUSTOMER.name);
+    const answer = await callGateway(
+      agent,
+      `${gateway.ip}:${port}`,
+      `/restored-${restoreCount}/`,
+      { id, adapter: "a1", key: STEADY_CUSTOMER.key },
+    );
+    if (answer?.status === 404 && restoreCount === this.#fleet.restoreCount) {
+      this.#report.violations.push(
+        `${id}: ${gateway.ip} has no configuration of after restore ${restoreCount}`,
+      );
+    }
+  }
+
   #drawCall(draw: Draw, id: string): CustomerCall {
     const removed = [...this.#removedAt.keys()];
     const drawFrom = (keys: readonly string[]): CustomerCall => ({
--- a/test/soak/soak_fleet.ts
+++ b/test/soak/soak_fleet.ts
@@ -12,7 +12,10 @@
   buildPlatformConfiguration,
   buildPlatformRoute,
 } from "../../fakes/platform_configuration.ts";
-import { FakePlatformStore } from "../../fakes/fake_platform_store.ts";
+import {
+  FakePlatformStore,
+  type StoreCopy,
+} from "../../fakes/fake_platform_store.ts";
 import { chooseProgram } from "../../scripts/program_choice.ts";
 import { FaultProxy } from "./fault_proxy.ts";
 
@@ -35,6 +38,13 @@
   isPaused: boolean;
 }
 
+/** What a restore of the store goes back to. */
+export interface FleetCopy {
+  store: StoreCopy;
+  version: number;
+  takenAt: number;
+}
+
 export class SoakFleet {
   readonly store = new FakePlatformStore();
   readonly engines: FakePlatformReplica[] = [];
@@ -46,6 +56,11 @@
   readonly #folder = mkdtempSync(join(tmpdir(), "pistachiohatch-soak-"));
   #isStopped = false;
   version = 1;
+  /** Number of configurations that were written, whatever their versions. */
+  configurationCount = 0;
+  restoreCount = 0;
+  /** States in which the replicas last registered. */
+  readonly #states = new Map<FakePlatformReplica, string>();
   /** Customers of the next configurations; undefined for none. */
   tenants: object[] | undefined;
 
@@ -81,6 +96,7 @@
   register(replica: FakePlatformReplica, state: string): void {
     const service = replica.isEngine ? "briefs" : "orders";
     const address = this.proxies.get(replica)?.address;
+    this.#states.set(replica, state);
     this.store.put(
       `servers/${replica.id}`,
       replica.describe(service, state, address),
@@ -88,11 +104,13 @@
   }
 
   /**
-   * Publishes the next version of the configuration. Its only numbered route is
-   * that of the version, so that an answer tells which version was in force.
+   * Publishes the next version of the configuration. Its only route `only-` has
+   * the number of the write, so that an answer tells which one was in force: a
+   * restored store gives out versions again.
    */
   publish(): void {
     this.version += 1;
+    this.configurationCount += 1;
     this.store.put(
       "op/config",
       buildPlatformConfiguration(this.version, [
@@ -100,11 +118,32 @@
         buildPlatformRoute("unsafe", "unsafe", "orders"),
         buildPlatformRoute("brief", "stream", "briefs"),
         buildPlatformRoute("resume", "stream", "briefs", { resumable: true }),
-        buildPlatformRoute(`only-${this.version}`, "safe", "orders"),
+        buildPlatformRoute(
+          `only-${this.configurationCount}`,
+          "safe",
+          "orders",
+        ),
+        buildPlatformRoute(`restored-${this.restoreCount}`, "safe", "orders"),
       ], { tenants: this.tenants }),
     );
   }
 
+  createCopy(): FleetCopy {
+    const { version } = this;
+    return { store: this.store.createCopy(), version, takenAt: Date.now() };
+  }
+
+  /**
+   * Restores the store from the copy; the replicas register again. The versions
+   * of lost configurations are given out again unless they are kept.
+   */
+  restore(copy: FleetCopy, keepsVersion: boolean): void {
+    this.store.returnTo(copy.store);
+    this.restoreCount += 1;
+    if (!keepsVersion) this.version = copy.version;
+    for (const [replica, state] of this.#states) this.register(replica, state);
+  }
+
   /** Sends a signal to a gateway's process, which is restarted if it exits. */
   signal(gateway: SoakGateway, signal: NodeJS.Signals): void {
     gateway.child.kill(signal);
--- a/test/soak/soak_main.ts
+++ b/test/soak/soak_main.ts
@@ -39,7 +39,7 @@
       const port = options.port + (run % 10) * 10;
       const report = await runSoak(seed, options.seconds * 1_000, port);
       console.log(
-        `seed ${seed}: ${report.calls} calls, ${report.served} served, ${report.revoked} with revoked keys, ${report.quotas} lowered quotas, ${report.violations.length} violations`,
+        `seed ${seed}: ${report.calls} calls, ${report.served} served, ${report.revoked} with revoked keys, ${report.quotas} lowered quotas, ${report.restored} after restores, ${report.violations.length} violations`,
       );
       if (report.violations.length === 0) continue;
       failedRuns += 1;
--- a/test/soak/soak_run.ts
+++ b/test/soak/soak_run.ts
@@ -53,6 +53,11 @@
   revoked: number;
   /** Periods in which all gateways had a lowered quota. */
   quotas: number;
+  /**
+   * Requests for a route of the first configuration after a restore, which has
+   * to be in force.
+   */
+  restored: number;
 }
 
 export interface Answer {
@@ -74,6 +79,7 @@
     served: 0,
     revoked: 0,
     quotas: 0,
+    restored: 0,
   };
   const customers = new SoakCustomers(fleet, seed, report);
   await fleet.start(GATEWAYS);
@@ -191,9 +197,9 @@
     const gateway = fleet.gateways[draw(0, fleet.gateways.length - 1)];
     if (!gateway) continue;
     const incarnationKey = `${gateway.ip} ${gateway.incarnation}`;
-    const version = Math.max(2, fleet.version - draw(0, 2));
+    const number = Math.max(1, fleet.configurationCount - draw(0, 2));
     const path =
-      ["/safe/", "/unsafe/", "/brief/", "/resume/", `/only-${version}/`][
+      ["/safe/", "/unsafe/", "/brief/", "/resume/", `/only-${number}/`][
         draw(0, 4)
       ] ?? "/safe/";
     const id = `${seed}.${index}.${call}`;
@@ -215,14 +221,14 @@
     if (
       answer?.status === 200 && path.startsWith("/only-") && isSameIncarnation
     ) {
-      if (version < (newestSeen.get(incarnationKey) ?? 0)) {
+      if (number < (newestSeen.get(incarnationKey) ?? 0)) {
         report.violations.push(
-          `${id}: served by version ${version} after a newer one`,
+          `${id}: served by configuration ${number} after a newer one`,
         );
       }
       newestSeen.set(
         incarnationKey,
-        Math.max(version, newestSeen.get(incarnationKey) ?? 0),
+        Math.max(number, newestSeen.get(incarnationKey) ?? 0),
       );
     }
     await waitMs(draw(5, 60));
