explain-request says why a request got 401 or 429

Cause: the log line of a 401 or 429 named neither what was wrong with the key nor whose limit it was, and the version's time of effect had to be looked up.

Change: requestDecision has key (missing, unknown) for a 401, and customer, unit, rate, burst and cost for a 429. explain-request ends with one line: the host, the cause, the configuration's version, since when the host had it, and which hosts had a later one; lines about the customer's rejections are shown as well.

--- a/src/cli/explain_request_command.ts
+++ b/src/cli/explain_request_command.ts
@@ -1,16 +1,20 @@
-/** The `explain-request` command: prints the log records related to one request. */
+/** The `explain-request` command: prints what gateways' logs say of one request. */
 import { createReadStream } from "node:fs";
 import { createInterface } from "node:readline";
 import { describeError } from "../daemon/step_error.ts";
 import { ExitCode } from "./exit_codes.ts";
 import {
+  explainRefusals,
   formatRecord,
   type LogRecord,
   parseLogLine,
   selectRequestRecords,
 } from "./request_trace.ts";
 
-/** Prints the records of gateways' logs related to a request; returns the exit code. */
+/**
+ * Prints the records of gateways' logs related to a request and, as text, why it
+ * got 401 or 429; returns the exit code.
+ */
 export async function printRequestTrace(
   requestId: string,
   fileNames: readonly string[],
@@ -37,6 +41,9 @@
   for (const record of selected) {
     console.log(isJson ? JSON.stringify(record) : formatRecord(record));
   }
+  if (!isJson) {
+    for (const line of explainRefusals(records, requestId)) console.log(line);
+  }
   return ExitCode.Success;
 }
 
--- a/src/gateway/caller_task.ts
+++ b/src/gateway/caller_task.ts
@@ -403,9 +403,10 @@
     if (!customers) return { kind: "identified", caller: undefined, route };
     const caller = { customer: undefined };
     if (route.isPublic) return { kind: "identified", caller, route };
+    const key = headerCodec.decodeApiKey(headers);
     const customer = exchange.isRelayed
       ? customers.findByName(decodeRelayCustomer(headers) ?? "")
-      : customers.findByKey(headerCodec.decodeApiKey(headers));
+      : customers.findByKey(key);
     if (customer) {
       const { name, priorityRank } = customer;
       return {
@@ -422,7 +423,9 @@
         UNCONFIGURED_RETRY_AFTER_MS,
       );
     } else {
-      this.#refuse(exchange, Status.Unauthorized, "unknown key", undefined);
+      this.#refuse(exchange, Status.Unauthorized, "unknown key", undefined, {
+        key: key === "" ? "missing" : "unknown",
+      });
     }
     return { kind: "refused" };
   }
@@ -458,6 +461,14 @@
           Status.TooMany,
           "the customer's quota is used",
           decision.retryAfterMs,
+          {
+            customer: customer.name,
+            cost,
+            unit: customer.allotment.unit,
+            ratePerS: customer.allotment.ratePerS,
+            burst: customer.allotment.burst,
+            retryAfterMs: decision.retryAfterMs,
+          },
         );
         return false;
     }
@@ -521,11 +532,13 @@
     );
   }
 
+  /** @param details fields of the log line; never the key of the request. */
   #refuse(
     exchange: CallerExchange,
     status: number,
     reason: string,
     retryAfterMs: Milliseconds | undefined,
+    details: object = {},
   ): void {
     const { log, metrics, headerCodec, view } = this.#context;
     metrics.count("refusals", reason);
@@ -537,6 +550,7 @@
       hostName: exchange.metadata.hostName,
       path: exchange.metadata.path,
       configurationVersion: view.configuration?.version,
+      ...details,
     });
     const headers = headerCodec.encodeRefusalHeaders(retryAfterMs);
     exchange.sendError(status, headers, reason, RelayVerdict.Unable);
