--- a/src/core/limits/customer_allotments.ts
+++ b/src/core/limits/customer_allotments.ts
@@ -125,8 +125,10 @@
 /** Age from which a host that does not report is not counted. */
 const HOST_LIFETIME_MS = 3_000;
 /**
- * Time after the start in which requests are admitted although the fleet's rates
- * are unknown.
+ * Time after the start in which a host that knows no other's rates admits up to
+ * the whole limit, as it may be the only one that gets requests. Without that
+ * bound, hosts that restart under many times the limit admit more than the
+ * fleet's limit allows.
  */
 const UNKNOWN_GRACE_MS = 1_500;
 /**
@@ -161,6 +163,15 @@
   updatedAt: Milliseconds;
 }
 
+interface KnownFleet {
+  /** Whether the rates that the others offer are known. */
+  isFleetHeard: boolean;
+  /** Rate offered to all other hosts. */
+  othersPerS: number;
+  /** Fraction of the limits that the known hosts may spend. */
+  fraction: number;
+}
+
 interface KnownTotals {
   /** When the report that they answer was sent. */
   at: Milliseconds;
@@ -205,6 +216,9 @@
         allotment ? [[name, allotment] as const] : []
       ),
     );
+    for (const customer of this.#reserves.keys()) {
+      if (!this.#table.has(customer)) this.#reserves.delete(customer);
+    }
   }
 
   setFleet(fleet: AllotmentFleet): void {
@@ -233,7 +247,6 @@
     // Without this request: the average just after an arrival is too high.
     const ownPerS = recordOffer(state, cost, now);
     const known = this.#getKnownFleet(customer, now);
-    if (!known) return { kind: "admitted" };
     const limitPerS = allotment.ratePerS * known.fraction;
     const offeredPerS = state.ratePerS + known.othersPerS;
     const freePerS = FREE_FRACTION * limitPerS +
@@ -278,7 +291,6 @@
     for (const [customer, state] of this.#states) {
       const isDropped = !this.#table.has(customer) ||
         now - state.updatedAt > IDLE_LIFETIME_MS;
-      if (isDropped) this.#reserves.delete(customer);
       if (isDropped) this.#states.delete(customer);
       else {rates.set(
           customer,
@@ -340,8 +352,11 @@
     const { ratePerS, burst } = allotment;
     const tolerated = over * (ratePerS * windowMs / 1_000 + burst) + slack;
     const known = this.#getKnownFleet(customer, now);
-    const fraction = known?.fraction ?? 1;
-    const capacity = fraction * (burst + RESERVE_FRACTION * tolerated);
+    const { fraction } = known;
+    // A host that does not know the fleet's rates cannot follow its reserve.
+    const capacity = known.isFleetHeard
+      ? fraction * (burst + RESERVE_FRACTION * tolerated)
+      : 0;
     const reserve = this.#reserves.get(customer) ??
       { level: capacity, updatedAt: now };
     this.#reserves.set(customer, reserve);
@@ -350,7 +365,7 @@
       ? computeDecayed(state.ratePerS, now - state.updatedAt)
       : 0;
     const limitPerS = fraction * ratePerS;
-    const offeredPerS = ownPerS + (known?.othersPerS ?? 0);
+    const offeredPerS = ownPerS + known.othersPerS;
     // Without a reserve, the hosts admit no more than the limit.
     const spentPerS = reserve.level > 0
       ? offeredPerS
@@ -366,24 +381,29 @@
 
   /**
    * Returns what is known of the other hosts, and the fraction of the limits
-   * that the known ones may spend; undefined shortly after the start.
+   * that the known ones may spend.
    */
   #getKnownFleet(
     customer: string,
     now: Milliseconds,
-  ): { othersPerS: number; fraction: number } | undefined {
+  ): KnownFleet {
     const { members, isSolitary } = this.#fleet;
-    if (isSolitary) return { othersPerS: 0, fraction: 1 };
+    if (isSolitary) return { isFleetHeard: true, othersPerS: 0, fraction: 1 };
     const totals = this.#totals;
     if (totals && now - totals.at < TOTALS_LIFETIME_MS) {
       const heard = HEARD_FACTOR * totals.hosts / Math.max(1, members);
       return {
+        isFleetHeard: true,
         othersPerS: totals.others.get(customer) ?? 0,
         fraction: Math.min(1, heard),
       };
     }
-    if (now - this.#startedAt < UNKNOWN_GRACE_MS) return undefined;
-    return { othersPerS: 0, fraction: 1 / Math.max(2, members) };
+    const isStarting = now - this.#startedAt < UNKNOWN_GRACE_MS;
+    return {
+      isFleetHeard: false,
+      othersPerS: 0,
+      fraction: isStarting ? 1 : 1 / Math.max(2, members),
+    };
   }
 }
 
--- a/test/soak/soak_fleet.ts
+++ b/test/soak/soak_fleet.ts
@@ -12,7 +12,10 @@
   buildPlatformConfiguration,
   buildPlatformRoute,
 } from "../../fakes/platform_configuration.ts";
-import { FakePlatformStore } from "../../fakes/fake_platform_store.ts";
+import {
+  FakePlatformStore,
+  type StoreCopy,
+} from "../../fakes/fake_platform_store.ts";
 import { chooseProgram } from "../../scripts/program_choice.ts";
 import { FaultProxy } from "./fault_proxy.ts";
 
@@ -30,6 +33,16 @@
   child: ChildProcess;
   /** Number of processes that have been started for this gateway. */
   incarnation: number;
+  /** When the present process was started, in Unix milliseconds. */
+  startedAt: number;
+  isPaused: boolean;
+}
+
+/** What a restore of the store goes back to. */
+export interface FleetCopy {
+  store: StoreCopy;
+  version: number;
+  takenAt: number;
 }
 
 export class SoakFleet {
@@ -43,6 +56,13 @@
   readonly #folder = mkdtempSync(join(tmpdir(), "pistachiohatch-soak-"));
   #isStopped = false;
   version = 1;
+  /** Number of configurations that were written, whatever their versions. */
+  configurationCount = 0;
+  restoreCount = 0;
+  /** States in which the replicas last registered. */
+  readonly #states = new Map<FakePlatformReplica, string>();
+  /** Customers of the next configurations; undefined for none. */
+  tenants: object[] | undefined;
 
   constructor(port: number, termMs = SOAK_TERM_MS) {
     this.port = port;
@@ -50,6 +70,11 @@
     process.once("exit", () => this.#killAll());
   }
 
+  /** Port at which gateways give the published view to their peers. */
+  get viewPort(): number {
+    return this.port + 2;
+  }
+
   async start(gateways: number): Promise<void> {
     await this.store.start();
     for (let index = 0; index < ENGINES + SERVICES; index += 1) {
@@ -71,6 +96,7 @@
   register(replica: FakePlatformReplica, state: string): void {
     const service = replica.isEngine ? "briefs" : "orders";
     const address = this.proxies.get(replica)?.address;
+    this.#states.set(replica, state);
     this.store.put(
       `servers/${replica.id}`,
       replica.describe(service, state, address),
@@ -78,11 +104,13 @@
   }
 
   /**
-   * Publishes the next version of the configuration. Its only numbered route is
-   * that of the version, so that an answer tells which version was in force.
+   * Publishes the next version of the configuration. Its only route `only-` has
+   * the number of the write, so that an answer tells which one was in force: a
+   * restored store gives out versions again.
    */
   publish(): void {
     this.version += 1;
+    this.configurationCount += 1;
     this.store.put(
       "op/config",
       buildPlatformConfiguration(this.version, [
@@ -90,14 +118,37 @@
         buildPlatformRoute("unsafe", "unsafe", "orders"),
         buildPlatformRoute("brief", "stream", "briefs"),
         buildPlatformRoute("resume", "stream", "briefs", { resumable: true }),
-        buildPlatformRoute(`only-${this.version}`, "safe", "orders"),
-      ]),
+        buildPlatformRoute(
+          `only-${this.configurationCount}`,
+          "safe",
+          "orders",
+        ),
+        buildPlatformRoute(`restored-${this.restoreCount}`, "safe", "orders"),
+      ], { tenants: this.tenants }),
     );
   }
 
+  createCopy(): FleetCopy {
+    const { version } = this;
+    return { store: this.store.createCopy(), version, takenAt: Date.now() };
+  }
+
+  /**
+   * Restores the store from the copy; the replicas register again. The versions
+   * of lost configurations are given out again unless they are kept.
+   */
+  restore(copy: FleetCopy, keepsVersion: boolean): void {
+    this.store.returnTo(copy.store);
+    this.restoreCount += 1;
+    if (!keepsVersion) this.version = copy.version;
+    for (const [replica, state] of this.#states) this.register(replica, state);
+  }
+
   /** Sends a signal to a gateway's process, which is restarted if it exits. */
   signal(gateway: SoakGateway, signal: NodeJS.Signals): void {
     gateway.child.kill(signal);
+    if (signal === "SIGSTOP") gateway.isPaused = true;
+    if (signal === "SIGCONT") gateway.isPaused = false;
   }
 
   async stop(): Promise<void> {
@@ -139,9 +190,9 @@
         callers: { listen: `${ip}:${this.port}` },
         readiness: { listen: `${ip}:${this.port + 1}` },
         peers: {
-          listen: `${ip}:${this.port + 2}`,
+          listen: `${ip}:${this.viewPort}`,
           port: this.port + 3,
-          seeds: [`127.0.0.1:${this.port + 2}`, `127.0.0.2:${this.port + 2}`],
+          seeds: [`127.0.0.1:${this.viewPort}`, `127.0.0.2:${this.viewPort}`],
         },
         store: { address: storeProxy.address },
         orders: { termMs: this.#termMs },
@@ -158,6 +209,8 @@
       storeProxy,
       child: this.#spawn(program, settingsFile),
       incarnation: 1,
+      startedAt: Date.now(),
+      isPaused: false,
     };
     this.gateways.push(gateway);
     this.#restartOnExit(gateway);
@@ -167,6 +220,8 @@
     gateway.child.once("exit", () => {
       if (this.#isStopped) return;
       gateway.incarnation += 1;
+      gateway.startedAt = Date.now();
+      gateway.isPaused = false;
       gateway.child = this.#spawn(gateway.program, gateway.settingsFile);
       this.#restartOnExit(gateway);
     });
