Chunks of a caller's body are limited in an event-loop turn

Cause: the guard gave a connection 32 KB of a turn, but reading the body resumes the connection within the same turn, so that the limit had no effect on bodies; and 32 KB are 5,400 chunks of one byte.

Change: the share of a turn (src/core/limits/turn_share.ts) also counts chunks of a body (turns.maxBytes, turns.maxEvents), and input that comes back while a connection waits for its turn is not parsed.

Measured: 30,000 chunks of one byte were parsed in one turn, now no more than the 298 that the new case of connection_guard_test.ts allows; it fails without the change.

--- a/src/daemon/connection_guard.ts
+++ b/src/daemon/connection_guard.ts
@@ -14,6 +14,7 @@
   MemoryBudget,
   type MemoryReservation,
 } from "../core/limits/memory_budget.ts";
+import { type TurnLimits, TurnShare } from "../core/limits/turn_share.ts";
 import type { Milliseconds } from "../core/structures.ts";
 import type { ClientLimits } from "../settings/client_limits.ts";
 
@@ -21,8 +22,6 @@
 const MAX_PIECE_BYTES = 4 * 1024;
 const CARRIAGE_RETURN = 0x0d;
 const LINE_FEED = 0x0a;
-/** Input of one connection that is parsed in one turn of the event loop. */
-const MAX_TURN_BYTES = 32 * 1024;
 /**
  * Requests take up to some tenths of a millisecond: 32 of each connection in a
  * turn kept others waiting for seconds.
@@ -72,6 +71,8 @@
 
 export interface ConnectionGuardOptions {
   limits: ClientLimits;
+  /** Share of each connection in a turn of the event loop. */
+  turns: TurnLimits;
   /** Counts a closed connection. */
   countCut: (reason: CutReason) => void;
   /** Writes a log line; called at most once a second for each reason. */
@@ -97,6 +98,7 @@
   isLastRequestFinal = false;
   /** Bytes of the last request's body that are still to come, if they are known. */
   bodyBytesLeft = 0;
+  readonly share: TurnShare;
   /** Whether the guard has paused the connection until there are fewer requests. */
   isHeld = false;
   /** Whether the rest of the input waits for the next turn. */
@@ -110,12 +112,14 @@
     port: string;
     held: MemoryReservation;
     parse: (input: Buffer) => void;
+    turns: TurnLimits;
     now: Milliseconds;
   }) {
     this.socket = options.socket;
     this.port = options.port;
     this.held = options.held;
     this.parse = options.parse;
+    this.share = new TurnShare(options.turns);
     this.sentAt = options.now;
   }
 
@@ -193,6 +197,7 @@
       port,
       held: this.#heldInput.createReservation(),
       parse,
+      turns: this.#options.turns,
       now,
     });
     // Node.js reads past this listener until one of ours is added.
@@ -211,6 +216,9 @@
     connection.isLastRequestFinal = !response.shouldKeepAlive;
     connection.bodyBytesLeft = Number(response.req.headers["content-length"]) ||
       0;
+    if (response.req.headers["transfer-encoding"] !== undefined) {
+      countChunks(response.req, connection.share);
+    }
     if (unanswered.size > 0) this.#pipelined += 1;
     unanswered.add(response);
     this.#updateIdle(connection, idle);
@@ -253,6 +261,13 @@
   #parse(connection: GuardedConnection, input: Buffer): void {
     const { socket } = connection;
     this.#heldInput.release(connection.held);
+    if (connection.isYielding) {
+      // A body that is read resumes its connection within the turn.
+      this.#scheduleRest(connection, input);
+      return;
+    }
+    const { share } = connection;
+    share.clear();
     let offset = 0;
     for (let pieces = 0; offset < input.length; pieces += 1) {
       if (connection.isLastRequestFinal && connection.isBetweenRequests) {
@@ -263,12 +278,15 @@
         this.#delay(connection, input.subarray(offset));
         return;
       }
-      if (pieces === MAX_TURN_PIECES || offset >= MAX_TURN_BYTES) {
+      const length = pieces === MAX_TURN_PIECES
+        ? 0
+        : measurePiece(connection, input, offset);
+      if (length === 0) {
         this.#scheduleRest(connection, input.subarray(offset));
         return;
       }
-      const length = measurePiece(connection, input, offset);
       connection.parse(input.subarray(offset, offset + length));
+      share.recordPiece(length);
       offset += length;
       // After an error of the parser, or a last response, nothing else is read.
       if (socket.destroyed || socket.writableEnded) return;
@@ -421,25 +439,39 @@
   if (handle && !handle.reading) socket._read(0);
 }
 
+/** Counts the chunks of a request's body as they are parsed. */
+function countChunks(request: IncomingMessage, share: TurnShare): void {
+  const push = request.push.bind(request);
+  request.push = (chunk, encoding) => {
+    share.recordEvent();
+    return push(chunk, encoding);
+  };
+}
+
 /**
  * Returns the length of the input up to the end of the next head, or to the end
- * of the body.
+ * of the body, as far as the turn has room; 0 if it has none.
  */
 function measurePiece(
   connection: GuardedConnection,
   input: Buffer,
   offset: number,
 ): number {
-  if (!connection.isBetweenRequests && connection.bodyBytesLeft > 0) {
+  const { share, isBetweenRequests } = connection;
+  const availableBytes = input.length - offset;
+  if (!isBetweenRequests && connection.bodyBytesLeft > 0) {
     const length = Math.min(
       connection.bodyBytesLeft,
-      input.length - offset,
-      MAX_TURN_BYTES,
+      availableBytes,
+      share.bytesLeft,
     );
     connection.bodyBytesLeft -= length;
     return length;
   }
-  const window = input.subarray(offset, offset + MAX_PIECE_BYTES);
+  const pieceBytes = isBetweenRequests
+    ? Math.min(MAX_PIECE_BYTES, share.bytesLeft)
+    : share.computePieceBytes(availableBytes);
+  const window = input.subarray(offset, offset + pieceBytes);
   // The end of a head may be divided between two pieces.
   if (window[0] === CARRIAGE_RETURN || window[0] === LINE_FEED) {
     return window.indexOf(LINE_FEED) + 1 || window.length;
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -68,6 +68,7 @@
     this.#metrics.listen(bus);
     this.#guard = new ConnectionGuard({
       limits: settings.clients,
+      turns: settings.turns,
       countCut: (reason) => this.#metrics.count("connections_cut", reason),
       logCut: ({ client, ...report }) =>
         logger.warn("Connection of a client was closed", {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -194,6 +194,7 @@
     this.#log = new DecisionLog(host, settings.logLevel);
     this.#guard = new ConnectionGuard({
       limits: settings.clients,
+      turns: settings.turns,
       countCut: (reason) => this.#metrics.count("connections_cut", reason),
       logCut: (report) => this.#log.warn("connectionCut", report),
     });
--- a/src/settings/daemon_settings.ts
+++ b/src/settings/daemon_settings.ts
@@ -3,6 +3,7 @@
 import { DEFAULT_CORE_SETTINGS } from "../core/core_settings.ts";
 import { clientLimitsSchema } from "./client_limits.ts";
 import { LOG_LEVELS } from "./log_level.ts";
+import { turnLimitsSchema } from "./turn_limits.ts";
 
 const ADDRESS = z.string().regex(
   /^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):\d{1,5}$/,
@@ -40,6 +41,7 @@
     maxAnswerBytes: POSITIVE.int().default(16_777_216),
   }),
   clients: clientLimitsSchema.strict().prefault({}),
+  turns: turnLimitsSchema.strict().prefault({}),
   peers: z.strictObject({
     listen: ADDRESS,
     tls: TLS.optional(),
--- a/src/settings/gateway_settings.ts
+++ b/src/settings/gateway_settings.ts
@@ -2,6 +2,7 @@
 import * as z from "zod";
 import { clientLimitsSchema } from "./client_limits.ts";
 import { LOG_LEVELS } from "./log_level.ts";
+import { turnLimitsSchema } from "./turn_limits.ts";
 
 const ADDRESS = z.string().regex(
   /^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/,
@@ -27,6 +28,7 @@
     maxConnections: z.number().int().positive().optional(),
   }),
   clients: clientLimitsSchema.prefault({}),
+  turns: turnLimitsSchema.prefault({}),
   readiness: z.object({ listen: ADDRESS }),
   peers: z.object({
     /** Address at which peers request the published view. */
--- a/test/daemon/connection_guard_test.ts
+++ b/test/daemon/connection_guard_test.ts
@@ -13,6 +13,7 @@
 import { type AddressInfo, connect, type Socket } from "node:net";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
+import { DEFAULT_TURN_LIMITS } from "../../src/core/limits/turn_share.ts";
 import {
   ConnectionGuard,
   type CutReason,
@@ -24,6 +25,12 @@
 /** Time in which loopback traffic settles. */
 const SETTLE_MS = 100;
 const MAX_CONNECTIONS = 3;
+const SMALL_CHUNKS = 30_000;
+/**
+ * Twice the share of a turn, as a read and a rest may fall into one, and a piece
+ * of chunks of one byte before their size is known.
+ */
+const MAX_TURN_CHUNKS = 2 * DEFAULT_TURN_LIMITS.maxEvents + 1024 / 6;
 
 interface Bench {
   server: Server;
@@ -47,6 +54,7 @@
   const lines: CutReport[] = [];
   const guard = new ConnectionGuard({
     limits: clientLimitsSchema.parse(limits),
+    turns: DEFAULT_TURN_LIMITS,
     countCut: (reason) => cuts.push(reason),
     logCut: (report) => lines.push(report),
   });
@@ -300,4 +308,40 @@
   bench.close();
 });
 
+test("a body in small chunks is read in order, over many turns, and beside other connections", async () => {
+  let chunks = 0;
+  let maxTurnChunks = 0;
+  const bench = await startBench({}, (request, response) => {
+    let turnChunks = 0;
+    let received = "";
+    request.on("data", (chunk: Buffer) => {
+      received += chunk.toString();
+      if (turnChunks === 0) {
+        setImmediate(() => {
+          maxTurnChunks = Math.max(maxTurnChunks, turnChunks);
+          turnChunks = 0;
+        });
+      }
+      turnChunks += 1;
+      chunks += 1;
+    });
+    request.on("end", () => response.end(received));
+  });
+  const { socket, getText } = await bench.connectClient();
+  const text = Array.from(
+    { length: SMALL_CHUNKS },
+    (_, index) => String.fromCharCode("a".charCodeAt(0) + index % 26),
+  );
+  const body = text.map((letter) => `1\r\n${letter}\r\n`).join("");
+  socket.write(
+    `POST /chunks HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n${body}0\r\n\r\n`,
+  );
+  socket.write(formatGet("/next"));
+  await waitMs(SETTLE_MS);
+  while (!getText().includes(text.join(""))) await waitMs(SETTLE_MS);
+  assert.is(chunks, SMALL_CHUNKS);
+  assert.ok(maxTurnChunks <= MAX_TURN_CHUNKS, `${maxTurnChunks} chunks`);
+  bench.close();
+});
+
 test.run();
