Upstreams' connections get a bounded share of an event-loop turn

Cause: Node.js hands over up to 32 reads of 64 KB of one connection in a turn, some 70,000 small events, and each is written to its caller.

Change: connections of attempts are of a class that passes on 32 KB or 64 chunks of a body in a turn (turns.maxBytes, turns.maxEvents). The rest waits, counted by the memory budget, and the connection is not read meanwhile.

--- a/fakes/endless_answer.ts
+++ b/fakes/endless_answer.ts
@@ -19,6 +19,8 @@
   | "endlessAfterAnswer"
   | "endlessEvent"
   | "endlessEvents"
+  /** Whole events, each in a chunk of its own. */
+  | "endlessEventChunks"
   | EndlessPartInBytes;
 
 /** Parts that are sent in chunks of one byte. */
@@ -107,6 +109,7 @@
       return `${head}Content-Type: text/event-stream\r\nConnection: close\r\n\r\nid: 1\ndata: `;
     case "endlessEvents":
       return `${head}Content-Type: text/event-stream\r\nConnection: close\r\n\r\n`;
+    case "endlessEventChunks":
     case "endlessEventInBytes":
     case "endlessCommentsInBytes":
     case "endlessBlankLinesInBytes":
@@ -127,6 +130,8 @@
       return "10\r\n0123456789abcdef\r\n";
     case "endlessEvents":
       return "id: 7\ndata: an event\n\n";
+    case "endlessEventChunks":
+      return "16\r\nid: 7\ndata: an event\n\n\r\n";
     case "endlessBodyInBytes":
     case "endlessEventInBytes":
       return "1\r\nx\r\n";
--- a/src/gateway/checked_agent.ts
+++ b/src/gateway/checked_agent.ts
@@ -1,11 +1,21 @@
 /**
  * Agent whose kept connections carry nothing but answers to their own requests:
  * one on which bytes arrive while it is idle is closed, and so is one that a
- * caller of this module does not trust any more.
+ * caller of this module does not trust any more. The input of its connections
+ * gets a bounded share of each turn of the event loop, as that of `PacedAgent`.
  */
-import { Agent, type AgentOptions, type ClientRequest } from "node:http";
-import type { Socket } from "node:net";
+import {
+  Agent,
+  type AgentOptions,
+  type ClientRequest,
+  type ClientRequestArgs,
+} from "node:http";
+import type { Socket, TcpNetConnectOpts } from "node:net";
 import type { Milliseconds } from "../core/structures.ts";
+import {
+  openPacedSocket,
+  type PacedSocketOptions,
+} from "../daemon/paced_socket.ts";
 
 const untrustedSockets = new WeakSet<Socket>();
 
@@ -17,13 +27,31 @@
   handleIdleClose(socket: Socket): void;
 }
 
-export class CheckedAgent extends Agent {
+/** Agent whose connections get a bounded share of each turn of the event loop. */
+export class PacedAgent extends Agent {
+  readonly #pacing: PacedSocketOptions;
+
+  constructor(options: AgentOptions, pacing: PacedSocketOptions) {
+    super(options);
+    this.#pacing = pacing;
+  }
+
+  override createConnection(connection: ClientRequestArgs): Socket {
+    return openPacedSocket(this.#pacing, connection as TcpNetConnectOpts);
+  }
+}
+
+export class CheckedAgent extends PacedAgent {
   readonly #observer: IdleObserver;
   /** One listener for all sockets, so that it can be removed. */
   readonly #handleEnd: (this: Socket) => void;
 
-  constructor(options: AgentOptions, observer: IdleObserver) {
-    super(options);
+  constructor(
+    options: AgentOptions,
+    observer: IdleObserver,
+    pacing: PacedSocketOptions,
+  ) {
+    super(options, pacing);
     this.#observer = observer;
     this.#handleEnd = function () {
       observer.handleIdleClose(this);
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -188,7 +188,11 @@
     this.#descriptorLimit = settings.descriptors ?? readDescriptorLimit();
     this.#upstreamClient = new UpstreamClient(
       this.#metrics,
-      computeMaxUpstreamConnections(this.#descriptorLimit),
+      {
+        maxConnections: computeMaxUpstreamConnections(this.#descriptorLimit),
+        turns: settings.turns,
+        memory: this.#memory,
+      },
     );
     this.#headerCodec = platform.headerCodec;
     this.#log = new DecisionLog(host, settings.logLevel);
--- a/src/gateway/gateway_metrics.ts
+++ b/src/gateway/gateway_metrics.ts
@@ -38,6 +38,8 @@
     "Requests whose caller disconnected before the response was complete, by kind (idempotent, nonIdempotent, stream; unread if the close lay unread beside the request)",
   callers_backlogged:
     "Times a streamed response was paused because its caller read too slowly, by kind (always stream)",
+  throttled_connections:
+    "Connections whose input exceeded its share of a turn of the event loop, by kind (always upstream)",
   connections_cut:
     "Connections of clients that were closed because of a limit, by reason (idle, full, unread, heldInput)",
   relays: "Requests sent over a peer, by outcome of the attempt",
--- a/src/gateway/upstream_client.ts
+++ b/src/gateway/upstream_client.ts
@@ -3,7 +3,7 @@
  * connection on which anything unexpected happens is not reused.
  */
 import {
-  Agent,
+  type Agent,
   type ClientRequest,
   type IncomingMessage,
   request,
@@ -17,9 +17,12 @@
   parseKeepAliveTimeout,
 } from "../core/placement/idle_connections.ts";
 import type { Milliseconds } from "../core/structures.ts";
+import type { MemoryBudget } from "../core/limits/memory_budget.ts";
+import type { TurnLimits } from "../core/limits/turn_share.ts";
 import { parseSocketAddress } from "../core/socket_address.ts";
+import { PacedSocket } from "../daemon/paced_socket.ts";
 import { describeError } from "../daemon/step_error.ts";
-import { CheckedAgent, excludeFromReuse } from "./checked_agent.ts";
+import { CheckedAgent, excludeFromReuse, PacedAgent } from "./checked_agent.ts";
 import type { GatewayMetrics } from "./gateway_metrics.ts";
 import { isSuccess } from "./http_status.ts";
 
@@ -120,6 +123,15 @@
   longIdleLimit: number;
 }
 
+export interface UpstreamClientOptions {
+  /** Connections of each kind, kept or not; further attempts wait for one. */
+  maxConnections: number;
+  /** Share of each connection in a turn of the event loop. */
+  turns: TurnLimits;
+  /** Budget for the input that waits for its turn. */
+  memory: MemoryBudget;
+}
+
 export class UpstreamClient {
   readonly #metrics: Pick<GatewayMetrics, "count">;
   readonly #idlePolicy = new IdleConnectionPolicy();
@@ -127,31 +139,36 @@
   readonly #keepAliveAgent: CheckedAgent;
   readonly #singleUseAgent: Agent;
 
-  /**
-   * @param maxConnections connections of each kind, kept or not; further
-   * attempts wait for one.
-   */
   constructor(
     metrics: Pick<GatewayMetrics, "count">,
-    maxConnections = Number.POSITIVE_INFINITY,
+    { maxConnections, turns, memory }: UpstreamClientOptions,
   ) {
     this.#metrics = metrics;
-    this.#keepAliveAgent = new CheckedAgent({
-      keepAlive: true,
-      timeout: DEFAULT_IDLE_MS,
-      maxFreeSockets: MAX_IDLE_CONNECTIONS,
-      maxTotalSockets: maxConnections,
-      scheduling: "lifo",
-    }, {
-      decideIdleTime: (socket) => this.#decideIdleTime(socket),
-      handleIdleClose: (socket) => {
-        this.#recordEnd(socket, KeptConnectionEnd.ClosedIdle);
+    const pacing = {
+      limits: turns,
+      memory,
+      onThrottle: () => metrics.count("throttled_connections", "upstream"),
+    };
+    this.#keepAliveAgent = new CheckedAgent(
+      {
+        keepAlive: true,
+        timeout: DEFAULT_IDLE_MS,
+        maxFreeSockets: MAX_IDLE_CONNECTIONS,
+        maxTotalSockets: maxConnections,
+        scheduling: "lifo",
       },
-    });
-    this.#singleUseAgent = new Agent({
+      {
+        decideIdleTime: (socket) => this.#decideIdleTime(socket),
+        handleIdleClose: (socket) => {
+          this.#recordEnd(socket, KeptConnectionEnd.ClosedIdle);
+        },
+      },
+      pacing,
+    );
+    this.#singleUseAgent = new PacedAgent({
       keepAlive: false,
       maxTotalSockets: maxConnections,
-    });
+    }, pacing);
   }
 
   startAttempt(
@@ -336,7 +353,9 @@
     // not be taken for the answer to the next request.
     if (!isSuccess(head.statusCode ?? 0)) excludeFromReuse(head.socket);
     listener.onHead(head);
+    const { socket } = head;
     head.on("data", (chunk: Buffer) => {
+      if (socket instanceof PacedSocket) socket.recordEvent();
       if (!hasEnded && !listener.onChunk(chunk)) head.pause();
     });
     head.on("error", (error) => fail(describeError(error)));
--- a/test/gateway/gateway_harness.ts
+++ b/test/gateway/gateway_harness.ts
@@ -230,7 +230,10 @@
   }
 
   /** Returns the bytes of a request without a body. */
-  formatRequest(path: string, options: { id?: string } = {}): string {
+  formatRequest(
+    path: string,
+    options: { id?: string; headers?: Record<string, string> } = {},
+  ): string {
     const lines = Object.entries(this.#createHeaders(path, options))
       .map(([name, value]) => `${name}: ${value}\r\n`).join("");
     return `POST ${path} HTTP/1.1\r\n${lines}Content-Length: 0\r\n\r\n`;
--- a/test/gateway/kept_connection_test.ts
+++ b/test/gateway/kept_connection_test.ts
@@ -8,11 +8,13 @@
 import type { AddressInfo, Socket } from "node:net";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
+import { DEFAULT_TURN_LIMITS } from "../../src/core/limits/turn_share.ts";
 import {
   type AttemptEnd,
   UpstreamClient,
 } from "../../src/gateway/upstream_client.ts";
 import { waitMs } from "../../src/gateway/wait.ts";
+import { UNLIMITED_MEMORY } from "../unlimited_memory.ts";
 
 /** An upstream that announces an idle time, and a client of its own. */
 class Scene {
@@ -24,6 +26,10 @@
       const key = `${name}.${reason}`;
       this.counts.set(key, (this.counts.get(key) ?? 0) + 1);
     },
+  }, {
+    maxConnections: Number.POSITIVE_INFINITY,
+    turns: DEFAULT_TURN_LIMITS,
+    memory: UNLIMITED_MEMORY,
   });
 
   constructor(announcement: string | undefined) {
--- a/test/gateway/upstream_client_test.ts
+++ b/test/gateway/upstream_client_test.ts
@@ -4,14 +4,20 @@
 import { type AddressInfo, createServer } from "node:net";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
+import { DEFAULT_TURN_LIMITS } from "../../src/core/limits/turn_share.ts";
 import { GatewayMetrics } from "../../src/gateway/gateway_metrics.ts";
 import {
   type AttemptEnd,
   type AttemptRequest,
   UpstreamClient,
 } from "../../src/gateway/upstream_client.ts";
+import { UNLIMITED_MEMORY } from "../unlimited_memory.ts";
 
-const client = new UpstreamClient(new GatewayMetrics());
+const client = new UpstreamClient(new GatewayMetrics(), {
+  maxConnections: Number.POSITIVE_INFINITY,
+  turns: DEFAULT_TURN_LIMITS,
+  memory: UNLIMITED_MEMORY,
+});
 test.after(() => client.close());
 
 const REQUEST: AttemptRequest = {
