--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -76,6 +76,7 @@
       });
     this.#guard = new ConnectionGuard({
       limits: settings.clients,
+      turns: settings.turns,
       countCut: (reason) => this.#metrics.count("connections_cut", reason),
       logCut: reportCut,
     });
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -188,12 +188,17 @@
     this.#descriptorLimit = settings.descriptors ?? readDescriptorLimit();
     this.#upstreamClient = new UpstreamClient(
       this.#metrics,
-      computeMaxUpstreamConnections(this.#descriptorLimit),
+      {
+        maxConnections: computeMaxUpstreamConnections(this.#descriptorLimit),
+        turns: settings.turns,
+        memory: this.#memory,
+      },
     );
     this.#headerCodec = platform.headerCodec;
     this.#log = new DecisionLog(host, settings.logLevel);
     this.#guard = new ConnectionGuard({
       limits: settings.clients,
+      turns: settings.turns,
       countCut: (reason) => this.#metrics.count("connections_cut", reason),
       logCut: (report) => this.#log.warn("connectionCut", report),
     });
