Without several customers in a class, its order and estimates take no detour

Cause: a class whose requests were all one customer's was sorted by lateness as soon as another class had another customer, which a class of mixed objectives is not; estimates collected the requests ahead although all of them are.

Change: such a class keeps the order of waiting_order.ts, with a case; the set of requests ahead is built only where customers differ.

--- a/src/core/admission/admission_controller.ts
+++ b/src/core/admission/admission_controller.ts
@@ -613,23 +613,24 @@
   }
 
   /**
-   * Returns the equally urgent requests that are served before this one: all
-   * that wait, unless customers take turns.
+   * Returns the equally urgent requests that are served before this one;
+   * undefined if all that wait are, as no customers take turns.
    */
   #findEqualAhead(
     request: PermitRequest,
     now: Milliseconds,
-  ): ReadonlySet<PermitRequest> {
-    const equal: PermitRequest[] = [];
+  ): ReadonlySet<PermitRequest> | undefined {
     let hasSeveral = false;
     for (const { request: other } of this.#waitingRequests.values()) {
-      const isEqual = other.permitId !== request.permitId &&
-        compareUrgency(other, request) === 0;
-      if (!isEqual) continue;
-      equal.push(other);
       hasSeveral ||= other.customer !== request.customer;
     }
-    if (!hasSeveral) return new Set(equal);
+    if (!hasSeveral) return undefined;
+    const equal = [...this.#waitingRequests.values()]
+      .map((each) => each.request)
+      .filter((other) =>
+        other.permitId !== request.permitId &&
+        compareUrgency(other, request) === 0
+      );
     const startTags = this.#customerTurns
       .computeStartTags([...equal, request], now);
     const ownTag = startTags.at(-1) ?? 0;
@@ -719,7 +720,7 @@
     const capacityMs = Math.max(
       prefillMs,
       batchSlotMs,
-      this.#estimateTurnMs(request, equalAhead.size, now),
+      this.#estimateTurnMs(request, equalAhead, now),
     );
     if (!this.#needsLoad(request)) {
       const slot = this.slots.getSlot(request.adapterPath);
@@ -769,12 +770,15 @@
    */
   #estimateTurnMs(
     request: PermitRequest,
-    equalCount: number,
+    equalAhead: ReadonlySet<PermitRequest> | undefined,
     now: Milliseconds,
   ): Milliseconds {
+    let equalCount = 0;
     let hasCompetitor = this.#computeReservation(request, now).tokens > 0;
     for (const { request: other } of this.#waitingRequests.values()) {
+      if (other.permitId === request.permitId) continue;
       if (compareUrgency(other, request) !== 0) hasCompetitor = true;
+      else if (!equalAhead || equalAhead.has(other)) equalCount += 1;
     }
     return hasCompetitor && equalCount > 0
       ? CERTAIN_TURN_FRACTION * equalCount *
@@ -804,13 +808,14 @@
 
   #estimateQueuedPrefillMs(
     request: PermitRequest,
-    equalAhead: ReadonlySet<PermitRequest>,
+    equalAhead: ReadonlySet<PermitRequest> | undefined,
   ): Milliseconds {
     let sum = 0;
     for (const { request: other } of this.#waitingRequests.values()) {
       const isAhead = other.permitId !== request.permitId &&
         other.priorityRank <= request.priorityRank &&
-        (equalAhead.has(other) || compareUrgency(other, request) !== 0);
+        (!equalAhead || equalAhead.has(other) ||
+          compareUrgency(other, request) !== 0);
       if (isAhead) sum += this.batch.estimatePrefillMs(other);
     }
     return sum;
--- a/src/core/admission/customer_turns.ts
+++ b/src/core/admission/customer_turns.ts
@@ -168,6 +168,7 @@
   #createWeights(
     now: Milliseconds,
   ): (state: CustomerState | undefined) => number {
+    if (this.#customers.size < 2) return () => 1;
     let sum = 0;
     let count = 0;
     for (const state of this.#customers.values()) {
@@ -241,10 +242,11 @@
       members.map((each) => each.request),
       now,
     );
+    const isShared = hasSeveralCustomers(members);
     const ordered = members.map((waiting, place) => ({
       waiting,
       startTag: startTags[place] ?? 0,
-      lateRank: isOnTime(waiting) ? 0 : 1,
+      lateRank: !isShared || isOnTime(waiting) ? 0 : 1,
     })).sort((a, b) => a.lateRank - b.lateRank || a.startTag - b.startTag);
     ordered.forEach((turn, place) => {
       result[indexes[place] ?? 0] = turn;
--- a/test/core/admission/customer_fairness_test.ts
+++ b/test/core/admission/customer_fairness_test.ts
@@ -10,7 +10,10 @@
   type PermitRequest,
 } from "../../../src/core/admission/admission_controller.ts";
 import { BatchCapacity } from "../../../src/core/admission/batch_capacity.ts";
-import { CustomerTurns } from "../../../src/core/admission/customer_turns.ts";
+import {
+  CustomerTurns,
+  rankByTurn,
+} from "../../../src/core/admission/customer_turns.ts";
 import { AdapterSlots } from "../../../src/core/placement/adapter_slots.ts";
 import {
   createPermitRequest,
@@ -379,6 +382,21 @@
   assert.ok(b > a && d > c);
 });
 
+test("requests of one customer in a class keep their order beside other classes", () => {
+  const turns = new CustomerTurns();
+  const ranked = [
+    { request: { ...TOKENS, customer: 1, latencyObjectiveMs: 900 }, id: "a0" },
+    { request: { ...TOKENS, customer: 2, latencyObjectiveMs: 500 }, id: "b0" },
+    { request: { ...TOKENS, customer: 1, latencyObjectiveMs: 900 }, id: "a1" },
+  ];
+  const late = new Set(["a0"]);
+  assert.equal(
+    rankByTurn(ranked, turns, ({ id }) => !late.has(id), 0)
+      .map(({ waiting }) => waiting.id),
+    ["a0", "b0", "a1"],
+  );
+});
+
 test("customers beyond the bound are forgotten, the longest idle first", () => {
   const turns = new CustomerTurns();
   for (let customer = 0; customer < 1_000; customer += 1) {
