--- a/fakes/fake_engine.ts
+++ b/fakes/fake_engine.ts
@@ -299,6 +299,11 @@
       cutAnswer(response, record);
       return;
     }
+    if (fault?.kind === "endlessEvents") {
+      await sendEndlessEvents(response, identity);
+      record.ended = "cancelled";
+      return;
+    }
     const log = isStream ? new StreamLog() : undefined;
     run.log = log;
     run.identity = identity;
@@ -363,3 +368,24 @@
     });
   }
 }
+
+/** Sends events until the connection is closed. */
+async function sendEndlessEvents(
+  response: Response,
+  { bodyModel }: AnswerIdentity,
+): Promise<void> {
+  const { socket } = response;
+  if (!socket) return;
+  const event = `data: ${JSON.stringify({ model: bodyModel })}\n\n`;
+  const chunk = `${event.length.toString(16)}\r\n${event}\r\n`;
+  const piece = chunk.repeat(Math.ceil(64 * 1024 / chunk.length));
+  const send = (): void => {
+    if (socket.destroyed) return;
+    if (socket.write(piece)) setImmediate(send);
+    else socket.once("drain", send);
+  };
+  await new Promise<void>((resolve) => {
+    socket.once("close", resolve);
+    send();
+  });
+}
--- a/fakes/run_fault.ts
+++ b/fakes/run_fault.ts
@@ -20,6 +20,8 @@
    * that is not streamed.
    */
   | { kind: "cutMidAnswer" }
+  /** Whole events, each in a chunk of its own, are sent until the close. */
+  | { kind: "endlessEvents" }
   /** The stream is ended without its end mark `[DONE]`. */
   | { kind: "omitEndMark" };
 
--- a/src/core/limits/turn_share.ts
+++ b/src/core/limits/turn_share.ts
@@ -54,6 +54,10 @@
     return Math.max(0, this.#limits.maxBytes - this.#bytes);
   }
 
+  get isUsedUp(): boolean {
+    return this.bytesLeft === 0 || this.#events >= this.#limits.maxEvents;
+  }
+
   /** Begins another turn. */
   clear(): void {
     this.#bytes = 0;
@@ -76,8 +80,8 @@
 
   /** Returns the size of the next piece; 0 if the turn's share is used up. */
   computePieceBytes(availableBytes: number): number {
+    if (this.isUsedUp) return 0;
     const events = this.#limits.maxEvents - this.#events;
-    if (events <= 0) return 0;
     const expectedBytes = this.#bytesPerEvent === undefined
       ? FIRST_PIECE_BYTES
       : Math.ceil(events * this.#bytesPerEvent);
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -119,6 +119,7 @@
       exchanges,
       maxAnswerBytes: settings.callers.maxAnswerBytes,
       memory,
+      turns: settings.turns,
     });
     this.#platform = new PlatformTask({
       settings,
--- a/src/daemon/paced_socket.ts
+++ b/src/daemon/paced_socket.ts
@@ -65,6 +65,15 @@
     else super._read(size);
   }
 
+  get #hasReader(): boolean {
+    return this.listenerCount("data") > 0 || this.listenerCount("readable") > 0;
+  }
+
+  /** Readers that call `read` themselves never let the stream flow. */
+  get #isPausedByReader(): boolean {
+    return this.isPaused() && this.listenerCount("readable") === 0;
+  }
+
   /** Passes on what the turn has room for; returns whether to read on. */
   #pushPieces(input: Buffer): boolean {
     let offset = 0;
@@ -83,11 +92,11 @@
       if (this.destroyed) return false;
       // The parser leaves with the end of its response: what follows belongs to
       // no request, and must not be read as the response to the next one.
-      if (offset < input.length && this.listenerCount("data") === 0) {
+      if (offset < input.length && !this.#hasReader) {
         this.destroy();
         return false;
       }
-      if (offset < input.length && (!canPush || this.isPaused())) {
+      if (offset < input.length && (!canPush || this.#isPausedByReader)) {
         // The reader asks for the rest.
         this.#keepInput(input.subarray(offset));
         return false;
--- a/src/daemon/stream_forwarder.ts
+++ b/src/daemon/stream_forwarder.ts
@@ -1,13 +1,16 @@
 /**
  * Forwards one streamed response as it arrives. Backpressure from a slow caller
- * pauses only its own upstream connection. When that connection is lost, the stream
+ * pauses only its own upstream connection, and so does a share of the event loop
+ * that is used up, until the next turn. When that connection is lost, the stream
  * is resumed on a new connection to the same run, after the last event received.
  */
 import type { Buffer } from "node:buffer";
 import type { Readable } from "node:stream";
 import type { MemoryBudget } from "../core/limits/memory_budget.ts";
+import { type TurnLimits, TurnShare } from "../core/limits/turn_share.ts";
 import type { ResponseHead, ResponseSink } from "./exchange.ts";
 import { SseInspector } from "./sse_inspector.ts";
+import { awaitTurnEnd } from "./unread_input.ts";
 
 /** How a streamed response ended. */
 export type StreamEnd =
@@ -22,6 +25,8 @@
   head: ResponseHead;
   /** Budget for an incomplete event. */
   memory: MemoryBudget;
+  /** Share of the stream in a turn of the event loop. */
+  turns: TurnLimits;
   /** Called with the length of each chunk that is forwarded. */
   onForward: (bytes: number) => void;
   /** Resumes the stream after the given number of events; returns undefined if that is not possible. */
@@ -34,10 +39,16 @@
 export class StreamForwarder {
   readonly #options: StreamForwarderOptions;
   readonly #inspector: SseInspector;
+  /**
+   * Cleared only when it is used up: to tell the turns of an ordinary stream
+   * apart would cost each of its events a callback.
+   */
+  readonly #share: TurnShare;
   #hasBegun = false;
 
   constructor(options: StreamForwarderOptions) {
     this.#options = options;
+    this.#share = new TurnShare(options.turns);
     this.#inspector = new SseInspector(options.memory);
   }
 
@@ -87,20 +98,35 @@
   #forwardChunk(body: Readable, chunk: Buffer): StreamEnd | undefined {
     const { sink, head, onForward } = this.#options;
     const events = this.#inspector.push(chunk);
-    if (events === undefined) return undefined;
-    if (!this.#hasBegun) {
-      const model = this.#inspector.model ?? "";
-      if (model !== head.servedModel) return { kind: "wrongModel", model };
-      this.#hasBegun = true;
-      sink.begin(head);
+    this.#share.recordEvent();
+    this.#share.recordPiece(chunk.length);
+    let canWrite = true;
+    if (events !== undefined) {
+      if (!this.#hasBegun) {
+        const model = this.#inspector.model ?? "";
+        if (model !== head.servedModel) return { kind: "wrongModel", model };
+        this.#hasBegun = true;
+        sink.begin(head);
+      }
+      onForward(events.length);
+      canWrite = sink.write(events);
     }
-    onForward(events.length);
-    if (sink.write(events)) return undefined;
+    if (canWrite && !this.#share.isUsedUp) return undefined;
     body.pause();
-    void sink.waitUntilDrained().then(() => body.resume());
+    void this.#resume(body, canWrite);
     return undefined;
   }
 
+  /** Reads on once the caller has read, and other connections had their turn. */
+  async #resume(body: Readable, canWrite: boolean): Promise<void> {
+    if (!canWrite) await this.#options.sink.waitUntilDrained();
+    if (this.#share.isUsedUp) {
+      await awaitTurnEnd();
+      this.#share.clear();
+    }
+    body.resume();
+  }
+
   #finish(): StreamEnd {
     const rest = this.#inspector.finish();
     if (rest && this.#hasBegun) this.#options.sink.write(rest);
--- a/src/daemon/upstream_task.ts
+++ b/src/daemon/upstream_task.ts
@@ -1,11 +1,12 @@
 /** The task that owns the connections to upstreams: dispatches attempts, sends orders and reads states. */
 import { performance } from "node:perf_hooks";
 import type { Readable } from "node:stream";
-import { Agent, buildConnector, type Dispatcher } from "undici";
+import { Agent, type buildConnector, type Dispatcher, errors } from "undici";
 import type { DispatchEffect, Effect } from "../core/effects.ts";
 import type { OrderResult } from "../core/events.ts";
 import { MAX_SMALL_CHUNKS } from "../core/execution/byte_accumulator.ts";
 import type { MemoryBudget } from "../core/limits/memory_budget.ts";
+import type { TurnLimits } from "../core/limits/turn_share.ts";
 import { BodyFraming } from "../core/execution/body_framing.ts";
 import { isSocketAddress } from "../core/socket_address.ts";
 import { type Milliseconds, PoolKind } from "../core/structures.ts";
@@ -27,6 +28,7 @@
 import type { Exchange, ExchangeRegistry } from "./exchange.ts";
 import type { Logger } from "./logger.ts";
 import { describeError, getErrorCode, isConnectError } from "./step_error.ts";
+import { openPacedSocket, type PacedSocketOptions } from "./paced_socket.ts";
 import { StreamForwarder } from "./stream_forwarder.ts";
 import { awaitTurnEnd } from "./unread_input.ts";
 import {
@@ -38,19 +40,58 @@
 import { resumeStream } from "./upstream_resumption.ts";
 
 const CONNECT_TIMEOUT_MS = 1_000;
+const DEFAULT_HTTP_PORT = 80;
+/** Time between the system's probes of a silent connection, as undici sets it. */
+const KEEP_ALIVE_MS = 60_000;
+/**
+ * What is parsed ahead of a reader that pauses. Each chunk of a byte takes over
+ * a hundred bytes of memory then; what is not parsed yet takes no more than its
+ * size.
+ */
+const READ_AHEAD_BYTES = 4 * 1024;
 /** Timers may fire early by up to this much. */
 const TIMER_TOLERANCE_MS = 1;
 
-const connectToUpstream = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
-
 /**
- * Connects, and hands the connection out a turn later: the caller of the request
- * that it is for may have left meanwhile.
+ * Returns a connector as undici's own, whose connections get a bounded share of
+ * each turn of the event loop. It hands a connection out a turn after it was
+ * established: the caller of the request that it is for may have left meanwhile.
  */
-const connectDeferred: buildConnector.connector = (options, callback) =>
-  connectToUpstream(options, (...result) => {
-    setImmediate(() => callback(...result));
-  });
+function createConnector(
+  pacing: PacedSocketOptions,
+): buildConnector.connector {
+  return ({ hostname, port }, callback) => {
+    const socket = openPacedSocket(pacing, {
+      host: hostname,
+      port: Number(port || DEFAULT_HTTP_PORT),
+    });
+    socket.setKeepAlive(true, KEEP_ALIVE_MS);
+    socket.setNoDelay(true);
+    const timer = setTimeout(
+      () =>
+        socket.destroy(
+          new errors.ConnectTimeoutError(
+            `expected a connection within ${CONNECT_TIMEOUT_MS} ms`,
+          ),
+        ),
+      CONNECT_TIMEOUT_MS,
+    );
+    let hasFailed = false;
+    const handleError = (error: Error): void => {
+      clearTimeout(timer);
+      hasFailed = true;
+      setImmediate(() => callback(error, null));
+    };
+    socket.once("error", handleError);
+    socket.once("connect", () => {
+      clearTimeout(timer);
+      setImmediate(() => {
+        socket.off("error", handleError);
+        if (!hasFailed) callback(null, socket);
+      });
+    });
+  };
+}
 
 export interface UpstreamTaskOptions {
   bus: Bus;
@@ -59,6 +100,8 @@
   maxAnswerBytes: number;
   /** Budget for responses while they are read. */
   memory: MemoryBudget;
+  /** Share of each stream in a turn of the event loop. */
+  turns: TurnLimits;
 }
 
 interface RunningAttempt {
@@ -72,18 +115,9 @@
 
 export class UpstreamTask {
   readonly #options: UpstreamTaskOptions;
-  readonly #agent = new Agent({
-    connect: connectDeferred,
-    headersTimeout: 0,
-    bodyTimeout: 0,
-  });
+  readonly #agent: Agent;
   /** Opens a connection for each request, which carries no earlier answers. */
-  readonly #singleUseAgent = new Agent({
-    connect: connectDeferred,
-    headersTimeout: 0,
-    bodyTimeout: 0,
-    pipelining: 0,
-  });
+  readonly #singleUseAgent: Agent;
   readonly #client: ControlClient;
   readonly #sockets = new AttemptSockets();
   readonly #attempts = new Map<string, RunningAttempt>();
@@ -91,6 +125,17 @@
 
   constructor(options: UpstreamTaskOptions) {
     this.#options = options;
+    const agentOptions = {
+      connect: createConnector({
+        limits: options.turns,
+        memory: options.memory,
+        onThrottle: () => {},
+      }),
+      headersTimeout: 0,
+      bodyTimeout: 0,
+    };
+    this.#agent = new Agent(agentOptions);
+    this.#singleUseAgent = new Agent({ ...agentOptions, pipelining: 0 });
     this.#client = { agent: this.#agent, memory: options.memory };
     options.bus.on("dispatch", (data) => this.#run(data));
     options.bus.on("cancelAttempt", (data) => this.#cancel(data.attemptId));
@@ -182,6 +227,7 @@
       },
       body,
       signal: attempt.abortController.signal,
+      highWaterMark: READ_AHEAD_BYTES,
     });
   }
 
@@ -228,6 +274,7 @@
       sink: exchange.sink,
       head,
       memory: this.#options.memory,
+      turns: this.#options.turns,
       onForward: (bytes) => {
         attempt.bytesForwarded += bytes;
       },
--- a/test/daemon/upstream_task_fixture.ts
+++ b/test/daemon/upstream_task_fixture.ts
@@ -10,6 +10,7 @@
 } from "../../src/daemon/exchange.ts";
 import { createLogger } from "../../src/daemon/logger.ts";
 import { UpstreamTask } from "../../src/daemon/upstream_task.ts";
+import { DEFAULT_TURN_LIMITS } from "../../src/core/limits/turn_share.ts";
 import { UNLIMITED_MEMORY } from "../unlimited_memory.ts";
 
 const REQUEST_ID = "request-1";
@@ -48,6 +49,7 @@
     exchanges,
     maxAnswerBytes: 1_000,
     memory: UNLIMITED_MEMORY,
+    turns: DEFAULT_TURN_LIMITS,
   });
   return { bus, task, addExchange };
 }
