A Retry-After of a quota allows for rises and decays of the others' rates

Cause: in the first moments of a sudden load a host knows no rise of the others, and takes the whole limit for its part when it computes the time; the part is half or less once the rates are exchanged. While requests stay away, its own rate decays before what it knows of the others, which lowers the part again.

Change: the time is computed as if the others' rates had risen like the host's own since they were last asked, times 1.5. Admission is as before.

--- a/src/core/limits/customer_allotments.ts
+++ b/src/core/limits/customer_allotments.ts
@@ -136,6 +136,11 @@
  * and their parts would be unused.
  */
 const HEARD_FACTOR = 1.1;
+/**
+ * Factor on the time until a bucket is filled again: while requests stay away,
+ * this host's rate decays before what it knows of the others does.
+ */
+const RETRY_FACTOR = 1.5;
 const MIN_RETRY_AFTER_MS = 250;
 const MAX_RETRY_AFTER_MS = 60_000;
 /** Time after which an idle customer's state is dropped. */
@@ -168,6 +173,10 @@
   isFleetHeard: boolean;
   /** Rate offered to all other hosts. */
   othersPerS: number;
+  /** Rate offered to this host when the others offered theirs. */
+  ownPerS: number;
+  /** Hosts to which requests are offered, this one included. */
+  hosts: number;
   /** Fraction of the limits that the known hosts may spend. */
   fraction: number;
 }
@@ -178,6 +187,8 @@
   hosts: number;
   /** Rates offered to all other hosts. */
   others: Map<string, number>;
+  /** Rates offered to this host at that time. */
+  own: Map<string, number>;
 }
 
 export class CustomerAllotments {
@@ -260,14 +271,25 @@
       state.level = undefined;
       return { kind: "admitted" };
     }
-    const partPerS = (reserve > 0 ? PART_FACTOR : EMPTY_PART_FACTOR) *
-      limitPerS * ownPerS /
+    const partedPerS = limitPerS *
+      (reserve > 0 ? PART_FACTOR : EMPTY_PART_FACTOR);
+    const partPerS = partedPerS * ownPerS /
       (ownPerS + known.othersPerS || 1);
+    // A rise that the others have not been asked about concerns them as well.
+    const expectedOthersPerS = known.othersPerS +
+      Math.max(0, ownPerS - known.ownPerS) * (known.hosts - 1);
+    const expectedPartPerS = partedPerS * ownPerS /
+      (ownPerS + expectedOthersPerS || 1);
     const bucketS = Math.min(
       MAX_BUCKET_S,
       Math.max(MIN_BUCKET_S, allotment.burst / allotment.ratePerS),
     );
-    return takeFromBucket(state, { partPerS, bucketS }, { cost, draw }, now);
+    return takeFromBucket(
+      state,
+      { partPerS, expectedPartPerS, bucketS },
+      { cost, draw },
+      now,
+    );
   }
 
   /** Returns whether a report is to be sent now. */
@@ -324,7 +346,7 @@
         Math.max(0, ratePerS - (own.get(customer) ?? 0)),
       ]),
     );
-    this.#totals = { at: totals.reportedAt, hosts: totals.hosts, others };
+    this.#totals = { at: totals.reportedAt, hosts: totals.hosts, others, own };
   }
 
   #getState(customer: string, cost: number, now: Milliseconds): CustomerState {
@@ -388,13 +410,18 @@
     now: Milliseconds,
   ): KnownFleet {
     const { members, isSolitary } = this.#fleet;
-    if (isSolitary) return { isFleetHeard: true, othersPerS: 0, fraction: 1 };
+    if (isSolitary) {
+      const alone = { othersPerS: 0, ownPerS: 0, hosts: 1 };
+      return { isFleetHeard: true, ...alone, fraction: 1 };
+    }
     const totals = this.#totals;
     if (totals && now - totals.at < TOTALS_LIFETIME_MS) {
       const heard = HEARD_FACTOR * totals.hosts / Math.max(1, members);
       return {
         isFleetHeard: true,
         othersPerS: totals.others.get(customer) ?? 0,
+        ownPerS: totals.own.get(customer) ?? 0,
+        hosts: totals.hosts,
         fraction: Math.min(1, heard),
       };
     }
@@ -402,6 +429,8 @@
     return {
       isFleetHeard: false,
       othersPerS: 0,
+      ownPerS: 0,
+      hosts: members,
       fraction: isStarting ? 1 : 1 / Math.max(2, members),
     };
   }
@@ -426,7 +455,12 @@
 /** Spends the cost from the customer's bucket on this host, if it is not empty. */
 function takeFromBucket(
   state: CustomerState,
-  { partPerS, bucketS }: { partPerS: number; bucketS: number },
+  { partPerS, expectedPartPerS, bucketS }: {
+    partPerS: number;
+    /** The part once the others' rates are known; for the time to come back. */
+    expectedPartPerS: number;
+    bucketS: number;
+  },
   { cost, draw }: { cost: number; draw: number },
   now: Milliseconds,
 ): AllotmentDecision {
@@ -445,8 +479,8 @@
     return { kind: "admitted" };
   }
   // The caller may come back to another host, whose bucket differs by a request.
-  const waitMs = partPerS > 0
-    ? (cost - state.level) / partPerS * 1_000
+  const waitMs = expectedPartPerS > 0
+    ? RETRY_FACTOR * (cost - state.level) / expectedPartPerS * 1_000
     : MAX_RETRY_AFTER_MS;
   return {
     kind: "rejected",
