--- a/test/core/limits/customer_allotments_test.ts
+++ b/test/core/limits/customer_allotments_test.ts
@@ -314,6 +314,46 @@
   }
 });
 
+test("a Retry-After that is named before the others' rise is known holds afterwards", () => {
+  for (const draw of [0, 0.5, 1]) {
+    const hosts = [new CustomerAllotments(-10_000), new CustomerAllotments(0)];
+    const coordinator = new AllotmentCoordinator();
+    const exchange = (now: number) => {
+      for (let round = 0; round < 2; round += 1) {
+        hosts.forEach((host, index) => {
+          const report = host.takeReport(now + round);
+          host.recordTotals(
+            coordinator.handleReport(`h${index}`, report, now + round),
+            now + round,
+          );
+        });
+      }
+    };
+    for (const host of hosts) {
+      host.setCustomers([createCustomer(5_000)]);
+      host.setFleet({ members: 2, isSolitary: false });
+    }
+    exchange(10_000);
+    let soonestMs = Infinity;
+    for (let call = 0; call < 40; call += 1) {
+      const decision = hosts[call % 2]?.decideAdmission(
+        "c",
+        10_000,
+        draw,
+        10_010,
+      );
+      if (decision?.kind === "rejected") {
+        soonestMs = Math.min(soonestMs, decision.retryAfterMs ?? Infinity);
+      }
+    }
+    for (let now = 10_100; now < 10_010 + soonestMs; now += 500) exchange(now);
+    for (const host of hosts) {
+      const again = host.decideAdmission("c", 10_000, draw, 10_010 + soonestMs);
+      assert.is(again.kind, "admitted", `after ${soonestMs} ms, draw ${draw}`);
+    }
+  }
+});
+
 test("bad costs are rejected and change no share", () => {
   const host = new CustomerAllotments(0);
   host.setCustomers([createCustomer(1_000)]);
