--- a/src/core/limits/customer_allotments.ts
+++ b/src/core/limits/customer_allotments.ts
@@ -173,9 +173,9 @@
   isFleetHeard: boolean;
   /** Rate offered to all other hosts. */
   othersPerS: number;
-  /** Rate offered to this host when the others offered theirs. */
+  /** Rate offered to this host at the time of `othersPerS`. */
   ownPerS: number;
-  /** Hosts to which requests are offered, this one included. */
+  /** Number of hosts that offer these rates, this one included. */
   hosts: number;
   /** Fraction of the limits that the known hosts may spend. */
   fraction: number;
@@ -260,25 +260,27 @@
     const known = this.#getKnownFleet(customer, now);
     const limitPerS = allotment.ratePerS * known.fraction;
     const offeredPerS = state.ratePerS + known.othersPerS;
-    const freePerS = FREE_FRACTION * limitPerS +
-      FREE_REQUESTS * state.meanCost * 1_000 / RATE_PERIOD_MS * known.fraction;
+    // What one request of average cost adds to a moving average.
+    const requestPerS = known.fraction * state.meanCost * 1_000 /
+      RATE_PERIOD_MS;
+    const freePerS = FREE_FRACTION * limitPerS + FREE_REQUESTS * requestPerS;
     const reservePerS = MAX_RESERVE_RATE * limitPerS +
-      RESERVE_REQUESTS * state.meanCost * 1_000 / RATE_PERIOD_MS *
-        known.fraction;
+      RESERVE_REQUESTS * requestPerS;
     if (
       offeredPerS <= freePerS || (reserve > 0 && offeredPerS <= reservePerS)
     ) {
       state.level = undefined;
       return { kind: "admitted" };
     }
-    const partedPerS = limitPerS *
+    const dividedPerS = limitPerS *
       (reserve > 0 ? PART_FACTOR : EMPTY_PART_FACTOR);
-    const partPerS = partedPerS * ownPerS /
+    const partPerS = dividedPerS * ownPerS /
       (ownPerS + known.othersPerS || 1);
-    // A rise that the others have not been asked about concerns them as well.
+    // The others' rates are of an earlier time: a rise here since then is
+    // expected at each of them as well.
     const expectedOthersPerS = known.othersPerS +
       Math.max(0, ownPerS - known.ownPerS) * (known.hosts - 1);
-    const expectedPartPerS = partedPerS * ownPerS /
+    const expectedPartPerS = dividedPerS * ownPerS /
       (ownPerS + expectedOthersPerS || 1);
     const bucketS = Math.min(
       MAX_BUCKET_S,
