Both daemon tests with measured processes start them alike

Cause: endless_events_test repeated the fifteen lines of settings with which client_limits_test starts its daemon.

Change: startMeasuredDaemon holds them. Crowds, bounds and assertions are the same; no product code is touched.

--- a/test/daemon/client_limits_test.ts
+++ b/test/daemon/client_limits_test.ts
@@ -6,7 +6,7 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { waitUntil } from "../../scripts/fleet.ts";
-import { SHORT_CORE_SETTINGS, Site } from "../../scripts/site.ts";
+import { Site } from "../../scripts/site.ts";
 import { parseSocketAddress } from "../../src/core/socket_address.ts";
 import {
   ClientCrowd,
@@ -14,7 +14,8 @@
   HoldingKind,
   readStatus,
 } from "../client_crowd.ts";
-import { MeasuredProcess } from "../measured_process.ts";
+import type { MeasuredProcess } from "../measured_process.ts";
+import { startMeasuredDaemon } from "./measured_daemon.ts";
 
 const DOMAIN = "hobart-a";
 const DAEMON = `entry-${DOMAIN}-1`;
@@ -32,21 +33,7 @@
 test.after(() => site.stop());
 test.before.each(async () => {
   crowd = new ClientCrowd();
-  const { callers, peers, operators } = site.fleet.getDaemon(DAEMON);
-  daemon = MeasuredProcess.start("src/daemon/main.ts", {
-    id: DAEMON,
-    failureDomain: DOMAIN,
-    callers: { listen: callers },
-    peers: { listen: peers },
-    operators: { listen: operators },
-    platform: {
-      configuration: site.configuration.address,
-      hostList: site.hostList.address,
-      pollIntervalMs: 300,
-    },
-    core: SHORT_CORE_SETTINGS,
-    logLevel: "silent",
-  }, ["-s"]);
+  daemon = startMeasuredDaemon(site, { id: DAEMON, failureDomain: DOMAIN });
   await waitUntil("the daemon serves", isReady);
   await site.waitUntilOwned([DAEMON]);
 });
--- a/test/daemon/endless_events_test.ts
+++ b/test/daemon/endless_events_test.ts
@@ -6,10 +6,11 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { waitUntil } from "../../scripts/fleet.ts";
-import { SHORT_CORE_SETTINGS, Site } from "../../scripts/site.ts";
+import { Site } from "../../scripts/site.ts";
 import { parseSocketAddress } from "../../src/core/socket_address.ts";
 import { waitMs } from "../../src/gateway/wait.ts";
-import { MeasuredProcess } from "../measured_process.ts";
+import type { MeasuredProcess } from "../measured_process.ts";
+import { startMeasuredDaemon } from "./measured_daemon.ts";
 
 const DOMAIN = "hobart-a";
 const DAEMON = `entry-${DOMAIN}-1`;
@@ -33,21 +34,8 @@
     maxRunMs: 60_000,
   });
   await site.startFakes();
-  const { callers, peers, operators } = site.fleet.getDaemon(DAEMON);
-  daemon = MeasuredProcess.start("src/daemon/main.ts", {
-    id: DAEMON,
-    failureDomain: DOMAIN,
-    callers: { listen: callers },
-    peers: { listen: peers },
-    operators: { listen: operators },
-    platform: {
-      configuration: site.configuration.address,
-      hostList: site.hostList.address,
-      pollIntervalMs: 300,
-    },
-    core: SHORT_CORE_SETTINGS,
-    logLevel: "silent",
-  }, ["-s"]);
+  const { operators } = site.fleet.getDaemon(DAEMON);
+  daemon = startMeasuredDaemon(site, { id: DAEMON, failureDomain: DOMAIN });
   await waitUntil("the daemon serves", async () => {
     try {
       return (await fetch(`http://${operators}/readyz`)).status === 200;
