--- a/review/standins-2/cast.mjs
+++ b/review/standins-2/cast.mjs
@@ -23,6 +23,10 @@
   };
 }
 
+export function createConfiguration(version, services, routes) {
+  return { version, limits: LIMITS, services, routes };
+}
+
 export class Record {
   #path;
   #startedAt = Date.now();
@@ -48,7 +52,7 @@
 
   async start({ services, routes, replicas }) {
     await this.store.start("127.0.0.1");
-    this.store.put("op/config", { version: 3, limits: LIMITS, services, routes });
+    this.store.put("op/config", createConfiguration(3, services, routes));
     for (const options of replicas) {
       const replica = new Replica({ ip: "127.0.0.1", zone: "zone-a", slots: 6, ...options });
       await replica.start();
--- a/review/standins-2/store.mjs
+++ b/review/standins-2/store.mjs
@@ -8,6 +8,8 @@
   #events = [];
   #revision = 100;
   #watches = new Set();
+  #era = 1;
+  #isDown = false;
   #server = createServer((request, response) => this.#handle(request, response));
 
   async start(ip) {
@@ -30,6 +32,26 @@
     this.#record({ key, rev: this.#revision, removed: true });
   }
 
+  /** Returns a copy from which the store can be restored. */
+  copy() {
+    return { items: new Map(this.#items), events: [...this.#events], revision: this.#revision };
+  }
+
+  /** Goes away: calls are reset, those that wait too. */
+  leave() {
+    this.#isDown = true;
+    this.#server.closeAllConnections();
+  }
+
+  /** Comes back from a copy. */
+  restore({ items, events, revision }) {
+    this.#items = new Map(items);
+    this.#events = [...events];
+    this.#revision = revision;
+    this.#era += 1;
+    this.#isDown = false;
+  }
+
   #record(event) {
     this.#events.push(event);
     if (this.#events.length > HISTORY) this.#events.shift();
@@ -37,11 +59,12 @@
   }
 
   #handle(request, response) {
+    if (this.#isDown) return request.socket.resetAndDestroy();
     const url = new URL(request.url, "http://store");
     const prefix = url.searchParams.get("prefix") ?? "";
     const answer = (status, body) => {
       if (response.writableEnded) return;
-      response.writeHead(status, { "Content-Type": "application/json" });
+      response.writeHead(status, { "Content-Type": "application/json", "Store-Era": String(this.#era) });
       response.end(JSON.stringify({ ...body, as_of: this.#revision }));
     };
     if (url.pathname === "/-/kv-range") {
@@ -54,6 +77,7 @@
     }
     if (url.pathname !== "/-/kv-watch") return answer(404, {});
     const since = Number(url.searchParams.get("after"));
+    if (since > this.#revision) return answer(410, {});
     const list = () =>
       this.#events.filter(({ key, rev }) => key.startsWith(prefix) && rev > since);
     const finish = () => {
