--- a/review/standins-2/cast.mjs
+++ b/review/standins-2/cast.mjs
@@ -1,7 +1,7 @@
 // What all scripts share: a small deployment's configuration, its store and replicas, callers, and the record.
 import { appendFileSync, writeFileSync } from "node:fs";
 import { request } from "node:http";
-import { join } from "node:path";
+import { fileURLToPath } from "node:url";
 import { Replica } from "./replica.mjs";
 import { Store } from "./store.mjs";
 import { waitMs } from "./gateway.mjs";
@@ -30,8 +30,9 @@
 export class Record {
   #path;
   #startedAt = Date.now();
-  constructor(folder) {
-    this.#path = join(folder, "record.txt");
+  /** scriptUrl: the script in whose folder the record is written. */
+  constructor(scriptUrl) {
+    this.#path = fileURLToPath(new URL("record.txt", scriptUrl));
     writeFileSync(this.#path, `TROUBLE=${HAS_TROUBLE ? 1 : 0}\n`);
   }
   add(text) {
--- a/review/standins-2/gateway.mjs
+++ b/review/standins-2/gateway.mjs
@@ -1,13 +1,21 @@
 // Starts gateways with the command of deploy/system.toml, each at a loopback address of its own.
 import { spawn } from "node:child_process";
 import { mkdtempSync, readFileSync, rmSync, writeFileSync, openSync, closeSync } from "node:fs";
-import { createServer, connect } from "node:net";
+import { createServer } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { get } from "node:http";
+import { fileURLToPath } from "node:url";
 import { renderSettings } from "./template.mjs";
 
-export const ROOT = new URL("../..", import.meta.url).pathname;
+export const ROOT = fileURLToPath(new URL("../..", import.meta.url));
+
+/** The gateways that have been started; none outlives the script. */
+const started = new Set();
+process.on("SIGTERM", () => process.exit(2));
+process.on("exit", () => {
+  for (const gateway of started) gateway.dispose();
+});
 
 /** Bounds of sites/feedline-tas.toml, from its sheet. */
 const BOUNDS = {
@@ -28,9 +36,10 @@
 
 /** The ports of all gateways of a case: the same at each address. */
 export async function choosePorts() {
-  const ports = {};
-  for (const name of ["front", "ready", "control", "peers"]) ports[name] = await findFreePort("127.0.0.1");
-  return ports;
+  const ports = new Set();
+  while (ports.size < 4) ports.add(await findFreePort("127.0.0.1"));
+  const [front, ready, control, peers] = ports;
+  return { front, ready, control, peers };
 }
 
 export class Gateway {
@@ -66,6 +75,7 @@
       },
     );
     closeSync(log);
+    started.add(this);
     this.exit = undefined;
     this.child.on("exit", (code, signal) => this.exit = { code, signal, at: Date.now() });
   }
