Stand-ins send heads in pieces, trailers, and answers before the upload is read

A gateway in a process of its own can be given options of Node.js, the configuration of the harness a maximum size of bodies. Two copies of the loop that runs some tasks at a time become one. No check changes.

--- a/fakes/fake_platform_replica.ts
+++ b/fakes/fake_platform_replica.ts
@@ -277,6 +277,10 @@
     if (this.serverLoad !== undefined) {
       response.setHeader("X-Server-Load", this.serverLoad);
     }
+    if (this.#getScripted(request)?.isEarly) {
+      this.#run(request, "", response);
+      return;
+    }
     const chunks: Buffer[] = [];
     request.on("data", (chunk: Buffer) => chunks.push(chunk));
     request.on("end", () => {
@@ -287,6 +291,11 @@
     });
   }
 
+  #getScripted({ headers }: IncomingMessage): ScriptedAnswer | undefined {
+    const id = String(headers[Header.RequestId] ?? "");
+    return this.scriptedAnswers.get(id)?.[0];
+  }
+
   #report(response: ServerResponse): void {
     this.reportReadCount += 1;
     const coming = [...this.adapters]
@@ -349,7 +358,8 @@
       response.writeHead(421).end();
       return;
     }
-    const scripted = this.scriptedAnswers.get(id)?.shift();
+    const scripted = this.#getScripted(request);
+    this.scriptedAnswers.get(id)?.shift();
     const behaviour = this.behaviours.shift() ?? "answer";
     if (behaviour === "shed") {
       this.refusalCount += 1;
--- a/fakes/platform_configuration.ts
+++ b/fakes/platform_configuration.ts
@@ -4,6 +4,8 @@
 
 /** Time that the engines' base model takes to load, in seconds. */
 const MODEL_LOAD_S = 0.05;
+/** Maximum size of a request's body. */
+const MAX_BODY_BYTES = 100_000;
 
 /**
  * Builds the configuration's value: the given routes, two services, and limits
@@ -12,8 +14,9 @@
 export function buildPlatformConfiguration(
   version: number,
   routes: object[],
-  { modelLoadS = MODEL_LOAD_S, tenants }: {
+  { modelLoadS = MODEL_LOAD_S, maxBodyBytes = MAX_BODY_BYTES, tenants }: {
     modelLoadS?: number | undefined;
+    maxBodyBytes?: number | undefined;
     /** Customers; requests need no key without any. */
     tenants?: object[] | undefined;
   } = {},
@@ -43,7 +46,7 @@
       },
     ],
     limits: {
-      max_body_bytes: 100_000,
+      max_body_bytes: maxBodyBytes,
       header_timeout_ms: 3_000,
       idle_timeout_ms: 15_000,
     },
--- a/fakes/scripted_answer.ts
+++ b/fakes/scripted_answer.ts
@@ -17,13 +17,19 @@
   framing: "length" | "chunked" | "close";
   /** Time before the first byte; 0 by default. */
   delayMs?: number | undefined;
+  /** Whether it is sent as soon as the head of the request has arrived. */
+  isEarly?: boolean;
   /** Bytes of the head that are sent, and no body; the whole answer by default. */
   sentHeadBytes?: number;
+  /** Size of the pieces in which the head is sent; one piece by default. */
+  headPieceBytes?: number;
   body: string;
   /** Bytes of the body that are sent; all of them by default. */
   sentBytes?: number;
   /** Size of the pieces in which they are sent; one piece by default. */
   pieceBytes?: number;
+  /** Field lines after the last chunk, each with its line end; none by default. */
+  trailers?: string;
   /**
    * Whether the replica first writes the previous answer of this connection once
    * more, if there was one.
@@ -68,13 +74,16 @@
   const previous = answer.repeatsPrevious ? previousAnswers.get(socket) : "";
   const head = formatHead(answer, identity);
   previousAnswers.set(socket, `${head}${answer.body}`);
-  const pieces: Buffer[] = [Buffer.from(`${previous ?? ""}${head}`)];
+  const pieces = dividePieces(
+    Buffer.from(`${previous ?? ""}${head}`),
+    answer.headPieceBytes,
+  );
   for (let start = 0; start < sentBytes; start += pieceBytes) {
     const end = Math.min(sentBytes, start + pieceBytes);
     pieces.push(encodePiece(answer, body.subarray(start, end)));
   }
   if (answer.framing === "chunked" && sentBytes === body.length) {
-    pieces.push(Buffer.from("0\r\n\r\n"));
+    pieces.push(Buffer.from(`0\r\n${answer.trailers ?? ""}\r\n`));
   }
   const finish = (): void => {
     switch (answer.end) {
@@ -99,7 +108,7 @@
     socket.write(head.slice(0, answer.sentHeadBytes), finish);
     return;
   }
-  if (answer.pieceBytes === undefined) {
+  if (answer.pieceBytes === undefined && answer.headPieceBytes === undefined) {
     socket.write(Buffer.concat(pieces), finish);
     return;
   }
@@ -115,6 +124,14 @@
   socket.once("close", () => clearInterval(timer));
 }
 
+function dividePieces(bytes: Buffer, pieceBytes = bytes.length): Buffer[] {
+  const pieces: Buffer[] = [];
+  for (let start = 0; start < bytes.length; start += pieceBytes) {
+    pieces.push(bytes.subarray(start, start + pieceBytes));
+  }
+  return pieces;
+}
+
 /** Returns the head of the answer, with the empty line that ends it. */
 export function formatHead(
   answer: ScriptedAnswer,
--- a/test/gateway/answer_end_matrix_test.ts
+++ b/test/gateway/answer_end_matrix_test.ts
@@ -7,6 +7,7 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import type { ScriptedAnswer } from "../../fakes/scripted_answer.ts";
+import { runTasks } from "../concurrent_tasks.ts";
 import { GatewayHarness } from "./gateway_harness.ts";
 
 const harness = new GatewayHarness();
@@ -24,15 +25,6 @@
   );
 }
 
-/** Runs the tasks, some at a time. */
-async function runAll(tasks: (() => Promise<void>)[]): Promise<void> {
-  const waiting = [...tasks];
-  const worker = async (): Promise<void> => {
-    for (let task = waiting.pop(); task; task = waiting.pop()) await task();
-  };
-  await Promise.all(Array.from({ length: CONCURRENCY }, worker));
-}
-
 for (const framing of ["length", "chunked", "close"] as const) {
   for (const end of ["close", "reset"] as const) {
     for (const httpVersion of ["1.1", "1.0"] as const) {
@@ -74,7 +66,7 @@
             };
           });
         });
-        await runAll(tasks);
+        await runTasks(tasks, CONCURRENCY);
       });
     }
   }
@@ -107,7 +99,7 @@
           assert.not.ok(isComplete, id);
         };
       });
-      await runAll(tasks);
+      await runTasks(tasks, CONCURRENCY);
     });
   }
 }
@@ -121,18 +113,26 @@
     test(`a stream that ends while its caller reads nothing is complete only if it is whole: framing ${framing}, HTTP/${httpVersion} caller`, async () => {
       const body = LONG_EVENT.repeat(BACKLOG_EVENTS);
       const cuts = [body.length, body.length - 1, LONG_EVENT.length * 30 + 9];
-      await runAll(cuts.map((sentBytes) => async () => {
-        const id = `slow-${framing}-${httpVersion}-${sentBytes}`;
-        harness.scriptAnswers(id, [{ framing, body, sentBytes, end: "close" }]);
-        const answer = await harness.callRaw("/brief/1", {
-          httpVersion,
-          id,
-          pauseMs: 500,
-        });
-        assert.is(answer.status, 200);
-        assert.is(answer.isComplete, sentBytes === body.length, id);
-        assert.ok(body.startsWith(answer.body), id);
-      }));
+      await runTasks(
+        cuts.map((sentBytes) => async () => {
+          const id = `slow-${framing}-${httpVersion}-${sentBytes}`;
+          harness.scriptAnswers(id, [{
+            framing,
+            body,
+            sentBytes,
+            end: "close",
+          }]);
+          const answer = await harness.callRaw("/brief/1", {
+            httpVersion,
+            id,
+            pauseMs: 500,
+          });
+          assert.is(answer.status, 200);
+          assert.is(answer.isComplete, sentBytes === body.length, id);
+          assert.ok(body.startsWith(answer.body), id);
+        }),
+        CONCURRENCY,
+      );
     });
   }
 }
--- a/test/gateway/cut_head_test.ts
+++ b/test/gateway/cut_head_test.ts
@@ -11,6 +11,7 @@
   type ScriptedAnswer,
 } from "../../fakes/scripted_answer.ts";
 import type { RawAnswer } from "../raw_caller.ts";
+import { runTasks } from "../concurrent_tasks.ts";
 import { GatewayHarness } from "./gateway_harness.ts";
 
 const harness = new GatewayHarness();
@@ -60,15 +61,6 @@
   );
 }
 
-/** Runs the tasks, some at a time. */
-async function runAll(tasks: (() => Promise<void>)[]): Promise<void> {
-  const waiting = [...tasks];
-  const worker = async (): Promise<void> => {
-    for (let task = waiting.pop(); task; task = waiting.pop()) await task();
-  };
-  await Promise.all(Array.from({ length: CONCURRENCY }, worker));
-}
-
 interface CutRow {
   path: string;
   /** Attempts before the one whose head is cut. */
@@ -127,7 +119,7 @@
             });
           })
         );
-      await runAll(tasks);
+      await runTasks(tasks, CONCURRENCY);
     });
   }
 }
--- a/test/gateway/gateway_harness.ts
+++ b/test/gateway/gateway_harness.ts
@@ -83,6 +83,8 @@
   retrySlack = 58;
   /** Time that the engines' base model takes to load; the default if undefined. */
   modelLoadS: number | undefined;
+  /** Maximum size of a request's body; the default if undefined. */
+  maxBodyBytes: number | undefined;
   /** Returns what a gateway reads the store's entries with. */
   createDecoder: (gateway: number) => ChangeDecoder = () => new EntryDecoder();
   /** Called before the gateways start. */
@@ -202,7 +204,11 @@
         create("resume", "stream", "briefs"),
         ...this.extraRoutes,
         ...extraRoutes,
-      ], { modelLoadS: this.modelLoadS, tenants: this.tenants }),
+      ], {
+        modelLoadS: this.modelLoadS,
+        maxBodyBytes: this.maxBodyBytes,
+        tenants: this.tenants,
+      }),
     );
   }
 
--- a/test/gateway/gateway_process.ts
+++ b/test/gateway/gateway_process.ts
@@ -15,10 +15,14 @@
     this.#folder = folder;
   }
 
-  /** Starts one of the harness's gateways; resolves when it is ready. */
+  /**
+   * Starts one of the harness's gateways; resolves when it is ready.
+   * @param runtimeOptions options of Node.js.
+   */
   static async start(
     harness: GatewayHarness,
     index = 0,
+    runtimeOptions: readonly string[] = [],
   ): Promise<GatewayProcess> {
     const folder = mkdtempSync(join(tmpdir(), "gateway-process-"));
     const settingsPath = join(folder, "settings.yaml");
@@ -28,7 +32,7 @@
     );
     const child = spawn(
       process.execPath,
-      ["--import", "tsx", "platform/main.ts", settingsPath],
+      [...runtimeOptions, "--import", "tsx", "platform/main.ts", settingsPath],
       { stdio: "inherit" },
     );
     await harness.waitFor(() => harness.isReady(index));
