--- /dev/null
+++ b/src/core/execution/response_head_checker.ts
@@ -0,0 +1,98 @@
+/**
+ * Checks the bytes of a response's head, as RFC 9112 defines them, before they
+ * are parsed. What a parser accepts depends on the runtime's release and options:
+ * a lenient one joins a line that begins with a blank to the field before it, and
+ * takes a line with a bare line end for the end of the head. A field that is lost
+ * so can be the one that frames the body.
+ */
+import type { Buffer } from "node:buffer";
+
+const LINE_FEED = 0x0a;
+/** A version, three digits, and a reason phrase that no one reads. */
+const STATUS_LINE = /^HTTP\/\d\.\d (\d{3})(?: .*)?$/s;
+/** A token, a colon, and a value without control characters but the tab. */
+const FIELD_LINE = /^[!#$%&'*+\-.^_`|~0-9A-Za-z]+:[\t\x20-\x7e\x80-\xff]*$/;
+const STATUS_SWITCHING_PROTOCOLS = 101;
+
+/** What the next line of the head is. */
+const NextLine = { Status: "status", Field: "field" } as const;
+type NextLine = (typeof NextLine)[keyof typeof NextLine];
+
+export class ResponseHeadChecker {
+  #nextLine: NextLine = NextLine.Status;
+  #status = 0;
+  /** Beginning of a line whose end has not arrived. */
+  #partialLine = "";
+  #isDone = false;
+
+  /** Whether the head has ended: the bytes that follow it are not checked. */
+  get isDone(): boolean {
+    return this.#isDone;
+  }
+
+  /**
+   * Checks the bytes that follow those of the earlier calls.
+   * @returns the fault of the head; undefined if there is none so far.
+   */
+  check(input: Buffer): string | undefined {
+    let start = 0;
+    while (!this.#isDone && start < input.length) {
+      const end = input.indexOf(LINE_FEED, start);
+      if (end < 0) {
+        // The parser bounds the length of the head.
+        this.#partialLine += input.toString("latin1", start);
+        return undefined;
+      }
+      const line = this.#partialLine + input.toString("latin1", start, end);
+      this.#partialLine = "";
+      const fault = this.#checkLine(line);
+      if (fault !== undefined) return fault;
+      start = end + 1;
+    }
+    return undefined;
+  }
+
+  /** @param line without its line feed. */
+  #checkLine(line: string): string | undefined {
+    // Empty lines before a status line belong to no head.
+    const isSkipped = this.#nextLine === NextLine.Status &&
+      (line === "\r" || line === "");
+    if (isSkipped) return undefined;
+    if (!line.endsWith("\r")) return createFault("a line end of CR LF", line);
+    const content = line.slice(0, -1);
+    switch (this.#nextLine) {
+      case NextLine.Status:
+        return this.#checkStatusLine(content);
+      case NextLine.Field:
+        if (content === "") this.#endHead();
+        else if (!FIELD_LINE.test(content)) {
+          return createFault("a header field", content);
+        }
+        return undefined;
+    }
+  }
+
+  #checkStatusLine(content: string): string | undefined {
+    const status = STATUS_LINE.exec(content)?.[1];
+    if (status === undefined) return createFault("a status line", content);
+    this.#status = Number(status);
+    this.#nextLine = NextLine.Field;
+    return undefined;
+  }
+
+  /** Another head follows an interim one. */
+  #endHead(): void {
+    const isInterim = this.#status >= 100 && this.#status < 200 &&
+      this.#status !== STATUS_SWITCHING_PROTOCOLS;
+    if (isInterim) this.#nextLine = NextLine.Status;
+    else this.#isDone = true;
+  }
+}
+
+/** Maximum number of characters of a line in a fault. */
+const MAX_SHOWN_CHARACTERS = 60;
+
+function createFault(expected: string, actual: string): string {
+  const shown = JSON.stringify(actual.slice(0, MAX_SHOWN_CHARACTERS));
+  return `expected ${expected} in the head of the answer, actual ${shown}`;
+}
--- a/src/daemon/paced_socket.ts
+++ b/src/daemon/paced_socket.ts
@@ -5,12 +5,13 @@
  * and the connection is not read meanwhile, which throttles the upstream.
  */
 import { Buffer } from "node:buffer";
-import { Socket, type TcpNetConnectOpts } from "node:net";
+import type { TcpNetConnectOpts } from "node:net";
 import type {
   MemoryBudget,
   MemoryReservation,
 } from "../core/limits/memory_budget.ts";
 import { type TurnLimits, TurnShare } from "../core/limits/turn_share.ts";
+import { HeadCheckedSocket, openSocket } from "./head_checked_socket.ts";
 
 export interface PacedSocketOptions {
   limits: TurnLimits;
@@ -30,7 +31,7 @@
 /** A rest of less than this part of its buffer is copied. */
 const COPIED_SHARE = 4;
 
-export class PacedSocket extends Socket {
+export class PacedSocket extends HeadCheckedSocket {
   readonly #options: PacedSocketOptions;
   readonly #share: TurnShare;
   readonly #reservation: MemoryReservation;
@@ -148,7 +149,5 @@
   options: PacedSocketOptions,
   connection: TcpNetConnectOpts,
 ): PacedSocket {
-  const socket = new PacedSocket(options, connection);
-  if (connection.timeout) socket.setTimeout(connection.timeout);
-  return socket.connect(connection);
+  return openSocket(new PacedSocket(options, connection), connection);
 }
--- a/src/gateway/checked_agent.ts
+++ b/src/gateway/checked_agent.ts
@@ -4,14 +4,10 @@
  * caller of this module does not trust any more. The input of its connections
  * gets a bounded share of each turn of the event loop, as that of `PacedAgent`.
  */
-import {
-  Agent,
-  type AgentOptions,
-  type ClientRequest,
-  type ClientRequestArgs,
-} from "node:http";
+import type { AgentOptions, ClientRequest, ClientRequestArgs } from "node:http";
 import type { Socket, TcpNetConnectOpts } from "node:net";
 import type { Milliseconds } from "../core/structures.ts";
+import { HeadCheckedAgent } from "../daemon/head_checked_socket.ts";
 import {
   openPacedSocket,
   type PacedSocketOptions,
@@ -28,7 +24,7 @@
 }
 
 /** Agent whose connections get a bounded share of each turn of the event loop. */
-export class PacedAgent extends Agent {
+export class PacedAgent extends HeadCheckedAgent {
   readonly #pacing: PacedSocketOptions;
 
   constructor(options: AgentOptions, pacing: PacedSocketOptions) {
--- a/src/gateway/http_client.ts
+++ b/src/gateway/http_client.ts
@@ -2,7 +2,7 @@
  * HTTP client for short calls to the store, to engines (orders and reports) and
  * to peers, with a time limit for the whole call.
  */
-import { Agent, type IncomingHttpHeaders, request } from "node:http";
+import { type IncomingHttpHeaders, request } from "node:http";
 import type { Buffer } from "node:buffer";
 import {
   ByteAccumulator,
@@ -10,6 +10,10 @@
 } from "../core/execution/byte_accumulator.ts";
 import type { MemoryBudget } from "../core/limits/memory_budget.ts";
 import { parseSocketAddress } from "../core/socket_address.ts";
+import {
+  checkNextHead,
+  type HeadCheckedAgent,
+} from "../daemon/head_checked_socket.ts";
 import { StepError } from "../daemon/step_error.ts";
 import type { Milliseconds } from "../core/structures.ts";
 
@@ -34,7 +38,7 @@
   maxAnswerBytes?: number;
   /** Budget for the response body while it is read. */
   memory: MemoryBudget;
-  agent: Agent;
+  agent: HeadCheckedAgent;
   /** Ends the call, which fails then. */
   signal?: AbortSignal | undefined;
 }
@@ -108,6 +112,7 @@
       timeoutMs,
     );
     call.on("socket", (socket) => {
+      checkNextHead(socket);
       if (!socket.connecting) hasConnected = true;
       else socket.once("connect", () => hasConnected = true);
     });
--- a/src/gateway/upstream_client.ts
+++ b/src/gateway/upstream_client.ts
@@ -20,6 +20,7 @@
 import type { MemoryBudget } from "../core/limits/memory_budget.ts";
 import type { TurnLimits } from "../core/limits/turn_share.ts";
 import { parseSocketAddress } from "../core/socket_address.ts";
+import { checkNextHead } from "../daemon/head_checked_socket.ts";
 import { PacedSocket } from "../daemon/paced_socket.ts";
 import { describeError } from "../daemon/step_error.ts";
 import { CheckedAgent, excludeFromReuse, PacedAgent } from "./checked_agent.ts";
@@ -321,6 +322,7 @@
   };
   call.on("socket", (socket: Socket) => {
     watchForReset(socket);
+    checkNextHead(socket);
     if (!socket.connecting) {
       send();
       return;
--- a/src/gateway/view_synchronizer.ts
+++ b/src/gateway/view_synchronizer.ts
@@ -4,7 +4,7 @@
  * changes from a peer. Changes of an earlier position are ignored. A store that
  * was restored from an older copy names a new era and is read again whole.
  */
-import { Agent, createServer, type Server } from "node:http";
+import { createServer, type Server } from "node:http";
 import type { FleetView } from "../core/fleet/fleet_view.ts";
 import type { MemoryBudget } from "../core/limits/memory_budget.ts";
 import type { Milliseconds } from "../core/structures.ts";
@@ -27,6 +27,7 @@
   describeStep,
   StepError,
 } from "../daemon/step_error.ts";
+import { HeadCheckedAgent } from "../daemon/head_checked_socket.ts";
 import { listen } from "../daemon/http_server.ts";
 import type { DecisionLog } from "./decision_log.ts";
 import type { GatewayMetrics } from "./gateway_metrics.ts";
@@ -132,7 +133,7 @@
 export class ViewSynchronizer {
   readonly #options: ViewSynchronizerOptions;
   readonly #sets = new Map<PublishedSet, SetState>();
-  readonly #agent = new Agent({ keepAlive: false });
+  readonly #agent = new HeadCheckedAgent({ keepAlive: false });
   #server: Server | undefined;
   #isStopped = false;
   #timer: ReturnType<typeof setInterval> | undefined;
--- /dev/null
+++ b/test/gateway/broken_name_test.ts
@@ -0,0 +1,197 @@
+/**
+ * An upstream sent a head in which the name of a field held a blank or a control
+ * character. Its caller got the answer, with that line joined to the one before
+ * it, or with a body that was framed in another way than the upstream meant. The
+ * gateway rejects such a head whatever its runtime's parser accepts.
+ */
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import type { ScriptedAnswer } from "../../fakes/scripted_answer.ts";
+import { runTasks } from "../concurrent_tasks.ts";
+import { GatewayHarness } from "./gateway_harness.ts";
+import { GatewayProcess } from "./gateway_process.ts";
+
+const harness = new GatewayHarness();
+let lenientGateway: GatewayProcess;
+/** Requests that run at the same time: fewer than the replicas' slots. */
+const CONCURRENCY = 6;
+const EVENTS = ["id: 1\ndata: piece 1\n\n", "id: 2\ndata: piece 2\n\n"];
+const EVENT_STREAM = { "Content-Type": "text/event-stream" };
+const FRAMINGS = ["length", "chunked", "close"] as const;
+
+/** How the gateways are started, by their index in the harness. */
+const RUNTIMES = [
+  "with the parser as the deploy file starts it",
+  "with a parser that accepts such names",
+];
+
+test.before(async () => {
+  harness.retrySlack = 1_000_000;
+  harness.routeOverrides = {
+    safe: { attempts: 1 },
+    resume: { resumable: true, attempts: 2 },
+  };
+  await harness.start({ gateways: 1, engines: 1, services: 1 });
+  lenientGateway = await GatewayProcess.start(harness, 1, [
+    "--insecure-http-parser",
+  ]);
+  await harness.waitFor(async () =>
+    (await harness.call("/brief/1", { gateway: 1 })).status === 200
+  );
+});
+test.after(async () => {
+  lenientGateway.stop();
+  await harness.stop();
+});
+
+/** Lines that are no fields, without their line ends. */
+const LINES = [
+  "X Load: 1",
+  "X-Load : 1",
+  " X-Load: 1",
+  "\tX-Load: 1",
+  "  : 1",
+  "X\0Load: 1",
+  "X-Load\x01: 1",
+  "\x1bX-Load: 1",
+  "X\x7fLoad: 1",
+  "X\rLoad: 1",
+  "X\nLoad: 1",
+  "\rX-Load: 1",
+  "Content-Length : 9",
+  " Content-Length: 9",
+  "Transfer-Encoding : chunked",
+  "\tTransfer-Encoding: chunked",
+  "Connection\t: keep-alive",
+];
+
+/** Puts the line into an answer: at the head's begin or end, or elsewhere. */
+const PLACES: Record<
+  string,
+  (line: string, framing: ScriptedAnswer["framing"]) => Partial<ScriptedAnswer>
+> = {
+  "first in the head": (line) => ({
+    statusLine: `HTTP/1.1 200 OK\r\n${line}`,
+    headers: EVENT_STREAM,
+  }),
+  "last in the head": (line) => ({
+    headers: { ...EVENT_STREAM, ...parseLine(line) },
+  }),
+  "behind the framing": (line) => ({ headers: parseLine(line) }),
+  "in an interim head": (line) => ({
+    statusLine:
+      `HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n${line}\r\n\r\nHTTP/1.1 200 OK`,
+    headers: EVENT_STREAM,
+  }),
+  "first in an interim head": (line) => ({
+    statusLine: `HTTP/1.1 103 Early Hints\r\n${line}\r\n\r\nHTTP/1.1 200 OK`,
+    headers: EVENT_STREAM,
+  }),
+};
+
+function parseLine(line: string): Record<string, string> {
+  const colon = line.indexOf(":");
+  return { [line.slice(0, colon)]: line.slice(colon + 1).trim() };
+}
+
+interface Call {
+  path: string;
+  method: "GET" | "POST";
+  /** Attempts before the one with the broken head. */
+  earlier: ScriptedAnswer[];
+}
+
+const CALLS: Call[] = [
+  { path: "/unsafe/1", method: "POST", earlier: [] },
+  { path: "/safe/1", method: "GET", earlier: [] },
+  { path: "/brief/1", method: "POST", earlier: [] },
+  {
+    path: "/resume/1",
+    method: "POST",
+    earlier: [{
+      framing: "chunked",
+      headers: EVENT_STREAM,
+      body: EVENTS.join(""),
+      sentBytes: (EVENTS[0] ?? "").length + 3,
+      end: "close",
+    }],
+  },
+];
+
+let lastNumber = 0;
+
+function createId(): string {
+  lastNumber += 1;
+  return `broken-${lastNumber}`;
+}
+
+/** Checks that the broken answer, or what is left of it, reaches no caller. */
+async function checkRejected(
+  gateway: number,
+  { path, method, earlier }: Call,
+  broken: ScriptedAnswer,
+): Promise<void> {
+  const id = createId();
+  harness.scriptAnswers(id, [...earlier, broken]);
+  const answer = await harness.call(path, { gateway, id, method });
+  const detail = JSON.stringify({ path, broken, answer });
+  const isResumed = earlier.length > 0;
+  assert.is(answer.status, isResumed ? 200 : 502, detail);
+  assert.is(answer.isComplete, !isResumed, detail);
+  if (isResumed) assert.is(answer.body, EVENTS[0], detail);
+  assert.is(harness.countRuns(id), earlier.length + 1, detail);
+  assert.not.match(JSON.stringify(answer.headers), /load/i);
+}
+
+for (const [gateway, runtime] of RUNTIMES.entries()) {
+  for (const [place, putLine] of Object.entries(PLACES)) {
+    for (const call of CALLS) {
+      test(`${call.path}, ${runtime}: a head with a broken name becomes an answer: ${place}`, async () => {
+        const tasks = LINES.flatMap((line) =>
+          FRAMINGS.flatMap((framing) =>
+            [undefined, 1].map((headPieceBytes) => async () => {
+              // Pieces take a millisecond each.
+              if (headPieceBytes && framing !== "close") return;
+              await checkRejected(gateway, call, {
+                framing,
+                body: EVENTS.join(""),
+                end: framing === "close" ? "close" : "keep",
+                ...(headPieceBytes ? { headPieceBytes } : {}),
+                ...putLine(line, framing),
+              });
+            })
+          )
+        );
+        await runTasks(tasks, CONCURRENCY);
+      });
+    }
+  }
+
+  test(`${runtime}: a broken name on a kept connection becomes an answer`, async () => {
+    for (const line of LINES) {
+      const whole: ScriptedAnswer = {
+        framing: "length",
+        body: "whole",
+        end: "keep",
+      };
+      const ids = [createId(), createId()];
+      harness.scriptAnswers(ids[0] ?? "", [whole]);
+      harness.scriptAnswers(ids[1] ?? "", [{
+        ...whole,
+        headers: { "X-Note": "a", ...parseLine(line) },
+      }]);
+      const statuses: number[] = [];
+      for (const id of ids) {
+        const answer = await harness.call("/safe/1", { gateway, id });
+        statuses.push(answer.status);
+      }
+      assert.equal(statuses, [200, 502], JSON.stringify(line));
+      const [first, second] = ids.map((id) =>
+        harness.listRuns(id)[0]?.remotePort
+      );
+      assert.is(first, second, "the connection is reused");
+    }
+  });
+}
+
+test.run();
--- a/test/gateway/relay_test.ts
+++ b/test/gateway/relay_test.ts
@@ -6,6 +6,7 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { STREAM_EVENT_COUNT } from "../../fakes/fake_platform_replica.ts";
+import type { ScriptedAnswer } from "../../fakes/scripted_answer.ts";
 import { EntryDecoder } from "../../platform/entry_decoder.ts";
 import { waitMs } from "../../src/gateway/wait.ts";
 import type { PublishedChange } from "../../src/core/view/published_view.ts";
@@ -192,6 +193,35 @@
   await heal(0, "reset");
 });
 
+/** Broken answers of upstreams, by what is broken. */
+const BROKEN_ANSWERS: Record<string, Partial<ScriptedAnswer>> = {
+  "a blank in a name": { headers: { "X Load": "1" } },
+  "a blank before a name": { headers: { " X-Load": "1" } },
+  "a control character in a name": { headers: { "X\x01Load": "1" } },
+  "a broken name in an interim head": {
+    statusLine: "HTTP/1.1 103 Early Hints\r\nX Load: 1\r\n\r\nHTTP/1.1 200 OK",
+  },
+};
+
+test("a broken answer becomes an answer over a peer", async () => {
+  await cut(0, "refused");
+  for (const [name, fields] of Object.entries(BROKEN_ANSWERS)) {
+    for (const path of ["/unsafe/1", "/brief/1"]) {
+      const id = `relayed ${name} ${path}`;
+      harness.scriptAnswers(id, [{
+        framing: "close",
+        body: "id: 1\ndata: piece 1\n\n",
+        end: "close",
+        ...fields,
+      }]);
+      const answer = await harness.call(path, { id });
+      assert.is(answer.status, 502, id);
+      assert.is(harness.countRuns(id), 1, id);
+    }
+  }
+  await heal(0, "refused");
+});
+
 test("two gateways are cut off: both are served over the third, and all cut off: refused at once and not ready", async () => {
   await cut(0, "reset");
   await cut(1, "reset");
