Tests: broken names in trailers

They hold on the unchanged code, and change nothing: with the default parser such an answer never looks complete; with a lenient one the caller gets the whole body of the replica, and no trailer, which RFC 9110 (6.5) allows to discard.

--- a/test/gateway/broken_name_test.ts
+++ b/test/gateway/broken_name_test.ts
@@ -192,6 +192,31 @@
       assert.is(first, second, "the connection is reused");
     }
   });
+
+  for (const call of CALLS) {
+    test(`${call.path}, ${runtime}: a broken name in trailers spoils the answer, or is passed on`, async () => {
+      const rest = call.earlier.length > 0 ? EVENTS.slice(1) : EVENTS;
+      const tasks = LINES.map((line) => async () => {
+        const id = createId();
+        harness.scriptAnswers(id, [...call.earlier, {
+          framing: "chunked",
+          headers: EVENT_STREAM,
+          body: rest.join(""),
+          trailers: `X-Note: a\r\n${line}\r\n`,
+          end: "close",
+        }]);
+        const { path, method } = call;
+        const answer = await harness.call(path, { gateway, id, method });
+        const detail = JSON.stringify({ line, answer });
+        const isWhole = answer.status === 200 && answer.isComplete;
+        // The body ends before its trailers, which are dropped.
+        if (isWhole) assert.is(answer.body, EVENTS.join(""), detail);
+        if (gateway === 0) assert.not.ok(isWhole, detail);
+        assert.not.match(JSON.stringify(answer.headers), /note|load/i);
+      });
+      await runTasks(tasks, CONCURRENCY);
+    });
+  }
 }
 
 test.run();
