Tests: answers without a length that are reset during the upload

With 3.9 MB the buffers of the system take the whole upload; with 8 MB its end waits to be written at the reset.

--- a/test/gateway/relay_test.ts
+++ b/test/gateway/relay_test.ts
@@ -17,6 +17,8 @@
 
 const harness = new GatewayHarness();
 const GATEWAYS = 3;
+/** More than the buffers of a connection hold. */
+const UPLOAD = "x".repeat(8_000_000);
 /** Time from the beginning of a cut in which requests may fail. */
 const CONTACT_MS = 3_000;
 const CALL_INTERVAL_MS = 25;
@@ -52,6 +54,7 @@
 
 test.before(async () => {
   await hangingPort.start();
+  harness.maxBodyBytes = 10_000_000;
   harness.createDecoder = (gateway) => new LinkDecoder(gateway);
   harness.arrange = async () => {
     for (const replica of [...harness.engines, ...harness.services]) {
@@ -222,6 +225,25 @@
   await heal(0, "refused");
 });
 
+test("a part of an answer, reset during the upload, looks complete over a peer", async () => {
+  await cut(0, "refused");
+  for (const path of ["/unsafe/1", "/brief/1"]) {
+    for (const end of ["reset", "resetAtOnce"] as const) {
+      const id = `relayed ${end} ${path}`;
+      harness.scriptAnswers(id, [{
+        framing: "close",
+        body: "id: 1\ndata: piece 1\n\n",
+        end,
+        isEarly: true,
+      }]);
+      const answer = await harness.call(path, { id, body: UPLOAD });
+      assert.not.ok(answer.status === 200 && answer.isComplete, id);
+      assert.is(harness.countRuns(id), 1, id);
+    }
+  }
+  await heal(0, "refused");
+});
+
 test("two gateways are cut off: both are served over the third, and all cut off: refused at once and not ready", async () => {
   await cut(0, "reset");
   await cut(1, "reset");
