--- a/src/core/execution/response_head_checker.ts
+++ b/src/core/execution/response_head_checker.ts
@@ -13,6 +13,8 @@
 /** A token, a colon, and a value without control characters but the tab. */
 const FIELD_LINE = /^[!#$%&'*+\-.^_`|~0-9A-Za-z]+:[\t\x20-\x7e\x80-\xff]*$/;
 const STATUS_SWITCHING_PROTOCOLS = 101;
+const LOWEST_STATUS = 100;
+const LOWEST_FINAL_STATUS = 200;
 
 /** What the next line of the head is. */
 const NextLine = { Status: "status", Field: "field" } as const;
@@ -76,13 +78,14 @@
     const status = STATUS_LINE.exec(content)?.[1];
     if (status === undefined) return createFault("a status line", content);
     this.#status = Number(status);
+    if (this.#status < LOWEST_STATUS) return createFault("a status", content);
     this.#nextLine = NextLine.Field;
     return undefined;
   }
 
   /** Another head follows an interim one. */
   #endHead(): void {
-    const isInterim = this.#status >= 100 && this.#status < 200 &&
+    const isInterim = this.#status < LOWEST_FINAL_STATUS &&
       this.#status !== STATUS_SWITCHING_PROTOCOLS;
     if (isInterim) this.#nextLine = NextLine.Status;
     else this.#isDone = true;
--- a/test/core/execution/response_head_checker_test.ts
+++ b/test/core/execution/response_head_checker_test.ts
@@ -68,6 +68,19 @@
   "X-Load: a\x7fb",
 ];
 
+for (const status of ["000", "001", "042", "099"]) {
+  test(`a status below 100 becomes that of an answer: ${status}`, () => {
+    for (const interim of ["", "HTTP/1.1 100 Continue\r\n\r\n"]) {
+      const text = `${interim}HTTP/1.1 ${status} OK\r\nA: b\r\n\r\n`;
+      for (const pieceBytes of listPieceSizes(text)) {
+        const { fault, isDone } = checkPieces(text, pieceBytes);
+        assert.type(fault, "string");
+        assert.not.ok(isDone);
+      }
+    }
+  });
+}
+
 for (const line of BROKEN_LINES) {
   test(`a head becomes an answer although a line is no field: ${JSON.stringify(line)}`, () => {
     for (
--- a/test/gateway/http_client_test.ts
+++ b/test/gateway/http_client_test.ts
@@ -66,4 +66,14 @@
   });
 }
 
+test("an answer without a status is taken for one", async () => {
+  for (const status of ["000", "099"]) {
+    const result = await callServer((socket) => {
+      socket.end(`HTTP/1.1 ${status} OK\r\nContent-Length: 2\r\n\r\nok`);
+    });
+    assert.instance(result, HttpRequestError);
+    assert.ok((result as HttpRequestError).hasBeenSent);
+  }
+});
+
 test.run();
--- a/test/gateway/relay_test.ts
+++ b/test/gateway/relay_test.ts
@@ -201,6 +201,7 @@
   "a blank in a name": { headers: { "X Load": "1" } },
   "a blank before a name": { headers: { " X-Load": "1" } },
   "a control character in a name": { headers: { "X\x01Load": "1" } },
+  "no status": { statusLine: "HTTP/1.1 000 OK" },
   "a broken name in an interim head": {
     statusLine: "HTTP/1.1 103 Early Hints\r\nX Load: 1\r\n\r\nHTTP/1.1 200 OK",
   },
