--- a/test/daemon/upstream_task_fixture.ts
+++ b/test/daemon/upstream_task_fixture.ts
@@ -23,7 +23,8 @@
   waitUntilDrained: () => Promise.resolve(),
 };
 
-export function createUpstreamTask(path: string): {
+/** @param prompt of each request, which is its body. */
+export function createUpstreamTask(path: string, prompt?: string): {
   bus: Bus;
   task: UpstreamTask;
   /** Adds another exchange, whose response goes to the sink. */
@@ -35,8 +36,8 @@
     exchanges.add({
       requestId,
       path,
-      rawBody: Buffer.from("{}"),
-      jsonBody: {},
+      rawBody: Buffer.from(JSON.stringify({ prompt })),
+      jsonBody: { prompt },
       contentType: "application/json",
       isStreamed: false,
       ticket: undefined,
