--- a/src/core/execution/response_head_checker.ts
+++ b/src/core/execution/response_head_checker.ts
@@ -8,8 +8,8 @@
 import type { Buffer } from "node:buffer";
 
 const LINE_FEED = 0x0a;
-/** A version, three digits, and a reason phrase that no one reads. */
-const STATUS_LINE = /^HTTP\/\d\.\d (\d{3})(?: .*)?$/s;
+/** A version, three digits, and a reason phrase, which is not passed on. */
+const STATUS_LINE = /^HTTP\/\d\.\d (\d{3})(?: [^\r]*)?$/;
 /** A token, a colon, and a value without control characters but the tab. */
 const FIELD_LINE = /^[!#$%&'*+\-.^_`|~0-9A-Za-z]+:[\t\x20-\x7e\x80-\xff]*$/;
 const STATUS_SWITCHING_PROTOCOLS = 101;
--- a/test/core/execution/response_head_checker_test.ts
+++ b/test/core/execution/response_head_checker_test.ts
@@ -115,9 +115,16 @@
 });
 
 for (
-  const line of ["ICY 200 OK", "HTTP/1.1 20 OK", "HTTP/1.1 2000 OK", "200"]
+  const line of [
+    "ICY 200 OK",
+    "HTTP/1.1 200 OK\rContent-Length: 2",
+    "HTTP/1.1 200 OK\r",
+    "HTTP/1.1 20 OK",
+    "HTTP/1.1 2000 OK",
+    "200",
+  ]
 ) {
-  test(`a head becomes an answer without a status line: ${line}`, () => {
+  test(`a head becomes an answer without a status line: ${JSON.stringify(line)}`, () => {
     const { fault } = checkPieces(`${line}\r\n\r\n`, 1);
     assert.type(fault, "string");
   });
--- a/test/gateway/broken_name_test.ts
+++ b/test/gateway/broken_name_test.ts
@@ -195,6 +195,23 @@
   });
 
   for (const call of CALLS) {
+    test(`${call.path}, ${runtime}: a field behind carriage returns in place of a line end is passed on`, async () => {
+      for (const status of ["200 OK", "200 ", "200", "103 Early Hints"]) {
+        for (const ends of ["\r\r", "\r\r\r\n", " \r\r"]) {
+          const rest = status.startsWith("103")
+            ? "\r\n\r\nHTTP/1.1 200 OK"
+            : "";
+          await checkRejected(gateway, call, {
+            framing: "length",
+            statusLine: `HTTP/1.1 ${status}${ends}X-Load: 1${rest}`,
+            headers: EVENT_STREAM,
+            body: EVENTS.join(""),
+            end: "close",
+          });
+        }
+      }
+    });
+
     test(`${call.path}, ${runtime}: a broken name in trailers spoils the answer, or is passed on`, async () => {
       const rest = call.earlier.length > 0 ? EVENTS.slice(1) : EVENTS;
       const tasks = LINES.map((line) => async () => {
