--- a/src/core/execution/response_head_checker.ts
+++ b/src/core/execution/response_head_checker.ts
@@ -12,6 +12,12 @@
 const STATUS_LINE = /^HTTP\/\d\.\d (\d{3})(?: [^\r]*)?$/;
 /** A token, a colon, and a value without control characters but the tab. */
 const FIELD_LINE = /^[!#$%&'*+\-.^_`|~0-9A-Za-z]+:[\t\x20-\x7e\x80-\xff]*$/;
+const TRANSFER_ENCODING = /^transfer-encoding:/i;
+/**
+ * The codings whose bodies are passed on decoded; no request asks for others. A
+ * parser overlooks chunks if a tab follows the name of the coding.
+ */
+const DECODABLE_CODING = /^[^:]+:[\t ]*(?:chunked|identity) *$/i;
 const STATUS_SWITCHING_PROTOCOLS = 101;
 const LOWEST_STATUS = 100;
 const LOWEST_FINAL_STATUS = 200;
@@ -23,6 +29,7 @@
 export class ResponseHeadChecker {
   #nextLine: NextLine = NextLine.Status;
   #status = 0;
+  #hasTransferCoding = false;
   /** Number of lines that have ended. */
   #lineCount = 0;
   /** Beginning of a line whose end has not arrived. */
@@ -69,10 +76,8 @@
       case NextLine.Status:
         return this.#checkStatusLine(content);
       case NextLine.Field:
-        if (content === "") this.#endHead();
-        else if (!FIELD_LINE.test(content)) {
-          return this.#describeFault("a header field", content);
-        }
+        if (content !== "") return this.#checkField(content);
+        this.#endHead();
         return undefined;
     }
   }
@@ -86,10 +91,23 @@
     if (this.#status < LOWEST_STATUS) {
       return this.#describeFault(`a status from ${LOWEST_STATUS}`, content);
     }
+    this.#hasTransferCoding = false;
     this.#nextLine = NextLine.Field;
     return undefined;
   }
 
+  #checkField(content: string): string | undefined {
+    if (!FIELD_LINE.test(content)) {
+      return this.#describeFault("a header field", content);
+    }
+    if (!TRANSFER_ENCODING.test(content)) return undefined;
+    if (this.#hasTransferCoding || !DECODABLE_CODING.test(content)) {
+      return this.#describeFault("one transfer coding, chunked", content);
+    }
+    this.#hasTransferCoding = true;
+    return undefined;
+  }
+
   /** Another head follows an interim one. */
   #endHead(): void {
     const isInterim = this.#status < LOWEST_FINAL_STATUS &&
--- a/test/core/execution/response_head_checker_test.ts
+++ b/test/core/execution/response_head_checker_test.ts
@@ -33,6 +33,10 @@
   "HTTP/1.1 200 OK\r\n!#$%&'*+-.^_`|~09azAZ: \t\x80\xff~ \r\nEmpty:\r\n\r\n",
   "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 200 OK\r\nA: b\r\n\r\n",
   "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 200 OK\r\n\r\n",
+  "HTTP/1.1 200 OK\r\ntransfer-encoding:\t Chunked  \r\n\r\n",
+  "HTTP/1.1 200 OK\r\nTransfer-Encoding:identity\r\n\r\n",
+  "HTTP/1.1 200 OK\r\nX-Transfer-Encoding: gzip\r\nTransfer-Encodings: br\r\n\r\n",
+  "HTTP/1.1 103 Early Hints\r\nTransfer-Encoding: chunked\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
   "HTTP/1.1 101 Switching Protocols\r\nUpgrade: other\r\n\r\n",
 ];
 
@@ -66,6 +70,11 @@
   "X-Load: 1\r",
   "X-Load: a\0b",
   "X-Load: a\x7fb",
+  "Transfer-Encoding: chunked\t",
+  "transfer-encoding:chunked,",
+  "TRANSFER-ENCODING: gzip, chunked",
+  "Transfer-Encoding:",
+  "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked",
 ];
 
 for (const status of ["000", "001", "042", "099"]) {
@@ -82,7 +91,7 @@
 }
 
 for (const line of BROKEN_LINES) {
-  test(`a head becomes an answer although a line is no field: ${JSON.stringify(line)}`, () => {
+  test(`a head becomes an answer although it has a broken line: ${JSON.stringify(line)}`, () => {
     for (
       const text of [
         `HTTP/1.1 200 OK\r\n${line}\r\nA: b\r\n\r\n`,
