--- a/test/daemon/broken_answers_test.ts
+++ b/test/daemon/broken_answers_test.ts
@@ -107,8 +107,17 @@
 function formatAnswer(
   kind: Kind,
   attemptId: string,
-  { framing, status = "200 OK", first = "", last = "", trailers = "" }: {
+  {
+    framing,
+    coding = "chunked",
+    status = "200 OK",
+    first = "",
+    last = "",
+    trailers = "",
+  }: {
     framing: Framing;
+    /** Name of the coding of an answer in chunks. */
+    coding?: string;
     status?: string;
     first?: string;
     last?: string;
@@ -121,7 +130,7 @@
     : "application/json";
   const framingLine = {
     length: `content-length: ${body.length}`,
-    chunked: "transfer-encoding: chunked",
+    chunked: `transfer-encoding: ${coding}`,
     close: "connection: close",
   }[framing];
   const payload = framing === "chunked"
@@ -173,6 +182,20 @@
     }
   });
 
+  test(`${kind}: an answer in a coding that is not decoded begins an answer`, async () => {
+    for (const coding of ["chunked\t", "chunked,", "gzip, chunked", "gzip"]) {
+      const { result, body } = await run({
+        kind,
+        answer: (socket, attemptId) =>
+          socket.end(
+            formatAnswer(kind, attemptId, { framing: "chunked", coding }),
+          ),
+      });
+      assert.is(result.kind, "lost", JSON.stringify({ coding, result, body }));
+      assert.is(body, undefined, coding);
+    }
+  });
+
   test(`${kind}: a broken name in trailers changes the answer`, async () => {
     for (const line of BROKEN_LINES) {
       const { result, body } = await run({
