--- a/src/core/execution/response_head_checker.ts
+++ b/src/core/execution/response_head_checker.ts
@@ -1,9 +1,11 @@
 /**
  * Checks the bytes of a response's head, as RFC 9112 defines them, before they
- * are parsed. What a parser accepts depends on the runtime's release and options:
- * a lenient one joins a line that begins with a blank to the field before it, and
- * takes a line with a bare line end for the end of the head. A field that is lost
- * so can be the one that frames the body.
+ * are parsed. Parsers accept more. A strict one takes a second CR for the LF that
+ * ends a status line, and overlooks the chunks of a body if a tab follows the name
+ * of their coding. A lenient one, which a release or an option of the runtime may
+ * bring, joins a line that begins with a blank to the field before it. What is
+ * lost so can be the field that frames the body, and the parsed head does not show
+ * it any more.
  */
 import type { Buffer } from "node:buffer";
 
@@ -13,10 +15,7 @@
 /** A token, a colon, and a value without control characters but the tab. */
 const FIELD_LINE = /^[!#$%&'*+\-.^_`|~0-9A-Za-z]+:[\t\x20-\x7e\x80-\xff]*$/;
 const TRANSFER_ENCODING = /^transfer-encoding:/i;
-/**
- * The codings whose bodies are passed on decoded; no request asks for others. A
- * parser overlooks chunks if a tab follows the name of the coding.
- */
+/** The codings that can be passed on decoded; no request asks for others. */
 const DECODABLE_CODING = /^[^:]+:[\t ]*(?:chunked|identity) *$/i;
 const STATUS_SWITCHING_PROTOCOLS = 101;
 const LOWEST_STATUS = 100;
--- a/test/daemon/broken_answers_test.ts
+++ b/test/daemon/broken_answers_test.ts
@@ -4,12 +4,12 @@
  * of them begins or completes an answer to the caller.
  */
 import { Buffer } from "node:buffer";
-import { once } from "node:events";
-import { type AddressInfo, createServer, type Socket } from "node:net";
+import type { Socket } from "node:net";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import type { AttemptResult } from "../../src/core/outcomes.ts";
 import { PoolKind } from "../../src/core/structures.ts";
+import { startRawServer } from "../raw_server.ts";
 import { runTasks } from "../concurrent_tasks.ts";
 import { createDispatch, createUpstreamTask } from "./upstream_task_fixture.ts";
 
@@ -48,23 +48,18 @@
 async function run(
   { kind, answer, isIdempotent = false, prompt }: Call,
 ): Promise<Outcome> {
-  const server = createServer((socket) => {
-    socket.on("error", () => {});
-    socket.once("data", (bytes) => {
-      const text = bytes.toString("latin1");
-      const attemptId = /x-request-id: (\S+)/i.exec(text)?.[1];
-      if (attemptId !== undefined) {
-        // The rest of an upload is not read.
-        socket.pause();
-        answer(socket, attemptId);
-        return;
-      }
-      // Reads of the state, resumptions and cancellations.
-      socket.end("HTTP/1.1 404 Not Found\r\ncontent-length: 0\r\n\r\n");
-    });
+  const server = await startRawServer((socket, bytes) => {
+    const text = Buffer.from(bytes).toString("latin1");
+    const attemptId = /x-request-id: (\S+)/i.exec(text)?.[1];
+    if (attemptId !== undefined) {
+      // The rest of an upload is not read.
+      socket.pause();
+      answer(socket, attemptId);
+      return;
+    }
+    // Reads of the state, resumptions and cancellations.
+    socket.end("HTTP/1.1 404 Not Found\r\ncontent-length: 0\r\n\r\n");
   });
-  server.listen(0, "127.0.0.1");
-  await once(server, "listening");
   const isService = kind === "service";
   const { bus, task, addExchange } = createUpstreamTask(
     isService ? "/services/orders" : "/v1/completions",
@@ -90,7 +85,7 @@
       // Connections are told apart by the attempt that they carry.
       attemptId: `attempt-${lastAttempt += 1}`,
       upstreamKind: isService ? PoolKind.Service : PoolKind.Engine,
-      address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
+      address: server.address,
       model: isService ? "orders" : MODEL,
     }, { name: "orders", idempotent: isIdempotent }),
   );
--- a/test/gateway/broken_name_test.ts
+++ b/test/gateway/broken_name_test.ts
@@ -7,6 +7,13 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import type { ScriptedAnswer } from "../../fakes/scripted_answer.ts";
+import {
+  type BrokenAnswerCall,
+  CALL_ROUTES,
+  CALLS,
+  EVENT_STREAM,
+  EVENTS,
+} from "./broken_answer_calls.ts";
 import { runTasks } from "../concurrent_tasks.ts";
 import { GatewayHarness } from "./gateway_harness.ts";
 import { GatewayProcess } from "./gateway_process.ts";
@@ -15,8 +22,6 @@
 let lenientGateway: GatewayProcess;
 /** Requests that run at the same time: fewer than the replicas' slots. */
 const CONCURRENCY = 6;
-const EVENTS = ["id: 1\ndata: piece 1\n\n", "id: 2\ndata: piece 2\n\n"];
-const EVENT_STREAM = { "Content-Type": "text/event-stream" };
 const FRAMINGS = ["length", "chunked", "close"] as const;
 
 /** How the gateways are started, by their index in the harness. */
@@ -27,10 +32,7 @@
 
 test.before(async () => {
   harness.retrySlack = 1_000_000;
-  harness.routeOverrides = {
-    safe: { attempts: 1 },
-    resume: { resumable: true, attempts: 2 },
-  };
+  harness.routeOverrides = CALL_ROUTES;
   await harness.start({ gateways: 1, engines: 1, services: 1 });
   lenientGateway = await GatewayProcess.start(harness, 1, [
     "--insecure-http-parser",
@@ -65,11 +67,8 @@
   "Connection\t: keep-alive",
 ];
 
-/** Puts the line into an answer: at the head's begin or end, or elsewhere. */
-const PLACES: Record<
-  string,
-  (line: string, framing: ScriptedAnswer["framing"]) => Partial<ScriptedAnswer>
-> = {
+/** Returns the part of an answer that holds the line, by its place. */
+const PLACES: Record<string, (line: string) => Partial<ScriptedAnswer>> = {
   "first in the head": (line) => ({
     statusLine: `HTTP/1.1 200 OK\r\n${line}`,
     headers: EVENT_STREAM,
@@ -94,30 +93,6 @@
   return { [line.slice(0, colon)]: line.slice(colon + 1).trim() };
 }
 
-interface Call {
-  path: string;
-  method: "GET" | "POST";
-  /** Attempts before the one with the broken head. */
-  earlier: ScriptedAnswer[];
-}
-
-const CALLS: Call[] = [
-  { path: "/unsafe/1", method: "POST", earlier: [] },
-  { path: "/safe/1", method: "GET", earlier: [] },
-  { path: "/brief/1", method: "POST", earlier: [] },
-  {
-    path: "/resume/1",
-    method: "POST",
-    earlier: [{
-      framing: "chunked",
-      headers: EVENT_STREAM,
-      body: EVENTS.join(""),
-      sentBytes: (EVENTS[0] ?? "").length + 3,
-      end: "close",
-    }],
-  },
-];
-
 let lastNumber = 0;
 
 function createId(): string {
@@ -128,7 +103,7 @@
 /** Checks that the broken answer, or what is left of it, reaches no caller. */
 async function checkRejected(
   gateway: number,
-  { path, method, earlier }: Call,
+  { path, method, earlier }: BrokenAnswerCall,
   broken: ScriptedAnswer,
 ): Promise<void> {
   const id = createId();
@@ -158,7 +133,7 @@
                 body: EVENTS.join(""),
                 end: framing === "close" ? "close" : "keep",
                 ...(headPieceBytes ? { headPieceBytes } : {}),
-                ...putLine(line, framing),
+                ...putLine(line),
               });
             })
           )
--- a/test/gateway/http_client_test.ts
+++ b/test/gateway/http_client_test.ts
@@ -2,8 +2,7 @@
  * Broken answers to short calls: to the store, to engines (orders and reports)
  * and to peers. None of them becomes an answer.
  */
-import { once } from "node:events";
-import { type AddressInfo, createServer, type Socket } from "node:net";
+import type { Socket } from "node:net";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { HeadCheckedAgent } from "../../src/daemon/head_checked_socket.ts";
@@ -12,6 +11,7 @@
   type HttpResponse,
   sendHttpRequest,
 } from "../../src/gateway/http_client.ts";
+import { startRawServer } from "../raw_server.ts";
 import { UNLIMITED_MEMORY } from "../unlimited_memory.ts";
 
 const agent = new HeadCheckedAgent({ keepAlive: true });
@@ -22,17 +22,11 @@
   answer: (socket: Socket) => void,
   method: "GET" | "POST" = "GET",
 ): Promise<HttpResponse | HttpRequestError> {
-  const server = createServer((socket) => {
-    socket.on("error", () => {});
-    socket.once("data", () => answer(socket));
-  });
-  server.listen(0, "127.0.0.1");
-  await once(server, "listening");
-  const { port } = server.address() as AddressInfo;
+  const server = await startRawServer(answer);
   try {
     return await sendHttpRequest({
       step: "call",
-      address: `127.0.0.1:${port}`,
+      address: server.address,
       method,
       path: "/",
       ...(method === "POST" ? { body: "{}" } : {}),
--- a/test/gateway/invalid_status_test.ts
+++ b/test/gateway/invalid_status_test.ts
@@ -7,11 +7,10 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import type { ScriptedAnswer } from "../../fakes/scripted_answer.ts";
+import { EVENT_STREAM, EVENTS } from "./broken_answer_calls.ts";
 import { GatewayHarness } from "./gateway_harness.ts";
 
 const harness = new GatewayHarness();
-const EVENTS = ["id: 1\ndata: piece 1\n\n", "id: 2\ndata: piece 2\n\n"];
-const EVENT_STREAM = { "Content-Type": "text/event-stream" };
 const STATUSES = ["000", "001", "042", "099"];
 const FRAMINGS = ["length", "chunked", "close"] as const;
 
--- a/test/gateway/reset_upload_test.ts
+++ b/test/gateway/reset_upload_test.ts
@@ -8,6 +8,13 @@
 import * as assert from "uvu/assert";
 import type { ScriptedAnswer } from "../../fakes/scripted_answer.ts";
 import { runTasks } from "../concurrent_tasks.ts";
+import {
+  type BrokenAnswerCall,
+  CALL_ROUTES,
+  CALLS,
+  EVENT_STREAM,
+  EVENTS,
+} from "./broken_answer_calls.ts";
 import { GatewayHarness } from "./gateway_harness.ts";
 
 const harness = new GatewayHarness();
@@ -16,16 +23,11 @@
 const REPETITIONS = 6;
 /** Uploads at the same time, within the budget of memory. */
 const CONCURRENCY = 2;
-const EVENTS = ["id: 1\ndata: piece 1\n\n", "id: 2\ndata: piece 2\n\n"];
-const EVENT_STREAM = { "Content-Type": "text/event-stream" };
 
 test.before(async () => {
   harness.retrySlack = 1_000_000;
   harness.maxBodyBytes = 10_000_000;
-  harness.routeOverrides = {
-    safe: { attempts: 1 },
-    resume: { resumable: true, attempts: 2 },
-  };
+  harness.routeOverrides = CALL_ROUTES;
   await harness.start({ gateways: 1, engines: 1, services: 1 });
 });
 test.after(() => harness.stop());
@@ -47,27 +49,14 @@
 ] as const;
 const ENDS = ["reset", "resetAtOnce"] as const;
 
-const CALLS: { path: string; method: string; earlier: ScriptedAnswer[] }[] = [
-  { path: "/unsafe/1", method: "POST", earlier: [] },
+const CALLS_WITH_UPLOAD: BrokenAnswerCall[] = [
+  ...CALLS,
   { path: "/safe/1", method: "POST", earlier: [] },
-  { path: "/safe/1", method: "GET", earlier: [] },
-  { path: "/brief/1", method: "POST", earlier: [] },
-  {
-    path: "/resume/1",
-    method: "POST",
-    earlier: [{
-      framing: "chunked",
-      headers: EVENT_STREAM,
-      body: EVENTS.join(""),
-      sentBytes: (EVENTS[0] ?? "").length + 3,
-      end: "close",
-    }],
-  },
 ];
 
 let lastNumber = 0;
 
-for (const { path, method, earlier } of CALLS) {
+for (const { path, method, earlier } of CALLS_WITH_UPLOAD) {
   for (const [part, fields] of Object.entries(PARTS)) {
     test(`${method} ${path}: a part of an answer, reset during the upload, looks complete: ${part}`, async () => {
       const tasks = FRAMINGS.flatMap((framing) =>
--- a/test/gateway/transfer_coding_test.ts
+++ b/test/gateway/transfer_coding_test.ts
@@ -6,40 +6,24 @@
  */
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import type { ScriptedAnswer } from "../../fakes/scripted_answer.ts";
+import {
+  type BrokenAnswerCall,
+  CALL_ROUTES,
+  CALLS,
+  EVENT_STREAM,
+  EVENTS,
+} from "./broken_answer_calls.ts";
 import { GatewayHarness } from "./gateway_harness.ts";
 
 const harness = new GatewayHarness();
-const EVENTS = ["id: 1\ndata: piece 1\n\n", "id: 2\ndata: piece 2\n\n"];
-const EVENT_STREAM = { "Content-Type": "text/event-stream" };
 
 test.before(async () => {
   harness.retrySlack = 1_000_000;
-  harness.routeOverrides = {
-    safe: { attempts: 1 },
-    resume: { resumable: true, attempts: 2 },
-  };
+  harness.routeOverrides = CALL_ROUTES;
   await harness.start({ gateways: 1, engines: 1, services: 1 });
 });
 test.after(() => harness.stop());
 
-const CALLS: { path: string; method: string; earlier: ScriptedAnswer[] }[] = [
-  { path: "/unsafe/1", method: "POST", earlier: [] },
-  { path: "/safe/1", method: "GET", earlier: [] },
-  { path: "/brief/1", method: "POST", earlier: [] },
-  {
-    path: "/resume/1",
-    method: "POST",
-    earlier: [{
-      framing: "chunked",
-      headers: EVENT_STREAM,
-      body: EVENTS.join(""),
-      sentBytes: (EVENTS[0] ?? "").length + 3,
-      end: "close",
-    }],
-  },
-];
-
 /** Fields of answers whose body is sent in chunks. */
 const UNDECODABLE: Record<string, string>[] = [
   { "Transfer-Encoding": "chunked\t" },
@@ -68,7 +52,7 @@
 let lastNumber = 0;
 
 async function call(
-  { path, method, earlier }: (typeof CALLS)[number],
+  { path, method, earlier }: BrokenAnswerCall,
   headers: Record<string, string>,
 ) {
   lastNumber += 1;
--- a/test/platform/broken_answer_test.ts
+++ b/test/platform/broken_answer_test.ts
@@ -3,13 +3,13 @@
  * broken name or without a status, and bodies without a length that are cut off
  * by a close or a reset. None is read as an answer.
  */
-import { once } from "node:events";
-import { type AddressInfo, createServer, type Socket } from "node:net";
+import type { Socket } from "node:net";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { ReplicaClient } from "../../platform/replica_client.ts";
 import { StoreClient } from "../../platform/store_client.ts";
 import { PublishedSet } from "../../src/gateway/ports.ts";
+import { startRawServer } from "../raw_server.ts";
 import { UNLIMITED_MEMORY } from "../unlimited_memory.ts";
 
 const PAGE = JSON.stringify({
@@ -89,15 +89,9 @@
   read: Read,
   answer: (socket: Socket) => void,
 ): Promise<boolean> {
-  const server = createServer((socket) => {
-    socket.on("error", () => {});
-    socket.once("data", () => answer(socket));
-  });
-  server.listen(0, "127.0.0.1");
-  await once(server, "listening");
-  const { port } = server.address() as AddressInfo;
+  const server = await startRawServer(answer);
   try {
-    await read(`127.0.0.1:${port}`);
+    await read(server.address);
     return true;
   } catch {
     return false;
