Review case 15: no new configuration while the watch's answer is too large (CONFIG)

Change: the case as a script. The stand-in for the store drops its history with time; that of a replica writes its entry only when more than its count changes.

--- a/review/standins-3/world.mjs
+++ b/review/standins-3/world.mjs
@@ -141,12 +141,15 @@
     this.answered = { calls: 0, bytes: 0 };
     return this.#sockets.size;
   }
-  #publish(event) {
+  #dropHistory() {
     const now = performance.now();
-    this.#history.push({ event, at: now });
-    while (now - this.#history[0].at > HISTORY_MS) {
+    while (this.#history.length > 0 && now - this.#history[0].at > HISTORY_MS) {
       this.#oldestRev = this.#history.shift().event.rev;
     }
+  }
+  #publish(event) {
+    this.#dropHistory();
+    this.#history.push({ event, at: performance.now() });
     for (const wake of this.#waiting) wake();
   }
   #send(response, status, body) {
@@ -186,6 +189,7 @@
       }
       case "/-/kv-watch": {
         const after = Number(query.get("after"));
+        this.#dropHistory();
         if (after < this.#oldestRev) {
           this.#send(response, 410, {});
           return;
@@ -249,9 +253,10 @@
     this.register();
     this.timer = setInterval(() => this.register(), 1_200);
   }
+  /** Checks in; the entry changes when more than the number of check-ins does. */
   register() {
     this.beats += 1;
-    this.store.put(`servers/${this.id}`, {
+    const entry = {
       service: this.service,
       addr: `${this.ip}:${this.port}`,
       zone: this.zone,
@@ -259,10 +264,13 @@
       slots: this.slots,
       state: "ready",
       cold_left_ms: 0,
-      seq: this.beats,
       born: this.born,
       ...this.describe(),
-    });
+    };
+    const text = JSON.stringify([this.id, entry]);
+    if (text === this.registered) return;
+    this.registered = text;
+    this.store.put(`servers/${this.id}`, { ...entry, seq: this.beats });
   }
   /** The process dies: its channels are reset, its entry lapses, it comes back. */
   crash(reason, downMs) {
