A response that implies "not run" without a guarantee is withheld (REFUSED)

Cause: classifyEnd knew from the head that nothing says "not run", but only the decision about retries used it: the response was delivered as it came (a 503 as failed, 408 and 429 as answered), and its status says to the caller what the upstream never said. Ruled out by the log of such a request: a refusal of the gateway's own (the line has verdict deliver, outcome failed, status 503, ran 1). Logs and metrics told the hypotheses apart, so nothing had to be added first. Change: the platform's codec names the statuses that mean "not run" to callers; decideRetry withholds a response with one of them, and the caller gets a 502 that says that the request may have run. Without a stamp it is a failure whatever the status: tried again if that is allowed, and counted against the upstream's health, which 408 and 429 were not. A stamped one to an idempotent request is returned unchanged, as the protocol asks and as it harms nobody; to any other it is withheld without its stamp, so that no failure bears a stamp with another status. New: the verdict withhold, the field isStamped, the metric withheld_responses. Related paths: streams that can't be resumed, each framing, a response during the upload, an answer relayed by a peer. Held before, tests kept: a body that breaks off behind such a head, an earlier attempt that may have run before a refused one, the rest of a resumable stream. The daemon's four statuses hold by its contract; the engines' rows now have 409 as well. Why it works: every response of an upstream that is delivered passes decideDelivery; own refusals were already given only if no attempt may have run.

--- a/bench/losses/request_losses.ts
+++ b/bench/losses/request_losses.ts
@@ -11,7 +11,7 @@
   time: z.string(),
   event: z.enum(["requestServed", "requestDecision"]),
   route: z.string(),
-  verdict: z.enum(["deliver", "refuse", "fail"]),
+  verdict: z.enum(["deliver", "withhold", "refuse", "fail"]),
   reason: z.string(),
   objectiveMs: z.number(),
   sentMs: z.number().nullish(),
@@ -113,6 +113,8 @@
       return reason === "deadline"
         ? RequestOutcome.DeadlineExceeded
         : RequestOutcome.ResponseInterrupted;
+    case "withhold":
+      return RequestOutcome.UpstreamError;
     case "deliver":
       return /^status [45]/.test(reason)
         ? RequestOutcome.UpstreamError
--- a/src/core/execution/retry_decision.ts
+++ b/src/core/execution/retry_decision.ts
@@ -1,8 +1,8 @@
 /**
- * Decides what follows an attempt on an upstream: deliver the response, try
- * another upstream, or report the outcome to the caller. A request that may
- * have run is retried only if it is idempotent, and is never reported as not
- * run.
+ * Decides what follows an attempt on an upstream: deliver or withhold the
+ * response, try another upstream, or report the outcome to the caller. A request
+ * that may have run is retried only if it is idempotent, and is never reported as
+ * not run.
  */
 import { Repeatability } from "../view/published_view.ts";
 import type { Milliseconds } from "../structures.ts";
@@ -11,7 +11,10 @@
 export const AttemptOutcome = {
   /** The upstream sent a complete response. */
   Answered: "answered",
-  /** The upstream sent a complete response with a server error (5xx). */
+  /**
+   * The upstream sent a complete response with a server error (5xx), or one that
+   * neither guarantees what its status implies nor has a stamp.
+   */
   Failed: "failed",
   /** The upstream guaranteed that it did not run the request. */
   NotRun: "notRun",
@@ -30,6 +33,11 @@
 
 export type RetryDecision =
   | { kind: "deliver" }
+  /**
+   * Tell the caller that the request may have run, in place of a response that
+   * implies the opposite.
+   */
+  | { kind: "withhold" }
   | { kind: "tryAnother" }
   /** Tell the caller that the request was not run. */
   | { kind: "refuse" }
@@ -38,6 +46,10 @@
 
 export interface RetryConditions {
   outcome: AttemptOutcome;
+  /** Whether callers take the status of the response to mean "not run". */
+  impliesNotRun: boolean;
+  /** Whether the response has the stamp of its upstream. */
+  hasResponseStamp: boolean;
   repeatability: Repeatability;
   isResumable: boolean;
   /** Attempts in which the request may have run, this one included. */
@@ -90,12 +102,12 @@
     conditions.totalAttempts < MAX_TOTAL_ATTEMPTS;
   switch (outcome) {
     case AttemptOutcome.Answered:
-      return { kind: "deliver" };
+      return decideDelivery(conditions);
     case AttemptOutcome.Failed:
       return canRetry && hasTime && possibleRuns < maxAttempts &&
           trySpendRetry()
         ? { kind: "tryAnother" }
-        : { kind: "deliver" };
+        : decideDelivery(conditions);
     case AttemptOutcome.NotSent:
     case AttemptOutcome.NotRun: {
       const wasReceived = outcome === AttemptOutcome.NotRun;
@@ -114,3 +126,20 @@
         : { kind: "fail", isTimeout: outcome === AttemptOutcome.TimedOut };
   }
 }
+
+/**
+ * Decides whether the caller gets a response of an upstream that may have run
+ * the request. If its status implies that the request has not run, a caller that
+ * believes it runs the request again. That harms no idempotent request, so that
+ * its upstream's stamped response is returned unchanged.
+ */
+function decideDelivery(
+  { impliesNotRun, hasResponseStamp, repeatability, isResumable }:
+    RetryConditions,
+): RetryDecision {
+  const isHarmless = hasResponseStamp &&
+    isIdempotent(repeatability, isResumable);
+  return impliesNotRun && !isHarmless
+    ? { kind: "withhold" }
+    : { kind: "deliver" };
+}
--- a/src/gateway/attempt_runner.ts
+++ b/src/gateway/attempt_runner.ts
@@ -37,6 +37,9 @@
   /** Why the upstream did not run the request; undefined unless it said so. */
   notRunReason: NotRunReason | undefined;
   status: number;
+  /** See ResponseHead; false if no response head arrived. */
+  impliesNotRun: boolean;
+  hasResponseStamp: boolean;
   /** Whether no connection could be established. */
   isUnreachable: boolean;
   /** Whether the connection broke, for example because the upstream died. */
@@ -166,6 +169,8 @@
       upstreamId: target.id,
       notRunReason: head?.notRunReason,
       status: head?.status ?? 0,
+      impliesNotRun: head?.impliesNotRun ?? false,
+      hasResponseStamp: head?.hasResponseStamp ?? false,
       isUnreachable,
       isConnectionBroken,
       response: hasWholeResponse
@@ -318,12 +323,19 @@
       if (head.notRunReason !== undefined) {
         return [AttemptOutcome.NotRun, head.notRunReason];
       }
-      return head.status >= 500
+      return hasFailed(head)
         ? [AttemptOutcome.Failed, `status ${head.status}`]
         : [AttemptOutcome.Answered, `status ${head.status}`];
   }
 }
 
+/** Returns whether a complete response without a guarantee shows a failure. */
+function hasFailed(
+  { status, impliesNotRun, hasResponseStamp }: ResponseHead,
+): boolean {
+  return status >= 500 || (impliesNotRun && !hasResponseStamp);
+}
+
 /**
  * Returns what the end of an attempt implies for the upstream's health;
  * undefined if it implies nothing.
--- a/src/gateway/gateway_metrics.ts
+++ b/src/gateway/gateway_metrics.ts
@@ -34,6 +34,8 @@
   refusals: "Requests refused without having run, by reason",
   failures:
     "Failed requests that may have run, by outcome of the last attempt or by reason",
+  withheld_responses:
+    "Responses of upstreams withheld from callers because their status implies, without a guarantee, that the request has not run, by status",
   callers_gone:
     "Requests whose caller disconnected before the response was complete, by kind (idempotent, nonIdempotent, stream; unread if the close lay unread beside the request)",
   callers_backlogged:
--- a/src/gateway/ports.ts
+++ b/src/gateway/ports.ts
@@ -93,6 +93,11 @@
   hasContentEncoding: boolean;
   /** Set if the upstream guarantees that it did not run the request. */
   notRunReason: NotRunReason | undefined;
+  /**
+   * Whether callers take the status to mean that the request has not run and
+   * never will, with or without that guarantee.
+   */
+  impliesNotRun: boolean;
   /**
    * Number of requests that run or wait at the upstream; undefined if it does
    * not say.
--- a/src/gateway/request_handler.ts
+++ b/src/gateway/request_handler.ts
@@ -649,6 +649,8 @@
       (!this.#hasForwarded || this.#forwardedEventId !== undefined);
     return decideRetry({
       outcome: result.outcome,
+      impliesNotRun: result.impliesNotRun,
+      hasResponseStamp: result.hasResponseStamp,
       repeatability,
       isResumable,
       possibleRuns: this.#possibleRuns,
@@ -682,6 +684,7 @@
       outcome: result?.outcome,
       upstream: result?.upstreamId,
       status: result?.status,
+      isStamped: result?.impliesNotRun ? result.hasResponseStamp : undefined,
       attempts: this.#totalAttempts,
       ran: this.#possibleRuns,
       questions: this.#engineSelector.permitCount,
@@ -715,6 +718,11 @@
       case "deliver":
         this.#deliver(result);
         break;
+      case "withhold":
+        metrics.count("withheld_responses", String(result?.status));
+        metrics.count("failures", result?.outcome ?? reason);
+        this.#fail(false, reason);
+        break;
       case "refuse":
         metrics.count("refusals", reason);
         this.#refuse(reason);
--- a/test/contracts/engine_contract_test.ts
+++ b/test/contracts/engine_contract_test.ts
@@ -29,14 +29,14 @@
 };
 
 const ROWS: EngineRow[] = [
-  ...[404, 429, 503].map((status) => ({
+  ...[404, 409, 429, 503].map((status) => ({
     fault: `refused with ${status}`,
     faults: [answerStatus(status)],
     status: 200,
     counters: { "retried.refusedByUpstream": 1 },
     runs: 1,
   })),
-  ...[404, 429, 503].map((status) => ({
+  ...[404, 409, 429, 503].map((status) => ({
     fault: `non-idempotent request refused with ${status} before it ran`,
     faults: [answerStatus(status)],
     isNonIdempotent: true,
--- a/test/core/execution/retry_decision_test.ts
+++ b/test/core/execution/retry_decision_test.ts
@@ -11,6 +11,8 @@
 
 const BASE: RetryConditions = {
   outcome: "answered",
+  impliesNotRun: false,
+  hasResponseStamp: true,
   repeatability: "idempotent",
   isResumable: false,
   possibleRuns: 1,
@@ -46,6 +48,41 @@
     true,
     "deliver",
   ],
+  // A caller that was told "not run" made a booking twice.
+  ...(["answered", "failed"] as const).flatMap((outcome) =>
+    [true, false].flatMap((hasResponseStamp): typeof CASES =>
+      (["nonIdempotent", "stream"] as const).map((repeatability) => [
+        `REFUSED: a ${outcome} ${repeatability} request gets no response that implies "not run", stamped: ${hasResponseStamp}`,
+        { outcome, repeatability, impliesNotRun: true, hasResponseStamp },
+        true,
+        "withhold",
+      ])
+    )
+  ),
+  [
+    'a failed idempotent request whose response implies "not run" is retried',
+    { outcome: "failed", impliesNotRun: true, hasResponseStamp: false },
+    true,
+    "tryAnother",
+  ],
+  [
+    'REFUSED: the last response to an idempotent request that implies "not run" without a stamp is withheld',
+    { outcome: "failed", impliesNotRun: true, hasResponseStamp: false },
+    false,
+    "withhold",
+  ],
+  [
+    "the last response to an idempotent request is delivered unchanged if it is stamped",
+    { outcome: "failed", impliesNotRun: true },
+    false,
+    "deliver",
+  ],
+  [
+    "the stamped response to a resumable stream is delivered unchanged",
+    { impliesNotRun: true, repeatability: "stream", isResumable: true },
+    true,
+    "deliver",
+  ],
   [
     "a lost non-idempotent request fails as one that may have run",
     { outcome: "lost", repeatability: "nonIdempotent" },
--- a/test/gateway/relay_test.ts
+++ b/test/gateway/relay_test.ts
@@ -245,6 +245,36 @@
   await heal(0, "refused");
 });
 
+// A booking that had run was reported as not run, and made twice.
+test('REFUSED: over a peer, a response that implies "not run" without a guarantee is withheld', async () => {
+  await cut(0, "refused");
+  for (
+    const statusLine of [
+      "HTTP/1.1 408 Request Timeout",
+      "HTTP/1.1 429 Too Many Requests",
+      "HTTP/1.1 503 Service Unavailable",
+    ]
+  ) {
+    for (const isAnonymous of [true, false]) {
+      for (const path of ["/unsafe/1", "/brief/1"]) {
+        const id = `relayed ${statusLine} ${isAnonymous} ${path}`;
+        harness.scriptAnswers(id, [{
+          statusLine,
+          isAnonymous,
+          framing: "length",
+          body: "run, and failed",
+          end: "close",
+        }]);
+        const answer = await harness.call(path, { id });
+        assert.is(answer.status, 502, `${id}: ${answer.body}`);
+        assert.is(answer.headers["x-response-stamp"], undefined, id);
+        assert.is(harness.countRuns(id), 1, id);
+      }
+    }
+  }
+  await heal(0, "refused");
+});
+
 test("two gateways are cut off: both are served over the third, and all cut off: refused at once and not ready", async () => {
   await cut(0, "reset");
   await cut(1, "reset");
--- a/test/platform/platform_header_codec_test.ts
+++ b/test/platform/platform_header_codec_test.ts
@@ -196,6 +196,22 @@
   });
 }
 
+for (const status of [408, 421, 429, 503]) {
+  for (
+    const headers of [{}, { "x-not-run": "1" }, { "x-response-stamp": "s" }]
+  ) {
+    test(`REFUSED: status ${status} tells callers "not run", with ${JSON.stringify(headers)}`, () => {
+      assert.ok(codec.decodeResponseHead(status, headers, "r1").impliesNotRun);
+    });
+  }
+}
+
+for (const status of [200, 400, 404, 409, 425, 500, 502, 504]) {
+  test(`status ${status} does not tell callers whether the request has run`, () => {
+    assert.not(codec.decodeResponseHead(status, {}, "r1").impliesNotRun);
+  });
+}
+
 test("encodes Retry-After in fractional seconds", () => {
   assert.equal(codec.encodeRefusalHeaders(350), ["Retry-After", "0.350"]);
   assert.equal(codec.encodeRefusalHeaders(undefined), []);
