No error status in the place of an answer to a request that runs (REFUSED)

Cause: the gateway had no listener for clientError, and Node.js wrote the status on the connection. The daemon had one that looked at the last request only: a late body got 408 in the place of the answer to the request before it, and after one answer all other requests of the connection were forgotten. The gateway counts connection_malformed, too. Ruled out: cutting the connection at once, as the daemon did. The booking's answer would be lost (LOST).

--- a/src/daemon/caller_task.ts
+++ b/src/daemon/caller_task.ts
@@ -92,6 +92,10 @@
     });
     options.limitClients(this.#server);
     handleConnectionErrors(this.#server, options.metrics);
+    this.#server.on(
+      "drop",
+      () => options.metrics.count("connection_dropped", ""),
+    );
     this.#observeReading();
     bus.on(
       "complete",
--- a/src/gateway/caller_task.ts
+++ b/src/gateway/caller_task.ts
@@ -27,6 +27,7 @@
 import type { Milliseconds } from "../core/structures.ts";
 import type { PublishedRoute } from "../core/view/published_view.ts";
 import { CallerReadDelay } from "../daemon/caller_read_delay.ts";
+import { handleConnectionErrors } from "../daemon/connection_errors.ts";
 import { listen } from "../daemon/http_server.ts";
 import { abortResponse, ActiveResponses } from "../daemon/response_abort.ts";
 import { describeError } from "../daemon/step_error.ts";
@@ -148,6 +149,7 @@
       },
       (request, response) => this.#handleRequest(request, response, isRelayed),
     );
+    handleConnectionErrors(server, this.#context.metrics);
     server.on("connection", (socket: Socket) => {
       const now = performance.now();
       socket.setNoDelay(true);
--- a/src/gateway/gateway_metrics.ts
+++ b/src/gateway/gateway_metrics.ts
@@ -42,6 +42,8 @@
     "Times a streamed response was paused because its caller read too slowly, by kind (always stream)",
   throttled_connections:
     "Connections whose input exceeded its share of a turn of the event loop, by kind (always upstream)",
+  connection_malformed:
+    "Connections of callers and peers closed after a connection or HTTP parse error, by error code",
   connections_cut:
     "Connections of clients that were closed because of a limit, by reason (idle, full, unread, heldInput)",
   relays: "Requests sent over a peer, by outcome of the attempt",
