Connection errors: the responses of a connection are listed by ActiveResponses

Cause: kept a second set of the responses that each connection owes, with a lookup and a listener for each request. ActiveResponses (daemon/response_abort.ts) already has them, in their order, for the gateway and the daemon. Change: handleConnectionErrors asks for that list when an error comes, and keeps nothing for a request. The listener's branches are one decision each. The two tests share listStatuses (test/raw_caller.ts); the statuses of unfinished_request_test are numbers now, like the others.

--- a/src/daemon/caller_task.ts
+++ b/src/daemon/caller_task.ts
@@ -24,6 +24,7 @@
   closeAfterResponses,
   createHttpServer,
   listen,
+  listResponses,
   listUnbegunResponses,
   onDeparture,
   waitUntilSent,
@@ -91,7 +92,11 @@
       requestTimeoutMs: settings.bodyTimeoutMs,
     });
     options.limitClients(this.#server);
-    handleConnectionErrors(this.#server, options.metrics);
+    handleConnectionErrors(
+      this.#server,
+      (socket) => listResponses(this.#server, socket),
+      options.metrics,
+    );
     this.#server.on(
       "drop",
       () => options.metrics.count("connection_dropped", ""),
--- a/src/daemon/connection_errors.ts
+++ b/src/daemon/connection_errors.ts
@@ -7,7 +7,7 @@
  * otherwise the connection closes after the last response.
  */
 import type { Server, ServerResponse } from "node:http";
-import type { Duplex } from "node:stream";
+import type { Socket } from "node:net";
 
 /** Time given to a client to read what was sent before its connection is destroyed. */
 const LINGER_MS = 500;
@@ -17,65 +17,69 @@
   count(name: "connection_malformed", code: string): void;
 }
 
-/** Registers the listeners for the server's connection errors. */
+/**
+ * Registers the listener for the server's connection errors.
+ * @param listResponses lists the responses under way on a connection, in the
+ * order of their requests.
+ */
 export function handleConnectionErrors(
   server: Server,
+  listResponses: (socket: Socket) => ServerResponse[],
   metrics: ConnectionErrorCounter,
 ): void {
-  /** Responses that have not been sent, in the order of their requests. */
-  const unsentResponses = new WeakMap<Duplex, Set<ServerResponse>>();
-  const failedConnections = new WeakSet<Duplex>();
-  server.prependListener("request", ({ socket }, response) => {
-    const unsent = unsentResponses.get(socket) ?? new Set();
-    unsentResponses.set(socket, unsent.add(response));
-    response.once("close", () => unsent.delete(response));
-  });
-  server.on("clientError", (error: NodeJS.ErrnoException, socket) => {
+  const failedConnections = new WeakSet<Socket>();
+  server.on("clientError", (error: NodeJS.ErrnoException, stream) => {
+    // An HTTP server's connections are sockets; the types allow any stream.
+    const socket = stream as Socket;
     // The parser repeats its error for whatever follows, the close included.
-    if (failedConnections.has(socket)) {
-      if (hasEnded(socket)) socket.destroy();
-      return;
-    }
-    failedConnections.add(socket);
-    metrics.count("connection_malformed", error.code ?? "");
-    if (hasEnded(socket)) {
-      socket.destroy();
-      return;
+    const isRepeated = failedConnections.has(socket);
+    if (!isRepeated) {
+      failedConnections.add(socket);
+      metrics.count("connection_malformed", error.code ?? "");
     }
-    const unsent = [...unsentResponses.get(socket) ?? []];
-    const lastOfWhole = unsent.findLast(({ req }) => req.complete);
-    if (lastOfWhole) {
-      dropInput(socket);
-      closeAfter(lastOfWhole, socket);
-    } else if (unsent.some(({ headersSent }) => headersSent)) {
-      socket.destroy();
-    } else {
-      dropInput(socket);
-      close(socket, formatClientError(error.code));
+    if (hasEnded(socket)) socket.destroy();
+    else if (!isRepeated) {
+      closeInOrder(socket, listResponses(socket), error.code);
     }
   });
 }
 
+/** Closes the connection after the responses that it owes, or an error status. */
+function closeInOrder(
+  socket: Socket,
+  responses: readonly ServerResponse[],
+  errorCode: string | undefined,
+): void {
+  const lastOfWhole = responses.findLast(({ req }) => req.complete);
+  if (!lastOfWhole && responses.some(({ headersSent }) => headersSent)) {
+    socket.destroy();
+    return;
+  }
+  dropInput(socket);
+  if (lastOfWhole) closeAfter(lastOfWhole, socket);
+  else close(socket, formatClientError(errorCode));
+}
+
 /** Returns whether the client has closed its side, or the connection is lost. */
-function hasEnded(socket: Duplex): boolean {
+function hasEnded(socket: Socket): boolean {
   return socket.readableEnded || socket.destroyed || !socket.writable;
 }
 
 /** Keeps input from the parser, and reads on to notice when the client leaves. */
-function dropInput(socket: Duplex): void {
+function dropInput(socket: Socket): void {
   socket.removeAllListeners("data");
   socket.on("data", () => {});
   socket.resume();
 }
 
 /** Closes the connection after a response, which announces it if it still can. */
-function closeAfter(response: ServerResponse, socket: Duplex): void {
+function closeAfter(response: ServerResponse, socket: Socket): void {
   if (response.headersSent) response.once("close", () => close(socket, ""));
   else response.setHeader("connection", "close");
 }
 
 /** Sends what is left and closes the connection, at the latest after the linger time. */
-function close(socket: Duplex, text: string): void {
+function close(socket: Socket, text: string): void {
   socket.end(text);
   const timer = setTimeout(() => socket.destroy(), LINGER_MS);
   socket.once("close", () => clearTimeout(timer));
--- a/src/daemon/http_server.ts
+++ b/src/daemon/http_server.ts
@@ -5,7 +5,7 @@
   type Server,
   type ServerResponse,
 } from "node:http";
-import type { AddressInfo } from "node:net";
+import type { AddressInfo, Socket } from "node:net";
 import { parseSocketAddress } from "../core/socket_address.ts";
 import { ActiveResponses } from "./response_abort.ts";
 import { describeError, StepError } from "./step_error.ts";
@@ -88,6 +88,14 @@
   activeResponses.get(server)?.onDeparture(response, listener);
 }
 
+/** Lists the responses under way on a connection, in the order of their requests. */
+export function listResponses(
+  server: Server,
+  socket: Socket,
+): ServerResponse[] {
+  return activeResponses.get(server)?.list(socket) ?? [];
+}
+
 /** Lists the responses that have not begun. */
 export function listUnbegunResponses(server: Server): ServerResponse[] {
   return activeResponses.get(server)?.listUnbegun() ?? [];
--- a/src/daemon/response_abort.ts
+++ b/src/daemon/response_abort.ts
@@ -76,9 +76,14 @@
     listener?.();
   }
 
+  /** Lists the responses under way on a connection, in the order of their requests. */
+  list(socket: Socket): ServerResponse[] {
+    return [...this.#responsesBySocket.get(socket) ?? []];
+  }
+
   /** Returns the last of the responses that are under way on a connection. */
   getLast(socket: Socket): ServerResponse | undefined {
-    return [...this.#responsesBySocket.get(socket) ?? []].at(-1);
+    return this.list(socket).at(-1);
   }
 
   /**
--- a/src/gateway/caller_task.ts
+++ b/src/gateway/caller_task.ts
@@ -149,7 +149,11 @@
       },
       (request, response) => this.#handleRequest(request, response, isRelayed),
     );
-    handleConnectionErrors(server, this.#context.metrics);
+    handleConnectionErrors(
+      server,
+      (socket) => this.#activeResponses.list(socket),
+      this.#context.metrics,
+    );
     server.on("connection", (socket: Socket) => {
       const now = performance.now();
       socket.setNoDelay(true);
--- a/test/daemon/connection_errors_test.ts
+++ b/test/daemon/connection_errors_test.ts
@@ -12,8 +12,10 @@
 import { DEFAULT_TURN_LIMITS } from "../../src/core/limits/turn_share.ts";
 import { handleConnectionErrors } from "../../src/daemon/connection_errors.ts";
 import { ConnectionGuard } from "../../src/daemon/connection_guard.ts";
+import { ActiveResponses } from "../../src/daemon/response_abort.ts";
 import { waitMs } from "../../src/gateway/wait.ts";
 import { clientLimitsSchema } from "../../src/settings/client_limits.ts";
+import { listStatuses } from "../raw_caller.ts";
 
 const HEADERS_TIMEOUT_MS = 150;
 const REQUEST_TIMEOUT_MS = 200;
@@ -58,12 +60,14 @@
   const held: ServerResponse[] = [];
   const handled: string[] = [];
   const errors: string[] = [];
+  const responses = new ActiveResponses();
   const server = createServer({
     headersTimeout: HEADERS_TIMEOUT_MS,
     requestTimeout: REQUEST_TIMEOUT_MS,
     connectionsCheckingInterval: CHECK_INTERVAL_MS,
     maxHeaderSize: MAX_HEAD_BYTES,
   }, (request, response) => {
+    responses.add(response);
     request.resume();
     request.once("end", () => {
       handled.push(request.url ?? "");
@@ -78,7 +82,7 @@
     logCut: () => {},
   });
   if (isGuarded) guard.attach(server, "callers", 10);
-  handleConnectionErrors(server, {
+  handleConnectionErrors(server, (socket) => responses.list(socket), {
     count: (_name, code) => errors.push(code),
   });
   server.listen(0, "127.0.0.1");
@@ -107,12 +111,6 @@
   return `POST ${path} HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nok`;
 }
 
-function listStatuses(text: string): number[] {
-  return [...text.matchAll(/HTTP\/1\.1 (\d{3})/g)].map(([, code]) =>
-    Number(code)
-  );
-}
-
 async function waitForHeld(bench: Bench): Promise<ServerResponse> {
   while (bench.held.length === 0) await waitMs(5);
   const [response] = bench.held;
--- a/test/gateway/unfinished_request_test.ts
+++ b/test/gateway/unfinished_request_test.ts
@@ -8,6 +8,7 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { waitMs } from "../../src/gateway/wait.ts";
+import { listStatuses } from "../raw_caller.ts";
 import { GatewayHarness } from "./gateway_harness.ts";
 
 const harness = new GatewayHarness();
@@ -53,15 +54,9 @@
   return text;
 }
 
-function listStatuses(text: string): string[] {
-  return [...text.matchAll(/HTTP\/1\.1 (\d{3})/g)].map(([, code]) =>
-    code ?? ""
-  );
-}
-
 test("bytes that are no request behind a booking that runs are not answered in its place", async () => {
   const text = await book("malformed", 400, "\u0000\u0001\r\n\r\n");
-  assert.equal(listStatuses(text), ["200"]);
+  assert.equal(listStatuses(text), [200]);
   assert.ok(text.endsWith(ANSWER));
 });
 
@@ -75,7 +70,7 @@
   }
   const texts = await Promise.all(bookings);
   const statuses = texts.map((text) => listStatuses(text)[0] ?? "none");
-  assert.equal([...new Set(statuses)], ["200"]);
+  assert.equal([...new Set(statuses)], [200]);
 });
 
 test.run();
--- a/test/raw_caller.ts
+++ b/test/raw_caller.ts
@@ -100,3 +100,10 @@
   }
   return { body, isComplete: false };
 }
+
+/** Lists the statuses of the answers that a connection received. */
+export function listStatuses(text: string): number[] {
+  return [...text.matchAll(/HTTP\/1\.1 (\d{3})/g)].map(([, status]) =>
+    Number(status)
+  );
+}
