Orders: the log says what an order rested on

The log could not tell whether each host was a majority by itself, or shared the turns with others that it knew, or whether the numbers alone collided. Change: orderGiven has hasQuorum, claimants and engineAgeMs.

--- a/src/core/ordering/engine_owner.ts
+++ b/src/core/ordering/engine_owner.ts
@@ -61,6 +61,18 @@
   recentOwners?: [id: string, orderAgeMs: Milliseconds][] | undefined;
 }
 
+/** What the decision to send an order rested on, for the log. */
+export interface OrderGrounds {
+  hasQuorum: boolean;
+  /** Number of daemons among which the turns were divided. */
+  claimants: number;
+  /**
+   * Time since the engine's start by this host's wall clock; undefined if it is
+   * unknown.
+   */
+  engineAgeMs: Milliseconds | undefined;
+}
+
 export type EngineOwnerEffect =
   | { kind: "readReport"; engineId: string }
   | {
@@ -71,6 +83,7 @@
     expectedSequence: number;
     /** What the engine's acceptance of the order will prove. */
     evidence: OrderEvidence;
+    grounds: OrderGrounds;
   }
   | { kind: "answerPermit"; engineId: string; answer: PermitAnswer }
   /**
@@ -605,6 +618,11 @@
       }),
       expectedSequence,
       evidence,
+      grounds: {
+        hasQuorum: context.hasQuorum,
+        claimants: this.#options.listClaimants().length,
+        engineAgeMs: this.#ownership.getEngineAgeMs(now),
+      },
     }];
   }
 
--- a/src/gateway/engine_task.ts
+++ b/src/gateway/engine_task.ts
@@ -636,7 +636,8 @@
     effect: Extract<EngineOwnerEffect, { kind: "giveOrder" }>,
   ): Promise<void> {
     const { view, control, selfId, log, metrics } = this.#options;
-    const { engineId, order, fence, expectedSequence, evidence } = effect;
+    const { engineId, order, fence, expectedSequence, evidence, grounds } =
+      effect;
     const owner = this.#owners.get(engineId);
     const engine = view.getUpstream(engineId);
     const { model, adapter } = order;
@@ -658,6 +659,9 @@
       fence,
       expectedSequence,
       evidence,
+      hasQuorum: grounds.hasQuorum,
+      claimants: grounds.claimants,
+      engineAgeMs: grounds.engineAgeMs && Math.round(grounds.engineAgeMs),
       bornAtUnixMs: engine?.bornAtUnixMs,
       elapsedMs: Math.round(performance.now() - sentAt),
       outcome: answer.kind,
