--- a/src/core/ordering/isolated_turns.ts
+++ b/src/core/ordering/isolated_turns.ts
@@ -8,6 +8,7 @@
  */
 import { hashText } from "../hashing.ts";
 import type { Milliseconds } from "../structures.ts";
+import { CONTESTED_TURN_MS, TURN_SEND_WINDOW_MS } from "./engine_ownership.ts";
 
 /** Time in which each isolated daemon has one turn to load a base model. */
 const CYCLE_MS = 6_400;
@@ -17,6 +18,9 @@
  */
 const SEND_WINDOW_MS = 50;
 
+/** Number of consecutive ordinals whose evictions never coincide. */
+const EVICTING_HOSTS = 64;
+
 /** What distinguishes a host from all others, whichever of them are known. */
 export interface HostIdentity {
   /** Name of the host, which ends in its number within its failure domain. */
@@ -52,6 +56,26 @@
   return sinceTurnMs < SEND_WINDOW_MS ? 0 : CYCLE_MS - sinceTurnMs;
 }
 
+/**
+ * Returns which of the divided adapters an isolated daemon may evict at this
+ * age of the engine, by index, or undefined while it has no turn. Hosts share
+ * an index only at different times, so that each sees the other's eviction.
+ */
+export function findEvictionShare(
+  ordinal: number,
+  adapters: number,
+  engineAgeMs: Milliseconds,
+): number | undefined {
+  if (adapters === 0) return undefined;
+  const turns = Math.ceil(EVICTING_HOSTS / adapters);
+  const cycleMs = turns * CONTESTED_TURN_MS;
+  const cycle = Math.floor(engineAgeMs / cycleMs);
+  const turn = Math.floor(ordinal / adapters) % turns;
+  const sinceTurnMs = engineAgeMs - cycle * cycleMs - turn * CONTESTED_TURN_MS;
+  const isTurn = sinceTurnMs >= 0 && sinceTurnMs < TURN_SEND_WINDOW_MS;
+  return isTurn ? (ordinal + Math.max(0, cycle)) % adapters : undefined;
+}
+
 /**
  * Returns the binary digits of a natural number mirrored at the point, from 0 up
  * to 1 (van der Corput sequence).
--- a/src/core/ordering/order_planner.ts
+++ b/src/core/ordering/order_planner.ts
@@ -9,7 +9,7 @@
  * than a term evicts any idle adapter while all daemons that may own the engine
  * say that they do not: those that claimed it together with this one have said
  * so by then. A daemon that knows no other one takes the turns of
- * isolated_turns.ts to load a base model.
+ * isolated_turns.ts.
  */
 import type {
   AdmissionController,
@@ -17,30 +17,25 @@
 } from "../admission/admission_controller.ts";
 import type { Milliseconds } from "../structures.ts";
 import {
+  CONTESTED_TURN_MS,
   CONTESTED_WINDOW_MS,
   type EngineOwnership,
+  TURN_SEND_WINDOW_MS,
 } from "./engine_ownership.ts";
 import { computeContestedSlot } from "./fencing_number.ts";
-import { computeTurnDelayMs } from "./isolated_turns.ts";
+import { computeTurnDelayMs, findEvictionShare } from "./isolated_turns.ts";
 import type { ClaimConditions } from "./ownership_state.ts";
-import { selectProvingOrder } from "./proving_order.ts";
+import {
+  type ProvingOrderInput,
+  rankDividedPaths,
+  selectProvingOrder,
+} from "./proving_order.ts";
 
 /**
  * Time after which other daemons may have claimed an engine that has accepted no
  * order: one term.
  */
 const SOLE_OWNER_MS = 3_000;
-/**
- * Part of a turn in which a contested order may be sent: reading the engine's
- * report and sending the order take several ticks.
- */
-const TURN_SEND_WINDOW_MS = 500;
-/**
- * Length of a turn for contested orders: an order sent in one turn is visible
- * in the next.
- */
-const CONTESTED_TURN_MS = TURN_SEND_WINDOW_MS + CONTESTED_WINDOW_MS;
-
 /**
  * Part of a turn in which a base model may be loaded where a majority is heard,
  * and the length of such a turn: the rest of it is longer than an order takes on
@@ -265,7 +260,7 @@
 
   #planProvingOrder(
     model: string,
-    { hasQuorum, isDisclaimed }: PlanConditions,
+    { hasQuorum, isIsolated, isDisclaimed }: PlanConditions,
     now: Milliseconds,
   ): PlannedOrder | undefined {
     const { selfId, selectOwnAdapter, listClaimants } = this.#options;
@@ -280,7 +275,7 @@
       (isDisclaimed && now - this.#ownedSince >= SOLE_OWNER_MS);
     const input = {
       selfId,
-      claimants: listClaimants(),
+      claimants: isIsolated ? [] : listClaimants(),
       mayEvictAny,
       divisionKey: String(this.#ownership.bornAtUnixMs),
       dividedPaths: this.#dividedPaths,
@@ -294,12 +289,38 @@
     };
     const order = selectProvingOrder({ ...input, mayEvictCommon: false });
     if (order) return createProvingOrder(order, false, now);
-    if (!this.#canContest(now) || !this.#isContestedTurn(now)) return undefined;
-    const common = selectProvingOrder({ ...input, mayEvictCommon: true });
+    if (!this.#canContest(now)) return undefined;
+    if (!isIsolated && !this.#isContestedTurn(now)) return undefined;
+    const idlePaths = isIsolated
+      ? this.#listIsolatedShare(input, now)
+      : input.idlePaths;
+    const common = selectProvingOrder({
+      ...input,
+      idlePaths,
+      mayEvictCommon: true,
+    });
     // Turns depend on wall clocks: without a majority, another claimant that is
     // not heard may send the same eviction.
     return common && createProvingOrder(common, !hasQuorum, now);
   }
+
+  /** Returns the idle adapters that an isolated daemon may evict now. */
+  #listIsolatedShare(
+    { idlePaths, dividedPaths, divisionKey }: Pick<
+      ProvingOrderInput,
+      "idlePaths" | "dividedPaths" | "divisionKey"
+    >,
+    now: Milliseconds,
+  ): string[] {
+    const share = findEvictionShare(
+      this.#options.hostOrdinal,
+      dividedPaths.length,
+      this.#ownership.getEngineAgeMs(now) ?? 0,
+    );
+    if (share === undefined) return [];
+    const ownPath = rankDividedPaths(divisionKey, dividedPaths)[share];
+    return idlePaths.filter((path) => path === ownPath);
+  }
 }
 
 function createProvingOrder(
--- a/src/core/ordering/proving_order.ts
+++ b/src/core/ordering/proving_order.ts
@@ -23,6 +23,7 @@
   selfId: string;
   /**
    * Daemons that may claim the engine at the same time; may include this one.
+   * Empty if they are not known: all adapters are then in the common share.
    */
   claimants: readonly string[];
   /**
@@ -89,13 +90,20 @@
 ): string[] {
   const isScarce = dividedPaths.length < claimants.length;
   const owners = isScarce ? [COMMON, ...claimants] : [...claimants, COMMON];
-  const ranked = dividedPaths.map((id) => ({ id }));
-  const paths = rankByRendezvous(divisionKey, ranked)
-    .filter((_, rank) => owners[rank % owners.length] === owner)
-    .map(({ id }) => id);
+  const paths = rankDividedPaths(divisionKey, dividedPaths)
+    .filter((_, rank) => owners[rank % owners.length] === owner);
   return idlePaths.filter((path) => paths.includes(path));
 }
 
+/** Returns the adapters in the order in which they are divided. */
+export function rankDividedPaths(
+  divisionKey: string,
+  dividedPaths: readonly string[],
+): string[] {
+  const candidates = dividedPaths.map((id) => ({ id }));
+  return rankByRendezvous(divisionKey, candidates).map(({ id }) => id);
+}
+
 function selectVictim(
   { selfId }: ProvingOrderInput,
   paths: readonly string[],
--- a/test/core/ordering/isolated_turns_test.ts
+++ b/test/core/ordering/isolated_turns_test.ts
@@ -7,6 +7,7 @@
 import {
   computeHostOrdinal,
   computeTurnDelayMs,
+  findEvictionShare,
 } from "../../../src/core/ordering/isolated_turns.ts";
 
 const DOMAINS = ["a", "b", "c", "d"];
@@ -61,6 +62,28 @@
   }
 });
 
+test("64 hosts never evict the same adapter within the time in which they do not see each other's order", () => {
+  const unseenMs = 850;
+  for (const adapters of [1, 3, 8, 17]) {
+    const lastByShare = new Map<number, { ordinal: number; at: number }>();
+    let turns = 0;
+    for (let ageMs = 0; ageMs < 180_000; ageMs += 50) {
+      for (let ordinal = 0; ordinal < 64; ordinal += 1) {
+        const share = findEvictionShare(ordinal, adapters, ageMs);
+        if (share === undefined) continue;
+        turns += 1;
+        const last = lastByShare.get(share);
+        const isApart = !last || last.ordinal === ordinal ||
+          ageMs - last.at >= unseenMs;
+        assert.ok(isApart, `${last?.ordinal} and ${ordinal} at ${ageMs} ms`);
+        lastByShare.set(share, { ordinal, at: ageMs });
+      }
+    }
+    assert.ok(turns > 0);
+  }
+  assert.is(findEvictionShare(1, 0, 1_000), undefined);
+});
+
 test("a turn returns with each cycle, also where a wrong clock makes the age negative", () => {
   for (const ordinal of [0, 1, 5, 4_294_967_295]) {
     for (const ageMs of [-9_000, -1, 0, 3_300, 500_000]) {
--- a/test/fuzz/isolated_hosts_test.ts
+++ b/test/fuzz/isolated_hosts_test.ts
@@ -12,6 +12,7 @@
 const FIRST_SEED = Number(process.env.ISOLATED_SEED ?? 1);
 /** Load times of the users' data sheets. */
 const FLEETS = [
+  { daemons: 2, modelLoadMs: 600 },
   { daemons: 9, modelLoadMs: 600 },
 ];
 const CRASHES_AT = [15_000, 30_000, 45_000];
