--- a/src/core/ordering/engine_owner.ts
+++ b/src/core/ordering/engine_owner.ts
@@ -592,7 +592,16 @@
       this.#needsReconciliation || now < this.#nextOrderAt;
     if (isBlocked) return [];
     this.admission.slots.setFetchShare(context.fetchShare);
-    const wanted = this.#findMissingModel() ??
+    const missingModel = this.#findMissingModel();
+    // The engine's first order was the load of its first base model. While that
+    // is in progress it confirms the same order, whatever its fencing number.
+    const mayBeLoading = missingModel !== undefined &&
+      this.#models.size === 0 && expectedSequence > 0;
+    if (mayBeLoading && !context.hasQuorum) {
+      this.#needsReconciliation = true;
+      return [];
+    }
+    const wanted = missingModel ??
       this.admission.findNextOrder(context.fetchShare.canFetch, now);
     const planned = wanted &&
       this.#planner.plan(wanted, context, now);
--- a/test/fuzz/isolated_hosts_test.ts
+++ b/test/fuzz/isolated_hosts_test.ts
@@ -14,6 +14,8 @@
 const FLEETS = [
   { daemons: 2, modelLoadMs: 600 },
   { daemons: 9, modelLoadMs: 600 },
+  { daemons: 9, modelLoadMs: 5_100 },
+  { daemons: 24, modelLoadMs: 2_900 },
 ];
 const CRASHES_AT = [15_000, 30_000, 45_000];
 /** Time in which a base model is loaded by a host that has no majority. */
