Hosts that know nobody leave the slack of the retries to others (BUDGET)

Change: an isolated host retries from the fraction of its own requests alone, and one retry in a window as before. Not shown with processes.

--- a/src/core/limits/fleet_retry_budget.ts
+++ b/src/core/limits/fleet_retry_budget.ts
@@ -3,7 +3,8 @@
  * platform limits the retries of all daemons together, over a time window: a
  * fraction of the requests, and a fixed slack for each service. This keeps
  * retries from amplifying an overload when many requests fail at once. Each
- * daemon uses the fraction of its own requests and an equal part of the slack.
+ * daemon uses the fraction of its own requests and an equal part of the slack,
+ * or none of it while it does not know how many others there are.
  */
 import type { Milliseconds } from "../structures.ts";
 
@@ -40,17 +41,18 @@
 
   /**
    * Takes one retry from the service's budget; returns false if none is left.
-   * @param daemons number of daemons that share the slack.
+   * @param daemons number of daemons that share the slack; undefined if it is
+   * not known.
    */
   trySpend(
     service: string,
-    daemons: number,
+    daemons: number | undefined,
     now: Milliseconds,
   ): boolean {
     const window = this.#getWindow(service, now);
     const { ratio, slack } = this.#options;
-    const allowed = USED_FRACTION *
-      (ratio * window.arrivals.length + slack / Math.max(1, daemons));
+    const ownSlack = daemons === undefined ? 0 : slack / Math.max(1, daemons);
+    const allowed = USED_FRACTION * (ratio * window.arrivals.length + ownSlack);
     if (window.retries.length + 1 > Math.max(1, allowed)) return false;
     window.retries.push(now);
     return true;
--- a/src/gateway/request_handler.ts
+++ b/src/gateway/request_handler.ts
@@ -661,7 +661,9 @@
         this.#crashGuard.isSuspect(performance.now()),
     }, () => {
       const now = performance.now();
-      const daemons = fleet.countSharing(now);
+      const daemons = fleet.isIsolated(now)
+        ? undefined
+        : fleet.countSharing(now);
       return retryBudget.trySpend(this.#service.name, daemons, now);
     });
   }
--- a/test/core/limits/fleet_retry_budget_test.ts
+++ b/test/core/limits/fleet_retry_budget_test.ts
@@ -9,7 +9,7 @@
 
 function spendAll(
   budget: FleetRetryBudget,
-  daemons: number,
+  daemons: number | undefined,
   now: number,
 ): number {
   let spent = 0;
@@ -48,6 +48,19 @@
   assert.ok(retries > 0 && retries <= OPTIONS.slack, `${retries}`);
 });
 
+// Guards against gateways that each spend the whole slack because all their
+// seeds are stale and they know nobody (BUDGET).
+test("nine daemons that have never heard each other stay within the fleet-wide budget", () => {
+  let retries = 0;
+  for (let index = 0; index < 9; index += 1) {
+    const self = { id: `${index}`, ip: `${index}`, failureDomain: "a" };
+    const fleet = new FleetView(self, 0, ["stale"]);
+    const daemons = fleet.isIsolated(0) ? undefined : fleet.countSharing(0);
+    retries += spendAll(new FleetRetryBudget(OPTIONS), daemons, 0);
+  }
+  assert.ok(retries > 0 && retries <= OPTIONS.slack, `${retries}`);
+});
+
 test("each service has its own budget, which is renewed when the window has passed", () => {
   const budget = new FleetRetryBudget(OPTIONS);
   const first = spendAll(budget, 9, 0);
