Hosts that know nobody evict in shorter turns, and go on at once

Cause: with the change of a host that knows nobody waited up to 10.8 s for a turn to evict, and rested after it as after an order that others may have sent too. Change: turns of 1.05 s; the 16 lowest ordinals have one in each cycle, the others share one turn of the cycle. Hosts with one share never meet, so the eviction proves the ownership.

--- a/src/core/ordering/isolated_turns.ts
+++ b/src/core/ordering/isolated_turns.ts
@@ -8,7 +8,7 @@
  */
 import { hashText } from "../hashing.ts";
 import type { Milliseconds } from "../structures.ts";
-import { CONTESTED_TURN_MS, TURN_SEND_WINDOW_MS } from "./engine_ownership.ts";
+import { CONTESTED_WINDOW_MS } from "./engine_ownership.ts";
 
 /** Time in which each isolated daemon has one turn to load a base model. */
 const CYCLE_MS = 6_400;
@@ -20,6 +20,11 @@
 
 /** Number of consecutive ordinals whose evictions never coincide. */
 const EVICTING_HOSTS = 64;
+/** Of these, the lowest, which have turns to evict more frequently. */
+const FREQUENT_HOSTS = 16;
+/** Part of a turn in which an adapter may be evicted, and the turn's length. */
+const EVICTION_WINDOW_MS = 200;
+const EVICTION_TURN_MS = EVICTION_WINDOW_MS + CONTESTED_WINDOW_MS;
 
 /** What distinguishes a host from all others, whichever of them are known. */
 export interface HostIdentity {
@@ -56,24 +61,54 @@
   return sinceTurnMs < SEND_WINDOW_MS ? 0 : CYCLE_MS - sinceTurnMs;
 }
 
+/** A turn of an isolated daemon to evict an adapter. */
+export interface EvictionTurn {
+  /** Index of the adapter among those that are divided. */
+  share: number;
+  /** Time until the turn begins; 0 if the adapter may be evicted now. */
+  delayMs: Milliseconds;
+}
+
 /**
- * Returns which of the divided adapters an isolated daemon may evict at this
- * age of the engine, by index, or undefined while it has no turn. Hosts share
- * an index only at different times, so that each sees the other's eviction.
+ * Returns the current or the next turn, if it is this daemon's. Hosts share an
+ * index only at different times, so that each sees the other's eviction.
  */
-export function findEvictionShare(
+export function findEvictionTurn(
   ordinal: number,
   adapters: number,
   engineAgeMs: Milliseconds,
-): number | undefined {
+): EvictionTurn | undefined {
   if (adapters === 0) return undefined;
-  const turns = Math.ceil(EVICTING_HOSTS / adapters);
-  const cycleMs = turns * CONTESTED_TURN_MS;
-  const cycle = Math.floor(engineAgeMs / cycleMs);
-  const turn = Math.floor(ordinal / adapters) % turns;
-  const sinceTurnMs = engineAgeMs - cycle * cycleMs - turn * CONTESTED_TURN_MS;
-  const isTurn = sinceTurnMs >= 0 && sinceTurnMs < TURN_SEND_WINDOW_MS;
-  return isTurn ? (ordinal + Math.max(0, cycle)) % adapters : undefined;
+  const group = Math.floor(ordinal / adapters);
+  const share = ordinal % adapters;
+  const turn = Math.floor(engineAgeMs / EVICTION_TURN_MS);
+  const sinceTurnMs = engineAgeMs - turn * EVICTION_TURN_MS;
+  if (
+    sinceTurnMs < EVICTION_WINDOW_MS && isGroupTurn(group, adapters, turn)
+  ) return { share, delayMs: 0 };
+  return isGroupTurn(group, adapters, turn + 1)
+    ? { share, delayMs: EVICTION_TURN_MS - sinceTurnMs }
+    : undefined;
+}
+
+/**
+ * Returns whether a turn is that of a group of hosts, each of which has another
+ * adapter: one of the frequent groups, which alternate, or one of the others,
+ * which share the remaining turn of each cycle.
+ */
+function isGroupTurn(group: number, adapters: number, turn: number): boolean {
+  const groups = Math.ceil(EVICTING_HOSTS / adapters);
+  const frequentGroups = Math.min(
+    groups - 1,
+    Math.ceil(FREQUENT_HOSTS / adapters),
+  );
+  const ownGroup = group % groups;
+  const turnInCycle = turn % (frequentGroups + 1);
+  if (ownGroup < frequentGroups) return turnInCycle === ownGroup;
+  const cycle = Math.floor(turn / (frequentGroups + 1));
+  const otherGroups = groups - frequentGroups;
+  return turnInCycle === frequentGroups &&
+    cycle % otherGroups === ownGroup - frequentGroups;
 }
 
 /**
--- a/src/core/ordering/order_planner.ts
+++ b/src/core/ordering/order_planner.ts
@@ -11,9 +11,10 @@
  * so by then. A daemon that knows no other one takes the turns of
  * isolated_turns.ts.
  */
-import type {
-  AdmissionController,
-  EngineOrder,
+import {
+  type AdmissionController,
+  buildEvictionOrder,
+  type EngineOrder,
 } from "../admission/admission_controller.ts";
 import type { Milliseconds } from "../structures.ts";
 import {
@@ -23,7 +24,7 @@
   TURN_SEND_WINDOW_MS,
 } from "./engine_ownership.ts";
 import { computeContestedSlot } from "./fencing_number.ts";
-import { computeTurnDelayMs, findEvictionShare } from "./isolated_turns.ts";
+import { computeTurnDelayMs, findEvictionTurn } from "./isolated_turns.ts";
 import type { ClaimConditions } from "./ownership_state.ts";
 import {
   type ProvingOrderInput,
@@ -290,47 +291,46 @@
     const order = selectProvingOrder({ ...input, mayEvictCommon: false });
     if (order) return createProvingOrder(order, false, now);
     if (!this.#canContest(now)) return undefined;
-    if (!isIsolated && !this.#isContestedTurn(now)) return undefined;
-    const idlePaths = isIsolated
-      ? this.#listIsolatedShare(input, now)
-      : input.idlePaths;
-    const common = selectProvingOrder({
-      ...input,
-      idlePaths,
-      mayEvictCommon: true,
-    });
+    if (isIsolated) return this.#planIsolatedEviction(input, now);
+    if (!this.#isContestedTurn(now)) return undefined;
+    const common = selectProvingOrder({ ...input, mayEvictCommon: true });
     // Turns depend on wall clocks: without a majority, another claimant that is
     // not heard may send the same eviction.
     return common && createProvingOrder(common, !hasQuorum, now);
   }
 
-  /** Returns the idle adapters that an isolated daemon may evict now. */
-  #listIsolatedShare(
+  /**
+   * Plans the eviction of the adapter that no other host evicts in this host's
+   * turn; its acceptance proves the ownership.
+   */
+  #planIsolatedEviction(
     { idlePaths, dividedPaths, divisionKey }: Pick<
       ProvingOrderInput,
       "idlePaths" | "dividedPaths" | "divisionKey"
     >,
     now: Milliseconds,
-  ): string[] {
-    const share = findEvictionShare(
+  ): PlannedOrder | undefined {
+    const turn = findEvictionTurn(
       this.#options.hostOrdinal,
       dividedPaths.length,
       this.#ownership.getEngineAgeMs(now) ?? 0,
     );
-    if (share === undefined) return [];
-    const ownPath = rankDividedPaths(divisionKey, dividedPaths)[share];
-    return idlePaths.filter((path) => path === ownPath);
+    if (!turn) return undefined;
+    const path = rankDividedPaths(divisionKey, dividedPaths)[turn.share];
+    if (path === undefined || !idlePaths.includes(path)) return undefined;
+    const sendAt = now + turn.delayMs;
+    return createProvingOrder(buildEvictionOrder(path), false, sendAt);
   }
 }
 
 function createProvingOrder(
   order: EngineOrder,
   isInconclusive: boolean,
-  now: Milliseconds,
+  sendAt: Milliseconds,
 ): PlannedOrder {
   return {
     order,
-    sendAt: now,
+    sendAt,
     isContested: true,
     isInconclusive,
     contestedSlot: undefined,
--- a/test/core/ordering/isolated_turns_test.ts
+++ b/test/core/ordering/isolated_turns_test.ts
@@ -7,7 +7,7 @@
 import {
   computeHostOrdinal,
   computeTurnDelayMs,
-  findEvictionShare,
+  findEvictionTurn,
 } from "../../../src/core/ordering/isolated_turns.ts";
 
 const DOMAINS = ["a", "b", "c", "d"];
@@ -69,8 +69,9 @@
     let turns = 0;
     for (let ageMs = 0; ageMs < 180_000; ageMs += 50) {
       for (let ordinal = 0; ordinal < 64; ordinal += 1) {
-        const share = findEvictionShare(ordinal, adapters, ageMs);
-        if (share === undefined) continue;
+        const turn = findEvictionTurn(ordinal, adapters, ageMs);
+        if (!turn || turn.delayMs > 0) continue;
+        const { share } = turn;
         turns += 1;
         const last = lastByShare.get(share);
         const isApart = !last || last.ordinal === ordinal ||
@@ -81,7 +82,7 @@
     }
     assert.ok(turns > 0);
   }
-  assert.is(findEvictionShare(1, 0, 1_000), undefined);
+  assert.is(findEvictionTurn(1, 0, 1_000), undefined);
 });
 
 test("a turn returns with each cycle, also where a wrong clock makes the age negative", () => {
