Owners that know nobody keep slots free to prove their ownership

Cause: when nobody has ordered an engine for a term, its owner proves its ownership anew. A host that knows nobody could do so at a full engine only by an eviction in its turn, and its callers were refused meanwhile. Change: while it is exclusive and no request waits, such an owner evicts idle adapters until two slots are free (a quarter of few slots): one for the load that proves the ownership, which the engine compares and no other host sends, one for the load that the request needs.

--- a/src/core/admission/admission_controller.ts
+++ b/src/core/admission/admission_controller.ts
@@ -560,6 +560,18 @@
     return now < this.#evictionAllowedAt ? [] : this.slots.listIdle(now);
   }
 
+  /**
+   * Returns the eviction that frees an adapter slot for later loads, or
+   * undefined if enough are free, requests wait or no adapter is idle.
+   */
+  findSpareEviction(now: Milliseconds): EngineOrder | undefined {
+    if (!this.slots.needsSpareSlot() || this.countWaiting() > 0) {
+      return undefined;
+    }
+    const victim = this.#findEvictionVictim(now);
+    return victim && buildEvictionOrder(victim.adapterPath);
+  }
+
   /**
    * Denies all waiting requests when the daemon gives up ownership of the
    * engine.
--- a/src/core/ordering/engine_owner.ts
+++ b/src/core/ordering/engine_owner.ts
@@ -602,7 +602,8 @@
       return [];
     }
     const wanted = missingModel ??
-      this.admission.findNextOrder(context.fetchShare.canFetch, now);
+      this.admission.findNextOrder(context.fetchShare.canFetch, now) ??
+      this.#findSpareEviction(context, now);
     const planned = wanted &&
       this.#planner.plan(wanted, context, now);
     this.#isVerificationDue = planned !== undefined &&
@@ -639,6 +640,19 @@
     }];
   }
 
+  /**
+   * Returns an eviction that lets an isolated owner prove its ownership later by
+   * a load, for which it need not wait for a turn.
+   */
+  #findSpareEviction(
+    { isIsolated }: OwnershipContext,
+    now: Milliseconds,
+  ): EngineOrder | undefined {
+    return isIsolated && this.#ownership.isExclusive(now)
+      ? this.admission.findSpareEviction(now)
+      : undefined;
+  }
+
   /**
    * Returns a load order for a base model that the engine lacks and has memory
    * for.
--- a/src/core/placement/adapter_slots.ts
+++ b/src/core/placement/adapter_slots.ts
@@ -154,6 +154,15 @@
     return this.#slots.size < this.#capacity;
   }
 
+  /**
+   * Returns whether fewer slots are free than an owner keeps for proving its
+   * ownership and for the load that follows: two, or a quarter of few slots.
+   */
+  needsSpareSlot(): boolean {
+    const spareSlots = Math.min(2, Math.floor(this.#capacity / 4));
+    return this.#slots.size > this.#capacity - spareSlots;
+  }
+
   /**
    * Returns whether loading the adapter takes a fetch from the weight store.
    */
--- a/test/core/ordering/engine_owner_test.ts
+++ b/test/core/ordering/engine_owner_test.ts
@@ -364,4 +364,50 @@
   assert.is(owner.getDisclaimerRequirements(800), undefined, "a slot is free");
 });
 
+/** Returns how many adapters a sole owner of a full engine evicts unasked. */
+function countSpareEvictions(context: OwnershipContext): number {
+  const owner = createOwner("next", BORN);
+  const adapters = new Map(
+    Array.from(
+      { length: 8 },
+      (_, index) => [`m/a${index}`, { version: 1, isLoading: false }],
+    ),
+  );
+  owner.setLimits({ ...buildEngineLimits(600), adapterSlots: 8 });
+  owner.tick({ ...context, peers: ["next"] }, 0);
+  owner.recordReportFailure();
+  owner.acceptHandover({
+    sequence: 9,
+    bornAtUnixMs: BORN,
+    acceptedAgeMs: 0,
+    models: ["m"],
+    adapters: Array.from(
+      { length: 8 },
+      (_, index) => [`m/a${index}`, 1, false],
+    ),
+  }, 10);
+  owner.adoptRuns("next", { runs: [], total: 0 }, 15);
+  let evictions = 0;
+  for (let now = 20; now < 2_500; now += 20) {
+    for (const effect of owner.tick(context, now)) {
+      if (effect.kind === "readReport") {
+        const report = { ...buildReport(9 + evictions, now), adapters };
+        owner.recordReport(report, now);
+      }
+      if (effect.kind !== "giveOrder") continue;
+      assert.is(effect.order.kind, "evict");
+      evictions += 1;
+      adapters.delete(effect.order.adapterPath);
+      owner.recordOrderAnswer({ kind: "accepted" }, now);
+    }
+  }
+  return evictions;
+}
+
+test("an owner that knows nobody keeps slots free, so that it can prove its ownership by a load at any time", () => {
+  assert.is(countSpareEvictions(CONTEXT), 0);
+  const isolated = { ...CONTEXT, hasQuorum: false, isIsolated: true };
+  assert.is(countSpareEvictions(isolated), 2);
+});
+
 test.run();
