--- a/src/core/ordering/engine_ownership.ts
+++ b/src/core/ordering/engine_ownership.ts
@@ -114,17 +114,6 @@
  */
 export const CONTESTED_WINDOW_MS = CONTESTED_VERIFIED_MS + REPORT_LAG_MS;
 
-/**
- * Part of a turn in which a contested order may be sent: reading the engine's
- * report and sending the order take several ticks.
- */
-export const TURN_SEND_WINDOW_MS = 500;
-/**
- * Length of a turn for contested orders: an order sent in one turn is visible
- * in the next.
- */
-export const CONTESTED_TURN_MS = TURN_SEND_WINDOW_MS + CONTESTED_WINDOW_MS;
-
 /**
  * Age up to which other daemons' word that they do not own an engine counts for
  * a claim and for an eviction: the next of their heartbeats may be lost.
--- a/src/core/ordering/isolated_turns.ts
+++ b/src/core/ordering/isolated_turns.ts
@@ -9,14 +9,22 @@
 import { hashText } from "../hashing.ts";
 import type { Milliseconds } from "../structures.ts";
 import { CONTESTED_WINDOW_MS } from "./engine_ownership.ts";
+import { LOAD_SEND_WINDOW_MS, LOAD_TURN_MS } from "./turn_timing.ts";
 
-/** Time in which each isolated daemon has one turn to load a base model. */
-const CYCLE_MS = 6_400;
 /**
- * Part of the turn in which the load may be sent. Turns of 64 hosts begin twice
- * as far apart, so that the orders arrive in the order of their turns.
+ * Number of turns in which each isolated daemon has one to load a base model:
+ * consecutive ordinals, as many, have different ones.
  */
-const SEND_WINDOW_MS = 50;
+const LOAD_TURNS = 32;
+const LOAD_CYCLE_MS = LOAD_TURNS * LOAD_TURN_MS;
+/**
+ * From when in a turn the load may be sent, and for how long: between the times
+ * at which daemons that hear a majority send theirs.
+ */
+const LOAD_OFFSET_MS = LOAD_SEND_WINDOW_MS + 10;
+const LOAD_WINDOW_MS = 50;
+/** Maximum time by which daemons that share a turn send later than its first. */
+const MAX_SHARED_OFFSET_MS = 40;
 
 /** Number of consecutive ordinals whose evictions never coincide. */
 const EVICTING_HOSTS = 64;
@@ -52,13 +60,17 @@
  * Returns the time until an isolated daemon may load the base model of an engine
  * of this age: 0 if it has its turn.
  */
-export function computeTurnDelayMs(
+export function computeLoadDelayMs(
   ordinal: number,
   engineAgeMs: Milliseconds,
 ): Milliseconds {
-  const sinceCycleMs = engineAgeMs - computeRadicalInverse(ordinal) * CYCLE_MS;
-  const sinceTurnMs = (sinceCycleMs % CYCLE_MS + CYCLE_MS) % CYCLE_MS;
-  return sinceTurnMs < SEND_WINDOW_MS ? 0 : CYCLE_MS - sinceTurnMs;
+  const position = computeRadicalInverse(ordinal) * LOAD_TURNS;
+  const turn = Math.floor(position);
+  const turnAtMs = turn * LOAD_TURN_MS + LOAD_OFFSET_MS +
+    (position - turn) * MAX_SHARED_OFFSET_MS;
+  const sinceCycleMs = (engineAgeMs - turnAtMs) % LOAD_CYCLE_MS;
+  const sinceTurnMs = (sinceCycleMs + LOAD_CYCLE_MS) % LOAD_CYCLE_MS;
+  return sinceTurnMs < LOAD_WINDOW_MS ? 0 : LOAD_CYCLE_MS - sinceTurnMs;
 }
 
 /** A turn of an isolated daemon to evict an adapter. */
--- a/src/core/ordering/order_planner.ts
+++ b/src/core/ordering/order_planner.ts
@@ -18,34 +18,29 @@
 } from "../admission/admission_controller.ts";
 import type { Milliseconds } from "../structures.ts";
 import {
-  CONTESTED_TURN_MS,
   CONTESTED_WINDOW_MS,
   type EngineOwnership,
-  TURN_SEND_WINDOW_MS,
 } from "./engine_ownership.ts";
 import { computeContestedSlot } from "./fencing_number.ts";
-import { computeTurnDelayMs, findEvictionTurn } from "./isolated_turns.ts";
+import { computeLoadDelayMs, findEvictionTurn } from "./isolated_turns.ts";
 import type { ClaimConditions } from "./ownership_state.ts";
 import {
   type ProvingOrderInput,
   rankDividedPaths,
   selectProvingOrder,
 } from "./proving_order.ts";
+import {
+  CONTESTED_TURN_MS,
+  LOAD_SEND_WINDOW_MS,
+  LOAD_TURN_MS,
+  TURN_SEND_WINDOW_MS,
+} from "./turn_timing.ts";
 
 /**
  * Time after which other daemons may have claimed an engine that has accepted no
  * order: one term.
  */
 const SOLE_OWNER_MS = 3_000;
-/**
- * Part of a turn in which a base model may be loaded where a majority is heard,
- * and the length of such a turn: the rest of it is longer than an order takes on
- * the network, so that the fencing numbers of claimants that do not hear each
- * other arrive in the order in which they were drawn.
- */
-const LOAD_SEND_WINDOW_MS = 100;
-const LOAD_TURN_MS = LOAD_SEND_WINDOW_MS + 100;
-
 /** An order to send, and what its acceptance proves. */
 export interface PlannedOrder {
   order: EngineOrder;
@@ -216,7 +211,7 @@
     // Unknown after a handover, until a report is read for the order.
     if (ageMs === undefined) return now;
     if (isIsolated) {
-      return now + computeTurnDelayMs(this.#options.hostOrdinal, ageMs);
+      return now + computeLoadDelayMs(this.#options.hostOrdinal, ageMs);
     }
     const cycleMs = (this.#options.listClaimants().length + 1) * LOAD_TURN_MS;
     const remainderMs = (ageMs - this.#findTurn() * LOAD_TURN_MS) % cycleMs;
