--- a/src/core/ordering/order_planner.ts
+++ b/src/core/ordering/order_planner.ts
@@ -41,6 +41,7 @@
  * order: one term.
  */
 const SOLE_OWNER_MS = 3_000;
+
 /** An order to send, and what its acceptance proves. */
 export interface PlannedOrder {
   order: EngineOrder;
