--- a/src/core/ordering/engine_owner.ts
+++ b/src/core/ordering/engine_owner.ts
@@ -61,6 +61,19 @@
   recentOwners?: [id: string, orderAgeMs: Milliseconds][] | undefined;
 }
 
+/** What the decision to send an order rested on, for the log. */
+export interface OrderGrounds {
+  hasQuorum: boolean;
+  isIsolated: boolean;
+  /** Number of daemons among which the turns were divided. */
+  claimants: number;
+  /**
+   * Time since the engine's start by this host's wall clock; undefined if it is
+   * unknown.
+   */
+  engineAgeMs: Milliseconds | undefined;
+}
+
 export type EngineOwnerEffect =
   | { kind: "readReport"; engineId: string }
   | {
@@ -71,6 +84,7 @@
     expectedSequence: number;
     /** What the engine's acceptance of the order will prove. */
     evidence: OrderEvidence;
+    grounds: OrderGrounds;
   }
   | { kind: "answerPermit"; engineId: string; answer: PermitAnswer }
   /**
@@ -100,6 +114,8 @@
   isDesiredOwner: boolean;
   /** Whether it should observe the engine, because it may become the owner. */
   isCandidate: boolean;
+  /** Whether this daemon knows no other one, although there may be some. */
+  isIsolated: boolean;
   /**
    * Daemons that may have runs on the engine, including this one; undefined if
    * not all are known.
@@ -576,7 +592,16 @@
       this.#needsReconciliation || now < this.#nextOrderAt;
     if (isBlocked) return [];
     this.admission.slots.setFetchShare(context.fetchShare);
-    const wanted = this.#findMissingModel() ??
+    const missingModel = this.#findMissingModel();
+    // The engine's first order was the load of its first base model. While that
+    // is in progress it confirms the same order, whatever its fencing number.
+    const mayBeLoading = missingModel !== undefined &&
+      this.#models.size === 0 && expectedSequence > 0;
+    if (mayBeLoading && !context.hasQuorum) {
+      this.#needsReconciliation = true;
+      return [];
+    }
+    const wanted = missingModel ??
       this.admission.findNextOrder(context.fetchShare.canFetch, now);
     const planned = wanted &&
       this.#planner.plan(wanted, context, now);
@@ -605,6 +630,12 @@
       }),
       expectedSequence,
       evidence,
+      grounds: {
+        hasQuorum: context.hasQuorum,
+        isIsolated: context.isIsolated,
+        claimants: this.#options.listClaimants().length,
+        engineAgeMs: this.#ownership.getEngineAgeMs(now),
+      },
     }];
   }
 
--- a/src/gateway/engine_task.ts
+++ b/src/gateway/engine_task.ts
@@ -61,6 +61,8 @@
 
 export interface EngineTaskOptions {
   selfId: string;
+  /** This host's ordinal for turns, which differs from host to host. */
+  hostOrdinal: number;
   termMs: Milliseconds;
   view: PublishedView;
   fleet: FleetView;
@@ -419,6 +421,7 @@
           engine.id,
           new EngineOwner({
             selfId: this.#options.selfId,
+            hostOrdinal: this.#options.hostOrdinal,
             engineId: engine.id,
             limits,
             termMs,
@@ -636,7 +639,8 @@
     effect: Extract<EngineOwnerEffect, { kind: "giveOrder" }>,
   ): Promise<void> {
     const { view, control, selfId, log, metrics } = this.#options;
-    const { engineId, order, fence, expectedSequence, evidence } = effect;
+    const { engineId, order, fence, expectedSequence, evidence, grounds } =
+      effect;
     const owner = this.#owners.get(engineId);
     const engine = view.getUpstream(engineId);
     const { model, adapter } = order;
@@ -658,6 +662,10 @@
       fence,
       expectedSequence,
       evidence,
+      hasQuorum: grounds.hasQuorum,
+      isIsolated: grounds.isIsolated,
+      claimants: grounds.claimants,
+      engineAgeMs: grounds.engineAgeMs && Math.round(grounds.engineAgeMs),
       bornAtUnixMs: engine?.bornAtUnixMs,
       elapsedMs: Math.round(performance.now() - sentAt),
       outcome: answer.kind,
