Turns: one computation of the next turn for loads of base models

isolated_turns.ts computed the time to a turn that returns with each cycle anew, beside OrderPlanner's own. computeTurnDelayMs (turn_timing.ts) serves both, and #findLoadAt says in one place when a base model may be loaded, where plan() asked for the majority and the isolation twice. Behaviour as before: the tests of core/ordering, tenure_fuzz_test (430), restart_schedule_test (61) and isolated_hosts_test (21) pass unchanged.

--- a/src/core/ordering/isolated_turns.ts
+++ b/src/core/ordering/isolated_turns.ts
@@ -9,7 +9,11 @@
 import { hashText } from "../hashing.ts";
 import type { Milliseconds } from "../structures.ts";
 import { CONTESTED_WINDOW_MS } from "./engine_ownership.ts";
-import { LOAD_SEND_WINDOW_MS, LOAD_TURN_MS } from "./turn_timing.ts";
+import {
+  computeTurnDelayMs,
+  LOAD_SEND_WINDOW_MS,
+  LOAD_TURN_MS,
+} from "./turn_timing.ts";
 
 /**
  * Number of turns in which each isolated daemon has one to load a base model:
@@ -66,11 +70,12 @@
 ): Milliseconds {
   const position = computeRadicalInverse(ordinal) * LOAD_TURNS;
   const turn = Math.floor(position);
-  const turnAtMs = turn * LOAD_TURN_MS + LOAD_OFFSET_MS +
-    (position - turn) * MAX_SHARED_OFFSET_MS;
-  const sinceCycleMs = (engineAgeMs - turnAtMs) % LOAD_CYCLE_MS;
-  const sinceTurnMs = (sinceCycleMs + LOAD_CYCLE_MS) % LOAD_CYCLE_MS;
-  return sinceTurnMs < LOAD_WINDOW_MS ? 0 : LOAD_CYCLE_MS - sinceTurnMs;
+  return computeTurnDelayMs({
+    startMs: turn * LOAD_TURN_MS + LOAD_OFFSET_MS +
+      (position - turn) * MAX_SHARED_OFFSET_MS,
+    cycleMs: LOAD_CYCLE_MS,
+    windowMs: LOAD_WINDOW_MS,
+  }, engineAgeMs);
 }
 
 /** A turn of an isolated daemon to evict an adapter. */
--- a/src/core/ordering/order_planner.ts
+++ b/src/core/ordering/order_planner.ts
@@ -30,6 +30,7 @@
   selectProvingOrder,
 } from "./proving_order.ts";
 import {
+  computeTurnDelayMs,
   CONTESTED_TURN_MS,
   LOAD_SEND_WINDOW_MS,
   LOAD_TURN_MS,
@@ -167,7 +168,6 @@
     conditions: PlanConditions,
     now: Milliseconds,
   ): PlannedOrder | undefined {
-    const { hasQuorum, isIsolated, isDisclaimed } = conditions;
     const isProven = this.#ownership.isExclusive(now);
     if (!isProven && now - this.#ownedSince >= SOLE_OWNER_MS) {
       this.#mayHaveOtherClaimants = true;
@@ -183,15 +183,8 @@
     if (this.#ownership.isSoleOwnerSinceRestart(now)) {
       return createUncontestedOrder(wanted, now);
     }
-    const isFormerOwnerExcluded = isDisclaimed || !this.#mayHaveFormerOwner ||
-      !this.#ownership.canBeOwnedSinceStart(now);
-    const mayOrder = hasQuorum
-      ? isFormerOwnerExcluded
-      : this.#canContest(now) && (isIsolated || this.#isContestedTurn(now));
-    if (!mayOrder) return undefined;
-    const sendAt = hasQuorum || isIsolated
-      ? this.#findLoadTurnAt(isIsolated, now)
-      : now;
+    const sendAt = this.#findLoadAt(conditions, now);
+    if (sendAt === undefined) return undefined;
     return {
       order: wanted,
       sendAt,
@@ -205,8 +198,25 @@
 
   /**
    * Returns when this daemon may load an engine's base model: now or from the
-   * start of its next turn. The turns follow from the engine's age.
+   * start of its next turn; undefined while that cannot be planned.
    */
+  #findLoadAt(
+    { hasQuorum, isIsolated, isDisclaimed }: PlanConditions,
+    now: Milliseconds,
+  ): Milliseconds | undefined {
+    if (hasQuorum) {
+      const isFormerOwnerExcluded = isDisclaimed || !this.#mayHaveFormerOwner ||
+        !this.#ownership.canBeOwnedSinceStart(now);
+      return isFormerOwnerExcluded
+        ? this.#findLoadTurnAt(false, now)
+        : undefined;
+    }
+    if (!this.#canContest(now)) return undefined;
+    if (isIsolated) return this.#findLoadTurnAt(true, now);
+    return this.#isContestedTurn(now) ? now : undefined;
+  }
+
+  /** Returns when the current or next turn for the load of a base model is. */
   #findLoadTurnAt(isIsolated: boolean, now: Milliseconds): Milliseconds {
     const ageMs = this.#ownership.getEngineAgeMs(now);
     // Unknown after a handover, until a report is read for the order.
@@ -214,12 +224,11 @@
     if (isIsolated) {
       return now + computeLoadDelayMs(this.#options.hostOrdinal, ageMs);
     }
-    const cycleMs = (this.#options.listClaimants().length + 1) * LOAD_TURN_MS;
-    const remainderMs = (ageMs - this.#findTurn() * LOAD_TURN_MS) % cycleMs;
-    const sinceTurnMs = (remainderMs + cycleMs) % cycleMs;
-    return sinceTurnMs < LOAD_SEND_WINDOW_MS
-      ? now
-      : now + cycleMs - sinceTurnMs;
+    return now + computeTurnDelayMs({
+      startMs: this.#findTurn() * LOAD_TURN_MS,
+      cycleMs: (this.#options.listClaimants().length + 1) * LOAD_TURN_MS,
+      windowMs: LOAD_SEND_WINDOW_MS,
+    }, ageMs);
   }
 
   /**
--- a/src/core/ordering/turn_timing.ts
+++ b/src/core/ordering/turn_timing.ts
@@ -2,6 +2,7 @@
  * Lengths of the turns for orders that other claimants of an engine may send
  * too. All turns follow from the engine's age.
  */
+import type { Milliseconds } from "../structures.ts";
 import { CONTESTED_WINDOW_MS } from "./engine_ownership.ts";
 
 /**
@@ -24,3 +25,25 @@
  */
 export const LOAD_SEND_WINDOW_MS = 100;
 export const LOAD_TURN_MS = LOAD_SEND_WINDOW_MS + 100;
+
+/** A turn that returns with each cycle. */
+export interface RecurringTurn {
+  /** When the turn begins, from the start of the cycle. */
+  startMs: Milliseconds;
+  cycleMs: Milliseconds;
+  /** Part of the turn in which an order may be sent. */
+  windowMs: Milliseconds;
+}
+
+/**
+ * Returns the time until an order may be sent to an engine of this age, which a
+ * wrong clock may make negative: 0 in the window, or until the next turn.
+ */
+export function computeTurnDelayMs(
+  { startMs, cycleMs, windowMs }: RecurringTurn,
+  engineAgeMs: Milliseconds,
+): Milliseconds {
+  const remainderMs = (engineAgeMs - startMs) % cycleMs;
+  const sinceTurnMs = (remainderMs + cycleMs) % cycleMs;
+  return sinceTurnMs < windowMs ? 0 : cycleMs - sinceTurnMs;
+}
