Retry budget: its tests call the count of sharing daemons that the gateway uses

Two tests wrote the gateway's choice (isolated, or how long silent daemons are remembered) again, and so did not guard it. countSharingDaemons makes it for the gateway and for the three tests; their assertions are unchanged, 5 of 5 pass.

--- a/src/core/limits/fleet_retry_budget.ts
+++ b/src/core/limits/fleet_retry_budget.ts
@@ -6,6 +6,7 @@
  * daemon uses the fraction of its own requests and an equal part of the slack,
  * or none of it while it does not know how many others there are.
  */
+import type { FleetView } from "../fleet/fleet_view.ts";
 import type { Milliseconds } from "../structures.ts";
 
 export interface FleetRetryBudgetOptions {
@@ -26,7 +27,7 @@
  * Time for which a silent daemon is assumed to use its part of the slack: a cut
  * may last for minutes.
  */
-export const SHARING_MEMORY_MS = 600_000;
+const SHARING_MEMORY_MS = 600_000;
 
 interface ServiceWindow {
   arrivals: Milliseconds[];
@@ -47,8 +48,7 @@
 
   /**
    * Takes one retry from the service's budget; returns false if none is left.
-   * @param daemons number of daemons that share the slack; undefined if it is
-   * not known.
+   * @param daemons see countSharingDaemons.
    */
   trySpend(
     service: string,
@@ -74,6 +74,19 @@
   }
 }
 
+/**
+ * Returns the number of daemons that share the slack, silent ones included;
+ * undefined if it is not known.
+ */
+export function countSharingDaemons(
+  fleet: FleetView,
+  now: Milliseconds,
+): number | undefined {
+  return fleet.isIsolated(now)
+    ? undefined
+    : fleet.countSharing(now, SHARING_MEMORY_MS);
+}
+
 function trimBefore(times: Milliseconds[], since: Milliseconds): void {
   let count = 0;
   while (count < times.length && (times[count] ?? 0) <= since) count += 1;
--- a/src/gateway/request_handler.ts
+++ b/src/gateway/request_handler.ts
@@ -24,7 +24,7 @@
   findFirstEventId,
 } from "../core/execution/event_splitter.ts";
 import { PauseMeter } from "../core/execution/pause_meter.ts";
-import { SHARING_MEMORY_MS } from "../core/limits/fleet_retry_budget.ts";
+import { countSharingDaemons } from "../core/limits/fleet_retry_budget.ts";
 import {
   canFollowEvent,
   isContinuation,
@@ -662,9 +662,7 @@
         this.#crashGuard.isSuspect(performance.now()),
     }, () => {
       const now = performance.now();
-      const daemons = fleet.isIsolated(now)
-        ? undefined
-        : fleet.countSharing(now, SHARING_MEMORY_MS);
+      const daemons = countSharingDaemons(fleet, now);
       return retryBudget.trySpend(this.#service.name, daemons, now);
     });
   }
--- a/test/core/limits/fleet_retry_budget_test.ts
+++ b/test/core/limits/fleet_retry_budget_test.ts
@@ -4,8 +4,8 @@
 import { FleetView } from "../../../src/core/fleet/fleet_view.ts";
 import { buildHeartbeat } from "../fleet/heartbeat_builder.ts";
 import {
+  countSharingDaemons,
   FleetRetryBudget,
-  SHARING_MEMORY_MS,
 } from "../../../src/core/limits/fleet_retry_budget.ts";
 
 const OPTIONS = { ratio: 0.2, windowMs: 10_000, slack: 58 };
@@ -45,7 +45,7 @@
       fleet.recordHeartbeat(buildHeartbeat(member), 0);
     }
     assert.is(fleet.countAlive(silentAt), 1);
-    const daemons = fleet.countSharing(silentAt);
+    const daemons = countSharingDaemons(fleet, silentAt);
     retries += spendAll(new FleetRetryBudget(OPTIONS), daemons, silentAt);
   }
   assert.ok(retries > 0 && retries <= OPTIONS.slack, `${retries}`);
@@ -58,7 +58,7 @@
   for (let index = 0; index < 9; index += 1) {
     const self = { id: `${index}`, ip: `${index}`, failureDomain: "a" };
     const fleet = new FleetView(self, 0, ["stale"]);
-    const daemons = fleet.isIsolated(0) ? undefined : fleet.countSharing(0);
+    const daemons = countSharingDaemons(fleet, 0);
     retries += spendAll(new FleetRetryBudget(OPTIONS), daemons, 0);
   }
   assert.ok(retries > 0 && retries <= OPTIONS.slack, `${retries}`);
@@ -84,7 +84,7 @@
         fleet.recordHeartbeat(buildHeartbeat(peer, { beat: 9 }), now);
       }
     }
-    const daemons = fleet.countSharing(now, SHARING_MEMORY_MS);
+    const daemons = countSharingDaemons(fleet, now);
     retries += spendAll(new FleetRetryBudget(OPTIONS), daemons, now);
   }
   assert.ok(retries > 0 && retries <= OPTIONS.slack, `${retries}`);
