--- a/test/core/ordering/engine_owner_test.ts
+++ b/test/core/ordering/engine_owner_test.ts
@@ -381,10 +381,7 @@
     bornAtUnixMs: BORN,
     acceptedAgeMs: 0,
     models: ["m"],
-    adapters: Array.from(
-      { length: 8 },
-      (_, index) => [`m/a${index}`, 1, false],
-    ),
+    adapters: [...adapters.keys()].map((path) => [path, 1, false]),
   }, 10);
   owner.adoptRuns("next", { runs: [], total: 0 }, 15);
   let evictions = 0;
--- a/test/fuzz/isolated_hosts_test.ts
+++ b/test/fuzz/isolated_hosts_test.ts
@@ -10,6 +10,7 @@
 
 const RUNS = Number(process.env.ISOLATED_RUNS ?? 8);
 const FIRST_SEED = Number(process.env.ISOLATED_SEED ?? 1);
+const SEEDS = Array.from({ length: RUNS }, (_, run) => FIRST_SEED + run);
 /** Load times of the users' data sheets. */
 const FLEETS = [
   { daemons: 2, modelLoadMs: 600 },
@@ -29,7 +30,7 @@
     // Guards against hosts that each take themselves for a majority, and load a
     // base model at once with fencing numbers that repeat or fall (review/11).
     test(`${daemons} hosts that know nobody keep the rules at engines that ${answer} a load in progress`, () => {
-      for (let seed = FIRST_SEED; seed < FIRST_SEED + RUNS; seed += 1) {
+      for (const seed of SEEDS) {
         const { starts, violations } = new EmptyEngineSimulation(seed, {
           ...options,
           refusesRepeatedLoads,
@@ -47,7 +48,7 @@
       }
     });
     test(`${daemons} hosts that know nobody keep them under faults at engines that ${answer} a load in progress`, () => {
-      for (let seed = FIRST_SEED; seed < FIRST_SEED + RUNS; seed += 1) {
+      for (const seed of SEEDS) {
         const { violations } = new EmptyEngineSimulation(seed, {
           ...options,
           refusesRepeatedLoads,
@@ -68,8 +69,7 @@
 for (const isolated of [1, 4, 9]) {
   const isolation = { daemons: isolated, until: 24_000 };
   test(`${isolated} of 9 hosts that know nobody until their seeds return keep the rules under faults`, () => {
-    const seeds = Array.from({ length: RUNS }, (_, run) => FIRST_SEED + run);
-    for (const seed of [MIXED_LOAD_SEED, ...seeds]) {
+    for (const seed of [MIXED_LOAD_SEED, ...SEEDS]) {
       const { violations } = new EmptyEngineSimulation(seed, {
         daemons: 9,
         modelLoadMs: 2_900,
